--- /dev/null
+++ b/magnoliadyke/core/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions without input or output: events in, typed actions out."""
+
+__all__ = []
--- /dev/null
+++ b/magnoliadyke/lab/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins, load and experiments on one machine."""
+
+__all__ = []
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of magnoliadyke."""
