--- /dev/null
+++ b/magnoliadyke/settings_checks.py
@@ -0,0 +1,331 @@
+"""Finds all problems of a settings document at once."""
+
+import collections
+import ipaddress
+from typing import Any
+from typing import Iterator
+from typing import NamedTuple
+
+import jsonschema
+
+from magnoliadyke import settings_schema
+
+__all__ = ['Problem', 'find_problems']
+
+#: Stands for a value that must not be printed.
+HIDDEN = '(hidden)'
+#: Longest value that a problem repeats, in characters.
+SHOWN_CHARACTERS = 60
+
+
+class Problem(NamedTuple):
+    """One thing that is wrong.
+
+    :param path: where, such as ``hosts[2].caller_port``.
+    :param value: what stands there.
+    :param message: what is wrong with it.
+    :param remedy: what to write in its place.
+    """
+
+    path: str
+    value: str
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        shown = f' = {self.value}' if self.value else ''
+        return f'{self.path}{shown}: {self.message}; {self.remedy}'
+
+
+def find_problems(document: Any) -> list[Problem]:
+    """Check a document against the schema and its parts with each other.
+
+    The cross checks skip what has the wrong shape, which the schema reports,
+    so that one run names everything.
+
+    :param document: the settings as read from JSON.
+    """
+    problems = list(_schema_problems(document))
+    if isinstance(document, dict):
+        for find in CROSS_CHECKS:
+            problems.extend(find(document))
+    return problems
+
+
+def _schema_problems(document: Any) -> Iterator[Problem]:
+    validator = jsonschema.Draft202012Validator(settings_schema.SCHEMA)
+    found = sorted(
+        validator.iter_errors(document), key=lambda error: error.json_path
+    )
+    for error in found:
+        yield from _explain(error)
+
+
+def _explain(error: jsonschema.ValidationError) -> Iterator[Problem]:
+    path = error.json_path.removeprefix('$').removeprefix('.')
+    kind, wanted = error.validator, error.validator_value
+    if kind == 'required':
+        for key in wanted:
+            if key not in error.instance and f"'{key}'" in error.message:
+                yield _problem(_join(path, key), None, 'is missing', 'add it')
+        return
+    remedy = settings_schema.remedy_for(kind, wanted)
+    if kind == 'additionalProperties':
+        for key in sorted(
+            set(error.instance) - set(error.schema['properties'])
+        ):
+            yield _problem(_join(path, key), None, 'unknown key', remedy)
+        return
+    value = error.instance
+    if wanted == settings_schema.HASH_PATTERN:
+        # Whoever writes the key itself here must not find it in a log too.
+        value = HIDDEN
+    yield _problem(path or '$', value, _MESSAGES.get(kind, kind), remedy)
+
+
+_MESSAGES = {
+    'type': 'has the wrong type',
+    'enum': 'is not one of the allowed values',
+    'const': 'is not the allowed value',
+    'minItems': 'has too few items',
+    'minimum': 'is too small',
+    'maximum': 'is too large',
+    'exclusiveMinimum': 'is too small',
+    'pattern': 'has the wrong form',
+}
+
+
+def _join(path: str, key: str) -> str:
+    return f'{path}.{key}' if path else key
+
+
+def _problem(path: str, value: Any, message: str, remedy: str) -> Problem:
+    if value is None:
+        shown = ''
+    elif value is HIDDEN:
+        shown = HIDDEN
+    else:
+        shown = repr(value)
+        if len(shown) > SHOWN_CHARACTERS:
+            shown = shown[: SHOWN_CHARACTERS - 3] + '...'
+    return Problem(path, shown, message, remedy)
+
+
+class _Item(NamedTuple):
+    path: str
+    item: dict[str, Any]
+
+
+def _items(document: dict[str, Any], key: str) -> list[_Item]:
+    found = document.get(key)
+    if not isinstance(found, list):
+        return []
+    return [
+        _Item(f'{key}[{index}]', item)
+        for index, item in enumerate(found)
+        if isinstance(item, dict)
+    ]
+
+
+def _endpoints(document: dict[str, Any]) -> list[_Item]:
+    return [
+        _Item(f'{pool.path}.{inner.path}', inner.item)
+        for pool in _items(document, 'pools')
+        for inner in _items(pool.item, 'endpoints')
+    ]
+
+
+def _addresses(document: dict[str, Any]) -> Iterator[Problem]:
+    for path, host in _items(document, 'hosts'):
+        for key in ('address', 'admin_address'):
+            yield from _check_ip(f'{path}.{key}', host.get(key))
+    for path, address in _remote_addresses(document):
+        yield from _check_ip_port(path, address)
+
+
+def _remote_addresses(document: dict[str, Any]) -> Iterator[tuple[str, Any]]:
+    for path, endpoint in _endpoints(document):
+        yield f'{path}.address', endpoint.get('address')
+    for key in ('keyvalue', 'weight_store', 'host_list'):
+        part = document.get(key)
+        if isinstance(part, dict):
+            yield f'{key}.address', part.get('address')
+
+
+def _check_ip(path: str, value: Any) -> Iterator[Problem]:
+    if not isinstance(value, str):
+        return
+    try:
+        ipaddress.IPv4Address(value)
+    except ValueError:
+        yield _problem(
+            path,
+            value,
+            'is no IPv4 number',
+            'write an IP number such as 10.0.0.7; names are not looked up',
+        )
+
+
+def _check_ip_port(path: str, value: Any) -> Iterator[Problem]:
+    if not isinstance(value, str):
+        return
+    ip, _, port = value.rpartition(':')
+    bad_port = not port.isascii() or not port.isdigit()
+    if bad_port or not 0 < int(port) < 65536:
+        yield _problem(
+            path, value, 'has no port', 'write IP:PORT such as 10.0.0.7:7100'
+        )
+        return
+    yield from _check_ip(path, ip)
+
+
+def _clashing_ports(document: dict[str, Any]) -> Iterator[Problem]:
+    users = collections.defaultdict(list)
+    for path, host in _items(document, 'hosts'):
+        for address_key, port_key in (
+            ('address', 'caller_port'),
+            ('admin_address', 'admin_port'),
+            ('address', 'peer_port'),
+        ):
+            address, port = host.get(address_key), host.get(port_key)
+            if isinstance(address, str) and isinstance(port, int):
+                users[f'{address}:{port}'].append(f'{path}.{port_key}')
+    for path, address in _remote_addresses(document):
+        if isinstance(address, str):
+            users[address].append(path)
+    for address, paths in users.items():
+        for path in paths[1:]:
+            yield _problem(
+                path,
+                address,
+                f'is taken by {paths[0]}',
+                'give each listener an address and port of its own',
+            )
+
+
+def _failure_domains(document: dict[str, Any]) -> Iterator[Problem]:
+    known = document.get('failure_domains')
+    if not isinstance(known, list):
+        return
+    for path, item in _items(document, 'hosts') + _endpoints(document):
+        domain = item.get('failure_domain')
+        if isinstance(domain, str) and domain not in known:
+            yield _problem(
+                f'{path}.failure_domain',
+                domain,
+                'is not in failure_domains',
+                'use one of ' + ', '.join(str(name) for name in known),
+            )
+
+
+def _duplicates(document: dict[str, Any]) -> Iterator[Problem]:
+    domains = document.get('failure_domains')
+    if isinstance(domains, list):
+        yield from _repeated(
+            (f'failure_domains[{index}]', name)
+            for index, name in enumerate(domains)
+        )
+    for found in (
+        _items(document, 'hosts'),
+        _items(document, 'pools'),
+        _endpoints(document),
+    ):
+        yield from _repeated(
+            (f'{path}.name', item.get('name')) for path, item in found
+        )
+    yield from _repeated(
+        (f'{path}.model', item.get('model'))
+        for path, item in _items(document, 'pools')
+    )
+    yield from _repeated_keys(document)
+
+
+def _repeated(named: Iterator[tuple[str, Any]]) -> Iterator[Problem]:
+    first: dict[str, str] = {}
+    for path, name in named:
+        if not isinstance(name, str):
+            continue
+        if name in first:
+            yield _problem(
+                path,
+                name,
+                f'stands twice, first in {first[name]}',
+                'choose another name',
+            )
+        first.setdefault(name, path)
+
+
+def _repeated_keys(document: dict[str, Any]) -> Iterator[Problem]:
+    first: dict[str, str] = {}
+    for customer, row in _rows(document, 'customers'):
+        keys = row.get('keys')
+        for key in keys if isinstance(keys, list) else ():
+            if not isinstance(key, str):
+                continue
+            path = f'initial_table.customers.{customer}.keys'
+            if first.setdefault(key, customer) != customer:
+                yield _problem(
+                    path,
+                    HIDDEN,
+                    f'a key of it is a key of {first[key]} too',
+                    'give each customer keys of its own',
+                )
+
+
+def _rows(
+    document: dict[str, Any], sheet: str
+) -> Iterator[tuple[str, dict[str, Any]]]:
+    table = document.get('initial_table')
+    rows = table.get(sheet) if isinstance(table, dict) else None
+    if isinstance(rows, dict):
+        for name, row in rows.items():
+            if isinstance(row, dict):
+                yield name, row
+
+
+def _unknown_rows(document: dict[str, Any]) -> Iterator[Problem]:
+    named = {
+        'pools': _items(document, 'pools'),
+        'endpoints': _endpoints(document),
+        'hosts': _items(document, 'hosts'),
+    }
+    for sheet, found in named.items():
+        known = {str(item.get('name')) for _, item in found}
+        for name, _ in _rows(document, sheet):
+            if name not in known:
+                yield _problem(
+                    f'initial_table.{sheet}.{name}',
+                    None,
+                    f'names nothing in {sheet}',
+                    'use one of ' + ', '.join(sorted(known)),
+                )
+
+
+def _pool_minimums(document: dict[str, Any]) -> Iterator[Problem]:
+    rows = dict(_rows(document, 'pools'))
+    for path, pool in _items(document, 'pools'):
+        if pool.get('kind') != 'model':
+            continue
+        roles = [item.get('role') for _, item in _items(pool, 'endpoints')]
+        row = rows.get(str(pool.get('name')), {})
+        for role in ('prefill', 'decode'):
+            least = row.get(f'min_{role}', 1)
+            if not isinstance(least, int) or roles.count(role) >= least:
+                continue
+            yield _problem(
+                f'{path}.endpoints',
+                None,
+                f'{roles.count(role)} of them start in role {role}, the '
+                f"pool's minimum is {least}",
+                f'give {least} of them that role or lower min_{role}',
+            )
+
+
+CROSS_CHECKS = (
+    _addresses,
+    _clashing_ports,
+    _failure_domains,
+    _duplicates,
+    _unknown_rows,
+    _pool_minimums,
+)
