--- a/magnoliadyke/keyvalue.py
+++ b/magnoliadyke/keyvalue.py
@@ -164,6 +164,7 @@
     def revoke(self, lease):
         """:return: Stored, Absent, Unavailable or RateLimited"""
 
+    @abc.abstractmethod
     def close(self):
         """Drop all connections."""
 
