Let nodes call each other over framed thrift

A connection that idled may be silent for good, so it is probed before it carries a call; a failed call goes once more over a new one, as all calls may be repeated.

--- a/magnoliadyke/peer.py
+++ b/magnoliadyke/peer.py
@@ -1,9 +1,56 @@
 """Calls between nodes: framed compact thrift over TCP."""
 
+import gevent
+from gevent import pool
+from gevent import server
+from gevent import socket
+from thrift import Thrift
+from thrift.protocol import TCompactProtocol
+from thrift.protocol import TProtocol
+from thrift.transport import TSocket
+from thrift.transport import TTransport
+
 from magnoliadyke import app
+from magnoliadyke import errors
+from magnoliadyke import logs
+from magnoliadyke.wire import constants
+from magnoliadyke.wire import Peer
+from magnoliadyke.wire import ttypes
 
 __all__ = ['PeerClients', 'PeerServer']
 
+#: Longest message either side accepts; the table is under a megabyte.
+MAX_FRAME_BYTES = 4_000_000
+MAX_CONNECTIONS = 1024
+#: The server ends connections that stay idle this long.
+SERVER_IDLE_S = 60.0
+CONNECT_TIMEOUT_S = 0.5
+CALL_TIMEOUT_S = 2.0
+PROBE_TIMEOUT_S = 0.3
+#: A connection idle for longer is probed before it carries a call.
+PROBE_AFTER_S = 2.0
+
+#: How a connection or a call on it fails, other than by our own mistake.
+FAILURES = (OSError, EOFError, Thrift.TException, TProtocol.TProtocolException)
+
+LOG = logs.get('peer')
+
+
+def protocol_over(handle):
+    """Framed compact protocol over a connected socket.
+
+    :param handle: the socket
+    """
+    transport = TSocket.TSocket()
+    transport.setHandle(handle)
+    framed = TTransport.TFramedTransport(transport, MAX_FRAME_BYTES)
+    return TCompactProtocol.TCompactProtocolAccelerated(
+        framed,
+        fallback=True,
+        string_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=MAX_FRAME_BYTES,
+    )
+
 
 class PeerServer(app.Component):
     """Answers the calls of other nodes on this host's peer port.
@@ -20,45 +67,212 @@
     """
 
     def __init__(self, settings, host, incarnation, clock):
-        self.settings = settings
         self.host = host
         self.incarnation = incarnation
         self.clock = clock
         self.fetch_table = None
         self.take_records = None
         self.exchange_digest = None
+        own = next(each for each in settings.hosts if each.name == host)
+        self.listener = server.StreamServer(
+            (own.address, own.peer_port),
+            self.serve,
+            spawn=pool.Pool(MAX_CONNECTIONS),
+        )
 
     def start(self):
         """Listen."""
+        self.listener.start()
 
     def stop(self, deadline_s):
         """Stop listening and end the connections."""
+        self.listener.stop(min(deadline_s, CALL_TIMEOUT_S))
+
+    def serve(self, handle, address):
+        """Answer calls on one connection until it ends or idles."""
+        handle.settimeout(SERVER_IDLE_S)
+        protocol = protocol_over(handle)
+        processor = Peer.Processor(PeerHandler(self))
+        try:
+            while True:
+                processor.process(protocol, protocol)
+        except FAILURES:
+            pass
+        finally:
+            handle.close()
+
+
+class PeerHandler(Peer.Iface):
+    """Maps the thrift service to the callables of the server."""
+
+    def __init__(self, owner):
+        self.owner = owner
+
+    def probe(self, version):
+        """Show that the connection and this process live."""
+        return ttypes.ProbeReply(
+            constants.VERSION, self.owner.host, self.owner.incarnation
+        )
+
+    def fetch_table(self, version, known_revision):
+        """Return the table if it is newer than what the peer knows."""
+        if self.owner.fetch_table is None:
+            return ttypes.TableReply(constants.VERSION, 0)
+        revision, text = self.owner.fetch_table(known_revision)
+        return ttypes.TableReply(constants.VERSION, revision, text)
+
+    def handover(self, batch):
+        """Take over records of requests from a node that leaves."""
+        taken = None
+        if self.owner.take_records is not None:
+            taken = self.owner.take_records(
+                batch.host, batch.incarnation, batch.records, batch.last
+            )
+        return ttypes.HandoverReply(
+            constants.VERSION, taken or 0, taken is None
+        )
+
+    def exchange_digest(self, batch):
+        """Swap digests that don't fit a datagram."""
+        data = b''
+        if self.owner.exchange_digest is not None:
+            data = self.owner.exchange_digest(batch.host, batch.digest)
+        return ttypes.DigestBatch(constants.VERSION, self.owner.host, data)
+
+
+class PeerConnection:
+    """One connection to one node, used by one call at a time.
+
+    :param address: ``ip:port``, numeric
+    :param clock: a :class:`magnoliadyke.clock.Clock`
+    """
+
+    def __init__(self, address, clock):
+        self.clock = clock
+        ip, _, port = address.rpartition(':')
+        self.handle = socket.socket()
+        try:
+            self.handle.settimeout(CONNECT_TIMEOUT_S)
+            self.handle.connect((ip, int(port)))
+        except OSError:
+            self.handle.close()
+            raise
+        self.handle.settimeout(CALL_TIMEOUT_S)
+        self.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.client = Peer.Client(protocol_over(self.handle))
+        self.used_s = clock.now_s()
+
+    def call(self, name, *arguments, timeout_s=CALL_TIMEOUT_S):
+        """Call the peer; any failure closes the connection.
+
+        :param timeout_s: for all of the call, in seconds
+        """
+        try:
+            with gevent.Timeout(timeout_s, TimeoutError('no answer in time')):
+                reply = getattr(self.client, name)(*arguments)
+        except BaseException:
+            self.handle.close()
+            raise
+        self.used_s = self.clock.now_s()
+        return reply
+
+    def usable(self):
+        """Whether the connection still reaches the peer.
+
+        A connection that idled may have gone silent for good: a call on it
+        would wait out its whole timeout. A probe with a short one finds out
+        first, and the call then goes over a new connection.
+        """
+        if self.clock.now_s() - self.used_s < PROBE_AFTER_S:
+            return True
+        try:
+            self.call('probe', constants.VERSION, timeout_s=PROBE_TIMEOUT_S)
+        except FAILURES:
+            return False
+        return True
 
 
 class PeerClients:
     """Connections to other nodes, made when needed.
 
+    All calls may be repeated, so a call that fails on an idle connection is
+    made once more on a new one.
+
     :param settings: the deployment's settings
     :param host: name of this host
     :param clock: a :class:`magnoliadyke.clock.Clock`
     """
 
     def __init__(self, settings, host, clock):
-        self.settings = settings
         self.host = host
         self.clock = clock
+        self.idle = {}
 
     def fetch_table(self, address, known_revision):
         """:return: (revision, text), or None if the peer has none newer
 
         :raises magnoliadyke.errors.HostUnreachable: when it doesn't answer
         """
+        reply = self.call(
+            address, 'fetch_table', constants.VERSION, known_revision
+        )
+        if reply.document is None:
+            return None
+        return reply.revision, reply.document
 
     def handover(self, address, incarnation, records, last):
         """:return: number of records taken, None if refused
 
         :raises magnoliadyke.errors.HostUnreachable: when it doesn't answer
         """
+        batch = ttypes.RecordBatch(
+            constants.VERSION, self.host, incarnation, records, last
+        )
+        reply = self.call(address, 'handover', batch)
+        return None if reply.refused else reply.accepted
+
+    def exchange_digest(self, address, data):
+        """:return: (host, its digest)
+
+        :raises magnoliadyke.errors.HostUnreachable: when it doesn't answer
+        """
+        batch = ttypes.DigestBatch(constants.VERSION, self.host, data)
+        reply = self.call(address, 'exchange_digest', batch)
+        return reply.host, reply.digest
+
+    def call(self, address, name, *arguments):
+        """Call on an idle connection that is proved alive, or on a new one.
+
+        :raises magnoliadyke.errors.HostUnreachable: when it doesn't answer
+        """
+        connection = self.idle.pop(address, None)
+        if connection is not None and connection.usable():
+            try:
+                return self.call_on(connection, address, name, arguments)
+            except FAILURES as error:
+                LOG.repeated(
+                    'peer_call_failed', address, call=name, error=str(error)
+                )
+        try:
+            connection = PeerConnection(address, self.clock)
+            return self.call_on(connection, address, name, arguments)
+        except FAILURES as error:
+            raise errors.HostUnreachable(
+                f'{address} did not answer {name}: {error}',
+                'check that the host is up and reachable',
+            ) from error
+
+    def call_on(self, connection, address, name, arguments):
+        """Call, then keep the connection for the next call."""
+        reply = connection.call(name, *arguments)
+        spare = self.idle.pop(address, None)
+        if spare is not None:
+            spare.handle.close()
+        self.idle[address] = connection
+        return reply
 
     def close(self):
         """Drop all connections."""
+        while self.idle:
+            _, connection = self.idle.popitem()
+            connection.handle.close()
