--- a/magnoliadyke/peer.py
+++ b/magnoliadyke/peer.py
@@ -4,9 +4,9 @@
 from gevent import pool
 from gevent import server
 from gevent import socket
-from thrift import Thrift
 from thrift.protocol import TCompactProtocol
 from thrift.protocol import TProtocol
+from thrift import Thrift
 from thrift.transport import TSocket
 from thrift.transport import TTransport
 
@@ -52,6 +52,21 @@
     )
 
 
+def connect(address):
+    """Return a socket connected to ``ip:port``."""
+    ip, _, port = address.rpartition(':')
+    handle = socket.socket()
+    try:
+        handle.settimeout(CONNECT_TIMEOUT_S)
+        handle.connect((ip, int(port)))
+    except OSError:
+        handle.close()
+        raise
+    handle.settimeout(CALL_TIMEOUT_S)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return handle
+
+
 class PeerServer(app.Component):
     """Answers the calls of other nodes on this host's peer port.
 
@@ -149,16 +164,7 @@
 
     def __init__(self, address, clock):
         self.clock = clock
-        ip, _, port = address.rpartition(':')
-        self.handle = socket.socket()
-        try:
-            self.handle.settimeout(CONNECT_TIMEOUT_S)
-            self.handle.connect((ip, int(port)))
-        except OSError:
-            self.handle.close()
-            raise
-        self.handle.settimeout(CALL_TIMEOUT_S)
-        self.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.handle = connect(address)
         self.client = Peer.Client(protocol_over(self.handle))
         self.used_s = clock.now_s()
 
