Add the command line over one porcelain function a verb

Cause: operators need one way in that programs can use as well. The porcelain takes and gives plain values; the command line adds tables, JSON, exit statuses and remedies. Sheets travel as CSV whose first heading carries the revision, so that an import changes only what was edited. Checked by hand: wrong words end with 2, an unreachable host with 3, no traceback.

--- /dev/null
+++ b/magnoliadyke/cli.py
@@ -0,0 +1,340 @@
+"""Magnoliadyke serves language models to several customers on a fixed fleet.
+
+Usage:
+  magnoliadyke node SETTINGS --host=NAME
+  magnoliadyke check SETTINGS [--json]
+  magnoliadyke hosts [options]
+  magnoliadyke call model MODEL PROMPT [--max-tokens=N] [--stream] [options]
+  magnoliadyke call service NAME METHOD PATH [BODY] [options]
+  magnoliadyke table show [SHEET] [options]
+  magnoliadyke table get CELL [options]
+  magnoliadyke table set (CELL VALUE)... [options]
+  magnoliadyke table unset CELL... [options]
+  magnoliadyke table import FILE [options]
+  magnoliadyke table export SHEET [options]
+  magnoliadyke table history [--limit=N] [options]
+  magnoliadyke table override [EDIT] [options]
+  magnoliadyke status [options]
+  magnoliadyke roles [options]
+  magnoliadyke drain (host | endpoint) NAME [--undo] [options]
+  magnoliadyke report burn [--plot=FILE] [options]
+  magnoliadyke lab VERB [ARGS...]
+  magnoliadyke --help | --version
+
+Options:
+  --settings=FILE   Settings of the deployment; its hosts are asked in turn.
+                    Default: the variable MAGNOLIADYKE_SETTINGS.
+  --admin=IP:PORT   Ask this admin listener only.
+  --json            Print JSON, for programs.
+  --operator=NAME   Name in the table's history [default: the login name].
+  --base=REVISION   Revision that the edit was made from: a cell that was
+                    changed since then is a conflict.
+  --wait=SECONDS    Longest wait until an edit is in force [default: 10].
+  --host=NAME       Host of the settings to run as.
+  --key=KEY         Request key, so that resending cannot run it twice.
+  --priority=WORD   urgent, normal or background [default: normal].
+  --max-tokens=N    Longest answer, in tokens [default: 256].
+  --stream          Print the answer as it comes.
+  --limit=N         Most edits to show [default: 20].
+  --undo            Give it new work again.
+  --plot=FILE       Draw the burn rates too, as PNG.
+  -h --help         Show this text.
+  --version         Show the version.
+
+Secrets come from the environment: MAGNOLIADYKE_TOKEN (or the name of a file
+in MAGNOLIADYKE_TOKEN_FILE) for operators, MAGNOLIADYKE_KEY for callers.
+
+Exit status: 0 done; 1 refused, or problems found; 2 wrong usage; 3 no host
+or store answered; 4 conflict with another operator's edit; 5 edit accepted
+or staged, but not yet in force everywhere; 6 the call did not run; 7 nobody
+can tell whether the call ran.
+
+Examples:
+  magnoliadyke check examples/dala.json
+  magnoliadyke node examples/dala.json --host entry-1
+  magnoliadyke table set customers/portal/weight 3 --settings dala.json
+  magnoliadyke table export customers > customers.csv
+  magnoliadyke drain endpoint lease-model-2
+  magnoliadyke call model lease-model 'When does lease 17 end?' --stream
+  magnoliadyke report burn --json --admin 127.0.1.1:7081
+"""
+
+import json
+import os
+import sys
+from typing import Any
+from typing import Callable
+from typing import Mapping
+from typing import Sequence
+from typing import TextIO
+
+import docopt
+
+import magnoliadyke
+from magnoliadyke import adminclient
+from magnoliadyke import errors
+from magnoliadyke import porcelain
+from magnoliadyke import render
+
+__all__ = ['main']
+
+DONE = 0
+REFUSED = 1
+WRONG_USAGE = 2
+UNAVAILABLE = 3
+CONFLICT = 4
+NOT_IN_FORCE = 5
+NOT_RUN = 6
+UNKNOWN = 7
+INTERRUPTED = 130
+
+LOGIN_NAME = 'the login name'
+
+Args = Mapping[str, Any]
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run a command.
+
+    :param argv: its words, without the program's name.
+    :returns: the exit status.
+    """
+    try:
+        return _run(list(argv))
+    except docopt.DocoptExit as error:
+        return _fail(
+            WRONG_USAGE,
+            f'no usage fits these words\n{error.usage.strip()}\n'
+            'Try: magnoliadyke --help',
+        )
+    except errors.UsageError as error:
+        return _fail(WRONG_USAGE, str(error))
+    except errors.SettingsError as error:
+        return _fail(REFUSED, str(error))
+    except (errors.HostUnreachable, errors.StoreUnavailable) as error:
+        return _fail(UNAVAILABLE, str(error))
+    except adminclient.EditConflict as error:
+        return _fail(CONFLICT, f'{error}\n{render.conflicts(error.conflicts)}')
+    except errors.AdminRefused as error:
+        refused = UNAVAILABLE if error.status == 503 else REFUSED
+        return _fail(refused, str(error))
+    except errors.MagnoliadykeError as error:
+        return _fail(REFUSED, str(error))
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    except BrokenPipeError:
+        # The reader, such as head, has gone.  Python would complain once
+        # more when it flushes standard output at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return DONE
+
+
+def _run(argv: list[str]) -> int:
+    # The arguments of lab programs are their own: docopt must not see them.
+    if argv[:1] == ['lab'] and len(argv) > 1 and not _asks_help(argv[1]):
+        return porcelain.lab(argv[1:])
+    if argv[:1] == ['lab']:
+        return _show_lab()
+    args = docopt.docopt(__doc__, argv, version=magnoliadyke.__version__)
+    for words, command in COMMANDS.items():
+        if all(args[word] for word in words.split()):
+            return command(args)
+    raise errors.UsageError('no command was given', 'see --help')
+
+
+def _asks_help(word: str) -> bool:
+    return word in ('-h', '--help')
+
+
+def _show_lab() -> int:
+    rows = sorted(porcelain.LAB_VERBS.items())
+    width = max(len(name) for name, _ in rows)
+    print('Programs of the lab: magnoliadyke lab VERB [ARGS...]')
+    for name, purpose in rows:
+        print(f'  {name.ljust(width)}  {purpose}')
+    return DONE
+
+
+def _node(args: Args) -> int:
+    return porcelain.node(args['SETTINGS'], args['--host'])
+
+
+def _check(args: Args) -> int:
+    problems = porcelain.check(args['SETTINGS'])
+    if args['--json']:
+        _print_json({'problems': [item._asdict() for item in problems]})
+    elif problems:
+        for problem in problems:
+            print(problem, file=sys.stderr)
+        print(f'{len(problems)} problems', file=sys.stderr)
+    else:
+        print('no problems')
+    return REFUSED if problems else DONE
+
+
+def _table_show(args: Args) -> int:
+    answer = porcelain.table_show(_admin(args), args['SHEET'] or '')
+    return _show(args, answer, render.table)
+
+
+def _table_get(args: Args) -> int:
+    value = porcelain.table_get(_admin(args), args['CELL'][0])
+    return _show(args, value, _plain)
+
+
+def _table_set(args: Args) -> int:
+    cells = {}
+    for cell, text in zip(args['CELL'], args['VALUE'], strict=True):
+        if cell in cells:
+            raise errors.UsageError(
+                f'{cell} is set twice', 'keep one of the values'
+            )
+        cells[cell] = porcelain.parse_value(text)
+    result = porcelain.table_set(_admin(args), cells, **_edit_options(args))
+    return _show_edit(args, result)
+
+
+def _table_unset(args: Args) -> int:
+    result = porcelain.table_unset(
+        _admin(args), args['CELL'], **_edit_options(args)
+    )
+    return _show_edit(args, result)
+
+
+def _table_import(args: Args) -> int:
+    options = _edit_options(args)
+    if options['base_revision'] is None:
+        del options['base_revision']
+    result = porcelain.table_import(_admin(args), args['FILE'], **options)
+    return _show_edit(args, result)
+
+
+def _table_export(args: Args) -> int:
+    if args['--json']:
+        return _table_show(args)
+    sys.stdout.write(porcelain.table_export(_admin(args), args['SHEET']))
+    return DONE
+
+
+def _table_history(args: Args) -> int:
+    limit = int(_number(args, '--limit'))
+    entries = porcelain.table_history(_admin(args), limit)
+    return _show(args, entries, render.history)
+
+
+def _table_override(args: Args) -> int:
+    result = porcelain.table_override(
+        _admin(args), args['EDIT'] or '', _operator(args)
+    )
+    return _show_edit(args, result)
+
+
+def _status(args: Args) -> int:
+    return _show(args, porcelain.status(_admin(args)), render.status)
+
+
+def _roles(args: Args) -> int:
+    return _show(args, porcelain.roles(_admin(args)), render.roles)
+
+
+def _drain(args: Args) -> int:
+    result = porcelain.drain(
+        _admin(args),
+        'host' if args['host'] else 'endpoint',
+        args['NAME'],
+        args['--undo'],
+        _operator(args),
+    )
+    return _show_edit(args, result)
+
+
+def _report_burn(args: Args) -> int:
+    report = porcelain.report_burn(_admin(args))
+    if args['--plot']:
+        porcelain.plot_burn(report, args['--plot'])
+    return _show(args, report, render.burn)
+
+
+#: Words of each command, in the order in which they are looked for.
+COMMANDS: dict[str, Callable[[Args], int]] = {
+    'node': _node,
+    'check': _check,
+    'table show': _table_show,
+    'table get': _table_get,
+    'table set': _table_set,
+    'table unset': _table_unset,
+    'table import': _table_import,
+    'table export': _table_export,
+    'table history': _table_history,
+    'table override': _table_override,
+    'status': _status,
+    'roles': _roles,
+    'drain': _drain,
+    'report burn': _report_burn,
+}
+
+
+def _admin(args: Args) -> adminclient.AdminClient:
+    return porcelain.admin_client(
+        args['--settings'] or os.environ.get('MAGNOLIADYKE_SETTINGS', ''),
+        args['--admin'] or '',
+        porcelain.read_token(),
+    )
+
+
+def _edit_options(args: Args) -> dict[str, Any]:
+    base = args['--base']
+    return {
+        'operator': _operator(args),
+        'base_revision': None
+        if base is None
+        else int(_number(args, '--base')),
+        'wait_s': _number(args, '--wait'),
+    }
+
+
+def _operator(args: Args) -> str:
+    given = args['--operator']
+    return '' if given == LOGIN_NAME else given
+
+
+def _number(args: Args, option: str) -> float:
+    try:
+        value = float(args[option])
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < float('inf'):
+        raise errors.UsageError(
+            f'{option}={args[option]} is no number', 'write 0 or more'
+        )
+    return value
+
+
+def _show(args: Args, answer: Any, text: Callable[[Any], str]) -> int:
+    if args['--json']:
+        _print_json(answer)
+    else:
+        print(text(answer))
+    return DONE
+
+
+def _show_edit(args: Args, result: porcelain.EditResult) -> int:
+    if args['--json']:
+        _print_json({**result.body, 'state': result.state})
+    else:
+        print(render.edit(result.state, result.body))
+    return DONE if result.state in ('in_force', 'unchanged') else NOT_IN_FORCE
+
+
+def _plain(value: Any) -> str:
+    return value if isinstance(value, str) else json.dumps(value)
+
+
+def _print_json(answer: Any) -> None:
+    json.dump(answer, sys.stdout, indent=2)
+    sys.stdout.write('\n')
+
+
+def _fail(status: int, message: str, stream: TextIO | None = None) -> int:
+    print(f'magnoliadyke: {message}', file=stream or sys.stderr)
+    return status
--- /dev/null
+++ b/magnoliadyke/porcelain.py
@@ -0,0 +1,419 @@
+"""What a user can ask for: one function for each verb.
+
+The functions take plain values, return plain values and raise the errors of
+:mod:`magnoliadyke.errors`; :mod:`magnoliadyke.cli` is a thin layer over them.
+"""
+
+import getpass
+import importlib
+import os
+import pathlib
+from typing import Any
+from typing import Callable
+from typing import Mapping
+from typing import NamedTuple
+from typing import Sequence
+import uuid
+
+from magnoliadyke import adminclient
+from magnoliadyke import errors
+from magnoliadyke import settings as settings_module
+from magnoliadyke import sheets
+
+__all__ = [
+    'LAB_VERBS',
+    'EditResult',
+    'admin_client',
+    'check',
+    'drain',
+    'lab',
+    'node',
+    'parse_value',
+    'plot_burn',
+    'read_token',
+    'report_burn',
+    'roles',
+    'status',
+    'table_export',
+    'table_get',
+    'table_history',
+    'table_import',
+    'table_override',
+    'table_set',
+    'table_show',
+    'table_unset',
+]
+
+#: Programs of the lab: stand-ins, load and experiments.
+LAB_VERBS = {
+    'capacity': 'measure the slopes behind docs/CAPACITY.md',
+    'demo': 'run the small Dala deployment and check every answer',
+    'engine': 'stand-in for a model engine',
+    'faults': 'faults with real processes behind the faulty proxy',
+    'hostlist': "stand-in for the platform's host list",
+    'keyvalue': "stand-in for the platform's key-value service",
+    'live': 'load against a running deployment',
+    'policy': 'compare policies on traces of a shifting token mix',
+    'proxy': 'TCP proxy that injects faults',
+    'service': 'stand-in for a plain service',
+    'weights': "stand-in for the platform's weight store",
+}
+
+#: Changes read to find what an exported sheet looked like.
+HISTORY_LIMIT = 1000
+
+
+parse_value = sheets.parse_value
+
+
+class EditResult(NamedTuple):
+    """What became of an edit.
+
+    :param state: ``in_force``, ``accepted``, ``pending`` or ``unchanged``.
+    :param body: the host's answer.
+    """
+
+    state: str
+    body: Mapping[str, Any]
+
+
+def node(settings_path: str, host: str) -> int:
+    """Run one host of a deployment until it is told to stop.
+
+    :param settings_path: the settings file.
+    :param host: name of the host.
+    :returns: the exit status.
+    """
+    settings = settings_module.load(settings_path)
+    settings.host(host)
+    from magnoliadyke import node as node_module
+
+    return node_module.run(settings, host) or 0
+
+
+def check(settings_path: str) -> list[settings_module.Problem]:
+    """Find all problems of a settings file; start nothing.
+
+    :param settings_path: the settings file.
+    """
+    return settings_module.check(settings_path)
+
+
+def admin_client(
+    settings_path: str = '', address: str = '', token: str = ''
+) -> adminclient.AdminClient:
+    """Make the client that the verbs below need.
+
+    :param settings_path: settings whose hosts are asked in turn.
+    :param address: ``IP:PORT`` of the one listener to ask, instead.
+    :param token: the operators' token.
+    """
+    if address:
+        ip, _, port = address.rpartition(':')
+        if not ip or not port.isdigit():
+            raise errors.UsageError(
+                f'{address!r} is no admin address', 'write IP:PORT'
+            )
+        where = [adminclient.AdminAddress(address, ip, int(port))]
+    elif settings_path:
+        where = [
+            adminclient.AdminAddress(
+                host.name, host.admin_address, host.admin_port
+            )
+            for host in settings_module.load(settings_path).hosts
+        ]
+    else:
+        raise errors.UsageError(
+            'no deployment is named',
+            'give --settings=FILE or --admin=IP:PORT, or set '
+            'MAGNOLIADYKE_SETTINGS',
+        )
+    return adminclient.AdminClient(where, token)
+
+
+def table_show(
+    client: adminclient.AdminClient, sheet: str = ''
+) -> dict[str, Any]:
+    """Read the table with its staged edits.
+
+    :param client: the admin client.
+    :param sheet: the only sheet wanted, ``''`` for all.
+    """
+    table = client.get('/admin/table')
+    if sheet:
+        if sheet not in table['sheets']:
+            raise errors.UsageError(
+                f'there is no sheet {sheet!r}',
+                'use one of ' + ', '.join(sorted(table['sheets'])),
+            )
+        table['sheets'] = {sheet: table['sheets'][sheet]}
+    return table
+
+
+def table_get(client: adminclient.AdminClient, cell: str) -> Any:
+    """Read one cell, or its column's default where it is not set.
+
+    :param client: the admin client.
+    :param cell: ``SHEET/ROW/COLUMN``.
+    """
+    sheet, row, column = _split(cell)
+    content = table_show(client, sheet)['sheets'][sheet]
+    known = {item['name']: item for item in content['columns']}
+    if column not in known:
+        raise errors.UsageError(
+            f'sheet {sheet} has no column {column!r}',
+            'use one of ' + ', '.join(known),
+        )
+    if row not in content['rows']:
+        raise errors.UsageError(
+            f'sheet {sheet} has no row {row!r}',
+            'use one of ' + ', '.join(sorted(content['rows'])),
+        )
+    return content['rows'][row].get(column, known[column]['default'])
+
+
+def table_set(
+    client: adminclient.AdminClient,
+    cells: Mapping[str, Any],
+    operator: str = '',
+    base_revision: int | None = None,
+    wait_s: float = 10.0,
+) -> EditResult:
+    """Change cells and wait until the change is in force everywhere.
+
+    :param client: the admin client.
+    :param cells: new value of each, ``None`` to unset it.
+    :param operator: who asks, for the history.
+    :param base_revision: revision that the operator looked at; a cell that
+        was changed since is then a conflict.
+    :param wait_s: longest wait.
+    """
+    for cell in cells:
+        _split(cell)
+    if not cells:
+        return EditResult('unchanged', {})
+    answer = client.post(
+        '/admin/table',
+        {
+            'edit': uuid.uuid4().hex,
+            'operator': operator or _user(),
+            'base_revision': base_revision,
+            'cells': dict(cells),
+            'wait_s': wait_s,
+        },
+    )
+    return EditResult(answer.body['state'], answer.body)
+
+
+def table_unset(
+    client: adminclient.AdminClient, cells: Sequence[str], **options: Any
+) -> EditResult:
+    """Bring cells back to their column's default.
+
+    :param client: the admin client.
+    :param cells: the cells.
+    :param options: as for :func:`table_set`.
+    """
+    return table_set(client, dict.fromkeys(cells), **options)
+
+
+def table_export(client: adminclient.AdminClient, sheet: str) -> str:
+    """Write one sheet as CSV.
+
+    :param client: the admin client.
+    :param sheet: name of the sheet.
+    """
+    return sheets.write_csv(table_show(client, sheet), sheet)
+
+
+def table_import(
+    client: adminclient.AdminClient, path: str, **options: Any
+) -> EditResult:
+    """Apply what was changed in an exported sheet, as one edit.
+
+    Only cells that differ from the exported revision are part of the edit,
+    so that changes of others since then stay.
+
+    :param client: the admin client.
+    :param path: the CSV file.
+    :param options: as for :func:`table_set`.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8-sig')
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.UsageError(
+            f'{path} cannot be read: {error}', 'name a CSV file in UTF-8'
+        ) from error
+    imported = sheets.read_csv(text)
+    table = table_show(client, imported.sheet)
+    revision = imported.base_revision
+    base = sheets.table_cells(table)
+    if revision is not None and revision < table['revision']:
+        history = table_history(client, HISTORY_LIMIT)
+        base = sheets.base_cells(table, history, revision)
+    options.setdefault('base_revision', revision)
+    cells = sheets.changed_cells(imported.cells, base)
+    return table_set(client, cells, **options)
+
+
+def table_history(
+    client: adminclient.AdminClient, limit: int = 20
+) -> list[dict[str, Any]]:
+    """Read the accepted edits, newest first.
+
+    :param client: the admin client.
+    :param limit: most edits wanted.
+    """
+    return client.get(f'/admin/table/history?limit={limit}')['history']
+
+
+def table_override(
+    client: adminclient.AdminClient, edit: str = '', operator: str = ''
+) -> EditResult:
+    """Accept a pending edit without the hosts that are missing.
+
+    :param client: the admin client.
+    :param edit: id of the edit, ``''`` for all that are pending.
+    :param operator: who asks, for the history.
+    """
+    answer = client.post(
+        '/admin/table/override',
+        {'edit': edit or None, 'operator': operator or _user()},
+    )
+    return EditResult(answer.body['state'], answer.body)
+
+
+def status(client: adminclient.AdminClient) -> dict[str, Any]:
+    """Read the state of hosts, endpoints and customers.
+
+    :param client: the admin client.
+    """
+    return client.get('/admin/status')
+
+
+def roles(client: adminclient.AdminClient) -> dict[str, Any]:
+    """Read the engines' roles and the plans for them.
+
+    :param client: the admin client.
+    """
+    return client.get('/admin/roles')
+
+
+def drain(
+    client: adminclient.AdminClient,
+    kind: str,
+    name: str,
+    undo: bool = False,
+    operator: str = '',
+) -> EditResult:
+    """Take new work away from a host or an endpoint.
+
+    :param client: the admin client.
+    :param kind: ``host`` or ``endpoint``.
+    :param name: its name.
+    :param undo: give it new work again.
+    :param operator: who asks, for the history.
+    """
+    answer = client.post(
+        '/admin/drain',
+        {kind: name, 'undo': undo, 'operator': operator or _user()},
+    )
+    return EditResult(answer.body['state'], answer.body)
+
+
+def report_burn(client: adminclient.AdminClient) -> dict[str, Any]:
+    """Read how fast each customer's error budget burns.
+
+    :param client: the admin client.
+    """
+    return client.get('/admin/burn')
+
+
+def plot_burn(report: Mapping[str, Any], path: str) -> None:
+    """Draw burn rates by window, a line for each customer.
+
+    :param report: what :func:`report_burn` gave.
+    :param path: PNG file to write.
+    """
+    try:
+        from matplotlib import figure
+    except ModuleNotFoundError as error:
+        raise errors.UsageError(
+            'matplotlib is not installed',
+            "install it by pip install 'magnoliadyke[plots]'",
+        ) from error
+    drawing = figure.Figure(figsize=(7, 4), layout='constrained')
+    axes = drawing.add_subplot()
+    for customer in report['customers']:
+        windows = customer['windows']
+        axes.plot(
+            [window['window_s'] for window in windows],
+            [window['burn_rate'] for window in windows],
+            marker='o',
+            label=customer['name'],
+        )
+    axes.axhline(1.0, linestyle='--', label='budget just spent')
+    axes.set(xscale='log', xlabel='window (s)', ylabel='burn rate')
+    axes.legend()
+    drawing.savefig(path, format='png')
+
+
+def lab(argv: Sequence[str]) -> int:
+    """Run a program of the lab.
+
+    :param argv: its name and its arguments.
+    :returns: its exit status.
+    """
+    verb, *rest = argv
+    if verb not in LAB_VERBS:
+        raise errors.UsageError(
+            f'there is no lab program {verb!r}',
+            'use one of ' + ', '.join(LAB_VERBS),
+        )
+    name = f'magnoliadyke.lab.{verb}'
+    try:
+        module = importlib.import_module(name)
+    except ModuleNotFoundError as error:
+        if error.name == name:
+            remedy = 'use a build that has it'
+        else:
+            remedy = f'install {error.name}'
+        raise errors.UsageError(str(error), remedy) from error
+    main: Callable[[list[str]], int | None] = module.main
+    return main(rest) or 0
+
+
+def read_token(environ: Mapping[str, str] = os.environ) -> str:
+    """Read the operators' token from the environment.
+
+    A token on the command line would stand in every list of processes.
+
+    :param environ: the environment.
+    """
+    path = environ.get('MAGNOLIADYKE_TOKEN_FILE')
+    if not path:
+        return environ.get('MAGNOLIADYKE_TOKEN', '')
+    try:
+        return pathlib.Path(path).read_text(encoding='utf-8').strip()
+    except OSError as error:
+        raise errors.UsageError(
+            f'{path} cannot be read: {error.strerror}',
+            'correct MAGNOLIADYKE_TOKEN_FILE',
+        ) from error
+
+
+def _split(cell: str) -> tuple[str, str, str]:
+    parts = cell.split('/')
+    if len(parts) != 3 or not all(parts):
+        raise errors.UsageError(
+            f'{cell!r} is no cell',
+            'write SHEET/ROW/COLUMN such as customers/lease/weight',
+        )
+    return parts[0], parts[1], parts[2]
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return 'unknown'
--- /dev/null
+++ b/magnoliadyke/render.py
@@ -0,0 +1,349 @@
+"""Answers of the porcelain as text for people."""
+
+import json
+from typing import Any
+from typing import Iterable
+from typing import Mapping
+from typing import Sequence
+
+__all__ = [
+    'burn',
+    'cell',
+    'columns',
+    'conflicts',
+    'edit',
+    'history',
+    'hosts',
+    'roles',
+    'status',
+    'table',
+]
+
+#: Longest text shown for a cell, in characters.
+SHOWN_CHARACTERS = 24
+NOTHING = '-'
+
+
+def columns(heading: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
+    """Set rows in columns, numbers to the right.
+
+    :param heading: name of each column.
+    :param rows: the values.
+    """
+    lines = [[cell(value) for value in row] for row in rows]
+    widths = [
+        max(len(line[index]) for line in [list(heading), *lines])
+        for index in range(len(heading))
+    ]
+    out = []
+    for line in [list(heading), *lines]:
+        cells = [
+            text.rjust(width) if _is_number(text) else text.ljust(width)
+            for text, width in zip(line, widths, strict=True)
+        ]
+        out.append('  '.join(cells).rstrip())
+    return '\n'.join(out)
+
+
+def cell(value: Any) -> str:
+    """Show one value.
+
+    :param value: a JSON scalar or list.
+    """
+    match value:
+        case None:
+            return NOTHING
+        case bool():
+            return 'yes' if value else 'no'
+        case float():
+            return f'{value:.4g}'
+        case list() if value and all(
+            str(item).startswith('sha256:') for item in value
+        ):
+            return f'{len(value)} hashed'
+        case list():
+            text = ','.join(str(item) for item in value) or NOTHING
+        case _:
+            text = str(value)
+    if len(text) > SHOWN_CHARACTERS:
+        return text[: SHOWN_CHARACTERS - 3] + '...'
+    return text
+
+
+def table(answer: Mapping[str, Any]) -> str:
+    """Show the table; defaults stand in parentheses.
+
+    :param answer: the table as the admin interface gives it.
+    """
+    parts = [f'revision {answer["revision"]}']
+    for sheet, content in answer['sheets'].items():
+        names = [column['name'] for column in content['columns']]
+        defaults = {
+            column['name']: column['default'] for column in content['columns']
+        }
+        rows = [
+            [row, *(_or_default(cells, name, defaults) for name in names)]
+            for row, cells in sorted(content['rows'].items())
+        ]
+        parts.append(columns([sheet, *names], rows))
+    for staged in answer.get('staged', ()):
+        parts.append(_staged(staged))
+    behind = [
+        f'{host} at {revision}'
+        for host, revision in sorted(answer.get('in_force', {}).items())
+        if revision != answer['revision']
+    ]
+    if behind:
+        parts.append('not yet in force on: ' + ', '.join(behind))
+    return '\n\n'.join(parts)
+
+
+def edit(state: str, body: Mapping[str, Any]) -> str:
+    """Tell what became of an edit.
+
+    :param state: its state.
+    :param body: the host's answer.
+    """
+    match state:
+        case 'unchanged':
+            return 'nothing to change'
+        case 'in_force':
+            return (
+                f'revision {body.get("revision")} accepted in '
+                f'{_seconds(body.get("accepted_s"))}, in force on '
+                f'{body.get("hosts", "all")} hosts in '
+                f'{_seconds(body.get("in_force_s"))}'
+            )
+        case 'accepted':
+            return (
+                f'revision {body.get("revision")} accepted in '
+                f'{_seconds(body.get("accepted_s"))}, not yet in force on '
+                + (', '.join(body.get('laggards', ())) or 'some hosts')
+            )
+        case 'pending':
+            missing = ', '.join(body.get('missing', ())) or 'some hosts'
+            remedy = body.get('remedy') or (
+                "wait, or accept it without them by 'table override'"
+            )
+            return (
+                f'revision {body.get("staged_revision")} is staged and not '
+                f'in force; no word from {missing}; {remedy}'
+            )
+    return f'{state}: {json.dumps(dict(body))}'
+
+
+def conflicts(found: Iterable[Mapping[str, Any]]) -> str:
+    """Show both values of each cell in conflict.
+
+    :param found: the conflicts as the admin interface gives them.
+    """
+    return columns(
+        ['cell', 'was', 'yours', 'theirs', 'since revision'],
+        [
+            [
+                item.get('cell'),
+                item.get('base_value'),
+                item.get('your_value'),
+                item.get('their_value'),
+                item.get('revision'),
+            ]
+            for item in found
+        ],
+    )
+
+
+def history(entries: Iterable[Mapping[str, Any]]) -> str:
+    """Show accepted edits, a line for each cell.
+
+    :param entries: the edits as the admin interface gives them.
+    """
+    rows = [
+        [
+            entry['revision'],
+            entry.get('at'),
+            entry.get('operator'),
+            name,
+            change.get('old'),
+            change.get('new'),
+        ]
+        for entry in entries
+        for name, change in sorted(entry['cells'].items())
+    ]
+    return columns(['revision', 'at', 'operator', 'cell', 'old', 'new'], rows)
+
+
+def hosts(answer: Mapping[str, Any]) -> str:
+    """Show the hosts that callers are sent to.
+
+    :param answer: the answer of ``GET /v1/hosts``.
+    """
+    shown = columns(
+        ['host', 'address', 'failure domain'],
+        [
+            [item['host'], item['address'], item['failure_domain']]
+            for item in answer['hosts']
+        ],
+    )
+    return f'{shown}\n\nkeep for {answer.get("keep_s")} s'
+
+
+def status(answer: Mapping[str, Any]) -> str:
+    """Show the state of a deployment on one page.
+
+    :param answer: the answer of ``GET /admin/status``.
+    """
+    state = answer.get('table', {})
+    takes = 'takes work' if answer.get('takes_work') else 'takes no work'
+    store = answer.get('store', {})
+    reach = 'reachable' if store.get('reachable') else 'NOT REACHABLE'
+    parts = [
+        f'{answer.get("deployment")}, as seen by {answer.get("host")} '
+        f'({takes}); table revision {state.get("revision")}, confirmed '
+        f'{_seconds(state.get("fresh_s"))} ago; store {reach}'
+    ]
+    parts.extend(_sections(answer, STATUS_SECTIONS))
+    return '\n\n'.join(parts)
+
+
+STATUS_SECTIONS = {
+    'members': (
+        'host',
+        'state',
+        'address',
+        'failure_domain',
+        'table_revision',
+        'takes_work',
+    ),
+    'endpoints': (
+        'name',
+        'pool',
+        'failure_domain',
+        'state',
+        'role',
+        'running',
+        'queued',
+        'report_age_s',
+    ),
+    'customers': (
+        'name',
+        'running',
+        'queued',
+        'answered',
+        'not_run',
+        'unknown',
+        'rejected',
+        'share',
+    ),
+    'leases': ('name', 'holder', 'expires_s'),
+}
+
+
+def roles(answer: Mapping[str, Any]) -> str:
+    """Show each pool's engines with their roles.
+
+    :param answer: the answer of ``GET /admin/roles``.
+    """
+    parts = []
+    for pool in answer['pools']:
+        demand = pool.get('demand', {})
+        parts.append(
+            f'{pool["name"]}: planning {pool.get("planning")}, '
+            f'{pool.get("role_changes", 0)} role changes; demand prefill '
+            f'{cell(demand.get("prefill_s_per_s"))}, decode '
+            f'{cell(demand.get("decode_s_per_s"))} engine-s/s; '
+            f'{pool.get("last_plan") or "no plan yet"}\n'
+            + _rows(
+                pool.get('endpoints', ()),
+                (
+                    'name',
+                    'role',
+                    'target',
+                    'changing',
+                    'generation',
+                    'checks_fencing',
+                ),
+            )
+        )
+    return '\n\n'.join(parts)
+
+
+def burn(answer: Mapping[str, Any]) -> str:
+    """Show burn rates by customer and window, alerts and causes.
+
+    :param answer: the answer of ``GET /admin/burn``.
+    """
+    if answer.get('text'):
+        return answer['text']
+    parts = []
+    for customer in answer['customers']:
+        lines = [f'{customer["name"]}: objective {customer.get("objective")}']
+        lines.append(
+            _rows(
+                customer.get('windows', ()),
+                ('window_s', 'burn_rate', 'bad', 'total'),
+            )
+        )
+        causes = customer.get('causes') or {}
+        lines.append(
+            'causes: '
+            + (
+                ', '.join(f'{key} {cell(causes[key])}' for key in causes)
+                or 'none'
+            )
+        )
+        alerts = customer.get('alerts') or ()
+        lines.extend(f'ALERT {_alert(alert)}' for alert in alerts)
+        parts.append('\n'.join(lines))
+    return '\n\n'.join(parts)
+
+
+def _alert(alert: Any) -> str:
+    if isinstance(alert, dict):
+        return ' '.join(f'{key}={cell(alert[key])}' for key in alert)
+    return str(alert)
+
+
+def _sections(
+    answer: Mapping[str, Any], sections: Mapping[str, Sequence[str]]
+) -> Iterable[str]:
+    for key, names in sections.items():
+        if answer.get(key):
+            yield _rows(answer[key], names)
+
+
+def _rows(items: Iterable[Mapping[str, Any]], names: Sequence[str]) -> str:
+    heading = [name.replace('_', ' ') for name in names]
+    return columns(
+        heading, [[item.get(name) for name in names] for item in items]
+    )
+
+
+def _or_default(
+    cells: Mapping[str, Any], name: str, defaults: Mapping[str, Any]
+) -> str:
+    if name in cells:
+        return cell(cells[name])
+    return f'({cell(defaults[name])})'
+
+
+def _staged(staged: Mapping[str, Any]) -> str:
+    changes = ', '.join(
+        f'{name} = {cell(value)}' for name, value in staged['cells'].items()
+    )
+    waiting = ', '.join(staged.get('waiting', ())) or 'its acceptance'
+    return (
+        f'staged as {staged.get("revision")} by {staged.get("operator")} '
+        f'(edit {staged.get("edit")}): {changes}; waits for {waiting}'
+    )
+
+
+def _seconds(value: float | None) -> str:
+    return NOTHING if value is None else f'{value:.2f} s'
+
+
+def _is_number(text: str) -> bool:
+    try:
+        float(text)
+    except ValueError:
+        return False
+    return True
