--- /dev/null
+++ b/magnoliadyke/core/membership.py
@@ -0,0 +1,663 @@
+"""Who is alive: gossip with indirect probes, suspicion and incarnations.
+
+The protocol is SWIM with the local health of Lifeguard.  Each period a node
+probes one peer; a peer that does not answer is asked for through helpers in
+several failure domains, then suspected, and declared dead unless it refutes
+in time.  News rides on probes and answers; the bytes of a datagram and the
+datagrams of a period are bounded, whatever the size of the fleet.
+
+An incarnation belongs to a process and is given at its start; a later
+process of the host has a higher one.  ``refutations`` counts within it.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import math
+from typing import Any
+from typing import NamedTuple
+
+from magnoliadyke.core import freshness
+
+__all__ = [
+    'Ack',
+    'DigestHeard',
+    'Member',
+    'MembersView',
+    'Membership',
+    'MembershipSettings',
+    'Paused',
+    'Ping',
+    'PingRequest',
+    'Send',
+    'Superseded',
+]
+
+ALIVE = 'alive'
+SUSPECT = 'suspect'
+DEAD = 'dead'
+LEFT = 'left'
+_STATE_RANK = {ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3}
+MAX_HEALTH = 8
+#: Independent suspicions that shorten the wait to its least.
+CONFIRMATIONS = 2
+#: Each update is sent this often for each doubling of the fleet.
+RETRANSMIT_FACTOR = 3
+
+
+class MembershipSettings(NamedTuple):
+    """Times and bounds of the protocol.
+
+    :param suspicion_s: least time between suspicion and death.
+    :param helpers: peers asked to probe in one's stead.
+    :param updates: members told of in a datagram.
+    :param sightings: hosts vouched for in a datagram.
+    :param pause_s: a gap between ticks that counts as a pause.
+    :param knock_s: time between probes of a host believed gone.
+    """
+
+    period_s: float = 0.5
+    ping_timeout_s: float = 0.15
+    suspicion_s: float = 1.0
+    helpers: int = 3
+    updates: int = 4
+    sightings: int = 8
+    pause_s: float = 1.5
+    knock_s: float = 1.0
+
+
+class Member(NamedTuple):
+    """A host as others see it.
+
+    :param spare: free share of the host, 0 to 1.
+    :param successor: host that took over the records of one that left.
+    """
+
+    host: str
+    incarnation: int
+    address: str
+    caller_port: int
+    peer_port: int
+    failure_domain: str
+    state: str = ALIVE
+    refutations: int = 0
+    table_revision: int = 0
+    staged_revision: int = 0
+    spare: float = 1.0
+    takes_work: bool = False
+    successor: str = ''
+
+
+class Ping(NamedTuple):
+    """Are you there?
+
+    :param source: the sender, first-hand.
+    :param target: host meant; another process at its address keeps still.
+    """
+
+    sequence: int
+    source: Member
+    target: str
+    updates: tuple[Member, ...]
+    sightings: tuple[freshness.Sighting, ...]
+    digest: bytes
+
+
+class PingRequest(NamedTuple):
+    """Probe the target for me and pass its answer on."""
+
+    sequence: int
+    source: Member
+    target: str
+    target_address: str
+    target_port: int
+    updates: tuple[Member, ...]
+    sightings: tuple[freshness.Sighting, ...]
+    digest: bytes
+
+
+class Ack(NamedTuple):
+    """Here I am; ``source`` is the probed host, also through a helper."""
+
+    sequence: int
+    source: Member
+    target: str
+    updates: tuple[Member, ...]
+    sightings: tuple[freshness.Sighting, ...]
+    digest: bytes
+
+
+Message = Ping | PingRequest | Ack
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """Send a datagram.
+
+    :param address: numeric address and port.
+    """
+
+    address: tuple[str, int]
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True)
+class DigestHeard:
+    """A peer's digest, as it set it."""
+
+    host: str
+    digest: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Paused:
+    """The process stood still; leases are to be dropped before acting."""
+
+    for_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Superseded:
+    """A newer process runs for this host; this one is to stop."""
+
+    incarnation: int
+
+
+Action = Send | DigestHeard | Paused | Superseded
+
+
+class MembersView(NamedTuple):
+    """The members, oneself among them.
+
+    :param lost_domains: failure domains of which no host answers.
+    """
+
+    members: Mapping[str, Member]
+    lost_domains: frozenset[str] = frozenset()
+
+    def alive(self) -> list[Member]:
+        return [m for m in self.members.values() if m.state == ALIVE]
+
+
+@dataclasses.dataclass
+class _Probe:
+    target: str
+    sequence: int
+    sent_s: float
+    asked_helpers: bool = False
+
+
+class _Relay(NamedTuple):
+    requester: Member
+    sequence: int
+    sent_s: float
+
+
+@dataclasses.dataclass
+class _Suspicion:
+    since_s: float
+    sources: set[str]
+
+
+class Membership:
+    """The protocol of one node.
+
+    :param self_member: oneself, with the incarnation of this process.
+    :param rng: source of randomness.
+    :param peers: hosts of the settings, to join by; state and revisions in
+        them are not believed.
+    """
+
+    def __init__(
+        self,
+        self_member: Member,
+        settings: MembershipSettings,
+        rng: Any,
+        peers: Iterable[Member] = (),
+        now_s: float = 0.0,
+        freshness_settings: freshness.FreshnessSettings | None = None,
+    ) -> None:
+        self.own = self_member
+        self.settings = settings
+        self.rng = rng
+        self.digest = b''
+        self.health = 0
+        self.members: dict[str, Member] = {}
+        self.seeds = {p.host: p for p in peers if p.host != self_member.host}
+        domains = {p.host: p.failure_domain for p in self.seeds.values()}
+        domains[self_member.host] = self_member.failure_domain
+        self.freshness = freshness.Freshness(
+            self_member.host,
+            self_member.incarnation,
+            domains,
+            freshness_settings or freshness.FreshnessSettings(),
+            now_s,
+        )
+        self._sequence = 0
+        self._order: list[str] = []
+        self._probe: _Probe | None = None
+        self._next_probe_s = now_s
+        self._next_knock_s = now_s
+        self._last_tick_s = now_s
+        self._knocks: dict[int, float] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._suspicions: dict[str, _Suspicion] = {}
+        self._news: dict[str, int] = {}
+
+    # What the rest of the node reads and tells.
+
+    def view(self) -> MembersView:
+        members = {self.own.host: self.own, **self.members}
+        domains: dict[str, bool] = {}
+        for member in members.values():
+            if member.state == LEFT:
+                continue
+            answers = member.state == ALIVE
+            domain = member.failure_domain
+            domains[domain] = domains.get(domain, False) or answers
+        lost = frozenset(d for d, answers in domains.items() if not answers)
+        return MembersView(members, lost)
+
+    def set_table(self, table_revision: int, staged_revision: int) -> None:
+        """Tell the others which table this node holds."""
+        self.freshness.hold(table_revision, staged_revision)
+
+    def set_spare(self, spare: float) -> None:
+        self.freshness.spare = spare
+
+    def hint(self, peer: Member) -> None:
+        """A host that the platform lists; it lags, so it is only knocked."""
+        if peer.host != self.own.host:
+            self.seeds.setdefault(peer.host, peer)
+
+    def leave(self, successor: str, now_s: float) -> list[Action]:
+        """Say farewell; the records go to the successor."""
+        self.own = self.own._replace(state=LEFT, successor=successor)
+        peers = self._shuffled(self._others(ALIVE))
+        chosen = peers[: 2 * self.settings.helpers]
+        return [self._ping(peer, now_s) for peer in chosen]
+
+    # Time.
+
+    def tick(self, now_s: float) -> list[Action]:
+        """To be called about every tenth of a second."""
+        actions: list[Action] = []
+        gap_s = now_s - self._last_tick_s
+        self._last_tick_s = now_s
+        if gap_s > self.settings.pause_s:
+            actions.append(self._resume(gap_s, now_s))
+        self.freshness.tick(now_s)
+        self._refresh_own(now_s)
+        actions += self._check_probe(now_s)
+        if now_s >= self._next_probe_s:
+            actions += self._start_probe(now_s)
+        if now_s >= self._next_knock_s:
+            actions += self._knock(now_s)
+        self._expire_suspicions(now_s)
+        self._forget_relays(now_s)
+        return actions
+
+    def _resume(self, gap_s: float, now_s: float) -> Paused:
+        """Doubt oneself first: probes and suspicions ran out unheard."""
+        self.health = min(MAX_HEALTH, self.health + 1)
+        self._probe = None
+        for suspicion in self._suspicions.values():
+            suspicion.since_s = now_s
+        self._refute(self.own.refutations)
+        return Paused(gap_s)
+
+    def _refresh_own(self, now_s: float) -> None:
+        seen = self.freshness.sighting(now_s)
+        self.own = self.own._replace(
+            table_revision=seen.table_revision,
+            staged_revision=seen.staged_revision,
+            spare=seen.spare,
+            takes_work=seen.takes_work and self.own.state == ALIVE,
+        )
+
+    def _start_probe(self, now_s: float) -> list[Action]:
+        self._next_probe_s = now_s + self.settings.period_s
+        target = self._next_target()
+        if target is None or self._probe is not None:
+            return []
+        send = self._ping(target, now_s)
+        self._probe = _Probe(target.host, self._sequence, now_s)
+        return [send]
+
+    def _next_target(self) -> Member | None:
+        """Go round in a shuffled order, so that each has its turn."""
+        for _ in range(len(self.members) + 1):
+            if not self._order:
+                others = self._others(ALIVE, SUSPECT)
+                self._order = [m.host for m in self._shuffled(others)]
+                if not self._order:
+                    return None
+            member = self.members.get(self._order.pop())
+            if member is not None and member.state in (ALIVE, SUSPECT):
+                return member
+        return None
+
+    def _check_probe(self, now_s: float) -> list[Action]:
+        probe = self._probe
+        if probe is None:
+            return []
+        waited_s = now_s - probe.sent_s
+        patience = 1 + self.health
+        if waited_s >= self.settings.period_s * patience:
+            self._probe = None
+            self.health = min(MAX_HEALTH, self.health + 1)
+            self._suspect(probe.target, self.own.host, now_s)
+            return []
+        late = waited_s >= self.settings.ping_timeout_s * patience
+        if late and not probe.asked_helpers:
+            probe.asked_helpers = True
+            return self._ask_helpers(probe, now_s)
+        return []
+
+    def _ask_helpers(self, probe: _Probe, now_s: float) -> list[Action]:
+        target = self.members.get(probe.target)
+        if target is None:
+            return []
+        return [
+            Send(
+                (helper.address, helper.peer_port),
+                PingRequest(
+                    probe.sequence,
+                    self.own,
+                    target.host,
+                    target.address,
+                    target.peer_port,
+                    *self._riders(helper, now_s),
+                ),
+            )
+            for helper in self._helpers(target)
+        ]
+
+    def _helpers(self, target: Member) -> list[Member]:
+        """Peers to probe in one's stead, first one of each failure domain.
+
+        When a whole domain is cut off, helpers elsewhere say so at once;
+        helpers near the target alone could not tell.
+        """
+        others = [m for m in self._others(ALIVE) if m.host != target.host]
+        others = self._shuffled(others)
+        domains: set[str] = set()
+        first = []
+        rest = []
+        for member in others:
+            if member.failure_domain in domains:
+                rest.append(member)
+            else:
+                domains.add(member.failure_domain)
+                first.append(member)
+        return (first + rest)[: self.settings.helpers]
+
+    def _knock(self, now_s: float) -> list[Action]:
+        """Probe a host believed gone: after a partition someone must."""
+        self._next_knock_s = now_s + self.settings.knock_s
+        gone = [
+            self.members.get(host, seed)
+            for host, seed in self.seeds.items()
+            if host not in self.members
+            or self.members[host].state in (DEAD, LEFT)
+        ]
+        if not gone:
+            return []
+        send = self._ping(self.rng.choice(gone), now_s)
+        self._knocks[self._sequence] = now_s
+        return [send]
+
+    def _expire_suspicions(self, now_s: float) -> None:
+        for host, suspicion in list(self._suspicions.items()):
+            if now_s - suspicion.since_s >= self._suspicion_s(suspicion):
+                del self._suspicions[host]
+                member = self.members[host]
+                if member.state == SUSPECT:
+                    self._store(member._replace(state=DEAD))
+
+    def _suspicion_s(self, suspicion: _Suspicion) -> float:
+        """Three times the least wait when alone, less when others agree.
+
+        A slow node thinks that all the others are; nobody confirms, and its
+        own local health draws the wait out further.
+        """
+        least_s = self.settings.suspicion_s
+        confirmed = min(CONFIRMATIONS, len(suspicion.sources) - 1)
+        share = math.log(1 + confirmed) / math.log(1 + CONFIRMATIONS)
+        factor = 3 - 2 * share
+        return least_s * max(1.0, factor) * (1 + self.health / 4)
+
+    def _forget_relays(self, now_s: float) -> None:
+        oldest_s = now_s - 4 * self.settings.period_s
+        self._relays = {
+            s: r for s, r in self._relays.items() if r.sent_s > oldest_s
+        }
+        self._knocks = {
+            s: at_s for s, at_s in self._knocks.items() if at_s > oldest_s
+        }
+
+    # Messages.
+
+    def receive(self, message: Message, now_s: float) -> list[Action]:
+        """Take a datagram in."""
+        actions = self._merge_all((message.source, *message.updates), now_s)
+        self._note_sightings(message.sightings)
+        if message.digest:
+            actions.append(DigestHeard(message.source.host, message.digest))
+        match message:
+            case Ping():
+                actions += self._answer(message, now_s)
+            case PingRequest():
+                actions += self._relay(message, now_s)
+            case Ack():
+                actions += self._take_ack(message, now_s)
+        return actions
+
+    def _answer(self, ping: Ping, now_s: float) -> list[Action]:
+        if ping.target != self.own.host:
+            return []
+        self._refresh_own(now_s)
+        source = ping.source
+        ack = Ack(
+            ping.sequence,
+            self.own,
+            source.host,
+            *self._riders(source, now_s),
+        )
+        return [Send((source.address, source.peer_port), ack)]
+
+    def _relay(self, request: PingRequest, now_s: float) -> list[Action]:
+        self._sequence += 1
+        self._relays[self._sequence] = _Relay(
+            request.source, request.sequence, now_s
+        )
+        known = self.members.get(request.target)
+        ping = Ping(
+            self._sequence,
+            self.own,
+            request.target,
+            *self._riders(known, now_s),
+        )
+        return [Send((request.target_address, request.target_port), ping)]
+
+    def _take_ack(self, ack: Ack, now_s: float) -> list[Action]:
+        relay = self._relays.pop(ack.sequence, None)
+        if relay is not None:
+            passed_on = ack._replace(
+                sequence=relay.sequence, target=relay.requester.host
+            )
+            address = (relay.requester.address, relay.requester.peer_port)
+            return [Send(address, passed_on)]
+        sent_s = self._knocks.pop(ack.sequence, None)
+        probe = self._probe
+        if probe is not None and probe.sequence == ack.sequence:
+            if probe.target != ack.source.host:
+                return []
+            sent_s = probe.sent_s
+            self._probe = None
+            self.health = max(0, self.health - 1)
+        if sent_s is not None:
+            self._cleared(ack.source)
+            self.freshness.answered(sent_s, now_s, ack.sightings)
+        return []
+
+    def _cleared(self, source: Member) -> None:
+        """It answered: own suspicion of it ends; it refutes the others'."""
+        member = self.members.get(source.host)
+        if member is not None and member.state == SUSPECT:
+            suspicion = self._suspicions.get(source.host)
+            if suspicion is not None and suspicion.sources == {self.own.host}:
+                del self._suspicions[source.host]
+                self.members[source.host] = member._replace(state=ALIVE)
+
+    # State.
+
+    def _merge_all(
+        self, members: Iterable[Member], now_s: float
+    ) -> list[Action]:
+        actions: list[Action] = []
+        source = ''
+        for member in members:
+            source = source or member.host
+            if member.host == self.own.host:
+                actions += self._hear_of_self(member)
+            else:
+                self._merge(member, source, now_s)
+        return actions
+
+    def _hear_of_self(self, said: Member) -> list[Action]:
+        if said.incarnation > self.own.incarnation:
+            return [Superseded(said.incarnation)]
+        wrong = said.state in (SUSPECT, DEAD) and self.own.state == ALIVE
+        if wrong and said.incarnation == self.own.incarnation:
+            if said.refutations >= self.own.refutations:
+                self.health = min(MAX_HEALTH, self.health + 1)
+                self._refute(said.refutations)
+        return []
+
+    def _refute(self, refutations: int) -> None:
+        self.own = self.own._replace(refutations=refutations + 1)
+        self._news[self.own.host] = 0
+
+    def _merge(self, said: Member, source: str, now_s: float) -> None:
+        known = self.members.get(said.host)
+        if known is None:
+            if said.state != DEAD:
+                self._store(said)
+                if said.state == SUSPECT:
+                    self._suspicions[said.host] = _Suspicion(now_s, {source})
+            return
+        if _supersedes(said, known):
+            self._store(_with_revisions(said, known))
+            if said.state == SUSPECT:
+                self._suspicions[said.host] = _Suspicion(now_s, {source})
+            else:
+                self._suspicions.pop(said.host, None)
+        elif said.state == SUSPECT and _order(said) == _order(known):
+            suspicion = self._suspicions.get(said.host)
+            if suspicion is not None:
+                suspicion.sources.add(source)
+
+    def _suspect(self, host: str, source: str, now_s: float) -> None:
+        member = self.members.get(host)
+        if member is None or member.state not in (ALIVE, SUSPECT):
+            return
+        if member.state == ALIVE:
+            self._store(member._replace(state=SUSPECT))
+        suspicion = self._suspicions.setdefault(host, _Suspicion(now_s, set()))
+        suspicion.sources.add(source)
+
+    def _store(self, member: Member) -> None:
+        self.members[member.host] = member
+        self._news[member.host] = 0
+
+    def _note_sightings(self, sightings: Iterable[freshness.Sighting]) -> None:
+        """Revisions only grow within an incarnation; order is no matter."""
+        for seen in sightings:
+            known = self.members.get(seen.host)
+            if known is None or known.incarnation != seen.incarnation:
+                continue
+            self.members[seen.host] = known._replace(
+                table_revision=max(known.table_revision, seen.table_revision),
+                staged_revision=max(
+                    known.staged_revision, seen.staged_revision
+                ),
+                spare=seen.spare,
+                takes_work=seen.takes_work,
+            )
+
+    # Riders: what every datagram carries.
+
+    def _ping(self, peer: Member, now_s: float) -> Send:
+        self._sequence += 1
+        ping = Ping(
+            self._sequence, self.own, peer.host, *self._riders(peer, now_s)
+        )
+        return Send((peer.address, peer.peer_port), ping)
+
+    def _riders(
+        self, receiver: Member | None, now_s: float
+    ) -> tuple[tuple[Member, ...], tuple[freshness.Sighting, ...], bytes]:
+        relayed = self.freshness.relayed(now_s)
+        if len(relayed) >= self.settings.sightings:
+            relayed = self._shuffled(relayed)
+        sightings = (
+            self.freshness.sighting(now_s),
+            *relayed[: self.settings.sightings - 1],
+        )
+        return self._updates(receiver), sightings, self.digest
+
+    def _updates(self, receiver: Member | None) -> tuple[Member, ...]:
+        """Members to tell of, the least told first.
+
+        A receiver that is believed gone is told so above all; only it can
+        refute.
+        """
+        chosen = []
+        if receiver is not None:
+            known = self.members.get(receiver.host)
+            if known is not None and known.state in (SUSPECT, DEAD):
+                chosen.append(known)
+        limit = RETRANSMIT_FACTOR * math.ceil(math.log2(len(self.members) + 2))
+        for host in sorted(self._news, key=self._news.__getitem__):
+            if len(chosen) >= self.settings.updates:
+                break
+            self._news[host] += 1
+            if self._news[host] > limit:
+                del self._news[host]
+            member = self.members.get(host)
+            if member is not None and member not in chosen:
+                chosen.append(member)
+        return tuple(chosen + self._filler(chosen))
+
+    def _filler(self, chosen: list[Member]) -> list[Member]:
+        """One more member, told at random: a newcomer hears of all."""
+        others = [m for m in self.members.values() if m not in chosen]
+        if not others or len(chosen) >= self.settings.updates:
+            return []
+        return [self.rng.choice(others)]
+
+    def _shuffled(self, items: list[Any]) -> list[Any]:
+        return sorted(items, key=lambda _: self.rng.random())
+
+    def _others(self, *states: str) -> list[Member]:
+        return [m for m in self.members.values() if m.state in states]
+
+
+def _order(member: Member) -> tuple[int, int]:
+    return (member.incarnation, member.refutations)
+
+
+def _supersedes(said: Member, known: Member) -> bool:
+    if _order(said) != _order(known):
+        return _order(said) > _order(known)
+    return _STATE_RANK[said.state] > _STATE_RANK[known.state]
+
+
+def _with_revisions(said: Member, known: Member) -> Member:
+    if said.incarnation != known.incarnation:
+        return said
+    return said._replace(
+        table_revision=max(said.table_revision, known.table_revision),
+        staged_revision=max(said.staged_revision, known.staged_revision),
+    )
