--- /dev/null
+++ b/magnoliadyke/core/burn.py
@@ -0,0 +1,357 @@
+"""Burn of error budgets: several windows, several rates, by cause.
+
+A customer's row promises that ``met_share`` of its requests meet their
+objectives; the rest is its error budget. The burn rate of a window is the
+share of bad requests in it over that budget: at 1 the budget lasts exactly
+for its period, at 14.4 a thirtieth of it is gone within an hour.
+"""
+
+import array
+import dataclasses
+from typing import Iterable
+from typing import Mapping
+from typing import NamedTuple
+
+__all__ = [
+    'CAUSES',
+    'RULES',
+    'WINDOWS_S',
+    'Alert',
+    'BurnBook',
+    'Counts',
+    'CustomerBurn',
+    'Rule',
+    'Timings',
+    'Verdict',
+    'WindowBurn',
+    'evaluate',
+    'judge',
+    'merge',
+]
+
+#: What made a request bad, in the order in which it is looked for.
+CAUSES = ('fault', 'role_change', 'queue', 'engine')
+
+#: Slots of each window; the oldest slot is dropped whole.
+SLOTS = 30
+
+#: Bad requests below which the long window of a rule proves nothing: a
+#: customer with three requests an hour would alert at one late answer.
+MIN_BAD = 5
+
+#: Bad share that a rule can always ask for. A wide budget puts the usual
+#: factor out of reach (14.4 times 10 % is more than all requests), and a
+#: customer whose every request fails would then never raise the alert.
+REACHABLE_SHARE = 0.8
+
+#: Seconds by which a waiting time counts as none.
+TINY_S = 1e-9
+
+
+class Rule(NamedTuple):
+    """An alert: the burn rate is over a factor in two windows at once.
+
+    The long window says that it matters, the short one that it still goes
+    on, so that the alert ends soon after its cause.
+
+    :param severity: ``page`` or ``ticket``
+    :param long_s: long window in seconds
+    :param short_s: short window in seconds
+    :param factor: burn rate that both must reach
+    """
+
+    severity: str
+    long_s: int
+    short_s: int
+    factor: float
+
+
+RULES = (
+    Rule('page', 3600, 300, 14.4),
+    Rule('page', 21600, 1800, 6.0),
+    Rule('ticket', 259200, 21600, 1.0),
+)
+
+WINDOWS_S = tuple(
+    sorted({r.long_s for r in RULES} | {r.short_s for r in RULES})
+)
+
+
+class Timings(NamedTuple):
+    """Where the time of one request went, beside its objectives.
+
+    :param first_token_s: from arrival to first token; None if none came
+    :param per_token_s: mean time between tokens; None for a single one
+    :param queued_s: waiting in the node's queue
+    :param role_change_s: part of ``queued_s`` during which an engine of
+        the pool was away for a role change
+    :param failed_attempts: attempts that an endpoint or the way broke
+    :param first_token_objective_s: objective of the customer's row
+    :param per_token_objective_s: objective of the customer's row
+    """
+
+    first_token_s: float | None = None
+    per_token_s: float | None = None
+    queued_s: float = 0.0
+    role_change_s: float = 0.0
+    failed_attempts: int = 0
+    first_token_objective_s: float = 2.0
+    per_token_objective_s: float = 0.07
+
+
+class Verdict(NamedTuple):
+    """Whether a request met its objectives, and what was in the way."""
+
+    met: bool
+    cause: str = ''
+
+
+def judge(timings: Timings, whole: bool) -> Verdict:
+    """Say whether a request was good, and blame one cause if not.
+
+    :param timings: where its time went
+    :param whole: whether the caller got the whole answer
+    """
+    first_s = timings.first_token_s
+    late = first_s is not None and first_s > timings.first_token_objective_s
+    slow = (
+        timings.per_token_s is not None
+        and timings.per_token_s > timings.per_token_objective_s
+    )
+    if whole and not late and not slow:
+        return Verdict(True)
+    broken = not whole and first_s is not None
+    if timings.failed_attempts or broken:
+        return Verdict(False, 'fault')
+    if slow and not late:
+        return Verdict(False, 'engine')
+    return Verdict(False, _cause_of_wait(timings, whole))
+
+
+def _cause_of_wait(timings: Timings, whole: bool) -> str:
+    # A request refused from the queue has no first token: all its time was
+    # waiting. Else waiting is to blame if it took most of the time.
+    total_s = timings.first_token_s
+    if total_s is None:
+        total_s = timings.queued_s
+    if timings.queued_s <= TINY_S:
+        return 'engine' if whole else 'fault'
+    if timings.queued_s * 2 < total_s:
+        return 'engine'
+    if timings.role_change_s * 2 >= timings.queued_s:
+        return 'role_change'
+    return 'queue'
+
+
+class Counts(NamedTuple):
+    """Requests of one customer in one window.
+
+    :param total: good and bad ones
+    :param causes: bad ones for each of :data:`CAUSES`
+    """
+
+    total: int = 0
+    causes: tuple[int, ...] = (0,) * len(CAUSES)
+
+    @property
+    def bad(self) -> int:
+        """Requests that did not meet their objectives."""
+        return sum(self.causes)
+
+
+class Ring:
+    """Counts of one window in equal slots of time.
+
+    :param window_s: length of the window in seconds
+    """
+
+    def __init__(self, window_s: int):
+        self.slot_s = window_s / SLOTS
+        self.width = 1 + len(CAUSES)
+        self.cells = array.array('I', [0] * self.width * SLOTS)
+        self.newest = 0
+
+    def add(self, column: int, now_s: float) -> None:
+        """Count a request; column 0 is a good one, then the causes."""
+        self._advance(now_s)
+        self.cells[self.newest % SLOTS * self.width + column] += 1
+
+    def sums(self, now_s: float) -> Counts:
+        """Count what lies within the window that ends now."""
+        self._advance(now_s)
+        columns = [
+            sum(self.cells[column :: self.width])
+            for column in range(self.width)
+        ]
+        return Counts(sum(columns), tuple(columns[1:]))
+
+    def _advance(self, now_s: float) -> None:
+        slot = int(now_s / self.slot_s)
+        for passed in range(max(self.newest + 1, slot - SLOTS + 1), slot + 1):
+            start = passed % SLOTS * self.width
+            for column in range(self.width):
+                self.cells[start + column] = 0
+        self.newest = max(self.newest, slot)
+
+
+class BurnBook:
+    """What one node has seen since its start, for every customer.
+
+    Memory is bounded: :data:`SLOTS` slots for each of the windows.
+    """
+
+    def __init__(self) -> None:
+        self.rings: dict[str, dict[int, Ring]] = {}
+
+    def record(self, customer: str, verdict: Verdict, now_s: float) -> None:
+        """Count one request.
+
+        :param now_s: monotonic seconds
+        """
+        rings = self.rings.get(customer)
+        if rings is None:
+            rings = {window_s: Ring(window_s) for window_s in WINDOWS_S}
+            self.rings[customer] = rings
+        column = 0 if verdict.met else 1 + CAUSES.index(verdict.cause)
+        for ring in rings.values():
+            ring.add(column, now_s)
+
+    def forget(self, customers: Iterable[str]) -> None:
+        """Drop customers that the table no longer has."""
+        for customer in customers:
+            self.rings.pop(customer, None)
+
+    def snapshot(self, now_s: float) -> dict[str, dict[int, Counts]]:
+        """Give the counts of all customers and windows.
+
+        :param now_s: monotonic seconds
+        """
+        return {
+            customer: {
+                window_s: ring.sums(now_s) for window_s, ring in rings.items()
+            }
+            for customer, rings in self.rings.items()
+        }
+
+
+def merge(
+    snapshots: Iterable[Mapping[str, Mapping[int, Counts]]],
+) -> dict[str, dict[int, Counts]]:
+    """Add up the snapshots of several nodes.
+
+    :param snapshots: results of :meth:`BurnBook.snapshot`
+    """
+    merged: dict[str, dict[int, Counts]] = {}
+    for snapshot in snapshots:
+        for customer, windows in snapshot.items():
+            sums = merged.setdefault(customer, {})
+            for window_s, counts in windows.items():
+                sums[window_s] = _add(sums.get(window_s, Counts()), counts)
+    return merged
+
+
+def _add(one: Counts, other: Counts) -> Counts:
+    causes = tuple(
+        left + right
+        for left, right in zip(one.causes, other.causes, strict=True)
+    )
+    return Counts(one.total + other.total, causes)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WindowBurn:
+    """Burn in one window.
+
+    :param burn_rate: share of bad requests over the error budget
+    :param causes: bad requests by cause
+    """
+
+    window_s: int
+    burn_rate: float
+    bad: int
+    total: int
+    causes: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alert:
+    """A rule that holds now.
+
+    :param threshold: burn rate that both windows have reached
+    :param cause: the commonest cause in the short window
+    """
+
+    severity: str
+    long_s: int
+    short_s: int
+    threshold: float
+    cause: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CustomerBurn:
+    """Burn of one customer.
+
+    :param objective: ``met_share`` of its row
+    """
+
+    name: str
+    objective: float
+    windows: tuple[WindowBurn, ...]
+    alerts: tuple[Alert, ...]
+
+
+def evaluate(
+    snapshot: Mapping[str, Mapping[int, Counts]],
+    objectives: Mapping[str, float],
+) -> list[CustomerBurn]:
+    """Work out burn rates and alerts.
+
+    :param snapshot: counts of one node, or merged ones of several
+    :param objectives: ``met_share`` of each customer of the table; others
+        are left out
+    """
+    return [
+        _customer_burn(name, objective, snapshot.get(name, {}))
+        for name, objective in sorted(objectives.items())
+    ]
+
+
+def _customer_burn(
+    name: str, objective: float, counts: Mapping[int, Counts]
+) -> CustomerBurn:
+    budget = 1.0 - objective
+    windows = {
+        window_s: _window_burn(
+            window_s, counts.get(window_s, Counts()), budget
+        )
+        for window_s in WINDOWS_S
+    }
+    alerts = (_alert(rule, windows, budget) for rule in RULES)
+    return CustomerBurn(
+        name,
+        objective,
+        tuple(windows.values()),
+        tuple(alert for alert in alerts if alert is not None),
+    )
+
+
+def _window_burn(window_s: int, counts: Counts, budget: float) -> WindowBurn:
+    share = counts.bad / counts.total if counts.total else 0.0
+    causes = dict(zip(CAUSES, counts.causes, strict=True))
+    return WindowBurn(
+        window_s, share / budget, counts.bad, counts.total, causes
+    )
+
+
+def _alert(
+    rule: Rule, windows: Mapping[int, WindowBurn], budget: float
+) -> Alert | None:
+    long, short = windows[rule.long_s], windows[rule.short_s]
+    threshold = min(rule.factor, REACHABLE_SHARE / budget)
+    if long.bad < MIN_BAD or long.burn_rate < threshold:
+        return None
+    if short.burn_rate < threshold:
+        return None
+    cause = max(CAUSES, key=short.causes.__getitem__)
+    return Alert(rule.severity, rule.long_s, rule.short_s, threshold, cause)
