Wire the tasks of a node

Cause: the tasks know each other only by messages, so one place must join them. The stop order matters: callers first, then the announcement of leaving, then what carries it.

--- a/magnoliadyke/app.py
+++ b/magnoliadyke/app.py
@@ -2,7 +2,7 @@
 
 import abc
 
-__all__ = ["Application", "Component"]
+__all__ = ['Application', 'Component']
 
 
 class Component(abc.ABC):
--- a/magnoliadyke/clock.py
+++ b/magnoliadyke/clock.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent import event
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ['Clock', 'ManualClock', 'SystemClock']
 
 
 class Clock(abc.ABC):
--- a/magnoliadyke/core/jobs.py
+++ b/magnoliadyke/core/jobs.py
@@ -4,12 +4,12 @@
 import typing
 
 __all__ = [
-    "Cancelled",
-    "EndpointInfo",
-    "Failed",
-    "Finished",
-    "Job",
-    "LoadReport",
+    'Cancelled',
+    'EndpointInfo',
+    'Failed',
+    'Finished',
+    'Job',
+    'LoadReport',
 ]
 
 
@@ -33,8 +33,8 @@
     id: str
     customer: str
     pool: str
-    kind: str = "model"
-    model: str = ""
+    kind: str = 'model'
+    model: str = ''
     prompt_tokens: int = 0
     output_tokens: int = 0
     prefix_blocks: tuple[str, ...] = ()
@@ -42,7 +42,7 @@
     repeatable: bool = True
     first_token_s: float = 2.0
     per_token_s: float = 0.07
-    fingerprint: str = ""
+    fingerprint: str = ''
     arrived_s: float = 0.0
 
 
@@ -56,8 +56,8 @@
     """
 
     at_s: float
-    role: str = "decode"
-    state: str = "in"
+    role: str = 'decode'
+    state: str = 'in'
     generation: int = 0
     running: int = 0
     queued: int = 0
@@ -79,9 +79,9 @@
     pool: str
     kind: str
     address: str
-    failure_domain: str = ""
+    failure_domain: str = ''
     checks_fencing: bool = True
-    role: str = "decode"
+    role: str = 'decode'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/magnoliadyke/core/outcomes.py
+++ b/magnoliadyke/core/outcomes.py
@@ -6,19 +6,19 @@
 import typing
 
 __all__ = [
-    "LIMIT_REASONS",
-    "Answered",
-    "HttpAnswer",
-    "NotRun",
-    "Outcome",
-    "Rejected",
-    "Unknown",
-    "to_http",
+    'LIMIT_REASONS',
+    'Answered',
+    'HttpAnswer',
+    'NotRun',
+    'Outcome',
+    'Rejected',
+    'Unknown',
+    'to_http',
 ]
 
 # Reasons of NotRun that lie with the customer's own row: HTTP 429, not 503.
 LIMIT_REASONS = frozenset(
-    {"concurrency_limit", "request_rate_limit", "token_rate_limit"}
+    {'concurrency_limit', 'request_rate_limit', 'token_rate_limit'}
 )
 
 STATUS_OK = 200
@@ -40,7 +40,7 @@
 
     key: str
     text: str
-    finish_reason: str = "stop"
+    finish_reason: str = 'stop'
     prompt_tokens: int = 0
     output_tokens: int = 0
 
@@ -102,30 +102,30 @@
         case NotRun(reason, remedy, retry_after_s):
             return _not_run_http(reason, remedy, retry_after_s)
         case Unknown(reason, remedy):
-            message = f"the request may have run: {reason}"
+            message = f'the request may have run: {reason}'
             return _error_http(
-                STATUS_UNKNOWN, "unknown", reason, message, remedy
+                STATUS_UNKNOWN, 'unknown', reason, message, remedy
             )
         case Rejected(reason, remedy, status):
-            message = f"the request was rejected: {reason}"
-            return _error_http(status, "rejected", reason, message, remedy)
+            message = f'the request was rejected: {reason}'
+            return _error_http(status, 'rejected', reason, message, remedy)
 
 
 def _answered_http(outcome):
     body = {
-        "id": outcome.key,
-        "object": "text_completion",
-        "choices": [
+        'id': outcome.key,
+        'object': 'text_completion',
+        'choices': [
             {
-                "index": 0,
-                "text": outcome.text,
-                "finish_reason": outcome.finish_reason,
+                'index': 0,
+                'text': outcome.text,
+                'finish_reason': outcome.finish_reason,
             }
         ],
-        "usage": {
-            "prompt_tokens": outcome.prompt_tokens,
-            "completion_tokens": outcome.output_tokens,
-            "total_tokens": outcome.prompt_tokens + outcome.output_tokens,
+        'usage': {
+            'prompt_tokens': outcome.prompt_tokens,
+            'completion_tokens': outcome.output_tokens,
+            'total_tokens': outcome.prompt_tokens + outcome.output_tokens,
         },
     }
     return HttpAnswer(STATUS_OK, (), json.dumps(body).encode())
@@ -136,24 +136,24 @@
     status = STATUS_LIMITED if limited else STATUS_UNAVAILABLE
     answer = _error_http(
         status,
-        "not_run",
+        'not_run',
         reason,
-        f"the request did not run: {reason}",
+        f'the request did not run: {reason}',
         remedy,
         retry_after_s,
     )
     # The header carries whole seconds only; the body has the exact figure.
     seconds = str(max(1, math.ceil(retry_after_s)))
-    return answer._replace(headers=(("Retry-After", seconds),))
+    return answer._replace(headers=(('Retry-After', seconds),))
 
 
 def _error_http(status, kind, reason, message, remedy, retry_after_s=None):
     error = {
-        "type": kind,
-        "code": reason,
-        "message": message,
-        "remedy": remedy,
+        'type': kind,
+        'code': reason,
+        'message': message,
+        'remedy': remedy,
     }
     if retry_after_s is not None:
-        error["retry_after_s"] = round(retry_after_s, 3)
-    return HttpAnswer(status, (), json.dumps({"error": error}).encode())
+        error['retry_after_s'] = round(retry_after_s, 3)
+    return HttpAnswer(status, (), json.dumps({'error': error}).encode())
--- a/magnoliadyke/errors.py
+++ b/magnoliadyke/errors.py
@@ -1,14 +1,14 @@
 """Typed errors; every message names the remedy."""
 
 __all__ = [
-    "AdminRefused",
-    "EndpointUnreachable",
-    "HostUnreachable",
-    "MagnoliadykeError",
-    "ProtocolError",
-    "SettingsError",
-    "StoreUnavailable",
-    "UsageError",
+    'AdminRefused',
+    'EndpointUnreachable',
+    'HostUnreachable',
+    'MagnoliadykeError',
+    'ProtocolError',
+    'SettingsError',
+    'StoreUnavailable',
+    'UsageError',
 ]
 
 
@@ -19,10 +19,10 @@
     :param remedy: what the reader can do about it
     """
 
-    def __init__(self, message, remedy=""):
+    def __init__(self, message, remedy=''):
         self.message = message
         self.remedy = remedy
-        text = f"{message}; {remedy}" if remedy else message
+        text = f'{message}; {remedy}' if remedy else message
         super().__init__(text)
 
 
@@ -34,9 +34,9 @@
 
     def __init__(self, problems):
         self.problems = tuple(problems)
-        lines = "\n".join(f"  {problem}" for problem in self.problems)
+        lines = '\n'.join(f'  {problem}' for problem in self.problems)
         super().__init__(
-            f"settings have {len(self.problems)} problem(s):\n{lines}",
+            f'settings have {len(self.problems)} problem(s):\n{lines}',
             "correct each line, then run 'magnoliadyke check SETTINGS'",
         )
 
@@ -54,7 +54,7 @@
     def __init__(self, message, maybe_applied=False):
         self.maybe_applied = maybe_applied
         super().__init__(
-            message, "check the key-value service, then read back and retry"
+            message, 'check the key-value service, then read back and retry'
         )
 
 
@@ -66,7 +66,7 @@
 
     def __init__(self, message, sent=False):
         self.sent = sent
-        super().__init__(message, "check that the endpoint is up")
+        super().__init__(message, 'check that the endpoint is up')
 
 
 class HostUnreachable(MagnoliadykeError):
@@ -79,7 +79,7 @@
     :param status: HTTP status of the refusal
     """
 
-    def __init__(self, message, remedy="", status=400):
+    def __init__(self, message, remedy='', status=400):
         self.status = status
         super().__init__(message, remedy)
 
--- a/magnoliadyke/mailbox.py
+++ b/magnoliadyke/mailbox.py
@@ -7,7 +7,7 @@
 from gevent import event
 from gevent import queue
 
-__all__ = ["Ask", "Task", "Tick", "Topic"]
+__all__ = ['Ask', 'Task', 'Tick', 'Topic']
 
 STOP = object()
 
@@ -156,7 +156,7 @@
             else:
                 self.handle(message)
         except Exception:
-            sys.stderr.write(f"event=task_error task={self.name}\n")
+            sys.stderr.write(f'event=task_error task={self.name}\n')
             traceback.print_exc()
 
     def run_ticker(self):
--- /dev/null
+++ b/magnoliadyke/node.py
@@ -0,0 +1,283 @@
+"""One node: builds the tasks, joins them, starts and stops them."""
+
+import os
+import random
+import signal
+
+import gevent
+from gevent import event
+
+from magnoliadyke import admin
+from magnoliadyke import app
+from magnoliadyke import callers
+from magnoliadyke import clock as clocks
+from magnoliadyke import configuration
+from magnoliadyke.core import scheduler
+from magnoliadyke import dispatch
+from magnoliadyke import duties
+from magnoliadyke import gossip
+from magnoliadyke import keyvalue
+from magnoliadyke import logs
+from magnoliadyke import mailbox
+from magnoliadyke import metrics
+from magnoliadyke import peer
+
+__all__ = ['Bridge', 'Departure', 'Node', 'run']
+
+#: How often a node tells its peers whether it takes work, in seconds.
+OWN_STATE_INTERVAL_S = 0.25
+#: Time for telling the peers that this node leaves, in seconds.
+LEAVE_TIMEOUT_S = 2.0
+#: Exit status after a second stop signal.
+EXIT_FORCED = 3
+
+
+class Bridge(mailbox.Task):
+    """Carries messages between tasks that don't know each other.
+
+    :param status: :class:`magnoliadyke.callers.NodeStatus`
+    """
+
+    tick_interval_s = OWN_STATE_INTERVAL_S
+
+    def __init__(self, clock, status, members, table, work, planning):
+        super().__init__('bridge', clock)
+        self.status = status
+        self.members = members
+        self.work = work
+        self.planning = planning
+        self.log = logs.get('bridge')
+        members.digests.subscribe(self)
+        table.permits.subscribe(self)
+        work.digest.subscribe(self)
+        work.demand.subscribe(self)
+
+    def handle(self, message):
+        """Pass one message on to whom it concerns."""
+        match message:
+            case gossip.PeerDigest(host=host, data=data):
+                self.pass_digest(host, data)
+            case configuration.WorkPermit(allowed=allowed, reason=reason):
+                self.permit(allowed, reason)
+            case scheduler.Digest():
+                self.members.post(gossip.OwnDigest(message.to_bytes()))
+            case dict():
+                self.planning.post(duties.Demands(message))
+
+    def pass_digest(self, host, data):
+        """Decode a peer's digest; one that can't be read is dropped.
+
+        During a rollout a newer node may send a digest of another shape. It
+        corrects shares of limits only, so doing without it is safe.
+        """
+        try:
+            digest = scheduler.Digest.from_bytes(data)
+        except (ValueError, TypeError, KeyError) as error:
+            self.log.repeated('digest_unreadable', host, error=str(error))
+            return
+        self.work.post(dispatch.PeerDigest(host, digest))
+
+    def permit(self, allowed, reason):
+        """Take new work or stop taking it, and say so when it changes."""
+        if self.status.fresh != allowed:
+            self.log.event('work_permit', allowed=allowed, reason=reason)
+        self.status.fresh = allowed
+
+    def tick(self):
+        """Tell the peers how this node does."""
+        self.members.post(
+            gossip.OwnState(
+                spare=self.status.spare, takes_work=self.status.takes_work
+            )
+        )
+
+
+class Departure(app.Component):
+    """Announces that this node leaves, after its last request has ended.
+
+    Without the announcement the peers would find the node dead only after
+    probes time out, and until then would relay to it requests whose records
+    it has handed over; their callers would see ``Unknown``.
+    """
+
+    def __init__(self, status, members):
+        self.status = status
+        self.members = members
+
+    def start(self):
+        """Do nothing."""
+
+    def stop(self, deadline_s):
+        """Name the successor of this node's records to the peers."""
+        leave = gossip.Leave(self.status.successor)
+        try:
+            self.members.ask(leave, min(deadline_s, LEAVE_TIMEOUT_S))
+        except gevent.Timeout:
+            logs.get('node').event('leave_unannounced')
+
+
+class Closer(app.Component):
+    """Closes connections that no task owns."""
+
+    def __init__(self, *owners):
+        self.owners = owners
+
+    def start(self):
+        """Do nothing."""
+
+    def stop(self, deadline_s):
+        """Close them."""
+        for owner in self.owners:
+            owner.close()
+
+
+class Node:
+    """Everything that runs in the process of one host.
+
+    :param settings: :class:`magnoliadyke.settings.Settings`
+    :param host: name of this host
+    :param clock: a :class:`magnoliadyke.clock.Clock`
+    """
+
+    def __init__(self, settings, host, clock):
+        self.settings = settings
+        self.host = host
+        self.clock = clock
+        self.rng = random.SystemRandom()
+        # Larger than those of earlier processes on this host, as long as
+        # its wall clock does not run backwards across a restart.
+        self.incarnation = int(clock.wall_s() * 1000)
+        self.status = callers.NodeStatus()
+        self.app = app.Application(clock)
+        self.build()
+
+    def build(self):
+        """Make all components, in the order in which they start."""
+        self.metrics = self.app.add(
+            metrics.Metrics(self.settings, self.host, self.clock)
+        )
+        self.build_coordination()
+        self.build_request_path()
+        self.admin = self.app.add(admin.Admin(self))
+        self.app.add(Departure(self.status, self.gossip))
+        self.callers = self.app.add(self.build_callers())
+        self.join_peers()
+
+    def build_coordination(self):
+        """Make what the nodes agree through."""
+        settings, host, clock = self.settings, self.host, self.clock
+        self.keyvalue = keyvalue.HttpKeyValue(settings, host, clock)
+        self.peers = peer.PeerClients(settings, host, clock)
+        self.app.add(Closer(self.keyvalue, self.peers))
+        self.peer_server = self.app.add(
+            peer.PeerServer(settings, host, self.incarnation, clock)
+        )
+        self.gossip = self.app.add(
+            gossip.Gossip(settings, host, clock, self.rng, self.incarnation)
+        )
+        self.configuration = self.app.add(
+            configuration.Configuration(
+                settings,
+                host,
+                clock,
+                self.rng,
+                self.keyvalue,
+                self.gossip,
+                self.peers,
+            )
+        )
+        self.duties = self.app.add(
+            duties.Duties(
+                settings,
+                host,
+                clock,
+                self.rng,
+                self.keyvalue,
+                self.gossip,
+                self.configuration,
+            )
+        )
+
+    def build_request_path(self):
+        """Make what places requests."""
+        self.dispatcher = self.app.add(
+            dispatch.Dispatcher(
+                self.settings,
+                self.clock,
+                random.Random(self.rng.getrandbits(64)),
+                self.configuration.views,
+                self.gossip.members,
+                self.host,
+            )
+        )
+        self.app.add(
+            Bridge(
+                self.clock,
+                self.status,
+                self.gossip,
+                self.configuration,
+                self.dispatcher,
+                self.duties,
+            )
+        )
+
+    def build_callers(self):
+        """Make the listener for callers."""
+        return callers.Callers(
+            self.settings,
+            self.host,
+            self.incarnation,
+            self.clock,
+            self.rng,
+            self.configuration.views,
+            self.gossip.members,
+            self.dispatcher,
+            self.keyvalue,
+            self.peers,
+            self.status,
+        )
+
+    def join_peers(self):
+        """Let the peer server answer from the tasks of this node."""
+        self.peer_server.fetch_table = self.configuration.fetch_table
+        self.peer_server.take_records = self.callers.take_records
+
+    def start(self):
+        """Start all components."""
+        self.app.start()
+        logs.get('node').event(
+            'node_started', host=self.host, incarnation=self.incarnation
+        )
+
+    def stop(self):
+        """Stop gracefully, within the time of the settings."""
+        logs.get('node').event('node_stopping', host=self.host)
+        self.app.stop(self.settings.timing.stop_s)
+        logs.get('node').event('node_stopped', host=self.host)
+
+
+def run(settings, host):
+    """Run a node until a stop signal; the process's whole life.
+
+    The first SIGTERM or SIGINT stops it gracefully. A second one ends the
+    process at once, for operators who can't wait.
+
+    :param settings: :class:`magnoliadyke.settings.Settings`
+    :param host: name of this host
+    :return: the process's exit status
+    """
+    logs.setup(settings)
+    stop_asked = event.Event()
+
+    def on_signal():
+        if stop_asked.is_set():
+            os._exit(EXIT_FORCED)
+        stop_asked.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, on_signal)
+    node = Node(settings, host, clocks.SystemClock())
+    node.start()
+    stop_asked.wait()
+    node.stop()
+    return 0
--- a/tests/test_mailbox.py
+++ b/tests/test_mailbox.py
@@ -16,7 +16,7 @@
     tick_interval_s = 1.0
 
     def __init__(self, manual):
-        super().__init__("adder", manual)
+        super().__init__('adder', manual)
         self.total = 0
         self.ticks = 0
         self.seen = []
@@ -52,7 +52,7 @@
     adder.post(object())
     assert adder.ask(Add(1), 5) == 1
     adder.stop(5)
-    assert "event=task_error task=adder" in capsys.readouterr().err
+    assert 'event=task_error task=adder' in capsys.readouterr().err
 
 
 def test_ticks_follow_the_clock():
@@ -69,11 +69,11 @@
 def test_topic_posts_the_latest_value_to_a_late_subscriber():
     adder = Adder(clock.ManualClock())
     topic = mailbox.Topic()
-    topic.publish("first")
+    topic.publish('first')
     topic.subscribe(adder)
-    topic.publish("second")
+    topic.publish('second')
     adder.start()
     adder.stop(5)
-    assert adder.seen == ["first", "second"]
-    assert topic.wait_for(lambda last: last == "second", 1)
-    assert not topic.wait_for(lambda last: last == "third", 0.01)
+    assert adder.seen == ['first', 'second']
+    assert topic.wait_for(lambda last: last == 'second', 1)
+    assert not topic.wait_for(lambda last: last == 'third', 0.01)
