--- /dev/null
+++ b/magnoliadyke/core/commands.py
@@ -0,0 +1,497 @@
+"""Commands to one engine: one change at a time, settled by reading back.
+
+Commands are absolute ("be in this state, generation n"), so that a repeat
+does no harm.  An engine that checks fencing numbers settles by itself who
+commands it.  For one that ignores them
+
+* the intent is written by compare-and-swap before the command is sent, so
+  that two holders cannot both believe that the next change is theirs,
+* a new holder first waits out the longest life of its forerunner's
+  commands, reads intent and state, and only then acts,
+* the sender asks :meth:`EngineCommands.may_send` right before the last byte
+  leaves, and closes the connection at the deadline,
+* the holder goes on comparing state and intent, and commands again after a
+  stray command.
+
+What is left: a process stopped between that last question and the system
+call that sends.  Its command takes effect when it runs again; comparing
+finds and undoes it within ``compare_s`` and a role change.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import json
+from typing import NamedTuple
+
+from magnoliadyke.core import leases
+
+__all__ = [
+    'Change',
+    'Command',
+    'CommandSettings',
+    'EngineCommands',
+    'EngineState',
+    'GaveUp',
+    'Intent',
+    'ReadIntent',
+    'ReadState',
+    'SendCommand',
+    'Settled',
+    'WriteIntent',
+    'keeps_minimum',
+]
+
+
+class CommandSettings(NamedTuple):
+    """Times of a command.
+
+    :param life_s: from the start of sending to the closing of the
+        connection at the latest.
+    :param change_s: longest time that an engine may take for a change.
+    :param compare_s: time between two looks at an idle engine.
+    """
+
+    life_s: float = 1.0
+    drift_share: float = 0.1
+    change_s: float = 15.0
+    poll_s: float = 0.25
+    retry_s: float = 0.5
+    compare_s: float = 2.0
+
+
+class Change(NamedTuple):
+    """What an engine is to become.
+
+    :param kind: 'role', 'load' or 'unload'.
+    :param target: the role, or the model.
+    """
+
+    kind: str
+    target: str
+
+
+class EngineState(NamedTuple):
+    """The engine's own word, not lagged."""
+
+    role: str
+    changing: bool
+    generation: int
+    models: tuple[str, ...] = ()
+
+
+class Intent(NamedTuple):
+    """The value in the store for an engine that ignores numbers."""
+
+    generation: int
+    fencing: int
+    change: Change
+
+    def dump(self) -> str:
+        return json.dumps(
+            {
+                'generation': self.generation,
+                'fencing': self.fencing,
+                'kind': self.change.kind,
+                'target': self.change.target,
+            },
+            separators=(',', ':'),
+        )
+
+    @classmethod
+    def parse(cls, text: str) -> 'Intent':
+        fields = json.loads(text)
+        change = Change(fields['kind'], fields['target'])
+        return cls(fields['generation'], fields['fencing'], change)
+
+
+class Command(NamedTuple):
+    """What goes to the engine; a repeat has the same id."""
+
+    id: str
+    change: Change
+    generation: int
+    fencing: int
+    expires_in_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadIntent:
+    """Read the intent, then ``intent_read`` or ``intent_failed``."""
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteIntent:
+    """Write the intent if the key still has this revision.
+
+    Then ``intent_written``, ``intent_read`` with what the store holds when
+    it refused, or ``intent_failed``.
+    """
+
+    intent: Intent
+    if_revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadState:
+    """Ask the engine, then ``state_read`` or ``state_failed``."""
+
+
+@dataclasses.dataclass(frozen=True)
+class SendCommand:
+    """Send, then ``command_answered`` or ``command_unknown``.
+
+    :param deadline_s: when to close the connection, answered or not.
+    """
+
+    command: Command
+    deadline_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Settled:
+    """The engine is in the state wanted.
+
+    :param stray: the change undid a command that nobody intended.
+    """
+
+    change: Change
+    generation: int
+    stray: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class GaveUp:
+    """The engine did not get there in time, or the authority is gone."""
+
+    change: Change
+    reason: str
+
+
+Action = ReadIntent | WriteIntent | ReadState | SendCommand | Settled | GaveUp
+
+
+@dataclasses.dataclass(frozen=True)
+class _Learning:
+    """Intent and state are to be read before anything else."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Idle:
+    """State and intent are known; nothing is under way."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Intending:
+    """The intent is being written."""
+
+    intent: Intent
+    settled_by_read: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class _Commanding:
+    """The command is out, or is to be sent again."""
+
+    intent: Intent
+    until_s: float
+    attempts: int = 0
+    sending: bool = False
+
+
+def keeps_minimum(
+    roles: Iterable[str], role: str, min_prefill: int, min_decode: int
+) -> bool:
+    """Whether an engine may leave its role.
+
+    :param roles: roles of the engines that are up and not changing.
+    :param role: the role to be left.
+    """
+    left = list(roles).count(role) - 1
+    return left >= (min_prefill if role == 'prefill' else min_decode)
+
+
+class EngineCommands:
+    """Everything that one holder does to one engine."""
+
+    def __init__(
+        self, engine: str, checks_fencing: bool, settings: CommandSettings
+    ) -> None:
+        self.engine = engine
+        self.checks_fencing = checks_fencing
+        self.settings = settings
+        self.state: EngineState | None = None
+        self.intent: Intent | None = None
+        self.strays = 0
+        self._intent_revision = 0
+        self._intent_known = False
+        self._authority: leases.Authority | None = None
+        self._wanted: Change | None = None
+        self._correcting = False
+        self._step: object = _Learning()
+        self._busy = False
+        self._next_s = 0.0
+        self._highest_fencing = 0
+
+    @property
+    def under_way(self) -> bool:
+        return isinstance(self._step, _Intending | _Commanding)
+
+    @property
+    def highest_fencing(self) -> int:
+        """The highest number that the engine or an intent has shown."""
+        stored = self.intent.fencing if self.intent is not None else 0
+        return max(self._highest_fencing, stored)
+
+    def want(self, change: Change) -> bool:
+        """Ask for a change; False while another one is under way."""
+        if self.under_way or self._wanted is not None:
+            return False
+        self._wanted = change
+        self._next_s = 0.0
+        return True
+
+    def may_send(
+        self, now_s: float, authority: leases.Authority | None
+    ) -> bool:
+        """The last question before the last byte of a command."""
+        step = self._step
+        return (
+            isinstance(step, _Commanding)
+            and authority is not None
+            and authority.fencing == step.intent.fencing
+            and now_s + self.settings.life_s < authority.until_s
+        )
+
+    def tick(
+        self, now_s: float, authority: leases.Authority | None
+    ) -> list[Action]:
+        """What to do now.
+
+        :param authority: as ``Lease.held`` gives it at this moment.
+        """
+        actions = self._check_authority(authority)
+        if authority is None or self._busy or now_s < self._next_s:
+            return actions
+        if not self.checks_fencing and now_s < self._wait_until_s(authority):
+            return actions
+        return actions + self._advance(now_s, authority)
+
+    def _wait_until_s(self, authority: leases.Authority) -> float:
+        """A command that the former holder sent last has died by then."""
+        share = 1 + self.settings.drift_share
+        return authority.since_s + self.settings.life_s * share
+
+    def _check_authority(
+        self, authority: leases.Authority | None
+    ) -> list[Action]:
+        before = self._authority
+        self._authority = authority
+        same = (
+            before is not None
+            and authority is not None
+            and before.fencing == authority.fencing
+        )
+        if same or (before is None and authority is None):
+            return []
+        lost = self._wanted
+        if isinstance(self._step, _Intending | _Commanding):
+            lost = self._step.intent.change
+        self._step = _Learning()
+        self._intent_known = False
+        self.state = None
+        self._wanted = None
+        self._correcting = False
+        if lost is None:
+            return []
+        return [GaveUp(lost, 'authority lost')]
+
+    def _advance(
+        self, now_s: float, authority: leases.Authority
+    ) -> list[Action]:
+        match self._step:
+            case _Learning():
+                return self._learn()
+            case _Idle():
+                return self._choose(now_s, authority)
+            case _Intending(settled_by_read=True):
+                return self._start(ReadIntent())
+            case _Intending(intent=intent):
+                return self._start(WriteIntent(intent, self._intent_revision))
+            case _Commanding() as step:
+                return self._command(step, now_s, authority)
+        return []
+
+    def _start(self, action: Action) -> list[Action]:
+        self._busy = True
+        return [action]
+
+    def _learn(self) -> list[Action]:
+        if not self.checks_fencing and not self._intent_known:
+            return self._start(ReadIntent())
+        return self._start(ReadState())
+
+    def _choose(
+        self, now_s: float, authority: leases.Authority
+    ) -> list[Action]:
+        change = self._wanted
+        if change is None:
+            self._next_s = now_s + self.settings.compare_s
+            return self._start(ReadState())
+        if self.state is not None and _reached(self.state, change):
+            self._wanted = None
+            return [Settled(change, self.state.generation)]
+        generation = self.state.generation if self.state is not None else 0
+        if self.intent is not None:
+            generation = max(generation, self.intent.generation)
+        intent = Intent(generation + 1, authority.fencing, change)
+        if self.checks_fencing:
+            self._begin(intent, now_s)
+        else:
+            self._step = _Intending(intent)
+        return self._advance(now_s, authority)
+
+    def _begin(self, intent: Intent, now_s: float) -> None:
+        self.intent = intent
+        self._step = _Commanding(intent, now_s + self.settings.change_s)
+
+    def _command(
+        self, step: _Commanding, now_s: float, authority: leases.Authority
+    ) -> list[Action]:
+        if now_s >= step.until_s:
+            return self._give_up(step, 'the engine did not change in time')
+        if step.attempts and not step.sending:
+            return self._start(ReadState())
+        if not self.may_send(now_s, authority):
+            return []
+        self._step = dataclasses.replace(
+            step, attempts=step.attempts + 1, sending=False
+        )
+        deadline_s = now_s + self.settings.life_s
+        command = Command(
+            f'{self.engine}-{step.intent.fencing}-{step.intent.generation}',
+            step.intent.change,
+            step.intent.generation,
+            step.intent.fencing,
+            self.settings.life_s,
+        )
+        return self._start(SendCommand(command, deadline_s))
+
+    def _give_up(self, step: _Commanding, reason: str) -> list[Action]:
+        self._step = _Learning()
+        self._wanted = None
+        return [GaveUp(step.intent.change, reason)]
+
+    # Replies of the store.
+
+    def intent_read(
+        self, now_s: float, revision: int, text: str | None
+    ) -> list[Action]:
+        """What the store holds; revision 0 for an absent key."""
+        self._busy = False
+        found = Intent.parse(text) if text is not None else None
+        self._intent_revision = revision
+        self._intent_known = True
+        step = self._step
+        if isinstance(step, _Intending):
+            if found == step.intent:
+                self._begin(step.intent, now_s)
+            else:
+                self.intent = found
+                self._step = _Learning()
+            return []
+        if not isinstance(step, _Commanding):
+            self.intent = found
+        return []
+
+    def intent_written(self, now_s: float, revision: int) -> list[Action]:
+        self._busy = False
+        self._intent_revision = revision
+        if isinstance(self._step, _Intending):
+            self._begin(self._step.intent, now_s)
+        return []
+
+    def intent_failed(self, now_s: float) -> list[Action]:
+        """No answer; a write may have been taken all the same."""
+        self._busy = False
+        self._next_s = now_s + self.settings.retry_s
+        if isinstance(self._step, _Intending):
+            self._step = dataclasses.replace(self._step, settled_by_read=True)
+        return []
+
+    # Replies of the engine.
+
+    def state_read(self, now_s: float, state: EngineState) -> list[Action]:
+        self._busy = False
+        self.state = state
+        match self._step:
+            case _Commanding() as step:
+                return self._compare_with(step, state, now_s)
+            case _Learning() if not state.changing:
+                self._step = _Idle()
+                self._notice_stray(state)
+            case _Learning():
+                self._next_s = now_s + self.settings.poll_s
+            case _Idle() if not state.changing:
+                self._notice_stray(state)
+        return []
+
+    def _compare_with(
+        self, step: _Commanding, state: EngineState, now_s: float
+    ) -> list[Action]:
+        if state.changing:
+            self._next_s = now_s + self.settings.poll_s
+            return []
+        if _reached(state, step.intent.change):
+            stray = self._correcting
+            self._step = _Idle()
+            self._wanted = None
+            self._correcting = False
+            return [Settled(step.intent.change, state.generation, stray)]
+        # The command never arrived, or a crash undid it: send it again.
+        self._step = dataclasses.replace(step, sending=True)
+        self._next_s = now_s + self.settings.poll_s
+        return []
+
+    def _notice_stray(self, state: EngineState) -> None:
+        """Command again when the engine is not what was last intended."""
+        if self.intent is None or self._wanted is not None:
+            return
+        if not _reached(state, self.intent.change):
+            self.strays += 1
+            self._correcting = True
+            self._wanted = self.intent.change
+            self._next_s = 0.0
+
+    def state_failed(self, now_s: float) -> list[Action]:
+        self._busy = False
+        self.state = None
+        self._next_s = now_s + self.settings.retry_s
+        return []
+
+    def command_answered(
+        self, now_s: float, code: str = '', highest_fencing: int = 0
+    ) -> list[Action]:
+        """The engine took the command, or refused it.
+
+        :param code: '' when taken, else 'stale_fencing' or 'changing'.
+        """
+        self._busy = False
+        self._next_s = now_s + self.settings.poll_s
+        step = self._step
+        if code == 'stale_fencing' and isinstance(step, _Commanding):
+            self._highest_fencing = max(self._highest_fencing, highest_fencing)
+            return self._give_up(step, 'the engine follows a later holder')
+        return []
+
+    def command_unknown(self, now_s: float) -> list[Action]:
+        """Cut off at the deadline, or not sent at all: read the state."""
+        return self.command_answered(now_s)
+
+
+def _reached(state: EngineState, change: Change) -> bool:
+    match change.kind:
+        case 'load':
+            return change.target in state.models
+        case 'unload':
+            return change.target not in state.models
+    return state.role == change.target
