--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -2,22 +2,58 @@
 
 import typing
 
+import gevent
+from gevent import socket
+
+from magnoliadyke.core import freshness
+from magnoliadyke.core import membership
+from magnoliadyke import errors
+from magnoliadyke import gossip_codec
+from magnoliadyke import logs
 from magnoliadyke import mailbox
 
-__all__ = ['Gossip', 'Leave', 'OwnDigest', 'OwnState', 'PeerDigest']
+__all__ = [
+    'Gossip',
+    'HoldTable',
+    'Leave',
+    'OwnDigest',
+    'OwnSpare',
+    'PeerDigest',
+    'Standing',
+    'StoreConfirmed',
+    'Survey',
+]
 
+TICK_INTERVAL_S = 0.1
+#: Members probed at once by a survey; larger fleets are sampled.
+MAX_SURVEY = 64
+MAX_DATAGRAM_BYTES = 65_507
+#: A digest above this goes by TCP instead; a datagram that the network must
+#: split is lost whole when one part is.
+MAX_DIGEST_BYTES = 600
 
-class OwnState(typing.NamedTuple):
-    """What this node tells the others of itself; None leaves a field alone.
+LOG = logs.get('gossip')
+
+
+class HoldTable(typing.NamedTuple):
+    """This node now holds this table."""
+
+    table_revision: int
+    staged_revision: int
 
-    :param spare: share of its capacity that is free, 0 to 1
-    :param takes_work: whether it accepts new requests
-    """
 
-    table_revision: int | None = None
-    staged_revision: int | None = None
-    spare: float | None = None
-    takes_work: bool | None = None
+class StoreConfirmed(typing.NamedTuple):
+    """A read of the store, begun at ``sent_s``, showed these revisions."""
+
+    sent_s: float
+    table_revision: int
+    staged_revision: int
+
+
+class OwnSpare(typing.NamedTuple):
+    """Share of this node's capacity that is free, 0 to 1."""
+
+    spare: float
 
 
 class OwnDigest(typing.NamedTuple):
@@ -26,6 +62,10 @@
     data: bytes
 
 
+class Survey(typing.NamedTuple):
+    """Probe all members now instead of one a period."""
+
+
 class PeerDigest(typing.NamedTuple):
     """Another node's digest."""
 
@@ -44,13 +84,60 @@
         self.successor = successor
 
 
+class Standing(typing.NamedTuple):
+    """What this node may conclude from its evidence of the others.
+
+    :param at_s: monotonic time of the conclusion
+    :param fresh: it may rely on its table
+    :param takes_work: it takes new work
+    :param quorate: enough others know no newer table
+    :param wants_store: a read of the store is due
+    :param unconfirmed: the store's last word is old
+    :param newer_at: ``ip:port`` of a peer with a newer table, or ''
+    :param newest: newest revision heard of, staged or accepted
+    :param acceptance: an outcome of :mod:`magnoliadyke.core.freshness`
+    """
+
+    at_s: float
+    fresh: bool = False
+    takes_work: bool = False
+    quorate: bool = False
+    wants_store: bool = True
+    unconfirmed: bool = True
+    newer_at: str = ''
+    newest: int = 0
+    acceptance: object = None
+
+
+class SurveyingMembership(membership.Membership):
+    """Membership that can probe all members at once.
+
+    An edit is in force when every node has confirmed it. One probe a period
+    would take a period for each node; asking all at once takes one round
+    trip, and an edit is rare enough to pay for that.
+    """
+
+    def survey(self, now_s):
+        """Return pings to the members that are not known to be gone."""
+        others = self._shuffled(
+            self._others(membership.ALIVE, membership.SUSPECT)
+        )
+        sends = []
+        for member in others[:MAX_SURVEY]:
+            sends.append(self._ping(member, now_s))
+            self._knocks[self._sequence] = now_s
+        return sends
+
+
 class Gossip(mailbox.Task):
     """Owns the UDP socket on this host's peer port and its membership.
 
     Topics: ``members`` (:class:`magnoliadyke.core.membership.MembersView`),
-    ``digests`` (:class:`PeerDigest`, each as it comes) and ``pauses``
-    (seconds this process had stood still). Takes :class:`OwnState`,
-    :class:`OwnDigest` and :class:`Leave`.
+    ``standings`` (:class:`Standing`), ``digests`` (:class:`PeerDigest`, each
+    as it comes), ``pauses`` (``core.membership.Paused``) and ``superseded``
+    (``core.membership.Superseded``: another process runs for this host; the
+    node has to stop). Takes :class:`HoldTable`, :class:`StoreConfirmed`,
+    :class:`OwnSpare`, :class:`OwnDigest`, :class:`Survey`, :class:`Leave`.
 
     :param settings: the deployment's settings
     :param host: name of this host
@@ -59,12 +146,191 @@
     :param incarnation: number of this process, larger than those before it
     """
 
+    tick_interval_s = TICK_INTERVAL_S
+
     def __init__(self, settings, host, clock, rng, incarnation):
         super().__init__('gossip', clock)
-        self.settings = settings
-        self.host = host
-        self.rng = rng
-        self.incarnation = incarnation
-        self.members = mailbox.Topic()
+        self.deployment = settings.deployment
+        seeds = {each.name: seed(each) for each in settings.hosts}
+        own = seeds[host]._replace(incarnation=incarnation)
+        self.membership = SurveyingMembership(
+            own,
+            membership.MembershipSettings(),
+            rng,
+            seeds.values(),
+            clock.now_s(),
+            freshness.FreshnessSettings(stale_s=settings.timing.stale_after_s),
+        )
+        self.members = mailbox.Topic(self.membership.view())
+        self.standings = mailbox.Topic(Standing(clock.now_s()))
         self.digests = mailbox.Topic()
         self.pauses = mailbox.Topic()
+        self.superseded = mailbox.Topic()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.socket = None
+        self.reader = None
+
+    def start(self):
+        """Bind the socket, then work."""
+        own = self.membership.own
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind((own.address, own.peer_port))
+        super().start()
+        self.reader = gevent.spawn(self.read)
+
+    def stop(self, deadline_s=5.0):
+        """End the tasks, then close the socket."""
+        super().stop(deadline_s)
+        if self.reader is not None:
+            self.reader.kill()
+        if self.socket is not None:
+            self.socket.close()
+
+    def read(self):
+        """Post each datagram to the task."""
+        while True:
+            try:
+                data, _ = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except ConnectionRefusedError:
+                continue  # an earlier datagram of ours met a closed port
+            except OSError:
+                return
+            self.received_bytes += len(data)
+            self.post(data)
+
+    def handle(self, message):
+        """Act on one message."""
+        now_s = self.clock.now_s()
+        match message:
+            case bytes():
+                self.receive(message, now_s)
+            case HoldTable(table_revision, staged_revision):
+                self.membership.set_table(table_revision, staged_revision)
+                self.publish(now_s)
+            case StoreConfirmed():
+                self.membership.freshness.store_confirmed(*message)
+                self.publish(now_s)
+            case OwnSpare(spare):
+                self.membership.set_spare(spare)
+            case OwnDigest(data):
+                fits = len(data) <= MAX_DIGEST_BYTES
+                self.membership.digest = data if fits else b''
+            case Survey():
+                self.act(self.membership.survey(now_s))
+            case Leave(successor=successor):
+                self.act(self.membership.leave(successor, now_s))
+                message.reply(True)
+
+    def tick(self):
+        """Drive the protocol's timers."""
+        now_s = self.clock.now_s()
+        self.act(self.membership.tick(now_s))
+        self.publish(now_s)
+
+    def receive(self, data, now_s):
+        """Take one datagram in."""
+        try:
+            message = gossip_codec.decode(self.deployment, data)
+        except errors.ProtocolError as error:
+            LOG.repeated('datagram_ignored', 'datagram', reason=str(error))
+            return
+        self.act(self.membership.receive(message, now_s))
+        if isinstance(message, membership.Ack):
+            self.publish(now_s)
+
+    def act(self, actions):
+        """Carry out what the core decided."""
+        for action in actions:
+            match action:
+                case membership.Send(address, message):
+                    self.send(address, message)
+                case membership.DigestHeard(host, digest):
+                    self.digests.publish(PeerDigest(host, digest))
+                case membership.Paused(for_s):
+                    LOG.warning_event('paused', for_s=for_s)
+                    self.pauses.publish(action)
+                case membership.Superseded(incarnation):
+                    LOG.warning_event('superseded', by=incarnation)
+                    self.superseded.publish(action)
+
+    def send(self, address, message):
+        """Send one datagram; a lost one is the protocol's matter."""
+        data = gossip_codec.encode(self.deployment, message)
+        try:
+            self.socket.sendto(data, address)
+        except OSError as error:
+            LOG.repeated('send_failed', address[0], error=str(error))
+            return
+        self.sent_bytes += len(data)
+
+    def publish(self, now_s):
+        """Publish the view and the standing if they say something new."""
+        view = self.membership.view()
+        if view != self.members.last:
+            self.log_changes(self.members.last, view)
+            self.members.publish(view)
+        standing = self.conclude(now_s)
+        if standing != self.standings.last._replace(at_s=now_s):
+            self.standings.publish(standing)
+
+    def conclude(self, now_s):
+        """Return this node's :class:`Standing`."""
+        known = self.membership.freshness
+        staged = known.staged_revision > known.table_revision
+        newest = max(
+            (each.staged_revision for each in self.members.last.alive()),
+            default=0,
+        )
+        return Standing(
+            at_s=now_s,
+            fresh=known.fresh(now_s),
+            takes_work=known.takes_work(now_s),
+            quorate=len(known.group(now_s)) >= known.quorum,
+            wants_store=known.wants_store(now_s),
+            unconfirmed=known.acts_on_staged(now_s),
+            newer_at=self.peer_address(known.behind()),
+            newest=max(newest, known.staged_revision),
+            acceptance=self.acceptance(now_s) if staged else None,
+        )
+
+    def acceptance(self, now_s):
+        """Whether the staged edit may be accepted."""
+        left = [
+            host
+            for host, member in self.membership.members.items()
+            if member.state == membership.LEFT
+        ]
+        return self.membership.freshness.acceptance(now_s, left)
+
+    def peer_address(self, host):
+        """Peer address of a member as ``ip:port``, '' if unknown."""
+        member = self.membership.members.get(host)
+        if member is None:
+            return ''
+        return f'{member.address}:{member.peer_port}'
+
+    def log_changes(self, before, after):
+        """Log members that came, went or changed their state."""
+        for host, member in after.members.items():
+            known = before.members.get(host)
+            if known is None or known.state != member.state:
+                LOG.event(
+                    'member',
+                    member=host,
+                    state=member.state,
+                    incarnation=member.incarnation,
+                )
+
+
+def seed(host):
+    """Member to join by, from the settings of a host."""
+    return membership.Member(
+        host=host.name,
+        incarnation=0,
+        address=host.address,
+        caller_port=host.caller_port,
+        peer_port=host.peer_port,
+        failure_domain=host.failure_domain,
+    )
--- /dev/null
+++ b/magnoliadyke/gossip_codec.py
@@ -0,0 +1,200 @@
+"""Datagrams of the membership protocol as compact thrift."""
+
+import math
+
+from thrift.protocol import TCompactProtocol
+from thrift import TSerialization
+
+from magnoliadyke.core import freshness
+from magnoliadyke.core import membership
+from magnoliadyke import errors
+from magnoliadyke.wire import constants
+from magnoliadyke.wire import ttypes
+
+__all__ = ['decode', 'encode']
+
+#: An age above this is as good as never; it keeps the field small.
+MAX_AGE_S = 3600.0
+MAX_STRING_BYTES = 64 * 1024
+MAX_ITEMS = 1024
+
+FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
+    string_length_limit=MAX_STRING_BYTES,
+    container_length_limit=MAX_ITEMS,
+    fallback=True,
+)
+
+STATES = {
+    membership.ALIVE: ttypes.MemberState.ALIVE,
+    membership.SUSPECT: ttypes.MemberState.SUSPECT,
+    membership.DEAD: ttypes.MemberState.DEAD,
+    membership.LEFT: ttypes.MemberState.LEFT,
+}
+STATE_NAMES = {number: name for name, number in STATES.items()}
+
+
+def encode(deployment, message):
+    """Return the bytes of one datagram.
+
+    :param deployment: name of the deployment; others ignore the datagram
+    :param message: a message of :mod:`magnoliadyke.core.membership`
+    """
+    datagram = ttypes.Datagram(
+        version=constants.VERSION,
+        deployment=deployment,
+        sequence=message.sequence,
+        source=encode_member(message.source),
+        target=message.target,
+        updates=[encode_member(each) for each in message.updates] or None,
+        sightings=[encode_sighting(each) for each in message.sightings]
+        or None,
+    )
+    match message:
+        case membership.Ping():
+            datagram.kind = ttypes.MessageKind.PING
+            # A digest on every answer as well would double its cost.
+            datagram.digest = message.digest or None
+        case membership.Ack():
+            datagram.kind = ttypes.MessageKind.ACK
+        case membership.PingRequest():
+            datagram.kind = ttypes.MessageKind.PING_REQUEST
+            datagram.target_address = message.target_address
+            datagram.target_port = message.target_port
+    return TSerialization.serialize(datagram, FACTORY)
+
+
+def decode(deployment, data):
+    """Return the message in a datagram.
+
+    :raises magnoliadyke.errors.ProtocolError: when it is malformed, of
+        another deployment or of a kind that this version doesn't know
+    """
+    try:
+        datagram = TSerialization.deserialize(ttypes.Datagram(), data, FACTORY)
+    except Exception as error:
+        # The C codec raises half a dozen unrelated kinds for bad bytes.
+        raise malformed(f'{type(error).__name__}: {error}') from error
+    if datagram.deployment != deployment:
+        raise malformed(f'it is of deployment {datagram.deployment!r}')
+    try:
+        return decode_message(datagram)
+    except (AttributeError, KeyError, TypeError) as error:
+        raise malformed(f'a field is absent: {error}') from error
+
+
+def malformed(reason):
+    """Error for a datagram that can't be used."""
+    return errors.ProtocolError(
+        f'datagram ignored: {reason}',
+        'check that only nodes of this deployment use its peer ports',
+    )
+
+
+def decode_message(datagram):
+    """Message of a datagram whose bytes were whole."""
+    riders = (
+        tuple(decode_member(each) for each in datagram.updates or ()),
+        tuple(decode_sighting(each) for each in datagram.sightings or ()),
+        datagram.digest or b'',
+    )
+    sequence = datagram.sequence
+    source = decode_member(datagram.source)
+    match datagram.kind:
+        case ttypes.MessageKind.PING:
+            return membership.Ping(sequence, source, datagram.target, *riders)
+        case ttypes.MessageKind.ACK:
+            return membership.Ack(sequence, source, datagram.target, *riders)
+        case ttypes.MessageKind.PING_REQUEST:
+            return membership.PingRequest(
+                sequence,
+                source,
+                datagram.target,
+                datagram.target_address,
+                datagram.target_port,
+                *riders,
+            )
+    raise malformed(f'kind {datagram.kind} is unknown')
+
+
+def encode_member(member):
+    """A member as it travels."""
+    return ttypes.Member(
+        host=member.host,
+        incarnation=member.incarnation,
+        address=member.address,
+        caller_port=member.caller_port,
+        peer_port=member.peer_port,
+        failure_domain=member.failure_domain,
+        state=STATES[member.state],
+        refutations=member.refutations,
+        table_revision=member.table_revision,
+        staged_revision=member.staged_revision,
+        spare_percent=percent(member.spare),
+        takes_work=member.takes_work,
+        successor=member.successor or None,
+    )
+
+
+def decode_member(member):
+    """A member as the core knows it."""
+    return membership.Member(
+        host=member.host,
+        incarnation=member.incarnation,
+        address=member.address,
+        caller_port=member.caller_port,
+        peer_port=member.peer_port,
+        failure_domain=member.failure_domain,
+        state=STATE_NAMES[member.state],
+        refutations=member.refutations,
+        table_revision=member.table_revision,
+        staged_revision=member.staged_revision,
+        spare=member.spare_percent / 100,
+        takes_work=member.takes_work,
+        successor=member.successor or '',
+    )
+
+
+def encode_sighting(sighting):
+    """A sighting as it travels."""
+    store_age_ms = None
+    if sighting.store_age_s < MAX_AGE_S:
+        store_age_ms = milliseconds(sighting.store_age_s)
+    return ttypes.Sighting(
+        host=sighting.host,
+        incarnation=sighting.incarnation,
+        age_ms=milliseconds(min(sighting.age_s, MAX_AGE_S)),
+        table_revision=sighting.table_revision,
+        staged_revision=sighting.staged_revision,
+        store_age_ms=store_age_ms,
+        rooted=sighting.rooted,
+        takes_work=sighting.takes_work,
+        spare_percent=percent(sighting.spare),
+    )
+
+
+def decode_sighting(sighting):
+    """A sighting as the core knows it."""
+    store_age_s = math.inf
+    if sighting.store_age_ms is not None:
+        store_age_s = sighting.store_age_ms / 1000
+    return freshness.Sighting(
+        host=sighting.host,
+        incarnation=sighting.incarnation,
+        age_s=sighting.age_ms / 1000,
+        table_revision=sighting.table_revision,
+        staged_revision=sighting.staged_revision,
+        store_age_s=store_age_s,
+        rooted=sighting.rooted,
+        takes_work=sighting.takes_work,
+        spare=sighting.spare_percent / 100,
+    )
+
+
+def milliseconds(seconds):
+    """Whole milliseconds, rounded up: evidence never looks younger."""
+    return math.ceil(seconds * 1000)
+
+
+def percent(share):
+    """A share as a small whole number."""
+    return round(100 * share)
--- a/magnoliadyke/wire/ttypes.py
+++ b/magnoliadyke/wire/ttypes.py
@@ -55,16 +55,17 @@
     }
 
 
-class MemberUpdate(object):
+class Member(object):
     """
     Attributes:
      - host
      - incarnation
-     - state
      - address
      - caller_port
      - peer_port
      - failure_domain
+     - state
+     - refutations
      - table_revision
      - staged_revision
      - spare_percent
@@ -76,11 +77,12 @@
     __slots__ = (
         'host',
         'incarnation',
-        'state',
         'address',
         'caller_port',
         'peer_port',
         'failure_domain',
+        'state',
+        'refutations',
         'table_revision',
         'staged_revision',
         'spare_percent',
@@ -89,14 +91,15 @@
     )
 
 
-    def __init__(self, host=None, incarnation=None, state=None, address=None, caller_port=None, peer_port=None, failure_domain=None, table_revision=None, staged_revision=None, spare_percent=None, takes_work=None, successor=None,):
+    def __init__(self, host=None, incarnation=None, address=None, caller_port=None, peer_port=None, failure_domain=None, state=None, refutations=None, table_revision=None, staged_revision=None, spare_percent=None, takes_work=None, successor=None,):
         self.host = host
         self.incarnation = incarnation
-        self.state = state
         self.address = address
         self.caller_port = caller_port
         self.peer_port = peer_port
         self.failure_domain = failure_domain
+        self.state = state
+        self.refutations = refutations
         self.table_revision = table_revision
         self.staged_revision = staged_revision
         self.spare_percent = spare_percent
@@ -123,51 +126,56 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.state = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.STRING:
                     self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 4:
                 if ftype == TType.I32:
                     self.caller_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 5:
                 if ftype == TType.I32:
                     self.peer_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 6:
                 if ftype == TType.STRING:
                     self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.state = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             elif fid == 8:
+                if ftype == TType.I32:
+                    self.refutations = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
                 if ftype == TType.I64:
                     self.table_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
+            elif fid == 10:
                 if ftype == TType.I64:
                     self.staged_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
+            elif fid == 11:
                 if ftype == TType.I16:
                     self.spare_percent = iprot.readI16()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
+            elif fid == 12:
                 if ftype == TType.BOOL:
                     self.takes_work = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
+            elif fid == 13:
                 if ftype == TType.STRING:
                     self.successor = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
@@ -181,7 +189,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('MemberUpdate')
+        oprot.writeStructBegin('Member')
         if self.host is not None:
             oprot.writeFieldBegin('host', TType.STRING, 1)
             oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
@@ -190,44 +198,48 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 2)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
-        if self.state is not None:
-            oprot.writeFieldBegin('state', TType.I32, 3)
-            oprot.writeI32(self.state)
-            oprot.writeFieldEnd()
         if self.address is not None:
-            oprot.writeFieldBegin('address', TType.STRING, 4)
+            oprot.writeFieldBegin('address', TType.STRING, 3)
             oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
         if self.caller_port is not None:
-            oprot.writeFieldBegin('caller_port', TType.I32, 5)
+            oprot.writeFieldBegin('caller_port', TType.I32, 4)
             oprot.writeI32(self.caller_port)
             oprot.writeFieldEnd()
         if self.peer_port is not None:
-            oprot.writeFieldBegin('peer_port', TType.I32, 6)
+            oprot.writeFieldBegin('peer_port', TType.I32, 5)
             oprot.writeI32(self.peer_port)
             oprot.writeFieldEnd()
         if self.failure_domain is not None:
-            oprot.writeFieldBegin('failure_domain', TType.STRING, 7)
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 6)
             oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.I32, 7)
+            oprot.writeI32(self.state)
+            oprot.writeFieldEnd()
+        if self.refutations is not None:
+            oprot.writeFieldBegin('refutations', TType.I32, 8)
+            oprot.writeI32(self.refutations)
+            oprot.writeFieldEnd()
         if self.table_revision is not None:
-            oprot.writeFieldBegin('table_revision', TType.I64, 8)
+            oprot.writeFieldBegin('table_revision', TType.I64, 9)
             oprot.writeI64(self.table_revision)
             oprot.writeFieldEnd()
         if self.staged_revision is not None:
-            oprot.writeFieldBegin('staged_revision', TType.I64, 9)
+            oprot.writeFieldBegin('staged_revision', TType.I64, 10)
             oprot.writeI64(self.staged_revision)
             oprot.writeFieldEnd()
         if self.spare_percent is not None:
-            oprot.writeFieldBegin('spare_percent', TType.I16, 10)
+            oprot.writeFieldBegin('spare_percent', TType.I16, 11)
             oprot.writeI16(self.spare_percent)
             oprot.writeFieldEnd()
         if self.takes_work is not None:
-            oprot.writeFieldBegin('takes_work', TType.BOOL, 11)
+            oprot.writeFieldBegin('takes_work', TType.BOOL, 12)
             oprot.writeBool(self.takes_work)
             oprot.writeFieldEnd()
         if self.successor is not None:
-            oprot.writeFieldBegin('successor', TType.STRING, 12)
+            oprot.writeFieldBegin('successor', TType.STRING, 13)
             oprot.writeString(self.successor.encode('utf-8') if sys.version_info[0] == 2 else self.successor)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -255,19 +267,183 @@
         return not (self == other)
 
 
+class Sighting(object):
+    """
+    Attributes:
+     - host
+     - incarnation
+     - age_ms
+     - table_revision
+     - staged_revision
+     - store_age_ms
+     - rooted
+     - takes_work
+     - spare_percent
+
+    """
+
+    __slots__ = (
+        'host',
+        'incarnation',
+        'age_ms',
+        'table_revision',
+        'staged_revision',
+        'store_age_ms',
+        'rooted',
+        'takes_work',
+        'spare_percent',
+    )
+
+
+    def __init__(self, host=None, incarnation=None, age_ms=None, table_revision=None, staged_revision=None, store_age_ms=None, rooted=None, takes_work=None, spare_percent=None,):
+        self.host = host
+        self.incarnation = incarnation
+        self.age_ms = age_ms
+        self.table_revision = table_revision
+        self.staged_revision = staged_revision
+        self.store_age_ms = store_age_ms
+        self.rooted = rooted
+        self.takes_work = takes_work
+        self.spare_percent = spare_percent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.table_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.staged_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.store_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.rooted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.takes_work = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I16:
+                    self.spare_percent = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Sighting')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.table_revision is not None:
+            oprot.writeFieldBegin('table_revision', TType.I64, 4)
+            oprot.writeI64(self.table_revision)
+            oprot.writeFieldEnd()
+        if self.staged_revision is not None:
+            oprot.writeFieldBegin('staged_revision', TType.I64, 5)
+            oprot.writeI64(self.staged_revision)
+            oprot.writeFieldEnd()
+        if self.store_age_ms is not None:
+            oprot.writeFieldBegin('store_age_ms', TType.I32, 6)
+            oprot.writeI32(self.store_age_ms)
+            oprot.writeFieldEnd()
+        if self.rooted is not None:
+            oprot.writeFieldBegin('rooted', TType.BOOL, 7)
+            oprot.writeBool(self.rooted)
+            oprot.writeFieldEnd()
+        if self.takes_work is not None:
+            oprot.writeFieldBegin('takes_work', TType.BOOL, 8)
+            oprot.writeBool(self.takes_work)
+            oprot.writeFieldEnd()
+        if self.spare_percent is not None:
+            oprot.writeFieldBegin('spare_percent', TType.I16, 9)
+            oprot.writeI16(self.spare_percent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
      - version
      - kind
      - sequence
-     - sender
-     - revision
+     - source
      - target
      - target_address
+     - target_port
      - updates
+     - sightings
      - digest
-     - incarnation
      - deployment
 
     """
@@ -276,28 +452,28 @@
         'version',
         'kind',
         'sequence',
-        'sender',
-        'revision',
+        'source',
         'target',
         'target_address',
+        'target_port',
         'updates',
+        'sightings',
         'digest',
-        'incarnation',
         'deployment',
     )
 
 
-    def __init__(self, version=None, kind=None, sequence=None, sender=None, revision=None, target=None, target_address=None, updates=None, digest=None, incarnation=None, deployment=None,):
+    def __init__(self, version=None, kind=None, sequence=None, source=None, target=None, target_address=None, target_port=None, updates=None, sightings=None, digest=None, deployment=None,):
         self.version = version
         self.kind = kind
         self.sequence = sequence
-        self.sender = sender
-        self.revision = revision
+        self.source = source
         self.target = target
         self.target_address = target_address
+        self.target_port = target_port
         self.updates = updates
+        self.sightings = sightings
         self.digest = digest
-        self.incarnation = incarnation
         self.deployment = deployment
 
     def read(self, iprot):
@@ -325,23 +501,24 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.STRUCT:
+                    self.source = Member()
+                    self.source.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.STRING:
-                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.target_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
-                if ftype == TType.STRING:
-                    self.target_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.target_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
@@ -349,20 +526,26 @@
                     self.updates = []
                     (_etype3, _size0) = iprot.readListBegin()
                     for _i4 in range(_size0):
-                        _elem5 = MemberUpdate()
+                        _elem5 = Member()
                         _elem5.read(iprot)
                         self.updates.append(_elem5)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
-                if ftype == TType.STRING:
-                    self.digest = iprot.readBinary()
+                if ftype == TType.LIST:
+                    self.sightings = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = Sighting()
+                        _elem11.read(iprot)
+                        self.sightings.append(_elem11)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
@@ -392,37 +575,40 @@
             oprot.writeFieldBegin('sequence', TType.I64, 3)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
-        if self.sender is not None:
-            oprot.writeFieldBegin('sender', TType.STRING, 4)
-            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
-            oprot.writeFieldEnd()
-        if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 5)
-            oprot.writeI64(self.revision)
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRUCT, 4)
+            self.source.write(oprot)
             oprot.writeFieldEnd()
         if self.target is not None:
-            oprot.writeFieldBegin('target', TType.STRING, 6)
+            oprot.writeFieldBegin('target', TType.STRING, 5)
             oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
             oprot.writeFieldEnd()
         if self.target_address is not None:
-            oprot.writeFieldBegin('target_address', TType.STRING, 7)
+            oprot.writeFieldBegin('target_address', TType.STRING, 6)
             oprot.writeString(self.target_address.encode('utf-8') if sys.version_info[0] == 2 else self.target_address)
             oprot.writeFieldEnd()
+        if self.target_port is not None:
+            oprot.writeFieldBegin('target_port', TType.I32, 7)
+            oprot.writeI32(self.target_port)
+            oprot.writeFieldEnd()
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter6 in self.updates:
-                iter6.write(oprot)
+            for iter12 in self.updates:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sightings is not None:
+            oprot.writeFieldBegin('sightings', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.sightings))
+            for iter13 in self.sightings:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
-            oprot.writeFieldBegin('digest', TType.STRING, 9)
+            oprot.writeFieldBegin('digest', TType.STRING, 10)
             oprot.writeBinary(self.digest)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 10)
-            oprot.writeI64(self.incarnation)
-            oprot.writeFieldEnd()
         if self.deployment is not None:
             oprot.writeFieldBegin('deployment', TType.STRING, 11)
             oprot.writeString(self.deployment.encode('utf-8') if sys.version_info[0] == 2 else self.deployment)
@@ -598,10 +784,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readBinary()
-                        self.records.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readBinary()
+                        self.records.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -635,8 +821,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.records))
-            for iter13 in self.records:
-                oprot.writeBinary(iter13)
+            for iter20 in self.records:
+                oprot.writeBinary(iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last is not None:
@@ -942,21 +1128,35 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(MemberUpdate)
-MemberUpdate.thrift_spec = (
+all_structs.append(Member)
+Member.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'caller_port', None, None, ),  # 4
+    (5, TType.I32, 'peer_port', None, None, ),  # 5
+    (6, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'state', None, None, ),  # 7
+    (8, TType.I32, 'refutations', None, None, ),  # 8
+    (9, TType.I64, 'table_revision', None, None, ),  # 9
+    (10, TType.I64, 'staged_revision', None, None, ),  # 10
+    (11, TType.I16, 'spare_percent', None, None, ),  # 11
+    (12, TType.BOOL, 'takes_work', None, None, ),  # 12
+    (13, TType.STRING, 'successor', 'UTF8', None, ),  # 13
+)
+all_structs.append(Sighting)
+Sighting.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.I32, 'state', None, None, ),  # 3
-    (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
-    (5, TType.I32, 'caller_port', None, None, ),  # 5
-    (6, TType.I32, 'peer_port', None, None, ),  # 6
-    (7, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 7
-    (8, TType.I64, 'table_revision', None, None, ),  # 8
-    (9, TType.I64, 'staged_revision', None, None, ),  # 9
-    (10, TType.I16, 'spare_percent', None, None, ),  # 10
-    (11, TType.BOOL, 'takes_work', None, None, ),  # 11
-    (12, TType.STRING, 'successor', 'UTF8', None, ),  # 12
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I64, 'table_revision', None, None, ),  # 4
+    (5, TType.I64, 'staged_revision', None, None, ),  # 5
+    (6, TType.I32, 'store_age_ms', None, None, ),  # 6
+    (7, TType.BOOL, 'rooted', None, None, ),  # 7
+    (8, TType.BOOL, 'takes_work', None, None, ),  # 8
+    (9, TType.I16, 'spare_percent', None, None, ),  # 9
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
@@ -964,13 +1164,13 @@
     (1, TType.I16, 'version', None, None, ),  # 1
     (2, TType.I32, 'kind', None, None, ),  # 2
     (3, TType.I64, 'sequence', None, None, ),  # 3
-    (4, TType.STRING, 'sender', 'UTF8', None, ),  # 4
-    (5, TType.I64, 'revision', None, None, ),  # 5
-    (6, TType.STRING, 'target', 'UTF8', None, ),  # 6
-    (7, TType.STRING, 'target_address', 'UTF8', None, ),  # 7
-    (8, TType.LIST, 'updates', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 8
-    (9, TType.STRING, 'digest', 'BINARY', None, ),  # 9
-    (10, TType.I64, 'incarnation', None, None, ),  # 10
+    (4, TType.STRUCT, 'source', [Member, None], None, ),  # 4
+    (5, TType.STRING, 'target', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'target_address', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'target_port', None, None, ),  # 7
+    (8, TType.LIST, 'updates', (TType.STRUCT, [Member, None], False), None, ),  # 8
+    (9, TType.LIST, 'sightings', (TType.STRUCT, [Sighting, None], False), None, ),  # 9
+    (10, TType.STRING, 'digest', 'BINARY', None, ),  # 10
     (11, TType.STRING, 'deployment', 'UTF8', None, ),  # 11
 )
 all_structs.append(TableReply)
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -22,34 +22,48 @@
   LEFT = 4,
 }
 
-struct MemberUpdate {
+struct Member {
   1: string host,
   2: i64 incarnation,
-  3: MemberState state,
-  4: optional string address,
-  5: optional i32 caller_port,
-  6: optional i32 peer_port,
-  7: optional string failure_domain,
-  8: optional i64 table_revision,
-  9: optional i64 staged_revision,
-  10: optional i16 spare_percent,
-  11: optional bool takes_work,
-  12: optional string successor,
+  3: string address,
+  4: i32 caller_port,
+  5: i32 peer_port,
+  6: string failure_domain,
+  7: MemberState state,
+  8: i32 refutations,
+  9: i64 table_revision,
+  10: i64 staged_revision,
+  11: i16 spare_percent,
+  12: bool takes_work,
+  13: optional string successor,
 }
 
-// One UDP datagram.  `target` and `target_address` are used by PING_REQUEST.
+// Ages are absent when there was never any evidence.
+struct Sighting {
+  1: string host,
+  2: i64 incarnation,
+  3: i32 age_ms,
+  4: i64 table_revision,
+  5: i64 staged_revision,
+  6: optional i32 store_age_ms,
+  7: bool rooted,
+  8: bool takes_work,
+  9: i16 spare_percent,
+}
+
+// One UDP datagram; the target's address is only in a PING_REQUEST.
 struct Datagram {
   1: i16 version,
   2: MessageKind kind,
   3: i64 sequence,
-  4: string sender,
-  5: i64 revision,
-  6: optional string target,
-  7: optional string target_address,
-  8: optional list<MemberUpdate> updates,
-  9: optional binary digest,
-  10: optional i64 incarnation,
-  11: optional string deployment,
+  4: Member source,
+  5: string target,
+  6: optional string target_address,
+  7: optional i32 target_port,
+  8: optional list<Member> updates,
+  9: optional list<Sighting> sightings,
+  10: optional binary digest,
+  11: string deployment,
 }
 
 // The table's document as its JSON text; absent when the peer has none newer.
