Add a fault-injecting proxy for TCP and UDP

Failures between processes have to be caused on purpose. A process started through lab.links sends connect() and sendto() to the proxy with a line that names source and target; the proxy answers after it has reached the target, so that a dropped link looks like one (the connect waits) and not like an open connection. Ruled out: one listener for each pair of processes (over 200 ports, and an accepted connection that leads nowhere would pass for a live one).

The engine stand-in sends the head of a stream at once.

--- a/magnoliadyke/lab/engine.py
+++ b/magnoliadyke/lab/engine.py
@@ -381,6 +381,9 @@
         """Server-sent events of a run from an offset on."""
         opened = self.silenced
         sent_s = time.monotonic()
+        # The head leaves with the first bytes: the reader learns at once
+        # that the engine has the request.
+        yield KEEP_ALIVE
         while True:
             if opened != self.silenced:
                 gevent.sleep(SILENCE_S)
--- /dev/null
+++ b/magnoliadyke/lab/links.py
@@ -0,0 +1,98 @@
+"""Runs a command with its connections sent through the fault proxy.
+
+The program itself is the one that runs in production: only the targets of
+``connect`` and ``sendto`` change, in this process, as a rule of a packet
+filter would change them.  What is not in the map goes straight.
+"""
+
+import json
+import os
+import sys
+import typing
+
+from gevent import monkey
+from gevent import socket
+
+from magnoliadyke.lab import proxy
+from magnoliadyke.lab import standin
+
+__all__ = ['Map', 'install', 'main']
+
+VARIABLE = 'MAGNOLIADYKE_LAB_LINKS'
+SOCKET = socket.socket
+
+
+class Map(typing.NamedTuple):
+    """Where this process's connections go.
+
+    :param name: name of this process
+    :param proxy: ``ip:port`` of the proxy
+    :param targets: the ``ip:port`` that are reached through it
+    """
+
+    name: str
+    proxy: str
+    targets: frozenset[str]
+
+
+def install(links):
+    """Send this process's connections through the proxy.
+
+    :param links: the :class:`Map`
+    """
+    where = standin.split_address(links.proxy)
+    connect, sendto, recvfrom = SOCKET.connect, SOCKET.sendto, SOCKET.recvfrom
+
+    def connect_through(self, address):
+        target = name_of(address)
+        if target not in links.targets:
+            return connect(self, address)
+        connect(self, where)
+        self.sendall(f'{links.name} {target}\n'.encode('ascii'))
+        if self.recv(1) != proxy.CONNECTED:
+            raise ConnectionRefusedError(111, 'Connection refused')
+        return None
+
+    def sendto_through(self, data, *arguments):
+        target = name_of(arguments[-1])
+        if target not in links.targets:
+            return sendto(self, data, *arguments)
+        origin = name_of(self.getsockname())
+        packet = proxy.datagram(links.name, origin, target, bytes(data))
+        sendto(self, packet, where)
+        return len(data)
+
+    def recvfrom_through(self, *arguments):
+        data, address = recvfrom(self, *arguments)
+        parts = proxy.split_datagram(data)
+        if parts is None:
+            return data, address
+        return parts[3], standin.split_address(parts[1])
+
+    SOCKET.connect = connect_through
+    SOCKET.sendto = sendto_through
+    SOCKET.recvfrom = recvfrom_through
+
+
+def name_of(address):
+    """An address pair as ``ip:port``."""
+    return '%s:%d' % address[:2] if isinstance(address, tuple) else ''
+
+
+def main(argv):
+    """Run the program's command line behind the proxy.
+
+    :param argv: words of the command line
+    :returns: exit status
+    """
+    from magnoliadyke import cli
+
+    spec = json.loads(os.environ[VARIABLE])
+    targets = frozenset(spec['targets'])
+    install(Map(spec['name'], spec['proxy'], targets))
+    return cli.main(argv)
+
+
+if __name__ == '__main__':
+    monkey.patch_all()
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/magnoliadyke/lab/rules.py
@@ -0,0 +1,117 @@
+"""Rules of the fault proxy: what happens to packets from A to B."""
+
+import fnmatch
+import itertools
+import time
+import typing
+
+__all__ = ['KINDS', 'Rule', 'Rules']
+
+KINDS = ('cut', 'delay', 'drop', 'lose_reply', 'loss', 'silence')
+
+
+class Rule(typing.NamedTuple):
+    """One fault, for packets from ``source`` to ``target``.
+
+    ``cut`` ends connections and refuses new ones; ``drop`` holds TCP bytes
+    back and drops datagrams; ``delay`` holds each piece for ``delay_s``;
+    ``loss`` drops ``share`` of the datagrams; ``silence`` makes the
+    connections that are open when it comes say nothing for good;
+    ``lose_reply`` ends the next ``count`` connections of ``source`` to
+    ``target`` when their answer comes.
+
+    :param source: name or pattern, such as ``entry-*``
+    :param target: name or pattern
+    :param both: whether it holds for packets the other way too
+    :param until_s: monotonic seconds at which it ends
+    """
+
+    id: int
+    source: str
+    target: str
+    kind: str
+    both: bool
+    begun_s: float
+    until_s: float
+    delay_s: float
+    share: float
+    count: int
+
+    def holds(self, source, target):
+        """Whether it is about packets from ``source`` to ``target``."""
+        if match(self, source, target):
+            return True
+        return self.both and match(self, target, source)
+
+
+def match(rule, source, target):
+    """Whether the names fit the rule's patterns."""
+    return fnmatch.fnmatchcase(source, rule.source) and fnmatch.fnmatchcase(
+        target, rule.target
+    )
+
+
+class Rules:
+    """The rules that are on."""
+
+    def __init__(self):
+        self.rules = {}
+        self.ids = itertools.count(1)
+
+    def add(self, fault):
+        """Add a rule.
+
+        :param fault: ``from``, ``to``, ``kind``, and as needed ``both``,
+            ``for_s``, ``delay_s``, ``share``, ``count``
+        :returns: the rule
+        """
+        kind = fault.get('kind', '')
+        if kind not in KINDS:
+            raise ValueError(f'kind must be one of {", ".join(KINDS)}')
+        now_s = time.monotonic()
+        for_s = fault.get('for_s')
+        rule = Rule(
+            next(self.ids),
+            fault.get('from', '*'),
+            fault.get('to', '*'),
+            kind,
+            bool(fault.get('both', False)),
+            now_s,
+            float('inf') if for_s is None else now_s + float(for_s),
+            float(fault.get('delay_s', 0.0)),
+            float(fault.get('share', 1.0)),
+            int(fault.get('count', 1)),
+        )
+        self.rules[rule.id] = rule
+        return rule
+
+    def remove(self, rule_id):
+        """End a rule."""
+        self.rules.pop(rule_id, None)
+
+    def clear(self):
+        """End all rules."""
+        self.rules.clear()
+
+    def find(self, kind, source, target):
+        """The first rule of a kind that holds for these packets."""
+        if not self.rules:
+            return None
+        now_s = time.monotonic()
+        for rule in list(self.rules.values()):
+            if rule.until_s <= now_s:
+                del self.rules[rule.id]
+            elif rule.kind == kind and rule.holds(source, target):
+                return rule
+        return None
+
+    def take_reply(self, source, target):
+        """Use up one reply to lose; whether there was one."""
+        rule = self.find('lose_reply', source, target)
+        if rule is None:
+            return False
+        if rule.count <= 1:
+            self.remove(rule.id)
+        else:
+            self.rules[rule.id] = rule._replace(count=rule.count - 1)
+        return True
