--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -17,7 +17,7 @@
     'HoldTable',
     'Leave',
     'OwnDigest',
-    'OwnSpare',
+    'OwnState',
     'PeerDigest',
     'Standing',
     'StoreConfirmed',
@@ -50,10 +50,15 @@
     staged_revision: int
 
 
-class OwnSpare(typing.NamedTuple):
-    """Share of this node's capacity that is free, 0 to 1."""
+class OwnState(typing.NamedTuple):
+    """What this node tells of itself; None leaves a field alone.
 
-    spare: float
+    :param spare: share of its capacity that is free, 0 to 1
+    :param takes_work: False while it stops or drains
+    """
+
+    spare: float | None = None
+    takes_work: bool | None = None
 
 
 class OwnDigest(typing.NamedTuple):
@@ -109,14 +114,19 @@
     acceptance: object = None
 
 
-class SurveyingMembership(membership.Membership):
-    """Membership that can probe all members at once.
+class NodeMembership(membership.Membership):
+    """Membership that can probe all members at once and can decline work.
 
     An edit is in force when every node has confirmed it. One probe a period
     would take a period for each node; asking all at once takes one round
     trip, and an edit is rare enough to pay for that.
+
+    ``accepts`` is False while the node stops: whatever its evidence says,
+    the others then leave it out of their answers to callers.
     """
 
+    accepts = True
+
     def survey(self, now_s):
         """Return pings to the members that are not known to be gone."""
         others = self._shuffled(
@@ -128,6 +138,17 @@
             self._knocks[self._sequence] = now_s
         return sends
 
+    def _refresh_own(self, now_s):
+        super()._refresh_own(now_s)
+        takes_work = self.own.takes_work and self.accepts
+        self.own = self.own._replace(takes_work=takes_work)
+
+    def _riders(self, receiver, now_s):
+        updates, sightings, digest = super()._riders(receiver, now_s)
+        own, *others = sightings
+        own = own._replace(takes_work=own.takes_work and self.accepts)
+        return updates, (own, *others), digest
+
 
 class Gossip(mailbox.Task):
     """Owns the UDP socket on this host's peer port and its membership.
@@ -137,7 +158,7 @@
     as it comes), ``pauses`` (``core.membership.Paused``) and ``superseded``
     (``core.membership.Superseded``: another process runs for this host; the
     node has to stop). Takes :class:`HoldTable`, :class:`StoreConfirmed`,
-    :class:`OwnSpare`, :class:`OwnDigest`, :class:`Survey`, :class:`Leave`.
+    :class:`OwnState`, :class:`OwnDigest`, :class:`Survey`, :class:`Leave`.
 
     :param settings: the deployment's settings
     :param host: name of this host
@@ -153,7 +174,7 @@
         self.deployment = settings.deployment
         seeds = {each.name: seed(each) for each in settings.hosts}
         own = seeds[host]._replace(incarnation=incarnation)
-        self.membership = SurveyingMembership(
+        self.membership = NodeMembership(
             own,
             membership.MembershipSettings(),
             rng,
@@ -212,8 +233,8 @@
             case StoreConfirmed():
                 self.membership.freshness.store_confirmed(*message)
                 self.publish(now_s)
-            case OwnSpare(spare):
-                self.membership.set_spare(spare)
+            case OwnState():
+                self.take_own_state(message)
             case OwnDigest(data):
                 fits = len(data) <= MAX_DIGEST_BYTES
                 self.membership.digest = data if fits else b''
@@ -223,6 +244,13 @@
                 self.act(self.membership.leave(successor, now_s))
                 message.reply(True)
 
+    def take_own_state(self, state):
+        """Tell the others of a change in this node."""
+        if state.spare is not None:
+            self.membership.set_spare(state.spare)
+        if state.takes_work is not None:
+            self.membership.accepts = state.takes_work
+
     def tick(self):
         """Drive the protocol's timers."""
         now_s = self.clock.now_s()
