Start a deployment as real processes

Tests and experiments need 8 nodes and all stand-ins at once, several clusters side by side, and none of it left over. A cluster derives its own 127.x addresses and secrets from a settings document, waits until each process answers, and ends all of them on leaving; the kernel ends them if the lab itself is killed.

--- /dev/null
+++ b/magnoliadyke/lab/cluster.py
@@ -0,0 +1,473 @@
+"""Starts a deployment's real processes on loopback and ends them again."""
+
+import copy
+import ctypes
+import hashlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import typing
+
+import gevent
+
+from magnoliadyke.lab import links
+from magnoliadyke.lab import standin
+from magnoliadyke import program
+
+__all__ = [
+    'ADMIN_TOKEN',
+    'Cluster',
+    'NotReady',
+    'Options',
+    'call_json',
+    'caller_key',
+    'derive',
+]
+
+ADMIN_TOKEN = 'lab-admin-token'
+CALL_TIMEOUT_S = 5.0
+READY_TIMEOUT_S = 30.0
+NODE_STOP_S = 40.0
+STAND_IN_STOP_S = 5.0
+POLL_S = 0.05
+PROXY_PORT = 7900
+PROXY_CONTROL_PORT = 7901
+PROXY_NAME = 'proxy'
+PR_SET_PDEATHSIG = 1
+PLATFORM = ('keyvalue', 'weight_store', 'host_list')
+PROGRAMS = {'weight_store': 'weights', 'host_list': 'hostlist'}
+
+
+class NotReady(Exception):
+    """A process did not answer in time, or ended too early."""
+
+
+class Options(typing.NamedTuple):
+    """How a cluster is started.
+
+    :param run: second number of its 127.x addresses, 1 to 254; clusters
+        that run side by side need different ones
+    :param directory: where logs, ledgers and the settings file go
+    :param proxied: whether the nodes' links go through the fault proxy
+    :param engine: settings of the engine stand-ins, beside their role
+    :param service: settings of the service stand-ins
+    :param keyvalue: settings of the key-value stand-in
+    :param hosts: how many of the deployment's hosts to start; all when 0
+    """
+
+    run: int
+    directory: str
+    proxied: bool = False
+    engine: typing.Mapping[str, typing.Any] = {}
+    service: typing.Mapping[str, typing.Any] = {}
+    keyvalue: typing.Mapping[str, typing.Any] = {}
+    host_list: typing.Mapping[str, typing.Any] = {}
+    hosts: int = 0
+
+
+class Process(typing.NamedTuple):
+    """A process and how to start it again."""
+
+    name: str
+    command: list[str]
+    environment: dict[str, str]
+    popen: subprocess.Popen
+
+
+class Cluster:
+    """The processes of one deployment: stand-ins and nodes.
+
+    Names are those of the settings for hosts and endpoints, and
+    ``keyvalue``, ``weight_store``, ``host_list`` and ``proxy``.  Use it as a
+    context manager: whatever happens inside, all processes end.
+
+    :param document: settings of the deployment, as read from JSON
+    :param options: :class:`Options`
+    """
+
+    def __init__(self, document, options):
+        self.options = options
+        self.settings = derive(document, options)
+        self.directory = pathlib.Path(options.directory)
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.settings_file = self.directory / 'settings.json'
+        self.settings_file.write_text(json.dumps(self.settings, indent=1))
+        self.processes = {}
+        self.hosts = {h['name']: h for h in self.settings['hosts']}
+        self.endpoints = {
+            endpoint['name']: endpoint
+            for pool in self.settings['pools']
+            for endpoint in pool['endpoints']
+        }
+        self.names = self.names_by_address()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.kill_all()
+
+    # What stands where.
+
+    def names_by_address(self):
+        """Process name of each ``ip:port``."""
+        names = {e['address']: e['name'] for e in self.endpoints.values()}
+        for name in PLATFORM:
+            names[self.settings[name]['address']] = name
+        for host in self.hosts.values():
+            for port in ('caller_port', 'peer_port'):
+                names[f'{host["address"]}:{host[port]}'] = host['name']
+        return names
+
+    def caller_address(self, host):
+        """``ip:port`` for callers of a host."""
+        row = self.hosts[host]
+        return f'{row["address"]}:{row["caller_port"]}'
+
+    def admin_address(self, host):
+        """``ip:port`` for operators of a host."""
+        row = self.hosts[host]
+        return f'{row["admin_address"]}:{row["admin_port"]}'
+
+    def address(self, name):
+        """``ip:port`` of a stand-in."""
+        if name in PLATFORM:
+            return self.settings[name]['address']
+        return self.endpoints[name]['address']
+
+    def proxy_address(self, port=PROXY_PORT):
+        """``ip:port`` of the fault proxy."""
+        return f'127.{self.options.run}.250.1:{port}'
+
+    # Starting.
+
+    def start(self):
+        """Start all and wait until each node lists all hosts."""
+        self.start_stand_ins()
+        self.start_nodes()
+        self.wait_ready()
+
+    def start_stand_ins(self):
+        """Start the platform's stand-ins and wait until they answer."""
+        if self.options.proxied:
+            control = self.proxy_address(PROXY_CONTROL_PORT)
+            spec = {'control': control, 'names': self.names}
+            self.start_program(PROXY_NAME, 'proxy', self.proxy_address(), spec)
+        for name in PLATFORM:
+            self.start_stand_in(name)
+        for name in self.endpoints:
+            self.start_stand_in(name)
+        for name in (*PLATFORM, *self.endpoints):
+            self.wait_healthy(name)
+
+    def start_stand_in(self, name):
+        """Start one stand-in by name."""
+        kind, spec = self.stand_in_spec(name)
+        self.start_program(name, kind, self.address(name), spec)
+
+    def stand_in_spec(self, name):
+        """Program and settings of a stand-in."""
+        ledger = str(self.directory / f'{name}.ledger')
+        if name == 'keyvalue':
+            return name, {'ledger': ledger, **self.options.keyvalue}
+        if name == 'host_list':
+            rows = [host_row(host) for host in self.hosts.values()]
+            return 'hostlist', {'hosts': rows, **self.options.host_list}
+        if name == 'weight_store':
+            return 'weights', {}
+        pool = self.pool_of(name)
+        spec = {'name': name, 'ledger': ledger}
+        if pool['kind'] == 'service':
+            return 'service', {**spec, **self.options.service}
+        endpoint = self.endpoints[name]
+        spec.update(
+            role=endpoint['role'],
+            checks_fencing=endpoint['checks_fencing'],
+            models=[pool['model']],
+        )
+        return 'engine', {**spec, **self.options.engine}
+
+    def pool_of(self, endpoint):
+        """The pool of an endpoint."""
+        for pool in self.settings['pools']:
+            for row in pool['endpoints']:
+                if row['name'] == endpoint:
+                    return pool
+        raise KeyError(endpoint)
+
+    def start_program(self, name, verb, address, spec):
+        """Start a program of the lab."""
+        command = program.command('lab', verb, address, json.dumps(spec))
+        self.launch(name, command, {})
+
+    def start_nodes(self):
+        """Start a node on every host."""
+        for name in self.hosts:
+            self.start_node(name)
+
+    def start_node(self, name):
+        """Start the node of a host."""
+        words = ['node', str(self.settings_file), '--host', name]
+        if not self.options.proxied:
+            self.launch(name, program.command(*words), {})
+            return
+        spec = {
+            'name': name,
+            'proxy': self.proxy_address(),
+            'targets': [a for a, n in self.names.items() if n != name],
+        }
+        command = [sys.executable, '-m', links.__name__, *words]
+        self.launch(name, command, {links.VARIABLE: json.dumps(spec)})
+
+    def launch(self, name, command, extra):
+        """Start a process; its output goes to its log."""
+        environment = {**os.environ, **extra}
+        with open(self.directory / f'{name}.log', 'ab') as log:
+            popen = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment,
+                preexec_fn=die_with_parent,
+            )
+        self.processes[name] = Process(name, command, extra, popen)
+
+    def restart(self, name):
+        """Start a process that has ended again, as it was."""
+        process = self.processes[name]
+        process.popen.wait(timeout=STAND_IN_STOP_S)
+        self.launch(name, process.command, process.environment)
+
+    # Readiness.
+
+    def wait_healthy(self, name):
+        """Wait until a stand-in answers."""
+        self.wait_for(name, lambda: self.healthy(name))
+
+    def healthy(self, name):
+        """Whether a stand-in answers."""
+        return call_json(self.address(name), 'GET', '/health')[0] == 200
+
+    def wait_ready(self):
+        """Wait until each running node takes work and lists the others."""
+        running = [name for name in self.hosts if self.alive(name)]
+        for name in running:
+            self.wait_for(
+                name, lambda name=name: self.lists(name, len(running))
+            )
+
+    def lists(self, name, count):
+        """Whether a node answers with at least ``count`` hosts."""
+        address = self.caller_address(name)
+        status, body = call_json(address, 'GET', '/v1/hosts')
+        return status == 200 and len(body['hosts']) >= count
+
+    def wait_for(self, name, ready, timeout_s=READY_TIMEOUT_S):
+        """Wait until ``ready`` is true.
+
+        :raises NotReady: after ``timeout_s``, or if the process ended
+        """
+        end_s = time.monotonic() + timeout_s
+        while True:
+            if not self.alive(name):
+                raise NotReady(f'{name} ended: {self.tail(name)}')
+            try:
+                if ready():
+                    return
+            except (OSError, http.client.HTTPException, ValueError):
+                pass
+            if time.monotonic() > end_s:
+                raise NotReady(f'{name} is not ready: {self.tail(name)}')
+            gevent.sleep(POLL_S)
+
+    def tail(self, name, characters=600):
+        """The end of a process's log."""
+        path = self.directory / f'{name}.log'
+        return path.read_text(errors='replace')[-characters:]
+
+    # Single processes.
+
+    def alive(self, name):
+        """Whether a process runs."""
+        process = self.processes.get(name)
+        return process is not None and process.popen.poll() is None
+
+    def signal(self, name, number):
+        """Send a signal to one process."""
+        if self.alive(name):
+            self.processes[name].popen.send_signal(number)
+
+    def kill(self, name):
+        """End a process with SIGKILL."""
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].popen.wait()
+
+    def pause(self, name):
+        """Stop a process with SIGSTOP."""
+        self.signal(name, signal.SIGSTOP)
+
+    def resume(self, name):
+        """Let a paused process go on."""
+        self.signal(name, signal.SIGCONT)
+
+    def terminate(self, name):
+        """Ask a process to stop; does not wait."""
+        self.signal(name, signal.SIGTERM)
+
+    def wait(self, name, timeout_s=NODE_STOP_S):
+        """Wait until a process has ended.
+
+        :returns: its exit status, ``None`` if it still runs
+        """
+        try:
+            return self.processes[name].popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def usage(self, name):
+        """Processor seconds and resident bytes of a process."""
+        pid = self.processes[name].popen.pid
+        fields = pathlib.Path(f'/proc/{pid}/stat').read_text()
+        user, system = fields.rpartition(')')[2].split()[11:13]
+        ticks = os.sysconf('SC_CLK_TCK')
+        pages = pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1]
+        return {
+            'cpu_s': (int(user) + int(system)) / ticks,
+            'resident_bytes': int(pages) * os.sysconf('SC_PAGE_SIZE'),
+        }
+
+    # Faults and what happened.
+
+    def fault(self, name, **fault):
+        """Turn a fault of a stand-in on or off."""
+        return call_json(self.address(name), 'POST', '/faults', fault)
+
+    def rule(self, **fault):
+        """Add a rule to the fault proxy; its id."""
+        fault = {('from' if k == 'source' else k): v for k, v in fault.items()}
+        address = self.proxy_address(PROXY_CONTROL_PORT)
+        return call_json(address, 'POST', '/rules', fault)[1]['rule']
+
+    def unrule(self, rule=None):
+        """End a rule of the fault proxy, or all."""
+        path = '/rules' if rule is None else f'/rules/{rule}'
+        address = self.proxy_address(PROXY_CONTROL_PORT)
+        call_json(address, 'DELETE', path)
+
+    def partition(self, name, others, for_s=None):
+        """Drop all packets between a process and others, both ways."""
+        return self.rule(
+            source=name, to=others, kind='drop', both=True, for_s=for_s
+        )
+
+    def ledger(self, name):
+        """Rows of a stand-in's ledger, over all its processes."""
+        path = self.directory / f'{name}.ledger'
+        if not path.exists():
+            return []
+        lines = path.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.endswith('}')]
+
+    def admin(self, host, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
+        """Call a node's admin listener."""
+        headers = {'Authorization': f'Bearer {ADMIN_TOKEN}'}
+        address = self.admin_address(host)
+        return call_json(address, method, path, body, headers, timeout_s)
+
+    # Ending.
+
+    def stop(self):
+        """Stop gracefully: nodes first, then the stand-ins.
+
+        :returns: exit status of each node that still ran
+        """
+        running = [name for name in self.hosts if self.alive(name)]
+        for name in running:
+            self.terminate(name)
+        statuses = {name: self.wait(name) for name in running}
+        rest = [name for name in self.processes if self.alive(name)]
+        for name in rest:
+            self.terminate(name)
+        for name in rest:
+            self.wait(name, STAND_IN_STOP_S)
+        self.kill_all()
+        return statuses
+
+    def kill_all(self):
+        """End whatever still runs."""
+        for name in self.processes:
+            self.signal(name, signal.SIGKILL)
+        for process in self.processes.values():
+            process.popen.wait()
+
+
+def derive(document, options):
+    """Settings for one run: own addresses, secrets that the lab knows.
+
+    :param document: settings of the deployment
+    :param options: :class:`Options`
+    """
+    text = json.dumps(document).replace('"127.0.', f'"127.{options.run}.')
+    settings = copy.deepcopy(json.loads(text))
+    if options.hosts:
+        settings['hosts'] = settings['hosts'][: options.hosts]
+    settings['admin_token'] = hashed(ADMIN_TOKEN)
+    customers = settings['initial_table']['customers']
+    for name, row in customers.items():
+        row['keys'] = [hashed(caller_key(name))]
+    return settings
+
+
+def caller_key(customer):
+    """Key with which the lab calls as a customer."""
+    return f'lab-key-{customer}'
+
+
+def hashed(secret):
+    """A secret as settings and table keep it."""
+    return 'sha256:' + hashlib.sha256(secret.encode()).hexdigest()
+
+
+def host_row(host):
+    """A host's row in the platform's list."""
+    return {
+        'host': host['name'],
+        'state': 'live',
+        'address': host['address'],
+    }
+
+
+def die_with_parent():
+    """Have the kernel end this process when its parent dies.
+
+    A lab that is killed outright can't clean up; without this its processes
+    would stay and hold their addresses.
+    """
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def call_json(
+    address, method, path, body=None, headers=None, timeout_s=CALL_TIMEOUT_S
+):
+    """Call an HTTP service once.
+
+    :returns: status and decoded body
+    :raises OSError: if it can't be reached
+    """
+    host, port = standin.split_address(address)
+    connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
+    data = None if body is None else json.dumps(body)
+    headers = {'Content-Type': 'application/json', **(headers or {})}
+    try:
+        connection.request(method, path, data, headers)
+        response = connection.getresponse()
+        text = response.read()
+        return response.status, json.loads(text) if text else None
+    finally:
+        connection.close()
