--- a/magnoliadyke/keyvalue.py
+++ b/magnoliadyke/keyvalue.py
@@ -2,8 +2,10 @@
 
 import abc
 import collections
+import copy
 import dataclasses
 import json
+import random
 import typing
 from urllib import parse
 
@@ -12,6 +14,8 @@
 from geventhttpclient import connectionpool
 from geventhttpclient import response as responses
 
+from magnoliadyke.core import budget as budgets
+
 __all__ = [
     'Absent',
     'Conflict',
@@ -123,6 +127,13 @@
     that is down, slow or over its rate.
     """
 
+    def of_kind(self, kind):
+        """Return the same store for calls of another urgency.
+
+        :param kind: a :class:`magnoliadyke.core.budget.CallKind`
+        """
+        return self
+
     @abc.abstractmethod
     def get(self, key):
         """:return: Found, Absent, Unavailable or RateLimited"""
@@ -250,6 +261,14 @@
         return Answer(response.status_code, json.loads(data) if data else {})
 
 
+class Health:
+    """Whether the store answers, shared by all kinds of calls."""
+
+    def __init__(self):
+        self.last_answer_s = None
+        self.failing_since_s = None
+
+
 class HttpKeyValue(KeyValue):
     """The published HTTP protocol of the platform's key-value service.
 
@@ -257,14 +276,19 @@
     :param host: name of this host, sent along so that the platform can see
         who calls
     :param clock: a :class:`magnoliadyke.clock.Clock`
-    :param budget: limits this node's calls; None for no limit
+    :param budget: a :class:`magnoliadyke.core.budget.StoreBudget`, made
+        with its defaults if None
     """
 
     def __init__(self, settings, host, clock, budget=None):
         self.address = settings.keyvalue.address
         self.prefix = settings.keyvalue.prefix
         self.clock = clock
-        self.budget = budget
+        self.budget = budget or budgets.StoreBudget(
+            budgets.BudgetSettings(), random.SystemRandom(), clock.now_s()
+        )
+        self.kind = budgets.CallKind.CLAIMS
+        self.health = Health()
         self.headers = {
             'X-Sender': host,
             'Content-Type': 'application/json',
@@ -273,7 +297,22 @@
         self.watches = {}
         self.counts = collections.Counter()
         self.failures = collections.Counter()
-        self.last_answer_s = None
+
+    def of_kind(self, kind):
+        """Share connections, counts and budget under another urgency."""
+        other = copy.copy(self)
+        other.kind = kind
+        return other
+
+    @property
+    def last_answer_s(self):
+        """When the store last answered anything, None if never."""
+        return self.health.last_answer_s
+
+    @property
+    def failing_since_s(self):
+        """Since when no call has been answered, None while all is well."""
+        return self.health.failing_since_s
 
     def get(self, key):
         """Read one key."""
@@ -413,10 +452,10 @@
         timeout_s=CALL_TIMEOUT_S,
     ):
         """Count and make one exchange; errors become typed outcomes."""
-        now_s = self.clock.now_s()
-        if self.budget is not None and not self.budget.take(kind, now_s):
-            self.failures['budget'] += 1
-            return RateLimited(self.budget.retry_after_s(kind, now_s))
+        match self.budget.ask(self.kind, self.clock.now_s()):
+            case budgets.Later(after_s):
+                self.failures['held_back'] += 1
+                return RateLimited(after_s)
         self.counts[kind] += 1
         data = json.dumps(body).encode() if body is not None else b''
         try:
@@ -425,10 +464,18 @@
             )
         except (OSError, ValueError, responses.HTTPParseError) as error:
             return self.failed(connection, kind, method, error)
-        self.last_answer_s = self.clock.now_s()
+        return self.answered(kind, answer)
+
+    def answered(self, kind, answer):
+        """Note that the store answered, if only to refuse."""
+        now_s = self.clock.now_s()
+        self.health.last_answer_s = now_s
+        self.health.failing_since_s = None
         if answer.status == STATUS_RATE_LIMITED:
             self.failures['rate_limited'] += 1
+            self.budget.throttled(self.kind, now_s, DEFAULT_RETRY_AFTER_S)
             return RateLimited()
+        self.budget.succeeded(self.kind, now_s)
         return answer
 
     def failed(self, connection, kind, method, error):
@@ -438,7 +485,11 @@
         often forgotten them all: the next calls would each wait out the
         timeout. Dropping the idle ones makes the next call connect anew.
         """
+        now_s = self.clock.now_s()
         self.failures[kind] += 1
+        if self.health.failing_since_s is None:
+            self.health.failing_since_s = now_s
+        self.budget.failed(self.kind, now_s)
         self.drop_idle()
         sent = connection.pool.connected
         reason = f'{type(error).__name__}: {error}'
--- a/tests/test_keyvalue.py
+++ b/tests/test_keyvalue.py
@@ -1,11 +1,13 @@
 """The key-value client against scripted connections."""
 
+import random
 import types
 
 import gevent
 from gevent import socket
 
 from magnoliadyke import clock
+from magnoliadyke.core import budget
 from magnoliadyke import keyvalue
 
 SETTINGS = types.SimpleNamespace(
@@ -55,7 +57,12 @@
 
 def make(monkeypatch, *script):
     server = Server(monkeypatch, script)
-    store = keyvalue.HttpKeyValue(SETTINGS, 'h1', clock.SystemClock())
+    unhurried = budget.StoreBudget(
+        budget.BudgetSettings(backoff_s=0.0), random.Random(1)
+    )
+    store = keyvalue.HttpKeyValue(
+        SETTINGS, 'h1', clock.ManualClock(), unhurried
+    )
     return server, store
 
 
@@ -67,15 +74,15 @@
         (404, '{}'),
         (409, '{"revision": 4, "value": "w"}'),
         (200, '{"revision": 5}'),
-        (429, '{}'),
         (204, ''),
+        (429, '{}'),
     )
     assert store.get('table') == keyvalue.Found('table', 'v', 3)
     assert store.get('table') == keyvalue.Absent()
     assert store.put('table', 'x', 3) == keyvalue.Conflict(4, 'w')
     assert store.put('table', 'x', 4) == keyvalue.Stored(5)
-    assert store.get('table') == keyvalue.RateLimited()
     assert store.watch('table', 5, 1) == keyvalue.Unchanged()
+    assert store.get('table') == keyvalue.RateLimited()
     assert store.counts == {'get': 3, 'put': 2, 'watch': 1}
 
 
@@ -117,3 +124,18 @@
     outcome = store.put('table', 'x', 0)
     assert isinstance(outcome, keyvalue.Unavailable)
     assert not outcome.maybe_applied
+
+
+def test_after_a_failure_the_next_call_is_held_back(monkeypatch):
+    # All callers would see the store stay down: it comes back, every node
+    # calls at once and it falls over again. The budget refuses calls for a
+    # jittered time before they reach the network; other kinds still pass.
+    server = Server(monkeypatch, [LOST, (404, '{}')])
+    store = keyvalue.HttpKeyValue(SETTINGS, 'h1', clock.ManualClock())
+    assert isinstance(store.get('a'), keyvalue.Unavailable)
+    assert isinstance(store.get('a'), keyvalue.RateLimited)
+    assert len(server.requests) == 1
+    leases = store.of_kind(budget.CallKind.LEASE)
+    assert leases.get('a') == keyvalue.Absent()
+    assert store.failing_since_s is None
+    assert store.counts == {'get': 2}
