--- /dev/null
+++ b/magnoliadyke/burnreport.py
@@ -0,0 +1,152 @@
+"""Admin route of the burn report, over all hosts."""
+
+import dataclasses
+
+from gevent import pool
+
+from magnoliadyke import adminclient
+from magnoliadyke.core import burn
+from magnoliadyke import errors
+
+__all__ = ['BurnResource', 'collect', 'render_text']
+
+#: Hosts asked at a time.
+ASKED_AT_ONCE = 16
+
+
+class BurnResource:
+    """Burn rates by customer and window."""
+
+    def __init__(self, node):
+        self.node = node
+
+    def on_get(self, request, response):
+        """Answer the report; ``scope=host`` gives this host's part alone."""
+        if request.get_param('scope') == 'host':
+            response.media = _own_part(self.node)
+            return
+        token = request.auth.partition(' ')[2]
+        response.media = collect(self.node, token)
+
+
+def collect(node, token):
+    """Add up the counts of all hosts and evaluate them.
+
+    Each host counts what it served. The others are asked with the token of
+    the operator who asks, since a node knows only its digest.
+
+    :param node: the :class:`magnoliadyke.node.Node` that is asked
+    :param token: the operators' token
+    """
+    own = _own_part(node)
+    others = [host for host in node.settings.hosts if host.name != node.host]
+    parts = pool.Pool(ASKED_AT_ONCE).map(
+        lambda host: _part_of(host, token), others
+    )
+    answered = [part for part in parts if part is not None]
+    missing = [
+        host.name
+        for host, part in zip(others, parts, strict=True)
+        if part is None
+    ]
+    snapshots = [_decode(part['counts']) for part in [own, *answered]]
+    view = node.configuration.views.last
+    objectives = {
+        name: row.met_share
+        for name, row in (view.customers if view else {}).items()
+    }
+    customers = burn.evaluate(burn.merge(snapshots), objectives)
+    report = {
+        'customers': [_customer(customer) for customer in customers],
+        'hosts': [part['host'] for part in [own, *answered]],
+        'missing': missing,
+        'covered_s': max(part['covered_s'] for part in [own, *answered]),
+    }
+    return report | {'text': render_text(report)}
+
+
+def _own_part(node):
+    snapshot = node.metrics.burn_snapshot()
+    return {
+        'host': node.host,
+        'covered_s': round(node.metrics.covered_s(), 1),
+        'counts': {
+            customer: {
+                str(window_s): [counts.total, *counts.causes]
+                for window_s, counts in windows.items()
+            }
+            for customer, windows in snapshot.items()
+        },
+    }
+
+
+def _part_of(host, token):
+    address = adminclient.AdminAddress(
+        host.name, host.admin_address, host.admin_port
+    )
+    client = adminclient.AdminClient([address], token)
+    try:
+        return client.get('/admin/burn?scope=host')
+    except errors.MagnoliadykeError:
+        return None
+
+
+def _decode(counts):
+    return {
+        customer: {
+            int(window_s): burn.Counts(total, tuple(causes))
+            for window_s, (total, *causes) in windows.items()
+        }
+        for customer, windows in counts.items()
+    }
+
+
+def _customer(customer):
+    longest = customer.windows[-1]
+    return dataclasses.asdict(customer) | {'causes': longest.causes}
+
+
+def render_text(report):
+    """Set the report in lines for people.
+
+    :param report: what :func:`collect` gave
+    """
+    lines = [
+        f'burn rates over {len(report["hosts"])} hosts, counted for '
+        f'{report["covered_s"]:.0f} s at most; 1 uses the error budget up '
+        'just in time'
+    ]
+    if report['missing']:
+        lines.append('no answer from ' + ', '.join(report['missing']))
+    for customer in report['customers']:
+        lines += ['', *_customer_lines(customer)]
+    return '\n'.join(lines)
+
+
+def _customer_lines(customer):
+    yield f'{customer["name"]}: {customer["objective"]:.2%} to be good'
+    yield '  window       rate     bad   total  causes'
+    for window in customer['windows']:
+        causes = ', '.join(
+            f'{name} {count}'
+            for name, count in window['causes'].items()
+            if count
+        )
+        yield (
+            f'  {_duration(window["window_s"]):<8}'
+            f'{window["burn_rate"]:9.2f}{window["bad"]:8}'
+            f'{window["total"]:8}  {causes or "-"}'
+        )
+    for alert in customer['alerts']:
+        yield (
+            f'  {alert["severity"].upper()}: rate over '
+            f'{alert["threshold"]:.1f} in {_duration(alert["long_s"])} and '
+            f'{_duration(alert["short_s"])}, mostly {alert["cause"]}'
+        )
+
+
+def _duration(seconds):
+    for unit, size in (('d', 86400), ('h', 3600), ('min', 60)):
+        if seconds >= size:
+            return f'{seconds // size} {unit}'
+    return f'{seconds} s'
--- /dev/null
+++ b/magnoliadyke/overview.py
@@ -0,0 +1,173 @@
+"""Admin routes that show hosts, endpoints, customers and roles."""
+
+from magnoliadyke import adminerrors
+from magnoliadyke import duties
+
+__all__ = ['RolesResource', 'StatusResource', 'roles', 'status']
+
+#: Longest wait for another task of this node, in seconds.
+READ_TIMEOUT_S = 5.0
+
+
+class StatusResource:
+    """The deployment as this host sees it."""
+
+    def __init__(self, node):
+        self.node = node
+
+    def on_get(self, _request, response):
+        """Answer the state at a glance."""
+        response.media = status(self.node)
+
+
+class RolesResource:
+    """The engines' roles."""
+
+    def __init__(self, node):
+        self.node = node
+
+    def on_get(self, _request, response):
+        """Answer each pool of engines with its planner and its engines."""
+        response.media = roles(self.node)
+
+
+def status(node):
+    """Collect the state at a glance.
+
+    :param node: the :class:`magnoliadyke.node.Node`
+    """
+    now_s = node.clock.now_s()
+    view = node.configuration.views.last
+    return {
+        'deployment': node.settings.deployment,
+        'host': node.host,
+        'incarnation': node.incarnation,
+        'failure_domain': node.settings.host(node.host).failure_domain,
+        'table': {'revision': view.revision if view else 0},
+        'takes_work': node.status.takes_work,
+        'work_permit': node.configuration.permits.last.reason or 'granted',
+        'store': _store(node.keyvalue, now_s),
+        'members': _members(node.gossip.members.last),
+        'endpoints': _endpoints(node),
+        'customers': _customers(node, view),
+        'leases': _leases(node),
+    }
+
+
+def _store(keyvalue, now_s):
+    last_s = keyvalue.last_answer_s
+    age_s = None if last_s is None else round(now_s - last_s, 3)
+    failing = getattr(keyvalue, 'failing_since_s', None) is not None
+    return {
+        'reachable': last_s is not None and not failing,
+        'last_answer_s': age_s,
+        'calls': dict(keyvalue.counts),
+        'failures': dict(keyvalue.failures),
+    }
+
+
+def _members(view):
+    if view is None:
+        return []
+    return [
+        {
+            'host': member.host,
+            'state': member.state,
+            'address': f'{member.address}:{member.caller_port}',
+            'failure_domain': member.failure_domain,
+            'table_revision': member.table_revision,
+            'takes_work': member.takes_work,
+            'spare': round(member.spare, 3),
+        }
+        for member in sorted(view.members.values())
+    ]
+
+
+def _seen(node):
+    """Return what the dispatcher last published of its endpoints."""
+    topic = getattr(node.dispatcher, 'overview', None)
+    return (topic.last if topic else None) or {}
+
+
+def _endpoints(node):
+    seen = _seen(node).get('endpoints', {})
+    return [
+        {
+            'name': endpoint.name,
+            'pool': pool.name,
+            'failure_domain': endpoint.failure_domain,
+        }
+        | seen.get(endpoint.name, {})
+        for pool in node.settings.pools
+        for endpoint in pool.endpoints
+    ]
+
+
+def _customers(node, view):
+    if view is None:
+        return []
+    seen = _seen(node).get('customers', {})
+    return [
+        {'name': name}
+        | seen.get(name, {})
+        | dict.fromkeys(('answered', 'not_run', 'unknown', 'rejected'), 0)
+        | node.metrics.totals.get(name, {})
+        for name in sorted(view.customers)
+    ]
+
+
+def _leases(node):
+    pools = adminerrors.ask(node.duties, duties.RoleStatus(), READ_TIMEOUT_S)
+    return [
+        {
+            'name': f'pool {name}',
+            'holder': pool.holder,
+            'fencing': pool.fencing,
+        }
+        for name, pool in sorted(pools.items())
+    ]
+
+
+def roles(node):
+    """Collect the roles of all engines and who plans them.
+
+    :param node: the :class:`magnoliadyke.node.Node`
+    """
+    pools = adminerrors.ask(node.duties, duties.RoleStatus(), READ_TIMEOUT_S)
+    view = node.configuration.views.last
+    demands = node.dispatcher.demand.last or {}
+    return {
+        'pools': [
+            _pool_roles(node, pool, view, demands.get(name))
+            for name, pool in sorted(pools.items())
+        ]
+    }
+
+
+def _pool_roles(node, pool, view, demand):
+    checks = {
+        endpoint.name: endpoint.checks_fencing
+        for settings in node.settings.pools
+        for endpoint in settings.endpoints
+    }
+    return {
+        'name': pool.pool,
+        'planning': view.pool(pool.pool).planning if view else '',
+        'holder': pool.holder,
+        'fencing': pool.fencing,
+        'role_changes': len(pool.changes),
+        'changes': [list(change) for change in pool.changes],
+        'last_plan': getattr(pool, 'last_plan', ''),
+        'demand': demand._asdict() if demand else {},
+        'endpoints': [
+            {
+                'name': engine.name,
+                'role': engine.role,
+                'target': engine.target,
+                'changing': engine.changing,
+                'generation': engine.generation,
+                'checks_fencing': checks.get(engine.name),
+            }
+            for engine in pool.engines
+        ],
+    }
--- /dev/null
+++ b/tests/test_overview.py
@@ -0,0 +1,38 @@
+"""Tests of status and roles."""
+
+from tests import fakenode
+
+
+def test_status_tells_hosts_customers_store_and_leases():
+    node = fakenode.make()
+    node.metrics.request_finished('lease', 'answered')
+    body = fakenode.client(node).simulate_get('/admin/status').json
+    assert body['table']['revision'] == 12
+    assert body['members'][0]['host'] == fakenode.HOST
+    assert body['store']['reachable'] is True
+    assert body['store']['last_answer_s'] == 1.0
+    assert body['customers'][0]['answered'] == 1
+    assert body['customers'][0]['unknown'] == 0
+    assert body['endpoints'][0]['name'] == fakenode.ENGINE
+    assert body['leases'][0]['holder'] == fakenode.HOST
+
+
+def test_status_of_a_host_that_has_no_table_yet():
+    node = fakenode.make()
+    node.configuration.views.last = None
+    node.gossip.members.last = None
+    node.keyvalue.last_answer_s = None
+    body = fakenode.client(node).simulate_get('/admin/status').json
+    assert body['table']['revision'] == 0
+    assert body['store']['reachable'] is False
+    assert body['members'] == []
+
+
+def test_roles_tell_engines_and_their_planner():
+    body = fakenode.client(fakenode.make()).simulate_get('/admin/roles').json
+    pool = body['pools'][0]
+    assert (pool['planning'], pool['holder']) == ('auto', fakenode.HOST)
+    assert pool['role_changes'] == 1
+    engine = pool['endpoints'][0]
+    assert (engine['role'], engine['target']) == ('decode', 'prefill')
+    assert engine['checks_fencing'] is True
