Build one binary that stays one process

Cause: a one-file PyInstaller build keeps a parent that forks a child, which clashes with the rule that a process starts no other. The folder build is appended to a small C launcher that unpacks it once for each build into a private directory and becomes it by execv().

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,10 @@
 TEST_FLAGS ?=
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
+PACKER := build/packer
+BINARY := dist/magnoliadyke
 
-.PHONY: help venv test lint format demo demo-binary binary clean
+.PHONY: help venv test lint format demo binary check-binary demo-binary clean
 
 help:
 	@echo "make venv         virtual environment with the pinned packages"
@@ -15,6 +17,7 @@
 	@echo "make format       format the sources"
 	@echo "make demo         the small Dala deployment, under 90 s"
 	@echo "make binary       dist/magnoliadyke, one file"
+	@echo "make check-binary one pid, signals and start of that file"
 	@echo "make demo-binary  the demo, run from that file"
 	@echo "make clean        remove all that the targets above made"
 
@@ -40,11 +43,22 @@
 demo: $(READY)
 	$(BIN)/magnoliadyke lab demo
 
-binary: $(READY)
-	$(BIN)/python tools/binary.py dist/magnoliadyke
+# The packer has a virtual environment of its own: nothing of the development
+# set can slip into the binary.  A C compiler must be there.
+$(PACKER)/.ready: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(PACKER)
+	$(PACKER)/bin/pip install --quiet --constraint constraints.txt \
+		--editable '.[binary]'
+	touch $@
+
+binary: $(PACKER)/.ready
+	$(PACKER)/bin/python tools/binary.py $(BINARY)
+
+check-binary: binary
+	$(PACKER)/bin/python tools/binary_check.py $(BINARY)
 
 demo-binary: binary
-	dist/magnoliadyke lab demo
+	$(BINARY) lab demo
 
 clean:
 	rm -rf $(VENV) build dist *.egg-info .pytest_cache .ruff_cache .hypothesis
