--- a/magnoliadyke/cli.py
+++ b/magnoliadyke/cli.py
@@ -166,7 +166,7 @@
     elif problems:
         for problem in problems:
             print(problem, file=sys.stderr)
-        print(f'{len(problems)} problems', file=sys.stderr)
+        print(f'problems: {len(problems)}', file=sys.stderr)
     else:
         print('no problems')
     return REFUSED if problems else DONE
@@ -189,7 +189,7 @@
             raise errors.UsageError(
                 f'{cell} is set twice', 'keep one of the values'
             )
-        cells[cell] = porcelain.parse_value(text)
+        cells[cell] = porcelain.parse_value(cell, text)
     result = porcelain.table_set(_admin(args), cells, **_edit_options(args))
     return _show_edit(args, result)
 
--- a/magnoliadyke/porcelain.py
+++ b/magnoliadyke/porcelain.py
@@ -6,6 +6,7 @@
 
 import getpass
 import importlib
+import json
 import os
 import pathlib
 from typing import Any
@@ -16,6 +17,7 @@
 import uuid
 
 from magnoliadyke import adminclient
+from magnoliadyke.core import table
 from magnoliadyke import errors
 from magnoliadyke import settings as settings_module
 from magnoliadyke import sheets
@@ -63,9 +65,6 @@
 HISTORY_LIMIT = 1000
 
 
-parse_value = sheets.parse_value
-
-
 class EditResult(NamedTuple):
     """What became of an edit.
 
@@ -139,15 +138,12 @@
     :param client: the admin client.
     :param sheet: the only sheet wanted, ``''`` for all.
     """
-    table = client.get('/admin/table')
-    if sheet:
-        if sheet not in table['sheets']:
-            raise errors.UsageError(
-                f'there is no sheet {sheet!r}',
-                'use one of ' + ', '.join(sorted(table['sheets'])),
-            )
-        table['sheets'] = {sheet: table['sheets'][sheet]}
-    return table
+    if sheet and sheet not in table.SHEETS:
+        raise errors.UsageError(
+            f'there is no sheet {sheet!r}',
+            'use one of ' + ', '.join(table.SHEETS),
+        )
+    return client.get('/admin/table' + (f'?sheet={sheet}' if sheet else ''))
 
 
 def table_get(client: adminclient.AdminClient, cell: str) -> Any:
@@ -223,7 +219,8 @@
     :param client: the admin client.
     :param sheet: name of the sheet.
     """
-    return sheets.write_csv(table_show(client, sheet), sheet)
+    shown = table_show(client, sheet)
+    return sheets.write_csv(sheets.cells_of(shown), sheet, shown['revision'])
 
 
 def table_import(
@@ -245,15 +242,14 @@
             f'{path} cannot be read: {error}', 'name a CSV file in UTF-8'
         ) from error
     imported = sheets.read_csv(text)
-    table = table_show(client, imported.sheet)
-    revision = imported.base_revision
-    base = sheets.table_cells(table)
-    if revision is not None and revision < table['revision']:
-        history = table_history(client, HISTORY_LIMIT)
-        base = sheets.base_cells(table, history, revision)
-    options.setdefault('base_revision', revision)
-    cells = sheets.changed_cells(imported.cells, base)
-    return table_set(client, cells, **options)
+    shown = table_show(client, imported.name)
+    base = sheets.cells_of(shown)
+    if imported.revision is not None:
+        if imported.revision < shown['revision']:
+            history = table_history(client, HISTORY_LIMIT)
+            base = sheets.base_cells(base, history, imported.revision)
+        options.setdefault('base_revision', imported.revision)
+    return table_set(client, imported.changes(base), **options)
 
 
 def table_history(
@@ -383,6 +379,21 @@
     return main(rest) or 0
 
 
+def parse_value(cell: str, text: str) -> Any:
+    """Read what an operator wrote for a cell; the hosts check it.
+
+    :param cell: the cell.
+    :param text: JSON, a plain word, or keys with blanks between them.
+    """
+    column = table.column_of(cell)
+    if column is not None and column.kind == 'keys':
+        return text.split()
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
+
+
 def read_token(environ: Mapping[str, str] = os.environ) -> str:
     """Read the operators' token from the environment.
 
--- a/magnoliadyke/render.py
+++ b/magnoliadyke/render.py
@@ -109,15 +109,13 @@
             return 'nothing to change'
         case 'in_force':
             return (
-                f'revision {body.get("revision")} accepted in '
-                f'{_seconds(body.get("accepted_s"))}, in force on '
-                f'{body.get("hosts", "all")} hosts in '
-                f'{_seconds(body.get("in_force_s"))}'
+                f'revision {body.get("revision")} accepted, in force on all '
+                f'live hosts after {_seconds(body.get("in_force_s"))}'
             )
         case 'accepted':
             return (
-                f'revision {body.get("revision")} accepted in '
-                f'{_seconds(body.get("accepted_s"))}, not yet in force on '
+                f'revision {body.get("revision")} accepted, not yet in '
+                'force on '
                 + (', '.join(body.get('laggards', ())) or 'some hosts')
             )
         case 'pending':
@@ -138,11 +136,10 @@
     :param found: the conflicts as the admin interface gives them.
     """
     return columns(
-        ['cell', 'was', 'yours', 'theirs', 'since revision'],
+        ['cell', 'yours', 'theirs', 'revision'],
         [
             [
                 item.get('cell'),
-                item.get('base_value'),
                 item.get('your_value'),
                 item.get('their_value'),
                 item.get('revision'),
@@ -198,8 +195,8 @@
     reach = 'reachable' if store.get('reachable') else 'NOT REACHABLE'
     parts = [
         f'{answer.get("deployment")}, as seen by {answer.get("host")} '
-        f'({takes}); table revision {state.get("revision")}, confirmed '
-        f'{_seconds(state.get("fresh_s"))} ago; store {reach}'
+        f'({takes}); table revision {state.get("revision")}; store {reach}, '
+        f'last answer {_seconds(store.get("last_answer_s"))} ago'
     ]
     parts.extend(_sections(answer, STATUS_SECTIONS))
     return '\n\n'.join(parts)
--- a/magnoliadyke/settings_checks.py
+++ b/magnoliadyke/settings_checks.py
@@ -8,6 +8,7 @@
 
 import jsonschema
 
+from magnoliadyke.core import table
 from magnoliadyke import settings_schema
 
 __all__ = ['Problem', 'find_problems']
@@ -152,7 +153,7 @@
             yield f'{key}.address', part.get('address')
 
 
-def _check_ip(path: str, value: Any) -> Iterator[Problem]:
+def _check_ip(path: str, value: Any, shown: Any = None) -> Iterator[Problem]:
     if not isinstance(value, str):
         return
     try:
@@ -160,7 +161,7 @@
     except ValueError:
         yield _problem(
             path,
-            value,
+            shown or value,
             'is no IPv4 number',
             'write an IP number such as 10.0.0.7; names are not looked up',
         )
@@ -176,7 +177,7 @@
             path, value, 'has no port', 'write IP:PORT such as 10.0.0.7:7100'
         )
         return
-    yield from _check_ip(path, ip)
+    yield from _check_ip(path, ip, shown=value)
 
 
 def _clashing_ports(document: dict[str, Any]) -> Iterator[Problem]:
@@ -237,7 +238,6 @@
         (f'{path}.model', item.get('model'))
         for path, item in _items(document, 'pools')
     )
-    yield from _repeated_keys(document)
 
 
 def _repeated(named: Iterator[tuple[str, Any]]) -> Iterator[Problem]:
@@ -255,23 +255,6 @@
         first.setdefault(name, path)
 
 
-def _repeated_keys(document: dict[str, Any]) -> Iterator[Problem]:
-    first: dict[str, str] = {}
-    for customer, row in _rows(document, 'customers'):
-        keys = row.get('keys')
-        for key in keys if isinstance(keys, list) else ():
-            if not isinstance(key, str):
-                continue
-            path = f'initial_table.customers.{customer}.keys'
-            if first.setdefault(key, customer) != customer:
-                yield _problem(
-                    path,
-                    HIDDEN,
-                    f'a key of it is a key of {first[key]} too',
-                    'give each customer keys of its own',
-                )
-
-
 def _rows(
     document: dict[str, Any], sheet: str
 ) -> Iterator[tuple[str, dict[str, Any]]]:
@@ -283,22 +266,43 @@
                 yield name, row
 
 
-def _unknown_rows(document: dict[str, Any]) -> Iterator[Problem]:
-    named = {
-        'pools': _items(document, 'pools'),
-        'endpoints': _endpoints(document),
-        'hosts': _items(document, 'hosts'),
+def _initial_cells(document: dict[str, Any]) -> Iterator[Problem]:
+    cells = {
+        f'{sheet}/{row}/{column}': value
+        for sheet in table.SHEETS
+        for row, values in _rows(document, sheet)
+        for column, value in values.items()
     }
-    for sheet, found in named.items():
-        known = {str(item.get('name')) for _, item in found}
-        for name, _ in _rows(document, sheet):
-            if name not in known:
-                yield _problem(
-                    f'initial_table.{sheet}.{name}',
-                    None,
-                    f'names nothing in {sheet}',
-                    'use one of ' + ', '.join(sorted(known)),
-                )
+    problems = table.problems_of(cells)
+    # Rules across rows are only looked at when every cell is valid.
+    for problem in problems:
+        cells.pop(problem.cell, None)
+    problems += table.problems_of(cells, _inventory(document))
+    for problem in problems:
+        value = HIDDEN if problem.cell.endswith('/keys') else problem.value
+        yield _problem(
+            'initial_table.' + problem.cell.replace('/', '.'),
+            value,
+            problem.reason,
+            problem.remedy,
+        )
+
+
+def _inventory(document: dict[str, Any]) -> table.Inventory:
+    pools = {
+        str(pool.item.get('name')): _names(_items(pool.item, 'endpoints'))
+        for pool in _items(document, 'pools')
+        if pool.item.get('kind') == 'model'
+    }
+    return table.Inventory(
+        pools,
+        frozenset(_names(_endpoints(document))),
+        frozenset(_names(_items(document, 'hosts'))),
+    )
+
+
+def _names(items: list[_Item]) -> tuple[str, ...]:
+    return tuple(str(item.get('name')) for _, item in items)
 
 
 def _pool_minimums(document: dict[str, Any]) -> Iterator[Problem]:
@@ -326,6 +330,6 @@
     _clashing_ports,
     _failure_domains,
     _duplicates,
-    _unknown_rows,
+    _initial_cells,
     _pool_minimums,
 )
--- a/magnoliadyke/settings_schema.py
+++ b/magnoliadyke/settings_schema.py
@@ -1,5 +1,7 @@
 """JSON schema of a settings file, with the remedy for each kind of breach."""
 
+from magnoliadyke.core import table
+
 __all__ = ['DEFAULT_LIMITS', 'DEFAULT_TIMING', 'SCHEMA', 'remedy_for']
 
 NAME_PATTERN = '^[a-z0-9][a-z0-9._-]{0,62}$'
@@ -136,28 +138,14 @@
     },
 )
 
+# What the cells hold is checked by the table's own rules.
 _ROWS = {
     'type': 'object',
     'propertyNames': {'pattern': NAME_PATTERN},
     'additionalProperties': {'type': 'object'},
 }
 
-_INITIAL_TABLE = _record(
-    {},
-    {
-        'customers': {
-            'type': 'object',
-            'propertyNames': {'pattern': NAME_PATTERN},
-            'additionalProperties': {
-                'type': 'object',
-                'properties': {'keys': {'type': 'array', 'items': _HASH}},
-            },
-        },
-        'pools': _ROWS,
-        'endpoints': _ROWS,
-        'hosts': _ROWS,
-    },
-)
+_INITIAL_TABLE = _record({}, dict.fromkeys(table.SHEETS, _ROWS))
 
 SCHEMA = {
     '$schema': 'https://json-schema.org/draft/2020-12/schema',
