Claim the addresses of a lab run

Two clusters started with the same run took the stand-ins of the other for their own: their own failed to bind, and the health check was answered by the stranger. A bound socket now holds the claim, and any free run is taken unless one is named.

--- a/magnoliadyke/lab/cluster.py
+++ b/magnoliadyke/lab/cluster.py
@@ -7,9 +7,12 @@
 import json
 import os
 import pathlib
+import random
 import signal
+import socket
 import subprocess
 import sys
+import tempfile
 import time
 import typing
 
@@ -39,6 +42,8 @@
 PROXY_CONTROL_PORT = 7901
 PROXY_NAME = 'proxy'
 PR_SET_PDEATHSIG = 1
+CLAIM_PORT = 7999
+FREE_RUNS = range(100, 200)
 PLATFORM = ('keyvalue', 'weight_store', 'host_list')
 PROGRAMS = {'weight_store': 'weights', 'host_list': 'hostlist'}
 
@@ -51,8 +56,9 @@
     """How a cluster is started.
 
     :param run: second number of its 127.x addresses, 1 to 254; clusters
-        that run side by side need different ones
-    :param directory: where logs, ledgers and the settings file go
+        that run side by side have different ones; any free one when 0
+    :param directory: where logs, ledgers and the settings file go; a new
+        temporary one when empty
     :param proxied: whether the nodes' links go through the fault proxy
     :param engine: settings of the engine stand-ins, beside their role
     :param service: settings of the service stand-ins
@@ -60,8 +66,8 @@
     :param hosts: how many of the deployment's hosts to start; all when 0
     """
 
-    run: int
-    directory: str
+    run: int = 0
+    directory: str = ''
     proxied: bool = False
     engine: typing.Mapping[str, typing.Any] = {}
     service: typing.Mapping[str, typing.Any] = {}
@@ -91,9 +97,12 @@
     """
 
     def __init__(self, document, options):
-        self.options = options
+        self.lock, run = claim_run(options.run)
+        self.options = options = options._replace(run=run)
         self.settings = derive(document, options)
-        self.directory = pathlib.Path(options.directory)
+        self.directory = pathlib.Path(
+            options.directory or tempfile.mkdtemp(prefix='magnoliadyke-')
+        )
         self.directory.mkdir(parents=True, exist_ok=True)
         self.settings_file = self.directory / 'settings.json'
         self.settings_file.write_text(json.dumps(self.settings, indent=1))
@@ -405,6 +414,27 @@
             self.signal(name, signal.SIGKILL)
         for process in self.processes.values():
             process.popen.wait()
+        self.lock.close()
+
+
+def claim_run(run):
+    """Claim the addresses of a run for this process.
+
+    Without a claim, a cluster whose stand-ins fail to start would find those
+    of another cluster in their place and take them for its own.
+
+    :param run: the run wanted, any free one when 0
+    :returns: a socket that holds the claim until it is closed, and the run
+    """
+    runs = [run] if run else random.sample(FREE_RUNS, len(FREE_RUNS))
+    for number in runs:
+        lock = socket.socket()
+        try:
+            lock.bind((f'127.{number}.255.1', CLAIM_PORT))
+            return lock, number
+        except OSError:
+            lock.close()
+    raise NotReady(f'the addresses of run {run or "any"} are in use')
 
 
 def derive(document, options):
--- a/tests/test_lab_cluster.py
+++ b/tests/test_lab_cluster.py
@@ -17,6 +17,17 @@
         self.addCleanup(directory.cleanup)
         self.options = cluster.Options(67, directory.name, hosts=3)
 
+    def make(self):
+        made = cluster.Cluster(self.document, self.options)
+        self.addCleanup(made.kill_all)
+        return made
+
+    def test_addresses_are_claimed(self):
+        """Two clusters of one run would talk to each other's processes."""
+        self.make()
+        with self.assertRaises(cluster.NotReady):
+            self.make()
+
     def test_clusters_side_by_side_share_no_address(self):
         derived = cluster.derive(self.document, self.options)
         self.assertNotIn('"127.0.', json.dumps(derived))
@@ -24,14 +35,14 @@
         self.assertEqual(3, len(derived['hosts']))
 
     def test_every_target_of_a_node_has_a_name(self):
-        made = cluster.Cluster(self.document, self.options)
+        made = self.make()
         self.assertEqual('keyvalue', made.names['127.67.4.1:7300'])
         self.assertEqual('entry-2', made.names['127.67.1.2:7082'])
         self.assertEqual('entry-2', made.names['127.67.1.2:7080'])
         self.assertEqual('portal-4', made.names['127.67.3.4:7200'])
 
     def test_stand_ins_get_what_the_settings_say(self):
-        made = cluster.Cluster(self.document, self.options)
+        made = self.make()
         program, spec = made.stand_in_spec('lease-model-4')
         self.assertEqual('engine', program)
         self.assertFalse(spec['checks_fencing'])
