--- a/magnoliadyke/core/commands.py
+++ b/magnoliadyke/core/commands.py
@@ -33,6 +33,7 @@
     'EngineState',
     'GaveUp',
     'Intent',
+    'Prepare',
     'ReadIntent',
     'ReadState',
     'SendCommand',
@@ -114,6 +115,16 @@
     expires_in_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Prepare:
+    """Take the engine out of use and let its streams end.
+
+    Then call ``prepared``; until then nothing is written or sent.
+    """
+
+    change: Change
+
+
 @dataclasses.dataclass(frozen=True)
 class ReadIntent:
     """Read the intent, then ``intent_read`` or ``intent_failed``."""
@@ -151,12 +162,13 @@
 class Settled:
     """The engine is in the state wanted.
 
-    :param stray: the change undid a command that nobody intended.
+    :param corrected: nobody asked for the change; the engine was found
+        other than last intended, after a stray command or a crash.
     """
 
     change: Change
     generation: int
-    stray: bool = False
+    corrected: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -167,7 +179,15 @@
     reason: str
 
 
-Action = ReadIntent | WriteIntent | ReadState | SendCommand | Settled | GaveUp
+Action = (
+    Prepare
+    | ReadIntent
+    | WriteIntent
+    | ReadState
+    | SendCommand
+    | Settled
+    | GaveUp
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -180,6 +200,14 @@
     """State and intent are known; nothing is under way."""
 
 
+@dataclasses.dataclass(frozen=True)
+class _Preparing:
+    """The engine is being taken out of use."""
+
+    change: Change
+    asked: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class _Intending:
     """The intent is being written."""
@@ -221,7 +249,7 @@
         self.settings = settings
         self.state: EngineState | None = None
         self.intent: Intent | None = None
-        self.strays = 0
+        self.corrections = 0
         self._intent_revision = 0
         self._intent_known = False
         self._authority: leases.Authority | None = None
@@ -231,10 +259,11 @@
         self._busy = False
         self._next_s = 0.0
         self._highest_fencing = 0
+        self._reply_is_old = False
 
     @property
     def under_way(self) -> bool:
-        return isinstance(self._step, _Intending | _Commanding)
+        return isinstance(self._step, _Preparing | _Intending | _Commanding)
 
     @property
     def highest_fencing(self) -> int:
@@ -294,10 +323,10 @@
         if same or (before is None and authority is None):
             return []
         lost = self._wanted
-        if isinstance(self._step, _Intending | _Commanding):
-            lost = self._step.intent.change
         self._step = _Learning()
         self._intent_known = False
+        self._reply_is_old = self._busy
+        self.intent = None
         self.state = None
         self._wanted = None
         self._correcting = False
@@ -313,6 +342,9 @@
                 return self._learn()
             case _Idle():
                 return self._choose(now_s, authority)
+            case _Preparing(change=change, asked=False):
+                self._step = _Preparing(change, asked=True)
+                return [Prepare(change)]
             case _Intending(settled_by_read=True):
                 return self._start(ReadIntent())
             case _Intending(intent=intent):
@@ -337,18 +369,33 @@
         if change is None:
             self._next_s = now_s + self.settings.compare_s
             return self._start(ReadState())
-        if self.state is not None and _reached(self.state, change):
+        if self.state is None:
+            self._step = _Learning()
+            return self._learn()
+        if _reached(self.state, change) and self._agrees_with(change):
             self._wanted = None
             return [Settled(change, self.state.generation)]
+        self._step = _Preparing(change)
+        return self._advance(now_s, authority)
+
+    def _agrees_with(self, change: Change) -> bool:
+        """Whether the last intent would not undo the change."""
+        return self.intent is None or self.intent.change == change
+
+    def prepared(self, now_s: float) -> list[Action]:
+        """The engine is out of use; go on."""
+        step = self._step
+        if not isinstance(step, _Preparing) or self._authority is None:
+            return []
         generation = self.state.generation if self.state is not None else 0
         if self.intent is not None:
             generation = max(generation, self.intent.generation)
-        intent = Intent(generation + 1, authority.fencing, change)
+        intent = Intent(generation + 1, self._authority.fencing, step.change)
         if self.checks_fencing:
             self._begin(intent, now_s)
         else:
             self._step = _Intending(intent)
-        return self._advance(now_s, authority)
+        return []
 
     def _begin(self, intent: Intent, now_s: float) -> None:
         self.intent = intent
@@ -379,32 +426,54 @@
     def _give_up(self, step: _Commanding, reason: str) -> list[Action]:
         self._step = _Learning()
         self._wanted = None
+        self._correcting = False
         return [GaveUp(step.intent.change, reason)]
 
+    def _take_reply(self) -> bool:
+        """Whether a reply still counts; one from a former tenure does not.
+
+        It may show intent or state as they were before another holder.
+        """
+        old = self._reply_is_old
+        self._busy = False
+        self._reply_is_old = False
+        return not old
+
     # Replies of the store.
 
     def intent_read(
         self, now_s: float, revision: int, text: str | None
     ) -> list[Action]:
         """What the store holds; revision 0 for an absent key."""
-        self._busy = False
+        if not self._take_reply():
+            return []
         found = Intent.parse(text) if text is not None else None
         self._intent_revision = revision
         self._intent_known = True
         step = self._step
         if isinstance(step, _Intending):
-            if found == step.intent:
-                self._begin(step.intent, now_s)
-            else:
-                self.intent = found
-                self._step = _Learning()
-            return []
+            return self._settle_intent(step, found, now_s)
         if not isinstance(step, _Commanding):
             self.intent = found
         return []
 
+    def _settle_intent(
+        self, step: _Intending, found: Intent | None, now_s: float
+    ) -> list[Action]:
+        if found == step.intent:
+            self._begin(step.intent, now_s)
+            return []
+        self.intent = found
+        self._step = _Learning()
+        if found is not None and found.fencing > step.intent.fencing:
+            self._wanted = None
+            reason = 'a later holder has written its intent'
+            return [GaveUp(step.intent.change, reason)]
+        return []
+
     def intent_written(self, now_s: float, revision: int) -> list[Action]:
-        self._busy = False
+        if not self._take_reply():
+            return []
         self._intent_revision = revision
         if isinstance(self._step, _Intending):
             self._begin(self._step.intent, now_s)
@@ -412,7 +481,7 @@
 
     def intent_failed(self, now_s: float) -> list[Action]:
         """No answer; a write may have been taken all the same."""
-        self._busy = False
+        self._take_reply()
         self._next_s = now_s + self.settings.retry_s
         if isinstance(self._step, _Intending):
             self._step = dataclasses.replace(self._step, settled_by_read=True)
@@ -421,7 +490,8 @@
     # Replies of the engine.
 
     def state_read(self, now_s: float, state: EngineState) -> list[Action]:
-        self._busy = False
+        if not self._take_reply():
+            return []
         self.state = state
         match self._step:
             case _Commanding() as step:
@@ -438,18 +508,20 @@
     def _compare_with(
         self, step: _Commanding, state: EngineState, now_s: float
     ) -> list[Action]:
+        self._next_s = now_s + self.settings.poll_s
         if state.changing:
-            self._next_s = now_s + self.settings.poll_s
             return []
         if _reached(state, step.intent.change):
-            stray = self._correcting
+            corrected = self._correcting
             self._step = _Idle()
             self._wanted = None
             self._correcting = False
-            return [Settled(step.intent.change, state.generation, stray)]
+            return [Settled(step.intent.change, state.generation, corrected)]
+        if state.generation == step.intent.generation:
+            # It took the command, and would take no repeat for a new one.
+            return self._give_up(step, 'the engine fell back')
         # The command never arrived, or a crash undid it: send it again.
         self._step = dataclasses.replace(step, sending=True)
-        self._next_s = now_s + self.settings.poll_s
         return []
 
     def _notice_stray(self, state: EngineState) -> None:
@@ -457,13 +529,12 @@
         if self.intent is None or self._wanted is not None:
             return
         if not _reached(state, self.intent.change):
-            self.strays += 1
+            self.corrections += 1
             self._correcting = True
             self._wanted = self.intent.change
-            self._next_s = 0.0
 
     def state_failed(self, now_s: float) -> list[Action]:
-        self._busy = False
+        self._take_reply()
         self.state = None
         self._next_s = now_s + self.settings.retry_s
         return []
@@ -475,7 +546,8 @@
 
         :param code: '' when taken, else 'stale_fencing' or 'changing'.
         """
-        self._busy = False
+        if not self._take_reply():
+            return []
         self._next_s = now_s + self.settings.poll_s
         step = self._step
         if code == 'stale_fencing' and isinstance(step, _Commanding):
--- a/magnoliadyke/core/leases.py
+++ b/magnoliadyke/core/leases.py
@@ -160,7 +160,7 @@
             return self._write_release(now_s)
         if self.held(now_s) is not None:
             return [self._write(now_s, self._renewal())]
-        if self._lapsed(now_s):
+        if now_s >= self._lapses_s():
             return [self._write(now_s, self._claim(fencing_floor))]
         return [ReadLease()]
 
@@ -191,19 +191,18 @@
             self.settings.ttl_s,
         )
 
-    def _lapsed(self, now_s: float) -> bool:
-        """Whether nobody can be acting on the value seen.
+    def _lapses_s(self) -> float:
+        """When nobody can be acting on the value seen any longer.
 
         A value of our own is waited out like any other one: an older copy
         of the store may show it while someone else holds the lease.
         """
-        if self.value is not None and self.value.released:
-            return True
         ttl_s = self.settings.ttl_s
         if self.value is not None:
+            if self.value.released:
+                return self.seen_s
             ttl_s = max(ttl_s, self.value.ttl_s)
-        share = 1 + self.settings.margin_share
-        return now_s - self.seen_s >= ttl_s * share
+        return self.seen_s + ttl_s * (1 + self.settings.margin_share)
 
     def _is_own(self, value: LeaseValue | None) -> bool:
         return (
@@ -222,7 +221,7 @@
             self._settle(pending, now_s, revision)
             return
         self._see(now_s, revision, value)
-        self._next_s = now_s + self._pause_s()
+        self._next_s = self._next_look_s(now_s)
 
     def written(self, now_s: float, revision: int) -> None:
         """The store took the write."""
@@ -278,7 +277,7 @@
         ):
             self.authority = None
 
-    def _pause_s(self) -> float:
+    def _next_look_s(self, now_s: float) -> float:
         if self.authority is not None or self._releasing:
-            return 0.0
-        return self.settings.watch_s
+            return now_s
+        return min(now_s + self.settings.watch_s, self._lapses_s())
--- a/magnoliadyke/core/table.py
+++ b/magnoliadyke/core/table.py
@@ -52,6 +52,7 @@
 
 FORMAT = 1
 HISTORY_LENGTH = 100
+HISTORY_BYTES = 100_000
 EDIT_IDS_KEPT = 512
 #: The store holds a megabyte; the rest is for its own envelope.
 DOCUMENT_BYTES = 900_000
@@ -560,7 +561,7 @@
         'changed': changed,
         'applied': _youngest(applied),
         'staged': document['staged'][len(ready) :],
-        'history': [*document['history'], *ready][-HISTORY_LENGTH:],
+        'history': _trimmed([*document['history'], *ready]),
     }
 
 
@@ -677,6 +678,17 @@
     }
 
 
+def _trimmed(history: list[Change]) -> list[Change]:
+    kept: list[Change] = []
+    size = 0
+    for change in reversed(history[-HISTORY_LENGTH:]):
+        size += len(json.dumps(change))
+        if size > HISTORY_BYTES:
+            break
+        kept.append(change)
+    return kept[::-1]
+
+
 def _youngest(applied: Mapping[str, int]) -> dict[str, int]:
     by_age = sorted(applied.items(), key=operator.itemgetter(1))
     return dict(by_age[-EDIT_IDS_KEPT:])
