--- a/magnoliadyke/cli.py
+++ b/magnoliadyke/cli.py
@@ -2,7 +2,7 @@
 
 Usage:
   magnoliadyke node SETTINGS --host=NAME
-  magnoliadyke check SETTINGS [--json]
+  magnoliadyke check SETTINGS [options]
   magnoliadyke hosts [options]
   magnoliadyke call model MODEL PROMPT [--max-tokens=N] [--stream] [options]
   magnoliadyke call service NAME METHOD PATH [BODY] [options]
--- a/magnoliadyke/porcelain.py
+++ b/magnoliadyke/porcelain.py
@@ -28,6 +28,7 @@
     'admin_client',
     'check',
     'drain',
+    'find_lab',
     'lab',
     'node',
     'parse_value',
@@ -361,22 +362,27 @@
     :returns: its exit status.
     """
     verb, *rest = argv
+    return find_lab(verb)(rest) or 0
+
+
+def find_lab(verb: str) -> Callable[[list[str]], int | None]:
+    """Find a program of the lab; only the one asked for is imported.
+
+    :param verb: its name.
+    """
     if verb not in LAB_VERBS:
         raise errors.UsageError(
             f'there is no lab program {verb!r}',
             'use one of ' + ', '.join(LAB_VERBS),
         )
-    name = f'magnoliadyke.lab.{verb}'
     try:
-        module = importlib.import_module(name)
+        module = importlib.import_module(f'magnoliadyke.lab.{verb}')
     except ModuleNotFoundError as error:
-        if error.name == name:
-            remedy = 'use a build that has it'
-        else:
-            remedy = f'install {error.name}'
-        raise errors.UsageError(str(error), remedy) from error
-    main: Callable[[list[str]], int | None] = module.main
-    return main(rest) or 0
+        raise errors.UsageError(
+            str(error),
+            f'install {error.name}, which the one binary leaves out',
+        ) from error
+    return module.main
 
 
 def parse_value(cell: str, text: str) -> Any:
