--- /dev/null
+++ b/magnoliadyke/claiming.py
@@ -0,0 +1,101 @@
+"""The task that settles claims of foreign keys with the store."""
+
+import gevent
+
+from magnoliadyke.core import claims
+from magnoliadyke import keyvalue
+from magnoliadyke import mailbox
+
+__all__ = ['AskClaim', 'Claiming']
+
+KEY_PREFIX = 'claims/'
+
+
+class AskClaim(mailbox.Ask):
+    """Claim a key; answered with ``Won``, ``Lost`` or ``Refused``.
+
+    :param digest: :func:`magnoliadyke.core.claims.claim_digest`
+    """
+
+    def __init__(self, digest):
+        super().__init__()
+        self.digest = digest
+
+
+class StoreSaid:
+    """The store's answer to a call for a bucket.
+
+    :param action: the :class:`claims.Read` or :class:`claims.Write`
+    :param answer: tagged outcome of :mod:`magnoliadyke.keyvalue`
+    """
+
+    def __init__(self, action, answer):
+        self.action = action
+        self.answer = answer
+
+
+class Claiming(mailbox.Task):
+    """Owns the node's :class:`claims.ClaimBook`.
+
+    :param owner: ``HOST.INCARNATION`` of this node
+    :param store: :class:`magnoliadyke.keyvalue.KeyValue`
+    :param prefix: start of every store key of the deployment
+    """
+
+    def __init__(self, owner, store, prefix, clock):
+        super().__init__('claiming', clock)
+        self.book = claims.ClaimBook(owner)
+        self.store = store
+        self.prefix = prefix
+        self.waiting = {}
+
+    def handle(self, message):
+        """Act on a wish or on the store's answer."""
+        wall_s = self.clock.wall_s()
+        match message:
+            case AskClaim(digest=digest):
+                self.waiting.setdefault(digest, []).append(message)
+                self.apply(self.book.add(digest, wall_s))
+            case StoreSaid(action=action, answer=answer):
+                self.apply(self.heard(action, answer, wall_s))
+
+    def heard(self, action, answer, wall_s):
+        """Return what follows from an answer of the store."""
+        book, name = self.book, action.bucket
+        match answer:
+            case keyvalue.Found(value=value, revision=revision):
+                return book.was_read(name, value, revision, wall_s)
+            case keyvalue.Absent():
+                return book.was_read(name, None, 0, wall_s)
+            case keyvalue.Stored(revision=revision):
+                return book.was_written(name, revision, wall_s)
+            case keyvalue.Conflict(revision=revision, value=value):
+                return book.was_refused(name, value, revision, wall_s)
+            case keyvalue.Unavailable(maybe_applied=maybe_applied):
+                return book.failed(name, maybe_applied)
+            case _:
+                return book.failed(name, False)
+
+    def apply(self, actions):
+        """Carry out actions; calls to the store run beside the task."""
+        for action in actions:
+            match action:
+                case claims.Read() | claims.Write():
+                    gevent.spawn(self.call, action)
+                case _:
+                    self.answer(action)
+
+    def answer(self, settled):
+        """Answer all who asked for a claim."""
+        for message in self.waiting.pop(settled.claim.digest, ()):
+            message.reply(settled)
+
+    def call(self, action):
+        """Make one call to the store."""
+        key = f'{self.prefix}{KEY_PREFIX}{action.bucket}'
+        match action:
+            case claims.Read():
+                answer = self.store.get(key)
+            case claims.Write(value=value, if_revision=revision):
+                answer = self.store.put(key, value, revision)
+        self.post(StoreSaid(action, answer))
--- /dev/null
+++ b/magnoliadyke/core/attempts.py
@@ -0,0 +1,219 @@
+"""Put the event stream of an answer together, attempt by attempt.
+
+Engines put the offset first in each event, so that this module reads a few
+bytes of each event and passes the rest on unparsed.
+"""
+
+import json
+import re
+
+__all__ = [
+    'DONE',
+    'Assembly',
+    'Pace',
+    'attempt_id',
+    'events_from',
+    'read_usage',
+    'text_of',
+    'tokens_in',
+]
+
+EVENT_END = b'\n\n'
+DONE = b'data: [DONE]\n\n'
+OFFSET_START = b'data: {"offset":'
+OFFSET_LENGTH = len(OFFSET_START)
+UNFINISHED = b'"finish_reason":null'
+TEXT = re.compile(rb'"text":\s*("(?:[^"\\]|\\.)*")')
+# Room for one event; an engine that never ends one must not fill memory.
+MAX_EVENT_BYTES = 1 << 20
+
+
+def attempt_id(key, number):
+    """Return the id under which an engine knows one attempt.
+
+    It follows from the key, so that another node can find the stream.
+
+    :param key: short digest of the request key
+    :param number: 1 for the first attempt
+    """
+    return f'{key}-{number}'
+
+
+class Assembly:
+    """The answer so far, from however many attempts it took.
+
+    Only the current attempt adds to it, only at the present offset, and
+    only a finish mark at that offset completes it.
+
+    :ivar offset: output tokens accepted
+    :ivar finished: the final event, or None
+    :ivar gap: whether tokens are missing; the attempt has to be resumed
+    :ivar error: an error event of the engine (dict), or None
+    """
+
+    def __init__(self, offset=0):
+        self.attempt = None
+        self.offset = offset
+        self.finished = None
+        self.gap = False
+        self.error = None
+        self.rest = b''
+
+    def begin(self, attempt):
+        """Take events of ``attempt`` from now on, and of no other.
+
+        :param attempt: attempt id, also after a resume on a new connection
+        """
+        self.attempt = attempt
+        self.rest = b''
+        self.gap = False
+        self.error = None
+
+    def feed(self, attempt, data):
+        """Read what an attempt has sent.
+
+        :param attempt: id of the attempt whose connection this came from
+        :param data: bytes of an event stream, cut anywhere
+        :return: whole events to pass on, as bytes, ``b''`` if none
+        """
+        # A connection that was given up may still deliver: its bytes would
+        # double or cross the text of the attempt that replaced it.
+        if attempt != self.attempt or self.finished is not None:
+            return b''
+        if not self.rest and self.is_next_event(data):
+            self.offset += tokens_in(data)
+            return data
+        return self.feed_slowly(data)
+
+    def is_next_event(self, data):
+        """Tell whether ``data`` is exactly the one event that is due."""
+        return (
+            data.startswith(OFFSET_START + b'%d,' % self.offset)
+            and data.find(EVENT_END) == len(data) - 2
+            and UNFINISHED in data
+        )
+
+    def feed_slowly(self, data):
+        """Cut ``data`` into events and take them one by one."""
+        data = self.rest + data
+        accepted = []
+        start = 0
+        while not self.gap and self.finished is None:
+            end = data.find(EVENT_END, start)
+            if end < 0:
+                break
+            event = data[start : end + 2]
+            start = end + 2
+            if self.take(event):
+                accepted.append(event)
+        self.rest = data[start:]
+        if len(self.rest) > MAX_EVENT_BYTES:
+            self.error = {'code': 'event_too_long'}
+        return b''.join(accepted)
+
+    def take(self, event):
+        """Judge one whole event; return whether it is passed on."""
+        if not event.startswith(OFFSET_START):
+            self.read_other(event)
+            return False
+        offset = int(event[OFFSET_LENGTH : event.index(b',', OFFSET_LENGTH)])
+        if offset > self.offset:
+            self.gap = True
+            return False
+        if offset < self.offset:
+            return False
+        if UNFINISHED in event:
+            self.offset += tokens_in(event)
+        else:
+            self.finished = event
+        return True
+
+    def read_other(self, event):
+        """Note an error event; comments and the end mark say nothing."""
+        if event.startswith(b'event: error'):
+            _, _, event = event.partition(b'\n')
+        if event.startswith(b'data: {"error"'):
+            self.error = json.loads(event[len(b'data: ') :])['error']
+
+
+def tokens_in(event):
+    """Return how many output tokens an event carries.
+
+    The platform's engines end each token with a blank and write compact
+    JSON, so that the blanks in an event are its tokens, and one more after
+    ``data:``. An engine that counts otherwise needs another rule, here only.
+    """
+    return max(1, event.count(b' ') - 1)
+
+
+def read_usage(final_event):
+    """Return the usage figures (tokens) of a final event as a dict."""
+    document = json.loads(final_event[len(b'data: ') :])
+    return document.get('usage') or {}
+
+
+def text_of(events):
+    """Return the text of a run of events."""
+    pieces = TEXT.findall(events)
+    return ''.join(json.loads(b'[' + b','.join(pieces) + b']'))
+
+
+def events_from(events, offset):
+    """Return the part of ``events`` that starts at an output offset.
+
+    A reader that stopped inside an event gets all: its :class:`Assembly`
+    drops what it has.
+
+    :param events: whole events in order
+    :param offset: output tokens the reader has already
+    """
+    mark = events.find(OFFSET_START + b'%d,' % offset)
+    return events[mark:] if mark > 0 else events
+
+
+class Pace:
+    """Predict when a stream should have spoken again.
+
+    An engine sends a comment after each idle second, so a connection with
+    nothing at all for clearly longer has lost its other end. A stream whose
+    tokens came fast is doubted sooner.
+
+    :param shortest_s: least silence that is doubted, in seconds
+    :param longest_s: silence that is always doubted, in seconds
+    """
+
+    TOKENS_MISSED = 20
+    WEIGHT = 0.2
+
+    def __init__(self, shortest_s=1.5, longest_s=2.5):
+        self.shortest_s = shortest_s
+        self.longest_s = longest_s
+        self.gap_s = None
+        self.seen_s = 0.0
+        self.seen_tokens = 0
+
+    def observe(self, tokens, now_s):
+        """Note how far the stream is; called now and then, not per token.
+
+        :param tokens: output tokens so far
+        """
+        new = tokens - self.seen_tokens
+        if new > 0 and self.seen_tokens:
+            gap_s = (now_s - self.seen_s) / new
+            old_s = gap_s if self.gap_s is None else self.gap_s
+            self.gap_s = old_s + self.WEIGHT * (gap_s - old_s)
+        if new > 0:
+            self.seen_tokens = tokens
+            self.seen_s = now_s
+
+    def silence_limit_s(self, suspect=False):
+        """Return the silence after which the connection is doubted.
+
+        :param suspect: a sibling connection to the same address went silent
+        """
+        if self.gap_s is None:
+            limit_s = self.longest_s
+        else:
+            predicted_s = self.gap_s * self.TOKENS_MISSED
+            limit_s = min(max(predicted_s, self.shortest_s), self.longest_s)
+        return limit_s / 2 if suspect else limit_s
--- /dev/null
+++ b/magnoliadyke/core/records.py
@@ -0,0 +1,399 @@
+"""What a home remembers of the requests whose keys belong to it."""
+
+import base64
+import collections
+import dataclasses
+import heapq
+import json
+import typing
+
+from magnoliadyke.core import outcomes
+
+__all__ = [
+    'Answer',
+    'Attach',
+    'New',
+    'Record',
+    'RecordSettings',
+    'RecordTable',
+    'Replay',
+    'Tell',
+]
+
+RECORD_OVERHEAD_BYTES = 400
+GONE = outcomes.Unknown(
+    'answer_gone',
+    'the answer is no longer kept; look up the effect before asking again',
+)
+FORGOTTEN = outcomes.Unknown(
+    'key_expired',
+    'the ticket of this key is too old to tell; look up the effect, then '
+    'use a key of a new ticket',
+)
+OTHER_BODY = outcomes.Rejected(
+    'key_reused',
+    'this key came with another request before; use a new number',
+    409,
+)
+OTHER_CUSTOMER = outcomes.Rejected(
+    'key_of_another_customer', 'use a key of your own ticket', 403
+)
+INTERRUPTED = outcomes.Unknown(
+    'home_stopped',
+    'the host stopped before the request ended; look up the effect before '
+    'asking again',
+)
+
+
+class Answer(typing.NamedTuple):
+    """A whole answer as it is kept for a resent key.
+
+    :param kind: ``model`` (body: compressed events) or ``service``
+    :param status: HTTP status
+    :param content_type: of a service's answer
+    :param body: bytes
+    :param prompt_tokens: prompt length in tokens
+    :param output_tokens: answer length in tokens
+    """
+
+    kind: str
+    status: int
+    content_type: str
+    body: bytes
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """One key. ``state`` is ``running``, ``answered`` or ``told``.
+
+    :param digest: of the customer's request; same key, same digest
+    :param expires_s: monotonic seconds until which the key must be kept
+    :param run: the shell's running request, while there is one
+    :param outcome: what a resend is told in state ``told``
+    """
+
+    key: str
+    customer: str
+    digest: str
+    expires_s: float
+    state: str = 'running'
+    run: typing.Any = None
+    answer: Answer | None = None
+    outcome: typing.Any = None
+    size_bytes: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class New:
+    """The key is new: run it, then end the record."""
+
+    record: Record
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attach:
+    """The key is running: follow that run."""
+
+    record: Record
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """The key was answered: give the same answer."""
+
+    answer: Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tell:
+    """Tell the caller this outcome; nothing runs."""
+
+    outcome: typing.Any
+
+
+class RecordSettings(typing.NamedTuple):
+    """Bounds of the table.
+
+    :param answer_bytes: room for answers, in bytes
+    :param answer_keep_s: how long an answer is kept, in seconds
+    :param accept_s: how long after its issue a ticket may bring new keys,
+        in seconds; a key is remembered at least that long
+    :param max_keys: most keys remembered
+    """
+
+    answer_bytes: int = 64 << 20
+    answer_keep_s: float = 300.0
+    accept_s: float = 900.0
+    max_keys: int = 200_000
+
+
+DEFAULTS = RecordSettings()
+
+
+class RecordTable:
+    """Remember keys so that none runs twice.
+
+    A key that isn't here is new only while its ticket is young: a record
+    outlives the time in which its ticket may bring new keys. When memory
+    runs out, the oldest tickets are given up together (``floor_s``) and
+    their keys get ``Unknown``, never a second run.
+
+    :param settings: :class:`RecordSettings`
+    """
+
+    def __init__(self, settings=DEFAULTS):
+        self.settings = settings
+        self.records = {}
+        self.expiry = []
+        self.answered = collections.OrderedDict()
+        self.bytes_used = 0
+        self.floor_s = float('-inf')
+
+    def open(self, key, customer, digest, issued_s, now_s):
+        """Look a request's key up, and enter it when it is new.
+
+        :param key: idempotency key
+        :param customer: name of the customer that sent it
+        :param digest: digest of the request
+        :param issued_s: issue time of the key's ticket on this node's
+            clock; ``now_s`` for a key that was claimed just now
+        :param now_s: monotonic seconds
+        :return: :class:`New`, :class:`Attach`, :class:`Replay` or
+            :class:`Tell`
+        """
+        record = self.records.get(key)
+        if record is not None:
+            return self.reopen(record, customer, digest)
+        if issued_s <= self.floor_s or self.too_old(issued_s, now_s):
+            return Tell(FORGOTTEN)
+        record = Record(key, customer, digest, self.expiry_of(issued_s))
+        self.insert(record)
+        self.shed(now_s)
+        return New(record)
+
+    def find(self, key, customer):
+        """Look a key up without entering it, to read an answer again.
+
+        :return: as :meth:`open`; :class:`Tell` ``Unknown`` when not here
+        """
+        record = self.records.get(key)
+        if record is None:
+            return Tell(GONE)
+        return self.reopen(record, customer, record.digest)
+
+    def reopen(self, record, customer, digest):
+        """Judge a key that is known."""
+        if record.customer != customer:
+            return Tell(OTHER_CUSTOMER)
+        if record.digest != digest:
+            return Tell(OTHER_BODY)
+        match record.state:
+            case 'running':
+                return Attach(record)
+            case 'answered':
+                return Replay(record.answer)
+            case _:
+                return Tell(record.outcome)
+
+    def too_old(self, issued_s, now_s):
+        """Tell whether a ticket may no longer bring new keys."""
+        return now_s - issued_s >= self.settings.accept_s
+
+    def expiry_of(self, issued_s):
+        """Return until when a key has to be remembered."""
+        return issued_s + self.settings.accept_s
+
+    def insert(self, record):
+        """Enter a record."""
+        self.records[record.key] = record
+        heapq.heappush(self.expiry, (record.expires_s, record.key))
+        self.bytes_used += record.size_bytes
+
+    def finish(self, record, answer, now_s):
+        """Keep the whole answer of a record.
+
+        :param answer: :class:`Answer`
+        """
+        record.state = 'answered'
+        record.run = None
+        record.answer = answer
+        record.size_bytes = len(answer.body) + RECORD_OVERHEAD_BYTES
+        self.bytes_used += record.size_bytes
+        self.answered[record.key] = now_s
+        self.shed(now_s)
+
+    def tell(self, record, outcome):
+        """End a record with an outcome that every resend gets, too.
+
+        A key that was told ``NotRun`` stays so: an earlier copy of the
+        request may still be under way on a slow connection, and would
+        otherwise run after the caller has been told that it did not.
+        """
+        record.state = 'told'
+        record.run = None
+        record.outcome = outcome
+
+    def forget(self, record):
+        """Drop a record whose key no caller can send again."""
+        self.records.pop(record.key, None)
+
+    def shed(self, now_s):
+        """Drop what is over the bounds of time, bytes and number."""
+        self.shed_answers(now_s)
+        self.shed_keys(now_s)
+
+    def shed_answers(self, now_s):
+        """Turn the oldest answers into tombstones."""
+        oldest_s = now_s - self.settings.answer_keep_s
+        while self.answered:
+            key, finished_s = next(iter(self.answered.items()))
+            full = self.bytes_used > self.settings.answer_bytes
+            if not full and finished_s > oldest_s:
+                break
+            del self.answered[key]
+            self.drop_answer(key)
+
+    def drop_answer(self, key):
+        """Leave a tombstone in place of an answer."""
+        record = self.records.get(key)
+        if record is None or record.state != 'answered':
+            return
+        self.bytes_used -= record.size_bytes
+        record.size_bytes = 0
+        record.answer = None
+        self.tell(record, GONE)
+
+    def shed_keys(self, now_s):
+        """Forget keys whose tickets can't bring new ones any more."""
+        kept = []
+        while self.expiry:
+            expires_s, key = self.expiry[0]
+            crowded = len(self.records) > self.settings.max_keys
+            if not crowded and expires_s > now_s:
+                break
+            heapq.heappop(self.expiry)
+            record = self.records.get(key)
+            if record is None:
+                continue
+            if record.state == 'running':
+                kept.append((expires_s + self.settings.accept_s, key))
+                continue
+            issued_s = record.expires_s - self.settings.accept_s
+            self.floor_s = max(self.floor_s, issued_s)
+            self.remove(record)
+        for entry in kept:
+            heapq.heappush(self.expiry, entry)
+
+    def remove(self, record):
+        """Remove a record with all it holds."""
+        self.answered.pop(record.key, None)
+        self.bytes_used -= record.size_bytes
+        del self.records[record.key]
+
+    def running(self):
+        """Return the records that still run."""
+        return [
+            record
+            for record in self.records.values()
+            if record.state == 'running'
+        ]
+
+    def export(self, now_s):
+        """Yield each record as a line of JSON for a successor.
+
+        A request that still runs here can't be followed elsewhere; a resend
+        of its key is told ``Unknown``.
+
+        :param now_s: monotonic seconds
+        :return: iterator of bytes
+        """
+        for record in self.records.values():
+            yield export_record(record, now_s)
+
+    def import_line(self, line, now_s):
+        """Take over a record of a host that is leaving.
+
+        :param line: bytes as :meth:`export` made them
+        """
+        record, age_s = import_record(line, now_s)
+        if record.key in self.records:
+            return
+        self.insert(record)
+        if record.state == 'answered':
+            self.answered[record.key] = now_s - age_s
+            self.answered.move_to_end(record.key, last=False)
+        self.shed(now_s)
+
+
+class ExportedRecord(typing.TypedDict):
+    """A record on its way to a successor; times are relative."""
+
+    key: str
+    customer: str
+    digest: str
+    expires_in_s: float
+    outcome: list
+    answer: list
+
+
+def export_record(record, now_s):
+    """Return one record as a line of JSON (bytes)."""
+    outcome = record.outcome
+    if record.state == 'running':
+        outcome = INTERRUPTED
+    answer = record.answer
+    document = ExportedRecord(
+        key=record.key,
+        customer=record.customer,
+        digest=record.digest,
+        expires_in_s=record.expires_s - now_s,
+        outcome=export_outcome(outcome) if outcome else [],
+        answer=export_answer(answer) if answer else [],
+    )
+    return json.dumps(document, separators=(',', ':')).encode()
+
+
+def export_outcome(outcome):
+    """Return an outcome as a list: its tag, then its fields."""
+    return [type(outcome).__name__, *dataclasses.astuple(outcome)]
+
+
+def export_answer(answer):
+    """Return an answer as a list of JSON scalars."""
+    body = base64.b64encode(answer.body).decode()
+    return list(answer._replace(body=body))
+
+
+def import_record(line, now_s):
+    """Read what :func:`export_record` made.
+
+    :return: the record and the age of its answer in seconds
+    """
+    document = json.loads(line)
+    record = Record(
+        document['key'],
+        document['customer'],
+        document['digest'],
+        now_s + document['expires_in_s'],
+    )
+    if document['answer']:
+        answer = Answer(*document['answer'])
+        record.answer = answer._replace(body=base64.b64decode(answer.body))
+        record.state = 'answered'
+        record.size_bytes = len(record.answer.body) + RECORD_OVERHEAD_BYTES
+    else:
+        record.state = 'told'
+        record.outcome = import_outcome(document['outcome'])
+    return record, 0.0
+
+
+def import_outcome(fields):
+    """Read an exported outcome; one of a newer release is unknown here."""
+    kinds = {
+        kind.__name__: kind
+        for kind in (outcomes.NotRun, outcomes.Unknown, outcomes.Rejected)
+    }
+    tag, *values = fields
+    return kinds[tag](*values) if tag in kinds else GONE
--- /dev/null
+++ b/magnoliadyke/core/tickets.py
@@ -0,0 +1,109 @@
+"""Session tickets: which node incarnation is the home of a request key."""
+
+import hashlib
+import hmac
+import re
+import typing
+
+__all__ = ['KEY_PATTERN', 'Key', 'TicketOffice', 'home_name', 'parse_key']
+
+MAC_DIGITS = 16
+MAX_KEY_LENGTH = 200
+#: A key is ``HOST.INCARNATION.ISSUED-COUNTER-MAC/NUMBER``.
+KEY_PATTERN = re.compile(
+    r'(?P<ticket>(?P<host>[A-Za-z0-9_.-]+)\.(?P<incarnation>\d{1,19})'
+    r'\.(?P<issued>[0-9a-f]{1,12})-(?P<counter>[0-9a-f]{1,12})'
+    r'-(?P<mac>[0-9a-f]{16}))/(?P<number>\d{1,18})'
+)
+
+
+class Key(typing.NamedTuple):
+    """A request key that was made from a ticket.
+
+    :param home: ``HOST.INCARNATION``, the only one that may run the key
+    :param issued_s: when the ticket was issued, in monotonic seconds of
+        its home
+    :param mac: proof that the home issued the ticket
+    """
+
+    text: str
+    ticket: str
+    home: str
+    host: str
+    incarnation: int
+    issued_s: int
+    counter: int
+    mac: str
+
+
+def home_name(host, incarnation):
+    """Return the name of one incarnation of a host."""
+    return f'{host}.{incarnation}'
+
+
+def parse_key(text):
+    """Read a key that was made from a ticket.
+
+    :param text: an idempotency key
+    :return: :class:`Key`, or None for a foreign key (one that a caller
+        made up without a ticket)
+    """
+    if len(text) > MAX_KEY_LENGTH:
+        return None
+    match = KEY_PATTERN.fullmatch(text)
+    if match is None:
+        return None
+    host = match['host']
+    incarnation = int(match['incarnation'])
+    return Key(
+        text,
+        match['ticket'],
+        home_name(host, incarnation),
+        host,
+        incarnation,
+        int(match['issued'], 16),
+        int(match['counter'], 16),
+        match['mac'],
+    )
+
+
+class TicketOffice:
+    """Issue and check the tickets of one home.
+
+    The last part of a ticket is a keyed digest of the rest, so that the
+    home remembers no ticket and yet no caller can invent one.
+
+    :param host: host name of the home
+    :param incarnation: incarnation number of the home
+    :param secret: random bytes, new for each incarnation
+    """
+
+    def __init__(self, host, incarnation, secret):
+        self.home = home_name(host, incarnation)
+        self.secret = secret
+        self.counter = 0
+
+    def issue(self, now_s):
+        """Return a new ticket.
+
+        :param now_s: monotonic seconds of the home
+        """
+        self.counter += 1
+        serial = f'{int(now_s):x}-{self.counter:x}'
+        return f'{self.home}.{serial}-{self.mac(serial)}'
+
+    def mac(self, serial):
+        """Return the proof for a serial."""
+        text = f'{self.home}.{serial}'.encode()
+        digest = hmac.new(self.secret, text, hashlib.sha256)
+        return digest.hexdigest()[:MAC_DIGITS]
+
+    def accepts(self, key):
+        """Tell whether this home issued the ticket of ``key``.
+
+        :param key: :class:`Key`
+        """
+        if key.home != self.home:
+            return False
+        expected = self.mac(f'{key.issued_s:x}-{key.counter:x}')
+        return hmac.compare_digest(expected, key.mac)
--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -2,16 +2,38 @@
 
 import typing
 
+import gevent
+
+from magnoliadyke.core import jobs
+from magnoliadyke.core import membership
+from magnoliadyke.core import scheduler
+from magnoliadyke.core import table
+from magnoliadyke import endpoint as endpoints
+from magnoliadyke import errors
 from magnoliadyke import mailbox
 
 __all__ = [
     'CancelJob',
     'Dispatcher',
+    'FirstToken',
+    'JobFailed',
+    'JobFinished',
     'PeerDigest',
+    'PrefillDone',
+    'Progress',
     'RoleSeen',
     'SubmitJob',
+    'build_endpoints',
 ]
 
+LOAD_INTERVAL_S = 0.5
+HEALTH_INTERVAL_S = 0.5
+PUBLISH_INTERVAL_S = 1.0
+CACHE_WAIT_S = 10.0
+RETRY_S = 1.0
+#: One lost answer is no proof; a second one in a row is.
+FAILURES_UNTIL_CRASHED = 2
+
 
 class SubmitJob(mailbox.Ask):
     """Place a job; answered with a ``Dispatch`` or a ``Refuse``.
@@ -21,15 +43,59 @@
 
     def __init__(self, job):
         super().__init__()
+        self.job_id = job.id
         self.job = job
 
 
+class JobFailed(mailbox.Ask):
+    """An attempt failed; answered with the next ``Dispatch`` or ``Refuse``.
+
+    :param failed: :class:`magnoliadyke.core.jobs.Failed`
+    """
+
+    def __init__(self, job_id, failed):
+        super().__init__()
+        self.job_id = job_id
+        self.failed = failed
+
+
+class JobFinished(typing.NamedTuple):
+    """A job is over.
+
+    :param result: :class:`magnoliadyke.core.jobs.Finished`, or ``Failed``
+        of a job that gets no further attempt
+    """
+
+    job_id: str
+    result: object
+
+
 class CancelJob(typing.NamedTuple):
     """Forget a job that still waits or runs."""
 
     job_id: str
 
 
+class PrefillDone(typing.NamedTuple):
+    """The prefill endpoint has run the prompt."""
+
+    job_id: str
+    at_s: float
+
+
+class FirstToken(typing.NamedTuple):
+    """The first output token came."""
+
+    job_id: str
+    at_s: float
+
+
+class Progress(typing.NamedTuple):
+    """How far jobs are: pairs of job id and output tokens so far."""
+
+    tokens: tuple[tuple[str, int], ...]
+
+
 class PeerDigest(typing.NamedTuple):
     """The scheduler digest of another node, as gossip brought it."""
 
@@ -44,6 +110,54 @@
     role: str
 
 
+class LoadSeen(typing.NamedTuple):
+    """A load report came."""
+
+    endpoint: str
+    report: jobs.LoadReport
+
+
+class StateSeen(typing.NamedTuple):
+    """An endpoint's state became known."""
+
+    endpoint: str
+    state: str
+
+
+class CacheSeen(typing.NamedTuple):
+    """Cache events came; ``gap`` when some were lost before them."""
+
+    endpoint: str
+    events: tuple
+    gap: bool
+
+
+def endpoint_infos(settings):
+    """Return the :class:`EndpointInfo` of all endpoints of the settings."""
+    return [
+        jobs.EndpointInfo(
+            each.name,
+            pool.name,
+            pool.kind,
+            each.address,
+            each.failure_domain,
+            each.checks_fencing,
+            each.role or 'decode',
+        )
+        for pool in settings.pools
+        for each in pool.endpoints
+    ]
+
+
+def build_endpoints(infos, clock):
+    """Return the HTTP endpoints by name."""
+    kinds = {
+        'model': endpoints.HttpModelEndpoint,
+        'service': endpoints.HttpServiceEndpoint,
+    }
+    return {info.name: kinds[info.kind](info, clock) for info in infos}
+
+
 class Dispatcher(mailbox.Task):
     """Own the scheduler; poll endpoints; answer :class:`SubmitJob`.
 
@@ -58,6 +172,7 @@
     :param table: Topic of :class:`magnoliadyke.core.table.View`
     :param members: Topic of :class:`magnoliadyke.core.membership.MembersView`
     :param host: this node's host name
+    :ivar endpoints: the endpoints by name; streams talk to them
     """
 
     tick_interval_s = 0.05
@@ -71,3 +186,197 @@
         self.host = host
         self.digest = mailbox.Topic()
         self.demand = mailbox.Topic()
+        infos = endpoint_infos(settings)
+        self.endpoints = build_endpoints(infos, clock)
+        self.scheduler = scheduler.Scheduler(
+            infos,
+            rng,
+            self_failure_domain=settings.host(host).failure_domain,
+        )
+        self.pending = {}
+        self.pollers = []
+        self.published_s = 0.0
+
+    def on_start(self):
+        """Subscribe and start to poll."""
+        self.table.subscribe(self)
+        self.members.subscribe(self)
+        for endpoint in self.endpoints.values():
+            for loop in self.loops_of(endpoint):
+                self.pollers.append(gevent.spawn(loop, endpoint))
+
+    def loops_of(self, endpoint):
+        """Return the polling loops of an endpoint."""
+        if endpoint.info.kind == 'model':
+            return (self.poll_load, self.poll_cache)
+        return (self.poll_health,)
+
+    def on_stop(self):
+        """Stop to poll and close idle connections."""
+        gevent.killall(self.pollers)
+        for endpoint in self.endpoints.values():
+            endpoint.close()
+
+    def handle(self, message):
+        """Pass one message to the scheduler and carry out its actions."""
+        self.apply(self.decide(message, self.clock.now_s()))
+
+    def decide(self, message, now_s):
+        """Return the scheduler's actions for one message."""
+        core = self.scheduler
+        match message:
+            case SubmitJob(job=job):
+                self.pending[job.id] = message
+                return core.submit(job, now_s)
+            case JobFailed(job_id=job_id, failed=failed):
+                self.pending[job_id] = message
+                return core.finished(job_id, failed, now_s)
+            case JobFinished(job_id, result):
+                return core.finished(job_id, result, now_s)
+            case CancelJob(job_id):
+                self.pending.pop(job_id, None)
+                return core.cancel(job_id, now_s)
+            case PrefillDone(job_id, at_s):
+                return core.dispatched_prefill_done(job_id, at_s)
+            case FirstToken(job_id, at_s):
+                return core.first_token(job_id, at_s)
+            case Progress(tokens):
+                return self.progress(tokens, now_s)
+            case _:
+                return self.learn(message, now_s)
+
+    def learn(self, message, now_s):
+        """Return the actions for news of the fleet."""
+        core = self.scheduler
+        match message:
+            case LoadSeen(endpoint, report):
+                return core.load_report(endpoint, report, now_s)
+            case StateSeen(endpoint, state):
+                return core.endpoint_state(endpoint, state, now_s)
+            case CacheSeen(endpoint, events, gap):
+                return core.cache_events(endpoint, events, gap, now_s)
+            case RoleSeen(endpoint, role):
+                return core.endpoint_role(endpoint, role, now_s)
+            case PeerDigest(host, digest):
+                return core.peer_digest(host, digest, now_s)
+            case table.View():
+                return core.set_table(message, now_s)
+            case membership.MembersView(members=members):
+                return core.set_peers(count_alive(members), now_s)
+
+    def progress(self, tokens, now_s):
+        """Report how far several jobs are."""
+        actions = []
+        for job_id, count in tokens:
+            actions += self.scheduler.progress(job_id, count, now_s)
+        return actions
+
+    def tick(self):
+        """Let time pass for the scheduler; publish now and then."""
+        now_s = self.clock.now_s()
+        self.apply(self.scheduler.tick(now_s))
+        if now_s - self.published_s >= PUBLISH_INTERVAL_S:
+            self.published_s = now_s
+            self.publish(now_s)
+
+    def publish(self, now_s):
+        """Publish the node's digest and the demand of each pool."""
+        self.digest.publish(self.scheduler.digest(now_s))
+        self.demand.publish(
+            {
+                pool.name: self.scheduler.demand(pool.name, now_s)
+                for pool in self.settings.pools
+            }
+        )
+
+    def apply(self, actions):
+        """Answer the runs that wait for these actions."""
+        for action in actions or ():
+            waiting = self.pending.pop(action.job_id, None)
+            if waiting is not None:
+                waiting.reply(action)
+            elif isinstance(action, scheduler.Dispatch):
+                # The run gave up while the decision was made; without this
+                # its slot would stay taken for good.
+                self.post(CancelJob(action.job_id))
+
+    def poll_load(self, endpoint):
+        """Read load reports for good."""
+        health = Health(self, endpoint.name)
+        self.clock.sleep(self.rng.random() * LOAD_INTERVAL_S)
+        while True:
+            try:
+                document = endpoint.load()
+                self.post(LoadSeen(endpoint.name, self.read_load(document)))
+                health.seen(document.get('state', 'in'))
+            except (errors.EndpointUnreachable, TypeError, ValueError):
+                health.missed()
+            self.clock.sleep(LOAD_INTERVAL_S * (0.75 + self.rng.random() / 2))
+
+    def read_load(self, document):
+        """Return a report whose time is by this node's own clock."""
+        fields = jobs.LoadReport._fields
+        known = {name: document[name] for name in fields if name in document}
+        known['at_s'] = self.clock.now_s() - float(document.get('age_s', 0))
+        return jobs.LoadReport(**known)
+
+    def poll_cache(self, endpoint):
+        """Read cache events for good."""
+        after = 0
+        while True:
+            try:
+                document = endpoint.cache_events(after, CACHE_WAIT_S)
+                after = document['next']
+                events = tuple(document['events'])
+                if events or document.get('gap'):
+                    gap = bool(document.get('gap'))
+                    self.post(CacheSeen(endpoint.name, events, gap))
+            except (errors.EndpointUnreachable, KeyError, TypeError):
+                self.clock.sleep(RETRY_S)
+
+    def poll_health(self, endpoint):
+        """Ask a plain service for its health for good."""
+        health = Health(self, endpoint.name)
+        while True:
+            state = endpoint.healthy()
+            if state == 'crashed':
+                health.missed()
+            else:
+                health.seen(state)
+            interval_s = HEALTH_INTERVAL_S * (0.75 + self.rng.random() / 2)
+            self.clock.sleep(interval_s)
+
+
+class Health:
+    """Turns poll results into :class:`StateSeen` when they change."""
+
+    STATES = {'in': 'up'}
+
+    def __init__(self, dispatcher, name):
+        self.dispatcher = dispatcher
+        self.name = name
+        self.state = 'up'
+        self.failures = 0
+
+    def seen(self, state):
+        """The endpoint answered and named its state."""
+        self.failures = 0
+        self.become(self.STATES.get(state, state))
+
+    def missed(self):
+        """The endpoint did not answer."""
+        self.failures += 1
+        if self.failures >= FAILURES_UNTIL_CRASHED:
+            self.become('crashed')
+
+    def become(self, state):
+        """Tell the dispatcher when the state is another one."""
+        if state != self.state:
+            self.state = state
+            self.dispatcher.post(StateSeen(self.name, state))
+
+
+def count_alive(members):
+    """Return how many nodes share the work, this one included."""
+    alive = sum(member.state == 'alive' for member in members.values())
+    return max(1, alive)
--- /dev/null
+++ b/magnoliadyke/forms.py
@@ -0,0 +1,278 @@
+"""Read what callers send; shape what they get."""
+
+import hashlib
+import hmac
+import json
+import typing
+
+from magnoliadyke.core import attempts
+from magnoliadyke.core import outcomes
+
+__all__ = [
+    'KeyRing',
+    'ModelRequest',
+    'OutcomeError',
+    'ServiceRequest',
+    'chat_events',
+    'error_event',
+    'error_outcome',
+    'outcome_from',
+    'read_chat',
+    'read_completion',
+    'read_priority',
+    'render_answer',
+    'request_digest',
+]
+
+DEFAULT_MAX_TOKENS = 256
+MAX_MAX_TOKENS = 1 << 20
+PRIORITIES = {'urgent': 1, 'normal': None, 'background': 8}
+KEY_PREFIX = 'sha256:'
+INDEX_DIGITS = 8
+CHAT_DELTA = rb'"delta":{"content":\1}'
+CHAT_OBJECT = b'"object":"chat.completion.chunk"'
+TEXT_OBJECT = b'"object":"text_completion"'
+ERROR_EVENT = b'event: error\ndata: %b\n\n'
+
+
+class OutcomeError(Exception):
+    """Ends the handling of a request with an outcome."""
+
+    def __init__(self, outcome):
+        super().__init__(outcome)
+        self.outcome = outcome
+
+
+def reject(reason, remedy, status=400):
+    """Raise a rejection."""
+    raise OutcomeError(outcomes.Rejected(reason, remedy, status))
+
+
+class ModelRequest(typing.NamedTuple):
+    """A completion that a caller asks for.
+
+    :param key: idempotency key of the caller, or ``''``
+    :param credential: value of the Authorization header, for a relay
+    :param work: ``model``, ``prompt``, ``max_tokens`` and further fields
+        for the engine
+    :param priority: 0 (urgent) to 9
+    :param digest: the same for every copy of the request
+    :param first: whether the caller vouches that it is the first copy
+    """
+
+    key: str
+    customer: str
+    credential: str
+    work: dict
+    priority: int
+    repeatable: bool
+    digest: str
+    first: bool = False
+
+
+class ServiceRequest(typing.NamedTuple):
+    """A call of a plain service.
+
+    :param path: raw path and query below the service's name
+    :param headers: those that are passed on, as pairs
+    """
+
+    key: str
+    customer: str
+    credential: str
+    service: str
+    method: str
+    path: str
+    headers: tuple
+    body: bytes
+    priority: int
+    repeatable: bool
+    digest: str
+    first: bool = False
+
+
+class KeyRing:
+    """Find the customer of a caller's key.
+
+    The table holds digests only. They are looked up by their first digits;
+    the rest is compared in constant time.
+
+    :param view: :class:`magnoliadyke.core.table.View`
+    """
+
+    def __init__(self, view):
+        self.index = {}
+        for name, row in view.customers.items():
+            for entry in row.keys:
+                digest = entry.removeprefix(KEY_PREFIX)
+                found = self.index.setdefault(digest[:INDEX_DIGITS], [])
+                found.append((digest, name))
+
+    def customer(self, credential):
+        """Return the customer's name, or None.
+
+        :param credential: value of the Authorization header
+        """
+        scheme, _, key = credential.partition(' ')
+        if scheme.lower() != 'bearer':
+            return None
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        chosen = None
+        for candidate, name in self.index.get(digest[:INDEX_DIGITS], ()):
+            if hmac.compare_digest(candidate, digest):
+                chosen = name
+        return chosen
+
+
+def read_object(body):
+    """Return a JSON object that a caller sent."""
+    try:
+        document = json.loads(body)
+    except ValueError:
+        document = None
+    if not isinstance(document, dict):
+        reject('bad_json', 'send a JSON object')
+    return document
+
+
+def read_completion(document):
+    """Return the engine's work for a completion request.
+
+    :param document: body of ``/v1/completions`` as a dict
+    """
+    prompt = document.get('prompt')
+    if not isinstance(prompt, str) or not prompt.strip():
+        reject('bad_prompt', "send 'prompt' as text that is not empty")
+    return read_work(document, prompt)
+
+
+def read_chat(document):
+    """Return the engine's work for a chat request.
+
+    The prompt is one line ``role: content`` for each message, and
+    ``assistant:`` at the end.
+
+    :param document: body of ``/v1/chat/completions`` as a dict
+    """
+    messages = document.get('messages')
+    if not isinstance(messages, list) or not messages:
+        reject('bad_messages', "send 'messages' as a list that is not empty")
+    lines = [read_message(message) for message in messages]
+    prompt = '\n'.join([*lines, 'assistant:'])
+    return read_work(document, prompt)
+
+
+def read_message(message):
+    """Return one chat message as a line of the prompt."""
+    if not isinstance(message, dict):
+        reject('bad_messages', "give each message 'role' and 'content'")
+    role, content = message.get('role'), message.get('content')
+    if not isinstance(role, str) or not isinstance(content, str):
+        reject('bad_messages', "give each message 'role' and 'content'")
+    return f'{role}: {content}'
+
+
+def read_work(document, prompt):
+    """Return model, prompt and limit of a request."""
+    model = document.get('model')
+    if not isinstance(model, str):
+        reject('bad_model', "name a model in 'model'")
+    limit = document.get('max_tokens', DEFAULT_MAX_TOKENS)
+    if not isinstance(limit, int) or not 1 <= limit <= MAX_MAX_TOKENS:
+        reject('bad_max_tokens', "send 'max_tokens' as a number above 0")
+    return {'model': model, 'prompt': prompt, 'max_tokens': limit}
+
+
+def read_priority(text, row_priority):
+    """Return the priority a caller asks for.
+
+    :param text: value of ``X-Priority``, or ``''``
+    :param row_priority: the customer's own, from the table
+    """
+    if text and text not in PRIORITIES:
+        reject('bad_priority', 'use urgent, normal or background')
+    chosen = PRIORITIES.get(text)
+    return row_priority if chosen is None else chosen
+
+
+def request_digest(*parts):
+    """Return the digest of what a request asks for.
+
+    :param parts: text or bytes
+    """
+    digest = hashlib.sha256()
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        digest.update(b'%d:' % len(data))
+        digest.update(data)
+    return digest.hexdigest()[:32]
+
+
+def chat_events(events):
+    """Return completion events in the shape of chat events."""
+    events = attempts.TEXT.sub(CHAT_DELTA, events)
+    return events.replace(TEXT_OBJECT, CHAT_OBJECT)
+
+
+def render_answer(key, events, chat):
+    """Return a whole model answer as one JSON document (bytes).
+
+    :param events: all events of the answer
+    :param chat: whether the caller used the chat route
+    """
+    start = events.rindex(attempts.OFFSET_START)
+    document = json.loads(events[start + len(b'data: ') :])
+    text = attempts.text_of(events)
+    reason = document['choices'][0]['finish_reason']
+    choice = {'index': 0, 'finish_reason': reason}
+    if chat:
+        choice['message'] = {'role': 'assistant', 'content': text}
+    else:
+        choice['text'] = text
+    rendered = {
+        'id': key,
+        'object': 'chat.completion' if chat else 'text_completion',
+        'model': document.get('model', ''),
+        'choices': [choice],
+        'usage': document.get('usage', {}),
+    }
+    return json.dumps(rendered).encode()
+
+
+def error_event(outcome):
+    """Return the event that ends a stream with an outcome."""
+    return ERROR_EVENT % outcomes.to_http(outcome).body
+
+
+def error_outcome(error, status=400):
+    """Return the outcome that another node's error stands for.
+
+    :param error: the ``error`` object as a dict
+    :param status: HTTP status it came with
+    """
+    reason = str(error.get('code', 'unknown'))
+    remedy = str(error.get('remedy', ''))
+    match error.get('type'):
+        case 'not_run':
+            retry_after_s = float(error.get('retry_after_s', 1.0))
+            return outcomes.NotRun(reason, remedy, retry_after_s)
+        case 'rejected':
+            return outcomes.Rejected(reason, remedy, status)
+        case _:
+            return outcomes.Unknown(reason, remedy)
+
+
+def outcome_from(reply):
+    """Return the outcome in another node's answer, or None if it has none.
+
+    :param reply: :class:`magnoliadyke.endpoint.Reply`
+    """
+    if b'"error"' not in reply.body:
+        return None
+    try:
+        error = json.loads(reply.body)['error']
+    except (ValueError, KeyError, TypeError):
+        return None
+    if not isinstance(error, dict) or 'type' not in error:
+        return None
+    return error_outcome(error, reply.status)
--- /dev/null
+++ b/magnoliadyke/streams.py
@@ -0,0 +1,569 @@
+"""Run requests on endpoints and hand their output to those who follow."""
+
+import typing
+import zlib
+
+import gevent
+from gevent import event
+from geventhttpclient import response as responses
+
+from magnoliadyke.core import attempts
+from magnoliadyke.core import jobs
+from magnoliadyke.core import outcomes
+from magnoliadyke.core import records
+from magnoliadyke.core import scheduler
+from magnoliadyke import dispatch
+from magnoliadyke import errors
+from magnoliadyke import mailbox
+
+__all__ = [
+    'ABANDONED',
+    'ModelRun',
+    'Pump',
+    'Run',
+    'ServiceCall',
+    'ServiceRun',
+    'Streams',
+    'model_events',
+]
+
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_NOT_FOUND = 404
+STATUS_SERVER_ERROR = 500
+NOT_RUN_CODE = 'not_run'
+DUPLICATE_CODE = 'duplicate_id'
+#: Resumes in a row that brought no token before the attempt is given up.
+MAX_RESUMES = 3
+RESUME_PAUSE_S = 0.1
+COMPRESSION_LEVEL = 1
+
+LOST = outcomes.Unknown(
+    'endpoint_lost',
+    'the request was sent and its end is not known; look up the effect '
+    'before asking again',
+)
+ABANDONED = outcomes.Unknown(
+    'abandoned', 'the caller went away before the end; ask with a new key'
+)
+
+
+class Abandoned(gevent.GreenletExit):
+    """Nobody wants the answer any more."""
+
+
+class Run:
+    """One request on its way; the followers read its output.
+
+    :param key: idempotency key
+    :param on_end: called once with the run, when its outcome is known
+    :ivar pieces: output so far, as bytes; only ever appended to
+    :ivar outcome: :class:`records.Answer` or a tagged outcome, at the end
+    """
+
+    def __init__(self, key, on_end):
+        self.key = key
+        self.on_end = on_end
+        self.pieces = []
+        self.followers = []
+        self.outcome = None
+        self.ended = event.Event()
+        self.greenlet = None
+
+    def start(self):
+        """Begin to run."""
+        self.greenlet = gevent.spawn(self.main)
+
+    def main(self):
+        """Run until there is an outcome."""
+        outcome = ABANDONED
+        try:
+            outcome = self.run()
+        except Abandoned:
+            self.give_up()
+        except Exception:
+            # Whatever went wrong, the caller gets a typed end and the
+            # scheduler gets its slot back; the error itself is printed.
+            outcome = LOST
+            self.give_up()
+            raise
+        finally:
+            self.end(outcome)
+
+    def run(self):
+        """Return the outcome."""
+        raise NotImplementedError
+
+    def give_up(self):
+        """Clean up after a run that did not end by itself."""
+
+    def append(self, block):
+        """Add output and tell the followers."""
+        self.pieces.append(block)
+        for follower in self.followers:
+            follower.notify()
+
+    def end(self, outcome):
+        """Set the outcome and tell the followers; only the first counts."""
+        if self.outcome is not None:
+            return
+        self.outcome = outcome
+        self.on_end(self)
+        self.ended.set()
+        for follower in list(self.followers):
+            follower.notify()
+
+    def abandon(self):
+        """Stop: nobody wants the answer."""
+        if self.greenlet is not None and self.outcome is None:
+            self.greenlet.kill(Abandoned, block=False)
+
+
+class EndpointRun(Run):
+    """A run that the dispatcher places on endpoints.
+
+    :param job: :class:`magnoliadyke.core.jobs.Job`
+    :param streams: :class:`Streams` of the node
+    :ivar sent: whether a byte of the request may be at an endpoint
+    """
+
+    def __init__(self, key, job, streams, on_end):
+        super().__init__(key, on_end)
+        self.job = job
+        self.streams = streams
+        self.dispatcher = streams.dispatcher
+        self.clock = streams.clock
+        self.sent = False
+
+    def run(self):
+        """Attempt until an outcome stands; the scheduler decides how often.
+
+        A request that may not be repeated gets no further attempt once a
+        byte of it may be at an endpoint, whatever the scheduler says.
+        """
+        action = self.ask(dispatch.SubmitJob(self.job))
+        while True:
+            if isinstance(action, scheduler.Refuse):
+                return self.refused(action.outcome)
+            result = self.attempt(action)
+            if not isinstance(result, jobs.Failed):
+                return result
+            if self.sent and not self.job.repeatable:
+                final = dispatch.JobFinished(self.job.id, final_of(result))
+                self.dispatcher.post(final)
+                return LOST
+            action = self.ask(dispatch.JobFailed(self.job.id, result))
+
+    def refused(self, outcome):
+        """Return what to tell after the scheduler's refusal.
+
+        ``NotRun`` would be untrue after an attempt that may have run.
+        """
+        if self.sent and isinstance(outcome, outcomes.NotRun):
+            return LOST
+        return outcome
+
+    def ask(self, message):
+        """Ask the dispatcher; wait as long as it takes."""
+        return self.dispatcher.ask(message, None)
+
+    def attempt(self, action):
+        """Make one attempt; return Failed, an answer or an outcome."""
+        raise NotImplementedError
+
+    def give_up(self):
+        """Take the job back from the scheduler."""
+        self.dispatcher.post(dispatch.CancelJob(self.job.id))
+
+    def finished(self, finished):
+        """Tell the scheduler that the job ended well."""
+        self.dispatcher.post(dispatch.JobFinished(self.job.id, finished))
+
+    def failed(self, name, stage, ran, crashed=False):
+        """Return the failure of an attempt.
+
+        :param ran: whether a byte of it may have reached the endpoint
+        """
+        if ran:
+            self.sent = True
+        return jobs.Failed(name, stage, ran, crashed)
+
+    def headers(self):
+        """Return the headers that name the request in endpoint ledgers."""
+        return (
+            ('Content-Type', 'application/json'),
+            ('X-Request-Key', self.key),
+            ('X-Sender', self.dispatcher.host),
+        )
+
+
+def final_of(failed):
+    """Return a failure after which nothing is placed again."""
+    return jobs.Failed(
+        failed.endpoint, failed.stage, failed.ran, failed.crashed, False
+    )
+
+
+class ModelRun(EndpointRun):
+    """A completion on a model engine.
+
+    :param work: body for the engine without id, as a dict
+    :param digest: short digest of the key, start of the attempts' ids
+    """
+
+    def __init__(self, key, job, work, digest, streams, on_end):
+        super().__init__(key, job, streams, on_end)
+        self.work = work
+        self.digest = digest
+        self.number = 0
+        self.attempt_id = ''
+        self.engine = None
+        self.connection = None
+        self.assembly = attempts.Assembly()
+        self.pump = None
+
+    def attempt(self, action):
+        """Prefill if asked to, then decode."""
+        self.number += 1
+        self.attempt_id = attempts.attempt_id(self.digest, self.number)
+        work = {**self.work, 'id': self.attempt_id}
+        if action.prefill_endpoint:
+            kv = self.prefill(action.prefill_endpoint, work)
+            if isinstance(kv, jobs.Failed):
+                return kv
+            work['kv'] = kv
+        return self.decode(action.endpoint, work)
+
+    def prefill(self, name, work):
+        """Run the prompt on another engine; return the handle of its KV."""
+        self.engine = self.dispatcher.endpoints[name]
+        try:
+            reply = self.engine.prefill(work, self.headers())
+        except errors.EndpointUnreachable as error:
+            return self.failed(name, 'prefill', error.sent, error.sent)
+        if reply.error_code() == NOT_RUN_CODE:
+            return self.failed(name, 'prefill', False)
+        self.sent = True
+        try:
+            kv_id = reply.json()['kv_id']
+        except (ValueError, KeyError, TypeError):
+            return self.failed(name, 'prefill', True)
+        now_s = self.clock.now_s()
+        self.dispatcher.post(dispatch.PrefillDone(self.job.id, now_s))
+        return {'address': self.engine.info.address, 'kv_id': kv_id}
+
+    def decode(self, name, work):
+        """Start the answer on an engine and read it to its end."""
+        self.engine = self.dispatcher.endpoints[name]
+        if self.assembly.offset:
+            work['offset'] = self.assembly.offset
+        try:
+            reply = self.engine.complete(work, self.headers())
+        except errors.EndpointUnreachable as error:
+            if not error.sent:
+                return self.failed(name, 'connect', False)
+            self.sent = True
+            return self.read_on(name)
+        return self.judge(name, reply)
+
+    def judge(self, name, reply):
+        """Act on the head of the answer to a new attempt."""
+        if reply.status == STATUS_OK:
+            self.sent = True
+            if self.read(reply):
+                return self.answered()
+            return self.read_on(name)
+        try:
+            whole = reply.whole()
+        except errors.EndpointUnreachable:
+            return self.failed(name, 'decode', True)
+        code = whole.error_code()
+        if code == DUPLICATE_CODE:
+            self.sent = True
+            return self.read_on(name)
+        if code == NOT_RUN_CODE:
+            return self.failed(name, 'decode', False)
+        if whole.status < STATUS_SERVER_ERROR:
+            return self.refused_by_engine(name, code)
+        return self.failed(name, 'decode', True)
+
+    @property
+    def connections(self):
+        """Connections to the present engine."""
+        return self.engine.connections
+
+    def refused_by_engine(self, name, code):
+        """The engine calls the request itself wrong."""
+        failed = final_of(self.failed(name, 'decode', False))
+        self.dispatcher.post(dispatch.JobFinished(self.job.id, failed))
+        return outcomes.Rejected(
+            code or 'bad_request', 'correct the request as the engine asks'
+        )
+
+    def read(self, reply):
+        """Read a stream; return whether it came to its finish mark."""
+        self.connection = reply.connection
+        label = (self.attempt_id, id(reply.connection))
+        self.assembly.begin(label)
+        pump = Pump(self, reply.connection, label)
+        self.pump = pump
+        try:
+            return pump.run(reply.first)
+        finally:
+            self.pump = None
+            reply.connection.close()
+
+    def read_on(self, name):
+        """Resume the same attempt on new connections; judge if that fails.
+
+        Reading the stream that runs already is no second attempt.
+        """
+        failures = 0
+        while failures < MAX_RESUMES:
+            offset = self.assembly.offset
+            try:
+                reply = self.engine.resume(self.attempt_id, offset)
+            except errors.EndpointUnreachable as error:
+                if not error.sent:
+                    return self.failed(name, 'decode', True, crashed=True)
+                failures += 1
+                continue
+            if reply.status != STATUS_OK:
+                reply.connection.close()
+                return self.failed(name, 'decode', True)
+            if self.read(reply):
+                return self.answered()
+            moved = self.assembly.offset > offset
+            failures = 0 if moved else failures + 1
+            self.clock.sleep(RESUME_PAUSE_S * failures)
+        self.cancel_attempt()
+        return self.failed(name, 'decode', True)
+
+    def answered(self):
+        """Return the whole answer; tell the scheduler."""
+        usage = attempts.read_usage(self.assembly.finished)
+        finished = jobs.Finished(
+            int(usage.get('prompt_tokens', 0)),
+            self.assembly.offset,
+            int(usage.get('cached_tokens', 0)),
+        )
+        self.finished(finished)
+        return records.Answer(
+            'model',
+            STATUS_OK,
+            'text/event-stream',
+            zlib.compress(b''.join(self.pieces), COMPRESSION_LEVEL),
+            finished.prompt_tokens,
+            finished.output_tokens,
+        )
+
+    def give_up(self):
+        """Cancel on the engine, then take the job back."""
+        if self.connection is not None:
+            self.connection.close()
+        self.cancel_attempt()
+        super().give_up()
+
+    def cancel_attempt(self):
+        """Ask the engine to stop, without waiting for it."""
+        if self.engine is not None:
+            gevent.spawn(cancel, self.engine, self.attempt_id)
+
+    def append(self, block):
+        """Add output; the first one is news for the scheduler."""
+        if not self.pieces:
+            now_s = self.clock.now_s()
+            self.dispatcher.post(dispatch.FirstToken(self.job.id, now_s))
+        super().append(block)
+
+
+def cancel(engine, attempt):
+    """Cancel an attempt; an engine that is gone needs no cancel."""
+    try:
+        engine.cancel(attempt)
+    except errors.EndpointUnreachable:
+        return
+
+
+def model_events(answer):
+    """Return the events of a kept model answer as bytes."""
+    return zlib.decompress(answer.body)
+
+
+class Pump:
+    """Moves events from an engine's connection into a run.
+
+    Its callback runs in the hub: no task switch, timer or log per token.
+
+    :param run: :class:`ModelRun`, or another with ``assembly`` and
+        ``append``
+    :param connection: :class:`magnoliadyke.endpoint.Connection`
+    :param label: attempt label that the assembly expects
+    """
+
+    def __init__(self, run, connection, label):
+        self.run_ = run
+        self.connection = connection
+        self.label = label
+        self.stopped = event.Event()
+        self.watcher = None
+        self.heard = 0
+        self.connections = run.connections
+        self.pace = attempts.Pace()
+        self.seen_heard = -1
+        self.quiet_since_s = 0.0
+        self.reported = 0
+
+    def run(self, first):
+        """Read until the finish mark or until the connection fails.
+
+        :param first: body bytes that came with the head
+        :return: whether the answer is whole
+        """
+        assembly = self.run_.assembly
+        streams = self.run_.streams
+        if not self.take(first):
+            loop = gevent.get_hub().loop
+            self.watcher = loop.io(self.connection.fileno(), 1)
+            self.watcher.start(self.on_readable)
+            streams.pumps.add(self)
+            try:
+                self.stopped.wait()
+            finally:
+                streams.pumps.discard(self)
+                self.watcher.stop()
+                self.watcher.close()
+        return assembly.finished is not None
+
+    def on_readable(self):
+        """Take what the engine has sent; called by the event loop."""
+        self.heard += 1
+        try:
+            body = self.connection.read_available()
+            if body is not None and self.take(body):
+                self.stop()
+        except (OSError, ValueError, responses.HTTPParseError):
+            self.stop()
+
+    def take(self, body):
+        """Feed bytes; return whether this connection is done with."""
+        run = self.run_
+        assembly = run.assembly
+        block = assembly.feed(self.label, body)
+        if block:
+            run.append(block)
+        if assembly.finished is not None or assembly.gap:
+            return True
+        if assembly.error is not None:
+            return True
+        return self.connection.parser.message_complete
+
+    def stop(self):
+        """End :meth:`run`."""
+        if self.watcher is not None:
+            self.watcher.stop()
+        self.stopped.set()
+
+    def progress(self):
+        """Return job id and tokens when there are more than last time."""
+        run = self.run_
+        tokens = run.assembly.offset
+        if tokens == self.reported or run.job is None:
+            return None
+        self.reported = tokens
+        return run.job.id, tokens
+
+    def check(self, now_s, suspect):
+        """Give the connection up when it is silent for too long.
+
+        :param suspect: a sibling connection went silent
+        :return: whether it was given up
+        """
+        if self.heard != self.seen_heard:
+            self.seen_heard = self.heard
+            self.quiet_since_s = now_s
+            self.pace.observe(self.run_.assembly.offset, now_s)
+            return False
+        quiet_s = now_s - self.quiet_since_s
+        if quiet_s < self.pace.silence_limit_s(suspect):
+            return False
+        self.stop()
+        return True
+
+
+class ServiceCall(typing.NamedTuple):
+    """What goes to a plain service.
+
+    :param path: raw path and query
+    :param headers: pairs of text
+    """
+
+    method: str
+    path: str
+    headers: tuple
+    body: bytes
+
+
+class ServiceRun(EndpointRun):
+    """A call of a plain service.
+
+    :param call: :class:`ServiceCall`
+    """
+
+    def __init__(self, key, job, call, streams, on_end):
+        super().__init__(key, job, streams, on_end)
+        self.call = call
+
+    def attempt(self, action):
+        """Make the call once."""
+        name = action.endpoint
+        server = self.dispatcher.endpoints[name]
+        call = self.call
+        headers = (*call.headers, ('X-Request-Id', self.key))
+        fresh = not self.job.repeatable
+        try:
+            reply = server.call(
+                call.method, call.path, call.body, headers, fresh
+            )
+        except errors.EndpointUnreachable as error:
+            stage = 'decode' if error.sent else 'connect'
+            return self.failed(name, stage, error.sent)
+        if reply.error_code() == NOT_RUN_CODE:
+            return self.failed(name, 'decode', False)
+        self.finished(jobs.Finished())
+        return records.Answer(
+            'service', reply.status, reply.content_type, reply.body
+        )
+
+
+class Streams(mailbox.Task):
+    """What all runs of a node share; watches over their connections.
+
+    One ticker looks after all streams, so that none has a timer of its own.
+
+    :param dispatcher: :class:`magnoliadyke.dispatch.Dispatcher`
+    """
+
+    tick_interval_s = 0.25
+
+    def __init__(self, dispatcher, clock):
+        super().__init__('streams', clock)
+        self.dispatcher = dispatcher
+        self.pumps = set()
+
+    def handle(self, message):
+        """Streams get no messages."""
+
+    def tick(self):
+        """Look for silent connections, and report progress."""
+        now_s = self.clock.now_s()
+        progress = []
+        for pump in list(self.pumps):
+            connections = pump.connections
+            suspect = connections is not None and connections.suspect()
+            if pump.check(now_s, suspect) and connections is not None:
+                connections.went_silent()
+            progress.append(pump.progress())
+        moved = tuple(each for each in progress if each is not None)
+        if moved:
+            self.dispatcher.post(dispatch.Progress(moved))
