--- a/magnoliadyke/core/commands.py
+++ b/magnoliadyke/core/commands.py
@@ -2,7 +2,8 @@
 
 Commands are absolute ("be in this state, generation n"), so that a repeat
 does no harm.  An engine that checks fencing numbers settles by itself who
-commands it.  For one that ignores them
+commands it, once it has heard of the new holder's number; so a new holder
+first commands the role that the engine has.  For one that ignores numbers
 
 * the intent is written by compare-and-swap before the command is sent, so
   that two holders cannot both believe that the next change is theirs,
@@ -260,6 +261,7 @@
         self._next_s = 0.0
         self._highest_fencing = 0
         self._reply_is_old = False
+        self._registered = False
 
     @property
     def under_way(self) -> bool:
@@ -271,6 +273,16 @@
         stored = self.intent.fencing if self.intent is not None else 0
         return max(self._highest_fencing, stored)
 
+    @property
+    def outranked(self) -> bool:
+        """Whether the engine obeys a higher number than the holder has.
+
+        A store restored to an older copy can give too low a number; the
+        holder then gives the lease up and takes it with a higher one.
+        """
+        held = self._authority
+        return held is not None and self._highest_fencing > held.fencing
+
     def want(self, change: Change) -> bool:
         """Ask for a change; False while another one is under way."""
         if self.under_way or self._wanted is not None:
@@ -326,6 +338,7 @@
         self._step = _Learning()
         self._intent_known = False
         self._reply_is_old = self._busy
+        self._registered = not self.checks_fencing
         self.intent = None
         self.state = None
         self._wanted = None
@@ -365,13 +378,16 @@
     def _choose(
         self, now_s: float, authority: leases.Authority
     ) -> list[Action]:
+        if self.state is None:
+            self._step = _Learning()
+            return self._learn()
+        if not self._registered:
+            self._begin(self._next_intent(_role_of(self.state)), now_s)
+            return self._advance(now_s, authority)
         change = self._wanted
         if change is None:
             self._next_s = now_s + self.settings.compare_s
             return self._start(ReadState())
-        if self.state is None:
-            self._step = _Learning()
-            return self._learn()
         if _reached(self.state, change) and self._agrees_with(change):
             self._wanted = None
             return [Settled(change, self.state.generation)]
@@ -387,16 +403,19 @@
         step = self._step
         if not isinstance(step, _Preparing) or self._authority is None:
             return []
-        generation = self.state.generation if self.state is not None else 0
-        if self.intent is not None:
-            generation = max(generation, self.intent.generation)
-        intent = Intent(generation + 1, self._authority.fencing, step.change)
+        intent = self._next_intent(step.change)
         if self.checks_fencing:
             self._begin(intent, now_s)
         else:
             self._step = _Intending(intent)
         return []
 
+    def _next_intent(self, change: Change) -> Intent:
+        generation = self.state.generation if self.state is not None else 0
+        if self.intent is not None:
+            generation = max(generation, self.intent.generation)
+        return Intent(generation + 1, self._authority.fencing, change)
+
     def _begin(self, intent: Intent, now_s: float) -> None:
         self.intent = intent
         self._step = _Commanding(intent, now_s + self.settings.change_s)
@@ -427,6 +446,8 @@
         self._step = _Learning()
         self._wanted = None
         self._correcting = False
+        if not self._registered:
+            return []
         return [GaveUp(step.intent.change, reason)]
 
     def _take_reply(self) -> bool:
@@ -511,6 +532,10 @@
         self._next_s = now_s + self.settings.poll_s
         if state.changing:
             return []
+        if _reached(state, step.intent.change) and not self._registered:
+            self._registered = True
+            self._step = _Idle()
+            return []
         if _reached(state, step.intent.change):
             corrected = self._correcting
             self._step = _Idle()
@@ -551,6 +576,7 @@
         self._next_s = now_s + self.settings.poll_s
         step = self._step
         if code == 'stale_fencing' and isinstance(step, _Commanding):
+            self._next_s = now_s + self.settings.compare_s
             self._highest_fencing = max(self._highest_fencing, highest_fencing)
             return self._give_up(step, 'the engine follows a later holder')
         return []
@@ -560,6 +586,10 @@
         return self.command_answered(now_s)
 
 
+def _role_of(state: EngineState) -> Change:
+    return Change('role', state.role)
+
+
 def _reached(state: EngineState, change: Change) -> bool:
     match change.kind:
         case 'load':
