--- /dev/null
+++ b/magnoliadyke/core/admission.py
@@ -0,0 +1,143 @@
+"""Which requests are refused unrun, when, and what their callers are told.
+
+A request that can't be answered in time any more only takes engine time
+from those that can.  It is refused at once with the time after which a new
+one would fare better, and isn't held in the hope of a miracle.
+"""
+
+from typing import NamedTuple
+
+from magnoliadyke.core import outcomes
+
+__all__ = [
+    'AdmissionSettings',
+    'Capacity',
+    'Timing',
+    'limit_exceeded',
+    'no_endpoint',
+    'overloaded',
+    'predicted_wait_s',
+    'queue_full',
+    'retry_after_s',
+    'timing',
+]
+
+LEAST_RETRY_S = 0.5
+MOST_RETRY_S = 60.0
+#: Retry times are spread by up to this part, lest callers come back as one.
+RETRY_SPREAD = 0.5
+
+
+class AdmissionSettings(NamedTuple):
+    """Constants of admission.
+
+    :param reserve_share: part of the first-token objective kept free for
+        errors of the prediction
+    :param background_priority: from this priority on, the objective for
+        the first token doesn't count, only the longest wait does
+    :param hopeless_factor: a job that takes longer than its objective even
+        on an idle engine may wait this many times its own service time
+    :param early_factor: refused on arrival when the wait is predicted at
+        this many times what the job can bear
+    """
+
+    reserve_share: float = 0.1
+    background_priority: int = 8
+    hopeless_factor: float = 1.0
+    early_factor: float = 1.2
+
+
+DEFAULT_SETTINGS = AdmissionSettings()
+
+
+class Timing(NamedTuple):
+    """When a job has to start.
+
+    :param deadline_s: when the first token is due, or the wait ends
+    :param latest_start_s: starting later, it misses that
+    """
+
+    deadline_s: float
+    latest_start_s: float
+
+
+class Capacity(NamedTuple):
+    """Engines that serve a pool now, weighted by their speed."""
+
+    prefill: float
+    decode: float
+
+
+def timing(job, service_s, queue_wait_s, settings=DEFAULT_SETTINGS):
+    """Work out how long a job may wait.
+
+    :param service_s: least time to its first token, on an idle engine
+    :param queue_wait_s: longest wait of its customer's row
+    """
+    patience_s = job.arrived_s + queue_wait_s
+    if job.priority >= settings.background_priority:
+        return Timing(patience_s, patience_s)
+    usable_s = job.first_token_s * (1.0 - settings.reserve_share)
+    spare_s = usable_s - service_s
+    if spare_s <= 0:
+        # No engine is fast enough for its objective: it is served late
+        # rather than never, and waits as long as it will take.
+        spare_s = settings.hopeless_factor * service_s
+    latest_s = min(job.arrived_s + spare_s, patience_s)
+    return Timing(job.arrived_s + job.first_token_s, latest_s)
+
+
+def predicted_wait_s(prefill_s, decode_s, capacity, share):
+    """Time until so much queued work ahead has gone to engines.
+
+    :param prefill_s: engine-seconds of the customer's prefill ahead
+    :param decode_s: engine-seconds of its decode ahead
+    :param share: the customer's part of the capacity
+    """
+    waits = [0.0]
+    if capacity.prefill > 0:
+        waits.append(prefill_s / (capacity.prefill * share))
+    if capacity.decode > 0:
+        waits.append(decode_s / (capacity.decode * share))
+    return max(waits)
+
+
+def retry_after_s(excess_s, rng):
+    """An honest time to come back: when the excess will have drained."""
+    spread = 1.0 + RETRY_SPREAD * rng.random()
+    return min(max(excess_s, LEAST_RETRY_S) * spread, MOST_RETRY_S)
+
+
+def overloaded(excess_s, rng):
+    return outcomes.NotRun(
+        'overloaded',
+        'send it again after retry_after_s; if this lasts, raise the '
+        "customer's weight or first_token_s",
+        retry_after_s(excess_s, rng),
+    )
+
+
+def queue_full(excess_s, rng):
+    return outcomes.NotRun(
+        'queue_full',
+        "send it again after retry_after_s, or raise the customer's "
+        'queue_limit',
+        retry_after_s(excess_s, rng),
+    )
+
+
+def limit_exceeded(exceeded):
+    return outcomes.NotRun(
+        exceeded.reason,
+        "send it again after retry_after_s, or raise the customer's limit",
+        exceeded.retry_after_s,
+    )
+
+
+def no_endpoint(excess_s, rng):
+    return outcomes.NotRun(
+        'no_endpoint',
+        'send it again after retry_after_s; see `status` for why no '
+        'endpoint of the pool takes work',
+        retry_after_s(excess_s, rng),
+    )
--- /dev/null
+++ b/magnoliadyke/core/credits.py
@@ -0,0 +1,182 @@
+"""What is believed to be at work on an endpoint, and how much more may go.
+
+Load reports lag by seconds, and several nodes use the same engines. Each
+node knows exactly what it sent itself; of the rest it knows what a report
+said beyond its own part at the time. Both together are the present belief.
+
+Streams on an engine are credits, split between the nodes by their demand.
+A node may go beyond its part by its share of what a report shows free. So
+nodes that see the same idle engine at once together fill it rather than
+each on its own: with equal views, at most one engine's worth is borrowed on
+top of what the parts guarantee, and the next report ends it.
+"""
+
+import bisect
+import collections
+
+__all__ = ['EndpointLoad', 'Lagged', 'allowed_streams']
+
+HISTORY_S = 15.0
+#: Most seconds of others' prefill that are assumed without a report.
+MOST_GUESSED_S = 0.5
+
+
+class Lagged:
+    """A quantity on an endpoint: own part exact, others' part reported."""
+
+    __slots__ = ('others', 'own', 'times', 'values')
+
+    def __init__(self):
+        self.own = 0.0
+        self.others = 0.0
+        self.times = collections.deque()
+        self.values = collections.deque()
+
+    def add(self, amount, now_s):
+        """Change the own part."""
+        self.own += amount
+        self.times.append(now_s)
+        self.values.append(self.own)
+        while self.times[0] < now_s - HISTORY_S:
+            self.times.popleft()
+            self.values.popleft()
+
+    def own_at(self, at_s):
+        """The own part at a time of the near past."""
+        index = bisect.bisect_right(self.times, at_s)
+        if index:
+            return self.values[index - 1]
+        return self.values[0] if self.values else self.own
+
+    def report(self, total, at_s):
+        """Take a reported total that was true at ``at_s``."""
+        self.others = max(0.0, total - self.own_at(at_s))
+
+    def total(self):
+        return self.own + self.others
+
+    def clear(self):
+        self.own = 0.0
+        self.others = 0.0
+        self.times.clear()
+        self.values.clear()
+
+
+def allowed_streams(limit, fraction, own_at_report, total_at_report):
+    """Streams that one node may have on an engine.
+
+    :param limit: streams that the engine serves in time
+    :param fraction: this node's part of the credits, 0 to 1
+    :param own_at_report: its own streams when the report was true
+    :param total_at_report: all nodes' streams then
+    """
+    part = fraction * limit
+    free = max(0.0, limit - total_at_report)
+    return max(1.0, part, own_at_report + fraction * free)
+
+
+class _Prompt:
+    """A prompt of this node that an endpoint reads or will read."""
+
+    __slots__ = ('job_id', 'left_s', 'priority')
+
+    def __init__(self, job_id, priority, left_s):
+        self.job_id = job_id
+        self.priority = priority
+        self.left_s = left_s
+
+
+class EndpointLoad:
+    """What this node believes is at work on one endpoint.
+
+    :ivar jobs: ids of this node's jobs that are there
+    :ivar reserved: of those, streams that have not begun
+    :ivar last_done_s: when it last finished reading one of our prompts
+    """
+
+    def __init__(self):
+        self.jobs = set()
+        self.streams = Lagged()
+        self.kv_tokens = Lagged()
+        self.kv_capacity = 0
+        self.reserved = 0
+        self.prompts = []
+        self.prompts_at_s = 0.0
+        self.backlog = Lagged()
+        self.others_s = 0.0
+        self.others_at_s = 0.0
+        self.reported_s = float('-inf')
+        self.last_done_s = float('-inf')
+
+    def clear(self):
+        """It lost all its work."""
+        self.jobs.clear()
+        self.streams.clear()
+        self.kv_tokens.clear()
+        self.backlog.clear()
+        self.reserved = 0
+        self.prompts.clear()
+        self.others_s = 0.0
+
+    def add_prompt(self, job_id, priority, seconds, now_s):
+        """A prompt was sent; the endpoint reads the urgent ones first."""
+        self._advance(now_s)
+        prompt = _Prompt(job_id, priority, seconds)
+        place = len(self.prompts)
+        while place and self.prompts[place - 1].priority > priority:
+            place -= 1
+        self.prompts.insert(place, prompt)
+        self.backlog.add(seconds, now_s)
+
+    def remove_prompt(self, job_id, now_s):
+        """A prompt was read, or given up."""
+        self._advance(now_s)
+        for index, prompt in enumerate(self.prompts):
+            if prompt.job_id == job_id:
+                del self.prompts[index]
+                self.backlog.add(-prompt.left_s, now_s)
+                return
+
+    def prompt_wait_s(self, priority, now_s):
+        """Seconds before a prompt of this priority would be read."""
+        self._advance(now_s)
+        wait_s = self.others_wait_s(now_s)
+        for prompt in self.prompts:
+            if prompt.priority > priority:
+                break
+            wait_s += prompt.left_s
+        return wait_s
+
+    def others_wait_s(self, now_s, others_per_s=0.0):
+        """Seconds of other nodes' prompts, from the last report.
+
+        :param others_per_s: what other nodes send a second, as a guess
+            of what they sent since
+        """
+        age_s = now_s - self.others_at_s
+        left_s = max(0.0, self.others_s - age_s)
+        return left_s + min(others_per_s * age_s, MOST_GUESSED_S)
+
+    def report_prompts(self, seconds, at_s, now_s):
+        """Take the reported prefill backlog, true at ``at_s``."""
+        self._advance(now_s)
+        if at_s >= self.reported_s:
+            self.reported_s = at_s
+            self.others_s = max(0.0, seconds - self.backlog.own_at(at_s))
+            self.others_at_s = at_s
+
+    def _advance(self, now_s):
+        """Let the first prompt be read for the time that passed.
+
+        What is left over is not given to the next one: the first is not
+        done before the endpoint says so, however wrong the estimate was.
+        """
+        passed_s = now_s - self.prompts_at_s
+        self.prompts_at_s = now_s
+        if passed_s <= 0 or not self.prompts:
+            return
+        first = self.prompts[0]
+        read_s = min(passed_s, first.left_s)
+        if read_s > 0:
+            first.left_s -= read_s
+            self.backlog.add(-read_s, now_s)
--- /dev/null
+++ b/magnoliadyke/core/health.py
@@ -0,0 +1,147 @@
+"""Which endpoints may receive work: states, ejection, proof of return."""
+
+from typing import NamedTuple
+
+__all__ = [
+    'OUT_STATES',
+    'UP',
+    'EndpointHealth',
+    'HealthSettings',
+    'may_eject',
+]
+
+UP = 'up'
+LEAVING = 'leaving'
+LEFT = 'left'
+CRASHED = 'crashed'
+CHANGING = 'changing'
+OUT_STATES = frozenset({LEAVING, LEFT, CRASHED, CHANGING})
+#: States from which an endpoint comes back without its past.
+UNPROVEN_STATES = frozenset({LEAVING, LEFT, CRASHED})
+
+
+class HealthSettings(NamedTuple):
+    """Constants of ejection.
+
+    :param failures: failures in a row that eject an endpoint
+    :param first_ejection_s: length of the first ejection
+    :param most_ejection_s: longest one; each doubles the one before
+    :param most_ejected_share: part of a pool that may be ejected at once
+    :param proofs: answers in a row that end the trial after a return
+    """
+
+    failures: int = 3
+    first_ejection_s: float = 5.0
+    most_ejection_s: float = 60.0
+    most_ejected_share: float = 0.34
+    proofs: int = 1
+
+
+DEFAULT_SETTINGS = HealthSettings()
+
+
+class EndpointHealth:
+    """What is known of one endpoint's fitness for work.
+
+    Several sources speak: the shell that probes and reads the host list
+    (`told`), the endpoint's own load reports (`reported`) and the operators'
+    table (`tabled`). The first that says it is out wins, since each may lag
+    behind the others.
+    """
+
+    __slots__ = (
+        'ejected_until_s',
+        'ejections',
+        'failures',
+        'proofs_due',
+        'reported',
+        'settings',
+        'tabled',
+        'told',
+        'told_s',
+    )
+
+    def __init__(self, settings=DEFAULT_SETTINGS):
+        self.settings = settings
+        self.told = UP
+        self.told_s = float('-inf')
+        self.reported = UP
+        self.tabled = UP
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until_s = float('-inf')
+        self.proofs_due = 0
+
+    def tell(self, state, now_s):
+        """Take a state from the shell.
+
+        :returns: whether the endpoint came back from having lost its past
+        """
+        returned = state == UP and self.told in UNPROVEN_STATES
+        if returned:
+            # The list that says so lags: it may name a host that just
+            # died, so a single job goes first and the rest after it.
+            self.proofs_due = self.settings.proofs
+        self.told = state
+        self.told_s = now_s
+        return returned
+
+    def report(self, state, at_s):
+        """Take the endpoint's own word, true at ``at_s``."""
+        if at_s < self.told_s and state == UP:
+            # Older than what we were told since: no reason to come back.
+            return
+        if state == UP and self.reported in UNPROVEN_STATES:
+            self.proofs_due = self.settings.proofs
+        self.reported = state
+
+    def succeeded(self):
+        self.failures = 0
+        self.ejections = 0
+        self.proofs_due = max(0, self.proofs_due - 1)
+
+    def failed(self):
+        """Account a failure.
+
+        :returns: whether the endpoint should be ejected
+        """
+        self.failures += 1
+        return self.failures >= self.settings.failures
+
+    def eject(self, now_s):
+        length_s = self.settings.first_ejection_s * 2**self.ejections
+        length_s = min(length_s, self.settings.most_ejection_s)
+        self.ejections += 1
+        self.failures = 0
+        self.ejected_until_s = now_s + length_s
+        self.proofs_due = self.settings.proofs
+
+    def is_out(self):
+        """Whether it said or was said to be out: nothing new goes there."""
+        return (
+            self.told in OUT_STATES
+            or self.reported in OUT_STATES
+            or self.tabled in OUT_STATES
+        )
+
+    def takes_work(self, now_s, in_flight):
+        """Whether a job may go there.
+
+        :param in_flight: jobs of this node that are there already
+        """
+        if self.is_out() or now_s < self.ejected_until_s:
+            return False
+        return in_flight == 0 or self.proofs_due == 0
+
+
+def may_eject(healths, now_s, settings=DEFAULT_SETTINGS):
+    """Whether a pool can bear one more ejected endpoint.
+
+    When most of a pool fails, the cause is hardly the endpoints: ejecting
+    them too would leave the rest to be overrun one after another.
+
+    :param healths: of all endpoints in the pool
+    """
+    present = [health for health in healths if not health.is_out()]
+    ejected = sum(now_s < health.ejected_until_s for health in present)
+    return ejected + 1 <= settings.most_ejected_share * len(present)
--- /dev/null
+++ b/magnoliadyke/core/routing.py
@@ -0,0 +1,412 @@
+"""Which endpoints should run a job now, if any."""
+
+import zlib
+from typing import NamedTuple
+
+from magnoliadyke.core import costs
+from magnoliadyke.core import credits
+from magnoliadyke.core import health
+
+__all__ = [
+    'Candidate',
+    'Endpoint',
+    'Placement',
+    'Pool',
+    'Router',
+    'RoutingSettings',
+]
+
+PREFILL = 'prefill'
+DECODE = 'decode'
+FULL = 1.0
+
+
+class RoutingSettings(NamedTuple):
+    """Constants of routing.
+
+    :param engine_queue_s: most seconds of prompts that wait in an engine
+    :param sample: endpoints looked at for a job, besides prefix holders
+    :param subset: endpoints of a pool that one node uses
+    :param slack_s: predicted starts this close to the best are as good
+    :param slack_streams: likewise fill levels, as a share of the limit
+    :param pace_share: part of the objective between tokens that is used
+    :param mixed_fill: a decode engine fuller than this gets no prompts
+    :param mixed_cost: seconds of waiting that an engine-second lost by
+        reading a prompt on a decode engine is worth
+    :param step_s: step of an engine that reads a long prompt
+    :param service_slots: calls at one plain service at once
+    """
+
+    engine_queue_s: float = 0.2
+    sample: int = 8
+    subset: int = 64
+    slack_s: float = 0.02
+    slack_streams: float = 0.05
+    pace_share: float = 0.93
+    mixed_fill: float = 0.8
+    mixed_cost: float = 0.5
+    step_s: float = 0.2
+    service_slots: int = 32
+
+
+DEFAULT_SETTINGS = RoutingSettings()
+
+
+class Placement(NamedTuple):
+    """Where a job should run.
+
+    :param endpoint: :class:`Endpoint` that decodes or serves it
+    :param prefill: :class:`Endpoint` that reads the prompt, may be the same
+    :param first_token_s: predicted time to the first token, from now
+    :param prompt_s: engine-seconds that reading the prompt takes there
+    :param cached_tokens: prompt tokens believed to be cached there
+    """
+
+    endpoint: object
+    prefill: object
+    first_token_s: float
+    prompt_s: float
+    cached_tokens: float
+
+    def mixed(self):
+        return self.prefill is self.endpoint
+
+
+class Candidate(NamedTuple):
+    """An endpoint that could read the prompt."""
+
+    endpoint: object
+    score_s: float
+    first_token_s: float
+    prompt_s: float
+    cached_tokens: float
+
+
+class Endpoint:
+    """One endpoint as a node sees it.
+
+    :ivar slowness: its time for work, relative to the fitted costs
+    :ivar alone: id of the suspect that has it to itself
+    :ivar kept: it is being freed for a suspect
+    :ivar pace: its times against the predicted ones
+    """
+
+    def __init__(self, info, health_settings=health.DEFAULT_SETTINGS):
+        self.info = info
+        self.name = info.name
+        self.role = info.role if info.kind == 'model' else ''
+        self.health = health.EndpointHealth(health_settings)
+        self.load = credits.EndpointLoad()
+        self.reported_streams = 0
+        self.reported_at_s = float('-inf')
+        self.slowness = 1.0
+        self.pace = costs.RatioFit(1.0, 10.0, 120.0)
+        self.alone = None
+        self.kept = False
+
+    def takes_work(self, now_s):
+        if self.alone is not None or self.kept:
+            return False
+        return self.health.takes_work(now_s, len(self.load.jobs))
+
+
+class Pool:
+    """The endpoints of a pool that this node uses, by role.
+
+    :param members: all its :class:`Endpoint`
+    :param salt: differs from node to node
+    """
+
+    def __init__(self, name, kind, members, subset, salt):
+        self.name = name
+        self.kind = kind
+        self.total = len(members)
+        self.members = _subset(members, subset, salt)
+        self.by_role = {}
+        self.sort()
+
+    def sort(self):
+        """Group anew, after a role or a state has changed."""
+        self.by_role = {PREFILL: [], DECODE: [], '': []}
+        for endpoint in self.members:
+            if not endpoint.health.is_out():
+                self.by_role[endpoint.role].append(endpoint)
+
+    def present(self):
+        return sum(len(each) for each in self.by_role.values())
+
+
+def _subset(members, size, salt):
+    """A part of a big pool, by rendezvous hashing.
+
+    Nodes choose by their own salt, so each endpoint has about the same
+    number of nodes, and one that comes or goes moves no other.
+    """
+    if len(members) <= size:
+        return list(members)
+    ranked = sorted(
+        members,
+        key=lambda each: zlib.crc32(f'{salt}/{each.name}'.encode()),
+    )
+    return ranked[:size]
+
+
+class Router:
+    """Places the jobs of one node.
+
+    :param book: :class:`magnoliadyke.core.costs.CostBook`
+    :param beliefs: :class:`magnoliadyke.core.prefixes.PrefixBeliefs`
+    :param rng: source of randomness
+    :param failure_domain: of this node; near endpoints win ties
+    """
+
+    def __init__(
+        self,
+        book,
+        beliefs,
+        rng,
+        settings=DEFAULT_SETTINGS,
+        failure_domain='',
+    ):
+        self.book = book
+        self.beliefs = beliefs
+        self.rng = rng
+        self.settings = settings
+        self.failure_domain = failure_domain
+
+    def place(self, job, pool, fraction, spare_s, now_s, among=None):
+        """Choose endpoints for a job.
+
+        :param fraction: this node's part of the pool's credits
+        :param spare_s: time left until the first token is due
+        :param among: take none but this endpoint, for a suspect
+        :returns: :class:`Placement`, or None when all are full
+        """
+        if pool.kind == 'service':
+            return self._place_service(pool, among, now_s)
+        decodes = self._usable(pool, DECODE, job, among, now_s)
+        prefills = self._usable(pool, PREFILL, job, among, now_s)
+        if not decodes and not pool.by_role[DECODE] or among:
+            return self._place_whole(job, prefills or decodes, now_s)
+        open_decodes = self._open(job, decodes, fraction, now_s)
+        if not open_decodes:
+            return None
+        mixed = self._best_mixed(job, open_decodes, prefills, now_s)
+        split = self._best_split(job, prefills, now_s)
+        if not pool.by_role[PREFILL] and mixed is None:
+            # Nobody else can read prompts: a long one waits for its turn.
+            return self._place_whole(
+                job, [item[1] for item in open_decodes], now_s
+            )
+        chosen = self._cheaper(split, mixed, spare_s)
+        if chosen is None:
+            return None
+        target = chosen.endpoint
+        if chosen is split:
+            target = self._roomiest(open_decodes)
+        return Placement(target, *chosen[:1], *chosen[2:])
+
+    def idle_service_s(self, job):
+        """Time to the first token of a job on idle engines."""
+        model = self.book.of_job(job)
+        if job.kind == 'service':
+            return model.service.ratio
+        tokens = job.prompt_tokens * model.uncached.ratio
+        read_s = model.prefill_s(PREFILL, tokens)
+        moved_s = job.prompt_tokens * model.transfer.ratio
+        return read_s + moved_s + model.pace.at(1)
+
+    def stream_limit(self, job):
+        """Streams of an engine that keep the job's objective."""
+        usable_s = job.per_token_s * self.settings.pace_share
+        return self.book.of_job(job).streams_within(usable_s)
+
+    def _usable(self, pool, role, job, among, now_s):
+        members = pool.by_role[role]
+        if among is not None:
+            members = [each for each in members if each is among]
+        elif len(members) > 2 * self.settings.sample:
+            members = self._sample(members, job)
+        if among is not None:
+            # It is kept from all other work, but not from this.
+            return members
+        return [each for each in members if each.takes_work(now_s)]
+
+    def _sample(self, members, job):
+        """A few at random, and those that may hold the prefix."""
+        chosen = {}
+        for _ in range(self.settings.sample):
+            endpoint = self.rng.choice(members)
+            chosen[endpoint.name] = endpoint
+        holders = self.beliefs.likely_holders(job.prefix_blocks)
+        if holders:
+            for endpoint in members:
+                if endpoint.name in holders:
+                    chosen[endpoint.name] = endpoint
+        return list(chosen.values())
+
+    def _place_service(self, pool, among, now_s):
+        slots = self.settings.service_slots
+        best = None
+        for endpoint in pool.by_role['']:
+            if among is not None and endpoint is not among:
+                continue
+            busy = len(endpoint.load.jobs)
+            if busy >= slots:
+                continue
+            if among is None and not endpoint.takes_work(now_s):
+                continue
+            far = endpoint.info.failure_domain != self.failure_domain
+            key = (busy * endpoint.slowness, far, self.rng.random())
+            if best is None or key < best[0]:
+                best = key, endpoint
+        if best is None:
+            return None
+        wait_s = self.book.of(pool.name).service.ratio
+        return Placement(best[1], best[1], wait_s, 0.0, 0.0)
+
+    def _place_whole(self, job, members, now_s):
+        """Both phases on one engine, whatever its role."""
+        found = [self._reading(job, each, now_s) for each in members]
+        found = [
+            each
+            for each in found
+            if each.first_token_s - each.prompt_s
+            <= self.settings.engine_queue_s
+        ]
+        best = self._pick(found)
+        if best is None:
+            return None
+        return Placement(best.endpoint, best.endpoint, *best[2:])
+
+    def _open(self, job, members, fraction, now_s):
+        """Decode engines with a free stream and memory: (fill, engine)."""
+        limit = self.stream_limit(job)
+        needed = job.prompt_tokens + job.output_tokens
+        found = []
+        for endpoint in members:
+            load = endpoint.load
+            room = self._room(endpoint, limit, fraction)
+            if load.streams.own + load.reserved >= room:
+                continue
+            kv_capacity = load.kv_capacity
+            if kv_capacity and load.kv_tokens.total() + needed > kv_capacity:
+                if load.streams.total() + load.reserved >= 1:
+                    continue
+            streams = load.streams.total() + load.reserved
+            found.append((streams / limit * endpoint.slowness, endpoint))
+        return found
+
+    def _room(self, endpoint, limit, fraction):
+        """Streams that this node may have there."""
+        streams = endpoint.load.streams
+        if fraction >= FULL:
+            return limit - streams.others
+        own = streams.own_at(endpoint.reported_at_s)
+        return credits.allowed_streams(
+            limit, fraction, own, endpoint.reported_streams
+        )
+
+    def _roomiest(self, found):
+        """Of two random engines about as empty as the emptiest, the emptier.
+
+        Always taking the emptiest sends all nodes that have the same
+        reports to one engine, which is then the fullest.
+        """
+        least = min(item[0] for item in found)
+        good = [
+            item
+            for item in found
+            if item[0] <= least + self.settings.slack_streams
+        ]
+        return self._two(good)[1]
+
+    def _two(self, good):
+        if len(good) == 1:
+            return good[0]
+        first = self.rng.choice(good)
+        second = self.rng.choice(good)
+        return first if first[0] <= second[0] else second
+
+    def _reading(self, job, endpoint, now_s):
+        """Predict reading the prompt there."""
+        model = self.book.of_job(job)
+        load = endpoint.load
+        cached = self.beliefs.cached_tokens(endpoint.name, job.prefix_blocks)
+        tokens = max(1.0, job.prompt_tokens - cached)
+        streams = load.streams.total()
+        prompt_s = model.prefill_s(endpoint.role, tokens, streams)
+        prompt_s *= endpoint.slowness
+        wait_s = load.prompt_wait_s(job.priority, now_s)
+        read_s = prompt_s
+        if load.prompts and endpoint.role == PREFILL:
+            # The engine finishes its step, and reads ours in a shared one.
+            read_s = max(prompt_s, self.settings.step_s)
+        first_s = wait_s + read_s
+        return Candidate(endpoint, first_s, first_s, prompt_s, cached)
+
+    def _best_split(self, job, members, now_s):
+        """The best engine in the prefill role."""
+        found = []
+        for endpoint in members:
+            wait_s = endpoint.load.prompt_wait_s(job.priority, now_s)
+            if wait_s > self.settings.engine_queue_s:
+                continue
+            found.append(self._reading(job, endpoint, now_s))
+        best = self._pick(found)
+        if best is None:
+            return None
+        model = self.book.of_job(job)
+        moved_s = job.prompt_tokens * model.transfer.ratio + model.pace.base
+        return best._replace(
+            score_s=best.score_s + moved_s,
+            first_token_s=best.first_token_s + moved_s,
+        )
+
+    def _best_mixed(self, job, found, prefills, now_s):
+        """The best engine in the decode role that could read as well."""
+        model = self.book.of_job(job)
+        lost = model.mixed_prefill.base / model.prefill.ratio - 1.0
+        candidates = []
+        for fill, endpoint in found:
+            if fill > self.settings.mixed_fill:
+                continue
+            wait_s = endpoint.load.prompt_wait_s(job.priority, now_s)
+            if wait_s > self.settings.engine_queue_s:
+                continue
+            each = self._reading(job, endpoint, now_s)
+            extra_s = each.prompt_s * max(0.0, lost) * fill
+            cost_s = self.settings.mixed_cost * extra_s
+            pace_s = model.pace.at(endpoint.load.streams.total())
+            candidates.append(
+                each._replace(
+                    score_s=each.score_s + pace_s + cost_s,
+                    first_token_s=each.first_token_s + pace_s,
+                )
+            )
+        return self._pick(candidates)
+
+    def _cheaper(self, split, mixed, spare_s):
+        """Two engines, or one for both phases where that is sooner.
+
+        Reading on a decode engine takes longer and slows its streams. It is
+        worth it when that engine has time to spare; where it would make the
+        first token late, the job had better wait for a prefill engine.
+        """
+        if mixed is not None and mixed.first_token_s > spare_s:
+            mixed = None
+        if split is None or mixed is None:
+            return split or mixed
+        return split if split.score_s <= mixed.score_s else mixed
+
+    def _pick(self, candidates):
+        """Of two random ones among the good, the better."""
+        if not candidates:
+            return None
+        least = min(each.score_s for each in candidates)
+        good = [
+            (each.score_s, each)
+            for each in candidates
+            if each.score_s <= least + self.settings.slack_s
+        ]
+        return self._two(good)[1]
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -2,32 +2,60 @@
 
 Every input method returns a list of actions. A job that was submitted ends
 in exactly one way: its user reports :class:`jobs.Finished` or
-:class:`jobs.Cancelled`
-after a :class:`Dispatch`, the scheduler answers :class:`Refuse`, or the user
-calls :meth:`Scheduler.cancel` (no action follows). After :class:`jobs.Failed` the
-scheduler decides: it dispatches the job again, at once or later, or it
-refuses it with the outcome to tell the caller.
+:class:`jobs.Cancelled` after a :class:`Dispatch`, the scheduler answers
+:class:`Refuse`, or the user calls :meth:`Scheduler.cancel` (no action
+follows). After :class:`jobs.Failed` the scheduler decides: it dispatches the
+job again, at once or later, or it refuses it with the outcome to tell the
+caller.
 """
 
 import dataclasses
-import json
-from typing import Any, NamedTuple
+import heapq
+from typing import NamedTuple
 
+from magnoliadyke.core import admission
+from magnoliadyke.core import costs
+from magnoliadyke.core import digests
+from magnoliadyke.core import fairness
+from magnoliadyke.core import health
 from magnoliadyke.core import jobs
+from magnoliadyke.core import limits
 from magnoliadyke.core import outcomes
+from magnoliadyke.core import prefixes
+from magnoliadyke.core import quarantine
+from magnoliadyke.core import retries
+from magnoliadyke.core import routing
+from magnoliadyke.core import table
 
 __all__ = [
-    'Cancelled',
     'Demand',
     'Digest',
     'Dispatch',
-    'Failed',
-    'Finished',
     'Refuse',
     'Scheduler',
     'SchedulerSettings',
 ]
 
+Digest = digests.Digest
+
+#: Jobs that can't be placed before a round gives up. Bounds the work of one
+#: event when many customers wait for a full pool.
+MOST_MISSES = 6
+#: Jobs of one customer that are tried when its first has no place.
+LOOK_AHEAD = 4
+DEMAND_MEMORY_S = 2.0
+#: Prefill that a decode engine does beside its streams, in engines.
+MIXED_CAPACITY = 0.2
+#: How long a suspect waits for its engine to run dry.
+TRIAL_WAIT_S = 5.0
+SUSPECTS_TOLD = 24
+BELIEVED_BLOCKS = 60_000
+LEAST_BELIEVED = 512
+LEAST_SLOWNESS = 0.5
+MOST_SLOWNESS = 4.0
+REPORTED_STATES = {'in': health.UP}
+TABLE_STATES = {'in': health.UP}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dispatch:
@@ -36,7 +64,7 @@
     :param endpoint: decodes the job, or serves the call of a plain service
     :param prefill_endpoint: runs the prompt first; None when ``endpoint``
         does both
-    :param alone: no other job runs on the endpoint meanwhile
+    :param alone: no other job of this node runs on the endpoint meanwhile
     """
 
     job_id: str
@@ -50,23 +78,17 @@
     """Tell the caller this outcome; the job is forgotten."""
 
     job_id: str
-    outcome: Any
-
-
-# The results that `finished` takes, under the names its users know.
-Finished = jobs.Finished
-Failed = jobs.Failed
-Cancelled = jobs.Cancelled
+    outcome: outcomes.Outcome
 
 
 class Demand(NamedTuple):
-    """Work that a pool is asked for, for the planner of roles.
+    """Work that a pool is asked for by all nodes, for the planner of roles.
 
     :param prefill_s_per_s: engine-seconds of prefill arriving a second
     :param decode_s_per_s: engine-seconds of decode arriving a second
-    :param queued: jobs waiting in this node
-    :param queued_prefill_s: engine-seconds of prefill waiting
-    :param queued_decode_s: engine-seconds of decode waiting
+    :param queued: jobs that wait
+    :param queued_prefill_s: engine-seconds of prefill that wait
+    :param queued_decode_s: engine-seconds of decode that wait
     :param running: jobs dispatched and not finished
     """
 
@@ -78,172 +100,1048 @@
     running: int
 
 
-class Digest(NamedTuple):
-    """What a node tells its peers about its work."""
+class SchedulerSettings(NamedTuple):
+    """Constants of one scheduler.
 
-    served: dict
-    demand: dict
+    :param max_streams: streams that an engine decodes in one step
+    """
 
-    def to_bytes(self):
-        return json.dumps(self._asdict(), separators=(',', ':')).encode()
+    max_streams: int = 64
+    priors: costs.CostPriors = costs.DEFAULT_PRIORS
+    patience: admission.AdmissionSettings = admission.DEFAULT_SETTINGS
+    sharing: limits.LimitSettings = limits.DEFAULT_SETTINGS
+    routes: routing.RoutingSettings = routing.DEFAULT_SETTINGS
+    ejection: health.HealthSettings = health.DEFAULT_SETTINGS
+    suspicion: quarantine.QuarantineSettings = quarantine.DEFAULT_SETTINGS
 
-    @classmethod
-    def from_bytes(cls, data):
-        return cls(**json.loads(data))
 
+DEFAULT_SETTINGS = SchedulerSettings()
+DEFAULT_ROW = table.CustomerRow()
 
-class SchedulerSettings(NamedTuple):
-    """Constants of one scheduler."""
 
-    engine_slots: int = 32
+class _Run:
+    """A job from its submission to its end."""
+
+    def __init__(self, job, timing, cost):
+        self.job = job
+        self.timing = timing
+        self.prefill_s, self.decode_s = cost
+        self.admitted_tokens = job.prompt_tokens + job.output_tokens
+        self.fingerprint = quarantine.fingerprint_of(job.fingerprint)
+        self.attempts = 0
+        self.ran = False
+        self.charged_s = 0.0
+        self.tokens = 0
+        self.begin()
+
+    def begin(self):
+        """Forget the attempt before."""
+        self.prompt_at = None
+        self.stream_at = None
+        self.streaming = False
+        self.dispatched_s = None
+        self.prefill_done_s = None
+        self.first_token_s = None
+        self.prompt_s = 0.0
+        self.read_s = 0.0
+        self.read_by = None
+        self.believed_tokens = 0.0
+        self.streams_at_first = 0.0
+
+    def cost_s(self):
+        return self.prefill_s + self.decode_s
+
+
+class _Pool:
+    """Queue, demand and endpoints of one pool."""
+
+    def __init__(self, endpoints, now_s=0.0):
+        self.name = endpoints.name
+        self.endpoints = endpoints
+        self.number = quarantine.short(endpoints.name)
+        self.queue = fairness.FairQueue()
+        self.prefill_rate = limits.Rate(DEMAND_MEMORY_S, now_s)
+        self.decode_rate = limits.Rate(DEMAND_MEMORY_S, now_s)
+        self.waiting = {}
+        self.suspects = []
+        self.trial = None
+        self.running = 0
+
+    def count(self, run, sign):
+        """Keep the sums of what waits, by customer and priority."""
+        customer = self.waiting.setdefault(run.job.customer, {})
+        sums = customer.setdefault(run.job.priority, [0, 0.0, 0.0])
+        sums[0] += sign
+        sums[1] += sign * run.prefill_s
+        sums[2] += sign * run.decode_s
+        if not sums[0]:
+            del customer[run.job.priority]
+
+    def waiting_count(self, customer):
+        sums = self.waiting.get(customer, {})
+        return sum(each[0] for each in sums.values())
+
+    def ahead(self, customer, priority):
+        """Engine-seconds that go before a new job of the customer."""
+        prefill_s = decode_s = 0.0
+        for level, sums in self.waiting.get(customer, {}).items():
+            if level <= priority:
+                prefill_s += sums[1]
+                decode_s += sums[2]
+        return prefill_s, decode_s
+
+    def backlog(self):
+        """Jobs and engine-seconds that wait, of all customers."""
+        levels = [
+            sums
+            for customer in self.waiting.values()
+            for sums in customer.values()
+        ]
+        return (
+            sum(sums[0] for sums in levels),
+            sum(sums[1] for sums in levels),
+            sum(sums[2] for sums in levels),
+        )
 
 
 class Scheduler:
-    """Owns the queue of one node and what it believes of each endpoint."""
+    """Owns the queues of one node and what it believes of each endpoint.
+
+    :param endpoints: iterable of :class:`jobs.EndpointInfo`
+    :param rng: with ``random()``, ``randrange()`` and ``choice()``
+    :param self_failure_domain: of this node
+    """
 
     def __init__(
         self,
         endpoints,
         rng,
-        settings=SchedulerSettings(),
+        settings=DEFAULT_SETTINGS,
         self_failure_domain='',
     ):
-        self.endpoints = {info.name: info for info in endpoints}
-        self.rng = rng
         self.settings = settings
-        self.self_failure_domain = self_failure_domain
-        self.states = {name: 'up' for name in self.endpoints}
-        self.roles = {
-            name: info.role if info.kind == 'model' else None
-            for name, info in self.endpoints.items()
-        }
-        self.in_flight = {name: 0 for name in self.endpoints}
-        self.queue = {}
-        self.running = {}
+        self.rng = rng
+        self.epoch = rng.randrange(1 << 32)
+        self.book = costs.CostBook(settings.priors, settings.max_streams)
+        self.beliefs = prefixes.PrefixBeliefs()
+        self.router = routing.Router(
+            self.book, self.beliefs, rng, settings.routes, self_failure_domain
+        )
+        self.shares = limits.Shares(settings.sharing)
+        self.limits = limits.Limits(self.shares, settings.sharing)
+        self.quarantine = quarantine.Quarantine(settings.suspicion)
+        self.retries = retries.RetryBudgets()
+        self.rows = {}
+        self.runs = {}
+        self.expiries = []
+        self.held = []
+        self.blamed_s = {}
+        self.peers = {}
+        self.told = {}
+        self.turn = 0
+        self.names = {}
+        self.pool_models = {}
+        self._add_endpoints(list(endpoints))
+
+    def _add_endpoints(self, infos):
+        self.endpoints = {}
+        members = {}
+        for info in infos:
+            endpoint = routing.Endpoint(info, self.settings.ejection)
+            self.endpoints[info.name] = endpoint
+            members.setdefault((info.pool, info.kind), []).append(endpoint)
+        self.pools = {}
+        subset = self.settings.routes.subset
+        for (name, kind), each in members.items():
+            pool = routing.Pool(name, kind, each, subset, self.epoch)
+            self.pools[name] = _Pool(pool)
+        used = sum(len(p.endpoints.members) for p in self.pools.values())
+        blocks = BELIEVED_BLOCKS // max(1, used)
+        blocks = min(max(blocks, LEAST_BELIEVED), prefixes.MOST_BLOCKS)
+        self.beliefs.most_blocks = blocks
+
+    # What the node learns
 
     def set_table(self, view, now_s):
-        return []
+        """A new revision of the table is in force."""
+        self.rows = view.customers
+        self.limits.set_rows(view.customers)
+        for name, row in view.customers.items():
+            for pool in self.pools.values():
+                pool.queue.set_weight(name, row.weight)
+                self._know(name, pool.name)
+        for name, endpoint in self.endpoints.items():
+            row = view.endpoints.get(name)
+            state = row.state if row is not None else 'in'
+            state = TABLE_STATES.get(state, health.LEAVING)
+            endpoint.health.tabled = state
+        for pool in self.pools.values():
+            pool.endpoints.sort()
+        return self._drain_all(now_s)
 
     def set_peers(self, count, now_s):
+        """So many nodes are live, this one included."""
+        self.shares.set_nodes(count, now_s)
+        return []
+
+    def load_report(self, name, report, now_s):
+        """An engine's load, true at ``report.at_s`` and maybe lagging."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or report.at_s < endpoint.reported_at_s:
+            return []
+        endpoint.reported_at_s = report.at_s
+        endpoint.reported_streams = report.running
+        state = REPORTED_STATES.get(report.state, report.state)
+        endpoint.health.report(state, report.at_s)
+        load = endpoint.load
+        load.streams.report(report.running, report.at_s)
+        load.kv_tokens.report(report.kv_used_tokens, report.at_s)
+        load.kv_capacity = report.kv_capacity_tokens
+        model = self.book.of(self._model_of(endpoint))
+        prompts_s = model.prefill_s(
+            report.role, report.queued_prompt_tokens, report.running
+        )
+        load.report_prompts(prompts_s, report.at_s, now_s)
+        self._set_role(endpoint, report.role, now_s)
+        return self._drain_all(now_s)
+
+    def cache_events(self, name, events, gap, now_s):
+        """An engine's cache events: mappings with ``kind`` and ``blocks``."""
+        if gap:
+            self.beliefs.gap(name)
+        for event in events:
+            if event['kind'] == 'stored':
+                self.beliefs.stored(name, event['blocks'])
+            else:
+                self.beliefs.evicted(name, event['blocks'])
         return []
 
+    def endpoint_state(self, name, state, now_s):
+        """'up', 'leaving', 'left', 'crashed' or 'changing'."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return []
+        endpoint.health.tell(state, now_s)
+        if state == health.CRASHED:
+            self._crashed(endpoint, now_s)
+        if state in (health.CRASHED, health.LEFT):
+            self.beliefs.wiped(name)
+        self.pools[endpoint.info.pool].endpoints.sort()
+        return self._drain_all(now_s)
+
+    def endpoint_role(self, name, role, now_s):
+        """An engine works in this role now."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return []
+        self._set_role(endpoint, role, now_s)
+        return self._drain_all(now_s)
+
+    def moved(self, job_id, name, now_s):
+        """A stream was moved to another engine, by its KV cache."""
+        run = self.runs.get(job_id)
+        endpoint = self.endpoints.get(name)
+        if run is None or endpoint is None:
+            return []
+        self._leave_stream(run, now_s)
+        self._join_stream(run, endpoint, now_s)
+        self._begin_stream(run, now_s)
+        return self._drain_all(now_s)
+
+    def _set_role(self, endpoint, role, now_s):
+        if endpoint.info.kind != 'model' or endpoint.role == role:
+            return
+        endpoint.role = role
+        # The engine lost its cache, and its streams went elsewhere before.
+        self.beliefs.wiped(endpoint.name)
+        for job_id in list(endpoint.load.jobs):
+            run = self.runs[job_id]
+            if run.stream_at is endpoint and run.streaming:
+                self._leave_stream(run, now_s)
+        self.pools[endpoint.info.pool].endpoints.sort()
+
+    def _model_of(self, endpoint):
+        # One model a pool is the rule; costs of further ones are fitted
+        # apart, and only this guess about others' prompts uses the first.
+        return self.pool_models.get(endpoint.info.pool, endpoint.info.pool)
+
+    # A job's life
+
     def submit(self, job, now_s):
-        pools = {info.pool for info in self.endpoints.values()}
-        if job.pool not in pools:
+        """Queue a job, dispatch it, or refuse it at once."""
+        refusal = self._refusal(job, now_s)
+        if refusal is not None:
+            return [Refuse(job.id, refusal)]
+        row = self.rows.get(job.customer, DEFAULT_ROW)
+        self.retries.deposit(job.customer, row.retry_share)
+        run = self._new_run(job, row)
+        pool = self.pools[job.pool]
+        pool.prefill_rate.add(run.prefill_s, now_s)
+        pool.decode_rate.add(run.decode_s, now_s)
+        excess_s = self._excess_s(run, pool, now_s)
+        if excess_s > 0:
             return [
-                Refuse(
-                    job.id,
-                    outcomes.Rejected(
-                        'unknown_pool', 'ask for a pool of the settings', 404
-                    ),
-                )
+                Refuse(job.id, admission.overloaded(excess_s, self.rng)),
+                *self._drain_all(now_s),
             ]
-        self.queue[job.id] = job
-        return self.drain_queue()
+        self.runs[job.id] = run
+        self._queue(run, pool, now_s)
+        actions = self._drain_all(now_s)
+        if run.dispatched_s is None and job.id in self.runs:
+            waiting = pool.waiting_count(job.customer)
+            if waiting > row.queue_limit:
+                self._forget(run, now_s)
+                wait_s = self._wait_s(run, pool)
+                outcome = admission.queue_full(wait_s, self.rng)
+                actions.append(Refuse(job.id, outcome))
+        return actions
 
     def cancel(self, job_id, now_s):
-        self.queue.pop(job_id, None)
-        self.release(job_id)
-        return self.drain_queue()
+        """The caller went away, or the node gave the job up."""
+        run = self.runs.get(job_id)
+        if run is None:
+            return []
+        self._forget(run, now_s)
+        self._give_back(run)
+        return self._drain_all(now_s)
 
     def dispatched_prefill_done(self, job_id, now_s):
-        return []
+        """The prompt has been read."""
+        run = self.runs.get(job_id)
+        if run is None or run.prefill_done_s is not None:
+            return []
+        self._prompt_done(run, now_s)
+        return self._drain_all(now_s)
 
     def first_token(self, job_id, now_s):
-        return []
+        """The first output token has come."""
+        run = self.runs.get(job_id)
+        if run is None or run.first_token_s is not None:
+            return []
+        was_read = run.prefill_done_s is not None
+        if not was_read:
+            self._prompt_done(run, now_s)
+        run.first_token_s = now_s
+        run.tokens = max(run.tokens, 1)
+        self._observe_transfer(run, was_read)
+        if run.stream_at is not None:
+            run.streams_at_first = run.stream_at.load.streams.total()
+        return [] if was_read else self._drain_all(now_s)
 
     def progress(self, job_id, tokens, now_s):
+        """So many output tokens have come."""
+        run = self.runs.get(job_id)
+        if run is not None:
+            run.tokens = max(run.tokens, tokens)
         return []
 
     def finished(self, job_id, result, now_s):
-        job = self.release(job_id)
-        if job is None:
+        """The attempt has ended."""
+        run = self.runs.get(job_id)
+        if run is None or run.dispatched_s is None:
             return []
         match result:
-            case Failed(ran=False, retryable=True):
-                self.queue[job_id] = job
-            case Failed(ran=False):
-                return [
-                    Refuse(
-                        job_id,
-                        outcomes.NotRun('endpoint_failed', 'send it again'),
-                    )
-                ]
-            case Failed(retryable=True) if job.repeatable:
-                self.queue[job_id] = job
-            case Failed():
-                return [
-                    Refuse(
-                        job_id,
-                        outcomes.Unknown(
-                            'endpoint_failed', 'look whether it took effect'
-                        ),
-                    )
-                ]
-        return self.drain_queue()
+            case jobs.Finished():
+                self._observe_finish(run, result, now_s)
+                self._forget(run, now_s)
+                actions = []
+            case jobs.Failed():
+                actions = self._failed(run, result, now_s)
+            case jobs.Cancelled():
+                self._forget(run, now_s)
+                self._give_back(run)
+                actions = []
+        return actions + self._drain_all(now_s)
+
+    def tick(self, now_s):
+        """Time has passed: give up what is too late, try what waits."""
+        self.shares.tick(now_s)
+        self.quarantine.tick(now_s)
+        actions = self._release_held(now_s)
+        actions += self._drain_all(now_s)
+        for pool in self.pools.values():
+            actions += self._try_suspects(pool, now_s)
+        return actions
+
+    def _refusal(self, job, now_s):
+        """Why a new job can't be taken, or None."""
+        pool = self.pools.get(job.pool)
+        if pool is None:
+            return outcomes.Rejected(
+                'unknown_pool', 'ask for a pool that the settings name', 404
+            )
+        fingerprint = quarantine.fingerprint_of(job.fingerprint)
+        verdict = self.quarantine.verdict(fingerprint, now_s)
+        if verdict == quarantine.CONVICTED:
+            self.quarantine.seen(fingerprint, now_s)
+            return _convicted()
+        if not pool.endpoints.present():
+            return admission.no_endpoint(admission.MOST_RETRY_S / 10, self.rng)
+        tokens = job.prompt_tokens + job.output_tokens
+        exceeded = self.limits.admit(job.customer, tokens, now_s)
+        if exceeded is not None:
+            return admission.limit_exceeded(exceeded)
+        return None
+
+    def _new_run(self, job, row):
+        model = self.book.of_job(job)
+        if job.kind == 'model':
+            self.pool_models.setdefault(job.pool, job.model or job.pool)
+        uncached = job.prompt_tokens * model.uncached.ratio
+        service_s = self.router.idle_service_s(job)
+        timing = admission.timing(
+            job, service_s, row.queue_wait_s, self.settings.patience
+        )
+        return _Run(job, timing, model.job_cost(job, uncached))
+
+    def _excess_s(self, run, pool, now_s):
+        """How far the predicted wait exceeds what the job can bear."""
+        if not pool.waiting.get(run.job.customer):
+            return 0.0
+        wait_s = self._wait_s(run, pool)
+        bearable_s = max(0.0, run.timing.latest_start_s - now_s)
+        bearable_s *= self.settings.patience.early_factor
+        return wait_s - bearable_s
+
+    def _wait_s(self, run, pool):
+        job = run.job
+        prefill_s, decode_s = pool.ahead(job.customer, job.priority)
+        share = pool.queue.share(job.customer)
+        capacity = self._capacity(pool)
+        return admission.predicted_wait_s(prefill_s, decode_s, capacity, share)
+
+    def _capacity(self, pool):
+        by_role = pool.endpoints.by_role
+        decode = len(by_role[routing.DECODE])
+        prefill = len(by_role[routing.PREFILL])
+        services = len(by_role['']) * self.settings.routes.service_slots
+        fraction = self._fraction(pool)
+        return admission.Capacity(
+            (prefill + MIXED_CAPACITY * decode) * fraction,
+            (decode + services) * fraction,
+        )
+
+    def _queue(self, run, pool, now_s):
+        """Put a job in line, or among the suspects."""
+        verdict = self.quarantine.verdict(run.fingerprint, now_s)
+        if run.job.fingerprint and verdict == quarantine.SUSPECT:
+            row = self.rows.get(run.job.customer, DEFAULT_ROW)
+            until_s = now_s + row.queue_wait_s
+            run.timing = admission.Timing(until_s, until_s)
+            self.quarantine.waits(run.fingerprint, now_s)
+            pool.suspects.append(run)
+        else:
+            key = (run.job.priority, run.timing.deadline_s)
+            pool.queue.push(run.job.id, run.job.customer, key)
+            pool.count(run, 1)
+            usage = self.limits.usage(run.job.customer, now_s)
+            usage.waiting += 1
+        item = (run.timing.latest_start_s, run.job.id)
+        heapq.heappush(self.expiries, item)
+
+    def _unqueue(self, run):
+        pool = self.pools[run.job.pool]
+        if pool.queue.remove(run.job.id):
+            pool.count(run, -1)
+            self.limits.usage(run.job.customer).waiting -= 1
+        elif run in pool.suspects:
+            pool.suspects.remove(run)
+
+    def _forget(self, run, now_s):
+        """The job has ended, whatever way."""
+        self._unqueue(run)
+        self._release(run, now_s)
+        self.runs.pop(run.job.id, None)
+
+    # Placing
+
+    def _drain_all(self, now_s):
+        actions = self._expire(now_s)
+        for pool in self.pools.values():
+            if len(pool.queue):
+                self._drain(pool, now_s, actions)
+        return actions
+
+    def _drain(self, pool, now_s, actions):
+        """Dispatch as much as has a place, in fair order."""
+        fraction = self._fraction(pool)
+        misses = 0
+        while misses < MOST_MISSES:
+            for customer in pool.queue.order():
+                action = None
+                if self.limits.may_start(customer, now_s):
+                    action = self._next(pool, customer, fraction, now_s)
+                if action is not None:
+                    actions.append(action)
+                    break
+                misses += 1
+                if misses >= MOST_MISSES:
+                    return
+            else:
+                return
+
+    def _next(self, pool, customer, fraction, now_s):
+        """Dispatch one of the customer's first jobs, or None."""
+        head = pool.queue.head(customer)
+        action = self._try(self.runs[head], pool, fraction, now_s)
+        if action is not None:
+            return action
+        for job_id in pool.queue.first(customer, LOOK_AHEAD)[1:]:
+            action = self._try(self.runs[job_id], pool, fraction, now_s)
+            if action is not None:
+                return action
+        return None
 
-    def load_report(self, endpoint, report, now_s):
-        if self.endpoints[endpoint].kind == 'model':
-            self.roles[endpoint] = report.role
-        return self.drain_queue()
+    def _try(self, run, pool, fraction, now_s):
+        spare_s = run.timing.deadline_s - now_s
+        placement = self.router.place(
+            run.job, pool.endpoints, fraction, spare_s, now_s
+        )
+        if placement is None:
+            return None
+        self._unqueue(run)
+        return self._dispatch(run, pool, placement, now_s)
 
-    def cache_events(self, endpoint, events, gap, now_s):
+    def _dispatch(self, run, pool, placement, now_s, alone=False):
+        job = run.job
+        run.begin()
+        run.attempts += 1
+        run.dispatched_s = now_s
+        run.read_by = placement.prefill
+        run.prompt_s = placement.prompt_s
+        run.believed_tokens = placement.cached_tokens
+        pool.running += 1
+        self.limits.usage(job.customer, now_s).running += 1
+        run.charged_s = run.cost_s()
+        pool.queue.charge(job.customer, run.charged_s)
+        self._join_stream(run, placement.endpoint, now_s)
+        if job.kind == 'model':
+            reader = placement.prefill
+            run.prompt_at = reader
+            reader.load.jobs.add(job.id)
+            reader.load.add_prompt(
+                job.id, job.priority, placement.prompt_s, now_s
+            )
+            self.beliefs.sent(reader.name, job.prefix_blocks)
+        split = job.kind == 'model' and not placement.mixed()
+        return Dispatch(
+            job.id,
+            placement.endpoint.name,
+            placement.prefill.name if split else None,
+            alone,
+        )
+
+    def _fraction(self, pool):
+        """This node's part of the credits of the engines it uses."""
+        if self.shares.nodes == 1:
+            return 1.0
+        demand = pool.prefill_rate.per_s + pool.decode_rate.per_s
+        now_s = max(pool.prefill_rate.at_s, pool.decode_rate.at_s)
+        key = ('pool', pool.number)
+        fraction = self.shares.fraction(key, demand, now_s)
+        members = pool.endpoints
+        return min(1.0, fraction * members.total / len(members.members))
+
+    def _expire(self, now_s):
+        """Refuse at once whatever can't start in time any more."""
+        actions = []
+        while self.expiries and self.expiries[0][0] < now_s:
+            latest_s, job_id = heapq.heappop(self.expiries)
+            run = self.runs.get(job_id)
+            if run is None or run.timing.latest_start_s != latest_s:
+                continue
+            if run.dispatched_s is not None:
+                continue
+            actions.append(self._give_up(run, now_s))
+        return actions
+
+    def _give_up(self, run, now_s):
+        pool = self.pools[run.job.pool]
+        self._forget(run, now_s)
+        if run.ran:
+            return Refuse(run.job.id, _unknown('not_run_again'))
+        wait_s = self._wait_s(run, pool)
+        return Refuse(run.job.id, admission.overloaded(wait_s, self.rng))
+
+    # What is where
+
+    def _join_stream(self, run, endpoint, now_s):
+        run.stream_at = endpoint
+        run.streaming = False
+        load = endpoint.load
+        load.jobs.add(run.job.id)
+        if run.job.kind == 'model':
+            load.reserved += 1
+            load.kv_tokens.add(run.admitted_tokens, now_s)
+
+    def _begin_stream(self, run, now_s):
+        if run.stream_at is None or run.streaming:
+            return
+        if run.job.kind == 'model':
+            run.streaming = True
+            run.stream_at.load.reserved -= 1
+            run.stream_at.load.streams.add(1, now_s)
+
+    def _leave_stream(self, run, now_s):
+        endpoint = run.stream_at
+        if endpoint is None:
+            return
+        run.stream_at = None
+        load = endpoint.load
+        if run.prompt_at is not endpoint:
+            load.jobs.discard(run.job.id)
+        if run.job.kind == 'model':
+            load.kv_tokens.add(-run.admitted_tokens, now_s)
+            if run.streaming:
+                load.streams.add(-1, now_s)
+            else:
+                load.reserved -= 1
+        run.streaming = False
+        if endpoint.alone == run.job.id:
+            endpoint.alone = None
+
+    def _leave_prompt(self, run, now_s):
+        endpoint = run.prompt_at
+        if endpoint is None:
+            return
+        run.prompt_at = None
+        endpoint.load.remove_prompt(run.job.id, now_s)
+        if run.stream_at is not endpoint:
+            endpoint.load.jobs.discard(run.job.id)
+
+    def _release(self, run, now_s):
+        """Nothing of the job is on any endpoint any more."""
+        self._leave_prompt(run, now_s)
+        self._leave_stream(run, now_s)
+        if run.dispatched_s is not None:
+            run.dispatched_s = None
+            self.pools[run.job.pool].running -= 1
+            self.limits.usage(run.job.customer).running -= 1
+
+    def _give_back(self, run):
+        """Take back the charge for what a cancelled job did not use."""
+        if not run.charged_s:
+            return
+        used_s = run.prefill_s if run.prefill_done_s is not None else 0.0
+        expected = max(1, run.job.output_tokens)
+        used_s += run.decode_s * min(1.0, run.tokens / expected)
+        queue = self.pools[run.job.pool].queue
+        queue.charge(run.job.customer, used_s - run.charged_s)
+        run.charged_s = used_s
+
+    def _prompt_done(self, run, now_s):
+        endpoint = run.prompt_at
+        run.prefill_done_s = now_s
+        if endpoint is not None:
+            load = endpoint.load
+            since_s = max(run.dispatched_s, load.last_done_s)
+            run.read_s = max(0.0, now_s - since_s)
+            load.last_done_s = now_s
+            endpoint.health.succeeded()
+            self._leave_prompt(run, now_s)
+        self._begin_stream(run, now_s)
+
+    # What is learnt
+
+    def _observe_transfer(self, run, was_read):
+        split = run.read_by is not run.stream_at
+        if not was_read or not split or run.stream_at is None:
+            return
+        model = self.book.of_job(run.job)
+        streams = run.stream_at.load.streams.total()
+        if streams < self.settings.max_streams:
+            took_s = run.first_token_s - run.prefill_done_s
+            took_s -= model.pace.at(streams) * 1.5
+            model.transfer.add(run.job.prompt_tokens, max(0.0, took_s))
+
+    def _observe_finish(self, run, result, now_s):
+        job = run.job
+        pool = self.pools[job.pool]
+        model = self.book.of_job(job)
+        endpoint = run.stream_at
+        self.quarantine.ran_whole(run.fingerprint, now_s)
+        if endpoint is not None:
+            endpoint.health.succeeded()
+        if job.kind == 'service':
+            took_s = now_s - run.dispatched_s
+            model.service.add(1.0, took_s)
+            pool.queue.charge(job.customer, took_s - run.charged_s)
+            return
+        model.observe_finish(job, result)
+        tokens = result.prompt_tokens + result.output_tokens
+        self.limits.correct(job.customer, tokens - run.admitted_tokens)
+        read_tokens = max(0, result.prompt_tokens - result.cached_tokens)
+        self._observe_read(run, model, read_tokens)
+        self._observe_pace(run, model, result, now_s)
+        actual_s = read_tokens * model.prefill.ratio
+        actual_s += result.output_tokens * model.decode_s_per_token()
+        pool.queue.charge(job.customer, actual_s - run.charged_s)
+
+    def _observe_read(self, run, model, tokens):
+        endpoint = run.read_by
+        if endpoint is None or run.prefill_done_s is None or not tokens:
+            return
+        self.beliefs.confirmed(
+            endpoint.name,
+            run.believed_tokens,
+            max(0.0, run.job.prompt_tokens - tokens),
+        )
+        if endpoint.load.others_s > 0:
+            # Other nodes' prompts were read in between: no clean sample.
+            return
+        streams = endpoint.load.streams.total()
+        expected_s = model.prefill_s(endpoint.role, tokens, streams)
+        model.observe_prefill(endpoint.role, tokens, run.read_s, streams)
+        endpoint.pace.add(expected_s, run.read_s)
+        self._settle_slowness(endpoint)
+
+    def _observe_pace(self, run, model, result, now_s):
+        endpoint = run.stream_at
+        steps = result.output_tokens - 1
+        if endpoint is None or run.first_token_s is None or steps < 1:
+            return
+        streams = endpoint.load.streams.total() + run.streams_at_first
+        streams /= 2
+        took_s = now_s - run.first_token_s
+        expected_s = model.pace.at(streams) * steps
+        model.observe_pace(streams, steps, took_s)
+        endpoint.pace.add(expected_s, took_s)
+        self._settle_slowness(endpoint)
+
+    def _settle_slowness(self, endpoint):
+        ratio = endpoint.pace.ratio
+        endpoint.slowness = min(max(ratio, LEAST_SLOWNESS), MOST_SLOWNESS)
+
+    # Failures
+
+    def _failed(self, run, failed, now_s):
+        """Decide what becomes of a job whose attempt failed."""
+        endpoint = self.endpoints.get(failed.endpoint)
+        if endpoint is not None:
+            self._blame_endpoint(endpoint, failed, now_s)
+        run.ran = run.ran or failed.ran
+        self._release(run, now_s)
+        self._give_back(run)
+        verdict = quarantine.CLEAR
+        if failed.crashed and run.job.fingerprint:
+            verdict = self.quarantine.verdict(run.fingerprint, now_s)
+        if verdict == quarantine.CONVICTED:
+            return self._hold(run, _convicted(), now_s)
+        may_repeat = run.job.repeatable or not run.ran
+        if failed.retryable and may_repeat:
+            if self._may_retry(run, endpoint, failed):
+                self._queue_again(run, now_s)
+                return []
+        outcome = _unknown('endpoint_failed') if run.ran else _not_run()
+        if verdict == quarantine.SUSPECT:
+            return self._hold(run, outcome, now_s)
+        self._forget(run, now_s)
+        return [Refuse(run.job.id, outcome)]
+
+    def _blame_endpoint(self, endpoint, failed, now_s):
+        if failed.crashed:
+            self._crashed(endpoint, now_s)
+            endpoint.health.eject(now_s)
+            self.beliefs.wiped(endpoint.name)
+            return
+        if endpoint.health.failed() and not endpoint.health.is_out():
+            members = self.pools[endpoint.info.pool].endpoints.members
+            states = [each.health for each in members]
+            if health.may_eject(states, now_s, self.settings.ejection):
+                endpoint.health.eject(now_s)
+
+    def _crashed(self, endpoint, now_s):
+        """Blame what ran there, once for each crash."""
+        last_s = self.blamed_s.get(endpoint.name, float('-inf'))
+        self.blamed_s[endpoint.name] = now_s
+        if now_s - last_s < self.settings.suspicion.same_crash_s:
+            return
+        batch = []
+        for job_id in endpoint.load.jobs:
+            run = self.runs[job_id]
+            if run.job.fingerprint and self._was_there(run, endpoint):
+                batch.append((run.fingerprint, run.tokens))
+        pool = endpoint.info.pool
+        self.quarantine.blame(endpoint.name, pool, batch, now_s)
+
+    def _was_there(self, run, endpoint):
+        """Whether a job had reached the endpoint, not only a place there."""
+        if run.prompt_at is endpoint:
+            return True
+        reached = run.streaming or run.job.kind == 'service'
+        return run.stream_at is endpoint and reached
+
+    def _may_retry(self, run, endpoint, failed):
+        if run.attempts >= retries.MOST_ATTEMPTS:
+            return False
+        if failed.crashed:
+            # Batch mates of a crash go on elsewhere; crashes are too rare,
+            # and quarantine too strict, for this to multiply load.
+            return True
+        planned = endpoint is not None and endpoint.health.is_out()
+        if planned and not failed.ran:
+            # It was on its way when the endpoint left: no failure at all.
+            return True
+        return self.retries.withdraw(run.job.customer, run.attempts)
+
+    def _queue_again(self, run, now_s):
+        """Put a job in line for another attempt, with time to wait."""
+        row = self.rows.get(run.job.customer, DEFAULT_ROW)
+        until_s = now_s + row.queue_wait_s
+        if run.tokens or run.ran or run.timing.latest_start_s < now_s:
+            run.timing = admission.Timing(until_s, until_s)
+        self._queue(run, self.pools[run.job.pool], now_s)
+
+    def _hold(self, run, outcome, now_s):
+        """Answer a blamed request only when all nodes know of it.
+
+        Its caller may resend it at once to another node, which would run it
+        among others: a second crash, and a third one on the next node. The
+        word of the crash has to be there first.
+        """
+        self._forget(run, now_s)
+        due_s = now_s + self.settings.suspicion.settle_s
+        self.held.append((due_s, Refuse(run.job.id, outcome)))
+        return []
+
+    def _release_held(self, now_s):
+        due = [action for due_s, action in self.held if due_s <= now_s]
+        self.held = [item for item in self.held if item[0] > now_s]
+        return due
+
+    def _try_suspects(self, pool, now_s):
+        """Run a suspect when it is its turn, on an engine kept for it."""
+        self._choose_trial(pool)
+        for run in list(pool.suspects):
+            verdict = self.quarantine.verdict(run.fingerprint, now_s)
+            if verdict == quarantine.SUSPECT:
+                self.quarantine.waits(run.fingerprint, now_s)
+                continue
+            pool.suspects.remove(run)
+            if verdict == quarantine.CONVICTED:
+                self._forget(run, now_s)
+                return [Refuse(run.job.id, _convicted())]
+            self._queue(run, pool, now_s)
+        if pool.trial is None or pool.trial.alone is not None:
+            return []
+        for run in pool.suspects:
+            if self.quarantine.turn(run.fingerprint, now_s):
+                return self._try_alone(run, pool, now_s)
         return []
 
-    def endpoint_state(self, endpoint, state, now_s):
-        self.states[endpoint] = state
-        return self.drain_queue()
+    def _choose_trial(self, pool):
+        """Keep one engine for suspects, the same on every node.
+
+        Only while this node has suspects: one engine of five is much.
+        """
+        chosen = None
+        if pool.suspects:
+            for role in ('', routing.DECODE, routing.PREFILL):
+                members = pool.endpoints.by_role[role]
+                if members:
+                    chosen = min(
+                        members, key=lambda each: quarantine.short(each.name)
+                    )
+                    break
+        if pool.trial is not None and pool.trial is not chosen:
+            pool.trial.kept = False
+        pool.trial = chosen
+        if chosen is not None:
+            chosen.kept = pool.endpoints.present() > 1
+
+    def _try_alone(self, run, pool, now_s):
+        endpoint = pool.trial
+        since_s = run.timing.latest_start_s - now_s
+        row = self.rows.get(run.job.customer, DEFAULT_ROW)
+        waited_s = row.queue_wait_s - since_s
+        alone = not endpoint.load.jobs
+        if not alone and waited_s < TRIAL_WAIT_S:
+            return []
+        placement = self.router.place(
+            run.job,
+            pool.endpoints,
+            self._fraction(pool),
+            since_s,
+            now_s,
+            among=endpoint,
+        )
+        if placement is None:
+            return []
+        pool.suspects.remove(run)
+        endpoint.alone = run.job.id
+        return [self._dispatch(run, pool, placement, now_s, alone)]
 
-    def endpoint_role(self, endpoint, role, now_s):
-        self.roles[endpoint] = role
-        return self.drain_queue()
+    # Peers
 
     def digest(self, now_s):
-        return Digest({}, {})
+        """This node's news, for all peers."""
+        pools = tuple(
+            self._pool_news(pool, now_s) for pool in self.pools.values()
+        )
+        waiting = {
+            run.fingerprint
+            for run in self.runs.values()
+            if run.fingerprint in self.quarantine.entries
+        }
+        suspects = tuple(
+            digests.suspect_news(item, item[0] in waiting, now_s)
+            for item in self.quarantine.newest(SUSPECTS_TOLD, now_s)
+        )
+        customers = self._customer_news(now_s)
+        return digests.Digest(self.epoch, pools, customers, suspects)
 
     def peer_digest(self, host, digest, now_s):
+        """A peer's news."""
+        known = self.peers.get(host)
+        if known is None or known.epoch != digest.epoch:
+            known = self.peers[host] = _PeerState(digest.epoch)
+        known.heard_s = now_s
+        demands = {}
+        for news in digest.pools:
+            known.pools[news.pool] = news
+            demand = news.prefill_s_per_s + news.decode_s_per_s
+            demands['pool', news.pool] = demand
+        for news in digest.customers:
+            self._hear_customer(known, news, demands)
+        self.shares.hear(host, demands, now_s)
+        for news in digest.suspects:
+            self._hear_suspect(news, now_s)
         return []
 
-    def tick(self, now_s):
-        return self.drain_queue()
+    def demand(self, pool_name, now_s):
+        """What the pool is asked for, by all nodes heard of late."""
+        pool = self.pools[pool_name]
+        total = list(self._pool_news(pool, now_s)[1:])
+        oldest_s = now_s - self.settings.sharing.fresh_s
+        for peer in self.peers.values():
+            news = peer.pools.get(pool.number)
+            if news is not None and peer.heard_s >= oldest_s:
+                total = [a + b for a, b in zip(total, news[1:], strict=True)]
+        prefill, decode, queued_prefill, queued_decode, queued, running = total
+        return Demand(
+            prefill, decode, queued, queued_prefill, queued_decode, running
+        )
 
-    def demand(self, pool, now_s):
-        queued = [job for job in self.queue.values() if job.pool == pool]
-        return Demand(0.0, 0.0, len(queued), 0.0, 0.0, len(self.running))
+    def subset(self, pool_name):
+        """Names of the pool's endpoints that this node uses.
 
-    def release(self, job_id):
-        job, names = self.running.pop(job_id, (None, ()))
-        for name in names:
-            self.in_flight[name] -= 1
-        return job
+        Only these need their load reports and cache events read.
+        """
+        members = self.pools[pool_name].endpoints.members
+        return [endpoint.name for endpoint in members]
 
-    def drain_queue(self):
-        actions = []
-        for job in list(self.queue.values()):
-            decode = self.least_loaded(job, ('decode', None))
-            prefill = self.least_loaded(job, ('prefill',))
-            chosen = decode or prefill
-            if chosen is None:
-                continue
-            names = [chosen]
-            if job.kind == 'model' and prefill and decode:
-                names.append(prefill)
-            del self.queue[job.id]
-            for name in names:
-                self.in_flight[name] += 1
-            self.running[job.id] = job, names
-            actions.append(
-                Dispatch(job.id, chosen, names[1] if len(names) > 1 else None)
-            )
-        return actions
+    def in_flight(self, endpoint_name):
+        """This node's jobs on an endpoint."""
+        return len(self.endpoints[endpoint_name].load.jobs)
 
-    def least_loaded(self, job, roles):
-        names = [
-            name
-            for name, info in self.endpoints.items()
-            if info.pool == job.pool
-            and self.states[name] == 'up'
-            and self.roles.get(name) in roles
-            and self.in_flight[name] < self.settings.engine_slots
-        ]
-        return min(names, key=self.in_flight.get, default=None)
+    def _pool_news(self, pool, now_s):
+        queued, prefill_s, decode_s = pool.backlog()
+        return digests.PoolNews(
+            pool.number,
+            pool.prefill_rate.now(now_s),
+            pool.decode_rate.now(now_s),
+            prefill_s,
+            decode_s,
+            queued,
+            pool.running,
+        )
+
+    def _customer_news(self, now_s):
+        """The customers whose figures moved most, and some of the rest."""
+        news = {}
+        for pool in self.pools.values():
+            for customer, served_s in pool.queue.served.items():
+                number = self._know(customer, pool.name)
+                usage = self.limits.usage(customer, now_s)
+                news[number] = digests.CustomerNews(
+                    number,
+                    digests.served_ms(served_s),
+                    usage.token_rate.now(now_s),
+                    max(0, usage.running + usage.waiting),
+                )
+        chosen = self._moved_most(news)
+        for each in chosen:
+            self.told[each.customer] = each
+        return tuple(chosen)
+
+    def _moved_most(self, news):
+        most = digests.MOST_CUSTOMERS
+        if len(news) <= most:
+            return list(news.values())
+        ranked = sorted(news.values(), key=self._movement, reverse=True)
+        chosen = {each.customer: each for each in ranked[: most * 3 // 4]}
+        rest = sorted(number for number in news if number not in chosen)
+        while len(chosen) < most:
+            self.turn += 1
+            number = rest[self.turn % len(rest)]
+            chosen[number] = news[number]
+        return list(chosen.values())
+
+    def _movement(self, news):
+        told = self.told.get(news.customer)
+        if told is None:
+            return float('inf')
+        served_s = digests.served_since_s(told.served_ms, news.served_ms)
+        wanted = abs(news.wanted - told.wanted)
+        return abs(served_s) + wanted * 0.1
+
+    def _know(self, customer, pool_name):
+        number = quarantine.short(f'{customer}/{pool_name}')
+        self.names[number] = (customer, pool_name)
+        return number
+
+    def _hear_customer(self, known, news, demands):
+        name = self.names.get(news.customer)
+        if name is None:
+            return
+        customer, pool_name = name
+        demands[customer, 'rate'] = news.tokens_s
+        demands[customer, 'concurrency'] = news.wanted
+        before = known.served.get(news.customer)
+        known.served[news.customer] = news.served_ms
+        if before is not None:
+            served_s = digests.served_since_s(before, news.served_ms)
+            self.pools[pool_name].queue.charge_remote(customer, served_s)
+
+    def _hear_suspect(self, news, now_s):
+        self.quarantine.merge(
+            news.fingerprint,
+            news.pool,
+            news.rank,
+            news.cleared,
+            digests.blames_of(news, now_s),
+            now_s,
+        )
+        if news.waiting:
+            self.quarantine.waits(news.fingerprint, now_s)
+
+
+class _PeerState:
+    """What a peer last told."""
+
+    def __init__(self, epoch):
+        self.epoch = epoch
+        self.heard_s = float('-inf')
+        self.pools = {}
+        self.served = {}
+
+
+def _convicted():
+    return outcomes.Rejected(
+        'crashes_endpoints',
+        'this very request crashed two endpoints; change it before you '
+        'send it again',
+        422,
+    )
+
+
+def _unknown(reason):
+    return outcomes.Unknown(
+        reason, 'look whether it took effect before you send it again'
+    )
+
+
+def _not_run():
+    return outcomes.NotRun(
+        'endpoint_failed', 'send it again after retry_after_s'
+    )
