Show all known rows; log warnings of libraries as events

The OTLP client wrote raw lines to standard error when its collector was down; they are rate-limited events now.

--- a/magnoliadyke/admintable.py
+++ b/magnoliadyke/admintable.py
@@ -38,7 +38,9 @@
         shown = adminerrors.ask(
             self.node.configuration, configuration.ShowTable(), READ_TIMEOUT_S
         )
-        response.media = _table_body(shown, request.get_param('sheet'))
+        response.media = _table_body(
+            shown, _known_rows(self.node.settings), request.get_param('sheet')
+        )
 
     def on_post(self, request, response):
         """Change cells."""
@@ -238,9 +240,27 @@
     ]
 
 
-def _table_body(shown, only):
+def _known_rows(settings):
+    """Name the rows that exist with no cell of theirs set."""
+    models = [pool for pool in settings.pools if pool.kind == 'model']
+    return {
+        'customers': (),
+        'pools': [pool.name for pool in models],
+        'endpoints': [
+            endpoint.name
+            for pool in settings.pools
+            for endpoint in pool.endpoints
+        ],
+        'hosts': [host.name for host in settings.hosts],
+    }
+
+
+def _table_body(shown, known_rows, only):
     sheets = {
-        sheet: {'columns': _columns(sheet), 'rows': {}}
+        sheet: {
+            'columns': _columns(sheet),
+            'rows': {row: {} for row in known_rows[sheet]},
+        }
         for sheet in table.SHEETS
         if only in (None, sheet)
     }
--- a/magnoliadyke/logs.py
+++ b/magnoliadyke/logs.py
@@ -2,6 +2,7 @@
 
 import datetime
 import json
+import logging
 import re
 import select
 import sys
@@ -175,6 +176,27 @@
     return bool(poll.poll(0))
 
 
+class LibraryHandler(logging.Handler):
+    """Takes warnings of libraries into the event log.
+
+    They use the standard library's logging and would else write lines of
+    other shapes to standard error, at any rate.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.log = get('library')
+
+    def emit(self, record):
+        """Log one message as an event."""
+        self.log.repeated(
+            'library_warning',
+            record.name,
+            library=record.name,
+            text=record.getMessage(),
+        )
+
+
 def setup(settings, clock=None, host='', stream=None):
     """Send all events to ``stream`` from now on.
 
@@ -190,6 +212,9 @@
         stream or sys.stderr, clock or clocks.SystemClock(), host, level
     )
     handler.push_application()
+    logging.basicConfig(
+        handlers=[LibraryHandler()], level=logging.WARNING, force=True
+    )
     return handler
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import logging
 import os
 import shlex
 import types
@@ -93,3 +94,11 @@
     assert b'lost_lines=' in os.read(reading, 1_000_000)
     os.close(reading)
     handler.stream.close()
+
+
+def test_warning_of_a_library_is_an_event_too(stream):
+    logging.getLogger('urllib3').warning('retrying\nin %d s', 2)
+    assert 'logger=library event=library_warning library=urllib3' in (
+        stream.getvalue()
+    )
+    assert stream.getvalue().count('\n') == 1
