--- a/magnoliadyke/admintable.py
+++ b/magnoliadyke/admintable.py
@@ -5,6 +5,7 @@
 
 from magnoliadyke import adminerrors
 from magnoliadyke import configuration
+from magnoliadyke.core import freshness
 from magnoliadyke.core import table
 
 __all__ = [
@@ -39,7 +40,7 @@
             self.node.configuration, configuration.ShowTable(), READ_TIMEOUT_S
         )
         response.media = _table_body(
-            shown, _known_rows(self.node.settings), request.get_param('sheet')
+            self.node, shown, request.get_param('sheet')
         )
 
     def on_post(self, request, response):
@@ -75,7 +76,10 @@
         changes = adminerrors.ask(
             self.node.configuration, configuration.History(), READ_TIMEOUT_S
         )
-        entries = _history_entries(changes)
+        staged = {edit['edit'] for edit in _staged(self.node)}
+        entries = _history_entries(
+            [change for change in changes if change['id'] not in staged]
+        )
         response.media = {'history': entries[: max(0, limit)]}
 
 
@@ -255,7 +259,8 @@
     }
 
 
-def _table_body(shown, known_rows, only):
+def _table_body(node, shown, only):
+    known_rows = _known_rows(node.settings)
     sheets = {
         sheet: {
             'columns': _columns(sheet),
@@ -264,45 +269,47 @@
         for sheet in table.SHEETS
         if only in (None, sheet)
     }
-    staged_cells = {}
     for cell, state in shown.cells.items():
         sheet, row, column = cell.split('/')
-        if sheet not in sheets:
-            continue
-        rows = sheets[sheet]['rows']
-        if state.value is not None:
-            rows.setdefault(row, {})[column] = state.value
-        if state.pending:
-            rows.setdefault(row, {})
-            staged_cells[cell] = state.staged
+        if sheet in sheets:
+            cells = sheets[sheet]['rows'].setdefault(row, {})
+            if state.value is not None:
+                cells[column] = state.value
     return {
         'revision': shown.revision,
         'staged_revision': shown.staged_revision,
-        'staged': _staged(shown, staged_cells),
+        'staged': _staged(node),
         'sheets': sheets,
         'in_force': shown.in_force,
     }
 
 
-def _staged(shown, cells):
-    if not cells:
-        return []
-    waiting = [
-        host
-        for host, revision in sorted(shown.in_force.items())
-        if revision < shown.staged_revision
-    ]
+def _staged(node):
+    """Tell the edits that are not accepted yet, and what they wait for."""
+    document = node.configuration.documents.last.document or table.empty()
+    waiting = list(_waited_for(node.gossip.standings.last.acceptance))
     return [
         {
-            'revision': shown.staged_revision,
-            'edit': '',
-            'operator': '',
-            'cells': cells,
+            'revision': change['revision'],
+            'edit': change['id'],
+            'operator': change['operator'],
+            'cells': change['cells'],
+            'since_s': round(node.clock.wall_s() - change['at_s'], 1),
             'waiting': waiting,
         }
+        for change in document['staged']
     ]
 
 
+def _waited_for(acceptance):
+    match acceptance:
+        case freshness.Wait(laggards=hosts):
+            return hosts
+        case freshness.Blocked(missing=hosts):
+            return hosts
+    return ()
+
+
 def _columns(sheet):
     return [
         {
--- a/tests/fakenode.py
+++ b/tests/fakenode.py
@@ -12,6 +12,7 @@
 from magnoliadyke.core import membership
 from magnoliadyke.core import table
 from magnoliadyke import duties
+from magnoliadyke import gossip
 from magnoliadyke import mailbox
 from magnoliadyke import metrics
 from magnoliadyke import settings as settings_module
@@ -64,12 +65,16 @@
     node.configuration.views = mailbox.Topic(
         table.View(12, customers, {}, {}, {})
     )
+    node.configuration.documents = mailbox.Topic(
+        types.SimpleNamespace(document=None)
+    )
     node.configuration.permits = mailbox.Topic(configuration.WorkPermit(True))
     member = membership.Member(
         HOST, 7, '127.0.0.1', 7080, 7082, 'alm-medeu', table_revision=12
     )
     node.gossip = types.SimpleNamespace(
-        members=mailbox.Topic(membership.MembersView({HOST: member}))
+        members=mailbox.Topic(membership.MembersView({HOST: member})),
+        standings=mailbox.Topic(gossip.Standing(0.0)),
     )
     node.dispatcher = types.SimpleNamespace(demand=mailbox.Topic({}))
     engine = duties.EngineStatus(ENGINE, 'decode', 'prefill', 3, True, 999.0)
--- a/tests/test_admintable.py
+++ b/tests/test_admintable.py
@@ -3,7 +3,9 @@
 import pytest
 
 from magnoliadyke import configuration
+from magnoliadyke.core import freshness
 from magnoliadyke.core import table
+from magnoliadyke import gossip
 from tests import fakenode
 
 WEIGHT = 'customers/lease/weight'
@@ -20,22 +22,52 @@
     return fakenode.client(node).simulate_post(path, json=body)
 
 
+def staged_document():
+    """Return a document with one accepted and one staged edit."""
+    document = table.empty()
+    for operator, value in (('aigul', 4), ('marat', 5)):
+        edit = table.Edit(operator, operator, 9, {WEIGHT: value}, 1.7e9)
+        document = table.stage(document, edit).document
+        if operator == 'aigul':
+            document = table.accept(document, 1)
+    return document
+
+
 def test_shows_cells_with_columns_and_staged_edit(node):
+    document = staged_document()
+    node.configuration.documents.last.document = document
+    node.gossip.standings.last = gossip.Standing(
+        0.0, acceptance=freshness.Blocked(2, ('entry-2',))
+    )
     node.configuration.answers[configuration.ShowTable] = (
         configuration.TableShown(
-            12,
-            13,
+            1,
+            2,
             {WEIGHT: configuration.CellState(4, True, 5)},
-            {'entry-1': 13, 'entry-2': 12},
+            {'entry-1': 1, 'entry-2': 1},
         )
     )
     body = fakenode.client(node).simulate_get('/admin/table').json
-    assert body['revision'] == 12
+    assert body['revision'] == 1
     assert body['sheets']['customers']['rows'] == {'lease': {'weight': 4}}
+    assert body['sheets']['hosts']['rows']['entry-8'] == {}
     columns = body['sheets']['customers']['columns']
     assert [c['default'] for c in columns if c['name'] == 'weight'] == [1]
-    assert body['staged'][0]['cells'] == {WEIGHT: 5}
-    assert body['staged'][0]['waiting'] == ['entry-2']
+    (staged,) = body['staged']
+    assert (staged['edit'], staged['cells']) == ('marat', {WEIGHT: 5})
+    assert staged['waiting'] == ['entry-2']
+
+
+def test_history_leaves_staged_edits_out(node):
+    document = staged_document()
+    node.configuration.documents.last.document = document
+    node.configuration.answers[configuration.History] = [
+        *document['history'],
+        *document['staged'],
+    ]
+    client = fakenode.client(node)
+    (entry,) = client.simulate_get('/admin/table/history').json['history']
+    assert entry['operator'] == 'aigul'
 
 
 def test_edit_in_force_everywhere(node):
