Announce engines that are out of use for a change

A role change freezes what runs on an engine, so its planner first tells all nodes to place nothing new there. The notice carries the fencing number, so that a planner that was paused cannot undo it, and lapses by itself, so that one that dies cannot leave an engine out of use.

--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -7,12 +7,14 @@
 
 from magnoliadyke.core import freshness
 from magnoliadyke.core import membership
+from magnoliadyke.core import notices
 from magnoliadyke import errors
 from magnoliadyke import gossip_codec
 from magnoliadyke import logs
 from magnoliadyke import mailbox
 
 __all__ = [
+    'Announce',
     'Gossip',
     'HoldTable',
     'Leave',
@@ -67,6 +69,15 @@
     data: bytes
 
 
+class Announce(typing.NamedTuple):
+    """Tell all members, this node included, of one engine.
+
+    :param notice: a :class:`magnoliadyke.core.notices.EngineNotice`
+    """
+
+    notice: notices.EngineNotice
+
+
 class Survey(typing.NamedTuple):
     """Probe all members now instead of one a period."""
 
@@ -155,10 +166,12 @@
 
     Topics: ``members`` (:class:`magnoliadyke.core.membership.MembersView`),
     ``standings`` (:class:`Standing`), ``digests`` (:class:`PeerDigest`, each
-    as it comes), ``pauses`` (``core.membership.Paused``) and ``superseded``
+    as it comes), ``uses`` (``core.notices.EngineUse``, each as it comes),
+    ``pauses`` (``core.membership.Paused``) and ``superseded``
     (``core.membership.Superseded``: another process runs for this host; the
     node has to stop). Takes :class:`HoldTable`, :class:`StoreConfirmed`,
-    :class:`OwnState`, :class:`OwnDigest`, :class:`Survey`, :class:`Leave`.
+    :class:`OwnState`, :class:`OwnDigest`, :class:`Announce`,
+    :class:`Survey` and :class:`Leave`.
 
     :param settings: the deployment's settings
     :param host: name of this host
@@ -185,6 +198,8 @@
         self.members = mailbox.Topic(self.membership.view())
         self.standings = mailbox.Topic(Standing(clock.now_s()))
         self.digests = mailbox.Topic()
+        self.uses = mailbox.Topic()
+        self.board = notices.Board()
         self.pauses = mailbox.Topic()
         self.superseded = mailbox.Topic()
         self.sent_bytes = 0
@@ -238,6 +253,8 @@
             case OwnDigest(data):
                 fits = len(data) <= MAX_DIGEST_BYTES
                 self.membership.digest = data if fits else b''
+            case Announce(notice):
+                self.announce(notice, now_s)
             case Survey():
                 self.act(self.membership.survey(now_s))
             case Leave(successor=successor):
@@ -251,9 +268,26 @@
         if state.takes_work is not None:
             self.membership.accepts = state.takes_work
 
+    def announce(self, notice, now_s):
+        """Send a notice to all members and heed it here."""
+        own = self.membership.own
+        message = gossip_codec.Notice(own, notice)
+        data = gossip_codec.encode_notice(self.deployment, message)
+        for member in self.members.last.alive():
+            if member.host != own.host:
+                self.send_data((member.address, member.peer_port), data)
+        self.publish_uses(self.board.take(notice, now_s))
+
+    def publish_uses(self, uses):
+        """Publish each engine whose use changed."""
+        for use in uses:
+            LOG.event('engine_use', engine=use.engine, state=use.state)
+            self.uses.publish(use)
+
     def tick(self):
         """Drive the protocol's timers."""
         now_s = self.clock.now_s()
+        self.publish_uses(self.board.expire(now_s))
         self.act(self.membership.tick(now_s))
         self.publish(now_s)
 
@@ -264,6 +298,9 @@
         except errors.ProtocolError as error:
             LOG.repeated('datagram_ignored', 'datagram', reason=str(error))
             return
+        if isinstance(message, gossip_codec.Notice):
+            self.publish_uses(self.board.take(message.notice, now_s))
+            return
         self.act(self.membership.receive(message, now_s))
         if isinstance(message, membership.Ack):
             self.publish(now_s)
@@ -285,7 +322,10 @@
 
     def send(self, address, message):
         """Send one datagram; a lost one is the protocol's matter."""
-        data = gossip_codec.encode(self.deployment, message)
+        self.send_data(address, gossip_codec.encode(self.deployment, message))
+
+    def send_data(self, address, data):
+        """Send the bytes of one datagram."""
         try:
             self.socket.sendto(data, address)
         except OSError as error:
--- a/magnoliadyke/gossip_codec.py
+++ b/magnoliadyke/gossip_codec.py
@@ -1,17 +1,19 @@
 """Datagrams of the membership protocol as compact thrift."""
 
 import math
+import typing
 
 from thrift.protocol import TCompactProtocol
 from thrift import TSerialization
 
 from magnoliadyke.core import freshness
 from magnoliadyke.core import membership
+from magnoliadyke.core import notices
 from magnoliadyke import errors
 from magnoliadyke.wire import constants
 from magnoliadyke.wire import ttypes
 
-__all__ = ['decode', 'encode']
+__all__ = ['Notice', 'decode', 'encode', 'encode_notice']
 
 #: An age above this is as good as never; it keeps the field small.
 MAX_AGE_S = 3600.0
@@ -33,6 +35,47 @@
 STATE_NAMES = {number: name for name, number in STATES.items()}
 
 
+class Notice(typing.NamedTuple):
+    """A datagram that tells of one engine."""
+
+    source: membership.Member
+    notice: notices.EngineNotice
+
+
+def encode_notice(deployment, message):
+    """Return the bytes of a :class:`Notice`."""
+    notice = message.notice
+    datagram = ttypes.Datagram(
+        version=constants.VERSION,
+        deployment=deployment,
+        kind=ttypes.MessageKind.NOTICE,
+        sequence=0,
+        source=encode_member(message.source),
+        target='',
+        notice=ttypes.EngineNotice(
+            notice.engine,
+            notice.fencing,
+            notice.changing,
+            milliseconds(notice.for_s),
+        ),
+    )
+    return TSerialization.serialize(datagram, FACTORY)
+
+
+def decode_notice(datagram):
+    """Message of a datagram of kind NOTICE."""
+    notice = datagram.notice
+    return Notice(
+        decode_member(datagram.source),
+        notices.EngineNotice(
+            notice.engine,
+            notice.fencing,
+            notice.changing,
+            notice.for_ms / 1000,
+        ),
+    )
+
+
 def encode(deployment, message):
     """Return the bytes of one datagram.
 
@@ -92,6 +135,8 @@
 
 def decode_message(datagram):
     """Message of a datagram whose bytes were whole."""
+    if datagram.kind == ttypes.MessageKind.NOTICE:
+        return decode_notice(datagram)
     riders = (
         tuple(decode_member(each) for each in datagram.updates or ()),
         tuple(decode_sighting(each) for each in datagram.sightings or ()),
--- a/magnoliadyke/peer.py
+++ b/magnoliadyke/peer.py
@@ -78,7 +78,8 @@
     The node sets what answers: ``fetch_table(known_revision)`` returns
     (revision, text or None); ``take_records(host, incarnation, records,
     last)`` returns the number taken, None to refuse;
-    ``exchange_digest(host, data)`` returns this node's digest.
+    ``exchange_digest(host, data)`` returns this node's digest;
+    ``pool_status(pool)`` returns JSON text, None if another node plans it.
     """
 
     def __init__(self, settings, host, incarnation, clock):
@@ -88,6 +89,7 @@
         self.fetch_table = None
         self.take_records = None
         self.exchange_digest = None
+        self.pool_status = None
         own = next(each for each in settings.hosts if each.name == host)
         self.listener = server.StreamServer(
             (own.address, own.peer_port),
@@ -154,6 +156,13 @@
             data = self.owner.exchange_digest(batch.host, batch.digest)
         return ttypes.DigestBatch(constants.VERSION, self.owner.host, data)
 
+    def pool_status(self, version, pool):
+        """Tell what this node knows of a pool that it plans."""
+        status = None
+        if self.owner.pool_status is not None:
+            status = self.owner.pool_status(pool)
+        return ttypes.PoolStatusReply(constants.VERSION, status)
+
 
 class PeerConnection:
     """One connection to one node, used by one call at a time.
@@ -246,6 +255,15 @@
         reply = self.call(address, 'exchange_digest', batch)
         return reply.host, reply.digest
 
+    def pool_status(self, address, name):
+        """:return: JSON text, None if the host does not plan that pool
+
+        :raises magnoliadyke.errors.HostUnreachable: when it doesn't answer
+        """
+        return self.call(
+            address, 'pool_status', constants.VERSION, name
+        ).status
+
     def call(self, address, name, *arguments):
         """Call on an idle connection that is proved alive, or on a new one.
 
--- a/magnoliadyke/wire/Peer.py
+++ b/magnoliadyke/wire/Peer.py
@@ -52,6 +52,15 @@
         """
         pass
 
+    def pool_status(self, version, pool):
+        """
+        Parameters:
+         - version
+         - pool
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -190,6 +199,40 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "exchange_digest failed: unknown result")
 
+    def pool_status(self, version, pool):
+        """
+        Parameters:
+         - version
+         - pool
+
+        """
+        self.send_pool_status(version, pool)
+        return self.recv_pool_status()
+
+    def send_pool_status(self, version, pool):
+        self._oprot.writeMessageBegin('pool_status', TMessageType.CALL, self._seqid)
+        args = pool_status_args()
+        args.version = version
+        args.pool = pool
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_pool_status(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = pool_status_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "pool_status failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -199,6 +242,7 @@
         self._processMap["fetch_table"] = Processor.process_fetch_table
         self._processMap["handover"] = Processor.process_handover
         self._processMap["exchange_digest"] = Processor.process_exchange_digest
+        self._processMap["pool_status"] = Processor.process_pool_status
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -313,6 +357,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_pool_status(self, seqid, iprot, oprot):
+        args = pool_status_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = pool_status_result()
+        try:
+            result.success = self._handler.pool_status(args.version, args.pool)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("pool_status", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -913,5 +980,164 @@
 exchange_digest_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [DigestBatch, None], None, ),  # 0
 )
+
+
+class pool_status_args(object):
+    """
+    Attributes:
+     - version
+     - pool
+
+    """
+
+    __slots__ = (
+        'version',
+        'pool',
+    )
+
+
+    def __init__(self, version=None, pool=None,):
+        self.version = version
+        self.pool = pool
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I16:
+                    self.version = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('pool_status_args')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I16, 1)
+            oprot.writeI16(self.version)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 2)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(pool_status_args)
+pool_status_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I16, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
+)
+
+
+class pool_status_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = PoolStatusReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('pool_status_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(pool_status_result)
+pool_status_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [PoolStatusReply, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/magnoliadyke/wire/ttypes.py
+++ b/magnoliadyke/wire/ttypes.py
@@ -20,17 +20,20 @@
     PING = 1
     PING_REQUEST = 2
     ACK = 3
+    NOTICE = 4
 
     _VALUES_TO_NAMES = {
         1: "PING",
         2: "PING_REQUEST",
         3: "ACK",
+        4: "NOTICE",
     }
 
     _NAMES_TO_VALUES = {
         "PING": 1,
         "PING_REQUEST": 2,
         "ACK": 3,
+        "NOTICE": 4,
     }
 
 
@@ -431,6 +434,110 @@
         return not (self == other)
 
 
+class EngineNotice(object):
+    """
+    Attributes:
+     - engine
+     - fencing
+     - changing
+     - for_ms
+
+    """
+
+    __slots__ = (
+        'engine',
+        'fencing',
+        'changing',
+        'for_ms',
+    )
+
+
+    def __init__(self, engine=None, fencing=None, changing=None, for_ms=None,):
+        self.engine = engine
+        self.fencing = fencing
+        self.changing = changing
+        self.for_ms = for_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.fencing = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.changing = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.for_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineNotice')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.fencing is not None:
+            oprot.writeFieldBegin('fencing', TType.I64, 2)
+            oprot.writeI64(self.fencing)
+            oprot.writeFieldEnd()
+        if self.changing is not None:
+            oprot.writeFieldBegin('changing', TType.BOOL, 3)
+            oprot.writeBool(self.changing)
+            oprot.writeFieldEnd()
+        if self.for_ms is not None:
+            oprot.writeFieldBegin('for_ms', TType.I32, 4)
+            oprot.writeI32(self.for_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -445,6 +552,7 @@
      - sightings
      - digest
      - deployment
+     - notice
 
     """
 
@@ -460,10 +568,11 @@
         'sightings',
         'digest',
         'deployment',
+        'notice',
     )
 
 
-    def __init__(self, version=None, kind=None, sequence=None, source=None, target=None, target_address=None, target_port=None, updates=None, sightings=None, digest=None, deployment=None,):
+    def __init__(self, version=None, kind=None, sequence=None, source=None, target=None, target_address=None, target_port=None, updates=None, sightings=None, digest=None, deployment=None, notice=None,):
         self.version = version
         self.kind = kind
         self.sequence = sequence
@@ -475,6 +584,7 @@
         self.sightings = sightings
         self.digest = digest
         self.deployment = deployment
+        self.notice = notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -553,6 +663,12 @@
                     self.deployment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.notice = EngineNotice()
+                    self.notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -613,6 +729,10 @@
             oprot.writeFieldBegin('deployment', TType.STRING, 11)
             oprot.writeString(self.deployment.encode('utf-8') if sys.version_info[0] == 2 else self.deployment)
             oprot.writeFieldEnd()
+        if self.notice is not None:
+            oprot.writeFieldBegin('notice', TType.STRUCT, 12)
+            self.notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1128,6 +1248,86 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class PoolStatusReply(object):
+    """
+    Attributes:
+     - version
+     - status
+
+    """
+
+    __slots__ = (
+        'version',
+        'status',
+    )
+
+
+    def __init__(self, version=None, status=None,):
+        self.version = version
+        self.status = status
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I16:
+                    self.version = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.status = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PoolStatusReply')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I16, 1)
+            oprot.writeI16(self.version)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.STRING, 2)
+            oprot.writeString(self.status.encode('utf-8') if sys.version_info[0] == 2 else self.status)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -1158,6 +1358,14 @@
     (8, TType.BOOL, 'takes_work', None, None, ),  # 8
     (9, TType.I16, 'spare_percent', None, None, ),  # 9
 )
+all_structs.append(EngineNotice)
+EngineNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'fencing', None, None, ),  # 2
+    (3, TType.BOOL, 'changing', None, None, ),  # 3
+    (4, TType.I32, 'for_ms', None, None, ),  # 4
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1172,6 +1380,7 @@
     (9, TType.LIST, 'sightings', (TType.STRUCT, [Sighting, None], False), None, ),  # 9
     (10, TType.STRING, 'digest', 'BINARY', None, ),  # 10
     (11, TType.STRING, 'deployment', 'UTF8', None, ),  # 11
+    (12, TType.STRUCT, 'notice', [EngineNotice, None], None, ),  # 12
 )
 all_structs.append(TableReply)
 TableReply.thrift_spec = (
@@ -1210,5 +1419,11 @@
     (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
 )
+all_structs.append(PoolStatusReply)
+PoolStatusReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I16, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'status', 'UTF8', None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -13,6 +13,7 @@
   PING = 1,
   PING_REQUEST = 2,
   ACK = 3,
+  NOTICE = 4,
 }
 
 enum MemberState {
@@ -51,6 +52,15 @@
   9: i16 spare_percent,
 }
 
+// The planner of a pool takes an engine out of use for a change, or gives it
+// back; the notice lapses by itself when it is not repeated.
+struct EngineNotice {
+  1: string engine,
+  2: i64 fencing,
+  3: bool changing,
+  4: i32 for_ms,
+}
+
 // One UDP datagram; the target's address is only in a PING_REQUEST.
 struct Datagram {
   1: i16 version,
@@ -64,6 +74,7 @@
   9: optional list<Sighting> sightings,
   10: optional binary digest,
   11: string deployment,
+  12: optional EngineNotice notice,
 }
 
 // The table's document as its JSON text; absent when the peer has none newer.
@@ -99,9 +110,16 @@
   3: i64 incarnation,
 }
 
+// What the planner of a pool knows, as JSON; absent when the host isn't it.
+struct PoolStatusReply {
+  1: i16 version,
+  2: optional string status,
+}
+
 service Peer {
   ProbeReply probe(1: i16 version),
   TableReply fetch_table(1: i16 version, 2: i64 known_revision),
   HandoverReply handover(1: RecordBatch batch),
   DigestBatch exchange_digest(1: DigestBatch batch),
+  PoolStatusReply pool_status(1: i16 version, 2: string pool),
 }
