--- /dev/null
+++ b/magnoliadyke/lab/capacity.py
@@ -0,0 +1,384 @@
+"""Slopes of state, time and traffic, for the page on capacity.
+
+Usage:
+  capacity [--json] [--only NAMES] [--nodes SIZES] [--seconds S]
+
+Options:
+  --json           print JSON instead of a table
+  --only NAMES     probes to run, separated by commas [default: core]
+  --nodes SIZES    numbers of real nodes to start [default: 8,16,32,64]
+  --seconds S      how long real nodes are watched at each size [default: 10]
+
+Probes: membership scheduler planner records table nodes; ``core`` means all
+but ``nodes``, ``all`` means all.
+"""
+
+import gc
+import json
+import random
+import sys
+import time
+import tracemalloc
+
+import docopt
+
+from magnoliadyke.core import jobs
+from magnoliadyke.core import membership
+from magnoliadyke.core import records
+from magnoliadyke.core import roles
+from magnoliadyke.core import scheduler
+from magnoliadyke.core import table
+from magnoliadyke import gossip_codec
+from magnoliadyke.lab import nodecost
+from magnoliadyke.lab import slopes
+
+__all__ = ['PROBES', 'main']
+
+NODES = 420
+ENDPOINTS = 1800
+CUSTOMERS = 270
+#: Keys that a node must remember: its share of the requests of the peak for
+#: as long as a ticket may bring new keys.
+KEPT_KEYS = int(7700 / NODES * records.DEFAULTS.accept_s)
+
+MEMBER_SIZES = (8, 32, 128, 420)
+ENDPOINT_SIZES = (5, 50, 500, 1800)
+RECORD_SIZES = (1000, 4000, 16000, 64000)
+CUSTOMER_SIZES = (2, 30, 90, 270)
+ROUNDS = 200
+DEPLOYMENT = 'capacity'
+
+
+class Sized:
+    """Bytes that a block of code keeps alive."""
+
+    def __enter__(self):
+        gc.collect()
+        tracemalloc.start()
+        self.before = tracemalloc.get_traced_memory()[0]
+        return self
+
+    def __exit__(self, *_):
+        gc.collect()
+        self.bytes = tracemalloc.get_traced_memory()[0] - self.before
+        tracemalloc.stop()
+
+
+def cost_s(call, rounds):
+    """Return processor seconds of one call, as the mean of many."""
+    begin = time.process_time()
+    for number in range(rounds):
+        call(number)
+    return (time.process_time() - begin) / rounds
+
+
+# Membership.
+
+
+def member(number):
+    """A member as a deployment of this size would have it."""
+    return membership.Member(
+        host=f'host-{number}',
+        incarnation=1_700_000_000_000 + number,
+        address=f'10.0.{number // 250}.{number % 250 + 1}',
+        caller_port=7080,
+        peer_port=7082,
+        failure_domain=f'domain-{number % 5}',
+        takes_work=True,
+    )
+
+
+def probe_membership():
+    """Measure one node's membership: state, bytes and time a second."""
+    state, sent, busy = [], [], []
+    for size in MEMBER_SIZES:
+        with Sized() as sized:
+            own = membership_of(size)
+        state.append((size, sized.bytes))
+        sent_bytes, seconds = run_protocol(own, size)
+        sent.append((size, sent_bytes))
+        busy.append((size, 100 * seconds))
+    carried = 'one probe a period, bounded updates in each datagram'
+    return [
+        slopes.Series(
+            'node', 'membership state', 'bytes', 'nodes', state, NODES,
+            'one row a member, one sighting a member',
+        ),
+        slopes.Series(
+            'node', 'datagrams sent', 'bytes/s', 'nodes', sent, NODES, carried
+        ),
+        slopes.Series(
+            'node', 'membership protocol', '% of a core', 'nodes', busy,
+            NODES, carried,
+        ),
+    ]  # fmt: skip
+
+
+def membership_of(size):
+    """Build the membership of a node that knows ``size`` nodes."""
+    own = membership.Membership(
+        member(0),
+        membership.MembershipSettings(),
+        random.Random(1),
+        [member(number) for number in range(1, size)],
+    )
+    for number in range(1, size):
+        own.receive(ack(own, number, 0), 0.0)
+    return own
+
+
+def ack(own, number, sequence):
+    """An answer from one member, with as many updates as may ride."""
+    sightings = own.freshness.relayed(0.0)
+    updates = tuple(
+        member((number + step) % 7 + 1) for step in range(own.settings.updates)
+    )
+    return membership.Ack(
+        sequence, member(number), 'host-0', updates, tuple(sightings), b''
+    )
+
+
+def run_protocol(own, size):
+    """Run the protocol for some periods against answering peers.
+
+    :return: bytes sent a second, processor seconds a second
+    """
+    period_s = own.settings.period_s
+    sent = 0
+    begin = time.process_time()
+    for step in range(1, ROUNDS + 1):
+        now_s = step * period_s
+        sent += answered_period(own, size, step, now_s)
+    seconds = time.process_time() - begin
+    return sent / (ROUNDS * period_s), seconds / (ROUNDS * period_s)
+
+
+def answered_period(own, size, step, now_s):
+    """One period: own probes answered, one probe from a peer; bytes sent."""
+    sent = 0
+    for action in own.tick(now_s):
+        if not isinstance(action, membership.Send):
+            continue
+        sent += len(gossip_codec.encode(DEPLOYMENT, action.message))
+        target = int(action.message.target.rpartition('-')[2])
+        own.receive(ack(own, target, action.message.sequence), now_s)
+    probe = membership.Ping(
+        step,
+        member(step % (size - 1) + 1),
+        'host-0',
+        (),
+        tuple(own.freshness.relayed(now_s)),
+        b'x' * 300,
+    )
+    for action in own.receive(probe, now_s):
+        if isinstance(action, membership.Send):
+            sent += len(gossip_codec.encode(DEPLOYMENT, action.message))
+    return sent
+
+
+# Scheduler and planner.
+
+
+def infos(count):
+    """Model endpoints, half of them prefill."""
+    return [
+        jobs.EndpointInfo(
+            f'engine-{number}',
+            'model',
+            'model',
+            '10.0.0.1:1',
+            f'domain-{number % 5}',
+            True,
+            'prefill' if number % 2 else 'decode',
+        )
+        for number in range(count)
+    ]
+
+
+def probe_scheduler():
+    """Measure placing a request, and the state of all endpoints."""
+    routed, state = [], []
+    for size in ENDPOINT_SIZES:
+        with Sized() as sized:
+            owner = scheduler.Scheduler(infos(size), random.Random(1))
+        state.append((size, sized.bytes))
+        owner.set_table(customers_view(2), 0.0)
+        seconds = cost_s(lambda n, s=owner: place_one(s, n), 2000)
+        routed.append((size, 1e6 * seconds))
+    return [
+        slopes.Series(
+            'node', 'a request placed and ended', 'us', 'endpoints', routed,
+            ENDPOINTS, 'a node routes over a subset of each pool',
+        ),
+        slopes.Series(
+            'node', 'scheduler state', 'bytes', 'endpoints', state, ENDPOINTS,
+            'a node keeps details of its subset only',
+        ),
+    ]  # fmt: skip
+
+
+def place_one(owner, number):
+    """Submit a job and let it end."""
+    now_s = number * 0.01
+    job = jobs.Job(
+        f'job-{number}',
+        'customer-1',
+        'model',
+        model='model',
+        prompt_tokens=500,
+        output_tokens=50,
+        prefix_blocks=(f'block-{number % 50}',),
+        arrived_s=now_s,
+    )
+    owner.submit(job, now_s)
+    owner.dispatched_prefill_done(job.id, now_s)
+    owner.first_token(job.id, now_s)
+    owner.finished(job.id, jobs.Finished(500, 50, 0), now_s)
+
+
+def probe_planner():
+    """Measure one planning round of the holder of a pool's duty."""
+    planned = []
+    for size in ENDPOINT_SIZES:
+        planner = roles.Planner()
+        engines = tuple(
+            roles.EngineView(info.name, info.role, 'in', 1.0, 0.0)
+            for info in infos(size)
+        )
+        state = roles.PoolState(engines)
+        demand = scheduler.Demand(size * 0.3, size * 0.4, 0, 0.0, 0.0, 0)
+
+        def one_round(number, p=planner, s=state, d=demand):
+            p.observe(d, float(number))
+            p.plan(s, float(number))
+
+        planned.append((size, 1000 * cost_s(one_round, 20)))
+    return [
+        slopes.Series(
+            'duty holder', 'one planning round', 'ms', 'engines', planned,
+            ENDPOINTS / 4, 'one holder a pool; 4 models share the engines',
+        ),
+    ]  # fmt: skip
+
+
+# Records and table.
+
+
+def probe_records():
+    """Measure the memory of a remembered key and the time to enter it."""
+    state, entered = [], []
+    for size in RECORD_SIZES:
+        begin = time.process_time()
+        with Sized() as sized:
+            kept = records.RecordTable()
+            for number in range(size):
+                enter(kept, number)
+        seconds = time.process_time() - begin
+        state.append((size, sized.bytes))
+        entered.append((size, 1e6 * seconds / size))
+    return [
+        slopes.Series(
+            'node', 'remembered keys, answers shed', 'bytes', 'keys', state,
+            KEPT_KEYS, 'a key is kept until its ticket expires',
+        ),
+        slopes.Series(
+            'node', 'a key entered and ended', 'us, traced', 'keys', entered,
+            KEPT_KEYS, 'one mapping, one heap of expiry times',
+        ),
+    ]  # fmt: skip
+
+
+def enter(kept, number):
+    """Open one key and end it with an outcome and no answer."""
+    key = f'host-1.1700000000000.{number // 100}-0123456789abcdef/{number}'
+    digest = f'{number:032x}'
+    opened = kept.open(key, 'customer-1', digest, 0.0, 0.0)
+    kept.tell(opened.record, records.INTERRUPTED)
+
+
+def customers_view(count):
+    """A view of a table with so many customers."""
+    return table.view(document_of(count))
+
+
+def document_of(count):
+    """A document with all columns set for so many customers."""
+    cells = {}
+    for number in range(count):
+        for column in table.SCHEMA:
+            if column.sheet == 'customers' and column.name != 'keys':
+                row = f'customers/customer-{number}/{column.name}'
+                cells[row] = column.default
+    document = table.empty()
+    document['revision'] = 1
+    document['accepted'] = cells
+    return document
+
+
+def probe_table():
+    """Measure the table's size in the store and the time to read it."""
+    size, read = [], []
+    for count in CUSTOMER_SIZES:
+        text = table.dump(document_of(count))
+        size.append((count, len(text.encode())))
+
+        def one(_number, t=text):
+            table.view(table.parse(t))
+
+        read.append((count, 1000 * cost_s(one, 20)))
+    return [
+        slopes.Series(
+            'store', 'the table', 'bytes', 'customers', size, CUSTOMERS,
+            'one value; the limit is 1 MB',
+        ),
+        slopes.Series(
+            'node', 'a new table read and put in force', 'ms', 'customers',
+            read, CUSTOMERS, 'once an edit: 940 a day',
+        ),
+    ]  # fmt: skip
+
+
+CORE_PROBES = {
+    'membership': probe_membership,
+    'scheduler': probe_scheduler,
+    'planner': probe_planner,
+    'records': probe_records,
+    'table': probe_table,
+}
+PROBES = (*CORE_PROBES, 'nodes')
+
+
+def chosen(text):
+    """Names of probes from the command line."""
+    names = {'core': tuple(CORE_PROBES), 'all': PROBES}.get(text)
+    names = names or tuple(text.split(','))
+    unknown = [name for name in names if name not in PROBES]
+    if unknown:
+        known = ' '.join((*PROBES, 'core', 'all'))
+        raise SystemExit(f'unknown probe {unknown[0]}; choose from {known}')
+    return names
+
+
+def main(argv):
+    """Run the probes and print their slopes.
+
+    :return: exit status
+    """
+    options = docopt.docopt(__doc__, argv)
+    rows = []
+    for name in chosen(options['--only']):
+        if name == 'nodes':
+            sizes = [int(word) for word in options['--nodes'].split(',')]
+            series = nodecost.probe(sizes, float(options['--seconds']), NODES)
+        else:
+            series = CORE_PROBES[name]()
+        rows.extend(slopes.summary(each) for each in series)
+    if options['--json']:
+        print(json.dumps(rows, indent=1))
+    else:
+        print('\n'.join(slopes.table_of(rows)))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/magnoliadyke/node.py
+++ b/magnoliadyke/node.py
@@ -162,6 +162,7 @@
         self.app.add(Departure(self.status, self.gossip))
         self.callers = self.app.add(self.build_callers())
         self.join_peers()
+        self.add_gauges()
 
     def build_coordination(self):
         """Make what the nodes agree through."""
@@ -242,6 +243,25 @@
         self.peer_server.fetch_table = self.configuration.fetch_table
         self.peer_server.take_records = self.callers.take_records
 
+    def add_gauges(self):
+        """Let the cost of control be read from the metrics."""
+        self.metrics.gauge(
+            'magnoliadyke.peer_bytes',
+            'Bytes of membership datagrams since the start.',
+            lambda: [
+                ({'direction': 'sent'}, self.gossip.sent_bytes),
+                ({'direction': 'received'}, self.gossip.received_bytes),
+            ],
+        )
+        self.metrics.gauge(
+            'magnoliadyke.store_calls',
+            'Calls to the key-value service since the start.',
+            lambda: [
+                ({'kind': kind}, count)
+                for kind, count in self.keyvalue.counts.items()
+            ],
+        )
+
     def start(self):
         """Start all components."""
         self.app.start()
