--- a/magnoliadyke/callers.py
+++ b/magnoliadyke/callers.py
@@ -450,7 +450,8 @@
             return waiter.wait_end()
         finally:
             waiter.close()
-            self.homes.left(place.run, bool(place.key))
+            has_key = req.get_header('Idempotency-Key') is not None
+            self.homes.left(place.run, has_key)
 
 
 class ModelResource(RequestResource):
@@ -577,7 +578,7 @@
             forms.chat_events if self.chat else None,
             self.owner.settings.limits.write_stall_s,
         )
-        stream = CallerStream(follower, self.resource.homes, self.owner)
+        stream = CallerStream(follower, self.owner, bool(self.key))
         try:
             follower.wait_head(HEAD_WAIT_S)
         except BaseException:
@@ -593,12 +594,15 @@
 
 
 class CallerStream:
-    """The body of a streamed answer, for the WSGI server."""
+    """The body of a streamed answer, for the WSGI server.
 
-    def __init__(self, follower, homes_, owner):
+    :param has_key: whether the caller can ask for the answer again
+    """
+
+    def __init__(self, follower, owner, has_key):
         self.follower = follower
-        self.homes = homes_
         self.owner = owner
+        self.has_key = has_key
         owner.followers.add(follower)
 
     def __iter__(self):
@@ -608,7 +612,7 @@
         """Stop to follow; called by the server in any case."""
         self.owner.followers.discard(self.follower)
         self.follower.close()
-        self.homes.left(self.follower.run, True)
+        self.owner.homes.left(self.follower.run, self.has_key)
 
 
 class ServicesSink(RequestResource):
--- a/magnoliadyke/core/records.py
+++ b/magnoliadyke/core/records.py
@@ -10,6 +10,7 @@
 from magnoliadyke.core import outcomes
 
 __all__ = [
+    'NO_FLOOR',
     'Answer',
     'Attach',
     'New',
@@ -21,6 +22,7 @@
 ]
 
 RECORD_OVERHEAD_BYTES = 400
+NO_FLOOR = float('-inf')
 GONE = outcomes.Unknown(
     'answer_gone',
     'the answer is no longer kept; look up the effect before asking again',
@@ -149,9 +151,9 @@
         self.expiry = []
         self.answered = collections.OrderedDict()
         self.bytes_used = 0
-        self.floor_s = float('-inf')
+        self.floor_s = NO_FLOOR
 
-    def open(self, key, customer, digest, issued_s, now_s):
+    def open(self, key, customer, digest, issued_s, now_s, floor_s=NO_FLOOR):
         """Look a request's key up, and enter it when it is new.
 
         :param key: idempotency key
@@ -160,13 +162,16 @@
         :param issued_s: issue time of the key's ticket on this node's
             clock; ``now_s`` for a key that was claimed just now
         :param now_s: monotonic seconds
+        :param floor_s: issue time up to which another home had forgotten
+            keys before this table took its records over
         :return: :class:`New`, :class:`Attach`, :class:`Replay` or
             :class:`Tell`
         """
         record = self.records.get(key)
         if record is not None:
             return self.reopen(record, customer, digest)
-        if issued_s <= self.floor_s or self.too_old(issued_s, now_s):
+        forgotten = issued_s <= max(self.floor_s, floor_s)
+        if forgotten or self.too_old(issued_s, now_s):
             return Tell(FORGOTTEN)
         record = Record(key, customer, digest, self.expiry_of(issued_s))
         self.insert(record)
--- a/magnoliadyke/endpoint.py
+++ b/magnoliadyke/endpoint.py
@@ -139,10 +139,12 @@
             ) from error
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.parser = None
+        self.closed = False
         self.idle_since_s = 0.0
 
     def close(self):
         """Close the connection."""
+        self.closed = True
         self.socket.close()
 
     def fileno(self):
@@ -224,7 +226,9 @@
     def reusable(self):
         """Tell whether another request may follow on this connection."""
         parser = self.parser
-        return parser.message_complete and parser.should_keep_alive()
+        if self.closed or parser is None or not parser.message_complete:
+            return False
+        return parser.should_keep_alive()
 
     def quiet(self):
         """Tell whether nothing waits to be read: the other end is open."""
@@ -316,12 +320,13 @@
         self.give_back(connection)
         return reply
 
-    def stream(self, method, path, body, headers, timeout_s):
-        """Send one request on a new connection and read the answer's head.
+    def stream(self, method, path, body, headers, timeout_s, fresh=True):
+        """Send one request and read the answer's head.
 
+        :param fresh: use a new connection, not one that may be stale
         :return: :class:`StreamReply`
         """
-        connection = self.open()
+        connection = self.open() if fresh else self.take()
         data = request_bytes(method, path, self.address, headers, body)
         try:
             connection.send(method, data)
@@ -386,6 +391,10 @@
     def cancel(self, attempt):
         """End an answer that nobody wants any more."""
 
+    @abc.abstractmethod
+    def refuses_connections(self):
+        """Tell whether no process listens there any more: it crashed."""
+
     @abc.abstractmethod
     def load(self):
         """Return the load report as a dict, late as it is."""
@@ -491,6 +500,14 @@
         path = f'/v1/streams/{parse.quote(attempt)}/cancel'
         self.connections.call('POST', path, b'', (), self.settings.control_s)
 
+    def refuses_connections(self):
+        """Tell whether the engine's host refuses a connection."""
+        try:
+            self.connections.open().close()
+        except errors.EndpointUnreachable as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        return False
+
     def load(self):
         """Return the load report."""
         return self.get_json('/v1/load', self.settings.control_s)
--- a/magnoliadyke/homes.py
+++ b/magnoliadyke/homes.py
@@ -30,6 +30,8 @@
 HOME_LINE = b'{"home"'
 FOREIGN = 'foreign:'
 MAX_SUCCESSORS = 10_000
+#: Stands for an age without bound, which JSON can't express.
+LONGEST_AGE_S = 1e9
 REACHABLE = ('alive', 'suspect')
 
 BAD_TICKET = outcomes.Rejected(
@@ -75,10 +77,13 @@
 
     :param office: checks its tickets
     :param shift_s: this clock's seconds minus the old home's
+    :param floor_s: issue time, by this clock, up to which the old home had
+        forgotten keys
     """
 
     office: tickets.TicketOffice
     shift_s: float
+    floor_s: float
 
 
 class Homes:
@@ -151,7 +156,7 @@
             if not adopted.office.accepts(key):
                 return Told(BAD_TICKET)
             issued_s = key.issued_s + adopted.shift_s
-            return self.open(request, key.text, issued_s)
+            return self.open(request, key.text, issued_s, adopted.floor_s)
         return self.place_elsewhere(request, key.text, key.home, hops)
 
     def place_own(self, request):
@@ -206,11 +211,15 @@
 
     # What runs here.
 
-    def open(self, request, key, issued_s):
+    def open(self, request, key, issued_s, floor_s=records.NO_FLOOR):
         """Look a key up in this node's records; run it when it is new."""
-        now_s = self.clock.now_s()
         found = self.records.open(
-            key, request.customer, request.digest, issued_s, now_s
+            key,
+            request.customer,
+            request.digest,
+            issued_s,
+            self.clock.now_s(),
+            floor_s,
         )
         match found:
             case records.New(record):
@@ -312,7 +321,9 @@
         call = streams.ServiceCall(
             request.method, request.path, request.headers, request.body
         )
-        return streams.ServiceRun(key, job, call, self.streams, self.on_end)
+        return streams.ServiceRun(
+            key, job, call, self.engine_id(key), self.streams, self.on_end
+        )
 
     def job(self, request, key, pool):
         """Return the fields of a job that both kinds share."""
@@ -551,19 +562,19 @@
         secret = bytes.fromhex(description['secret'])
         office = tickets.TicketOffice(host, int(incarnation), secret)
         shift_s = now_s - description['now_s']
-        self.adopted[home] = Adopted(office, shift_s)
+        floor_s = now_s - description['floor_age_s']
+        self.adopted[home] = Adopted(office, shift_s, floor_s)
 
     def describe_homes(self, now_s):
         """Yield a line of JSON for each home that lives here."""
-        offices = [(self.office, 0.0)]
-        offices += [
-            (each.office, each.shift_s) for each in self.adopted.values()
-        ]
-        for office, shift_s in offices:
+        own = Adopted(self.office, 0.0, records.NO_FLOOR)
+        for each in (own, *self.adopted.values()):
+            floor_s = max(each.floor_s, self.records.floor_s)
             description = {
-                'home': office.home,
-                'secret': office.secret.hex(),
-                'now_s': now_s - shift_s,
+                'home': each.office.home,
+                'secret': each.office.secret.hex(),
+                'now_s': now_s - each.shift_s,
+                'floor_age_s': min(now_s - floor_s, LONGEST_AGE_S),
             }
             yield json.dumps(description, separators=(',', ':')).encode()
 
--- a/magnoliadyke/streams.py
+++ b/magnoliadyke/streams.py
@@ -35,6 +35,7 @@
 DUPLICATE_CODE = 'duplicate_id'
 #: Resumes in a row that brought no token before the attempt is given up.
 MAX_RESUMES = 3
+MAX_RESUMES_ONLY_WAY = 12
 RESUME_PAUSE_S = 0.1
 COMPRESSION_LEVEL = 1
 
@@ -240,7 +241,8 @@
         try:
             reply = self.engine.prefill(work, self.headers())
         except errors.EndpointUnreachable as error:
-            return self.failed(name, 'prefill', error.sent, error.sent)
+            crashed = error.sent and self.engine.refuses_connections()
+            return self.failed(name, 'prefill', error.sent, crashed)
         if reply.error_code() == NOT_RUN_CODE:
             return self.failed(name, 'prefill', False)
         self.sent = True
@@ -319,14 +321,15 @@
         Reading the stream that runs already is no second attempt.
         """
         failures = 0
-        while failures < MAX_RESUMES:
+        while failures < self.patience():
             offset = self.assembly.offset
             try:
                 reply = self.engine.resume(self.attempt_id, offset)
-            except errors.EndpointUnreachable as error:
-                if not error.sent:
+            except errors.EndpointUnreachable:
+                if self.engine.refuses_connections():
                     return self.failed(name, 'decode', True, crashed=True)
                 failures += 1
+                self.clock.sleep(RESUME_PAUSE_S * failures)
                 continue
             if reply.status != STATUS_OK:
                 reply.connection.close()
@@ -339,6 +342,14 @@
         self.cancel_attempt()
         return self.failed(name, 'decode', True)
 
+    def patience(self):
+        """Return how many resumes in a row may bring nothing.
+
+        A request that may be repeated is better off on another engine. One
+        that may not has no other way to an answer than this stream.
+        """
+        return MAX_RESUMES if self.job.repeatable else MAX_RESUMES_ONLY_WAY
+
     def answered(self):
         """Return the whole answer; tell the scheduler."""
         usage = attempts.read_usage(self.assembly.finished)
@@ -508,18 +519,28 @@
     """A call of a plain service.
 
     :param call: :class:`ServiceCall`
+    :param digest: short digest of the key, start of the attempts' ids
     """
 
-    def __init__(self, key, job, call, streams, on_end):
+    def __init__(self, key, job, call, digest, streams, on_end):
         super().__init__(key, job, streams, on_end)
         self.call = call
+        self.digest = digest
+        self.number = 0
 
     def attempt(self, action):
         """Make the call once."""
         name = action.endpoint
         server = self.dispatcher.endpoints[name]
         call = self.call
-        headers = (*call.headers, ('X-Request-Id', self.key))
+        self.number += 1
+        attempt = attempts.attempt_id(self.digest, self.number)
+        headers = (
+            *call.headers,
+            ('X-Request-Id', attempt),
+            ('X-Request-Key', self.key),
+            ('X-Sender', self.dispatcher.host),
+        )
         fresh = not self.job.repeatable
         try:
             reply = server.call(
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,107 @@
+"""Tests of magnoliadyke.core.attempts."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies
+
+from magnoliadyke.core import attempts
+
+
+def event_at(offset, words, finish=None, **more):
+    document = {
+        'offset': offset,
+        'choices': [{'index': 0, 'text': words, 'finish_reason': finish}],
+        **more,
+    }
+    text = json.dumps(document, separators=(',', ':'))
+    return f'data: {text}\n\n'.encode()
+
+
+def answer(count, size=1):
+    """Return the events of an answer, ``size`` tokens to an event."""
+    events = [
+        event_at(start, ''.join(f'w{i} ' for i in range(start, start + size)))
+        for start in range(0, count, size)
+    ]
+    return [*events, event_at(count, '', 'stop', usage={})]
+
+
+@given(
+    strategies.integers(1, 30),
+    strategies.integers(1, 3),
+    strategies.lists(strategies.integers(1, 200)),
+)
+def test_any_cut_of_the_stream_gives_the_same_answer(count, size, cuts):
+    data = b': hello\n\n'.join(answer(count * size, size)) + attempts.DONE
+    assembly = attempts.Assembly()
+    assembly.begin('a')
+    taken = []
+    for cut in [*cuts, len(data)]:
+        taken.append(assembly.feed('a', data[:cut]))
+        data = data[cut:]
+    assert b''.join(taken) == b''.join(answer(count * size, size))
+    assert assembly.offset == count * size
+    assert assembly.finished
+
+
+def test_a_late_chunk_of_an_older_attempt_is_dropped():
+    """The first connection went silent, and the attempt was resumed.
+
+    Bytes of the first connection that come after all would double the text
+    that the second one has brought already.
+    """
+    events = answer(3)
+    assembly = attempts.Assembly()
+    assembly.begin('first')
+    assembly.feed('first', events[0])
+    assembly.begin('second')
+    assert assembly.feed('second', events[1]) == events[1]
+    assert assembly.feed('first', events[1]) == b''
+    assert assembly.offset == 2
+
+
+def test_missing_tokens_are_seen_also_before_the_finish_mark():
+    for missing in (1, 2):
+        events = answer(3)
+        del events[missing]
+        assembly = attempts.Assembly()
+        assembly.begin('a')
+        assembly.feed('a', b''.join(events))
+        assert assembly.gap
+        assert assembly.finished is None
+        assert assembly.offset == missing
+
+
+@given(strategies.integers(0, 6), strategies.integers(0, 6))
+def test_a_resume_from_any_offset_neither_doubles_nor_loses(got, asked):
+    events = answer(6)
+    assembly = attempts.Assembly()
+    assembly.begin('a')
+    taken = assembly.feed('a', b''.join(events[:got]))
+    assembly.begin('b')
+    rest = attempts.events_from(b''.join(events), min(got, asked))
+    taken += assembly.feed('b', rest)
+    assert taken == b''.join(events)
+
+
+def test_an_error_event_is_kept_and_not_passed_on():
+    assembly = attempts.Assembly()
+    assembly.begin('a')
+    data = b'event: error\ndata: {"error": {"type": "unknown"}}\n\n'
+    assert assembly.feed('a', data) == b''
+    assert assembly.error == {'type': 'unknown'}
+
+
+def test_text_with_escapes_is_read_back():
+    events = event_at(0, 'a "b" \\ \n ') + event_at(4, '\u0436 ')
+    assert attempts.text_of(events) == 'a "b" \\ \n \u0436 '
+
+
+def test_a_fast_stream_is_doubted_sooner_and_a_suspect_one_sooner_still():
+    pace = attempts.Pace(shortest_s=1.0, longest_s=3.0)
+    assert pace.silence_limit_s() == 3.0
+    for step in range(20):
+        pace.observe(1 + step * 10, step * 0.25)
+    assert pace.silence_limit_s() == 1.0
+    assert pace.silence_limit_s(suspect=True) == 0.5
