--- a/magnoliadyke/overview.py
+++ b/magnoliadyke/overview.py
@@ -6,7 +6,7 @@
 __all__ = ['RolesResource', 'StatusResource', 'roles', 'status']
 
 #: Longest wait for another task of this node, in seconds.
-READ_TIMEOUT_S = 5.0
+READ_TIMEOUT_S = 2.0
 
 
 class StatusResource:
@@ -117,7 +117,12 @@
 
 
 def _leases(node):
-    pools = adminerrors.ask(node.duties, duties.RoleStatus(), READ_TIMEOUT_S)
+    # The status is for telling what is wrong: a task that hangs must not
+    # take the rest of it away.
+    try:
+        pools = _pools(node)
+    except adminerrors.Refusal:
+        return [{'name': 'duties', 'holder': 'no answer from this host'}]
     return [
         {
             'name': f'pool {name}',
@@ -128,12 +133,16 @@
     ]
 
 
+def _pools(node):
+    return adminerrors.ask(node.duties, duties.RoleStatus(), READ_TIMEOUT_S)
+
+
 def roles(node):
     """Collect the roles of all engines and who plans them.
 
     :param node: the :class:`magnoliadyke.node.Node`
     """
-    pools = adminerrors.ask(node.duties, duties.RoleStatus(), READ_TIMEOUT_S)
+    pools = _pools(node)
     view = node.configuration.views.last
     demands = node.dispatcher.demand.last or {}
     return {
--- a/tests/test_overview.py
+++ b/tests/test_overview.py
@@ -1,5 +1,8 @@
 """Tests of status and roles."""
 
+import gevent
+
+from magnoliadyke import duties
 from tests import fakenode
 
 
@@ -28,6 +31,16 @@
     assert body['members'] == []
 
 
+def test_status_is_readable_while_a_task_hangs():
+    """The duties task does not answer; the rest of the status is shown."""
+    node = fakenode.make()
+    node.duties.answers[duties.RoleStatus] = gevent.Timeout(1)
+    client = fakenode.client(node)
+    body = client.simulate_get('/admin/status').json
+    assert body['members'] and 'no answer' in body['leases'][0]['holder']
+    assert client.simulate_get('/admin/roles').status_code == 503
+
+
 def test_roles_tell_engines_and_their_planner():
     body = fakenode.client(fakenode.make()).simulate_get('/admin/roles').json
     pool = body['pools'][0]
