Call models and services from the command line

Cause: an operator needs to try what a caller sees. hosts and call go through the caller library; each outcome has its exit status (not run 6, unknown 7).

--- a/magnoliadyke/cli.py
+++ b/magnoliadyke/cli.py
@@ -31,8 +31,10 @@
                     changed since then is a conflict.
   --wait=SECONDS    Longest wait until an edit is in force [default: 10].
   --host=NAME       Host of the settings to run as.
-  --key=KEY         Request key, so that resending cannot run it twice.
+  --entry=IP:PORT   Ask this host which hosts to call.
   --priority=WORD   urgent, normal or background [default: normal].
+  --once            The call must not run a second time, whatever happens.
+  --timeout=SECONDS  Longest time for a call [default: 120].
   --max-tokens=N    Longest answer, in tokens [default: 256].
   --stream          Print the answer as it comes.
   --limit=N         Most edits to show [default: 20].
@@ -56,9 +58,11 @@
   magnoliadyke table export customers > customers.csv
   magnoliadyke drain endpoint lease-model-2
   magnoliadyke call model lease-model 'When does lease 17 end?' --stream
+  magnoliadyke call service portal POST /notices '{"flat": 4}' --once
   magnoliadyke report burn --json --admin 127.0.1.1:7081
 """
 
+import dataclasses
 import json
 import os
 import sys
@@ -72,6 +76,8 @@
 
 import magnoliadyke
 from magnoliadyke import adminclient
+from magnoliadyke import client
+from magnoliadyke.core import outcomes
 from magnoliadyke import errors
 from magnoliadyke import porcelain
 from magnoliadyke import render
@@ -172,6 +178,78 @@
     return REFUSED if problems else DONE
 
 
+def _hosts(args: Args) -> int:
+    found = [host._asdict() for host in porcelain.hosts(_caller(args))]
+    return _show(args, found, render.hosts)
+
+
+def _call_model(args: Args) -> int:
+    options = _call_options(args)
+    streams = args['--stream'] and not args['--json']
+    printer = _Printer()
+    if streams:
+        options['on_text'] = printer.take
+    outcome = porcelain.call_model(
+        _caller(args),
+        args['MODEL'],
+        args['PROMPT'],
+        int(_number(args, '--max-tokens')),
+        **options,
+    )
+    match outcome:
+        case outcomes.Answered() if streams:
+            print()
+            return DONE
+    return _show_outcome(args, outcome)
+
+
+def _call_service(args: Args) -> int:
+    outcome = porcelain.call_service(
+        _caller(args),
+        args['NAME'],
+        args['METHOD'],
+        args['PATH'],
+        args['BODY'] or '',
+        **_call_options(args),
+    )
+    status = _show_outcome(args, outcome)
+    match outcome:
+        case outcomes.Answered(finish_reason=code) if not code.startswith('2'):
+            return _fail(REFUSED, f'the service answered {code}')
+    return status
+
+
+class _Printer:
+    """Prints pieces of an answer as they come."""
+
+    def __init__(self):
+        self.printed = 0
+
+    def take(self, text: str, offset: int) -> None:
+        """Print a piece; offset 0 once more means that it starts anew."""
+        if offset == 0 and self.printed:
+            print('\n[starts anew]')
+        self.printed += len(text)
+        print(text, end='', flush=True)
+
+
+def _show_outcome(args: Args, outcome: outcomes.Outcome) -> int:
+    status, word = OUTCOMES[type(outcome)]
+    if args['--json']:
+        _print_json({'outcome': word, **dataclasses.asdict(outcome)})
+        return status
+    match outcome:
+        case outcomes.Answered(text=text):
+            print(text)
+            return status
+        case outcomes.NotRun(reason, remedy, retry_after_s):
+            again = f'; try again in {retry_after_s:g} s'
+        case _:
+            reason, remedy, again = outcome.reason, outcome.remedy, ''
+    shown = word.replace('_', ' ')
+    return _fail(status, f'{shown}: {reason}; {remedy}{again}')
+
+
 def _table_show(args: Args) -> int:
     answer = porcelain.table_show(_admin(args), args['SHEET'] or '')
     return _show(args, answer, render.table)
@@ -255,10 +333,21 @@
     return _show(args, report, render.burn)
 
 
+#: Exit status of each outcome of a call, and its name in JSON.
+OUTCOMES = {
+    outcomes.Answered: (DONE, 'answered'),
+    outcomes.NotRun: (NOT_RUN, 'not_run'),
+    outcomes.Unknown: (UNKNOWN, 'unknown'),
+    outcomes.Rejected: (REFUSED, 'rejected'),
+}
+
 #: Words of each command, in the order in which they are looked for.
 COMMANDS: dict[str, Callable[[Args], int]] = {
     'node': _node,
     'check': _check,
+    'hosts': _hosts,
+    'call model': _call_model,
+    'call service': _call_service,
     'table show': _table_show,
     'table get': _table_get,
     'table set': _table_set,
@@ -282,6 +371,22 @@
     )
 
 
+def _caller(args: Args) -> client.Client:
+    return porcelain.caller_client(
+        args['--settings'] or os.environ.get('MAGNOLIADYKE_SETTINGS', ''),
+        args['--entry'] or '',
+        os.environ.get('MAGNOLIADYKE_KEY', ''),
+    )
+
+
+def _call_options(args: Args) -> dict[str, Any]:
+    return {
+        'priority': args['--priority'],
+        'repeatable': not args['--once'],
+        'deadline_s': _number(args, '--timeout'),
+    }
+
+
 def _edit_options(args: Args) -> dict[str, Any]:
     base = args['--base']
     return {
--- a/magnoliadyke/porcelain.py
+++ b/magnoliadyke/porcelain.py
@@ -17,6 +17,8 @@
 import uuid
 
 from magnoliadyke import adminclient
+from magnoliadyke import client as client_module
+from magnoliadyke.core import outcomes
 from magnoliadyke.core import table
 from magnoliadyke import errors
 from magnoliadyke import settings as settings_module
@@ -26,9 +28,13 @@
     'LAB_VERBS',
     'EditResult',
     'admin_client',
+    'call_model',
+    'call_service',
+    'caller_client',
     'check',
     'drain',
     'find_lab',
+    'hosts',
     'lab',
     'node',
     'parse_value',
@@ -131,6 +137,79 @@
     return adminclient.AdminClient(where, token)
 
 
+def caller_client(
+    settings_path: str = '', address: str = '', key: str = ''
+) -> client_module.Client:
+    """Make a client that calls as a customer.
+
+    :param settings_path: settings whose hosts are known at the start.
+    :param address: ``IP:PORT`` of the one host known at the start, instead.
+    :param key: the customer's key.
+    """
+    if address:
+        known = [address]
+    elif settings_path:
+        known = [
+            f'{host.address}:{host.caller_port}'
+            for host in settings_module.load(settings_path).hosts
+        ]
+    else:
+        raise errors.UsageError(
+            'no deployment is named',
+            'give --settings=FILE or --entry=IP:PORT, or set '
+            'MAGNOLIADYKE_SETTINGS',
+        )
+    return client_module.Client(known, key)
+
+
+def hosts(client: client_module.Client) -> list[client_module.HostSeen]:
+    """Ask which hosts to use, the best first.
+
+    :param client: the client of a customer.
+    """
+    return client.hosts()
+
+
+def call_model(
+    client: client_module.Client,
+    model: str,
+    prompt: str,
+    max_tokens: int,
+    **options: Any,
+) -> outcomes.Outcome:
+    """Let a model answer a prompt.
+
+    :param client: the client of a customer.
+    :param model: name of the model.
+    :param prompt: the prompt.
+    :param max_tokens: longest answer.
+    :param options: as for :meth:`magnoliadyke.client.Client.complete`.
+    """
+    return client.complete(model, prompt, max_tokens, **options)
+
+
+def call_service(
+    client: client_module.Client,
+    name: str,
+    method: str,
+    path: str,
+    body: str = '',
+    **options: Any,
+) -> outcomes.Outcome:
+    """Call a plain service.
+
+    :param client: the client of a customer.
+    :param name: name of the service.
+    :param method: HTTP method.
+    :param path: path and query below the service's name.
+    :param body: sent in UTF-8.
+    :param options: as for :meth:`magnoliadyke.client.Client.call`.
+    """
+    if not path.startswith('/'):
+        raise errors.UsageError(f'{path!r} is no path', "start it with '/'")
+    return client.call(name, method.upper(), path, body.encode(), **options)
+
+
 def table_show(
     client: adminclient.AdminClient, sheet: str = ''
 ) -> dict[str, Any]:
--- a/magnoliadyke/render.py
+++ b/magnoliadyke/render.py
@@ -91,7 +91,7 @@
     behind = [
         f'{host} at {revision}'
         for host, revision in sorted(answer.get('in_force', {}).items())
-        if revision != answer['revision']
+        if revision < answer['revision']
     ]
     if behind:
         parts.append('not yet in force on: ' + ', '.join(behind))
@@ -169,19 +169,12 @@
     return columns(['revision', 'at', 'operator', 'cell', 'old', 'new'], rows)
 
 
-def hosts(answer: Mapping[str, Any]) -> str:
-    """Show the hosts that callers are sent to.
+def hosts(found: Sequence[Mapping[str, Any]]) -> str:
+    """Show the hosts that callers are sent to, the best first.
 
-    :param answer: the answer of ``GET /v1/hosts``.
+    :param found: the hosts.
     """
-    shown = columns(
-        ['host', 'address', 'failure domain'],
-        [
-            [item['host'], item['address'], item['failure_domain']]
-            for item in answer['hosts']
-        ],
-    )
-    return f'{shown}\n\nkeep for {answer.get("keep_s")} s'
+    return _rows(found, ('host', 'address', 'failure_domain'))
 
 
 def status(answer: Mapping[str, Any]) -> str:
