--- /dev/null
+++ b/magnoliadyke/lab/runs.py
@@ -0,0 +1,58 @@
+"""What the ledgers of a lab run say."""
+
+import collections
+
+__all__ = ['doubled', 'first_run_s', 'role_changes', 'runs_by_key']
+
+#: Prefill alone gives the caller nothing; a run is what makes an answer.
+ANSWERING = ('decode', 'both', None)
+
+
+def rows(cluster, what):
+    """Rows of one kind from the ledgers of all endpoints.
+
+    :param cluster: the :class:`magnoliadyke.lab.cluster.Cluster`
+    """
+    for name in cluster.endpoints:
+        for row in cluster.ledger(name):
+            if row['what'] == what:
+                yield row
+
+
+def runs_by_key(cluster):
+    """How often the request of each key began to run from its start.
+
+    A decode with an offset goes on with a run that was moved.
+    """
+    counts = collections.Counter()
+    for row in rows(cluster, 'run'):
+        if row.get('kind') in ANSWERING and not row.get('offset'):
+            counts[row['key']] += 1
+    return counts
+
+
+def doubled(cluster, records):
+    """Keys of non-repeatable requests that ran more than once.
+
+    :param records: :class:`magnoliadyke.lab.workload.Record` of the run
+    """
+    counts = runs_by_key(cluster)
+    return [
+        record.key
+        for record in records
+        if not record.job.repeatable and counts[record.key] > 1
+    ]
+
+
+def first_run_s(cluster):
+    """Wall time at which the request of each key first ran."""
+    first = {}
+    for row in rows(cluster, 'run'):
+        at_s = first.get(row['key'], row['at_s'])
+        first[row['key']] = min(at_s, row['at_s'])
+    return first
+
+
+def role_changes(cluster):
+    """Role changes that were begun."""
+    return sum(1 for _ in rows(cluster, 'change_begun'))
