--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -27,7 +27,7 @@
             {'entry-1': 13, 'entry-2': 11},
         )
     )
-    edit = table.Edit('e1', 'marat', None, {WEIGHT: 3}, 1.7e9)
+    edit = table.Edit('e1', 'marat', 0, {WEIGHT: 3}, 1.7e9)
     staged = table.stage(table.empty(), edit).document
     made.configuration.documents.last.document = staged
     return made
