--- /dev/null
+++ b/magnoliadyke/lab/scrape.py
@@ -0,0 +1,92 @@
+"""Time, size and longest hold of one scrape, by the number of customers.
+
+Usage: ``python -m magnoliadyke.lab.scrape SETTINGS``
+"""
+
+import sys
+import time
+import tracemalloc
+import typing
+
+import gevent
+
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import burn
+from magnoliadyke import metrics as metrics_module
+from magnoliadyke import settings as settings_module
+
+__all__ = ['Scrape', 'main', 'measure']
+
+SIZES = (2, 30, 90, 270)
+TIMINGS = burn.Timings(0.3, 0.05, 0.01)
+
+
+class Scrape(typing.NamedTuple):
+    """What one scrape costs.
+
+    :param state_bytes: memory of the counts
+    :param text_bytes: size of the answer
+    :param took_s: time for all of it
+    :param hold_s: longest time in which no other greenlet ran
+    """
+
+    customers: int
+    state_bytes: int
+    text_bytes: int
+    took_s: float
+    hold_s: float
+
+
+class Watcher:
+    """Takes a turn whenever it can and notes the time between turns."""
+
+    def __init__(self):
+        self.hold_s = 0.0
+        self.greenlet = gevent.spawn(self.run)
+        gevent.sleep(0)
+
+    def run(self):
+        """Take turns for ever."""
+        while True:
+            began_s = time.perf_counter()
+            gevent.sleep(0)
+            self.hold_s = max(self.hold_s, time.perf_counter() - began_s)
+
+
+def measure(settings, customers: int) -> Scrape:
+    """Count a request of each customer and render the metrics.
+
+    :param settings: any deployment's settings
+    """
+    clock = clocks.SystemClock()
+    metrics = metrics_module.Metrics(settings, settings.hosts[0].name, clock)
+    tracemalloc.start()
+    for number in range(customers):
+        metrics.request_finished(f'c{number}', 'answered', TIMINGS, 9, 9)
+    state_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    watcher = Watcher()
+    began_s = time.perf_counter()
+    text = metrics.render_prometheus()
+    took_s = time.perf_counter() - began_s
+    watcher.greenlet.kill()
+    return Scrape(customers, state_bytes, len(text), took_s, watcher.hold_s)
+
+
+def main(argv: list[str]) -> int:
+    """Print a line for each number of customers."""
+    settings = settings_module.load(argv[0])
+    for customers in SIZES:
+        scrape = measure(settings, customers)
+        print(
+            f'{scrape.customers:4} customers: '
+            f'{scrape.state_bytes / 1000:6.0f} KB of state, '
+            f'{scrape.text_bytes / 1000:4.0f} KB of text in '
+            f'{scrape.took_s * 1000:4.0f} ms, '
+            f'longest hold {scrape.hold_s * 1000:3.0f} ms'
+        )
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
