--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -185,6 +185,7 @@
     def __init__(self, settings, host, clock, rng, incarnation):
         super().__init__('gossip', clock)
         self.deployment = settings.deployment
+        self.incarnation = incarnation
         seeds = {each.name: seed(each) for each in settings.hosts}
         own = seeds[host]._replace(incarnation=incarnation)
         self.membership = NodeMembership(
