--- a/magnoliadyke/core/burn.py
+++ b/magnoliadyke/core/burn.py
@@ -24,6 +24,7 @@
     'Timings',
     'Verdict',
     'WindowBurn',
+    'covered_s',
     'evaluate',
     'judge',
     'merge',
@@ -143,6 +144,26 @@
     return 'queue'
 
 
+def covered_s(
+    intervals: Iterable[tuple[float, float]], since_s: float, until_s: float
+) -> float:
+    """Return how much of a time some interval covers, in seconds.
+
+    :param intervals: pairs of begin and end; they may overlap
+    :param since_s: start of the time
+    :param until_s: its end
+    """
+    covered = 0.0
+    reached_s = since_s
+    for begin_s, end_s in sorted(intervals):
+        begin_s = max(begin_s, reached_s)
+        end_s = min(end_s, until_s)
+        if end_s > begin_s:
+            covered += end_s - begin_s
+            reached_s = end_s
+    return covered
+
+
 class Counts(NamedTuple):
     """Requests of one customer in one window.
 
--- a/magnoliadyke/metrics.py
+++ b/magnoliadyke/metrics.py
@@ -20,10 +20,12 @@
 
 __all__ = ['OUTCOMES', 'Metrics']
 
-#: What may become of a request. ``limited`` is a refusal by the customer's
-#: own limits and ``cancelled`` the caller's own wish.
+#: What may become of a request. ``failed`` is an answer by which the endpoint
+#: itself reports an error, ``limited`` a refusal by the customer's own limits
+#: and ``cancelled`` the caller's own wish.
 OUTCOMES = (
     'answered',
+    'failed',
     'not_run',
     'limited',
     'unknown',
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -130,3 +130,9 @@
 def test_one_cause_is_blamed(timings, whole, cause):
     verdict = burn.judge(timings, whole)
     assert verdict == (GOOD if cause is None else burn.Verdict(False, cause))
+
+
+def test_overlapping_intervals_cover_once():
+    """Of 0 to 10 s, 1 to 4 and 3 to 5 cover 4 s, and 9 to 12 one more."""
+    intervals = [(3.0, 5.0), (1.0, 4.0), (9.0, 12.0), (-5.0, -1.0)]
+    assert burn.covered_s(intervals, 0.0, 10.0) == 5.0
