--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -211,9 +211,7 @@
     def start(self):
         """Bind the socket, then work."""
         own = self.membership.own
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind((own.address, own.peer_port))
+        self.socket = bind(own.address, own.peer_port)
         super().start()
         self.reader = gevent.spawn(self.read)
 
@@ -393,6 +391,13 @@
                 )
 
 
+def bind(address, port):
+    """Return a UDP socket bound to a numeric address and a port."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.bind((address, port))
+    return bound
+
+
 def seed(host):
     """Member to join by, from the settings of a host."""
     return membership.Member(
