--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -1,5 +1,6 @@
 """The UDP task that keeps this node's view of the others."""
 
+import math
 import typing
 
 import gevent
@@ -30,6 +31,15 @@
 #: Members probed at once by a survey; larger fleets are sampled.
 MAX_SURVEY = 64
 MAX_DATAGRAM_BYTES = 65_507
+#: Evidence from enough others is renewed when it will be too old within
+#: this share of the time for which it holds, at most this often.
+RENEW_SHARE = 0.5
+RENEW_INTERVAL_S = 0.5
+#: Share of the time after which a host that is cut off has stopped, clocks
+#: that run apart included.
+WAIT_SHARE = 1.1
+#: Larger quorums can't be asked at once; the store's word serves instead.
+MAX_RENEWED_QUORUM = MAX_SURVEY // 2
 #: A digest above this goes by TCP instead; a datagram that the network must
 #: split is lost whole when one part is.
 MAX_DIGEST_BYTES = 600
@@ -203,6 +213,8 @@
         self.board = notices.Board()
         self.pauses = mailbox.Topic()
         self.superseded = mailbox.Topic()
+        self.next_renewal_s = 0.0
+        self.staged_since_s = clock.now_s()
         self.sent_bytes = 0
         self.received_bytes = 0
         self.socket = None
@@ -241,9 +253,8 @@
         match message:
             case bytes():
                 self.receive(message, now_s)
-            case HoldTable(table_revision, staged_revision):
-                self.membership.set_table(table_revision, staged_revision)
-                self.publish(now_s)
+            case HoldTable():
+                self.hold_table(message, now_s)
             case StoreConfirmed():
                 self.membership.freshness.store_confirmed(*message)
                 self.publish(now_s)
@@ -260,6 +271,13 @@
                 self.act(self.membership.leave(successor, now_s))
                 message.reply(True)
 
+    def hold_table(self, held, now_s):
+        """Tell the others which table this node holds."""
+        if held.staged_revision > self.membership.freshness.staged_revision:
+            self.staged_since_s = now_s
+        self.membership.set_table(*held)
+        self.publish(now_s)
+
     def take_own_state(self, state):
         """Tell the others of a change in this node."""
         if state.spare is not None:
@@ -288,8 +306,25 @@
         now_s = self.clock.now_s()
         self.publish_uses(self.board.expire(now_s))
         self.act(self.membership.tick(now_s))
+        self.renew_evidence(now_s)
         self.publish(now_s)
 
+    def renew_evidence(self, now_s):
+        """Ask all members at once before the evidence of them runs out.
+
+        When half the fleet is cut off, probe after probe goes to hosts that
+        do not answer, each waited for the longer the more of them fail.
+        Meanwhile the evidence of the reachable half grows old, and a group
+        that may go on serving would stop for seconds.
+        """
+        known = self.membership.freshness
+        if known.quorum > MAX_RENEWED_QUORUM or now_s < self.next_renewal_s:
+            return
+        soon_s = now_s + RENEW_SHARE * known.settings.stale_s
+        if len(known.group(soon_s)) < known.quorum:
+            self.next_renewal_s = now_s + RENEW_INTERVAL_S
+            self.act(self.membership.survey(now_s))
+
     def receive(self, data, now_s):
         """Take one datagram in."""
         try:
@@ -363,13 +398,36 @@
         )
 
     def acceptance(self, now_s):
-        """Whether the staged edit may be accepted."""
-        left = [
+        """Whether the staged edit may be accepted.
+
+        A missing host that was seen idle may have begun to take work since.
+        Only if it was idle after the edit was staged can it no longer do so
+        without learning of the edit; else it is waited out like the others.
+        """
+        left = {
             host
             for host, member in self.membership.members.items()
             if member.state == membership.LEFT
-        ]
-        return self.membership.freshness.acceptance(now_s, left)
+        }
+        known = self.membership.freshness
+        outcome = known.acceptance(now_s, left)
+        waited_s = now_s - self.staged_since_s
+        waited_out = waited_s > known.settings.stale_s * WAIT_SHARE
+        if not isinstance(outcome, freshness.Accept) or waited_out:
+            return outcome
+        unsure = tuple(
+            host
+            for host in outcome.missing
+            if host not in left and self.seen_s(host) < self.staged_since_s
+        )
+        if unsure:
+            return freshness.Wait(outcome.revision, unsure)
+        return outcome
+
+    def seen_s(self, host):
+        """Monotonic time of the latest evidence of a host."""
+        evidence = self.membership.freshness.evidence.get(host)
+        return evidence.at_s if evidence is not None else -math.inf
 
     def peer_address(self, host):
         """Peer address of a member as ``ip:port``, '' if unknown."""
