--- /dev/null
+++ b/magnoliadyke/lab/pathcost.py
@@ -0,0 +1,352 @@
+"""Measure what a node costs on the way of a request to an engine."""
+
+import json
+import pathlib
+import sys
+import tempfile
+import time
+import typing
+
+import docopt
+import gevent
+from gevent import socket
+
+from magnoliadyke.lab import cluster
+
+__all__ = ['main', 'measure']
+
+USAGE = """Cost of the path through one node, beside the direct call.
+
+Usage:
+  pathcost [--seconds=S] [--streams=LIST] [--requests=N] [--run=N]
+
+Options:
+  --seconds=S      length of each measurement [default: 6]
+  --streams=LIST   numbers of streams at a time [default: 1,50,500]
+  --requests=N     short requests for the cost of a request [default: 400]
+  --run=N          second number of the 127.x addresses [default: 201]
+"""
+EXAMPLE = pathlib.Path(__file__).parents[2] / 'examples' / 'dala.json'
+PACE_S = 0.05
+SPEEDS = {
+    'prefill_s_per_token': 1e-6,
+    'decode_base_s': PACE_S,
+    'decode_s_per_stream': 0.0,
+    'max_batch': 1024,
+    'kv_capacity_tokens': 100_000_000,
+}
+EVENT = b'data: {"offset"'
+HEAD_END = b'\r\n\r\n'
+CUSTOMER = 'lease'
+MODEL = 'lease-model'
+SERVICE = 'portal'
+WARM_UP_S = 1.5
+CONCURRENT = 8
+ENGINES = 10
+
+
+class Sample(typing.NamedTuple):
+    """What one stream saw.
+
+    :param first_s: seconds from the request to the first token
+    :param gaps_s: seconds between reads with tokens
+    """
+
+    first_s: float
+    gaps_s: list
+
+
+def request_bytes(path, body, headers):
+    """Return an HTTP request."""
+    lines = [f'POST {path} HTTP/1.1', 'Host: lab', 'Connection: close']
+    lines += [f'{name}: {value}' for name, value in headers.items()]
+    lines.append(f'Content-Length: {len(body)}')
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
+
+
+class Reader:
+    """Reads streams with as little work of its own as possible."""
+
+    def __init__(self):
+        self.tokens = 0
+        self.samples = []
+
+    def stream(self, address, data, end_s):
+        """Send one request and count its tokens until ``end_s``."""
+        host, _, port = address.rpartition(':')
+        start_s = time.monotonic()
+        connection = socket.create_connection((host, int(port)))
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.sendall(data)
+        first_s, last_s, gaps_s = None, None, []
+        while time.monotonic() < end_s:
+            received = connection.recv(65536)
+            if not received:
+                break
+            tokens = received.count(EVENT)
+            if not tokens:
+                continue
+            now_s = time.monotonic()
+            self.tokens += tokens
+            if first_s is None:
+                first_s = now_s - start_s
+            else:
+                gaps_s.append(now_s - last_s)
+            last_s = now_s
+        connection.close()
+        if first_s is not None:
+            self.samples.append(Sample(first_s, gaps_s))
+
+
+class Bench:
+    """One node before five engines, and ways to load them.
+
+    :param running: :class:`cluster.Cluster` that has started
+    """
+
+    def __init__(self, running):
+        self.cluster = running
+        (self.host,) = running.hosts
+        self.node = running.caller_address(self.host)
+        self.engines = [
+            running.address(name)
+            for name in running.endpoints
+            if running.pool_of(name)['kind'] == 'model'
+        ]
+        self.number = 0
+
+    def cpu_s(self):
+        """Return the node's processor seconds so far."""
+        return self.cluster.usage(self.host)['cpu_s']
+
+    def idle_share(self, seconds):
+        """Return the share of a core that the idle node takes."""
+        before_s = self.cpu_s()
+        gevent.sleep(seconds)
+        return (self.cpu_s() - before_s) / seconds
+
+    def work(self, tokens):
+        """Return a completion request's body as a dict."""
+        self.number += 1
+        return {
+            'id': f'cost-{self.number}',
+            'model': MODEL,
+            'prompt': f'request {self.number} answer-tokens:{tokens}',
+            'max_tokens': tokens,
+            'stream': True,
+        }
+
+    def direct_request(self, tokens):
+        """Return address and bytes of a request to an engine."""
+        body = json.dumps(self.work(tokens)).encode()
+        engine = self.engines[self.number % len(self.engines)]
+        return engine, request_bytes('/v1/completions', body, {})
+
+    def node_request(self, tokens):
+        """Return address and bytes of a request to the node."""
+        body = json.dumps(self.work(tokens)).encode()
+        headers = {'Authorization': f'Bearer {cluster.caller_key(CUSTOMER)}'}
+        return self.node, request_bytes('/v1/completions', body, headers)
+
+    def streams(self, make, count, seconds):
+        """Keep ``count`` streams open for a time; return the reader."""
+        reader = Reader()
+        end_s = time.monotonic() + seconds
+        jobs = []
+        for number in range(count):
+            address, data = make(tokens_for(seconds))
+            jobs.append(gevent.spawn(reader.stream, address, data, end_s))
+            if number % 20 == 19:
+                gevent.sleep(0.01)
+        gevent.joinall(jobs)
+        return reader
+
+    def stream_cost(self, count, seconds):
+        """Measure ``count`` streams through the node and directly."""
+        direct = self.streams(self.direct_request, count, seconds)
+        gevent.sleep(0.5)
+        reader = Reader()
+        end_s = time.monotonic() + WARM_UP_S + seconds
+        for _ in range(count):
+            tokens = tokens_for(WARM_UP_S + seconds)
+            address, data = self.node_request(tokens)
+            gevent.spawn(reader.stream, address, data, end_s)
+        gevent.sleep(WARM_UP_S)
+        cpu_s, tokens, start_s = self.cpu_s(), reader.tokens, time.monotonic()
+        gevent.sleep(end_s - 0.1 - time.monotonic())
+        elapsed_s = time.monotonic() - start_s
+        cpu_s, tokens = self.cpu_s() - cpu_s, reader.tokens - tokens
+        gevent.sleep(1.0)
+        return {
+            'streams': count,
+            'tokens_per_s': round(tokens / elapsed_s, 1),
+            'node_core_share': round(cpu_s / elapsed_s, 4),
+            'node_cpu_us_per_token': round(1e6 * cpu_s / max(1, tokens), 1),
+            'node': summary(reader.samples),
+            'direct': summary(direct.samples),
+        }
+
+    def request_cost(self, make, count):
+        """Measure short requests, a few at a time."""
+        waits_s = []
+
+        def send_some(number):
+            for _ in range(number):
+                address, data = make(1)
+                start_s = time.monotonic()
+                read_all(address, data)
+                waits_s.append(time.monotonic() - start_s)
+
+        cpu_s, start_s = self.cpu_s(), time.monotonic()
+        each = count // CONCURRENT
+        gevent.joinall(
+            [gevent.spawn(send_some, each) for _ in range(CONCURRENT)],
+            raise_error=True,
+        )
+        elapsed_s = time.monotonic() - start_s
+        return {
+            'requests': len(waits_s),
+            'requests_per_s': round(len(waits_s) / elapsed_s, 1),
+            'node_cpu_us': round(
+                1e6 * (self.cpu_s() - cpu_s) / len(waits_s), 1
+            ),
+            'ms_p50': milliseconds(waits_s, 0.5),
+            'ms_p99': milliseconds(waits_s, 0.99),
+        }
+
+    def measure(self, seconds, streams, requests):
+        """Return all figures; the short requests come first."""
+        return {
+            'idle_core_share': round(self.idle_share(3.0), 4),
+            'completion_direct': self.request_cost(
+                self.direct_request, requests
+            ),
+            'completion': self.request_cost(self.node_request, requests),
+            'service': self.request_cost(self.service_request, requests),
+            'streams': [self.stream_cost(count, seconds) for count in streams],
+        }
+
+    def service_request(self, _):
+        """Return address and bytes of a service call to the node."""
+        headers = {'Authorization': f'Bearer {cluster.caller_key(CUSTOMER)}'}
+        path = f'/v1/services/{SERVICE}/balance'
+        return self.node, request_bytes(path, b'{}', headers)
+
+
+def tokens_for(seconds):
+    """Return how many tokens keep a stream going for a time."""
+    return int((seconds + 1.0) / PACE_S)
+
+
+def read_all(address, data):
+    """Send a request and read until the connection ends."""
+    host, _, port = address.rpartition(':')
+    connection = socket.create_connection((host, int(port)))
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.sendall(data)
+    answer = b''
+    while True:
+        received = connection.recv(65536)
+        if not received:
+            break
+        answer += received
+    connection.close()
+    if b' 200 ' not in answer[:16]:
+        raise RuntimeError(answer[:300].decode('latin-1'))
+
+
+def percentile(values, share):
+    """Return the value below which ``share`` of the values lie."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def milliseconds(values_s, share):
+    """Return a percentile in milliseconds."""
+    return round(1000 * percentile(values_s, share), 2)
+
+
+def summary(samples):
+    """Return first-token times and gaps of streams as a dict."""
+    firsts_s = [sample.first_s for sample in samples]
+    gaps_s = [gap_s for sample in samples for gap_s in sample.gaps_s[20:]]
+    return {
+        'streams': len(samples),
+        'first_token_ms_p50': milliseconds(firsts_s, 0.5),
+        'first_token_ms_p99': milliseconds(firsts_s, 0.99),
+        'gap_ms_p50': milliseconds(gaps_s, 0.5),
+        'gap_ms_p99': milliseconds(gaps_s, 0.99),
+    }
+
+
+def prepare(document):
+    """Return settings in which nothing but the path limits the streams.
+
+    :param document: settings of the sample deployment, as read from JSON
+    """
+    rows = document['initial_table']
+    rows['customers'][CUSTOMER].update(
+        concurrency=100_000, queue_limit=10_000, first_token_s=60.0
+    )
+    rows['pools'] = {MODEL: {'planning': 'fixed', 'min_prefill': 0}}
+    for pool in document['pools']:
+        if pool['kind'] == 'model':
+            first = pool['endpoints'][0]
+            pool['endpoints'] = [
+                {
+                    **first,
+                    'name': f'engine-{number}',
+                    'address': f'127.0.2.{number}:7100',
+                    'role': 'decode',
+                }
+                for number in range(1, ENGINES + 1)
+            ]
+    return document
+
+
+def measure(seconds, streams, requests, run):
+    """Run all measurements; return their figures as a dict.
+
+    :param seconds: length of each measurement
+    :param streams: numbers of streams at a time
+    :param requests: number of short requests
+    :param run: second number of the loopback addresses
+    """
+    document = prepare(json.loads(EXAMPLE.read_text()))
+    with tempfile.TemporaryDirectory() as directory:
+        options = cluster.Options(
+            run=run,
+            directory=directory,
+            engine={'speeds': SPEEDS, 'queue_limit': 10_000},
+            hosts=1,
+        )
+        with cluster.Cluster(document, options) as running:
+            running.start()
+            bench = Bench(running)
+            return bench.measure(seconds, streams, requests)
+
+
+def main(argv):
+    """Measure and print JSON.
+
+    :param argv: arguments without the program's name
+    :return: exit status
+    """
+    arguments = docopt.docopt(USAGE, argv)
+    figures = measure(
+        float(arguments['--seconds']),
+        [int(each) for each in arguments['--streams'].split(',')],
+        int(arguments['--requests']),
+        int(arguments['--run']),
+    )
+    print(json.dumps(figures, indent=1))
+    return 0
+
+
+if __name__ == '__main__':
+    from gevent import monkey
+
+    monkey.patch_all()
+    sys.exit(main(sys.argv[1:]))
