--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 PACKER := build/packer
 BINARY := dist/magnoliadyke
 
-.PHONY: help venv test lint format demo binary check-binary demo-binary clean
+.PHONY: help venv test format demo binary check-binary demo-binary clean
+.PHONY: lint lint-ruff lint-format lint-hacking lint-border
 
 help:
 	@echo "make venv         virtual environment with the pinned packages"
@@ -31,10 +32,19 @@
 test: $(READY)
 	$(BIN)/python -m pytest $(TEST_FLAGS)
 
-lint: $(READY)
+# Parts of their own, so that "make -k lint" runs all of them.
+lint: lint-ruff lint-format lint-hacking lint-border
+
+lint-ruff: $(READY)
 	$(BIN)/ruff check .
+
+lint-format: $(READY)
 	$(BIN)/ruff format --check .
+
+lint-hacking: $(READY)
 	$(BIN)/flake8
+
+lint-border: $(READY)
 	$(BIN)/python tools/border.py magnoliadyke/core
 
 format: $(READY)
