Refuse what is predicted late, and keep floods off the engines

Customers ahead of their share now pass the engine queue as the least urgent. Jobs that would be late are refused at placement, by a quantile of past errors.

--- a/magnoliadyke/core/admission.py
+++ b/magnoliadyke/core/admission.py
@@ -12,6 +12,7 @@
 __all__ = [
     'AdmissionSettings',
     'Capacity',
+    'ErrorQuantile',
     'Timing',
     'limit_exceeded',
     'no_endpoint',
@@ -31,8 +32,10 @@
 class AdmissionSettings(NamedTuple):
     """Constants of admission.
 
-    :param reserve_share: part of the first-token objective kept free for
-        errors of the prediction
+    :param reserve_share: least part of its objective that a job's prefill
+        must leave on an idle engine for the objective to be in reach
+    :param late_share: jobs that are predicted to be late with a greater
+        probability are refused
     :param background_priority: from this priority on, the objective for
         the first token doesn't count, only the longest wait does
     :param hopeless_factor: a job that takes longer than its objective even
@@ -42,6 +45,8 @@
     """
 
     reserve_share: float = 0.1
+    late_share: float = 0.1
+    error_step_s: float = 0.01
     background_priority: int = 8
     hopeless_factor: float = 1.0
     early_factor: float = 1.2
@@ -55,10 +60,12 @@
 
     :param deadline_s: when the first token is due, or the wait ends
     :param latest_start_s: starting later, it misses that
+    :param strict: a late first token is worth nothing
     """
 
     deadline_s: float
     latest_start_s: float
+    strict: bool = False
 
 
 class Capacity(NamedTuple):
@@ -77,14 +84,35 @@
     patience_s = job.arrived_s + queue_wait_s
     if job.priority >= settings.background_priority:
         return Timing(patience_s, patience_s)
-    usable_s = job.first_token_s * (1.0 - settings.reserve_share)
-    spare_s = usable_s - service_s
-    if spare_s <= 0:
+    spare_s = job.first_token_s - service_s
+    deadline_s = job.arrived_s + job.first_token_s
+    if spare_s <= settings.reserve_share * job.first_token_s:
         # No engine is fast enough for its objective: it is served late
         # rather than never, and waits as long as it will take.
         spare_s = settings.hopeless_factor * service_s
+        latest_s = min(job.arrived_s + spare_s, patience_s)
+        return Timing(deadline_s, latest_s)
     latest_s = min(job.arrived_s + spare_s, patience_s)
-    return Timing(job.arrived_s + job.first_token_s, latest_s)
+    return Timing(deadline_s, latest_s, strict=True)
+
+
+class ErrorQuantile:
+    """A quantile of how far predictions fall short, followed online.
+
+    :param share: part of the errors that should lie below
+    :param step: how far one error moves the quantile
+    """
+
+    __slots__ = ('share', 'step', 'value')
+
+    def __init__(self, share, step):
+        self.share = share
+        self.step = step
+        self.value = 0.0
+
+    def add(self, error):
+        above = error > self.value
+        self.value += self.step * (self.share - (0.0 if above else 1.0))
 
 
 def predicted_wait_s(prefill_s, decode_s, capacity, share):
--- a/magnoliadyke/core/costs.py
+++ b/magnoliadyke/core/costs.py
@@ -11,6 +11,8 @@
 
 DECODE = 'decode'
 PREFILL = 'prefill'
+#: Keeps a quotient that is whole but for its last digit from falling.
+ROUNDING = 1e-6
 
 
 class CostPriors(NamedTuple):
@@ -158,7 +160,7 @@
         room_s = per_token_s - self.pace.base
         if room_s >= self.pace.slope * self.max_streams:
             return self.max_streams
-        return max(1, int(room_s / self.pace.slope))
+        return max(1, int(room_s / self.pace.slope + ROUNDING))
 
     def decode_s_per_token(self):
         """Engine-seconds of an output token in a full batch."""
--- a/magnoliadyke/core/limits.py
+++ b/magnoliadyke/core/limits.py
@@ -15,8 +15,8 @@
 
 * rates: one second's burst, and one request a node, since a request is
   admitted whole while its bucket isn't empty;
-* concurrency: none, but for one request a node when a limit is smaller than
-  the number of nodes;
+* concurrency: one request for each node whose share is less than one, as
+  no node is kept from serving a customer at all;
 * while a peer's digests are lost one way, its share counts twice for at
   most the time until its last digest is stale.
 
@@ -158,23 +158,29 @@
         merged = {**known.demands, **demands} if known else dict(demands)
         self.peers[host] = _Peer(now_s, merged)
 
+    def tell(self, key, demand, now_s):
+        """The peers are being told this own demand."""
+        told = self.own.setdefault(key, [])
+        told.append((now_s, demand))
+        due_s = now_s - self.settings.settle_s
+        while len(told) > 1 and told[1][0] <= due_s:
+            told.pop(0)
+
     def settled(self, key, demand, now_s):
         """Own demand as the peers know it.
 
-        A fall counts at once, a rise only after ``settle_s``.  Would a rise
-        count at once, all nodes that see a customer's burst begin would
-        each take the whole limit until they had heard of one another.
+        A fall counts at once, a rise only ``settle_s`` after it was told.
+        Would a rise count at once, all nodes that see a customer's burst
+        begin would each take the whole limit until they had heard of one
+        another.
         """
-        steps = self.own.setdefault(key, [])
-        while steps and steps[-1][1] >= demand:
-            steps.pop()
-        if not steps or steps[-1][1] < demand:
-            steps.append((now_s, demand))
+        told = self.own.get(key)
         due_s = now_s - self.settings.settle_s
-        while len(steps) > 1 and steps[1][0] <= due_s:
-            steps.pop(0)
-        at_s, settled = steps[0]
-        return settled if at_s <= due_s else 0.0
+        if not told or told[0][0] > due_s:
+            return 0.0
+        known = [(at_s, value) for at_s, value in told if at_s > due_s]
+        last = told[len(told) - len(known) - 1][1]
+        return min(demand, last, *[value for _, value in known])
 
     def fraction(self, key, demand, now_s):
         """This node's part of the limit, 0 to 1."""
@@ -202,8 +208,8 @@
         self.running = 0
         self.waiting = 0
         self.token_rate = Rate(settings.rate_memory_s, now_s)
-        self.requests = Bucket(1.0, now_s)
-        self.tokens = Bucket(1.0, now_s)
+        self.requests = Bucket(math.inf, now_s)
+        self.tokens = Bucket(math.inf, now_s)
 
 
 class Limits:
@@ -280,7 +286,6 @@
         demand = usage.running + usage.waiting
         key = (customer, 'concurrency')
         fraction = self.shares.fraction(key, demand, now_s)
-        # Rounded down, but never to nothing: the stated request a node.
         return max(1, int(row.concurrency * fraction + 1e-9))
 
     def may_start(self, customer, now_s):
@@ -292,11 +297,11 @@
             return True
         return running < self.concurrency(customer, now_s)
 
-    def demands(self, now_s):
-        """What peers need to know: (customer, measure) to demand."""
-        found = {}
-        for customer, usage in self.usages.items():
-            rate = usage.token_rate.now(now_s)
-            found[customer, 'rate'] = rate
-            found[customer, 'concurrency'] = usage.running + usage.waiting
-        return found
+    def tell(self, customer, now_s):
+        """What peers are told now: tokens a second, and jobs wanted."""
+        usage = self.usage(customer, now_s)
+        rate = usage.token_rate.now(now_s)
+        wanted = max(0, usage.running + usage.waiting)
+        self.shares.tell((customer, 'rate'), rate, now_s)
+        self.shares.tell((customer, 'concurrency'), wanted, now_s)
+        return rate, wanted
--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -14,11 +14,13 @@
     'Pool',
     'Router',
     'RoutingSettings',
+    'Terms',
 ]
 
 PREFILL = 'prefill'
 DECODE = 'decode'
 FULL = 1.0
+LAST_PRIORITY = 9
 
 
 class RoutingSettings(NamedTuple):
@@ -33,6 +35,8 @@
     :param mixed_fill: a decode engine fuller than this gets no prompts
     :param mixed_cost: seconds of waiting that an engine-second lost by
         reading a prompt on a decode engine is worth
+    :param mixed_sure_share: part of the time left within which a decode
+        engine has to be predicted to read a prompt
     :param step_s: step of an engine that reads a long prompt
     :param service_slots: calls at one plain service at once
     """
@@ -44,7 +48,8 @@
     slack_streams: float = 0.05
     pace_share: float = 0.93
     mixed_fill: float = 0.8
-    mixed_cost: float = 0.5
+    mixed_cost: float = 0.1
+    mixed_sure_share: float = 0.6
     step_s: float = 0.2
     service_slots: int = 32
 
@@ -72,14 +77,34 @@
         return self.prefill is self.endpoint
 
 
+class Terms(NamedTuple):
+    """Under what terms a job is placed.
+
+    :param fraction: this node's part of the pool's credits
+    :param spare_s: time left until the first token is due
+    :param ahead_s: seconds of prompts that go before it once engines free
+    :param first: whether its customer is the least served of those waiting
+    """
+
+    fraction: float = 1.0
+    spare_s: float = float('inf')
+    ahead_s: float = 0.0
+    first: bool = True
+
+
 class Candidate(NamedTuple):
-    """An endpoint that could read the prompt."""
+    """An endpoint that could read the prompt.
+
+    :param score_s: predicted time to the first token, and what it costs
+    :param blocked: enough waits there: the job has to wait in the node
+    """
 
     endpoint: object
     score_s: float
     first_token_s: float
     prompt_s: float
     cached_tokens: float
+    blocked: bool = False
 
 
 class Endpoint:
@@ -174,11 +199,10 @@
         self.settings = settings
         self.failure_domain = failure_domain
 
-    def place(self, job, pool, fraction, spare_s, now_s, among=None):
+    def place(self, job, pool, terms, now_s, among=None):
         """Choose endpoints for a job.
 
-        :param fraction: this node's part of the pool's credits
-        :param spare_s: time left until the first token is due
+        :param terms: :class:`Terms`
         :param among: take none but this endpoint, for a suspect
         :returns: :class:`Placement`, or None when all are full
         """
@@ -186,25 +210,23 @@
             return self._place_service(pool, among, now_s)
         decodes = self._usable(pool, DECODE, job, among, now_s)
         prefills = self._usable(pool, PREFILL, job, among, now_s)
-        if not decodes and not pool.by_role[DECODE] or among:
+        if among is not None or not pool.by_role[DECODE]:
             return self._place_whole(job, prefills or decodes, now_s)
-        open_decodes = self._open(job, decodes, fraction, now_s)
+        open_decodes = self._open(job, decodes, terms.fraction, now_s)
         if not open_decodes:
             return None
-        mixed = self._best_mixed(job, open_decodes, prefills, now_s)
-        split = self._best_split(job, prefills, now_s)
-        if not pool.by_role[PREFILL] and mixed is None:
-            # Nobody else can read prompts: a long one waits for its turn.
-            return self._place_whole(
-                job, [item[1] for item in open_decodes], now_s
-            )
-        chosen = self._cheaper(split, mixed, spare_s)
-        if chosen is None:
+        if not pool.by_role[PREFILL]:
+            members = [endpoint for _, endpoint in open_decodes]
+            return self._place_whole(job, members, now_s)
+        mixed = self._best_mixed(job, open_decodes, terms, now_s)
+        split = self._best_split(job, prefills, terms, now_s)
+        chosen = self._cheaper(split, mixed, terms)
+        if chosen is None or chosen.blocked:
             return None
         target = chosen.endpoint
         if chosen is split:
             target = self._roomiest(open_decodes)
-        return Placement(target, *chosen[:1], *chosen[2:])
+        return Placement(target, chosen.endpoint, *chosen[2:5])
 
     def idle_service_s(self, job):
         """Time to the first token of a job on idle engines."""
@@ -277,7 +299,7 @@
         best = self._pick(found)
         if best is None:
             return None
-        return Placement(best.endpoint, best.endpoint, *best[2:])
+        return Placement(best.endpoint, best.endpoint, *best[2:5])
 
     def _open(self, job, members, fraction, now_s):
         """Decode engines with a free stream and memory: (fill, engine)."""
@@ -345,15 +367,31 @@
         first_s = wait_s + read_s
         return Candidate(endpoint, first_s, first_s, prompt_s, cached)
 
-    def _best_split(self, job, members, now_s):
-        """The best engine in the prefill role."""
+    def _gate_s(self, endpoint, job, terms, now_s):
+        """Seconds of prompts that count against the engine's queue.
+
+        Urgent prompts overtake others in the engine, so only more urgent
+        ones count; but not for a customer that is ahead of its fair share:
+        its urgent prompts would go on overtaking those of the customer
+        whose turn it is, which then never finds the engine free.
+        """
+        priority = job.priority if terms.first else LAST_PRIORITY
+        return endpoint.load.prompt_wait_s(priority, now_s)
+
+    def _best_split(self, job, members, terms, now_s):
+        """The best engine in the prefill role, if only after a wait."""
         found = []
         for endpoint in members:
-            wait_s = endpoint.load.prompt_wait_s(job.priority, now_s)
-            if wait_s > self.settings.engine_queue_s:
-                continue
-            found.append(self._reading(job, endpoint, now_s))
-        best = self._pick(found)
+            gate_s = self._gate_s(endpoint, job, terms, now_s)
+            each = self._reading(job, endpoint, now_s)
+            if gate_s > self.settings.engine_queue_s:
+                later_s = each.score_s + terms.ahead_s
+                each = each._replace(
+                    score_s=later_s, first_token_s=later_s, blocked=True
+                )
+            found.append(each)
+        free = [each for each in found if not each.blocked]
+        best = self._pick(free or found)
         if best is None:
             return None
         model = self.book.of_job(job)
@@ -363,7 +401,7 @@
             first_token_s=best.first_token_s + moved_s,
         )
 
-    def _best_mixed(self, job, found, prefills, now_s):
+    def _best_mixed(self, job, found, terms, now_s):
         """The best engine in the decode role that could read as well."""
         model = self.book.of_job(job)
         lost = model.mixed_prefill.base / model.prefill.ratio - 1.0
@@ -371,8 +409,8 @@
         for fill, endpoint in found:
             if fill > self.settings.mixed_fill:
                 continue
-            wait_s = endpoint.load.prompt_wait_s(job.priority, now_s)
-            if wait_s > self.settings.engine_queue_s:
+            gate_s = self._gate_s(endpoint, job, terms, now_s)
+            if gate_s > self.settings.engine_queue_s:
                 continue
             each = self._reading(job, endpoint, now_s)
             extra_s = each.prompt_s * max(0.0, lost) * fill
@@ -386,14 +424,17 @@
             )
         return self._pick(candidates)
 
-    def _cheaper(self, split, mixed, spare_s):
+    def _cheaper(self, split, mixed, terms):
         """Two engines, or one for both phases where that is sooner.
 
         Reading on a decode engine takes longer and slows its streams. It is
         worth it when that engine has time to spare; where it would make the
-        first token late, the job had better wait for a prefill engine.
+        first token late, the job had better wait for a prefill engine. A
+        long prompt is read in small pieces there, and whatever comes
+        meanwhile makes it longer still, so part of the time is kept back.
         """
-        if mixed is not None and mixed.first_token_s > spare_s:
+        sure_s = terms.spare_s * self.settings.mixed_sure_share
+        if mixed is not None and mixed.first_token_s > sure_s:
             mixed = None
         if split is None or mixed is None:
             return split or mixed
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -145,6 +145,7 @@
         self.prompt_s = 0.0
         self.read_s = 0.0
         self.read_by = None
+        self.expected_s = None
         self.believed_tokens = 0.0
         self.streams_at_first = 0.0
 
@@ -155,13 +156,16 @@
 class _Pool:
     """Queue, demand and endpoints of one pool."""
 
-    def __init__(self, endpoints, now_s=0.0):
+    def __init__(self, endpoints, patience, now_s=0.0):
         self.name = endpoints.name
         self.endpoints = endpoints
         self.number = quarantine.short(endpoints.name)
         self.queue = fairness.FairQueue()
         self.prefill_rate = limits.Rate(DEMAND_MEMORY_S, now_s)
         self.decode_rate = limits.Rate(DEMAND_MEMORY_S, now_s)
+        self.lateness = admission.ErrorQuantile(
+            1.0 - patience.late_share, patience.error_step_s
+        )
         self.waiting = {}
         self.suspects = []
         self.trial = None
@@ -254,7 +258,7 @@
         subset = self.settings.routes.subset
         for (name, kind), each in members.items():
             pool = routing.Pool(name, kind, each, subset, self.epoch)
-            self.pools[name] = _Pool(pool)
+            self.pools[name] = _Pool(pool, self.settings.patience)
         used = sum(len(p.endpoints.members) for p in self.pools.values())
         blocks = BELIEVED_BLOCKS // max(1, used)
         blocks = min(max(blocks, LEAST_BELIEVED), prefixes.MOST_BLOCKS)
@@ -423,6 +427,9 @@
             self._prompt_done(run, now_s)
         run.first_token_s = now_s
         run.tokens = max(run.tokens, 1)
+        if run.expected_s is not None and run.timing.strict:
+            pool = self.pools[run.job.pool]
+            pool.lateness.add(now_s - run.expected_s)
         self._observe_transfer(run, was_read)
         if run.stream_at is not None:
             run.streams_at_first = run.stream_at.load.streams.total()
@@ -566,39 +573,52 @@
         """Dispatch as much as has a place, in fair order."""
         fraction = self._fraction(pool)
         misses = 0
-        while misses < MOST_MISSES:
+        progress = True
+        while progress:
+            progress = False
+            first = True
             for customer in pool.queue.order():
-                action = None
-                if self.limits.may_start(customer, now_s):
-                    action = self._next(pool, customer, fraction, now_s)
+                if not self.limits.may_start(customer, now_s):
+                    continue
+                terms = routing.Terms(
+                    fraction, ahead_s=self._prompts_ahead_s(pool), first=first
+                )
+                first = False
+                action = self._next(pool, customer, terms, now_s)
                 if action is not None:
                     actions.append(action)
+                    progress = True
                     break
                 misses += 1
                 if misses >= MOST_MISSES:
                     return
-            else:
-                return
 
-    def _next(self, pool, customer, fraction, now_s):
-        """Dispatch one of the customer's first jobs, or None."""
+    def _prompts_ahead_s(self, pool):
+        """Seconds in which the engines read the prompts that wait."""
+        engines = len(pool.endpoints.by_role[routing.PREFILL])
+        return pool.backlog()[1] / max(1, engines)
+
+    def _next(self, pool, customer, terms, now_s):
+        """Dispatch or refuse one of the customer's first jobs, or None."""
         head = pool.queue.head(customer)
-        action = self._try(self.runs[head], pool, fraction, now_s)
+        action = self._try(self.runs[head], pool, terms, now_s)
         if action is not None:
             return action
         for job_id in pool.queue.first(customer, LOOK_AHEAD)[1:]:
-            action = self._try(self.runs[job_id], pool, fraction, now_s)
+            action = self._try(self.runs[job_id], pool, terms, now_s)
             if action is not None:
                 return action
         return None
 
-    def _try(self, run, pool, fraction, now_s):
+    def _try(self, run, pool, terms, now_s):
         spare_s = run.timing.deadline_s - now_s
-        placement = self.router.place(
-            run.job, pool.endpoints, fraction, spare_s, now_s
-        )
+        terms = terms._replace(spare_s=spare_s)
+        placement = self.router.place(run.job, pool.endpoints, terms, now_s)
         if placement is None:
             return None
+        expected_s = placement.first_token_s + pool.lateness.value
+        if run.timing.strict and expected_s > spare_s:
+            return self._give_up(run, now_s)
         self._unqueue(run)
         return self._dispatch(run, pool, placement, now_s)
 
@@ -610,6 +630,7 @@
         run.read_by = placement.prefill
         run.prompt_s = placement.prompt_s
         run.believed_tokens = placement.cached_tokens
+        run.expected_s = now_s + placement.first_token_s
         pool.running += 1
         self.limits.usage(job.customer, now_s).running += 1
         run.charged_s = run.cost_s()
@@ -960,8 +981,7 @@
         placement = self.router.place(
             run.job,
             pool.endpoints,
-            self._fraction(pool),
-            since_s,
+            routing.Terms(self._fraction(pool), since_s),
             now_s,
             among=endpoint,
         )
@@ -978,6 +998,9 @@
         pools = tuple(
             self._pool_news(pool, now_s) for pool in self.pools.values()
         )
+        for news in pools:
+            demand = news.prefill_s_per_s + news.decode_s_per_s
+            self.shares.tell(('pool', news.pool), demand, now_s)
         waiting = {
             run.fingerprint
             for run in self.runs.values()
@@ -1062,6 +1085,7 @@
         chosen = self._moved_most(news)
         for each in chosen:
             self.told[each.customer] = each
+            self.limits.tell(self.names[each.customer][0], now_s)
         return tuple(chosen)
 
     def _moved_most(self, news):
--- /dev/null
+++ b/tests/test_costs.py
@@ -0,0 +1,62 @@
+"""Tests of the online cost fits."""
+
+import random
+
+import pytest
+
+from magnoliadyke.core import costs
+from magnoliadyke.core import jobs
+
+
+def test_slopes_are_found_from_a_wrong_prior():
+    rng = random.Random(1)
+    model = costs.CostModel()
+    for _ in range(2000):
+        tokens = rng.randrange(100, 4000)
+        noise = 0.8 + 0.4 * rng.random()
+        model.observe_prefill('prefill', tokens, tokens * 0.0005 * noise)
+        streams = rng.randrange(1, 64)
+        pace_s = (0.01 + 0.001 * streams) * noise
+        model.observe_pace(streams, 100, 100 * pace_s)
+    assert model.prefill.ratio == pytest.approx(0.0005, rel=0.1)
+    assert model.pace.base == pytest.approx(0.01, rel=0.2)
+    assert model.pace.slope == pytest.approx(0.001, rel=0.1)
+
+
+def test_prompts_read_in_one_step_are_not_taken_for_free():
+    # An engine reads three prompts in one step: the first ends after all
+    # of it, the others 0 s later. A mean of ratios would see 0 twice.
+    model = costs.CostModel()
+    for _ in range(500):
+        for elapsed_s in (0.3, 0.0, 0.0):
+            model.observe_prefill('prefill', 100, elapsed_s)
+    assert model.prefill.ratio == pytest.approx(0.001, rel=0.05)
+
+
+def test_steady_load_does_not_wash_out_the_split():
+    # The number of streams never moves, so the samples say nothing about
+    # base against slope; the prior has to keep them apart.
+    model = costs.CostModel()
+    for _ in range(10_000):
+        model.observe_pace(30, 100, 100 * 0.032)
+    assert model.pace.at(30) == pytest.approx(0.032, rel=0.01)
+    assert model.pace.base == pytest.approx(0.02, rel=0.1)
+
+
+def test_streams_within_an_objective():
+    model = costs.CostModel()
+    assert model.streams_within(0.03) == 25
+    assert model.streams_within(1.0) == model.max_streams
+    assert model.streams_within(0.001) == 1
+
+
+def test_output_and_bytes_are_learnt():
+    model = costs.CostModel()
+    job = jobs.Job('j', 'lease', 'p', prompt_tokens=100, output_tokens=1000)
+    for _ in range(50):
+        model.observe_finish(job, jobs.Finished(100, 200, 50))
+        model.bytes.add(100, 300)
+    assert model.output_tokens('lease', 500) == pytest.approx(100, rel=0.1)
+    assert model.output_tokens('portal', 500) == 500
+    assert model.prompt_tokens(3000) == pytest.approx(1000, rel=0.1)
+    assert model.uncached.ratio < 0.95
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,67 @@
+"""Tests of endpoint states, ejection and return."""
+
+from magnoliadyke.core import health
+
+
+def test_the_first_word_that_it_is_out_wins():
+    # The endpoint itself says that it leaves; the host list still names it
+    # as live for a while. It gets nothing new from the first word on.
+    one = health.EndpointHealth()
+    one.report('leaving', 5.0)
+    one.tell('up', 6.0)
+    assert not one.takes_work(6.0, 0)
+
+
+def test_an_old_report_does_not_bring_it_back():
+    one = health.EndpointHealth()
+    one.report('leaving', 4.0)
+    one.tell('leaving', 5.0)
+    one.report('up', 4.5)
+    one.tell('up', 6.0)
+    assert one.is_out()
+    one.report('up', 6.5)
+    assert one.takes_work(7.0, 0)
+
+
+def test_coming_back_needs_proof():
+    one = health.EndpointHealth()
+    one.tell('crashed', 1.0)
+    one.tell('up', 2.0)
+    assert one.takes_work(2.0, 0)
+    assert not one.takes_work(2.0, 1)
+    one.succeeded()
+    assert one.takes_work(2.0, 1)
+
+
+def test_a_planned_change_needs_none():
+    one = health.EndpointHealth()
+    one.tell('changing', 1.0)
+    assert not one.takes_work(1.0, 0)
+    one.tell('up', 7.0)
+    assert one.takes_work(7.0, 5)
+
+
+def test_failures_in_a_row_eject_for_longer_each_time():
+    one = health.EndpointHealth()
+    lengths = []
+    for _ in range(6):
+        verdicts = [one.failed() for _ in range(3)]
+        assert verdicts == [False, False, True]
+        one.eject(100.0)
+        lengths.append(one.ejected_until_s - 100.0)
+    assert lengths == [5.0, 10.0, 20.0, 40.0, 60.0, 60.0]
+    one.succeeded()
+    one.eject(0.0)
+    assert one.ejected_until_s == 5.0
+
+
+def test_most_of_a_pool_is_never_ejected():
+    # The network fails, so every endpoint seems to. Ejecting them all would
+    # leave nothing to try; the floor keeps two of three.
+    pool = [health.EndpointHealth() for _ in range(6)]
+    ejected = 0
+    for one in pool:
+        if health.may_eject(pool, 0.0):
+            one.eject(0.0)
+            ejected += 1
+    assert ejected == 2
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -13,3 +13,63 @@
     assert ids[0] == first.hexdigest()[:16]
     assert prefixes.block_ids(words[:64], 'lease') == ids[:1]
     assert not set(ids) & set(prefixes.block_ids(words, 'portal'))
+
+
+def make_blocks(name, count):
+    return tuple(f'{name}-{number}' for number in range(count))
+
+
+def test_the_longest_believed_prefix_is_found():
+    beliefs = prefixes.PrefixBeliefs()
+    sent = make_blocks('file', 37)
+    beliefs.sent('e1', sent)
+    for count in (1, 2, 16, 36, 37):
+        asked = sent[:count] + make_blocks('other', 5)
+        assert beliefs.cached_blocks('e1', asked) == count
+    assert beliefs.cached_blocks('e2', sent) == 0
+
+
+def test_a_gap_lowers_trust_and_wipes_nothing():
+    # Events of an engine were lost, among them evictions perhaps. Wiping
+    # the beliefs would send every prompt elsewhere and read it anew.
+    beliefs = prefixes.PrefixBeliefs()
+    blocks = make_blocks('file', 10)
+    beliefs.sent('e1', blocks)
+    before = beliefs.cached_tokens('e1', blocks)
+    beliefs.gap('e1')
+    assert 0.5 * before < beliefs.cached_tokens('e1', blocks) < before
+    for _ in range(50):
+        beliefs.confirmed('e1', 640, 640)
+    assert beliefs.cached_tokens('e1', blocks) > 0.95 * before
+
+
+def test_events_correct_beliefs():
+    beliefs = prefixes.PrefixBeliefs()
+    blocks = make_blocks('file', 10)
+    beliefs.sent('e1', blocks)
+    beliefs.evicted('e1', blocks[4:])
+    assert beliefs.cached_blocks('e1', blocks) == 4
+    beliefs.stored('e2', blocks[:6])
+    assert beliefs.cached_blocks('e2', blocks) == 6
+    beliefs.wiped('e1')
+    assert beliefs.cached_blocks('e1', blocks) == 0
+
+
+def test_holders_are_found_without_asking_every_engine():
+    beliefs = prefixes.PrefixBeliefs()
+    sent = make_blocks('file', 37)
+    beliefs.sent('e1', sent)
+    asked = sent[:20] + make_blocks('other', 50)
+    assert 'e1' in beliefs.likely_holders(asked)
+    assert beliefs.likely_holders(make_blocks('new', 3)) == ()
+
+
+def test_memory_is_bounded_and_the_far_end_goes_first():
+    beliefs = prefixes.PrefixBeliefs(most_blocks=100)
+    for number in range(20):
+        beliefs.sent('e1', make_blocks(f'file{number}', 8))
+    assert len(beliefs.blocks['e1']) == 100
+    oldest = make_blocks('file7', 8)
+    assert 0 < beliefs.cached_blocks('e1', oldest) < 8
+    bound = prefixes.INDEX_FACTOR * beliefs.most_blocks
+    assert len(beliefs.holders) <= bound
