Let callers of the demo come back when they are told to

Two runs of the demo ended with 2 and 3 requests not run: half a pool of load with one engine in a role change makes the nodes shed, and the client library has a budget of one retry in ten requests. A caller who is told when to come back does so; the demo now does, and says how often it was told.

Runs are counted by content and not by key, so that a request that ran although its caller was told not run would show as run twice.

--- a/magnoliadyke/lab/engine.py
+++ b/magnoliadyke/lab/engine.py
@@ -365,7 +365,7 @@
             key=request.header('X-Request-Key'),
             sender=request.header('X-Sender'),
             kind=kind,
-            digest=run.digest,
+            content=standin.content_digest(prompt),
             offset=offset,
             total=total,
             prompt_tokens=run.prompt_tokens,
--- a/magnoliadyke/lab/service.py
+++ b/magnoliadyke/lab/service.py
@@ -64,6 +64,11 @@
             sender=request.header('X-Sender'),
             method=request.method,
             path=request.path,
+            content=standin.content_digest(
+                request.method,
+                request.path,
+                request.body.decode('utf-8', 'replace'),
+            ),
             state=self.state,
         )
         slow = self.faults.get('slow')
--- a/magnoliadyke/lab/standin.py
+++ b/magnoliadyke/lab/standin.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections import abc
+import hashlib
 import json
 import os
 import signal
@@ -23,6 +24,7 @@
     'Ledger',
     'Request',
     'Server',
+    'content_digest',
     'crash',
     'error_answer',
     'json_answer',
@@ -33,6 +35,7 @@
 LEDGER_ROWS_KEPT = 200_000
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
 STOP_TIMEOUT_S = 2.0
+CONTENT_DIGITS = 16
 
 STATUS_TEXT = {
     200: '200 OK',
@@ -278,6 +281,12 @@
     return 0
 
 
+def content_digest(*parts):
+    """What marks a request's content in a ledger, whatever its key."""
+    digest = hashlib.sha256('\n'.join(parts).encode())
+    return digest.hexdigest()[:CONTENT_DIGITS]
+
+
 def crash():
     """End the process at once, as a crash would: nothing is flushed."""
     os._exit(70)
--- a/magnoliadyke/lab/workload.py
+++ b/magnoliadyke/lab/workload.py
@@ -8,6 +8,7 @@
 from magnoliadyke.core import outcomes
 from magnoliadyke.lab import engine
 from magnoliadyke.lab import fakes
+from magnoliadyke.lab import standin
 
 __all__ = [
     'ModelCall',
@@ -56,15 +57,25 @@
     """What became of one call.
 
     :param call: :class:`ModelCall` or :class:`ServiceCall`
+    :ivar told: outcomes after which the caller came back
     """
 
-    __slots__ = ('call', 'key', 'text')
+    __slots__ = ('call', 'key', 'text', 'told')
 
     def __init__(self, call):
         super().__init__(call.job)
         self.call = call
         self.key = ''
         self.text = ''
+        self.told = []
+
+    def content(self):
+        """What marks this call in the ledgers."""
+        match self.call:
+            case ModelCall(prompt=text):
+                return standin.content_digest(text)
+            case ServiceCall(method=method, path=path, body=body):
+                return standin.content_digest(method, path, body)
 
     def whole(self):
         """Whether the answer is complete and belongs to this call."""
