--- a/magnoliadyke/adminclient.py
+++ b/magnoliadyke/adminclient.py
@@ -16,6 +16,9 @@
 #: A host that lost its store may hold an edit back for a while.
 ANSWER_S = 30.0
 
+UNAUTHORIZED = 401
+CONFLICT = 409
+
 
 class AdminAddress(NamedTuple):
     """Where a host listens for operators.
@@ -53,7 +56,7 @@
     def __init__(
         self, message: str, remedy: str, conflicts: Sequence[dict[str, Any]]
     ):
-        super().__init__(message, remedy, status=409)
+        super().__init__(message, remedy, status=CONFLICT)
         self.conflicts = tuple(conflicts)
 
 
@@ -169,12 +172,12 @@
         error = {'message': str(error)}
     message = error.get('message') or f'{address.host} answered {status}'
     remedy = error.get('remedy', '')
-    if status == 409:
+    if status == CONFLICT:
         return EditConflict(message, remedy, error.get('conflicts', ()))
     for problem in error.get('problems', ()):
         message += f'\n  {problem.get("cell", "")}: {problem.get("message")}'
         if problem.get('remedy'):
             message += f'; {problem["remedy"]}'
-    if status == 401:
-        remedy = remedy or "set MAGNOLIADYKE_TOKEN to the operators' token"
+    if status == UNAUTHORIZED:
+        remedy = "set MAGNOLIADYKE_TOKEN to the operators' token"
     return errors.AdminRefused(message, remedy, status=status)
--- a/magnoliadyke/render.py
+++ b/magnoliadyke/render.py
@@ -20,7 +20,7 @@
 ]
 
 #: Longest text shown for a cell, in characters.
-SHOWN_CHARACTERS = 24
+SHOWN_CHARACTERS = 48
 NOTHING = '-'
 
 
