--- a/magnoliadyke/porcelain.py
+++ b/magnoliadyke/porcelain.py
@@ -420,16 +420,19 @@
         ) from error
     drawing = figure.Figure(figsize=(7, 4), layout='constrained')
     axes = drawing.add_subplot()
+    widths: list[float] = []
     for customer in report['customers']:
         windows = customer['windows']
+        widths = [window['window_s'] for window in windows]
         axes.plot(
-            [window['window_s'] for window in windows],
+            widths,
             [window['burn_rate'] for window in windows],
             marker='o',
             label=customer['name'],
         )
-    axes.axhline(1.0, linestyle='--', label='budget just spent')
+    axes.axhline(1.0, linestyle='--', color='grey', label='budget just spent')
     axes.set(xscale='log', xlabel='window (s)', ylabel='burn rate')
+    axes.set_xticks(widths, [str(width) for width in widths], minor=False)
     axes.legend()
     drawing.savefig(path, format='png')
 
--- a/magnoliadyke/render.py
+++ b/magnoliadyke/render.py
@@ -31,18 +31,18 @@
     :param rows: the values.
     """
     lines = [[cell(value) for value in row] for row in rows]
-    widths = [
-        max(len(line[index]) for line in [list(heading), *lines])
-        for index in range(len(heading))
-    ]
-    out = []
-    for line in [list(heading), *lines]:
-        cells = [
-            text.rjust(width) if _is_number(text) else text.ljust(width)
-            for text, width in zip(line, widths, strict=True)
-        ]
-        out.append('  '.join(cells).rstrip())
-    return '\n'.join(out)
+    found = [_column(texts) for texts in zip(heading, *lines, strict=True)]
+    return '\n'.join(
+        '  '.join(texts).rstrip() for texts in zip(*found, strict=True)
+    )
+
+
+def _column(texts: Sequence[str]) -> list[str]:
+    width = max(len(text) for text in texts)
+    values = [text for text in texts[1:] if text != NOTHING]
+    if values and all(_is_number(text) for text in values):
+        return [text.rjust(width) for text in texts]
+    return [text.ljust(width) for text in texts]
 
 
 def cell(value: Any) -> str:
@@ -333,7 +333,7 @@
 
 def _is_number(text: str) -> bool:
     try:
-        float(text)
+        float(text.strip('()'))
     except ValueError:
         return False
     return True
