Hand records over at the start of a stop; go on after a dead home

A stopping node used to refuse new keys of its tickets until callers asked for hosts again. Now its records go to a successor at once, running ones marked as away; new keys and requests without a key are relayed there, and the outcomes of what still ran follow at the end. A repeatable answer whose home dies goes on at the relaying node from the caller's offset.

--- a/magnoliadyke/callers.py
+++ b/magnoliadyke/callers.py
@@ -13,6 +13,7 @@
 
 from magnoliadyke.core import outcomes
 from magnoliadyke.core import records
+from magnoliadyke import directory
 from magnoliadyke import followers
 from magnoliadyke import forms
 from magnoliadyke import homes
@@ -205,7 +206,7 @@
         end_s = self.clock.now_s() + deadline_s
         self.begin_stop()
         self.wait_for_runs(end_s)
-        self.hand_over()
+        self.homes.handover.finish()
         self.wait_for_answers(end_s)
         self.server.stop(timeout=0.1)
         self.ticker.kill()
@@ -213,9 +214,15 @@
         self.streams.stop()
 
     def begin_stop(self):
-        """Take no new work; hosts answers leave this one out."""
+        """Run no new work; hosts answers leave this one out.
+
+        The records go to a successor at once. New requests that still come
+        are relayed to it.
+        """
         self.status.leaving = True
         self.update_status()
+        self.status.successor = self.homes.hand_over()
+        LOG.event('records_handed_over', successor=self.status.successor)
 
     def wait_for_runs(self, end_s):
         """Let the requests that run here end.
@@ -225,11 +232,6 @@
         while self.homes.runs and self.clock.now_s() < end_s:
             self.clock.sleep(0.05)
 
-    def hand_over(self):
-        """Hand the records to a successor and name it to the others."""
-        self.status.successor = self.homes.hand_over()
-        LOG.event('records_handed_over', successor=self.status.successor)
-
     def wait_for_answers(self, end_s):
         """Let relays and the last bytes of answers go out."""
         while self.followers and self.clock.now_s() < end_s:
@@ -371,6 +373,7 @@
     app.add_route('/v1/hosts', HostsResource(owner))
     app.add_route('/v1/completions', ModelResource(owner, chat=False))
     app.add_route('/v1/chat/completions', ModelResource(owner, chat=True))
+    app.add_route(f'{directory.HOMES_PATH}{{home}}', HomesResource(owner))
     app.add_sink(AnswersSink(owner), ANSWERS)
     app.add_sink(ServicesSink(owner), SERVICES)
     app.add_error_handler(forms.OutcomeError, tell_error)
@@ -385,6 +388,7 @@
 def tell(resp, outcome):
     """Answer with an outcome."""
     answer = outcomes.to_http(outcome)
+    resp.set_header('X-Outcome', type(outcome).__name__)
     resp.status = answer.status
     resp.content_type = JSON
     resp.data = answer.body
@@ -404,6 +408,19 @@
         resp.data = json.dumps(self.owner.hosts_answer()).encode()
 
 
+class HomesResource:
+    """``GET /v1/homes/HOME``: other nodes ask who has a home's records."""
+
+    def __init__(self, owner):
+        self.owner = owner
+
+    def on_get(self, req, resp, home):
+        """Name the successor, as far as it is known here."""
+        successor = self.owner.homes.successor_of(home)
+        resp.content_type = JSON
+        resp.data = json.dumps({'successor': successor}).encode()
+
+
 class RequestResource:
     """What the routes share that lead to a run."""
 
--- a/magnoliadyke/core/records.py
+++ b/magnoliadyke/core/records.py
@@ -13,6 +13,7 @@
     'NO_FLOOR',
     'Answer',
     'Attach',
+    'Away',
     'New',
     'Record',
     'RecordSettings',
@@ -68,12 +69,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Record:
-    """One key. ``state`` is ``running``, ``answered`` or ``told``.
+    """One key. ``state`` is ``running``, ``away``, ``answered`` or ``told``.
 
     :param digest: of the customer's request; same key, same digest
     :param expires_s: monotonic seconds until which the key must be kept
     :param run: the shell's running request, while there is one
     :param outcome: what a resend is told in state ``told``
+    :param home: where it runs in state ``away``
     """
 
     key: str
@@ -84,6 +86,7 @@
     run: typing.Any = None
     answer: Answer | None = None
     outcome: typing.Any = None
+    home: str = ''
     size_bytes: int = 0
 
 
@@ -101,6 +104,16 @@
     record: Record
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Away:
+    """The key still runs at the home that is handing its records over.
+
+    :param home: ``HOST.INCARNATION``
+    """
+
+    home: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replay:
     """The key was answered: give the same answer."""
@@ -197,6 +210,8 @@
         match record.state:
             case 'running':
                 return Attach(record)
+            case 'away':
+                return Away(record.home)
             case 'answered':
                 return Replay(record.answer)
             case _:
@@ -305,30 +320,32 @@
             if record.state == 'running'
         ]
 
-    def export(self, now_s):
+    def export(self, now_s, home=''):
         """Yield each record as a line of JSON for a successor.
 
-        A request that still runs here can't be followed elsewhere; a resend
-        of its key is told ``Unknown``.
-
         :param now_s: monotonic seconds
+        :param home: ``HOST.INCARNATION`` where requests that run here can
+            still be followed; ``''`` when they will have no answer, and a
+            resend of their keys is told ``Unknown``
         :return: iterator of bytes
         """
-        for record in self.records.values():
-            yield export_record(record, now_s)
+        for record in list(self.records.values()):
+            yield export_record(record, now_s, home)
 
     def import_line(self, line, now_s):
         """Take over a record of a host that is leaving.
 
         :param line: bytes as :meth:`export` made them
         """
-        record, age_s = import_record(line, now_s)
-        if record.key in self.records:
-            return
+        record = import_record(line, now_s)
+        known = self.records.get(record.key)
+        if known is not None:
+            if known.state != 'away':
+                return
+            self.remove(known)
         self.insert(record)
         if record.state == 'answered':
-            self.answered[record.key] = now_s - age_s
-            self.answered.move_to_end(record.key, last=False)
+            self.answered[record.key] = now_s
         self.shed(now_s)
 
 
@@ -341,13 +358,16 @@
     expires_in_s: float
     outcome: list
     answer: list
+    home: str
 
 
-def export_record(record, now_s):
+def export_record(record, now_s, home):
     """Return one record as a line of JSON (bytes)."""
     outcome = record.outcome
     if record.state == 'running':
         outcome = INTERRUPTED
+    else:
+        home = record.home
     answer = record.answer
     document = ExportedRecord(
         key=record.key,
@@ -356,6 +376,7 @@
         expires_in_s=record.expires_s - now_s,
         outcome=export_outcome(outcome) if outcome else [],
         answer=export_answer(answer) if answer else [],
+        home=home,
     )
     return json.dumps(document, separators=(',', ':')).encode()
 
@@ -372,10 +393,7 @@
 
 
 def import_record(line, now_s):
-    """Read what :func:`export_record` made.
-
-    :return: the record and the age of its answer in seconds
-    """
+    """Return the record that :func:`export_record` wrote."""
     document = json.loads(line)
     record = Record(
         document['key'],
@@ -389,9 +407,10 @@
         record.state = 'answered'
         record.size_bytes = len(record.answer.body) + RECORD_OVERHEAD_BYTES
     else:
-        record.state = 'told'
         record.outcome = import_outcome(document['outcome'])
-    return record, 0.0
+        record.home = document['home']
+        record.state = 'away' if record.home else 'told'
+    return record
 
 
 def import_outcome(fields):
--- a/magnoliadyke/endpoint.py
+++ b/magnoliadyke/endpoint.py
@@ -53,11 +53,16 @@
 
 
 class Reply(typing.NamedTuple):
-    """A whole answer of an endpoint."""
+    """A whole answer of an endpoint, or of another node.
+
+    :param outcome: kind of outcome that a node says its answer is, ``''``
+        when the answer is a service's own
+    """
 
     status: int
     content_type: str
     body: bytes
+    outcome: str = ''
 
     def json(self):
         """Return the body as a JSON document.
@@ -346,7 +351,8 @@
 def reply_of(parser, body):
     """Return a :class:`Reply` for an answer that was read whole."""
     content_type = parser.get('content-type') or ''
-    return Reply(parser.status_code, str(content_type), body)
+    outcome = parser.get('x-outcome') or ''
+    return Reply(parser.status_code, str(content_type), body, str(outcome))
 
 
 def request_bytes(method, path, address, headers, body):
--- a/magnoliadyke/forms.py
+++ b/magnoliadyke/forms.py
@@ -267,12 +267,10 @@
 
     :param reply: :class:`magnoliadyke.endpoint.Reply`
     """
-    if b'"error"' not in reply.body:
+    if not reply.outcome:
         return None
     try:
         error = json.loads(reply.body)['error']
     except (ValueError, KeyError, TypeError):
-        return None
-    if not isinstance(error, dict) or 'type' not in error:
-        return None
+        error = {'type': reply.outcome}
     return error_outcome(error, reply.status)
--- a/magnoliadyke/homes.py
+++ b/magnoliadyke/homes.py
@@ -1,11 +1,9 @@
 """Decide where a request's key belongs, and run what belongs here."""
 
 import hashlib
-import json
 import typing
 
 import gevent
-from gevent import event
 
 from magnoliadyke import claiming
 from magnoliadyke.core import claims
@@ -14,9 +12,9 @@
 from magnoliadyke.core import prefixes
 from magnoliadyke.core import records
 from magnoliadyke.core import tickets
-from magnoliadyke import endpoint as endpoints
-from magnoliadyke import errors
+from magnoliadyke import directory
 from magnoliadyke import forms
+from magnoliadyke import handover
 from magnoliadyke import relay
 from magnoliadyke import streams
 
@@ -25,14 +23,7 @@
 SECRET_BYTES = 16
 DIGEST_DIGITS = 24
 LINGER_S = 5.0
-SEAL_TIMEOUT_S = 5.0
-HANDOVER_BATCH_BYTES = 256 << 10
-HOME_LINE = b'{"home"'
 FOREIGN = 'foreign:'
-MAX_SUCCESSORS = 10_000
-#: Stands for an age without bound, which JSON can't express.
-LONGEST_AGE_S = 1e9
-REACHABLE = ('alive', 'suspect')
 
 BAD_TICKET = outcomes.Rejected(
     'bad_ticket', 'ask /v1/hosts for a ticket and make keys from it'
@@ -72,20 +63,6 @@
     key: str
 
 
-class Adopted(typing.NamedTuple):
-    """A home whose records this node took over.
-
-    :param office: checks its tickets
-    :param shift_s: this clock's seconds minus the old home's
-    :param floor_s: issue time, by this clock, up to which the old home had
-        forgotten keys
-    """
-
-    office: tickets.TicketOffice
-    shift_s: float
-    floor_s: float
-
-
 class Homes:
     """The request records of this node and the ways to those of others.
 
@@ -115,9 +92,7 @@
         self.name = tickets.home_name(host, incarnation)
         self.clock = clock
         self.rng = rng
-        self.members = members
         self.table = table
-        self.peers = peers
         self.streams = streams_
         self.door = door
         secret = rng.getrandbits(8 * SECRET_BYTES).to_bytes(SECRET_BYTES)
@@ -126,12 +101,17 @@
         self.claiming = claiming.Claiming(
             self.name, store, settings.keyvalue.prefix, clock
         )
-        self.adopted = {}
-        self.arriving = {}
-        self.sealed = None
-        self.successor = ''
-        self.successors = {}
-        self.links = {}
+        self.directory = directory.Directory(
+            self.name, host, members, clock, rng
+        )
+        self.handover = handover.Handover(
+            self.office,
+            incarnation,
+            self.records,
+            peers,
+            self.directory,
+            clock,
+        )
         self.relays = set()
         self.runs = {}
 
@@ -151,7 +131,7 @@
             if not self.office.accepts(key):
                 return Told(BAD_TICKET)
             return self.open(request, key.text, key.issued_s)
-        adopted = self.adopted.get(key.home)
+        adopted = self.handover.adopted.get(key.home)
         if adopted is not None:
             if not adopted.office.accepts(key):
                 return Told(BAD_TICKET)
@@ -174,29 +154,36 @@
         match self.claim(digest):
             case claims.Won():
                 return self.open(request, key, self.clock.now_s())
-            case claims.Lost(owner=owner) if owner == self.name:
+            case claims.Lost(owner=owner) if self.lives_here(owner):
                 if key in self.records.records:
                     return self.open(request, key, self.clock.now_s())
                 return Told(records.GONE)
-            case claims.Lost(owner=owner) if owner in self.adopted:
-                return Told(self.records.find(key, request.customer).outcome)
             case claims.Lost(owner=owner):
-                return self.place_elsewhere(request, request.key, owner, hops)
+                return self.place_elsewhere(request, key, owner, hops)
             case claims.Refused(reason=reason):
                 return Told(
                     outcomes.NotRun(reason, 'use a key of a ticket', 1.0)
                 )
 
+    def lives_here(self, home):
+        """Tell whether the records of a home are on this node."""
+        return home == self.name or home in self.handover.adopted
+
     def claim(self, digest):
         """Ask the store for a claim."""
         message = claiming.AskClaim(digest)
         return self.claiming.ask(message, None)
 
     def place_elsewhere(self, request, key, home, hops):
-        """Relay to the home of a key, or say that it is gone."""
+        """Relay to the home of a key, or say that it is gone.
+
+        :param key: name of the record, should the request run here after all
+        """
+        if key in self.records.records:
+            return self.open(request, key, self.clock.now_s())
         if len(hops) >= relay.MAX_HOPS:
             return Told(TOO_MANY_HOPS)
-        if self.locate(home) is None:
+        if self.directory.locate(home) is None:
             return self.home_gone(request, key)
         return self.relay(request, key, home, hops)
 
@@ -224,9 +211,17 @@
         match found:
             case records.New(record):
                 return self.admit(request, record)
+            case records.Away(home):
+                return self.follow_away(request, key, home)
             case _:
                 return self.known(found, key)
 
+    def follow_away(self, request, key, home):
+        """Follow a request that still runs at a home that is stopping."""
+        if self.directory.member_of(home) is None:
+            return Told(records.INTERRUPTED)
+        return self.relay(request, key, home, ())
+
     def known(self, found, key):
         """Return the place of a key that is in the records."""
         match found:
@@ -239,7 +234,7 @@
 
     def admit(self, request, record):
         """Run a new request, unless this node takes no new work."""
-        if self.sealed is not None:
+        if self.handover.sealed is not None:
             return self.pass_on(request, record)
         refusal = self.door(request.customer)
         if refusal is not None:
@@ -249,12 +244,16 @@
         if isinstance(run, outcomes.Rejected):
             self.close_refused(request, record, run)
             return Told(run)
+        self.enter(request, record, run)
+        run.start()
+        return Following(run, record.key)
+
+    def enter(self, request, record, run):
+        """Join a run with its record."""
         record.run = run
-        self.runs[record.key] = run
         run.record = record
         run.request = request
-        run.start()
-        return Following(run, record.key)
+        self.runs[record.key] = run
 
     def pass_on(self, request, record):
         """Send a new key after the records, to the successor.
@@ -263,10 +262,12 @@
         request, which the caller has given up, reached the successor.
         """
         self.records.forget(record)
-        self.sealed.wait(SEAL_TIMEOUT_S)
-        if not self.successor:
+        successor = self.handover.wait()
+        if not successor:
+            self.records.insert(record)
+            self.close_refused(request, record, NO_SUCCESSOR)
             return Told(NO_SUCCESSOR)
-        home = self.full_name(self.successor)
+        home = self.directory.full_name(successor)
         return self.relay(request, record.key, home, ())
 
     def close_refused(self, request, record, outcome):
@@ -398,81 +399,66 @@
     # Other homes.
 
     def relay(self, request, key, home, hops, offset=0, resume_only=False):
-        """Follow a request at its home."""
+        """Follow a request at its home.
+
+        :param key: name of the request here; foreign keys are sent as the
+            caller made them
+        """
+        sent_key = request.key or key
 
         def locate():
-            return self.locate(home)
+            return self.directory.locate(home)
 
         hops = (*hops, self.host)
-        arguments = (key, request, locate, hops, self.streams, self.relay_end)
+        arguments = (
+            sent_key,
+            request,
+            locate,
+            hops,
+            self.streams,
+            self.relay_end,
+        )
         match request:
             case forms.ServiceRequest():
                 run = relay.ServiceRelay(*arguments)
             case _:
                 run = relay.ModelRelay(*arguments, offset, resume_only)
+        run.go_on_here = self.go_on_here
         self.relays.add(run)
         run.start()
-        return Following(run, key)
+        return Following(run, sent_key)
 
     def relay_end(self, run):
         """A relay ended."""
         self.relays.discard(run)
 
-    def locate(self, home):
-        """Return the connections to the node that has a home's records.
+    def go_on_here(self, lost):
+        """Run here what a relay followed at a home that is gone.
 
-        :param home: ``HOST.INCARNATION``
-        :return: :class:`magnoliadyke.endpoint.Connections`, or None when
-            the home is gone without a successor
-        """
-        self.learn_successors()
-        seen = set()
-        while home not in seen:
-            seen.add(home)
-            member = self.member_of(home)
-            if member is not None:
-                return self.link(member)
-            home = self.successors.get(home, home)
-        return None
+        Only a request that may be repeated. Its attempt begins at the offset
+        that the caller has, so that the caller sees one answer.
 
-    def member_of(self, home):
-        """Return the member that is this home and can be reached, or None."""
-        view = self.members.last
-        if view is None:
+        :param lost: :class:`relay.ModelRelay` whose output the run continues
+        :return: the run's outcome, or None when it may not run here
+        """
+        request = lost.request
+        if not request.repeatable or self.door(request.customer) is not None:
             return None
-        host, _, incarnation = home.rpartition('.')
-        member = view.members.get(host)
-        if member is None or str(member.incarnation) != incarnation:
+        key = lost.key
+        if tickets.parse_key(key) is None:
+            digest = claims.claim_digest(request.customer, key)
+            key = FOREIGN + digest
+        now_s = self.clock.now_s()
+        found = self.records.open(
+            key, request.customer, request.digest, now_s, now_s
+        )
+        if not isinstance(found, records.New):
             return None
-        return member if member.state in REACHABLE else None
-
-    def learn_successors(self):
-        """Remember who took over from the members that have left."""
-        view = self.members.last
-        if view is None:
-            return
-        for member in view.members.values():
-            if member.successor:
-                home = tickets.home_name(member.host, member.incarnation)
-                self.successors[home] = self.full_name(member.successor)
-        while len(self.successors) > MAX_SUCCESSORS:
-            self.successors.pop(next(iter(self.successors)))
-
-    def full_name(self, successor):
-        """Return ``HOST.INCARNATION`` of a successor named by its host."""
-        member = self.members.last.members.get(successor)
-        if member is None:
-            return successor
-        return tickets.home_name(member.host, member.incarnation)
-
-    def link(self, member):
-        """Return the connections to another node's caller listener."""
-        address = f'{member.address}:{member.caller_port}'
-        if address not in self.links:
-            self.links[address] = endpoints.Connections(
-                address, self.clock, endpoints.EndpointSettings()
-            )
-        return self.links[address]
+        run = self.build_model(request, key)
+        run.go_on_from(lost)
+        self.enter(request, found.record, run)
+        run.main()
+        return run.outcome
 
     def find(self, text, customer, credential, offset, hops):
         """Return the place of an answer that a caller wants to go on with.
@@ -483,10 +469,13 @@
         key = tickets.parse_key(text)
         if key is None:
             return self.find_foreign(text, customer, credential, offset, hops)
-        if key.home == self.name or key.home in self.adopted:
-            return self.known(self.records.find(text, customer), text)
-        if text in self.records.records:
-            return self.known(self.records.find(text, customer), text)
+        found = self.records.find(text, customer)
+        if isinstance(found, records.Away):
+            return self.find_elsewhere(
+                text, found.home, customer, credential, offset, hops
+            )
+        if text in self.records.records or self.lives_here(key.home):
+            return self.known(found, text)
         return self.find_elsewhere(
             text, key.home, customer, credential, offset, hops
         )
@@ -498,7 +487,7 @@
         if key in self.records.records:
             return self.known(self.records.find(key, customer), key)
         match self.claim(digest):
-            case claims.Lost(owner=owner) if owner != self.name:
+            case claims.Lost(owner=owner) if not self.lives_here(owner):
                 return self.find_elsewhere(
                     text, owner, customer, credential, offset, hops
                 )
@@ -508,14 +497,14 @@
         """Relay a resume to the home of the key."""
         if len(hops) >= relay.MAX_HOPS:
             return Told(TOO_MANY_HOPS)
-        if self.locate(home) is None:
+        if self.directory.locate(home) is None:
             return Told(HOME_GONE)
         request = forms.ModelRequest(
             text, customer, credential, {}, 0, False, ''
         )
         return self.relay(request, text, home, hops, offset, True)
 
-    # Taking over and handing over.
+    # Life cycle and hand-over.
 
     def start(self):
         """Start the task that settles claims."""
@@ -524,125 +513,41 @@
     def stop(self):
         """Stop the tasks and close connections."""
         self.claiming.stop()
-        for link in self.links.values():
-            link.close()
+        self.directory.close()
 
     def take_records(self, host, incarnation, lines, last):
         """Take over records of a host that is leaving.
 
-        :param lines: JSON lines (bytes); the first of a hand-over describes
-            the homes
+        :param lines: JSON lines (bytes)
         :param last: whether the hand-over is complete
-        :return: number of records taken, None to refuse
+        :return: number of lines taken, None to refuse
         """
-        if self.sealed is not None or self.door('') is not None:
+        if self.handover.sealed is not None or self.door('') is not None:
             return None
-        arriving = self.arriving.setdefault((host, incarnation), [])
-        arriving += lines
-        if last:
-            # Nothing is adopted before all is here: a half of the records
-            # would let a key run again whose record is in the other half.
-            del self.arriving[host, incarnation]
-            self.take_all(arriving, self.clock.now_s())
-        return len(lines)
-
-    def take_all(self, lines, now_s):
-        """Enter records and homes that have arrived completely."""
-        for line in lines:
-            if not line.startswith(HOME_LINE):
-                self.records.import_line(line, now_s)
-        for line in lines:
-            if line.startswith(HOME_LINE):
-                self.adopt(json.loads(line), now_s)
-
-    def adopt(self, description, now_s):
-        """Become the home of another home's keys."""
-        home = description['home']
-        host, _, incarnation = home.rpartition('.')
-        secret = bytes.fromhex(description['secret'])
-        office = tickets.TicketOffice(host, int(incarnation), secret)
-        shift_s = now_s - description['now_s']
-        floor_s = now_s - description['floor_age_s']
-        self.adopted[home] = Adopted(office, shift_s, floor_s)
-
-    def describe_homes(self, now_s):
-        """Yield a line of JSON for each home that lives here."""
-        own = Adopted(self.office, 0.0, records.NO_FLOOR)
-        for each in (own, *self.adopted.values()):
-            floor_s = max(each.floor_s, self.records.floor_s)
-            description = {
-                'home': each.office.home,
-                'secret': each.office.secret.hex(),
-                'now_s': now_s - each.shift_s,
-                'floor_age_s': min(now_s - floor_s, LONGEST_AGE_S),
-            }
-            yield json.dumps(description, separators=(',', ':')).encode()
+        return self.handover.take(host, incarnation, lines, last)
 
     def hand_over(self):
-        """Give all records to a successor.
+        """Give all records to a successor; new keys run there from now on.
 
         :return: the successor's host name, or ``''`` if nobody took them
         """
-        self.sealed = event.Event()
-        for member in self.candidates():
-            if self.hand_to(member):
-                self.successor = member.host
-                break
-        self.sealed.set()
-        return self.successor
-
-    def candidates(self):
-        """Return members that may take records over, in random order."""
-        view = self.members.last
-        if view is None:
-            return []
-        chosen = [
+        able = [
             member
-            for member in view.members.values()
+            for member in self.directory.all_members().values()
             if member.host != self.host
             and member.state == 'alive'
             and member.takes_work
         ]
-        self.rng.shuffle(chosen)
-        return chosen
-
-    def hand_to(self, member):
-        """Send all records to one member; return whether it is successor.
-
-        A member whose last answer was lost may have adopted the records. No
-        other may then be asked, or two nodes would run this home's keys: it
-        stays the successor, and if it has not adopted them its answer to
-        their keys is ``Unknown``.
-        """
-        address = f'{member.address}:{member.peer_port}'
-        *batches, final = self.batches(self.clock.now_s())
-        try:
-            for batch in batches:
-                if not self.send(address, batch, False):
-                    return False
-        except errors.HostUnreachable:
-            return False
-        try:
-            return self.send(address, final, True)
-        except errors.HostUnreachable:
-            return True
-
-    def batches(self, now_s):
-        """Return the lines to hand over as a list of lists, none huge."""
-        batches = [list(self.describe_homes(now_s))]
-        size = 0
-        for line in self.records.export(now_s):
-            if size >= HANDOVER_BATCH_BYTES:
-                batches.append([])
-                size = 0
-            batches[-1].append(line)
-            size += len(line)
-        return batches
-
-    def send(self, address, batch, last):
-        """Send one batch; return whether it was taken."""
-        taken = self.peers.handover(address, self.incarnation, batch, last)
-        return taken is not None
+        self.rng.shuffle(able)
+        self.handover.begin(able)
+        return self.handover.successor
+
+    def successor_of(self, home):
+        """Return ``HOST.INCARNATION`` that has a home's records, or ``''``."""
+        if home == self.name or home in self.handover.adopted:
+            return self.name
+        self.directory.learn_successors()
+        return self.directory.successors.get(home, '')
 
 
 def abandon_unfollowed(run):
--- a/magnoliadyke/relay.py
+++ b/magnoliadyke/relay.py
@@ -15,6 +15,7 @@
 
 MAX_HOPS = 3
 RETRY_PAUSE_S = 0.2
+PATIENCE_S = 8.0
 HOME_LOST = outcomes.Unknown(
     'home_lost',
     'the host that ran the request is gone; look up the effect before '
@@ -49,17 +50,31 @@
         self.streams = streams_
         self.clock = streams_.clock
         self.sent = False
+        self.go_on_here = None
 
     def run(self):
-        """Ask the home until it answers or is known to be gone."""
-        while True:
+        """Ask the home until it answers or is known to be gone.
+
+        A home that others call alive may be cut off from this node alone,
+        so there is a limit to how long it is asked without an answer.
+        """
+        heard_s = self.clock.now_s()
+        while self.clock.now_s() - heard_s < PATIENCE_S:
             home = self.locate()
             if home is None:
                 return self.lost()
+            before = self.progress()
             outcome = self.try_home(home)
             if outcome is not None:
                 return outcome
+            if self.progress() != before:
+                heard_s = self.clock.now_s()
             self.clock.sleep(RETRY_PAUSE_S)
+        return self.lost()
+
+    def progress(self):
+        """Return something that changes as the answer goes on."""
+        return len(self.pieces)
 
     def try_home(self, home):
         """Return the outcome, or None when the home did not tell it."""
@@ -75,10 +90,17 @@
 
     def lost(self):
         """Return what to say when the home is gone for good."""
+        outcome = self.go_on()
+        if outcome is not None:
+            return outcome
         if not self.sent and self.request.first:
             return HOME_UNREACHED
         return HOME_LOST
 
+    def go_on(self):
+        """Run on this node what was lost with its home, if that may be."""
+        return None
+
     def headers(self):
         """Return the headers of the call to the home."""
         request = self.request
@@ -117,6 +139,12 @@
         self.connections = None
         self.connection = None
 
+    def go_on(self):
+        """Continue the answer on this node."""
+        if self.resume_only or self.go_on_here is None:
+            return None
+        return self.go_on_here(self)
+
     def ask(self, home):
         """Send the request, or resume the answer that has begun."""
         reply = self.open(home)
--- a/magnoliadyke/streams.py
+++ b/magnoliadyke/streams.py
@@ -28,9 +28,8 @@
 ]
 
 STATUS_OK = 200
-STATUS_CONFLICT = 409
-STATUS_NOT_FOUND = 404
 STATUS_SERVER_ERROR = 500
+STATUS_UNAVAILABLE = 503
 NOT_RUN_CODE = 'not_run'
 DUPLICATE_CODE = 'duplicate_id'
 #: Resumes in a row that brought no token before the attempt is given up.
@@ -223,6 +222,15 @@
         self.assembly = attempts.Assembly()
         self.pump = None
 
+    def go_on_from(self, other):
+        """Continue the answer of another run, for the same followers.
+
+        :param other: run with ``assembly``, ``pieces`` and ``followers``
+        """
+        self.assembly.offset = other.assembly.offset
+        self.pieces = other.pieces
+        self.followers = other.followers
+
     def attempt(self, action):
         """Prefill if asked to, then decode."""
         self.number += 1
@@ -258,7 +266,9 @@
         """Start the answer on an engine and read it to its end."""
         self.engine = self.dispatcher.endpoints[name]
         if self.assembly.offset:
+            # The text so far is part of what the engine continues.
             work['offset'] = self.assembly.offset
+            work['generated'] = attempts.text_of(b''.join(self.pieces))
         try:
             reply = self.engine.complete(work, self.headers())
         except errors.EndpointUnreachable as error:
@@ -549,7 +559,8 @@
         except errors.EndpointUnreachable as error:
             stage = 'decode' if error.sent else 'connect'
             return self.failed(name, stage, error.sent)
-        if reply.error_code() == NOT_RUN_CODE:
+        refused = reply.status == STATUS_UNAVAILABLE
+        if refused and reply.error_code() == NOT_RUN_CODE:
             return self.failed(name, 'decode', False)
         self.finished(jobs.Finished())
         return records.Answer(
--- a/tests/requestpath.py
+++ b/tests/requestpath.py
@@ -164,6 +164,7 @@
         self.table = mailbox.Topic(self.make_view())
         self.members = mailbox.Topic(self.make_members())
         self.nodes = {}
+        self.successor = ''
 
     def make_settings(self, hosts):
         """Return the settings of the deployment."""
@@ -267,11 +268,25 @@
         node = self.nodes.pop(name)
         node.callers.stop(deadline_s)
         node.dispatcher.stop()
-        fields = {'state': 'left', 'successor': node.status.successor}
+        self.successor = node.status.successor
+        fields = {'state': 'left', 'successor': self.successor}
         self.members.publish(
             self.make_members(**{name.replace('-', '_'): fields})
         )
 
+    def kill_node(self, name):
+        """End a node at once; the others hear that it is dead."""
+        node = self.nodes.pop(name)
+        front = node.callers
+        front.server.stop(timeout=0.0)
+        front.server.pool.kill()
+        for run in list(front.homes.runs.values()):
+            run.greenlet.kill()
+        front.ticker.kill()
+        node.dispatcher.stop()
+        fields = {name.replace('-', '_'): {'state': 'dead'}}
+        self.members.publish(self.make_members(**fields))
+
     def address(self, name='host-1'):
         """Return a host's address for callers."""
         row = self.settings.host(name)
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -4,6 +4,7 @@
 
 from tests import requestpath
 
+SLOW = {'prefill_s_per_token': 1e-5, 'decode_base_s': 0.02}
 CHARGE = '/v1/services/portal/charge'
 
 
@@ -130,9 +131,81 @@
         adopters = [
             name
             for name, other in bench.nodes.items()
-            if other.callers.homes.adopted
+            if other.callers.homes.handover.adopted
         ]
         assert adopters == [node.status.successor]
         for host in ('host-2', 'host-3'):
             bench.complete(6, host, Idempotency_Key=f'{ticket}/2')
         assert len(bench.runs()) == 1
+
+
+def test_a_repeatable_answer_goes_on_when_its_home_dies():
+    """The home of a streamed answer dies while another host relays it.
+
+    The request may be repeated, so the relaying host lets an engine go on
+    from the offset that the caller has. The caller sees one whole answer.
+    """
+    with requestpath.Bench(2, SLOW) as bench:
+        key = bench.ticket('host-1') + '/1'
+        caller = gevent.spawn(
+            bench.complete, 60, 'host-2', Idempotency_Key=key
+        )
+        gevent.sleep(0.6)
+        bench.kill_node('host-1')
+        reply = caller.get(timeout=15)
+        assert reply.text() == requestpath.answer_of(60)
+        assert b'[DONE]' in reply.body
+        assert len(bench.runs()) == 2
+
+
+def test_a_stopping_host_serves_what_still_comes():
+    """A caller that remembers the stopping host goes on sending to it.
+
+    One request still runs there. New ones, with and without a key, are
+    relayed to the successor; a copy of the running one follows it, at the
+    old host and at the new one.
+    """
+    with requestpath.Bench(2, SLOW) as bench:
+        ticket = bench.ticket('host-1')
+        first = gevent.spawn(
+            bench.complete, 80, 'host-1', Idempotency_Key=f'{ticket}/1'
+        )
+        gevent.sleep(0.3)
+        stopping = gevent.spawn(bench.stop_node, 'host-1')
+        gevent.sleep(0.1)
+        copy = gevent.spawn(
+            bench.complete, 80, 'host-2', Idempotency_Key=f'{ticket}/1'
+        )
+        new = bench.complete(5, 'host-1', Idempotency_Key=f'{ticket}/2')
+        plain = bench.complete(6, 'host-1')
+        assert new.text() == requestpath.answer_of(5)
+        assert plain.text() == requestpath.answer_of(6)
+        whole = requestpath.answer_of(80)
+        assert first.get(timeout=10).text() == whole
+        assert copy.get(timeout=10).text() == whole
+        stopping.get(timeout=10)
+        late = bench.complete(80, 'host-2', Idempotency_Key=f'{ticket}/1')
+        assert late.text() == whole
+        assert len(bench.runs()) == 3
+
+
+def test_a_new_host_finds_the_successor_of_an_old_home():
+    """All that remember a stopped home's successor are asked for it.
+
+    The new host has never seen the old home; its members name a later
+    incarnation of the same host.
+    """
+    with requestpath.Bench(3) as bench:
+        key = bench.ticket('host-1') + '/1'
+        done = bench.complete(5, 'host-1', Idempotency_Key=key)
+        bench.stop_node('host-1')
+        for node in bench.nodes.values():
+            node.callers.homes.directory.learn_successors()
+        (other,) = set(bench.nodes) - {bench.successor}
+        bench.nodes[other].callers.homes.directory.successors.clear()
+        bench.members.publish(
+            bench.make_members(host_1={'incarnation': 9, 'state': 'dead'})
+        )
+        again = bench.complete(5, other, Idempotency_Key=key)
+        assert again.text() == done.text()
+        assert len(bench.runs()) == 1
