Run a trace against real processes

What several nodes do together, and how far the fakes of lab policy can be trusted, shows only in real processes. lab live runs the same traces and gives the same figures, taken at the callers and from the ledgers.

--- /dev/null
+++ b/magnoliadyke/lab/live.py
@@ -0,0 +1,306 @@
+"""A trace against real node and stand-in processes, in real time.
+
+Usage:
+  magnoliadyke lab live [options]
+
+Options:
+  --deployment=NAME   dala or zarqa [default: dala].
+  --trace=FILE        Requests as CSV, in place of a generated trace.
+  --shape=NAME        steady, swing, step, slow-day, flood-large, flood-small,
+                      flash or burst-then-quiet [default: swing].
+  --load=F            Mean demand as a share of the pool [default: 0.7].
+  --period=SECONDS    Period of the swing [default: 60].
+  --amplitude=F       How far the prefill share moves [default: 0.4].
+  --duration=SECONDS  Length of the trace, 300 at most [default: 60].
+  --policy=NAMES      fixed and ours, with a comma between [default: ours].
+  --seed=N            Which trace is drawn [default: 1].
+  --seeds=A-B         Several traces, one after the other.
+  --faults=FILE       JSON lines at_s, kind, target, for_s.  Kinds are those
+                      of lab policy, and node_loss (kill -9; the node comes
+                      back after for_s).
+  --keep=DIR          Keep settings, logs and ledgers in this directory.
+  --json              Print JSON.
+
+The figures are those of `magnoliadyke lab policy`, taken at the callers.
+"""
+
+import io
+import json
+import pathlib
+import sys
+import tempfile
+import typing
+
+import docopt
+import gevent
+
+from magnoliadyke import errors
+from magnoliadyke.lab import cluster
+from magnoliadyke.lab import load as loads
+from magnoliadyke.lab import measures
+from magnoliadyke.lab import runs
+from magnoliadyke.lab import traces
+from magnoliadyke.lab import trial
+from magnoliadyke.lab import workload
+
+__all__ = ['POLICIES', 'Run', 'main', 'read_faults']
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+#: Policies that the nodes have, and their word for each in the table.
+POLICIES = {'fixed': 'fixed', 'ours': 'auto'}
+NODE_LOSS = 'node_loss'
+LONGEST_S = 300.0
+RUN_OUT_S = 60.0
+CLIENTS_PER_HOST = 3
+LEAVING_S = 3.0
+RESTART_S = trial.fakes.RESTART_S
+LAG_S = trial.FAULT_LAG_S
+
+
+class Run(typing.NamedTuple):
+    """What one run needs to know.
+
+    :param deployment: :class:`traces.Deployment`
+    :param document: settings of the deployment
+    :param requests: the trace
+    :param faults: :class:`trial.Fault`
+    """
+
+    deployment: traces.Deployment
+    document: dict
+    requests: list
+    faults: list
+    directory: str
+
+
+def run(plan, policy):
+    """Run a trace under a policy; the figures.
+
+    :param plan: :class:`Run`
+    :param policy: a name of :data:`POLICIES`
+    """
+    pools = plan.document['initial_table'].setdefault('pools', {})
+    row = pools.setdefault(plan.deployment.pool, {})
+    row['planning'] = POLICIES[policy]
+    options = cluster.Options(directory=plan.directory)
+    with cluster.Cluster(plan.document, options) as made:
+        made.start()
+        counts = dict.fromkeys(
+            plan.deployment.weights, CLIENTS_PER_HOST * len(made.hosts)
+        )
+        load = loads.Load(
+            loads.make_clients(made, counts),
+            workload.from_trace(plan.requests),
+        )
+        load.start()
+        tasks = [
+            gevent.spawn_later(fault.at_s, inject, made, fault)
+            for fault in plan.faults
+        ]
+        length_s = plan.requests[-1].at_s
+        load.join(length_s + RUN_OUT_S)
+        gevent.killall(tasks)
+        note_dispatches(made, load)
+        changes = runs.role_changes(made)
+        usage = {n: made.usage(n) for n in made.hosts if made.alive(n)}
+        made.stop()
+    figures = measures.figures(
+        load.records,
+        load.backlog,
+        plan.deployment.weights,
+        length_s,
+        changes,
+        plan.deployment.price_tokens,
+    )
+    figures['wrong'] = sum(
+        record.finished_s is not None and not record.whole()
+        for record in load.records
+    )
+    figures['node_cpu_s'] = round(
+        sum(each['cpu_s'] for each in usage.values()), 2
+    )
+    return figures
+
+
+def note_dispatches(made, load):
+    """Note from the ledgers when each request reached an engine."""
+    first_s = runs.first_run_s(made)
+    for record in load.records:
+        at_s = first_s.get(record.content())
+        if at_s is not None:
+            record.dispatched_s = at_s - load.start_wall_s
+
+
+def inject(made, fault):
+    """Cause a fault, and end it after its time."""
+    names = [fault.target] if fault.target else engines(made)
+    match fault.kind:
+        case 'crash':
+            made.kill(fault.target)
+            gevent.sleep(fault.for_s or RESTART_S)
+            made.restart(fault.target)
+        case 'withdrawn':
+            withdraw(made, fault)
+        case 'report_lag':
+            for name in names:
+                made.fault(name, kind='lag', lag_s=LAG_S, for_s=fault.for_s)
+        case 'no_authority':
+            made.fault('keyvalue', kind='outage', for_s=fault.for_s)
+        case 'change_fails':
+            for name in names:
+                made.fault(name, kind='fail_change', for_s=fault.for_s)
+        case 'node_loss':
+            made.kill(fault.target)
+            if fault.for_s is not None:
+                gevent.sleep(fault.for_s)
+                made.restart(fault.target)
+
+
+def withdraw(made, fault):
+    """Have an engine leave, and come back after the fault's time."""
+    made.fault(fault.target, kind='leaving')
+    gevent.sleep(LEAVING_S)
+    made.fault(fault.target, kind='left')
+    if fault.for_s is not None:
+        gevent.sleep(max(0.0, fault.for_s - LEAVING_S))
+        made.fault(fault.target, kind='back')
+
+
+def engines(made):
+    """Names of the model engines."""
+    return [
+        endpoint['name']
+        for pool in made.settings['pools']
+        if pool['kind'] == 'model'
+        for endpoint in pool['endpoints']
+    ]
+
+
+def read_faults(file, path, deployment, hosts):
+    """Read faults from JSON lines; as ``lab policy``, and node losses.
+
+    :param hosts: names of the hosts
+    :raises TraceError: with every bad line and its remedy
+    """
+    faults = []
+    rest = []
+    problems = []
+    for number, line in enumerate(file, 1):
+        fault = node_loss(line)
+        rest.append('\n' if fault else line)
+        if fault and fault.target in hosts:
+            faults.append(fault)
+        elif fault:
+            problems.append(
+                f'line {number}: target {fault.target!r}; use one of '
+                f'{", ".join(hosts)}'
+            )
+    if problems:
+        raise traces.TraceError(path, problems)
+    text = io.StringIO(''.join(rest))
+    return faults + trial.read_faults(text, path, deployment)
+
+
+def node_loss(line):
+    """The fault in a line if it is the loss of a node."""
+    try:
+        fault = trial.Fault(**json.loads(line))
+    except (ValueError, TypeError):
+        return None
+    return fault if fault.kind == NODE_LOSS else None
+
+
+def read_requests(args, deployment, seed):
+    """The trace to run: from a file, or drawn."""
+    path = args['--trace']
+    if path:
+        with open(path, newline='') as file:
+            requests = traces.read(file, path, deployment)
+        load = float(args['--load'])
+        return traces.scale(requests, load, deployment.engines)
+    shape = traces.Shape(
+        choose(args, '--shape', traces.SHAPES),
+        load=float(args['--load']),
+        period_s=float(args['--period']),
+        amplitude=float(args['--amplitude']),
+        duration_s=min(float(args['--duration']), LONGEST_S),
+    )
+    return traces.generate(deployment, shape, seed)
+
+
+def choose(args, option, names):
+    """The value of an option that is one of some names."""
+    value = args[option]
+    if value not in names:
+        raise errors.UsageError(
+            f'{option} {value!r} is not known',
+            'use one of ' + ', '.join(names),
+        )
+    return value
+
+
+def choose_policies(text):
+    """The policies named on the command line."""
+    names = text.split(',')
+    for name in names:
+        if name not in POLICIES:
+            raise errors.UsageError(
+                f'policy {name!r} does not run in nodes',
+                'use one of '
+                + ', '.join(POLICIES)
+                + ', or lab policy for the others',
+            )
+    return names
+
+
+def choose_seeds(args):
+    """The seeds to run."""
+    if not args['--seeds']:
+        return [int(args['--seed'])]
+    first, _, last = args['--seeds'].partition('-')
+    return list(range(int(first), int(last or first) + 1))
+
+
+def main(argv):
+    """Run the experiment.
+
+    :param argv: words of the command line after ``lab live``
+    :returns: exit status
+    """
+    args = docopt.docopt(__doc__, ['lab', 'live', *argv])
+    name = choose(args, '--deployment', traces.DEPLOYMENTS)
+    deployment = traces.DEPLOYMENTS[name]
+    document = json.loads((EXAMPLES / f'{name}.json').read_text())
+    faults = []
+    if args['--faults']:
+        hosts = [host['name'] for host in document['hosts']]
+        with open(args['--faults']) as file:
+            faults = read_faults(file, args['--faults'], deployment, hosts)
+    policies = choose_policies(args['--policy'])
+    results = []
+    for seed in choose_seeds(args):
+        requests = read_requests(args, deployment, seed)
+        for policy in policies:
+            with tempfile.TemporaryDirectory() as scratch:
+                directory = args['--keep'] or scratch
+                plan = Run(deployment, document, requests, faults, directory)
+                figures = run(plan, policy)
+            results.append({'seed': seed, 'policy': policy, **figures})
+            if not args['--json']:
+                print(render(results[-1]), flush=True)
+    if args['--json']:
+        json.dump({'deployment': name, 'runs': results}, sys.stdout, indent=1)
+        print()
+    return 0
+
+
+def render(result):
+    """One run's figures as a line for people."""
+    return (
+        f'seed {result["seed"]} {result["policy"]}: '
+        f'goodput {result["goodput_tokens_s"]:.0f} tokens/s, '
+        f'met {result["met_share"]:.3f}, '
+        f'{result["role_changes"]} role changes, '
+        f'{result["not_run"]} not run, {result["unknown"]} unknown, '
+        f'fairness {result["fairness"]:.2f}'
+    )
--- a/magnoliadyke/lab/runs.py
+++ b/magnoliadyke/lab/runs.py
@@ -48,11 +48,11 @@
 
 
 def first_run_s(cluster):
-    """Wall time at which the request of each key first ran."""
+    """Wall time at which each content first ran."""
     first = {}
     for row in rows(cluster, 'run'):
-        at_s = first.get(row['key'], row['at_s'])
-        first[row['key']] = min(at_s, row['at_s'])
+        content = row['content']
+        first[content] = min(first.get(content, row['at_s']), row['at_s'])
     return first
 
 
