--- a/magnoliadyke/core/membership.py
+++ b/magnoliadyke/core/membership.py
@@ -38,7 +38,7 @@
 DEAD = 'dead'
 LEFT = 'left'
 _STATE_RANK = {ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3}
-MAX_HEALTH = 8
+MAX_HEALTH = 4
 #: Independent suspicions that shorten the wait to its least.
 CONFIRMATIONS = 2
 #: Each update is sent this often for each doubling of the fleet.
@@ -54,6 +54,7 @@
     :param sightings: hosts vouched for in a datagram.
     :param pause_s: a gap between ticks that counts as a pause.
     :param knock_s: time between probes of a host believed gone.
+    :param survey: most peers probed at once by a survey.
     """
 
     period_s: float = 0.5
@@ -64,6 +65,7 @@
     sightings: int = 8
     pause_s: float = 1.5
     knock_s: float = 1.0
+    survey: int = 64
 
 
 class Member(NamedTuple):
@@ -221,6 +223,7 @@
         self.settings = settings
         self.rng = rng
         self.digest = b''
+        self.accepts = True
         self.health = 0
         self.members: dict[str, Member] = {}
         self.seeds = {p.host: p for p in peers if p.host != self_member.host}
@@ -240,6 +243,8 @@
         self._next_knock_s = now_s
         self._last_tick_s = now_s
         self._knocks: dict[int, float] = {}
+        self._late: dict[int, float] = {}
+        self._received_s = now_s
         self._relays: dict[int, _Relay] = {}
         self._suspicions: dict[str, _Suspicion] = {}
         self._news: dict[str, int] = {}
@@ -265,6 +270,23 @@
     def set_spare(self, spare: float) -> None:
         self.freshness.spare = spare
 
+    def decline(self) -> None:
+        """Take no new work from now on, whatever the evidence says."""
+        self.accepts = False
+
+    def survey(self, now_s: float) -> list[Action]:
+        """Probe many peers at once, to hear soon who holds which table.
+
+        One probe a period would take a period for each host; an edit is
+        rare enough to pay for more.
+        """
+        peers = self._shuffled(self._others(ALIVE, SUSPECT))
+        sends: list[Action] = []
+        for peer in peers[: self.settings.survey]:
+            sends.append(self._ping(peer, now_s))
+            self._knocks[self._sequence] = now_s
+        return sends
+
     def hint(self, peer: Member) -> None:
         """A host that the platform lists; it lags, so it is only knocked."""
         if peer.host != self.own.host:
@@ -299,7 +321,7 @@
 
     def _resume(self, gap_s: float, now_s: float) -> Paused:
         """Doubt oneself first: probes and suspicions ran out unheard."""
-        self.health = min(MAX_HEALTH, self.health + 1)
+        self._doubt_self()
         self._probe = None
         for suspicion in self._suspicions.values():
             suspicion.since_s = now_s
@@ -307,14 +329,19 @@
         return Paused(gap_s)
 
     def _refresh_own(self, now_s: float) -> None:
-        seen = self.freshness.sighting(now_s)
+        seen = self._own_sighting(now_s)
         self.own = self.own._replace(
             table_revision=seen.table_revision,
             staged_revision=seen.staged_revision,
             spare=seen.spare,
-            takes_work=seen.takes_work and self.own.state == ALIVE,
+            takes_work=seen.takes_work,
         )
 
+    def _own_sighting(self, now_s: float) -> freshness.Sighting:
+        seen = self.freshness.sighting(now_s)
+        accepts = self.accepts and self.own.state == ALIVE
+        return seen._replace(takes_work=seen.takes_work and accepts)
+
     def _start_probe(self, now_s: float) -> list[Action]:
         self._next_probe_s = now_s + self.settings.period_s
         target = self._next_target()
@@ -345,7 +372,9 @@
         patience = 1 + self.health
         if waited_s >= self.settings.period_s * patience:
             self._probe = None
-            self.health = min(MAX_HEALTH, self.health + 1)
+            self._late[probe.sequence] = probe.sent_s
+            if self._received_s < probe.sent_s:
+                self._doubt_self()
             self._suspect(probe.target, self.own.host, now_s)
             return []
         late = waited_s >= self.settings.ping_timeout_s * patience
@@ -354,6 +383,15 @@
             return self._ask_helpers(probe, now_s)
         return []
 
+    def _doubt_self(self) -> None:
+        """Be more patient: it may be oneself who is slow or cut off.
+
+        Signs are that nobody at all is heard, or that answers come after
+        their time.  While others are heard in time, a peer that is not has
+        failed, and patience would only delay the news of several failures.
+        """
+        self.health = min(MAX_HEALTH, self.health + 1)
+
     def _ask_helpers(self, probe: _Probe, now_s: float) -> list[Action]:
         target = self.members.get(probe.target)
         if target is None:
@@ -428,18 +466,20 @@
         return least_s * max(1.0, factor) * (1 + self.health / 4)
 
     def _forget_relays(self, now_s: float) -> None:
-        oldest_s = now_s - 4 * self.settings.period_s
+        oldest_s = now_s - 2 * MAX_HEALTH * self.settings.period_s
         self._relays = {
             s: r for s, r in self._relays.items() if r.sent_s > oldest_s
         }
-        self._knocks = {
-            s: at_s for s, at_s in self._knocks.items() if at_s > oldest_s
-        }
+        for sent in (self._knocks, self._late):
+            for sequence, sent_s in list(sent.items()):
+                if sent_s < oldest_s:
+                    del sent[sequence]
 
     # Messages.
 
     def receive(self, message: Message, now_s: float) -> list[Action]:
         """Take a datagram in."""
+        self._received_s = now_s
         actions = self._merge_all((message.source, *message.updates), now_s)
         self._note_sightings(message.sightings)
         if message.digest:
@@ -489,6 +529,10 @@
             address = (relay.requester.address, relay.requester.peer_port)
             return [Send(address, passed_on)]
         sent_s = self._knocks.pop(ack.sequence, None)
+        late_s = self._late.pop(ack.sequence, None)
+        if late_s is not None:
+            self._doubt_self()
+            sent_s = late_s
         probe = self._probe
         if probe is not None and probe.sequence == ack.sequence:
             if probe.target != ack.source.host:
@@ -531,7 +575,7 @@
         wrong = said.state in (SUSPECT, DEAD) and self.own.state == ALIVE
         if wrong and said.incarnation == self.own.incarnation:
             if said.refutations >= self.own.refutations:
-                self.health = min(MAX_HEALTH, self.health + 1)
+                self._doubt_self()
                 self._refute(said.refutations)
         return []
 
@@ -602,7 +646,7 @@
         if len(relayed) >= self.settings.sightings:
             relayed = self._shuffled(relayed)
         sightings = (
-            self.freshness.sighting(now_s),
+            self._own_sighting(now_s),
             *relayed[: self.settings.sightings - 1],
         )
         return self._updates(receiver), sightings, self.digest
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -286,6 +286,38 @@
     assert fresh.tick(early_s + 0.2, authority) == [commands.ReadIntent()]
 
 
+def test_last_question_before_the_last_byte():
+    """No command outlives the authority that it was begun with."""
+    world = World()
+    world.run(7.0)
+    holder = world.holders[0]
+    holder.commands.want(PREFILL)
+    world.run_until_sending(0)
+    now_s = world.now_s
+    held = holder.lease.held(now_s)
+    assert holder.commands.may_send(now_s, held)
+    assert not holder.commands.may_send(now_s, None)
+    later = held._replace(fencing=held.fencing + 1)
+    assert not holder.commands.may_send(now_s, later)
+    end_s = held.until_s - SETTINGS.life_s
+    assert not holder.commands.may_send(end_s, held)
+
+
+def test_reply_from_a_former_tenure_is_dropped():
+    """A host that lost the lease and got it back reads anew.
+
+    Its read of the intent was under way all the time; the answer shows
+    what the store held before another holder wrote.
+    """
+    engine = commands.EngineCommands('e1', False, SETTINGS)
+    before = leases.Authority(1, 0.0, 5.0)
+    after = leases.Authority(3, 20.0, 25.0)
+    assert engine.tick(2.0, before) == [commands.ReadIntent()]
+    assert engine.tick(22.0, after) == []
+    engine.intent_read(22.0, 1, commands.Intent(1, 1, PREFILL).dump())
+    assert engine.tick(22.1, after) == [commands.ReadIntent()]
+
+
 @pytest.mark.parametrize('checks_fencing', [False, True])
 def test_stop_at_the_worst_spot(checks_fencing):
     """A command of a stopped process arrives after its successor's.
