Report the end of each request to the metrics

The home counts each run once, with queue time, time of role changes, first token and pace. The node passes its metrics to the callers task.

--- a/magnoliadyke/callers.py
+++ b/magnoliadyke/callers.py
@@ -18,6 +18,7 @@
 from magnoliadyke import forms
 from magnoliadyke import homes
 from magnoliadyke import logs
+from magnoliadyke import reports
 from magnoliadyke import streams
 
 __all__ = ['Callers', 'NodeStatus']
@@ -129,6 +130,7 @@
         delivers records to a successor, whose ``take_records`` should be
         :meth:`take_records`
     :param status: :class:`NodeStatus` shared with gossip
+    :param metrics: :class:`magnoliadyke.metrics.Metrics`, or None
     """
 
     def __init__(
@@ -144,6 +146,7 @@
         store,
         peers,
         status,
+        metrics=None,
     ):
         self.settings = settings
         self.host = host
@@ -166,6 +169,7 @@
             peers,
             self.streams,
             self.door,
+            reports.Reports(metrics, dispatcher, clock),
         )
         self.key_ring = None
         self.key_ring_view = None
--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -1,9 +1,11 @@
 """The task that owns the scheduler and feeds it what endpoints report."""
 
+import collections
 import typing
 
 import gevent
 
+from magnoliadyke.core import burn
 from magnoliadyke.core import jobs
 from magnoliadyke.core import membership
 from magnoliadyke.core import scheduler
@@ -31,6 +33,7 @@
 PUBLISH_INTERVAL_S = 1.0
 CACHE_WAIT_S = 10.0
 RETRY_S = 1.0
+CHANGES_KEPT = 20
 #: One lost answer is no proof; a second one in a row is.
 FAILURES_UNTIL_CRASHED = 2
 
@@ -194,6 +197,10 @@
             self_failure_domain=settings.host(host).failure_domain,
         )
         self.pending = {}
+        self.changing = {}
+        self.changes = collections.defaultdict(
+            lambda: collections.deque(maxlen=CHANGES_KEPT)
+        )
         self.pollers = []
         self.published_s = 0.0
 
@@ -252,6 +259,7 @@
             case LoadSeen(endpoint, report):
                 return core.load_report(endpoint, report, now_s)
             case StateSeen(endpoint, state):
+                self.note_change(endpoint, state, now_s)
                 return core.endpoint_state(endpoint, state, now_s)
             case CacheSeen(endpoint, events, gap):
                 return core.cache_events(endpoint, events, gap, now_s)
@@ -264,6 +272,29 @@
             case membership.MembersView(members=members):
                 return core.set_peers(count_alive(members), now_s)
 
+    def note_change(self, name, state, now_s):
+        """Remember when an endpoint was away for a change."""
+        pool = self.endpoints[name].info.pool
+        began_s = self.changing.pop(name, None)
+        if state == 'changing':
+            self.changing[name] = now_s if began_s is None else began_s
+        elif began_s is not None:
+            self.changes[pool].append((began_s, now_s))
+
+    def changing_s(self, pool, since_s, until_s):
+        """Return for how long an endpoint of a pool was away for a change.
+
+        :param since_s: start of the time looked at, in monotonic seconds
+        :param until_s: its end
+        """
+        under_way = [
+            (began_s, until_s)
+            for name, began_s in self.changing.items()
+            if self.endpoints[name].info.pool == pool
+        ]
+        intervals = [*self.changes[pool], *under_way]
+        return burn.covered_s(intervals, since_s, until_s)
+
     def progress(self, tokens, now_s):
         """Report how far several jobs are."""
         actions = []
--- a/magnoliadyke/homes.py
+++ b/magnoliadyke/homes.py
@@ -67,6 +67,7 @@
     """The request records of this node and the ways to those of others.
 
     :param settings: :class:`magnoliadyke.settings.Settings`
+    :param reports_: :class:`magnoliadyke.reports.Reports`
     :param door: called with the customer's name; returns ``NotRun`` when no
         new work is taken, or None
     :param streams_: :class:`magnoliadyke.streams.Streams`
@@ -85,6 +86,7 @@
         peers,
         streams_,
         door,
+        reports_,
     ):
         self.settings = settings
         self.host = host
@@ -95,6 +97,7 @@
         self.table = table
         self.streams = streams_
         self.door = door
+        self.reports = reports_
         secret = rng.getrandbits(8 * SECRET_BYTES).to_bytes(SECRET_BYTES)
         self.office = tickets.TicketOffice(host, incarnation, secret)
         self.records = records.RecordTable(record_settings(settings.limits))
@@ -272,6 +275,7 @@
 
     def close_refused(self, request, record, outcome):
         """End the record of a request that does not run."""
+        self.reports.refused(request.customer, outcome)
         if request.key:
             self.records.tell(record, outcome)
         else:
@@ -367,6 +371,7 @@
     def on_end(self, run):
         """Keep the outcome of a run that ended."""
         self.runs.pop(run.key, None)
+        self.reports.ended(run)
         record = run.record
         match run.outcome:
             case records.Answer():
--- a/magnoliadyke/streams.py
+++ b/magnoliadyke/streams.py
@@ -134,6 +134,9 @@
         self.dispatcher = streams.dispatcher
         self.clock = streams.clock
         self.sent = False
+        self.dispatched_s = None
+        self.first_output_s = None
+        self.failures = 0
 
     def run(self):
         """Attempt until an outcome stands; the scheduler decides how often.
@@ -145,6 +148,7 @@
         while True:
             if isinstance(action, scheduler.Refuse):
                 return self.refused(action.outcome)
+            self.dispatched_s = self.dispatched_s or self.clock.now_s()
             result = self.attempt(action)
             if not isinstance(result, jobs.Failed):
                 return result
@@ -184,6 +188,7 @@
 
         :param ran: whether a byte of it may have reached the endpoint
         """
+        self.failures += 1
         if ran:
             self.sent = True
         return jobs.Failed(name, stage, ran, crashed)
@@ -393,8 +398,10 @@
     def append(self, block):
         """Add output; the first one is news for the scheduler."""
         if not self.pieces:
-            now_s = self.clock.now_s()
-            self.dispatcher.post(dispatch.FirstToken(self.job.id, now_s))
+            self.first_output_s = self.clock.now_s()
+            self.dispatcher.post(
+                dispatch.FirstToken(self.job.id, self.first_output_s)
+            )
         super().append(block)
 
 
@@ -562,6 +569,7 @@
         refused = reply.status == STATUS_UNAVAILABLE
         if refused and reply.error_code() == NOT_RUN_CODE:
             return self.failed(name, 'decode', False)
+        self.first_output_s = self.clock.now_s()
         self.finished(jobs.Finished())
         return records.Answer(
             'service', reply.status, reply.content_type, reply.body
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,66 @@
+"""Tests of magnoliadyke.reports."""
+
+import types
+
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import jobs
+from magnoliadyke.core import outcomes
+from magnoliadyke.core import records
+from magnoliadyke import reports
+from magnoliadyke import streams
+
+
+class Metrics:
+    def __init__(self):
+        self.seen = []
+
+    def request_finished(self, *arguments):
+        self.seen.append(arguments)
+
+
+def run_of(outcome, **fields):
+    job = jobs.Job('k', 'lease', 'lease-model', arrived_s=990.0)
+    fields = {'dispatched_s': 992.0, 'first_output_s': 993.0} | fields
+    return types.SimpleNamespace(
+        job=job, outcome=outcome, failures=1, **fields
+    )
+
+
+def make():
+    metrics = Metrics()
+    dispatcher = types.SimpleNamespace(changing_s=lambda *_: 0.5)
+    return metrics, reports.Reports(metrics, dispatcher, clocks.ManualClock())
+
+
+def test_an_answer_is_reported_with_its_times():
+    metrics, book = make()
+    answer = records.Answer('model', 200, '', b'', 100, 8)
+    book.ended(run_of(answer))
+    ((customer, word, times, prompt_tokens, output_tokens),) = metrics.seen
+    assert (customer, word) == ('lease', 'answered')
+    assert (prompt_tokens, output_tokens) == (100, 8)
+    assert times.first_token_s == 3.0
+    assert times.per_token_s == 1.0
+    assert times.queued_s == 2.0
+    assert times.role_change_s == 0.5
+    assert times.failed_attempts == 1
+
+
+def test_a_refused_run_has_waited_until_its_end():
+    metrics, book = make()
+    refused = outcomes.NotRun('overloaded', 'later')
+    book.ended(run_of(refused, dispatched_s=None, first_output_s=None))
+    assert metrics.seen[0][1] == 'not_run'
+    assert metrics.seen[0][2].queued_s == 10.0
+
+
+def test_each_outcome_has_its_word():
+    words = {
+        streams.ABANDONED: 'cancelled',
+        streams.LOST: 'unknown',
+        outcomes.NotRun('concurrency_limit', ''): 'limited',
+        outcomes.Rejected('x', ''): 'rejected',
+        records.Answer('service', 500, '', b''): 'failed',
+    }
+    for outcome, word in words.items():
+        assert reports.outcome_word(outcome) == word
