Blame a job for the crash that its own failure tells of

The word that a prompt had been read may come after the word that the decoding engine died; the culprit then went unblamed, and in the test of four nodes and one resent request 4 engines went down. Decode engines are only weighed for prompts that they could read sooner.

--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -42,7 +42,7 @@
     """
 
     engine_queue_s: float = 0.2
-    sample: int = 8
+    sample: int = 6
     subset: int = 64
     slack_s: float = 0.02
     slack_streams: float = 0.05
@@ -218,8 +218,10 @@
         if not pool.by_role[PREFILL]:
             members = [endpoint for _, endpoint in open_decodes]
             return self._place_whole(job, members, now_s)
-        mixed = self._best_mixed(job, open_decodes, terms, now_s)
         split = self._best_split(job, prefills, terms, now_s)
+        mixed = None
+        if split is None or self._mixed_may_win(job, split):
+            mixed = self._best_mixed(job, open_decodes, terms, now_s)
         chosen = self._cheaper(split, mixed, terms)
         if chosen is None or chosen.blocked:
             return None
@@ -401,6 +403,11 @@
             first_token_s=best.first_token_s + moved_s,
         )
 
+    def _mixed_may_win(self, job, split):
+        """Whether a decode engine could be sooner, at its very best."""
+        base_s = self.book.of_job(job).mixed_prefill.base
+        return split.blocked or job.prompt_tokens * base_s < split.score_s
+
     def _best_mixed(self, job, found, terms, now_s):
         """The best engine in the decode role that could read as well."""
         model = self.book.of_job(job)
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -839,7 +839,7 @@
         """Decide what becomes of a job whose attempt failed."""
         endpoint = self.endpoints.get(failed.endpoint)
         if endpoint is not None:
-            self._blame_endpoint(endpoint, failed, now_s)
+            self._blame_endpoint(run, endpoint, failed, now_s)
         run.ran = run.ran or failed.ran
         self._release(run, now_s)
         self._give_back(run)
@@ -859,9 +859,14 @@
         self._forget(run, now_s)
         return [Refuse(run.job.id, outcome)]
 
-    def _blame_endpoint(self, endpoint, failed, now_s):
+    def _blame_endpoint(self, run, endpoint, failed, now_s):
         if failed.crashed:
             self._crashed(endpoint, now_s)
+            if run.job.fingerprint:
+                # It was there, whether or not its prefill was known done.
+                batch = [(run.fingerprint, run.tokens)]
+                pool = endpoint.info.pool
+                self.quarantine.blame(endpoint.name, pool, batch, now_s)
             endpoint.health.eject(now_s)
             self.beliefs.wiped(endpoint.name)
             return
