--- a/magnoliadyke/overview.py
+++ b/magnoliadyke/overview.py
@@ -43,7 +43,10 @@
         'host': node.host,
         'incarnation': node.incarnation,
         'failure_domain': node.settings.host(node.host).failure_domain,
-        'table': {'revision': view.revision if view else 0},
+        'table': {
+            'revision': view.revision if view else 0,
+            'fresh': node.gossip.standings.last.fresh,
+        },
         'takes_work': node.status.takes_work,
         'work_permit': node.configuration.permits.last.reason or 'granted',
         'store': _store(node.keyvalue, now_s),
@@ -76,7 +79,7 @@
             'address': f'{member.address}:{member.caller_port}',
             'failure_domain': member.failure_domain,
             'table_revision': member.table_revision,
-            'takes_work': member.takes_work,
+            'takes_work': member.takes_work and member.state == 'alive',
             'spare': round(member.spare, 3),
         }
         for member in sorted(view.members.values())
