Wait for the answer that names all hosts

Cause: the test asked once. What must hold is that it comes back by itself: the test now waits for that, and checks the names exactly.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -45,12 +45,18 @@
     return ''.join(choice['text'] for choice in choices)
 
 
-def test_any_host_names_all_hosts(dala):
+def test_any_host_comes_to_name_all_hosts(dala):
+    # A host whose probe was late, as on a busy machine, is suspected and left
+    # out for a moment; it must come back into every host's answer by itself.
     for host in dala.hosts:
-        status, text = call(dala, host, 'GET', '/v1/hosts', 'lease')
-        named = {row['host'] for row in json.loads(text)['hosts']}
-        assert status == 200
-        assert named == set(dala.hosts)
+        dala.wait_for(host, lambda host=host: names_all(dala, host))
+
+
+def names_all(running, host):
+    """Whether a host's answer names exactly the hosts there are."""
+    status, text = call(running, host, 'GET', '/v1/hosts', 'lease')
+    named = [row['host'] for row in json.loads(text)['hosts']]
+    return status == 200 and sorted(named) == sorted(running.hosts)
 
 
 @pytest.mark.parametrize('customer', ['lease', 'portal'])
