--- a/tools/binary.py
+++ b/tools/binary.py
@@ -48,6 +48,7 @@
     command += [f'--specpath={WORK}', f'--paths={ROOT}']
     command += [f'--collect-submodules={name}' for name in HIDDEN_PACKAGES]
     command += [f'--collect-data={PROGRAM}']
+    command += [f'--add-data={ROOT / "examples"}:examples']
     command += [f'--copy-metadata={name}' for name in METADATA]
     command += [f'--exclude-module={name}' for name in EXCLUDED]
     command.append(str(ROOT / PROGRAM / '__main__.py'))
