--- /dev/null
+++ b/magnoliadyke/lab/evidence.py
@@ -0,0 +1,232 @@
+"""Gathers what a fault run left behind, for the checker and for figures."""
+
+import collections
+import math
+import time
+
+from magnoliadyke import client as caller
+from magnoliadyke.core import outcomes
+from magnoliadyke.lab import checker
+from magnoliadyke.lab import cluster
+from magnoliadyke.lab import load as loads
+from magnoliadyke.lab import runs
+from magnoliadyke.lab import workload
+
+__all__ = [
+    'WatchedLoad',
+    'collect',
+    'figures',
+    'quantile',
+    'watched_clients',
+]
+
+OUTCOMES = {
+    outcomes.Answered: checker.ANSWERED,
+    outcomes.NotRun: checker.NOT_RUN,
+    outcomes.Unknown: checker.UNKNOWN,
+    outcomes.Rejected: checker.REJECTED,
+}
+
+
+class WatchedClient(caller.Client):
+    """The caller library, with a note of what each key was told.
+
+    :param told: list that takes a :class:`checker.Told` for each key
+    """
+
+    def __init__(self, hosts, credential, told):
+        super().__init__(hosts, credential)
+        self.told = told
+        self.keys = {}
+
+    def try_host(self, address, request, progress):
+        """Remember the key of the request that is being sent."""
+        self.keys[id(request)] = progress.key
+        return super().try_host(address, request, progress)
+
+    def run_key(self, request, end_s):
+        """Note what the key was told in the end."""
+        outcome = super().run_key(request, end_s)
+        key = self.keys.pop(id(request), '')
+        if key:
+            reason = getattr(outcome, 'reason', '')
+            name = OUTCOMES[type(outcome)]
+            self.told.append(checker.Told(time.time(), key, name, reason))
+        return outcome
+
+
+class WatchedLoad(loads.Load):
+    """A load that notes when each call ended, whatever its outcome."""
+
+    def __init__(self, clients, calls, visits=0):
+        super().__init__(clients, calls, visits)
+        self.ended_s = {}
+
+    def send(self, record):
+        """Send one call and note when it ended."""
+        super().send(record)
+        self.ended_s[record] = self.now_s()
+
+
+def watched_clients(deployment, customers, count, told):
+    """Clients of each customer, each with a session of its own."""
+    hosts = [deployment.caller_address(name) for name in deployment.hosts]
+    return {
+        customer: [
+            WatchedClient(hosts, cluster.caller_key(customer), told)
+            for _ in range(count)
+        ]
+        for customer in customers
+    }
+
+
+def collect(deployment, load, told, watcher, editors, faults):
+    """The :class:`checker.Evidence` of a run."""
+    return checker.Evidence(
+        [call_of(record, load) for record in load.records],
+        list(told),
+        [run_of(name, row) for name, row in rows(deployment, 'run')],
+        [command_of(name, row) for name, row in rows(deployment, 'command')],
+        watcher.samples,
+        editors.accepted(),
+        faults.departures,
+        faults.faults,
+    )
+
+
+def rows(deployment, what):
+    """Rows of one kind from the ledgers of all endpoints."""
+    for name in deployment.endpoints:
+        for row in deployment.ledger(name):
+            if row['what'] == what:
+                yield name, row
+
+
+def call_of(record, load):
+    """A call as the checker wants it."""
+    outcome = OUTCOMES.get(type(record.outcome), '')
+    ended_s = load.ended_s.get(record)
+    return checker.Call(
+        f'{record.job.customer} {record.job.kind} call {record.job.id}',
+        record.content(),
+        record.job.repeatable,
+        load.start_wall_s + record.call.at_s,
+        None if ended_s is None else load.start_wall_s + ended_s,
+        outcome,
+        getattr(record.outcome, 'reason', ''),
+        record.whole(),
+    )
+
+
+def run_of(name, row):
+    """A run from a ledger's row."""
+    return checker.Run(
+        row['at_s'],
+        name,
+        row.get('key') or '',
+        row['content'],
+        row.get('kind') or 'service',
+        row.get('offset') or 0,
+    )
+
+
+def command_of(name, row):
+    """A command from a ledger's row."""
+    return checker.Command(
+        row['at_s'],
+        name,
+        row['id'],
+        row.get('role') or row.get('model') or '',
+        row.get('generation') or 0,
+        row.get('fencing') or 0,
+        row.get('sender') or '',
+        row['status'] == 202,
+        row['checks_fencing'],
+    )
+
+
+def figures(deployment, load, watcher, editors, faults, seen):
+    """What the run took and how it ended, for people and pages."""
+    by_outcome = collections.Counter(call.outcome for call in seen.calls)
+    once = [call for call in seen.calls if not call.repeatable]
+    unknown = sum(call.outcome == checker.UNKNOWN for call in once)
+    services = sum(
+        isinstance(record.call, workload.ServiceCall)
+        for record in load.records
+    )
+    return {
+        'calls': dict(by_outcome),
+        'service_calls': services,
+        'once': {'sent': len(once), 'unknown': unknown},
+        'role_changes': runs.role_changes(deployment),
+        'commands': len(seen.commands),
+        'edits': dict(collections.Counter(e.state for e in editors.edits)),
+        'in_force_s': [
+            round(edit.took_s, 3)
+            for edit in editors.edits
+            if edit.state == 'in_force'
+        ],
+        'dead_listed_s': [
+            listed_for_s(watcher, at_s, host) for at_s, host in faults.kills
+        ],
+        'last_work_s': [
+            last_work_s(seen, departure) for departure in seen.departures
+        ],
+        'takeover_s': takeovers(deployment, faults),
+        'poisoned': [str(outcome) for outcome in faults.poisoned],
+    }
+
+
+def listed_for_s(watcher, killed_s, host):
+    """How long after its death a host was still named to callers.
+
+    A host that comes back is named again; that is another life.
+    """
+    longest_s = 0.0
+    for other in {listing.host for listing in watcher.listings} - {host}:
+        for listing in watcher.listings:
+            if listing.host != other or listing.at_s < killed_s:
+                continue
+            if host not in listing.hosts:
+                break
+            longest_s = max(longest_s, listing.at_s - killed_s)
+    return round(longest_s, 2)
+
+
+def last_work_s(seen, departure):
+    """How long after its notice an endpoint was still given work."""
+    late = [
+        run.at_s - departure.at_s
+        for run in seen.runs
+        if run.endpoint == departure.endpoint
+        and not run.offset
+        and departure.at_s <= run.at_s < departure.back_s
+    ]
+    return round(max(late, default=0.0), 2)
+
+
+def takeovers(deployment, faults):
+    """How long each duty of a killed host had no holder."""
+    writes = collections.defaultdict(list)
+    for row in deployment.ledger('keyvalue'):
+        if row.get('sender') and '/lease' in row.get('key', ''):
+            writes[row['key']].append((row['at_s'], row['sender']))
+    gaps = []
+    for killed_s, host in faults.kills:
+        for each in writes.values():
+            before = [sender for at_s, sender in each if at_s < killed_s]
+            after = [
+                at_s
+                for at_s, sender in each
+                if at_s > killed_s and sender != host
+            ]
+            if before and before[-1] == host and after:
+                gaps.append(round(after[0] - killed_s, 2))
+    return gaps
+
+
+def quantile(values, share):
+    """The value that so large a share of the sorted values reaches."""
+    if not values:
+        return None
+    return values[min(len(values) - 1, math.ceil(share * len(values)) - 1)]
