--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 TEST_FLAGS ?=
+DEMO_FLAGS ?=
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 PACKER := build/packer
@@ -51,7 +52,7 @@
 	$(BIN)/ruff format .
 
 demo: $(READY)
-	$(BIN)/magnoliadyke lab demo
+	$(BIN)/magnoliadyke lab demo $(DEMO_FLAGS)
 
 # The packer has a virtual environment of its own: nothing of the development
 # set can slip into the binary.  A C compiler must be there.
@@ -68,7 +69,7 @@
 	$(PACKER)/bin/python tools/binary_check.py $(BINARY)
 
 demo-binary: binary
-	$(BINARY) lab demo
+	$(BINARY) lab demo $(DEMO_FLAGS)
 
 clean:
 	rm -rf $(VENV) build dist *.egg-info .pytest_cache .ruff_cache .hypothesis
--- a/magnoliadyke/cli.py
+++ b/magnoliadyke/cli.py
@@ -79,6 +79,7 @@
 from magnoliadyke import client
 from magnoliadyke.core import outcomes
 from magnoliadyke import errors
+from magnoliadyke import labverbs
 from magnoliadyke import porcelain
 from magnoliadyke import render
 
@@ -153,7 +154,7 @@
 
 
 def _show_lab() -> int:
-    rows = sorted(porcelain.LAB_VERBS.items())
+    rows = sorted(labverbs.VERBS.items())
     width = max(len(name) for name, _ in rows)
     print('Programs of the lab: magnoliadyke lab VERB [ARGS...]')
     for name, purpose in rows:
--- a/magnoliadyke/porcelain.py
+++ b/magnoliadyke/porcelain.py
@@ -5,12 +5,10 @@
 """
 
 import getpass
-import importlib
 import json
 import os
 import pathlib
 from typing import Any
-from typing import Callable
 from typing import Mapping
 from typing import NamedTuple
 from typing import Sequence
@@ -21,11 +19,11 @@
 from magnoliadyke.core import outcomes
 from magnoliadyke.core import table
 from magnoliadyke import errors
+from magnoliadyke import labverbs
 from magnoliadyke import settings as settings_module
 from magnoliadyke import sheets
 
 __all__ = [
-    'LAB_VERBS',
     'EditResult',
     'admin_client',
     'call_model',
@@ -33,7 +31,6 @@
     'caller_client',
     'check',
     'drain',
-    'find_lab',
     'hosts',
     'lab',
     'node',
@@ -53,21 +50,6 @@
     'table_unset',
 ]
 
-#: Programs of the lab: stand-ins, load and experiments.
-LAB_VERBS = {
-    'capacity': 'measure the slopes behind docs/CAPACITY.md',
-    'demo': 'run the small Dala deployment and check every answer',
-    'engine': 'stand-in for a model engine',
-    'faults': 'faults with real processes behind the faulty proxy',
-    'hostlist': "stand-in for the platform's host list",
-    'keyvalue': "stand-in for the platform's key-value service",
-    'live': 'load against a running deployment',
-    'policy': 'compare policies on traces of a shifting token mix',
-    'proxy': 'TCP proxy that injects faults',
-    'service': 'stand-in for a plain service',
-    'weights': "stand-in for the platform's weight store",
-}
-
 #: Changes read to find what an exported sheet looked like.
 HISTORY_LIMIT = 1000
 
@@ -443,28 +425,7 @@
     :param argv: its name and its arguments.
     :returns: its exit status.
     """
-    verb, *rest = argv
-    return find_lab(verb)(rest) or 0
-
-
-def find_lab(verb: str) -> Callable[[list[str]], int | None]:
-    """Find a program of the lab; only the one asked for is imported.
-
-    :param verb: its name.
-    """
-    if verb not in LAB_VERBS:
-        raise errors.UsageError(
-            f'there is no lab program {verb!r}',
-            'use one of ' + ', '.join(LAB_VERBS),
-        )
-    try:
-        module = importlib.import_module(f'magnoliadyke.lab.{verb}')
-    except ModuleNotFoundError as error:
-        raise errors.UsageError(
-            str(error),
-            f'install {error.name}, which the one binary leaves out',
-        ) from error
-    return module.main
+    return labverbs.run(argv)
 
 
 def parse_value(cell: str, text: str) -> Any:
