Add up customers over all hosts in the status

Requests are spread over the hosts, so the counters of one told little: it showed 0 answers while 441 were given.

--- a/magnoliadyke/burnreport.py
+++ b/magnoliadyke/burnreport.py
@@ -2,17 +2,11 @@
 
 import dataclasses
 
-from gevent import pool
-
-from magnoliadyke import adminclient
 from magnoliadyke.core import burn
-from magnoliadyke import errors
+from magnoliadyke import fleet
 
 __all__ = ['BurnResource', 'collect', 'render_text']
 
-#: Hosts asked at a time.
-ASKED_AT_ONCE = 16
-
 
 class BurnResource:
     """Burn rates by customer and window."""
@@ -25,31 +19,20 @@
         if request.get_param('scope') == 'host':
             response.media = _own_part(self.node)
             return
-        token = request.auth.partition(' ')[2]
-        response.media = collect(self.node, token)
+        response.media = collect(self.node, fleet.token_of(request))
 
 
 def collect(node, token):
     """Add up the counts of all hosts and evaluate them.
 
-    Each host counts what it served. The others are asked with the token of
-    the operator who asks, since a node knows only its digest.
-
     :param node: the :class:`magnoliadyke.node.Node` that is asked
-    :param token: the operators' token
+    :param token: the operators' token, for the others
     """
     own = _own_part(node)
-    others = [host for host in node.settings.hosts if host.name != node.host]
-    parts = pool.Pool(ASKED_AT_ONCE).map(
-        lambda host: _part_of(host, token), others
-    )
-    answered = [part for part in parts if part is not None]
-    missing = [
-        host.name
-        for host, part in zip(others, parts, strict=True)
-        if part is None
-    ]
-    snapshots = [_decode(part['counts']) for part in [own, *answered]]
+    others = fleet.ask_others(node, token, '/admin/burn?scope=host')
+    parts = [own, *(part for part in others.values() if part is not None)]
+    missing = [host for host, part in others.items() if part is None]
+    snapshots = [_decode(part['counts']) for part in parts]
     view = node.configuration.views.last
     objectives = {
         name: row.met_share
@@ -58,9 +41,9 @@
     customers = burn.evaluate(burn.merge(snapshots), objectives)
     report = {
         'customers': [_customer(customer) for customer in customers],
-        'hosts': [part['host'] for part in [own, *answered]],
+        'hosts': [part['host'] for part in parts],
         'missing': missing,
-        'covered_s': max(part['covered_s'] for part in [own, *answered]),
+        'covered_s': max(part['covered_s'] for part in parts),
     }
     return report | {'text': render_text(report)}
 
@@ -80,17 +63,6 @@
     }
 
 
-def _part_of(host, token):
-    address = adminclient.AdminAddress(
-        host.name, host.admin_address, host.admin_port
-    )
-    client = adminclient.AdminClient([address], token)
-    try:
-        return client.get('/admin/burn?scope=host')
-    except errors.MagnoliadykeError:
-        return None
-
-
 def _decode(counts):
     return {
         customer: {
--- a/magnoliadyke/overview.py
+++ b/magnoliadyke/overview.py
@@ -2,12 +2,20 @@
 
 from magnoliadyke import adminerrors
 from magnoliadyke import duties
+from magnoliadyke import fleet
+from magnoliadyke import metrics
 
 __all__ = ['RolesResource', 'StatusResource', 'roles', 'status']
 
 #: Longest wait for another task of this node, in seconds.
 READ_TIMEOUT_S = 2.0
 
+#: Outcomes that are shown even if none occurred.
+SHOWN_OUTCOMES = ('answered', 'not_run', 'unknown', 'rejected')
+
+#: Figures of a customer that add up over the hosts.
+COUNTED = ('running', 'queued', *metrics.OUTCOMES)
+
 
 class StatusResource:
     """The deployment as this host sees it."""
@@ -15,9 +23,15 @@
     def __init__(self, node):
         self.node = node
 
-    def on_get(self, _request, response):
-        """Answer the state at a glance."""
-        response.media = status(self.node)
+    def on_get(self, request, response):
+        """Answer the state; ``scope=host`` counts on this host alone."""
+        own = status(self.node)
+        if request.get_param('scope') != 'host':
+            token = fleet.token_of(request)
+            path = '/admin/status?scope=host'
+            others = fleet.ask_others(self.node, token, path)
+            _add_customers(own, [a for a in others.values() if a])
+        response.media = own
 
 
 class RolesResource:
@@ -113,12 +127,25 @@
     return [
         {'name': name}
         | seen.get(name, {})
-        | dict.fromkeys(('answered', 'not_run', 'unknown', 'rejected'), 0)
+        | dict.fromkeys(SHOWN_OUTCOMES, 0)
         | node.metrics.totals.get(name, {})
         for name in sorted(view.customers)
     ]
 
 
+def _add_customers(own, others):
+    """Add the counts of the other hosts; what runs is a fleet's figure."""
+    totals = {customer['name']: customer for customer in own['customers']}
+    for status_of_other in others:
+        for customer in status_of_other['customers']:
+            total = totals.get(customer['name'])
+            if total is None:
+                continue
+            for field in COUNTED:
+                if field in total or field in customer:
+                    total[field] = total.get(field, 0) + customer.get(field, 0)
+
+
 def _leases(node):
     # The status is for telling what is wrong: a task that hangs must not
     # take the rest of it away.
--- a/tests/test_overview.py
+++ b/tests/test_overview.py
@@ -1,11 +1,21 @@
 """Tests of status and roles."""
 
 import gevent
+import pytest
 
 from magnoliadyke import duties
+from magnoliadyke import fleet
 from tests import fakenode
 
 
+@pytest.fixture(autouse=True)
+def others(monkeypatch):
+    """Answer for the other hosts: none is there, unless a test adds one."""
+    answers = {'entry-2': None}
+    monkeypatch.setattr(fleet, 'ask_others', lambda *_: answers)
+    return answers
+
+
 def test_status_tells_hosts_customers_store_and_leases():
     node = fakenode.make()
     node.metrics.request_finished('lease', 'answered')
@@ -20,6 +30,18 @@
     assert body['leases'][0]['holder'] == fakenode.HOST
 
 
+def test_status_adds_up_the_customers_of_all_hosts(others):
+    node = fakenode.make()
+    node.metrics.request_finished('lease', 'answered')
+    counts = {'name': 'lease', 'answered': 2, 'queued': 3}
+    others['entry-2'] = {'customers': [counts]}
+    client = fakenode.client(node)
+    (lease,) = client.simulate_get('/admin/status').json['customers']
+    assert (lease['answered'], lease['queued']) == (3, 3)
+    own = client.simulate_get('/admin/status?scope=host').json
+    assert own['customers'][0]['answered'] == 1
+
+
 def test_status_of_a_host_that_has_no_table_yet():
     node = fakenode.make()
     node.configuration.views.last = None
