Bound waits on the scheduler, stalled engines and callers that don't read

A run whose message made the scheduler raise waited for good while its caller saw keep-alives; it is answered now. A stream with comments but no token for 90 s is given up. The kernel's send buffer for a caller is bounded to 128 KB: with autotuned buffers (megabytes) a caller that had stopped reading was noticed only after that much output.

--- a/magnoliadyke/callers.py
+++ b/magnoliadyke/callers.py
@@ -33,6 +33,7 @@
 HEAD_WAIT_S = 1.0
 KEEP_ALIVE_S = 1.0
 BACKLOG = 1024
+SEND_BUFFER_BYTES = 128 << 10
 #: Requests at which a node calls itself half full.
 BUSY_REQUESTS = 100
 SERVICES = re.compile(r'/v1/services/(?P<name>[^/?]+)(?P<path>/[^?]*)?')
@@ -366,6 +367,9 @@
     handle = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # Without this bound the kernel takes megabytes for a caller that doesn't
+    # read, and it takes as long until the node notices.
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     handle.bind((address, port))
     handle.listen(BACKLOG)
     return handle
--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -8,6 +8,7 @@
 from magnoliadyke.core import burn
 from magnoliadyke.core import jobs
 from magnoliadyke.core import membership
+from magnoliadyke.core import outcomes
 from magnoliadyke.core import scheduler
 from magnoliadyke.core import table
 from magnoliadyke import endpoint as endpoints
@@ -38,6 +39,14 @@
 FAILURES_UNTIL_CRASHED = 2
 
 
+NOT_PLACED = outcomes.NotRun(
+    'internal_error', 'ask another host and report the error in the log'
+)
+NOT_KNOWN = outcomes.Unknown(
+    'internal_error', 'look up the effect before asking again'
+)
+
+
 class SubmitJob(mailbox.Ask):
     """Place a job; answered with a ``Dispatch`` or a ``Refuse``.
 
@@ -226,7 +235,27 @@
 
     def handle(self, message):
         """Pass one message to the scheduler and carry out its actions."""
-        self.apply(self.decide(message, self.clock.now_s()))
+        try:
+            self.apply(self.decide(message, self.clock.now_s()))
+        except Exception:
+            self.answer_failed(message)
+            raise
+
+    def answer_failed(self, message):
+        """Answer a run whose message the scheduler could not handle.
+
+        The run would wait for good, and its caller with it, while keep-alive
+        comments say that all is well.
+        """
+        match message:
+            case SubmitJob(job_id=job_id):
+                outcome = NOT_PLACED
+            case JobFailed(job_id=job_id, failed=failed):
+                outcome = NOT_PLACED if not failed.ran else NOT_KNOWN
+            case _:
+                return
+        self.pending.pop(job_id, None)
+        message.reply(scheduler.Refuse(job_id, outcome))
 
     def decide(self, message, now_s):
         """Return the scheduler's actions for one message."""
--- a/magnoliadyke/pumps.py
+++ b/magnoliadyke/pumps.py
@@ -12,6 +12,9 @@
 
 READABLE = 1
 RECEIVE_BYTES = 16384
+#: No token for so long, in spite of comments, means that the engine has lost
+#: the request. A long prompt or a role change takes less.
+STALL_S = 90.0
 LINE_END = b'\r\n'
 #: Where to look for the end of a chunk's size.
 LONGEST_SIZE = 10
@@ -46,6 +49,8 @@
         self.pace = attempts.Pace()
         self.seen_heard = -1
         self.quiet_since_s = 0.0
+        self.seen_offset = -1
+        self.still_since_s = 0.0
         self.reported = 0
 
     def run(self, first):
@@ -135,13 +140,25 @@
         :param suspect: a sibling connection went silent
         :return: whether it was given up
         """
+        if self.assembly.offset != self.seen_offset:
+            self.seen_offset = self.assembly.offset
+            self.still_since_s = now_s
+            self.pace.observe(self.seen_offset, now_s)
         if self.heard != self.seen_heard:
             self.seen_heard = self.heard
             self.quiet_since_s = now_s
-            self.pace.observe(self.assembly.offset, now_s)
+            self.check_stalled(now_s)
             return False
         quiet_s = now_s - self.quiet_since_s
         if quiet_s < self.pace.silence_limit_s(suspect):
             return False
         self.stop()
         return True
+
+    def check_stalled(self, now_s):
+        """Give up a stream that lives but has made no token for very long.
+
+        Its connection is not to blame, so its siblings are not suspect.
+        """
+        if now_s - self.still_since_s >= STALL_S:
+            self.stop()
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,78 @@
+"""Tests of magnoliadyke.dispatch."""
+
+import time
+import types
+
+import gevent
+import pytest
+
+from magnoliadyke.core import jobs
+from magnoliadyke.core import outcomes
+from magnoliadyke.core import scheduler
+from magnoliadyke import dispatch
+from tests import requestpath
+
+
+@pytest.fixture
+def dispatcher():
+    with requestpath.Bench() as bench:
+        yield bench.nodes['host-1'].dispatcher
+
+
+def job(name, **fields):
+    return jobs.Job(
+        name,
+        'lease',
+        requestpath.MODEL,
+        model=requestpath.MODEL,
+        prompt_tokens=3,
+        output_tokens=3,
+        arrived_s=time.monotonic(),
+        **fields,
+    )
+
+
+def test_places_a_job(dispatcher):
+    action = dispatcher.ask(dispatch.SubmitJob(job('a')), 2.0)
+    assert action == scheduler.Dispatch('a', 'engine-1', None, False)
+
+
+def test_an_error_of_the_scheduler_ends_the_wait(dispatcher, capsys):
+    """The scheduler raises on a message; its run must not wait for good."""
+
+    def broken(*arguments):
+        raise RuntimeError('made by the test')
+
+    dispatcher.scheduler.submit = dispatcher.scheduler.finished = broken
+    refused = dispatcher.ask(dispatch.SubmitJob(job('a')), 2.0)
+    assert isinstance(refused.outcome, outcomes.NotRun)
+    failed = jobs.Failed('engine-1', 'decode', True)
+    refused = dispatcher.ask(dispatch.JobFailed('a', failed), 2.0)
+    assert isinstance(refused.outcome, outcomes.Unknown)
+    assert 'made by the test' in capsys.readouterr().err
+
+
+def test_a_decision_that_nobody_waits_for_gives_the_slot_back(dispatcher):
+    """The caller left while its request was being placed."""
+    dispatcher.post(dispatch.SubmitJob(job('a')))
+    dispatcher.post(dispatch.CancelJob('a'))
+    gevent.sleep(0.1)
+    assert 'a' not in dispatcher.scheduler.runs
+
+
+def test_remembers_when_an_endpoint_was_away_for_a_change(dispatcher):
+    dispatcher.note_change('engine-1', 'changing', 100.0)
+    assert dispatcher.changing_s(requestpath.MODEL, 90.0, 103.0) == 3.0
+    dispatcher.note_change('engine-1', 'up', 106.0)
+    assert dispatcher.changing_s(requestpath.MODEL, 104.0, 200.0) == 2.0
+
+
+def test_health_needs_two_lost_answers():
+    seen = []
+    owner = types.SimpleNamespace(post=seen.append)
+    health = dispatch.Health(owner, 'engine-1')
+    health.missed()
+    assert seen == []
+    health.missed()
+    health.seen('in')
+    assert [each.state for each in seen] == ['crashed', 'up']
