Find silent watches by what peers know

Real processes behind the fault proxy: when all connections to the store go silent an edit took 3.9 s, and later ones suffered until each silent watch had run out.

--- a/magnoliadyke/configuration.py
+++ b/magnoliadyke/configuration.py
@@ -120,6 +120,7 @@
         self.busy = set()
         self.started_s = clock.now_s()
         self.newer_since_s = None
+        self.missed_since_s = None
         self.next_fetch_s = 0.0
         self.next_read_s = 0.0
 
@@ -164,6 +165,7 @@
         """Do what is due."""
         self.fetch_if_due()
         self.read_if_due()
+        self.check_watch()
         self.initialise_if_due()
         self.consider_acceptance()
         self.act_on_staged_if_due()
@@ -222,10 +224,11 @@
             self.restore('absent')
 
     def take_text(self, text, now_s):
-        """Take in a document from a peer."""
+        """Take in a document from a peer; the watch should have brought it."""
         document = self.parse(text) if text is not None else None
         if document is not None and self.is_newer(document):
             self.adopt(document, self.documents.last.store_revision)
+            self.keyvalue.end_watches()
 
     def parse(self, text):
         """Return the document, or None if it is not one."""
@@ -325,6 +328,23 @@
             self.next_read_s = now_s + READ_INTERVAL_S
             self.watch.reader.read_later()
 
+    def check_watch(self):
+        """Begin the watch anew when it missed what a read has shown.
+
+        Its connection may have gone silent for good: every later table
+        would come late by the time of a whole watch.
+        """
+        now_s = self.clock.now_s()
+        after = self.watch.after
+        seen = self.documents.last.store_revision
+        if after is None or seen is None or seen <= after:
+            self.missed_since_s = None
+        elif self.missed_since_s is None:
+            self.missed_since_s = now_s
+        elif now_s - self.missed_since_s > FETCH_AFTER_S:
+            self.missed_since_s = None
+            self.keyvalue.end_watches()
+
     def initialise_if_due(self):
         """Write the table of the settings when nobody has any."""
         held = self.documents.last
--- a/magnoliadyke/duties.py
+++ b/magnoliadyke/duties.py
@@ -248,7 +248,8 @@
             return duty.status(now_s)
         holder, fencing = self.holder_of(duty)
         member = self.members.members.get(holder)
-        if member is not None and holder != self.host:
+        alive = member is not None and member.state == membership.ALIVE
+        if alive and holder != self.host:
             status = self.ask_planner(name, member)
             if status is not None:
                 return status
--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -28,8 +28,6 @@
 ]
 
 TICK_INTERVAL_S = 0.1
-#: Members probed at once by a survey; larger fleets are sampled.
-MAX_SURVEY = 64
 MAX_DATAGRAM_BYTES = 65_507
 #: Evidence from enough others is renewed when it will be too old within
 #: this share of the time for which it holds, at most this often.
@@ -39,7 +37,7 @@
 #: that run apart included.
 WAIT_SHARE = 1.1
 #: Larger quorums can't be asked at once; the store's word serves instead.
-MAX_RENEWED_QUORUM = MAX_SURVEY // 2
+MAX_RENEWED_QUORUM = 32
 #: A digest above this goes by TCP instead; a datagram that the network must
 #: split is lost whole when one part is.
 MAX_DIGEST_BYTES = 600
@@ -135,42 +133,6 @@
     acceptance: object = None
 
 
-class NodeMembership(membership.Membership):
-    """Membership that can probe all members at once and can decline work.
-
-    An edit is in force when every node has confirmed it. One probe a period
-    would take a period for each node; asking all at once takes one round
-    trip, and an edit is rare enough to pay for that.
-
-    ``accepts`` is False while the node stops: whatever its evidence says,
-    the others then leave it out of their answers to callers.
-    """
-
-    accepts = True
-
-    def survey(self, now_s):
-        """Return pings to the members that are not known to be gone."""
-        others = self._shuffled(
-            self._others(membership.ALIVE, membership.SUSPECT)
-        )
-        sends = []
-        for member in others[:MAX_SURVEY]:
-            sends.append(self._ping(member, now_s))
-            self._knocks[self._sequence] = now_s
-        return sends
-
-    def _refresh_own(self, now_s):
-        super()._refresh_own(now_s)
-        takes_work = self.own.takes_work and self.accepts
-        self.own = self.own._replace(takes_work=takes_work)
-
-    def _riders(self, receiver, now_s):
-        updates, sightings, digest = super()._riders(receiver, now_s)
-        own, *others = sightings
-        own = own._replace(takes_work=own.takes_work and self.accepts)
-        return updates, (own, *others), digest
-
-
 class Gossip(mailbox.Task):
     """Owns the UDP socket on this host's peer port and its membership.
 
@@ -198,7 +160,7 @@
         self.incarnation = incarnation
         seeds = {each.name: seed(each) for each in settings.hosts}
         own = seeds[host]._replace(incarnation=incarnation)
-        self.membership = NodeMembership(
+        self.membership = membership.Membership(
             own,
             membership.MembershipSettings(),
             rng,
@@ -392,11 +354,24 @@
             quorate=len(known.group(now_s)) >= known.quorum,
             wants_store=known.wants_store(now_s),
             unconfirmed=known.acts_on_staged(now_s),
-            newer_at=self.peer_address(known.behind()),
+            newer_at=self.peer_address(known.behind() or self.ahead()),
             newest=max(newest, known.staged_revision),
             acceptance=self.acceptance(now_s) if staged else None,
         )
 
+    def ahead(self):
+        """A live host that told of a newer table than this node holds.
+
+        Its word comes with any datagram, sooner than evidence, which comes
+        with answers to own probes only; it is enough to ask for the table.
+        """
+        known = self.membership.freshness
+        for member in self.members.last.alive():
+            newer_staged = member.staged_revision > known.staged_revision
+            if newer_staged or member.table_revision > known.table_revision:
+                return member.host
+        return None
+
     def acceptance(self, now_s):
         """Whether the staged edit may be accepted.
 
@@ -410,6 +385,9 @@
             if member.state == membership.LEFT
         }
         known = self.membership.freshness
+        for host in left:
+            # What it told before its farewell is no reason to wait for it.
+            known.evidence.pop(host, None)
         outcome = known.acceptance(now_s, left)
         waited_s = now_s - self.staged_since_s
         waited_out = waited_s > known.settings.stale_s * WAIT_SHARE
--- a/magnoliadyke/keyvalue.py
+++ b/magnoliadyke/keyvalue.py
@@ -36,6 +36,9 @@
 #: that something between the two ends has lost track of.
 WATCH_GRACE_S = 1.5
 MAX_IDLE_CONNECTIONS = 4
+#: What lies between the ends may forget a connection that idles; a new one
+#: costs a round trip, a forgotten one a whole timeout.
+MAX_IDLE_S = 2.0
 DEFAULT_RETRY_AFTER_S = 1.0
 
 STATUS_OK = 200
@@ -134,6 +137,13 @@
         """
         return self
 
+    def end_watches(self):
+        """Make the waiting watches fail, so that they are begun anew.
+
+        For stores whose watches can't go silent there is nothing to do.
+        """
+        return None
+
     @abc.abstractmethod
     def get(self, key):
         """:return: Found, Absent, Unavailable or RateLimited"""
@@ -239,6 +249,7 @@
         host, _, port = address.rpartition(':')
         super().__init__(host, port=int(port))
         self.pool = SingleAttemptPool(host, int(port), timeout_s)
+        self.used_s = 0.0
         self._connection_pool = self.pool
 
     def exchange(self, method, path, body, headers, timeout_s):
@@ -295,6 +306,7 @@
         }
         self.idle = []
         self.watches = {}
+        self.watching = set()
         self.counts = collections.Counter()
         self.failures = collections.Counter()
 
@@ -348,9 +360,11 @@
         timeout_s = wait_s + WATCH_GRACE_S
         if connection is None:
             connection = Connection(self.address, timeout_s)
+        self.watching.add(connection)
         outcome = self.call_on(
             connection, 'watch', 'GET', path, timeout_s=timeout_s
         )
+        self.watching.discard(connection)
         match outcome:
             case Answer():
                 self.watches[key] = connection
@@ -433,15 +447,26 @@
 
     def call(self, kind, method, path, body=None):
         """Exchange on an idle connection, or on a new one."""
-        idle = self.idle.pop() if self.idle else Connection(self.address)
-        outcome = self.call_on(idle, kind, method, path, body)
+        connection = self.take_idle() or Connection(self.address)
+        outcome = self.call_on(connection, kind, method, path, body)
         match outcome:
             case Answer() if len(self.idle) < MAX_IDLE_CONNECTIONS:
-                self.idle.append(idle)
+                connection.used_s = self.clock.now_s()
+                self.idle.append(connection)
             case _:
-                idle.pool.abandon()
+                connection.pool.abandon()
         return outcome
 
+    def take_idle(self):
+        """Return an idle connection that was used lately, or None."""
+        oldest_s = self.clock.now_s() - MAX_IDLE_S
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.used_s >= oldest_s:
+                return connection
+            connection.pool.abandon()
+        return None
+
     def call_on(
         self,
         connection,
@@ -491,10 +516,17 @@
             self.health.failing_since_s = now_s
         self.budget.failed(self.kind, now_s)
         self.drop_idle()
+        if isinstance(error, TimeoutError):
+            self.end_watches()
         sent = connection.pool.connected
         reason = f'{type(error).__name__}: {error}'
         return Unavailable(reason, maybe_applied=sent and method != 'GET')
 
+    def end_watches(self):
+        """Close the connections of the waiting watches."""
+        for connection in self.watching:
+            connection.pool.abandon()
+
     def drop_idle(self):
         """Close the idle connections."""
         while self.idle:
--- a/magnoliadyke/peer.py
+++ b/magnoliadyke/peer.py
@@ -27,6 +27,8 @@
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 0.3
+#: An operator waits for the status.
+STATUS_TIMEOUT_S = 0.5
 #: A connection idle for longer is probed before it carries a call.
 PROBE_AFTER_S = 2.0
 
@@ -261,10 +263,14 @@
         :raises magnoliadyke.errors.HostUnreachable: when it doesn't answer
         """
         return self.call(
-            address, 'pool_status', constants.VERSION, name
+            address,
+            'pool_status',
+            constants.VERSION,
+            name,
+            timeout_s=STATUS_TIMEOUT_S,
         ).status
 
-    def call(self, address, name, *arguments):
+    def call(self, address, name, *arguments, timeout_s=CALL_TIMEOUT_S):
         """Call on an idle connection that is proved alive, or on a new one.
 
         :raises magnoliadyke.errors.HostUnreachable: when it doesn't answer
@@ -272,23 +278,27 @@
         connection = self.idle.pop(address, None)
         if connection is not None and connection.usable():
             try:
-                return self.call_on(connection, address, name, arguments)
+                return self.call_on(
+                    connection, address, name, arguments, timeout_s
+                )
             except FAILURES as error:
                 LOG.repeated(
                     'peer_call_failed', address, call=name, error=str(error)
                 )
         try:
             connection = PeerConnection(address, self.clock)
-            return self.call_on(connection, address, name, arguments)
+            return self.call_on(
+                connection, address, name, arguments, timeout_s
+            )
         except FAILURES as error:
             raise errors.HostUnreachable(
                 f'{address} did not answer {name}: {error}',
                 'check that the host is up and reachable',
             ) from error
 
-    def call_on(self, connection, address, name, arguments):
+    def call_on(self, connection, address, name, arguments, timeout_s):
         """Call, then keep the connection for the next call."""
-        reply = connection.call(name, *arguments)
+        reply = connection.call(name, *arguments, timeout_s=timeout_s)
         spare = self.idle.pop(address, None)
         if spare is not None:
             spare.handle.close()
--- a/magnoliadyke/tablewatch.py
+++ b/magnoliadyke/tablewatch.py
@@ -69,6 +69,7 @@
     :param owner: task that gets :class:`StoreRead`
     :param store: a :class:`magnoliadyke.keyvalue.KeyValue`
     :param rng: source of randomness
+    :ivar after: revision that the watch under way waits to pass, or None
     """
 
     def __init__(self, owner, store, clock, rng):
@@ -77,6 +78,7 @@
         self.reader = TableReader(owner, store, clock)
         self.clock = clock
         self.rng = rng
+        self.after = None
         self.greenlet = None
 
     def start(self):
@@ -103,7 +105,9 @@
     def follow(self, after):
         """Watch once; return what it, or the read after it, showed."""
         sent_s = self.clock.now_s()
+        self.after = after
         outcome = self.store.watch(KEY, after, WATCH_WAIT_S)
+        self.after = None
         match outcome:
             case keyvalue.Unchanged():
                 return self.reader.read()
