--- a/magnoliadyke/burnreport.py
+++ b/magnoliadyke/burnreport.py
@@ -38,12 +38,13 @@
         name: row.met_share
         for name, row in (view.customers if view else {}).items()
     }
-    customers = burn.evaluate(burn.merge(snapshots), objectives)
+    reach_s = max(part['covered_s'] for part in parts)
+    customers = burn.evaluate(burn.merge(snapshots), objectives, reach_s)
     report = {
         'customers': [_customer(customer) for customer in customers],
         'hosts': [part['host'] for part in parts],
         'missing': missing,
-        'covered_s': max(part['covered_s'] for part in parts),
+        'covered_s': reach_s,
     }
     return report | {'text': render_text(report)}
 
--- a/magnoliadyke/core/burn.py
+++ b/magnoliadyke/core/burn.py
@@ -8,6 +8,7 @@
 
 import array
 import dataclasses
+import math
 from typing import Iterable
 from typing import Mapping
 from typing import NamedTuple
@@ -325,21 +326,31 @@
 def evaluate(
     snapshot: Mapping[str, Mapping[int, Counts]],
     objectives: Mapping[str, float],
+    reach_s: float = math.inf,
 ) -> list[CustomerBurn]:
     """Work out burn rates and alerts.
 
+    A rule holds only once the counts fill its short window: a minute after
+    the start all windows are equal, and one bad minute would raise the
+    ticket that is meant for three days.
+
     :param snapshot: counts of one node, or merged ones of several
     :param objectives: ``met_share`` of each customer of the table; others
         are left out
+    :param reach_s: how far back the counts go
     """
+    rules = [rule for rule in RULES if rule.short_s <= reach_s]
     return [
-        _customer_burn(name, objective, snapshot.get(name, {}))
+        _customer_burn(name, objective, snapshot.get(name, {}), rules)
         for name, objective in sorted(objectives.items())
     ]
 
 
 def _customer_burn(
-    name: str, objective: float, counts: Mapping[int, Counts]
+    name: str,
+    objective: float,
+    counts: Mapping[int, Counts],
+    rules: Iterable[Rule],
 ) -> CustomerBurn:
     budget = 1.0 - objective
     windows = {
@@ -348,7 +359,7 @@
         )
         for window_s in WINDOWS_S
     }
-    alerts = (_alert(rule, windows, budget) for rule in RULES)
+    alerts = (_alert(rule, windows, budget) for rule in rules)
     return CustomerBurn(
         name,
         objective,
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -70,6 +70,13 @@
     assert floor.alerts == ()
 
 
+def test_rule_waits_until_its_short_window_is_full():
+    windows = dict.fromkeys(burn.WINDOWS_S, counts(100, fault=90))
+    for reach_s, alerts in ((60, 0), (300, 1), (1800, 2), (21600, 3)):
+        (lease,) = burn.evaluate({'lease': windows}, {'lease': 0.95}, reach_s)
+        assert len(lease.alerts) == alerts
+
+
 def test_customer_without_requests_burns_nothing():
     (quiet,) = burn.evaluate({}, {'quiet': 0.95})
     assert {window.burn_rate for window in quiet.windows} == {0.0}
