Blame shed requests on the queue; let declining hosts burn nothing

Cause: a request shed at once has no waiting time and was blamed on a fault; a host that stops as planned made its callers burn budget though they were answered elsewhere.

--- a/magnoliadyke/core/burn.py
+++ b/magnoliadyke/core/burn.py
@@ -90,6 +90,7 @@
     :param failed_attempts: attempts that an endpoint or the way broke
     :param first_token_objective_s: objective of the customer's row
     :param per_token_objective_s: objective of the customer's row
+    :param shed: refused unrun because its pool had too much to do
     """
 
     first_token_s: float | None = None
@@ -99,6 +100,7 @@
     failed_attempts: int = 0
     first_token_objective_s: float = 2.0
     per_token_objective_s: float = 0.07
+    shed: bool = False
 
 
 class Verdict(NamedTuple):
@@ -136,12 +138,14 @@
     total_s = timings.first_token_s
     if total_s is None:
         total_s = timings.queued_s
-    if timings.queued_s <= TINY_S:
-        return 'engine' if whole else 'fault'
-    if timings.queued_s * 2 < total_s:
-        return 'engine'
-    if timings.role_change_s * 2 >= timings.queued_s:
-        return 'role_change'
+    if not timings.shed:
+        if timings.queued_s <= TINY_S:
+            return 'engine' if whole else 'fault'
+        if timings.queued_s * 2 < total_s:
+            return 'engine'
+    if timings.role_change_s > 0:
+        if timings.role_change_s * 2 >= timings.queued_s:
+            return 'role_change'
     return 'queue'
 
 
--- a/magnoliadyke/metrics.py
+++ b/magnoliadyke/metrics.py
@@ -21,8 +21,9 @@
 __all__ = ['OUTCOMES', 'Metrics']
 
 #: What may become of a request. ``failed`` is an answer by which the endpoint
-#: itself reports an error, ``limited`` a refusal by the customer's own limits
-#: and ``cancelled`` the caller's own wish.
+#: itself reports an error, ``limited`` a refusal by the customer's own limits,
+#: ``cancelled`` the caller's own wish, and ``declined`` a refusal by a host
+#: that takes no work for now: its caller goes on at another host at once.
 OUTCOMES = (
     'answered',
     'failed',
@@ -31,11 +32,12 @@
     'unknown',
     'rejected',
     'cancelled',
+    'declined',
 )
 
 #: Outcomes that neither meet nor miss an objective: the caller or the
-#: customer's row asked for them.
-UNJUDGED = frozenset({'limited', 'rejected', 'cancelled'})
+#: customer's row asked for them, or another host decides.
+UNJUDGED = frozenset({'limited', 'rejected', 'cancelled', 'declined'})
 
 # Few bounds: with 270 customers each one is 270 more lines of every scrape.
 FIRST_TOKEN_BOUNDS_S = (0.1, 0.25, 0.42, 0.7, 1, 2, 5, 20)
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -132,6 +132,9 @@
         (burn.Timings(0.5, 0.05), False, 'fault'),
         (burn.Timings(queued_s=20.0), False, 'queue'),
         (burn.Timings(), False, 'fault'),
+        # Shed at once, because too much waits or an engine is away.
+        (burn.Timings(shed=True), False, 'queue'),
+        (burn.Timings(shed=True, role_change_s=1.0), False, 'role_change'),
     ],
 )
 def test_one_cause_is_blamed(timings, whole, cause):
