Halve what the nodes send each other

Revisions are clock milliseconds now, so that a restored store gives no number twice, and a datagram repeated several of them for each host. Numbers are sent relative to the source, sightings of others with answers only, which alone are evidence.

--- a/magnoliadyke/configuration.py
+++ b/magnoliadyke/configuration.py
@@ -466,10 +466,15 @@
         return self.standing.newest <= table.staged_revision(held.document)
 
     def stage(self, document, edit):
-        """Stage an edit with a revision above all that were heard of."""
-        return table.stage(
-            document, edit, self.inventory, self.standing.newest + 1
-        )
+        """Stage an edit with a revision that was never given before.
+
+        A store that was restored to an older copy, and a node that knows
+        nothing newer, would else give a number to another edit for a second
+        time; nodes that hold the first would never take the second.
+        """
+        wall_ms = int(self.clock.wall_s() * 1000)
+        floor = max(self.standing.newest + 1, wall_ms)
+        return table.stage(document, edit, self.inventory, floor)
 
     def await_document(self, revision):
         """Wait until the held document reaches a staged revision."""
--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -40,7 +40,7 @@
 MAX_RENEWED_QUORUM = 32
 #: A digest above this goes by TCP instead; a datagram that the network must
 #: split is lost whole when one part is.
-MAX_DIGEST_BYTES = 600
+MAX_DIGEST_BYTES = 500
 
 LOG = logs.get('gossip')
 
--- a/magnoliadyke/gossip_codec.py
+++ b/magnoliadyke/gossip_codec.py
@@ -89,20 +89,24 @@
         source=encode_member(message.source),
         target=message.target,
         updates=[encode_member(each) for each in message.updates] or None,
-        sightings=[encode_sighting(each) for each in message.sightings]
-        or None,
     )
+    sightings = message.sightings
     match message:
         case membership.Ping():
             datagram.kind = ttypes.MessageKind.PING
             # A digest on every answer as well would double its cost.
             datagram.digest = message.digest or None
+            sightings = sightings[:1]  # of others, only answers are evidence
         case membership.Ack():
             datagram.kind = ttypes.MessageKind.ACK
         case membership.PingRequest():
             datagram.kind = ttypes.MessageKind.PING_REQUEST
             datagram.target_address = message.target_address
             datagram.target_port = message.target_port
+            sightings = sightings[:1]
+    datagram.sightings = [
+        encode_sighting(each, message.source) for each in sightings
+    ] or None
     return TSerialization.serialize(datagram, FACTORY)
 
 
@@ -137,13 +141,14 @@
     """Message of a datagram whose bytes were whole."""
     if datagram.kind == ttypes.MessageKind.NOTICE:
         return decode_notice(datagram)
+    sequence = datagram.sequence
+    source = decode_member(datagram.source)
+    sightings = datagram.sightings or ()
     riders = (
         tuple(decode_member(each) for each in datagram.updates or ()),
-        tuple(decode_sighting(each) for each in datagram.sightings or ()),
+        tuple(decode_sighting(each, source) for each in sightings),
         datagram.digest or b'',
     )
-    sequence = datagram.sequence
-    source = decode_member(datagram.source)
     match datagram.kind:
         case ttypes.MessageKind.PING:
             return membership.Ping(sequence, source, datagram.target, *riders)
@@ -199,42 +204,50 @@
     )
 
 
-def encode_sighting(sighting):
-    """A sighting as it travels."""
+def encode_sighting(sighting, source):
+    """A sighting as it travels, relative to the datagram's source."""
     store_age_ms = None
     if sighting.store_age_s < MAX_AGE_S:
         store_age_ms = milliseconds(sighting.store_age_s)
+    rooted = constants.FLAG_ROOTED if sighting.rooted else 0
+    takes_work = constants.FLAG_TAKES_WORK if sighting.takes_work else 0
+    table_revision = sighting.table_revision
     return ttypes.Sighting(
         host=sighting.host,
-        incarnation=sighting.incarnation,
+        incarnation_ahead=ahead(sighting.incarnation, source.incarnation),
         age_ms=milliseconds(min(sighting.age_s, MAX_AGE_S)),
-        table_revision=sighting.table_revision,
-        staged_revision=sighting.staged_revision,
+        table_ahead=ahead(table_revision, source.table_revision),
+        staged_ahead=ahead(sighting.staged_revision, table_revision),
         store_age_ms=store_age_ms,
-        rooted=sighting.rooted,
-        takes_work=sighting.takes_work,
+        flags=rooted | takes_work,
         spare_percent=percent(sighting.spare),
     )
 
 
-def decode_sighting(sighting):
+def decode_sighting(sighting, source):
     """A sighting as the core knows it."""
     store_age_s = math.inf
     if sighting.store_age_ms is not None:
         store_age_s = sighting.store_age_ms / 1000
+    table_revision = source.table_revision + (sighting.table_ahead or 0)
     return freshness.Sighting(
         host=sighting.host,
-        incarnation=sighting.incarnation,
+        incarnation=source.incarnation + (sighting.incarnation_ahead or 0),
         age_s=sighting.age_ms / 1000,
-        table_revision=sighting.table_revision,
-        staged_revision=sighting.staged_revision,
+        table_revision=table_revision,
+        staged_revision=table_revision + (sighting.staged_ahead or 0),
         store_age_s=store_age_s,
-        rooted=sighting.rooted,
-        takes_work=sighting.takes_work,
+        rooted=bool(sighting.flags & constants.FLAG_ROOTED),
+        takes_work=bool(sighting.flags & constants.FLAG_TAKES_WORK),
         spare=sighting.spare_percent / 100,
     )
 
 
+def ahead(number, base):
+    """How far a number is ahead; None, which takes no room, if it is equal."""
+    return number - base or None
+
+
 def milliseconds(seconds):
     """Whole milliseconds, rounded up: evidence never looks younger."""
     return math.ceil(seconds * 1000)
--- a/magnoliadyke/wire/constants.py
+++ b/magnoliadyke/wire/constants.py
@@ -14,3 +14,5 @@
 from .ttypes import *
 VERSION = 1
 MAX_DATAGRAM_BYTES = 1200
+FLAG_ROOTED = 1
+FLAG_TAKES_WORK = 2
--- a/magnoliadyke/wire/ttypes.py
+++ b/magnoliadyke/wire/ttypes.py
@@ -274,39 +274,36 @@
     """
     Attributes:
      - host
-     - incarnation
+     - incarnation_ahead
      - age_ms
-     - table_revision
-     - staged_revision
+     - table_ahead
+     - staged_ahead
      - store_age_ms
-     - rooted
-     - takes_work
+     - flags
      - spare_percent
 
     """
 
     __slots__ = (
         'host',
-        'incarnation',
+        'incarnation_ahead',
         'age_ms',
-        'table_revision',
-        'staged_revision',
+        'table_ahead',
+        'staged_ahead',
         'store_age_ms',
-        'rooted',
-        'takes_work',
+        'flags',
         'spare_percent',
     )
 
 
-    def __init__(self, host=None, incarnation=None, age_ms=None, table_revision=None, staged_revision=None, store_age_ms=None, rooted=None, takes_work=None, spare_percent=None,):
+    def __init__(self, host=None, incarnation_ahead=None, age_ms=None, table_ahead=None, staged_ahead=None, store_age_ms=None, flags=None, spare_percent=None,):
         self.host = host
-        self.incarnation = incarnation
+        self.incarnation_ahead = incarnation_ahead
         self.age_ms = age_ms
-        self.table_revision = table_revision
-        self.staged_revision = staged_revision
+        self.table_ahead = table_ahead
+        self.staged_ahead = staged_ahead
         self.store_age_ms = store_age_ms
-        self.rooted = rooted
-        self.takes_work = takes_work
+        self.flags = flags
         self.spare_percent = spare_percent
 
     def read(self, iprot):
@@ -325,7 +322,7 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
+                    self.incarnation_ahead = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -335,12 +332,12 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.I64:
-                    self.table_revision = iprot.readI64()
+                    self.table_ahead = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.I64:
-                    self.staged_revision = iprot.readI64()
+                    self.staged_ahead = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
@@ -349,16 +346,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
-                if ftype == TType.BOOL:
-                    self.rooted = iprot.readBool()
+                if ftype == TType.BYTE:
+                    self.flags = iprot.readByte()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
-                if ftype == TType.BOOL:
-                    self.takes_work = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
                 if ftype == TType.I16:
                     self.spare_percent = iprot.readI16()
                 else:
@@ -377,36 +369,32 @@
             oprot.writeFieldBegin('host', TType.STRING, 1)
             oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
-            oprot.writeI64(self.incarnation)
+        if self.incarnation_ahead is not None:
+            oprot.writeFieldBegin('incarnation_ahead', TType.I64, 2)
+            oprot.writeI64(self.incarnation_ahead)
             oprot.writeFieldEnd()
         if self.age_ms is not None:
             oprot.writeFieldBegin('age_ms', TType.I32, 3)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
-        if self.table_revision is not None:
-            oprot.writeFieldBegin('table_revision', TType.I64, 4)
-            oprot.writeI64(self.table_revision)
+        if self.table_ahead is not None:
+            oprot.writeFieldBegin('table_ahead', TType.I64, 4)
+            oprot.writeI64(self.table_ahead)
             oprot.writeFieldEnd()
-        if self.staged_revision is not None:
-            oprot.writeFieldBegin('staged_revision', TType.I64, 5)
-            oprot.writeI64(self.staged_revision)
+        if self.staged_ahead is not None:
+            oprot.writeFieldBegin('staged_ahead', TType.I64, 5)
+            oprot.writeI64(self.staged_ahead)
             oprot.writeFieldEnd()
         if self.store_age_ms is not None:
             oprot.writeFieldBegin('store_age_ms', TType.I32, 6)
             oprot.writeI32(self.store_age_ms)
             oprot.writeFieldEnd()
-        if self.rooted is not None:
-            oprot.writeFieldBegin('rooted', TType.BOOL, 7)
-            oprot.writeBool(self.rooted)
-            oprot.writeFieldEnd()
-        if self.takes_work is not None:
-            oprot.writeFieldBegin('takes_work', TType.BOOL, 8)
-            oprot.writeBool(self.takes_work)
+        if self.flags is not None:
+            oprot.writeFieldBegin('flags', TType.BYTE, 7)
+            oprot.writeByte(self.flags)
             oprot.writeFieldEnd()
         if self.spare_percent is not None:
-            oprot.writeFieldBegin('spare_percent', TType.I16, 9)
+            oprot.writeFieldBegin('spare_percent', TType.I16, 8)
             oprot.writeI16(self.spare_percent)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1349,14 +1337,13 @@
 Sighting.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (2, TType.I64, 'incarnation_ahead', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
-    (4, TType.I64, 'table_revision', None, None, ),  # 4
-    (5, TType.I64, 'staged_revision', None, None, ),  # 5
+    (4, TType.I64, 'table_ahead', None, None, ),  # 4
+    (5, TType.I64, 'staged_ahead', None, None, ),  # 5
     (6, TType.I32, 'store_age_ms', None, None, ),  # 6
-    (7, TType.BOOL, 'rooted', None, None, ),  # 7
-    (8, TType.BOOL, 'takes_work', None, None, ),  # 8
-    (9, TType.I16, 'spare_percent', None, None, ),  # 9
+    (7, TType.BYTE, 'flags', None, None, ),  # 7
+    (8, TType.I16, 'spare_percent', None, None, ),  # 8
 )
 all_structs.append(EngineNotice)
 EngineNotice.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -39,19 +39,25 @@
   13: optional string successor,
 }
 
-// Ages are absent when there was never any evidence.
+// What the source of a datagram can tell of a host. Its numbers are relative
+// to those of the source, and absent where they are equal: most are, and the
+// sightings are most of what nodes send each other all day. `staged_ahead` is
+// relative to the sighting's own table revision. The age of the store's word
+// is absent when there was never any.
 struct Sighting {
   1: string host,
-  2: i64 incarnation,
+  2: optional i64 incarnation_ahead,
   3: i32 age_ms,
-  4: i64 table_revision,
-  5: i64 staged_revision,
+  4: optional i64 table_ahead,
+  5: optional i64 staged_ahead,
   6: optional i32 store_age_ms,
-  7: bool rooted,
-  8: bool takes_work,
-  9: i16 spare_percent,
+  7: i8 flags,
+  8: i16 spare_percent,
 }
 
+const i8 FLAG_ROOTED = 1
+const i8 FLAG_TAKES_WORK = 2
+
 // The planner of a pool takes an engine out of use for a change, or gives it
 // back; the notice lapses by itself when it is not repeated.
 struct EngineNotice {
