--- a/magnoliadyke/lab/checker.py
+++ b/magnoliadyke/lab/checker.py
@@ -252,7 +252,10 @@
     """Answers that are cut short, or of another call."""
     for call in evidence.calls:
         if call.outcome == ANSWERED and not call.whole:
-            yield call.ended_s, f'{call.name} got a wrong answer'
+            yield (
+                call.ended_s,
+                f'{call.name} got a wrong answer: {call.reason}',
+            )
 
 
 def not_run_but_ran(evidence, _limits):
--- a/magnoliadyke/lab/evidence.py
+++ b/magnoliadyke/lab/evidence.py
@@ -20,6 +20,12 @@
     'watched_clients',
 ]
 
+#: Faults during which no edit can be accepted.
+STORE_AWAY = frozenset({'store_down', 'store_slow'})
+#: How long after its end a fault may slow an edit.
+FELT_S = 5.0
+#: Characters of an answer that are shown when it is wrong.
+EXCERPT = 120
 OUTCOMES = {
     outcomes.Answered: checker.ANSWERED,
     outcomes.NotRun: checker.NOT_RUN,
@@ -113,11 +119,18 @@
         load.start_wall_s + record.call.at_s,
         None if ended_s is None else load.start_wall_s + ended_s,
         outcome,
-        getattr(record.outcome, 'reason', ''),
+        reason_of(record.outcome),
         record.whole(),
     )
 
 
+def reason_of(outcome):
+    """The word for an outcome; what an answer begins with."""
+    if isinstance(outcome, outcomes.Answered):
+        return f'{outcome.finish_reason}: {outcome.text[:EXCERPT]}'
+    return getattr(outcome, 'reason', '')
+
+
 def run_of(name, row):
     """A run from a ledger's row."""
     return checker.Run(
@@ -161,11 +174,7 @@
         'role_changes': runs.role_changes(deployment),
         'commands': len(seen.commands),
         'edits': dict(collections.Counter(e.state for e in editors.edits)),
-        'in_force_s': [
-            round(edit.took_s, 3)
-            for edit in editors.edits
-            if edit.state == 'in_force'
-        ],
+        'in_force_s': in_force(editors.edits, faults.faults),
         'dead_listed_s': [
             listed_for_s(watcher, at_s, host) for at_s, host in faults.kills
         ],
@@ -177,6 +186,25 @@
     }
 
 
+def in_force(edits, faults):
+    """How long edits took until in force, by what went on meanwhile."""
+    took = {'quiet': [], 'fault': [], 'store_away': []}
+    for edit in edits:
+        if edit.state != 'in_force':
+            continue
+        met = {
+            fault.kind
+            for fault in faults
+            if fault.at_s <= edit.at_s + edit.took_s
+            and edit.at_s <= fault.until_s + FELT_S
+        }
+        what = 'fault' if met else 'quiet'
+        if met & STORE_AWAY:
+            what = 'store_away'
+        took[what].append(round(edit.took_s, 3))
+    return took
+
+
 def listed_for_s(watcher, killed_s, host):
     """How long after its death a host was still named to callers.
 
--- a/magnoliadyke/lab/faults.py
+++ b/magnoliadyke/lab/faults.py
@@ -12,7 +12,7 @@
                      drawn faults.
   --faults=N         Faults of each run; else one, and two in every second.
   --duration=S       Length of the load in seconds [default: 20].
-  --load=F           Mean demand as a share of the pool [default: 0.3].
+  --load=F           Mean demand as a share of the pool [default: 0.4].
   --at-once=N        Runs side by side [default: 1].
   --keep=DIR         Keep settings, logs and ledgers below this directory.
   --json             Print JSON.
@@ -49,7 +49,9 @@
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
 CLIENTS = 8
 VISITS = 20
-SERVICE_CALLS_S = 6.0
+SERVICE_CALLS_S = 20.0
+#: Long enough for calls to be under way when a fault comes.
+SERVICE_WORK_S = 0.15
 LONGEST_ANSWER = 100
 #: The mix shifts this often, so that roles have a reason to change.
 STEP_S = 10.0
@@ -138,6 +140,7 @@
         directory=plan.directory,
         proxied=True,
         engine={'speeds': {'role_change_s': ROLE_CHANGE_S}},
+        service={'work_s': SERVICE_WORK_S},
     )
     with cluster.Cluster(document, options) as made:
         made.start()
@@ -224,20 +227,38 @@
             counts[violation['promise']] += 1
     once = sum(result['once']['sent'] for result in results)
     unknown = sum(result['once']['unknown'] for result in results)
-    edits = sorted(
-        took_s for result in results for took_s in result['in_force_s']
-    )
+    in_force = {}
+    for result in results:
+        for what, took in result['in_force_s'].items():
+            in_force.setdefault(what, []).extend(took)
     return {
         'runs': len(results),
         'violations': counts,
         'windows': sum(len(result['windows']) for result in results),
         'unknown_share': round(unknown / once, 4) if once else 0.0,
-        'edits_in_force': len(edits),
-        'in_force_median_s': evidences.quantile(edits, 0.5),
-        'in_force_p99_s': evidences.quantile(edits, 0.99),
+        'in_force': {w: spread(took) for w, took in in_force.items()},
+        'dead_listed_s': worst(results, 'dead_listed_s'),
+        'last_work_s': worst(results, 'last_work_s'),
+        'takeover_s': worst(results, 'takeover_s'),
+    }
+
+
+def spread(values):
+    """How many there are, their median and the 99th percentile."""
+    values = sorted(values)
+    return {
+        'count': len(values),
+        'median_s': evidences.quantile(values, 0.5),
+        'p99_s': evidences.quantile(values, 0.99),
     }
 
 
+def worst(results, name):
+    """The longest of all runs, None if there was none."""
+    values = [value for result in results for value in result[name]]
+    return max(values, default=None)
+
+
 def render(result):
     """One run as lines for people."""
     faults = '; '.join(
--- a/magnoliadyke/lab/observer.py
+++ b/magnoliadyke/lab/observer.py
@@ -182,6 +182,6 @@
         at_s,
         answer['state'],
         answer.get('revision', 0),
-        answer.get('in_force_s', took_s),
+        took_s,
         tuple(answer.get('laggards', ())),
     )
