--- a/magnoliadyke/callers.py
+++ b/magnoliadyke/callers.py
@@ -48,14 +48,8 @@
 TOO_SLOW = outcomes.Rejected(
     'body_too_slow', 'send the whole request without pauses', 408
 )
-NO_TABLE = outcomes.NotRun(
-    'no_table', 'ask another host of the deployment', 0.5
-)
-STALE = outcomes.NotRun('stale_table', 'ask another host', 0.5)
-STOPPING = outcomes.NotRun(
-    'stopping', 'ask /v1/hosts of another host and send it again', 0.1
-)
-DRAINED = outcomes.NotRun('drained', 'ask another host', 0.5)
+ELSEWHERE_AFTER_S = 0.2
+HOSTS_NAMED = 3
 
 
 class NodeStatus:
@@ -252,7 +246,7 @@
 
     def update_status(self):
         """Tell gossip whether and how much work is taken."""
-        self.status.takes_work = self.door('') is None
+        self.status.takes_work = self.accepts_work()
         running = len(self.homes.runs)
         self.status.spare = 1.0 / (1.0 + running / BUSY_REQUESTS)
 
@@ -267,17 +261,40 @@
 
         :param customer: customer name, or ``''`` for any
         """
-        view = self.table.last
-        if view is None:
-            return NO_TABLE
+        reason = self.closed_reason()
+        return self.elsewhere(reason) if reason else None
+
+    def closed_reason(self):
+        """Return why no new work is taken, or ``''``."""
+        if self.table.last is None:
+            return 'no_table'
         if self.status.leaving:
-            return STOPPING
-        if not self.status.fresh:
-            return STALE
-        row = view.hosts.get(self.host)
-        if row is not None and row.state == 'drain':
-            return DRAINED
-        return None
+            return 'stopping'
+        return '' if self.status.fresh else 'stale_table'
+
+    def elsewhere(self, reason):
+        """Return ``NotRun`` that names other hosts."""
+        others = [
+            f'{member.address}:{member.caller_port}'
+            for member in self.ordered_members()
+            if member.host != self.host
+        ]
+        listed = ', '.join(others[:HOSTS_NAMED]) or 'none known'
+        return outcomes.NotRun(
+            reason,
+            f'use a ticket of another host and send it again; hosts: {listed}',
+            ELSEWHERE_AFTER_S,
+        )
+
+    def accepts_work(self):
+        """Tell whether callers should be sent to this host.
+
+        A drained host is left out, and serves what still comes.
+        """
+        if self.closed_reason():
+            return False
+        row = self.table.last.hosts.get(self.host)
+        return row is None or row.state != 'drain'
 
     def customer_of(self, credential):
         """Return the customer that a credential belongs to.
@@ -286,7 +303,7 @@
         """
         view = self.table.last
         if view is None:
-            raise forms.OutcomeError(NO_TABLE)
+            raise forms.OutcomeError(self.elsewhere('no_table'))
         if view is not self.key_ring_view:
             self.key_ring = forms.KeyRing(view)
             self.key_ring_view = view
@@ -350,7 +367,7 @@
     def takes_work(self, member):
         """Tell whether callers should be sent to a member."""
         if member.host == self.host:
-            return self.door('') is None
+            return self.accepts_work()
         view = self.table.last
         row = view.hosts.get(member.host) if view is not None else None
         if row is not None and row.state == 'drain':
@@ -445,7 +462,7 @@
         """Return the priority a request asks for."""
         number = req.get_header('X-Priority-Number')
         if number is not None and number.isdigit():
-            return min(int(number), 9)
+            return min(max(int(number), forms.MOST_URGENT), 9)
         row = self.owner.table.last.customers[customer]
         text = req.get_header('X-Priority') or ''
         return forms.read_priority(text, row.priority)
--- a/magnoliadyke/claiming.py
+++ b/magnoliadyke/claiming.py
@@ -9,6 +9,7 @@
 __all__ = ['AskClaim', 'Claiming']
 
 KEY_PREFIX = 'claims/'
+GATHER_S = 0.005
 
 
 class AskClaim(mailbox.Ask):
@@ -22,6 +23,10 @@
         self.digest = digest
 
 
+class Flush:
+    """Time to write the claims that have gathered."""
+
+
 class StoreSaid:
     """The store's answer to a call for a bucket.
 
@@ -48,6 +53,7 @@
         self.store = store
         self.prefix = prefix
         self.waiting = {}
+        self.flush_due = False
 
     def handle(self, message):
         """Act on a wish or on the store's answer."""
@@ -55,10 +61,20 @@
         match message:
             case AskClaim(digest=digest):
                 self.waiting.setdefault(digest, []).append(message)
-                self.apply(self.book.add(digest, wall_s))
+                self.apply(self.book.add(digest))
+                self.flush_soon()
+            case Flush():
+                self.flush_due = False
+                self.apply(self.book.flush(wall_s))
             case StoreSaid(action=action, answer=answer):
                 self.apply(self.heard(action, answer, wall_s))
 
+    def flush_soon(self):
+        """Gather claims for a few milliseconds, then write them."""
+        if not self.flush_due:
+            self.flush_due = True
+            gevent.spawn_later(GATHER_S, self.post, Flush())
+
     def heard(self, action, answer, wall_s):
         """Return what follows from an answer of the store."""
         book, name = self.book, action.bucket
--- a/magnoliadyke/client.py
+++ b/magnoliadyke/client.py
@@ -21,7 +21,7 @@
 #: Reasons of NotRun that another host cures at once; retries for them don't
 #: add load and so need no budget.
 ELSEWHERE = frozenset(
-    {'stopping', 'drained', 'no_table', 'stale_table', 'home_unreachable'}
+    {'stopping', 'no_table', 'stale_table', 'home_unreachable'}
 )
 #: Given before the home of the key was asked: after an earlier copy may
 #: have been received, it says nothing about that copy.
--- a/magnoliadyke/core/claims.py
+++ b/magnoliadyke/core/claims.py
@@ -17,7 +17,7 @@
     'claim_digest',
 ]
 
-DIGEST_DIGITS = 24
+DIGEST_DIGITS = 20
 BUCKET_DIGITS = 4
 
 
@@ -31,7 +31,7 @@
         batch instead of being kept in memory
     """
 
-    buckets: int = 256
+    buckets: int = 64
     keep_s: float = 86400.0
     bucket_bytes: int = 900_000
     cached_entries: int = 500
@@ -131,8 +131,9 @@
 class ClaimBook:
     """Settle many claims with few calls to the store.
 
-    One call at a time is under way for each bucket; claims that come
-    meanwhile share the next one. Every method returns a list of actions.
+    Claims gather until :meth:`flush`. One call at a time is under way for
+    each bucket; claims that come meanwhile share the next one. Every method
+    returns a list of actions.
 
     :param owner: ``HOST.INCARNATION`` of this node
     :param settings: :class:`ClaimSettings`
@@ -142,6 +143,7 @@
         self.owner = owner
         self.settings = settings
         self.buckets = {}
+        self.gathered = {}
 
     def bucket_of(self, digest):
         """Return the bucket that a claim belongs to."""
@@ -149,11 +151,10 @@
         name = f'{number:03x}'
         return self.buckets.setdefault(name, Bucket(name))
 
-    def add(self, digest, wall_s):
-        """Ask for a claim.
+    def add(self, digest):
+        """Ask for a claim, to be made with the next flush.
 
         :param digest: :func:`claim_digest` of the key
-        :param wall_s: seconds since the epoch
         """
         claim = Claim(digest, self.owner)
         bucket = self.bucket_of(digest)
@@ -161,7 +162,19 @@
         if bucket.known and held and digest not in bucket.doubtful:
             return [Lost(claim, held[0])]
         bucket.waiting[digest] = claim
-        return self.advance(bucket, wall_s)
+        self.gathered[bucket.name] = bucket
+        return []
+
+    def flush(self, wall_s):
+        """Start the calls for the claims that have gathered.
+
+        :param wall_s: seconds since the epoch
+        """
+        gathered, self.gathered = self.gathered, {}
+        actions = []
+        for bucket in gathered.values():
+            actions += self.advance(bucket, wall_s)
+        return actions
 
     def advance(self, bucket, wall_s):
         """Start the next call of a bucket, when one is due."""
--- a/magnoliadyke/forms.py
+++ b/magnoliadyke/forms.py
@@ -26,7 +26,8 @@
 
 DEFAULT_MAX_TOKENS = 256
 MAX_MAX_TOKENS = 1 << 20
-PRIORITIES = {'urgent': 1, 'normal': None, 'background': 8}
+MOST_URGENT = 1
+PRIORITIES = {'urgent': MOST_URGENT, 'normal': None, 'background': 8}
 KEY_PREFIX = 'sha256:'
 INDEX_DIGITS = 8
 CHAT_DELTA = rb'"delta":{"content":\1}'
--- a/magnoliadyke/lab/pathcost.py
+++ b/magnoliadyke/lab/pathcost.py
@@ -114,6 +114,7 @@
             if running.pool_of(name)['kind'] == 'model'
         ]
         self.number = 0
+        self.ticket = ''
 
     def cpu_s(self):
         """Return the node's processor seconds so far."""
@@ -142,10 +143,12 @@
         engine = self.engines[self.number % len(self.engines)]
         return engine, request_bytes('/v1/completions', body, {})
 
-    def node_request(self, tokens):
+    def node_request(self, tokens, key=''):
         """Return address and bytes of a request to the node."""
         body = json.dumps(self.work(tokens)).encode()
         headers = {'Authorization': f'Bearer {cluster.caller_key(CUSTOMER)}'}
+        if key:
+            headers['Idempotency-Key'] = key
         return self.node, request_bytes('/v1/completions', body, headers)
 
     def streams(self, make, count, seconds):
@@ -186,7 +189,42 @@
             'direct': summary(direct.samples),
         }
 
-    def request_cost(self, make, count):
+    def claim_cost(self, make, count, concurrent):
+        """Measure short requests and the store's calls meanwhile.
+
+        :param concurrent: how many are under way at a time
+        """
+        before = self.store_calls()
+        figures = self.request_cost(make, count, concurrent)
+        after = self.store_calls()
+        made = {
+            kind: after.get(kind, 0) - before.get(kind, 0)
+            for kind in ('get', 'put')
+        }
+        figures['concurrent'] = concurrent
+        figures['store_calls'] = made
+        figures['store_calls_per_request'] = round(
+            sum(made.values()) / figures['requests'], 3
+        )
+        return figures
+
+    def store_calls(self):
+        """Return the store's count of calls by kind."""
+        address = self.cluster.address('keyvalue')
+        return cluster.call_json(address, 'GET', '/ledger')[1]['calls']
+
+    def foreign_request(self, tokens):
+        """Return address and bytes of a request with a caller's own key."""
+        return self.node_request(tokens, f'order {self.number}')
+
+    def ticket_request(self, tokens):
+        """Return address and bytes of a request with a key of a ticket."""
+        if not self.ticket:
+            answer = cluster.call_json(self.node, 'GET', '/v1/hosts')[1]
+            self.ticket = answer['ticket']
+        return self.node_request(tokens, f'{self.ticket}/{self.number}')
+
+    def request_cost(self, make, count, concurrent=CONCURRENT):
         """Measure short requests, a few at a time."""
         waits_s = []
 
@@ -198,9 +236,9 @@
                 waits_s.append(time.monotonic() - start_s)
 
         cpu_s, start_s = self.cpu_s(), time.monotonic()
-        each = count // CONCURRENT
+        each = count // concurrent
         gevent.joinall(
-            [gevent.spawn(send_some, each) for _ in range(CONCURRENT)],
+            [gevent.spawn(send_some, each) for _ in range(concurrent)],
             raise_error=True,
         )
         elapsed_s = time.monotonic() - start_s
@@ -223,6 +261,13 @@
             ),
             'completion': self.request_cost(self.node_request, requests),
             'service': self.request_cost(self.service_request, requests),
+            'ticket_keys': self.claim_cost(
+                self.ticket_request, requests, CONCURRENT
+            ),
+            'foreign_keys': [
+                self.claim_cost(self.foreign_request, requests, concurrent)
+                for concurrent in (1, CONCURRENT, 8 * CONCURRENT)
+            ],
             'streams': [self.stream_cost(count, seconds) for count in streams],
         }
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -41,7 +41,11 @@
         name=strategies.sampled_from(NODES), key=strategies.sampled_from(KEYS)
     )
     def ask(self, name, key):
-        self.apply(name, self.books[name].add(key, 100.0))
+        self.apply(name, self.books[name].add(key))
+
+    @stateful.rule(name=strategies.sampled_from(NODES))
+    def flush(self, name):
+        self.apply(name, self.books[name].flush(100.0))
 
     @stateful.precondition(lambda self: self.calls)
     @stateful.rule(
@@ -88,8 +92,9 @@
 
 def test_claims_that_come_together_share_one_write():
     book = claims.ClaimBook('a.1', SETTINGS)
-    assert book.add(KEYS[0], 1.0) == [claims.Read('000')]
-    assert book.add(KEYS[1], 1.0) == []
+    assert book.add(KEYS[0]) == []
+    assert book.add(KEYS[1]) == []
+    assert book.flush(1.0) == [claims.Read('000')]
     (write,) = book.was_read('000', None, 0, 1.0)
     assert KEYS[0] in write.value and KEYS[1] in write.value
     won = book.was_written('000', 9, 1.0)
@@ -99,6 +104,7 @@
 def test_a_full_bucket_refuses():
     small = SETTINGS._replace(bucket_bytes=10)
     book = claims.ClaimBook('a.1', small)
-    book.add(KEYS[0], 1.0)
+    book.add(KEYS[0])
+    book.flush(1.0)
     (refused,) = book.was_read('000', None, 0, 1.0)
     assert refused.reason == 'claims_full'
--- /dev/null
+++ b/tests/test_forms.py
@@ -0,0 +1,79 @@
+"""Tests of magnoliadyke.forms."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from magnoliadyke.core import outcomes
+from magnoliadyke.core import table
+from magnoliadyke import endpoint
+from magnoliadyke import forms
+from tests import requestpath
+
+BAD_COMPLETIONS = [
+    {},
+    {'prompt': 'p'},
+    {'prompt': 7, 'model': 'm'},
+    {'prompt': ' ', 'model': 'm'},
+    {'prompt': 'p', 'model': 'm', 'max_tokens': 0},
+    {'prompt': 'p', 'model': 'm', 'max_tokens': '5'},
+]
+BAD_CHATS = [{}, {'messages': []}, {'messages': ['x']}, {'messages': [{}]}]
+
+
+@pytest.mark.parametrize('document', BAD_COMPLETIONS)
+def test_bad_completions_are_rejected(document):
+    with pytest.raises(forms.OutcomeError) as caught:
+        forms.read_completion(document)
+    assert isinstance(caught.value.outcome, outcomes.Rejected)
+
+
+@pytest.mark.parametrize('document', BAD_CHATS)
+def test_bad_chats_are_rejected(document):
+    with pytest.raises(forms.OutcomeError):
+        forms.read_chat({'model': 'm', **document})
+
+
+@given(strategies.binary())
+def test_any_bytes_are_an_object_or_rejected(body):
+    try:
+        assert isinstance(forms.read_object(body), dict)
+    except forms.OutcomeError as error:
+        assert error.outcome.reason == 'bad_json'
+
+
+def test_finds_the_customer_by_key():
+    row = table.CustomerRow(keys=(requestpath.hashed('a'),))
+    ring = forms.KeyRing(table.View(1, {'lease': row}, {}, {}, {}))
+    assert ring.customer('Bearer a') == 'lease'
+    assert ring.customer('Bearer b') is None
+    assert ring.customer('Basic a') is None
+    assert ring.customer('') is None
+
+
+def test_the_digest_tells_parts_apart():
+    assert forms.request_digest('ab', 'c') != forms.request_digest('a', 'bc')
+
+
+@pytest.mark.parametrize(
+    'outcome',
+    [
+        outcomes.NotRun('overloaded', 'later', 2.5),
+        outcomes.Unknown('home_lost', 'look'),
+        outcomes.Rejected('bad_json', 'mend it', 400),
+    ],
+)
+def test_an_outcome_passes_between_nodes(outcome):
+    answer = outcomes.to_http(outcome)
+    kind = type(outcome).__name__
+    reply = endpoint.Reply(answer.status, '', answer.body, kind)
+    assert forms.outcome_from(reply) == outcome
+    error = json.loads(forms.error_event(outcome).split(b'data: ')[1])
+    assert forms.error_outcome(error['error'], 400) == outcome
+
+
+def test_a_services_own_error_is_not_an_outcome():
+    body = b'{"error": {"type": "not_run", "code": "x"}}'
+    assert forms.outcome_from(endpoint.Reply(400, '', body)) is None
