--- a/magnoliadyke/relay.py
+++ b/magnoliadyke/relay.py
@@ -15,7 +15,10 @@
 
 MAX_HOPS = 3
 RETRY_PAUSE_S = 0.2
-PATIENCE_S = 8.0
+#: How long a home that is called alive may stay without an answer. What may
+#: be repeated is soon better off here; what may not has no other way.
+PATIENCE_S = 4.0
+PATIENCE_ONLY_WAY_S = 15.0
 HOME_LOST = outcomes.Unknown(
     'home_lost',
     'the host that ran the request is gone; look up the effect before '
@@ -59,7 +62,7 @@
         so there is a limit to how long it is asked without an answer.
         """
         heard_s = self.clock.now_s()
-        while self.clock.now_s() - heard_s < PATIENCE_S:
+        while self.clock.now_s() - heard_s < self.patience_s():
             home = self.locate()
             if home is None:
                 return self.lost()
@@ -72,6 +75,12 @@
             self.clock.sleep(RETRY_PAUSE_S)
         return self.lost()
 
+    def patience_s(self):
+        """Return how long to ask without an answer, in seconds."""
+        if self.sent and not self.request.repeatable:
+            return PATIENCE_ONLY_WAY_S
+        return PATIENCE_S
+
     def progress(self):
         """Return something that changes as the answer goes on."""
         return len(self.pieces)
