Run traces through the scheduler on a paused clock

Cause: decisions are to be measured on the code that runs in production, against baselines and a ceiling.

--- /dev/null
+++ b/magnoliadyke/lab/policy.py
@@ -0,0 +1,377 @@
+"""Measure role policies over the production core, on virtual time.
+
+Usage:
+  magnoliadyke lab policy --deployment=NAME [options]
+  magnoliadyke lab policy --help
+
+Options:
+  --deployment=NAME  dala or zarqa.
+  --trace=FILE       Run this trace (CSV) instead of a generated one.
+  --shape=NAME       Generated trace: steady, swing, step, slow-day,
+                     flood-large, flood-small, flash or burst-then-quiet
+                     [default: swing].
+  --period=SECONDS   Period of a swing or step [default: 240].
+  --amplitude=F      How far the share of prefill work swings [default: 0.4].
+  --duration=SECONDS  Length of a generated trace [default: 960].
+  --load=F           Mean demand as a share of the pool [default: 0.85 for
+                     generated traces; a file runs as it is].
+  --policy=NAMES     Of fixed, greedy, hysteresis, ours, hindsight, with
+                     commas between [default: all].
+  --seed=N           Seed of the trace and of the scheduler [default: 1].
+  --seeds=A-B        Run all seeds from A to B.
+  --faults=FILE      Inject faults: JSON lines of at_s, kind, target, for_s.
+                     Kinds: crash, withdrawn, report_lag, no_authority,
+                     change_fails.
+  --processes=N      Runs at a time, 6 at most [default: 4].
+  --write-trace=FILE Write the trace of the first seed as CSV.
+  --json             Print JSON.
+  --plot=FILE        Draw goodput, demand and roles as PNG.
+  -h --help          Show this text.
+
+A request is met if its answer is whole and both objectives are kept: its
+first token within first_token_s, its later tokens within per_token_s in the
+mean. Goodput counts prompt and output tokens of met requests; the objective
+is goodput less the price of role changes.
+"""
+
+import json
+import statistics
+import sys
+from typing import NamedTuple
+
+import docopt
+
+from magnoliadyke.core import roles
+from magnoliadyke import errors
+from magnoliadyke.lab import baselines
+from magnoliadyke.lab import traces
+from magnoliadyke.lab import trial
+from magnoliadyke.lab import workers
+
+__all__ = ['Options', 'POLICIES', 'main', 'options_from', 'run']
+
+POLICIES = ('fixed', 'greedy', 'hysteresis', 'ours', 'hindsight')
+MOST_PROCESSES = 6
+#: Usable shares with which the hindsight plan is tried.
+HINDSIGHT_SHARES = (0.9, 0.96, 1.02)
+HINDSIGHT_OUTAGE_S = 7.0
+WORTHWHILE = 1.05
+SUMMED_UP = (
+    'goodput_tokens_s',
+    'goodput_requests_s',
+    'met_share',
+    'role_changes',
+    'objective',
+    'not_run',
+    'unknown',
+    'fairness',
+)
+
+
+class Options(NamedTuple):
+    """What to run; the command's options.
+
+    :param trace: path of a CSV file, or '' to generate by `shape`
+    :param load: None leaves a trace file as it is
+    :param seeds: seeds to run
+    """
+
+    deployment: str
+    trace: str = ''
+    shape: str = 'swing'
+    period_s: float = traces.DEFAULT_PERIOD_S
+    amplitude: float = traces.DEFAULT_AMPLITUDE
+    duration_s: float = traces.DEFAULT_DURATION_S
+    load: float | None = None
+    policies: tuple = POLICIES
+    seeds: tuple = (1,)
+    faults: str = ''
+    processes: int = 4
+    write_trace: str = ''
+    as_json: bool = False
+    plot: str = ''
+
+
+class _Task(NamedTuple):
+    """One run: a policy's variant on a seed's trace."""
+
+    options: Options
+    policy: str
+    variant: int
+    seed: int
+
+
+def main(argv):
+    """Run the command.
+
+    :returns: the exit status
+    """
+    arguments = docopt.docopt(__doc__, argv=['lab', 'policy', *argv])
+    options = options_from(arguments)
+    result = run(options)
+    if options.plot:
+        # Drawing needs an optional library: import it only when asked.
+        from magnoliadyke.lab import plots
+
+        plots.draw(timelines(options), options.plot)
+    if options.as_json:
+        json.dump(result, sys.stdout, indent=2)
+        print()
+    else:
+        _print(result)
+    return 0
+
+
+def options_from(arguments):
+    """Check the command's arguments.
+
+    :raises UsageError: with the remedy
+    """
+    load = arguments['--load']
+    shape = arguments['--shape']
+    policies = tuple(arguments['--policy'].split(','))
+    if policies == ('all',):
+        policies = POLICIES
+    options = Options(
+        deployment=arguments['--deployment'],
+        trace=arguments['--trace'] or '',
+        shape=shape,
+        period_s=_positive(arguments, '--period'),
+        amplitude=_positive(arguments, '--amplitude'),
+        duration_s=_positive(arguments, '--duration'),
+        load=None if load.startswith('0.85 for') else _load(load),
+        policies=policies,
+        seeds=_seeds(arguments),
+        faults=arguments['--faults'] or '',
+        processes=int(_positive(arguments, '--processes')),
+        write_trace=arguments['--write-trace'] or '',
+        as_json=arguments['--json'],
+        plot=arguments['--plot'] or '',
+    )
+    _check_name('--deployment', options.deployment, traces.DEPLOYMENTS)
+    _check_name('--shape', options.shape, traces.SHAPES)
+    for policy in options.policies:
+        _check_name('--policy', policy, POLICIES)
+    return options
+
+
+def _check_name(option, name, known):
+    if name not in known:
+        raise errors.UsageError(
+            f'{option} {name!r} is unknown', f'use one of {", ".join(known)}'
+        )
+
+
+def _positive(arguments, option):
+    try:
+        value = float(arguments[option])
+    except ValueError:
+        value = 0.0
+    if not 0 < value < float('inf'):
+        raise errors.UsageError(
+            f'{option} is {arguments[option]!r}', 'give a number above 0'
+        )
+    return value
+
+
+def _load(text):
+    load = _positive({'--load': text}, '--load')
+    if load > 10:
+        raise errors.UsageError(
+            f'--load is {text}', 'give a share of the pool, such as 0.85'
+        )
+    return load
+
+
+def _seeds(arguments):
+    text = arguments['--seeds'] or arguments['--seed']
+    first, _, last = text.partition('-')
+    try:
+        seeds = tuple(range(int(first), int(last or first) + 1))
+    except ValueError:
+        seeds = ()
+    if not seeds:
+        raise errors.UsageError(
+            f'seeds are {text!r}', 'give a whole number, or A-B with A <= B'
+        )
+    return seeds
+
+
+def run(options):
+    """Run all policies and seeds.
+
+    :returns: a JSON-able mapping: `runs` by seed and policy, `summary`
+        with [min, median, max] over the seeds
+    """
+    _requests(options, options.seeds[0])
+    if options.write_trace:
+        with open(options.write_trace, 'w', newline='') as file:
+            traces.write(_requests(options, options.seeds[0]), file)
+    tasks = [
+        _Task(options, policy, variant, seed)
+        for seed in options.seeds
+        for policy in options.policies
+        for variant in range(_variants(options, policy))
+    ]
+    processes = min(options.processes, MOST_PROCESSES)
+    figures = workers.map_tasks(_run_task, tasks, processes)
+    runs = {}
+    for task, found in zip(tasks, figures, strict=True):
+        policies = runs.setdefault(task.seed, {})
+        best = policies.get(task.policy)
+        if best is None or found['objective'] > best['objective']:
+            policies[task.policy] = found
+    by_seed = [
+        {'seed': seed, 'policies': found, **_gap(found)}
+        for seed, found in runs.items()
+    ]
+    return {
+        'deployment': options.deployment,
+        'trace': options.trace or options.shape,
+        'period_s': options.period_s,
+        'load': _load_of(options),
+        'runs': by_seed,
+        'summary': _summary(options, by_seed),
+    }
+
+
+def _load_of(options):
+    if options.load is None and not options.trace:
+        return traces.DEFAULT_LOAD
+    return options.load
+
+
+def _requests(options, seed):
+    deployment = traces.DEPLOYMENTS[options.deployment]
+    if options.trace:
+        with open(options.trace, newline='') as file:
+            requests = traces.read(file, options.trace, deployment)
+        if options.load is None:
+            return requests
+        return traces.scale(requests, options.load, deployment.engines)
+    shape = traces.Shape(
+        name=options.shape,
+        load=_load_of(options),
+        period_s=options.period_s,
+        amplitude=options.amplitude,
+        duration_s=options.duration_s,
+    )
+    return traces.generate(deployment, shape, seed)
+
+
+def _faults(options):
+    if not options.faults:
+        return []
+    deployment = traces.DEPLOYMENTS[options.deployment]
+    with open(options.faults) as file:
+        return trial.read_faults(file, options.faults, deployment)
+
+
+def _run_task(task):
+    return _trial(task).run()
+
+
+def _variants(options, policy):
+    """Runs of a policy, of which the best counts."""
+    if policy == 'fixed':
+        return traces.DEPLOYMENTS[options.deployment].engines - 1
+    return len(HINDSIGHT_SHARES) if policy == 'hindsight' else 1
+
+
+def _trial(task):
+    options = task.options
+    deployment = traces.DEPLOYMENTS[options.deployment]
+    requests = _requests(options, task.seed)
+    planner, prefills = _planner(task, deployment, requests)
+    faults = _faults(options)
+    return trial.Trial(
+        deployment, requests, planner, prefills, faults, task.seed
+    )
+
+
+def _planner(task, deployment, requests):
+    """The planner of a run, and how many engines prefill at first."""
+    match task.policy:
+        case 'fixed':
+            return baselines.Fixed(), task.variant + 1
+        case 'greedy':
+            return baselines.Greedy(), trial.FIRST_PREFILLS
+        case 'hysteresis':
+            return baselines.Hysteresis(), trial.FIRST_PREFILLS
+        case 'ours':
+            planner = roles.Planner(trial.planner_settings())
+            return planner, trial.FIRST_PREFILLS
+    settings = trial.planner_settings()._replace(
+        usable_share=HINDSIGHT_SHARES[task.variant],
+        outage_s=HINDSIGHT_OUTAGE_S,
+    )
+    first, changes, _ = baselines.hindsight_plan(
+        requests,
+        requests[-1].at_s,
+        deployment.engines,
+        deployment.price_tokens,
+        settings,
+    )
+    return baselines.Schedule(changes), first
+
+
+def _gap(figures):
+    """The share of hindsight's lead over fixed that ours has."""
+    if not {'fixed', 'ours', 'hindsight'} <= set(figures):
+        return {}
+    fixed = figures['fixed']['objective']
+    ours = figures['ours']['objective']
+    ceiling = max(figures['hindsight']['objective'], fixed)
+    worthwhile = ceiling >= WORTHWHILE * fixed
+    return {
+        'ceiling_ratio': ceiling / fixed,
+        'ours_ratio': ours / fixed,
+        'gap_closed': (ours - fixed) / (ceiling - fixed)
+        if worthwhile
+        else None,
+    }
+
+
+def _summary(options, by_seed):
+    summary = {}
+    for policy in options.policies:
+        found = [each['policies'][policy] for each in by_seed]
+        summary[policy] = {
+            key: _spread([figures[key] for figures in found])
+            for key in SUMMED_UP
+        }
+    for key in ('ceiling_ratio', 'ours_ratio', 'gap_closed'):
+        values = [each.get(key) for each in by_seed]
+        values = [value for value in values if value is not None]
+        if values:
+            summary[key] = _spread(values)
+    return summary
+
+
+def _spread(values):
+    return [min(values), statistics.median(values), max(values)]
+
+
+def timelines(options):
+    """Finished runs by policy with the first seed, first variant only."""
+    trials = {}
+    for policy in options.policies:
+        each = _trial(_Task(options, policy, 0, options.seeds[0]))
+        each.run()
+        trials[policy] = each
+    return trials
+
+
+def _print(result):
+    print(
+        f'{result["deployment"]} {result["trace"]} load {result["load"]} '
+        f'seeds {len(result["runs"])}: min / median / max'
+    )
+    for name, figures in result['summary'].items():
+        if isinstance(figures, list):
+            print(f'{name:>14} ' + ' / '.join(f'{v:.3f}' for v in figures))
+            continue
+        print(name)
+        for key, values in figures.items():
+            shown = ' / '.join(f'{value:.6g}' for value in values)
+            print(f'{key:>20} {shown}')
