--- a/magnoliadyke/lab/injector.py
+++ b/magnoliadyke/lab/injector.py
@@ -19,6 +19,8 @@
 POISON = 'crash-engine please '
 POISON_TOKENS = 20
 NEVER_S = float('inf')
+#: Part of the keys of leases on duties.
+LEASES = '/lease/'
 
 
 class Injector:
@@ -40,6 +42,8 @@
 
     def inject(self, fault):
         """Cause a fault and end it after its time."""
+        if fault.detail.get('holder'):
+            fault = fault._replace(target=self.holder() or fault.target)
         at_s = time.time()
         planned = schedules.KINDS[fault.kind].planned
         index = len(self.faults)
@@ -48,6 +52,15 @@
         getattr(self, fault.kind)(fault)
         self.faults[index] = noted._replace(until_s=time.time())
 
+    def holder(self):
+        """The host that renewed the lease on a duty last, '' if none."""
+        senders = [
+            row['sender']
+            for row in self.deployment.ledger('keyvalue')
+            if LEASES in row.get('key', '') and row.get('sender')
+        ]
+        return senders[-1] if senders else ''
+
     # Hosts.
 
     def kill_host(self, fault):
--- a/magnoliadyke/lab/observer.py
+++ b/magnoliadyke/lab/observer.py
@@ -90,9 +90,8 @@
         # The list is younger than the table; who stopped in between counts
         # as one that took no work, which only excuses.
         takes_work = host in hosts
-        self.samples.append(
-            checker.Sample(at_s, host, body['revision'], takes_work)
-        )
+        revision = body['in_force'][host]
+        self.samples.append(checker.Sample(at_s, host, revision, takes_work))
         self.listings.append(Listing(at_s, host, hosts))
 
 
--- a/magnoliadyke/lab/schedules.py
+++ b/magnoliadyke/lab/schedules.py
@@ -37,8 +37,15 @@
 
 
 KINDS = {
-    'kill_host': Kind(HOST, (3, 6), 'kill -9; a new process after for_s'),
-    'pause_host': Kind(HOST, (4, 10), 'SIGSTOP, then SIGCONT'),
+    'kill_host': Kind(
+        HOST,
+        (3, 10),
+        'kill -9; a new process after for_s; {"holder": true} for the host '
+        'that plans a pool',
+    ),
+    'pause_host': Kind(
+        HOST, (4, 14), 'SIGSTOP, then SIGCONT; {"holder": true} as before'
+    ),
     'cut_store': Kind(
         HOST,
         (4, 9),
@@ -105,6 +112,8 @@
 }
 #: Too long for a run of ordinary length.
 NOT_DRAWN = frozenset({'replace_hosts'})
+#: Of the hosts that are killed or paused, those that plan a pool.
+HOLDER_SHARE = 0.5
 FIRST_S = 3.0
 LAST_S = 9.0
 #: Of two faults, the second comes while the first is felt.
@@ -168,6 +177,8 @@
     detail = {}
     if kind in ('cut_store', 'cut_peers', 'cut_endpoints'):
         detail['way'] = rng.choice(('both', 'both', 'to', 'from'))
+    if kind in ('kill_host', 'pause_host'):
+        detail['holder'] = rng.random() < HOLDER_SHARE
     if kind == 'store_down':
         detail['mode'] = rng.choice(('refuse', 'hang'))
     target = rng.choice(targets.of(KINDS[kind].target))
