--- a/magnoliadyke/lab/fakes.py
+++ b/magnoliadyke/lab/fakes.py
@@ -112,6 +112,7 @@
         self.changing = {}
         self.report_lag_s = 0.25
         self.reported_at_s = {name: 0.0 for name in roles}
+        self.told_at_s = {name: 0.0 for name in roles}
         self.reported_state = {name: 'in' for name in roles}
         self.reported_load = {name: 0 for name in roles}
         self.fail_change_until_s = -1.0
@@ -263,16 +264,20 @@
             self.timeline.at(arrives_s, self._on_report, name, report)
 
     def _on_report(self, name, report):
+        if report.at_s < self.told_at_s[name]:
+            # From before a change that is over: it would bring the old role
+            # back, and with it wrong routes for as long as reports lag.
+            return
         self.reported_at_s[name] = report.at_s
         self.reported_load[name] = report.running + report.queued
         now_s = self.timeline.now_s
         self.act(self.scheduler.load_report(name, report, now_s))
         if report.state != self.reported_state[name]:
-            # TEMP
+            # The scheduler groups its endpoints by state when it is told
+            # one; without this an engine whose own word lagged behind the
+            # end of its change would get no work.
             self.reported_state[name] = report.state
-            self.act(
-                self.scheduler.endpoint_state(name, self.states[name], now_s)
-            )
+            self._set_state(name, self.states[name])
 
     # Role changes
 
@@ -337,8 +342,10 @@
         self._set_state(name, READY)
 
     def _set_state(self, name, state):
-        self.states[name] = state
         now_s = self.timeline.now_s
+        if state != self.states[name]:
+            self.told_at_s[name] = now_s
+        self.states[name] = state
         self.act(self.scheduler.endpoint_state(name, state, now_s))
 
     # Faults
--- a/magnoliadyke/lab/policy.py
+++ b/magnoliadyke/lab/policy.py
@@ -13,8 +13,8 @@
   --period=SECONDS   Period of a swing or step [default: 240].
   --amplitude=F      How far the share of prefill work swings [default: 0.4].
   --duration=SECONDS  Length of a generated trace [default: 960].
-  --load=F           Mean demand as a share of the pool [default: 0.85 for
-                     generated traces; a file runs as it is].
+  --load=F           Mean demand as a share of the pool. Without it a
+                     generated trace has 0.85, and a file runs as it is.
   --policy=NAMES     Of fixed, greedy, hysteresis, ours, hindsight, with
                      commas between [default: all].
   --seed=N           Seed of the trace and of the scheduler [default: 1].
@@ -139,7 +139,7 @@
         period_s=_positive(arguments, '--period'),
         amplitude=_positive(arguments, '--amplitude'),
         duration_s=_positive(arguments, '--duration'),
-        load=None if load.startswith('0.85 for') else _load(load),
+        load=None if load is None else _load(load),
         policies=policies,
         seeds=_seeds(arguments),
         faults=arguments['--faults'] or '',
--- a/magnoliadyke/lab/workers.py
+++ b/magnoliadyke/lab/workers.py
@@ -4,10 +4,16 @@
 import pickle
 import struct
 
+from gevent import monkey
+
 __all__ = ['map_tasks']
 
 INDEX = struct.Struct('!I')
-READ_BYTES = 1 << 16
+
+# The plain calls: the children use no event loop, and gevent's fork hands
+# them one that waits for signals which nobody sends.
+fork = monkey.get_original('os', 'fork')
+waitpid = monkey.get_original('os', 'waitpid')
 
 
 def map_tasks(function, tasks, processes):
@@ -31,7 +37,7 @@
     results = {}
     for pid, answers in children:
         results.update(_collect(answers))
-        os.waitpid(pid, 0)
+        waitpid(pid, 0)
     for result in results.values():
         if isinstance(result, Exception):
             raise result
@@ -48,7 +54,7 @@
 
 def _fork(function, tasks, numbers):
     reading, writing = os.pipe()
-    pid = os.fork()
+    pid = fork()
     if pid:
         os.close(writing)
         return pid, reading
