--- /dev/null
+++ b/magnoliadyke/core/schema.py
@@ -0,0 +1,432 @@
+"""The sheets of the operators' table: columns, rows and single cells."""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+__all__ = [
+    'SCHEMA',
+    'SHEETS',
+    'Cell',
+    'Cells',
+    'Column',
+    'CustomerRow',
+    'EndpointRow',
+    'HostRow',
+    'PoolRow',
+    'Problem',
+    'View',
+    'cell_problems',
+    'cell_text',
+    'column_of',
+    'parse_cell',
+    'view_of',
+]
+
+NAME_LENGTH = 64
+
+Cell = Any
+Cells = Mapping[str, Cell]
+
+
+class Column(NamedTuple):
+    """One column of a sheet.
+
+    :param kind: 'count', 'number', 'share', 'choice' or 'keys'.
+    :param low: least value, for numbers.
+    :param high: greatest value, for numbers.
+    """
+
+    sheet: str
+    name: str
+    kind: str
+    unit: str
+    default: Cell
+    low: float
+    high: float
+    choices: tuple[str, ...]
+    effect: str
+
+
+class CustomerRow(NamedTuple):
+    """Weights, limits and objectives of a customer."""
+
+    weight: float = 1
+    concurrency: int = 1000
+    requests_s: float = 0
+    tokens_s: float = 0
+    queue_limit: int = 1000
+    queue_wait_s: float = 20
+    priority: int = 5
+    first_token_s: float = 2.0
+    per_token_s: float = 0.07
+    met_share: float = 0.95
+    retry_share: float = 0.1
+    keys: tuple[str, ...] = ()
+
+
+class PoolRow(NamedTuple):
+    """How the roles of a pool are planned."""
+
+    role_change_price: float = 500
+    min_prefill: int = 1
+    min_decode: int = 1
+    planning: str = 'auto'
+    dwell_s: float = 10
+
+
+class EndpointRow(NamedTuple):
+    """Whether an endpoint receives work."""
+
+    state: str = 'in'
+
+
+class HostRow(NamedTuple):
+    """Whether a host takes work."""
+
+    state: str = 'in'
+
+
+ROW_TYPES = {
+    'customers': CustomerRow,
+    'pools': PoolRow,
+    'endpoints': EndpointRow,
+    'hosts': HostRow,
+}
+SHEETS = tuple(ROW_TYPES)
+
+
+def _number(
+    sheet: str,
+    name: str,
+    kind: str,
+    unit: str,
+    low: float,
+    high: float,
+    effect: str,
+) -> Column:
+    default = ROW_TYPES[sheet]._field_defaults[name]
+    return Column(sheet, name, kind, unit, default, low, high, (), effect)
+
+
+def _choice(
+    sheet: str, name: str, choices: tuple[str, ...], effect: str
+) -> Column:
+    default = ROW_TYPES[sheet]._field_defaults[name]
+    return Column(sheet, name, 'choice', '', default, 0, 0, choices, effect)
+
+
+SCHEMA = [
+    _number(
+        'customers',
+        'weight',
+        'number',
+        'share',
+        0.001,
+        1e6,
+        'Share of engine time among customers that have work waiting.',
+    ),
+    _number(
+        'customers',
+        'concurrency',
+        'count',
+        'requests',
+        1,
+        1e6,
+        'Most requests of the customer at work at once, fleet-wide.',
+    ),
+    _number(
+        'customers',
+        'requests_s',
+        'number',
+        'requests/s',
+        0,
+        1e6,
+        'Rate limit on requests, fleet-wide; 0 is no limit.',
+    ),
+    _number(
+        'customers',
+        'tokens_s',
+        'number',
+        'tokens/s',
+        0,
+        1e9,
+        'Rate limit on prompt and output tokens, fleet-wide; 0 is no limit.',
+    ),
+    _number(
+        'customers',
+        'queue_limit',
+        'count',
+        'requests',
+        0,
+        1e6,
+        'Most requests that wait in the queue of one node.',
+    ),
+    _number(
+        'customers',
+        'queue_wait_s',
+        'number',
+        's',
+        0.05,
+        3600,
+        'Longest wait in the queue; then the request is refused unrun.',
+    ),
+    _number(
+        'customers',
+        'priority',
+        'count',
+        '0 urgent .. 9',
+        0,
+        9,
+        'Priority of a request that names none.',
+    ),
+    _number(
+        'customers',
+        'first_token_s',
+        'number',
+        's',
+        0.01,
+        600,
+        'Objective for the time to the first token.',
+    ),
+    _number(
+        'customers',
+        'per_token_s',
+        'number',
+        's',
+        0.001,
+        60,
+        'Objective for the mean time between tokens.',
+    ),
+    _number(
+        'customers',
+        'met_share',
+        'share',
+        'of requests',
+        0.5,
+        0.9999,
+        'Share of requests that is to meet both objectives.',
+    ),
+    _number(
+        'customers',
+        'retry_share',
+        'share',
+        'of requests',
+        0,
+        1,
+        'Second attempts allowed, as a share of first ones.',
+    ),
+    Column(
+        'customers',
+        'keys',
+        'keys',
+        'sha256:HEX',
+        (),
+        0,
+        0,
+        (),
+        'Digests of the bearer keys of the customer.',
+    ),
+    _number(
+        'pools',
+        'role_change_price',
+        'number',
+        'tokens',
+        0,
+        1e9,
+        'What a role change must gain beyond the time it takes.',
+    ),
+    _number(
+        'pools',
+        'min_prefill',
+        'count',
+        'endpoints',
+        0,
+        1e5,
+        'Endpoints that stay in the prefill role.',
+    ),
+    _number(
+        'pools',
+        'min_decode',
+        'count',
+        'endpoints',
+        0,
+        1e5,
+        'Endpoints that stay in the decode role.',
+    ),
+    _choice(
+        'pools',
+        'planning',
+        ('auto', 'fixed'),
+        "Whether roles follow the load; 'fixed' leaves them as they are.",
+    ),
+    _number(
+        'pools',
+        'dwell_s',
+        'number',
+        's',
+        0,
+        86400,
+        'Least time between two role changes of an endpoint.',
+    ),
+    _choice(
+        'endpoints',
+        'state',
+        ('in', 'drain', 'withdrawn'),
+        "'drain' gives no new work; 'withdrawn' also forgets the endpoint.",
+    ),
+    _choice(
+        'hosts',
+        'state',
+        ('in', 'drain'),
+        "'drain' sends callers elsewhere and finishes what runs.",
+    ),
+]
+_COLUMNS = {(column.sheet, column.name): column for column in SCHEMA}
+
+
+class View(NamedTuple):
+    """The table as the rest of the node reads it.
+
+    A customer without a row is unknown; other rows fall back to defaults.
+    """
+
+    revision: int
+    customers: Mapping[str, CustomerRow]
+    pools: Mapping[str, PoolRow]
+    endpoints: Mapping[str, EndpointRow]
+    hosts: Mapping[str, HostRow]
+
+    def pool(self, name: str) -> PoolRow:
+        return self.pools.get(name, PoolRow())
+
+    def endpoint(self, name: str) -> EndpointRow:
+        return self.endpoints.get(name, EndpointRow())
+
+    def host(self, name: str) -> HostRow:
+        return self.hosts.get(name, HostRow())
+
+
+class Problem(NamedTuple):
+    """What is wrong with a cell, and what to do about it."""
+
+    cell: str
+    value: Cell
+    reason: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f'{self.cell}={self.value!r}: {self.reason}; {self.remedy}'
+
+
+def column_of(cell: str) -> Column | None:
+    """The column of a cell, None when there is none."""
+    parts = cell.split('/')
+    if len(parts) != 3:
+        return None
+    return _COLUMNS.get((parts[0], parts[2]))
+
+
+def view_of(cells: Cells, revision: int) -> View:
+    """The rows that the cells make up; unknown columns are passed over."""
+    rows: dict[str, dict[str, dict[str, Cell]]] = {s: {} for s in SHEETS}
+    for cell, value in cells.items():
+        if column_of(cell) is not None:
+            sheet, row, column = cell.split('/')
+            rows[sheet].setdefault(row, {})[column] = _frozen(value)
+    made = {
+        sheet: {name: ROW_TYPES[sheet](**row) for name, row in named.items()}
+        for sheet, named in rows.items()
+    }
+    return View(revision, **made)
+
+
+def parse_cell(cell: str, text: str) -> Cell | Problem:
+    """The value that a text stands for; an empty text is the default."""
+    column = column_of(cell)
+    if column is None:
+        return _unknown(cell, text)
+    text = text.strip()
+    if not text:
+        return None
+    if column.kind == 'keys':
+        return text.split()
+    if column.kind == 'choice':
+        return text
+    try:
+        number = float(text)
+    except ValueError:
+        return _out_of_range(cell, text, column)
+    return int(number) if number.is_integer() else number
+
+
+def cell_text(value: Cell) -> str:
+    """The text of a cell, as :func:`parse_cell` reads it."""
+    if value is None:
+        return ''
+    if isinstance(value, list | tuple):
+        return ' '.join(value)
+    return str(value)
+
+
+def cell_problems(cells: Cells) -> list[Problem]:
+    """What is wrong with single cells."""
+    found = (_cell_problem(cell, value) for cell, value in cells.items())
+    return [problem for problem in found if problem is not None]
+
+
+def _cell_problem(cell: str, value: Cell) -> Problem | None:
+    column = column_of(cell)
+    if column is None:
+        return _unknown(cell, value)
+    name = cell.split('/')[1]
+    if not 0 < len(name) <= NAME_LENGTH or not name.isprintable():
+        return Problem(
+            cell,
+            value,
+            'the name of the row is empty, too long or unprintable',
+            f'use 1 to {NAME_LENGTH} printable characters without a slash',
+        )
+    if value is None or _fits(column, value):
+        return None
+    return _out_of_range(cell, value, column)
+
+
+def _fits(column: Column, value: Cell) -> bool:
+    if column.kind == 'choice':
+        return value in column.choices
+    if column.kind == 'keys':
+        return isinstance(value, list | tuple) and all(map(_is_key, value))
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    if column.kind == 'count' and not float(value).is_integer():
+        return False
+    return column.low <= value <= column.high
+
+
+def _is_key(value: Cell) -> bool:
+    if not isinstance(value, str) or not value.startswith('sha256:'):
+        return False
+    digits = value.removeprefix('sha256:')
+    return len(digits) == 64 and set(digits) <= set('0123456789abcdef')
+
+
+def _unknown(cell: str, value: Cell) -> Problem:
+    known = ', '.join(f'{c.sheet}/ROW/{c.name}' for c in SCHEMA)
+    return Problem(cell, value, 'no such cell', f'use one of {known}')
+
+
+def _out_of_range(cell: str, value: Cell, column: Column) -> Problem:
+    if column.kind == 'choice':
+        remedy = 'use one of ' + ', '.join(column.choices)
+    elif column.kind == 'keys':
+        remedy = 'use a list of sha256: with 64 lower-case hex digits'
+    else:
+        whole = 'a whole number' if column.kind == 'count' else 'a number'
+        remedy = f'use {whole} from {column.low:g} to {column.high:g}'
+        remedy += f' ({column.unit})'
+    return Problem(cell, value, f'not a valid {column.name}', remedy)
+
+
+def _frozen(value: Cell) -> Cell:
+    return tuple(value) if isinstance(value, list) else value
--- a/magnoliadyke/core/table.py
+++ b/magnoliadyke/core/table.py
@@ -8,11 +8,17 @@
 another.  All functions are pure: they answer a new document.
 """
 
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import json
 import operator
-from collections.abc import Iterable, Mapping, Sequence
-from typing import Any, NamedTuple, TypedDict
+from typing import NamedTuple
+from typing import TypedDict
+
+from magnoliadyke.core import schema
+from magnoliadyke.core import tablerules
 
 __all__ = [
     'SCHEMA',
@@ -56,288 +62,24 @@
 EDIT_IDS_KEPT = 512
 #: The store holds a megabyte; the rest is for its own envelope.
 DOCUMENT_BYTES = 900_000
-NAME_LENGTH = 64
-
-Cell = Any
-Cells = Mapping[str, Cell]
-
-
-class Column(NamedTuple):
-    """One column of a sheet.
 
-    :param kind: 'count', 'number', 'share', 'choice' or 'keys'.
-    :param low: least value, for numbers.
-    :param high: greatest value, for numbers.
-    """
-
-    sheet: str
-    name: str
-    kind: str
-    unit: str
-    default: Cell
-    low: float
-    high: float
-    choices: tuple[str, ...]
-    effect: str
-
-
-class CustomerRow(NamedTuple):
-    """Weights, limits and objectives of a customer."""
-
-    weight: float = 1
-    concurrency: int = 1000
-    requests_s: float = 0
-    tokens_s: float = 0
-    queue_limit: int = 1000
-    queue_wait_s: float = 20
-    priority: int = 5
-    first_token_s: float = 2.0
-    per_token_s: float = 0.07
-    met_share: float = 0.95
-    retry_share: float = 0.1
-    keys: tuple[str, ...] = ()
-
-
-class PoolRow(NamedTuple):
-    """How the roles of a pool are planned."""
-
-    role_change_price: float = 500
-    min_prefill: int = 1
-    min_decode: int = 1
-    planning: str = 'auto'
-    dwell_s: float = 10
-
-
-class EndpointRow(NamedTuple):
-    """Whether an endpoint receives work."""
-
-    state: str = 'in'
-
-
-class HostRow(NamedTuple):
-    """Whether a host takes work."""
-
-    state: str = 'in'
-
-
-ROW_TYPES = {
-    'customers': CustomerRow,
-    'pools': PoolRow,
-    'endpoints': EndpointRow,
-    'hosts': HostRow,
-}
-SHEETS = tuple(ROW_TYPES)
-
-
-def _number(
-    sheet: str,
-    name: str,
-    kind: str,
-    unit: str,
-    low: float,
-    high: float,
-    effect: str,
-) -> Column:
-    default = ROW_TYPES[sheet]._field_defaults[name]
-    return Column(sheet, name, kind, unit, default, low, high, (), effect)
-
-
-def _choice(
-    sheet: str, name: str, choices: tuple[str, ...], effect: str
-) -> Column:
-    default = ROW_TYPES[sheet]._field_defaults[name]
-    return Column(sheet, name, 'choice', '', default, 0, 0, choices, effect)
-
-
-SCHEMA = [
-    _number(
-        'customers',
-        'weight',
-        'number',
-        'share',
-        0.001,
-        1e6,
-        'Share of engine time among customers that have work waiting.',
-    ),
-    _number(
-        'customers',
-        'concurrency',
-        'count',
-        'requests',
-        1,
-        1e6,
-        'Most requests of the customer at work at once, fleet-wide.',
-    ),
-    _number(
-        'customers',
-        'requests_s',
-        'number',
-        'requests/s',
-        0,
-        1e6,
-        'Rate limit on requests, fleet-wide; 0 is no limit.',
-    ),
-    _number(
-        'customers',
-        'tokens_s',
-        'number',
-        'tokens/s',
-        0,
-        1e9,
-        'Rate limit on prompt and output tokens, fleet-wide; 0 is no limit.',
-    ),
-    _number(
-        'customers',
-        'queue_limit',
-        'count',
-        'requests',
-        0,
-        1e6,
-        'Most requests that wait in the queue of one node.',
-    ),
-    _number(
-        'customers',
-        'queue_wait_s',
-        'number',
-        's',
-        0.05,
-        3600,
-        'Longest wait in the queue; then the request is refused unrun.',
-    ),
-    _number(
-        'customers',
-        'priority',
-        'count',
-        '0 urgent .. 9',
-        0,
-        9,
-        'Priority of a request that names none.',
-    ),
-    _number(
-        'customers',
-        'first_token_s',
-        'number',
-        's',
-        0.01,
-        600,
-        'Objective for the time to the first token.',
-    ),
-    _number(
-        'customers',
-        'per_token_s',
-        'number',
-        's',
-        0.001,
-        60,
-        'Objective for the mean time between tokens.',
-    ),
-    _number(
-        'customers',
-        'met_share',
-        'share',
-        'of requests',
-        0.5,
-        0.9999,
-        'Share of requests that is to meet both objectives.',
-    ),
-    _number(
-        'customers',
-        'retry_share',
-        'share',
-        'of requests',
-        0,
-        1,
-        'Second attempts allowed, as a share of first ones.',
-    ),
-    Column(
-        'customers',
-        'keys',
-        'keys',
-        'sha256:HEX',
-        (),
-        0,
-        0,
-        (),
-        'Digests of the bearer keys of the customer.',
-    ),
-    _number(
-        'pools',
-        'role_change_price',
-        'number',
-        'tokens',
-        0,
-        1e9,
-        'What a role change must gain beyond the time it takes.',
-    ),
-    _number(
-        'pools',
-        'min_prefill',
-        'count',
-        'endpoints',
-        0,
-        1e5,
-        'Endpoints that stay in the prefill role.',
-    ),
-    _number(
-        'pools',
-        'min_decode',
-        'count',
-        'endpoints',
-        0,
-        1e5,
-        'Endpoints that stay in the decode role.',
-    ),
-    _choice(
-        'pools',
-        'planning',
-        ('auto', 'fixed'),
-        "Whether roles follow the load; 'fixed' leaves them as they are.",
-    ),
-    _number(
-        'pools',
-        'dwell_s',
-        'number',
-        's',
-        0,
-        86400,
-        'Least time between two role changes of an endpoint.',
-    ),
-    _choice(
-        'endpoints',
-        'state',
-        ('in', 'drain', 'withdrawn'),
-        "'drain' gives no new work; 'withdrawn' also forgets the endpoint.",
-    ),
-    _choice(
-        'hosts',
-        'state',
-        ('in', 'drain'),
-        "'drain' sends callers elsewhere and finishes what runs.",
-    ),
-]
-_COLUMNS = {(column.sheet, column.name): column for column in SCHEMA}
-
-
-class View(NamedTuple):
-    """The table as the rest of the node reads it.
-
-    A customer without a row is unknown; other rows fall back to defaults.
-    """
-
-    revision: int
-    customers: Mapping[str, CustomerRow]
-    pools: Mapping[str, PoolRow]
-    endpoints: Mapping[str, EndpointRow]
-    hosts: Mapping[str, HostRow]
-
-    def pool(self, name: str) -> PoolRow:
-        return self.pools.get(name, PoolRow())
-
-    def endpoint(self, name: str) -> EndpointRow:
-        return self.endpoints.get(name, EndpointRow())
-
-    def host(self, name: str) -> HostRow:
-        return self.hosts.get(name, HostRow())
+# The rest of the node knows the table by this module.
+SCHEMA = schema.SCHEMA
+SHEETS = schema.SHEETS
+ROW_TYPES = schema.ROW_TYPES
+Cell = schema.Cell
+Cells = schema.Cells
+Column = schema.Column
+CustomerRow = schema.CustomerRow
+EndpointRow = schema.EndpointRow
+HostRow = schema.HostRow
+Inventory = tablerules.Inventory
+PoolRow = schema.PoolRow
+Problem = schema.Problem
+View = schema.View
+cell_text = schema.cell_text
+column_of = schema.column_of
+parse_cell = schema.parse_cell
 
 
 class Change(TypedDict):
@@ -386,31 +128,6 @@
     at_s: float = 0.0
 
 
-class Inventory(NamedTuple):
-    """Names that the settings know, for the checks across rows.
-
-    :param pools: endpoint names of each pool of model engines.
-    :param endpoints: names of all endpoints.
-    :param hosts: names of all hosts.
-    """
-
-    pools: Mapping[str, tuple[str, ...]]
-    endpoints: frozenset[str]
-    hosts: frozenset[str]
-
-
-class Problem(NamedTuple):
-    """What is wrong with a cell, and what to do about it."""
-
-    cell: str
-    value: Cell
-    reason: str
-    remedy: str
-
-    def __str__(self) -> str:
-        return f'{self.cell}={self.value!r}: {self.reason}; {self.remedy}'
-
-
 @dataclasses.dataclass(frozen=True)
 class Staged:
     """The edit fits; ``document`` is to be written."""
@@ -518,14 +235,14 @@
     known = edit_revision(document, edit.id)
     if known is not None:
         return known
-    problems = _cell_problems(edit.cells)
+    problems = schema.cell_problems(edit.cells)
     if problems:
         return Invalid(tuple(problems))
     conflict = _conflict(document, edit)
     if conflict is not None:
         return conflict
     cells = _apply(cells_with_staged(document), edit.cells)
-    problems = _row_problems(cells, inventory)
+    problems = tablerules.problems(cells, inventory)
     if problems:
         return Invalid(tuple(problems))
     revision = max(staged_revision(document) + 1, floor)
@@ -578,64 +295,17 @@
 
     :param with_staged: treat the staged edits as accepted.
     """
-    cells = document['cells']
-    revision = document['revision']
     if with_staged:
         cells = cells_with_staged(document)
-        revision = staged_revision(document)
-    rows: dict[str, dict[str, dict[str, Cell]]] = {s: {} for s in SHEETS}
-    for cell, value in cells.items():
-        if column_of(cell) is not None:
-            sheet, row, column = cell.split('/')
-            rows[sheet].setdefault(row, {})[column] = _frozen(value)
-    made = {
-        sheet: {name: ROW_TYPES[sheet](**row) for name, row in named.items()}
-        for sheet, named in rows.items()
-    }
-    return View(revision, **made)
-
-
-def column_of(cell: str) -> Column | None:
-    """The column of a cell, None when there is none."""
-    parts = cell.split('/')
-    if len(parts) != 3:
-        return None
-    return _COLUMNS.get((parts[0], parts[2]))
+        return schema.view_of(cells, staged_revision(document))
+    return schema.view_of(document['cells'], document['revision'])
 
 
 def problems_of(
     cells: Cells, inventory: Inventory | None = None
 ) -> list[Problem]:
     """All that is wrong with the cells of a whole table."""
-    return _cell_problems(cells) or _row_problems(cells, inventory)
-
-
-def parse_cell(cell: str, text: str) -> Cell | Problem:
-    """The value that a text stands for; an empty text is the default."""
-    column = column_of(cell)
-    if column is None:
-        return _unknown(cell, text)
-    text = text.strip()
-    if not text:
-        return None
-    if column.kind == 'keys':
-        return text.split()
-    if column.kind == 'choice':
-        return text
-    try:
-        number = float(text)
-    except ValueError:
-        return _out_of_range(cell, text, column)
-    return int(number) if number.is_integer() else number
-
-
-def cell_text(value: Cell) -> str:
-    """The text of a cell, as :func:`parse_cell` reads it."""
-    if value is None:
-        return ''
-    if isinstance(value, list | tuple):
-        return ' '.join(value)
-    return str(value)
+    return schema.cell_problems(cells) or tablerules.problems(cells, inventory)
 
 
 def rows_of(cells: Cells, sheet: str) -> list[list[str]]:
@@ -715,10 +385,6 @@
     return after
 
 
-def _frozen(value: Cell) -> Cell:
-    return tuple(value) if isinstance(value, list) else value
-
-
 def _conflict(document: Document, edit: Edit) -> Conflict | None:
     changed = dict(document['changed'])
     for change in document['staged']:
@@ -743,64 +409,6 @@
     return tuple(dict.fromkeys(found))
 
 
-def _cell_problems(cells: Cells) -> list[Problem]:
-    found = (_cell_problem(cell, value) for cell, value in cells.items())
-    return [problem for problem in found if problem is not None]
-
-
-def _cell_problem(cell: str, value: Cell) -> Problem | None:
-    column = column_of(cell)
-    if column is None:
-        return _unknown(cell, value)
-    name = cell.split('/')[1]
-    if not 0 < len(name) <= NAME_LENGTH or not name.isprintable():
-        return Problem(
-            cell,
-            value,
-            'the name of the row is empty, too long or unprintable',
-            f'use 1 to {NAME_LENGTH} printable characters without a slash',
-        )
-    if value is None or _fits(column, value):
-        return None
-    return _out_of_range(cell, value, column)
-
-
-def _fits(column: Column, value: Cell) -> bool:
-    if column.kind == 'choice':
-        return value in column.choices
-    if column.kind == 'keys':
-        return isinstance(value, list | tuple) and all(map(_is_key, value))
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        return False
-    if column.kind == 'count' and not float(value).is_integer():
-        return False
-    return column.low <= value <= column.high
-
-
-def _is_key(value: Cell) -> bool:
-    if not isinstance(value, str) or not value.startswith('sha256:'):
-        return False
-    digits = value.removeprefix('sha256:')
-    return len(digits) == 64 and set(digits) <= set('0123456789abcdef')
-
-
-def _unknown(cell: str, value: Cell) -> Problem:
-    known = ', '.join(f'{c.sheet}/ROW/{c.name}' for c in SCHEMA)
-    return Problem(cell, value, 'no such cell', f'use one of {known}')
-
-
-def _out_of_range(cell: str, value: Cell, column: Column) -> Problem:
-    if column.kind == 'choice':
-        remedy = 'use one of ' + ', '.join(column.choices)
-    elif column.kind == 'keys':
-        remedy = 'use a list of sha256: with 64 lower-case hex digits'
-    else:
-        whole = 'a whole number' if column.kind == 'count' else 'a number'
-        remedy = f'use {whole} from {column.low:g} to {column.high:g}'
-        remedy += f' ({column.unit})'
-    return Problem(cell, value, f'not a valid {column.name}', remedy)
-
-
 def _too_large(edit: Edit, size: int) -> Problem:
     return Problem(
         next(iter(edit.cells), ''),
@@ -808,77 +416,3 @@
         f'the table would take {size} of {DOCUMENT_BYTES} bytes',
         'remove rows that are no longer used, then send the edit again',
     )
-
-
-def _row_problems(cells: Cells, inventory: Inventory | None) -> list[Problem]:
-    problems = _shared_keys(cells)
-    if inventory is not None:
-        problems += _unknown_rows(cells, inventory)
-        problems += _starved_pools(cells, inventory)
-        problems += _all_drained(cells, inventory)
-    return problems
-
-
-def _shared_keys(cells: Cells) -> list[Problem]:
-    owners: dict[str, str] = {}
-    problems = []
-    for cell, value in sorted(cells.items()):
-        if not cell.startswith('customers/') or not cell.endswith('/keys'):
-            continue
-        for key in value:
-            owner = owners.setdefault(key, cell)
-            if owner != cell:
-                remedy = 'give each customer keys of its own'
-                reason = f'the key also stands in {owner}'
-                problems.append(Problem(cell, key, reason, remedy))
-    return problems
-
-
-def _unknown_rows(cells: Cells, inventory: Inventory) -> list[Problem]:
-    known = {
-        'pools': set(inventory.pools),
-        'endpoints': inventory.endpoints,
-        'hosts': inventory.hosts,
-    }
-    problems = []
-    for cell, value in cells.items():
-        sheet, row, _ = cell.split('/')
-        if sheet in known and row not in known[sheet]:
-            names = ', '.join(sorted(known[sheet]))
-            reason = f'the settings name no {row!r} among the {sheet}'
-            problems.append(Problem(cell, value, reason, f'use {names}'))
-    return problems
-
-
-def _starved_pools(cells: Cells, inventory: Inventory) -> list[Problem]:
-    rows = view({**empty(), 'cells': dict(cells)})
-    problems = []
-    for pool, endpoints in inventory.pools.items():
-        row = rows.pool(pool)
-        least = row.min_prefill + row.min_decode
-        working = [e for e in endpoints if rows.endpoint(e).state == 'in']
-        if len(working) >= least or not _touches(cells, pool, endpoints):
-            continue
-        reason = f'{len(working)} endpoints are in, {least} are the least'
-        remedy = 'lower min_prefill or min_decode, or take endpoints in'
-        cell = f'pools/{pool}/min_decode'
-        problems.append(Problem(cell, row.min_decode, reason, remedy))
-    return problems
-
-
-def _touches(cells: Cells, pool: str, endpoints: Iterable[str]) -> bool:
-    rows = {f'pools/{pool}', *(f'endpoints/{e}' for e in endpoints)}
-    return any(cell.rpartition('/')[0] in rows for cell in cells)
-
-
-def _all_drained(cells: Cells, inventory: Inventory) -> list[Problem]:
-    drained = {
-        cell.split('/')[1]
-        for cell, value in cells.items()
-        if cell.startswith('hosts/') and value == 'drain'
-    }
-    if not inventory.hosts or inventory.hosts - drained:
-        return []
-    cell = f'hosts/{min(drained)}/state'
-    remedy = "leave one host 'in'"
-    return [Problem(cell, 'drain', 'no host would take work', remedy)]
--- /dev/null
+++ b/magnoliadyke/core/tablerules.py
@@ -0,0 +1,107 @@
+"""Rules of the table that concern several rows, or names in the settings."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from magnoliadyke.core import schema
+
+__all__ = ['Inventory', 'problems']
+
+
+class Inventory(NamedTuple):
+    """Names that the settings know, for the checks across rows.
+
+    :param pools: endpoint names of each pool of model engines.
+    :param endpoints: names of all endpoints.
+    :param hosts: names of all hosts.
+    """
+
+    pools: Mapping[str, tuple[str, ...]]
+    endpoints: frozenset[str]
+    hosts: frozenset[str]
+
+
+def problems(
+    cells: schema.Cells, inventory: Inventory | None
+) -> list[schema.Problem]:
+    """What is wrong with rows taken together."""
+    found = _shared_keys(cells)
+    if inventory is not None:
+        found += _unknown_rows(cells, inventory)
+        found += _starved_pools(cells, inventory)
+        found += _all_drained(cells, inventory)
+    return found
+
+
+def _shared_keys(cells: schema.Cells) -> list[schema.Problem]:
+    owners: dict[str, str] = {}
+    problems = []
+    for cell, value in sorted(cells.items()):
+        if not cell.startswith('customers/') or not cell.endswith('/keys'):
+            continue
+        for key in value:
+            owner = owners.setdefault(key, cell)
+            if owner != cell:
+                remedy = 'give each customer keys of its own'
+                reason = f'the key also stands in {owner}'
+                problems.append(schema.Problem(cell, key, reason, remedy))
+    return problems
+
+
+def _unknown_rows(
+    cells: schema.Cells, inventory: Inventory
+) -> list[schema.Problem]:
+    known = {
+        'pools': set(inventory.pools),
+        'endpoints': inventory.endpoints,
+        'hosts': inventory.hosts,
+    }
+    problems = []
+    for cell, value in cells.items():
+        sheet, row, _ = cell.split('/')
+        if sheet in known and row not in known[sheet]:
+            names = ', '.join(sorted(known[sheet]))
+            reason = f'the settings name no {row!r} among the {sheet}'
+            problems.append(
+                schema.Problem(cell, value, reason, f'use {names}')
+            )
+    return problems
+
+
+def _starved_pools(
+    cells: schema.Cells, inventory: Inventory
+) -> list[schema.Problem]:
+    rows = schema.view_of(cells, 0)
+    problems = []
+    for pool, endpoints in inventory.pools.items():
+        row = rows.pool(pool)
+        least = row.min_prefill + row.min_decode
+        working = [e for e in endpoints if rows.endpoint(e).state == 'in']
+        if len(working) >= least or not _touches(cells, pool, endpoints):
+            continue
+        reason = f'{len(working)} endpoints are in, {least} are the least'
+        remedy = 'lower min_prefill or min_decode, or take endpoints in'
+        cell = f'pools/{pool}/min_decode'
+        problems.append(schema.Problem(cell, row.min_decode, reason, remedy))
+    return problems
+
+
+def _touches(cells: schema.Cells, pool: str, endpoints: Iterable[str]) -> bool:
+    rows = {f'pools/{pool}', *(f'endpoints/{e}' for e in endpoints)}
+    return any(cell.rpartition('/')[0] in rows for cell in cells)
+
+
+def _all_drained(
+    cells: schema.Cells, inventory: Inventory
+) -> list[schema.Problem]:
+    drained = {
+        cell.split('/')[1]
+        for cell, value in cells.items()
+        if cell.startswith('hosts/') and value == 'drain'
+    }
+    if not inventory.hosts or inventory.hosts - drained:
+        return []
+    cell = f'hosts/{min(drained)}/state'
+    remedy = "leave one host 'in'"
+    return [schema.Problem(cell, 'drain', 'no host would take work', remedy)]
--- /dev/null
+++ b/tests/test_tablerules.py
@@ -0,0 +1,41 @@
+"""Tests for rules that concern several rows."""
+
+import pytest
+
+from magnoliadyke.core import tablerules
+
+KEY = 'sha256:' + 'a' * 64
+INVENTORY = tablerules.Inventory(
+    {'lease-model': ('e1', 'e2', 'e3')},
+    frozenset({'e1', 'e2', 'e3', 's1'}),
+    frozenset({'h1', 'h2'}),
+)
+
+
+@pytest.mark.parametrize(
+    ('cells', 'reason'),
+    [
+        ({'endpoints/nobody/state': 'drain'}, 'use e1, e2, e3, s1'),
+        ({'pools/lease-model/min_decode': 3}, 'lower min_prefill'),
+        (
+            {'endpoints/e1/state': 'drain', 'endpoints/e2/state': 'drain'},
+            '1 endpoints are in, 2 are the least',
+        ),
+        (
+            {'customers/a/keys': [KEY], 'customers/b/keys': [KEY]},
+            'also stands in customers/a/keys',
+        ),
+        (
+            {'hosts/h1/state': 'drain', 'hosts/h2/state': 'drain'},
+            'no host would take work',
+        ),
+    ],
+)
+def test_rows_that_do_not_go_together(cells, reason):
+    (problem,) = tablerules.problems(cells, INVENTORY)
+    assert reason in str(problem)
+
+
+def test_one_of_several_may_be_drained():
+    cells = {'endpoints/e1/state': 'drain', 'hosts/h1/state': 'drain'}
+    assert tablerules.problems(cells, INVENTORY) == []
