Let suspects take turns over the whole fleet

Word of who waits and runs now travels from node to node with its age, suspects wait until it has settled, and a crash that was explained or outlived is void for good.

--- a/magnoliadyke/core/digests.py
+++ b/magnoliadyke/core/digests.py
@@ -32,7 +32,7 @@
 HEAD = struct.Struct('!BBBBI')
 POOL = struct.Struct('!IffffHH')
 CUSTOMER = struct.Struct('!IIfH')
-SUSPECT = struct.Struct('!6sIBB')
+SUSPECT = struct.Struct('!6sIBBBB')
 BLAME = struct.Struct('!IH')
 
 MOST_POOLS = 4
@@ -46,10 +46,11 @@
 )
 
 CLEARED_BIT = 0x80
-WAITING_BIT = 0x40
 COUNT_BITS = 0x0F
 AGE_UNIT_S = 0.1
 MOST_COUNT = 0xFFFF
+MOST_BLAMES = 2
+LONG_AGO = 0xFF
 SERVED_MODULUS = 1 << 32
 SERVED_UNIT_S = 0.001
 
@@ -90,7 +91,9 @@
     """A request that may crash engines.
 
     :param fingerprint: six bytes
-    :param waiting: whether it waits or runs on the node
+    :param waiting_age_s: since it was last known to wait on some node, as
+        the sender heard; word of it travels on from node to node
+    :param running_age_s: likewise, to run
     :param blames: (checksum of the endpoint, age in seconds) of its crashes
     """
 
@@ -98,7 +101,8 @@
     pool: int
     rank: int
     cleared: bool
-    waiting: bool
+    waiting_age_s: float
+    running_age_s: float
     blames: tuple
 
     def size(self):
@@ -202,16 +206,28 @@
 def _suspect_bytes(news):
     flags = len(news.blames)
     flags |= CLEARED_BIT if news.cleared else 0
-    flags |= WAITING_BIT if news.waiting else 0
-    parts = [SUSPECT.pack(news.fingerprint, news.pool, news.rank, flags)]
+    fields = (news.fingerprint, news.pool, news.rank, flags)
+    ages = (_age(news.waiting_age_s), _age(news.running_age_s))
+    parts = [SUSPECT.pack(*fields, *ages)]
     for crash, age_s in news.blames:
         age = min(max(0, round(age_s / AGE_UNIT_S)), MOST_COUNT)
         parts.append(BLAME.pack(crash, age))
     return b''.join(parts)
 
 
+def _age(age_s):
+    if age_s >= LONG_AGO * AGE_UNIT_S:
+        return LONG_AGO
+    return max(0, round(age_s / AGE_UNIT_S))
+
+
+def _age_s(age):
+    return float('inf') if age == LONG_AGO else age * AGE_UNIT_S
+
+
 def _read_suspect(data, at):
-    fingerprint, pool, rank, flags = SUSPECT.unpack_from(data, at)
+    fields = SUSPECT.unpack_from(data, at)
+    fingerprint, pool, rank, flags, waiting, running = fields
     at += SUSPECT.size
     blames = []
     for _ in range(flags & COUNT_BITS):
@@ -223,17 +239,26 @@
         pool,
         rank,
         bool(flags & CLEARED_BIT),
-        bool(flags & WAITING_BIT),
+        _age_s(waiting),
+        _age_s(running),
         tuple(blames),
     )
 
 
-def suspect_news(item, waiting, now_s):
+def suspect_news(item, now_s):
     """News of a (fingerprint, entry) of the quarantine."""
     fingerprint, entry = item
-    blames = tuple((blame.crash, now_s - blame.at_s) for blame in entry.blames)
+    cleared = not entry.blames
+    told = entry.void[-MOST_BLAMES:] if cleared else entry.blames
+    blames = tuple((blame.crash, now_s - blame.at_s) for blame in told)
     return SuspectNews(
-        fingerprint, entry.pool, entry.rank, entry.cleared, waiting, blames
+        fingerprint,
+        entry.pool,
+        entry.rank,
+        cleared,
+        now_s - entry.waiting_s,
+        now_s - entry.running_s,
+        blames,
     )
 
 
--- a/magnoliadyke/core/quarantine.py
+++ b/magnoliadyke/core/quarantine.py
@@ -39,6 +39,7 @@
 
 CRASHES_TO_CONVICT = 2
 MOST_RANK = 255
+MOST_VOID = 4
 FINGERPRINT_BYTES = 6
 
 
@@ -54,7 +55,7 @@
     :param most_entries: entries kept
     """
 
-    settle_s: float = 3.0
+    settle_s: float = 5.0
     same_crash_s: float = 5.0
     suspect_s: float = 300.0
     convicted_s: float = 1800.0
@@ -75,28 +76,45 @@
 class Entry:
     """What is known of one fingerprint.
 
+    :ivar blames: crashes that it may have caused
+    :ivar void: crashes that it did not cause, as is known by now; kept, as
+        peers that have not heard go on telling of them
     :ivar rank: output tokens it had when the engine died, at most 255; the
         fewer, the more suspicious
     :ivar pool: checksum of its pool's name
     :ivar waiting_s: when it was last known to wait on some node
+    :ivar running_s: when it was last known to run on some node
     """
 
-    __slots__ = ('blames', 'cleared', 'pool', 'rank', 'seen_s', 'waiting_s')
+    __slots__ = (
+        'blames',
+        'pool',
+        'rank',
+        'running_s',
+        'seen_s',
+        'void',
+        'waiting_s',
+    )
 
     def __init__(self, rank, pool, now_s):
         self.blames = []
+        self.void = []
         self.rank = rank
         self.pool = pool
         self.seen_s = now_s
         self.waiting_s = float('-inf')
-        self.cleared = False
+        self.running_s = float('-inf')
 
     def verdict(self):
         if len(self.blames) >= CRASHES_TO_CONVICT:
             return CONVICTED
-        if self.cleared or not self.blames:
-            return CLEAR
-        return SUSPECT
+        return SUSPECT if self.blames else CLEAR
+
+    def clear(self, now_s):
+        """It did not cause the crash that it was blamed for."""
+        self.void = [*self.void, *self.blames][-MOST_VOID:]
+        self.blames = []
+        self.seen_s = now_s
 
 
 def fingerprint_of(text):
@@ -146,46 +164,61 @@
         """It ran to its end and the engine lives."""
         entry = self.entries.get(fingerprint)
         if entry is not None and entry.verdict() == SUSPECT:
-            entry.cleared = True
-            entry.seen_s = now_s
+            entry.clear(now_s)
 
-    def turn(self, fingerprint, now_s):
+    def turn(self, fingerprint, since_s, now_s):
         """Whether it is this suspect's turn to run.
 
         All nodes order the suspects of a pool alike, so that two of them
-        don't meet on the trial engine, where a crash would convict both.
-        Only those that wait on some node count: a suspect whose caller has
-        gone away must not keep the others waiting.
+        don't meet on the trial engine, where a crash would convict both. It
+        waits until all have heard that it does, lets go those before it in
+        the order, and keeps away while another runs. Only what is known to
+        wait or run of late counts: a suspect whose caller has gone away must
+        not keep the others waiting.
+
+        :param since_s: when this node took it in
         """
         entry = self.entries[fingerprint]
-        settled_s = entry.blames[-1].at_s + self.settings.settle_s
-        if now_s < settled_s:
+        told_s = max(since_s, entry.blames[-1].at_s)
+        if now_s < told_s + self.settings.settle_s:
             return False
         fresh_s = now_s - self.settings.waiting_s
-        return not any(
-            known.pool == entry.pool
-            and known.waiting_s >= fresh_s
-            and known.verdict() == SUSPECT
-            and (known.rank, other) < (entry.rank, fingerprint)
-            for other, known in self.entries.items()
-        )
+        for other, known in self.entries.items():
+            if other == fingerprint or known.pool != entry.pool:
+                continue
+            if known.verdict() != SUSPECT:
+                continue
+            before = (known.rank, other) < (entry.rank, fingerprint)
+            if known.running_s >= fresh_s:
+                return False
+            if before and known.waiting_s >= fresh_s:
+                return False
+        return True
 
     def waits(self, fingerprint, now_s):
-        """A suspect waits or runs on some node."""
+        """A suspect waits on some node."""
         entry = self.entries.get(fingerprint)
         if entry is not None:
-            entry.waiting_s = now_s
+            entry.waiting_s = max(entry.waiting_s, now_s)
+
+    def runs(self, fingerprint, now_s):
+        """A suspect runs on some node."""
+        entry = self.entries.get(fingerprint)
+        if entry is not None:
+            entry.running_s = max(entry.running_s, now_s)
 
     def merge(self, fingerprint, pool, rank, cleared, blames, now_s):
         """Take a peer's word.
 
+        :param cleared: it did not cause these crashes
         :param blames: of :class:`Blame`, in this node's time
         """
         entry = self._entry(fingerprint, rank, pool, now_s)
         for blame in blames:
-            self._add(entry, blame)
-        if cleared and entry.verdict() == SUSPECT:
-            entry.cleared = True
+            if cleared:
+                self._void(entry, blame, now_s)
+            else:
+                self._add(entry, blame)
         self._explain(now_s)
         self._trim()
 
@@ -213,10 +246,10 @@
         return entry
 
     def _add(self, entry, blame):
+        if self._within(blame, entry.void):
+            return
         for index, known in enumerate(entry.blames):
-            apart_s = abs(known.at_s - blame.at_s)
-            same = apart_s < self.settings.same_crash_s
-            if known.crash == blame.crash and same:
+            if self._same(known, blame):
                 earlier = min(known.at_s, blame.at_s)
                 entry.blames[index] = Blame(known.crash, earlier)
                 return
@@ -224,7 +257,15 @@
         entry.blames.sort(key=lambda known: known.at_s)
         del entry.blames[CRASHES_TO_CONVICT:]
         entry.seen_s = max(entry.seen_s, blame.at_s)
-        entry.cleared = False
+
+    def _void(self, entry, blame, now_s):
+        """A peer knows that this crash was none of its doing."""
+        if entry.verdict() == CONVICTED or self._within(blame, entry.void):
+            return
+        if self._within(blame, entry.blames):
+            entry.clear(now_s)
+        else:
+            entry.void = [*entry.void, blame][-MOST_VOID:]
 
     def _explain(self, now_s):
         """Clear whoever was blamed for what a convict did."""
@@ -240,16 +281,16 @@
             if entry.verdict() == SUSPECT and self._within(
                 entry.blames[0], explained
             ):
-                entry.cleared = True
-                entry.seen_s = now_s
+                entry.clear(now_s)
+
+    def _within(self, blame, others):
+        return any(self._same(blame, known) for known in others)
 
-    def _within(self, blame, explained):
+    def _same(self, one, other):
+        """Whether two nodes tell of the same crash."""
+        apart_s = abs(one.at_s - other.at_s)
         limit_s = self.settings.same_crash_s
-        return any(
-            blame.crash == known.crash
-            and abs(blame.at_s - known.at_s) < limit_s
-            for known in explained
-        )
+        return one.crash == other.crash and apart_s < limit_s
 
     def _forgotten(self, entry, now_s):
         keep_s = self.settings.suspect_s
--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -339,11 +339,10 @@
 
     def _place_whole(self, job, members, terms, now_s):
         """Both phases on one engine, whatever its role."""
-        found = [self._reading(job, each, terms, now_s) for each in members]
         found = [
-            each
-            for each in found
-            if each.first_token_s - each.prompt_s
+            self._reading(job, each, terms, now_s)
+            for each in members
+            if self._gate_s(each, job, terms, now_s)
             <= self.settings.engine_queue_s
         ]
         best = self._pick(found)
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -133,6 +133,7 @@
         self.ran = False
         self.charged_s = 0.0
         self.tokens = 0
+        self.queued_s = job.arrived_s
         self.begin()
 
     def begin(self):
@@ -558,6 +559,7 @@
             until_s = now_s + row.queue_wait_s
             run.timing = admission.Timing(until_s, until_s)
             self.quarantine.waits(run.fingerprint, now_s)
+            run.queued_s = now_s
             pool.suspects.append(run)
         else:
             key = (run.job.priority, run.timing.deadline_s)
@@ -994,10 +996,14 @@
                 self._forget(run, now_s)
                 return [Refuse(run.job.id, _convicted())]
             self._queue(run, pool, now_s)
-        if pool.trial is None or pool.trial.alone is not None:
+        if pool.trial is None:
+            return []
+        if pool.trial.alone is not None:
+            fingerprint = self.runs[pool.trial.alone].fingerprint
+            self.quarantine.runs(fingerprint, now_s)
             return []
         for run in pool.suspects:
-            if self.quarantine.turn(run.fingerprint, now_s):
+            if self.quarantine.turn(run.fingerprint, run.queued_s, now_s):
                 return self._try_alone(run, pool, now_s)
         return []
 
@@ -1039,6 +1045,7 @@
         if placement is None:
             return []
         pool.suspects.remove(run)
+        self.quarantine.runs(run.fingerprint, now_s)
         endpoint.alone = run.job.id
         return [self._dispatch(run, pool, placement, now_s, alone)]
 
@@ -1052,15 +1059,7 @@
         for news in pools:
             demand = news.prefill_s_per_s + news.decode_s_per_s
             self.shares.tell(('pool', news.pool), demand, now_s)
-        waiting = {
-            run.fingerprint
-            for run in self.runs.values()
-            if run.fingerprint in self.quarantine.entries
-        }
-        suspects = tuple(
-            digests.suspect_news(item, item[0] in waiting, now_s)
-            for item in self.quarantine.newest(SUSPECTS_TOLD, now_s)
-        )
+        suspects = self._suspect_news(now_s)
         customers = self._customer_news(now_s)
         return digests.Digest(self.epoch, pools, customers, suspects)
 
@@ -1120,6 +1119,17 @@
             pool.running,
         )
 
+    def _suspect_news(self, now_s):
+        if not self.quarantine.entries:
+            return ()
+        for run in self.runs.values():
+            if run.dispatched_s is not None:
+                self.quarantine.runs(run.fingerprint, now_s)
+        return tuple(
+            digests.suspect_news(item, now_s)
+            for item in self.quarantine.newest(SUSPECTS_TOLD, now_s)
+        )
+
     def _customer_news(self, now_s):
         """The customers whose figures moved most, and some of the rest."""
         news = {}
@@ -1187,8 +1197,10 @@
             digests.blames_of(news, now_s),
             now_s,
         )
-        if news.waiting:
-            self.quarantine.waits(news.fingerprint, now_s)
+        waiting_s = now_s - news.waiting_age_s
+        running_s = now_s - news.running_age_s
+        self.quarantine.waits(news.fingerprint, waiting_s)
+        self.quarantine.runs(news.fingerprint, running_s)
 
 
 class _PeerState:
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -20,7 +20,8 @@
     numbers,
     st.integers(0, 255),
     st.booleans(),
-    st.booleans(),
+    st.floats(0, 30),
+    st.floats(0, 30),
     blames.map(tuple),
 )
 whole = st.builds(
@@ -41,7 +42,9 @@
     assert len(read.pools) == min(len(digest.pools), digests.MOST_POOLS)
     assert read.to_bytes() == data
     for before, after in zip(digest.suspects, read.suspects, strict=False):
-        assert after[:5] == before[:5]
+        assert after[:4] == before[:4]
+        for old, new in zip(before[4:6], after[4:6], strict=True):
+            assert new == pytest.approx(old, abs=0.06) or old >= 25.4
         for old, new in zip(before.blames, after.blames, strict=True):
             assert new[0] == old[0]
             assert new[1] == pytest.approx(old[1], abs=0.06)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,13 +11,10 @@
 
 def share(sender, receiver, now_s):
     for fingerprint, entry in sender.newest(100, now_s):
+        cleared = not entry.blames
+        blames = list(entry.void if cleared else entry.blames)
         receiver.merge(
-            fingerprint,
-            entry.pool,
-            entry.rank,
-            entry.cleared,
-            list(entry.blames),
-            now_s,
+            fingerprint, entry.pool, entry.rank, cleared, blames, now_s
         )
 
 
@@ -56,7 +53,7 @@
     nodes[1].blame('e2', 'p', [(one, 0)], 1.0)
     share(nodes[0], nodes[2], 2.0)
     assert nodes[2].verdict(one, 2.0) == quarantine.SUSPECT
-    assert not nodes[2].turn(one, 2.0)
+    assert not nodes[2].turn(one, 2.0, 2.0)
     share(nodes[1], nodes[2], 2.5)
     assert nodes[2].verdict(one, 2.5) == quarantine.CONVICTED
     assert nodes[2].verdict(mate, 2.5) == quarantine.CLEAR
@@ -69,10 +66,51 @@
     now_s = SETTLE_S + 1
     for each in (early, late):
         judge.waits(each, now_s)
-    assert judge.turn(early, now_s)
-    assert not judge.turn(late, now_s)
+    assert judge.turn(early, 0.0, now_s)
+    assert not judge.turn(late, 0.0, now_s)
     judge.ran_whole(early, now_s)
-    assert judge.turn(late, now_s)
+    assert judge.turn(late, 0.0, now_s)
+
+
+def test_a_suspect_keeps_away_while_another_runs():
+    # The one first in line has come back only now. The other runs already,
+    # and together on the trial engine a crash would convict both.
+    early, late = names('early', 'late')
+    judge = quarantine.Quarantine()
+    judge.blame('e1', 'p', [(late, 200), (early, 0)], 0.0)
+    judge.runs(late, 20.0)
+    assert not judge.turn(early, 10.0, 21.0)
+    judge.ran_whole(late, 22.0)
+    assert judge.turn(early, 10.0, 22.0)
+    assert not judge.turn(early, 21.0, 22.0)
+
+
+def test_a_cleared_request_is_not_convicted_by_the_next_crash():
+    # It was in a batch that died, ran whole alone, and was cleared. Soon after,
+    # by bad luck, its new engine dies too. Peers that never heard of
+    # the clearing still tell of the first crash.
+    (one,) = names('r1')
+    first, second = quarantine.Quarantine(), quarantine.Quarantine()
+    first.blame('e1', 'p', [(one, 0)], 0.0)
+    share(first, second, 1.0)
+    first.ran_whole(one, 10.0)
+    first.blame('e2', 'p', [(one, 0)], 50.0)
+    share(second, first, 51.0)
+    assert first.verdict(one, 52.0) == quarantine.SUSPECT
+    share(first, second, 53.0)
+    assert second.verdict(one, 54.0) != quarantine.CLEAR
+
+
+def test_word_of_a_clearing_travels():
+    (one,) = names('r1')
+    first, second = quarantine.Quarantine(), quarantine.Quarantine()
+    first.blame('e1', 'p', [(one, 0)], 0.0)
+    share(first, second, 1.0)
+    first.ran_whole(one, 10.0)
+    share(first, second, 11.0)
+    share(second, first, 12.0)
+    assert first.verdict(one, 12.0) == quarantine.CLEAR
+    assert second.verdict(one, 12.0) == quarantine.CLEAR
 
 
 def test_nobody_waits_for_a_suspect_that_is_gone():
@@ -81,9 +119,9 @@
     judge = quarantine.Quarantine()
     judge.blame('e1', 'p', [(late, 200), (early, 0)], 0.0)
     judge.waits(early, 1.0)
-    assert not judge.turn(late, SETTLE_S + 1)
+    assert not judge.turn(late, 0.0, SETTLE_S + 1)
     forgotten_s = 1.0 + judge.settings.waiting_s
-    assert judge.turn(late, forgotten_s + 0.1)
+    assert judge.turn(late, 0.0, forgotten_s + 0.1)
 
 
 def test_suspects_and_convicts_are_forgotten():
