--- a/magnoliadyke/lab/live.py
+++ b/magnoliadyke/lab/live.py
@@ -5,10 +5,12 @@
 
 Options:
   --deployment=NAME   dala or zarqa [default: dala].
-  --trace=FILE        Requests as CSV, in place of a generated trace.
+  --trace=FILE        Requests as CSV, in place of a generated trace; those
+                      after 300 s are left out.
   --shape=NAME        steady, swing, step, slow-day, flood-large, flood-small,
                       flash or burst-then-quiet [default: swing].
   --load=F            Mean demand as a share of the pool [default: 0.7].
+                      It stretches a trace file too.
   --period=SECONDS    Period of the swing [default: 60].
   --amplitude=F       How far the prefill share moves [default: 0.4].
   --duration=SECONDS  Length of the trace, 300 at most [default: 60].
@@ -38,6 +40,7 @@
 from magnoliadyke.lab import cluster
 from magnoliadyke.lab import load as loads
 from magnoliadyke.lab import measures
+from magnoliadyke.lab import policy
 from magnoliadyke.lab import runs
 from magnoliadyke.lab import traces
 from magnoliadyke.lab import trial
@@ -50,6 +53,9 @@
 POLICIES = {'fixed': 'fixed', 'ours': 'auto'}
 NODE_LOSS = 'node_loss'
 LONGEST_S = 300.0
+DEFAULT_LOAD = 0.7
+#: Options of lab policy that make no sense here.
+NOT_HERE = {'--processes': '1', '--write-trace': None, '--plot': None}
 RUN_OUT_S = 60.0
 CLIENTS_PER_HOST = 3
 LEAVING_S = 3.0
@@ -73,15 +79,15 @@
     directory: str
 
 
-def run(plan, policy):
+def run(plan, name):
     """Run a trace under a policy; the figures.
 
     :param plan: :class:`Run`
-    :param policy: a name of :data:`POLICIES`
+    :param name: policy of :data:`POLICIES`
     """
     pools = plan.document['initial_table'].setdefault('pools', {})
     row = pools.setdefault(plan.deployment.pool, {})
-    row['planning'] = POLICIES[policy]
+    row['planning'] = POLICIES[name]
     options = cluster.Options(directory=plan.directory)
     with cluster.Cluster(plan.document, options) as made:
         made.start()
@@ -210,55 +216,32 @@
     return fault if fault.kind == NODE_LOSS else None
 
 
-def read_requests(args, deployment, seed):
+def read_requests(options, deployment, seed):
     """The trace to run: from a file, or drawn."""
-    path = args['--trace']
-    if path:
-        with open(path, newline='') as file:
-            requests = traces.read(file, path, deployment)
-        load = float(args['--load'])
-        return traces.scale(requests, load, deployment.engines)
+    if options.trace:
+        with open(options.trace, newline='') as file:
+            requests = traces.read(file, options.trace, deployment)
+        if options.load is not None:
+            requests = traces.scale(requests, options.load, deployment.engines)
+        return [each for each in requests if each.at_s <= LONGEST_S]
     shape = traces.Shape(
-        choose(args, '--shape', traces.SHAPES),
-        load=float(args['--load']),
-        period_s=float(args['--period']),
-        amplitude=float(args['--amplitude']),
-        duration_s=min(float(args['--duration']), LONGEST_S),
+        options.shape,
+        load=options.load or DEFAULT_LOAD,
+        period_s=options.period_s,
+        amplitude=options.amplitude,
+        duration_s=min(options.duration_s, LONGEST_S),
     )
     return traces.generate(deployment, shape, seed)
 
 
-def choose(args, option, names):
-    """The value of an option that is one of some names."""
-    value = args[option]
-    if value not in names:
-        raise errors.UsageError(
-            f'{option} {value!r} is not known',
-            'use one of ' + ', '.join(names),
-        )
-    return value
-
-
-def choose_policies(text):
-    """The policies named on the command line."""
-    names = text.split(',')
+def check_policies(names):
+    """Refuse policies that only ``lab policy`` has."""
     for name in names:
         if name not in POLICIES:
             raise errors.UsageError(
                 f'policy {name!r} does not run in nodes',
-                'use one of '
-                + ', '.join(POLICIES)
-                + ', or lab policy for the others',
+                f'use one of {", ".join(POLICIES)}, or lab policy',
             )
-    return names
-
-
-def choose_seeds(args):
-    """The seeds to run."""
-    if not args['--seeds']:
-        return [int(args['--seed'])]
-    first, _, last = args['--seeds'].partition('-')
-    return list(range(int(first), int(last or first) + 1))
 
 
 def main(argv):
@@ -268,39 +251,65 @@
     :returns: exit status
     """
     args = docopt.docopt(__doc__, ['lab', 'live', *argv])
-    name = choose(args, '--deployment', traces.DEPLOYMENTS)
-    deployment = traces.DEPLOYMENTS[name]
-    document = json.loads((EXAMPLES / f'{name}.json').read_text())
-    faults = []
-    if args['--faults']:
-        hosts = [host['name'] for host in document['hosts']]
-        with open(args['--faults']) as file:
-            faults = read_faults(file, args['--faults'], deployment, hosts)
-    policies = choose_policies(args['--policy'])
-    results = []
-    for seed in choose_seeds(args):
-        requests = read_requests(args, deployment, seed)
-        for policy in policies:
-            with tempfile.TemporaryDirectory() as scratch:
-                directory = args['--keep'] or scratch
-                plan = Run(deployment, document, requests, faults, directory)
-                figures = run(plan, policy)
-            results.append({'seed': seed, 'policy': policy, **figures})
-            if not args['--json']:
-                print(render(results[-1]), flush=True)
-    if args['--json']:
-        json.dump({'deployment': name, 'runs': results}, sys.stdout, indent=1)
+    options = policy.options_from({**args, **NOT_HERE})
+    check_policies(options.policies)
+    result = run_all(options, args['--keep'])
+    if options.as_json:
+        json.dump(result, sys.stdout, indent=2)
         print()
+    else:
+        for each in result['runs']:
+            for name, figures in each['policies'].items():
+                print(render(each['seed'], name, figures))
     return 0
 
 
-def render(result):
+def run_all(options, keep):
+    """Run all seeds and policies, one after the other.
+
+    :param options: :class:`policy.Options`
+    :param keep: directory to keep, or None
+    """
+    deployment = traces.DEPLOYMENTS[options.deployment]
+    path = EXAMPLES / f'{options.deployment}.json'
+    document = json.loads(path.read_text())
+    faults = open_faults(options.faults, deployment, document)
+    found = []
+    for seed in options.seeds:
+        requests = read_requests(options, deployment, seed)
+        figures = {}
+        for name in options.policies:
+            with tempfile.TemporaryDirectory() as scratch:
+                # Ledgers are appended to: each run needs its own.
+                directory = f'{keep or scratch}/{seed}-{name}'
+                plan = Run(deployment, document, requests, faults, directory)
+                figures[name] = run(plan, name)
+        found.append({'seed': seed, 'policies': figures})
+    return {
+        'deployment': options.deployment,
+        'trace': options.trace or options.shape,
+        'period_s': options.period_s,
+        'load': options.load,
+        'runs': found,
+    }
+
+
+def open_faults(path, deployment, document):
+    """Faults of the file, if one is named."""
+    if not path:
+        return []
+    hosts = [host['name'] for host in document['hosts']]
+    with open(path) as file:
+        return read_faults(file, path, deployment, hosts)
+
+
+def render(seed, name, figures):
     """One run's figures as a line for people."""
     return (
-        f'seed {result["seed"]} {result["policy"]}: '
-        f'goodput {result["goodput_tokens_s"]:.0f} tokens/s, '
-        f'met {result["met_share"]:.3f}, '
-        f'{result["role_changes"]} role changes, '
-        f'{result["not_run"]} not run, {result["unknown"]} unknown, '
-        f'fairness {result["fairness"]:.2f}'
+        f'seed {seed} {name}: '
+        f'goodput {figures["goodput_tokens_s"]:.0f} tokens/s, '
+        f'met {figures["met_share"]:.3f}, '
+        f'{figures["role_changes"]} role changes, '
+        f'{figures["not_run"]} not run, {figures["unknown"]} unknown, '
+        f'fairness {figures["fairness"]:.2f}'
     )
--- a/tests/test_lab_live.py
+++ b/tests/test_lab_live.py
@@ -34,9 +34,9 @@
                 read(text)
 
     def test_policies_that_nodes_lack_are_refused(self):
-        self.assertEqual(['fixed', 'ours'], live.choose_policies('fixed,ours'))
+        live.check_policies(['fixed', 'ours'])
         with self.assertRaisesRegex(errors.UsageError, 'lab policy'):
-            live.choose_policies('hindsight')
+            live.check_policies(['hindsight'])
 
 
 if __name__ == '__main__':
