--- a/magnoliadyke/followers.py
+++ b/magnoliadyke/followers.py
@@ -14,6 +14,7 @@
 
 KEEP_ALIVE = b': keep-alive\n\n'
 READABLE = 1
+PEEK_S = 0.05
 
 
 class CallerGone(Exception):
@@ -85,12 +86,17 @@
         """Raise if the caller has closed its connection."""
         if self.watcher is None or self.watcher.active:
             return
-        try:
-            left = self.handler.socket.recv(1, socket.MSG_PEEK) == b''
-        except OSError:
-            left = True
-        if left:
-            raise CallerGone
+        # The event may have been spurious: a read that waits would stop the
+        # answer until the caller sends something.
+        with gevent.Timeout(PEEK_S, False):
+            try:
+                left = self.handler.socket.recv(1, socket.MSG_PEEK) == b''
+            except OSError:
+                left = True
+            if left:
+                raise CallerGone
+            return
+        self.watcher.start(self.on_readable)
 
 
 class Follower(Waiter):
