--- a/magnoliadyke/lab/engine.py
+++ b/magnoliadyke/lab/engine.py
@@ -1,7 +1,6 @@
 """Stand-in for a model engine: the published protocol over a step model."""
 
 import collections
-import hashlib
 import http.client
 import json
 import secrets
@@ -16,9 +15,10 @@
 from magnoliadyke.lab import cacheevents
 from magnoliadyke.lab import enginecommands
 from magnoliadyke.lab import enginemodel
+from magnoliadyke.lab import enginerun
 from magnoliadyke.lab import standin
 
-__all__ = ['EngineStandIn', 'Spec', 'answer_text', 'main']
+__all__ = ['EngineStandIn', 'Spec', 'answer_text', 'digest', 'main']
 
 KV_KEPT_S = 60.0
 KV_FETCH_TIMEOUT_S = 5.0
@@ -27,10 +27,11 @@
 KEEP_ALIVE_S = 1.0
 SILENCE_S = 600.0
 IDS_KEPT = 50_000
-DIGEST_DIGITS = 6
-LENGTH_MARK = 'answer-tokens:'
 KEEP_ALIVE = b': keep-alive\n\n'
-DONE = b'data: [DONE]\n\n'
+
+#: What a checker needs to know of the answers.
+answer_text = enginerun.answer_text
+digest = enginerun.digest
 
 
 class Spec(typing.NamedTuple):
@@ -71,69 +72,6 @@
     until_s: float
 
 
-class Run:
-    """One prompt on its way through the engine.
-
-    :param kind: ``prefill``, ``decode`` or ``both``
-    :param offset: output tokens that exist already
-    """
-
-    def __init__(self, run_id, kind, prompt, model, total, offset):
-        self.id = run_id
-        self.kind = kind
-        self.prompt = prompt
-        self.model = model
-        self.digest = digest(prompt)
-        self.prompt_tokens = len(prompt.split())
-        self.total = total
-        self.produced = offset
-        self.cached_tokens = 0
-        self.end = ''
-        self.changed = event.Event()
-        frame = {
-            'id': run_id,
-            'object': 'text_completion',
-            'model': model,
-            'choices': [{'index': 0, 'text': '@', 'finish_reason': None}],
-        }
-        text = json.dumps(frame, separators=(',', ':'))
-        head, _, tail = text[1:].rpartition('@')
-        self.head = head.encode()
-        self.tail = tail.encode()
-
-    def notify(self):
-        """Wake all that wait for this run."""
-        changed, self.changed = self.changed, event.Event()
-        changed.set()
-
-    def frame(self, start, end):
-        """The server-sent event of output tokens ``start`` to ``end``."""
-        text = answer_text(self.digest, start, end).encode()
-        return b'data: {"offset":%d,%b%b%b\n\n' % (
-            start,
-            self.head,
-            text,
-            self.tail,
-        )
-
-    def last_frame(self):
-        """The event that ends the answer, and the mark after it."""
-        frame = {
-            'offset': self.produced,
-            'id': self.id,
-            'object': 'text_completion',
-            'model': self.model,
-            'choices': [{'index': 0, 'text': '', 'finish_reason': 'stop'}],
-            'usage': {
-                'prompt_tokens': self.prompt_tokens,
-                'completion_tokens': self.produced,
-                'cached_tokens': self.cached_tokens,
-            },
-        }
-        text = json.dumps(frame, separators=(',', ':'))
-        return b'data: %b\n\n%b' % (text.encode(), DONE)
-
-
 class EngineStandIn:
     """The engine behind its published HTTP protocol, with faults.
 
@@ -324,7 +262,7 @@
             refusal = self.refusal(body, body['id'])
             if refusal is not None:
                 return refusal
-        total = output_tokens(body)
+        total = enginerun.output_tokens(body)
         run = self.submit(body['id'], kind, body, total, offset, request)
         return standin.EventStream(self.stream(run, offset))
 
@@ -346,7 +284,7 @@
     def submit(self, run_id, kind, body, total, offset, request):
         """Give work to the model and write it in the ledger."""
         prompt = body['prompt']
-        run = Run(run_id, kind, prompt, body['model'], total, offset)
+        run = enginerun.Run(run_id, kind, prompt, body['model'], total, offset)
         words = prompt.split()
         salt = body.get('cache_salt', '')
         blocks = () if kind == 'decode' else prefixes.block_ids(words, salt)
@@ -549,29 +487,6 @@
         return standin.json_answer(200, {})
 
 
-def answer_text(prompt_digest, start, end):
-    """Text of the output tokens ``start`` to ``end``.
-
-    It depends on the prompt alone, so that a checker can tell a whole
-    answer from one that was cut or belongs to somebody else.
-    """
-    return ''.join(f'{prompt_digest}-{i} ' for i in range(start, end))
-
-
-def digest(prompt):
-    """What marks the answer to this prompt."""
-    return hashlib.sha256(prompt.encode()).hexdigest()[:DIGEST_DIGITS]
-
-
-def output_tokens(body):
-    """Length of the answer: the limit, or less where the prompt says so."""
-    limit = max(1, int(body.get('max_tokens') or 16))
-    for word in body['prompt'].split():
-        if word.startswith(LENGTH_MARK):
-            return max(1, min(limit, int(word[len(LENGTH_MARK) :])))
-    return limit
-
-
 def prefill_id(run_id):
     """Prefill and decode of one id may meet on one engine."""
     return f'prefill:{run_id}'
--- /dev/null
+++ b/magnoliadyke/lab/enginerun.py
@@ -0,0 +1,98 @@
+"""One prompt on its way through an engine stand-in, and its answer."""
+
+import hashlib
+import json
+
+from gevent import event
+
+__all__ = ['Run', 'answer_text', 'digest', 'output_tokens']
+
+DIGEST_DIGITS = 6
+LENGTH_MARK = 'answer-tokens:'
+DONE = b'data: [DONE]\n\n'
+
+
+class Run:
+    """One prompt on its way through the engine.
+
+    :param kind: ``prefill``, ``decode`` or ``both``
+    :param offset: output tokens that exist already
+    """
+
+    def __init__(self, run_id, kind, prompt, model, total, offset):
+        self.id = run_id
+        self.kind = kind
+        self.prompt = prompt
+        self.model = model
+        self.digest = digest(prompt)
+        self.prompt_tokens = len(prompt.split())
+        self.total = total
+        self.produced = offset
+        self.cached_tokens = 0
+        self.end = ''
+        self.changed = event.Event()
+        frame = {
+            'id': run_id,
+            'object': 'text_completion',
+            'model': model,
+            'choices': [{'index': 0, 'text': '@', 'finish_reason': None}],
+        }
+        text = json.dumps(frame, separators=(',', ':'))
+        head, _, tail = text[1:].rpartition('@')
+        self.head = head.encode()
+        self.tail = tail.encode()
+
+    def notify(self):
+        """Wake all that wait for this run."""
+        changed, self.changed = self.changed, event.Event()
+        changed.set()
+
+    def frame(self, start, end):
+        """The server-sent event of output tokens ``start`` to ``end``."""
+        text = answer_text(self.digest, start, end).encode()
+        return b'data: {"offset":%d,%b%b%b\n\n' % (
+            start,
+            self.head,
+            text,
+            self.tail,
+        )
+
+    def last_frame(self):
+        """The event that ends the answer, and the mark after it."""
+        frame = {
+            'offset': self.produced,
+            'id': self.id,
+            'object': 'text_completion',
+            'model': self.model,
+            'choices': [{'index': 0, 'text': '', 'finish_reason': 'stop'}],
+            'usage': {
+                'prompt_tokens': self.prompt_tokens,
+                'completion_tokens': self.produced,
+                'cached_tokens': self.cached_tokens,
+            },
+        }
+        text = json.dumps(frame, separators=(',', ':'))
+        return b'data: %b\n\n%b' % (text.encode(), DONE)
+
+
+def answer_text(prompt_digest, start, end):
+    """Text of the output tokens ``start`` to ``end``.
+
+    It depends on the prompt alone, so that a checker can tell a whole
+    answer from one that was cut or belongs to somebody else.
+    """
+    return ''.join(f'{prompt_digest}-{i} ' for i in range(start, end))
+
+
+def digest(prompt):
+    """What marks the answer to this prompt."""
+    return hashlib.sha256(prompt.encode()).hexdigest()[:DIGEST_DIGITS]
+
+
+def output_tokens(body):
+    """Length of the answer: the limit, or less where the prompt says so."""
+    limit = max(1, int(body.get('max_tokens') or 16))
+    for word in body['prompt'].split():
+        if word.startswith(LENGTH_MARK):
+            return max(1, min(limit, int(word[len(LENGTH_MARK) :])))
+    return limit
