Split the scheduler by what each part knows

Suspects wait for 30 s at least and are run beside others only when their engine has not run dry in 5 s after their turn came.

--- /dev/null
+++ b/magnoliadyke/core/exchange.py
@@ -0,0 +1,199 @@
+"""What a node tells its peers and makes of what they tell."""
+
+from typing import NamedTuple
+
+from magnoliadyke.core import digests
+from magnoliadyke.core import quarantine
+from magnoliadyke.core import routing
+
+__all__ = ['Demand', 'Exchange']
+
+SUSPECTS_TOLD = 24
+
+
+class Demand(NamedTuple):
+    """Work that a pool is asked for by all nodes, for the planner of roles.
+
+    :param prefill_s_per_s: engine-seconds of prefill arriving a second
+    :param decode_s_per_s: engine-seconds of decode arriving a second
+    :param queued: jobs that wait
+    :param queued_prefill_s: engine-seconds of prefill that wait
+    :param queued_decode_s: engine-seconds of decode that wait
+    :param running: jobs dispatched and not finished
+    """
+
+    prefill_s_per_s: float
+    decode_s_per_s: float
+    queued: int
+    queued_prefill_s: float
+    queued_decode_s: float
+    running: int
+
+
+class Exchange:
+    """Digests out and in.
+
+    :param epoch: differs at each start of a node
+    :param pools: :class:`magnoliadyke.core.pools.PoolQueue` by name
+    :param bounds: :class:`magnoliadyke.core.limits.Limits`
+    :param judge: :class:`magnoliadyke.core.quarantine.Quarantine`
+    """
+
+    def __init__(self, epoch, pools, bounds, judge):
+        self.epoch = epoch
+        self.pools = pools
+        self.limits = bounds
+        self.shares = bounds.shares
+        self.quarantine = judge
+        self.peers = {}
+        self.told = {}
+        self.names = {}
+        self.turn = 0
+
+    def digest(self, runs, now_s):
+        """This node's news, for all peers.
+
+        :param runs: the node's jobs
+        """
+        pools = tuple(pool.news(now_s) for pool in self.pools.values())
+        for news in pools:
+            demand = news.prefill_s_per_s + news.decode_s_per_s
+            self.shares.tell(('pool', news.pool), demand, now_s)
+        suspects = self._suspect_news(runs, now_s)
+        customers = self._customer_news(now_s)
+        return digests.Digest(self.epoch, pools, customers, suspects)
+
+    def hear(self, host, digest, now_s):
+        """A peer's news."""
+        known = self.peers.get(host)
+        if known is None or known.epoch != digest.epoch:
+            known = self.peers[host] = _Peer(digest.epoch)
+        known.heard_s = now_s
+        demands = {}
+        for news in digest.pools:
+            known.pools[news.pool] = news
+            demand = news.prefill_s_per_s + news.decode_s_per_s
+            demands['pool', news.pool] = demand
+        for news in digest.customers:
+            self._hear_customer(known, news, demands)
+        self.shares.hear(host, demands, now_s)
+        for news in digest.suspects:
+            self._hear_suspect(news, now_s)
+
+    def demand(self, pool_name, now_s):
+        """What the pool is asked for, by all nodes heard of late."""
+        pool = self.pools[pool_name]
+        total = list(pool.news(now_s)[1:])
+        oldest_s = now_s - self.shares.settings.fresh_s
+        for peer in self.peers.values():
+            news = peer.pools.get(pool.number)
+            if news is not None and peer.heard_s >= oldest_s:
+                total = [a + b for a, b in zip(total, news[1:], strict=True)]
+        prefill, decode, queued_prefill, queued_decode, queued, running = total
+        return Demand(
+            prefill, decode, queued, queued_prefill, queued_decode, running
+        )
+
+    def others_per_s(self, pool, now_s):
+        """Seconds of prompts that peers send to one engine each second."""
+        oldest_s = now_s - self.shares.settings.fresh_s
+        total = sum(
+            peer.pools[pool.number].prefill_s_per_s
+            for peer in self.peers.values()
+            if pool.number in peer.pools and peer.heard_s >= oldest_s
+        )
+        return total / max(1, len(pool.endpoints.by_role[routing.PREFILL]))
+
+    def _suspect_news(self, runs, now_s):
+        if not self.quarantine.entries:
+            return ()
+        for run in runs:
+            if run.dispatched_s is not None:
+                self.quarantine.runs(run.fingerprint, now_s)
+        return tuple(
+            digests.suspect_news(item, now_s)
+            for item in self.quarantine.newest(SUSPECTS_TOLD, now_s)
+        )
+
+    def _customer_news(self, now_s):
+        """The customers whose figures moved most, and some of the rest."""
+        news = {}
+        for pool in self.pools.values():
+            for customer, served_s in pool.queue.served.items():
+                number = self.know(customer, pool.name)
+                usage = self.limits.usage(customer, now_s)
+                news[number] = digests.CustomerNews(
+                    number,
+                    digests.served_ms(served_s),
+                    usage.token_rate.now(now_s),
+                    max(0, usage.running + usage.waiting),
+                )
+        chosen = self._moved_most(news)
+        for each in chosen:
+            self.told[each.customer] = each
+            self.limits.tell(self.names[each.customer][0], now_s)
+        return tuple(chosen)
+
+    def _moved_most(self, news):
+        most = digests.MOST_CUSTOMERS
+        if len(news) <= most:
+            return list(news.values())
+        ranked = sorted(news.values(), key=self._movement, reverse=True)
+        chosen = {each.customer: each for each in ranked[: most * 3 // 4]}
+        rest = sorted(number for number in news if number not in chosen)
+        while len(chosen) < most:
+            self.turn += 1
+            number = rest[self.turn % len(rest)]
+            chosen[number] = news[number]
+        return list(chosen.values())
+
+    def _movement(self, news):
+        told = self.told.get(news.customer)
+        if told is None:
+            return float('inf')
+        served_s = digests.served_since_s(told.served_ms, news.served_ms)
+        wanted = abs(news.wanted - told.wanted)
+        return abs(served_s) + wanted * 0.1
+
+    def know(self, customer, pool_name):
+        """Learn a name that peers tell as a checksum."""
+        number = quarantine.short(f'{customer}/{pool_name}')
+        self.names[number] = (customer, pool_name)
+        return number
+
+    def _hear_customer(self, known, news, demands):
+        name = self.names.get(news.customer)
+        if name is None:
+            return
+        customer, pool_name = name
+        demands[customer, 'rate'] = news.tokens_s
+        demands[customer, 'concurrency'] = news.wanted
+        before = known.served.get(news.customer)
+        known.served[news.customer] = news.served_ms
+        if before is not None:
+            served_s = digests.served_since_s(before, news.served_ms)
+            self.pools[pool_name].queue.charge_remote(customer, served_s)
+
+    def _hear_suspect(self, news, now_s):
+        self.quarantine.merge(
+            news.fingerprint,
+            news.pool,
+            news.rank,
+            news.cleared,
+            digests.blames_of(news, now_s),
+            now_s,
+        )
+        waiting_s = now_s - news.waiting_age_s
+        running_s = now_s - news.running_age_s
+        self.quarantine.waits(news.fingerprint, waiting_s)
+        self.quarantine.runs(news.fingerprint, running_s)
+
+
+class _Peer:
+    """What a peer last told."""
+
+    def __init__(self, epoch):
+        self.epoch = epoch
+        self.heard_s = float('-inf')
+        self.pools = {}
+        self.served = {}
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -16,15 +16,19 @@
 from magnoliadyke.core import admission
 from magnoliadyke.core import costs
 from magnoliadyke.core import digests
-from magnoliadyke.core import fairness
+from magnoliadyke.core import exchange
 from magnoliadyke.core import health
 from magnoliadyke.core import jobs
+from magnoliadyke.core import learning
 from magnoliadyke.core import limits
 from magnoliadyke.core import outcomes
+from magnoliadyke.core import pools
 from magnoliadyke.core import prefixes
 from magnoliadyke.core import quarantine
 from magnoliadyke.core import retries
 from magnoliadyke.core import routing
+from magnoliadyke.core import runs
+from magnoliadyke.core import suspects
 from magnoliadyke.core import table
 
 __all__ = [
@@ -36,24 +40,21 @@
     'SchedulerSettings',
 ]
 
+# The names under which the shell knows these.
 Digest = digests.Digest
+Demand = exchange.Demand
 
 #: Jobs that can't be placed before a round gives up. Bounds the work of one
 #: event when many customers wait for a full pool.
 MOST_MISSES = 6
 #: Jobs of one customer that are tried when its first has no place.
 LOOK_AHEAD = 4
-DEMAND_MEMORY_S = 2.0
-MIX_KEPT = 0.99
 #: Prefill that a decode engine does beside its streams, in engines.
 MIXED_CAPACITY = 0.2
-#: How long a suspect waits for its engine to run dry.
-TRIAL_WAIT_S = 5.0
-SUSPECTS_TOLD = 24
 BELIEVED_BLOCKS = 60_000
 LEAST_BELIEVED = 512
-LEAST_SLOWNESS = 0.5
-MOST_SLOWNESS = 4.0
+#: Least patience of a suspect: others go before it.
+SUSPECT_WAIT_S = 30.0
 REPORTED_STATES = {'in': health.UP}
 TABLE_STATES = {'in': health.UP}
 
@@ -82,25 +83,6 @@
     outcome: outcomes.Outcome
 
 
-class Demand(NamedTuple):
-    """Work that a pool is asked for by all nodes, for the planner of roles.
-
-    :param prefill_s_per_s: engine-seconds of prefill arriving a second
-    :param decode_s_per_s: engine-seconds of decode arriving a second
-    :param queued: jobs that wait
-    :param queued_prefill_s: engine-seconds of prefill that wait
-    :param queued_decode_s: engine-seconds of decode that wait
-    :param running: jobs dispatched and not finished
-    """
-
-    prefill_s_per_s: float
-    decode_s_per_s: float
-    queued: int
-    queued_prefill_s: float
-    queued_decode_s: float
-    running: int
-
-
 class SchedulerSettings(NamedTuple):
     """Constants of one scheduler.
 
@@ -120,117 +102,6 @@
 DEFAULT_ROW = table.CustomerRow()
 
 
-class _Run:
-    """A job from its submission to its end."""
-
-    def __init__(self, job, timing, cost):
-        self.job = job
-        self.timing = timing
-        self.prefill_s, self.decode_s = cost
-        self.admitted_tokens = job.prompt_tokens + job.output_tokens
-        self.fingerprint = quarantine.fingerprint_of(job.fingerprint)
-        self.attempts = 0
-        self.ran = False
-        self.charged_s = 0.0
-        self.tokens = 0
-        self.queued_s = job.arrived_s
-        self.begin()
-
-    def begin(self):
-        """Forget the attempt before."""
-        self.prompt_at = None
-        self.stream_at = None
-        self.streaming = False
-        self.dispatched_s = None
-        self.prefill_done_s = None
-        self.first_token_s = None
-        self.prompt_s = 0.0
-        self.read_undisturbed = False
-        self.read_by = None
-        self.expected_s = None
-        self.believed_tokens = 0.0
-        self.streams_at_first = 0.0
-
-    def cost_s(self):
-        return self.prefill_s + self.decode_s
-
-
-class _Pool:
-    """Queue, demand and endpoints of one pool."""
-
-    def __init__(self, endpoints, patience, now_s=0.0):
-        self.name = endpoints.name
-        self.endpoints = endpoints
-        self.number = quarantine.short(endpoints.name)
-        self.queue = fairness.FairQueue()
-        self.prefill_rate = limits.Rate(DEMAND_MEMORY_S, now_s)
-        self.decode_rate = limits.Rate(DEMAND_MEMORY_S, now_s)
-        self.lateness = admission.ErrorQuantile(
-            1.0 - patience.late_share, patience.error_step_s
-        )
-        self.waiting = {}
-        self.suspects = []
-        self.trial = None
-        self.running = 0
-        self.mix = {}
-
-    def note_mix(self, priority, prefill_s):
-        """Remember what part of the prompts has which priority."""
-        for level in self.mix:
-            self.mix[level] *= MIX_KEPT
-        self.mix[priority] = self.mix.get(priority, 0.0) + prefill_s
-
-    def mix_before(self, priority):
-        """Part of all prompts that an engine reads before this priority.
-
-        Other nodes' prompts are known as a sum only; they are taken to be
-        like our own.
-        """
-        total = sum(self.mix.values())
-        if not total:
-            return 1.0
-        before = sum(
-            part for level, part in self.mix.items() if level <= priority
-        )
-        return before / total
-
-    def count(self, run, sign):
-        """Keep the sums of what waits, by customer and priority."""
-        customer = self.waiting.setdefault(run.job.customer, {})
-        sums = customer.setdefault(run.job.priority, [0, 0.0, 0.0])
-        sums[0] += sign
-        sums[1] += sign * run.prefill_s
-        sums[2] += sign * run.decode_s
-        if not sums[0]:
-            del customer[run.job.priority]
-
-    def waiting_count(self, customer):
-        sums = self.waiting.get(customer, {})
-        return sum(each[0] for each in sums.values())
-
-    def ahead(self, customer, priority):
-        """Engine-seconds that go before a new job of the customer."""
-        prefill_s = decode_s = 0.0
-        for level, sums in self.waiting.get(customer, {}).items():
-            if level <= priority:
-                prefill_s += sums[1]
-                decode_s += sums[2]
-        return prefill_s, decode_s
-
-    def backlog(self):
-        """Jobs and engine-seconds that wait, of all customers."""
-        levels = [
-            sums
-            for customer in self.waiting.values()
-            for sums in customer.values()
-        ]
-        return (
-            sum(sums[0] for sums in levels),
-            sum(sums[1] for sums in levels),
-            sum(sums[2] for sums in levels),
-        )
-
-
 class Scheduler:
     """Owns the queues of one node and what it believes of each endpoint.
 
@@ -261,14 +132,13 @@
         self.rows = {}
         self.runs = {}
         self.expiries = []
-        self.held = []
-        self.blamed_s = {}
-        self.peers = {}
-        self.told = {}
-        self.turn = 0
-        self.names = {}
         self.pool_models = {}
         self._add_endpoints(list(endpoints))
+        self.learner = learning.Learner(self.book, self.beliefs, self.router)
+        self.suspects = suspects.Suspects(self.quarantine)
+        self.exchange = exchange.Exchange(
+            self.epoch, self.pools, self.limits, self.quarantine
+        )
 
     def _add_endpoints(self, infos):
         self.endpoints = {}
@@ -281,7 +151,7 @@
         subset = self.settings.routes.subset
         for (name, kind), each in members.items():
             pool = routing.Pool(name, kind, each, subset, self.epoch)
-            self.pools[name] = _Pool(pool, self.settings.patience)
+            self.pools[name] = pools.PoolQueue(pool, self.settings.patience)
         used = sum(len(p.endpoints.members) for p in self.pools.values())
         blocks = BELIEVED_BLOCKS // max(1, used)
         blocks = min(max(blocks, LEAST_BELIEVED), prefixes.MOST_BLOCKS)
@@ -296,7 +166,7 @@
         for name, row in view.customers.items():
             for pool in self.pools.values():
                 pool.queue.set_weight(name, row.weight)
-                self._know(name, pool.name)
+                self.exchange.know(name, pool.name)
         for name, endpoint in self.endpoints.items():
             row = view.endpoints.get(name)
             state = row.state if row is not None else 'in'
@@ -370,9 +240,9 @@
         endpoint = self.endpoints.get(name)
         if run is None or endpoint is None:
             return []
-        self._leave_stream(run, now_s)
-        self._join_stream(run, endpoint, now_s)
-        self._begin_stream(run, now_s)
+        run.leave_stream(now_s)
+        run.join_stream(endpoint, now_s)
+        run.begin_stream(now_s)
         return self._drain_all(now_s)
 
     def _set_role(self, endpoint, role, now_s):
@@ -384,7 +254,7 @@
         for job_id in list(endpoint.load.jobs):
             run = self.runs[job_id]
             if run.stream_at is endpoint and run.streaming:
-                self._leave_stream(run, now_s)
+                run.leave_stream(now_s)
         self.pools[endpoint.info.pool].endpoints.sort()
 
     def _model_of(self, endpoint):
@@ -451,9 +321,10 @@
             self._prompt_done(run, now_s)
         run.first_token_s = now_s
         run.tokens = max(run.tokens, 1)
-        if run.read_by is not None:
-            self._observe_error(run, now_s - run.expected_s)
-        self._observe_transfer(run, was_read)
+        self.learner.first_token(run, was_read, now_s)
+        if run.timing.strict:
+            pool = self.pools[run.job.pool]
+            pool.lateness.add(now_s - run.expected_s)
         if run.stream_at is not None:
             run.streams_at_first = run.stream_at.load.streams.total()
         return [] if was_read else self._drain_all(now_s)
@@ -472,8 +343,7 @@
             return []
         match result:
             case jobs.Finished():
-                self._observe_finish(run, result, now_s)
-                self._forget(run, now_s)
+                self._whole(run, result, now_s)
                 actions = []
             case jobs.Failed():
                 actions = self._failed(run, result, now_s)
@@ -487,7 +357,7 @@
         """Time has passed: give up what is too late, try what waits."""
         self.shares.tick(now_s)
         self.quarantine.tick(now_s)
-        actions = self._release_held(now_s)
+        actions = self.suspects.release(now_s)
         actions += self._drain_all(now_s)
         for pool in self.pools.values():
             actions += self._try_suspects(pool, now_s)
@@ -522,7 +392,7 @@
         timing = admission.timing(
             job, service_s, row.queue_wait_s, self.settings.patience
         )
-        return _Run(job, timing, model.job_cost(job, uncached))
+        return runs.Run(job, timing, model.job_cost(job, uncached))
 
     def _excess_s(self, run, pool, now_s):
         """How far the predicted wait exceeds what the job can bear."""
@@ -553,14 +423,11 @@
 
     def _queue(self, run, pool, now_s):
         """Put a job in line, or among the suspects."""
-        verdict = self.quarantine.verdict(run.fingerprint, now_s)
-        if run.job.fingerprint and verdict == quarantine.SUSPECT:
+        if self.suspects.verdict(run, now_s) == quarantine.SUSPECT:
             row = self.rows.get(run.job.customer, DEFAULT_ROW)
-            until_s = now_s + row.queue_wait_s
+            until_s = now_s + max(row.queue_wait_s, SUSPECT_WAIT_S)
             run.timing = admission.Timing(until_s, until_s)
-            self.quarantine.waits(run.fingerprint, now_s)
-            run.queued_s = now_s
-            pool.suspects.append(run)
+            self.suspects.add(run, pool, now_s)
         else:
             key = (run.job.priority, run.timing.deadline_s)
             pool.queue.push(run.job.id, run.job.customer, key)
@@ -596,7 +463,7 @@
     def _drain(self, pool, now_s, actions):
         """Dispatch as much as has a place, in fair order."""
         fraction = self._fraction(pool)
-        others_per_s = self._others_per_s(pool, now_s)
+        others_per_s = self.exchange.others_per_s(pool, now_s)
         misses = 0
         progress = True
         while progress:
@@ -621,16 +488,6 @@
                 if misses >= MOST_MISSES:
                     return
 
-    def _others_per_s(self, pool, now_s):
-        """Seconds of prompts that peers send to one engine each second."""
-        oldest_s = now_s - self.settings.sharing.fresh_s
-        total = sum(
-            peer.pools[pool.number].prefill_s_per_s
-            for peer in self.peers.values()
-            if pool.number in peer.pools and peer.heard_s >= oldest_s
-        )
-        return total / max(1, len(pool.endpoints.by_role[routing.PREFILL]))
-
     def _prompts_ahead_s(self, pool):
         """Seconds in which the engines read the prompts that wait."""
         engines = len(pool.endpoints.by_role[routing.PREFILL])
@@ -667,22 +524,16 @@
         run.attempts += 1
         run.dispatched_s = now_s
         run.read_by = placement.prefill
-        run.prompt_s = placement.prompt_s
         run.believed_tokens = placement.cached_tokens
         run.expected_s = now_s + placement.first_token_s
         pool.running += 1
         self.limits.usage(job.customer, now_s).running += 1
         run.charged_s = run.cost_s()
         pool.queue.charge(job.customer, run.charged_s)
-        self._join_stream(run, placement.endpoint, now_s)
+        run.join_stream(placement.endpoint, now_s)
         if job.kind == 'model':
             reader = placement.prefill
-            run.prompt_at = reader
-            run.read_undisturbed = not reader.load.others_wait_s(now_s)
-            reader.load.jobs.add(job.id)
-            reader.load.add_prompt(
-                job.id, job.priority, placement.prompt_s, now_s
-            )
+            run.join_prompt(reader, placement.prompt_s, now_s)
             self.beliefs.sent(reader.name, job.prefix_blocks)
         split = job.kind == 'model' and not placement.mixed()
         return Dispatch(
@@ -724,56 +575,12 @@
         wait_s = self._wait_s(run, pool)
         return Refuse(run.job.id, admission.overloaded(wait_s, self.rng))
 
-    # What is where
-
-    def _join_stream(self, run, endpoint, now_s):
-        run.stream_at = endpoint
-        run.streaming = False
-        load = endpoint.load
-        load.jobs.add(run.job.id)
-        if run.job.kind == 'model':
-            load.reserved += 1
-            load.kv_tokens.add(run.admitted_tokens, now_s)
-
-    def _begin_stream(self, run, now_s):
-        if run.stream_at is None or run.streaming:
-            return
-        if run.job.kind == 'model':
-            run.streaming = True
-            run.stream_at.load.reserved -= 1
-            run.stream_at.load.streams.add(1, now_s)
-
-    def _leave_stream(self, run, now_s):
-        endpoint = run.stream_at
-        if endpoint is None:
-            return
-        run.stream_at = None
-        load = endpoint.load
-        if run.prompt_at is not endpoint:
-            load.jobs.discard(run.job.id)
-        if run.job.kind == 'model':
-            load.kv_tokens.add(-run.admitted_tokens, now_s)
-            if run.streaming:
-                load.streams.add(-1, now_s)
-            else:
-                load.reserved -= 1
-        run.streaming = False
-        if endpoint.alone == run.job.id:
-            endpoint.alone = None
-
-    def _leave_prompt(self, run, now_s):
-        endpoint = run.prompt_at
-        if endpoint is None:
-            return
-        run.prompt_at = None
-        endpoint.load.remove_prompt(run.job.id, now_s)
-        if run.stream_at is not endpoint:
-            endpoint.load.jobs.discard(run.job.id)
+    # Ends
 
     def _release(self, run, now_s):
         """Nothing of the job is on any endpoint any more."""
-        self._leave_prompt(run, now_s)
-        self._leave_stream(run, now_s)
+        run.leave_prompt(now_s)
+        run.leave_stream(now_s)
         if run.dispatched_s is not None:
             run.dispatched_s = None
             self.pools[run.job.pool].running -= 1
@@ -781,11 +588,11 @@
 
     def _give_back(self, run):
         """Take back the charge for what a cancelled job did not use."""
-        if not run.charged_s:
-            return
-        used_s = run.prefill_s if run.prefill_done_s is not None else 0.0
-        expected = max(1, run.job.output_tokens)
-        used_s += run.decode_s * min(1.0, run.tokens / expected)
+        if run.charged_s:
+            self._recharge(run, run.used_s())
+
+    def _recharge(self, run, used_s):
+        """Put what a job took in truth in place of the prediction."""
         queue = self.pools[run.job.pool].queue
         queue.charge(run.job.customer, used_s - run.charged_s)
         run.charged_s = used_s
@@ -794,92 +601,19 @@
         endpoint = run.prompt_at
         run.prefill_done_s = now_s
         if endpoint is not None:
-            self._observe_read(run, endpoint, now_s)
+            self.learner.prompt_read(run, endpoint, now_s)
             endpoint.health.succeeded()
-            self._leave_prompt(run, now_s)
-        self._begin_stream(run, now_s)
-
-    # What is learnt
-
-    def _observe_error(self, run, error_s):
-        self.router.observe(run.read_by.role, run.job.priority, error_s)
-        if run.timing.strict:
-            self.pools[run.job.pool].lateness.add(error_s)
+            run.leave_prompt(now_s)
+        run.begin_stream(now_s)
 
-    def _observe_transfer(self, run, was_read):
-        split = run.read_by is not run.stream_at
-        if not was_read or not split or run.stream_at is None:
-            return
-        model = self.book.of_job(run.job)
-        streams = run.stream_at.load.streams.total()
-        if streams < self.settings.max_streams:
-            took_s = run.first_token_s - run.prefill_done_s
-            took_s -= model.pace.at(streams) * 1.5
-            model.transfer.add(run.job.prompt_tokens, max(0.0, took_s))
-
-    def _observe_finish(self, run, result, now_s):
-        job = run.job
-        pool = self.pools[job.pool]
-        model = self.book.of_job(job)
-        endpoint = run.stream_at
+    def _whole(self, run, result, now_s):
+        """A job's whole answer has come."""
         self.quarantine.ran_whole(run.fingerprint, now_s)
-        if endpoint is not None:
-            endpoint.health.succeeded()
-        if job.kind == 'service':
-            took_s = now_s - run.dispatched_s
-            model.service.add(1.0, took_s)
-            pool.queue.charge(job.customer, took_s - run.charged_s)
-            return
-        model.observe_finish(job, result)
+        self._recharge(run, self.learner.finished(run, result, now_s))
         tokens = result.prompt_tokens + result.output_tokens
-        self.limits.correct(job.customer, tokens - run.admitted_tokens)
-        read_tokens = max(0, result.prompt_tokens - result.cached_tokens)
-        if run.read_by is not None:
-            self.beliefs.confirmed(
-                run.read_by.name, run.believed_tokens, result.cached_tokens
-            )
-        self._observe_pace(run, model, result, now_s)
-        actual_s = read_tokens * model.prefill.ratio
-        actual_s += result.output_tokens * model.decode_s_per_token()
-        pool.queue.charge(job.customer, actual_s - run.charged_s)
-
-    def _observe_read(self, run, endpoint, now_s):
-        """Learn what reading a prompt takes, from when the last was done."""
-        load = endpoint.load
-        since_s = max(run.dispatched_s, load.last_done_s)
-        load.last_done_s = now_s
-        if run.job.kind == 'service':
-            return
-        took_s = max(0.0, now_s - since_s)
-        tokens = max(1.0, run.job.prompt_tokens - run.believed_tokens)
-        sample = endpoint.reading
-        if sample.joins(took_s):
-            sample.tokens += tokens
-            return
-        if sample.clean:
-            model = self.book.of_job(run.job)
-            model.observe_prefill(
-                endpoint.role, sample.tokens, sample.seconds, sample.streams
-            )
-        streams = load.streams.total()
-        sample.begin(tokens, took_s, streams, run.read_undisturbed)
-
-    def _observe_pace(self, run, model, result, now_s):
-        endpoint = run.stream_at
-        steps = result.output_tokens - 1
-        if endpoint is None or run.first_token_s is None or steps < 1:
-            return
-        streams = endpoint.load.streams.total() + run.streams_at_first
-        streams /= 2
-        took_s = now_s - run.first_token_s
-        expected_s = model.pace.at(streams) * steps
-        model.observe_pace(streams, steps, took_s)
-        endpoint.pace.add(expected_s, took_s)
-        self._settle_slowness(endpoint)
-
-    def _settle_slowness(self, endpoint):
-        ratio = endpoint.pace.ratio
-        endpoint.slowness = min(max(ratio, LEAST_SLOWNESS), MOST_SLOWNESS)
+        if run.job.kind == 'model':
+            self.limits.correct(run.job.customer, tokens - run.admitted_tokens)
+        self._forget(run, now_s)
 
     # Failures
 
@@ -892,8 +626,8 @@
         self._release(run, now_s)
         self._give_back(run)
         verdict = quarantine.CLEAR
-        if failed.crashed and run.job.fingerprint:
-            verdict = self.quarantine.verdict(run.fingerprint, now_s)
+        if failed.crashed:
+            verdict = self.suspects.verdict(run, now_s)
         if verdict == quarantine.CONVICTED:
             return self._hold(run, _convicted(), now_s)
         may_repeat = run.job.repeatable or not run.ran
@@ -910,11 +644,8 @@
     def _blame_endpoint(self, run, endpoint, failed, now_s):
         if failed.crashed:
             self._crashed(endpoint, now_s)
-            if run.job.fingerprint:
-                # It was there, whether or not its prefill was known done.
-                batch = [(run.fingerprint, run.tokens)]
-                pool = endpoint.info.pool
-                self.quarantine.blame(endpoint.name, pool, batch, now_s)
+            # It was there, whether or not its prefill was known done.
+            self.suspects.blame(run, endpoint, now_s)
             endpoint.health.eject(now_s)
             self.beliefs.wiped(endpoint.name)
             return
@@ -925,25 +656,8 @@
                 endpoint.health.eject(now_s)
 
     def _crashed(self, endpoint, now_s):
-        """Blame what ran there, once for each crash."""
-        last_s = self.blamed_s.get(endpoint.name, float('-inf'))
-        self.blamed_s[endpoint.name] = now_s
-        if now_s - last_s < self.settings.suspicion.same_crash_s:
-            return
-        batch = []
-        for job_id in endpoint.load.jobs:
-            run = self.runs[job_id]
-            if run.job.fingerprint and self._was_there(run, endpoint):
-                batch.append((run.fingerprint, run.tokens))
-        pool = endpoint.info.pool
-        self.quarantine.blame(endpoint.name, pool, batch, now_s)
-
-    def _was_there(self, run, endpoint):
-        """Whether a job had reached the endpoint, not only a place there."""
-        if run.prompt_at is endpoint:
-            return True
-        reached = run.streaming or run.job.kind == 'service'
-        return run.stream_at is endpoint and reached
+        runs = [self.runs[job_id] for job_id in endpoint.load.jobs]
+        self.suspects.crashed(endpoint, runs, now_s)
 
     def _may_retry(self, run, endpoint, failed):
         if run.attempts >= retries.MOST_ATTEMPTS:
@@ -967,133 +681,45 @@
         self._queue(run, self.pools[run.job.pool], now_s)
 
     def _hold(self, run, outcome, now_s):
-        """Answer a blamed request only when all nodes know of it.
-
-        Its caller may resend it at once to another node, which would run it
-        among others: a second crash, and a third one on the next node. The
-        word of the crash has to be there first.
-        """
         self._forget(run, now_s)
-        due_s = now_s + self.settings.suspicion.settle_s
-        self.held.append((due_s, Refuse(run.job.id, outcome)))
+        self.suspects.hold(Refuse(run.job.id, outcome), now_s)
         return []
 
-    def _release_held(self, now_s):
-        due = [action for due_s, action in self.held if due_s <= now_s]
-        self.held = [item for item in self.held if item[0] > now_s]
-        return due
-
     def _try_suspects(self, pool, now_s):
-        """Run a suspect when it is its turn, on an engine kept for it."""
-        self._choose_trial(pool)
-        for run in list(pool.suspects):
-            verdict = self.quarantine.verdict(run.fingerprint, now_s)
-            if verdict == quarantine.SUSPECT:
-                self.quarantine.waits(run.fingerprint, now_s)
-                continue
-            pool.suspects.remove(run)
+        """Run the suspect whose turn it is, on the engine kept for it."""
+        for run, verdict in self.suspects.judged(pool, now_s):
             if verdict == quarantine.CONVICTED:
-                self._forget(run, now_s)
-                return [Refuse(run.job.id, _convicted())]
-            self._queue(run, pool, now_s)
-        if pool.trial is None:
-            return []
-        if pool.trial.alone is not None:
-            fingerprint = self.runs[pool.trial.alone].fingerprint
-            self.quarantine.runs(fingerprint, now_s)
-            return []
-        for run in pool.suspects:
-            if self.quarantine.turn(run.fingerprint, run.queued_s, now_s):
-                return self._try_alone(run, pool, now_s)
-        return []
-
-    def _choose_trial(self, pool):
-        """Keep one engine for suspects, the same on every node.
-
-        Only while this node has suspects: one engine of five is much.
-        """
-        chosen = None
-        if pool.suspects:
-            for role in ('', routing.DECODE, routing.PREFILL):
-                members = pool.endpoints.by_role[role]
-                if members:
-                    chosen = min(
-                        members, key=lambda each: quarantine.short(each.name)
-                    )
-                    break
-        if pool.trial is not None and pool.trial is not chosen:
-            pool.trial.kept = False
-        pool.trial = chosen
-        if chosen is not None:
-            chosen.kept = pool.endpoints.present() > 1
-
-    def _try_alone(self, run, pool, now_s):
-        endpoint = pool.trial
-        since_s = run.timing.latest_start_s - now_s
-        row = self.rows.get(run.job.customer, DEFAULT_ROW)
-        waited_s = row.queue_wait_s - since_s
-        alone = not endpoint.load.jobs
-        if not alone and waited_s < TRIAL_WAIT_S:
+                self._hold(run, _convicted(), now_s)
+            else:
+                self._queue(run, pool, now_s)
+        run = self.suspects.next(pool, self.runs, now_s)
+        if run is None:
             return []
+        spare_s = run.timing.latest_start_s - now_s
+        terms = routing.Terms(self._fraction(pool), spare_s)
         placement = self.router.place(
-            run.job,
-            pool.endpoints,
-            routing.Terms(self._fraction(pool), since_s),
-            now_s,
-            among=endpoint,
+            run.job, pool.endpoints, terms, now_s, among=pool.trial
         )
         if placement is None:
             return []
-        pool.suspects.remove(run)
-        self.quarantine.runs(run.fingerprint, now_s)
-        endpoint.alone = run.job.id
+        alone = not pool.trial.load.jobs
+        self.suspects.begins(run, pool, now_s)
         return [self._dispatch(run, pool, placement, now_s, alone)]
 
     # Peers
 
     def digest(self, now_s):
         """This node's news, for all peers."""
-        pools = tuple(
-            self._pool_news(pool, now_s) for pool in self.pools.values()
-        )
-        for news in pools:
-            demand = news.prefill_s_per_s + news.decode_s_per_s
-            self.shares.tell(('pool', news.pool), demand, now_s)
-        suspects = self._suspect_news(now_s)
-        customers = self._customer_news(now_s)
-        return digests.Digest(self.epoch, pools, customers, suspects)
+        return self.exchange.digest(self.runs.values(), now_s)
 
     def peer_digest(self, host, digest, now_s):
         """A peer's news."""
-        known = self.peers.get(host)
-        if known is None or known.epoch != digest.epoch:
-            known = self.peers[host] = _PeerState(digest.epoch)
-        known.heard_s = now_s
-        demands = {}
-        for news in digest.pools:
-            known.pools[news.pool] = news
-            demand = news.prefill_s_per_s + news.decode_s_per_s
-            demands['pool', news.pool] = demand
-        for news in digest.customers:
-            self._hear_customer(known, news, demands)
-        self.shares.hear(host, demands, now_s)
-        for news in digest.suspects:
-            self._hear_suspect(news, now_s)
+        self.exchange.hear(host, digest, now_s)
         return []
 
     def demand(self, pool_name, now_s):
         """What the pool is asked for, by all nodes heard of late."""
-        pool = self.pools[pool_name]
-        total = list(self._pool_news(pool, now_s)[1:])
-        oldest_s = now_s - self.settings.sharing.fresh_s
-        for peer in self.peers.values():
-            news = peer.pools.get(pool.number)
-            if news is not None and peer.heard_s >= oldest_s:
-                total = [a + b for a, b in zip(total, news[1:], strict=True)]
-        prefill, decode, queued_prefill, queued_decode, queued, running = total
-        return Demand(
-            prefill, decode, queued, queued_prefill, queued_decode, running
-        )
+        return self.exchange.demand(pool_name, now_s)
 
     def subset(self, pool_name):
         """Names of the pool's endpoints that this node uses.
@@ -1107,111 +733,6 @@
         """This node's jobs on an endpoint."""
         return len(self.endpoints[endpoint_name].load.jobs)
 
-    def _pool_news(self, pool, now_s):
-        queued, prefill_s, decode_s = pool.backlog()
-        return digests.PoolNews(
-            pool.number,
-            pool.prefill_rate.now(now_s),
-            pool.decode_rate.now(now_s),
-            prefill_s,
-            decode_s,
-            queued,
-            pool.running,
-        )
-
-    def _suspect_news(self, now_s):
-        if not self.quarantine.entries:
-            return ()
-        for run in self.runs.values():
-            if run.dispatched_s is not None:
-                self.quarantine.runs(run.fingerprint, now_s)
-        return tuple(
-            digests.suspect_news(item, now_s)
-            for item in self.quarantine.newest(SUSPECTS_TOLD, now_s)
-        )
-
-    def _customer_news(self, now_s):
-        """The customers whose figures moved most, and some of the rest."""
-        news = {}
-        for pool in self.pools.values():
-            for customer, served_s in pool.queue.served.items():
-                number = self._know(customer, pool.name)
-                usage = self.limits.usage(customer, now_s)
-                news[number] = digests.CustomerNews(
-                    number,
-                    digests.served_ms(served_s),
-                    usage.token_rate.now(now_s),
-                    max(0, usage.running + usage.waiting),
-                )
-        chosen = self._moved_most(news)
-        for each in chosen:
-            self.told[each.customer] = each
-            self.limits.tell(self.names[each.customer][0], now_s)
-        return tuple(chosen)
-
-    def _moved_most(self, news):
-        most = digests.MOST_CUSTOMERS
-        if len(news) <= most:
-            return list(news.values())
-        ranked = sorted(news.values(), key=self._movement, reverse=True)
-        chosen = {each.customer: each for each in ranked[: most * 3 // 4]}
-        rest = sorted(number for number in news if number not in chosen)
-        while len(chosen) < most:
-            self.turn += 1
-            number = rest[self.turn % len(rest)]
-            chosen[number] = news[number]
-        return list(chosen.values())
-
-    def _movement(self, news):
-        told = self.told.get(news.customer)
-        if told is None:
-            return float('inf')
-        served_s = digests.served_since_s(told.served_ms, news.served_ms)
-        wanted = abs(news.wanted - told.wanted)
-        return abs(served_s) + wanted * 0.1
-
-    def _know(self, customer, pool_name):
-        number = quarantine.short(f'{customer}/{pool_name}')
-        self.names[number] = (customer, pool_name)
-        return number
-
-    def _hear_customer(self, known, news, demands):
-        name = self.names.get(news.customer)
-        if name is None:
-            return
-        customer, pool_name = name
-        demands[customer, 'rate'] = news.tokens_s
-        demands[customer, 'concurrency'] = news.wanted
-        before = known.served.get(news.customer)
-        known.served[news.customer] = news.served_ms
-        if before is not None:
-            served_s = digests.served_since_s(before, news.served_ms)
-            self.pools[pool_name].queue.charge_remote(customer, served_s)
-
-    def _hear_suspect(self, news, now_s):
-        self.quarantine.merge(
-            news.fingerprint,
-            news.pool,
-            news.rank,
-            news.cleared,
-            digests.blames_of(news, now_s),
-            now_s,
-        )
-        waiting_s = now_s - news.waiting_age_s
-        running_s = now_s - news.running_age_s
-        self.quarantine.waits(news.fingerprint, waiting_s)
-        self.quarantine.runs(news.fingerprint, running_s)
-
-
-class _PeerState:
-    """What a peer last told."""
-
-    def __init__(self, epoch):
-        self.epoch = epoch
-        self.heard_s = float('-inf')
-        self.pools = {}
-        self.served = {}
-
 
 def _convicted():
     return outcomes.Rejected(
--- /dev/null
+++ b/magnoliadyke/core/suspects.py
@@ -0,0 +1,128 @@
+"""Suspects of a crash on one node: who is blamed, who waits, who is next."""
+
+from magnoliadyke.core import quarantine
+from magnoliadyke.core import routing
+
+__all__ = ['Suspects']
+
+#: How long a suspect whose turn it is waits for its engine to run dry.
+TRIAL_WAIT_S = 5.0
+NEVER_S = float('-inf')
+
+
+class Suspects:
+    """Keeps suspects apart from all other jobs of the node.
+
+    :param judge: :class:`magnoliadyke.core.quarantine.Quarantine`
+    """
+
+    def __init__(self, judge):
+        self.judge = judge
+        self.held = []
+        self.blamed_s = {}
+
+    def crashed(self, endpoint, runs, now_s):
+        """Blame what ran on an endpoint, once for each crash."""
+        last_s = self.blamed_s.get(endpoint.name, NEVER_S)
+        if now_s - last_s < self.judge.settings.same_crash_s:
+            return
+        self.blamed_s[endpoint.name] = now_s
+        batch = [
+            (run.fingerprint, run.tokens)
+            for run in runs
+            if run.job.fingerprint and run.was_at(endpoint)
+        ]
+        pool = endpoint.info.pool
+        self.judge.blame(endpoint.name, pool, batch, now_s)
+
+    def blame(self, run, endpoint, now_s):
+        """A job's own failure tells that it was there."""
+        if run.job.fingerprint:
+            batch = [(run.fingerprint, run.tokens)]
+            pool = endpoint.info.pool
+            self.judge.blame(endpoint.name, pool, batch, now_s)
+
+    def verdict(self, run, now_s):
+        if not run.job.fingerprint:
+            return quarantine.CLEAR
+        return self.judge.verdict(run.fingerprint, now_s)
+
+    def hold(self, action, now_s):
+        """Answer a blamed request only when all nodes know of it.
+
+        Its caller may resend it at once to another node, which would run it
+        among others: a second crash, and a third one on the next node. The
+        word of the crash has to be there first.
+        """
+        due_s = now_s + self.judge.settings.settle_s
+        self.held.append((due_s, action))
+
+    def release(self, now_s):
+        """Answers that have been held for long enough."""
+        due = [action for due_s, action in self.held if due_s <= now_s]
+        self.held = [item for item in self.held if item[0] > now_s]
+        return due
+
+    def add(self, run, pool, now_s):
+        self.judge.waits(run.fingerprint, now_s)
+        run.queued_s = now_s
+        pool.suspects.append(run)
+
+    def judged(self, pool, now_s):
+        """Take out those that are suspects no longer: (job, verdict)."""
+        done = []
+        for run in list(pool.suspects):
+            verdict = self.verdict(run, now_s)
+            if verdict == quarantine.SUSPECT:
+                self.judge.waits(run.fingerprint, now_s)
+            else:
+                pool.suspects.remove(run)
+                done.append((run, verdict))
+        return done
+
+    def next(self, pool, runs, now_s):
+        """The suspect that should run now, on ``pool.trial``, or None.
+
+        :param runs: the node's jobs by id
+        """
+        self._choose_trial(pool)
+        trial = pool.trial
+        if trial is None:
+            return None
+        if trial.alone is not None:
+            self.judge.runs(runs[trial.alone].fingerprint, now_s)
+            return None
+        for run in pool.suspects:
+            if self.judge.turn(run.fingerprint, run.queued_s, now_s):
+                waited_s = now_s - run.queued_s
+                waited_s -= self.judge.settings.settle_s
+                dry = not trial.load.jobs
+                return run if dry or waited_s >= TRIAL_WAIT_S else None
+        return None
+
+    def begins(self, run, pool, now_s):
+        """A suspect runs now, and nothing else of this node beside it."""
+        pool.suspects.remove(run)
+        pool.trial.alone = run.job.id
+        self.judge.runs(run.fingerprint, now_s)
+
+    def _choose_trial(self, pool):
+        """Keep one engine for suspects, the same on every node.
+
+        Only while this node has suspects: one engine of five is much.
+        """
+        chosen = self._trial_of(pool) if pool.suspects else None
+        if pool.trial is not None and pool.trial is not chosen:
+            pool.trial.kept = False
+        pool.trial = chosen
+        if chosen is not None:
+            chosen.kept = pool.endpoints.present() > 1
+
+    def _trial_of(self, pool):
+        for role in ('', routing.DECODE, routing.PREFILL):
+            members = pool.endpoints.by_role[role]
+            if members:
+                return min(
+                    members, key=lambda each: quarantine.short(each.name)
+                )
+        return None
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,68 @@
+"""Tests of digests out and in."""
+
+import random
+
+from magnoliadyke.core import digests
+from magnoliadyke.core import jobs
+from magnoliadyke.core import scheduler
+from magnoliadyke.core import table
+
+
+def make_plan(seed, customers=('lease', 'portal')):
+    info = jobs.EndpointInfo('d1', 'p', 'model', '')
+    plan = scheduler.Scheduler([info], random.Random(seed))
+    rows = {name: table.CustomerRow() for name in customers}
+    plan.set_table(table.View(1, rows, {}, {}, {}), 0.0)
+    plan.set_peers(2, 0.0)
+    return plan
+
+
+def serve(plan, customer, cost_s):
+    plan.pools['p'].queue.charge(customer, cost_s)
+
+
+def test_service_told_twice_is_counted_once():
+    first, second = make_plan(1), make_plan(2)
+    serve(first, 'lease', 1.0)
+    second.peer_digest('h1', first.digest(0.0), 0.0)
+    serve(first, 'lease', 2.0)
+    for now_s in (1.0, 2.0, 3.0):
+        second.peer_digest('h1', first.digest(now_s), now_s)
+    assert second.pools['p'].queue.counters['lease'] == 2.0
+
+
+def test_a_restarted_peer_begins_anew():
+    # The peer's totals start at nothing again. Taken as a difference, they
+    # would give its customers back what they were served.
+    first, second = make_plan(1), make_plan(2)
+    serve(first, 'lease', 1.0)
+    second.peer_digest('h1', first.digest(0.0), 0.0)
+    serve(first, 'lease', 5.0)
+    second.peer_digest('h1', first.digest(1.0), 1.0)
+    again = make_plan(3)
+    serve(again, 'lease', 0.5)
+    second.peer_digest('h1', again.digest(2.0), 2.0)
+    assert second.pools['p'].queue.counters['lease'] == 5.0
+
+
+def test_many_customers_are_told_in_turn():
+    names = [f'c{number}' for number in range(100)]
+    plan = make_plan(1, names)
+    for name in names:
+        serve(plan, name, 1.0)
+    told = set()
+    for now_s in range(40):
+        serve(plan, 'c7', 1.0)
+        digest = plan.digest(float(now_s))
+        assert len(digest.customers) == digests.MOST_CUSTOMERS
+        told |= {news.customer for news in digest.customers}
+    assert len(told) == 100
+
+
+def test_demand_of_silent_peers_is_dropped():
+    first, second = make_plan(1), make_plan(2)
+    job = jobs.Job('j', 'lease', 'p', 'model', 'm', 100, 500)
+    first.submit(job, 0.0)
+    second.peer_digest('h1', first.digest(0.1), 0.1)
+    assert second.demand('p', 0.2).decode_s_per_s > 0
+    assert second.demand('p', 60.0).decode_s_per_s == 0
--- /dev/null
+++ b/tests/test_runs.py
@@ -0,0 +1,63 @@
+"""Tests of what a job takes up on endpoints."""
+
+from magnoliadyke.core import admission
+from magnoliadyke.core import jobs
+from magnoliadyke.core import routing
+from magnoliadyke.core import runs
+
+
+def make_endpoint(name):
+    return routing.Endpoint(jobs.EndpointInfo(name, 'p', 'model', ''))
+
+
+def make_run():
+    job = jobs.Job('j', 'lease', 'p', 'model', 'm', 1000, 100)
+    return runs.Run(job, admission.Timing(2.0, 1.0), (0.2, 0.1))
+
+
+def test_a_job_leaves_nothing_behind():
+    reader, writer = make_endpoint('p1'), make_endpoint('d1')
+    run = make_run()
+    run.join_stream(writer, 0.0)
+    run.join_prompt(reader, 0.2, 0.0)
+    assert writer.load.reserved == 1
+    run.leave_prompt(0.2)
+    run.begin_stream(0.2)
+    assert (writer.load.reserved, writer.load.streams.own) == (0, 1)
+    for _ in range(2):
+        run.leave_prompt(1.0)
+        run.leave_stream(1.0)
+    for endpoint in (reader, writer):
+        assert not endpoint.load.jobs
+        assert not endpoint.load.prompts
+        assert endpoint.load.streams.own == endpoint.load.kv_tokens.own == 0
+
+
+def test_both_phases_on_one_endpoint_end_one_by_one():
+    endpoint = make_endpoint('d1')
+    run = make_run()
+    run.join_stream(endpoint, 0.0)
+    run.join_prompt(endpoint, 0.2, 0.0)
+    run.leave_prompt(0.2)
+    assert endpoint.load.jobs == {'j'}
+    run.leave_stream(0.3)
+    assert not endpoint.load.jobs
+
+
+def test_only_where_it_had_arrived_can_it_be_blamed():
+    reader, writer = make_endpoint('p1'), make_endpoint('d1')
+    run = make_run()
+    run.join_stream(writer, 0.0)
+    run.join_prompt(reader, 0.2, 0.0)
+    assert (run.was_at(reader), run.was_at(writer)) == (True, False)
+    run.leave_prompt(0.2)
+    run.begin_stream(0.2)
+    assert (run.was_at(reader), run.was_at(writer)) == (False, True)
+
+
+def test_what_was_used_grows_with_progress():
+    run = make_run()
+    assert run.used_s() == 0
+    run.prefill_done_s = 0.2
+    run.tokens = 50
+    assert run.used_s() == 0.2 + 0.05
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -408,7 +408,7 @@
 
     @stateful.invariant()
     def nothing_waits_without_end(self):
-        held = {action.job_id for _, action in self.plan.held}
+        held = {action.job_id for _, action in self.plan.suspects.held}
         known = set(self.plan.runs) | held
         assert known == set(self.waiting) | set(self.running)
 
