Tell refused callers to stay away for as long as it takes

Shedding keeps the queue short, so its length sent callers back within a second however great the overload: in a trial (burst at 2.5 times the pool for 60 s, callers resend up to 5 times) the resends tripled or quintupled arrivals. The time told is now multiplied by the attempts that it takes to be taken.

--- a/magnoliadyke/core/admission.py
+++ b/magnoliadyke/core/admission.py
@@ -13,6 +13,7 @@
     'AdmissionSettings',
     'Capacity',
     'ErrorQuantile',
+    'RefusalShares',
     'Timing',
     'limit_exceeded',
     'no_endpoint',
@@ -96,6 +97,31 @@
     return Timing(deadline_s, latest_s, strict=True)
 
 
+class RefusalShares:
+    """What part of its late requests each customer had refused.
+
+    The queue alone says little about when to come back: shedding keeps it
+    short however great the overload is. Were callers told the length of the
+    queue, most would be refused again, and again.
+    """
+
+    STEP = 0.03
+    MOST_SHARE = 0.95
+
+    def __init__(self):
+        self.shares = {}
+
+    def add(self, customer, refused):
+        share = self.shares.get(customer, 0.0)
+        target = 1.0 if refused else 0.0
+        self.shares[customer] = share + self.STEP * (target - share)
+
+    def attempts(self, customer):
+        """Requests that it now takes, on average, to get one taken."""
+        share = min(self.shares.get(customer, 0.0), self.MOST_SHARE)
+        return 1.0 / (1.0 - share)
+
+
 class ErrorQuantile:
     """A quantile of how far predictions fall short, followed online.
 
@@ -130,18 +156,23 @@
     return max(waits)
 
 
-def retry_after_s(excess_s, rng):
-    """An honest time to come back: when the excess will have drained."""
+def retry_after_s(excess_s, rng, attempts=1.0):
+    """An honest time to come back.
+
+    :param excess_s: until what is too much will have drained
+    :param attempts: that it takes on average to be taken
+    """
     spread = 1.0 + RETRY_SPREAD * rng.random()
-    return min(max(excess_s, LEAST_RETRY_S) * spread, MOST_RETRY_S)
+    wait_s = max(excess_s, LEAST_RETRY_S) * attempts
+    return min(wait_s * spread, MOST_RETRY_S)
 
 
-def overloaded(excess_s, rng):
+def overloaded(excess_s, rng, attempts=1.0):
     return outcomes.NotRun(
         'overloaded',
         'send it again after retry_after_s; if this lasts, raise the '
         "customer's weight or first_token_s",
-        retry_after_s(excess_s, rng),
+        retry_after_s(excess_s, rng, attempts),
     )
 
 
--- a/magnoliadyke/core/pools.py
+++ b/magnoliadyke/core/pools.py
@@ -25,6 +25,7 @@
         self.lateness = admission.ErrorQuantile(
             1.0 - patience.late_share, patience.error_step_s
         )
+        self.refusals = admission.RefusalShares()
         self.waiting = {}
         self.suspects = []
         self.trial = None
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -279,7 +279,7 @@
         excess_s = self._excess_s(run, pool, now_s)
         if excess_s > 0:
             return [
-                Refuse(job.id, admission.overloaded(excess_s, self.rng)),
+                self._overloaded(job, pool, excess_s),
                 *self._drain_all(now_s),
             ]
         self.runs[job.id] = run
@@ -527,6 +527,7 @@
         run.believed_tokens = placement.cached_tokens
         run.expected_s = now_s + placement.first_token_s
         pool.running += 1
+        pool.refusals.add(job.customer, False)
         self.limits.usage(job.customer, now_s).running += 1
         run.charged_s = run.cost_s()
         pool.queue.charge(job.customer, run.charged_s)
@@ -573,7 +574,13 @@
         if run.ran:
             return Refuse(run.job.id, _unknown('not_run_again'))
         wait_s = self._wait_s(run, pool)
-        return Refuse(run.job.id, admission.overloaded(wait_s, self.rng))
+        return self._overloaded(run.job, pool, wait_s)
+
+    def _overloaded(self, job, pool, excess_s):
+        pool.refusals.add(job.customer, True)
+        attempts = pool.refusals.attempts(job.customer)
+        outcome = admission.overloaded(excess_s, self.rng, attempts)
+        return Refuse(job.id, outcome)
 
     # Ends
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -60,3 +60,19 @@
     for _ in range(5000):
         quantile.add(rng.random())
     assert quantile.value == pytest.approx(0.9, abs=0.06)
+
+
+def test_overload_sends_callers_away_for_longer():
+    # Nine of ten requests are refused. The queue is short, since all that
+    # would be late is shed, so its length alone would bring them all back
+    # within a second to be refused again.
+    rng = random.Random(1)
+    refusals = admission.RefusalShares()
+    for number in range(1000):
+        refusals.add('lease', number % 10 > 0)
+    attempts = refusals.attempts('lease')
+    assert 8 < attempts < 13
+    assert refusals.attempts('portal') == 1.0
+    calm = admission.overloaded(0.5, rng)
+    busy = admission.overloaded(0.5, rng, attempts)
+    assert busy.retry_after_s > 4 * calm.retry_after_s
