--- a/magnoliadyke/lab/checker.py
+++ b/magnoliadyke/lab/checker.py
@@ -203,7 +203,7 @@
     """Callers that wait for ever, or give up what could be repeated."""
     for call in evidence.calls:
         if not call.outcome:
-            yield call.sent_s, f'{call.name} has no outcome'
+            yield call.sent_s, f'{call.name} has no outcome; {call.reason}'
         elif call.outcome == ANSWERED:
             continue
         elif call.poisoned and call.outcome == REJECTED:
--- a/magnoliadyke/lab/evidence.py
+++ b/magnoliadyke/lab/evidence.py
@@ -119,13 +119,17 @@
         load.start_wall_s + record.call.at_s,
         None if ended_s is None else load.start_wall_s + ended_s,
         outcome,
-        reason_of(record.outcome),
+        reason_of(record),
         record.whole(),
     )
 
 
-def reason_of(outcome):
+def reason_of(record):
     """The word for an outcome; what an answer begins with."""
+    outcome = record.outcome
+    if outcome is None and record.told:
+        last = record.told[-1].reason
+        return f'told {len(record.told)} times, last {last}'
     if isinstance(outcome, outcomes.Answered):
         return f'{outcome.finish_reason}: {outcome.text[:EXCERPT]}'
     return getattr(outcome, 'reason', '')
--- a/magnoliadyke/lab/faults.py
+++ b/magnoliadyke/lab/faults.py
@@ -12,7 +12,7 @@
                      drawn faults.
   --faults=N         Faults of each run; else one, and two in every second.
   --duration=S       Length of the load in seconds [default: 20].
-  --load=F           Mean demand as a share of the pool [default: 0.4].
+  --load=F           Mean demand as a share of the pool [default: 0.6].
   --at-once=N        Runs side by side [default: 1].
   --keep=DIR         Keep settings, logs and ledgers below this directory.
   --json             Print JSON.
@@ -52,7 +52,7 @@
 SERVICE_CALLS_S = 20.0
 #: Long enough for calls to be under way when a fault comes.
 SERVICE_WORK_S = 0.15
-LONGEST_ANSWER = 100
+LONGEST_ANSWER = 300
 #: The mix shifts this often, so that roles have a reason to change.
 STEP_S = 10.0
 ROLE_CHANGE_S = 1.5
@@ -78,7 +78,11 @@
 
 
 def document_for(name):
-    """Settings of a deployment, made eager to change roles."""
+    """Settings of a deployment, made eager to change roles.
+
+    It starts with a split that suits no load; so roles change while the
+    faults come.
+    """
     document = json.loads((EXAMPLES / f'{name}.json').read_text())
     rows = document['initial_table'].setdefault('pools', {})
     for pool in document['pools']:
@@ -86,8 +90,10 @@
             continue
         row = rows.setdefault(pool['name'], {})
         row.update(role_change_price=0, dwell_s=DWELL_S)
+        last = len(pool['endpoints']) - 1
         for number, endpoint in enumerate(pool['endpoints']):
             endpoint['checks_fencing'] = number % 2 == 0
+            endpoint['role'] = 'decode' if number == last else 'prefill'
     return document
 
 
--- a/magnoliadyke/lab/observer.py
+++ b/magnoliadyke/lab/observer.py
@@ -122,20 +122,20 @@
         """Make one edit after the other."""
         while True:
             gevent.sleep(EDIT_INTERVAL_S * (0.5 + self.rng.random()))
-            value = 1000 + next(self.numbers)
-            self.edit(f'customers/{self.customer}/queue_limit', value)
+            cell = f'customers/{self.customer}/queue_limit'
+            self.edit({cell: 1000 + next(self.numbers)})
 
     def clash(self):
         """Two operators change the same cell at once."""
         cell = f'customers/{self.customer}/concurrency'
         values = [900 + next(self.numbers) for _ in range(2)]
-        gevent.joinall([gevent.spawn(self.edit, cell, v) for v in values])
+        gevent.joinall([gevent.spawn(self.edit, {cell: v}) for v in values])
 
-    def edit(self, cell, value):
+    def edit(self, cells):
         """Make one edit; a lost answer is settled with the same id."""
         number = next(self.numbers)
         body = {
-            'cells': {cell: value},
+            'cells': cells,
             'operator': 'lab',
             'edit': f'lab-{number}',
             'wait_s': EDIT_WAIT_S,
