Let old reports of other nodes prompts fade into their mean

An old report of an idle engine was taken as idle still, one of a busy engine as drained at the rate that digests told. The best linear guess for something that returns to its mean needs neither digests nor a setting.

--- a/magnoliadyke/core/credits.py
+++ b/magnoliadyke/core/credits.py
@@ -13,10 +13,16 @@
 
 import bisect
 import collections
+import math
 
 __all__ = ['EndpointLoad', 'Lagged', 'allowed_streams']
 
 HISTORY_S = 15.0
+#: How long word of others' prompts on an engine says more than their mean.
+OTHERS_MEMORY_S = 1.0
+MEAN_STEP = 0.05
+#: Less than this of others' prompts is none.
+NO_OTHERS_S = 0.01
 
 
 class Lagged:
@@ -102,6 +108,7 @@
         self.prompts_at_s = 0.0
         self.backlog = Lagged()
         self.others_s = 0.0
+        self.others_mean_s = 0.0
         self.others_at_s = 0.0
         self.reported_s = float('-inf')
         self.last_done_s = float('-inf')
@@ -114,7 +121,11 @@
         self.backlog.clear()
         self.reserved = 0
         self.prompts.clear()
-        self.others_s = 0.0
+        self.others_s = self.others_mean_s = 0.0
+
+    def undisturbed(self):
+        """Whether no other node's prompts were there at the last report."""
+        return self.others_s < NO_OTHERS_S
 
     def add_prompt(self, job_id, priority, seconds, now_s):
         """A prompt was sent; the endpoint reads the urgent ones first."""
@@ -145,15 +156,17 @@
             wait_s += prompt.left_s
         return wait_s
 
-    def others_wait_s(self, now_s, others_per_s=0.0):
-        """Seconds of other nodes' prompts, as of the last report.
+    def others_wait_s(self, now_s):
+        """Seconds of other nodes' prompts, from the reports so far.
 
-        :param others_per_s: seconds of prompts that they have sent each
-            second since, against the one that the engine has read
+        The last report fades into the mean of all: what it told has been
+        read after a while, and other nodes have sent as much as ever. An
+        idle engine in an old report is none, and a busy one not busier than
+        usual.
         """
-        age_s = now_s - self.others_at_s
-        drained_s = age_s * max(0.0, 1.0 - others_per_s)
-        return max(0.0, self.others_s - drained_s)
+        keep = math.exp((self.others_at_s - now_s) / OTHERS_MEMORY_S)
+        mean_s = self.others_mean_s
+        return mean_s + (self.others_s - mean_s) * keep
 
     def report_prompts(self, seconds, at_s, now_s):
         """Take the reported prefill backlog, true at ``at_s``."""
@@ -162,6 +175,8 @@
             self.reported_s = at_s
             self.others_s = max(0.0, seconds - self.backlog.own_at(at_s))
             self.others_at_s = at_s
+            above_s = self.others_s - self.others_mean_s
+            self.others_mean_s += MEAN_STEP * above_s
 
     def _advance(self, now_s):
         """Let the first prompt be read for the time that passed.
--- a/magnoliadyke/core/exchange.py
+++ b/magnoliadyke/core/exchange.py
@@ -4,7 +4,6 @@
 
 from magnoliadyke.core import digests
 from magnoliadyke.core import quarantine
-from magnoliadyke.core import routing
 
 __all__ = ['Demand', 'Exchange']
 
@@ -94,16 +93,6 @@
             prefill, decode, queued, queued_prefill, queued_decode, running
         )
 
-    def others_per_s(self, pool, now_s):
-        """Seconds of prompts that peers send to one engine each second."""
-        oldest_s = now_s - self.shares.settings.fresh_s
-        total = sum(
-            peer.pools[pool.number].prefill_s_per_s
-            for peer in self.peers.values()
-            if pool.number in peer.pools and peer.heard_s >= oldest_s
-        )
-        return total / max(1, len(pool.endpoints.by_role[routing.PREFILL]))
-
     def _suspect_news(self, runs, now_s):
         if not self.quarantine.entries:
             return ()
--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -27,7 +27,8 @@
 class RoutingSettings(NamedTuple):
     """Constants of routing.
 
-    :param engine_queue_s: most seconds of prompts that wait in an engine
+    :param engine_queue_s: most seconds of this node's prompts that wait in
+        an engine
     :param sample: endpoints looked at for a job, besides prefix holders
     :param subset: endpoints of a pool that one node uses
     :param slack_s: predicted starts this close to the best are as good
@@ -44,7 +45,6 @@
 
     engine_queue_s: float = 0.2
     sample: int = 6
-    gate_others: float = 0.0
     subset: int = 64
     slack_s: float = 0.02
     slack_streams: float = 0.05
@@ -85,9 +85,8 @@
     :param fraction: this node's part of the pool's credits
     :param spare_s: time left until the first token is due
     :param ahead_s: seconds of prompts that go before it once engines free
-    :param others_per_s: seconds of prompts that other nodes send to an
-        engine each second
-    :param others_share: part of these that go before it in the engine
+    :param others_share: part of other nodes' prompts that an engine reads
+        before it
     :param first: whether its customer is the least served of those waiting
     """
 
@@ -95,7 +94,6 @@
     spare_s: float = float('inf')
     ahead_s: float = 0.0
     first: bool = True
-    others_per_s: float = 0.0
     others_share: float = 1.0
 
 
@@ -409,7 +407,7 @@
         prompt_s = model.prefill_s(endpoint.role, tokens, streams)
         prompt_s *= endpoint.slowness
         wait_s = load.own_wait_s(job.priority, now_s)
-        others_s = load.others_wait_s(now_s, terms.others_per_s)
+        others_s = load.others_wait_s(now_s)
         wait_s += others_s * terms.others_share
         read_s = prompt_s
         if load.prompts and endpoint.role == PREFILL:
@@ -428,9 +426,7 @@
         whose turn it is, which then never finds the engine free.
         """
         priority = job.priority if terms.first else LAST_PRIORITY
-        gate_s = endpoint.load.own_wait_s(priority, now_s)
-        others_s = endpoint.load.others_wait_s(now_s)
-        return gate_s + self.settings.gate_others * others_s
+        return endpoint.load.own_wait_s(priority, now_s)
 
     def _best_split(self, job, members, terms, now_s):
         """The best engine in the prefill role, if only after a wait."""
--- a/magnoliadyke/core/runs.py
+++ b/magnoliadyke/core/runs.py
@@ -69,7 +69,7 @@
         """
         load = endpoint.load
         self.prompt_at = endpoint
-        self.read_undisturbed = not load.others_wait_s(now_s)
+        self.read_undisturbed = load.undisturbed()
         load.jobs.add(self.job.id)
         load.add_prompt(self.job.id, self.job.priority, seconds, now_s)
 
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -463,7 +463,6 @@
     def _drain(self, pool, now_s, actions):
         """Dispatch as much as has a place, in fair order."""
         fraction = self._fraction(pool)
-        others_per_s = self.exchange.others_per_s(pool, now_s)
         misses = 0
         progress = True
         while progress:
@@ -476,7 +475,6 @@
                     fraction,
                     ahead_s=self._prompts_ahead_s(pool),
                     first=first,
-                    others_per_s=others_per_s,
                 )
                 first = False
                 action = self._next(pool, customer, terms, now_s)
