--- a/magnoliadyke/lab/cluster.py
+++ b/magnoliadyke/lab/cluster.py
@@ -1,8 +1,6 @@
 """Starts a deployment's real processes on loopback and ends them again."""
 
-import copy
 import ctypes
-import hashlib
 import http.client
 import json
 import os
@@ -18,6 +16,7 @@
 
 import gevent
 
+from magnoliadyke.lab import layout
 from magnoliadyke.lab import links
 from magnoliadyke.lab import standin
 from magnoliadyke import program
@@ -29,53 +28,28 @@
     'Options',
     'call_json',
     'caller_key',
-    'derive',
 ]
 
-ADMIN_TOKEN = 'lab-admin-token'
 CALL_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 30.0
 NODE_STOP_S = 40.0
 STAND_IN_STOP_S = 5.0
 POLL_S = 0.05
-PROXY_PORT = 7900
-PROXY_CONTROL_PORT = 7901
 PROXY_NAME = 'proxy'
 PR_SET_PDEATHSIG = 1
 CLAIM_PORT = 7999
 FREE_RUNS = range(100, 200)
-PLATFORM = ('keyvalue', 'weight_store', 'host_list')
-PROGRAMS = {'weight_store': 'weights', 'host_list': 'hostlist'}
+
+#: For those who only know the cluster.
+ADMIN_TOKEN = layout.ADMIN_TOKEN
+Options = layout.Options
+caller_key = layout.caller_key
 
 
 class NotReady(Exception):
     """A process did not answer in time, or ended too early."""
 
 
-class Options(typing.NamedTuple):
-    """How a cluster is started.
-
-    :param run: second number of its 127.x addresses, 1 to 254; clusters
-        that run side by side have different ones; any free one when 0
-    :param directory: where logs, ledgers and the settings file go; a new
-        temporary one when empty
-    :param proxied: whether the nodes' links go through the fault proxy
-    :param engine: settings of the engine stand-ins, beside their role
-    :param service: settings of the service stand-ins
-    :param keyvalue: settings of the key-value stand-in
-    :param hosts: how many of the deployment's hosts to start; all when 0
-    """
-
-    run: int = 0
-    directory: str = ''
-    proxied: bool = False
-    engine: typing.Mapping[str, typing.Any] = {}
-    service: typing.Mapping[str, typing.Any] = {}
-    keyvalue: typing.Mapping[str, typing.Any] = {}
-    host_list: typing.Mapping[str, typing.Any] = {}
-    hosts: int = 0
-
-
 class Process(typing.NamedTuple):
     """A process and how to start it again."""
 
@@ -85,7 +59,7 @@
     popen: subprocess.Popen
 
 
-class Cluster:
+class Cluster(layout.Layout):
     """The processes of one deployment: stand-ins and nodes.
 
     Names are those of the settings for hosts and endpoints, and
@@ -98,22 +72,19 @@
 
     def __init__(self, document, options):
         self.lock, run = claim_run(options.run)
-        self.options = options = options._replace(run=run)
-        self.settings = derive(document, options)
+        self.options = options._replace(run=run)
         self.directory = pathlib.Path(
             options.directory or tempfile.mkdtemp(prefix='magnoliadyke-')
         )
         self.directory.mkdir(parents=True, exist_ok=True)
+        super().__init__(
+            layout.derive(document, self.options),
+            self.options,
+            self.directory,
+        )
         self.settings_file = self.directory / 'settings.json'
         self.settings_file.write_text(json.dumps(self.settings, indent=1))
         self.processes = {}
-        self.hosts = {h['name']: h for h in self.settings['hosts']}
-        self.endpoints = {
-            endpoint['name']: endpoint
-            for pool in self.settings['pools']
-            for endpoint in pool['endpoints']
-        }
-        self.names = self.names_by_address()
 
     def __enter__(self):
         return self
@@ -121,38 +92,6 @@
     def __exit__(self, *_):
         self.kill_all()
 
-    # What stands where.
-
-    def names_by_address(self):
-        """Process name of each ``ip:port``."""
-        names = {e['address']: e['name'] for e in self.endpoints.values()}
-        for name in PLATFORM:
-            names[self.settings[name]['address']] = name
-        for host in self.hosts.values():
-            for port in ('caller_port', 'peer_port'):
-                names[f'{host["address"]}:{host[port]}'] = host['name']
-        return names
-
-    def caller_address(self, host):
-        """``ip:port`` for callers of a host."""
-        row = self.hosts[host]
-        return f'{row["address"]}:{row["caller_port"]}'
-
-    def admin_address(self, host):
-        """``ip:port`` for operators of a host."""
-        row = self.hosts[host]
-        return f'{row["admin_address"]}:{row["admin_port"]}'
-
-    def address(self, name):
-        """``ip:port`` of a stand-in."""
-        if name in PLATFORM:
-            return self.settings[name]['address']
-        return self.endpoints[name]['address']
-
-    def proxy_address(self, port=PROXY_PORT):
-        """``ip:port`` of the fault proxy."""
-        return f'127.{self.options.run}.250.1:{port}'
-
     # Starting.
 
     def start(self):
@@ -164,14 +103,14 @@
     def start_stand_ins(self):
         """Start the platform's stand-ins and wait until they answer."""
         if self.options.proxied:
-            control = self.proxy_address(PROXY_CONTROL_PORT)
+            control = self.control_address()
             spec = {'control': control, 'names': self.names}
             self.start_program(PROXY_NAME, 'proxy', self.proxy_address(), spec)
-        for name in PLATFORM:
+        for name in layout.PLATFORM:
             self.start_stand_in(name)
         for name in self.endpoints:
             self.start_stand_in(name)
-        for name in (*PLATFORM, *self.endpoints):
+        for name in (*layout.PLATFORM, *self.endpoints):
             self.wait_healthy(name)
 
     def start_stand_in(self, name):
@@ -179,36 +118,6 @@
         kind, spec = self.stand_in_spec(name)
         self.start_program(name, kind, self.address(name), spec)
 
-    def stand_in_spec(self, name):
-        """Program and settings of a stand-in."""
-        ledger = str(self.directory / f'{name}.ledger')
-        if name == 'keyvalue':
-            return name, {'ledger': ledger, **self.options.keyvalue}
-        if name == 'host_list':
-            rows = [host_row(host) for host in self.hosts.values()]
-            return 'hostlist', {'hosts': rows, **self.options.host_list}
-        if name == 'weight_store':
-            return 'weights', {}
-        pool = self.pool_of(name)
-        spec = {'name': name, 'ledger': ledger}
-        if pool['kind'] == 'service':
-            return 'service', {**spec, **self.options.service}
-        endpoint = self.endpoints[name]
-        spec.update(
-            role=endpoint['role'],
-            checks_fencing=endpoint['checks_fencing'],
-            models=[pool['model']],
-        )
-        return 'engine', {**spec, **self.options.engine}
-
-    def pool_of(self, endpoint):
-        """The pool of an endpoint."""
-        for pool in self.settings['pools']:
-            for row in pool['endpoints']:
-                if row['name'] == endpoint:
-                    return pool
-        raise KeyError(endpoint)
-
     def start_program(self, name, verb, address, spec):
         """Start a program of the lab."""
         command = program.command('lab', verb, address, json.dumps(spec))
@@ -360,13 +269,13 @@
     def rule(self, **fault):
         """Add a rule to the fault proxy; its id."""
         fault = {('from' if k == 'source' else k): v for k, v in fault.items()}
-        address = self.proxy_address(PROXY_CONTROL_PORT)
+        address = self.control_address()
         return call_json(address, 'POST', '/rules', fault)[1]['rule']
 
     def unrule(self, rule=None):
         """End a rule of the fault proxy, or all."""
         path = '/rules' if rule is None else f'/rules/{rule}'
-        address = self.proxy_address(PROXY_CONTROL_PORT)
+        address = self.control_address()
         call_json(address, 'DELETE', path)
 
     def partition(self, name, others, for_s=None):
@@ -437,42 +346,6 @@
     raise NotReady(f'the addresses of run {run or "any"} are in use')
 
 
-def derive(document, options):
-    """Settings for one run: own addresses, secrets that the lab knows.
-
-    :param document: settings of the deployment
-    :param options: :class:`Options`
-    """
-    text = json.dumps(document).replace('"127.0.', f'"127.{options.run}.')
-    settings = copy.deepcopy(json.loads(text))
-    if options.hosts:
-        settings['hosts'] = settings['hosts'][: options.hosts]
-    settings['admin_token'] = hashed(ADMIN_TOKEN)
-    customers = settings['initial_table']['customers']
-    for name, row in customers.items():
-        row['keys'] = [hashed(caller_key(name))]
-    return settings
-
-
-def caller_key(customer):
-    """Key with which the lab calls as a customer."""
-    return f'lab-key-{customer}'
-
-
-def hashed(secret):
-    """A secret as settings and table keep it."""
-    return 'sha256:' + hashlib.sha256(secret.encode()).hexdigest()
-
-
-def host_row(host):
-    """A host's row in the platform's list."""
-    return {
-        'host': host['name'],
-        'state': 'live',
-        'address': host['address'],
-    }
-
-
 def die_with_parent():
     """Have the kernel end this process when its parent dies.
 
--- /dev/null
+++ b/magnoliadyke/lab/layout.py
@@ -0,0 +1,165 @@
+"""What stands where in a lab run: addresses, names, settings."""
+
+import copy
+import hashlib
+import json
+import typing
+
+__all__ = [
+    'ADMIN_TOKEN',
+    'Layout',
+    'Options',
+    'PLATFORM',
+    'caller_key',
+    'derive',
+]
+
+ADMIN_TOKEN = 'lab-admin-token'
+PLATFORM = ('keyvalue', 'weight_store', 'host_list')
+PROXY_PORT = 7900
+PROXY_CONTROL_PORT = 7901
+
+
+class Options(typing.NamedTuple):
+    """How a cluster is started.
+
+    :param run: second number of its 127.x addresses, 1 to 254; clusters
+        that run side by side have different ones; any free one when 0
+    :param directory: where logs, ledgers and the settings file go; a new
+        temporary one when empty
+    :param proxied: whether the nodes' links go through the fault proxy
+    :param engine: settings of the engine stand-ins, beside their role
+    :param service: settings of the service stand-ins
+    :param keyvalue: settings of the key-value stand-in
+    :param hosts: how many of the deployment's hosts to start; all when 0
+    """
+
+    run: int = 0
+    directory: str = ''
+    proxied: bool = False
+    engine: typing.Mapping[str, typing.Any] = {}
+    service: typing.Mapping[str, typing.Any] = {}
+    keyvalue: typing.Mapping[str, typing.Any] = {}
+    host_list: typing.Mapping[str, typing.Any] = {}
+    hosts: int = 0
+
+
+class Layout:
+    """Names and addresses of a deployment's processes.
+
+    :param settings: the settings, derived for this run
+    :param options: :class:`Options`
+    :param directory: where ledgers go
+    """
+
+    def __init__(self, settings, options, directory):
+        self.settings = settings
+        self.options = options
+        self.directory = directory
+        self.hosts = {host['name']: host for host in settings['hosts']}
+        self.endpoints = {
+            endpoint['name']: endpoint
+            for pool in settings['pools']
+            for endpoint in pool['endpoints']
+        }
+        self.names = self.names_by_address()
+
+    def names_by_address(self):
+        """Process name of each ``ip:port``."""
+        names = {e['address']: e['name'] for e in self.endpoints.values()}
+        for name in PLATFORM:
+            names[self.settings[name]['address']] = name
+        for host in self.hosts.values():
+            for port in ('caller_port', 'peer_port'):
+                names[f'{host["address"]}:{host[port]}'] = host['name']
+        return names
+
+    def caller_address(self, host):
+        """``ip:port`` for callers of a host."""
+        row = self.hosts[host]
+        return f'{row["address"]}:{row["caller_port"]}'
+
+    def admin_address(self, host):
+        """``ip:port`` for operators of a host."""
+        row = self.hosts[host]
+        return f'{row["admin_address"]}:{row["admin_port"]}'
+
+    def address(self, name):
+        """``ip:port`` of a stand-in."""
+        if name in PLATFORM:
+            return self.settings[name]['address']
+        return self.endpoints[name]['address']
+
+    def proxy_address(self):
+        """``ip:port`` of the fault proxy."""
+        return f'127.{self.options.run}.250.1:{PROXY_PORT}'
+
+    def control_address(self):
+        """``ip:port`` of the fault proxy's control port."""
+        return f'127.{self.options.run}.250.1:{PROXY_CONTROL_PORT}'
+
+    def stand_in_spec(self, name):
+        """Program and settings of a stand-in."""
+        ledger = str(self.directory / f'{name}.ledger')
+        if name == 'keyvalue':
+            return name, {'ledger': ledger, **self.options.keyvalue}
+        if name == 'host_list':
+            rows = [host_row(host) for host in self.hosts.values()]
+            return 'hostlist', {'hosts': rows, **self.options.host_list}
+        if name == 'weight_store':
+            return 'weights', {}
+        pool = self.pool_of(name)
+        spec = {'name': name, 'ledger': ledger}
+        if pool['kind'] == 'service':
+            return 'service', {**spec, **self.options.service}
+        endpoint = self.endpoints[name]
+        spec.update(
+            role=endpoint['role'],
+            checks_fencing=endpoint['checks_fencing'],
+            models=[pool['model']],
+        )
+        return 'engine', {**spec, **self.options.engine}
+
+    def pool_of(self, endpoint):
+        """The pool of an endpoint."""
+        for pool in self.settings['pools']:
+            for row in pool['endpoints']:
+                if row['name'] == endpoint:
+                    return pool
+        raise KeyError(endpoint)
+
+
+def derive(document, options):
+    """Settings for one run: own addresses, secrets that the lab knows.
+
+    :param document: settings of the deployment
+    :param options: :class:`Options`
+    """
+    text = json.dumps(document).replace('"127.0.', f'"127.{options.run}.')
+    settings = copy.deepcopy(json.loads(text))
+    if options.hosts:
+        settings['hosts'] = settings['hosts'][: options.hosts]
+    settings['admin_token'] = hashed(ADMIN_TOKEN)
+    customers = settings['initial_table']['customers']
+    for name, row in customers.items():
+        row['keys'] = [hashed(caller_key(name))]
+    return settings
+
+
+def caller_key(customer):
+    """Key with which the lab calls as a customer."""
+    return f'lab-key-{customer}'
+
+
+def hashed(secret):
+    """A secret as settings and table keep it."""
+    return 'sha256:' + hashlib.sha256(secret.encode()).hexdigest()
+
+
+def host_row(host):
+    """A host's row in the platform's list."""
+    return {
+        'host': host['name'],
+        'state': 'live',
+        'address': host['address'],
+    }
