--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -29,10 +29,12 @@
 
 TICK_INTERVAL_S = 0.1
 MAX_DATAGRAM_BYTES = 65_507
-#: Evidence from enough others is renewed when it will be too old within
-#: this share of the time for which it holds, at most this often.
+#: Evidence has to hold for this share of its time from now on to be relied
+#: on; else the store is read, and a survey made when it does not answer.
 RENEW_SHARE = 0.5
-RENEW_INTERVAL_S = 0.5
+#: Age of the store's word, as a share likewise, at which it counts as out.
+STORE_OUT_SHARE = 0.7
+RENEW_INTERVAL_S = 1.0
 #: Share of the time after which a host that is cut off has stopped, clocks
 #: that run apart included.
 WAIT_SHARE = 1.1
@@ -114,7 +116,8 @@
     :param at_s: monotonic time of the conclusion
     :param fresh: it may rely on its table
     :param takes_work: it takes new work
-    :param quorate: enough others know no newer table
+    :param quorate: enough others know no newer table, and will do so for a
+        while
     :param wants_store: a read of the store is due
     :param unconfirmed: the store's last word is old
     :param newer_at: ``ip:port`` of a peer with a newer table, or ''
@@ -277,16 +280,23 @@
         When half the fleet is cut off, probe after probe goes to hosts that
         do not answer, each waited for the longer the more of them fail.
         Meanwhile the evidence of the reachable half grows old, and a group
-        that may go on serving would stop for seconds.
+        that may go on serving would stop for seconds. With the store's word
+        at hand nothing depends on that evidence; it is left to run out.
         """
         known = self.membership.freshness
-        if known.quorum > MAX_RENEWED_QUORUM or now_s < self.next_renewal_s:
-            return
-        soon_s = now_s + RENEW_SHARE * known.settings.stale_s
-        if len(known.group(soon_s)) < known.quorum:
+        store_out_s = STORE_OUT_SHARE * known.settings.stale_s
+        store_out = known.store_age_s(now_s) > store_out_s
+        if store_out and now_s >= self.next_renewal_s and not self.quorate():
             self.next_renewal_s = now_s + RENEW_INTERVAL_S
             self.act(self.membership.survey(now_s))
 
+    def quorate(self):
+        """Whether the evidence of the others will do for a while."""
+        known = self.membership.freshness
+        lasts_s = RENEW_SHARE * known.settings.stale_s
+        soon_s = self.clock.now_s() + lasts_s
+        return len(known.group(soon_s)) >= known.quorum
+
     def receive(self, data, now_s):
         """Take one datagram in."""
         try:
@@ -351,7 +361,7 @@
             at_s=now_s,
             fresh=known.fresh(now_s),
             takes_work=known.takes_work(now_s),
-            quorate=len(known.group(now_s)) >= known.quorum,
+            quorate=self.quorate(),
             wants_store=known.wants_store(now_s),
             unconfirmed=known.acts_on_staged(now_s),
             newer_at=self.peer_address(known.behind() or self.ahead()),
