--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -7,6 +7,7 @@
 
 from magnoliadyke.core import commands
 from magnoliadyke.core import leases
+from tests import onekey
 
 SETTINGS = commands.CommandSettings()
 PREFILL = commands.Change('role', 'prefill')
@@ -53,21 +54,6 @@
         return ''
 
 
-class Key:
-    """One key of the store."""
-
-    def __init__(self):
-        self.revision = 0
-        self.text = None
-
-    def write(self, text, if_revision):
-        if if_revision != self.revision:
-            return False
-        self.revision += 1
-        self.text = text
-        return True
-
-
 class Holder:
     """A host that takes the lease and commands the engine."""
 
@@ -114,21 +100,10 @@
                     self.commands.command_unknown(now_s)
 
     def call_lease(self, action, now_s, lost):
+        if self.world.outage:
+            lost = 'request'
         key = self.world.lease_key
-        if lost == 'request' or self.world.outage:
-            if isinstance(action, leases.WriteLease):
-                self.lease.write_unknown(now_s)
-            else:
-                self.lease.read_failed(now_s)
-        elif isinstance(action, leases.ReadLease):
-            self.lease.read(now_s, key.revision, key.text)
-        elif key.write(action.value.dump(), action.if_revision):
-            if lost:
-                self.lease.write_unknown(now_s)
-            else:
-                self.lease.written(now_s, key.revision)
-        else:
-            self.lease.write_refused(now_s, key.revision, key.text)
+        onekey.perform(self.lease, key, action, now_s, lost)
 
     def call_intent(self, action, now_s, lost):
         key = self.world.intent_key
@@ -175,8 +150,8 @@
         self.now_s = 0.0
         self.outage = False
         self.engine = Engine(checks_fencing)
-        self.lease_key = Key()
-        self.intent_key = Key()
+        self.lease_key = onekey.Key()
+        self.intent_key = onekey.Key()
         self.holders = [Holder(host, self) for host in ('h1', 'h2')]
 
     def run(self, for_s, hosts=(0, 1)):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,6 +6,7 @@
 import pytest
 
 from magnoliadyke.core import leases
+from tests import onekey
 
 SETTINGS = leases.LeaseSettings()
 HOSTS = ('h1', 'h2', 'h3')
@@ -13,47 +14,12 @@
 RATES = {'h1': 0.97, 'h2': 1.0, 'h3': 1.03}
 
 
-class Store:
-    """One key of the store."""
-
-    def __init__(self):
-        self.revision = 0
-        self.text = None
-
-    def write(self, text, if_revision):
-        if if_revision != self.revision:
-            return False
-        self.revision += 1
-        self.text = text
-        return True
-
-
-def perform(lease, store, action, now_s, lost=''):
-    """Carry an action out; the request or its reply may get lost."""
-    match action:
-        case leases.ReadLease():
-            if lost:
-                lease.read_failed(now_s)
-            else:
-                lease.read(now_s, store.revision, store.text)
-        case leases.WriteLease(value, if_revision):
-            taken = lost != 'request' and store.write(
-                value.dump(), if_revision
-            )
-            if lost:
-                lease.write_unknown(now_s)
-            elif taken:
-                lease.written(now_s, store.revision)
-            else:
-                lease.write_refused(now_s, store.revision, store.text)
-
-
 def run(lease, store, start_s, until_s, contending=True, floor=0):
     """Tick a lease against a store that answers."""
     now_s = start_s
     while now_s < until_s:
         for action in lease.tick(now_s, contending, floor):
-            perform(lease, store, action, now_s)
+            onekey.perform(lease, store, action, now_s)
         now_s = round(now_s + 0.1, 3)
 
 
@@ -63,7 +29,7 @@
 
 def test_taken_after_watching_for_the_time_to_live():
     lease = a_lease()
-    store = Store()
+    store = onekey.Key()
     run(lease, store, 0.0, 4.3)
     assert lease.held(4.3) is None
     run(lease, store, 4.3, 4.6, floor=70)
@@ -79,7 +45,7 @@
     now_s = start_s
     while two.held(now_s) is None:
         for action in two.tick(now_s, True, 0):
-            perform(two, store, action, now_s)
+            onekey.perform(two, store, action, now_s)
         now_s += 0.01
     return now_s
 
@@ -94,7 +60,7 @@
     """
     one = a_lease()
     two = a_lease('h2')
-    store = Store()
+    store = onekey.Key()
     run(one, store, 0.0, 5.5)
     (renewal,) = one.tick(5.7, True, 0)
     store.write(renewal.value.dump(), renewal.if_revision)
@@ -109,11 +75,11 @@
 
 def test_lost_reply_to_a_claim_is_settled_by_reading():
     lease = a_lease()
-    store = Store()
+    store = onekey.Key()
     run(lease, store, 0.0, 4.4)
     (action,) = lease.tick(4.4, True, 0)
     assert isinstance(action, leases.WriteLease)
-    perform(lease, store, action, 4.6, 'reply')
+    onekey.perform(lease, store, action, 4.6, 'reply')
     assert lease.held(4.6) is None
     run(lease, store, 4.6, 5.3)
     assert lease.held(5.3).fencing == 1
@@ -122,7 +88,7 @@
 def test_release_lets_the_next_one_in_at_once():
     one = a_lease()
     two = a_lease('h2')
-    store = Store()
+    store = onekey.Key()
     run(one, store, 0.0, 6.0)
     one.release()
     assert one.held(6.0) is None
@@ -133,7 +99,7 @@
 
 def test_drop_after_a_pause():
     lease = a_lease()
-    store = Store()
+    store = onekey.Key()
     run(lease, store, 0.0, 6.0)
     lease.drop()
     assert lease.held(6.0) is None
@@ -147,7 +113,7 @@
     to wait as long as anybody else.
     """
     one = a_lease()
-    store = Store()
+    store = onekey.Key()
     run(one, store, 0.0, 6.0)
     old = (store.revision, store.text)
     two = leases.LeaseValue('h2', 1, 2, 1, SETTINGS.ttl_s)
@@ -171,7 +137,7 @@
     def __init__(self):
         super().__init__()
         self.now_s = 0.0
-        self.store = Store()
+        self.store = onekey.Key()
         self.leases = {host: a_lease(host) for host in HOSTS}
         self.calls = {}
         self.numbers = [0]
@@ -197,7 +163,7 @@
         action = self.calls.pop(host, None)
         if action is not None:
             lease = self.leases[host]
-            perform(lease, self.store, action, self.clock(host), lost)
+            onekey.perform(lease, self.store, action, self.clock(host), lost)
 
     @stateful.rule(
         rounds=strategies.integers(1, 60),
