--- a/magnoliadyke/duties.py
+++ b/magnoliadyke/duties.py
@@ -16,11 +16,12 @@
 from magnoliadyke import logs
 from magnoliadyke import mailbox
 from magnoliadyke import poolduty
+from magnoliadyke import poolstatus
 
 __all__ = ['Demands', 'Duties', 'EngineStatus', 'PoolStatus', 'RoleStatus']
 
-EngineStatus = poolduty.EngineStatus
-PoolStatus = poolduty.PoolStatus
+EngineStatus = poolstatus.EngineStatus
+PoolStatus = poolstatus.PoolStatus
 
 TICK_INTERVAL_S = 0.1
 #: Nodes that stand for election for one pool. Each of them reads the lease
--- a/magnoliadyke/poolduty.py
+++ b/magnoliadyke/poolduty.py
@@ -14,8 +14,9 @@
 from magnoliadyke import gossip
 from magnoliadyke import keyvalue
 from magnoliadyke import logs
+from magnoliadyke import poolstatus
 
-__all__ = ['EngineStatus', 'PoolDuty', 'PoolStatus']
+__all__ = ['PoolDuty']
 
 #: Longest wait for what runs on an engine to end before its change.
 DRAIN_TIMEOUT_S = 8.0
@@ -35,53 +36,6 @@
 LOG = logs.get('duties')
 
 
-class EngineStatus(typing.NamedTuple):
-    """An engine as the planner of its pool last read it back.
-
-    :param target: role that it was last told to take
-    :param seen_s: age of the reading in seconds, negative if there is none
-    """
-
-    name: str
-    role: str
-    target: str
-    generation: int
-    changing: bool
-    seen_s: float
-
-
-class PoolStatus(typing.NamedTuple):
-    """Who plans a pool and what was done.
-
-    :param holder: host, '' if nobody is known to
-    :param fencing: fencing number of the holder's lease
-    :param changes: last role changes, newest last: (wall_s, engine, role)
-    :param last_plan: why the planner did what it did last
-    """
-
-    pool: str
-    holder: str = ''
-    fencing: int = 0
-    engines: tuple[EngineStatus, ...] = ()
-    changes: tuple = ()
-    last_plan: str = ''
-
-    def dump(self):
-        """Return it as JSON text."""
-        engines = [each._asdict() for each in self.engines]
-        return json.dumps(self._replace(engines=engines)._asdict())
-
-    @classmethod
-    def parse(cls, text):
-        """Read what :meth:`dump` wrote."""
-        fields = json.loads(text)
-        fields['engines'] = tuple(
-            EngineStatus(**each) for each in fields['engines']
-        )
-        fields['changes'] = tuple(tuple(each) for each in fields['changes'])
-        return cls(**fields)
-
-
 class LeaseAnswered(typing.NamedTuple):
     """The store's answer to a call for the lease of a pool."""
 
@@ -590,9 +544,10 @@
             self.lease.release()
 
     def status(self, now_s):
-        """Return what this node knows, as a :class:`PoolStatus`."""
+        """Return what this node knows, as a
+        :class:`magnoliadyke.poolstatus.PoolStatus`."""
         value = self.lease.value
-        return PoolStatus(
+        return poolstatus.PoolStatus(
             self.name,
             self.lease.holder() or '',
             value.fencing if value is not None else 0,
@@ -602,13 +557,13 @@
         )
 
     def engine_status(self, engine, now_s):
-        """Return an engine's :class:`EngineStatus`."""
+        """Return how one engine does."""
         reading = engine.reading
         intent = engine.commands.intent
         target = engine.role
         if intent is not None and intent.change.kind == 'role':
             target = intent.change.target
-        return EngineStatus(
+        return poolstatus.EngineStatus(
             engine.name,
             engine.role,
             target,
