--- a/magnoliadyke/poolduty.py
+++ b/magnoliadyke/poolduty.py
@@ -544,8 +544,7 @@
             self.lease.release()
 
     def status(self, now_s):
-        """Return what this node knows, as a
-        :class:`magnoliadyke.poolstatus.PoolStatus`."""
+        """Return what this node knows of the pool's planning."""
         value = self.lease.value
         return poolstatus.PoolStatus(
             self.name,
