--- a/magnoliadyke/lab/evidence.py
+++ b/magnoliadyke/lab/evidence.py
@@ -3,6 +3,7 @@
 import collections
 import math
 import time
+import uuid
 
 from magnoliadyke import client as caller
 from magnoliadyke.core import outcomes
@@ -24,6 +25,8 @@
 STORE_AWAY = frozenset({'store_down', 'store_slow'})
 #: How long after its end a fault may slow an edit.
 FELT_S = 5.0
+#: Every such client makes foreign keys.
+FOREIGN_EVERY = 4
 #: Characters of an answer that are shown when it is wrong.
 EXCERPT = 120
 OUTCOMES = {
@@ -38,13 +41,22 @@
     """The caller library, with a note of what each key was told.
 
     :param told: list that takes a :class:`checker.Told` for each key
+    :param foreign: whether it makes keys of its own, without a ticket
     """
 
-    def __init__(self, hosts, credential, told):
+    def __init__(self, hosts, credential, told, foreign):
         super().__init__(hosts, credential)
         self.told = told
+        self.foreign = foreign
         self.keys = {}
 
+    def start_session(self, address):
+        """Begin a session; its keys may be foreign ones."""
+        begun = super().start_session(address)
+        if begun and self.foreign:
+            self.session.new_key = foreign_key
+        return begun
+
     def try_host(self, address, request, progress):
         """Remember the key of the request that is being sent."""
         self.keys[id(request)] = progress.key
@@ -74,13 +86,23 @@
         self.ended_s[record] = self.now_s()
 
 
+def foreign_key():
+    """A key as callers make it that know nothing of tickets."""
+    return f'lab-{uuid.uuid4().hex}'
+
+
 def watched_clients(deployment, customers, count, told):
     """Clients of each customer, each with a session of its own."""
     hosts = [deployment.caller_address(name) for name in deployment.hosts]
     return {
         customer: [
-            WatchedClient(hosts, cluster.caller_key(customer), told)
-            for _ in range(count)
+            WatchedClient(
+                hosts,
+                cluster.caller_key(customer),
+                told,
+                number % FOREIGN_EVERY == 0,
+            )
+            for number in range(count)
         ]
         for customer in customers
     }
@@ -162,7 +184,7 @@
     )
 
 
-def figures(deployment, load, watcher, editors, faults, seen):
+def figures(deployment, load, watcher, editors, faults, seen, store_calls):
     """What the run took and how it ended, for people and pages."""
     by_outcome = collections.Counter(call.outcome for call in seen.calls)
     once = [call for call in seen.calls if not call.repeatable]
@@ -186,6 +208,7 @@
             last_work_s(seen, departure) for departure in seen.departures
         ],
         'takeover_s': takeovers(deployment, faults),
+        'store_calls': store_calls,
         'poisoned': [str(outcome) for outcome in faults.poisoned],
     }
 
@@ -257,6 +280,20 @@
     return gaps
 
 
+def store_calls_s(deployment, begun_s):
+    """Calls a second that the store has had since the start, by kind."""
+    address = deployment.address('keyvalue')
+    try:
+        _, ledger = cluster.call_json(address, 'GET', '/ledger')
+    except OSError:
+        return {}
+    length_s = time.monotonic() - begun_s
+    return {
+        kind: round(count / length_s, 2)
+        for kind, count in ledger['calls'].items()
+    }
+
+
 def quantile(values, share):
     """The value that so large a share of the sorted values reaches."""
     if not values:
--- a/magnoliadyke/lab/faults.py
+++ b/magnoliadyke/lab/faults.py
@@ -149,6 +149,7 @@
         service={'work_s': SERVICE_WORK_S},
     )
     with cluster.Cluster(document, options) as made:
+        begun_s = time.monotonic()
         made.start()
         told = []
         load = evidences.WatchedLoad(
@@ -173,9 +174,12 @@
         editors.stop()
         watcher.stop()
         made.unrule()
+        store_calls = evidences.store_calls_s(made, begun_s)
         statuses = made.stop()
         seen = evidences.collect(made, load, told, watcher, editors, faults)
-        figures = evidences.figures(made, load, watcher, editors, faults, seen)
+        figures = evidences.figures(
+            made, load, watcher, editors, faults, seen, store_calls
+        )
     verdict = checker.check(seen)
     return {
         'seed': plan.seed,
