Measure the forecast error by its lead

Forecasts are now compared with what came, per lead, and gains are averaged over that band; the extra margin (caution) falls to 0.

--- a/magnoliadyke/core/forecast.py
+++ b/magnoliadyke/core/forecast.py
@@ -5,7 +5,7 @@
 import operator
 from typing import NamedTuple
 
-__all__ = ['Forecast', 'Rhythm', 'Series']
+__all__ = ['Band', 'Forecast', 'Rhythm', 'Series']
 
 BIN_S = 4.0
 MOST_BINS = 240
@@ -239,3 +239,60 @@
     if old <= 0 or new <= 0:
         return 0.0
     return cross / math.sqrt(old * new)
+
+
+class Band:
+    """How wrong forecasts have been, by how far they looked ahead.
+
+    :param memory_s: time constant with which errors are forgotten
+    """
+
+    def __init__(self, memory_s):
+        self.memory_s = memory_s
+        self._due = collections.deque()
+        self._squares = {}
+
+    def expect(self, lead_s, due_s, values):
+        """Note a forecast of several series for `due_s`.
+
+        Forecasts of one lead have to come in the order of their times.
+        """
+        self._due.append((due_s, lead_s, values))
+
+    def observe(self, values, now_s):
+        """Compare what has come with what was expected by now."""
+        left = collections.deque()
+        for due_s, lead_s, expected in self._due:
+            if due_s > now_s:
+                left.append((due_s, lead_s, expected))
+                continue
+            pairs = zip(values, expected, strict=True)
+            squares = [(value - told) ** 2 for value, told in pairs]
+            self._learn(lead_s, squares, now_s)
+        self._due = left
+
+    def _learn(self, lead_s, squares, now_s):
+        known = self._squares.get(lead_s)
+        if known is None:
+            self._squares[lead_s] = now_s, squares
+            return
+        keep = math.exp((known[0] - now_s) / self.memory_s)
+        mixed = [
+            keep * old + (1 - keep) * new
+            for old, new in zip(known[1], squares, strict=True)
+        ]
+        self._squares[lead_s] = now_s, mixed
+
+    def errors(self, ahead_s, least):
+        """Standard errors so far ahead, from the nearest leads.
+
+        :param least: errors that are certain, by series
+        """
+        if not self._squares:
+            return least
+        lead_s = min(self._squares, key=lambda each: abs(each - ahead_s))
+        squares = self._squares[lead_s][1]
+        return tuple(
+            max(floor, math.sqrt(square))
+            for floor, square in zip(least, squares, strict=True)
+        )
--- a/magnoliadyke/core/roles.py
+++ b/magnoliadyke/core/roles.py
@@ -28,6 +28,8 @@
 DECODE = 'decode'
 AUTO = 'auto'
 READY = ('in', 'up')
+#: Cells of the horizon whose forecasts are compared with what came.
+BAND_CELLS = (0, 2, 5, 9, 14)
 #: Changes that a course may be away from the present split.
 MOST_STEPS = 3
 
@@ -100,25 +102,28 @@
     :param prefill_tokens_s: prompt tokens of an engine-second
     :param decode_tokens_s: output tokens of an engine-second
     :param caution: standard deviations of the gain that must be exceeded
+    :param band_memory_s: time constant with which the forecast's errors
+        are forgotten
     :param backlog_s: time in which a backlog is wanted gone
     :param cache_worth: share of a lost cache that has to be read again
     """
 
     sample_s: float = 1.0
     memory_s: float = 12.0
-    trend_s: float = 15.0
-    horizon_s: float = 40.0
+    trend_s: float = 20.0
+    horizon_s: float = 60.0
     cell_s: float = 4.0
-    outage_s: float = 8.0
+    outage_s: float = 7.0
     fresh_s: float = 15.0
-    usable_share: float = 0.94
-    rhythm_share: float = 1.0
+    usable_share: float = 0.97
+    rhythm_share: float = 0.9
     rhythm_carry: float = 0.3
     prefill_on_decode: float = 0.1
     prefill_tokens_s: float = 5000.0
     decode_tokens_s: float = 1400.0
-    caution: float = 0.5
+    caution: float = 0.0
     backlog_s: float = 10.0
+    band_memory_s: float = 60.0
     cache_worth: float = 0.1
 
 
@@ -165,6 +170,8 @@
         self.roles = {}
         self.reason = 'no demand seen yet'
         self.rhythm = forecast.Rhythm()
+        self.band = forecast.Band(settings.band_memory_s)
+        self.expected_s = -math.inf
 
     def observe(self, demand, now_s):
         """Take a sample of the pool's demand.
@@ -179,6 +186,7 @@
         self.prefill.add(demand.prefill_s_per_s, now_s)
         self.decode.add(demand.decode_s_per_s, now_s)
         self.rhythm.add(demand.prefill_s_per_s, demand.decode_s_per_s, now_s)
+        self._learn_band(now_s)
 
     def plan(self, state, now_s):
         """Choose a change, or none.
@@ -264,26 +272,33 @@
             the forecast may have
         """
         before = _split(state)
-        cells, errors = self._outlook()
-        gains = {PREFILL: [], DECODE: []}
+        cells = self._forecast()
+        errors = self._errors(len(cells))
+        needs = self._with_backlog(cells)
+        found = {PREFILL: [], DECODE: []}
         for shift in SHIFTS:
             shifted = [
                 (
-                    max(0.0, prefill + shift[0] * errors[0]),
-                    max(0.0, decode + shift[1] * errors[1]),
+                    max(0.0, need[0] + shift[0] * error[0]),
+                    max(0.0, need[1] + shift[1] * error[1]),
                 )
-                for prefill, decode in cells
+                for need, error in zip(needs, errors, strict=True)
             ]
             course = _Course(self.settings, before, shifted, state)
-            for role, found in gains.items():
-                found.append(course.gain(role))
-        return {role: _spread(found) for role, found in gains.items()}
-
-    def _outlook(self):
-        """Demand in each cell of the horizon, and the error of both."""
+            for role, gains in found.items():
+                gains.append(course.gain(role))
+            if max(gains[0] for gains in found.values()) <= 0:
+                # What does not pay if the forecast holds is not made, so
+                # the errors, most of the work, need no look.
+                return {role: (gains[0], 0.0) for role, gains in found.items()}
+        return {role: _spread(gains) for role, gains in found.items()}
+
+    def _forecast(self):
+        """Demand in each cell of the horizon."""
         settings = self.settings
         prefill = self.prefill.forecast()
         decode = self.decode.forecast()
+        levels = prefill.level, decode.level
         now = self.rhythm.ahead(0.0)
         cells = []
         for number in range(round(settings.horizon_s / settings.cell_s)):
@@ -292,17 +307,41 @@
                 prefill.at(ahead_s, settings.trend_s),
                 decode.at(ahead_s, settings.trend_s),
             )
-            levels = prefill.level, decode.level
-            needs = self._in_rhythm(plain, levels, now, ahead_s)
-            if ahead_s < settings.backlog_s:
-                needs = (
-                    needs[0]
-                    + self.demand.queued_prefill_s / settings.backlog_s,
-                    needs[1]
-                    + self.demand.queued_decode_s / settings.backlog_s,
-                )
-            cells.append(needs)
-        return cells, (prefill.error, decode.error)
+            cells.append(self._in_rhythm(plain, levels, now, ahead_s))
+        return cells
+
+    def _errors(self, count):
+        """Standard errors of the forecast in each cell."""
+        least = self.prefill.forecast().error, self.decode.forecast().error
+        cell_s = self.settings.cell_s
+        return [
+            self.band.errors((number + 0.5) * cell_s, least)
+            for number in range(count)
+        ]
+
+    def _with_backlog(self, cells):
+        """Add what waits now to the demand of the first cells."""
+        backlog_s = self.settings.backlog_s
+        first = math.ceil(backlog_s / self.settings.cell_s)
+        prefill = self.demand.queued_prefill_s / backlog_s
+        decode = self.demand.queued_decode_s / backlog_s
+        return [
+            (cell[0] + prefill, cell[1] + decode) if number < first else cell
+            for number, cell in enumerate(cells)
+        ]
+
+    def _learn_band(self, now_s):
+        """Compare forecasts with what came, and note new ones."""
+        levels = self.prefill.forecast().level, self.decode.forecast().level
+        self.band.observe(levels, now_s)
+        if now_s < self.expected_s + self.settings.cell_s:
+            return
+        self.expected_s = now_s
+        cells = self._forecast()
+        for number in BAND_CELLS:
+            if number < len(cells):
+                lead_s = (number + 0.5) * self.settings.cell_s
+                self.band.expect(lead_s, now_s + lead_s, cells[number])
 
     def _in_rhythm(self, plain, levels, now, ahead_s):
         """Mix the plain forecast with what past cycles brought."""
