Cut no call when a stop ends

A fault run (a host stopped while calls of a service were relayed) gave a caller '500: Internal Server Error' as the service's answer: the stop waited for streams but not for whole calls, and the server answers a killed connection with a plain 500. All requests under way are counted and waited for; a connection that must end has no answer, so that its caller asks again; a caller that closed its side is told Unknown if it still reads.

--- a/magnoliadyke/callerroutes.py
+++ b/magnoliadyke/callerroutes.py
@@ -26,6 +26,9 @@
 HEAD_WAIT_S = 1.0
 SERVICES = re.compile(r'/v1/services/(?P<name>[^/?]+)(?P<path>/[^?]*)?')
 ANSWERS = re.compile(r'/v1/answers/(?P<key>.+)')
+CALLER_LEFT = outcomes.Unknown(
+    'caller_left', 'keep the connection open, and ask again with the same key'
+)
 #: Headers of a service call that go on to the service.
 PASSED_HEADERS = ('Content-Type', 'Accept', 'Accept-Language')
 
@@ -43,6 +46,7 @@
     app.add_sink(AnswersSink(owner), ANSWERS)
     app.add_sink(ServicesSink(owner), SERVICES)
     app.add_error_handler(forms.OutcomeError, tell_error)
+    app.add_error_handler(followers.CallerGone, caller_gone)
     return app
 
 
@@ -51,6 +55,12 @@
     tell(resp, error.outcome)
 
 
+def caller_gone(req, resp, error, params):
+    """Answer a caller that has closed its side, in case it still reads."""
+    req.env[HANDLER].close_connection = True
+    tell(resp, CALLER_LEFT)
+
+
 def tell(resp, outcome):
     """Answer with an outcome."""
     answer = outcomes.to_http(outcome)
--- a/magnoliadyke/callers.py
+++ b/magnoliadyke/callers.py
@@ -62,6 +62,7 @@
 
     idle_s = 60.0
     read_s = 20.0
+    owner = None
 
     def get_environ(self):
         """Return the WSGI environment with this handler in it."""
@@ -81,9 +82,22 @@
             return super().read_request(raw_requestline)
         return None
 
+    def handle_one_response(self):
+        """Answer one request, counted among those under way."""
+        self.owner.active += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.owner.active -= 1
+
     def handle_error(self, t, v, tb):
-        """End the connection of a caller that has gone, without a trace."""
-        if issubclass(t, followers.CallerGone):
+        """End the connection where there is nothing true to answer.
+
+        The caller has gone, or this node's time to stop is up. The server's
+        own answer, a plain 500, would look like the service's; a connection
+        that ends without one tells the caller to ask again with its key.
+        """
+        if issubclass(t, (followers.CallerGone, gevent.GreenletExit)):
             self.close_connection = True
             return
         super().handle_error(t, v, tb)
@@ -154,6 +168,7 @@
         self.key_ring = None
         self.key_ring_view = None
         self.followers = set()
+        self.active = 0
         self.ticker = None
         self.app = callerroutes.build_app(self)
         self.server = None
@@ -169,7 +184,11 @@
         handler = type(
             'CallerHandler',
             (Handler,),
-            {'idle_s': limits.idle_s, 'read_s': limits.read_s},
+            {
+                'idle_s': limits.idle_s,
+                'read_s': limits.read_s,
+                'owner': self,
+            },
         )
         self.server = pywsgi.WSGIServer(
             listener(self.own.address, self.own.caller_port),
@@ -191,6 +210,7 @@
         self.begin_stop()
         self.wait_for_runs(end_s)
         self.homes.handover.finish()
+        self.server.stop_accepting()
         self.wait_for_answers(end_s)
         self.server.stop(timeout=0.1)
         self.ticker.kill()
@@ -218,7 +238,7 @@
 
     def wait_for_answers(self, end_s):
         """Let relays and the last bytes of answers go out."""
-        while self.followers and self.clock.now_s() < end_s:
+        while self.active and self.clock.now_s() < end_s:
             self.clock.sleep(0.05)
 
     def tick_forever(self):
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -1,6 +1,9 @@
 """Tests of magnoliadyke.homes: one home for each key."""
 
+import http.client
+
 import gevent
+import pytest
 
 from tests import requestpath
 
@@ -209,3 +212,47 @@
         again = bench.complete(5, other, Idempotency_Key=key)
         assert again.text() == done.text()
         assert len(bench.runs()) == 1
+
+
+def test_a_stopping_host_cuts_no_call_that_it_relays_or_runs():
+    """Two calls of a service are under way when a host is stopped.
+
+    One runs at that host, the other at its home elsewhere and is relayed.
+    Both callers get the service's answer, not a 500 from a server that
+    kills its connections, which would look like the service's own.
+    """
+    with requestpath.Bench(2) as bench:
+        bench.service.faults.set('slow', {'delay_s': 0.6})
+        keys = [bench.ticket(host) + '/1' for host in ('host-1', 'host-2')]
+        calls = [
+            gevent.spawn(
+                bench.call, 'POST', CHARGE, {}, 'host-1', Idempotency_Key=key
+            )
+            for key in keys
+        ]
+        gevent.sleep(0.2)
+        bench.stop_node('host-1')
+        replies = [call.get(timeout=10) for call in calls]
+        assert [reply.status for reply in replies] == [200, 200]
+        assert len(bench.service_runs()) == 2
+
+
+def test_a_host_out_of_time_ends_connections_without_an_answer():
+    """The deadline of the stop is over before the service has answered.
+
+    The host knows no outcome. It closes the connection; the caller asks
+    again with its key and gets ``Unknown`` from the successor.
+    """
+    with requestpath.Bench(2) as bench:
+        bench.service.faults.set('slow', {'delay_s': 1.5})
+        key = bench.ticket('host-1') + '/1'
+        call = gevent.spawn(
+            bench.call, 'POST', CHARGE, {}, 'host-1', Idempotency_Key=key
+        )
+        gevent.sleep(0.2)
+        bench.stop_node('host-1', deadline_s=0.3)
+        with pytest.raises(http.client.HTTPException):
+            call.get(timeout=10)
+        again = bench.call('POST', CHARGE, {}, 'host-2', Idempotency_Key=key)
+        assert again.error() == ('unknown', 'home_stopped')
+        assert len(bench.service_runs()) == 1
