Tell the scheduler of engines out of use; stop when superseded

Cause: planners announced engines that are about to change role, but no node passed it to its scheduler, so that an engine got new work until it changed and that work was frozen for the change. A process that was paused and replaced went on under the same name.

--- a/magnoliadyke/node.py
+++ b/magnoliadyke/node.py
@@ -12,6 +12,8 @@
 from magnoliadyke import callers
 from magnoliadyke import clock as clocks
 from magnoliadyke import configuration
+from magnoliadyke.core import membership
+from magnoliadyke.core import notices
 from magnoliadyke.core import scheduler
 from magnoliadyke import dispatch
 from magnoliadyke import duties
@@ -36,18 +38,24 @@
     """Carries messages between tasks that don't know each other.
 
     :param status: :class:`magnoliadyke.callers.NodeStatus`
+    :param stop_asked: event that makes the process stop gracefully
     """
 
     tick_interval_s = OWN_STATE_INTERVAL_S
 
-    def __init__(self, clock, status, members, table, work, planning):
+    def __init__(
+        self, clock, status, stop_asked, members, table, work, planning
+    ):
         super().__init__('bridge', clock)
         self.status = status
+        self.stop_asked = stop_asked
         self.members = members
         self.work = work
         self.planning = planning
         self.log = logs.get('bridge')
         members.digests.subscribe(self)
+        members.uses.subscribe(self)
+        members.superseded.subscribe(self)
         table.permits.subscribe(self)
         work.digest.subscribe(self)
         work.demand.subscribe(self)
@@ -59,6 +67,10 @@
                 self.pass_digest(host, data)
             case configuration.WorkPermit(allowed=allowed, reason=reason):
                 self.permit(allowed, reason)
+            case notices.EngineUse(engine=engine, state=state):
+                self.work.post(dispatch.StateSeen(engine, state))
+            case membership.Superseded():
+                self.stop_superseded()
             case scheduler.Digest():
                 self.members.post(gossip.OwnDigest(message.to_bytes()))
             case dict():
@@ -77,6 +89,16 @@
             return
         self.work.post(dispatch.PeerDigest(host, digest))
 
+    def stop_superseded(self):
+        """Stop: a newer process runs under this host's name.
+
+        This one was paused so long that it was replaced. If both went on,
+        peers would take turns in believing either, and callers would be
+        sent to a host that is left out a moment later.
+        """
+        self.log.event('node_superseded')
+        self.stop_asked.set()
+
     def permit(self, allowed, reason):
         """Take new work or stop taking it, and say so when it changes."""
         if self.status.fresh != allowed:
@@ -148,6 +170,7 @@
         # its wall clock does not run backwards across a restart.
         self.incarnation = int(clock.wall_s() * 1000)
         self.status = callers.NodeStatus()
+        self.stop_asked = event.Event()
         self.app = app.Application(clock)
         self.build()
 
@@ -215,6 +238,7 @@
             Bridge(
                 self.clock,
                 self.status,
+                self.stop_asked,
                 self.gossip,
                 self.configuration,
                 self.dispatcher,
@@ -242,6 +266,7 @@
         """Let the peer server answer from the tasks of this node."""
         self.peer_server.fetch_table = self.configuration.fetch_table
         self.peer_server.take_records = self.callers.take_records
+        self.peer_server.pool_status = self.duties.pool_status
 
     def add_gauges(self):
         """Let the cost of control be read from the metrics."""
@@ -287,17 +312,16 @@
     :return: the process's exit status
     """
     logs.setup(settings)
-    stop_asked = event.Event()
+    node = Node(settings, host, clocks.SystemClock())
 
     def on_signal():
-        if stop_asked.is_set():
+        if node.stop_asked.is_set():
             os._exit(EXIT_FORCED)
-        stop_asked.set()
+        node.stop_asked.set()
 
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, on_signal)
-    node = Node(settings, host, clocks.SystemClock())
     node.start()
-    stop_asked.wait()
+    node.stop_asked.wait()
     node.stop()
     return 0
