End a run whose greenlet dies before its first step

A caller that left in the instant its request came in left a key that counted as running for good. Followers are told of an end also when counting it fails.

--- a/magnoliadyke/streams.py
+++ b/magnoliadyke/streams.py
@@ -76,6 +76,13 @@
     def start(self):
         """Begin to run."""
         self.greenlet = gevent.spawn(self.main)
+        # A greenlet that is killed before its first step never runs main:
+        # its key would count as running for good.
+        self.greenlet.link(self.on_dead)
+
+    def on_dead(self, greenlet):
+        """End the run if its greenlet ended without doing so."""
+        self.end(ABANDONED)
 
     def main(self):
         """Run until there is an outcome."""
@@ -119,10 +126,12 @@
         if self.outcome is not None:
             return
         self.outcome = outcome
-        self.on_end(self)
-        self.ended.set()
-        for follower in list(self.followers):
-            follower.notify()
+        try:
+            self.on_end(self)
+        finally:
+            self.ended.set()
+            for follower in list(self.followers):
+                follower.notify()
 
     def abandon(self):
         """Stop: nobody wants the answer."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from magnoliadyke import streams
 from tests import requestpath
 
 SLOW = {'prefill_s_per_token': 1e-5, 'decode_base_s': 0.02}
@@ -91,3 +92,18 @@
         reply = bench.complete(5, **OVERSEEN)
         assert reply.status in (429, 503)
         assert reply.error()[0] == 'not_run'
+
+
+def test_a_run_that_is_given_up_before_it_begins_ends_all_the_same():
+    """The caller leaves in the instant in which its request came in.
+
+    The run's greenlet dies before its first step. The key must not count as
+    running for good, or each copy of it would wait without end.
+    """
+    ended = []
+    run = streams.Run('k', ended.append)
+    run.start()
+    run.abandon()
+    run.ended.wait(1.0)
+    assert ended == [run]
+    assert run.outcome == streams.ABANDONED
