Tell a restarted engine from a lost connection

An engine that had begun a stream and no longer knows it was started anew: its batch is blamed also when the engine is back before the node looks. The attempt of a home that died is cancelled at the engines when another node goes on with the answer.

--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -386,10 +386,11 @@
         while True:
             try:
                 document = endpoint.cache_events(after, CACHE_WAIT_S)
-                after = document['next']
                 events = tuple(document['events'])
-                if events or document.get('gap'):
-                    gap = bool(document.get('gap'))
+                # Numbers begin anew when the engine has been started anew.
+                gap = bool(document.get('gap')) or document['next'] < after
+                after = document['next']
+                if events or gap:
                     self.post(CacheSeen(endpoint.name, events, gap))
             except (errors.EndpointUnreachable, KeyError, TypeError):
                 self.clock.sleep(RETRY_S)
--- a/magnoliadyke/homes.py
+++ b/magnoliadyke/homes.py
@@ -351,8 +351,7 @@
         The node is part of it: a request that may be repeated and is run
         again here must not meet the attempt of the home that died.
         """
-        text = f'{self.name} {key}'.encode()
-        return hashlib.sha256(text).hexdigest()[:DIGEST_DIGITS]
+        return engine_id(self.name, key)
 
     def pool_of_model(self, model):
         """Return the settings of the pool that serves a model, or None."""
@@ -429,6 +428,7 @@
             case _:
                 run = relay.ModelRelay(*arguments, offset, resume_only)
         run.go_on_here = self.go_on_here
+        run.home = home
         self.relays.add(run)
         run.start()
         return Following(run, sent_key)
@@ -461,6 +461,7 @@
             return None
         run = self.build_model(request, key)
         run.go_on_from(lost)
+        self.streams.cancel_everywhere(run.job.pool, engine_id(lost.home, key))
         self.enter(request, found.record, run)
         run.main()
         return run.outcome
@@ -555,6 +556,12 @@
         return self.directory.successors.get(home, '')
 
 
+def engine_id(home, key):
+    """Return the start of the ids under which engines know a home's key."""
+    text = f'{home} {key}'.encode()
+    return hashlib.sha256(text).hexdigest()[:DIGEST_DIGITS]
+
+
 def abandon_unfollowed(run):
     """End a run if nobody has come back to it."""
     if not run.followers:
--- a/magnoliadyke/relay.py
+++ b/magnoliadyke/relay.py
@@ -54,6 +54,7 @@
         self.clock = streams_.clock
         self.sent = False
         self.go_on_here = None
+        self.home = ''
 
     def run(self):
         """Ask the home until it answers or is known to be gone.
--- a/magnoliadyke/streams.py
+++ b/magnoliadyke/streams.py
@@ -241,6 +241,7 @@
         self.work = work
         self.digest = digest
         self.number = 0
+        self.begun = False
         self.attempt_id = ''
         self.engine = None
         self.connection = None
@@ -258,6 +259,7 @@
     def attempt(self, action):
         """Prefill if asked to, then decode."""
         self.number += 1
+        self.begun = False
         self.attempt_id = attempts.attempt_id(self.digest, self.number)
         work = {**self.work, 'id': self.attempt_id}
         if action.prefill_endpoint:
@@ -306,7 +308,7 @@
     def judge(self, name, reply):
         """Act on the head of the answer to a new attempt."""
         if reply.status == STATUS_OK:
-            self.sent = True
+            self.sent = self.begun = True
             if self.read(reply):
                 return self.answered()
             return self.read_on(name)
@@ -371,7 +373,10 @@
                 continue
             if reply.status != STATUS_OK:
                 reply.connection.close()
-                return self.failed(name, 'decode', True)
+                # An engine that has forgotten a stream it had begun was
+                # started anew: it crashed, even if it is back already.
+                return self.failed(name, 'decode', True, self.begun)
+            self.begun = True
             if self.read(reply):
                 return self.answered()
             moved = self.assembly.offset > offset
@@ -525,6 +530,19 @@
     def handle(self, message):
         """Streams get no messages."""
 
+    def cancel_everywhere(self, pool, digest):
+        """Cancel the first attempt of a request whose home is gone.
+
+        The engine that runs it is not known here. Left alone it would go on
+        to the end for nobody.
+
+        :param digest: start of the ids of its attempts
+        """
+        attempt = attempts.attempt_id(digest, 1)
+        for engine in self.dispatcher.endpoints.values():
+            if engine.info.pool == pool:
+                gevent.spawn(cancel, engine, attempt)
+
     def tick(self):
         """Look for silent connections, and report progress."""
         self.ticks += 1
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -159,6 +159,9 @@
         assert reply.text() == requestpath.answer_of(60)
         assert b'[DONE]' in reply.body
         assert len(bench.runs()) == 2
+        rows = bench.engine.ledger.rows
+        ends = [row['end'] for row in rows if row['what'] == 'end']
+        assert ends == ['cancelled', 'finished']
 
 
 def test_a_stopping_host_serves_what_still_comes():
