Measure the membership task at several sizes

Cause: idle real nodes cost 2.37% of a core at 8 and 16 and 2.98% at 32, while the membership core alone costs 0.1% at 420; what grows had to be found. Most of it is views and standings rebuilt from all members at each tick and datagram.

--- a/magnoliadyke/lab/capacity.py
+++ b/magnoliadyke/lab/capacity.py
@@ -9,8 +9,8 @@
   --nodes SIZES    numbers of real nodes to start [default: 8,16,32,64]
   --seconds S      how long real nodes are watched at each size [default: 10]
 
-Probes: membership scheduler planner records table nodes; ``core`` means all
-but ``nodes``, ``all`` means all.
+Probes: membership gossip scheduler planner records table nodes; ``core``
+means all but ``nodes``, ``all`` means all.
 """
 
 import gc
@@ -29,6 +29,7 @@
 from magnoliadyke.core import scheduler
 from magnoliadyke.core import table
 from magnoliadyke import gossip_codec
+from magnoliadyke.lab import gossipcost
 from magnoliadyke.lab import nodecost
 from magnoliadyke.lab import slopes
 
@@ -176,6 +177,11 @@
     return sent
 
 
+def probe_gossip():
+    """Measure the task round the membership core."""
+    return gossipcost.probe(MEMBER_SIZES, NODES)
+
+
 # Scheduler and planner.
 
 
@@ -340,6 +346,7 @@
 
 CORE_PROBES = {
     'membership': probe_membership,
+    'gossip': probe_gossip,
     'scheduler': probe_scheduler,
     'planner': probe_planner,
     'records': probe_records,
--- /dev/null
+++ b/magnoliadyke/lab/gossipcost.py
@@ -0,0 +1,116 @@
+"""What the membership task of one node costs, at several sizes of fleet."""
+
+import random
+import time
+
+from magnoliadyke import clock
+from magnoliadyke.core import membership
+from magnoliadyke import gossip
+from magnoliadyke import gossip_codec
+from magnoliadyke.lab import nodecost
+from magnoliadyke.lab import slopes
+from magnoliadyke import settings
+
+__all__ = ['probe']
+
+SECONDS = 20.0
+STEP_S = 0.1
+HOSTS_A_SUBNET = 250
+#: A node is probed about as often as it probes, twice a second; each probe
+#: of its own is answered: with what is passed on, five datagrams a second.
+STEPS_A_DATAGRAM = 2
+
+
+class QuietGossip(gossip.Gossip):
+    """The task without its socket."""
+
+    def send_data(self, address, data):
+        """Count a datagram."""
+        self.sent_bytes += len(data)
+
+
+def probe(sizes, target):
+    """Run one node's task on a paused clock among members that answer.
+
+    :param sizes: numbers of nodes
+    :param target: number of nodes to work the cost out for
+    :return: list of :class:`magnoliadyke.lab.slopes.Series`
+    """
+    points = [(size, cost_percent(size)) for size in sizes]
+    return [
+        slopes.Series(
+            'node',
+            'membership task',
+            '% of a core',
+            'nodes',
+            points,
+            target,
+            'ticks, datagrams in and out, views and standings published',
+        )
+    ]
+
+
+def cost_percent(size):
+    """Processor time of the task, as a share of the clock's time."""
+    hosts = [host_of(number) for number in range(size)]
+    document = nodecost.deployment(1)
+    domains = document['failure_domains']
+    for number, host in enumerate(hosts):
+        host['failure_domain'] = domains[number % len(domains)]
+    document['hosts'] = hosts
+    paused = clock.ManualClock()
+    parsed = settings.parse(document)
+    task = QuietGossip(parsed, hosts[0]['name'], paused, random.Random(1), 1)
+    for number in range(1, size):
+        task.receive(word_of(task, hosts[number], number), paused.now_s())
+    begin_s = time.process_time()
+    run(task, hosts, paused)
+    return 100 * (time.process_time() - begin_s) / SECONDS
+
+
+def host_of(number):
+    """Settings of one host, as read from JSON."""
+    subnet, last = divmod(number, HOSTS_A_SUBNET)
+    address = f'127.0.{10 + subnet}.{last + 1}'
+    return {
+        'name': f'host-{number}',
+        'failure_domain': '',
+        'address': address,
+        'caller_port': 7080,
+        'admin_address': address,
+        'admin_port': 7081,
+        'peer_port': 7082,
+    }
+
+
+def run(task, hosts, paused):
+    """Let the clock go; peers answer and tell new figures of themselves."""
+    rng = random.Random(2)
+    for step in range(int(SECONDS / STEP_S)):
+        paused.monotonic_s += STEP_S
+        now_s = paused.now_s()
+        task.tick()
+        if step % STEPS_A_DATAGRAM == 0:
+            number = rng.randrange(1, len(hosts))
+            task.receive(word_of(task, hosts[number], step), now_s)
+            task.publish(now_s)
+
+
+def word_of(task, host, sequence):
+    """A datagram in which a host tells of itself and of some others."""
+    now_s = task.clock.now_s()
+    source = membership.Member(
+        host['name'],
+        1,
+        host['address'],
+        host['caller_port'],
+        host['peer_port'],
+        host['failure_domain'],
+        spare=(sequence % 100) / 100,
+        takes_work=True,
+    )
+    sightings = tuple(task.membership.freshness.relayed(now_s)[:8])
+    message = membership.Ack(
+        sequence, source, task.membership.own.host, (), sightings, b''
+    )
+    return gossip_codec.encode(task.deployment, message)
