Keep the least number of engines in each role

A pool below min_prefill or min_decode stayed there: the planner only keeps from going below, so an engine that died, or a number that an operator raised, changed nothing. Now the holder moves an engine after 3 s, with planning off too. A test of it brought up a second fault: an engine found astray counted as one of its new role, the planner gave another one away, and the correction left the pool with none (prefill 0 of 4 engines).

--- a/magnoliadyke/poolduty.py
+++ b/magnoliadyke/poolduty.py
@@ -27,6 +27,9 @@
 NOTICE_S = 5.0
 NOTICE_INTERVAL_S = 1.0
 PLAN_INTERVAL_S = 1.0
+#: A role is short for this long before an engine is moved to it; an engine
+#: that crashed may be back by then.
+SHORT_FOR_S = 3.0
 CHANGES_KEPT = 50
 #: Bytes asked of the weight store for the load of one model.
 MODEL_BYTES = 16e9
@@ -106,6 +109,18 @@
             self.read_s = now_s
             self.role = reading.state.role
 
+    def astray(self):
+        """Whether the engine is in another role than was last intended.
+
+        It will be told to go back. A planner that took its role for real
+        would move another engine in its stead, and the pool would be left
+        with none in one of the roles when both are done.
+        """
+        intent = self.commands.intent
+        if intent is None or intent.change.kind != 'role':
+            return False
+        return self.role != intent.change.target
+
 
 class PoolDuty:
     """Takes part in the election for one pool and plans it when elected.
@@ -141,6 +156,7 @@
         self.changes = collections.deque(maxlen=CHANGES_KEPT)
         self.highest_fencing = 0
         self.next_plan_s = 0.0
+        self.short_since_s = None
         self.holding = False
 
     # Time.
@@ -220,11 +236,30 @@
             row.planning,
         )
         change = self.planner.plan(state, now_s)
+        change = self.shortage(state, now_s) or change
         if change is not None:
             self.begin(change)
         else:
             self.load_models(now_s)
 
+    def shortage(self, state, now_s):
+        """Return the change that ends a lack of engines in a role.
+
+        The planner never goes below the least numbers of the table, but an
+        engine that dies, or an operator who raises a number, does. This
+        holds with planning off as well: it is how operators ask for roles.
+        """
+        change = change_for_minimum(state)
+        if change is None:
+            self.short_since_s = None
+            return None
+        if self.short_since_s is None:
+            self.short_since_s = now_s
+        if now_s - self.short_since_s < SHORT_FOR_S:
+            return None
+        self.planner.reason = f'too few engines in role {change.role}'
+        return change
+
     def engine_view(self, engine):
         """The engine as the planner wants to know it."""
         reading = engine.reading
@@ -241,6 +276,8 @@
             return 'away'
         if reading.state.changing or engine.commands.under_way:
             return 'changing'
+        if engine.astray():
+            return 'changing'
         if self.row_state(engine) != 'in' or not reading.takes_work:
             return 'leaving'
         return 'in'
@@ -576,3 +613,28 @@
         self.weights.close()
         for engine in self.engines.values():
             engine.control.close()
+
+
+def change_for_minimum(state):
+    """Return the role change that a pool below its least numbers needs.
+
+    :param state: :class:`magnoliadyke.core.roles.PoolState`
+    :return: :class:`magnoliadyke.core.roles.RoleChange`, or None
+    """
+    if any(engine.state == 'changing' for engine in state.engines):
+        return None
+    least = {roles.PREFILL: state.min_prefill, roles.DECODE: state.min_decode}
+    working = {
+        role: [e for e in state.engines if (e.role, e.state) == (role, 'in')]
+        for role in least
+    }
+    pairs = (
+        (roles.PREFILL, roles.DECODE),
+        (roles.DECODE, roles.PREFILL),
+    )
+    for short, other in pairs:
+        spare = len(working[other]) - least[other]
+        if len(working[short]) < least[short] and spare > 0:
+            chosen = min(working[other], key=lambda e: (e.load, e.name))
+            return roles.RoleChange(chosen.name, short)
+    return None
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -30,9 +30,12 @@
         self.highest = 0
         self.active = 0
         self.lost_replies = 0
+        self.away = False
         self.taken = []
 
     def read(self):
+        if self.away:
+            raise errors.EndpointUnreachable('away')
         changing = self.clock.now_s() < self.until_s
         if not changing:
             self.role = self.target
@@ -145,6 +148,21 @@
     }
 
 
+def test_a_role_below_its_least_number_gets_an_engine(fleet):
+    # Prompts would wait for one engine although two are the least that the
+    # table allows: the other one has died, and the planner only keeps from
+    # going below that number. It holds with planning off as well.
+    fleet.edit('h0', {'pools/lease-model/planning': 'fixed'}, 'off')
+    fleet.edit('h0', {'pools/lease-model/min_prefill': 2}, 'least')
+    fleet.run(5.0)
+    assert roles_of(fleet) == ['prefill', 'prefill', 'decode', 'decode']
+    fleet.controls['e0'].away = True
+    fleet.run(15.0)
+    working = list(fleet.controls.values())[1:]
+    roles = [engine.read().state.role for engine in working]
+    assert sorted(roles) == ['decode', 'prefill', 'prefill']
+
+
 def test_an_engine_is_out_of_use_and_empty_before_its_change(fleet):
     # A stream would stand still for the seconds of a role change. All nodes
     # stop placing work on the engine first; the command goes out when what
@@ -212,6 +230,19 @@
     assert engine.read().state.role == wanted
 
 
+def test_a_stray_role_costs_the_pool_no_other_engine(fleet):
+    # Prompts would find no prefilling engine at all: a stray command puts a
+    # decoding engine into the prefill role, the planner sees two of them and
+    # gives the other one away, and then the stray one is told to go back.
+    press(fleet, 40, prefill=0.3, decode=2.6)
+    stray = next(e for e in fleet.controls.values() if e.taken)
+    kept = next(e for e in fleet.controls.values() if e.target == 'prefill')
+    stray.target = 'prefill'
+    press(fleet, 15, prefill=0.3, decode=2.6)
+    assert roles_of(fleet).count('decode') == 3
+    assert kept.read().state.role == 'prefill'
+
+
 def test_any_node_tells_who_plans(fleet):
     press(fleet, 40, prefill=0.3, decode=2.6)
     (holder,) = holders(fleet)
