--- a/magnoliadyke/logs.py
+++ b/magnoliadyke/logs.py
@@ -3,6 +3,7 @@
 import datetime
 import json
 import logging
+import os
 import re
 import select
 import sys
@@ -21,6 +22,9 @@
 #: Least time between two lines of the same repeated event, in seconds.
 REPEAT_INTERVAL_S = 10.0
 
+#: Innermost frames that an error's line names.
+TRACE_DEPTH = 6
+
 #: Most repeated events remembered at a time.
 MAX_REPEATED = 1000
 
@@ -78,7 +82,7 @@
         """Log a failure.
 
         :param error: the exception, if there is one; its kind, its text and
-            the line that raised it become fields
+            the lines that led to it, innermost first, become fields
         """
         if error is not None:
             fields = fields | _error_fields(error)
@@ -112,9 +116,12 @@
 
 def _error_fields(error):
     fields = {'error': type(error).__name__, 'message': str(error)}
-    frames = traceback.extract_tb(error.__traceback__)
+    frames = traceback.extract_tb(error.__traceback__)[-TRACE_DEPTH:]
     if frames:
-        fields['where'] = f'{frames[-1].filename}:{frames[-1].lineno}'
+        fields['where'] = '<'.join(
+            f'{os.path.basename(frame.filename)}:{frame.lineno}'
+            for frame in reversed(frames)
+        )
     return fields
 
 
