Take hints from the lagging list of hosts

The list was not read at all: a host outside the settings of the others was never found, and a fleet of which every host was replaced fell apart. Edits wait for hosts outside the settings like for the others.

--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -7,6 +7,7 @@
 from gevent import socket
 
 from magnoliadyke.core import freshness
+from magnoliadyke.core import hosthints
 from magnoliadyke.core import membership
 from magnoliadyke.core import notices
 from magnoliadyke import errors
@@ -19,6 +20,7 @@
     'Gossip',
     'HoldTable',
     'Leave',
+    'Listed',
     'OwnDigest',
     'OwnState',
     'PeerDigest',
@@ -88,6 +90,15 @@
     notice: notices.EngineNotice
 
 
+class Listed(typing.NamedTuple):
+    """The platform's list of hosts was read.
+
+    :param hosts: a :class:`magnoliadyke.core.hosthints.HostList`
+    """
+
+    hosts: hosthints.HostList
+
+
 class Survey(typing.NamedTuple):
     """Probe all members now instead of one a period."""
 
@@ -146,7 +157,7 @@
     (``core.membership.Superseded``: another process runs for this host; the
     node has to stop). Takes :class:`HoldTable`, :class:`StoreConfirmed`,
     :class:`OwnState`, :class:`OwnDigest`, :class:`Announce`,
-    :class:`Survey` and :class:`Leave`.
+    :class:`Listed`, :class:`Survey` and :class:`Leave`.
 
     :param settings: the deployment's settings
     :param host: name of this host
@@ -162,6 +173,8 @@
         self.deployment = settings.deployment
         self.incarnation = incarnation
         seeds = {each.name: seed(each) for each in settings.hosts}
+        self.settled_hosts = frozenset(seeds)
+        self.listed = hosthints.HostList(-math.inf)
         own = seeds[host]._replace(incarnation=incarnation)
         self.membership = membership.Membership(
             own,
@@ -230,12 +243,35 @@
                 self.membership.digest = data if fits else b''
             case Announce(notice):
                 self.announce(notice, now_s)
+            case Listed(hosts):
+                self.take_list(hosts)
+                self.publish(now_s)
             case Survey():
                 self.act(self.membership.survey(now_s))
             case Leave(successor=successor):
                 self.act(self.membership.leave(successor, now_s))
                 message.reply(True)
 
+    def take_list(self, listed):
+        """Knock at hosts that only the list knows; forget those it lost."""
+        if listed.at_s < self.listed.at_s:
+            return
+        self.listed = listed
+        known = self.membership
+        names = {row.host for row in listed.hosts}
+        for host in known.seeds.keys() - self.settled_hosts - names:
+            del known.seeds[host]
+        for peer in hosthints.newcomers(listed, known.seeds, known.own):
+            LOG.event('host_listed', member=peer.host, address=peer.address)
+            known.hint(peer)
+
+    def view(self):
+        """Return the members as the rest of the node is to see them."""
+        view = self.membership.view()
+        own = self.membership.own.host
+        members = hosthints.without_leaving(view.members, self.listed, own)
+        return view._replace(members=members)
+
     def hold_table(self, held, now_s):
         """Tell the others which table this node holds."""
         if held.staged_revision > self.membership.freshness.staged_revision:
@@ -341,7 +377,7 @@
 
     def publish(self, now_s):
         """Publish the view and the standing if they say something new."""
-        view = self.membership.view()
+        view = self.view()
         if view != self.members.last:
             self.log_changes(self.members.last, view)
             self.members.publish(view)
@@ -403,15 +439,38 @@
         waited_out = waited_s > known.settings.stale_s * WAIT_SHARE
         if not isinstance(outcome, freshness.Accept) or waited_out:
             return outcome
-        unsure = tuple(
+        unsure = [
             host
             for host in outcome.missing
             if host not in left and self.seen_s(host) < self.staged_since_s
-        )
+        ]
+        unsure += self.strangers_behind(outcome.revision)
         if unsure:
-            return freshness.Wait(outcome.revision, unsure)
+            return freshness.Wait(outcome.revision, tuple(sorted(unsure)))
         return outcome
 
+    def strangers_behind(self, revision):
+        """Hosts outside our settings that have not acknowledged a revision.
+
+        The rule counts the hosts of the settings only. One that came by the
+        platform's list would go on with the old table after the acceptance;
+        it is waited for, as long as a host that is cut off takes to stop.
+        """
+        known = self.membership.freshness
+        holders = {
+            host
+            for host, evidence in known.evidence.items()
+            if evidence.sighting.staged_revision >= revision
+        }
+        stop_s = known.settings.stale_s * WAIT_SHARE
+        present = {
+            member.host
+            for member in self.membership.members.values()
+            if member.state != membership.LEFT
+            and self.seen_s(member.host) > self.staged_since_s - stop_s
+        }
+        return present - known.roster - holders
+
     def seen_s(self, host):
         """Monotonic time of the latest evidence of a host."""
         evidence = self.membership.freshness.evidence.get(host)
--- a/magnoliadyke/node.py
+++ b/magnoliadyke/node.py
@@ -18,6 +18,7 @@
 from magnoliadyke import dispatch
 from magnoliadyke import duties
 from magnoliadyke import gossip
+from magnoliadyke import hostlist
 from magnoliadyke import keyvalue
 from magnoliadyke import logs
 from magnoliadyke import mailbox
@@ -199,6 +200,9 @@
         self.gossip = self.app.add(
             gossip.Gossip(settings, host, clock, self.rng, self.incarnation)
         )
+        self.app.add(
+            hostlist.HostListReader(settings, clock, self.rng, self.gossip)
+        )
         self.configuration = self.app.add(
             configuration.Configuration(
                 settings,
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from magnoliadyke import configuration
+from magnoliadyke.core import hosthints
 from magnoliadyke.core import membership
 from magnoliadyke.core import notices
 from magnoliadyke import gossip
@@ -73,3 +75,24 @@
     fleet.run(2.5)
     in_use = notices.EngineUse('e1', notices.UP)
     assert [each.uses.last for each in others] == [in_use] * 3
+
+
+def test_an_edit_waits_for_a_host_outside_the_settings(fleet):
+    # Two customers' limits would be in force at once: a host that only the
+    # platform's list knows is cut off, all hosts of the settings have the
+    # edit, and the stranger goes on with the old table. It is waited for
+    # until it has noticed and stopped.
+    own = fleet.settings
+    fleet.settings = fleets.settings_of([*fleet.names, 'h4'], [])
+    fleet.start('h4')
+    fleet.settings = own
+    rows = ({'host': 'h4', 'state': 'live', 'address': 'h4'},)
+    listed = hosthints.read_list({'hosts': rows, 'at_s': 1.0})
+    for name in fleet.names:
+        fleet.nodes[name].gossip.post(gossip.Listed(listed))
+    fleet.run_until(lambda: 'h4' in fleet.working(), 10.0)
+    fleet.run(3.0)
+    fleet.separate(['h4'], [*fleet.names, fleets.STORE])
+    answer, _ = fleet.edit('h0', {'customers/lease/weight': 9}, 'e1')
+    assert isinstance(answer, configuration.Accepted)
+    assert 'h4' not in fleet.working()
