Scale demand by the peers not heard

With two pings a second a node of 420 hears about 60 peers within the 15 s that a digest counts, so the planner would have seen a seventh of the demand. The heard are taken to stand for the rest. The part of the engine credits is worked out each 0.25 s and not in each round, as it sums over all peers.

--- a/magnoliadyke/core/exchange.py
+++ b/magnoliadyke/core/exchange.py
@@ -80,19 +80,38 @@
             self._hear_suspect(news, now_s)
 
     def demand(self, pool_name, now_s):
-        """What the pool is asked for, by all nodes heard of late."""
+        """What the pool is asked for by all nodes.
+
+        In a big fleet a node hears some of its peers only; the rest are
+        taken to be like these.
+        """
         pool = self.pools[pool_name]
-        total = list(pool.news(now_s)[1:])
-        oldest_s = now_s - self.shares.settings.fresh_s
-        for peer in self.peers.values():
-            news = peer.pools.get(pool.number)
-            if news is not None and peer.heard_s >= oldest_s:
-                total = [a + b for a, b in zip(total, news[1:], strict=True)]
+        own = pool.news(now_s)[1:]
+        heard = self._heard(pool.number, now_s)
+        others = max(0, self.shares.nodes - 1)
+        scale = others / len(heard) if heard else 0.0
+        sums = [sum(values) for values in zip(*heard, strict=True)]
+        sums = sums or [0.0] * len(own)
+        total = [a + b * scale for a, b in zip(own, sums, strict=True)]
         prefill, decode, queued_prefill, queued_decode, queued, running = total
         return Demand(
-            prefill, decode, queued, queued_prefill, queued_decode, running
+            prefill,
+            decode,
+            round(queued),
+            queued_prefill,
+            queued_decode,
+            round(running),
         )
 
+    def _heard(self, number, now_s):
+        """Figures of a pool from the peers heard of late."""
+        oldest_s = now_s - self.shares.settings.fresh_s
+        return [
+            peer.pools[number][1:]
+            for peer in self.peers.values()
+            if peer.heard_s >= oldest_s and number in peer.pools
+        ]
+
     def _suspect_news(self, runs, now_s):
         if not self.quarantine.entries:
             return ()
--- a/magnoliadyke/core/pools.py
+++ b/magnoliadyke/core/pools.py
@@ -30,6 +30,8 @@
         self.suspects = []
         self.trial = None
         self.running = 0
+        self.fraction = 1.0
+        self.fraction_due_s = float('-inf')
         self.mix = {}
 
     def note_mix(self, priority, prefill_s):
@@ -88,6 +90,10 @@
             sum(sums[2] for sums in levels),
         )
 
+    def demand_s(self, now_s):
+        """Engine-seconds that arrive a second."""
+        return self.prefill_rate.now(now_s) + self.decode_rate.now(now_s)
+
     def news(self, now_s):
         """Its demand, for peers and for the planner."""
         queued, prefill_s, decode_s = self.backlog()
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -49,6 +49,8 @@
 MOST_MISSES = 6
 #: Jobs of one customer that are tried when its first has no place.
 LOOK_AHEAD = 4
+#: How long a node's part of the credits is taken as it was.
+FRACTION_S = 0.25
 #: Prefill that a decode engine does beside its streams, in engines.
 MIXED_CAPACITY = 0.2
 BELIEVED_BLOCKS = 60_000
@@ -415,7 +417,7 @@
         decode = len(by_role[routing.DECODE])
         prefill = len(by_role[routing.PREFILL])
         services = len(by_role['']) * self.settings.routes.service_slots
-        fraction = self._fraction(pool)
+        fraction = pool.fraction
         return admission.Capacity(
             (prefill + MIXED_CAPACITY * decode) * fraction,
             (decode + services) * fraction,
@@ -462,7 +464,7 @@
 
     def _drain(self, pool, now_s, actions):
         """Dispatch as much as has a place, in fair order."""
-        fraction = self._fraction(pool)
+        fraction = self._fraction(pool, now_s)
         misses = 0
         progress = True
         while progress:
@@ -542,16 +544,20 @@
             alone,
         )
 
-    def _fraction(self, pool):
+    def _fraction(self, pool, now_s):
         """This node's part of the credits of the engines it uses."""
         if self.shares.nodes == 1:
-            return 1.0
-        demand = pool.prefill_rate.per_s + pool.decode_rate.per_s
-        now_s = max(pool.prefill_rate.at_s, pool.decode_rate.at_s)
-        key = ('pool', pool.number)
-        fraction = self.shares.fraction(key, demand, now_s)
-        members = pool.endpoints
-        return min(1.0, fraction * members.total / len(members.members))
+            pool.fraction = 1.0
+        elif now_s >= pool.fraction_due_s:
+            # Summed over all peers, so not anew for each decision.
+            pool.fraction_due_s = now_s + FRACTION_S
+            demand = pool.demand_s(now_s)
+            key = ('pool', pool.number)
+            part = self.shares.fraction(key, demand, now_s)
+            members = pool.endpoints
+            part *= members.total / len(members.members)
+            pool.fraction = min(1.0, part)
+        return pool.fraction
 
     def _expire(self, now_s):
         """Refuse at once whatever can't start in time any more."""
@@ -701,7 +707,7 @@
         if run is None:
             return []
         spare_s = run.timing.latest_start_s - now_s
-        terms = routing.Terms(self._fraction(pool), spare_s)
+        terms = routing.Terms(self._fraction(pool, now_s), spare_s)
         placement = self.router.place(
             run.job, pool.endpoints, terms, now_s, among=pool.trial
         )
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -66,3 +66,16 @@
     second.peer_digest('h1', first.digest(0.1), 0.1)
     assert second.demand('p', 0.2).decode_s_per_s > 0
     assert second.demand('p', 60.0).decode_s_per_s == 0
+
+
+def test_a_node_that_hears_a_few_peers_takes_the_rest_to_be_like_them():
+    plans = [make_plan(seed) for seed in range(4)]
+    for plan in plans:
+        plan.set_peers(41, 0.0)
+        job = jobs.Job('j', 'lease', 'p', 'model', 'm', 100, 500)
+        plan.submit(job, 0.0)
+    one = plans[0].demand('p', 0.0).decode_s_per_s
+    for number, plan in enumerate(plans[1:]):
+        plans[0].peer_digest(f'h{number}', plan.digest(0.0), 0.0)
+    total = plans[0].demand('p', 0.0).decode_s_per_s
+    assert abs(total - 41 * one) < 0.01 * total
