--- a/magnoliadyke/poolduty.py
+++ b/magnoliadyke/poolduty.py
@@ -31,8 +31,6 @@
 #: that crashed may be back by then.
 SHORT_FOR_S = 3.0
 CHANGES_KEPT = 50
-#: Bytes asked of the weight store for the load of one model.
-MODEL_BYTES = 16e9
 WEIGHTS_TIMEOUT_S = 2.0
 WEIGHTS_RETRY_S = 2.0
 
@@ -323,7 +321,7 @@
 
     def ask_weight_store(self, engine):
         """Ask the weight store for the bytes of one load."""
-        body = json.dumps({'bytes': MODEL_BYTES}).encode()
+        body = json.dumps({'bytes': self.pool.model_bytes}).encode()
         granted, retry_after_s = False, WEIGHTS_RETRY_S
         try:
             reply = self.weights.call(
--- a/magnoliadyke/settings.py
+++ b/magnoliadyke/settings.py
@@ -121,6 +121,7 @@
     :param model: model that callers name, ``''`` for a service.
     :param routes: routes of a service.
     :param endpoints: its endpoints.
+    :param model_bytes: what a load of the model takes from the weight store.
     """
 
     name: str
@@ -128,6 +129,7 @@
     model: str
     routes: tuple[RouteSettings, ...]
     endpoints: tuple[EndpointSettings, ...]
+    model_bytes: float = settings_schema.DEFAULT_MODEL_BYTES
 
 
 class LimitSettings(NamedTuple):
@@ -329,4 +331,7 @@
         endpoints=tuple(
             EndpointSettings(**endpoint) for endpoint in pool['endpoints']
         ),
+        model_bytes=pool.get(
+            'model_bytes', settings_schema.DEFAULT_MODEL_BYTES
+        ),
     )
--- a/magnoliadyke/settings_schema.py
+++ b/magnoliadyke/settings_schema.py
@@ -2,7 +2,13 @@
 
 from magnoliadyke.core import table
 
-__all__ = ['DEFAULT_LIMITS', 'DEFAULT_TIMING', 'SCHEMA', 'remedy_for']
+__all__ = [
+    'DEFAULT_LIMITS',
+    'DEFAULT_MODEL_BYTES',
+    'DEFAULT_TIMING',
+    'SCHEMA',
+    'remedy_for',
+]
 
 NAME_PATTERN = '^[a-z0-9][a-z0-9._-]{0,62}$'
 HASH_PATTERN = '^sha256:[0-9a-f]{64}$'
@@ -24,6 +30,8 @@
     'lease_ttl_s': 6.0,
 }
 
+DEFAULT_MODEL_BYTES = 16e9
+
 _NAME = {'type': 'string', 'pattern': NAME_PATTERN}
 _PORT = {'type': 'integer', 'minimum': 1, 'maximum': 65535}
 _SECONDS = {'type': 'number', 'exclusiveMinimum': 0, 'maximum': 86400}
@@ -83,7 +91,8 @@
         'kind': {'const': 'model'},
         'model': _NAME,
         'endpoints': _list_of(_record(_MODEL_ENDPOINT)),
-    }
+    },
+    {'model_bytes': {'type': 'number', 'exclusiveMinimum': 0}},
 )
 
 _SERVICE_POOL = _record(
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,5 +1,6 @@
 """Who plans a pool, through deaths, stops, pauses and outages."""
 
+import json
 import types
 
 import gevent
@@ -10,6 +11,7 @@
 from magnoliadyke.core import notices
 from magnoliadyke.core import scheduler
 from magnoliadyke import duties
+from magnoliadyke import endpoint
 from magnoliadyke import enginecontrol
 from magnoliadyke import errors
 from tests import fleet as fleets
@@ -31,6 +33,7 @@
         self.active = 0
         self.lost_replies = 0
         self.away = False
+        self.models = [POOL]
         self.taken = []
 
     def read(self):
@@ -40,7 +43,7 @@
         if not changing:
             self.role = self.target
         state = commands.EngineState(
-            self.role, changing, self.generation, (POOL,)
+            self.role, changing, self.generation, tuple(self.models)
         )
         return enginecontrol.Reading(state, True, self.active)
 
@@ -51,10 +54,13 @@
             return enginecontrol.Verdict('stale_fencing', self.highest)
         self.highest = max(self.highest, command.fencing)
         self.generation = command.generation
+        self.taken.append(command)
+        if command.change.kind == 'load':
+            self.models.append(command.change.target)
+            return enginecontrol.Verdict('')
         if command.change.target != self.target:
             self.until_s = self.clock.now_s() + CHANGE_S
         self.target = command.change.target
-        self.taken.append(command)
         if self.lost_replies:
             self.lost_replies -= 1
             raise errors.EndpointUnreachable('reply lost', sent=True)
@@ -64,10 +70,32 @@
         pass
 
 
+class FakeWeights:
+    """A weight store that first asks to come back later."""
+
+    def __init__(self, clock, retry_after_s):
+        self.clock = clock
+        self.answers = [
+            endpoint.Reply(
+                429, '', json.dumps({'retry_after_s': retry_after_s}).encode()
+            )
+        ]
+        self.asked = []
+
+    def call(self, method, path, body, headers, timeout_s):
+        self.asked.append((self.clock.now_s(), json.loads(body)))
+        if self.answers:
+            return self.answers.pop()
+        return endpoint.Reply(200, '', b'{}')
+
+    def close(self):
+        pass
+
+
 @pytest.fixture
 def fleet(monkeypatch):
     roles = ['prefill', 'prefill', 'decode', 'decode']
-    endpoints = [
+    engines = [
         types.SimpleNamespace(
             name=f'e{index}',
             address=f'e{index}',
@@ -77,13 +105,17 @@
         for index, role in enumerate(roles)
     ]
     pool = types.SimpleNamespace(
-        name=POOL, kind='model', model=POOL, endpoints=endpoints
+        name=POOL,
+        kind='model',
+        model=POOL,
+        endpoints=engines,
+        model_bytes=8e9,
     )
     made = fleets.Fleet(monkeypatch, pools=[pool])
     made.controls.update(
         {
             each.name: FakeEngine(made.clock, each.role, each.checks_fencing)
-            for each in endpoints
+            for each in engines
         }
     )
     made.start()
@@ -243,6 +275,21 @@
     assert kept.read().state.role == 'prefill'
 
 
+def test_a_model_is_loaded_when_the_weight_store_allows(fleet):
+    (holder,) = holders(fleet)
+    weights = FakeWeights(fleet.clock, 7.0)
+    duty(fleet, holder).weights = weights
+    engine = fleet.controls['e2']
+    engine.taken.clear()
+    engine.models.clear()
+    fleet.run(20.0)
+    assert engine.models == [POOL]
+    assert [c.change for c in engine.taken] == [commands.Change('load', POOL)]
+    (first_s, body), (second_s, _) = weights.asked
+    assert body == {'bytes': 8e9}
+    assert second_s - first_s >= 7.0
+
+
 def test_any_node_tells_who_plans(fleet):
     press(fleet, 40, prefill=0.3, decode=2.6)
     (holder,) = holders(fleet)
