Claim no key at a host that is stopping

Replacing all hosts with callers that make their own keys gave 5 of 182 requests Unknown (answer_gone) though nothing had failed: the stopping host claimed a key, passed the request on, and the successor found it claimed without a record. A sealed host now passes foreign keys on unclaimed, and runs one whose claim came through meanwhile. Asking for an answer no longer claims its key. Hops travel with the request, so that two hosts that each take the other for the home end it. A relay whose home has stopped ends with what the records here say; a repeatable service call is run here.

--- a/magnoliadyke/callerroutes.py
+++ b/magnoliadyke/callerroutes.py
@@ -130,6 +130,7 @@
             'credential': req.get_header('Authorization') or '',
             'priority': self.priority(req, customer),
             'first': req.get_header('X-First-Attempt') == 'true',
+            'hops': self.hops(req),
         }
 
     def customer(self, req):
@@ -160,7 +161,7 @@
         customer = self.customer(req)
         document = forms.read_object(self.owner.read_body(req))
         request = self.request(req, customer, self.read_work(document))
-        place = self.homes.place(request, self.hops(req))
+        place = self.homes.place(request)
         reader = Reader(self, req, resp, self.chat, request.key)
         reader.answer(place, bool(document.get('stream')))
 
@@ -182,17 +183,19 @@
 
     def __call__(self, req, resp, key):
         """Follow the answer of a key from an offset on."""
-        customer = self.customer(req)
-        key = parse.unquote(key)
         offset = req.get_param_as_int('offset', min_value=0, default=0)
-        place = self.homes.find(
-            key,
-            customer,
-            req.get_header('Authorization'),
-            offset,
-            self.hops(req),
+        request = forms.ModelRequest(
+            key=parse.unquote(key),
+            customer=self.customer(req),
+            credential=req.get_header('Authorization'),
+            work={},
+            priority=forms.MOST_URGENT,
+            repeatable=False,
+            digest='',
+            hops=self.hops(req),
         )
-        reader = Reader(self, req, resp, False, key, offset)
+        place = self.homes.find(request, offset)
+        reader = Reader(self, req, resp, False, request.key, offset)
         reader.answer(place, True)
 
 
@@ -315,7 +318,7 @@
         """Make a call of a plain service, or give its kept answer."""
         customer = self.customer(req)
         request = self.request(req, customer, name)
-        place = self.homes.place(request, self.hops(req))
+        place = self.homes.place(request)
         match place:
             case homes.Told(outcome):
                 tell(resp, outcome)
--- a/magnoliadyke/claiming.py
+++ b/magnoliadyke/claiming.py
@@ -132,9 +132,25 @@
         for message in self.waiting.pop(settled.claim.digest, ()):
             message.reply(settled)
 
+    def owner_of(self, digest):
+        """Return who holds a claim, by the store; ``''`` if not known.
+
+        Unlike a claim it leaves no trace, so that asking for an answer does
+        not take the key from the request that may still come.
+        """
+        found = self.store.get(self.store_key(self.book.name_of(digest)))
+        if not isinstance(found, keyvalue.Found):
+            return ''
+        entry = claims.decode(found.value).get(digest)
+        return entry.owner if entry is not None else ''
+
+    def store_key(self, bucket):
+        """Return the store's key of a bucket."""
+        return f'{self.prefix}{KEY_PREFIX}{bucket}'
+
     def call(self, action):
         """Make one call to the store."""
-        key = f'{self.prefix}{KEY_PREFIX}{action.bucket}'
+        key = self.store_key(action.bucket)
         match action:
             case claims.Read():
                 answer = self.store.get(key)
--- a/magnoliadyke/core/claims.py
+++ b/magnoliadyke/core/claims.py
@@ -188,10 +188,14 @@
         self.buckets = {}
         self.gathered = {}
 
+    def name_of(self, digest):
+        """Return the name of the bucket that a claim belongs to."""
+        number = int(digest[:BUCKET_DIGITS], 16) % self.settings.buckets
+        return f'{number:03x}'
+
     def bucket_of(self, digest):
         """Return the bucket that a claim belongs to."""
-        number = int(digest[:BUCKET_DIGITS], 16) % self.settings.buckets
-        name = f'{number:03x}'
+        name = self.name_of(digest)
         return self.buckets.setdefault(name, Bucket(name))
 
     def add(self, digest):
--- a/magnoliadyke/forms.py
+++ b/magnoliadyke/forms.py
@@ -59,6 +59,7 @@
     :param priority: 0 (urgent) to 9
     :param digest: the same for every copy of the request
     :param first: whether the caller vouches that it is the first copy
+    :param hops: hosts that relayed the request here, in order
     """
 
     key: str
@@ -69,6 +70,7 @@
     repeatable: bool
     digest: str
     first: bool = False
+    hops: tuple = ()
 
 
 class ServiceRequest(typing.NamedTuple):
@@ -90,6 +92,7 @@
     repeatable: bool
     digest: str
     first: bool = False
+    hops: tuple = ()
 
 
 class KeyRing:
--- a/magnoliadyke/homes.py
+++ b/magnoliadyke/homes.py
@@ -120,16 +120,13 @@
 
     # Where a key belongs.
 
-    def place(self, request, hops):
-        """Return :class:`Following`, :class:`Kept` or :class:`Told`.
-
-        :param hops: hosts that relayed the request here, in order
-        """
+    def place(self, request):
+        """Return :class:`Following`, :class:`Kept` or :class:`Told`."""
         if not request.key:
             return self.place_own(request)
         key = tickets.parse_key(request.key)
         if key is None:
-            return self.place_foreign(request, hops)
+            return self.place_foreign(request)
         if key.home == self.name:
             if not self.office.accepts(key):
                 return Told(BAD_TICKET)
@@ -140,7 +137,7 @@
                 return Told(BAD_TICKET)
             issued_s = key.issued_s + adopted.shift_s
             return self.open(request, key.text, issued_s, adopted.floor_s)
-        return self.place_elsewhere(request, key.text, key.home, hops)
+        return self.place_elsewhere(request, key.text, key.home)
 
     def place_own(self, request):
         """Run a request that came without a key; nobody can resend it."""
@@ -148,26 +145,43 @@
         key = f'{self.office.issue(now_s)}/0'
         return self.open(request, key, now_s)
 
-    def place_foreign(self, request, hops):
+    def place_foreign(self, request):
         """Claim a key that the caller made up, or find who has it."""
         digest = claims.claim_digest(request.customer, request.key)
         key = FOREIGN + digest
         if key in self.records.records:
             return self.open(request, key, self.clock.now_s())
+        if self.handover.sealed is not None and self.handover.wait():
+            # A claim made now would name a home that is about to end.
+            return self.relay_to_successor(request, request.key)
         match self.claim(digest):
             case claims.Won():
-                return self.open(request, key, self.clock.now_s())
+                return self.open_claimed(request, key)
             case claims.Lost(owner=owner) if self.lives_here(owner):
-                if key in self.records.records:
-                    return self.open(request, key, self.clock.now_s())
-                return Told(records.GONE)
+                return self.place_adopted(request, key, owner)
             case claims.Lost(owner=owner):
-                return self.place_elsewhere(request, key, owner, hops)
+                return self.place_elsewhere(request, key, owner)
             case claims.Refused(reason=reason):
                 return Told(
                     outcomes.NotRun(reason, 'use a key of a ticket', 1.0)
                 )
 
+    def open_claimed(self, request, key):
+        """Run a foreign key that this node has just claimed.
+
+        Also when the node has begun to stop meanwhile: the claim names this
+        home, and no other node would run the key.
+        """
+        now_s = self.clock.now_s()
+        found = self.records.open(
+            key, request.customer, request.digest, now_s, now_s
+        )
+        if not isinstance(found, records.New):
+            return self.known(found, key)
+        if self.handover.sealed is not None:
+            return self.run_here(request, found.record)
+        return self.admit(request, found.record)
+
     def lives_here(self, home):
         """Tell whether the records of a home are on this node."""
         return home == self.name or home in self.handover.adopted
@@ -177,18 +191,27 @@
         message = claiming.AskClaim(digest)
         return self.claiming.ask(message, None)
 
-    def place_elsewhere(self, request, key, home, hops):
+    def place_adopted(self, request, key, owner):
+        """Place a foreign key that a home which lives here has claimed.
+
+        A home that is still stopping may run it, and tell at its end.
+        """
+        if key in self.records.records:
+            return self.open(request, key, self.clock.now_s())
+        if owner != self.name and self.directory.member_of(owner):
+            return self.relay(request, request.key, owner)
+        return Told(records.GONE)
+
+    def place_elsewhere(self, request, key, home):
         """Relay to the home of a key, or say that it is gone.
 
         :param key: name of the record, should the request run here after all
         """
         if key in self.records.records:
             return self.open(request, key, self.clock.now_s())
-        if len(hops) >= relay.MAX_HOPS:
-            return Told(TOO_MANY_HOPS)
         if self.directory.locate(home) is None:
             return self.home_gone(request, key)
-        return self.relay(request, key, home, hops)
+        return self.relay(request, key, home)
 
     def home_gone(self, request, key):
         """Answer for a home that ended without a successor.
@@ -223,7 +246,7 @@
         """Follow a request that still runs at a home that is stopping."""
         if self.directory.member_of(home) is None:
             return Told(records.INTERRUPTED)
-        return self.relay(request, key, home, ())
+        return self.relay(request, key, home)
 
     def known(self, found, key):
         """Return the place of a key that is in the records."""
@@ -243,6 +266,10 @@
         if refusal is not None:
             self.close_refused(request, record, refusal)
             return Told(refusal)
+        return self.run_here(request, record)
+
+    def run_here(self, request, record):
+        """Start the run of a new record."""
         run = self.build(request, record)
         if isinstance(run, outcomes.Rejected):
             self.close_refused(request, record, run)
@@ -270,8 +297,12 @@
             self.records.insert(record)
             self.close_refused(request, record, NO_SUCCESSOR)
             return Told(NO_SUCCESSOR)
-        home = self.directory.full_name(successor)
-        return self.relay(request, record.key, home, ())
+        return self.relay_to_successor(request, record.key)
+
+    def relay_to_successor(self, request, key):
+        """Relay a request to the node that took the records over."""
+        home = self.directory.full_name(self.handover.successor)
+        return self.relay(request, key, home)
 
     def close_refused(self, request, record, outcome):
         """End the record of a request that does not run."""
@@ -402,18 +433,20 @@
 
     # Other homes.
 
-    def relay(self, request, key, home, hops, offset=0, resume_only=False):
+    def relay(self, request, key, home, offset=0, resume_only=False):
         """Follow a request at its home.
 
         :param key: name of the request here; foreign keys are sent as the
             caller made them
         """
+        if len(request.hops) >= relay.MAX_HOPS:
+            return Told(TOO_MANY_HOPS)
         sent_key = request.key or key
 
         def locate():
             return self.directory.locate(home)
 
-        hops = (*hops, self.host)
+        hops = (*request.hops, self.host)
         arguments = (
             sent_key,
             request,
@@ -428,6 +461,7 @@
             case _:
                 run = relay.ModelRelay(*arguments, offset, resume_only)
         run.go_on_here = self.go_on_here
+        run.settled_here = self.settled_here
         run.home = home
         self.relays.add(run)
         run.start()
@@ -437,78 +471,89 @@
         """A relay ended."""
         self.relays.discard(run)
 
+    def settled_here(self, lost):
+        """Return what the records say of a request that a relay followed.
+
+        Its home may have stopped and told its end to this node, its
+        successor.
+
+        :return: answer or outcome, or None
+        """
+        name = record_name(lost.key, lost.request.customer)
+        found = self.records.find(name, lost.request.customer)
+        match found:
+            case records.Replay(answer):
+                return answer
+            case records.Tell(outcome) if name in self.records.records:
+                return outcome
+            case _:
+                return None
+
     def go_on_here(self, lost):
         """Run here what a relay followed at a home that is gone.
 
         Only a request that may be repeated. Its attempt begins at the offset
         that the caller has, so that the caller sees one answer.
 
-        :param lost: :class:`relay.ModelRelay` whose output the run continues
+        :param lost: :class:`relay.Relay` whose output the run continues
         :return: the run's outcome, or None when it may not run here
         """
         request = lost.request
         if not request.repeatable or self.door(request.customer) is not None:
             return None
-        key = lost.key
-        if tickets.parse_key(key) is None:
-            digest = claims.claim_digest(request.customer, key)
-            key = FOREIGN + digest
+        key = record_name(lost.key, request.customer)
         now_s = self.clock.now_s()
         found = self.records.open(
             key, request.customer, request.digest, now_s, now_s
         )
         if not isinstance(found, records.New):
             return None
-        run = self.build_model(request, key)
-        run.go_on_from(lost)
-        self.streams.cancel_everywhere(run.job.pool, engine_id(lost.home, key))
+        run = self.build(request, found.record)
+        if isinstance(run, streams.ModelRun):
+            run.go_on_from(lost)
+            digest = engine_id(lost.home, key)
+            self.streams.cancel_everywhere(run.job.pool, digest)
         self.enter(request, found.record, run)
         run.main()
         return run.outcome
 
-    def find(self, text, customer, credential, offset, hops):
+    def find(self, request, offset):
         """Return the place of an answer that a caller wants to go on with.
 
-        :param text: key
+        :param request: :class:`forms.ModelRequest` that has a key, and no
+            work
         :param offset: output tokens the caller has already
         """
-        key = tickets.parse_key(text)
+        key = tickets.parse_key(request.key)
         if key is None:
-            return self.find_foreign(text, customer, credential, offset, hops)
-        found = self.records.find(text, customer)
+            return self.find_foreign(request, offset)
+        found = self.records.find(request.key, request.customer)
         if isinstance(found, records.Away):
-            return self.find_elsewhere(
-                text, found.home, customer, credential, offset, hops
-            )
-        if text in self.records.records or self.lives_here(key.home):
-            return self.known(found, text)
-        return self.find_elsewhere(
-            text, key.home, customer, credential, offset, hops
-        )
+            return self.find_elsewhere(request, found.home, offset)
+        known = request.key in self.records.records
+        if known or self.lives_here(key.home):
+            return self.known(found, request.key)
+        return self.find_elsewhere(request, key.home, offset)
 
-    def find_foreign(self, text, customer, credential, offset, hops):
+    def find_foreign(self, request, offset):
         """Return the place of an answer under a key without a ticket."""
-        digest = claims.claim_digest(customer, text)
+        digest = claims.claim_digest(request.customer, request.key)
         key = FOREIGN + digest
         if key in self.records.records:
-            return self.known(self.records.find(key, customer), key)
-        match self.claim(digest):
-            case claims.Lost(owner=owner) if not self.lives_here(owner):
-                return self.find_elsewhere(
-                    text, owner, customer, credential, offset, hops
-                )
-        return Told(records.GONE)
-
-    def find_elsewhere(self, text, home, customer, credential, offset, hops):
+            found = self.records.find(key, request.customer)
+            if isinstance(found, records.Away):
+                return self.find_elsewhere(request, found.home, offset)
+            return self.known(found, key)
+        owner = self.claiming.owner_of(digest)
+        if not owner or owner == self.name:
+            return Told(records.GONE)
+        return self.find_elsewhere(request, owner, offset)
+
+    def find_elsewhere(self, request, home, offset):
         """Relay a resume to the home of the key."""
-        if len(hops) >= relay.MAX_HOPS:
-            return Told(TOO_MANY_HOPS)
         if self.directory.locate(home) is None:
             return Told(HOME_GONE)
-        request = forms.ModelRequest(
-            text, customer, credential, {}, 0, False, ''
-        )
-        return self.relay(request, text, home, hops, offset, True)
+        return self.relay(request, request.key, home, offset, True)
 
     # Life cycle and hand-over.
 
@@ -556,6 +601,16 @@
         return self.directory.successors.get(home, '')
 
 
+def record_name(key, customer):
+    """Return the name of a key's record.
+
+    :param key: key as the caller sent it
+    """
+    if tickets.parse_key(key) is not None:
+        return key
+    return FOREIGN + claims.claim_digest(customer, key)
+
+
 def engine_id(home, key):
     """Return the start of the ids under which engines know a home's key."""
     text = f'{home} {key}'.encode()
--- a/magnoliadyke/relay.py
+++ b/magnoliadyke/relay.py
@@ -54,6 +54,7 @@
         self.clock = streams_.clock
         self.sent = False
         self.go_on_here = None
+        self.settled_here = None
         self.home = ''
 
     def run(self):
@@ -100,6 +101,9 @@
 
     def lost(self):
         """Return what to say when the home is gone for good."""
+        outcome = self.settled_here(self) if self.settled_here else None
+        if outcome is not None:
+            return self.settle(outcome)
         outcome = self.go_on()
         if outcome is not None:
             return outcome
@@ -107,9 +111,13 @@
             return HOME_UNREACHED
         return HOME_LOST
 
+    def settle(self, outcome):
+        """Return an end that this node's records know."""
+        return outcome
+
     def go_on(self):
         """Run on this node what was lost with its home, if that may be."""
-        return None
+        return self.go_on_here(self) if self.go_on_here else None
 
     def headers(self):
         """Return the headers of the call to the home."""
@@ -149,11 +157,22 @@
         self.connections = None
         self.connection = None
 
+    def settle(self, outcome):
+        """Pass the rest of a kept answer on."""
+        if not isinstance(outcome, records.Answer):
+            return outcome
+        if outcome.kind != 'model':
+            return records.OTHER_BODY
+        events = streams.model_events(outcome)
+        label = (self.key, 'kept')
+        self.assembly.begin(label)
+        rest = attempts.events_from(events, self.assembly.offset)
+        self.append(self.assembly.feed(label, rest))
+        return outcome
+
     def go_on(self):
         """Continue the answer on this node."""
-        if self.resume_only or self.go_on_here is None:
-            return None
-        return self.go_on_here(self)
+        return None if self.resume_only else super().go_on()
 
     def ask(self, home):
         """Send the request, or resume the answer that has begun."""
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -259,3 +259,34 @@
         again = bench.call('POST', CHARGE, {}, 'host-2', Idempotency_Key=key)
         assert again.error() == ('unknown', 'home_stopped')
         assert len(bench.service_runs()) == 1
+
+
+def test_a_stopping_host_claims_no_key_that_it_will_not_run():
+    """A caller's own key reaches a host that has begun to stop.
+
+    A claim for the old home would outlive it: the successor would find the
+    key claimed by a home that it took over, without a record, and have to
+    say ``Unknown`` of a request that never ran.
+    """
+    with requestpath.Bench(2, SLOW) as bench:
+        running = gevent.spawn(bench.complete, 60, 'host-1')
+        gevent.sleep(0.2)
+        stopping = gevent.spawn(bench.stop_node, 'host-1')
+        gevent.sleep(0.2)
+        reply = bench.complete(5, 'host-1', Idempotency_Key='order 17')
+        assert reply.text() == requestpath.answer_of(5)
+        assert running.get(timeout=10).status == 200
+        stopping.get(timeout=10)
+        again = bench.complete(5, 'host-2', Idempotency_Key='order 17')
+        assert again.text() == reply.text()
+        assert len(bench.runs()) == 2
+
+
+def test_asking_for_an_answer_does_not_claim_its_key():
+    with requestpath.Bench() as bench:
+        asked = bench.call('GET', '/v1/answers/order%2017')
+        assert asked.error() == ('unknown', 'answer_gone')
+        reply = bench.complete(5, Idempotency_Key='order 17')
+        assert reply.text() == requestpath.answer_of(5)
+        asked = bench.call('GET', '/v1/answers/order%2017?offset=2')
+        assert asked.text() == requestpath.answer_of(5)[len('xxxxxx-0 ') * 2 :]
