--- a/magnoliadyke/lab/demo.py
+++ b/magnoliadyke/lab/demo.py
@@ -81,6 +81,7 @@
     :param told_unknown: as before; only calls that may be repeated come back
     :param wrong: answers that were cut, crossed or not of the caller
     :param doubled: non-repeatable requests that ran more than once
+    :param stopped_badly: nodes that did not stop gracefully at the end
     """
 
     requests: int
@@ -96,6 +97,7 @@
     goodput_tokens_s: dict[str, float]
     role_changes: int
     edit_in_force_s: float | None
+    stopped_badly: int
     killed: str
     seconds: float
 
@@ -105,6 +107,7 @@
             self.answered == self.requests
             and not self.wrong
             and not self.doubled
+            and not self.stopped_badly
             and self.edit_in_force_s is not None
         )
 
@@ -126,6 +129,7 @@
             visits=VISITS,
         )
         self.in_force_s = None
+        self.statuses = {}
 
     def run(self):
         """Run it; the :class:`Summary`."""
@@ -144,10 +148,7 @@
         gevent.joinall(events)
         watcher.kill()
         self.say('load is over; stopping all processes gracefully')
-        statuses = self.cluster.stop()
-        for name, status in statuses.items():
-            if status:
-                self.say(f'{name} ended with status {status}')
+        self.statuses = self.cluster.stop()
         self.say_unanswered()
         return self.summary(time.monotonic() - begun_s)
 
@@ -233,6 +234,7 @@
             goodput_tokens_s=self.goodput(answered),
             role_changes=runs.role_changes(self.cluster),
             edit_in_force_s=self.in_force_s,
+            stopped_badly=sum(each != 0 for each in self.statuses.values()),
             killed=VICTIM,
             seconds=round(seconds, 1),
         )
@@ -309,6 +311,7 @@
         f'role changes        {summary.role_changes}',
         f'edit in force       {edit}',
         f'node killed         {summary.killed}',
+        f'stopped badly       {summary.stopped_badly}',
         f'took                {summary.seconds:g} s',
     ]
     if summary.good():
--- a/tests/test_lab_demo.py
+++ b/tests/test_lab_demo.py
@@ -18,6 +18,7 @@
     goodput_tokens_s={'lease': 1.0},
     role_changes=0,
     edit_in_force_s=0.5,
+    stopped_badly=0,
     killed='entry-3',
     seconds=20.0,
 )
@@ -33,6 +34,7 @@
             {'answered': 1, 'unknown': 1},
             {'wrong': 1},
             {'doubled': 1},
+            {'stopped_badly': 1},
             {'edit_in_force_s': None},
         ]
         for fields in worse:
