Send every digest by datagram; remove the call for large ones

A digest above 500 bytes was left out of datagrams for a call over TCP that nobody made. The core bounds a digest at 584 bytes, so the digests of the busiest hosts were lost without a word.

--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -14,6 +14,7 @@
 from magnoliadyke import gossip_codec
 from magnoliadyke import logs
 from magnoliadyke import mailbox
+from magnoliadyke.wire import constants
 
 __all__ = [
     'Announce',
@@ -30,7 +31,7 @@
 ]
 
 TICK_INTERVAL_S = 0.1
-MAX_DATAGRAM_BYTES = 65_507
+RECEIVE_BYTES = 65_507
 #: Evidence has to hold for this share of its time from now on to be relied
 #: on; else the store is read, and a survey made when it does not answer.
 RENEW_SHARE = 0.5
@@ -42,9 +43,6 @@
 WAIT_SHARE = 1.1
 #: Larger quorums can't be asked at once; the store's word serves instead.
 MAX_RENEWED_QUORUM = 32
-#: A digest above this goes by TCP instead; a datagram that the network must
-#: split is lost whole when one part is.
-MAX_DIGEST_BYTES = 500
 
 LOG = logs.get('gossip')
 
@@ -217,7 +215,7 @@
         """Post each datagram to the task."""
         while True:
             try:
-                data, _ = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+                data, _ = self.socket.recvfrom(RECEIVE_BYTES)
             except ConnectionRefusedError:
                 continue  # an earlier datagram of ours met a closed port
             except OSError:
@@ -239,8 +237,7 @@
             case OwnState():
                 self.take_own_state(message)
             case OwnDigest(data):
-                fits = len(data) <= MAX_DIGEST_BYTES
-                self.membership.digest = data if fits else b''
+                self.membership.digest = data
             case Announce(notice):
                 self.announce(notice, now_s)
             case Listed(hosts):
@@ -364,7 +361,13 @@
 
     def send(self, address, message):
         """Send one datagram; a lost one is the protocol's matter."""
-        self.send_data(address, gossip_codec.encode(self.deployment, message))
+        data = gossip_codec.encode(self.deployment, message)
+        while len(data) > constants.MAX_DATAGRAM_BYTES and message.updates:
+            # Long names and a full digest at once. Members are told of
+            # several times over; the digest of this second goes out once.
+            message = message._replace(updates=message.updates[:-1])
+            data = gossip_codec.encode(self.deployment, message)
+        self.send_data(address, data)
 
     def send_data(self, address, data):
         """Send the bytes of one datagram."""
--- a/magnoliadyke/peer.py
+++ b/magnoliadyke/peer.py
@@ -80,7 +80,6 @@
     The node sets what answers: ``fetch_table(known_revision)`` returns
     (revision, text or None); ``take_records(host, incarnation, records,
     last)`` returns the number taken, None to refuse;
-    ``exchange_digest(host, data)`` returns this node's digest;
     ``pool_status(pool)`` returns JSON text, None if another node plans it.
     """
 
@@ -90,7 +89,6 @@
         self.clock = clock
         self.fetch_table = None
         self.take_records = None
-        self.exchange_digest = None
         self.pool_status = None
         own = next(each for each in settings.hosts if each.name == host)
         self.listener = server.StreamServer(
@@ -151,13 +149,6 @@
             constants.VERSION, taken or 0, taken is None
         )
 
-    def exchange_digest(self, batch):
-        """Swap digests that don't fit a datagram."""
-        data = b''
-        if self.owner.exchange_digest is not None:
-            data = self.owner.exchange_digest(batch.host, batch.digest)
-        return ttypes.DigestBatch(constants.VERSION, self.owner.host, data)
-
     def pool_status(self, version, pool):
         """Tell what this node knows of a pool that it plans."""
         status = None
@@ -248,15 +239,6 @@
         reply = self.call(address, 'handover', batch)
         return None if reply.refused else reply.accepted
 
-    def exchange_digest(self, address, data):
-        """:return: (host, its digest)
-
-        :raises magnoliadyke.errors.HostUnreachable: when it doesn't answer
-        """
-        batch = ttypes.DigestBatch(constants.VERSION, self.host, data)
-        reply = self.call(address, 'exchange_digest', batch)
-        return reply.host, reply.digest
-
     def pool_status(self, address, name):
         """:return: JSON text, None if the host does not plan that pool
 
--- a/magnoliadyke/wire/Peer.py
+++ b/magnoliadyke/wire/Peer.py
@@ -44,14 +44,6 @@
         """
         pass
 
-    def exchange_digest(self, batch):
-        """
-        Parameters:
-         - batch
-
-        """
-        pass
-
     def pool_status(self, version, pool):
         """
         Parameters:
@@ -167,38 +159,6 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "handover failed: unknown result")
 
-    def exchange_digest(self, batch):
-        """
-        Parameters:
-         - batch
-
-        """
-        self.send_exchange_digest(batch)
-        return self.recv_exchange_digest()
-
-    def send_exchange_digest(self, batch):
-        self._oprot.writeMessageBegin('exchange_digest', TMessageType.CALL, self._seqid)
-        args = exchange_digest_args()
-        args.batch = batch
-        args.write(self._oprot)
-        self._oprot.writeMessageEnd()
-        self._oprot.trans.flush()
-
-    def recv_exchange_digest(self):
-        iprot = self._iprot
-        (fname, mtype, rseqid) = iprot.readMessageBegin()
-        if mtype == TMessageType.EXCEPTION:
-            x = TApplicationException()
-            x.read(iprot)
-            iprot.readMessageEnd()
-            raise x
-        result = exchange_digest_result()
-        result.read(iprot)
-        iprot.readMessageEnd()
-        if result.success is not None:
-            return result.success
-        raise TApplicationException(TApplicationException.MISSING_RESULT, "exchange_digest failed: unknown result")
-
     def pool_status(self, version, pool):
         """
         Parameters:
@@ -241,7 +201,6 @@
         self._processMap["probe"] = Processor.process_probe
         self._processMap["fetch_table"] = Processor.process_fetch_table
         self._processMap["handover"] = Processor.process_handover
-        self._processMap["exchange_digest"] = Processor.process_exchange_digest
         self._processMap["pool_status"] = Processor.process_pool_status
         self._on_message_begin = None
 
@@ -334,29 +293,6 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def process_exchange_digest(self, seqid, iprot, oprot):
-        args = exchange_digest_args()
-        args.read(iprot)
-        iprot.readMessageEnd()
-        result = exchange_digest_result()
-        try:
-            result.success = self._handler.exchange_digest(args.batch)
-            msg_type = TMessageType.REPLY
-        except TTransport.TTransportException:
-            raise
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("exchange_digest", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
-
     def process_pool_status(self, seqid, iprot, oprot):
         args = pool_status_args()
         args.read(iprot)
@@ -835,153 +771,6 @@
 )
 
 
-class exchange_digest_args(object):
-    """
-    Attributes:
-     - batch
-
-    """
-
-    __slots__ = (
-        'batch',
-    )
-
-
-    def __init__(self, batch=None,):
-        self.batch = batch
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.batch = DigestBatch()
-                    self.batch.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('exchange_digest_args')
-        if self.batch is not None:
-            oprot.writeFieldBegin('batch', TType.STRUCT, 1)
-            self.batch.write(oprot)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-all_structs.append(exchange_digest_args)
-exchange_digest_args.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'batch', [DigestBatch, None], None, ),  # 1
-)
-
-
-class exchange_digest_result(object):
-    """
-    Attributes:
-     - success
-
-    """
-
-    __slots__ = (
-        'success',
-    )
-
-
-    def __init__(self, success=None,):
-        self.success = success
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 0:
-                if ftype == TType.STRUCT:
-                    self.success = DigestBatch()
-                    self.success.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('exchange_digest_result')
-        if self.success is not None:
-            oprot.writeFieldBegin('success', TType.STRUCT, 0)
-            self.success.write(oprot)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-all_structs.append(exchange_digest_result)
-exchange_digest_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [DigestBatch, None], None, ),  # 0
-)
-
-
 class pool_status_args(object):
     """
     Attributes:
--- a/magnoliadyke/wire/constants.py
+++ b/magnoliadyke/wire/constants.py
@@ -13,6 +13,6 @@
 import sys
 from .ttypes import *
 VERSION = 1
-MAX_DATAGRAM_BYTES = 1200
+MAX_DATAGRAM_BYTES = 1400
 FLAG_ROOTED = 1
 FLAG_TAKES_WORK = 2
--- a/magnoliadyke/wire/ttypes.py
+++ b/magnoliadyke/wire/ttypes.py
@@ -1054,98 +1054,6 @@
         return not (self == other)
 
 
-class DigestBatch(object):
-    """
-    Attributes:
-     - version
-     - host
-     - digest
-
-    """
-
-    __slots__ = (
-        'version',
-        'host',
-        'digest',
-    )
-
-
-    def __init__(self, version=None, host=None, digest=None,):
-        self.version = version
-        self.host = host
-        self.digest = digest
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I16:
-                    self.version = iprot.readI16()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.digest = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('DigestBatch')
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I16, 1)
-            oprot.writeI16(self.version)
-            oprot.writeFieldEnd()
-        if self.host is not None:
-            oprot.writeFieldBegin('host', TType.STRING, 2)
-            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
-            oprot.writeFieldEnd()
-        if self.digest is not None:
-            oprot.writeFieldBegin('digest', TType.STRING, 3)
-            oprot.writeBinary(self.digest)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class ProbeReply(object):
     """
     Attributes:
@@ -1392,13 +1300,6 @@
     (2, TType.I32, 'accepted', None, None, ),  # 2
     (3, TType.BOOL, 'refused', None, None, ),  # 3
 )
-all_structs.append(DigestBatch)
-DigestBatch.thrift_spec = (
-    None,  # 0
-    (1, TType.I16, 'version', None, None, ),  # 1
-    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'digest', 'BINARY', None, ),  # 3
-)
 all_structs.append(ProbeReply)
 ProbeReply.thrift_spec = (
     None,  # 0
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -3,10 +3,12 @@
 import pytest
 
 from magnoliadyke import configuration
+from magnoliadyke.core import digests
 from magnoliadyke.core import hosthints
 from magnoliadyke.core import membership
 from magnoliadyke.core import notices
 from magnoliadyke import gossip
+from magnoliadyke.wire import constants
 from tests import fleet as fleets
 
 
@@ -77,6 +79,33 @@
     assert [each.uses.last for each in others] == [in_use] * 3
 
 
+def test_the_largest_digest_reaches_the_others(fleet):
+    # Hosts would not learn what a busy one served its customers, nor which
+    # requests it suspects of crashes: with 16 customers and suspects its
+    # digest was larger than datagrams took, and was left out without a word.
+    fleet.run(3.0)
+    digest = b'x' * digests.MOST_BYTES
+    fleet.nodes['h0'].gossip.post(gossip.OwnDigest(digest))
+    fleet.run(3.0)
+    heard = [fleet.nodes[name].gossip.digests.last for name in ('h1', 'h2')]
+    assert heard == [gossip.PeerDigest('h0', digest)] * 2
+
+
+def test_no_datagram_is_so_long_that_a_network_splits_it(fleet):
+    node = fleet.nodes['h0'].gossip
+    members = tuple(
+        node.membership.own._replace(host=f'{number}' * 60, successor='s' * 60)
+        for number in range(4)
+    )
+    ping = membership.Ping(
+        1, node.membership.own, 'h1', members, (), b'x' * digests.MOST_BYTES
+    )
+    sent_before = node.sent_bytes
+    node.send(('h1', 2), ping)
+    size = node.sent_bytes - sent_before
+    assert digests.MOST_BYTES < size <= constants.MAX_DATAGRAM_BYTES
+
+
 def test_an_edit_waits_for_a_host_outside_the_settings(fleet):
     # Two customers' limits would be in force at once: a host that only the
     # platform's list knows is cut off, all hosts of the settings have the
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -7,7 +7,8 @@
 namespace py magnoliadyke.wire
 
 const i16 VERSION = 1
-const i32 MAX_DATAGRAM_BYTES = 1200
+// Above this a network may split a datagram, and lose it whole with a part.
+const i32 MAX_DATAGRAM_BYTES = 1400
 
 enum MessageKind {
   PING = 1,
@@ -104,12 +105,6 @@
   3: bool refused,
 }
 
-struct DigestBatch {
-  1: i16 version,
-  2: string host,
-  3: binary digest,
-}
-
 struct ProbeReply {
   1: i16 version,
   2: string host,
@@ -126,6 +121,5 @@
   ProbeReply probe(1: i16 version),
   TableReply fetch_table(1: i16 version, 2: i64 known_revision),
   HandoverReply handover(1: RecordBatch batch),
-  DigestBatch exchange_digest(1: DigestBatch batch),
   PoolStatusReply pool_status(1: i16 version, 2: string pool),
 }
