Move the split of roles by edits during fault runs

A third of the edits changes the least number of engines in a role, and the load waits for the first planner.

--- a/magnoliadyke/lab/faults.py
+++ b/magnoliadyke/lab/faults.py
@@ -35,6 +35,7 @@
 import gevent
 from gevent import pool as pools
 
+from magnoliadyke import errors
 from magnoliadyke.lab import checker
 from magnoliadyke.lab import cluster
 from magnoliadyke.lab import evidence as evidences
@@ -162,6 +163,8 @@
             made, list(weights)[-1], random.Random(plan.seed)
         )
         faults = injector.Injector(made, editors, load)
+        # A fault before the first planner is elected would find no commands.
+        made.wait_for('keyvalue', faults.holder)
         watcher.start()
         load.start()
         editors.start()
@@ -208,6 +211,12 @@
             schedule = schedules.draw(targets, rng, count, seed)
         keep = args['--keep']
         directory = f'{keep}/{name}-{seed}' if keep else ''
+        if keep and pathlib.Path(directory).exists():
+            # Ledgers grow at their end: two runs in one would look doubled.
+            raise errors.UsageError(
+                f'{directory} holds an earlier run',
+                'keep this one in another directory',
+            )
         plans.append(
             Plan(
                 name,
--- a/magnoliadyke/lab/observer.py
+++ b/magnoliadyke/lab/observer.py
@@ -15,6 +15,8 @@
 INTERVAL_S = 0.3
 TIMEOUT_S = 1.0
 EDIT_INTERVAL_S = 2.0
+#: Every so many edits, one moves the split of the pool's roles.
+SPLIT_EVERY = 3
 EDIT_TIMEOUT_S = 20.0
 EDIT_WAIT_S = 8.0
 TRIES = 4
@@ -108,6 +110,7 @@
         self.rng = rng
         self.numbers = itertools.count(1)
         self.edits = []
+        self.splits = itertools.cycle(splits_of(deployment.settings))
         self.task = None
 
     def start(self):
@@ -122,8 +125,12 @@
         """Make one edit after the other."""
         while True:
             gevent.sleep(EDIT_INTERVAL_S * (0.5 + self.rng.random()))
-            cell = f'customers/{self.customer}/queue_limit'
-            self.edit({cell: 1000 + next(self.numbers)})
+            number = next(self.numbers)
+            if number % SPLIT_EVERY:
+                cell = f'customers/{self.customer}/queue_limit'
+                self.edit({cell: 1000 + number})
+            else:
+                self.edit(next(self.splits))
 
     def clash(self):
         """Two operators change the same cell at once."""
@@ -172,6 +179,22 @@
         ]
 
 
+def splits_of(settings):
+    """Cells that have the planner change roles, this way and back.
+
+    One engine is left over, so that an operator can drain it.
+    """
+    pool = next(p for p in settings['pools'] if p['kind'] == 'model')
+    bound = len(pool['endpoints']) - 1
+    return [
+        {
+            f'pools/{pool["name"]}/min_prefill': prefills,
+            f'pools/{pool["name"]}/min_decode': bound - prefills,
+        }
+        for prefills in (1, bound - 1)
+    ]
+
+
 def edit_seen(at_s, status, answer):
     """What an answer says."""
     took_s = time.time() - at_s
