Judge idle, departed and foreign hosts in the acceptance rule itself

The membership task worked round two faults of the rule: a host seen idle before the edit was staged counted as stopped, and the last answer of a host that had left held edits up. Both are in the rule now, with a test each, and so is the wait for hosts outside the settings.

--- a/magnoliadyke/core/freshness.py
+++ b/magnoliadyke/core/freshness.py
@@ -155,6 +155,7 @@
         self._acknowledged: set[str] = set()
         self._acknowledged_revision = 0
         self._last_acknowledged_s = NEVER
+        self._staged_s = NEVER
 
     def hold(self, table_revision: int, staged_revision: int) -> None:
         """The node now holds this table."""
@@ -351,32 +352,58 @@
             if evidence.sighting.staged_revision >= revision
         } | {self.host}
         self._acknowledge(holders, revision, now_s)
+        stopped = frozenset(stopped)
         missing = tuple(sorted(self.roster - holders))
-        if not missing:
-            return Accept(revision)
-        idle = {
-            host
-            for host, evidence in recent.items()
-            if not evidence.sighting.takes_work
-        }
+        idle = stopped | self._idle_since_staged(recent)
         lagging = tuple(
             host for host in missing if host in recent and host not in idle
         )
         if lagging:
             return Wait(revision, lagging)
-        if len(missing) >= self.quorum:
+        if missing and len(missing) >= self.quorum:
             return Blocked(revision, missing)
-        unsure = set(missing) - idle - set(stopped)
+        unsure = set(missing) - idle | self._strangers(revision) - stopped
         if unsure and not self._had_time_to_stop(now_s):
             return Wait(revision, tuple(sorted(unsure)))
         return Accept(revision, missing)
 
+    def _idle_since_staged(
+        self, recent: Mapping[str, _Evidence]
+    ) -> frozenset[str]:
+        """Hosts that have stopped to take work.
+
+        One that was seen idle before the edit was staged may have begun to
+        work since; it is waited for like the others.
+        """
+        return frozenset(
+            host
+            for host, evidence in recent.items()
+            if not evidence.sighting.takes_work
+            and evidence.at_s >= self._staged_s
+        )
+
+    def _strangers(self, revision: int) -> set[str]:
+        """Hosts outside the settings that may work without the edit.
+
+        They came by the platform's list of hosts. The quorum does not count
+        them, but they are given the time to learn of the edit or to stop.
+        """
+        oldest_s = self._staged_s - self.settings.stale_s * (1 + DRIFT_SHARE)
+        return {
+            host
+            for host, evidence in self.evidence.items()
+            if host not in self.roster
+            and evidence.at_s > oldest_s
+            and evidence.sighting.staged_revision < revision
+        }
+
     def _acknowledge(
         self, holders: set[str], revision: int, now_s: float
     ) -> None:
         if revision != self._acknowledged_revision:
             self._acknowledged_revision = revision
             self._acknowledged = set()
+            self._staged_s = now_s
         if holders - self._acknowledged:
             self._acknowledged |= holders
             self._last_acknowledged_s = now_s
--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -38,9 +38,6 @@
 #: Age of the store's word, as a share likewise, at which it counts as out.
 STORE_OUT_SHARE = 0.7
 RENEW_INTERVAL_S = 1.0
-#: Share of the time after which a host that is cut off has stopped, clocks
-#: that run apart included.
-WAIT_SHARE = 1.1
 #: Larger quorums can't be asked at once; the store's word serves instead.
 MAX_RENEWED_QUORUM = 32
 
@@ -190,7 +187,6 @@
         self.pauses = mailbox.Topic()
         self.superseded = mailbox.Topic()
         self.next_renewal_s = 0.0
-        self.staged_since_s = clock.now_s()
         self.sent_bytes = 0
         self.received_bytes = 0
         self.socket = None
@@ -271,8 +267,6 @@
 
     def hold_table(self, held, now_s):
         """Tell the others which table this node holds."""
-        if held.staged_revision > self.membership.freshness.staged_revision:
-            self.staged_since_s = now_s
         self.membership.set_table(*held)
         self.publish(now_s)
 
@@ -422,62 +416,13 @@
         return None
 
     def acceptance(self, now_s):
-        """Whether the staged edit may be accepted.
-
-        A missing host that was seen idle may have begun to take work since.
-        Only if it was idle after the edit was staged can it no longer do so
-        without learning of the edit; else it is waited out like the others.
-        """
-        left = {
+        """Whether the staged edit may be accepted."""
+        left = [
             host
             for host, member in self.membership.members.items()
             if member.state == membership.LEFT
-        }
-        known = self.membership.freshness
-        for host in left:
-            # What it told before its farewell is no reason to wait for it.
-            known.evidence.pop(host, None)
-        outcome = known.acceptance(now_s, left)
-        waited_s = now_s - self.staged_since_s
-        waited_out = waited_s > known.settings.stale_s * WAIT_SHARE
-        if not isinstance(outcome, freshness.Accept) or waited_out:
-            return outcome
-        unsure = [
-            host
-            for host in outcome.missing
-            if host not in left and self.seen_s(host) < self.staged_since_s
         ]
-        unsure += self.strangers_behind(outcome.revision)
-        if unsure:
-            return freshness.Wait(outcome.revision, tuple(sorted(unsure)))
-        return outcome
-
-    def strangers_behind(self, revision):
-        """Hosts outside our settings that have not acknowledged a revision.
-
-        The rule counts the hosts of the settings only. One that came by the
-        platform's list would go on with the old table after the acceptance;
-        it is waited for, as long as a host that is cut off takes to stop.
-        """
-        known = self.membership.freshness
-        holders = {
-            host
-            for host, evidence in known.evidence.items()
-            if evidence.sighting.staged_revision >= revision
-        }
-        stop_s = known.settings.stale_s * WAIT_SHARE
-        present = {
-            member.host
-            for member in self.membership.members.values()
-            if member.state != membership.LEFT
-            and self.seen_s(member.host) > self.staged_since_s - stop_s
-        }
-        return present - known.roster - holders
-
-    def seen_s(self, host):
-        """Monotonic time of the latest evidence of a host."""
-        evidence = self.membership.freshness.evidence.get(host)
-        return evidence.at_s if evidence is not None else -math.inf
+        return self.membership.freshness.acceptance(now_s, left)
 
     def peer_address(self, host):
         """Peer address of a member as ``ip:port``, '' if unknown."""
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -309,6 +309,57 @@
     assert rule.acceptance(fleet.now_s) == freshness.Wait(2, ('h1',))
 
 
+def told_by(rule, at_s, hosts, staged, takes_work=True):
+    """Evidence of hosts that hold table 1 and a staged revision."""
+    for host in hosts:
+        told = freshness.Sighting(
+            host, 1, 0.0, 1, staged, 0.0, True, takes_work, 1.0
+        )
+        rule.answered(at_s, at_s, [told])
+
+
+def test_a_host_idle_before_the_edit_is_waited_for():
+    """Two limits in force at once: a host just started and was cut off.
+
+    It was seen idle, then began to take work with the old table, then the
+    edit was staged. What was seen before that says nothing of it now.
+    """
+    rule = freshness.Freshness('h0', 1, DALA, SETTINGS, 0.0)
+    told_by(rule, 0.0, ['h7'], 1, takes_work=False)
+    rule.hold(1, 2)
+    others = HOSTS[1:7]
+    rule.acceptance(0.1)
+    told_by(rule, 0.2, others, 2)
+    assert rule.acceptance(0.3) == freshness.Wait(2, ('h7',))
+    later_s = 0.3 + SETTINGS.stale_s * 1.2
+    told_by(rule, later_s, others, 2)
+    assert rule.acceptance(later_s) == freshness.Accept(2, ('h7',))
+
+
+def test_a_host_idle_after_the_edit_is_not_waited_for():
+    rule = freshness.Freshness('h0', 1, DALA, SETTINGS, 0.0)
+    rule.hold(1, 2)
+    rule.acceptance(0.1)
+    told_by(rule, 0.2, HOSTS[1:7], 2)
+    told_by(rule, 0.2, ['h7'], 1, takes_work=False)
+    assert rule.acceptance(0.3) == freshness.Accept(2, ('h7',))
+
+
+def test_a_host_that_said_farewell_holds_no_edit_up():
+    """An edit comes seconds late after every planned stop.
+
+    The last answer of a host that has left says that it takes work and
+    lacks the edit; the farewell came after it.
+    """
+    rule = freshness.Freshness('h0', 1, DALA, SETTINGS, 0.0)
+    told_by(rule, 0.0, ['h7'], 1)
+    rule.hold(1, 2)
+    rule.acceptance(0.1)
+    told_by(rule, 0.2, HOSTS[1:7], 2)
+    assert rule.acceptance(0.3) == freshness.Wait(2, ('h7',))
+    assert rule.acceptance(0.3, ['h7']) == freshness.Accept(2, ('h7',))
+
+
 class Partitions(stateful.RuleBasedStateMachine):
     """Any split, any hosts with the store, stops, starts and edits."""
 
