--- a/magnoliadyke/__init__.py
+++ b/magnoliadyke/__init__.py
@@ -1,5 +1,5 @@
 """Serving system between callers and a fixed fleet of endpoints."""
 
-__all__ = ["__version__"]
+__all__ = ['__version__']
 
-__version__ = "0.1.0"
+__version__ = '0.1.0'
