Take only a service's answer for a service's answer

An HTTP server's own page (a bare 500) between the service and the caller was taken for the service's answer. A node marks what a service said with X-Request-Key and its own outcomes with X-Outcome; the caller library and relays ask again where there is neither.

--- a/magnoliadyke/client.py
+++ b/magnoliadyke/client.py
@@ -323,6 +323,10 @@
         outcome = forms.outcome_from(reply)
         if outcome is not None:
             return outcome
+        if not reply.request_key:
+            # Not the service's answer but an HTTP server's own, such as a
+            # plain 500: what became of the call is not known yet.
+            return None
         text = reply.body.decode('utf-8', 'replace')
         return outcomes.Answered(progress.key, text, str(reply.status))
 
--- a/magnoliadyke/endpoint.py
+++ b/magnoliadyke/endpoint.py
@@ -55,12 +55,15 @@
 
     :param outcome: kind of outcome that a node says its answer is, ``''``
         when the answer is a service's own
+    :param request_key: key under which a node passes a service's answer on;
+        an answer with neither comes from the HTTP server in between
     """
 
     status: int
     content_type: str
     body: bytes
     outcome: str = ''
+    request_key: str = ''
 
     def json(self):
         """Return the body as a JSON document.
@@ -349,9 +352,9 @@
 
 def reply_of(parser, body):
     """Return a :class:`Reply` for an answer that was read whole."""
-    content_type = parser.get('content-type') or ''
-    outcome = parser.get('x-outcome') or ''
-    return Reply(parser.status_code, str(content_type), body, str(outcome))
+    names = ('content-type', 'x-outcome', 'x-request-key')
+    content_type, outcome, key = (str(parser.get(n) or '') for n in names)
+    return Reply(parser.status_code, content_type, body, outcome, key)
 
 
 def request_bytes(method, path, address, headers, body):
--- a/magnoliadyke/relay.py
+++ b/magnoliadyke/relay.py
@@ -250,6 +250,9 @@
         outcome = forms.outcome_from(reply)
         if outcome is not None:
             return outcome
+        if not reply.request_key:
+            self.sent = True
+            return None
         return records.Answer(
             'service', reply.status, reply.content_type, reply.body
         )
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -96,3 +96,27 @@
     nobody = client.Client(['127.0.0.1:1'], requestpath.KEY)
     outcome = nobody.complete('m', 'p', deadline_s=0.3)
     assert outcome == client.NOBODY
+
+
+def test_a_servers_own_error_is_not_the_services_answer():
+    """A host answers a call with a bare 500 of its HTTP server.
+
+    The call may or may not run; its caller must not take the page for the
+    service's answer. The library asks again with the same key.
+    """
+    with requestpath.Bench() as bench:
+        front = bench.nodes['host-1'].callers
+        whole = front.homes.place
+        broken = []
+
+        def place(request):
+            if not broken:
+                broken.append(request.key)
+                raise RuntimeError('made by the test')
+            return whole(request)
+
+        front.homes.place = place
+        outcome = make(bench).call('portal', 'POST', '/charge', b'{}')
+        assert outcome.finish_reason == '200'
+        assert outcome.key == broken[0]
+        assert len(bench.service_runs()) == 1
