Tell the planner what fair sharing will serve

In a flood of the small customer the planner turned engines to its work, most of which is refused, and lease lost the role that it needs.

--- a/magnoliadyke/core/digests.py
+++ b/magnoliadyke/core/digests.py
@@ -6,7 +6,7 @@
 made good by the next.
 
 A digest has at most :data:`MOST_BYTES` bytes: 8 for the head, 4 pools of
-24, 16 customers of 14, and suspects in 256.
+28, 16 customers of 14, and suspects in 240.
 """
 
 import struct
@@ -30,14 +30,14 @@
 
 VERSION = 1
 HEAD = struct.Struct('!BBBBI')
-POOL = struct.Struct('!IffffHH')
+POOL = struct.Struct('!IfffffHH')
 CUSTOMER = struct.Struct('!IIfH')
 SUSPECT = struct.Struct('!6sIBBBB')
 BLAME = struct.Struct('!IH')
 
 MOST_POOLS = 4
 MOST_CUSTOMERS = 16
-SUSPECT_BYTES = 256
+SUSPECT_BYTES = 240
 MOST_BYTES = (
     HEAD.size
     + MOST_POOLS * POOL.size
@@ -59,11 +59,14 @@
     """A node's demand on one pool.
 
     :param pool: checksum of the pool's name
-    :param prefill_s_per_s: engine-seconds of prefill that arrive a second
+    :param asked_s_per_s: engine-seconds that arrive a second
+    :param prefill_s_per_s: those of prefill, as far as fair sharing will
+        serve them
     :param queued_prefill_s: engine-seconds that wait
     """
 
     pool: int
+    asked_s_per_s: float
     prefill_s_per_s: float
     decode_s_per_s: float
     queued_prefill_s: float
@@ -189,7 +192,7 @@
 
 def _capped(news):
     queued = min(news.queued, MOST_COUNT)
-    return (*news[:5], queued, min(news.running, MOST_COUNT))
+    return (*news[:6], queued, min(news.running, MOST_COUNT))
 
 
 def _fitting(suspects):
--- a/magnoliadyke/core/exchange.py
+++ b/magnoliadyke/core/exchange.py
@@ -13,6 +13,8 @@
 class Demand(NamedTuple):
     """Work that a pool is asked for by all nodes, for the planner of roles.
 
+    Counts what fair sharing will serve; the rest of a flood is refused.
+
     :param prefill_s_per_s: engine-seconds of prefill arriving a second
     :param decode_s_per_s: engine-seconds of decode arriving a second
     :param queued: jobs that wait
@@ -56,8 +58,8 @@
         """
         pools = tuple(pool.news(now_s) for pool in self.pools.values())
         for news in pools:
-            demand = news.prefill_s_per_s + news.decode_s_per_s
-            self.shares.tell(('pool', news.pool), demand, now_s)
+            key = ('pool', news.pool)
+            self.shares.tell(key, news.asked_s_per_s, now_s)
         suspects = self._suspect_news(runs, now_s)
         customers = self._customer_news(now_s)
         return digests.Digest(self.epoch, pools, customers, suspects)
@@ -71,8 +73,7 @@
         demands = {}
         for news in digest.pools:
             known.pools[news.pool] = news
-            demand = news.prefill_s_per_s + news.decode_s_per_s
-            demands['pool', news.pool] = demand
+            demands['pool', news.pool] = news.asked_s_per_s
         for news in digest.customers:
             self._hear_customer(known, news, demands)
         self.shares.hear(host, demands, now_s)
@@ -86,7 +87,7 @@
         taken to be like these.
         """
         pool = self.pools[pool_name]
-        own = pool.news(now_s)[1:]
+        own = pool.news(now_s)[2:]
         heard = self._heard(pool.number, now_s)
         others = max(0, self.shares.nodes - 1)
         scale = others / len(heard) if heard else 0.0
@@ -107,7 +108,7 @@
         """Figures of a pool from the peers heard of late."""
         oldest_s = now_s - self.shares.settings.fresh_s
         return [
-            peer.pools[number][1:]
+            peer.pools[number][2:]
             for peer in self.peers.values()
             if peer.heard_s >= oldest_s and number in peer.pools
         ]
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -276,8 +276,7 @@
         run = self._new_run(job, row)
         pool = self.pools[job.pool]
         pool.note_mix(job.priority, run.prefill_s)
-        pool.prefill_rate.add(run.prefill_s, now_s)
-        pool.decode_rate.add(run.decode_s, now_s)
+        pool.arrived(run, now_s)
         excess_s = self._excess_s(run, pool, now_s)
         if excess_s > 0:
             return [
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -9,9 +9,7 @@
 numbers = st.integers(0, (1 << 32) - 1)
 levels = st.floats(0, 1e6, width=32)
 counts = st.integers(0, 10**6)
-pools = st.builds(
-    digests.PoolNews, numbers, levels, levels, levels, levels, counts, counts
-)
+pools = st.builds(digests.PoolNews, numbers, *[levels] * 5, counts, counts)
 customers = st.builds(digests.CustomerNews, numbers, numbers, levels, counts)
 blames = st.lists(st.tuples(numbers, st.floats(0, 6000)), max_size=2)
 suspects = st.builds(
@@ -51,7 +49,7 @@
 
 
 def test_bytes_cut_short_are_refused_with_a_remedy():
-    news = digests.PoolNews(1, 0.0, 0.0, 0.0, 0.0, 0, 0)
+    news = digests.PoolNews(1, 0.0, 0.0, 0.0, 0.0, 0.0, 0, 0)
     data = digests.Digest(7, (news,)).to_bytes()
     for length in range(len(data)):
         with pytest.raises(ValueError, match='compatible versions'):
