Reject service paths with dot segments

'/notice/../charge' matched the repeatable route '/notice/*', and a service that resolves it runs '/charge', which may not be repeated. Rejected in any spelling; the path goes on as it was sent also when the service's name is percent-encoded.

--- a/magnoliadyke/callerroutes.py
+++ b/magnoliadyke/callerroutes.py
@@ -26,6 +26,9 @@
 HEAD_WAIT_S = 1.0
 SERVICES = re.compile(r'/v1/services/(?P<name>[^/?]+)(?P<path>/[^?]*)?')
 ANSWERS = re.compile(r'/v1/answers/(?P<key>.+)')
+BAD_PATH = outcomes.Rejected(
+    'bad_path', "send the path without '.' and '..' segments"
+)
 CALLER_LEFT = outcomes.Unknown(
     'caller_left', 'keep the connection open, and ask again with the same key'
 )
@@ -342,9 +345,7 @@
     def request(self, req, customer, name):
         """Return the :class:`forms.ServiceRequest` of a call."""
         body = self.owner.read_body(req)
-        raw_path = req.env[HANDLER].path
-        prefix = f'/v1/services/{name}'
-        path = raw_path.removeprefix(prefix) or '/'
+        path = service_path(req.env[HANDLER].path)
         route = path.partition('?')[0]
         may_repeat = self.route_repeatable(name, req.method, route)
         headers = tuple(
@@ -374,6 +375,26 @@
         return False
 
 
+def service_path(raw_path):
+    """Return path and query below the service's name, as they were sent.
+
+    A service that resolves ``..`` would serve ``/notice/../charge`` as
+    ``/charge``, while here it counts as a route below ``/notice/`` that may
+    be repeated. Such paths are rejected, in any spelling.
+
+    :param raw_path: path and query of the request line
+    """
+    named = raw_path.partition('/v1/services/')[2]
+    name, slash, rest = named.partition('/')
+    if not slash:
+        _, mark, query = name.partition('?')
+        return f'/{mark}{query}'
+    segments = parse.unquote(rest.partition('?')[0]).split('/')
+    if '..' in segments or '.' in segments:
+        raise forms.OutcomeError(BAD_PATH)
+    return f'/{rest}'
+
+
 def path_matches(pattern, path):
     """Tell whether a path is the pattern's, or below one that ends in *."""
     if pattern.endswith('*'):
