Try a failed job on another endpoint

An engine that has just begun to change refuses its work at once and looks idle, so all three attempts of a job went there before a report told. The next attempt now goes elsewhere while there is elsewhere.

--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -87,6 +87,7 @@
     :param ahead_s: seconds of prompts that go before it once engines free
     :param others_share: part of other nodes' prompts that an engine reads
         before it
+    :param avoid: names of endpoints where it failed before
     :param first: whether its customer is the least served of those waiting
     """
 
@@ -95,6 +96,7 @@
     ahead_s: float = 0.0
     first: bool = True
     others_share: float = 1.0
+    avoid: frozenset = frozenset()
 
 
 class Candidate(NamedTuple):
@@ -195,6 +197,13 @@
         return sum(len(each) for each in self.by_role.values())
 
 
+def _besides(members, names):
+    """The members but for these, unless there are no others."""
+    if not names:
+        return members
+    return [each for each in members if each.name not in names] or members
+
+
 def _subset(members, size, salt):
     """A part of a big pool, by rendezvous hashing.
 
@@ -253,9 +262,9 @@
         :returns: :class:`Placement`, or None when all are full
         """
         if pool.kind == 'service':
-            return self._place_service(pool, among, now_s)
-        decodes = self._usable(pool, DECODE, job, among, now_s)
-        prefills = self._usable(pool, PREFILL, job, among, now_s)
+            return self._place_service(pool, terms, among, now_s)
+        decodes = self._usable(pool, DECODE, job, terms, among, now_s)
+        prefills = self._usable(pool, PREFILL, job, terms, among, now_s)
         if among is not None or not pool.by_role[DECODE]:
             return self._place_whole(job, prefills or decodes, terms, now_s)
         open_decodes = self._open(job, decodes, terms.fraction, now_s)
@@ -291,7 +300,7 @@
         usable_s = job.per_token_s * self.settings.pace_share
         return self.book.of_job(job).streams_within(usable_s)
 
-    def _usable(self, pool, role, job, among, now_s):
+    def _usable(self, pool, role, job, terms, among, now_s):
         members = pool.by_role[role]
         if among is not None:
             members = [each for each in members if each is among]
@@ -300,7 +309,8 @@
         if among is not None:
             # It is kept from all other work, but not from this.
             return members
-        return [each for each in members if each.takes_work(now_s)]
+        usable = [each for each in members if each.takes_work(now_s)]
+        return _besides(usable, terms.avoid)
 
     def _sample(self, members, job):
         """A few at random, and those that may hold the prefix."""
@@ -315,17 +325,18 @@
                     chosen[endpoint.name] = endpoint
         return list(chosen.values())
 
-    def _place_service(self, pool, among, now_s):
+    def _place_service(self, pool, terms, among, now_s):
         slots = self.settings.service_slots
         best = None
-        for endpoint in pool.by_role['']:
-            if among is not None and endpoint is not among:
-                continue
+        members = pool.by_role['']
+        if among is not None:
+            members = [among]
+        else:
+            members = [each for each in members if each.takes_work(now_s)]
+        for endpoint in _besides(members, terms.avoid):
             busy = len(endpoint.load.jobs)
             if busy >= slots:
                 continue
-            if among is None and not endpoint.takes_work(now_s):
-                continue
             far = endpoint.info.failure_domain != self.failure_domain
             key = (busy * endpoint.slowness, far, self.rng.random())
             if best is None or key < best[0]:
--- a/magnoliadyke/core/runs.py
+++ b/magnoliadyke/core/runs.py
@@ -11,6 +11,7 @@
     :ivar timing: :class:`magnoliadyke.core.admission.Timing`
     :ivar fingerprint: six bytes, as in the quarantine
     :ivar ran: whether an attempt may have reached an endpoint
+    :ivar avoid: names of endpoints where it failed
     :ivar charged_s: engine-seconds that its customer was charged
     :ivar tokens: output tokens so far
     :ivar prompt_at: endpoint that reads its prompt now
@@ -27,6 +28,7 @@
         self.fingerprint = quarantine.fingerprint_of(job.fingerprint)
         self.attempts = 0
         self.ran = False
+        self.avoid = frozenset()
         self.charged_s = 0.0
         self.tokens = 0
         self.queued_s = job.arrived_s
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -507,7 +507,9 @@
     def _try(self, run, pool, terms, now_s):
         spare_s = run.timing.deadline_s - now_s
         share = pool.mix_before(run.job.priority)
-        terms = terms._replace(spare_s=spare_s, others_share=share)
+        terms = terms._replace(
+            spare_s=spare_s, others_share=share, avoid=run.avoid
+        )
         placement = self.router.place(run.job, pool.endpoints, terms, now_s)
         if placement is None:
             return None
@@ -633,6 +635,9 @@
         if endpoint is not None:
             self._blame_endpoint(run, endpoint, failed, now_s)
         run.ran = run.ran or failed.ran
+        # An engine that began to change or to leave refuses its work at
+        # once and looks idle: all attempts would go there within a moment.
+        run.avoid |= {failed.endpoint}
         self._release(run, now_s)
         self._give_back(run)
         verdict = quarantine.CLEAR
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -68,6 +68,17 @@
     assert again == scheduler.Dispatch('j1', 's1')
 
 
+def test_the_next_attempt_goes_elsewhere():
+    # An engine has begun to change and refuses what comes; no report says
+    # so yet. It has nothing to do, so it is the first choice each time, and
+    # the job would be refused there until its attempts are used up.
+    plan = make_scheduler()
+    (action,) = plan.submit(make_job('j1', first_token_s=9.0), 0.0)
+    failed = jobs.Failed(action.endpoint, 'decode', ran=False)
+    (again,) = plan.finished('j1', failed, 0.01)
+    assert again.endpoint != action.endpoint
+
+
 def test_not_run_is_never_told_of_a_job_that_ran():
     # The first attempt of a repeatable job dies half-way and the second is
     # refused before it runs. "Not run" would be true of the second only.
