--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -86,8 +86,8 @@
 
 
 def test_a_cleared_request_is_not_convicted_by_the_next_crash():
-    # It was in a batch that died, ran whole alone, and was cleared. Soon after,
-    # by bad luck, its new engine dies too. Peers that never heard of
+    # It was in a batch that died, ran whole alone, and was cleared. Soon
+    # after, by bad luck, its new engine dies too. Peers that never heard of
     # the clearing still tell of the first crash.
     (one,) = names('r1')
     first, second = quarantine.Quarantine(), quarantine.Quarantine()
