--- a/magnoliadyke/callers.py
+++ b/magnoliadyke/callers.py
@@ -82,6 +82,9 @@
             return super().read_request(raw_requestline)
         return None
 
+    def log_request(self):
+        """Write no line for each request; the server would format one."""
+
     def handle_one_response(self):
         """Answer one request, counted among those under way."""
         self.owner.active += 1
--- a/magnoliadyke/homes.py
+++ b/magnoliadyke/homes.py
@@ -270,7 +270,12 @@
 
     def run_here(self, request, record):
         """Start the run of a new record."""
-        run = self.build(request, record)
+        try:
+            run = self.build(request, record)
+        except Exception:
+            # A record without a run would keep each copy waiting for good.
+            self.records.forget(record)
+            raise
         if isinstance(run, outcomes.Rejected):
             self.close_refused(request, record, run)
             return Told(run)
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from magnoliadyke.core import table
 from tests import requestpath
 
 SLOW = {'prefill_s_per_token': 1e-5, 'decode_base_s': 0.02}
@@ -290,3 +291,28 @@
         assert reply.text() == requestpath.answer_of(5)
         asked = bench.call('GET', '/v1/answers/order%2017?offset=2')
         assert asked.text() == requestpath.answer_of(5)[len('xxxxxx-0 ') * 2 :]
+
+
+def test_an_error_before_the_run_leaves_no_record_behind():
+    """Something raises between the record of a key and its run.
+
+    A copy of the key must not wait for a run that does not exist.
+    """
+    with requestpath.Bench() as bench:
+        homes = bench.nodes['host-1'].callers.homes
+        build, homes.build = homes.build, None
+        key = bench.ticket() + '/1'
+        assert bench.complete(3, Idempotency_Key=key).status == 500
+        homes.build = build
+        reply = bench.complete(3, Idempotency_Key=key)
+        assert reply.text() == requestpath.answer_of(3)
+
+
+def test_a_drained_host_is_not_listed_and_serves_what_still_comes():
+    with requestpath.Bench(2) as bench:
+        rows = {'host-1': table.HostRow(state='drain')}
+        bench.table.publish(bench.make_view()._replace(hosts=rows))
+        for host in ('host-1', 'host-2'):
+            listed = bench.call('GET', '/v1/hosts', host=host).json()['hosts']
+            assert [each['host'] for each in listed] == ['host-2']
+        assert bench.complete(3).text() == requestpath.answer_of(3)
