Let lab live start fewer hosts

Live runs gave a fifth less goodput than lab policy, and it was not clear whether the fakes or the nodes were to blame.

--- a/magnoliadyke/lab/live.py
+++ b/magnoliadyke/lab/live.py
@@ -20,6 +20,7 @@
   --faults=FILE       JSON lines at_s, kind, target, for_s.  Kinds are those
                       of lab policy, and node_loss (kill -9; the node comes
                       back after for_s).
+  --hosts=N           How many of the hosts to start; all when 0 [default: 0].
   --keep=DIR          Keep settings, logs and ledgers in this directory.
   --json              Print JSON.
 
@@ -70,6 +71,7 @@
     :param document: settings of the deployment
     :param requests: the trace
     :param faults: :class:`trial.Fault`
+    :param hosts: how many hosts to start; all when 0
     """
 
     deployment: traces.Deployment
@@ -77,6 +79,7 @@
     requests: list
     faults: list
     directory: str
+    hosts: int = 0
 
 
 def run(plan, name):
@@ -88,7 +91,7 @@
     pools = plan.document['initial_table'].setdefault('pools', {})
     row = pools.setdefault(plan.deployment.pool, {})
     row['planning'] = POLICIES[name]
-    options = cluster.Options(directory=plan.directory)
+    options = cluster.Options(directory=plan.directory, hosts=plan.hosts)
     with cluster.Cluster(plan.document, options) as made:
         made.start()
         counts = dict.fromkeys(
@@ -253,7 +256,7 @@
     args = docopt.docopt(__doc__, ['lab', 'live', *argv])
     options = policy.options_from({**args, **NOT_HERE})
     check_policies(options.policies)
-    result = run_all(options, args['--keep'])
+    result = run_all(options, args['--keep'], int(args['--hosts']))
     if options.as_json:
         json.dump(result, sys.stdout, indent=2)
         print()
@@ -264,11 +267,12 @@
     return 0
 
 
-def run_all(options, keep):
+def run_all(options, keep, hosts=0):
     """Run all seeds and policies, one after the other.
 
     :param options: :class:`policy.Options`
     :param keep: directory to keep, or None
+    :param hosts: how many hosts to start; all when 0
     """
     deployment = traces.DEPLOYMENTS[options.deployment]
     path = EXAMPLES / f'{options.deployment}.json'
@@ -282,7 +286,9 @@
             with tempfile.TemporaryDirectory() as scratch:
                 # Ledgers are appended to: each run needs its own.
                 directory = f'{keep or scratch}/{seed}-{name}'
-                plan = Run(deployment, document, requests, faults, directory)
+                plan = Run(
+                    deployment, document, requests, faults, directory, hosts
+                )
                 figures[name] = run(plan, name)
         found.append({'seed': seed, 'policies': figures})
     return {
