Believe predicted waits less where others are at work

Nodes that read the same reports all chose the engine that was idle then. Engines within 4 s for each second of other nodes mean backlog now count as equally good, and of two random ones the better is taken; what has to be read stays certain.

--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -32,6 +32,8 @@
     :param sample: endpoints looked at for a job, besides prefix holders
     :param subset: endpoints of a pool that one node uses
     :param slack_s: predicted starts this close to the best are as good
+    :param blind_slack: more of it for each second of other nodes' prompts
+        that an engine has on average
     :param slack_streams: likewise fill levels, as a share of the limit
     :param pace_share: part of the objective between tokens that is used
     :param mixed_fill: a decode engine fuller than this gets no prompts
@@ -47,6 +49,7 @@
     sample: int = 6
     subset: int = 64
     slack_s: float = 0.02
+    blind_slack: float = 4.0
     slack_streams: float = 0.05
     pace_share: float = 0.93
     mixed_fill: float = 0.8
@@ -507,13 +510,26 @@
         return split if split.score_s <= mixed.score_s else mixed
 
     def _pick(self, candidates):
-        """Of two random ones among the good, the better."""
+        """Of two random ones among the good, the better.
+
+        The more other nodes have on the engines, the less a predicted wait
+        is worth: they have the same reports, and all would choose the
+        engine that was idle then. What has to be read is certain.
+        """
         if not candidates:
             return None
-        least = min(each.score_s for each in candidates)
+        best = min(candidates, key=_score_s)
+        settings = self.settings
+        blind_s = max(each.endpoint.load.others_mean_s for each in candidates)
+        slack_s = settings.slack_s + settings.blind_slack * blind_s
         good = [
             (each.score_s, each)
             for each in candidates
-            if each.score_s <= least + self.settings.slack_s
+            if each.score_s <= best.score_s + slack_s
+            and each.prompt_s <= best.prompt_s + settings.slack_s
         ]
         return self._two(good)[1]
+
+
+def _score_s(candidate):
+    return candidate.score_s
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -137,6 +137,22 @@
     assert len(chosen) >= 3
 
 
+def test_old_reports_do_not_send_all_nodes_to_one_engine():
+    # Reports say that other nodes' prompts wait at one engine and not at
+    # the other. All nodes read the same, so that the second one will be the
+    # busier a moment later if each of them believes it.
+    pool = make_pool()
+    for number, endpoint in enumerate(pool.by_role['prefill']):
+        endpoint.load.others_mean_s = 0.3
+        endpoint.load.others_s = 0.5 * number
+    router = make_router()
+    places = [
+        router.place(make_job(), pool, TERMS, 0.0).prefill.name
+        for _ in range(200)
+    ]
+    assert 0.15 < places.count('e1') / len(places) < 0.4
+
+
 def test_a_big_pool_is_used_in_even_parts():
     infos = [
         jobs.EndpointInfo(f'e{number}', 'p', 'model', '')
