--- a/magnoliadyke/core/exchange.py
+++ b/magnoliadyke/core/exchange.py
@@ -8,6 +8,8 @@
 __all__ = ['Demand', 'Exchange']
 
 SUSPECTS_TOLD = 24
+#: A peer that was not heard for so long is forgotten.
+SILENT_S = 300.0
 
 
 class Demand(NamedTuple):
@@ -56,6 +58,7 @@
 
         :param runs: the node's jobs
         """
+        self._forget_silent(now_s)
         pools = tuple(pool.news(now_s) for pool in self.pools.values())
         for news in pools:
             key = ('pool', news.pool)
@@ -104,6 +107,13 @@
             round(running),
         )
 
+    def _forget_silent(self, now_s):
+        """Hosts are replaced all the time; what they told goes with them."""
+        oldest_s = now_s - SILENT_S
+        for host, peer in list(self.peers.items()):
+            if peer.heard_s < oldest_s:
+                del self.peers[host]
+
     def _heard(self, number, now_s):
         """Figures of a pool from the peers heard of late."""
         oldest_s = now_s - self.shares.settings.fresh_s
--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -19,6 +19,7 @@
 
 PREFILL = 'prefill'
 DECODE = 'decode'
+ROLES = (PREFILL, DECODE)
 FULL = 1.0
 LAST_PRIORITY = 9
 BIAS_STEP = 0.02
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -248,7 +248,9 @@
         return self._drain_all(now_s)
 
     def _set_role(self, endpoint, role, now_s):
-        if endpoint.info.kind != 'model' or endpoint.role == role:
+        if endpoint.info.kind != 'model' or role not in routing.ROLES:
+            return
+        if endpoint.role == role:
             return
         endpoint.role = role
         # The engine lost its cache, and its streams went elsewhere before.
@@ -371,6 +373,10 @@
             return outcomes.Rejected(
                 'unknown_pool', 'ask for a pool that the settings name', 404
             )
+        if pool.endpoints.kind != job.kind:
+            return outcomes.Rejected(
+                'wrong_kind', f'send it to a pool of kind {job.kind}'
+            )
         fingerprint = quarantine.fingerprint_of(job.fingerprint)
         verdict = self.quarantine.verdict(fingerprint, now_s)
         if verdict == quarantine.CONVICTED:
