--- a/magnoliadyke/lab/live.py
+++ b/magnoliadyke/lab/live.py
@@ -143,6 +143,7 @@
 def inject(made, fault):
     """Cause a fault, and end it after its time."""
     names = [fault.target] if fault.target else engines(made)
+    names = [name for name in names if made.alive(name)]
     match fault.kind:
         case 'crash':
             made.kill(fault.target)
