--- a/magnoliadyke/lab/demo.py
+++ b/magnoliadyke/lab/demo.py
@@ -29,6 +29,7 @@
 import gevent
 
 from magnoliadyke.core import outcomes
+from magnoliadyke.lab import arguments
 from magnoliadyke.lab import cluster
 from magnoliadyke.lab import load as loads
 from magnoliadyke.lab import measures
@@ -329,7 +330,8 @@
     """
     args = docopt.docopt(__doc__, ['lab', 'demo', *argv])
     path = pathlib.Path(args['SETTINGS'] or EXAMPLE)
-    document = json.loads(path.read_text())
+    document = arguments.read_json(path)
+    seed = arguments.whole_number(args, '--seed')
     plan = SHORT if args['--short'] else LONG
     say = quiet if args['--json'] else progress()
     with tempfile.TemporaryDirectory() as scratch:
@@ -338,7 +340,7 @@
             engine={'speeds': {'role_change_s': ROLE_CHANGE_S}},
         )
         with cluster.Cluster(document, options) as deployment:
-            demo = Demo(deployment, plan, int(args['--seed']), say)
+            demo = Demo(deployment, plan, seed, say)
             summary = demo.run()
     if args['--json']:
         good = {'good': summary.good()}
--- a/magnoliadyke/lab/live.py
+++ b/magnoliadyke/lab/live.py
@@ -38,6 +38,7 @@
 import gevent
 
 from magnoliadyke import errors
+from magnoliadyke.lab import arguments
 from magnoliadyke.lab import cluster
 from magnoliadyke.lab import load as loads
 from magnoliadyke.lab import measures
@@ -223,8 +224,8 @@
 def read_requests(options, deployment, seed):
     """The trace to run: from a file, or drawn."""
     if options.trace:
-        with open(options.trace, newline='') as file:
-            requests = traces.read(file, options.trace, deployment)
+        file = io.StringIO(arguments.read_text(options.trace))
+        requests = traces.read(file, options.trace, deployment)
         if options.load is not None:
             requests = traces.scale(requests, options.load, deployment.engines)
         return [each for each in requests if each.at_s <= LONGEST_S]
@@ -257,7 +258,9 @@
     args = docopt.docopt(__doc__, ['lab', 'live', *argv])
     options = policy.options_from({**args, **NOT_HERE})
     check_policies(options.policies)
-    result = run_all(options, args['--keep'], int(args['--hosts']))
+    result = run_all(
+        options, args['--keep'], arguments.whole_number(args, '--hosts')
+    )
     if options.as_json:
         json.dump(result, sys.stdout, indent=2)
         print()
@@ -277,7 +280,7 @@
     """
     deployment = traces.DEPLOYMENTS[options.deployment]
     path = EXAMPLES / f'{options.deployment}.json'
-    document = json.loads(path.read_text())
+    document = arguments.read_json(path)
     faults = open_faults(options.faults, deployment, document)
     found = []
     for seed in options.seeds:
@@ -306,8 +309,8 @@
     if not path:
         return []
     hosts = [host['name'] for host in document['hosts']]
-    with open(path) as file:
-        return read_faults(file, path, deployment, hosts)
+    file = io.StringIO(arguments.read_text(path))
+    return read_faults(file, path, deployment, hosts)
 
 
 def render(seed, name, figures):
