Keep the view of members until one changes

Cause: the view, the choice of sightings and the filler of a datagram were worked out from all members at each tick and datagram.

--- a/magnoliadyke/core/freshness.py
+++ b/magnoliadyke/core/freshness.py
@@ -26,6 +26,7 @@
 from collections.abc import Mapping
 import dataclasses
 import math
+from typing import Any
 from typing import NamedTuple
 
 __all__ = [
@@ -308,15 +309,20 @@
             self.spare,
         )
 
-    def relayed(self, now_s: float) -> list[Sighting]:
-        """What this node can tell of others, youngest first."""
-        recent = sorted(
-            (evidence for _, evidence in self._recent(now_s)),
-            key=lambda evidence: -evidence.at_s,
-        )
+    def relayed(self, now_s: float, most: int, rng: Any) -> list[Sighting]:
+        """What this node can tell of others, ``most`` of them drawn by lot.
+
+        :param rng: an object with ``randrange``.
+        """
+        recent = [evidence for _, evidence in self._recent(now_s)]
+        chosen = []
+        while recent and len(chosen) < most:
+            drawn = rng.randrange(len(recent))
+            recent[drawn], recent[-1] = recent[-1], recent[drawn]
+            chosen.append(recent.pop())
         return [
             evidence.sighting._replace(age_s=now_s - evidence.at_s)
-            for evidence in recent
+            for evidence in chosen
         ]
 
     def _recent(self, now_s: float) -> list[tuple[str, _Evidence]]:
--- a/magnoliadyke/core/membership.py
+++ b/magnoliadyke/core/membership.py
@@ -248,10 +248,22 @@
         self._relays: dict[int, _Relay] = {}
         self._suspicions: dict[str, _Suspicion] = {}
         self._news: dict[str, int] = {}
+        self._hosts: list[str] = []
+        self._view: MembersView | None = None
 
     # What the rest of the node reads and tells.
 
     def view(self) -> MembersView:
+        """The members now; the same object until one of them changes.
+
+        It is asked for at each tick and datagram. Rebuilt each time, it
+        took a node of a large fleet most of what membership costs.
+        """
+        if self._view is None or self._view.members[self.own.host] != self.own:
+            self._view = self._build_view()
+        return self._view
+
+    def _build_view(self) -> MembersView:
         members = {self.own.host: self.own, **self.members}
         domains: dict[str, bool] = {}
         for member in members.values():
@@ -552,7 +564,7 @@
             suspicion = self._suspicions.get(source.host)
             if suspicion is not None and suspicion.sources == {self.own.host}:
                 del self._suspicions[source.host]
-                self.members[source.host] = member._replace(state=ALIVE)
+                self._put(member._replace(state=ALIVE))
 
     # State.
 
@@ -612,16 +624,24 @@
         suspicion.sources.add(source)
 
     def _store(self, member: Member) -> None:
-        self.members[member.host] = member
+        self._put(member)
         self._news[member.host] = 0
 
+    def _put(self, member: Member) -> None:
+        known = self.members.get(member.host)
+        if known is None:
+            self._hosts.append(member.host)
+        if known != member:
+            self.members[member.host] = member
+            self._view = None
+
     def _note_sightings(self, sightings: Iterable[freshness.Sighting]) -> None:
         """Revisions only grow within an incarnation; order is no matter."""
         for seen in sightings:
             known = self.members.get(seen.host)
             if known is None or known.incarnation != seen.incarnation:
                 continue
-            self.members[seen.host] = known._replace(
+            seen_now = known._replace(
                 table_revision=max(known.table_revision, seen.table_revision),
                 staged_revision=max(
                     known.staged_revision, seen.staged_revision
@@ -629,6 +649,7 @@
                 spare=seen.spare,
                 takes_work=seen.takes_work,
             )
+            self._put(seen_now)
 
     # Riders: what every datagram carries.
 
@@ -642,13 +663,9 @@
     def _riders(
         self, receiver: Member | None, now_s: float
     ) -> tuple[tuple[Member, ...], tuple[freshness.Sighting, ...], bytes]:
-        relayed = self.freshness.relayed(now_s)
-        if len(relayed) >= self.settings.sightings:
-            relayed = self._shuffled(relayed)
-        sightings = (
-            self._own_sighting(now_s),
-            *relayed[: self.settings.sightings - 1],
-        )
+        most = self.settings.sightings - 1
+        relayed = self.freshness.relayed(now_s, most, self.rng)
+        sightings = (self._own_sighting(now_s), *relayed)
         return self._updates(receiver), sightings, self.digest
 
     def _updates(self, receiver: Member | None) -> tuple[Member, ...]:
@@ -676,10 +693,12 @@
 
     def _filler(self, chosen: list[Member]) -> list[Member]:
         """One more member, told at random: a newcomer hears of all."""
-        others = [m for m in self.members.values() if m not in chosen]
-        if not others or len(chosen) >= self.settings.updates:
+        if len(chosen) >= min(self.settings.updates, len(self._hosts)):
             return []
-        return [self.rng.choice(others)]
+        while True:
+            member = self.members[self.rng.choice(self._hosts)]
+            if member not in chosen:
+                return [member]
 
     def _shuffled(self, items: list[Any]) -> list[Any]:
         return sorted(items, key=lambda _: self.rng.random())
--- a/magnoliadyke/lab/gossipcost.py
+++ b/magnoliadyke/lab/gossipcost.py
@@ -19,6 +19,7 @@
 #: A node is probed about as often as it probes, twice a second; each probe
 #: of its own is answered: with what is passed on, five datagrams a second.
 STEPS_A_DATAGRAM = 2
+SIGHTINGS = 7
 
 
 class QuietGossip(gossip.Gossip):
@@ -109,7 +110,8 @@
         spare=(sequence % 100) / 100,
         takes_work=True,
     )
-    sightings = tuple(task.membership.freshness.relayed(now_s)[:8])
+    known = task.membership.freshness
+    sightings = tuple(known.relayed(now_s, SIGHTINGS, random.Random(sequence)))
     message = membership.Ack(
         sequence, source, task.membership.own.host, (), sightings, b''
     )
