--- /dev/null
+++ b/magnoliadyke/core/lookout.py
@@ -0,0 +1,95 @@
+"""What a node's scheduler believes of endpoints and customers, to be shown."""
+
+import collections
+from typing import NamedTuple
+
+from magnoliadyke.core import health
+
+__all__ = ['CustomerSeen', 'EndpointSeen', 'Sight', 'look']
+
+EJECTED = 'ejected'
+ALONE = 'suspect'
+
+
+class EndpointSeen(NamedTuple):
+    """An endpoint as one node sees it.
+
+    :param state: 'up', or why it gets no work: 'crashed', 'leaving',
+        'left', 'changing', 'drain', 'withdrawn', 'ejected' after failures,
+        'suspect' while it runs one suspect request by itself
+    :param role: 'prefill' or 'decode', empty for a plain service
+    :param running: streams by its last report; a service's own calls
+    :param own: jobs of this node that are there
+    :param report_age_s: age of its last report, None without one
+    """
+
+    state: str
+    role: str
+    running: int
+    own: int
+    report_age_s: float | None
+
+
+class CustomerSeen(NamedTuple):
+    """A customer's requests in this node."""
+
+    running: int
+    queued: int
+
+
+class Sight(NamedTuple):
+    """All of it, by name."""
+
+    endpoints: dict[str, EndpointSeen]
+    customers: dict[str, CustomerSeen]
+
+
+def look(scheduler, now_s: float) -> Sight:
+    """Say what a scheduler believes.
+
+    :param scheduler: the :class:`magnoliadyke.core.scheduler.Scheduler`
+    :param now_s: monotonic seconds
+    """
+    endpoints = {
+        name: _endpoint(endpoint, now_s)
+        for name, endpoint in scheduler.endpoints.items()
+    }
+    return Sight(endpoints, _customers(scheduler.runs.values()))
+
+
+def _endpoint(endpoint, now_s):
+    state = _state(endpoint, now_s)
+    reported = endpoint.reported_at_s > float('-inf')
+    own = len(endpoint.load.jobs)
+    running = endpoint.reported_streams if reported else own
+    return EndpointSeen(
+        state,
+        endpoint.role,
+        0 if state == health.CRASHED else running,
+        own,
+        now_s - endpoint.reported_at_s if reported else None,
+    )
+
+
+def _state(endpoint, now_s):
+    words = endpoint.health
+    for word in (words.tabled, words.told, words.reported):
+        if word in health.OUT_STATES:
+            return word
+    if now_s < words.ejected_until_s:
+        return EJECTED
+    if endpoint.alone is not None:
+        return ALONE
+    return health.UP
+
+
+def _customers(runs):
+    running = collections.Counter()
+    queued = collections.Counter()
+    for run in runs:
+        waits = run.dispatched_s is None
+        (queued if waits else running)[run.job.customer] += 1
+    return {
+        name: CustomerSeen(running[name], queued[name])
+        for name in running.keys() | queued.keys()
+    }
