Run lab workers as processes of their own, not as forks

Two forked workers slept with no processor time: they were forked from the one pytest process, which by then had started threads in earlier tests. Ruled out: the pipes (both tests of the workers pass) and matplotlib (it runs in the parent only).

Workers are now started as processes. A test makes a thread first; a worker that dies is reported in place of waited for.

--- a/magnoliadyke/lab/workers.py
+++ b/magnoliadyke/lab/workers.py
@@ -1,85 +1,76 @@
-"""Map a function over tasks in a few forked processes."""
+"""Map a function over tasks in a few processes of this program."""
 
-import os
 import pickle
-import struct
+import subprocess
 
-from gevent import monkey
+import gevent
+from gevent import queue
 
-__all__ = ['map_tasks']
+from magnoliadyke.lab import worker
+from magnoliadyke import program
 
-INDEX = struct.Struct('!I')
+__all__ = ['WorkerDied', 'map_tasks']
 
-# The plain calls: the children use no event loop, and gevent's fork hands
-# them one that waits for signals which nobody sends.
-fork = monkey.get_original('os', 'fork')
-waitpid = monkey.get_original('os', 'waitpid')
+
+class WorkerDied(Exception):
+    """A worker process ended before its task had."""
 
 
 def map_tasks(function, tasks, processes):
-    """Apply a function to each task, in forked processes.
+    """Apply a function to each task, in other processes.
 
-    The standard library's pools hang once gevent has patched threads, and
-    spawned children would run the program's main module again; so children
-    are plain forks, which take task numbers from one pipe and write their
-    results to one each.
+    The standard library's pools hang once gevent has patched threads, and a
+    child forked from a process that has started threads may wait for ever
+    for a lock that one of them held. So workers are new processes of this
+    program, which get tasks and give results over pipes.
 
+    :param function: importable by its name
     :param processes: most processes
     :returns: the results in the order of the tasks
     :raises Exception: the first that a task raised
+    :raises WorkerDied: if a process ended in the middle of a task
     """
     count = min(processes, len(tasks))
     if count <= 1:
         return [function(task) for task in tasks]
-    numbers = _numbers_pipe(len(tasks))
-    children = [_fork(function, tasks, numbers) for _ in range(count)]
-    os.close(numbers)
+    numbers = queue.SimpleQueue()
+    for number in range(len(tasks)):
+        numbers.put(number)
     results = {}
-    for pid, answers in children:
-        results.update(_collect(answers))
-        waitpid(pid, 0)
-    for result in results.values():
-        if isinstance(result, Exception):
-            raise result
+    greenlets = [
+        gevent.spawn(serve_one, function, tasks, numbers, results)
+        for _ in range(count)
+    ]
+    gevent.joinall(greenlets, raise_error=True)
+    for number in range(len(tasks)):
+        if isinstance(results[number], Exception):
+            raise results[number]
     return [results[number] for number in range(len(tasks))]
 
 
-def _numbers_pipe(count):
-    """A pipe from which each task number can be read once."""
-    reading, writing = os.pipe()
-    os.write(writing, b''.join(INDEX.pack(n) for n in range(count)))
-    os.close(writing)
-    return reading
-
-
-def _fork(function, tasks, numbers):
-    reading, writing = os.pipe()
-    pid = fork()
-    if pid:
-        os.close(writing)
-        return pid, reading
+def serve_one(function, tasks, numbers, results):
+    """Keep one worker process busy until no task is left."""
+    process = subprocess.Popen(
+        program.command('lab', 'worker'),
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
     try:
-        results = _work(function, tasks, numbers)
-        with os.fdopen(writing, 'wb') as file:
-            pickle.dump(results, file)
+        while not numbers.empty():
+            number = numbers.get()
+            worker.write(process.stdin, (function, tasks[number]))
+            results[number] = read_result(process, tasks[number])
     finally:
-        # Not sys.exit(): the parent's clean-up is not the child's to do.
-        os._exit(0)
+        process.stdin.close()
+        process.stdout.close()
+        process.wait()
 
 
-def _work(function, tasks, numbers):
-    results = {}
-    while True:
-        packed = os.read(numbers, INDEX.size)
-        if not packed:
-            return results
-        (number,) = INDEX.unpack(packed)
-        try:
-            results[number] = function(tasks[number])
-        except Exception as error:
-            results[number] = error
-
-
-def _collect(reading):
-    with os.fdopen(reading, 'rb') as file:
-        return pickle.load(file)
+def read_result(process, task):
+    """Return what a worker makes of its task."""
+    try:
+        return worker.read(process.stdout)
+    except (EOFError, pickle.UnpicklingError) as error:
+        raise WorkerDied(
+            f'the worker of task {task!r} ended; see its error output above'
+        ) from error
--- a/magnoliadyke/labverbs.py
+++ b/magnoliadyke/labverbs.py
@@ -29,7 +29,12 @@
     'policy': 'compare policies on traces of a shifting token mix',
 }
 
-VERBS = STAND_INS | EXPERIMENTS
+#: Started by other programs of the lab only.
+INTERNAL = {
+    'worker': 'a process that works for lab policy',
+}
+
+VERBS = STAND_INS | EXPERIMENTS | INTERNAL
 
 HELP_WORDS = frozenset(('-h', '--help'))
 
