Show endpoints in the status; blame what is shed

Cause: the status had no state of endpoints; a request shed at once was blamed on a fault, a host that stops burned budget, and a late service call was never late.

--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -7,6 +7,7 @@
 
 from magnoliadyke.core import burn
 from magnoliadyke.core import jobs
+from magnoliadyke.core import lookout
 from magnoliadyke.core import membership
 from magnoliadyke.core import outcomes
 from magnoliadyke.core import scheduler
@@ -21,6 +22,7 @@
     'FirstToken',
     'JobFailed',
     'JobFinished',
+    'Look',
     'PeerDigest',
     'PrefillDone',
     'Progress',
@@ -108,6 +110,10 @@
     tokens: tuple[tuple[str, int], ...]
 
 
+class Look(mailbox.Ask):
+    """Ask for :class:`magnoliadyke.core.lookout.Sight`, to show it."""
+
+
 class PeerDigest(typing.NamedTuple):
     """The scheduler digest of another node, as gossip brought it."""
 
@@ -269,6 +275,9 @@
                 return core.finished(job_id, failed, now_s)
             case JobFinished(job_id, result):
                 return core.finished(job_id, result, now_s)
+            case Look():
+                message.reply(lookout.look(core, now_s))
+                return []
             case CancelJob(job_id):
                 self.pending.pop(job_id, None)
                 return core.cancel(job_id, now_s)
--- a/magnoliadyke/overview.py
+++ b/magnoliadyke/overview.py
@@ -1,6 +1,8 @@
 """Admin routes that show hosts, endpoints, customers and roles."""
 
 from magnoliadyke import adminerrors
+from magnoliadyke.core import lookout
+from magnoliadyke import dispatch
 from magnoliadyke import duties
 from magnoliadyke import fleet
 from magnoliadyke import metrics
@@ -52,6 +54,7 @@
     """
     now_s = node.clock.now_s()
     view = node.configuration.views.last
+    sight = _look(node)
     return {
         'deployment': node.settings.deployment,
         'host': node.host,
@@ -65,8 +68,8 @@
         'work_permit': node.configuration.permits.last.reason or 'granted',
         'store': _store(node.keyvalue, now_s),
         'members': _members(node.gossip.members.last),
-        'endpoints': _endpoints(node),
-        'customers': _customers(node, view),
+        'endpoints': _endpoints(node, sight),
+        'customers': _customers(node, view, sight),
         'leases': _leases(node),
     }
 
@@ -100,39 +103,44 @@
     ]
 
 
-def _seen(node):
-    """Return what the dispatcher last published of its endpoints."""
-    topic = getattr(node.dispatcher, 'overview', None)
-    return (topic.last if topic else None) or {}
+def _look(node):
+    try:
+        return adminerrors.ask(
+            node.dispatcher, dispatch.Look(), READ_TIMEOUT_S
+        )
+    except adminerrors.Refusal:
+        return lookout.Sight({}, {})
 
 
-def _endpoints(node):
-    seen = _seen(node).get('endpoints', {})
+def _endpoints(node, sight):
     return [
         {
             'name': endpoint.name,
             'pool': pool.name,
             'failure_domain': endpoint.failure_domain,
         }
-        | seen.get(endpoint.name, {})
+        | _fields(sight.endpoints.get(endpoint.name))
         for pool in node.settings.pools
         for endpoint in pool.endpoints
     ]
 
 
-def _customers(node, view):
+def _customers(node, view, sight):
     if view is None:
         return []
-    seen = _seen(node).get('customers', {})
     return [
         {'name': name}
-        | seen.get(name, {})
+        | _fields(sight.customers.get(name, lookout.CustomerSeen(0, 0)))
         | dict.fromkeys(SHOWN_OUTCOMES, 0)
         | node.metrics.totals.get(name, {})
         for name in sorted(view.customers)
     ]
 
 
+def _fields(seen):
+    return seen._asdict() if seen is not None else {}
+
+
 def _add_customers(own, others):
     """Add the counts of the other hosts; what runs is a fleet's figure."""
     totals = {customer['name']: customer for customer in own['customers']}
--- a/magnoliadyke/reports.py
+++ b/magnoliadyke/reports.py
@@ -3,12 +3,23 @@
 from magnoliadyke.core import burn
 from magnoliadyke.core import outcomes
 from magnoliadyke.core import records
+from magnoliadyke import logs
 from magnoliadyke import streams
 
 __all__ = ['Reports', 'outcome_word']
 
+LOG = logs.get('requests')
+
 SERVER_ERROR = 500
 
+#: Ends of requests that an operator should be able to find in the log.
+LOGGED = frozenset({'failed', 'not_run', 'unknown'})
+#: Refusals for lack of capacity.
+SHED_REASONS = frozenset({'overloaded', 'queue_full'})
+#: A request that is shed at once has not waited: it is blamed on a role change
+#: if one was under way within this time.
+SHED_LOOK_BACK_S = 1.0
+
 
 def outcome_word(outcome):
     """Return the word that the metrics use for an outcome."""
@@ -26,6 +37,14 @@
             return 'unknown'
 
 
+def is_shed(outcome):
+    """Tell whether a request was refused because its pool had too much."""
+    match outcome:
+        case outcomes.NotRun(reason=reason):
+            return reason in SHED_REASONS
+    return False
+
+
 class Reports:
     """Counts the requests that ended at this node, their home.
 
@@ -41,7 +60,11 @@
     def refused(self, customer, outcome):
         """Count a request that was refused before it had a run."""
         if self.metrics is not None:
-            self.metrics.request_finished(customer, outcome_word(outcome))
+            word = outcome_word(outcome)
+            # The caller goes on at another host, and is counted there.
+            if word == 'not_run':
+                word = 'declined'
+            self.metrics.request_finished(customer, word)
 
     def ended(self, run):
         """Count a run that has ended.
@@ -54,32 +77,48 @@
         if isinstance(run.outcome, records.Answer):
             prompt_tokens = run.outcome.prompt_tokens
             output_tokens = run.outcome.output_tokens
-        self.metrics.request_finished(
+        word = outcome_word(run.outcome)
+        verdict = self.metrics.request_finished(
             run.job.customer,
-            outcome_word(run.outcome),
+            word,
             self.timings(run, output_tokens),
             prompt_tokens,
             output_tokens,
         )
+        if word in LOGGED:
+            reason = getattr(run.outcome, 'reason', 'endpoint_error')
+            LOG.repeated(
+                'request_failed',
+                (run.job.customer, word, reason),
+                key=run.key,
+                customer=run.job.customer,
+                outcome=word,
+                reason=reason,
+                cause=verdict.cause,
+            )
 
     def timings(self, run, output_tokens):
         """Return where the time of a run went."""
         job, now_s = run.job, self.clock.now_s()
+        first_output_s = run.first_output_s
+        if first_output_s is None and isinstance(run.outcome, records.Answer):
+            first_output_s = now_s  # a service answers in one piece
         first_s, per_token_s = None, None
-        if run.first_output_s is not None:
-            first_s = run.first_output_s - job.arrived_s
+        if first_output_s is not None:
+            first_s = first_output_s - job.arrived_s
             if output_tokens > 1:
-                span_s = now_s - run.first_output_s
+                span_s = now_s - first_output_s
                 per_token_s = span_s / (output_tokens - 1)
         waited_until_s = run.dispatched_s or now_s
+        shed = is_shed(run.outcome)
+        since_s = now_s - SHED_LOOK_BACK_S if shed else job.arrived_s
         return burn.Timings(
             first_s,
             per_token_s,
             waited_until_s - job.arrived_s,
-            self.dispatcher.changing_s(
-                job.pool, job.arrived_s, waited_until_s
-            ),
+            self.dispatcher.changing_s(job.pool, since_s, waited_until_s),
             run.failures,
             job.first_token_s,
             job.per_token_s,
+            shed,
         )
--- a/tests/fakenode.py
+++ b/tests/fakenode.py
@@ -9,8 +9,10 @@
 from magnoliadyke import admin
 from magnoliadyke import clock as clocks
 from magnoliadyke import configuration
+from magnoliadyke.core import lookout
 from magnoliadyke.core import membership
 from magnoliadyke.core import table
+from magnoliadyke import dispatch
 from magnoliadyke import duties
 from magnoliadyke import gossip
 from magnoliadyke import mailbox
@@ -76,7 +78,12 @@
         members=mailbox.Topic(membership.MembersView({HOST: member})),
         standings=mailbox.Topic(gossip.Standing(0.0)),
     )
-    node.dispatcher = types.SimpleNamespace(demand=mailbox.Topic({}))
+    node.dispatcher = Answers()
+    node.dispatcher.demand = mailbox.Topic({})
+    node.dispatcher.answers[dispatch.Look] = lookout.Sight(
+        {ENGINE: lookout.EndpointSeen('up', 'decode', 3, 1, 0.5)},
+        {'lease': lookout.CustomerSeen(1, 2)},
+    )
     engine = duties.EngineStatus(ENGINE, 'decode', 'prefill', 3, True, 999.0)
     change = (1.7e9, ENGINE, 'prefill')
     node.duties.answers[duties.RoleStatus] = {
--- a/tests/test_overview.py
+++ b/tests/test_overview.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from magnoliadyke import dispatch
 from magnoliadyke import duties
 from magnoliadyke import fleet
 from tests import fakenode
@@ -27,6 +28,8 @@
     assert body['customers'][0]['answered'] == 1
     assert body['customers'][0]['unknown'] == 0
     assert body['endpoints'][0]['name'] == fakenode.ENGINE
+    assert body['endpoints'][0]['state'] == 'up'
+    assert 'state' not in body['endpoints'][1]
     assert body['leases'][0]['holder'] == fakenode.HOST
 
 
@@ -37,7 +40,7 @@
     others['entry-2'] = {'customers': [counts]}
     client = fakenode.client(node)
     (lease,) = client.simulate_get('/admin/status').json['customers']
-    assert (lease['answered'], lease['queued']) == (3, 3)
+    assert (lease['answered'], lease['queued']) == (3, 5)
     own = client.simulate_get('/admin/status?scope=host').json
     assert own['customers'][0]['answered'] == 1
 
@@ -54,8 +57,9 @@
 
 
 def test_status_is_readable_while_a_task_hangs():
-    """The duties task does not answer; the rest of the status is shown."""
+    """Two tasks do not answer; the rest of the status is shown."""
     node = fakenode.make()
+    node.dispatcher.answers[dispatch.Look] = gevent.Timeout(1)
     node.duties.answers[duties.RoleStatus] = gevent.Timeout(1)
     client = fakenode.client(node)
     body = client.simulate_get('/admin/status').json
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -3,6 +3,7 @@
 import types
 
 from magnoliadyke import clock as clocks
+from magnoliadyke.core import burn
 from magnoliadyke.core import jobs
 from magnoliadyke.core import outcomes
 from magnoliadyke.core import records
@@ -16,13 +17,14 @@
 
     def request_finished(self, *arguments):
         self.seen.append(arguments)
+        return burn.Verdict(False, 'queue')
 
 
 def run_of(outcome, **fields):
     job = jobs.Job('k', 'lease', 'lease-model', arrived_s=990.0)
     fields = {'dispatched_s': 992.0, 'first_output_s': 993.0} | fields
     return types.SimpleNamespace(
-        job=job, outcome=outcome, failures=1, **fields
+        key='k', job=job, outcome=outcome, failures=1, **fields
     )
 
 
@@ -52,6 +54,20 @@
     book.ended(run_of(refused, dispatched_s=None, first_output_s=None))
     assert metrics.seen[0][1] == 'not_run'
     assert metrics.seen[0][2].queued_s == 10.0
+    assert metrics.seen[0][2].shed
+
+
+def test_refusal_at_the_door_sends_the_caller_elsewhere():
+    metrics, book = make()
+    book.refused('lease', outcomes.NotRun('stopping', 'ask another host'))
+    assert metrics.seen == [('lease', 'declined')]
+
+
+def test_service_that_answers_late_is_late():
+    metrics, book = make()
+    answer = records.Answer('service', 200, '', b'')
+    book.ended(run_of(answer, first_output_s=None))
+    assert metrics.seen[0][2].first_token_s == 10.0
 
 
 def test_each_outcome_has_its_word():
