Fail over at once from an engine that answers no new connection

A repeatable request on a hung or cut-off engine was resumed three times, 3 s each, before another engine took over.

--- a/magnoliadyke/client.py
+++ b/magnoliadyke/client.py
@@ -30,6 +30,9 @@
 RETRY_SHARE = 0.1
 PAUSE_S = 0.1
 LONGEST_PAUSE_S = 2.0
+#: A host's word on when to come back is a forecast. After a fault it can be
+#: a minute, and the engines are idle long before.
+LONGEST_RETRY_S = 10.0
 NOBODY = outcomes.NotRun(
     'no_host', 'check the network and the list of hosts', 1.0
 )
@@ -242,7 +245,7 @@
             outcome = self.run_key(request, end_s)
             match outcome:
                 case outcomes.NotRun(reason, _, retry_after_s):
-                    pause_s = retry_after_s
+                    pause_s = min(retry_after_s, LONGEST_RETRY_S)
                     free = reason in ELSEWHERE
                 case outcomes.Unknown() if request.repeatable:
                     pause_s, free = PAUSE_S, False
@@ -254,7 +257,7 @@
                 return outcome
             tries += 0 if free else 1
             self.leave_host(free)
-            self.clock.sleep(pause_s * (0.5 + self.rng.random()))
+            self.clock.sleep(pause_s * (0.75 + self.rng.random() / 2))
 
     def leave_host(self, leave):
         """Choose a host anew for the next attempt."""
--- a/magnoliadyke/streams.py
+++ b/magnoliadyke/streams.py
@@ -368,6 +368,10 @@
             except errors.EndpointUnreachable:
                 if self.engine.refuses_connections():
                     return self.failed(name, 'decode', True, crashed=True)
+                if self.job.repeatable:
+                    # Not even a new connection is answered: the engine hangs
+                    # or is cut off, and another one can take over now.
+                    break
                 failures += 1
                 self.clock.sleep(RESUME_PAUSE_S * failures)
                 continue
