Value a short decode side as the engines do, tell caches to the scheduler

The first seconds of a starting node count neither as demand nor as forecast error; slopes are tested against noise that neighbouring samples share.

--- a/magnoliadyke/core/forecast.py
+++ b/magnoliadyke/core/forecast.py
@@ -44,12 +44,16 @@
 class Series:
     """A line through recent samples, weighted by their age.
 
+    :param overlap: samples that share what they measure, as each is a mean
+        over a while: their noise is no smaller than that of one in so many
+
     Sums are kept relative to the newest sample, so that a sample costs the
     same however many came before it.
     """
 
-    def __init__(self, memory_s):
+    def __init__(self, memory_s, overlap=1.0):
         self.memory_s = memory_s
+        self.overlap = overlap
         self.at_s = None
         self._weight = 0.0
         self._squares = 0.0
@@ -92,7 +96,7 @@
         mean_time = self._time / self._weight
         spread = self._time2 / self._weight - mean_time * mean_time
         variance = max(0.0, self._value2 / self._weight - mean * mean)
-        count = self._weight * self._weight / self._squares
+        count = self._weight * self._weight / self._squares / self.overlap
         if spread <= 0 or count < 3:
             noise = math.sqrt(variance)
             return Forecast(mean, 0.0, noise, noise)
--- a/magnoliadyke/core/roles.py
+++ b/magnoliadyke/core/roles.py
@@ -88,6 +88,8 @@
 
     :param sample_s: least time between two samples of the demand
     :param memory_s: time constant with which samples are forgotten
+    :param overlap: samples that share arrivals, as the demand is a mean
+        over some seconds
     :param trend_s: time constant with which a trend is taken to fade
     :param horizon_s: how far the gain of a change is counted
     :param cell_s: step in which the horizon is planned
@@ -99,31 +101,41 @@
     :param rhythm_carry: part of the present deviation from the rhythm that
         is taken to last
     :param prefill_on_decode: prefill rate of a decode engine's idle time
+    :param prompt_loss: power of the served share of decode by which prompts
+        are lost
     :param prefill_tokens_s: prompt tokens of an engine-second
     :param decode_tokens_s: output tokens of an engine-second
     :param caution: standard deviations of the gain that must be exceeded
     :param band_memory_s: time constant with which the forecast's errors
         are forgotten
+    :param ramp_s: time at first whose samples are left out
+    :param warm_up_s: time after it that samples are only gathered
+    :param band_share: part of the measured errors that is reckoned with
     :param backlog_s: time in which a backlog is wanted gone
     :param cache_worth: share of a lost cache that has to be read again
     """
 
     sample_s: float = 1.0
     memory_s: float = 12.0
+    overlap: float = 4.0
     trend_s: float = 20.0
     horizon_s: float = 60.0
     cell_s: float = 4.0
     outage_s: float = 7.0
     fresh_s: float = 15.0
-    usable_share: float = 0.97
+    usable_share: float = 0.94
     rhythm_share: float = 0.9
     rhythm_carry: float = 0.3
-    prefill_on_decode: float = 0.1
+    prefill_on_decode: float = 0.15
+    prompt_loss: float = 1.6
     prefill_tokens_s: float = 5000.0
     decode_tokens_s: float = 1400.0
     caution: float = 0.0
     backlog_s: float = 10.0
     band_memory_s: float = 60.0
+    band_share: float = 0.8
+    ramp_s: float = 6.0
+    warm_up_s: float = 8.0
     cache_worth: float = 0.1
 
 
@@ -134,8 +146,8 @@
     """Tokens a second that a split is expected to serve.
 
     Every request needs a stream, so too few decoding engines turn away all
-    kinds of requests alike, and the prompts of those are not read either;
-    too few prefilling engines turn away prompts only.
+    kinds of requests, and long prompts first, since their first tokens are
+    the first to be late; too few prefilling engines turn away prompts only.
 
     :param prefills: engines that prefill
     :param decodes: engines that decode
@@ -145,7 +157,7 @@
     decode_room = decodes * settings.usable_share
     idle = max(0.0, decode_room - decode)
     if decode > decode_room:
-        prefill *= decode_room / decode
+        prefill *= (decode_room / decode) ** settings.prompt_loss
         decode = decode_room
     prefill_room = prefills * settings.usable_share
     prefill_room += idle * settings.prefill_on_decode
@@ -163,8 +175,8 @@
 
     def __init__(self, settings=DEFAULT_SETTINGS):
         self.settings = settings
-        self.prefill = forecast.Series(settings.memory_s)
-        self.decode = forecast.Series(settings.memory_s)
+        self.prefill = forecast.Series(settings.memory_s, settings.overlap)
+        self.decode = forecast.Series(settings.memory_s, settings.overlap)
         self.demand = None
         self.changed_at_s = {}
         self.roles = {}
@@ -172,6 +184,7 @@
         self.rhythm = forecast.Rhythm()
         self.band = forecast.Band(settings.band_memory_s)
         self.expected_s = -math.inf
+        self.first_s = None
 
     def observe(self, demand, now_s):
         """Take a sample of the pool's demand.
@@ -180,6 +193,13 @@
             `queued_prefill_s` and `queued_decode_s`
         """
         self.demand = demand
+        if self.first_s is None:
+            self.first_s = now_s
+        if now_s < self.first_s + self.settings.ramp_s:
+            # A node that has just started measures a demand that rises from
+            # nothing; taken for a trend it leads to changes and, as an
+            # error of the forecast, keeps later ones away for a minute.
+            return
         last_s = self.prefill.at_s
         if last_s is not None and now_s - last_s < self.settings.sample_s:
             return
@@ -188,6 +208,11 @@
         self.rhythm.add(demand.prefill_s_per_s, demand.decode_s_per_s, now_s)
         self._learn_band(now_s)
 
+    def _warming_up(self, now_s):
+        settings = self.settings
+        learnt_s = self.first_s + settings.ramp_s + settings.warm_up_s
+        return now_s < learnt_s
+
     def plan(self, state, now_s):
         """Choose a change, or none.
 
@@ -233,6 +258,8 @@
             return 'planning is off in the table'
         if self.demand is None:
             return 'no demand seen yet'
+        if self._warming_up(now_s):
+            return 'the demand is not known for long enough'
         if now_s - self.prefill.at_s > self.settings.fresh_s:
             return 'the demand is not known of late'
         if any(engine.state == 'changing' for engine in state.engines):
@@ -314,9 +341,10 @@
         """Standard errors of the forecast in each cell."""
         least = self.prefill.forecast().error, self.decode.forecast().error
         cell_s = self.settings.cell_s
+        share = self.settings.band_share
         return [
-            self.band.errors((number + 0.5) * cell_s, least)
-            for number in range(count)
+            [share * each for each in self.band.errors(ahead_s, least)]
+            for ahead_s in ((n + 0.5) * cell_s for n in range(count))
         ]
 
     def _with_backlog(self, cells):
@@ -334,6 +362,8 @@
         """Compare forecasts with what came, and note new ones."""
         levels = self.prefill.forecast().level, self.decode.forecast().level
         self.band.observe(levels, now_s)
+        if self._warming_up(now_s):
+            return
         if now_s < self.expected_s + self.settings.cell_s:
             return
         self.expected_s = now_s
--- a/magnoliadyke/lab/fakes.py
+++ b/magnoliadyke/lab/fakes.py
@@ -12,6 +12,7 @@
 
 READY = 'up'
 RESTART_S = 20.0
+CACHE_LAG_S = 1.0
 
 
 class Timeline:
@@ -45,6 +46,7 @@
     """
 
     __slots__ = (
+        'cached_tokens',
         'dispatched_s',
         'finished_s',
         'first_token_s',
@@ -58,6 +60,7 @@
         self.first_token_s = None
         self.finished_s = None
         self.outcome = None
+        self.cached_tokens = 0
 
     def met(self):
         """Whether the answer was whole and in time."""
@@ -223,9 +226,24 @@
                 self._on_finished(name, event)
             case enginemodel.RoleChanged():
                 self._on_role_changed(name, event)
+            case enginemodel.CacheStored():
+                self._tell_cache(name, 'stored', event.blocks)
+            case enginemodel.CacheEvicted():
+                self._tell_cache(name, 'evicted', event.blocks)
+
+    def _tell_cache(self, name, kind, blocks):
+        """Publish a cache event, late as the engines do."""
+        events = ({'kind': kind, 'blocks': blocks},)
+        arrives_s = self.timeline.now_s + CACHE_LAG_S
+        self.timeline.at(arrives_s, self._on_cache_events, name, events)
+
+    def _on_cache_events(self, name, events):
+        now_s = self.timeline.now_s
+        self.act(self.scheduler.cache_events(name, events, False, now_s))
 
     def _on_prefill_done(self, name, event):
         now_s = self.timeline.now_s
+        self.answers[event.id].cached_tokens = event.cached_tokens
         self.act(self.scheduler.dispatched_prefill_done(event.id, now_s))
         action = self.runs[event.id].action
         if action.prefill_endpoint is not None:
@@ -248,7 +266,9 @@
         answer.finished_s = event.at_s
         del self.runs[event.id]
         job = answer.job
-        result = jobs.Finished(job.prompt_tokens, job.output_tokens, 0)
+        result = jobs.Finished(
+            job.prompt_tokens, job.output_tokens, answer.cached_tokens
+        )
         now_s = self.timeline.now_s
         self.act(self.scheduler.finished(event.id, result, now_s))
         if name in self.changing:
--- a/magnoliadyke/lab/policy.py
+++ b/magnoliadyke/lab/policy.py
@@ -53,7 +53,7 @@
 POLICIES = ('fixed', 'greedy', 'hysteresis', 'ours', 'hindsight')
 MOST_PROCESSES = 6
 #: Usable shares with which the hindsight plan is tried.
-HINDSIGHT_SHARES = (0.9, 0.96, 1.02)
+HINDSIGHT_SHARES = (0.88, 0.94, 1.0)
 HINDSIGHT_OUTAGE_S = 7.0
 WORTHWHILE = 1.05
 SUMMED_UP = (
