--- a/magnoliadyke/core/burn.py
+++ b/magnoliadyke/core/burn.py
@@ -18,7 +18,7 @@
     'RULES',
     'WINDOWS_S',
     'Alert',
-    'BurnBook',
+    'BurnCounters',
     'Counts',
     'CustomerBurn',
     'Rule',
@@ -220,7 +220,7 @@
         self.newest = max(self.newest, slot)
 
 
-class BurnBook:
+class BurnCounters:
     """What one node has seen since its start, for every customer.
 
     Memory is bounded: :data:`SLOTS` slots for each of the windows.
@@ -265,7 +265,7 @@
 ) -> dict[str, dict[int, Counts]]:
     """Add up the snapshots of several nodes.
 
-    :param snapshots: results of :meth:`BurnBook.snapshot`
+    :param snapshots: results of :meth:`BurnCounters.snapshot`
     """
     merged: dict[str, dict[int, Counts]] = {}
     for snapshot in snapshots:
--- a/magnoliadyke/core/lookout.py
+++ b/magnoliadyke/core/snapshot.py
@@ -5,7 +5,7 @@
 
 from magnoliadyke.core import health
 
-__all__ = ['CustomerSeen', 'EndpointSeen', 'Sight', 'look']
+__all__ = ['CustomerSeen', 'EndpointSeen', 'Snapshot', 'take']
 
 EJECTED = 'ejected'
 ALONE = 'suspect'
@@ -37,14 +37,14 @@
     queued: int
 
 
-class Sight(NamedTuple):
+class Snapshot(NamedTuple):
     """All of it, by name."""
 
     endpoints: dict[str, EndpointSeen]
     customers: dict[str, CustomerSeen]
 
 
-def look(scheduler, now_s: float) -> Sight:
+def take(scheduler, now_s: float) -> Snapshot:
     """Say what a scheduler believes.
 
     :param scheduler: the :class:`magnoliadyke.core.scheduler.Scheduler`
@@ -54,7 +54,7 @@
         name: _endpoint(endpoint, now_s)
         for name, endpoint in scheduler.endpoints.items()
     }
-    return Sight(endpoints, _customers(scheduler.runs.values()))
+    return Snapshot(endpoints, _customers(scheduler.runs.values()))
 
 
 def _endpoint(endpoint, now_s):
--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -7,10 +7,10 @@
 
 from magnoliadyke.core import burn
 from magnoliadyke.core import jobs
-from magnoliadyke.core import lookout
 from magnoliadyke.core import membership
 from magnoliadyke.core import outcomes
 from magnoliadyke.core import scheduler
+from magnoliadyke.core import snapshot
 from magnoliadyke.core import table
 from magnoliadyke import endpoint as endpoints
 from magnoliadyke import errors
@@ -22,12 +22,12 @@
     'FirstToken',
     'JobFailed',
     'JobFinished',
-    'Look',
     'PeerDigest',
     'PrefillDone',
     'Progress',
     'RoleSeen',
     'SubmitJob',
+    'TakeSnapshot',
     'build_endpoints',
 ]
 
@@ -110,8 +110,8 @@
     tokens: tuple[tuple[str, int], ...]
 
 
-class Look(mailbox.Ask):
-    """Ask for :class:`magnoliadyke.core.lookout.Sight`, to show it."""
+class TakeSnapshot(mailbox.Ask):
+    """Ask for :class:`magnoliadyke.core.snapshot.Snapshot`, to show it."""
 
 
 class PeerDigest(typing.NamedTuple):
@@ -275,8 +275,8 @@
                 return core.finished(job_id, failed, now_s)
             case JobFinished(job_id, result):
                 return core.finished(job_id, result, now_s)
-            case Look():
-                message.reply(lookout.look(core, now_s))
+            case TakeSnapshot():
+                message.reply(snapshot.take(core, now_s))
                 return []
             case CancelJob(job_id):
                 self.pending.pop(job_id, None)
--- a/magnoliadyke/metrics.py
+++ b/magnoliadyke/metrics.py
@@ -64,7 +64,7 @@
     def __init__(self, settings, host, clock):
         self.clock = clock
         self.started_s = clock.now_s()
-        self.book = burn.BurnBook()
+        self.burn_counters = burn.BurnCounters()
         self.totals = collections.defaultdict(collections.Counter)
         self.registry = prometheus_client.CollectorRegistry()
         self.scrape = prometheus.PrometheusMetricReader(
@@ -161,7 +161,7 @@
         verdict = burn.Verdict(True)
         if outcome not in UNJUDGED:
             verdict = burn.judge(timings, outcome == 'answered')
-            self.book.record(customer, verdict, self.clock.now_s())
+            self.burn_counters.record(customer, verdict, self.clock.now_s())
         self.totals[customer][outcome] += 1
         labels = {'customer': customer}
         self.requests.add(
@@ -185,7 +185,7 @@
 
     def burn_snapshot(self):
         """Give this node's burn counts of all customers and windows."""
-        return self.book.snapshot(self.clock.now_s())
+        return self.burn_counters.snapshot(self.clock.now_s())
 
     def covered_s(self):
         """Return how far back the counts go, in seconds."""
--- a/magnoliadyke/overview.py
+++ b/magnoliadyke/overview.py
@@ -1,7 +1,7 @@
 """Admin routes that show hosts, endpoints, customers and roles."""
 
 from magnoliadyke import adminerrors
-from magnoliadyke.core import lookout
+from magnoliadyke.core import snapshot
 from magnoliadyke import dispatch
 from magnoliadyke import duties
 from magnoliadyke import fleet
@@ -54,7 +54,7 @@
     """
     now_s = node.clock.now_s()
     view = node.configuration.views.last
-    sight = _look(node)
+    seen = _snapshot(node)
     return {
         'deployment': node.settings.deployment,
         'host': node.host,
@@ -68,8 +68,8 @@
         'work_permit': node.configuration.permits.last.reason or 'granted',
         'store': _store(node.keyvalue, now_s),
         'members': _members(node.gossip.members.last),
-        'endpoints': _endpoints(node, sight),
-        'customers': _customers(node, view, sight),
+        'endpoints': _endpoints(node, seen),
+        'customers': _customers(node, view, seen),
         'leases': _leases(node),
     }
 
@@ -103,34 +103,34 @@
     ]
 
 
-def _look(node):
+def _snapshot(node):
     try:
         return adminerrors.ask(
-            node.dispatcher, dispatch.Look(), READ_TIMEOUT_S
+            node.dispatcher, dispatch.TakeSnapshot(), READ_TIMEOUT_S
         )
     except adminerrors.Refusal:
-        return lookout.Sight({}, {})
+        return snapshot.Snapshot({}, {})
 
 
-def _endpoints(node, sight):
+def _endpoints(node, seen):
     return [
         {
             'name': endpoint.name,
             'pool': pool.name,
             'failure_domain': endpoint.failure_domain,
         }
-        | _fields(sight.endpoints.get(endpoint.name))
+        | _fields(seen.endpoints.get(endpoint.name))
         for pool in node.settings.pools
         for endpoint in pool.endpoints
     ]
 
 
-def _customers(node, view, sight):
+def _customers(node, view, seen):
     if view is None:
         return []
     return [
         {'name': name}
-        | _fields(sight.customers.get(name, lookout.CustomerSeen(0, 0)))
+        | _fields(seen.customers.get(name, snapshot.CustomerSeen(0, 0)))
         | dict.fromkeys(SHOWN_OUTCOMES, 0)
         | node.metrics.totals.get(name, {})
         for name in sorted(view.customers)
--- a/tests/fakenode.py
+++ b/tests/fakenode.py
@@ -9,8 +9,8 @@
 from magnoliadyke import admin
 from magnoliadyke import clock as clocks
 from magnoliadyke import configuration
-from magnoliadyke.core import lookout
 from magnoliadyke.core import membership
+from magnoliadyke.core import snapshot
 from magnoliadyke.core import table
 from magnoliadyke import dispatch
 from magnoliadyke import duties
@@ -80,9 +80,9 @@
     )
     node.dispatcher = Answers()
     node.dispatcher.demand = mailbox.Topic({})
-    node.dispatcher.answers[dispatch.Look] = lookout.Sight(
-        {ENGINE: lookout.EndpointSeen('up', 'decode', 3, 1, 0.5)},
-        {'lease': lookout.CustomerSeen(1, 2)},
+    node.dispatcher.answers[dispatch.TakeSnapshot] = snapshot.Snapshot(
+        {ENGINE: snapshot.EndpointSeen('up', 'decode', 3, 1, 0.5)},
+        {'lease': snapshot.CustomerSeen(1, 2)},
     )
     engine = duties.EngineStatus(ENGINE, 'decode', 'prefill', 3, True, 999.0)
     change = (1.7e9, ENGINE, 'prefill')
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -88,13 +88,13 @@
     A bad request at 1000 s lies in the slot that begins at 1000 s. That
     slot is dropped whole when the slot 300 s later begins, at 1300 s.
     """
-    book = burn.BurnBook()
-    book.record('lease', LATE, 1000.0)
-    book.record('lease', GOOD, 1299.0)
-    assert book.snapshot(1299.9)['lease'][300] == counts(2, queue=1)
-    assert book.snapshot(1300.0)['lease'][300] == counts(1)
-    assert book.snapshot(1300.0)['lease'][1800] == counts(2, queue=1)
-    assert book.snapshot(9e6)['lease'][259200] == counts(0)
+    counters = burn.BurnCounters()
+    counters.record('lease', LATE, 1000.0)
+    counters.record('lease', GOOD, 1299.0)
+    assert counters.snapshot(1299.9)['lease'][300] == counts(2, queue=1)
+    assert counters.snapshot(1300.0)['lease'][300] == counts(1)
+    assert counters.snapshot(1300.0)['lease'][1800] == counts(2, queue=1)
+    assert counters.snapshot(9e6)['lease'][259200] == counts(0)
 
 
 def test_nodes_add_up():
--- a/tests/test_lookout.py
+++ b/tests/test_snapshot.py
@@ -3,8 +3,8 @@
 import random
 
 from magnoliadyke.core import jobs
-from magnoliadyke.core import lookout
 from magnoliadyke.core import scheduler
+from magnoliadyke.core import snapshot
 from magnoliadyke.core import table
 
 
@@ -18,20 +18,20 @@
 
 def test_endpoint_and_customer_are_seen():
     made = make()
-    assert lookout.look(made, 0.0).endpoints['e1'].report_age_s is None
+    assert snapshot.take(made, 0.0).endpoints['e1'].report_age_s is None
     made.load_report('e1', jobs.LoadReport(1.0, running=3), 1.0)
     made.submit(jobs.Job('j', 'lease', 'm', model='m'), 1.0)
-    sight = lookout.look(made, 3.0)
-    assert sight.endpoints['e1'] == lookout.EndpointSeen(
+    seen = snapshot.take(made, 3.0)
+    assert seen.endpoints['e1'] == snapshot.EndpointSeen(
         'up', 'decode', 3, 1, 2.0
     )
-    assert sight.customers == {'lease': lookout.CustomerSeen(1, 0)}
+    assert seen.customers == {'lease': snapshot.CustomerSeen(1, 0)}
 
 
 def test_state_tells_why_an_endpoint_gets_no_work():
     made = make()
     made.endpoint_state('e1', 'crashed', 1.0)
-    assert lookout.look(made, 1.0).endpoints['e1'].state == 'crashed'
+    assert snapshot.take(made, 1.0).endpoints['e1'].state == 'crashed'
     made.endpoint_state('e1', 'up', 2.0)
     made.endpoints['e1'].health.eject(2.0)
-    assert lookout.look(made, 2.0).endpoints['e1'].state == 'ejected'
+    assert snapshot.take(made, 2.0).endpoints['e1'].state == 'ejected'
