Let the forecast err in the mix, not in each demand alone

Cause: five independent errors held against a change also the case that both demands rise together, which no change of split could help. Hindsight starts from the same split as the other moving policies; of the fixed splits only the two that the relaxed model ranks best are run.

--- a/magnoliadyke/core/roles.py
+++ b/magnoliadyke/core/roles.py
@@ -33,11 +33,12 @@
 #: Changes that a course may be away from the present split.
 MOST_STEPS = 3
 
-#: Sigma points of two independent normal errors, in standard deviations,
-#: and their weights: the gain's mean and spread from five sums.
+#: Sigma points of the error in the mix, in standard deviations of prefill
+#: and decode, and their weights.  When the mix turns out otherwise, one
+#: demand is higher and the other lower.
 REACH = math.sqrt(3.0)
-SHIFTS = ((0, 0), (REACH, 0), (-REACH, 0), (0, REACH), (0, -REACH))
-SHIFT_WEIGHTS = (1 / 3, 1 / 6, 1 / 6, 1 / 6, 1 / 6)
+SHIFTS = ((0, 0), (REACH, -REACH), (-REACH, REACH))
+SHIFT_WEIGHTS = (2 / 3, 1 / 6, 1 / 6)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/magnoliadyke/lab/baselines.py
+++ b/magnoliadyke/lab/baselines.py
@@ -14,7 +14,8 @@
 - all of an engine's time up to `usable_share` can be sold, and the idle
   rest in the other role at a fixed rate.
 
-As it knows the future, the plan is not one that could be had; and as its
+It starts from the split that the other moving policies start from.  As it
+knows the future, the plan is not one that could be had; and as its
 model is not the fakes', another plan may do better on the fakes.  So it is
 tried with several usable shares and the best run counts as the ceiling.
 """
@@ -32,6 +33,7 @@
     'Schedule',
     'fluid_demand',
     'hindsight_plan',
+    'likely_splits',
 ]
 
 CELL_S = 2.0
@@ -181,10 +183,13 @@
     return smoothed
 
 
-def hindsight_plan(requests, length_s, engines, price_tokens, settings):
+def hindsight_plan(
+    requests, length_s, engines, price_tokens, settings, first=None
+):
     """The optimal changes of the relaxed problem.
 
     :param settings: a :class:`magnoliadyke.core.roles.PlannerSettings`
+    :param first: prefill engines at the start; None to choose them too
     :returns: (first number of prefill engines, list of :class:`Change`,
         tokens a second of the relaxed optimum)
     """
@@ -210,11 +215,23 @@
                 total += best[end][after][0] - price_tokens
                 options.append((total, step))
             best[cell][split] = max(options)
-    first = max(splits, key=lambda split: best[0][split][0])
+    if first is None:
+        first = max(splits, key=lambda split: best[0][split][0])
     changes = _follow(best, first, cells, away)
     return first, changes, best[0][first][0] / (cells * CELL_S)
 
 
+def likely_splits(requests, length_s, engines, settings):
+    """Fixed numbers of prefill engines, by the relaxed model, best first."""
+    cells = max(1, int(length_s / CELL_S))
+    demand = fluid_demand(requests, cells)
+    values = [_cell_values(settings, engines, each) for each in demand]
+    return sorted(
+        range(1, engines),
+        key=lambda split: -sum(v[split, engines - split] for v in values),
+    )
+
+
 def _cell_values(settings, engines, demand):
     """Tokens of a cell for each split, one engine away or none."""
     values = {}
