--- a/magnoliadyke/core/snapshot.py
+++ b/magnoliadyke/core/snapshot.py
@@ -15,8 +15,8 @@
     """An endpoint as one node sees it.
 
     :param state: 'up', or why it gets no work: 'crashed', 'leaving',
-        'left', 'changing', 'drain', 'withdrawn', 'ejected' after failures,
-        'suspect' while it runs one suspect request by itself
+        'left', 'changing', 'ejected' after failures, 'suspect' while it
+        runs one suspect request by itself
     :param role: 'prefill' or 'decode', empty for a plain service
     :param running: streams by its last report; a service's own calls
     :param own: jobs of this node that are there
