Bound what a node remembers of endpoints and peers

At 1,800 endpoints, 270 customers and 419 peers the scheduler would have held 10.4 MB for endpoints, most of which its subset never uses, and 28 MB for peers, of a budget of 32 MB.

--- a/magnoliadyke/core/exchange.py
+++ b/magnoliadyke/core/exchange.py
@@ -9,7 +9,10 @@
 
 SUSPECTS_TOLD = 24
 #: A peer that was not heard for so long is forgotten.
-SILENT_S = 300.0
+SILENT_S = 60.0
+#: Totals remembered of one peer. Customers that it serves much are told in
+#: each digest and stay; of the others only a first figure is lost.
+MOST_TOTALS = 64
 
 
 class Demand(NamedTuple):
@@ -185,10 +188,14 @@
         if name is None:
             return
         customer, pool_name = name
-        demands[customer, 'rate'] = news.tokens_s
+        row = self.limits.rows.get(customer)
+        if row is not None and (row.requests_s or row.tokens_s):
+            demands[customer, 'rate'] = news.tokens_s
         demands[customer, 'concurrency'] = news.wanted
-        before = known.served.get(news.customer)
+        before = known.served.pop(news.customer, None)
         known.served[news.customer] = news.served_ms
+        if len(known.served) > MOST_TOTALS:
+            del known.served[next(iter(known.served))]
         if before is not None:
             served_s = digests.served_since_s(before, news.served_ms)
             self.pools[pool_name].queue.charge_remote(customer, served_s)
--- a/magnoliadyke/core/limits.py
+++ b/magnoliadyke/core/limits.py
@@ -155,7 +155,12 @@
     def hear(self, host, demands, now_s):
         """Take a peer's demand by key; keys left out keep their figure."""
         known = self.peers.get(host)
-        merged = {**known.demands, **demands} if known else dict(demands)
+        merged = known.demands if known else {}
+        for key, demand in demands.items():
+            if demand:
+                merged[key] = demand
+            else:
+                merged.pop(key, None)
         self.peers[host] = _Peer(now_s, merged)
 
     def tell(self, key, demand, now_s):
--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -15,6 +15,7 @@
     'Router',
     'RoutingSettings',
     'Terms',
+    'subset',
 ]
 
 PREFILL = 'prefill'
@@ -178,15 +179,15 @@
 class Pool:
     """The endpoints of a pool that this node uses, by role.
 
-    :param members: all its :class:`Endpoint`
-    :param salt: differs from node to node
+    :param members: those endpoints, as :class:`Endpoint`
+    :param total: endpoints that the pool has
     """
 
-    def __init__(self, name, kind, members, subset, salt):
+    def __init__(self, name, kind, members, total):
         self.name = name
         self.kind = kind
-        self.total = len(members)
-        self.members = _subset(members, subset, salt)
+        self.total = total
+        self.members = members
         self.by_role = {}
         self.sort()
 
@@ -208,17 +209,20 @@
     return [each for each in members if each.name not in names] or members
 
 
-def _subset(members, size, salt):
+def subset(infos, size, salt):
     """A part of a big pool, by rendezvous hashing.
 
     Nodes choose by their own salt, so each endpoint has about the same
     number of nodes, and one that comes or goes moves no other.
+
+    :param infos: with a ``name``
+    :param salt: differs from node to node
     """
-    if len(members) <= size:
-        return list(members)
+    if len(infos) <= size:
+        return list(infos)
     ranked = sorted(
-        members,
-        key=lambda each: zlib.crc32(f'{salt}/{each.name}'.encode()),
+        infos,
+        key=lambda info: zlib.crc32(f'{salt}/{info.name}'.encode()),
     )
     return ranked[:size]
 
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -143,16 +143,19 @@
         )
 
     def _add_endpoints(self, infos):
-        self.endpoints = {}
-        members = {}
+        by_pool = {}
         for info in infos:
-            endpoint = routing.Endpoint(info, self.settings.ejection)
-            self.endpoints[info.name] = endpoint
-            members.setdefault((info.pool, info.kind), []).append(endpoint)
+            by_pool.setdefault((info.pool, info.kind), []).append(info)
+        self.endpoints = {}
         self.pools = {}
-        subset = self.settings.routes.subset
-        for (name, kind), each in members.items():
-            pool = routing.Pool(name, kind, each, subset, self.epoch)
+        size = self.settings.routes.subset
+        for (name, kind), each in by_pool.items():
+            members = [
+                routing.Endpoint(info, self.settings.ejection)
+                for info in routing.subset(each, size, self.epoch)
+            ]
+            self.endpoints.update((one.name, one) for one in members)
+            pool = routing.Pool(name, kind, members, len(each))
             self.pools[name] = pools.PoolQueue(pool, self.settings.patience)
         used = sum(len(p.endpoints.members) for p in self.pools.values())
         blocks = BELIEVED_BLOCKS // max(1, used)
@@ -206,6 +209,8 @@
 
     def cache_events(self, name, events, gap, now_s):
         """An engine's cache events: mappings with ``kind`` and ``blocks``."""
+        if name not in self.endpoints:
+            return []
         if gap:
             self.beliefs.gap(name)
         for event in events:
@@ -752,7 +757,8 @@
 
     def in_flight(self, endpoint_name):
         """This node's jobs on an endpoint."""
-        return len(self.endpoints[endpoint_name].load.jobs)
+        endpoint = self.endpoints.get(endpoint_name)
+        return len(endpoint.load.jobs) if endpoint is not None else 0
 
 
 def _convicted():
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -20,7 +20,7 @@
         )
         for number, role in enumerate(roles)
     ]
-    return routing.Pool('p', 'model', members, 64, 'salt')
+    return routing.Pool('p', 'model', members, len(members))
 
 
 def make_router(seed=1, **settings):
@@ -158,12 +158,11 @@
         jobs.EndpointInfo(f'e{number}', 'p', 'model', '')
         for number in range(600)
     ]
-    members = [routing.Endpoint(info) for info in infos]
     used = dict.fromkeys((info.name for info in infos), 0)
     for salt in range(100):
-        pool = routing.Pool('p', 'model', members, 60, salt)
-        assert len(pool.members) == 60
-        for endpoint in pool.members:
-            used[endpoint.name] += 1
+        chosen = routing.subset(infos, 60, salt)
+        assert len(chosen) == 60
+        for info in chosen:
+            used[info.name] += 1
     assert min(used.values()) >= 1
     assert max(used.values()) <= 25
