Undo a stray command that comes before the reading back

An engine that crashes in mid-change counts as changing while it is away, so that no second one is changed in its stead.

--- a/magnoliadyke/core/commands.py
+++ b/magnoliadyke/core/commands.py
@@ -219,10 +219,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Commanding:
-    """The command is out, or is to be sent again."""
+    """The command is out, or is to be sent again.
+
+    :param before: the engine's generation before it
+    """
 
     intent: Intent
     until_s: float
+    before: int
     attempts: int = 0
     sending: bool = False
 
@@ -418,7 +422,9 @@
 
     def _begin(self, intent: Intent, now_s: float) -> None:
         self.intent = intent
-        self._step = _Commanding(intent, now_s + self.settings.change_s)
+        before = self.state.generation if self.state is not None else 0
+        until_s = now_s + self.settings.change_s
+        self._step = _Commanding(intent, until_s, before)
 
     def _command(
         self, step: _Commanding, now_s: float, authority: leases.Authority
@@ -545,7 +551,12 @@
         if state.generation == step.intent.generation:
             # It took the command, and would take no repeat for a new one.
             return self._give_up(step, 'the engine fell back')
-        # The command never arrived, or a crash undid it: send it again.
+        if state.generation != step.before:
+            # A stray command or a crash came after ours. The engine would
+            # drop a repeat of what it has carried out and stay astray until
+            # we give up; comparing finds it and sends a new generation.
+            return self._give_up(step, 'the engine was commanded otherwise')
+        # The command never arrived: send it again.
         self._step = dataclasses.replace(step, sending=True)
         return []
 
--- a/magnoliadyke/poolduty.py
+++ b/magnoliadyke/poolduty.py
@@ -270,11 +270,13 @@
     def state_of(self, engine):
         """Whether the planner may count on the engine."""
         reading = engine.reading
+        if engine.commands.under_way:
+            # Also while it is away: it may have crashed half-way, and comes
+            # back to go on. Another change meanwhile would be one too many.
+            return 'changing'
         if reading is None:
             return 'away'
-        if reading.state.changing or engine.commands.under_way:
-            return 'changing'
-        if engine.astray():
+        if reading.state.changing or engine.astray():
             return 'changing'
         if self.row_state(engine) != 'in' or not reading.takes_work:
             return 'leaving'
@@ -382,6 +384,10 @@
         if change.kind == 'role':
             at_s = self.task.clock.wall_s()
             self.changes.append((at_s, engine.name, change.target))
+            if self.task.metrics is not None:
+                self.task.metrics.role_change(
+                    self.name, engine.name, change.target
+                )
 
     def gave_up(self, engine, change, reason):
         """A change failed; give the engine back to use."""
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -321,6 +321,29 @@
     assert second.commands.corrections == (0 if checks_fencing else 2)
 
 
+def test_stray_command_before_the_reading_back():
+    """The engine stays in a role that nobody planned for 16 s.
+
+    The stray command arrives when the successor's has just taken effect and
+    before that has been read back.  The successor takes its own for lost and
+    repeats it, and the engine drops repeats of what it has carried out.
+    """
+    world = World()
+    world.run(7.0)
+    first, second = world.holders
+    first.commands.want(PREFILL)
+    stray = world.run_until_sending(0)
+    world.run(8.0, hosts=[1])
+    second.commands.want(DECODE)
+    world.run_until_sending(1)
+    second.call(world.now_s)
+    world.now_s += CHANGE_S + 0.01
+    assert world.engine.state(world.now_s).role == 'decode'
+    assert world.engine.command(stray.command, world.now_s) == ''
+    world.run(6.0, hosts=[1])
+    assert world.engine.state(world.now_s).role == 'decode'
+
+
 def test_number_of_a_new_holder_is_made_known():
     """The stopped holder's command comes before its successor's first.
 
