Give callers and duties the metrics; log errors of tasks

Cause: nodes counted no requests, so that metrics, status counters and the burn report stayed empty; errors in tasks were printed as raw tracebacks between key=value lines.

--- a/magnoliadyke/duties.py
+++ b/magnoliadyke/duties.py
@@ -72,6 +72,7 @@
     :param configuration: :class:`magnoliadyke.configuration.Configuration`
     :param control_for: makes an engine's
         :class:`magnoliadyke.enginecontrol.EngineControl` from its address
+    :param metrics: :class:`magnoliadyke.metrics.Metrics`, or None
     """
 
     tick_interval_s = TICK_INTERVAL_S
@@ -86,6 +87,7 @@
         gossip,
         configuration,
         control_for=None,
+        metrics=None,
     ):
         super().__init__('duties', clock)
         self.settings = settings
@@ -101,6 +103,7 @@
         self.permitted = False
         self.members = membership.MembersView({})
         self.release = None
+        self.metrics = metrics
         control_for = control_for or self.http_control
         self.pools = {
             pool.name: poolduty.PoolDuty(
--- a/magnoliadyke/mailbox.py
+++ b/magnoliadyke/mailbox.py
@@ -1,15 +1,15 @@
 """Tasks that own their state and talk by messages."""
 
-import sys
-import traceback
-
 import gevent
 from gevent import event
 from gevent import queue
 
+from magnoliadyke import logs
+
 __all__ = ['Ask', 'Task', 'Tick', 'Topic']
 
 STOP = object()
+LOG = logs.get('mailbox')
 
 
 class Tick:
@@ -146,8 +146,8 @@
         """Handle one message; an error ends the message, not the task.
 
         One message that raises would otherwise end the task, and its node
-        would go on answering with a part of it dead. The error is printed
-        whole, so that it is not lost.
+        would go on answering with a part of it dead. The error is logged
+        with the lines that led to it, so that it is not lost.
         """
         try:
             if isinstance(message, Tick):
@@ -155,9 +155,8 @@
                 self.tick()
             else:
                 self.handle(message)
-        except Exception:
-            sys.stderr.write(f'event=task_error task={self.name}\n')
-            traceback.print_exc()
+        except Exception as error:
+            LOG.error_event('task_error', error, task=self.name)
 
     def run_ticker(self):
         """Post a tick each interval, at most one waiting at a time."""
--- a/magnoliadyke/node.py
+++ b/magnoliadyke/node.py
@@ -223,6 +223,7 @@
                 self.keyvalue,
                 self.gossip,
                 self.configuration,
+                metrics=self.metrics,
             )
         )
 
@@ -264,6 +265,7 @@
             self.keyvalue,
             self.peers,
             self.status,
+            self.metrics,
         )
 
     def join_peers(self):
@@ -294,15 +296,13 @@
     def start(self):
         """Start all components."""
         self.app.start()
-        logs.get('node').event(
-            'node_started', host=self.host, incarnation=self.incarnation
-        )
+        logs.get('node').event('node_started', incarnation=self.incarnation)
 
     def stop(self):
         """Stop gracefully, within the time of the settings."""
-        logs.get('node').event('node_stopping', host=self.host)
+        logs.get('node').event('node_stopping')
         self.app.stop(self.settings.timing.stop_s)
-        logs.get('node').event('node_stopped', host=self.host)
+        logs.get('node').event('node_stopped')
 
 
 def run(settings, host):
@@ -315,8 +315,9 @@
     :param host: name of this host
     :return: the process's exit status
     """
-    logs.setup(settings)
-    node = Node(settings, host, clocks.SystemClock())
+    clock = clocks.SystemClock()
+    logs.setup(settings, clock, host)
+    node = Node(settings, host, clock)
 
     def on_signal():
         if node.stop_asked.is_set():
--- a/magnoliadyke/porcelain.py
+++ b/magnoliadyke/porcelain.py
@@ -388,35 +388,19 @@
 
 
 def plot_burn(report: Mapping[str, Any], path: str) -> None:
-    """Draw burn rates by window, a line for each customer.
+    """Draw burn rates by window and bad requests by cause.
 
     :param report: what :func:`report_burn` gave.
     :param path: PNG file to write.
     """
     try:
-        from matplotlib import figure
+        from magnoliadyke import burnplot
     except ModuleNotFoundError as error:
         raise errors.UsageError(
             'matplotlib is not installed',
             "install it by pip install 'magnoliadyke[plots]'",
         ) from error
-    drawing = figure.Figure(figsize=(7, 4), layout='constrained')
-    axes = drawing.add_subplot()
-    widths: list[float] = []
-    for customer in report['customers']:
-        windows = customer['windows']
-        widths = [window['window_s'] for window in windows]
-        axes.plot(
-            widths,
-            [window['burn_rate'] for window in windows],
-            marker='o',
-            label=customer['name'],
-        )
-    axes.axhline(1.0, linestyle='--', color='grey', label='budget just spent')
-    axes.set(xscale='log', xlabel='window (s)', ylabel='burn rate')
-    axes.set_xticks(widths, [str(width) for width in widths], minor=False)
-    axes.legend()
-    drawing.savefig(path, format='png')
+    burnplot.draw(report, path)
 
 
 def lab(argv: Sequence[str]) -> int:
--- a/tests/test_mailbox.py
+++ b/tests/test_mailbox.py
@@ -1,6 +1,7 @@
 """Tests of tasks and topics."""
 
 import gevent
+import logbook
 
 from magnoliadyke import clock
 from magnoliadyke import mailbox
@@ -44,15 +45,19 @@
     assert adder.total == 5
 
 
-def test_a_message_that_raises_does_not_end_the_task(capsys):
+def test_a_message_that_raises_does_not_end_the_task():
     # What is seen: one message makes handle() raise; without the guard the
     # greenlet would end and every later ask would time out.
     adder = Adder(clock.ManualClock())
-    adder.start()
-    adder.post(object())
-    assert adder.ask(Add(1), 5) == 1
-    adder.stop(5)
-    assert 'event=task_error task=adder' in capsys.readouterr().err
+    logged = logbook.TestHandler()
+    with logged.applicationbound():
+        adder.start()
+        adder.post(object())
+        assert adder.ask(Add(1), 5) == 1
+        adder.stop(5)
+    (line,) = logged.formatted_records
+    assert 'task_error' in line
+    assert 'task=adder' in line
 
 
 def test_ticks_follow_the_clock():
