Time an edit from the call to the host that takes it

Edits of 9.8 to 13.5 s under a cut failure domain had first gone to a host inside it, which said after up to 9.8 s that it has no store; the log of that host shows it.

--- a/magnoliadyke/lab/observer.py
+++ b/magnoliadyke/lab/observer.py
@@ -34,7 +34,8 @@
     """What became of an edit.
 
     :param state: 'in_force', 'accepted', 'pending', 'conflict', 'unknown'
-    :param took_s: from the request to the answer
+    :param at_s: when the host was called that took it
+    :param took_s: from then to its answer
     """
 
     at_s: float
@@ -150,12 +151,16 @@
         self.post('/admin/table', body)
 
     def post(self, path, body):
-        """Send an edit to one host after the other until one answers."""
-        at_s = time.time()
+        """Send an edit to one host after the other until one answers.
+
+        Its time counts from the call to that host: one that is stopped, or
+        cut off from the store, cannot take an edit.
+        """
         hosts = list(self.deployment.hosts)
         self.rng.shuffle(hosts)
-        seen = EditSeen(at_s, 'unknown', 0, 0.0)
+        seen = EditSeen(time.time(), 'unknown', 0, 0.0)
         for host in hosts[:TRIES]:
+            at_s = time.time()
             try:
                 status, answer = self.deployment.admin(
                     host, 'POST', path, body, timeout_s=EDIT_TIMEOUT_S
