Give an engine to a role that a crash left under its minimum

Cause: the planner counted from the present split and knew no gain from one outside the limits, so a pool whose only prefill engine had crashed stayed without.

--- a/magnoliadyke/core/roles.py
+++ b/magnoliadyke/core/roles.py
@@ -106,7 +106,6 @@
         are lost
     :param prefill_tokens_s: prompt tokens of an engine-second
     :param decode_tokens_s: output tokens of an engine-second
-    :param caution: standard deviations of the gain that must be exceeded
     :param band_memory_s: time constant with which the forecast's errors
         are forgotten
     :param ramp_s: time at first whose samples are left out
@@ -131,7 +130,6 @@
     prompt_loss: float = 1.6
     prefill_tokens_s: float = 5000.0
     decode_tokens_s: float = 1400.0
-    caution: float = 0.0
     backlog_s: float = 10.0
     band_memory_s: float = 60.0
     band_share: float = 0.8
@@ -231,13 +229,18 @@
         if not any(engines.values()):
             self.reason = 'no engine may change: minimum or dwell'
             return None
+        missing = _role_under_minimum(state)
+        if engines.get(missing):
+            # Its engines crashed or left: without any of the role, part of
+            # the work stands still, whatever the forecast says of prices.
+            self.reason = f'fewer than the least number of {missing} engines'
+            return RoleChange(engines[missing].name, missing)
         best = None
-        for role, (mean, deviation) in self._gains(state).items():
+        for role, gain in self._gains(state).items():
             engine = engines[role]
             if engine is None:
                 continue
-            net = mean - self.settings.caution * deviation
-            net -= engine.cached_tokens * self.settings.cache_worth
+            net = gain - engine.cached_tokens * self.settings.cache_worth
             if best is None or net > best.gain_tokens:
                 best = RoleChange(engine.name, role, net)
         if best.gain_tokens <= 0:
@@ -296,8 +299,7 @@
     def _gains(self, state):
         """Tokens that each change now gains over waiting a cell.
 
-        :returns: by role, the mean and the deviation over the errors that
-            the forecast may have
+        :returns: by role, the mean over the errors that the forecast may have
         """
         before = _split(state)
         cells = self._forecast()
@@ -318,8 +320,8 @@
             if max(gains[0] for gains in found.values()) <= 0:
                 # What does not pay if the forecast holds is not made, so
                 # the errors, most of the work, need no look.
-                return {role: (gains[0], 0.0) for role, gains in found.items()}
-        return {role: _spread(gains) for role, gains in found.items()}
+                return {role: gains[0] for role, gains in found.items()}
+        return {role: _mean(gains) for role, gains in found.items()}
 
     def _forecast(self):
         """Demand in each cell of the horizon."""
@@ -463,9 +465,15 @@
     return prefills, len(ready) - prefills
 
 
-def _spread(gains):
-    """Mean and standard deviation over the sigma points."""
-    weighed = list(zip(SHIFT_WEIGHTS, gains, strict=True))
-    mean = sum(weight * gain for weight, gain in weighed)
-    variance = sum(weight * (gain - mean) ** 2 for weight, gain in weighed)
-    return mean, math.sqrt(variance)
+def _role_under_minimum(state):
+    """The role that has too few engines, or None."""
+    prefills, decodes = _split(state)
+    if prefills < state.min_prefill:
+        return PREFILL
+    return DECODE if decodes < state.min_decode else None
+
+
+def _mean(gains):
+    """The mean over the sigma points."""
+    pairs = zip(SHIFT_WEIGHTS, gains, strict=True)
+    return sum(weight * gain for weight, gain in pairs)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -86,6 +86,20 @@
     assert change is None or change.endpoint == 'e0'
 
 
+def test_a_role_whose_engines_are_lost_is_given_one():
+    """The only prefill engine crashes while decode has three.
+
+    Prompts wait, though the demand was planned for one prefill engine.  The
+    planner gives the role another engine at once, at any price.
+    """
+    planner = planner_after(0.5, 2.5)
+    state = pool(1, 3, 60.0, price_tokens=1e9)
+    lost = state.engines[0]._replace(state='crashed')
+    state = state._replace(engines=(lost, *state.engines[1:]))
+    change = planner.plan(state, 60.0)
+    assert (change.endpoint, change.role) == ('e1', roles.PREFILL)
+
+
 @given(
     prefill=strategies.floats(0, 8),
     decode=strategies.floats(0, 8),
