--- a/magnoliadyke/admintable.py
+++ b/magnoliadyke/admintable.py
@@ -4,9 +4,9 @@
 import uuid
 
 from magnoliadyke import adminerrors
-from magnoliadyke import configuration
 from magnoliadyke.core import freshness
 from magnoliadyke.core import table
+from magnoliadyke import tablemessages
 
 __all__ = [
     'DrainResource',
@@ -37,7 +37,7 @@
     def on_get(self, request, response):
         """Answer all sheets, or the one that the query names."""
         shown = adminerrors.ask(
-            self.node.configuration, configuration.ShowTable(), READ_TIMEOUT_S
+            self.node.configuration, tablemessages.ShowTable(), READ_TIMEOUT_S
         )
         response.media = _table_body(
             self.node, shown, request.get_param('sheet')
@@ -74,7 +74,7 @@
         """Answer the newest edits first."""
         limit = request.get_param_as_int('limit', default=HISTORY_LIMIT)
         changes = adminerrors.ask(
-            self.node.configuration, configuration.History(), READ_TIMEOUT_S
+            self.node.configuration, tablemessages.History(), READ_TIMEOUT_S
         )
         staged = {edit['edit'] for edit in _staged(self.node)}
         entries = _history_entries(
@@ -157,7 +157,7 @@
                 'base_revision is not a whole number',
                 'send the revision that GET /admin/table gave, or null',
             )
-        message = configuration.EditCells(
+        message = tablemessages.EditCells(
             self.cells,
             base,
             self.operator,
@@ -173,18 +173,18 @@
 
 def _edit_answer(result):
     match result:
-        case configuration.Accepted(laggards=()):
+        case tablemessages.Accepted(laggards=()):
             return 200, _accepted_body(result, 'in_force')
-        case configuration.Accepted():
+        case tablemessages.Accepted():
             return 202, _accepted_body(result, 'accepted')
-        case configuration.Pending():
+        case tablemessages.Pending():
             return 202, {
                 'state': 'pending',
                 'staged_revision': result.revision,
                 'missing': list(result.missing),
                 'remedy': result.remedy,
             }
-        case configuration.Conflict():
+        case tablemessages.Conflict():
             raise adminerrors.Refusal(
                 409,
                 'conflict',
@@ -193,7 +193,7 @@
                 'look at both values, then send the edit again',
                 conflicts=_conflicts(result),
             )
-        case configuration.Invalid():
+        case tablemessages.Invalid():
             raise adminerrors.Refusal(
                 400,
                 'invalid',
@@ -201,7 +201,7 @@
                 'correct each cell; nothing was changed',
                 problems=_problems(result.problems),
             )
-        case configuration.StoreUnavailable():
+        case tablemessages.StoreUnavailable():
             raise adminerrors.Refusal(
                 503,
                 'store_unavailable',
--- a/magnoliadyke/configuration.py
+++ b/magnoliadyke/configuration.py
@@ -16,31 +16,7 @@
 from magnoliadyke import tablemessages
 from magnoliadyke import tablewatch
 
-__all__ = [
-    'Accepted',
-    'CellState',
-    'Configuration',
-    'Conflict',
-    'EditCells',
-    'History',
-    'Invalid',
-    'Pending',
-    'ShowTable',
-    'StoreUnavailable',
-    'TableShown',
-    'WorkPermit',
-]
-
-Accepted = tablemessages.Accepted
-CellState = tablemessages.CellState
-Conflict = tablemessages.Conflict
-EditCells = tablemessages.EditCells
-History = tablemessages.History
-Invalid = tablemessages.Invalid
-Pending = tablemessages.Pending
-ShowTable = tablemessages.ShowTable
-StoreUnavailable = tablemessages.StoreUnavailable
-TableShown = tablemessages.TableShown
+__all__ = ['Configuration', 'WorkPermit']
 
 TICK_INTERVAL_S = 0.1
 #: A starting node listens this long for peers that have a table.
@@ -85,8 +61,8 @@
 
     Topics: ``views`` (:class:`magnoliadyke.core.table.View`, each newer one),
     ``permits`` (:class:`WorkPermit`) and ``documents``
-    (:class:`magnoliadyke.edits.Held`). Answers :class:`EditCells`,
-    :class:`ShowTable` and :class:`History`.
+    (:class:`magnoliadyke.edits.Held`). Answers ``EditCells``,
+    ``ShowTable`` and ``History`` of :mod:`magnoliadyke.tablemessages`.
 
     :param settings: the deployment's settings
     :param host: name of this host
@@ -510,8 +486,10 @@
         for cell in sorted(now.keys() | then.keys()):
             pending = now.get(cell) != then.get(cell)
             staged = then.get(cell) if pending else None
-            cells[cell] = CellState(now.get(cell), pending, staged)
-        return TableShown(
+            cells[cell] = tablemessages.CellState(
+                now.get(cell), pending, staged
+            )
+        return tablemessages.TableShown(
             document['revision'],
             table.staged_revision(document),
             cells,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -18,6 +18,7 @@
 from magnoliadyke import gossip
 from magnoliadyke import keyvalue
 from magnoliadyke.lab import keyvalue as lab
+from magnoliadyke import tablemessages
 
 STEP_S = 0.05
 STALE_S = 3.0
@@ -206,7 +207,7 @@
     def edit(self, host, cells, edit_id, most_s=20.0, **options):
         """Edit at one host; return the answer and how long it took."""
         base = options.pop('base', None)
-        ask = configuration.EditCells(cells, base, 'ann', edit_id, **options)
+        ask = tablemessages.EditCells(cells, base, 'ann', edit_id, **options)
         self.nodes[host].configuration.post(ask)
         passed_s = self.run_until(ask.result.ready, most_s)
         return ask.result.get(), passed_s
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -4,7 +4,7 @@
 import gevent
 
 from magnoliadyke import admin
-from magnoliadyke import configuration
+from magnoliadyke import tablemessages
 from tests import fakenode
 
 
@@ -53,7 +53,7 @@
     that the host is busy and that asking again is safe.
     """
     node = fakenode.make()
-    node.configuration.answers[configuration.ShowTable] = gevent.Timeout(1)
+    node.configuration.answers[tablemessages.ShowTable] = gevent.Timeout(1)
     result = fakenode.client(node).simulate_get('/admin/table')
     assert result.status_code == 503
     assert result.json['error']['code'] == 'busy'
--- a/tests/test_admintable.py
+++ b/tests/test_admintable.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from magnoliadyke import configuration
 from magnoliadyke.core import freshness
 from magnoliadyke.core import table
 from magnoliadyke import gossip
+from magnoliadyke import tablemessages
 from tests import fakenode
 
 WEIGHT = 'customers/lease/weight'
@@ -17,7 +17,7 @@
 
 
 def post(node, result, path='/admin/table', **body):
-    node.configuration.answers[configuration.EditCells] = result
+    node.configuration.answers[tablemessages.EditCells] = result
     body = {'operator': 'aigul', 'edit': 'e1'} | body
     return fakenode.client(node).simulate_post(path, json=body)
 
@@ -39,11 +39,11 @@
     node.gossip.standings.last = gossip.Standing(
         0.0, acceptance=freshness.Blocked(2, ('entry-2',))
     )
-    node.configuration.answers[configuration.ShowTable] = (
-        configuration.TableShown(
+    node.configuration.answers[tablemessages.ShowTable] = (
+        tablemessages.TableShown(
             1,
             2,
-            {WEIGHT: configuration.CellState(4, True, 5)},
+            {WEIGHT: tablemessages.CellState(4, True, 5)},
             {'entry-1': 1, 'entry-2': 1},
         )
     )
@@ -61,7 +61,7 @@
 def test_history_leaves_staged_edits_out(node):
     document = staged_document()
     node.configuration.documents.last.document = document
-    node.configuration.answers[configuration.History] = [
+    node.configuration.answers[tablemessages.History] = [
         *document['history'],
         *document['staged'],
     ]
@@ -72,7 +72,7 @@
 
 def test_edit_in_force_everywhere(node):
     result = post(
-        node, configuration.Accepted(13, 0.9), cells={WEIGHT: 5}, wait_s=2
+        node, tablemessages.Accepted(13, 0.9), cells={WEIGHT: 5}, wait_s=2
     )
     assert result.status_code == 200
     assert result.json['state'] == 'in_force'
@@ -86,14 +86,14 @@
 
 def test_edit_that_not_all_hosts_have_yet(node):
     result = post(
-        node, configuration.Accepted(13, 9.0, ('entry-2',)), cells={WEIGHT: 5}
+        node, tablemessages.Accepted(13, 9.0, ('entry-2',)), cells={WEIGHT: 5}
     )
     assert result.status_code == 202
     assert result.json['laggards'] == ['entry-2']
 
 
 def test_edit_that_waits_for_missing_hosts(node):
-    pending = configuration.Pending(13, ('entry-2',))
+    pending = tablemessages.Pending(13, ('entry-2',))
     result = post(node, pending, cells={WEIGHT: 5})
     assert result.status_code == 202
     assert result.json['state'] == 'pending'
@@ -102,7 +102,7 @@
 
 
 def test_conflict_shows_both_values(node):
-    conflict = configuration.Conflict({WEIGHT: (6, 5)}, 13, ('marat',))
+    conflict = tablemessages.Conflict({WEIGHT: (6, 5)}, 13, ('marat',))
     result = post(node, conflict, cells={WEIGHT: 5}, base_revision=12)
     assert result.status_code == 409
     found = result.json['error']['conflicts'][0]
@@ -112,7 +112,7 @@
 
 def test_invalid_cell_names_value_and_remedy(node):
     problem = table.Problem(WEIGHT, -1, 'not a valid weight', 'use more')
-    result = post(node, configuration.Invalid((problem,)), cells={WEIGHT: -1})
+    result = post(node, tablemessages.Invalid((problem,)), cells={WEIGHT: -1})
     assert result.status_code == 400
     found = result.json['error']['problems'][0]
     assert (found['cell'], found['value'], found['remedy']) == (
@@ -124,7 +124,7 @@
 
 def test_store_that_does_not_answer(node):
     result = post(
-        node, configuration.StoreUnavailable(True), cells={WEIGHT: 5}
+        node, tablemessages.StoreUnavailable(True), cells={WEIGHT: 5}
     )
     assert result.status_code == 503
     assert result.json['error']['maybe_applied'] is True
@@ -148,7 +148,7 @@
 
 
 def test_drain_is_an_edit_of_the_state(node):
-    accepted = configuration.Accepted(13, 0.5)
+    accepted = tablemessages.Accepted(13, 0.5)
     post(node, accepted, '/admin/drain', host='entry-1')
     post(node, accepted, '/admin/drain', endpoint='lease-model-1', undo=True)
     assert [asked.edits for asked in node.configuration.asked] == [
@@ -160,14 +160,14 @@
 
 
 def test_override_names_the_staged_edit(node):
-    post(node, configuration.Accepted(13, 0.5), '/admin/table/override')
+    post(node, tablemessages.Accepted(13, 0.5), '/admin/table/override')
     asked = node.configuration.asked[-1]
     assert (asked.edit_id, asked.override, asked.edits) == ('e1', True, {})
 
 
 def test_history_pairs_old_and_new_values(node):
     change = {'operator': 'aigul', 'at_s': 1.7e9, 'override': ''}
-    node.configuration.answers[configuration.History] = [
+    node.configuration.answers[tablemessages.History] = [
         change | {'revision': 1, 'id': 'a', 'cells': {WEIGHT: 4}},
         change | {'revision': 2, 'id': 'b', 'cells': {WEIGHT: 5}},
     ]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,8 +7,8 @@
 
 import magnoliadyke
 from magnoliadyke import cli
-from magnoliadyke import configuration
 from magnoliadyke.core import table
+from magnoliadyke import tablemessages
 from tests import adminserver
 from tests import fakenode
 
@@ -19,11 +19,11 @@
 @pytest.fixture
 def node():
     made = fakenode.make()
-    made.configuration.answers[configuration.ShowTable] = (
-        configuration.TableShown(
+    made.configuration.answers[tablemessages.ShowTable] = (
+        tablemessages.TableShown(
             12,
             13,
-            {WEIGHT: configuration.CellState(2, True, 3)},
+            {WEIGHT: tablemessages.CellState(2, True, 3)},
             {'entry-1': 13, 'entry-2': 11},
         )
     )
@@ -48,31 +48,31 @@
 
 
 EDIT_RESULTS = [
-    (configuration.Accepted(13, 0.5), cli.DONE, 'in force on all'),
+    (tablemessages.Accepted(13, 0.5), cli.DONE, 'in force on all'),
     (
-        configuration.Accepted(13, 9.0, ('entry-2',)),
+        tablemessages.Accepted(13, 9.0, ('entry-2',)),
         cli.NOT_IN_FORCE,
         'not yet in force on entry-2',
     ),
     (
-        configuration.Pending(13, ('entry-3',), 'override it'),
+        tablemessages.Pending(13, ('entry-3',), 'override it'),
         cli.NOT_IN_FORCE,
         'no word from entry-3; override it',
     ),
     (
-        configuration.Conflict({WEIGHT: (5, 3)}, 14, ('bolat',)),
+        tablemessages.Conflict({WEIGHT: (5, 3)}, 14, ('bolat',)),
         cli.CONFLICT,
         'bolat',
     ),
     (
-        configuration.Invalid(
+        tablemessages.Invalid(
             (table.Problem(WEIGHT, 3, 'too heavy', 'use 1'),)
         ),
         cli.REFUSED,
         f'{WEIGHT}: too heavy; use 1',
     ),
     (
-        configuration.StoreUnavailable(True),
+        tablemessages.StoreUnavailable(True),
         cli.UNAVAILABLE,
         'same edit id',
     ),
@@ -85,7 +85,7 @@
     ids=[type(case[0]).__name__ for case in EDIT_RESULTS],
 )
 def test_status_and_message_of_an_edit(node, run, result, status, text):
-    node.configuration.answers[configuration.EditCells] = result
+    node.configuration.answers[tablemessages.EditCells] = result
     got, out, err = run('table', 'set', WEIGHT, '3')
     assert got == status
     assert text in out + err
@@ -94,8 +94,8 @@
 
 
 def test_edit_for_programs(node, run):
-    node.configuration.answers[configuration.EditCells] = (
-        configuration.Accepted(13, 0.5)
+    node.configuration.answers[tablemessages.EditCells] = (
+        tablemessages.Accepted(13, 0.5)
     )
     _, out, _ = run('table', 'set', WEIGHT, '3', '--json')
     assert json.loads(out)['state'] == 'in_force'
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from magnoliadyke import configuration
 from magnoliadyke.core import table
+from magnoliadyke import tablemessages
 from tests import fleet as fleets
 
 WEIGHT = 'customers/lease/weight'
@@ -29,7 +29,7 @@
 
 def test_an_edit_is_in_force_on_all_nodes_when_it_is_answered(fleet):
     answer, passed_s = fleet.edit('h1', {WEIGHT: 9}, 'e1')
-    assert isinstance(answer, configuration.Accepted)
+    assert isinstance(answer, tablemessages.Accepted)
     assert answer.laggards == ()
     assert passed_s < 1.0
     assert fleet.weights() == dict.fromkeys(fleet.names, 9)
@@ -37,7 +37,7 @@
 
 def test_invalid_edits_and_conflicts_are_typed(fleet):
     answer, _ = fleet.edit('h0', {WEIGHT: 'heavy'}, 'e1')
-    assert isinstance(answer, configuration.Invalid)
+    assert isinstance(answer, tablemessages.Invalid)
     fleet.edit('h0', {WEIGHT: 9}, 'e2', base=1)
     answer, _ = fleet.edit('h1', {WEIGHT: 7}, 'e3', base=1)
     assert answer.cells == {WEIGHT: (9, 7)}
@@ -47,7 +47,7 @@
 def test_operators_at_several_nodes_edit_at_once(fleet):
     columns = ['weight', 'concurrency', 'queue_limit', 'priority']
     asks = [
-        configuration.EditCells(
+        tablemessages.EditCells(
             {f'customers/lease/{column}': 3}, None, 'ann', column
         )
         for column in columns
@@ -65,7 +65,7 @@
     # node reads back, finds the edit id and goes on from there.
     fleet.nodes['h0'].store.lost_replies = 1
     answer, _ = fleet.edit('h0', {WEIGHT: 9}, 'e1')
-    assert isinstance(answer, configuration.Accepted)
+    assert isinstance(answer, tablemessages.Accepted)
     again, _ = fleet.edit('h0', {WEIGHT: 9}, 'e1')
     assert again.revision == answer.revision
     history = fleet.nodes['h0'].configuration.history()
@@ -78,7 +78,7 @@
     # neither store nor peers. It stops taking work after the time of the
     # settings, and the edit is accepted only after that.
     fleet.separate(['h3'], [*others(fleet, 'h3'), fleets.STORE])
-    ask = configuration.EditCells({WEIGHT: 9}, None, 'ann', 'e1')
+    ask = tablemessages.EditCells({WEIGHT: 9}, None, 'ann', 'e1')
     fleet.nodes['h0'].configuration.post(ask)
     fleet.run_until(ask.result.ready, 9.0)
     assert 'h3' not in fleet.working()
@@ -96,7 +96,7 @@
     fleet.separate(['h0', 'h1'], ['h2', 'h3'])
     fleet.cuts |= {frozenset((name, fleets.STORE)) for name in ('h2', 'h3')}
     answer, _ = fleet.edit('h0', {WEIGHT: 9}, 'e1')
-    assert isinstance(answer, configuration.Pending)
+    assert isinstance(answer, tablemessages.Pending)
     assert answer.missing == ('h2', 'h3')
     assert fleet.working() == set(fleet.names)
     assert fleet.weights() == dict.fromkeys(fleet.names, 4)
@@ -110,7 +110,7 @@
     fleet.cuts |= {frozenset((name, fleets.STORE)) for name in ('h2', 'h3')}
     fleet.edit('h0', {WEIGHT: 9}, 'e1')
     answer, _ = fleet.edit('h0', {}, 'e1', override=True)
-    assert isinstance(answer, configuration.Accepted)
+    assert isinstance(answer, tablemessages.Accepted)
     assert fleet.weights()['h1'] == 9
     history = fleet.nodes['h0'].configuration.history()
     assert history[-1]['override'] == 'ann'
@@ -143,7 +143,7 @@
 def test_an_edit_in_a_store_outage_is_refused_as_such(fleet):
     fleet.separate(fleet.names, [fleets.STORE])
     answer, _ = fleet.edit('h0', {WEIGHT: 9}, 'e1')
-    assert answer == configuration.StoreUnavailable(maybe_applied=False)
+    assert answer == tablemessages.StoreUnavailable(maybe_applied=False)
 
 
 def test_a_store_restored_to_an_older_copy_reverts_nothing(fleet):
@@ -167,5 +167,5 @@
     fleet.cuts |= {frozenset((name, fleets.STORE)) for name in ('h2', 'h3')}
     answer, _ = fleet.edit('h0', {WEIGHT: 9}, 'e1')
     shown = fleet.nodes['h0'].configuration.show()
-    assert shown.cells[WEIGHT] == configuration.CellState(4, True, 9)
+    assert shown.cells[WEIGHT] == tablemessages.CellState(4, True, 9)
     assert (shown.revision, shown.staged_revision) == (1, answer.revision)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from magnoliadyke import configuration
 from magnoliadyke.core import digests
 from magnoliadyke.core import hosthints
 from magnoliadyke.core import membership
 from magnoliadyke.core import notices
 from magnoliadyke import gossip
+from magnoliadyke import tablemessages
 from magnoliadyke.wire import constants
 from tests import fleet as fleets
 
@@ -123,5 +123,5 @@
     fleet.run(3.0)
     fleet.separate(['h4'], [*fleet.names, fleets.STORE])
     answer, _ = fleet.edit('h0', {'customers/lease/weight': 9}, 'e1')
-    assert isinstance(answer, configuration.Accepted)
+    assert isinstance(answer, tablemessages.Accepted)
     assert 'h4' not in fleet.working()
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -3,9 +3,9 @@
 import pytest
 
 from magnoliadyke import adminclient
-from magnoliadyke import configuration
 from magnoliadyke import errors
 from magnoliadyke import porcelain
+from magnoliadyke import tablemessages
 from tests import adminserver
 from tests import fakenode
 
@@ -17,7 +17,7 @@
 def node():
     made = fakenode.make()
     show(made, 12, {LEASE: 8, WEIGHT: 2})
-    answer(made, configuration.Accepted(13, 0.5))
+    answer(made, tablemessages.Accepted(13, 0.5))
     return made
 
 
@@ -29,23 +29,23 @@
 
 def show(node, revision, cells):
     states = {
-        cell: configuration.CellState(value, False, None)
+        cell: tablemessages.CellState(value, False, None)
         for cell, value in cells.items()
     }
-    node.configuration.answers[configuration.ShowTable] = (
-        configuration.TableShown(revision, revision, states, {})
+    node.configuration.answers[tablemessages.ShowTable] = (
+        tablemessages.TableShown(revision, revision, states, {})
     )
 
 
 def answer(node, result):
-    node.configuration.answers[configuration.EditCells] = result
+    node.configuration.answers[tablemessages.EditCells] = result
 
 
 def edits_of(node):
     return [
         message
         for message in node.configuration.asked
-        if isinstance(message, configuration.EditCells)
+        if isinstance(message, tablemessages.EditCells)
     ]
 
 
@@ -77,7 +77,7 @@
 
 
 def test_conflict_shows_both_values(node, client):
-    answer(node, configuration.Conflict({WEIGHT: (5, 3)}, 14, ('bolat',)))
+    answer(node, tablemessages.Conflict({WEIGHT: (5, 3)}, 14, ('bolat',)))
     with pytest.raises(adminclient.EditConflict) as caught:
         porcelain.table_set(client, {WEIGHT: 3})
     (conflict,) = caught.value.conflicts
@@ -92,7 +92,7 @@
     text = porcelain.table_export(client, 'customers')
     path.write_text(text.replace('portal,2', 'portal,3'))
     show(node, 13, {LEASE: 9, WEIGHT: 2})
-    node.configuration.answers[configuration.History] = [
+    node.configuration.answers[tablemessages.History] = [
         change(12, {LEASE: 8}),
         change(13, {LEASE: 9}),
     ]
