Tell all peers of a crash at once

Cause: word of a request that may have crashed an engine went round with one probe a period, so the answer to such a request was held back for 5 s, lest its caller be faster than the word. An outcome that stands must be told at once.

A test of the dispatcher read the error of a task from the error output; it reads it from the log now, where it has moved.

--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     'CancelJob',
+    'CrashSeen',
     'Dispatcher',
     'FirstToken',
     'JobFailed',
@@ -114,6 +115,15 @@
     """Ask for :class:`magnoliadyke.core.snapshot.Snapshot`, to show it."""
 
 
+class CrashSeen(typing.NamedTuple):
+    """An endpoint died under a job; peers should hear of it at once.
+
+    Published on the topic ``digest`` between the periodic digests.
+    """
+
+    digest: object
+
+
 class PeerDigest(typing.NamedTuple):
     """The scheduler digest of another node, as gossip brought it."""
 
@@ -241,8 +251,14 @@
 
     def handle(self, message):
         """Pass one message to the scheduler and carry out its actions."""
+        now_s = self.clock.now_s()
         try:
-            self.apply(self.decide(message, self.clock.now_s()))
+            actions = self.decide(message, now_s)
+            if tells_of_crash(message):
+                # Before anybody is answered: a caller that sends the request
+                # again at once must find it known as a suspect everywhere.
+                self.digest.publish(CrashSeen(self.scheduler.digest(now_s)))
+            self.apply(actions)
         except Exception:
             self.answer_failed(message)
             raise
@@ -446,6 +462,17 @@
             self.dispatcher.post(StateSeen(self.name, state))
 
 
+def tells_of_crash(message):
+    """Tell whether a message is of an endpoint that died under a job."""
+    match message:
+        case JobFailed(failed=failed):
+            return failed.crashed
+        case JobFinished(result=jobs.Failed(crashed=crashed)):
+            return crashed
+        case _:
+            return False
+
+
 def count_alive(members):
     """Return how many nodes share the work, this one included."""
     alive = sum(member.state == 'alive' for member in members.values())
--- a/magnoliadyke/node.py
+++ b/magnoliadyke/node.py
@@ -72,6 +72,8 @@
                 self.work.post(dispatch.StateSeen(engine, state))
             case membership.Superseded():
                 self.stop_superseded()
+            case dispatch.CrashSeen(digest=digest):
+                self.spread_at_once(digest)
             case scheduler.Digest():
                 self.members.post(gossip.OwnDigest(message.to_bytes()))
             case dict():
@@ -90,6 +92,16 @@
             return
         self.work.post(dispatch.PeerDigest(host, digest))
 
+    def spread_at_once(self, digest):
+        """Tell the peers now which requests may have crashed an endpoint.
+
+        One probe a period takes seconds to reach all. A caller that is told
+        the outcome and sends the request again would be faster, and the
+        request would crash an endpoint for each host that has not heard.
+        """
+        self.members.post(gossip.OwnDigest(digest.to_bytes()))
+        self.members.post(gossip.Survey())
+
     def stop_superseded(self):
         """Stop: a newer process runs under this host's name.
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,6 +4,7 @@
 import types
 
 import gevent
+import logbook
 import pytest
 
 from magnoliadyke.core import jobs
@@ -37,19 +38,34 @@
     assert action == scheduler.Dispatch('a', 'engine-1', None, False)
 
 
-def test_an_error_of_the_scheduler_ends_the_wait(dispatcher, capsys):
+def test_an_error_of_the_scheduler_ends_the_wait(dispatcher):
     """The scheduler raises on a message; its run must not wait for good."""
 
     def broken(*arguments):
         raise RuntimeError('made by the test')
 
     dispatcher.scheduler.submit = dispatcher.scheduler.finished = broken
-    refused = dispatcher.ask(dispatch.SubmitJob(job('a')), 2.0)
-    assert isinstance(refused.outcome, outcomes.NotRun)
-    failed = jobs.Failed('engine-1', 'decode', True)
-    refused = dispatcher.ask(dispatch.JobFailed('a', failed), 2.0)
-    assert isinstance(refused.outcome, outcomes.Unknown)
-    assert 'made by the test' in capsys.readouterr().err
+    logged = logbook.TestHandler()
+    with logged.applicationbound():
+        refused = dispatcher.ask(dispatch.SubmitJob(job('a')), 2.0)
+        assert isinstance(refused.outcome, outcomes.NotRun)
+        failed = jobs.Failed('engine-1', 'decode', True)
+        refused = dispatcher.ask(dispatch.JobFailed('a', failed), 2.0)
+        assert isinstance(refused.outcome, outcomes.Unknown)
+    assert 'made by the test' in logged.formatted_records[0]
+
+
+def test_peers_hear_of_a_crash_before_the_caller_has_its_answer(dispatcher):
+    # Without it an engine is lost for each host: the caller is told that the
+    # engine died, sends the same request to the next host at once, and that
+    # host has not heard yet that it is a suspect.
+    seen = []
+    dispatcher.digest.subscribe(types.SimpleNamespace(post=seen.append))
+    dispatcher.ask(dispatch.SubmitJob(job('a', fingerprint='lease:x')), 2.0)
+    failed = jobs.Failed('engine-1', 'decode', True, crashed=True)
+    dispatcher.ask(dispatch.JobFailed('a', failed), 20.0)
+    (crash,) = [m for m in seen if isinstance(m, dispatch.CrashSeen)]
+    assert crash.digest.suspects
 
 
 def test_a_decision_that_nobody_waits_for_gives_the_slot_back(dispatcher):
