Document the public methods of the core

Fifty public functions of the core had no doc comment, so a reader had to find out from callers what unit a figure has and whether a call changes state. Each has one now. Two imports are sorted as H306 asks, which flake8 complained of in quarantine and routing. Nothing else changes; the tests of limits, routing, quarantine and leases pass.

--- a/magnoliadyke/core/admission.py
+++ b/magnoliadyke/core/admission.py
@@ -112,6 +112,10 @@
         self.shares = {}
 
     def add(self, customer, refused):
+        """Account what became of a request that was late in the queue.
+
+        :param refused: whether it was refused
+        """
         share = self.shares.get(customer, 0.0)
         target = 1.0 if refused else 0.0
         self.shares[customer] = share + self.STEP * (target - share)
@@ -137,6 +141,10 @@
         self.value = 0.0
 
     def add(self, error):
+        """Move the quantile towards an error that was observed.
+
+        :param error: in seconds, above 0 when the prediction was too short
+        """
         above = error > self.value
         self.value += self.step * (self.share - (0.0 if above else 1.0))
 
@@ -168,6 +176,11 @@
 
 
 def overloaded(excess_s, rng, attempts=1.0):
+    """Refuse a job that can't be served within its objectives.
+
+    :param excess_s: until what is too much will have drained
+    :param attempts: that it takes on average to be taken
+    """
     return outcomes.NotRun(
         'overloaded',
         'send it again after retry_after_s; if this lasts, raise the '
@@ -177,6 +190,10 @@
 
 
 def queue_full(excess_s, rng):
+    """Refuse a job for which its customer's queue has no room.
+
+    :param excess_s: until what is too much will have drained
+    """
     return outcomes.NotRun(
         'queue_full',
         "send it again after retry_after_s, or raise the customer's "
@@ -186,6 +203,10 @@
 
 
 def limit_exceeded(exceeded):
+    """Refuse a job that would break a limit.
+
+    :param exceeded: :class:`magnoliadyke.core.limits.Exceeded`
+    """
     return outcomes.NotRun(
         exceeded.reason,
         "send it again after retry_after_s, or raise the customer's limit",
@@ -194,6 +215,10 @@
 
 
 def no_endpoint(excess_s, rng):
+    """Refuse a job whose pool has no endpoint that takes work.
+
+    :param excess_s: until one may be back
+    """
     return outcomes.NotRun(
         'no_endpoint',
         'send it again after retry_after_s; see `status` for why no '
--- a/magnoliadyke/core/costs.py
+++ b/magnoliadyke/core/costs.py
@@ -67,6 +67,7 @@
         self.memory_x = memory_x
 
     def add(self, x, y):
+        """Take a sample; one without x, or with y below 0, tells nothing."""
         if x <= 0 or y < 0:
             return
         keep = max(0.0, 1.0 - x / self.memory_x)
@@ -96,6 +97,7 @@
         self.share = share
 
     def add(self, x, y):
+        """Take a sample; one without x, or with y below 0, tells nothing."""
         if x <= 0 or y < 0:
             return
         step = self.STEP * min(1.0, x / self.full_x)
@@ -125,9 +127,14 @@
         self.sums = [0.0] * len(self.prior)
 
     def at(self, x):
+        """Return the fitted y for an x."""
         return self.base + self.slope * x
 
     def add(self, x, y, weight=1.0):
+        """Take a sample.
+
+        :param weight: of the sample, 1 for a full one
+        """
         keep = self.keep**weight
         new = _sums(x, y, weight)
         self.sums = [
@@ -224,6 +231,12 @@
             self.mixed_prefill.add(streams, ratio, weight)
 
     def observe_pace(self, streams, tokens, elapsed_s):
+        """Learn from output tokens how long a decode step takes.
+
+        :param streams: that shared the steps
+        :param tokens: of one stream, one for each step
+        :param elapsed_s: in which they came
+        """
         if tokens > 0:
             weight = min(1.0, tokens / 50.0)
             self.pace.add(streams, elapsed_s / tokens, weight)
@@ -251,6 +264,7 @@
         self.models = {}
 
     def of(self, name):
+        """Return the costs of a model or service pool, made when missing."""
         model = self.models.get(name)
         if model is None:
             model = CostModel(self.priors, self.max_streams)
@@ -258,4 +272,5 @@
         return model
 
     def of_job(self, job):
+        """Return the costs of what a job asks for."""
         return self.of(job.model or job.pool)
--- a/magnoliadyke/core/credits.py
+++ b/magnoliadyke/core/credits.py
@@ -57,9 +57,11 @@
         self.others = max(0.0, total - self.own_at(at_s))
 
     def total(self):
+        """The own part and what others had at the last report."""
         return self.own + self.others
 
     def clear(self):
+        """Forget all; the endpoint started anew."""
         self.own = 0.0
         self.others = 0.0
         self.times.clear()
--- a/magnoliadyke/core/digests.py
+++ b/magnoliadyke/core/digests.py
@@ -109,6 +109,7 @@
     blames: tuple
 
     def size(self):
+        """Bytes that the news takes in a digest."""
         return SUSPECT.size + len(self.blames) * BLAME.size
 
 
--- a/magnoliadyke/core/fairness.py
+++ b/magnoliadyke/core/fairness.py
@@ -39,6 +39,7 @@
         self.weights[customer] = max(weight, LEAST_WEIGHT)
 
     def weight(self, customer):
+        """Weight of a customer, 1 when none was set."""
         return self.weights.get(customer, 1.0)
 
     def push(self, job_id, customer, key):
--- a/magnoliadyke/core/freshness.py
+++ b/magnoliadyke/core/freshness.py
@@ -229,6 +229,7 @@
         return newest.sighting.host
 
     def store_age_s(self, now_s: float) -> float:
+        """Seconds since the store's word, own or passed on, was true."""
         return now_s - self.store_at_s
 
     def wants_store(self, now_s: float) -> bool:
--- a/magnoliadyke/core/health.py
+++ b/magnoliadyke/core/health.py
@@ -96,6 +96,7 @@
         self.reported = state
 
     def succeeded(self):
+        """Account a success: failures and ejections start from none."""
         self.failures = 0
         self.ejections = 0
         self.proofs_due = max(0, self.proofs_due - 1)
@@ -109,6 +110,7 @@
         return self.failures >= self.settings.failures
 
     def eject(self, now_s):
+        """Take the endpoint out for a while, twice as long each time."""
         length_s = self.settings.first_ejection_s * 2**self.ejections
         length_s = min(length_s, self.settings.most_ejection_s)
         self.ejections += 1
--- a/magnoliadyke/core/leases.py
+++ b/magnoliadyke/core/leases.py
@@ -53,10 +53,12 @@
     released: bool = False
 
     def dump(self) -> str:
+        """Write the value as the store keeps it."""
         return json.dumps(self._asdict(), separators=(',', ':'))
 
     @classmethod
     def parse(cls, text: str) -> 'LeaseValue':
+        """Read a value of the store."""
         fields = json.loads(text)
         return cls(**{name: fields[name] for name in cls._fields})
 
@@ -242,6 +244,7 @@
         self._next_s = now_s + self.settings.retry_s
 
     def read_failed(self, now_s: float) -> None:
+        """The store could not be read; try again later."""
         self._busy = False
         self._next_s = now_s + self.settings.retry_s
 
--- a/magnoliadyke/core/limits.py
+++ b/magnoliadyke/core/limits.py
@@ -83,9 +83,11 @@
         self.per_s = 0.0
 
     def add(self, amount, now_s):
+        """Account an amount that came now."""
         self.per_s = self.now(now_s) + amount / self.memory_s
 
     def now(self, now_s):
+        """Return the rate per second, faded to this moment."""
         passed_s = now_s - self.at_s
         if passed_s > 0:
             self.per_s *= math.exp(-passed_s / self.memory_s)
@@ -103,6 +105,11 @@
         self.at_s = now_s
 
     def refill(self, rate_s, burst, now_s):
+        """Fill up what has come in since the last refill.
+
+        :param rate_s: tokens a second
+        :param burst: tokens that the bucket holds
+        """
         passed_s = max(0.0, now_s - self.at_s)
         self.level = min(burst, self.level + rate_s * passed_s)
         self.at_s = now_s
@@ -144,6 +151,7 @@
             self.lower_since_s = now_s
 
     def tick(self, now_s):
+        """Follow nodes that stay away, and forget silent peers."""
         held_s = now_s - self.lower_since_s
         if self.lower_nodes < self.nodes:
             if held_s >= self.settings.node_hold_s:
@@ -230,9 +238,14 @@
         self.usages = {}
 
     def set_rows(self, rows):
+        """Take the customers' rows of a new table.
+
+        :param rows: customer to :class:`magnoliadyke.core.schema.CustomerRow`
+        """
         self.rows = rows
 
     def usage(self, customer, now_s=0.0):
+        """Return what a customer uses here, made when missing."""
         usage = self.usages.get(customer)
         if usage is None:
             usage = _Usage(self.settings, now_s)
@@ -294,6 +307,7 @@
         return max(1, int(row.concurrency * fraction + 1e-9))
 
     def may_start(self, customer, now_s):
+        """Whether a job of the customer may go to an endpoint now."""
         row = self.rows.get(customer)
         if row is None:
             return True
--- a/magnoliadyke/core/membership.py
+++ b/magnoliadyke/core/membership.py
@@ -178,6 +178,7 @@
     lost_domains: frozenset[str] = frozenset()
 
     def alive(self) -> list[Member]:
+        """Members that are thought to be alive, oneself among them."""
         return [m for m in self.members.values() if m.state == ALIVE]
 
 
@@ -280,6 +281,10 @@
         self.freshness.hold(table_revision, staged_revision)
 
     def set_spare(self, spare: float) -> None:
+        """Tell the others how much room this node has.
+
+        :param spare: 0 (none) to 1
+        """
         self.freshness.spare = spare
 
     def decline(self) -> None:
--- a/magnoliadyke/core/pools.py
+++ b/magnoliadyke/core/pools.py
@@ -28,6 +28,7 @@
         self.lasting = limits.Rate(FLOOD_MEMORY_S, now_s)
 
     def add(self, prefill_s, decode_s, now_s):
+        """Account a job that came, in engine-seconds."""
         self.prefill.add(prefill_s, now_s)
         self.decode.add(decode_s, now_s)
         self.lasting.add(prefill_s + decode_s, now_s)
@@ -85,6 +86,7 @@
             del customer[run.job.priority]
 
     def waiting_count(self, customer):
+        """Jobs of the customer that wait."""
         sums = self.waiting.get(customer, {})
         return sum(each[0] for each in sums.values())
 
--- a/magnoliadyke/core/prefixes.py
+++ b/magnoliadyke/core/prefixes.py
@@ -77,6 +77,7 @@
         self._trim(held)
 
     def evicted(self, endpoint, blocks):
+        """The engine's own word that it dropped these blocks."""
         held = self.blocks.get(endpoint, {})
         for block in blocks:
             held.pop(block, None)
--- a/magnoliadyke/core/quarantine.py
+++ b/magnoliadyke/core/quarantine.py
@@ -18,8 +18,8 @@
 """
 
 import hashlib
-import zlib
 from typing import NamedTuple
+import zlib
 
 __all__ = [
     'CLEAR',
@@ -106,6 +106,7 @@
         self.running_s = float('-inf')
 
     def verdict(self):
+        """Judge by the crashes that it is blamed for."""
         if len(self.blames) >= CRASHES_TO_CONVICT:
             return CONVICTED
         return SUSPECT if self.blames else CLEAR
@@ -149,6 +150,7 @@
         self._trim()
 
     def verdict(self, fingerprint, now_s):
+        """Judge a request by its fingerprint: clear, suspect, convicted."""
         entry = self.entries.get(fingerprint)
         if entry is None or self._forgotten(entry, now_s):
             return CLEAR
@@ -233,6 +235,7 @@
         return known[:count]
 
     def tick(self, now_s):
+        """Drop what has been forgotten."""
         for fingerprint, entry in list(self.entries.items()):
             if self._forgotten(entry, now_s):
                 del self.entries[fingerprint]
--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -1,7 +1,7 @@
 """Which endpoints should run a job now, if any."""
 
-import zlib
 from typing import NamedTuple
+import zlib
 
 from magnoliadyke.core import costs
 from magnoliadyke.core import credits
@@ -81,6 +81,7 @@
     cached_tokens: float
 
     def mixed(self):
+        """Whether one endpoint both reads the prompt and decodes."""
         return self.prefill is self.endpoint
 
 
@@ -138,9 +139,14 @@
         self.clean = False
 
     def joins(self, seconds):
+        """Whether a prompt that ends so soon after was in the same step."""
         return seconds < self.SAME_STEP_S
 
     def begin(self, tokens, seconds, streams, clean):
+        """Start a sample with the first prompt of a step.
+
+        :param clean: nothing that this node knows of disturbed it
+        """
         self.seconds = seconds
         self.tokens = tokens
         self.streams = streams
@@ -171,6 +177,7 @@
         self.kept = False
 
     def takes_work(self, now_s):
+        """Whether new jobs may go there."""
         if self.alone is not None or self.kept:
             return False
         return self.health.takes_work(now_s, len(self.load.jobs))
@@ -199,6 +206,7 @@
                 self.by_role[endpoint.role].append(endpoint)
 
     def present(self):
+        """Number of endpoints that are not out."""
         return sum(len(each) for each in self.by_role.values())
 
 
--- a/magnoliadyke/core/runs.py
+++ b/magnoliadyke/core/runs.py
@@ -49,6 +49,7 @@
         self.streams_at_first = 0.0
 
     def cost_s(self):
+        """Engine-seconds that the job is expected to take."""
         return self.prefill_s + self.decode_s
 
     def used_s(self):
--- a/magnoliadyke/core/schema.py
+++ b/magnoliadyke/core/schema.py
@@ -298,12 +298,15 @@
     hosts: Mapping[str, HostRow]
 
     def pool(self, name: str) -> PoolRow:
+        """Row of a pool, with defaults when it has none."""
         return self.pools.get(name, PoolRow())
 
     def endpoint(self, name: str) -> EndpointRow:
+        """Row of an endpoint, with defaults when it has none."""
         return self.endpoints.get(name, EndpointRow())
 
     def host(self, name: str) -> HostRow:
+        """Row of a host, with defaults when it has none."""
         return self.hosts.get(name, HostRow())
 
 
--- a/magnoliadyke/core/suspects.py
+++ b/magnoliadyke/core/suspects.py
@@ -43,6 +43,7 @@
             self.judge.blame(endpoint.name, pool, batch, now_s)
 
     def verdict(self, run, now_s):
+        """Judge a run; one without a fingerprint is clear."""
         if not run.job.fingerprint:
             return quarantine.CLEAR
         return self.judge.verdict(run.fingerprint, now_s)
@@ -64,6 +65,7 @@
         return due
 
     def add(self, run, pool, now_s):
+        """Queue a suspect until an endpoint can be given to it alone."""
         self.judge.waits(run.fingerprint, now_s)
         run.queued_s = now_s
         pool.suspects.append(run)
--- a/magnoliadyke/core/table.py
+++ b/magnoliadyke/core/table.py
@@ -189,6 +189,7 @@
 
 
 def dump(document: Document) -> str:
+    """Write a document as the store keeps it."""
     return json.dumps(document, separators=(',', ':'), sort_keys=True)
 
 
