Use an engine again once its report says that it is in

After a role change the word that an engine is up came before a report that still said changing had been replaced; nothing sorted it back in until some other event of its pool. The engines by role are now grouped anew when a report changes whether it takes work.

--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -194,7 +194,10 @@
         endpoint.reported_at_s = report.at_s
         endpoint.reported_streams = report.running
         state = REPORTED_STATES.get(report.state, report.state)
+        was_out = endpoint.health.is_out()
         endpoint.health.report(state, report.at_s)
+        if endpoint.health.is_out() != was_out:
+            self.pools[endpoint.info.pool].endpoints.sort()
         load = endpoint.load
         load.streams.report(report.running, report.at_s)
         load.kv_tokens.report(report.kv_used_tokens, report.at_s)
@@ -282,9 +285,15 @@
         self.retries.deposit(job.customer, row.retry_share)
         run = self._new_run(job, row)
         pool = self.pools[job.pool]
+        excess_s = self._excess_s(run, pool, now_s)
+        if excess_s <= 0:
+            # Last, as what is refused otherwise must not use up the limit.
+            tokens = run.admitted_tokens
+            exceeded = self.limits.admit(job.customer, tokens, now_s)
+            if exceeded is not None:
+                return [Refuse(job.id, admission.limit_exceeded(exceeded))]
         pool.note_mix(job.priority, run.prefill_s)
         pool.arrived(run, now_s)
-        excess_s = self._excess_s(run, pool, now_s)
         if excess_s > 0:
             return [
                 self._overloaded(job, pool, excess_s),
@@ -389,10 +398,6 @@
             return _convicted()
         if not pool.endpoints.present():
             return admission.no_endpoint(admission.MOST_RETRY_S / 10, self.rng)
-        tokens = job.prompt_tokens + job.output_tokens
-        exceeded = self.limits.admit(job.customer, tokens, now_s)
-        if exceeded is not None:
-            return admission.limit_exceeded(exceeded)
         return None
 
     def _new_run(self, job, row):
@@ -589,6 +594,7 @@
         self._forget(run, now_s)
         if run.ran:
             return Refuse(run.job.id, _unknown('not_run_again'))
+        self.limits.correct(run.job.customer, -run.admitted_tokens)
         wait_s = self._wait_s(run, pool)
         return self._overloaded(run.job, pool, wait_s)
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -129,6 +129,20 @@
             assert action.endpoint != 'd1'
 
 
+def test_an_engine_is_used_again_once_its_report_says_so():
+    # A change ends and we are told so; a report from before still says
+    # "changing", and the next one that it is in. No other event follows.
+    plan = make_scheduler(engines={'p1': 'prefill', 'd1': 'decode'})
+    changing = jobs.LoadReport(1.0, 'decode', 'changing')
+    plan.load_report('d1', changing, 1.0)
+    plan.endpoint_state('d1', 'changing', 1.1)
+    plan.endpoint_state('d1', 'up', 7.0)
+    plan.load_report('d1', jobs.LoadReport(7.1, 'decode', 'in'), 7.2)
+    job = make_job('j1', prompt_tokens=3000, arrived_s=7.3)
+    (action,) = plan.submit(job, 7.3)
+    assert (action.prefill_endpoint, action.endpoint) == ('p1', 'd1')
+
+
 def test_engines_that_left_make_a_typed_refusal():
     plan = make_scheduler()
     for name in ENGINES:
