--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 READY := $(VENV)/.ready
 PACKER := build/packer
 BINARY := dist/magnoliadyke
+SOURCES := $(shell find magnoliadyke tools examples -type f ! -name '*.pyc')
 
 .PHONY: help venv test format demo binary check-binary demo-binary clean
 .PHONY: lint lint-ruff lint-format lint-hacking lint-border
@@ -62,7 +63,9 @@
 		--editable '.[binary]'
 	touch $@
 
-binary: $(PACKER)/.ready
+binary: $(BINARY)
+
+$(BINARY): $(PACKER)/.ready $(SOURCES)
 	$(PACKER)/bin/python tools/binary.py $(BINARY)
 
 check-binary: binary
