Call the notices in force by that name

Board was a word of our own for the set of engine notices that a node has heard, and a reader of gossip could not tell what self.board holds. It is EngineNotices now.

--- a/magnoliadyke/core/notices.py
+++ b/magnoliadyke/core/notices.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-__all__ = ['CHANGING', 'UP', 'Board', 'EngineNotice', 'EngineUse']
+__all__ = ['CHANGING', 'UP', 'EngineNotice', 'EngineNotices', 'EngineUse']
 
 CHANGING = 'changing'
 UP = 'up'
@@ -38,7 +38,7 @@
     state: str
 
 
-class Board:
+class EngineNotices:
     """The notices in force at one node."""
 
     def __init__(self) -> None:
--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -183,7 +183,7 @@
         self.standings = mailbox.Topic(Standing(clock.now_s()))
         self.digests = mailbox.Topic()
         self.uses = mailbox.Topic()
-        self.board = notices.Board()
+        self.notices = notices.EngineNotices()
         self.pauses = mailbox.Topic()
         self.superseded = mailbox.Topic()
         self.next_renewal_s = 0.0
@@ -285,7 +285,7 @@
         for member in self.members.last.alive():
             if member.host != own.host:
                 self.send_data((member.address, member.peer_port), data)
-        self.publish_uses(self.board.take(notice, now_s))
+        self.publish_uses(self.notices.take(notice, now_s))
 
     def publish_uses(self, uses):
         """Publish each engine whose use changed."""
@@ -296,7 +296,7 @@
     def tick(self):
         """Drive the protocol's timers."""
         now_s = self.clock.now_s()
-        self.publish_uses(self.board.expire(now_s))
+        self.publish_uses(self.notices.expire(now_s))
         self.act(self.membership.tick(now_s))
         self.renew_evidence(now_s)
         self.publish(now_s)
@@ -332,7 +332,7 @@
             LOG.repeated('datagram_ignored', 'datagram', reason=str(error))
             return
         if isinstance(message, gossip_codec.Notice):
-            self.publish_uses(self.board.take(message.notice, now_s))
+            self.publish_uses(self.notices.take(message.notice, now_s))
             return
         self.act(self.membership.receive(message, now_s))
         if isinstance(message, membership.Ack):
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -4,21 +4,21 @@
 
 
 def test_a_notice_counts_once_and_until_it_is_taken_back():
-    board = notices.Board()
+    known = notices.EngineNotices()
     begin = notices.EngineNotice('e1', 5, True, 3.0)
     end = notices.EngineNotice('e1', 5, False, 3.0)
-    assert board.take(begin, 0.0) == [notices.EngineUse('e1', 'changing')]
-    assert board.take(begin, 2.0) == []
-    assert board.expire(4.0) == []
-    assert board.take(end, 4.5) == [notices.EngineUse('e1', 'up')]
-    assert board.take(end, 4.6) == []
+    assert known.take(begin, 0.0) == [notices.EngineUse('e1', 'changing')]
+    assert known.take(begin, 2.0) == []
+    assert known.expire(4.0) == []
+    assert known.take(end, 4.5) == [notices.EngineUse('e1', 'up')]
+    assert known.take(end, 4.6) == []
 
 
 def test_a_planner_that_lost_its_authority_is_not_heeded():
     # A stream would start on an engine in the middle of its change: the
     # former planner wakes from a pause and gives the engine back. Its lower
     # fencing number shows that a successor has taken over.
-    board = notices.Board()
-    board.take(notices.EngineNotice('e1', 6, True, 3.0), 0.0)
-    assert board.take(notices.EngineNotice('e1', 5, False, 3.0), 1.0) == []
-    assert board.expire(3.5) == [notices.EngineUse('e1', 'up')]
+    known = notices.EngineNotices()
+    known.take(notices.EngineNotice('e1', 6, True, 3.0), 0.0)
+    assert known.take(notices.EngineNotice('e1', 5, False, 3.0), 1.0) == []
+    assert known.expire(3.5) == [notices.EngineUse('e1', 'up')]
