Say issuer and closed instead of office and door

What issues and checks tickets was an office, and the check whether a node is closed to new work was a door: pictures of our own, which a reader had to look up. An issuer of tickets is the usual term; closed() says what it answers. The 41 tests of tickets, decoders, homes, callers and relays pass.

--- a/magnoliadyke/callers.py
+++ b/magnoliadyke/callers.py
@@ -165,7 +165,7 @@
             store,
             peers,
             self.streams,
-            self.door,
+            self.closed,
             reports.Reports(metrics, dispatcher, clock),
         )
         self.key_ring = None
@@ -264,7 +264,7 @@
 
     # Who may come in.
 
-    def door(self, customer):
+    def closed(self, customer):
         """Return ``NotRun`` when no new work is taken, else None.
 
         :param customer: customer name, or ``''`` for any
@@ -352,7 +352,7 @@
         return {
             'hosts': listed,
             'keep_s': self.settings.timing.hosts_keep_s,
-            'ticket': self.homes.office.issue(self.clock.now_s()),
+            'ticket': self.homes.issuer.issue(self.clock.now_s()),
         }
 
     def ordered_members(self):
--- a/magnoliadyke/core/tickets.py
+++ b/magnoliadyke/core/tickets.py
@@ -5,7 +5,7 @@
 import re
 import typing
 
-__all__ = ['KEY_PATTERN', 'Key', 'TicketOffice', 'home_name', 'parse_key']
+__all__ = ['KEY_PATTERN', 'Key', 'TicketIssuer', 'home_name', 'parse_key']
 
 MAC_DIGITS = 16
 MAX_KEY_LENGTH = 200
@@ -67,7 +67,7 @@
     )
 
 
-class TicketOffice:
+class TicketIssuer:
     """Issue and check the tickets of one home.
 
     The last part of a ticket is a keyed digest of the rest, so that the
--- a/magnoliadyke/handover.py
+++ b/magnoliadyke/handover.py
@@ -22,13 +22,13 @@
 class Adopted(typing.NamedTuple):
     """A home whose keys live on this node.
 
-    :param office: checks its tickets
+    :param issuer: checks its tickets
     :param shift_s: this clock's seconds minus the home's own
     :param floor_s: issue time, by this clock, up to which the home had
         forgotten keys
     """
 
-    office: tickets.TicketOffice
+    issuer: tickets.TicketIssuer
     shift_s: float
     floor_s: float
 
@@ -41,7 +41,7 @@
     its tickets run at the successor. At the end: what became of the
     requests that were running.
 
-    :param office: :class:`tickets.TicketOffice` of this node
+    :param issuer: :class:`tickets.TicketIssuer` of this node
     :param table: :class:`records.RecordTable` of this node
     :param peers: :class:`magnoliadyke.peer.PeerClients`
     :param directory: :class:`magnoliadyke.directory.Directory`
@@ -50,8 +50,8 @@
     :ivar successor: host name, ``''`` if nobody took the records
     """
 
-    def __init__(self, office, incarnation, table, peers, directory, clock):
-        self.office = office
+    def __init__(self, issuer, incarnation, table, peers, directory, clock):
+        self.issuer = issuer
         self.incarnation = incarnation
         self.table = table
         self.peers = peers
@@ -95,10 +95,10 @@
         home = description['home']
         host, _, incarnation = home.rpartition('.')
         secret = bytes.fromhex(description['secret'])
-        office = tickets.TicketOffice(host, int(incarnation), secret)
+        issuer = tickets.TicketIssuer(host, int(incarnation), secret)
         shift_s = now_s - description['now_s']
         floor_s = now_s - description['floor_age_s']
-        self.adopted[home] = Adopted(office, shift_s, floor_s)
+        self.adopted[home] = Adopted(issuer, shift_s, floor_s)
 
     # Going out.
 
@@ -110,7 +110,7 @@
         self.sealed = event.Event()
         try:
             for member in members:
-                if self.hand_to(member, self.office.home):
+                if self.hand_to(member, self.issuer.home):
                     self.member = member
                     self.successor = member.host
                     break
@@ -170,12 +170,12 @@
 
     def describe_homes(self, now_s):
         """Yield a line of JSON for each home that lives here."""
-        own = Adopted(self.office, 0.0, records.NO_FLOOR)
+        own = Adopted(self.issuer, 0.0, records.NO_FLOOR)
         for each in (own, *self.adopted.values()):
             floor_s = max(each.floor_s, self.table.floor_s)
             description = {
-                'home': each.office.home,
-                'secret': each.office.secret.hex(),
+                'home': each.issuer.home,
+                'secret': each.issuer.secret.hex(),
                 'now_s': now_s - each.shift_s,
                 'floor_age_s': min(now_s - floor_s, LONGEST_AGE_S),
             }
--- a/magnoliadyke/homes.py
+++ b/magnoliadyke/homes.py
@@ -68,7 +68,7 @@
 
     :param settings: :class:`magnoliadyke.settings.Settings`
     :param reports_: :class:`magnoliadyke.reports.Reports`
-    :param door: called with the customer's name; returns ``NotRun`` when no
+    :param closed: called with the customer's name; returns ``NotRun`` when no
         new work is taken, or None
     :param streams_: :class:`magnoliadyke.streams.Streams`
     """
@@ -85,7 +85,7 @@
         store,
         peers,
         streams_,
-        door,
+        closed,
         reports_,
     ):
         self.settings = settings
@@ -96,10 +96,10 @@
         self.rng = rng
         self.table = table
         self.streams = streams_
-        self.door = door
+        self.closed = closed
         self.reports = reports_
         secret = rng.getrandbits(8 * SECRET_BYTES).to_bytes(SECRET_BYTES)
-        self.office = tickets.TicketOffice(host, incarnation, secret)
+        self.issuer = tickets.TicketIssuer(host, incarnation, secret)
         self.records = records.RecordTable(record_settings(settings.limits))
         self.claiming = claiming.Claiming(
             self.name, store, settings.keyvalue.prefix, clock
@@ -108,7 +108,7 @@
             self.name, host, members, clock, rng
         )
         self.handover = handover.Handover(
-            self.office,
+            self.issuer,
             incarnation,
             self.records,
             peers,
@@ -128,12 +128,12 @@
         if key is None:
             return self.place_foreign(request)
         if key.home == self.name:
-            if not self.office.accepts(key):
+            if not self.issuer.accepts(key):
                 return Told(BAD_TICKET)
             return self.open(request, key.text, key.issued_s)
         adopted = self.handover.adopted.get(key.home)
         if adopted is not None:
-            if not adopted.office.accepts(key):
+            if not adopted.issuer.accepts(key):
                 return Told(BAD_TICKET)
             issued_s = key.issued_s + adopted.shift_s
             return self.open(request, key.text, issued_s, adopted.floor_s)
@@ -142,7 +142,7 @@
     def place_own(self, request):
         """Run a request that came without a key; nobody can resend it."""
         now_s = self.clock.now_s()
-        key = f'{self.office.issue(now_s)}/0'
+        key = f'{self.issuer.issue(now_s)}/0'
         return self.open(request, key, now_s)
 
     def place_foreign(self, request):
@@ -262,7 +262,7 @@
         """Run a new request, unless this node takes no new work."""
         if self.handover.sealed is not None:
             return self.pass_on(request, record)
-        refusal = self.door(request.customer)
+        refusal = self.closed(request.customer)
         if refusal is not None:
             self.close_refused(request, record, refusal)
             return Told(refusal)
@@ -504,7 +504,7 @@
         :return: the run's outcome, or None when it may not run here
         """
         request = lost.request
-        if not request.repeatable or self.door(request.customer) is not None:
+        if not request.repeatable or self.closed(request.customer) is not None:
             return None
         key = record_name(lost.key, request.customer)
         now_s = self.clock.now_s()
@@ -578,7 +578,7 @@
         :param last: whether the hand-over is complete
         :return: number of lines taken, None to refuse
         """
-        if self.handover.sealed is not None or self.door('') is not None:
+        if self.handover.sealed is not None or self.closed('') is not None:
             return None
         return self.handover.take(host, incarnation, lines, last)
 
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -77,8 +77,8 @@
 def test_keys(text):
     key = tickets.parse_key(text)
     if key is not None:
-        office = tickets.TicketOffice(key.host, key.incarnation, b'secret')
-        assert not office.accepts(key)
+        issuer = tickets.TicketIssuer(key.host, key.incarnation, b'secret')
+        assert not issuer.accepts(key)
 
 
 @given(st.lists(st.binary(max_size=40), max_size=10))
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -9,32 +9,32 @@
 
 
 def test_a_key_names_its_home():
-    office = tickets.TicketOffice('alm-medeu-1', 42, SECRET)
-    key = tickets.parse_key(office.issue(99.9) + '/17')
+    issuer = tickets.TicketIssuer('alm-medeu-1', 42, SECRET)
+    key = tickets.parse_key(issuer.issue(99.9) + '/17')
     assert key.home == 'alm-medeu-1.42'
     assert key.issued_s == 99
-    assert office.accepts(key)
+    assert issuer.accepts(key)
 
 
 def test_tickets_differ():
-    office = tickets.TicketOffice('a', 1, SECRET)
-    assert office.issue(5.0) != office.issue(5.0)
+    issuer = tickets.TicketIssuer('a', 1, SECRET)
+    assert issuer.issue(5.0) != issuer.issue(5.0)
 
 
 @given(strategies.integers(0, 2**40), strategies.integers(0, 15))
 def test_a_changed_serial_is_not_accepted(issued_s, digit):
-    office = tickets.TicketOffice('a', 1, SECRET)
-    ticket = office.issue(7.0)
+    issuer = tickets.TicketIssuer('a', 1, SECRET)
+    ticket = issuer.issue(7.0)
     _, _, mac = ticket.rpartition('-')
     forged = tickets.parse_key(f'a.1.{issued_s:x}-{digit:x}-{mac}/1')
-    assert office.accepts(forged) == (issued_s == 7 and digit == 1)
+    assert issuer.accepts(forged) == (issued_s == 7 and digit == 1)
 
 
 def test_another_incarnation_does_not_accept():
     key = tickets.parse_key(
-        tickets.TicketOffice('a', 1, SECRET).issue(1.0) + '/1'
+        tickets.TicketIssuer('a', 1, SECRET).issue(1.0) + '/1'
     )
-    assert not tickets.TicketOffice('a', 2, SECRET).accepts(key)
+    assert not tickets.TicketIssuer('a', 2, SECRET).accepts(key)
 
 
 @given(strategies.text())
