Answer blamed requests at once

Answers to requests that a crash blames were held for 5 s, lest a resend outrun the word. The word now goes to all peers before anybody is answered, so the hold is gone.

--- a/magnoliadyke/core/quarantine.py
+++ b/magnoliadyke/core/quarantine.py
@@ -12,9 +12,10 @@
   crashes, which clears everybody else who was blamed for them.
 
 So a request takes down at most two engines: once unknown, once alone. That
-needs the word of the first crash to be everywhere before the resend is: the
-answer to a blamed request is held back for ``settle_s``, and a suspect does
-not run until that long after the crash.
+needs the word of the first crash to be everywhere before the resend is. The
+shell sends it to all peers before it answers anybody; should a peer miss it,
+one that has heard of either crash makes the request wait as a suspect for
+``settle_s``, and by then knows of both.
 """
 
 import hashlib
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -374,8 +374,7 @@
         """Time has passed: give up what is too late, try what waits."""
         self.shares.tick(now_s)
         self.quarantine.tick(now_s)
-        actions = self.suspects.release(now_s)
-        actions += self._drain_all(now_s)
+        actions = self._drain_all(now_s)
         for pool in self.pools.values():
             actions += self._try_suspects(pool, now_s)
         return actions
@@ -661,17 +660,14 @@
         if failed.crashed:
             verdict = self.suspects.verdict(run, now_s)
         if verdict == quarantine.CONVICTED:
-            return self._hold(run, _convicted(), now_s)
+            return self._refuse(run, _convicted(), now_s)
         may_repeat = run.job.repeatable or not run.ran
         if failed.retryable and may_repeat:
             if self._may_retry(run, endpoint, failed):
                 self._queue_again(run, now_s)
                 return []
         outcome = _unknown('endpoint_failed') if run.ran else _not_run()
-        if verdict == quarantine.SUSPECT:
-            return self._hold(run, outcome, now_s)
-        self._forget(run, now_s)
-        return [Refuse(run.job.id, outcome)]
+        return self._refuse(run, outcome, now_s)
 
     def _blame_endpoint(self, run, endpoint, failed, now_s):
         if failed.crashed:
@@ -712,31 +708,32 @@
             run.timing = admission.Timing(until_s, until_s)
         self._queue(run, self.pools[run.job.pool], now_s)
 
-    def _hold(self, run, outcome, now_s):
+    def _refuse(self, run, outcome, now_s):
         self._forget(run, now_s)
-        self.suspects.hold(Refuse(run.job.id, outcome), now_s)
-        return []
+        return [Refuse(run.job.id, outcome)]
 
     def _try_suspects(self, pool, now_s):
         """Run the suspect whose turn it is, on the engine kept for it."""
+        actions = []
         for run, verdict in self.suspects.judged(pool, now_s):
             if verdict == quarantine.CONVICTED:
-                self._hold(run, _convicted(), now_s)
+                actions += self._refuse(run, _convicted(), now_s)
             else:
                 self._queue(run, pool, now_s)
         run = self.suspects.next(pool, self.runs, now_s)
         if run is None:
-            return []
+            return actions
         spare_s = run.timing.latest_start_s - now_s
         terms = routing.Terms(self._fraction(pool, now_s), spare_s)
         placement = self.router.place(
             run.job, pool.endpoints, terms, now_s, among=pool.trial
         )
         if placement is None:
-            return []
+            return actions
         alone = not pool.trial.load.jobs
         self.suspects.begins(run, pool, now_s)
-        return [self._dispatch(run, pool, placement, now_s, alone)]
+        action = self._dispatch(run, pool, placement, now_s, alone)
+        return [*actions, action]
 
     # Peers
 
--- a/magnoliadyke/core/suspects.py
+++ b/magnoliadyke/core/suspects.py
@@ -18,7 +18,6 @@
 
     def __init__(self, judge):
         self.judge = judge
-        self.held = []
         self.blamed_s = {}
 
     def crashed(self, endpoint, runs, now_s):
@@ -48,22 +47,6 @@
             return quarantine.CLEAR
         return self.judge.verdict(run.fingerprint, now_s)
 
-    def hold(self, action, now_s):
-        """Answer a blamed request only when all nodes know of it.
-
-        Its caller may resend it at once to another node, which would run it
-        among others: a second crash, and a third one on the next node. The
-        word of the crash has to be there first.
-        """
-        due_s = now_s + self.judge.settings.settle_s
-        self.held.append((due_s, action))
-
-    def release(self, now_s):
-        """Answers that have been held for long enough."""
-        due = [action for due_s, action in self.held if due_s <= now_s]
-        self.held = [item for item in self.held if item[0] > now_s]
-        return due
-
     def add(self, run, pool, now_s):
         """Queue a suspect until an endpoint can be given to it alone."""
         self.judge.waits(run.fingerprint, now_s)
