Read the settings of a stand-in in one place

Five stand-ins read their arguments by the same line, and each had a start of its own as a module that nothing used: all are started by magnoliadyke lab. standin.read_spec serves them all; the unused starts are gone (34 lines less).

--- a/magnoliadyke/lab/engine.py
+++ b/magnoliadyke/lab/engine.py
@@ -4,7 +4,6 @@
 import http.client
 import json
 import secrets
-import sys
 import time
 import typing
 
@@ -520,14 +519,7 @@
     :param argv: address, then optionally a JSON object of :class:`Spec`
     :returns: exit status
     """
-    spec = Spec(**json.loads(argv[1]) if len(argv) > 1 else {})
+    spec = standin.read_spec(Spec, argv)
     engine = EngineStandIn(spec)
     engine.start()
     return standin.run(standin.Server(argv[0], engine.handle))
-
-
-if __name__ == '__main__':
-    from gevent import monkey
-
-    monkey.patch_all()
-    sys.exit(main(sys.argv[1:]))
--- a/magnoliadyke/lab/hostlist.py
+++ b/magnoliadyke/lab/hostlist.py
@@ -1,8 +1,6 @@
 """Stand-in for the platform's list of hosts, which lags."""
 
 import collections
-import json
-import sys
 import time
 import typing
 
@@ -72,13 +70,6 @@
     :param argv: address, then optionally a JSON object of :class:`Spec`
     :returns: exit status
     """
-    spec = Spec(**json.loads(argv[1]) if len(argv) > 1 else {})
+    spec = standin.read_spec(Spec, argv)
     hosts = HostListStandIn(spec)
     return standin.run(standin.Server(argv[0], hosts.handle))
-
-
-if __name__ == '__main__':
-    from gevent import monkey
-
-    monkey.patch_all()
-    sys.exit(main(sys.argv[1:]))
--- a/magnoliadyke/lab/keyvalue.py
+++ b/magnoliadyke/lab/keyvalue.py
@@ -1,9 +1,7 @@
 """Stand-in for the platform's key-value service."""
 
 import collections
-import json
 import secrets
-import sys
 import time
 import typing
 
@@ -454,14 +452,7 @@
     :param argv: address, then optionally a JSON object of :class:`Spec`.
     :returns: exit status.
     """
-    spec = Spec(**json.loads(argv[1]) if len(argv) > 1 else {})
+    spec = standin.read_spec(Spec, argv)
     stand_in = KeyValueStandIn(spec)
     gevent.spawn(stand_in.expire_forever)
     return standin.run(standin.Server(argv[0], stand_in.handle))
-
-
-if __name__ == '__main__':
-    from gevent import monkey
-
-    monkey.patch_all()
-    sys.exit(main(sys.argv[1:]))
--- a/magnoliadyke/lab/service.py
+++ b/magnoliadyke/lab/service.py
@@ -1,7 +1,5 @@
 """Stand-in for a plain service: echoes calls and keeps a ledger of them."""
 
-import json
-import sys
 import typing
 
 import gevent
@@ -114,13 +112,6 @@
     :param argv: address, then optionally a JSON object of :class:`Spec`
     :returns: exit status
     """
-    spec = Spec(**json.loads(argv[1]) if len(argv) > 1 else {})
+    spec = standin.read_spec(Spec, argv)
     service = ServiceStandIn(spec)
     return standin.run(standin.Server(argv[0], service.handle))
-
-
-if __name__ == '__main__':
-    from gevent import monkey
-
-    monkey.patch_all()
-    sys.exit(main(sys.argv[1:]))
--- a/magnoliadyke/lab/standin.py
+++ b/magnoliadyke/lab/standin.py
@@ -28,6 +28,7 @@
     'crash',
     'error_answer',
     'json_answer',
+    'read_spec',
     'run',
     'split_address',
 ]
@@ -258,6 +259,15 @@
     return json_answer(status, {'error': error})
 
 
+def read_spec(kind, argv):
+    """The settings of a stand-in from its arguments.
+
+    :param kind: ``Spec`` of the stand-in, a NamedTuple
+    :param argv: address, then optionally a JSON object of its fields
+    """
+    return kind(**json.loads(argv[1]) if len(argv) > 1 else {})
+
+
 def split_address(address):
     """``ip:port`` as a pair."""
     host, _, port = address.rpartition(':')
--- a/magnoliadyke/lab/weights.py
+++ b/magnoliadyke/lab/weights.py
@@ -1,7 +1,5 @@
 """Stand-in for the platform's weight store: bytes at a limited rate."""
 
-import json
-import sys
 import time
 import typing
 
@@ -70,13 +68,6 @@
     :param argv: address, then optionally a JSON object of :class:`Spec`
     :returns: exit status
     """
-    spec = Spec(**json.loads(argv[1]) if len(argv) > 1 else {})
+    spec = standin.read_spec(Spec, argv)
     store = WeightStoreStandIn(spec)
     return standin.run(standin.Server(argv[0], store.handle))
-
-
-if __name__ == '__main__':
-    from gevent import monkey
-
-    monkey.patch_all()
-    sys.exit(main(sys.argv[1:]))
