--- a/tests/test_lab_arguments.py
+++ b/tests/test_lab_arguments.py
@@ -22,7 +22,3 @@
             path.write_text('{')
             with self.assertRaisesRegex(errors.UsageError, 'correct'):
                 arguments.read_json(path)
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_cacheevents.py
+++ b/tests/test_lab_cacheevents.py
@@ -25,7 +25,3 @@
         log = cacheevents.EventLog(0.0, 0.0)
         read = log.read(7, 0.0)
         self.assertEqual((0, True), (read['next'], read['gap']))
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_cluster.py
+++ b/tests/test_lab_cluster.py
@@ -33,7 +33,3 @@
             made.launch('entry-1', ['/bin/sh', '-c', 'echo broken'], {})
             with self.assertRaisesRegex(cluster.NotReady, 'entry-1 ended'):
                 made.wait_for('entry-1', lambda: False)
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_demo.py
+++ b/tests/test_lab_demo.py
@@ -41,7 +41,3 @@
             summary = GOOD._replace(**fields)
             self.assertFalse(summary.good(), fields)
             self.assertIn('FAILED', demo.render(summary))
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_engine.py
+++ b/tests/test_lab_engine.py
@@ -115,7 +115,3 @@
         self.assertEqual('not_run', json.loads(answer.body)['error']['code'])
         rows = [row['what'] for row in self.engine.ledger.rows]
         self.assertNotIn('run', rows)
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_enginecommands.py
+++ b/tests/test_lab_enginecommands.py
@@ -71,7 +71,3 @@
             self.call('POST', '/v1/commands', command)
         state = json.loads(self.call('GET', '/v1/state').body)
         self.assertEqual([], state['models'])
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_enginerun.py
+++ b/tests/test_lab_enginerun.py
@@ -21,7 +21,3 @@
         self.assertEqual(3, enginerun.output_tokens(body))
         body['max_tokens'] = 2
         self.assertEqual(2, enginerun.output_tokens(body))
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_hostlist.py
+++ b/tests/test_lab_hostlist.py
@@ -19,7 +19,3 @@
             stand_in = hostlist.HostListStandIn(hostlist.Spec([row], lag_s))
             stand_in.change({'host': 'a', 'state': 'leaving'})
             self.assertEqual({'a': shown}, self.hosts(stand_in))
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_keyvalue.py
+++ b/tests/test_lab_keyvalue.py
@@ -82,7 +82,3 @@
             self.call('GET', '/kv/a')
         self.call('POST', '/faults', {'kind': 'clear'})
         self.assertEqual(404, self.call('GET', '/kv/a').status)
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_layout.py
+++ b/tests/test_lab_layout.py
@@ -38,7 +38,3 @@
         self.assertFalse(spec['checks_fencing'])
         self.assertEqual(['lease-model'], spec['models'])
         self.assertEqual('service', made.stand_in_spec('portal-1')[0])
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_links.py
+++ b/tests/test_lab_links.py
@@ -81,7 +81,3 @@
         sender.sendto(b'ping', ('127.66.1.2', 7900))
         with gevent.Timeout(5):
             self.assertEqual((b'ping', OWN), receiver.recvfrom(100))
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_live.py
+++ b/tests/test_lab_live.py
@@ -37,7 +37,3 @@
         live.check_policies(['fixed', 'ours'])
         with self.assertRaisesRegex(errors.UsageError, 'lab policy'):
             live.check_policies(['hindsight'])
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_load.py
+++ b/tests/test_lab_load.py
@@ -46,7 +46,3 @@
     def test_a_trace_is_sent_once(self):
         record = run([NOT_RUN, ANSWERED], repeatable=True, visits=0)
         self.assertEqual(NOT_RUN, record.outcome)
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_proxy.py
+++ b/tests/test_lab_proxy.py
@@ -118,7 +118,3 @@
         sender.sendto(packet, ('127.66.0.1', 7900))
         gevent.sleep(WAIT_S)
         self.assertEqual(1, len(packets))
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_rules.py
+++ b/tests/test_lab_rules.py
@@ -29,7 +29,3 @@
     def test_an_unknown_kind_is_refused(self):
         with self.assertRaises(ValueError):
             self.rules.add({'kind': 'explode'})
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -53,7 +53,3 @@
         record = FakeRecord('k', False)
         self.assertEqual([record], runs.doubled(cluster, [record]))
         self.assertEqual([], runs.doubled(cluster, [FakeRecord('k', True)]))
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_service.py
+++ b/tests/test_lab_service.py
@@ -38,7 +38,3 @@
         self.call('/faults', {'kind': 'left'})
         self.assertEqual(503, self.call('/balance').status)
         self.assertEqual([], self.runs())
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_standin.py
+++ b/tests/test_lab_standin.py
@@ -74,7 +74,3 @@
         self.addCleanup(connection.close)
         connection.request('GET', '/a%20b')
         self.assertEqual(b'"/a b"', connection.getresponse().read())
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_weights.py
+++ b/tests/test_lab_weights.py
@@ -18,7 +18,3 @@
         self.assertAlmostEqual(
             10.0, json.loads(refused.body)['retry_after_s'], delta=1.0
         )
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/test_lab_workload.py
+++ b/tests/test_lab_workload.py
@@ -55,7 +55,3 @@
         self.assertTrue(record.whole())
         record.text = json.dumps({'path': '/notices', 'body': 'other'})
         self.assertFalse(record.whole())
-
-
-if __name__ == '__main__':
-    unittest.main()
