Move streams away before their engine changes its role

Answers that outlast the wait of 8 s stood still for the whole change: with real processes, nine streams of 900 tokens on three engines, two of them were on the engine when its change began. What still runs 2 s after the notice is now taken to another engine by export and import of its KV cache, on the word of the node whose run it is.

--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -9,6 +9,7 @@
 from magnoliadyke.core import jobs
 from magnoliadyke.core import membership
 from magnoliadyke.core import outcomes
+from magnoliadyke.core import refuge
 from magnoliadyke.core import scheduler
 from magnoliadyke.core import snapshot
 from magnoliadyke.core import table
@@ -23,6 +24,7 @@
     'FirstToken',
     'JobFailed',
     'JobFinished',
+    'MoveStream',
     'PeerDigest',
     'PrefillDone',
     'Progress',
@@ -74,6 +76,17 @@
         self.failed = failed
 
 
+class MoveStream(mailbox.Ask):
+    """Find another engine for a running answer; answered with its name.
+
+    The answer is ``''`` when no other engine takes work.
+    """
+
+    def __init__(self, job_id):
+        super().__init__()
+        self.job_id = job_id
+
+
 class JobFinished(typing.NamedTuple):
     """A job is over.
 
@@ -289,6 +302,8 @@
             case JobFailed(job_id=job_id, failed=failed):
                 self.pending[job_id] = message
                 return core.finished(job_id, failed, now_s)
+            case MoveStream():
+                return self.move_stream(message, now_s)
             case JobFinished(job_id, result):
                 return core.finished(job_id, result, now_s)
             case TakeSnapshot():
@@ -306,6 +321,13 @@
             case _:
                 return self.learn(message, now_s)
 
+    def move_stream(self, message, now_s):
+        """Give an answer its place on another engine."""
+        core = self.scheduler
+        name = refuge.choose(core.runs, core.pools, message.job_id, now_s)
+        message.reply(name)
+        return core.moved(message.job_id, name, now_s)
+
     def learn(self, message, now_s):
         """Return the actions for news of the fleet."""
         core = self.scheduler
--- a/magnoliadyke/endpoint.py
+++ b/magnoliadyke/endpoint.py
@@ -26,6 +26,7 @@
 RECEIVE_BYTES = 65536
 ERROR_BYTES = 1 << 20
 ERROR_TIMEOUT_S = 2.0
+JSON_HEADERS = (('Content-Type', 'application/json'),)
 
 
 class EndpointSettings(typing.NamedTuple):
@@ -403,6 +404,13 @@
     def cancel(self, attempt):
         """End an answer that nobody wants any more."""
 
+    @abc.abstractmethod
+    def export(self, attempt):
+        """Stop an answer so that another engine can go on with it.
+
+        :return: handle of its KV cache as a dict, None if it does not run
+        """
+
     @abc.abstractmethod
     def refuses_connections(self):
         """Tell whether no process listens there any more: it crashed."""
@@ -516,6 +524,23 @@
         path = f'/v1/streams/{parse.quote(attempt)}/cancel'
         self.connections.call('POST', path, b'', (), self.settings.control_s)
 
+    def export(self, attempt):
+        """Stop an answer; return the handle of its KV cache."""
+        body = json_bytes({'id': attempt})
+        reply = self.connections.call(
+            'POST',
+            '/v1/kv/export',
+            body,
+            JSON_HEADERS,
+            self.settings.control_s,
+            fresh=True,
+        )
+        try:
+            kv_id = reply.json()['kv_id']
+        except (ValueError, KeyError, TypeError):
+            return None
+        return {'address': self.info.address, 'kv_id': kv_id}
+
     def refuses_connections(self):
         """Tell whether the engine's host refuses a connection."""
         try:
--- a/magnoliadyke/streams.py
+++ b/magnoliadyke/streams.py
@@ -1,5 +1,6 @@
 """Run requests on endpoints and hand their output to those who follow."""
 
+import math
 import typing
 import zlib
 
@@ -14,6 +15,7 @@
 from magnoliadyke import dispatch
 from magnoliadyke import errors
 from magnoliadyke import mailbox
+from magnoliadyke import moves
 from magnoliadyke import pumps
 
 __all__ = [
@@ -245,6 +247,7 @@
         self.attempt_id = ''
         self.engine = None
         self.connection = None
+        self.moving = None
         self.assembly = attempts.Assembly()
 
     def go_on_from(self, other):
@@ -360,6 +363,10 @@
 
         Reading the stream that runs already is no second attempt.
         """
+        if self.moving is not None:
+            move, self.moving = self.moving, None
+            if move.done():
+                return self.go_on_at(move)
         failures = 0
         while failures < self.patience():
             offset = self.assembly.offset
@@ -389,6 +396,30 @@
         self.cancel_attempt()
         return self.failed(name, 'decode', True)
 
+    def move(self):
+        """Take the answer elsewhere, once it has begun."""
+        if self.moving is None and self.assembly.offset:
+            self.moving = moves.Move(self)
+
+    def go_on_at(self, move):
+        """Continue the answer on another engine, from its KV cache.
+
+        One that refuses has not run it: the cache stays where it was made,
+        and a further engine is asked.
+        """
+        name = move.target
+        while True:
+            self.number += 1
+            self.begun = False
+            self.attempt_id = attempts.attempt_id(self.digest, self.number)
+            work = {**self.work, 'id': self.attempt_id, 'kv': move.kv}
+            result = self.decode(name, work)
+            if not isinstance(result, jobs.Failed) or result.ran:
+                return result
+            name = move.next_place()
+            if not name:
+                return result
+
     def patience(self):
         """Return how many resumes in a row may bring nothing.
 
@@ -555,9 +586,21 @@
             connections = pump.connections
             if pump.check(now_s, connections.suspect()):
                 connections.went_silent()
+        self.move_away(now_s)
         if self.ticks % PROGRESS_TICKS == 0:
             self.report_progress()
 
+    def move_away(self, now_s):
+        """Move the answers whose engines are to change soon."""
+        changing = self.dispatcher.changing
+        for pump in list(self.pumps) if changing else ():
+            run = pump.run_
+            if run.job is None:
+                continue  # a relay: the answer's home moves it
+            since_s = changing.get(run.engine.name, math.inf)
+            if now_s - since_s >= moves.AFTER_S:
+                run.move()
+
     def report_progress(self):
         """Tell the scheduler how far the streams are."""
         moved = [pump.progress() for pump in self.pumps]
