--- a/magnoliadyke/core/costs.py
+++ b/magnoliadyke/core/costs.py
@@ -198,6 +198,10 @@
     def streams_within(self, per_token_s):
         """Streams that an engine can decode at this pace or better."""
         room_s = per_token_s - self.pace.base
+        if room_s <= 0:
+            # Not even one stream keeps the pace. With a fitted slope of 0,
+            # as after a pause, the division below would end each decision.
+            return 1
         if room_s >= self.pace.slope * self.max_streams:
             return self.max_streams
         return max(1, int(room_s / self.pace.slope + ROUNDING))
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -63,3 +63,14 @@
     assert model.output_tokens('portal', 500) == 500
     assert model.prompt_tokens(3000) == pytest.approx(1000, rel=0.1)
     assert model.uncached.ratio < 0.95
+
+
+def test_streams_within_when_no_stream_keeps_the_pace_and_none_adds_to_it():
+    # A node places nothing any more: after a pause of an engine the fitted
+    # step is long whatever the streams, the slope is 0, and each decision
+    # of the scheduler ended in a division by it.
+    model = costs.CostModel()
+    model.pace.base = 0.5
+    model.pace.slope = 0.0
+    assert model.streams_within(0.07) == 1
+    assert model.streams_within(0.6) == 64
