Document the rest of the public methods

The engine commands, the baselines and the fakes were the last modules with public methods that said nothing of themselves: thirteen methods of commands and baselines, one each of fakes and traces. No code changes.

--- a/magnoliadyke/core/commands.py
+++ b/magnoliadyke/core/commands.py
@@ -89,6 +89,7 @@
     change: Change
 
     def dump(self) -> str:
+        """Write the intent as the store keeps it."""
         return json.dumps(
             {
                 'generation': self.generation,
@@ -101,6 +102,7 @@
 
     @classmethod
     def parse(cls, text: str) -> 'Intent':
+        """Read a value of the store."""
         fields = json.loads(text)
         change = Change(fields['kind'], fields['target'])
         return cls(fields['generation'], fields['fencing'], change)
@@ -269,6 +271,7 @@
 
     @property
     def under_way(self) -> bool:
+        """Whether a change was begun and has not ended."""
         return isinstance(self._step, _Preparing | _Intending | _Commanding)
 
     @property
@@ -499,6 +502,7 @@
         return []
 
     def intent_written(self, now_s: float, revision: int) -> list[Action]:
+        """The store took the intent: the command may go out."""
         if not self._take_reply():
             return []
         self._intent_revision = revision
@@ -517,6 +521,7 @@
     # Replies of the engine.
 
     def state_read(self, now_s: float, state: EngineState) -> list[Action]:
+        """The engine told its state: compare it with the intent."""
         if not self._take_reply():
             return []
         self.state = state
@@ -570,6 +575,7 @@
             self._wanted = self.intent.change
 
     def state_failed(self, now_s: float) -> list[Action]:
+        """The engine told no state; ask again later."""
         self._take_reply()
         self.state = None
         self._next_s = now_s + self.settings.retry_s
--- a/magnoliadyke/lab/baselines.py
+++ b/magnoliadyke/lab/baselines.py
@@ -67,9 +67,10 @@
     """Never changes a role."""
 
     def observe(self, demand, now_s):
-        pass
+        """Heed no demand."""
 
     def plan(self, state, now_s):
+        """Change nothing."""
         return None
 
 
@@ -81,6 +82,7 @@
         self.decode = forecast.Series(DEMAND_MEMORY_S)
 
     def observe(self, demand, now_s):
+        """Take a demand into the smoothed one."""
         self.prefill.add(demand.prefill_s_per_s, now_s)
         self.decode.add(demand.decode_s_per_s, now_s)
 
@@ -98,6 +100,7 @@
     """Changes to the nearest split as soon as the demand does."""
 
     def plan(self, state, now_s):
+        """Change towards the nearest split at once."""
         wanted = self.wanted(state)
         if wanted is None:
             return None
@@ -113,6 +116,7 @@
         self.changed_at_s = float('-inf')
 
     def plan(self, state, now_s):
+        """Change once the demand has been outside the band for long."""
         wanted = self.wanted(state)
         ready = [each for each in state.engines if each.state in roles.READY]
         prefills = sum(each.role == roles.PREFILL for each in ready)
@@ -145,9 +149,10 @@
         self.changes = list(changes)
 
     def observe(self, demand, now_s):
-        pass
+        """Heed no demand; the changes are known."""
 
     def plan(self, state, now_s):
+        """Change towards the split that is due."""
         due = [each for each in self.changes if each.at_s <= now_s]
         if not due:
             return None
--- a/magnoliadyke/lab/fakes.py
+++ b/magnoliadyke/lab/fakes.py
@@ -143,6 +143,7 @@
         self.fail_change_until_s = until_s
 
     def tick(self):
+        """Let the scheduler act on the time that has passed."""
         self.act(self.scheduler.tick(self.timeline.now_s))
 
     def act(self, actions):
--- a/magnoliadyke/lab/traces.py
+++ b/magnoliadyke/lab/traces.py
@@ -103,6 +103,7 @@
     share: float = 0.0
 
     def cost_s(self):
+        """Engine-seconds of one request, prefill and decode."""
         return demand_of(self.prompt_tokens, self.output_tokens)
 
 
