Hand the parts of a node over as one named tuple

Callers and Homes took twelve arguments by position, nine of them the same and in another order (table and members changed places), so that a swap would have shown only when a request ran. NodeParts names the nine once; both take it whole, and the parameters with a trailing underscore are gone.

--- a/magnoliadyke/callers.py
+++ b/magnoliadyke/callers.py
@@ -113,60 +113,27 @@
     requests end until the deadline, hands the records to a successor and
     only then closes the listener.
 
-    :param settings: :class:`magnoliadyke.settings.Settings`
-    :param host: this node's host name
-    :param incarnation: this node's incarnation number
-    :param clock: a :class:`magnoliadyke.clock.Clock`
-    :param rng: source of randomness (``random.SystemRandom`` outside tests)
-    :param table: Topic of :class:`magnoliadyke.core.table.View`
-    :param members: Topic of :class:`magnoliadyke.core.membership.MembersView`
+    :param parts: :class:`magnoliadyke.nodeparts.NodeParts`
     :param dispatcher: :class:`magnoliadyke.dispatch.Dispatcher`
-    :param store: :class:`magnoliadyke.keyvalue.KeyValue`, for claims of keys
-        that callers made themselves
-    :param peers: :class:`magnoliadyke.peer.PeerClients`; its ``handover``
-        delivers records to a successor, whose ``take_records`` should be
-        :meth:`take_records`
     :param status: :class:`NodeStatus` shared with gossip
     :param metrics: :class:`magnoliadyke.metrics.Metrics`, or None
     """
 
-    def __init__(
-        self,
-        settings,
-        host,
-        incarnation,
-        clock,
-        rng,
-        table,
-        members,
-        dispatcher,
-        store,
-        peers,
-        status,
-        metrics=None,
-    ):
-        self.settings = settings
-        self.host = host
-        self.clock = clock
-        self.rng = rng
-        self.table = table
-        self.members = members
+    def __init__(self, parts, dispatcher, status, metrics=None):
+        self.settings = parts.settings
+        self.host = parts.host
+        self.clock = parts.clock
+        self.rng = parts.rng
+        self.table = parts.table
+        self.members = parts.members
         self.status = status
-        self.own = settings.host(host)
-        self.streams = streams.Streams(dispatcher, clock)
+        self.own = parts.settings.host(parts.host)
+        self.streams = streams.Streams(dispatcher, parts.clock)
         self.homes = homes.Homes(
-            settings,
-            host,
-            incarnation,
-            clock,
-            rng,
-            members,
-            table,
-            store,
-            peers,
+            parts,
             self.streams,
             self.closed,
-            reports.Reports(metrics, dispatcher, clock),
+            reports.Reports(metrics, dispatcher, parts.clock),
         )
         self.key_ring = None
         self.key_ring_view = None
--- a/magnoliadyke/homes.py
+++ b/magnoliadyke/homes.py
@@ -66,54 +66,43 @@
 class Homes:
     """The request records of this node and the ways to those of others.
 
-    :param settings: :class:`magnoliadyke.settings.Settings`
-    :param reports_: :class:`magnoliadyke.reports.Reports`
+    :param parts: :class:`magnoliadyke.nodeparts.NodeParts`
+    :param runner: :class:`magnoliadyke.streams.Streams`
     :param closed: called with the customer's name; returns ``NotRun`` when no
         new work is taken, or None
-    :param streams_: :class:`magnoliadyke.streams.Streams`
+    :param reports: :class:`magnoliadyke.reports.Reports`
     """
 
-    def __init__(
-        self,
-        settings,
-        host,
-        incarnation,
-        clock,
-        rng,
-        members,
-        table,
-        store,
-        peers,
-        streams_,
-        closed,
-        reports_,
-    ):
-        self.settings = settings
+    def __init__(self, parts, runner, closed, reports):
+        host, incarnation = parts.host, parts.incarnation
+        self.settings = parts.settings
         self.host = host
         self.incarnation = incarnation
         self.name = tickets.home_name(host, incarnation)
-        self.clock = clock
-        self.rng = rng
-        self.table = table
-        self.streams = streams_
+        self.clock = parts.clock
+        self.rng = parts.rng
+        self.table = parts.table
+        self.streams = runner
         self.closed = closed
-        self.reports = reports_
-        secret = rng.getrandbits(8 * SECRET_BYTES).to_bytes(SECRET_BYTES)
+        self.reports = reports
+        secret = self.rng.getrandbits(8 * SECRET_BYTES).to_bytes(SECRET_BYTES)
         self.issuer = tickets.TicketIssuer(host, incarnation, secret)
-        self.records = records.RecordTable(record_settings(settings.limits))
+        self.records = records.RecordTable(
+            record_settings(self.settings.limits)
+        )
         self.claiming = claiming.Claiming(
-            self.name, store, settings.keyvalue.prefix, clock
+            self.name, parts.store, self.settings.keyvalue.prefix, self.clock
         )
         self.directory = directory.Directory(
-            self.name, host, members, clock, rng
+            self.name, host, parts.members, self.clock, self.rng
         )
         self.handover = handover.Handover(
             self.issuer,
             incarnation,
             self.records,
-            peers,
+            parts.peers,
             self.directory,
-            clock,
+            self.clock,
         )
         self.relays = set()
         self.runs = {}
--- a/magnoliadyke/node.py
+++ b/magnoliadyke/node.py
@@ -23,6 +23,7 @@
 from magnoliadyke import logs
 from magnoliadyke import mailbox
 from magnoliadyke import metrics
+from magnoliadyke import nodeparts
 from magnoliadyke import peer
 
 __all__ = ['Bridge', 'Departure', 'Node', 'run']
@@ -265,19 +266,19 @@
 
     def build_callers(self):
         """Make the listener for callers."""
+        parts = nodeparts.NodeParts(
+            settings=self.settings,
+            host=self.host,
+            incarnation=self.incarnation,
+            clock=self.clock,
+            rng=self.rng,
+            table=self.configuration.views,
+            members=self.gossip.members,
+            store=self.keyvalue,
+            peers=self.peers,
+        )
         return callers.Callers(
-            self.settings,
-            self.host,
-            self.incarnation,
-            self.clock,
-            self.rng,
-            self.configuration.views,
-            self.gossip.members,
-            self.dispatcher,
-            self.keyvalue,
-            self.peers,
-            self.status,
-            self.metrics,
+            parts, self.dispatcher, self.status, self.metrics
         )
 
     def join_peers(self):
--- a/tests/requestpath.py
+++ b/tests/requestpath.py
@@ -20,6 +20,7 @@
 from magnoliadyke.lab import service
 from magnoliadyke.lab import standin
 from magnoliadyke import mailbox
+from magnoliadyke import nodeparts
 from magnoliadyke import settings as settings_module
 
 KEY = 'lease-key'
@@ -250,19 +251,18 @@
             self.settings, self.clock, rng, self.table, self.members, name
         )
         peers = Peers(self, name)
-        front = callers.Callers(
-            self.settings,
-            name,
-            7,
-            self.clock,
-            rng,
-            self.table,
-            self.members,
-            dispatcher,
-            self.store,
-            peers,
-            status,
+        parts = nodeparts.NodeParts(
+            settings=self.settings,
+            host=name,
+            incarnation=7,
+            clock=self.clock,
+            rng=rng,
+            table=self.table,
+            members=self.members,
+            store=self.store,
+            peers=peers,
         )
+        front = callers.Callers(parts, dispatcher, status)
         dispatcher.start()
         front.start()
         self.nodes[name] = TestNode(front, dispatcher, status, peers)
