Call the claims of a node a table, as its records are

A node keeps a RecordTable for the keys it runs and kept a ClaimBook for the keys it claims: two words for one kind of thing. It is ClaimTable now; the tests of reports no longer call the object under test a book either.

--- a/magnoliadyke/claiming.py
+++ b/magnoliadyke/claiming.py
@@ -51,7 +51,7 @@
 
 
 class Claiming(mailbox.Task):
-    """Owns the node's :class:`claims.ClaimBook`.
+    """Owns the node's :class:`claims.ClaimTable`.
 
     Buckets stand in line for their calls. When the store or the node's own
     budget puts a call off, the line waits with it, so that no bucket is
@@ -65,7 +65,7 @@
 
     def __init__(self, owner, store, prefix, clock):
         super().__init__('claiming', clock)
-        self.book = claims.ClaimBook(owner)
+        self.claims = claims.ClaimTable(owner)
         self.store = store
         self.prefix = prefix
         self.waiting = {}
@@ -80,11 +80,11 @@
         match message:
             case AskClaim(digest=digest):
                 self.waiting.setdefault(digest, []).append(message)
-                self.apply(self.book.add(digest))
+                self.apply(self.claims.add(digest))
                 self.flush_soon()
             case Flush():
                 self.flush_due = False
-                self.apply(self.book.flush(self.clock.wall_s()))
+                self.apply(self.claims.flush(self.clock.wall_s()))
             case GoOn():
                 self.paused = False
             case StoreSaid(action=action, answer=answer):
@@ -109,28 +109,28 @@
 
     def judge(self, name, answer):
         """Return what follows from an answer of the store."""
-        book, wall_s = self.book, self.clock.wall_s()
+        table, wall_s = self.claims, self.clock.wall_s()
         match answer:
             case keyvalue.Found(value=value, revision=revision):
-                return book.was_read(name, value, revision, wall_s)
+                return table.was_read(name, value, revision, wall_s)
             case keyvalue.Absent():
-                return book.was_read(name, None, 0, wall_s)
+                return table.was_read(name, None, 0, wall_s)
             case keyvalue.Stored(revision=revision):
-                return book.was_written(name, revision, wall_s)
+                return table.was_written(name, revision, wall_s)
             case keyvalue.Conflict(revision=revision, value=value):
-                return book.was_refused(name, value, revision, wall_s)
+                return table.was_refused(name, value, revision, wall_s)
             case keyvalue.Unavailable(maybe_applied=maybe_applied):
-                return book.failed(name, maybe_applied)
+                return table.failed(name, maybe_applied)
             case _:
-                return book.failed(name, False)
+                return table.failed(name, False)
 
     def put_off(self, bucket, retry_after_s):
         """Make a bucket's call a little later, unless it waited too long."""
         if self.clock.now_s() - self.since_s[bucket] > LONGEST_WAIT_S:
             del self.since_s[bucket]
-            self.apply(self.book.failed(bucket, False))
+            self.apply(self.claims.failed(bucket, False))
             return
-        self.book.postponed(bucket)
+        self.claims.postponed(bucket)
         self.line.appendleft(bucket)
         if not self.paused:
             self.paused = True
@@ -154,9 +154,9 @@
 
     def start_call(self, bucket):
         """Make a bucket's call with all claims that wait for it now."""
-        self.book.postponed(bucket)
+        self.claims.postponed(bucket)
         called = False
-        for action in self.book.again(bucket, self.clock.wall_s()):
+        for action in self.claims.again(bucket, self.clock.wall_s()):
             match action:
                 case claims.Read() | claims.Write():
                     called = True
@@ -178,7 +178,7 @@
         Unlike a claim it leaves no trace, so that asking for an answer does
         not take the key from the request that may still come.
         """
-        found = self.store.get(self.store_key(self.book.name_of(digest)))
+        found = self.store.get(self.store_key(self.claims.name_of(digest)))
         if not isinstance(found, keyvalue.Found):
             return ''
         entry = claims.decode(found.value).get(digest)
--- a/magnoliadyke/core/claims.py
+++ b/magnoliadyke/core/claims.py
@@ -7,7 +7,7 @@
 
 __all__ = [
     'Claim',
-    'ClaimBook',
+    'ClaimTable',
     'ClaimSettings',
     'Lost',
     'Read',
@@ -101,7 +101,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Read:
-    """Read a bucket, then report :meth:`ClaimBook.was_read`."""
+    """Read a bucket, then report :meth:`ClaimTable.was_read`."""
 
     bucket: str
 
@@ -171,7 +171,7 @@
     doubtful: dict = dataclasses.field(default_factory=dict)
 
 
-class ClaimBook:
+class ClaimTable:
     """Settle many claims with few calls to the store.
 
     Claims gather until :meth:`flush`. One call at a time is under way for
--- a/tests/test_claiming.py
+++ b/tests/test_claiming.py
@@ -59,4 +59,4 @@
     waiting = [gevent.spawn(ask, task, digest) for digest in digests]
     results = {type(each.get(timeout=5)) for each in waiting}
     assert results == {claims.Won}
-    assert store.calls <= 2 * task.book.settings.buckets
+    assert store.calls <= 2 * task.claims.settings.buckets
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -20,7 +20,9 @@
 
     def __init__(self):
         super().__init__()
-        self.books = {name: claims.ClaimBook(name, SETTINGS) for name in NODES}
+        self.tables = {
+            name: claims.ClaimTable(name, SETTINGS) for name in NODES
+        }
         self.value = None
         self.revision = 0
         self.calls = []
@@ -42,11 +44,11 @@
         name=strategies.sampled_from(NODES), key=strategies.sampled_from(KEYS)
     )
     def ask(self, name, key):
-        self.apply(name, self.books[name].add(key))
+        self.apply(name, self.tables[name].add(key))
 
     @stateful.rule(name=strategies.sampled_from(NODES))
     def flush(self, name):
-        self.apply(name, self.books[name].flush(100.0))
+        self.apply(name, self.tables[name].flush(100.0))
 
     @stateful.precondition(lambda self: self.calls)
     @stateful.rule(
@@ -56,26 +58,26 @@
     def store_answers(self, data, fate):
         number = data.draw(strategies.integers(0, len(self.calls) - 1))
         name, action = self.calls.pop(number)
-        book = self.books[name]
+        table = self.tables[name]
         if fate == 'later':
-            self.apply(name, book.postponed(action.bucket))
-            self.apply(name, book.again(action.bucket, 100.0))
+            self.apply(name, table.postponed(action.bucket))
+            self.apply(name, table.again(action.bucket, 100.0))
             return
         if fate == 'down':
-            self.apply(name, book.failed(action.bucket, False))
+            self.apply(name, table.failed(action.bucket, False))
             return
         applied = self.carry_out(action)
         if fate == 'lost':
             maybe = isinstance(action, claims.Write)
-            self.apply(name, book.failed(action.bucket, maybe))
+            self.apply(name, table.failed(action.bucket, maybe))
         elif isinstance(action, claims.Read):
-            self.answer(name, book.was_read, action)
+            self.answer(name, table.was_read, action)
         elif applied:
             self.apply(
-                name, book.was_written(action.bucket, self.revision, 100.0)
+                name, table.was_written(action.bucket, self.revision, 100.0)
             )
         else:
-            self.answer(name, book.was_refused, action)
+            self.answer(name, table.was_refused, action)
 
     def answer(self, name, report, action):
         self.apply(
@@ -96,13 +98,13 @@
 
 
 def test_claims_that_come_together_share_one_write():
-    book = claims.ClaimBook('a.1', SETTINGS)
-    assert book.add(KEYS[0]) == []
-    assert book.add(KEYS[1]) == []
-    assert book.flush(1.0) == [claims.Read('000')]
-    (write,) = book.was_read('000', None, 0, 1.0)
+    table = claims.ClaimTable('a.1', SETTINGS)
+    assert table.add(KEYS[0]) == []
+    assert table.add(KEYS[1]) == []
+    assert table.flush(1.0) == [claims.Read('000')]
+    (write,) = table.was_read('000', None, 0, 1.0)
     assert KEYS[0] in write.value and KEYS[1] in write.value
-    won = book.was_written('000', 9, 1.0)
+    won = table.was_written('000', 9, 1.0)
     assert [type(each) for each in won] == [claims.Won, claims.Won]
 
 
@@ -122,8 +124,8 @@
 
 def test_a_full_bucket_refuses():
     small = SETTINGS._replace(bucket_bytes=10)
-    book = claims.ClaimBook('a.1', small)
-    book.add(KEYS[0])
-    book.flush(1.0)
-    (refused,) = book.was_read('000', None, 0, 1.0)
+    table = claims.ClaimTable('a.1', small)
+    table.add(KEYS[0])
+    table.flush(1.0)
+    (refused,) = table.was_read('000', None, 0, 1.0)
     assert refused.reason == 'claims_full'
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -35,9 +35,9 @@
 
 
 def test_an_answer_is_reported_with_its_times():
-    metrics, book = make()
+    metrics, counter = make()
     answer = records.Answer('model', 200, '', b'', 100, 8)
-    book.ended(run_of(answer))
+    counter.ended(run_of(answer))
     ((customer, word, times, prompt_tokens, output_tokens),) = metrics.seen
     assert (customer, word) == ('lease', 'answered')
     assert (prompt_tokens, output_tokens) == (100, 8)
@@ -49,24 +49,24 @@
 
 
 def test_a_refused_run_has_waited_until_its_end():
-    metrics, book = make()
+    metrics, counter = make()
     refused = outcomes.NotRun('overloaded', 'later')
-    book.ended(run_of(refused, dispatched_s=None, first_output_s=None))
+    counter.ended(run_of(refused, dispatched_s=None, first_output_s=None))
     assert metrics.seen[0][1] == 'not_run'
     assert metrics.seen[0][2].queued_s == 10.0
     assert metrics.seen[0][2].shed
 
 
 def test_refusal_at_the_door_sends_the_caller_elsewhere():
-    metrics, book = make()
-    book.refused('lease', outcomes.NotRun('stopping', 'ask another host'))
+    metrics, counter = make()
+    counter.refused('lease', outcomes.NotRun('stopping', 'ask another host'))
     assert metrics.seen == [('lease', 'declined')]
 
 
 def test_service_that_answers_late_is_late():
-    metrics, book = make()
+    metrics, counter = make()
     answer = records.Answer('service', 200, '', b'')
-    book.ended(run_of(answer, first_output_s=None))
+    counter.ended(run_of(answer, first_output_s=None))
     assert metrics.seen[0][2].first_token_s == 10.0
 
 
