Say observed for what the shell saw of an endpoint

The three sources of an endpoint state were reported, tabled and told; the last word did not say by whom. It is what the shell observed by probes and the list of hosts, and observe() takes it.

--- a/magnoliadyke/core/health.py
+++ b/magnoliadyke/core/health.py
@@ -44,27 +44,27 @@
     """What is known of one endpoint's fitness for work.
 
     Several sources speak: the shell that probes and reads the host list
-    (`told`), the endpoint's own load reports (`reported`) and the operators'
-    table (`tabled`). The first that says it is out wins, since each may lag
-    behind the others.
+    (`observed`), the endpoint's own load reports (`reported`) and the
+    operators' table (`tabled`). The first that says it is out wins, since
+    each may lag behind the others.
     """
 
     __slots__ = (
         'ejected_until_s',
         'ejections',
         'failures',
+        'observed',
+        'observed_s',
         'proofs_due',
         'reported',
         'settings',
         'tabled',
-        'told',
-        'told_s',
     )
 
     def __init__(self, settings=DEFAULT_SETTINGS):
         self.settings = settings
-        self.told = UP
-        self.told_s = float('-inf')
+        self.observed = UP
+        self.observed_s = float('-inf')
         self.reported = UP
         self.tabled = UP
         self.failures = 0
@@ -72,24 +72,24 @@
         self.ejected_until_s = float('-inf')
         self.proofs_due = 0
 
-    def tell(self, state, now_s):
+    def observe(self, state, now_s):
         """Take a state from the shell.
 
         :returns: whether the endpoint came back from having lost its past
         """
-        returned = state == UP and self.told in UNPROVEN_STATES
+        returned = state == UP and self.observed in UNPROVEN_STATES
         if returned:
             # The list that says so lags: it may name a host that just
             # died, so a single job goes first and the rest after it.
             self.proofs_due = self.settings.proofs
-        self.told = state
-        self.told_s = now_s
+        self.observed = state
+        self.observed_s = now_s
         return returned
 
     def report(self, state, at_s):
         """Take the endpoint's own word, true at ``at_s``."""
-        if at_s < self.told_s and state == UP:
-            # Older than what we were told since: no reason to come back.
+        if at_s < self.observed_s and state == UP:
+            # Older than what was observed since: no reason to come back.
             return
         if state == UP and self.reported in UNPROVEN_STATES:
             self.proofs_due = self.settings.proofs
@@ -121,7 +121,7 @@
     def is_out(self):
         """Whether it said or was said to be out: nothing new goes there."""
         return (
-            self.told in OUT_STATES
+            self.observed in OUT_STATES
             or self.reported in OUT_STATES
             or self.tabled in OUT_STATES
         )
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -228,7 +228,7 @@
         endpoint = self.endpoints.get(name)
         if endpoint is None:
             return []
-        endpoint.health.tell(state, now_s)
+        endpoint.health.observe(state, now_s)
         if state == health.CRASHED:
             self._crashed(endpoint, now_s)
         if state in (health.CRASHED, health.LEFT):
--- a/magnoliadyke/core/snapshot.py
+++ b/magnoliadyke/core/snapshot.py
@@ -73,7 +73,7 @@
 
 def _state(endpoint, now_s):
     words = endpoint.health
-    for word in (words.tabled, words.told, words.reported):
+    for word in (words.tabled, words.observed, words.reported):
         if word in health.OUT_STATES:
             return word
     if now_s < words.ejected_until_s:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -8,16 +8,16 @@
     # as live for a while. It gets nothing new from the first word on.
     one = health.EndpointHealth()
     one.report('leaving', 5.0)
-    one.tell('up', 6.0)
+    one.observe('up', 6.0)
     assert not one.takes_work(6.0, 0)
 
 
 def test_an_old_report_does_not_bring_it_back():
     one = health.EndpointHealth()
     one.report('leaving', 4.0)
-    one.tell('leaving', 5.0)
+    one.observe('leaving', 5.0)
     one.report('up', 4.5)
-    one.tell('up', 6.0)
+    one.observe('up', 6.0)
     assert one.is_out()
     one.report('up', 6.5)
     assert one.takes_work(7.0, 0)
@@ -25,8 +25,8 @@
 
 def test_coming_back_needs_proof():
     one = health.EndpointHealth()
-    one.tell('crashed', 1.0)
-    one.tell('up', 2.0)
+    one.observe('crashed', 1.0)
+    one.observe('up', 2.0)
     assert one.takes_work(2.0, 0)
     assert not one.takes_work(2.0, 1)
     one.succeeded()
@@ -35,9 +35,9 @@
 
 def test_a_planned_change_needs_none():
     one = health.EndpointHealth()
-    one.tell('changing', 1.0)
+    one.observe('changing', 1.0)
     assert not one.takes_work(1.0, 0)
-    one.tell('up', 7.0)
+    one.observe('up', 7.0)
     assert one.takes_work(7.0, 5)
 
 
