Say settled for a key whose outcome stands

A key without an answer to keep was in the state told, and what the routes got for it was a Told: the word did not say that the outcome is final, which is what the promise rests on. Both are settled now. The tests of records, homes, callers and node pass.

--- a/magnoliadyke/callerroutes.py
+++ b/magnoliadyke/callerroutes.py
@@ -225,7 +225,7 @@
         :param place: what :meth:`homes.Homes.place` returned
         """
         match place:
-            case homes.Told(outcome):
+            case homes.Settled(outcome):
                 tell(self.resp, outcome)
             case homes.Kept(answer):
                 self.name_key(self.key)
@@ -323,7 +323,7 @@
         request = self.request(req, customer, name)
         place = self.homes.place(request)
         match place:
-            case homes.Told(outcome):
+            case homes.Settled(outcome):
                 tell(resp, outcome)
             case homes.Kept(answer):
                 self.give(resp, request.key, answer)
--- a/magnoliadyke/core/records.py
+++ b/magnoliadyke/core/records.py
@@ -69,12 +69,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Record:
-    """One key. ``state`` is ``running``, ``away``, ``answered`` or ``told``.
+    """One key: ``running``, ``away``, ``answered`` or ``settled``.
 
     :param digest: of the customer's request; same key, same digest
     :param expires_s: monotonic seconds until which the key must be kept
     :param run: the shell's running request, while there is one
-    :param outcome: what a resend is told in state ``told``
+    :param outcome: what a resend is told in state ``settled``
     :param home: where it runs in state ``away``
     """
 
@@ -244,14 +244,14 @@
         self.answered[record.key] = now_s
         self.shed(now_s)
 
-    def tell(self, record, outcome):
+    def settle(self, record, outcome):
         """End a record with an outcome that every resend gets, too.
 
         A key that was told ``NotRun`` stays so: an earlier copy of the
         request may still be under way on a slow connection, and would
         otherwise run after the caller has been told that it did not.
         """
-        record.state = 'told'
+        record.state = 'settled'
         record.run = None
         record.outcome = outcome
 
@@ -283,7 +283,7 @@
         self.bytes_used -= record.size_bytes
         record.size_bytes = 0
         record.answer = None
-        self.tell(record, GONE)
+        self.settle(record, GONE)
 
     def shed_keys(self, now_s):
         """Forget keys whose tickets can't bring new ones any more."""
@@ -419,7 +419,7 @@
     else:
         record.outcome = import_outcome(document['outcome'])
         record.home = document['home']
-        record.state = 'away' if record.home else 'told'
+        record.state = 'away' if record.home else 'settled'
     return record
 
 
--- a/magnoliadyke/homes.py
+++ b/magnoliadyke/homes.py
@@ -18,7 +18,7 @@
 from magnoliadyke import relay
 from magnoliadyke import streams
 
-__all__ = ['Homes', 'Told']
+__all__ = ['Homes', 'Settled']
 
 SECRET_BYTES = 16
 DIGEST_DIGITS = 24
@@ -41,7 +41,7 @@
 )
 
 
-class Told(typing.NamedTuple):
+class Settled(typing.NamedTuple):
     """Nothing runs; the caller is told an outcome."""
 
     outcome: object
@@ -110,7 +110,7 @@
     # Where a key belongs.
 
     def place(self, request):
-        """Return :class:`Following`, :class:`Kept` or :class:`Told`."""
+        """Return :class:`Following`, :class:`Kept` or :class:`Settled`."""
         if not request.key:
             return self.place_own(request)
         key = tickets.parse_key(request.key)
@@ -118,12 +118,12 @@
             return self.place_foreign(request)
         if key.home == self.name:
             if not self.issuer.accepts(key):
-                return Told(BAD_TICKET)
+                return Settled(BAD_TICKET)
             return self.open(request, key.text, key.issued_s)
         adopted = self.handover.adopted.get(key.home)
         if adopted is not None:
             if not adopted.issuer.accepts(key):
-                return Told(BAD_TICKET)
+                return Settled(BAD_TICKET)
             issued_s = key.issued_s + adopted.shift_s
             return self.open(request, key.text, issued_s, adopted.floor_s)
         return self.place_elsewhere(request, key.text, key.home)
@@ -151,7 +151,7 @@
             case claims.Lost(owner=owner):
                 return self.place_elsewhere(request, key, owner)
             case claims.Refused(reason=reason):
-                return Told(
+                return Settled(
                     outcomes.NotRun(reason, 'use a key of a ticket', 1.0)
                 )
 
@@ -189,7 +189,7 @@
             return self.open(request, key, self.clock.now_s())
         if owner != self.name and self.directory.member_of(owner):
             return self.relay(request, request.key, owner)
-        return Told(records.GONE)
+        return Settled(records.GONE)
 
     def place_elsewhere(self, request, key, home):
         """Relay to the home of a key, or say that it is gone.
@@ -208,7 +208,7 @@
         Only a request that may be repeated is run again, here.
         """
         if not request.repeatable:
-            return Told(HOME_GONE)
+            return Settled(HOME_GONE)
         return self.open(request, key, self.clock.now_s())
 
     # What runs here.
@@ -234,7 +234,7 @@
     def follow_away(self, request, key, home):
         """Follow a request that still runs at a home that is stopping."""
         if self.directory.member_of(home) is None:
-            return Told(records.INTERRUPTED)
+            return Settled(records.INTERRUPTED)
         return self.relay(request, key, home)
 
     def known(self, found, key):
@@ -245,7 +245,7 @@
             case records.Replay(answer):
                 return Kept(answer)
             case records.Tell(outcome):
-                return Told(outcome)
+                return Settled(outcome)
 
     def admit(self, request, record):
         """Run a new request, unless this node takes no new work."""
@@ -254,7 +254,7 @@
         refusal = self.closed(request.customer)
         if refusal is not None:
             self.close_refused(request, record, refusal)
-            return Told(refusal)
+            return Settled(refusal)
         return self.run_here(request, record)
 
     def run_here(self, request, record):
@@ -267,7 +267,7 @@
             raise
         if isinstance(run, outcomes.Rejected):
             self.close_refused(request, record, run)
-            return Told(run)
+            return Settled(run)
         self.enter(request, record, run)
         run.start()
         return Following(run, record.key)
@@ -290,7 +290,7 @@
         if not successor:
             self.records.insert(record)
             self.close_refused(request, record, NO_SUCCESSOR)
-            return Told(NO_SUCCESSOR)
+            return Settled(NO_SUCCESSOR)
         return self.relay_to_successor(request, record.key)
 
     def relay_to_successor(self, request, key):
@@ -302,7 +302,7 @@
         """End the record of a request that does not run."""
         self.reports.refused(request.customer, outcome)
         if request.key:
-            self.records.tell(record, outcome)
+            self.records.settle(record, outcome)
         else:
             self.records.forget(record)
 
@@ -406,7 +406,7 @@
             case streams.ABANDONED if run.job.repeatable:
                 self.records.forget(record)
             case _:
-                self.records.tell(record, run.outcome)
+                self.records.settle(record, run.outcome)
 
     def left(self, run, has_key):
         """A follower left; end a run that nobody wants any more.
@@ -434,7 +434,7 @@
             caller made them
         """
         if len(request.hops) >= relay.MAX_HOPS:
-            return Told(TOO_MANY_HOPS)
+            return Settled(TOO_MANY_HOPS)
         sent_key = request.key or key
 
         def locate():
@@ -540,13 +540,13 @@
             return self.known(found, key)
         owner = self.claiming.owner_of(digest)
         if not owner or owner == self.name:
-            return Told(records.GONE)
+            return Settled(records.GONE)
         return self.find_elsewhere(request, owner, offset)
 
     def find_elsewhere(self, request, home, offset):
         """Relay a resume to the home of the key."""
         if self.directory.locate(home) is None:
-            return Told(HOME_GONE)
+            return Settled(HOME_GONE)
         return self.relay(request, request.key, home, offset, True)
 
     # Life cycle and hand-over.
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -67,7 +67,7 @@
     @stateful.rule(data=strategies.data())
     def lose(self, data):
         key = data.draw(strategies.sampled_from(sorted(self.running)))
-        self.table.tell(self.running.pop(key), records.INTERRUPTED)
+        self.table.settle(self.running.pop(key), records.INTERRUPTED)
 
     @stateful.rule()
     def hand_over(self):
@@ -93,7 +93,7 @@
     table = records.RecordTable()
     found = table.open('k', 'lease', 'd', 1.0, 1.0)
     told = outcomes.NotRun('queue_full', 'later', 2.0)
-    table.tell(found.record, told)
+    table.settle(found.record, told)
     successor = records.RecordTable()
     for line in table.export(1.0):
         successor.import_line(line, 500.0)
