Remember the role intended over a load; reload only with leave

With a load as the last intent the comparison no longer knew which role an engine should have, so a stray role stayed; and a model lost in a crash was commanded back without asking the weight store.

--- a/magnoliadyke/core/commands.py
+++ b/magnoliadyke/core/commands.py
@@ -256,6 +256,8 @@
         self.settings = settings
         self.state: EngineState | None = None
         self.intent: Intent | None = None
+        #: The last role intended, also when a load came after it.
+        self.role: Change | None = None
         self.corrections = 0
         self._intent_revision = 0
         self._intent_known = False
@@ -347,6 +349,7 @@
         self._reply_is_old = self._busy
         self._registered = not self.checks_fencing
         self.intent = None
+        self.role = None
         self.state = None
         self._wanted = None
         self._correcting = False
@@ -423,8 +426,13 @@
             generation = max(generation, self.intent.generation)
         return Intent(generation + 1, self._authority.fencing, change)
 
-    def _begin(self, intent: Intent, now_s: float) -> None:
+    def _note_intent(self, intent: Intent | None) -> None:
         self.intent = intent
+        if intent is not None and intent.change.kind == 'role':
+            self.role = intent.change
+
+    def _begin(self, intent: Intent, now_s: float) -> None:
+        self._note_intent(intent)
         before = self.state.generation if self.state is not None else 0
         until_s = now_s + self.settings.change_s
         self._step = _Commanding(intent, until_s, before)
@@ -484,7 +492,7 @@
         if isinstance(step, _Intending):
             return self._settle_intent(step, found, now_s)
         if not isinstance(step, _Commanding):
-            self.intent = found
+            self._note_intent(found)
         return []
 
     def _settle_intent(
@@ -493,7 +501,7 @@
         if found == step.intent:
             self._begin(step.intent, now_s)
             return []
-        self.intent = found
+        self._note_intent(found)
         self._step = _Learning()
         if found is not None and found.fencing > step.intent.fencing:
             self._wanted = None
@@ -567,12 +575,14 @@
 
     def _notice_stray(self, state: EngineState) -> None:
         """Command again when the engine is not what was last intended."""
-        if self.intent is None or self._wanted is not None:
+        if self.role is None or self._wanted is not None:
             return
-        if not _reached(state, self.intent.change):
+        # A model that is missing is no stray: its load needs the weight
+        # store's leave, which whoever wants it asks for.
+        if not _reached(state, self.role):
             self.corrections += 1
             self._correcting = True
-            self._wanted = self.intent.change
+            self._wanted = self.role
 
     def state_failed(self, now_s: float) -> list[Action]:
         """The engine told no state; ask again later."""
--- a/magnoliadyke/poolduty.py
+++ b/magnoliadyke/poolduty.py
@@ -114,10 +114,8 @@
         would move another engine in its stead, and the pool would be left
         with none in one of the roles when both are done.
         """
-        intent = self.commands.intent
-        if intent is None or intent.change.kind != 'role':
-            return False
-        return self.role != intent.change.target
+        intended = self.commands.role
+        return intended is not None and self.role != intended.target
 
 
 class PoolDuty:
@@ -599,10 +597,8 @@
     def engine_status(self, engine, now_s):
         """Return how one engine does."""
         reading = engine.reading
-        intent = engine.commands.intent
-        target = engine.role
-        if intent is not None and intent.change.kind == 'role':
-            target = intent.change.target
+        intended = engine.commands.role
+        target = intended.target if intended is not None else engine.role
         return poolstatus.EngineStatus(
             engine.name,
             engine.role,
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -30,12 +30,15 @@
         self.seen = set()
         self.done_s = 0.0
         self.target = 'decode'
+        self.models = ()
 
     def state(self, now_s):
         if now_s >= self.done_s:
             self.role = self.target
         changing = now_s < self.done_s
-        return commands.EngineState(self.role, changing, self.generation)
+        return commands.EngineState(
+            self.role, changing, self.generation, self.models
+        )
 
     def command(self, command, now_s):
         """The code of the answer: '' when taken."""
@@ -49,6 +52,9 @@
         self.highest = max(self.highest, command.fencing)
         self.taken.append(command)
         self.generation = command.generation
+        if command.change.kind == 'load':
+            self.models += (command.change.target,)
+            return ''
         self.target = command.change.target
         self.done_s = now_s + CHANGE_S
         return ''
@@ -321,6 +327,41 @@
     assert second.commands.corrections == (0 if checks_fencing else 2)
 
 
+def test_stray_role_is_undone_after_a_load_too():
+    """The engine stays in a role that nobody planned, for good.
+
+    A model was loaded since the last role change, and with the load as the
+    last intent nothing told which role the engine should have.
+    """
+    world = World()
+    world.run(7.0)
+    holder = world.holders[0]
+    holder.commands.want(PREFILL)
+    world.run(4.0)
+    holder.commands.want(commands.Change('load', 'm'))
+    world.run(4.0)
+    assert holder.commands.intent.change.kind == 'load'
+    world.engine.target = 'decode'
+    world.run(6.0)
+    assert world.engine.state(world.now_s).role == 'prefill'
+
+
+def test_model_lost_in_a_crash_is_no_stray_command():
+    """Loads of other pools come late: one goes beyond the store's rate.
+
+    An engine comes back empty from a crash.  Its load has to ask the weight
+    store again, so the comparison must not command it by itself.
+    """
+    world = World()
+    world.run(7.0)
+    world.holders[0].commands.want(commands.Change('load', 'm'))
+    world.run(4.0)
+    assert world.engine.models == ('m',)
+    world.engine.models = ()
+    world.run(6.0)
+    assert world.engine.models == ()
+
+
 def test_stray_command_before_the_reading_back():
     """The engine stays in a role that nobody planned for 16 s.
 
