Tell other nodes of each long prompt

Cause: eight nodes lost 14% of the goodput that one node had on the same trace. By the engine ledgers one prefill engine had two prompts or more while the other idled 25% of the time, against 1.4% with one node: all nodes read the same late report. Ruled out: load (busy shares 0.72 and 0.75) and the pace of decode.

Conclusion: kept, for fleets of up to 17 nodes.

--- a/magnoliadyke/core/credits.py
+++ b/magnoliadyke/core/credits.py
@@ -13,14 +13,12 @@
 
 import bisect
 import collections
-import math
+
+from magnoliadyke.core import othersload
 
 __all__ = ['EndpointLoad', 'Lagged', 'allowed_streams']
 
 HISTORY_S = 15.0
-#: How long word of others' prompts on an engine says more than their mean.
-OTHERS_MEMORY_S = 1.0
-MEAN_STEP = 0.05
 #: Less than this of others' prompts is none.
 NO_OTHERS_S = 0.01
 
@@ -109,10 +107,7 @@
         self.prompts = []
         self.prompts_at_s = 0.0
         self.backlog = Lagged()
-        self.others_s = 0.0
-        self.others_mean_s = 0.0
-        self.others_at_s = 0.0
-        self.reported_s = float('-inf')
+        self.others = othersload.OthersPrompts()
         self.last_done_s = float('-inf')
 
     def clear(self):
@@ -123,11 +118,11 @@
         self.backlog.clear()
         self.reserved = 0
         self.prompts.clear()
-        self.others_s = self.others_mean_s = 0.0
+        self.others = othersload.OthersPrompts()
 
     def undisturbed(self):
         """Whether no other node's prompts were there at the last report."""
-        return self.others_s < NO_OTHERS_S
+        return self.others.reported_s < NO_OTHERS_S
 
     def add_prompt(self, job_id, priority, seconds, now_s):
         """A prompt was sent; the endpoint reads the urgent ones first."""
@@ -159,26 +154,14 @@
         return wait_s
 
     def others_wait_s(self, now_s):
-        """Seconds of other nodes' prompts, from the reports so far.
-
-        The last report fades into the mean of all: what it told has been
-        read after a while, and other nodes have sent as much as ever. An
-        idle engine in an old report is none, and a busy one not busier than
-        usual.
-        """
-        keep = math.exp((self.others_at_s - now_s) / OTHERS_MEMORY_S)
-        mean_s = self.others_mean_s
-        return mean_s + (self.others_s - mean_s) * keep
+        """Seconds of other nodes' prompts that wait there."""
+        return self.others.wait_s(now_s, bool(self.prompts))
 
     def report_prompts(self, seconds, at_s, now_s):
         """Take the reported prefill backlog, true at ``at_s``."""
         self._advance(now_s)
-        if at_s >= self.reported_s:
-            self.reported_s = at_s
-            self.others_s = max(0.0, seconds - self.backlog.own_at(at_s))
-            self.others_at_s = at_s
-            above_s = self.others_s - self.others_mean_s
-            self.others_mean_s += MEAN_STEP * above_s
+        beyond_s = max(0.0, seconds - self.backlog.own_at(at_s))
+        self.others.report(beyond_s, at_s)
 
     def _advance(self, now_s):
         """Let the first prompt be read for the time that passed.
--- a/magnoliadyke/core/notices.py
+++ b/magnoliadyke/core/notices.py
@@ -9,7 +9,14 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-__all__ = ['CHANGING', 'UP', 'EngineNotice', 'EngineNotices', 'EngineUse']
+__all__ = [
+    'CHANGING',
+    'UP',
+    'EngineNotice',
+    'EngineNotices',
+    'EngineUse',
+    'PromptNotice',
+]
 
 CHANGING = 'changing'
 UP = 'up'
@@ -28,6 +35,16 @@
     for_s: float
 
 
+class PromptNotice(NamedTuple):
+    """A node gave an engine a prompt to read.
+
+    :param read_s: how long reading it takes, as that node predicts
+    """
+
+    engine: str
+    read_s: float
+
+
 class EngineUse(NamedTuple):
     """Whether an engine is to get new work.
 
--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -370,7 +370,7 @@
             if self._gate_s(each, job, terms, now_s)
             <= self.settings.engine_queue_s
         ]
-        best = self._pick(found)
+        best = self._pick(found, now_s)
         if best is None:
             return None
         return Placement(best.endpoint, best.endpoint, *best[2:5])
@@ -468,7 +468,7 @@
                 )
             found.append(each)
         free = [each for each in found if not each.blocked]
-        best = self._pick(free or found)
+        best = self._pick(free or found, now_s)
         if best is None:
             return None
         model = self.book.of_job(job)
@@ -504,7 +504,7 @@
                     first_token_s=each.first_token_s + pace_s,
                 )
             )
-        return self._pick(candidates)
+        return self._pick(candidates, now_s)
 
     def _cheaper(self, split, mixed, terms):
         """Two engines, or one for both phases where that is sooner.
@@ -522,7 +522,7 @@
             return split or mixed
         return split if split.score_s <= mixed.score_s else mixed
 
-    def _pick(self, candidates):
+    def _pick(self, candidates, now_s):
         """Of two random ones among the good, the better.
 
         The more other nodes have on the engines, the less a predicted wait
@@ -533,7 +533,9 @@
             return None
         best = min(candidates, key=_score_s)
         settings = self.settings
-        blind_s = max(each.endpoint.load.others_mean_s for each in candidates)
+        blind_s = max(
+            each.endpoint.load.others.unseen_s(now_s) for each in candidates
+        )
         slack_s = settings.slack_s + settings.blind_slack * blind_s
         good = [
             (each.score_s, each)
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -69,12 +69,14 @@
     :param prefill_endpoint: runs the prompt first; None when ``endpoint``
         does both
     :param alone: no other job of this node runs on the endpoint meanwhile
+        :param prompt_s: predicted time to read the prompt, 0 for a service
     """
 
     job_id: str
     endpoint: str
     prefill_endpoint: str | None = None
     alone: bool = False
+    prompt_s: float = dataclasses.field(default=0.0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -558,6 +560,7 @@
             placement.endpoint.name,
             placement.prefill.name if split else None,
             alone,
+            placement.prompt_s if job.kind == 'model' else 0.0,
         )
 
     def _fraction(self, pool, now_s):
@@ -746,6 +749,15 @@
         self.exchange.hear(host, digest, now_s)
         return []
 
+    def peer_prompt(self, name, read_s, now_s):
+        """Another node gave an engine a prompt, a moment ago.
+
+        :param read_s: how long the engine will read it
+        """
+        endpoint = self.endpoints.get(name)
+        if endpoint is not None:
+            endpoint.load.others.told(read_s, now_s)
+
     def demand(self, pool_name, now_s):
         """What the pool is asked for, by all nodes heard of late."""
         return self.exchange.demand(pool_name, now_s)
--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -8,6 +8,7 @@
 from magnoliadyke.core import burn
 from magnoliadyke.core import jobs
 from magnoliadyke.core import membership
+from magnoliadyke.core import notices
 from magnoliadyke.core import outcomes
 from magnoliadyke.core import refuge
 from magnoliadyke.core import scheduler
@@ -27,6 +28,7 @@
     'MoveStream',
     'PeerDigest',
     'PrefillDone',
+    'PromptsHeard',
     'Progress',
     'RoleSeen',
     'SubmitJob',
@@ -40,6 +42,8 @@
 CACHE_WAIT_S = 10.0
 RETRY_S = 1.0
 CHANGES_KEPT = 20
+#: A prompt that is read in less is no news to other nodes, in seconds.
+LEAST_TOLD_S = 0.03
 #: One lost answer is no proof; a second one in a row is.
 FAILURES_UNTIL_CRASHED = 2
 
@@ -137,6 +141,15 @@
     digest: object
 
 
+class PromptsHeard(typing.NamedTuple):
+    """Prompts that another node has given to engines.
+
+    :param prompts: :class:`magnoliadyke.core.notices.PromptNotice` each
+    """
+
+    prompts: tuple
+
+
 class PeerDigest(typing.NamedTuple):
     """The scheduler digest of another node, as gossip brought it."""
 
@@ -226,6 +239,7 @@
         self.members = members
         self.host = host
         self.digest = mailbox.Topic()
+        self.prompts = mailbox.Topic()
         self.demand = mailbox.Topic()
         infos = endpoint_infos(settings)
         self.endpoints = build_endpoints(infos, clock)
@@ -343,6 +357,10 @@
                 return core.endpoint_role(endpoint, role, now_s)
             case PeerDigest(host, digest):
                 return core.peer_digest(host, digest, now_s)
+            case PromptsHeard(prompts):
+                for told in prompts:
+                    core.peer_prompt(told.engine, told.read_s, now_s)
+                return []
             case table.View():
                 return core.set_table(message, now_s)
             case membership.MembersView(members=members):
@@ -396,8 +414,22 @@
             }
         )
 
+    def tell_prompts(self, actions):
+        """Publish which engines were given how much to read."""
+        told = tuple(
+            notices.PromptNotice(
+                action.prefill_endpoint or action.endpoint, action.prompt_s
+            )
+            for action in actions or ()
+            if isinstance(action, scheduler.Dispatch)
+            and action.prompt_s >= LEAST_TOLD_S
+        )
+        if told:
+            self.prompts.publish(told)
+
     def apply(self, actions):
         """Answer the runs that wait for these actions."""
+        self.tell_prompts(actions)
         for action in actions or ():
             waiting = self.pending.pop(action.job_id, None)
             if waiting is not None:
--- a/magnoliadyke/gossip.py
+++ b/magnoliadyke/gossip.py
@@ -25,12 +25,16 @@
     'OwnDigest',
     'OwnState',
     'PeerDigest',
+    'PromptsHeard',
+    'PromptsSent',
     'Standing',
     'StoreConfirmed',
     'Survey',
 ]
 
 TICK_INTERVAL_S = 0.1
+#: Most other members that are told of each prompt.
+MOST_TOLD = 16
 RECEIVE_BYTES = 65_507
 #: Evidence has to hold for this share of its time from now on to be relied
 #: on; else the store is read, and a survey made when it does not answer.
@@ -94,6 +98,21 @@
     hosts: hosthints.HostList
 
 
+class PromptsSent(typing.NamedTuple):
+    """Tell the other members what this node has given to engines.
+
+    :param prompts: :class:`magnoliadyke.core.notices.PromptNotice` each
+    """
+
+    prompts: tuple
+
+
+class PromptsHeard(typing.NamedTuple):
+    """Another node's prompts, as it told of them."""
+
+    prompts: tuple
+
+
 class Survey(typing.NamedTuple):
     """Probe all members now instead of one a period."""
 
@@ -148,11 +167,12 @@
     Topics: ``members`` (:class:`magnoliadyke.core.membership.MembersView`),
     ``standings`` (:class:`Standing`), ``digests`` (:class:`PeerDigest`, each
     as it comes), ``uses`` (``core.notices.EngineUse``, each as it comes),
+    ``prompts`` (:class:`PromptsHeard`, each as it comes),
     ``pauses`` (``core.membership.Paused``) and ``superseded``
     (``core.membership.Superseded``: another process runs for this host; the
     node has to stop). Takes :class:`HoldTable`, :class:`StoreConfirmed`,
     :class:`OwnState`, :class:`OwnDigest`, :class:`Announce`,
-    :class:`Listed`, :class:`Survey` and :class:`Leave`.
+    :class:`PromptsSent`, :class:`Listed`, :class:`Survey` and :class:`Leave`.
 
     :param settings: the deployment's settings
     :param host: name of this host
@@ -183,6 +203,7 @@
         self.standings = mailbox.Topic(Standing(clock.now_s()))
         self.digests = mailbox.Topic()
         self.uses = mailbox.Topic()
+        self.prompts = mailbox.Topic()
         self.notices = notices.EngineNotices()
         self.pauses = mailbox.Topic()
         self.superseded = mailbox.Topic()
@@ -236,6 +257,8 @@
                 self.membership.digest = data
             case Announce(notice):
                 self.announce(notice, now_s)
+            case PromptsSent(prompts):
+                self.tell_prompts(prompts)
             case Listed(hosts):
                 self.take_list(hosts)
                 self.publish(now_s)
@@ -287,6 +310,25 @@
                 self.send_data((member.address, member.peer_port), data)
         self.publish_uses(self.notices.take(notice, now_s))
 
+    def tell_prompts(self, prompts):
+        """Send word of prompts to all members of a small fleet.
+
+        Each node pays for each prompt of the others. Where there are many,
+        that would be most of the traffic for control; nodes of a large
+        fleet rely on load reports alone.
+        """
+        others = [
+            member
+            for member in self.members.last.alive()
+            if member.host != self.membership.own.host
+        ]
+        if len(others) > MOST_TOLD:
+            return
+        message = gossip_codec.Prompts(self.membership.own, prompts)
+        data = gossip_codec.encode_prompts(self.deployment, message)
+        for member in others:
+            self.send_data((member.address, member.peer_port), data)
+
     def publish_uses(self, uses):
         """Publish each engine whose use changed."""
         for use in uses:
@@ -331,9 +373,13 @@
         except errors.ProtocolError as error:
             LOG.repeated('datagram_ignored', 'datagram', reason=str(error))
             return
-        if isinstance(message, gossip_codec.Notice):
-            self.publish_uses(self.notices.take(message.notice, now_s))
-            return
+        match message:
+            case gossip_codec.Notice(notice=notice):
+                self.publish_uses(self.notices.take(notice, now_s))
+                return
+            case gossip_codec.Prompts(prompts=prompts):
+                self.prompts.publish(PromptsHeard(prompts))
+                return
         self.act(self.membership.receive(message, now_s))
         if isinstance(message, membership.Ack):
             self.publish(now_s)
--- a/magnoliadyke/gossip_codec.py
+++ b/magnoliadyke/gossip_codec.py
@@ -13,7 +13,14 @@
 from magnoliadyke.wire import constants
 from magnoliadyke.wire import ttypes
 
-__all__ = ['Notice', 'decode', 'encode', 'encode_notice']
+__all__ = [
+    'Notice',
+    'Prompts',
+    'decode',
+    'encode',
+    'encode_notice',
+    'encode_prompts',
+]
 
 #: An age above this is as good as never; it keeps the field small.
 MAX_AGE_S = 3600.0
@@ -42,6 +49,41 @@
     notice: notices.EngineNotice
 
 
+class Prompts(typing.NamedTuple):
+    """Prompts that the source has given to engines.
+
+    :param prompts: :class:`magnoliadyke.core.notices.PromptNotice` each
+    """
+
+    source: membership.Member
+    prompts: tuple
+
+
+def encode_prompts(deployment, message):
+    """Return the bytes of :class:`Prompts`."""
+    datagram = ttypes.Datagram(
+        version=constants.VERSION,
+        kind=ttypes.MessageKind.PROMPTS,
+        deployment=deployment,
+        sequence=0,
+        source=encode_member(message.source),
+        prompts=[
+            ttypes.PromptNotice(each.engine, milliseconds(each.read_s))
+            for each in message.prompts
+        ],
+    )
+    return TSerialization.serialize(datagram, FACTORY)
+
+
+def decode_prompts(datagram):
+    """Message of a datagram of kind PROMPTS."""
+    told = tuple(
+        notices.PromptNotice(each.engine, each.read_ms / 1000)
+        for each in datagram.prompts or ()
+    )
+    return Prompts(decode_member(datagram.source), told)
+
+
 def encode_notice(deployment, message):
     """Return the bytes of a :class:`Notice`."""
     notice = message.notice
@@ -141,6 +183,8 @@
     """Message of a datagram whose bytes were whole."""
     if datagram.kind == ttypes.MessageKind.NOTICE:
         return decode_notice(datagram)
+    if datagram.kind == ttypes.MessageKind.PROMPTS:
+        return decode_prompts(datagram)
     sequence = datagram.sequence
     source = decode_member(datagram.source)
     sightings = datagram.sightings or ()
--- a/magnoliadyke/node.py
+++ b/magnoliadyke/node.py
@@ -57,6 +57,8 @@
         self.log = logs.get('bridge')
         members.digests.subscribe(self)
         members.uses.subscribe(self)
+        members.prompts.subscribe(self)
+        work.prompts.subscribe(self)
         members.superseded.subscribe(self)
         table.permits.subscribe(self)
         work.digest.subscribe(self)
@@ -71,12 +73,16 @@
                 self.permit(allowed, reason)
             case notices.EngineUse(engine=engine, state=state):
                 self.work.post(dispatch.StateSeen(engine, state))
+            case gossip.PromptsHeard(prompts=prompts):
+                self.work.post(dispatch.PromptsHeard(prompts))
             case membership.Superseded():
                 self.stop_superseded()
             case dispatch.CrashSeen(digest=digest):
                 self.spread_at_once(digest)
             case scheduler.Digest():
                 self.members.post(gossip.OwnDigest(message.to_bytes()))
+            case tuple():
+                self.members.post(gossip.PromptsSent(message))
             case dict():
                 self.planning.post(duties.Demands(message))
 
--- a/magnoliadyke/wire/ttypes.py
+++ b/magnoliadyke/wire/ttypes.py
@@ -21,12 +21,14 @@
     PING_REQUEST = 2
     ACK = 3
     NOTICE = 4
+    PROMPTS = 5
 
     _VALUES_TO_NAMES = {
         1: "PING",
         2: "PING_REQUEST",
         3: "ACK",
         4: "NOTICE",
+        5: "PROMPTS",
     }
 
     _NAMES_TO_VALUES = {
@@ -34,6 +36,7 @@
         "PING_REQUEST": 2,
         "ACK": 3,
         "NOTICE": 4,
+        "PROMPTS": 5,
     }
 
 
@@ -526,6 +529,86 @@
         return not (self == other)
 
 
+class PromptNotice(object):
+    """
+    Attributes:
+     - engine
+     - read_ms
+
+    """
+
+    __slots__ = (
+        'engine',
+        'read_ms',
+    )
+
+
+    def __init__(self, engine=None, read_ms=None,):
+        self.engine = engine
+        self.read_ms = read_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.read_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PromptNotice')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.read_ms is not None:
+            oprot.writeFieldBegin('read_ms', TType.I32, 2)
+            oprot.writeI32(self.read_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -541,6 +624,7 @@
      - digest
      - deployment
      - notice
+     - prompts
 
     """
 
@@ -557,10 +641,11 @@
         'digest',
         'deployment',
         'notice',
+        'prompts',
     )
 
 
-    def __init__(self, version=None, kind=None, sequence=None, source=None, target=None, target_address=None, target_port=None, updates=None, sightings=None, digest=None, deployment=None, notice=None,):
+    def __init__(self, version=None, kind=None, sequence=None, source=None, target=None, target_address=None, target_port=None, updates=None, sightings=None, digest=None, deployment=None, notice=None, prompts=None,):
         self.version = version
         self.kind = kind
         self.sequence = sequence
@@ -573,6 +658,7 @@
         self.digest = digest
         self.deployment = deployment
         self.notice = notice
+        self.prompts = prompts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -657,6 +743,17 @@
                     self.notice.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.prompts = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = PromptNotice()
+                        _elem17.read(iprot)
+                        self.prompts.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -698,15 +795,15 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter12 in self.updates:
-                iter12.write(oprot)
+            for iter18 in self.updates:
+                iter18.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sightings is not None:
             oprot.writeFieldBegin('sightings', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.sightings))
-            for iter13 in self.sightings:
-                iter13.write(oprot)
+            for iter19 in self.sightings:
+                iter19.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -721,6 +818,13 @@
             oprot.writeFieldBegin('notice', TType.STRUCT, 12)
             self.notice.write(oprot)
             oprot.writeFieldEnd()
+        if self.prompts is not None:
+            oprot.writeFieldBegin('prompts', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.prompts))
+            for iter20 in self.prompts:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -892,10 +996,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readBinary()
-                        self.records.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readBinary()
+                        self.records.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -929,8 +1033,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.records))
-            for iter20 in self.records:
-                oprot.writeBinary(iter20)
+            for iter27 in self.records:
+                oprot.writeBinary(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last is not None:
@@ -1261,6 +1365,12 @@
     (3, TType.BOOL, 'changing', None, None, ),  # 3
     (4, TType.I32, 'for_ms', None, None, ),  # 4
 )
+all_structs.append(PromptNotice)
+PromptNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'read_ms', None, None, ),  # 2
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1276,6 +1386,7 @@
     (10, TType.STRING, 'digest', 'BINARY', None, ),  # 10
     (11, TType.STRING, 'deployment', 'UTF8', None, ),  # 11
     (12, TType.STRUCT, 'notice', [EngineNotice, None], None, ),  # 12
+    (13, TType.LIST, 'prompts', (TType.STRUCT, [PromptNotice, None], False), None, ),  # 13
 )
 all_structs.append(TableReply)
 TableReply.thrift_spec = (
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -82,6 +82,6 @@
     load = credits.EndpointLoad()
     load.add_prompt('ours', 5, 0.5, 1.0)
     load.report_prompts(2.0, 1.0, 1.2)
-    assert load.others_s == pytest.approx(1.5)
+    assert load.others.reported_s == pytest.approx(1.5)
     load.report_prompts(0.3, 1.2, 1.3)
-    assert load.others_s == pytest.approx(0.0)
+    assert load.others.reported_s == pytest.approx(0.0)
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -15,6 +15,7 @@
   PING_REQUEST = 2,
   ACK = 3,
   NOTICE = 4,
+  PROMPTS = 5,
 }
 
 enum MemberState {
@@ -68,6 +69,12 @@
   4: i32 for_ms,
 }
 
+// The sender has given an engine a prompt that takes so long to read.
+struct PromptNotice {
+  1: string engine,
+  2: i32 read_ms,
+}
+
 // One UDP datagram; the target's address is only in a PING_REQUEST.
 struct Datagram {
   1: i16 version,
@@ -82,6 +89,7 @@
   10: optional binary digest,
   11: string deployment,
   12: optional EngineNotice notice,
+  13: optional list<PromptNotice> prompts,
 }
 
 // The table's document as its JSON text; absent when the peer has none newer.
