Poll only the endpoints that a node uses

Cause: the scheduler uses a subset of a big pool, but load, cache events and health of all endpoints were polled, and a message that nobody posted (RoleSeen) was still handled.

--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -30,7 +30,6 @@
     'PrefillDone',
     'PromptsHeard',
     'Progress',
-    'RoleSeen',
     'SubmitJob',
     'TakeSnapshot',
     'build_endpoints',
@@ -157,13 +156,6 @@
     digest: object
 
 
-class RoleSeen(typing.NamedTuple):
-    """An endpoint's role, as the holder of the pool's duty saw it."""
-
-    endpoint: str
-    role: str
-
-
 class LoadSeen(typing.NamedTuple):
     """A load report came."""
 
@@ -215,10 +207,11 @@
 class Dispatcher(mailbox.Task):
     """Own the scheduler; poll endpoints; answer :class:`SubmitJob`.
 
-    Post it :class:`PeerDigest` and :class:`RoleSeen` messages. It publishes
-    two topics each second: ``digest`` (the node's own scheduler digest, for
-    gossip) and ``demand`` (mapping of pool name to the scheduler's Demand,
-    for planning).
+    Post it :class:`PeerDigest` and :class:`PromptsHeard` messages. It
+    publishes two topics each second: ``digest`` (the node's own scheduler
+    digest, for gossip) and ``demand`` (mapping of pool name to the
+    scheduler's Demand, for planning), and ``prompts`` (tuples of
+    ``core.notices.PromptNotice``) as this node sends them.
 
     :param settings: :class:`magnoliadyke.settings.Settings`
     :param clock: a :class:`magnoliadyke.clock.Clock`
@@ -260,10 +253,22 @@
         """Subscribe and start to poll."""
         self.table.subscribe(self)
         self.members.subscribe(self)
-        for endpoint in self.endpoints.values():
+        for endpoint in self.used_endpoints():
             for loop in self.loops_of(endpoint):
                 self.pollers.append(gevent.spawn(loop, endpoint))
 
+    def used_endpoints(self):
+        """Return the endpoints that this node may place work on.
+
+        The others of a big pool need no polling: reports of all of them
+        would cost each node more than all its requests.
+        """
+        return [
+            self.endpoints[name]
+            for pool in self.settings.pools
+            for name in self.scheduler.subset(pool.name)
+        ]
+
     def loops_of(self, endpoint):
         """Return the polling loops of an endpoint."""
         if endpoint.info.kind == 'model':
@@ -353,8 +358,6 @@
                 return core.endpoint_state(endpoint, state, now_s)
             case CacheSeen(endpoint, events, gap):
                 return core.cache_events(endpoint, events, gap, now_s)
-            case RoleSeen(endpoint, role):
-                return core.endpoint_role(endpoint, role, now_s)
             case PeerDigest(host, digest):
                 return core.peer_digest(host, digest, now_s)
             case PromptsHeard(prompts):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -92,3 +92,12 @@
     health.missed()
     health.seen('in')
     assert [each.state for each in seen] == ['crashed', 'up']
+
+
+def test_only_endpoints_that_may_be_used_are_polled(dispatcher):
+    # Each node of a large fleet would read the load of every runner twice a
+    # second, and spend more on that than on its requests.
+    names = {each.info.name for each in dispatcher.used_endpoints()}
+    assert names == set(dispatcher.endpoints)
+    dispatcher.scheduler.subset = lambda pool: []
+    assert dispatcher.used_endpoints() == []
