Let word of suspects grow old on its way

After an engine crash its suspects got no turn for up to 40 s. Nodes pass on when a suspect was last known to run; a digest rides on the datagrams of the second after it was encoded, so word lost up to a second of age at each hop and seemed 5.0 s old after 24.4 s. Besides, the run that died with the engine was taken for a turn that goes on.

Word of suspects is now taken to be older by the longest time that a digest is on its way, and a run before the earliest turn after the blame does not count. Second-hand word stays, as in a big fleet a node hears of most others only so.

Both new tests fail on the old code.

--- a/magnoliadyke/core/exchange.py
+++ b/magnoliadyke/core/exchange.py
@@ -8,6 +8,12 @@
 __all__ = ['Demand', 'Exchange']
 
 SUSPECTS_TOLD = 24
+#: How long a digest may be on its way: it is encoded once a second and rides
+#: on the datagrams of that second. Word of suspects is taken to be so much
+#: older than it says. Else word that goes round from node to node hardly
+#: ages, a run that ended long ago seems to go on, and no suspect gets its
+#: turn. Enough, as word then never seems younger than it is.
+ON_ITS_WAY_S = 1.5
 #: A peer that was not heard for so long is forgotten.
 SILENT_S = 60.0
 #: Totals remembered of one peer. Customers that it serves much are told in
@@ -209,8 +215,9 @@
             digests.blames_of(news, now_s),
             now_s,
         )
-        waiting_s = now_s - news.waiting_age_s
-        running_s = now_s - news.running_age_s
+        encoded_s = now_s - ON_ITS_WAY_S
+        waiting_s = encoded_s - news.waiting_age_s
+        running_s = encoded_s - news.running_age_s
         self.quarantine.waits(news.fingerprint, waiting_s)
         self.quarantine.runs(news.fingerprint, running_s)
 
--- a/magnoliadyke/core/quarantine.py
+++ b/magnoliadyke/core/quarantine.py
@@ -182,8 +182,8 @@
         :param since_s: when this node took it in
         """
         entry = self.entries[fingerprint]
-        told_s = max(since_s, entry.blames[-1].at_s)
-        if now_s < told_s + self.settings.settle_s:
+        settled_s = since_s + self.settings.settle_s
+        if now_s < max(settled_s, self._earliest_s(entry)):
             return False
         fresh_s = now_s - self.settings.waiting_s
         for other, known in self.entries.items():
@@ -192,12 +192,16 @@
             if known.verdict() != SUSPECT:
                 continue
             before = (known.rank, other) < (entry.rank, fingerprint)
-            if known.running_s >= fresh_s:
+            if known.running_s >= max(fresh_s, self._earliest_s(known)):
                 return False
             if before and known.waiting_s >= fresh_s:
                 return False
         return True
 
+    def _earliest_s(self, entry):
+        """When a suspect may run; before, its run was the one that died."""
+        return entry.blames[-1].at_s + self.settings.settle_s
+
     def waits(self, fingerprint, now_s):
         """A suspect waits on some node."""
         entry = self.entries.get(fingerprint)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,6 +4,7 @@
 
 from magnoliadyke.core import digests
 from magnoliadyke.core import jobs
+from magnoliadyke.core import quarantine
 from magnoliadyke.core import scheduler
 from magnoliadyke.core import table
 
@@ -79,3 +80,29 @@
         plans[0].peer_digest(f'h{number}', plan.digest(0.0), 0.0)
     total = plans[0].demand('p', 0.0).decode_s_per_s
     assert abs(total - 41 * one) < 0.01 * total
+
+
+def test_word_of_a_run_that_ended_grows_old_on_its_way():
+    # An engine dies, and a caller whose request may be repeated gets no
+    # answer for 40 s. One suspect had its turn and its caller went away.
+    # Three nodes tell each other that it ran, a second ago by their digests.
+    # These took up to a second themselves, so that the run never seemed to
+    # end, and the next suspect, known to all and alone in line, had no turn.
+    plans = [make_plan(seed) for seed in range(3)]
+    judges = [plan.quarantine for plan in plans]
+    gone, next_one = (quarantine.fingerprint_of(each) for each in 'ab')
+    for judge in judges:
+        judge.blame('d1', 'p', [(gone, 0), (next_one, 9)], 0.0)
+    judges[0].runs(gone, 8.0)
+    for second in range(8, 24):
+        told = [plan.digest(float(second)).to_bytes() for plan in plans]
+        for receiver, plan in enumerate(plans):
+            for sender, data in enumerate(told):
+                if sender != receiver:
+                    digest = digests.Digest.from_bytes(data)
+                    plan.peer_digest(f'h{sender}', digest, second + 0.95)
+    waiting_s = judges[0].settings.waiting_s
+    assert not judges[0].turn(next_one, 0.0, 8.0 + waiting_s)
+    for judge in judges:
+        assert judge.entries[gone].running_s <= 8.0
+        assert judge.turn(next_one, 0.0, 8.1 + waiting_s)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -85,6 +85,19 @@
     assert not judge.turn(early, 21.0, 22.0)
 
 
+def test_the_run_that_died_keeps_nobody_waiting():
+    # An engine dies and its callers wait longer than needed for an answer.
+    # One node hears of the crash first; another still takes its own request
+    # to run there and says so. That was taken for a suspect's turn.
+    early, late = names('early', 'late')
+    judge = quarantine.Quarantine()
+    judge.blame('e1', 'p', [(late, 200), (early, 0)], 0.0)
+    judge.runs(late, 0.8)
+    assert judge.turn(early, 0.0, SETTLE_S)
+    judge.runs(late, SETTLE_S)
+    assert not judge.turn(early, 0.0, SETTLE_S)
+
+
 def test_a_cleared_request_is_not_convicted_by_the_next_crash():
     # It was in a batch that died, ran whole alone, and was cleared. Soon
     # after, by bad luck, its new engine dies too. Peers that never heard of
