Tell of clearings and own suspects first

An engine died with 13 streams on it; a digest has room for 12 suspects. They were told in a fixed order, those cleared last of all, so that no node heard when a suspect had run whole. All waited 8 s until the word that it runs was out of date, and two nodes ran suspects side by side on one engine, as the wait of one of them was not told.

Both new tests fail on the code before.

--- a/magnoliadyke/core/exchange.py
+++ b/magnoliadyke/core/exchange.py
@@ -135,12 +135,14 @@
     def _suspect_news(self, runs, now_s):
         if not self.quarantine.entries:
             return ()
+        held = set()
         for run in runs:
+            held.add(run.fingerprint)
             if run.dispatched_s is not None:
                 self.quarantine.runs(run.fingerprint, now_s)
         return tuple(
             digests.suspect_news(item, now_s)
-            for item in self.quarantine.newest(SUSPECTS_TOLD, now_s)
+            for item in self.quarantine.newest(SUSPECTS_TOLD, now_s, held)
         )
 
     def _customer_news(self, now_s):
--- a/magnoliadyke/core/quarantine.py
+++ b/magnoliadyke/core/quarantine.py
@@ -229,14 +229,22 @@
         self._explain(now_s)
         self._trim()
 
-    def newest(self, count, now_s):
-        """(fingerprint, entry) of the last changes, for the digest."""
+    def newest(self, count, now_s, held=()):
+        """(fingerprint, entry) for the digest, what matters most first.
+
+        A digest has room for some. If those of a big batch took it, no node
+        would hear that a suspect ran whole, and all would wait for it.
+
+        :param held: fingerprints of this node's jobs; no other node knows
+            how they are
+        """
         known = [
             item
             for item in self.entries.items()
             if not self._forgotten(item[1], now_s)
         ]
-        known.sort(key=_news_order)
+        fresh_s = now_s - self.settings.waiting_s
+        known.sort(key=lambda item: _telling_order(item, held, fresh_s))
         return known[:count]
 
     def tick(self, now_s):
@@ -320,3 +328,12 @@
     fingerprint, entry = item
     standing = (CONVICTED, SUSPECT, CLEAR).index(entry.verdict())
     return standing, -entry.seen_s, entry.rank, fingerprint
+
+
+def _telling_order(item, held, fresh_s):
+    """Convicts, this node's own, those cleared of late, and the rest."""
+    fingerprint, entry = item
+    verdict = entry.verdict()
+    cleared = verdict == CLEAR and entry.seen_s >= fresh_s
+    standing = (verdict == CONVICTED, fingerprint in held, cleared, True)
+    return standing.index(True), _news_order(item)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -106,3 +106,37 @@
     for judge in judges:
         assert judge.entries[gone].running_s <= 8.0
         assert judge.turn(next_one, 0.0, 8.1 + waiting_s)
+
+
+def test_a_clearing_is_told_though_the_digest_is_full():
+    # An engine dies with forty streams; callers wait far longer than the
+    # suspects need to run one by one. A digest has room for a dozen. They
+    # were the same each time, with those cleared after all suspects, so the
+    # others took a suspect that had run whole for one that still runs.
+    first, second = make_plan(1), make_plan(2)
+    batch = [quarantine.fingerprint_of(f'r{each}') for each in range(40)]
+    for plan in (first, second):
+        blamed = [(each, 9) for each in batch]
+        plan.quarantine.blame('d1', 'p', blamed, 0.0)
+    last = max(batch)
+    second.quarantine.runs(last, 9.0)
+    first.quarantine.ran_whole(last, 10.0)
+    data = first.digest(10.0).to_bytes()
+    second.peer_digest('h1', digests.Digest.from_bytes(data), 10.1)
+    assert second.quarantine.verdict(last, 10.1) == quarantine.CLEAR
+
+
+def test_a_node_tells_of_its_own_suspects_first():
+    # As before, but one of the forty waits on this node. The other nodes
+    # have to know, or two run side by side and a crash convicts both.
+    first, second = make_plan(1), make_plan(2)
+    texts = {quarantine.fingerprint_of(f'r{n}'): f'r{n}' for n in range(40)}
+    for plan in (first, second):
+        blamed = [(each, 9) for each in texts]
+        plan.quarantine.blame('d1', 'p', blamed, 0.0)
+    last = max(texts)
+    job = jobs.Job('j', 'lease', 'p', 'model', 'm', 100, 50)
+    first.submit(job._replace(fingerprint=texts[last]), 11.0)
+    data = first.digest(12.0).to_bytes()
+    second.peer_digest('h1', digests.Digest.from_bytes(data), 12.1)
+    assert second.quarantine.entries[last].waiting_s > 0.0
