Call the cost models of a node cost models

CostBook held nothing but cost models by name, and self.book told a reader of routing.py as little as the class did. It is CostModels, kept as self.models.

--- a/magnoliadyke/core/costs.py
+++ b/magnoliadyke/core/costs.py
@@ -8,8 +8,8 @@
 from typing import NamedTuple
 
 __all__ = [
-    'CostBook',
     'CostModel',
+    'CostModels',
     'CostPriors',
     'LinearFit',
     'LowFit',
@@ -259,7 +259,7 @@
             share.add(job.output_tokens, result.output_tokens)
 
 
-class CostBook:
+class CostModels:
     """The cost models of a node, by model or service pool."""
 
     def __init__(self, priors=DEFAULT_PRIORS, max_streams=64):
--- a/magnoliadyke/core/learning.py
+++ b/magnoliadyke/core/learning.py
@@ -11,13 +11,13 @@
 class Learner:
     """Feeds cost models, cache beliefs and predictions.
 
-    :param book: :class:`magnoliadyke.core.costs.CostBook`
+    :param models: :class:`magnoliadyke.core.costs.CostModels`
     :param beliefs: :class:`magnoliadyke.core.prefixes.PrefixBeliefs`
     :param router: :class:`magnoliadyke.core.routing.Router`
     """
 
-    def __init__(self, book, beliefs, router):
-        self.book = book
+    def __init__(self, models, beliefs, router):
+        self.models = models
         self.beliefs = beliefs
         self.router = router
 
@@ -33,9 +33,9 @@
         split = run.read_by is not run.stream_at
         if not was_read or not split or run.stream_at is None:
             return
-        model = self.book.of_job(run.job)
+        model = self.models.of_job(run.job)
         streams = run.stream_at.load.streams.total()
-        if streams < self.book.max_streams:
+        if streams < self.models.max_streams:
             took_s = run.first_token_s - run.prefill_done_s
             took_s -= model.pace.at(streams) * STEPS_TO_FIRST_TOKEN
             model.transfer.add(run.job.prompt_tokens, max(0.0, took_s))
@@ -46,7 +46,7 @@
         :returns: engine-seconds that the job took in truth
         """
         job = run.job
-        model = self.book.of_job(job)
+        model = self.models.of_job(job)
         if run.stream_at is not None:
             run.stream_at.health.succeeded()
         if job.kind == 'service':
@@ -77,7 +77,7 @@
             sample.tokens += tokens
             return
         if sample.clean:
-            model = self.book.of_job(run.job)
+            model = self.models.of_job(run.job)
             model.observe_prefill(
                 endpoint.role, sample.tokens, sample.seconds, sample.streams
             )
--- a/magnoliadyke/core/routing.py
+++ b/magnoliadyke/core/routing.py
@@ -238,7 +238,7 @@
 class Router:
     """Places the jobs of one node.
 
-    :param book: :class:`magnoliadyke.core.costs.CostBook`
+    :param models: :class:`magnoliadyke.core.costs.CostModels`
     :param beliefs: :class:`magnoliadyke.core.prefixes.PrefixBeliefs`
     :param rng: source of randomness
     :param failure_domain: of this node; near endpoints win ties
@@ -246,13 +246,13 @@
 
     def __init__(
         self,
-        book,
+        models,
         beliefs,
         rng,
         settings=DEFAULT_SETTINGS,
         failure_domain='',
     ):
-        self.book = book
+        self.models = models
         self.beliefs = beliefs
         self.rng = rng
         self.settings = settings
@@ -303,7 +303,7 @@
 
     def idle_service_s(self, job):
         """Time to the first token of a job on idle engines."""
-        model = self.book.of_job(job)
+        model = self.models.of_job(job)
         if job.kind == 'service':
             return model.service.ratio
         tokens = job.prompt_tokens * model.uncached.ratio
@@ -314,7 +314,7 @@
     def stream_limit(self, job):
         """Streams of an engine that keep the job's objective."""
         usable_s = job.per_token_s * self.settings.pace_share
-        return self.book.of_job(job).streams_within(usable_s)
+        return self.models.of_job(job).streams_within(usable_s)
 
     def _usable(self, pool, role, job, terms, among, now_s):
         members = pool.by_role[role]
@@ -359,7 +359,7 @@
                 best = key, endpoint
         if best is None:
             return None
-        wait_s = self.book.of(pool.name).service.ratio
+        wait_s = self.models.of(pool.name).service.ratio
         return Placement(best[1], best[1], wait_s, 0.0, 0.0)
 
     def _place_whole(self, job, members, terms, now_s):
@@ -426,7 +426,7 @@
 
     def _reading(self, job, endpoint, terms, now_s):
         """Predict reading the prompt there."""
-        model = self.book.of_job(job)
+        model = self.models.of_job(job)
         load = endpoint.load
         cached = self.beliefs.cached_tokens(endpoint.name, job.prefix_blocks)
         tokens = max(1.0, job.prompt_tokens - cached)
@@ -471,7 +471,7 @@
         best = self._pick(free or found, now_s)
         if best is None:
             return None
-        model = self.book.of_job(job)
+        model = self.models.of_job(job)
         moved_s = job.prompt_tokens * model.transfer.ratio + model.pace.base
         return best._replace(
             score_s=best.score_s + moved_s,
@@ -480,12 +480,12 @@
 
     def _mixed_may_win(self, job, split):
         """Whether a decode engine could be sooner, at its very best."""
-        base_s = self.book.of_job(job).mixed_prefill.base
+        base_s = self.models.of_job(job).mixed_prefill.base
         return split.blocked or job.prompt_tokens * base_s < split.score_s
 
     def _best_mixed(self, job, found, terms, now_s):
         """The best engine in the decode role that could read as well."""
-        model = self.book.of_job(job)
+        model = self.models.of_job(job)
         lost = model.mixed_prefill.base / model.prefill.ratio - 1.0
         candidates = []
         for fill, endpoint in found:
--- a/magnoliadyke/core/scheduler.py
+++ b/magnoliadyke/core/scheduler.py
@@ -124,10 +124,14 @@
         self.settings = settings
         self.rng = rng
         self.epoch = rng.randrange(1 << 32)
-        self.book = costs.CostBook(settings.priors, settings.max_streams)
+        self.models = costs.CostModels(settings.priors, settings.max_streams)
         self.beliefs = prefixes.PrefixBeliefs()
         self.router = routing.Router(
-            self.book, self.beliefs, rng, settings.routes, self_failure_domain
+            self.models,
+            self.beliefs,
+            rng,
+            settings.routes,
+            self_failure_domain,
         )
         self.shares = limits.Shares(settings.sharing)
         self.limits = limits.Limits(self.shares, settings.sharing)
@@ -138,7 +142,7 @@
         self.expiries = []
         self.pool_models = {}
         self._add_endpoints(list(endpoints))
-        self.learner = learning.Learner(self.book, self.beliefs, self.router)
+        self.learner = learning.Learner(self.models, self.beliefs, self.router)
         self.suspects = suspects.Suspects(self.quarantine)
         self.exchange = exchange.Exchange(
             self.epoch, self.pools, self.limits, self.quarantine
@@ -204,7 +208,7 @@
         load.streams.report(report.running, report.at_s)
         load.kv_tokens.report(report.kv_used_tokens, report.at_s)
         load.kv_capacity = report.kv_capacity_tokens
-        model = self.book.of(self._model_of(endpoint))
+        model = self.models.of(self._model_of(endpoint))
         prompts_s = model.prefill_s(
             report.role, report.queued_prompt_tokens, report.running
         )
@@ -402,7 +406,7 @@
         return None
 
     def _new_run(self, job, row):
-        model = self.book.of_job(job)
+        model = self.models.of_job(job)
         if job.kind == 'model':
             self.pool_models.setdefault(job.pool, job.model or job.pool)
         uncached = job.prompt_tokens * model.uncached.ratio
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -14,10 +14,10 @@
 
 
 def make_learner():
-    book = costs.CostBook()
+    models = costs.CostModels()
     beliefs = prefixes.PrefixBeliefs()
-    router = routing.Router(book, beliefs, random.Random(1))
-    return learning.Learner(book, beliefs, router)
+    router = routing.Router(models, beliefs, random.Random(1))
+    return learning.Learner(models, beliefs, router)
 
 
 def make_run(tokens=1000):
@@ -40,7 +40,7 @@
     endpoint = make_endpoint('prefill')
     for number in range(1, 300):
         learner.prompt_read(make_run(), endpoint, number * 0.5)
-    ratio = learner.book.of('m').prefill.ratio
+    ratio = learner.models.of('m').prefill.ratio
     assert ratio == pytest.approx(0.0005, rel=0.1)
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -25,7 +25,7 @@
 
 def make_router(seed=1, **settings):
     return routing.Router(
-        costs.CostBook(),
+        costs.CostModels(),
         prefixes.PrefixBeliefs(),
         random.Random(seed),
         routing.RoutingSettings(**settings),
