Take the count of tokens from the engine, not from blanks

Cause: the tokens of an event were counted by the blanks in it. That held for the stand-in only: with a blank inside a token the stream seemed further on than it was, the next event was dropped as seen, and the caller missed a part of its answer. Found in review; a test does it.

Events now say where their tokens end.

--- a/magnoliadyke/core/attempts.py
+++ b/magnoliadyke/core/attempts.py
@@ -1,7 +1,7 @@
 """Put the event stream of an answer together, attempt by attempt.
 
-Engines put the offset first in each event, so that this module reads a few
-bytes of each event and passes the rest on unparsed.
+Engines put first in each event which output tokens it holds, so that this
+module reads a few bytes of each event and passes the rest on unparsed.
 """
 
 import json
@@ -21,11 +21,9 @@
 DONE = b'data: [DONE]\n\n'
 OFFSET_START = b'data: {"offset":'
 OFFSET_LENGTH = len(OFFSET_START)
-DUE = OFFSET_START + b'%d,'
-#: The platform's engines end each token with a blank and write compact JSON:
-#: the blanks of an event are its tokens, and one more after ``data:``. An
-#: engine that counts otherwise needs another rule, in ``advance`` only.
-WORDS_AROUND = 1
+END_FIELD = b',"end":'
+#: The usual next event: one token. Others are read by the long way.
+DUE = OFFSET_START + b'%d' + END_FIELD + b'%d,'
 UNFINISHED = b'"finish_reason":null'
 TEXT = re.compile(rb'"text":\s*("(?:[^"\\]|\\.)*")')
 # Room for one event; an engine that never ends one must not fill memory.
@@ -58,7 +56,7 @@
     def __init__(self, offset=0):
         self.attempt = None
         self.offset = offset
-        self.due = DUE % offset
+        self.due = DUE % (offset, offset + 1)
         self.finished = None
         self.gap = False
         self.error = None
@@ -105,14 +103,13 @@
             or self.finished is not None
         ):
             return False
-        self.advance(data)
+        self.advance(self.offset + 1)
         return True
 
-    def advance(self, event):
-        """Count the tokens of an accepted event."""
-        tokens = event.count(b' ') - WORDS_AROUND
-        self.offset += tokens if tokens > 1 else 1
-        self.due = DUE % self.offset
+    def advance(self, offset):
+        """Go on at an offset."""
+        self.offset = offset
+        self.due = DUE % (offset, offset + 1)
 
     def feed_slowly(self, data):
         """Cut ``data`` into events and take them one by one."""
@@ -144,7 +141,7 @@
         if offset < self.offset:
             return False
         if UNFINISHED in event:
-            self.advance(event)
+            self.advance(max(end_of(event), offset + 1))
         else:
             self.finished = event
         return True
@@ -157,6 +154,20 @@
             self.error = json.loads(event[len(b'data: ') :])['error']
 
 
+def end_of(event):
+    """Return the offset behind an event's tokens, 0 if it doesn't tell.
+
+    How many tokens an event holds is the engine's word alone: text can be
+    cut into tokens in any way, and a count that was off by one would drop
+    the next event as one that had been seen.
+    """
+    after = event.index(b',', OFFSET_LENGTH)
+    start = after + len(END_FIELD)
+    if event[after:start] != END_FIELD:
+        return 0
+    return int(event[start : event.index(b',', start)])
+
+
 def read_usage(final_event):
     """Return the usage figures (tokens) of a final event as a dict."""
     document = json.loads(final_event[len(b'data: ') :])
--- a/magnoliadyke/lab/enginerun.py
+++ b/magnoliadyke/lab/enginerun.py
@@ -50,8 +50,9 @@
     def frame(self, start, end):
         """The server-sent event of output tokens ``start`` to ``end``."""
         text = answer_text(self.digest, start, end).encode()
-        return b'data: {"offset":%d,%b%b%b\n\n' % (
+        return b'data: {"offset":%d,"end":%d,%b%b%b\n\n' % (
             start,
+            end,
             self.head,
             text,
             self.tail,
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,9 +8,10 @@
 from magnoliadyke.core import attempts
 
 
-def event_at(offset, words, finish=None, **more):
+def event_at(offset, words, finish=None, tokens=1, **more):
     document = {
         'offset': offset,
+        **({} if finish else {'end': offset + tokens}),
         'choices': [{'index': 0, 'text': words, 'finish_reason': finish}],
         **more,
     }
@@ -21,7 +22,11 @@
 def answer(count, size=1):
     """Return the events of an answer, ``size`` tokens to an event."""
     events = [
-        event_at(start, ''.join(f'w{i} ' for i in range(start, start + size)))
+        event_at(
+            start,
+            ''.join(f'w{i}' for i in range(start, start + size)),
+            tokens=size,
+        )
         for start in range(0, count, size)
     ]
     return [*events, event_at(count, '', 'stop', usage={})]
@@ -94,7 +99,7 @@
 
 
 def test_text_with_escapes_is_read_back():
-    events = event_at(0, 'a "b" \\ \n ') + event_at(4, '\u0436 ')
+    events = event_at(0, 'a "b" \\ \n ', tokens=4) + event_at(4, '\u0436 ')
     assert attempts.text_of(events) == 'a "b" \\ \n \u0436 '
 
 
@@ -105,3 +110,29 @@
         pace.observe(1 + step * 10, step * 0.25)
     assert pace.silence_limit_s() == 1.0
     assert pace.silence_limit_s(suspect=True) == 0.5
+
+
+def test_tokens_are_counted_by_the_engine_and_not_by_their_text():
+    # The caller misses a part of its answer: its engine sends a blank inside
+    # a token, or two tokens without any; counted by blanks the stream seems
+    # further on than it is, and its next event is dropped as one that came
+    # before. So only the engine's own count is used.
+    assembly = attempts.Assembly()
+    assembly.begin('attempt')
+    events = [
+        event_at(0, 'in the end', tokens=1),
+        event_at(1, 'ofit', tokens=2),
+        event_at(3, ' all ', tokens=1),
+        event_at(4, '', 'stop', usage={}),
+    ]
+    passed = b''.join(assembly.feed('attempt', each) for each in events)
+    assert attempts.text_of(passed) == 'in the endofit all '
+    assert assembly.finished is not None
+
+
+def test_an_event_without_an_end_is_one_token():
+    assembly = attempts.Assembly()
+    assembly.begin('attempt')
+    event = event_at(0, 'some words here').replace(b'"end":1,', b'')
+    assert assembly.feed('attempt', event) == event
+    assert assembly.offset == 1
--- a/tests/test_lab_enginerun.py
+++ b/tests/test_lab_enginerun.py
@@ -10,7 +10,7 @@
     def test_an_event_begins_with_its_offset(self):
         run = enginerun.Run('id@1', 'both', 'lease file', 'm', 5, 0)
         frame = run.frame(2, 4)
-        self.assertTrue(frame.startswith(b'data: {"offset":2,'))
+        self.assertTrue(frame.startswith(b'data: {"offset":2,"end":'))
         event = json.loads(frame[len(b'data: ') :])
         mark = enginerun.digest('lease file')
         self.assertEqual(f'{mark}-2 {mark}-3 ', event['choices'][0]['text'])
