Give the messages between tasks their types

Cause: the bridge matched word of prompts as a bare tuple and demands as a bare mapping. Every NamedTuple is a tuple, so the next message added would have been sent to the peers as prompts. Tests of node, dispatcher, overview, admin, command line and porcelain pass (69).

--- a/magnoliadyke/dispatch.py
+++ b/magnoliadyke/dispatch.py
@@ -21,6 +21,7 @@
 __all__ = [
     'CancelJob',
     'CrashSeen',
+    'Demands',
     'Dispatcher',
     'FirstToken',
     'JobFailed',
@@ -29,6 +30,7 @@
     'PeerDigest',
     'PrefillDone',
     'PromptsHeard',
+    'PromptsPlaced',
     'Progress',
     'SubmitJob',
     'TakeSnapshot',
@@ -140,6 +142,24 @@
     digest: object
 
 
+class PromptsPlaced(typing.NamedTuple):
+    """Prompts that this node has just given to engines.
+
+    :param prompts: :class:`magnoliadyke.core.notices.PromptNotice` each
+    """
+
+    prompts: tuple
+
+
+class Demands(typing.NamedTuple):
+    """Demand of the pools, published each second.
+
+    :param pools: pool name to ``core.scheduler.Demand``
+    """
+
+    pools: dict
+
+
 class PromptsHeard(typing.NamedTuple):
     """Prompts that another node has given to engines.
 
@@ -209,9 +229,8 @@
 
     Post it :class:`PeerDigest` and :class:`PromptsHeard` messages. It
     publishes two topics each second: ``digest`` (the node's own scheduler
-    digest, for gossip) and ``demand`` (mapping of pool name to the
-    scheduler's Demand, for planning), and ``prompts`` (tuples of
-    ``core.notices.PromptNotice``) as this node sends them.
+    digest, for gossip) and ``demand`` (:class:`Demands`, for planning), and
+    ``prompts`` (:class:`PromptsPlaced`) as this node sends them.
 
     :param settings: :class:`magnoliadyke.settings.Settings`
     :param clock: a :class:`magnoliadyke.clock.Clock`
@@ -410,12 +429,11 @@
     def publish(self, now_s):
         """Publish the node's digest and the demand of each pool."""
         self.digest.publish(self.scheduler.digest(now_s))
-        self.demand.publish(
-            {
-                pool.name: self.scheduler.demand(pool.name, now_s)
-                for pool in self.settings.pools
-            }
-        )
+        demands = {
+            pool.name: self.scheduler.demand(pool.name, now_s)
+            for pool in self.settings.pools
+        }
+        self.demand.publish(Demands(demands))
 
     def tell_prompts(self, actions):
         """Publish which engines were given how much to read."""
@@ -428,7 +446,7 @@
             and action.prompt_s >= LEAST_TOLD_S
         )
         if told:
-            self.prompts.publish(told)
+            self.prompts.publish(PromptsPlaced(told))
 
     def apply(self, actions):
         """Answer the runs that wait for these actions."""
--- a/magnoliadyke/node.py
+++ b/magnoliadyke/node.py
@@ -81,10 +81,10 @@
                 self.spread_at_once(digest)
             case scheduler.Digest():
                 self.members.post(gossip.OwnDigest(message.to_bytes()))
-            case tuple():
-                self.members.post(gossip.PromptsSent(message))
-            case dict():
-                self.planning.post(duties.Demands(message))
+            case dispatch.PromptsPlaced(prompts=prompts):
+                self.members.post(gossip.PromptsSent(prompts))
+            case dispatch.Demands(pools=pools):
+                self.planning.post(duties.Demands(pools))
 
     def pass_digest(self, host, data):
         """Decode a peer's digest; one that can't be read is dropped.
--- a/magnoliadyke/overview.py
+++ b/magnoliadyke/overview.py
@@ -182,7 +182,8 @@
     """
     pools = _pools(node)
     view = node.configuration.views.last
-    demands = node.dispatcher.demand.last or {}
+    told = node.dispatcher.demand.last
+    demands = told.pools if told is not None else {}
     return {
         'pools': [
             _pool_roles(node, pool, view, demands.get(name))
--- a/tests/fakenode.py
+++ b/tests/fakenode.py
@@ -79,7 +79,7 @@
         standings=mailbox.Topic(gossip.Standing(0.0)),
     )
     node.dispatcher = Answers()
-    node.dispatcher.demand = mailbox.Topic({})
+    node.dispatcher.demand = mailbox.Topic(dispatch.Demands({}))
     node.dispatcher.answers[dispatch.TakeSnapshot] = snapshot.Snapshot(
         {ENGINE: snapshot.EndpointSeen('up', 'decode', 3, 1, 0.5)},
         {'lease': snapshot.CustomerSeen(1, 2)},
