--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -101,3 +101,18 @@
     assert names == set(dispatcher.endpoints)
     dispatcher.scheduler.subset = lambda pool: []
     assert dispatcher.used_endpoints() == []
+
+
+def test_other_nodes_are_told_of_long_prompts_only(dispatcher):
+    # Nodes that share an engine would all choose the one that a late report
+    # calls idle. Each tells what it gave an engine to read, but not of
+    # prompts so short that the word would cost more than the wait.
+    seen = []
+    dispatcher.prompts.subscribe(types.SimpleNamespace(post=seen.append))
+    long = scheduler.Dispatch('a', 'd1', 'p1', prompt_s=0.5)
+    whole = scheduler.Dispatch('b', 'd1', prompt_s=0.4)
+    short = scheduler.Dispatch('c', 'd1', 'p1', prompt_s=0.01)
+    dispatcher.tell_prompts([long, whole, short])
+    dispatcher.tell_prompts([short])
+    (placed,) = seen
+    assert placed.prompts == (('p1', 0.5), ('d1', 0.4))
--- a/tests/test_gossip_codec.py
+++ b/tests/test_gossip_codec.py
@@ -92,3 +92,13 @@
     ping = membership.Ping(1, source, 'h2', (), (), b'')
     with pytest.raises(errors.ProtocolError, match='other'):
         gossip_codec.decode('d', gossip_codec.encode('other', ping))
+
+
+@hypothesis.given(
+    MEMBERS, strategies.lists(strategies.tuples(NAMES, MILLISECONDS))
+)
+def test_word_of_prompts_passes_unchanged(source, told):
+    prompts = tuple(notices.PromptNotice(*each) for each in told)
+    message = gossip_codec.Prompts(source, prompts)
+    data = gossip_codec.encode_prompts('dala', message)
+    assert gossip_codec.decode('dala', data) == message
