--- /dev/null
+++ b/magnoliadyke/core/catalog.py
@@ -0,0 +1,100 @@
+"""What a host believes of the configuration and the endpoints."""
+
+from collections.abc import Iterable
+import enum
+from typing import NamedTuple
+
+from magnoliadyke.core import routes
+
+__all__ = ['Catalog', 'Endpoint', 'Stage']
+
+
+class Stage(enum.Enum):
+    """What an engine does at present; NONE for a plain endpoint."""
+
+    NONE = ''
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+class Endpoint(NamedTuple):
+    """One run of an endpoint's process; a later run has another id.
+
+    :param slots: requests that it runs at once
+    :param leaving: it takes no new work
+    """
+
+    id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    leaving: bool
+    stage: Stage
+
+
+class Catalog:
+    """The newest configuration and the endpoints that are listed.
+
+    :ivar checked_s: when the store last confirmed all of it
+    :ivar generation: counts the changes of endpoints and services
+    """
+
+    def __init__(self) -> None:
+        self.configuration: routes.Configuration | None = None
+        self.endpoints: dict[str, Endpoint] = {}
+        self.by_service: dict[str, dict[str, Endpoint]] = {}
+        self.checked_s: float | None = None
+        self.generation = 0
+
+    def configure(self, configuration: routes.Configuration) -> bool:
+        """Take a configuration unless a newer one is in force.
+
+        A read that lags, or an old copy of the store, would else bring
+        back routes that were dropped: callers would see a configuration
+        that has been replaced.
+
+        :returns: whether it is in force now
+        """
+        present = self.configuration
+        if present is not None and configuration.version <= present.version:
+            return False
+        self.configuration = configuration
+        self.generation += 1
+        return True
+
+    def put(self, endpoint: Endpoint) -> None:
+        """An endpoint is listed, or its entry has changed."""
+        before = self.endpoints.get(endpoint.id)
+        if before is not None and before.service != endpoint.service:
+            del self.by_service[before.service][endpoint.id]
+        self.endpoints[endpoint.id] = endpoint
+        of_service = self.by_service.setdefault(endpoint.service, {})
+        of_service[endpoint.id] = endpoint
+        self.generation += 1
+
+    def remove(self, endpoint_id: str) -> Endpoint | None:
+        """An endpoint is no longer listed."""
+        endpoint = self.endpoints.pop(endpoint_id, None)
+        if endpoint is not None:
+            del self.by_service[endpoint.service][endpoint_id]
+            self.generation += 1
+        return endpoint
+
+    def replace(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+        """Take a complete list.
+
+        :returns: the endpoints that are gone
+        """
+        listed = {each.id: each for each in endpoints}
+        gone = [e for e in self.endpoints.values() if e.id not in listed]
+        for endpoint in gone:
+            self.remove(endpoint.id)
+        for endpoint in listed.values():
+            self.put(endpoint)
+        return gone
+
+    def usable(self, service: str) -> list[Endpoint]:
+        """Endpoints of a service that may be given new work."""
+        listed = self.by_service.get(service, {})
+        return [e for e in listed.values() if not e.leaving]
--- /dev/null
+++ b/magnoliadyke/core/enginemodel.py
@@ -0,0 +1,163 @@
+"""When an engine will be done with the prompts it was given."""
+
+import dataclasses
+
+from magnoliadyke.core import catalog
+from magnoliadyke.core import costs
+from magnoliadyke.core import promptcache
+
+__all__ = ['EngineModel', 'ReadingCost']
+
+#: Seconds to read a prompt before anything was measured: a base and a share
+#: for each token, and the prompt length that anchors the fit.  Low rather
+#: than high: too low a guess is mended by the first few measured prompts,
+#: too high a one refuses the callers that would have measured it.
+PRIOR_BASE_S = 0.002
+PRIOR_S_PER_TOKEN = 4e-6
+PRIOR_TOKENS = 8000
+#: Prompts that the fit remembers; a few seconds' worth at a busy engine.
+FIT_MEMORY = 300
+#: Weight of a new sample in an engine's slowness: half of the change shows
+#: after six prompts, while one odd sample moves it by a tenth.
+SLOWNESS_WEIGHT = 0.1
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 20.0
+#: Samples of engines within this range of slowness teach the common fit.
+SOUND_SLOWNESS = 1.5
+#: One way between a host and an engine, and between hosts; a thousandth of
+#: a second is what hops inside an area take.
+HOP_S = 0.001
+#: A job whose end was never reported is taken as lost after this many
+#: times its expected length, and never before this many seconds.
+LOST_FACTOR = 5.0
+LOST_S = 0.5
+
+
+class ReadingCost:
+    """Seconds that engines of one stage take to read a prompt."""
+
+    def __init__(self) -> None:
+        self.fit = costs.LinearFit(
+            PRIOR_BASE_S, PRIOR_S_PER_TOKEN, PRIOR_TOKENS, memory=FIT_MEMORY
+        )
+
+    def seconds(self, tokens: float) -> float:
+        """Expected time to read this many tokens that are not cached."""
+        return max(0.0005, self.fit.at(tokens))
+
+    def learn(self, tokens: float, seconds: float) -> None:
+        """An engine of ordinary speed took this long."""
+        self.fit.add(tokens, seconds)
+
+
+@dataclasses.dataclass(slots=True)
+class Reading:
+    """A prompt that an engine has been given.
+
+    :ivar expected_s: reading time at ordinary speed
+    :ivar until_s: when it is expected to have been read
+    """
+
+    tokens: int
+    expected_s: float
+    sent_s: float
+    until_s: float
+
+
+class EngineModel:
+    """One engine as the placement sees it.
+
+    :ivar slowness: measured over expected reading time
+    :ivar readings: prompts given and not yet reported as read
+    :ivar runs: requests that hold a slot, with when they are given up
+    """
+
+    def __init__(
+        self,
+        endpoint: catalog.Endpoint,
+        cache_tokens: float,
+        cost: ReadingCost,
+    ) -> None:
+        self.endpoint = endpoint
+        self.cache = promptcache.PromptCache(cache_tokens)
+        self.cost = cost
+        self.slowness = 1.0
+        self.readings: dict[int, Reading] = {}
+        self.runs: dict[int, float] = {}
+        self.last_read_s = 0.0
+        self.transfer_until_s = 0.0
+        self.rest_until_s = 0.0
+        self.failures = 0
+
+    def expected_s(self, tokens: float) -> float:
+        """Time that this engine needs to read uncached tokens."""
+        return self.cost.seconds(tokens) * self.slowness
+
+    def free_s(self, now_s: float) -> float:
+        """When it has read all that it was given."""
+        if not self.readings:
+            return now_s
+        return max(now_s, max(r.until_s for r in self.readings.values()))
+
+    def give(self, job: int, tokens: int, now_s: float) -> float:
+        """Account a prompt; returns when it is expected to be read."""
+        expected_s = self.cost.seconds(tokens)
+        until_s = self.free_s(now_s) + HOP_S + expected_s * self.slowness
+        self.readings[job] = Reading(tokens, expected_s, now_s, until_s)
+        return until_s
+
+    def read(self, job: int, now_s: float) -> float | None:
+        """A prompt has been read.
+
+        :returns: seconds that it took by itself, None if not measured
+        """
+        reading = self.readings.pop(job, None)
+        if reading is None:
+            return None
+        start_s = max(reading.sent_s + HOP_S, self.last_read_s)
+        self.last_read_s = now_s
+        took_s = max(0.0002, now_s - start_s - HOP_S)
+        self._learn(reading, took_s)
+        self._shift(now_s)
+        return took_s
+
+    def forget(self, job: int, now_s: float) -> None:
+        """A prompt will not be read here after all."""
+        if self.readings.pop(job, None) is not None:
+            self._shift(now_s)
+
+    def expire(self, now_s: float) -> list[int]:
+        """Drop jobs whose end was never reported; returns them.
+
+        The host that sent them died, or its datagram was lost: without
+        this the engine would count as busy for good.
+        """
+        lost = [
+            job
+            for job, reading in self.readings.items()
+            if now_s > self._lost_s(reading)
+        ]
+        for job in lost:
+            del self.readings[job]
+        for job, until_s in list(self.runs.items()):
+            if now_s > until_s:
+                del self.runs[job]
+        return lost
+
+    def _lost_s(self, reading: Reading) -> float:
+        length_s = reading.until_s - reading.sent_s
+        return reading.sent_s + max(LOST_S, length_s * LOST_FACTOR)
+
+    def _learn(self, reading: Reading, took_s: float) -> None:
+        ratio = took_s / reading.expected_s
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+        if self.slowness < SOUND_SLOWNESS:
+            self.cost.learn(reading.tokens, took_s)
+
+    def _shift(self, now_s: float) -> None:
+        """Expect the remaining prompts from now on, one after another."""
+        until_s = now_s
+        for reading in self.readings.values():
+            until_s += reading.expected_s * self.slowness
+            reading.until_s = until_s
--- /dev/null
+++ b/magnoliadyke/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Passes callers' own HTTP requests through to the endpoints."""
--- /dev/null
+++ b/magnoliadyke/gateway/follower.py
@@ -0,0 +1,279 @@
+"""Keeps the catalog, the hosts and the leader as the store has them."""
+
+import random
+from typing import Callable
+
+import gevent
+
+from magnoliadyke import app
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import catalog
+from magnoliadyke.core import routes
+from magnoliadyke.gateway import store
+from magnoliadyke import logs
+
+__all__ = ['Decoder', 'Follower', 'Listener']
+
+LOG = logs.get('follower')
+
+#: Longest wait of one watch.  The connection's own probes notice one that
+#: went silent; the end of the wait notices a store that holds it open and
+#: tells nothing.
+WATCH_S = 3.0
+#: Pause between two watches: changes that come together are told together,
+#: which saves most of the calls while a fleet starts.
+GATHER_S = 0.1
+#: Pause after a failure, spread by as much again.
+RETRY_S = 0.25
+#: Entries that vanish while the store is away, or with most of their
+#: service, come back within two seconds if the endpoint lives; until then
+#: it is used as before.
+LAPSE_S = 2.0
+#: Share of a service's endpoints that does not leave at one moment.
+LAPSE_SHARE = 0.5
+
+
+class Decoder:
+    """What the store's keys and values mean; given by the platform."""
+
+    configuration_key: str
+    endpoint_prefix: str
+
+    def configuration(self, value: bytes) -> routes.Configuration:
+        """Decode a configuration.
+
+        :raises ValueError, KeyError: it is not in the form expected
+        """
+        raise NotImplementedError
+
+    def endpoint(self, key: str, value: bytes) -> catalog.Endpoint:
+        """Decode an endpoint's entry.
+
+        :raises ValueError, KeyError: it is not in the form expected
+        """
+        raise NotImplementedError
+
+
+class Listener:
+    """Who wants to hear of the project's own keys."""
+
+    def changed(self, item: store.Item) -> None:
+        """A key was written."""
+
+    def removed(self, key: str) -> None:
+        """A key is gone."""
+
+
+class Follower(app.Component):
+    """Reads everything once, then watches.
+
+    One watch for all keys: each watch is a call that is counted.
+
+    :param own_prefix: of the project's keys
+    :param gone: called with the id of each endpoint that is gone
+    """
+
+    def __init__(
+        self,
+        kept: store.Store,
+        decoder: Decoder,
+        known: catalog.Catalog,
+        listeners: dict[str, Listener],
+        gone: Callable[[str], None],
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.store = kept
+        self.decoder = decoder
+        self.catalog = known
+        self.listeners = listeners
+        self.gone = gone
+        self.clock = clock
+        self.rng = rng
+        self.failing_since_s: float | None = None
+        self.recovered_s = float('-inf')
+        self.doubted: dict[str, float] = {}
+        self.own_keys: set[str] = set()
+        self.greenlet: gevent.Greenlet | None = None
+        self.watch_s = WATCH_S
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self.greenlet = gevent.spawn(self._run)
+
+    def stop(self, deadline_s: float) -> None:
+        """Stop following."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+
+    def _run(self) -> None:
+        while True:
+            revision = self._read_all()
+            while revision is not None:
+                revision = self._watch(revision)
+            self.clock.sleep(RETRY_S * (1 + self.rng.random()))
+
+    def _read_all(self) -> int | None:
+        items = self.store.list_prefix('')
+        if isinstance(items, store.Unavailable):
+            self._failed(items.reason)
+            return None
+        self._answered()
+        listed = set()
+        for item in items.items:
+            listed.add(item.key)
+            self._apply(item)
+        for key in [k for k in self.own_keys if k not in listed]:
+            self._remove_own(key)
+        prefix = self.decoder.endpoint_prefix
+        missing = [
+            e for e in self.catalog.endpoints if prefix + e not in listed
+        ]
+        self._lose(missing)
+        return items.revision
+
+    def _watch(self, revision: int) -> int | None:
+        self.clock.sleep(GATHER_S)
+        self._settle()
+        wait_s = self.watch_s
+        if self.doubted:
+            wait_s = min(wait_s, 0.5)
+        match self.store.watch('', revision, wait_s):
+            case store.Changes(changes, new_revision):
+                self._answered()
+                self._take(changes)
+                return max(revision, new_revision)
+            case store.Compacted():
+                LOG.warning_event('watch_compacted', revision=revision)
+                return None
+            case store.Unavailable(reason):
+                self._failed(reason)
+                return None
+
+    def _take(self, changes: tuple[store.Item | store.Removed, ...]) -> None:
+        missing = []
+        prefix = self.decoder.endpoint_prefix
+        for change in changes:
+            match change:
+                case store.Item():
+                    self._apply(change)
+                case store.Removed(key) if key.startswith(prefix):
+                    missing.append(key.removeprefix(prefix))
+                case store.Removed(key):
+                    self._remove_own(key)
+        returned = {
+            change.key.removeprefix(prefix)
+            for change in changes
+            if isinstance(change, store.Item)
+        }
+        self._lose([each for each in missing if each not in returned])
+
+    # Single keys.
+
+    def _apply(self, item: store.Item) -> None:
+        if item.key == self.decoder.configuration_key:
+            self._configure(item)
+        elif item.key.startswith(self.decoder.endpoint_prefix):
+            self._put_endpoint(item)
+        else:
+            self._put_own(item)
+
+    def _configure(self, item: store.Item) -> None:
+        try:
+            configuration = self.decoder.configuration(item.value)
+        except (ValueError, KeyError, TypeError) as error:
+            LOG.error_event('configuration_ignored', error)
+            return
+        if self.catalog.configure(configuration):
+            LOG.event(
+                'configuration',
+                version=configuration.version,
+                revision=item.revision,
+                routes=len(configuration.routes),
+            )
+
+    def _put_endpoint(self, item: store.Item) -> None:
+        try:
+            endpoint = self.decoder.endpoint(item.key, item.value)
+        except (ValueError, KeyError, TypeError) as error:
+            LOG.repeated('endpoint_ignored', item.key, error=str(error))
+            return
+        self.doubted.pop(endpoint.id, None)
+        before = self.catalog.endpoints.get(endpoint.id)
+        if before == endpoint:
+            return
+        self.catalog.put(endpoint)
+        LOG.event(
+            'endpoint',
+            endpoint=endpoint.id,
+            address=endpoint.address,
+            leaving=endpoint.leaving,
+            stage=endpoint.stage.value or 'none',
+            revision=item.revision,
+        )
+
+    def _put_own(self, item: store.Item) -> None:
+        self.own_keys.add(item.key)
+        for prefix, listener in self.listeners.items():
+            if item.key.startswith(prefix):
+                listener.changed(item)
+
+    def _remove_own(self, key: str) -> None:
+        self.own_keys.discard(key)
+        for prefix, listener in self.listeners.items():
+            if key.startswith(prefix):
+                listener.removed(key)
+
+    # Endpoints that are no longer listed.
+
+    def _lose(self, missing: list[str]) -> None:
+        """Endpoints have vanished from the list, together."""
+        now_s = self.clock.now_s()
+        for endpoint_id in missing:
+            endpoint = self.catalog.endpoints.get(endpoint_id)
+            if endpoint is None:
+                continue
+            if self._may_lapse(endpoint, missing, now_s):
+                self.doubted.setdefault(endpoint_id, now_s + LAPSE_S)
+                LOG.event('endpoint_doubted', endpoint=endpoint_id)
+            else:
+                self._drop(endpoint_id)
+
+    def _may_lapse(
+        self, endpoint: catalog.Endpoint, missing: list[str], now_s: float
+    ) -> bool:
+        if endpoint.leaving:
+            return False
+        if now_s - self.recovered_s < LAPSE_S:
+            return True
+        of_service = self.catalog.by_service[endpoint.service]
+        together = sum(1 for each in missing if each in of_service)
+        return together > 1 and together >= len(of_service) * LAPSE_SHARE
+
+    def _settle(self) -> None:
+        """Drop the endpoints that did not come back in time."""
+        now_s = self.clock.now_s()
+        for endpoint_id, until_s in list(self.doubted.items()):
+            if now_s >= until_s:
+                del self.doubted[endpoint_id]
+                self._drop(endpoint_id)
+
+    def _drop(self, endpoint_id: str) -> None:
+        if self.catalog.remove(endpoint_id) is not None:
+            LOG.event('endpoint_gone', endpoint=endpoint_id)
+            self.gone(endpoint_id)
+
+    # The store itself.
+
+    def _answered(self) -> None:
+        now_s = self.clock.now_s()
+        self.catalog.checked_s = now_s
+        if self.failing_since_s is not None:
+            LOG.event('store_regained', after_s=now_s - self.failing_since_s)
+            self.failing_since_s = None
+            self.recovered_s = now_s
+
+    def _failed(self, reason: str) -> None:
+        if self.failing_since_s is None:
+            self.failing_since_s = self.clock.now_s()
+            LOG.warning_event('store_lost', reason=reason)
--- /dev/null
+++ b/magnoliadyke/gateway/ingress.py
@@ -0,0 +1,311 @@
+"""Takes callers' connections and their requests."""
+
+import random
+from typing import Callable
+
+import gevent
+from gevent import server
+from gevent import socket
+
+from magnoliadyke import app
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import routes
+from magnoliadyke.gateway import caller as callers
+from magnoliadyke.gateway import codec as codecs
+from magnoliadyke.gateway import exchange
+from magnoliadyke.gateway import http
+from magnoliadyke.gateway import outcomes
+from magnoliadyke import logs
+
+__all__ = ['Ingress']
+
+LOG = logs.get('ingress')
+
+BACKLOG = 1024
+#: A caller that is refused before any configuration is known.
+UNCONFIGURED_RETRY_S = 0.5
+#: After an answer that ends a connection, unread bytes of the caller are
+#: taken for this long, in seconds: closing at once would reset the
+#: connection, and the caller could lose the answer.
+LINGER_S = 0.3
+
+
+class TooLarge(Exception):
+    """A request is over a limit.
+
+    :param status: that the caller gets
+    """
+
+    def __init__(self, status: int) -> None:
+        self.status = status
+        super().__init__(f'status {status}')
+
+
+class Ingress(app.Component):
+    """The callers' listener.
+
+    :param address: numeric ``ip:port``
+    :param parts: what exchanges work with
+    :param record: called with each request's outcome and seconds
+    """
+
+    def __init__(
+        self,
+        address: str,
+        parts: exchange.Parts,
+        record: Callable[[outcomes.Outcome, routes.Route, float], None],
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.address = address
+        self.parts = parts
+        self.record = record
+        self.clock = clock
+        self.rng = rng
+        self.draining = False
+        self.open_requests = 0
+        self.connections: dict[callers.Caller, bool] = {}
+        self.server: server.StreamServer | None = None
+
+    # Life cycle.
+
+    def start(self) -> None:
+        """Listen."""
+        host, _, port = self.address.rpartition(':')
+        self.server = server.StreamServer(
+            (host, int(port)), self._serve, backlog=BACKLOG
+        )
+        self.server.start()
+
+    def drain(self) -> None:
+        """Each answer from now on ends its connection."""
+        self.draining = True
+        for caller in self.connections:
+            caller.closing = True
+
+    def close_idle(self) -> None:
+        """Stop listening and close the connections without a request."""
+        if self.server is not None:
+            self.server.close()
+        for caller, busy in list(self.connections.items()):
+            if not busy:
+                http.drop(caller.sock)
+
+    def stop(self, deadline_s: float) -> None:
+        """Stop listening; requests under way are the process's to wait."""
+        self.close_idle()
+
+    # One connection.
+
+    def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        http.tune(sock)
+        caller = callers.Caller(sock)
+        self.connections[caller] = False
+        try:
+            self._serve_requests(caller, http.RequestReader(sock))
+        except callers.CallerLeft:
+            caller.broken = True
+        finally:
+            del self.connections[caller]
+            self._close(caller)
+
+    def _close(self, caller: callers.Caller) -> None:
+        """Close; a broken answer ends with a reset, so that it shows."""
+        if caller.broken or caller.streaming:
+            linger = (1).to_bytes(4, 'little') + bytes(4)
+            try:
+                caller.sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
+            except OSError:
+                # It is closed already, which is what was wanted.
+                return
+        else:
+            self._linger(caller.sock)
+        http.drop(caller.sock)
+
+    def _linger(self, sock: socket.socket) -> None:
+        try:
+            sock.shutdown(socket.SHUT_WR)
+            with gevent.Timeout(LINGER_S, False):
+                while sock.recv(http.READ_BYTES):
+                    pass
+        except OSError:
+            # The caller has closed, or the connection was reset.
+            return
+
+    def _serve_requests(
+        self, caller: callers.Caller, reader: http.RequestReader
+    ) -> None:
+        while True:
+            caller.begun = False
+            caller.closing = caller.closing or self.draining
+            try:
+                head = self._read_head(reader)
+                if head is None:
+                    return
+                self.connections[caller] = True
+                self.open_requests += 1
+                try:
+                    self._serve_one(caller, reader, head)
+                finally:
+                    self.open_requests -= 1
+                    self.connections[caller] = False
+            except http.PeerClosed:
+                return
+            except http.BrokenMessage as error:
+                self._refuse_bytes(caller, 400, str(error))
+                return
+            except TooLarge as error:
+                self._refuse_bytes(caller, error.status, 'over a limit')
+                return
+            except http.OutOfTime:
+                if reader.begun:
+                    self._refuse_bytes(caller, 408, 'the request is late')
+                return
+            if caller.closing or caller.broken:
+                return
+
+    def _limits(self) -> routes.CallerLimits:
+        configuration = self.parts.catalog.configuration
+        if configuration is None:
+            return routes.CallerLimits()
+        return configuration.limits
+
+    def _read_head(self, reader: http.RequestReader) -> http.Head | None:
+        """Wait for a request's head; None if the connection idled out."""
+        limits = self._limits()
+        if not reader.begun and not reader.parts:
+            with gevent.Timeout(limits.idle_s, False):
+                reader.wait_for_bytes()
+            if not reader.begun and not reader.parts:
+                return None
+        with gevent.Timeout(limits.header_s, http.OutOfTime('header')):
+            while not reader.parts:
+                reader.check()
+                if reader.header_bytes > limits.header_bytes:
+                    raise TooLarge(431)
+                reader.wait_for_bytes()
+        head = reader.next_part()
+        if _size(head) > limits.header_bytes:
+            raise TooLarge(431)
+        return head
+
+    def _read_body(
+        self, caller: callers.Caller, reader: http.RequestReader, head
+    ) -> bytes:
+        limits = self._limits()
+        if head.length is not None and head.length > limits.body_bytes:
+            raise TooLarge(413)
+        if (head.value(b'expect') or b'').lower() == b'100-continue':
+            caller.sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
+        pieces = []
+        size = 0
+        with gevent.Timeout(limits.idle_s, http.OutOfTime('body')):
+            while True:
+                match reader.next_part():
+                    case http.Body(data):
+                        size += len(data)
+                        if size > limits.body_bytes:
+                            raise TooLarge(413)
+                        pieces.append(data)
+                    case http.End():
+                        return b''.join(pieces)
+
+    def _refuse_bytes(
+        self, caller: callers.Caller, status: int, reason: str
+    ) -> None:
+        """Answer what can't be read on, then close."""
+        LOG.event('request_unreadable', status=status, reason=reason)
+        caller.closing = True
+        if not caller.begun:
+            caller.answer(status, [], b'')
+
+    # One request.
+
+    def _serve_one(
+        self,
+        caller: callers.Caller,
+        reader: http.RequestReader,
+        head: http.Head,
+    ) -> None:
+        arrived_s = self.clock.now_s()
+        if not head.reusable:
+            caller.closing = True
+        request = self.parts.codec.decode(head)
+        body = self._read_body(caller, reader, head)
+        if isinstance(request, codecs.Malformed):
+            self._refuse_bytes(caller, 400, request.reason)
+            return
+        request.body = body
+        configuration = self.parts.catalog.configuration
+        if configuration is None:
+            self._answer_early(caller, request, 503, 'not configured yet')
+            return
+        route = configuration.match(request.host, request.path)
+        if route is None:
+            self._answer_early(caller, request, 404, 'no route')
+            return
+        one = exchange.Exchange(self.parts, request, route, caller, arrived_s)
+        outcome = one.run()
+        took_s = self.clock.now_s() - arrived_s
+        self.record(outcome, route, took_s)
+        self._log(one, outcome, took_s, configuration.version)
+
+    def _answer_early(
+        self,
+        caller: callers.Caller,
+        request: codecs.Request,
+        status: int,
+        reason: str,
+    ) -> None:
+        headers = [(b'X-Request-Id', request.id)]
+        if status == 503:
+            headers.append((b'Retry-After', b'%.2f' % UNCONFIGURED_RETRY_S))
+        configuration = self.parts.catalog.configuration
+        LOG.event(
+            'request_ended',
+            id=request.id.decode('latin-1'),
+            outcome='rejected',
+            status=status,
+            reason=reason,
+            host=request.host,
+            path=request.path,
+            version=configuration.version if configuration else 0,
+        )
+        caller.answer(status, headers, reason.encode())
+
+    def _log(
+        self,
+        one: exchange.Exchange,
+        outcome: outcomes.Outcome,
+        took_s: float,
+        version: int,
+    ) -> None:
+        fields = {
+            'id': one.request.id.decode('latin-1'),
+            'route': one.route.name,
+            'version': version,
+            'outcome': type(outcome).__name__.lower(),
+            'took_ms': round(took_s * 1000, 1),
+            'endpoint': one.endpoint or 'none',
+            'sends': one.sends,
+        }
+        match outcome:
+            case outcomes.Answered(status):
+                fields['status'] = status
+            case outcomes.Refused(reason, retry_after_s):
+                fields['reason'] = reason
+                fields['retry_after_ms'] = round(retry_after_s * 1000)
+            case outcomes.Failed(status, reason):
+                fields['status'] = status
+                fields['reason'] = reason
+            case outcomes.Left(reason):
+                fields['reason'] = reason
+        LOG.event('request_ended', **fields)
+
+
+def _size(head: http.Head) -> int:
+    """Bytes of a head, line ends and separators included."""
+    size = len(head.method) + len(head.target) + len(' HTTP/1.1') + 5
+    return size + sum(len(n) + len(v) + 4 for n, v in head.headers)
--- /dev/null
+++ b/magnoliadyke/gateway/members.py
@@ -0,0 +1,269 @@
+"""The other hosts: found through the store, checked by gossip."""
+
+import json
+import random
+from typing import Any
+from typing import NamedTuple
+
+import gevent
+from gevent import socket
+
+from magnoliadyke import app
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import membership
+from magnoliadyke import errors
+from magnoliadyke.gateway import store
+from magnoliadyke import gossip_codec
+from magnoliadyke import logs
+from magnoliadyke.wire import constants
+
+__all__ = ['HOST_PREFIX', 'HostRecord', 'Members']
+
+LOG = logs.get('members')
+
+#: Keys of hosts in the store.
+HOST_PREFIX = 'magnoliadyke/hosts/'
+#: Name that keeps datagrams of other programs out.
+DEPLOYMENT = 'gateway'
+TICK_S = 0.1
+#: Time to live of a host's key.  Gossip notices a dead host sooner; the key
+#: is for hosts that have just come, so few renewals do.
+LEASE_S = 6.0
+RENEW_S = 2.0
+#: Pause after a call to the store that failed, spread by as much again.
+RETRY_S = 0.4
+MAX_DATAGRAM_BYTES = 65535
+
+
+class HostRecord(NamedTuple):
+    """What a host writes of itself into the store.
+
+    :param capacity: cores, for choosing the host that places
+    """
+
+    host: str
+    incarnation: int
+    address: str
+    callers: str
+    gossip_port: int
+    failure_domain: str
+    capacity: float
+
+    def dump(self) -> bytes:
+        """Write the record as the store keeps it."""
+        return json.dumps(self._asdict(), separators=(',', ':')).encode()
+
+    @classmethod
+    def parse(cls, value: bytes) -> 'HostRecord':
+        """Read a record of the store.
+
+        :raises ValueError, KeyError: it is none
+        """
+        fields: dict[str, Any] = json.loads(value)
+        return cls(**{name: fields[name] for name in cls._fields})
+
+    @property
+    def key(self) -> str:
+        """The host's key in the store."""
+        return HOST_PREFIX + self.host
+
+
+class Members(app.Component):
+    """Who is there.
+
+    :param own: this host
+    :param kept: the store
+    :ivar records: hosts that the store has named since this one started
+    """
+
+    def __init__(
+        self,
+        own: HostRecord,
+        kept: store.Store,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.own = own
+        self.store = kept
+        self.clock = clock
+        self.rng = rng
+        self.records: dict[str, HostRecord] = {own.host: own}
+        self.listed: set[str] = set()
+        self.lease: int | None = None
+        self.leaving = False
+        self.sent_bytes = 0
+        self.socket: socket.socket | None = None
+        self.greenlets: list[gevent.Greenlet] = []
+        self.core = membership.Membership(
+            _member(own),
+            membership.MembershipSettings(),
+            rng,
+            (),
+            clock.now_s(),
+        )
+        self.states: dict[str, str] = {}
+
+    # Life cycle.
+
+    def start(self) -> None:
+        """Listen, probe others, and write the own key."""
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((self.own.address, self.own.gossip_port))
+        self.greenlets = [
+            gevent.spawn(self._receive_all),
+            gevent.spawn(self._tick_all),
+            gevent.spawn(self._register),
+        ]
+
+    def leave(self) -> None:
+        """Tell the others and the store that this host takes no new work."""
+        self.leaving = True
+        self._act(self.core.leave('', self.clock.now_s()))
+        gevent.spawn(self._deregister)
+
+    def stop(self, deadline_s: float) -> None:
+        """Answer nobody from now on."""
+        for greenlet in self.greenlets:
+            greenlet.kill()
+        if self.socket is not None:
+            self.socket.close()
+
+    # What others ask.
+
+    def addresses(self) -> list[str]:
+        """Where callers can connect."""
+        found = []
+        for member in self.core.view().alive():
+            if member.caller_port:
+                found.append(f'{member.address}:{member.caller_port}')
+        return found
+
+    def count(self) -> int:
+        """Hosts that are thought to run."""
+        return max(1, len(self.core.view().alive()))
+
+    # What the store says.
+
+    def listed_host(self, value: bytes) -> None:
+        """A host's key was read."""
+        try:
+            record = HostRecord.parse(value)
+        except (ValueError, KeyError, TypeError) as error:
+            LOG.repeated('host_record_ignored', 'record', error=str(error))
+            return
+        self.records[record.host] = record
+        self.listed.add(record.host)
+        self.core.hint(_member(record))
+
+    def unlisted_host(self, host: str) -> None:
+        """A host's key is gone; gossip says whether the host is.
+
+        A store that was away may drop the keys of hosts that live.
+        """
+        self.listed.discard(host)
+        if host == self.own.host and not self.leaving:
+            # The key was taken away from a live host: write it again.
+            self.lease = None
+
+    # Own key.
+
+    def _register(self) -> None:
+        while not self.leaving:
+            if self.lease is None:
+                done = self._write_key()
+            else:
+                done = self._renew()
+            if done:
+                self.clock.sleep(RENEW_S * (0.9 + 0.2 * self.rng.random()))
+            else:
+                self.clock.sleep(RETRY_S * (1 + self.rng.random()))
+
+    def _write_key(self) -> bool:
+        granted = self.store.grant(LEASE_S)
+        if not isinstance(granted, store.Granted):
+            return False
+        put = store.Put(self.own.key, self.own.dump(), granted.lease)
+        match self.store.commit({}, (put,)):
+            case store.Written():
+                self.lease = granted.lease
+                LOG.event('host_registered', lease=granted.lease)
+                return True
+        return False
+
+    def _renew(self) -> bool:
+        match self.store.renew(self.lease):
+            case store.Granted():
+                return True
+            case store.NoLease():
+                LOG.warning_event('host_key_lapsed', lease=self.lease)
+                self.lease = None
+        return False
+
+    def _deregister(self) -> None:
+        if self.lease is not None:
+            self.store.revoke(self.lease)
+
+    # Gossip.
+
+    def _receive_all(self) -> None:
+        while True:
+            data, _ = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+            try:
+                message = gossip_codec.decode(DEPLOYMENT, data)
+            except errors.ProtocolError as error:
+                LOG.repeated('datagram_ignored', 'gossip', reason=str(error))
+                continue
+            self._act(self.core.receive(message, self.clock.now_s()))
+            self._log_changes()
+
+    def _tick_all(self) -> None:
+        while True:
+            self.clock.sleep(TICK_S)
+            self._act(self.core.tick(self.clock.now_s()))
+            self._log_changes()
+
+    def _act(self, actions: list[Any]) -> None:
+        for action in actions:
+            match action:
+                case membership.Send(address, message):
+                    self._send(address, message)
+                case membership.Paused(for_s):
+                    LOG.warning_event('paused', for_s=for_s)
+
+    def _send(
+        self, address: tuple[str, int], message: membership.Message
+    ) -> None:
+        data = gossip_codec.encode(DEPLOYMENT, message)
+        while len(data) > constants.MAX_DATAGRAM_BYTES and message.updates:
+            message = message._replace(updates=message.updates[:-1])
+            data = gossip_codec.encode(DEPLOYMENT, message)
+        try:
+            self.socket.sendto(data, address)
+        except OSError as error:
+            LOG.repeated('send_failed', address[0], error=str(error))
+            return
+        self.sent_bytes += len(data)
+
+    def _log_changes(self) -> None:
+        members = self.core.view().members
+        for host, member in members.items():
+            if self.states.get(host) != member.state:
+                LOG.event(
+                    'member',
+                    host_name=host,
+                    state=member.state,
+                    before=self.states.get(host, 'unknown'),
+                    incarnation=member.incarnation,
+                )
+                self.states[host] = member.state
+
+
+def _member(record: HostRecord) -> membership.Member:
+    return membership.Member(
+        host=record.host,
+        incarnation=record.incarnation,
+        address=record.address,
+        caller_port=int(record.callers.rpartition(':')[2]),
+        peer_port=record.gossip_port,
+        failure_domain=record.failure_domain,
+    )
--- /dev/null
+++ b/magnoliadyke/gateway/placing.py
@@ -0,0 +1,351 @@
+"""Asks the placing host where requests go; is that host if it leads.
+
+One host places for all, so that what engines have been given is known in
+one place.  Its decisions are soft state: when it doesn't answer, each host
+places by itself, as one of several that share the engines unseen.
+"""
+
+import collections
+import random
+from typing import NamedTuple
+
+import gevent
+from gevent import event
+from gevent import socket
+
+from magnoliadyke import app
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import catalog
+from magnoliadyke.core import placement
+from magnoliadyke import errors
+from magnoliadyke.gateway import placing_codec
+from magnoliadyke import logs
+
+__all__ = ['SHORT_TOKENS', 'Placer']
+
+LOG = logs.get('placing')
+
+#: Prompts up to this size go before others at an engine.
+SHORT_TOKENS = placement.PlacementSettings().short_tokens
+#: An ask without answer is sent again after this time: several times the
+#: way there and back, so that only a lost datagram or a busy host is late.
+ASK_TIMEOUT_S = 0.015
+#: Asks without any answer before the host places by itself.
+ASKS = 2
+#: A placing host that did not answer is not asked for this long.
+SILENT_S = 0.6
+#: A job that waits in the queue is asked for again this often.
+REASK_S = 0.2
+#: How long decisions are remembered for asks that come twice.
+REMEMBERED = 4096
+MAX_DATAGRAM_BYTES = 65535
+
+
+class _Waiting(NamedTuple):
+    """A job of this host that waits for a decision."""
+
+    decided: event.AsyncResult
+    acknowledged: event.Event
+
+
+class _Pool:
+    """The placement of one service, with its timer."""
+
+    def __init__(self, core: placement.Placement) -> None:
+        self.core = core
+        self.generation = -1
+        self.timer = None
+
+
+class Placer(app.Component):
+    """Places the prompts of this host's callers.
+
+    :param address: of this host, for other hosts
+    :param port: of this host, the same on all hosts
+    :ivar leader: address of the placing host, None if none is known
+    :ivar leading: this host is the placing host
+    :ivar hosts: live hosts
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        known: catalog.Catalog,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.address = address
+        self.port = port
+        self.catalog = known
+        self.clock = clock
+        self.rng = rng
+        self.leader: str | None = None
+        self.leading = False
+        self.hosts = 1
+        self.silent_until_s = 0.0
+        self.served: dict[str, _Pool] = {}
+        self.local: dict[str, _Pool] = {}
+        self.waiting: dict[int, _Waiting] = {}
+        self.placed_by: dict[int, str | None] = {}
+        self.askers: dict[int, str] = {}
+        self.decided: collections.OrderedDict[int, placement.Decision] = (
+            collections.OrderedDict()
+        )
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.socket: socket.socket | None = None
+        self.greenlet: gevent.Greenlet | None = None
+
+    # Life cycle.
+
+    def start(self) -> None:
+        """Listen for other hosts."""
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((self.address, self.port))
+        self.greenlet = gevent.spawn(self._receive_all)
+
+    def stop(self, deadline_s: float) -> None:
+        """Answer nobody from now on."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+        if self.socket is not None:
+            self.socket.close()
+
+    # What exchanges ask and tell.
+
+    def place(self, service: str, job: placement.Job) -> placement.Decision:
+        """Wait until a job is placed or refused."""
+        waiting = _Waiting(event.AsyncResult(), event.Event())
+        self.waiting[job.id] = waiting
+        try:
+            return self._place(service, job, waiting)
+        except BaseException:
+            # The caller has left: the place goes to somebody else.
+            self._report(service, job.id, placing_codec.Event.WITHDRAWN, '')
+            self.placed_by.pop(job.id, None)
+            raise
+        finally:
+            del self.waiting[job.id]
+
+    def _place(
+        self, service: str, job: placement.Job, waiting: _Waiting
+    ) -> placement.Decision:
+        if self.leading:
+            self.counts['own'] += 1
+            return self._place_at(self.served, service, job, waiting)
+        leader = self.leader
+        if leader is not None and self.clock.now_s() >= self.silent_until_s:
+            self.placed_by[job.id] = leader
+            decision = self._place_remotely(leader, service, job, waiting)
+            if decision is not None:
+                self.counts['remote'] += 1
+                return decision
+        self.counts['alone'] += 1
+        return self._place_at(self.local, service, job, waiting)
+
+    def _place_at(
+        self,
+        pools: dict[str, _Pool],
+        service: str,
+        job: placement.Job,
+        waiting: _Waiting,
+    ) -> placement.Decision:
+        self.placed_by[job.id] = None
+        pool = self._pool(pools, service)
+        now_s = self.clock.now_s()
+        self._publish(pool, pool.core.submit(job, now_s))
+        return waiting.decided.get()
+
+    def _place_remotely(
+        self,
+        leader: str,
+        service: str,
+        job: placement.Job,
+        waiting: _Waiting,
+    ) -> placement.Decision | None:
+        """Ask the placing host; None if it doesn't answer."""
+        unanswered = 0
+        while unanswered < ASKS:
+            waiting.acknowledged.clear()
+            self._send(leader, placing_codec.Ask(service, self._aged(job)))
+            if not waiting.acknowledged.wait(ASK_TIMEOUT_S):
+                unanswered += 1
+                continue
+            unanswered = 0
+            with gevent.Timeout(REASK_S, False):
+                return waiting.decided.get()
+        self.silent_until_s = self.clock.now_s() + SILENT_S
+        self.counts['silent'] += 1
+        LOG.repeated('placing_host_silent', leader, leader=leader)
+        return None
+
+    def _aged(self, job: placement.Job) -> placement.Job:
+        """The job with times relative to now."""
+        now_s = self.clock.now_s()
+        return placement.Job(
+            job.id,
+            job.parts,
+            job.output_tokens,
+            job.objective_s - now_s,
+            job.deadline_s - now_s,
+            job.failure_domain,
+            job.returning,
+            job.resumed,
+            job.avoid,
+        )
+
+    def has_read(self, service: str, job_id: int, endpoint: str) -> None:
+        """An engine has read a job's prompt."""
+        self._report(service, job_id, placing_codec.Event.READ, endpoint)
+
+    def failed(self, service: str, job_id: int, endpoint: str) -> None:
+        """An engine failed a job."""
+        self._report(service, job_id, placing_codec.Event.FAILED, endpoint)
+
+    def ended(self, service: str, job_id: int) -> None:
+        """A job holds no slot any longer."""
+        self._report(service, job_id, placing_codec.Event.ENDED, '')
+        self.placed_by.pop(job_id, None)
+
+    def _report(
+        self,
+        service: str,
+        job_id: int,
+        what: placing_codec.Event,
+        endpoint: str,
+    ) -> None:
+        report = placing_codec.Report(service, job_id, what, endpoint)
+        leader = self.placed_by.get(job_id)
+        if leader is not None and not self.leading:
+            self._send(leader, report)
+            return
+        for pools in (self.served, self.local):
+            if service in pools:
+                self._take_report(self._pool(pools, service), report)
+
+    # The placing host.
+
+    def _pool(self, pools: dict[str, _Pool], service: str) -> _Pool:
+        pool = pools.get(service)
+        if pool is None:
+            traits = self.catalog.configuration.services[service].engine
+            core = placement.Placement(traits, self.rng)
+            pool = pools[service] = _Pool(core)
+        pool.core.sharers = 1 if pools is self.served else self.hosts
+        if pool.generation != self.catalog.generation:
+            pool.generation = self.catalog.generation
+            pool.core.set_engines(self.catalog.usable(service))
+        return pool
+
+    def _receive_all(self) -> None:
+        while True:
+            data, sender = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+            try:
+                message = placing_codec.decode(data)
+            except errors.ProtocolError as error:
+                LOG.repeated('datagram_ignored', sender[0], reason=str(error))
+                continue
+            self._receive(message, sender[0])
+
+    def _receive(self, message: placing_codec.Message, sender: str) -> None:
+        match message:
+            case placing_codec.Ask(service, job):
+                self._take_ask(service, job, sender)
+            case placing_codec.Report(service=service):
+                if self.leading and service in self.served:
+                    pool = self._pool(self.served, service)
+                    self._take_report(pool, message)
+            case placing_codec.Waits(job):
+                waiting = self.waiting.get(job)
+                if waiting is not None:
+                    waiting.acknowledged.set()
+            case placing_codec.Told(decision):
+                waiting = self.waiting.get(decision.job)
+                if waiting is not None:
+                    waiting.acknowledged.set()
+                    waiting.decided.set(decision)
+
+    def _take_ask(self, service: str, job: placement.Job, sender: str) -> None:
+        if not self.leading or not self._knows(service):
+            # No answer: the host that asks will place by itself.
+            return
+        decided = self.decided.get(job.id)
+        if decided is not None:
+            self._send(sender, placing_codec.Told(decided))
+            return
+        pool = self._pool(self.served, service)
+        waits = placing_codec.Waits(job.id)
+        if job.id in pool.core.fresh or job.id in pool.core.late:
+            self._send(sender, waits)
+            return
+        now_s = self.clock.now_s()
+        job.objective_s += now_s
+        job.deadline_s += now_s
+        self.askers[job.id] = sender
+        self._publish(pool, pool.core.submit(job, now_s))
+        if job.id not in self.decided:
+            self._send(sender, waits)
+
+    def _knows(self, service: str) -> bool:
+        configuration = self.catalog.configuration
+        if configuration is None:
+            return False
+        known = configuration.services.get(service)
+        return known is not None and known.engine is not None
+
+    def _take_report(self, pool: _Pool, report: placing_codec.Report) -> None:
+        now_s = self.clock.now_s()
+        core = pool.core
+        match report.event:
+            case placing_codec.Event.READ:
+                decisions = core.has_read(report.job, report.endpoint, now_s)
+            case placing_codec.Event.ENDED:
+                decisions = core.ended(report.job, now_s)
+            case placing_codec.Event.FAILED:
+                decisions = core.failed(report.job, report.endpoint, now_s)
+            case placing_codec.Event.WITHDRAWN:
+                core.withdraw(report.job, now_s)
+                decisions = core.pump(now_s)
+        self._publish(pool, decisions)
+
+    def _publish(
+        self, pool: _Pool, decisions: list[placement.Decision]
+    ) -> None:
+        for decision in decisions:
+            waiting = self.waiting.get(decision.job)
+            if waiting is not None:
+                waiting.decided.set(decision)
+            asker = self.askers.pop(decision.job, None)
+            if asker is None:
+                continue
+            self.decided[decision.job] = decision
+            if len(self.decided) > REMEMBERED:
+                self.decided.popitem(last=False)
+            self._send(asker, placing_codec.Told(decision))
+        self._arm(pool)
+
+    def _arm(self, pool: _Pool) -> None:
+        """Look again when an engine is expected to be free."""
+        if pool.timer is not None:
+            return
+        now_s = self.clock.now_s()
+        wake_s = pool.core.wake_s(now_s)
+        if wake_s is None:
+            return
+        timer = gevent.get_hub().loop.timer(wake_s - now_s)
+        pool.timer = timer
+
+        def fire() -> None:
+            pool.timer = None
+            timer.close()
+            self._publish(pool, pool.core.pump(self.clock.now_s()))
+
+        timer.start(fire)
+
+    def _send(self, address: str, message: placing_codec.Message) -> None:
+        """Send a datagram; never waits, since the event loop sends too."""
+        data = placing_codec.encode(message)
+        try:
+            self.socket._sock.sendto(data, (address, self.port))
+        except OSError as error:
+            LOG.repeated('send_failed', address, error=str(error))
--- /dev/null
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -0,0 +1,188 @@
+"""Datagrams between gateways and the placing host as compact thrift."""
+
+import enum
+from typing import NamedTuple
+
+from thrift.protocol import TCompactProtocol
+from thrift.protocol import TProtocol
+from thrift.Thrift import TException
+from thrift import TSerialization
+
+from magnoliadyke.core import placement
+from magnoliadyke.core import promptcache
+from magnoliadyke import errors
+from magnoliadyke.wire.placement import constants
+from magnoliadyke.wire.placement import ttypes
+
+__all__ = ['Ask', 'Event', 'Report', 'Told', 'Waits', 'decode', 'encode']
+
+MAX_STRING_BYTES = 1024
+MAX_ITEMS = 256
+MICRO = 1_000_000
+#: Longest time that fits the field, in microseconds.
+MAX_US = 2**31 - 1
+
+FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
+    string_length_limit=MAX_STRING_BYTES,
+    container_length_limit=MAX_ITEMS,
+    fallback=True,
+)
+
+
+class Event(enum.IntEnum):
+    """What has become of a job."""
+
+    READ = ttypes.Event.READ
+    ENDED = ttypes.Event.ENDED
+    FAILED = ttypes.Event.FAILED
+    WITHDRAWN = ttypes.Event.WITHDRAWN
+
+
+class Ask(NamedTuple):
+    """Place this job; its times are relative to when this was sent."""
+
+    service: str
+    job: placement.Job
+
+
+class Waits(NamedTuple):
+    """The job is in the queue."""
+
+    job: int
+
+
+class Told(NamedTuple):
+    """What was decided of a job."""
+
+    decision: placement.Decision
+
+
+class Report(NamedTuple):
+    """What has become of a job that was placed."""
+
+    service: str
+    job: int
+    event: Event
+    endpoint: str
+
+
+Message = Ask | Waits | Told | Report
+
+
+def encode(message: Message) -> bytes:
+    """Return the bytes of a message."""
+    datagram = ttypes.Datagram(version=constants.VERSION)
+    match message:
+        case Ask():
+            datagram.ask = _encode_ask(message)
+        case Waits(job):
+            datagram.decision = ttypes.Decision(job=job)
+        case Told(decision):
+            datagram.decision = _encode_decision(decision)
+        case Report(service, job, event, endpoint):
+            datagram.report = ttypes.Report(job, service, event, endpoint)
+    return TSerialization.serialize(datagram, FACTORY)
+
+
+def decode(data: bytes) -> Message:
+    """Read a message.
+
+    :raises errors.ProtocolError: the bytes are none of these messages
+    """
+    datagram = ttypes.Datagram()
+    try:
+        TSerialization.deserialize(datagram, data, FACTORY)
+        if datagram.ask is not None:
+            return _decode_ask(datagram.ask)
+        if datagram.decision is not None:
+            return _decode_decision(datagram.decision)
+        if datagram.report is not None:
+            report = datagram.report
+            return Report(
+                report.pool, report.job, Event(report.event), report.endpoint
+            )
+    except (
+        EOFError,
+        TException,
+        TProtocol.TProtocolException,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise errors.ProtocolError(f'no placement message: {error}') from error
+    raise errors.ProtocolError('an empty placement message')
+
+
+def _encode_ask(ask: Ask) -> ttypes.Ask:
+    job = ask.job
+    return ttypes.Ask(
+        job=job.id,
+        pool=ask.service,
+        parts=[ttypes.PromptPart(part.id, part.tokens) for part in job.parts],
+        output_tokens=job.output_tokens,
+        objective_us=_micro(job.objective_s),
+        deadline_us=_micro(job.deadline_s),
+        returning=job.returning,
+        resumed=job.resumed,
+        failure_domain=job.failure_domain,
+        avoid=list(job.avoid),
+    )
+
+
+def _decode_ask(ask: ttypes.Ask) -> Ask:
+    parts = tuple(
+        promptcache.PromptPart(part.id, part.tokens) for part in ask.parts
+    )
+    job = placement.Job(
+        id=ask.job,
+        parts=parts,
+        output_tokens=ask.output_tokens,
+        objective_s=ask.objective_us / MICRO,
+        deadline_s=ask.deadline_us / MICRO,
+        failure_domain=ask.failure_domain,
+        returning=ask.returning,
+        resumed=ask.resumed,
+        avoid=tuple(ask.avoid),
+    )
+    return Ask(ask.pool, job)
+
+
+def _encode_decision(decision: placement.Decision) -> ttypes.Decision:
+    match decision:
+        case placement.Placed():
+            return ttypes.Decision(
+                job=decision.job,
+                prefill=decision.prefill,
+                run=decision.run,
+                fetch_from=decision.fetch_from,
+                read_tokens=decision.read_tokens,
+                expected_us=_micro(decision.expected_s),
+            )
+        case placement.Refused(job, retry_after_s, reason):
+            return ttypes.Decision(
+                job=job, retry_after_us=_micro(retry_after_s), reason=reason
+            )
+
+
+def _decode_decision(decision: ttypes.Decision) -> Told | Waits:
+    if decision.run is not None:
+        placed = placement.Placed(
+            decision.job,
+            decision.prefill,
+            decision.run,
+            decision.fetch_from,
+            decision.read_tokens or 0,
+            (decision.expected_us or 0) / MICRO,
+        )
+        return Told(placed)
+    if decision.retry_after_us is not None:
+        refused = placement.Refused(
+            decision.job,
+            decision.retry_after_us / MICRO,
+            decision.reason or '',
+        )
+        return Told(refused)
+    return Waits(decision.job)
+
+
+def _micro(seconds: float) -> int:
+    return max(-MAX_US, min(MAX_US, round(seconds * MICRO)))
--- a/magnoliadyke/logs.py
+++ b/magnoliadyke/logs.py
@@ -14,7 +14,7 @@
 
 from magnoliadyke import clock as clocks
 
-__all__ = ['Logger', 'format_fields', 'get', 'setup']
+__all__ = ['Logger', 'format_fields', 'get', 'setup', 'setup_stream']
 
 #: Longest line in bytes; a pipe takes this much in one piece.
 MAX_LINE_BYTES = 4096
@@ -214,10 +214,20 @@
     :returns: the handler; its ``pop_application()`` undoes the set-up
     """
     level = logbook.lookup_level(settings.logging.level.upper())
+    return setup_stream(stream or sys.stderr, clock, host, level)
+
+
+def setup_stream(stream, clock=None, host='', level=logbook.INFO):
+    """Send all events to a stream from now on.
+
+    :param stream: text stream to write to
+    :param clock: a :class:`magnoliadyke.clock.Clock`; the system's if None
+    :param host: name of this host
+    :param level: least level that is written
+    :returns: the handler; its ``pop_application()`` undoes the set-up
+    """
     _GROUP.level = level
-    handler = LineHandler(
-        stream or sys.stderr, clock or clocks.SystemClock(), host, level
-    )
+    handler = LineHandler(stream, clock or clocks.SystemClock(), host, level)
     handler.push_application()
     logging.basicConfig(
         handlers=[LibraryHandler()], level=logging.WARNING, force=True
--- /dev/null
+++ b/magnoliadyke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Runs a gateway on the prepared platform: translation only."""
--- /dev/null
+++ b/magnoliadyke/platform/codec.py
@@ -0,0 +1,273 @@
+"""The platform's headers on requests and answers."""
+
+import json
+import math
+import zlib
+
+from magnoliadyke.core import promptcache
+from magnoliadyke.gateway import codec
+from magnoliadyke.gateway import http
+
+__all__ = ['PlatformCodec']
+
+REQUEST_ID = b'X-Request-Id'
+DEADLINE = b'X-Deadline-Ms'
+TOKEN_COUNTS = b'x-token-counts'
+PROMPT_PARTS = b'x-prompt-prefix'
+LAST_EVENT = b'Last-Event-Id'
+EXPECT_ENDPOINT = b'X-Expect-Instance'
+STAGE = b'X-Stage'
+SOURCE = b'X-Kv-Source'
+FETCH = b'Kv-Fetch'
+PRIORITY = b'X-Request-Priority'
+SIGNATURE = b'X-Server-Seal'
+NOT_RUN = b'x-not-executed'
+
+URGENT = b'1'
+PREFILL = b'prefill'
+
+#: Headers that concern one connection only.
+HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+#: Headers that the system sets: a caller's own would speak for it, could
+#: take another request's memory or change which endpoint runs a request.
+SYSTEM_HEADERS = frozenset(
+    (
+        b'x-deadline-ms',
+        b'x-stage',
+        b'x-kv-source',
+        b'x-kv-hold',
+        b'x-kv-backup',
+        b'x-pin-ms',
+        b'kv-fetch',
+        b'x-expect-instance',
+        b'x-expect-version',
+        b'x-request-priority',
+        b'wait-ms',
+    )
+)
+#: Headers of a request that a caller can't have dropped by naming them in
+#: its Connection header.
+KEPT = frozenset(
+    (
+        b'host',
+        b'x-request-id',
+        b'x-model',
+        b'x-token-counts',
+        b'x-prompt-prefix',
+        b'last-event-id',
+        b'x-length-hint',
+    )
+)
+#: Of these a request has at most one, or none could say which one counts.
+SINGLE = (
+    b'host',
+    b'x-request-id',
+    b'x-deadline-ms',
+    b'x-model',
+    b'x-token-counts',
+    b'x-prompt-prefix',
+    b'last-event-id',
+)
+STATUS_WRONG_ENDPOINT = 421
+#: Statuses that say "not run" when the endpoint confirms it.
+MASK_64 = (1 << 63) - 1
+
+
+class PlatformCodec(codec.Codec):
+    """The header names and values of the platform."""
+
+    def decode(self, head: http.Head) -> codec.Request | codec.Malformed:
+        """Read a caller's head."""
+        known: dict[bytes, bytes] = {}
+        for name, value in head.headers:
+            lowered = name.lower()
+            if lowered in SINGLE:
+                if lowered in known:
+                    return codec.Malformed(f'two headers {lowered.decode()}')
+                known[lowered] = value
+        host = known.get(b'host')
+        request_id = known.get(b'x-request-id')
+        if not host:
+            return codec.Malformed('no host')
+        if not request_id:
+            return codec.Malformed('no request id')
+        if not head.target.startswith(b'/'):
+            return codec.Malformed('the target is no path')
+        try:
+            path = head.target.split(b'?', 1)[0].decode('ascii')
+            name = host.decode('ascii').rsplit(':', 1)[0].lower()
+            wait_s = _wait_s(known.get(b'x-deadline-ms'))
+            prompt = _prompt(known)
+        except ValueError as error:
+            return codec.Malformed(str(error))
+        return codec.Request(
+            id=request_id,
+            method=head.method,
+            target=head.target,
+            host=name,
+            path=path,
+            headers=_passed_on(head.headers),
+            body=b'',
+            wait_s=wait_s,
+            prompt=prompt,
+            resume_after=known.get(b'last-event-id'),
+        )
+
+    def run_headers(
+        self, request: codec.Request, options: codec.RunOptions
+    ) -> http.Headers:
+        """Headers of a request that an endpoint is to run."""
+        headers = self._headers(request, options)
+        if options.source is not None:
+            headers.append((SOURCE, options.source.encode()))
+        if options.resume_after is not None:
+            headers = [h for h in headers if h[0].lower() != b'last-event-id']
+            headers.append((LAST_EVENT, options.resume_after))
+        return headers
+
+    def prefill_headers(
+        self, request: codec.Request, options: codec.RunOptions
+    ) -> http.Headers:
+        """Headers of a request of which only the prompt is to be read."""
+        headers = self._headers(request, options)
+        headers.append((STAGE, PREFILL))
+        return headers
+
+    def _headers(
+        self, request: codec.Request, options: codec.RunOptions
+    ) -> http.Headers:
+        left_ms = max(1, math.floor(options.left_s * 1000))
+        headers = [
+            *request.headers,
+            (DEADLINE, b'%d' % left_ms),
+            (EXPECT_ENDPOINT, options.endpoint.encode()),
+        ]
+        if options.urgent:
+            headers.append((PRIORITY, URGENT))
+        if options.fetch_from is not None:
+            headers.append((FETCH, options.fetch_from.encode()))
+        return headers
+
+    def facts(self, head: http.Head) -> codec.AnswerFacts:
+        """Read an endpoint's head."""
+        request_id = None
+        not_run = sealed = encoded = False
+        idle_limit_s = None
+        for name, value in head.headers:
+            match name.lower():
+                case b'x-request-id':
+                    request_id = value
+                case b'x-not-executed':
+                    not_run = True
+                case b'x-server-seal':
+                    sealed = True
+                case b'content-encoding':
+                    encoded = value.lower() != b'identity'
+                case b'keep-alive':
+                    idle_limit_s = _idle_limit_s(value)
+        wrong = head.status == STATUS_WRONG_ENDPOINT
+        return codec.AnswerFacts(
+            head.status,
+            request_id,
+            not_run or wrong,
+            wrong,
+            sealed,
+            encoded,
+            idle_limit_s,
+        )
+
+    def answer_headers(self, head: http.Head) -> http.Headers:
+        """Headers of an endpoint's answer that the caller gets."""
+        named = _named_by_connection(head.headers) - {b'x-server-seal'}
+        return [
+            (name, value)
+            for name, value in head.headers
+            if name.lower() not in HOP_BY_HOP and name.lower() not in named
+        ]
+
+    def prefilled(self, body: bytes) -> codec.Prefilled | None:
+        """Read the answer to a prompt that was read."""
+        try:
+            fields = json.loads(body)
+            return codec.Prefilled(fields['kv_handle'], fields['tokens'])
+        except (ValueError, KeyError, TypeError):
+            # The caller treats it as a prompt that was not read and logs.
+            return None
+
+    def drop_target(self, handle: str) -> tuple[bytes, bytes]:
+        """Method and target of the call that frees a read prompt."""
+        return b'DELETE', f'/api/kv-handle/{handle}'.encode()
+
+
+def _wait_s(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    if not value.isdigit():
+        raise ValueError('the deadline is no number of milliseconds')
+    return int(value) / 1000
+
+
+def _prompt(known: dict[bytes, bytes]) -> codec.Prompt | None:
+    value = known.get(PROMPT_PARTS)
+    if not value:
+        return None
+    parts = []
+    for entry in value.split(b','):
+        name, _, tokens = entry.strip().partition(b':')
+        parts.append(promptcache.PromptPart(_part_id(name), int(tokens)))
+    output_tokens = 0
+    counts = known.get(TOKEN_COUNTS)
+    if counts:
+        output_tokens = int(counts.split(b',')[-1])
+    return codec.Prompt(tuple(parts), output_tokens)
+
+
+def _part_id(name: bytes) -> int:
+    """Part ids are hexadecimal; any other text is hashed."""
+    try:
+        return int(name, 16) & MASK_64
+    except ValueError:
+        return zlib.crc32(name)
+
+
+def _passed_on(headers: http.Headers) -> http.Headers:
+    named = _named_by_connection(headers) - KEPT
+    return [
+        (name, value)
+        for name, value in headers
+        if not _is_stripped(name.lower(), named)
+    ]
+
+
+def _is_stripped(lowered: bytes, named: frozenset[bytes]) -> bool:
+    return (
+        lowered in HOP_BY_HOP or lowered in SYSTEM_HEADERS or lowered in named
+    )
+
+
+def _named_by_connection(headers: http.Headers) -> frozenset[bytes]:
+    named = set()
+    for name, value in headers:
+        if name.lower() == b'connection':
+            named.update(v.strip().lower() for v in value.split(b','))
+    return frozenset(named)
+
+
+def _idle_limit_s(value: bytes) -> float | None:
+    for entry in value.split(b','):
+        key, _, seconds = entry.strip().partition(b'=')
+        if key.strip().lower() == b'timeout' and seconds.strip().isdigit():
+            return float(seconds)
+    return None
--- /dev/null
+++ b/magnoliadyke/platform/node.py
@@ -0,0 +1,280 @@
+"""Joins the parts of a node on the platform."""
+
+import collections
+import random
+import signal
+import time
+
+import gevent
+from gevent import event
+
+from magnoliadyke import app
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import balance
+from magnoliadyke.core import catalog
+from magnoliadyke.core import retrybudget
+from magnoliadyke.core import routes
+from magnoliadyke.gateway import exchange
+from magnoliadyke.gateway import follower
+from magnoliadyke.gateway import ingress
+from magnoliadyke.gateway import leadership
+from magnoliadyke.gateway import members
+from magnoliadyke.gateway import outcomes
+from magnoliadyke.gateway import placing
+from magnoliadyke.gateway import smallserver
+from magnoliadyke.gateway import store
+from magnoliadyke.gateway import upstream
+from magnoliadyke import logs
+from magnoliadyke.platform import codec
+from magnoliadyke.platform import directory
+from magnoliadyke.platform import records
+from magnoliadyke.platform import settings as node_settings
+from magnoliadyke.platform import store as platform_store
+
+__all__ = ['Node']
+
+LOG = logs.get('node')
+
+UPKEEP_S = 0.5
+#: How long callers keep an answer of the directory, in seconds: a host that
+#: stops is not asked for longer than this after it said so.
+DIRECTORY_TTL_S = 2.0
+#: Idle connections of callers are closed this long before the platform ends
+#: the process, in seconds.
+CLOSE_BEFORE_S = 2.0
+#: Time kept for the last steps of a stop, in seconds.
+EXIT_BEFORE_S = 0.7
+
+
+class RecordDecoder(follower.Decoder):
+    """The platform's keys and values."""
+
+    configuration_key = records.CONFIGURATION_KEY
+    endpoint_prefix = records.ENDPOINT_PREFIX
+
+    def configuration(self, value: bytes) -> routes.Configuration:
+        """Decode a configuration."""
+        return records.decode_configuration(value)
+
+    def endpoint(self, key: str, value: bytes) -> catalog.Endpoint:
+        """Decode an endpoint's entry."""
+        return records.decode_endpoint(key, value)
+
+
+class HostListener(follower.Listener):
+    """Takes the keys of hosts to the members."""
+
+    def __init__(self, joined: members.Members) -> None:
+        self.members = joined
+
+    def changed(self, item: store.Item) -> None:
+        """A host's key was written."""
+        self.members.listed_host(item.value)
+
+    def removed(self, key: str) -> None:
+        """A host's key is gone."""
+        self.members.unlisted_host(key.removeprefix(members.HOST_PREFIX))
+
+
+class Budgets(dict):
+    """Retry budgets by service, made when first asked for."""
+
+    def __init__(self, settings: node_settings.NodeSettings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.hosts = 1
+
+    def __missing__(self, service: str) -> retrybudget.RetryBudget:
+        budget = self[service] = retrybudget.RetryBudget(
+            self.settings.retry_ratio,
+            self.settings.retry_extra,
+            self.settings.retry_window_s,
+        )
+        budget.hosts = self.hosts
+        return budget
+
+    def set_hosts(self, hosts: int) -> None:
+        """Split the allowance among the live hosts."""
+        self.hosts = hosts
+        for budget in self.values():
+            budget.hosts = hosts
+
+
+class Node:
+    """One host on the platform.
+
+    :param settings: of this host
+    """
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.stopping = event.Event()
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.catalog = catalog.Catalog()
+        self.store = platform_store.PlatformStore(settings.store, clock)
+        self.upstream = upstream.Upstream(clock)
+        self.balancer = balance.Balancer(settings.failure_domain, rng)
+        self.budgets = Budgets(settings)
+        self.own = self._own_record()
+        first_port = settings.peer_ports[0]
+        self.members = members.Members(self.own, self.store, clock, rng)
+        self.placer = placing.Placer(
+            settings.ip, first_port + 1, self.catalog, clock, rng
+        )
+        self.leadership = leadership.Leadership(
+            self.own,
+            self.members,
+            self.placer,
+            self.store,
+            settings.min_lease_s,
+            clock,
+            rng,
+        )
+        self.follower = follower.Follower(
+            self.store,
+            RecordDecoder(),
+            self.catalog,
+            {
+                members.HOST_PREFIX: HostListener(self.members),
+                leadership.LEADER_KEY: self.leadership,
+            },
+            self.upstream.drop_endpoint,
+            clock,
+            rng,
+        )
+        parts = exchange.Parts(
+            clock,
+            codec.PlatformCodec(),
+            self.catalog,
+            self.upstream,
+            self.balancer,
+            self.budgets,
+            self.placer,
+            rng,
+        )
+        self.ingress = ingress.Ingress(
+            settings.callers, parts, self._record, clock, rng
+        )
+        ttl_s = min(DIRECTORY_TTL_S, settings.directory_ttl_s)
+        answers = directory.Directory(
+            self.members.addresses, self._is_ready, ttl_s
+        )
+        self.application = app.Application(clock)
+        for component in (
+            self.placer,
+            self.members,
+            self.follower,
+            self.leadership,
+            smallserver.SmallServer(settings.readiness, answers.readiness),
+            smallserver.SmallServer(settings.directory, answers.resolve),
+            self.ingress,
+        ):
+            self.application.add(component)
+
+    def _own_record(self) -> members.HostRecord:
+        settings = self.settings
+        return members.HostRecord(
+            host=settings.name,
+            incarnation=int(self.clock.wall_s() * 1000),
+            address=settings.ip,
+            callers=settings.callers,
+            gossip_port=settings.peer_ports[0],
+            failure_domain=settings.failure_domain,
+            capacity=settings.cores,
+        )
+
+    def _is_ready(self) -> bool:
+        return (
+            not self.stopping.is_set()
+            and self.catalog.configuration is not None
+            and bool(self.catalog.endpoints)
+        )
+
+    def _record(
+        self, outcome: outcomes.Outcome, route: routes.Route, took_s: float
+    ) -> None:
+        self.outcomes[type(outcome).__name__.lower()] += 1
+
+    def run(self) -> None:
+        """Serve until a signal says to stop."""
+        gevent.signal_handler(signal.SIGTERM, self.stopping.set)
+        gevent.signal_handler(signal.SIGINT, self.stopping.set)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        self.application.start()
+        LOG.event(
+            'started',
+            host_name=self.settings.name,
+            callers=self.settings.callers,
+            process_ms=round(time.process_time() * 1000),
+        )
+        upkeep = gevent.spawn(self._keep_up)
+        self.stopping.wait()
+        upkeep.kill()
+        self._drain()
+        self.application.stop(EXIT_BEFORE_S)
+        self.store.close()
+        LOG.event('stopped')
+
+    def _reload(self) -> None:
+        """Settings of a running node don't change its addresses."""
+        try:
+            self.settings = node_settings.load()
+        except node_settings.errors.SettingsError as error:
+            LOG.error_event('settings_refused', error)
+            return
+        LOG.event('settings_reloaded')
+
+    def _keep_up(self) -> None:
+        ticks = 0
+        while True:
+            self.clock.sleep(UPKEEP_S)
+            ticks += 1
+            hosts = self.members.count()
+            self.upstream.hosts = hosts
+            self.budgets.set_hosts(hosts)
+            self.placer.hosts = hosts
+            self.upstream.trim()
+            self.balancer.forget(set(self.catalog.endpoints))
+            if ticks % 10 == 0:
+                self._log_figures(hosts)
+
+    def _log_figures(self, hosts: int) -> None:
+        LOG.event(
+            'figures',
+            hosts=hosts,
+            open=self.ingress.open_requests,
+            processor_s=round(time.process_time(), 3),
+            opened=self.upstream.opened,
+            **self.outcomes,
+            **{f'placed_{k}': v for k, v in self.placer.counts.items()},
+            **{f'store_{k}': v for k, v in self.store.calls.items()},
+        )
+
+    def _drain(self) -> None:
+        """Leave without cutting a request.
+
+        Callers hear within the time to live of the directory's answers that
+        this host is gone; until then it serves, one request a connection.
+        """
+        begun_s = self.clock.now_s()
+        LOG.event('stopping', open=self.ingress.open_requests)
+        self.ingress.drain()
+        self.members.leave()
+        self.leadership.resign()
+        grace_s = self.settings.stop_s
+        self._wait_until(begun_s + grace_s - CLOSE_BEFORE_S, False)
+        self.ingress.close_idle()
+        self._wait_until(begun_s + grace_s - EXIT_BEFORE_S, True)
+
+    def _wait_until(self, until_s: float, may_end: bool) -> None:
+        while self.clock.now_s() < until_s:
+            if may_end and not self.ingress.open_requests:
+                return
+            self.clock.sleep(0.05)
--- /dev/null
+++ b/magnoliadyke/platform/store.py
@@ -0,0 +1,264 @@
+"""The platform's metadata store, as typed outcomes."""
+
+import base64
+import collections
+import json
+from typing import Any
+from typing import NamedTuple
+from urllib import parse
+
+import gevent
+
+from magnoliadyke import clock as clocks
+from magnoliadyke.gateway import connection
+from magnoliadyke.gateway import http
+from magnoliadyke.gateway import store
+
+__all__ = ['PlatformStore']
+
+CALL_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 1.0
+#: A watch that is silent for this long past its own time waits on a
+#: connection that something between the two ends has lost track of.
+WATCH_GRACE_S = 0.7
+#: A connection that has idled for longer is replaced: a new one costs a
+#: round trip, one that was silently dropped a whole timeout.
+MAX_IDLE_S = 4.0
+JSON_HEADERS = [(b'Content-Type', b'application/json')]
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_GONE = 410
+STATUS_CONFLICT = 412
+STATUS_RATE_LIMITED = 429
+STATUS_UNAVAILABLE = 503
+
+
+class _Reply(NamedTuple):
+    status: int
+    fields: dict[str, Any]
+
+
+class PlatformStore(store.Store):
+    """Calls to the store; none is ever repeated by itself.
+
+    :param address: numeric ``ip:port``
+    """
+
+    def __init__(self, address: str, clock: clocks.Clock) -> None:
+        self.address = address
+        self.clock = clock
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.idle: connection.Connection | None = None
+        self.watching: connection.Connection | None = None
+
+    def list_prefix(self, prefix: str) -> store.Items | store.Unavailable:
+        """Read all keys under a prefix, page by page."""
+        items: list[store.Item] = []
+        after = ''
+        revision = None
+        while True:
+            path = f'/api/kv-range?path_prefix={_quoted(prefix)}'
+            if after:
+                path += f'&after={_quoted(after)}'
+            reply = self._call('list', b'GET', path)
+            if isinstance(reply, store.Unavailable):
+                return reply
+            if reply.status != STATUS_OK:
+                return _unavailable(reply)
+            items += [_item(each) for each in reply.fields['items']]
+            if revision is None:
+                # Pages are no snapshot: what changes between the first and
+                # the last one is seen by the watch that starts here.
+                revision = reply.fields['store_revision']
+            if not reply.fields['more_pages']:
+                return store.Items(tuple(items), revision)
+            after = items[-1].key
+
+    def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> store.Changes | store.Compacted | store.Unavailable:
+        """Wait for changes under a prefix, on a connection of its own."""
+        path = (
+            f'/api/kv-watch?path_prefix={_quoted(prefix)}'
+            f'&after={after}&wait_ms={round(wait_s * 1000)}'
+        )
+        held, self.watching = self.watching, None
+        if held is not None and not held.is_quiet():
+            held.close()
+            held = None
+        reply, held = self._exchange(
+            'watch', held, b'GET', path, b'', wait_s + WATCH_GRACE_S
+        )
+        self.watching = held
+        if isinstance(reply, store.Unavailable):
+            return reply
+        if reply.status == STATUS_GONE:
+            return store.Compacted()
+        if reply.status != STATUS_OK:
+            return _unavailable(reply)
+        changes = tuple(_change(each) for each in reply.fields['events'])
+        return store.Changes(changes, reply.fields['store_revision'])
+
+    def commit(
+        self,
+        expected: dict[str, int],
+        puts: tuple[store.Put, ...] = (),
+        removals: tuple[str, ...] = (),
+    ) -> store.Written | store.Conflict | store.NoLease | store.Unavailable:
+        """Write all or nothing, if the keys have the expected revisions."""
+        body = {
+            'precondition': [
+                {'key': key, 'revision': revision}
+                for key, revision in expected.items()
+            ],
+            'set_keys': [_put(each) for each in puts],
+            'remove': list(removals),
+        }
+        reply = self._call('commit', b'POST', '/api/kv-txn', body)
+        if isinstance(reply, store.Unavailable):
+            return reply
+        match reply.status:
+            case status if status == STATUS_OK:
+                return store.Written(reply.fields['revision'])
+            case status if status == STATUS_CONFLICT:
+                items = reply.fields.get('items', ())
+                return store.Conflict(tuple(_item(each) for each in items))
+            case status if status == STATUS_NOT_FOUND:
+                return store.NoLease()
+        return _unavailable(reply)
+
+    def grant(self, ttl_s: float) -> store.Granted | store.Unavailable:
+        """Ask for a lease."""
+        body = {'ttl_ms': round(ttl_s * 1000)}
+        reply = self._call('grant', b'POST', '/api/kv-lease', body)
+        if isinstance(reply, store.Unavailable):
+            return reply
+        if reply.status != STATUS_OK:
+            return _unavailable(reply)
+        fields = reply.fields
+        return store.Granted(fields['lease'], fields['ttl_ms'] / 1000)
+
+    def renew(
+        self, lease: int
+    ) -> store.Granted | store.NoLease | store.Unavailable:
+        """Renew a lease."""
+        reply = self._call('renew', b'POST', f'/api/kv-keep/{lease}', {})
+        if isinstance(reply, store.Unavailable):
+            return reply
+        if reply.status == STATUS_NOT_FOUND:
+            return store.NoLease()
+        if reply.status != STATUS_OK:
+            return _unavailable(reply)
+        return store.Granted(lease, reply.fields['ttl_ms'] / 1000)
+
+    def revoke(self, lease: int) -> None:
+        """End a lease; its keys are removed."""
+        self._call('revoke', b'DELETE', f'/api/kv-lease-end/{lease}')
+
+    def close(self) -> None:
+        """Drop all connections."""
+        for held in (self.idle, self.watching):
+            if held is not None:
+                held.close()
+        self.idle = None
+        self.watching = None
+
+    def _call(
+        self,
+        kind: str,
+        method: bytes,
+        path: str,
+        body: dict[str, Any] | None = None,
+    ) -> _Reply | store.Unavailable:
+        held, self.idle = self.idle, None
+        if held is not None and not self._usable(held):
+            held.close()
+            held = None
+        data = b'' if body is None else json.dumps(body).encode()
+        reply, held = self._exchange(
+            kind, held, method, path, data, CALL_TIMEOUT_S
+        )
+        if held is not None:
+            if self.idle is not None:
+                self.idle.close()
+            self.idle = held
+        return reply
+
+    def _usable(self, held: connection.Connection) -> bool:
+        idle_s = self.clock.now_s() - held.used_s
+        return idle_s < MAX_IDLE_S and held.is_quiet()
+
+    def _exchange(
+        self,
+        kind: str,
+        held: connection.Connection | None,
+        method: bytes,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> tuple[_Reply | store.Unavailable, connection.Connection | None]:
+        self.calls[kind] += 1
+        sent = False
+        try:
+            with gevent.Timeout(
+                timeout_s, http.OutOfTime('no answer in time')
+            ):
+                if held is None:
+                    held = connection.Connection(
+                        self.address, CONNECT_TIMEOUT_S
+                    )
+                sent = True
+                headers = [(b'Host', self.address.encode()), *JSON_HEADERS]
+                answer = held.call(method, path.encode(), headers, body)
+            fields = json.loads(answer.body) if answer.body else {}
+        except (
+            OSError,
+            http.BrokenMessage,
+            http.OutOfTime,
+            http.PeerClosed,
+        ) as error:
+            if held is not None:
+                held.close()
+            return store.Unavailable(str(error), maybe_applied=sent), None
+        except ValueError as error:
+            held.close()
+            return store.Unavailable(f'not JSON: {error}', sent), None
+        if not held.reusable:
+            held.close()
+            held = None
+        else:
+            held.used_s = self.clock.now_s()
+        return _Reply(answer.head.status, fields), held
+
+
+def _unavailable(reply: _Reply) -> store.Unavailable:
+    # A 503 says that nothing was done, a 429 that the rate was exceeded;
+    # of any other status nothing is known.
+    done_nothing = reply.status in (STATUS_RATE_LIMITED, STATUS_UNAVAILABLE)
+    return store.Unavailable(
+        f'status {reply.status}', maybe_applied=not done_nothing
+    )
+
+
+def _quoted(text: str) -> str:
+    return parse.quote(text, safe='')
+
+
+def _item(fields: dict[str, Any]) -> store.Item:
+    value = base64.b64decode(fields.get('value') or '')
+    return store.Item(fields['key'], value, fields['revision'])
+
+
+def _change(fields: dict[str, Any]) -> store.Item | store.Removed:
+    if fields.get('tombstone'):
+        return store.Removed(fields['key'], fields['revision'])
+    return _item(fields)
+
+
+def _put(put: store.Put) -> dict[str, Any]:
+    return {
+        'key': put.key,
+        'value': base64.b64encode(put.value).decode(),
+        'lease': put.lease,
+    }
--- /dev/null
+++ b/thrift/placement.thrift
@@ -0,0 +1,61 @@
+// Messages between a gateway and the host that places its prompts.
+//
+// Rules for changes, so that two versions can run side by side during a
+// rollout: field numbers are never reused, new fields are optional.  A
+// reader ignores what it does not know.  Times are relative, since the
+// clocks of two hosts have nothing in common.
+
+namespace py magnoliadyke.wire.placement
+
+const i16 VERSION = 1
+
+struct PromptPart {
+  1: i64 id,
+  2: i32 tokens,
+}
+
+struct Ask {
+  1: i64 job,
+  2: string pool,
+  3: list<PromptPart> parts,
+  4: i32 output_tokens,
+  5: i32 objective_us,
+  6: i32 deadline_us,
+  7: bool returning,
+  8: bool resumed,
+  9: string failure_domain,
+  10: list<string> avoid,
+}
+
+// One of run (placed), retry_after_us (refused) or neither (it waits).
+struct Decision {
+  1: i64 job,
+  2: optional string prefill,
+  3: optional string run,
+  4: optional string fetch_from,
+  5: optional i32 read_tokens,
+  6: optional i32 retry_after_us,
+  7: optional string reason,
+  8: optional i32 expected_us,
+}
+
+enum Event {
+  READ = 1,
+  ENDED = 2,
+  FAILED = 3,
+  WITHDRAWN = 4,
+}
+
+struct Report {
+  1: i64 job,
+  2: string pool,
+  3: Event event,
+  4: optional string endpoint,
+}
+
+struct Datagram {
+  1: i16 version,
+  2: optional Ask ask,
+  3: optional Decision decision,
+  4: optional Report report,
+}
