--- a/tools/binary_check.py
+++ b/tools/binary_check.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -137,10 +138,12 @@
     """
     proc = pathlib.Path(f'/proc/{process.pid}')
     files = open_files(process.pid)
+    # Memory that another process could write to: any writable mapping that
+    # is shared, whatever file or name stands behind it.
     shared = [
         line.split()[-1]
         for line in (proc / 'maps').read_text().splitlines()
-        if '/dev/shm' in line or 'memfd:' in line
+        if re.fullmatch(r'.w.s', line.split()[1])
     ]
     program = os.readlink(proc / 'exe')
     status = (proc / 'status').read_text().splitlines()
