--- a/magnoliadyke/gateway/smallserver.py
+++ b/magnoliadyke/gateway/smallserver.py
@@ -57,11 +57,9 @@
         caller = callers.Caller(sock)
         reader = http.RequestReader(sock)
         try:
-            with gevent.Timeout(IDLE_S, http.OutOfTime('idle')) as limit:
-                while not caller.closing:
+            while not caller.closing:
+                with gevent.Timeout(IDLE_S, http.OutOfTime('idle')):
                     self._serve_one(caller, reader)
-                    limit.close()
-                    limit.start()
         except http.BrokenMessage as error:
             LOG.repeated('call_unreadable', address[0], reason=str(error))
         except (callers.CallerLeft, http.OutOfTime, http.PeerClosed):
