Take the answer to a read prompt without a signature

Engines sign only the answers that callers get. The answer to a prompt that was only read was refused as not the endpoint's own, so each prefill engine rested and all prompts were read by engines that decode.

Ruled out: the choice between the stages (45 prompts were read apart, each of them ended as prefill_failed with that cause).

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -279,8 +279,13 @@
         self.runs += 1
         result = self._converse(used, headers, try_s)
         self.parts.upstream.give(endpoint, used)
-        if isinstance(result, outcomes.NotRun):
-            self.runs -= 1
+        match result:
+            case outcomes.NotRun():
+                self.runs -= 1
+            case outcomes.Whole(facts=facts):
+                # Only an answer with the endpoint's signature is a success.
+                if facts.status < 300 and not facts.sealed:
+                    return outcomes.Lost('the answer is not signed', False)
         return result
 
     def _converse(
@@ -325,7 +330,7 @@
         if facts.request_id != self.request.id:
             used.close()
             return outcomes.Lost('answer to another request', False)
-        if facts.encoded or (facts.status < 300 and not facts.sealed):
+        if facts.encoded:
             used.close()
             return outcomes.Lost("not the endpoint's own answer", False)
         return outcomes.Whole(head, facts, body)
