Change stages by measured load and keep long answers apart

Cause: five engines, two of which read; the three that answer read prompts between the steps of the chats, whose pauses then exceeded the objective (49 of 102 late). Requests too late for their objective waited behind fresh ones without end (94 refused after 1.9 s). Ruled out: chats slow at the engines (first event in 35 ms at the median).

--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -69,7 +69,8 @@
 
     :ivar slowness: measured over expected reading time
     :ivar readings: prompts given and not yet reported as read
-    :ivar runs: requests that hold a slot, with when they are given up
+    :ivar runs: requests that hold a slot
+    :ivar long_runs: how many of them are answers that take long
     """
 
     def __init__(
@@ -83,7 +84,8 @@
         self.cost = cost
         self.slowness = 1.0
         self.readings: dict[int, Reading] = {}
-        self.runs: dict[int, float] = {}
+        self.runs: set[int] = set()
+        self.long_runs = 0
         self.last_read_s = 0.0
         self.transfer_until_s = 0.0
         self.rest_until_s = 0.0
@@ -139,9 +141,6 @@
         ]
         for job in lost:
             del self.readings[job]
-        for job, until_s in list(self.runs.items()):
-            if now_s > until_s:
-                del self.runs[job]
         return lost
 
     def _lost_s(self, reading: Reading) -> float:
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -18,8 +18,10 @@
 
 from magnoliadyke.core import catalog
 from magnoliadyke.core import enginemodel
+from magnoliadyke.core import limits
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import routes
+from magnoliadyke.core import stageplan
 
 __all__ = [
     'Job',
@@ -46,6 +48,9 @@
         takes less than this share of the time to read it again
     :param late_turn: one of so many places goes to a request that is late
         already; without it a long burst would leave them all unserved
+    :param long_run_s: answers that take longer than this are kept away from
+        engines that read prompts beside them: each step of the answer would
+        wait for a piece of a prompt, and its pauses grow several times over
     """
 
     ahead_s: float = 0.008
@@ -55,6 +60,7 @@
     hold_share: float = 0.35
     fetch_gain: float = 0.6
     late_turn: int = 6
+    long_run_s: float = 0.3
 
 
 #: What a transfer takes before its first byte, in seconds; measured by the
@@ -70,6 +76,12 @@
 MAX_REST_S = 4.0
 #: Slots counted as taken no longer than this without word of the end.
 RUN_LOST_S = 20.0
+#: Seconds for each token of an answer before any was measured.
+PRIOR_OUTPUT_S = 0.02
+#: Weight of a new answer in that figure.
+OUTPUT_WEIGHT = 0.1
+#: Time constant of measured demand, in seconds: half a swing of the load.
+DEMAND_S = 1.5
 #: Shortest time to tell a refused caller to stay away, in seconds.
 MIN_RETRY_S = 0.1
 #: Largest part of its remaining time that a caller can be asked to wait.
@@ -132,6 +144,21 @@
 Decision = Placed | Refused
 
 
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """An answer under way.
+
+    :ivar lost_s: when it is given up for lost
+    :ivar long: it takes long enough to be disturbed by prompts
+    """
+
+    engine: str
+    begun_s: float
+    lost_s: float
+    output_tokens: int
+    long: bool
+
+
 @dataclasses.dataclass(slots=True)
 class _Option:
     """One way to serve a job."""
@@ -174,6 +201,10 @@
             collections.OrderedDict()
         )
         self.turns = 0
+        self.runs: dict[int, _Run] = {}
+        self.output_s = PRIOR_OUTPUT_S
+        self.asked = limits.Rate(DEMAND_S, 0.0)
+        self.asked_fresh = limits.Rate(DEMAND_S, 0.0)
 
     # The engines.
 
@@ -193,8 +224,31 @@
                 if model.endpoint.stage is not endpoint.stage:
                     model.slowness = 1.0
                     model.cost = self.costs[endpoint.stage]
+                    model.rest_until_s = 0.0
                 model.endpoint = endpoint
 
+    def change_stage(
+        self, engine_id: str, stage: catalog.Stage, until_s: float
+    ) -> None:
+        """An engine was ordered to change; it takes no work until it has."""
+        engine = self.engines.get(engine_id)
+        if engine is not None and engine.endpoint.stage is not stage:
+            engine.rest_until_s = until_s
+
+    def busyness(self, engine_id: str, now_s: float) -> tuple[float, float]:
+        """How much would wait for an engine that changes its stage."""
+        engine = self.engines.get(engine_id)
+        if engine is None:
+            return (0.0, 0.0)
+        return (len(engine.runs), engine.free_s(now_s) - now_s)
+
+    def load(self, now_s: float) -> stageplan.Load:
+        """What is asked of the engines now, refused work included."""
+        answering = sum(1 for run in self.runs.values() if run.long)
+        return stageplan.Load(
+            self.asked.now(now_s), answering, self.traits.slots
+        )
+
     def _new_engine(
         self, endpoint: catalog.Endpoint
     ) -> enginemodel.EngineModel:
@@ -219,12 +273,13 @@
         """Take a job: it is placed, refused, or waits."""
         if job.resumed or job.tokens <= self.settings.short_tokens:
             return [self._place_short(job, now_s)]
-        wait_s = self._wait_s(self.fresh, now_s)
         need_s = self._typical_s(job)
-        if now_s + wait_s + need_s <= self._due_s(job):
+        self.asked.add(need_s, now_s)
+        if now_s + self._wait_s(now_s) + need_s <= self._due_s(job):
+            self.asked_fresh.add(need_s, now_s)
             self.fresh[job.id] = job
             return self.pump(now_s)
-        wait_s += self._wait_s(self.late, now_s)
+        wait_s = self._late_wait_s(now_s)
         left_s = job.deadline_s - now_s
         if wait_s + need_s > left_s * self.settings.hold_share:
             return [self._refuse(job, now_s, wait_s, 'no room in time')]
@@ -237,7 +292,7 @@
         self.late.pop(job_id, None)
         for engine in self.engines.values():
             engine.forget(job_id, now_s)
-            engine.runs.pop(job_id, None)
+        self._end_run(job_id)
 
     def has_read(
         self, job_id: int, engine_id: str, now_s: float
@@ -252,10 +307,39 @@
     def ended(self, job_id: int, now_s: float) -> list[Decision]:
         """A job's answer is complete, or was broken off."""
         for engine in self.engines.values():
-            engine.runs.pop(job_id, None)
             engine.forget(job_id, now_s)
+        run = self._end_run(job_id)
+        if run is not None and run.output_tokens > 0:
+            took_s = (now_s - run.begun_s) / run.output_tokens
+            self.output_s += OUTPUT_WEIGHT * (took_s - self.output_s)
         return self.pump(now_s)
 
+    def _begin_run(
+        self, job: Job, engine: enginemodel.EngineModel, now_s: float
+    ) -> None:
+        engine.runs.add(job.id)
+        expected_s = job.output_tokens * self.output_s
+        self.runs[job.id] = _Run(
+            engine.endpoint.id,
+            now_s,
+            now_s + RUN_LOST_S,
+            job.output_tokens,
+            expected_s > self.settings.long_run_s,
+        )
+        if self.runs[job.id].long:
+            engine.long_runs += 1
+
+    def _end_run(self, job_id: int) -> _Run | None:
+        run = self.runs.pop(job_id, None)
+        if run is None:
+            return None
+        engine = self.engines.get(run.engine)
+        if engine is not None and job_id in engine.runs:
+            engine.runs.discard(job_id)
+            if run.long:
+                engine.long_runs -= 1
+        return run
+
     def failed(
         self, job_id: int, engine_id: str, now_s: float
     ) -> list[Decision]:
@@ -263,7 +347,7 @@
         engine = self.engines.get(engine_id)
         if engine is not None:
             engine.forget(job_id, now_s)
-            engine.runs.pop(job_id, None)
+            self._end_run(job_id)
             engine.failures += 1
             rest_s = REST_S * 2 ** min(engine.failures - 1, 3)
             engine.rest_until_s = now_s + min(rest_s, MAX_REST_S)
@@ -276,6 +360,7 @@
         decisions: list[Decision] = []
         for engine in self.engines.values():
             engine.expire(now_s)
+        self._expire_runs(now_s)
         self._sort_out(now_s, decisions)
         while self.fresh or self.late:
             queue = self._next_queue()
@@ -288,6 +373,13 @@
             decisions.append(self._take(job, option, now_s))
         return decisions
 
+    def _expire_runs(self, now_s: float) -> None:
+        """Give up runs of which no end was reported, the oldest first."""
+        for job_id, run in list(self.runs.items()):
+            if run.lost_s > now_s:
+                break
+            self._end_run(job_id)
+
     def wake_s(self, now_s: float) -> float | None:
         """When :meth:`pump` has something to do without further word."""
         if not self.fresh and not self.late:
@@ -333,34 +425,56 @@
                 best_s = expected_s
         return best_s if best_s is not None else 0.0
 
-    def _wait_s(
-        self, queue: collections.OrderedDict[int, Job], now_s: float
-    ) -> float:
-        """Time until the engines have read a queue and what they have."""
-        readers = [e for e in self.engines.values() if e.rest_until_s <= now_s]
-        if not readers:
+    def _wait_s(self, now_s: float) -> float:
+        """Time until the engines have read what they have and the queue of
+        those that can still be in time."""
+        speed, given_s = self._capacity(now_s)
+        if not speed:
             return 1.0
-        speed = sum(1 / self._relative(engine) for engine in readers)
-        given_s = sum(
-            (e.free_s(now_s) - now_s) / self._relative(e) for e in readers
-        )
-        tokens = sum(job.tokens for job in queue.values())
-        queued_s = self._queue_s(queue, tokens)
-        return (given_s + queued_s) / speed * self.sharers
+        return (given_s + self._queue_s(self.fresh)) / speed * self.sharers
+
+    def _late_wait_s(self, now_s: float) -> float:
+        """Time until one who is late already gets a place.
+
+        Those who can be in time go first, so the late have what these leave
+        over, and one turn in several at least.
+        """
+        speed, given_s = self._capacity(now_s)
+        if not speed:
+            return 1.0
+        taken = self.asked_fresh.now(now_s) * self.sharers / speed
+        share = max(1 / self.settings.late_turn, 1 - taken)
+        ahead_s = (given_s + self._queue_s(self.fresh)) / speed
+        late_s = self._queue_s(self.late) / (speed * share)
+        return (ahead_s + late_s) * self.sharers
+
+    def _capacity(self, now_s: float) -> tuple[float, float]:
+        """Reading speed of all, in engines, and what they have to read."""
+        speed = 0.0
+        given_s = 0.0
+        for engine in self.engines.values():
+            if engine.rest_until_s > now_s or self._answers_only(engine):
+                continue
+            share = 1 / self._relative(engine)
+            speed += share
+            given_s += (engine.free_s(now_s) - now_s) * share
+        return speed, given_s
+
+    def _answers_only(self, engine: enginemodel.EngineModel) -> bool:
+        """It gives long answers, which prompts would disturb."""
+        return engine.long_runs > 0
 
     def _relative(self, engine: enginemodel.EngineModel) -> float:
         """How much longer an engine takes than an ideal prefill engine."""
         reference_s = self.costs[catalog.Stage.PREFILL].seconds(4000)
         return max(0.2, engine.expected_s(4000) / reference_s)
 
-    def _queue_s(
-        self, queue: collections.OrderedDict[int, Job], tokens: int
-    ) -> float:
+    def _queue_s(self, queue: collections.OrderedDict[int, Job]) -> float:
         if not queue:
             return 0.0
         cost = self.costs[catalog.Stage.PREFILL]
-        mean = tokens / len(queue) * self._uncached_share()
-        return cost.seconds(mean) * len(queue)
+        mean = sum(job.tokens for job in queue.values()) / len(queue)
+        return cost.seconds(mean * self._uncached_share()) * len(queue)
 
     def _uncached_share(self) -> float:
         return 0.45
@@ -379,6 +493,8 @@
             if best is None or score < best_score:
                 best, best_score = option, score
         for reader in decodes:
+            if self._answers_only(reader):
+                continue
             option = self._option(job, reader, reader, now_s, only_free)
             if option is None:
                 continue
@@ -483,7 +599,7 @@
         reader, runner = option.reader, option.runner
         reader.give(job.id, option.tokens, now_s)
         reader.cache.use(job.parts)
-        runner.runs[job.id] = now_s + RUN_LOST_S
+        self._begin_run(job, runner, now_s)
         prefill = None
         if runner is not reader:
             runner.cache.use(job.parts)
@@ -513,17 +629,11 @@
             return self._refuse(job, now_s, 0.2, 'no engine to answer')
         engine = min(
             usable,
-            key=lambda e: (
-                len(e.runs) >= e.endpoint.slots,
-                e.free_s(now_s)
-                - now_s
-                + e.expected_s(job.tokens - e.cache.cached_tokens(job.parts)),
-                len(e.runs),
-            ),
+            key=lambda e: self._short_order(e, now_s),
         )
         missing = job.tokens - engine.cache.cached_tokens(job.parts)
         engine.cache.use(job.parts)
-        engine.runs[job.id] = now_s + RUN_LOST_S
+        self._begin_run(job, engine, now_s)
         return Placed(
             job.id,
             None,
@@ -533,6 +643,15 @@
             engine.expected_s(missing),
         )
 
+    def _short_order(
+        self, engine: enginemodel.EngineModel, now_s: float
+    ) -> tuple[bool, float, int]:
+        """Long answers share few engines, so that the others can read."""
+        full = len(engine.runs) >= engine.endpoint.slots
+        if full:
+            return (True, engine.free_s(now_s) - now_s, len(engine.runs))
+        return (False, engine.slowness > 2.0, -engine.long_runs)
+
     def _refuse(
         self, job: Job, now_s: float, wait_s: float, reason: str
     ) -> Refused:
--- /dev/null
+++ b/magnoliadyke/core/stageplan.py
@@ -0,0 +1,132 @@
+"""How many engines read prompts, and how many answer.
+
+The load that this answers: the mix of long prompts and long answers shifts
+within seconds, in waves of many seconds.  A change of stage takes an engine
+away for seconds and is paid for, so the plan follows the waves' peaks, not
+the swings inside them: an engine that answers can read at half speed in the
+meantime, one that reads can't answer.
+"""
+
+import collections
+import dataclasses
+import math
+from typing import NamedTuple
+
+__all__ = ['Change', 'Load', 'StagePlan', 'StagePlanSettings']
+
+
+class StagePlanSettings(NamedTuple):
+    """Constants of the plan.
+
+    :param memory_s: the peaks of this long are planned for; longer than a
+        swing, so that a lull between two of them moves nothing
+    :param read_share: share of the reading engines' time that may be asked
+        for before another one is moved to them
+    :param answer_share: share of the answering engines' slots that may be
+        taken before another one is moved to them
+    :param spare_share: share of their slots that may be taken after one of
+        them has been moved away; below answer_share, so that no load moves
+        an engine there and back
+    :param pause_s: least time between two changes in opposite directions
+    :param most_changing: share of the engines that change at one time
+    """
+
+    memory_s: float = 6.0
+    read_share: float = 0.45
+    answer_share: float = 0.85
+    spare_share: float = 0.6
+    pause_s: float = 10.0
+    most_changing: float = 0.2
+
+
+class Load(NamedTuple):
+    """What is asked of the engines of a service.
+
+    :param reading: reading time asked for in each second, in engines
+    :param answering: long answers under way
+    :param slots: requests that one engine runs at once
+    """
+
+    reading: float
+    answering: float
+    slots: int
+
+
+class Change(NamedTuple):
+    """Move one engine; True to read prompts, False to answer."""
+
+    to_reading: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Sample:
+    at_s: float
+    load: Load
+
+
+class StagePlan:
+    """The plan for one service."""
+
+    def __init__(self, settings: StagePlanSettings | None = None) -> None:
+        self.settings = settings or StagePlanSettings()
+        self.samples: collections.deque[_Sample] = collections.deque()
+        self.last: Change | None = None
+        self.last_s = float('-inf')
+
+    def note(self, load: Load, now_s: float) -> None:
+        """Take a measurement."""
+        self.samples.append(_Sample(now_s, load))
+        while now_s - self.samples[0].at_s > self.settings.memory_s:
+            self.samples.popleft()
+
+    def decide(
+        self, reading: int, answering: int, changing: int, now_s: float
+    ) -> Change | None:
+        """Whether an engine should change its stage now.
+
+        :param reading: engines that read
+        :param answering: engines that answer
+        :param changing: engines that are changing already
+        """
+        total = reading + answering + changing
+        if not self.samples or total < 2:
+            return None
+        if changing >= max(1, int(total * self.settings.most_changing)):
+            return None
+        change = self._wanted(reading, answering, total)
+        if change is None or self._is_reversal(change, now_s):
+            return None
+        self.last = change
+        self.last_s = now_s
+        return change
+
+    def _wanted(
+        self, reading: int, answering: int, total: int
+    ) -> Change | None:
+        peak = max(sample.load.reading for sample in self.samples)
+        taken = max(
+            sample.load.answering / max(1, sample.load.slots)
+            for sample in self.samples
+        )
+        if answering < 1 or taken > answering * self.settings.answer_share:
+            return Change(False) if reading > 1 else None
+        least = max(
+            least_answering(total),
+            math.ceil(taken / self.settings.spare_share),
+        )
+        if answering <= least:
+            return None
+        if peak > reading * self.settings.read_share:
+            return Change(True)
+        return None
+
+    def _is_reversal(self, change: Change, now_s: float) -> bool:
+        if self.last is None or change == self.last:
+            return False
+        return now_s - self.last_s < self.settings.pause_s
+
+
+def least_answering(total: int) -> int:
+    """Engines that always answer: one more than needed where there are
+    enough, since nobody could answer while the only one is down."""
+    return 2 if total >= 4 else 1
--- /dev/null
+++ b/magnoliadyke/gateway/stages.py
@@ -0,0 +1,195 @@
+"""Carries the stage plan out, under the lease."""
+
+import json
+
+import gevent
+
+from magnoliadyke import app
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import catalog
+from magnoliadyke.core import stageplan
+from magnoliadyke.gateway import enginecontrol
+from magnoliadyke.gateway import leadership
+from magnoliadyke.gateway import placing
+from magnoliadyke.gateway import store
+from magnoliadyke import logs
+
+__all__ = ['INTENT_PREFIX', 'Stages']
+
+LOG = logs.get('stages')
+
+#: Keys of the orders that are about to be sent.
+INTENT_PREFIX = 'magnoliadyke/intents/'
+TICK_S = 0.5
+#: Added to the time that two holders' orders are apart, in seconds: an
+#: order of the one before may still be on its way.
+GAP_MARGIN_S = 0.7
+#: An order without an answer may be carried out seconds later; that engine
+#: is left alone for so long.
+UNANSWERED_S = 15.0
+#: Time beyond the change itself in which running requests end.
+SETTLE_S = 8.0
+
+
+class Stages(app.Component):
+    """Orders engines to change their stage while this host leads.
+
+    :param order_gap_s: orders of two holders are at least this far apart
+    """
+
+    def __init__(
+        self,
+        host: str,
+        leader: leadership.Leadership,
+        placer: placing.Placer,
+        known: catalog.Catalog,
+        control: enginecontrol.EngineControl,
+        kept: store.Store,
+        order_gap_s: float,
+        clock: clocks.Clock,
+    ) -> None:
+        self.host = host
+        self.leadership = leader
+        self.placer = placer
+        self.catalog = known
+        self.control = control
+        self.store = kept
+        self.order_gap_s = order_gap_s
+        self.clock = clock
+        self.plans: dict[str, stageplan.StagePlan] = {}
+        self.changing: dict[str, tuple[catalog.Stage, float]] = {}
+        self.alone_until_s: dict[str, float] = {}
+        self.greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to plan."""
+        self.greenlet = gevent.spawn(self._run)
+
+    def stop(self, deadline_s: float) -> None:
+        """Order nothing from now on."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+
+    def _run(self) -> None:
+        while True:
+            self.clock.sleep(TICK_S)
+            if not self.leadership.may_order():
+                self.plans.clear()
+                continue
+            for service, pool in list(self.placer.served.items()):
+                self._plan(service, pool.core)
+
+    def _may_order(self) -> bool:
+        held_s = self.clock.now_s() - self.leadership.since_s
+        return (
+            self.leadership.may_order()
+            and held_s >= self.order_gap_s + GAP_MARGIN_S
+        )
+
+    def _plan(self, service: str, core) -> None:
+        now_s = self.clock.now_s()
+        plan = self.plans.setdefault(service, stageplan.StagePlan())
+        plan.note(core.load(now_s), now_s)
+        self._settle(now_s)
+        engines = self.catalog.usable(service)
+        steady = [e for e in engines if e.id not in self.changing]
+        reading = [e for e in steady if e.stage is catalog.Stage.PREFILL]
+        answering = [e for e in steady if e.stage is catalog.Stage.DECODE]
+        if not self._may_order():
+            return
+        change = plan.decide(
+            len(reading),
+            len(answering),
+            len(engines) - len(steady),
+            now_s,
+        )
+        if change is None:
+            return
+        candidates = answering if change.to_reading else reading
+        candidates = [
+            e for e in candidates if self.alone_until_s.get(e.id, 0.0) <= now_s
+        ]
+        if not candidates:
+            return
+        chosen = min(candidates, key=lambda e: core.busyness(e.id, now_s))
+        target = catalog.Stage.DECODE
+        if change.to_reading:
+            target = catalog.Stage.PREFILL
+        self._order(chosen, target, core)
+
+    def _settle(self, now_s: float) -> None:
+        """Engines that have changed, or will not, are steady again."""
+        for endpoint_id, (stage, until_s) in list(self.changing.items()):
+            endpoint = self.catalog.endpoints.get(endpoint_id)
+            if endpoint is None or endpoint.stage is stage or now_s > until_s:
+                del self.changing[endpoint_id]
+                LOG.event(
+                    'stage_settled',
+                    endpoint=endpoint_id,
+                    stage=endpoint.stage.value if endpoint else 'gone',
+                    wanted=stage.value,
+                )
+
+    def _order(
+        self, endpoint: catalog.Endpoint, stage: catalog.Stage, core
+    ) -> None:
+        """Write the intent, then order; the engine's word is read before.
+
+        The intent is written on condition that the lease's key is still
+        the one of this holder: a host that was paused learns at the store
+        that it has lost the lease, before it sends anything.
+        """
+        state = self.control.state(endpoint)
+        if isinstance(state, enginecontrol.Unreachable):
+            LOG.event(
+                'order_put_off', endpoint=endpoint.id, cause=state.reason
+            )
+            return
+        if state.busy or state.stage is stage:
+            return
+        value = json.dumps(
+            {
+                'stage': stage.value,
+                'holder': self.host,
+                'orders': state.orders,
+            }
+        ).encode()
+        put = store.Put(
+            INTENT_PREFIX + endpoint.id, value, self.leadership.lease or 0
+        )
+        expected = {leadership.LEADER_KEY: self.leadership.fencing}
+        written = self.store.commit(expected, (put,))
+        if not isinstance(written, store.Written) or not self._may_order():
+            LOG.event('order_put_off', endpoint=endpoint.id, cause='lease')
+            return
+        self._send(endpoint, stage, state.orders, core)
+
+    def _send(
+        self,
+        endpoint: catalog.Endpoint,
+        stage: catalog.Stage,
+        orders: int,
+        core,
+    ) -> None:
+        now_s = self.clock.now_s()
+        outcome = self.control.order_stage(
+            endpoint, stage, self.host, self.leadership.fencing, orders
+        )
+        LOG.event(
+            'order',
+            endpoint=endpoint.id,
+            stage=stage.value,
+            fencing=self.leadership.fencing,
+            orders=orders,
+            outcome=type(outcome).__name__.lower(),
+            reason=outcome.reason,
+        )
+        match outcome:
+            case enginecontrol.Ordered(accepted=True):
+                until_s = now_s + core.traits.stage_change_s + SETTLE_S
+                self.changing[endpoint.id] = (stage, until_s)
+                core.change_stage(endpoint.id, stage, until_s)
+            case enginecontrol.Unreachable():
+                self.alone_until_s[endpoint.id] = now_s + UNANSWERED_S
+            case _:
+                self.alone_until_s[endpoint.id] = now_s + TICK_S * 4
--- /dev/null
+++ b/magnoliadyke/platform/engines.py
@@ -0,0 +1,101 @@
+"""Reports of engines and orders to them."""
+
+import json
+from typing import Any
+
+import gevent
+
+from magnoliadyke.core import catalog
+from magnoliadyke.gateway import connection
+from magnoliadyke.gateway import enginecontrol
+from magnoliadyke.gateway import http
+from magnoliadyke.platform import records
+
+__all__ = ['PlatformEngines']
+
+CALL_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.4
+STATUS_OK = 200
+STATUS_ACCEPTED = 202
+
+
+class PlatformEngines(enginecontrol.EngineControl):
+    """The engines' own calls; each on a connection of its own."""
+
+    def state(
+        self, endpoint: catalog.Endpoint
+    ) -> enginecontrol.EngineState | enginecontrol.Unreachable:
+        """Ask an engine what it does."""
+        reply = self._call(endpoint, b'GET', b'/api/report', None)
+        if isinstance(reply, enginecontrol.Unreachable):
+            return reply
+        status, fields = reply
+        if status != STATUS_OK:
+            return enginecontrol.Unreachable(f'status {status}')
+        return enginecontrol.EngineState(
+            records.STAGES.get(fields.get('stage'), catalog.Stage.NONE),
+            # Counts accepted orders; the list's field of that name counts
+            # heartbeats.
+            fields.get('sequence', 0),
+            bool(fields.get('busy')),
+        )
+
+    def order_stage(
+        self,
+        endpoint: catalog.Endpoint,
+        stage: catalog.Stage,
+        holder: str,
+        fencing: int,
+        orders: int,
+    ) -> enginecontrol.Ordered | enginecontrol.Unreachable:
+        """Have an engine change its stage."""
+        body = {
+            'op': 'stage',
+            'stage': stage.value,
+            'holder': holder,
+            'fence': fencing,
+            'precondition': orders,
+        }
+        reply = self._call(endpoint, b'POST', b'/api/order', body)
+        if isinstance(reply, enginecontrol.Unreachable):
+            return reply
+        status, fields = reply
+        accepted = status in (STATUS_OK, STATUS_ACCEPTED)
+        reason = f'status {status}'
+        if fields.get('error'):
+            reason += f': {fields["error"]}'
+        return enginecontrol.Ordered(accepted, reason)
+
+    def _call(
+        self,
+        endpoint: catalog.Endpoint,
+        method: bytes,
+        target: bytes,
+        body: dict[str, Any] | None,
+    ) -> tuple[int, dict[str, Any]] | enginecontrol.Unreachable:
+        data = b'' if body is None else json.dumps(body).encode()
+        headers = [
+            (b'Host', endpoint.address.encode()),
+            (b'Content-Type', b'application/json'),
+            (b'X-Expect-Instance', endpoint.id.encode()),
+        ]
+        held = None
+        try:
+            with gevent.Timeout(CALL_TIMEOUT_S, http.OutOfTime('no answer')):
+                held = connection.Connection(
+                    endpoint.address, CONNECT_TIMEOUT_S
+                )
+                answer = held.call(method, target, headers, data)
+            fields = json.loads(answer.body) if answer.body else {}
+        except (
+            OSError,
+            http.BrokenMessage,
+            http.OutOfTime,
+            http.PeerClosed,
+            ValueError,
+        ) as error:
+            return enginecontrol.Unreachable(str(error))
+        finally:
+            if held is not None:
+                held.close()
+        return answer.head.status, fields
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -22,11 +22,13 @@
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import smallserver
+from magnoliadyke.gateway import stages
 from magnoliadyke.gateway import store
 from magnoliadyke.gateway import upstream
 from magnoliadyke import logs
 from magnoliadyke.platform import codec
 from magnoliadyke.platform import directory
+from magnoliadyke.platform import engines
 from magnoliadyke.platform import records
 from magnoliadyke.platform import settings as node_settings
 from magnoliadyke.platform import store as platform_store
@@ -137,6 +139,16 @@
             clock,
             rng,
         )
+        self.stages = stages.Stages(
+            settings.name,
+            self.leadership,
+            self.placer,
+            self.catalog,
+            engines.PlatformEngines(),
+            self.store,
+            settings.order_gap_s,
+            clock,
+        )
         self.follower = follower.Follower(
             self.store,
             RecordDecoder(),
@@ -172,6 +184,7 @@
             self.members,
             self.follower,
             self.leadership,
+            self.stages,
             smallserver.SmallServer(settings.readiness, answers.readiness),
             smallserver.SmallServer(settings.directory, answers.resolve),
             self.ingress,
