Measure reading time and latency of engines apart

Cause: a prompt takes a fixed 6 ms beside being read, in which the engine reads on. Counted as reading time it made each prompt look 18 ms long, and the engines idled between prompts that were sent one by one. Ruled out: too few engines that read (utilisation under 0.7 while prompts were refused).

--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -1,4 +1,11 @@
-"""When an engine will be done with the prompts it was given."""
+"""When an engine will be done with the prompts it was given.
+
+An engine reads prompts one after another at a steady rate; each also takes
+a fixed time that does not keep it from reading the next one.  Taken for
+reading time, that latency made an engine look half as fast as it is, and it
+idled between prompts.  So both are measured apart: reading time where one
+prompt follows another without a gap, latency where a prompt came alone.
+"""
 
 import dataclasses
 
@@ -6,17 +13,21 @@
 from magnoliadyke.core import costs
 from magnoliadyke.core import promptcache
 
-__all__ = ['EngineModel', 'ReadingCost']
+__all__ = ['HOP_S', 'EngineModel', 'ReadingCost']
 
 #: Seconds to read a prompt before anything was measured: a base and a share
 #: for each token, and the prompt length that anchors the fit.  Low rather
 #: than high: too low a guess is mended by the first few measured prompts,
 #: too high a one refuses the callers that would have measured it.
-PRIOR_BASE_S = 0.002
+PRIOR_BASE_S = 0.001
 PRIOR_S_PER_TOKEN = 4e-6
 PRIOR_TOKENS = 8000
 #: Prompts that the fit remembers; a few seconds' worth at a busy engine.
 FIT_MEMORY = 300
+#: Latency beside reading, before any was measured, in seconds.
+PRIOR_LATENCY_S = 0.004
+LATENCY_WEIGHT = 0.05
+MAX_LATENCY_S = 0.05
 #: Weight of a new sample in an engine's slowness: half of the change shows
 #: after six prompts, while one odd sample moves it by a tenth.
 SLOWNESS_WEIGHT = 0.1
@@ -31,15 +42,21 @@
 #: times its expected length, and never before this many seconds.
 LOST_FACTOR = 5.0
 LOST_S = 0.5
+#: Shortest time that counts as measured.
+LEAST_S = 0.0002
 
 
 class ReadingCost:
-    """Seconds that engines of one stage take to read a prompt."""
+    """Seconds that engines of one stage take to read a prompt.
+
+    :ivar latency_s: what each prompt takes beside being read
+    """
 
     def __init__(self) -> None:
         self.fit = costs.LinearFit(
             PRIOR_BASE_S, PRIOR_S_PER_TOKEN, PRIOR_TOKENS, memory=FIT_MEMORY
         )
+        self.latency_s = PRIOR_LATENCY_S
 
     def seconds(self, tokens: float) -> float:
         """Expected time to read this many tokens that are not cached."""
@@ -49,19 +66,26 @@
         """An engine of ordinary speed took this long."""
         self.fit.add(tokens, seconds)
 
+    def learn_latency(self, seconds: float) -> None:
+        """A prompt that came alone took this long beside being read."""
+        seconds = min(MAX_LATENCY_S, max(0.0, seconds))
+        self.latency_s += LATENCY_WEIGHT * (seconds - self.latency_s)
+
 
 @dataclasses.dataclass(slots=True)
 class Reading:
     """A prompt that an engine has been given.
 
     :ivar expected_s: reading time at ordinary speed
-    :ivar until_s: when it is expected to have been read
+    :ivar until_s: when the engine is expected to be free of it
+    :ivar alone: the engine had nothing to read when it came
     """
 
     tokens: int
     expected_s: float
     sent_s: float
     until_s: float
+    alone: bool
 
 
 class EngineModel:
@@ -86,7 +110,7 @@
         self.readings: dict[int, Reading] = {}
         self.runs: set[int] = set()
         self.long_runs = 0
-        self.last_read_s = 0.0
+        self.freed_s = 0.0
         self.transfer_until_s = 0.0
         self.rest_until_s = 0.0
         self.failures = 0
@@ -97,31 +121,45 @@
 
     def free_s(self, now_s: float) -> float:
         """When it has read all that it was given."""
-        if not self.readings:
-            return now_s
-        return max(now_s, max(r.until_s for r in self.readings.values()))
+        latest_s = now_s
+        for reading in self.readings.values():
+            if reading.until_s > latest_s:
+                latest_s = reading.until_s
+        return latest_s
 
-    def give(self, job: int, tokens: int, now_s: float) -> float:
-        """Account a prompt; returns when it is expected to be read."""
+    def give(
+        self, job: int, tokens: int, fetch_s: float, now_s: float
+    ) -> float:
+        """Account a prompt; returns when it is expected to be read.
+
+        :param fetch_s: time in which cached parts come from elsewhere
+        """
         expected_s = self.cost.seconds(tokens)
-        until_s = self.free_s(now_s) + HOP_S + expected_s * self.slowness
-        self.readings[job] = Reading(tokens, expected_s, now_s, until_s)
+        free_s = self.free_s(now_s)
+        start_s = max(free_s, now_s + HOP_S + fetch_s)
+        until_s = start_s + expected_s * self.slowness
+        self.readings[job] = Reading(
+            tokens, expected_s, now_s + fetch_s, until_s, free_s <= now_s
+        )
         return until_s
 
-    def read(self, job: int, now_s: float) -> float | None:
-        """A prompt has been read.
-
-        :returns: seconds that it took by itself, None if not measured
-        """
+    def read(self, job: int, now_s: float) -> None:
+        """A prompt has been read; its host has just said so."""
         reading = self.readings.pop(job, None)
         if reading is None:
-            return None
-        start_s = max(reading.sent_s + HOP_S, self.last_read_s)
-        self.last_read_s = now_s
-        took_s = max(0.0002, now_s - start_s - HOP_S)
-        self._learn(reading, took_s)
+            return
+        latency_s = self.cost.latency_s
+        arrived_s = reading.sent_s + HOP_S
+        freed_s = now_s - 2 * HOP_S - latency_s
+        took_s = freed_s - max(arrived_s, self.freed_s)
+        if reading.alone:
+            beside_s = now_s - 2 * HOP_S - arrived_s
+            beside_s -= reading.expected_s * self.slowness
+            self.cost.learn_latency(beside_s)
+        elif arrived_s <= self.freed_s:
+            self._learn(reading, max(LEAST_S, took_s))
+        self.freed_s = max(self.freed_s, freed_s)
         self._shift(now_s)
-        return took_s
 
     def forget(self, job: int, now_s: float) -> None:
         """A prompt will not be read here after all."""
@@ -155,8 +193,9 @@
             self.cost.learn(reading.tokens, took_s)
 
     def _shift(self, now_s: float) -> None:
-        """Expect the remaining prompts from now on, one after another."""
-        until_s = now_s
+        """Expect the remaining prompts anew, one after another."""
+        until_s = self.freed_s
         for reading in self.readings.values():
+            until_s = max(until_s, reading.sent_s + HOP_S)
             until_s += reading.expected_s * self.slowness
             reading.until_s = until_s
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -54,7 +54,7 @@
     """
 
     ahead_s: float = 0.008
-    most_ahead: int = 3
+    most_ahead: int = 8
     reserve_s: float = 0.030
     short_tokens: int = 1200
     hold_share: float = 0.35
@@ -167,6 +167,7 @@
     runner: enginemodel.EngineModel
     source: enginemodel.EngineModel | None
     tokens: int
+    fetch_s: float
     ready_s: float
     cost_s: float
 
@@ -249,6 +250,21 @@
             self.asked.now(now_s), answering, self.traits.slots
         )
 
+    def figures(self) -> dict[str, str]:
+        """What has been learned, for the log."""
+        found = {
+            stage.value: f'{cost.fit.base * 1e3:.2f}+{cost.fit.slope * 1e6:.2f}'
+            f'+{cost.latency_s * 1e3:.1f}'
+            for stage, cost in self.costs.items()
+            if stage is not catalog.Stage.NONE
+        }
+        for engine in self.engines.values():
+            found[engine.endpoint.id] = (
+                f'{engine.endpoint.stage.value}/{engine.slowness:.2f}/'
+                f'{len(engine.readings)}/{engine.long_runs}/{len(engine.runs)}'
+            )
+        return found
+
     def _new_engine(
         self, endpoint: catalog.Endpoint
     ) -> enginemodel.EngineModel:
@@ -519,13 +535,15 @@
         cached = reader.cache.cached_tokens(job.parts)
         source, tokens, fetch_s = self._source(job, reader, cached)
         read_s = reader.expected_s(tokens) + fetch_s
-        ready_s = free_s + enginemodel.HOP_S + read_s
+        ready_s = free_s + enginemodel.HOP_S + read_s + reader.cost.latency_s
         cost_s = read_s
         if runner is not reader:
             move_s = self._transfer_s(reader, runner, job.tokens)
             ready_s = max(ready_s, runner.transfer_until_s) + move_s
             cost_s += move_s
-        return _Option(reader, runner, source, tokens, ready_s, cost_s)
+        return _Option(
+            reader, runner, source, tokens, fetch_s, ready_s, cost_s
+        )
 
     def _has_room(
         self, reader: enginemodel.EngineModel, free_s: float, now_s: float
@@ -597,7 +615,7 @@
 
     def _take(self, job: Job, option: _Option, now_s: float) -> Placed:
         reader, runner = option.reader, option.runner
-        reader.give(job.id, option.tokens, now_s)
+        reader.give(job.id, option.tokens, option.fetch_s, now_s)
         reader.cache.use(job.parts)
         self._begin_run(job, runner, now_s)
         prefill = None
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -255,10 +255,19 @@
             self.placer.hosts = hosts
             self.upstream.trim()
             self.balancer.forget(set(self.catalog.endpoints))
-            if ticks % 10 == 0:
+            if ticks % 2 == 0:
                 self._log_figures(hosts)
 
     def _log_figures(self, hosts: int) -> None:
+        if self.placer.leading:
+            for service, pool in self.placer.served.items():
+                LOG.event(
+                    'placement',
+                    service=service,
+                    fresh=len(pool.core.fresh),
+                    late=len(pool.core.late),
+                    **pool.core.figures(),
+                )
         LOG.event(
             'figures',
             hosts=hosts,
