Keep the placing host through cuts from the store; sort late prompts

Cause: a lease of 1.5 s ended whenever its holder was cut from the store, and the next holder knew nothing of the engines. Late prompts were kept until their callers gave up. Ruled out: asks lost between hosts (4 of 6000 were repeated). A holder that gossip finds dead is replaced before its lease has ended; the next one then gives no orders until it has.

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -80,6 +80,9 @@
 PRIOR_OUTPUT_S = 0.02
 #: Weight of a new answer in that figure.
 OUTPUT_WEIGHT = 0.1
+#: Late jobs are looked through this often, in seconds: a wait that grows by
+#: this much costs no caller anything.
+SORT_S = 0.02
 #: Time constant of measured demand, in seconds: half a swing of the load.
 DEMAND_S = 1.5
 #: Shortest time to tell a refused caller to stay away, in seconds.
@@ -201,6 +204,10 @@
         self.late: collections.OrderedDict[int, Job] = (
             collections.OrderedDict()
         )
+        self.returned: collections.OrderedDict[int, Job] = (
+            collections.OrderedDict()
+        )
+        self.sorted_s = 0.0
         self.turns = 0
         self.runs: dict[int, _Run] = {}
         self.output_s = PRIOR_OUTPUT_S
@@ -299,13 +306,24 @@
         left_s = job.deadline_s - now_s
         if wait_s + need_s > left_s * self.settings.hold_share:
             return [self._refuse(job, now_s, wait_s, 'no room in time')]
-        self.late[job.id] = job
+        self._put_late(job)
         return self.pump(now_s)
 
+    def waits(self, job_id: int) -> bool:
+        """Whether a job is in a queue."""
+        return any(
+            job_id in queue for queue in (self.fresh, self.returned, self.late)
+        )
+
+    def _put_late(self, job: Job) -> None:
+        """Who has been refused before goes first: it has no further try."""
+        queue = self.returned if job.returning else self.late
+        queue[job.id] = job
+
     def withdraw(self, job_id: int, now_s: float) -> None:
         """The caller has left, or the host takes the job elsewhere."""
-        self.fresh.pop(job_id, None)
-        self.late.pop(job_id, None)
+        for queue in (self.fresh, self.returned, self.late):
+            queue.pop(job_id, None)
         for engine in self.engines.values():
             engine.forget(job_id, now_s)
         self._end_run(job_id)
@@ -378,8 +396,7 @@
             engine.expire(now_s)
         self._expire_runs(now_s)
         self._sort_out(now_s, decisions)
-        while self.fresh or self.late:
-            queue = self._next_queue()
+        while (queue := self._next_queue()) is not None:
             job = next(iter(queue.values()))
             option = self._best(job, now_s, only_free=True)
             if option is None:
@@ -398,7 +415,7 @@
 
     def wake_s(self, now_s: float) -> float | None:
         """When :meth:`pump` has something to do without further word."""
-        if not self.fresh and not self.late:
+        if self._next_queue() is None:
             return None
         frees = [
             e.free_s(now_s) - self.settings.ahead_s
@@ -408,11 +425,12 @@
         soonest_s = min(frees, default=now_s + 0.05)
         return max(now_s + 0.001, min(soonest_s, now_s + 0.05))
 
-    def _next_queue(self) -> collections.OrderedDict[int, Job]:
+    def _next_queue(self) -> collections.OrderedDict[int, Job] | None:
+        late = self.returned or self.late
         if not self.fresh:
-            return self.late
-        if self.late and self.turns % self.settings.late_turn == 0:
-            return self.late
+            return late or None
+        if late and self.turns % self.settings.late_turn == 0:
+            return late
         return self.fresh
 
     def _sort_out(self, now_s: float, decisions: list[Decision]) -> None:
@@ -421,12 +439,25 @@
             if now_s + self._typical_s(job) <= self._due_s(job):
                 break
             del self.fresh[job.id]
-            self.late[job.id] = job
-        for job in list(self.late.values()):
-            left_s = job.deadline_s - now_s
-            if left_s < self._typical_s(job) + self.settings.reserve_s:
-                del self.late[job.id]
-                decisions.append(self._refuse(job, now_s, 0.0, 'too late'))
+            self._put_late(job)
+        if now_s - self.sorted_s < SORT_S:
+            return
+        self.sorted_s = now_s
+        speed, given_s = self._capacity(now_s)
+        if not speed:
+            return
+        speed *= self._late_share(speed, now_s)
+        ahead_s = given_s
+        for queue in (self.returned, self.late):
+            for job in list(queue.values()):
+                need_s = self._typical_s(job)
+                ends_s = now_s + ahead_s / speed * self.sharers + need_s
+                if ends_s + self.settings.reserve_s <= job.deadline_s:
+                    ahead_s += need_s
+                    continue
+                del queue[job.id]
+                wait_s = ahead_s / speed
+                decisions.append(self._refuse(job, now_s, wait_s, 'too late'))
 
     def _due_s(self, job: Job) -> float:
         return job.objective_s - self.settings.reserve_s
@@ -458,12 +489,16 @@
         speed, given_s = self._capacity(now_s)
         if not speed:
             return 1.0
-        taken = self.asked_fresh.now(now_s) * self.sharers / speed
-        share = max(1 / self.settings.late_turn, 1 - taken)
         ahead_s = (given_s + self._queue_s(self.fresh)) / speed
-        late_s = self._queue_s(self.late) / (speed * share)
+        late_s = self._queue_s(self.returned) + self._queue_s(self.late)
+        late_s /= speed * self._late_share(speed, now_s)
         return (ahead_s + late_s) * self.sharers
 
+    def _late_share(self, speed: float, now_s: float) -> float:
+        """Part of the engines' time that is left for late prompts."""
+        taken = self.asked_fresh.now(now_s) * self.sharers / speed
+        return max(1 / self.settings.late_turn, 1 - taken)
+
     def _capacity(self, now_s: float) -> tuple[float, float]:
         """Reading speed of all, in engines, and what they have to read."""
         speed = 0.0
--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -8,6 +8,7 @@
 
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
+from magnoliadyke.core import membership
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import placing
@@ -19,10 +20,11 @@
 LOG = logs.get('leadership')
 
 LEADER_KEY = 'magnoliadyke/leader'
-#: Time to live of the lease; while a dead holder's runs out each host
-#: places by itself, so a short one costs renewals and a long one worth.
-LEASE_S = 1.5
-RENEW_S = 0.5
+#: Time to live of the lease.  What a holder knows of the engines is lost
+#: with it, so it outlasts the usual cuts between one host and the store; a
+#: holder that dies is replaced sooner, by the word of gossip.
+LEASE_S = 12.0
+RENEW_S = 2.0
 #: Part of the time to live after which the holder gives no more orders,
 #: counted from before the renewal was sent: its clock and the store's may
 #: run apart by the rest.
@@ -32,14 +34,18 @@
 #: mostly one writes.
 RANK_DELAY_S = 0.12
 MAX_RANK = 8
+#: Added to the time that two holders' orders are apart, in seconds: an
+#: order of the one before may still be on its way.
+GAP_MARGIN_S = 0.7
 
 
 class Leadership(app.Component, follower.Listener):
     """Takes, keeps and follows the lease.
 
     :param min_lease_s: shortest lease that the store grants
+    :param order_gap_s: orders of two holders are at least this far apart
     :ivar fencing: revision of the holder's key; grows with each holder
-    :ivar since_s: when this host took the lease
+    :ivar order_from_s: when orders of the holder before have long ended
     """
 
     def __init__(
@@ -49,6 +55,7 @@
         placer: placing.Placer,
         kept: store.Store,
         min_lease_s: float,
+        order_gap_s: float,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
@@ -57,13 +64,15 @@
         self.placer = placer
         self.store = kept
         self.lease_s = max(LEASE_S, min_lease_s)
+        self.order_gap_s = order_gap_s
         self.clock = clock
         self.rng = rng
         self.lease: int | None = None
         self.fencing = 0
-        self.since_s = 0.0
+        self.order_from_s = 0.0
         self.order_until_s = 0.0
         self.holder: str | None = None
+        self.holder_revision = 0
         self.vacant_since_s: float | None = clock.now_s()
         self.greenlet: gevent.Greenlet | None = None
 
@@ -96,6 +105,7 @@
         """A host holds the lease."""
         fields = json.loads(item.value)
         self.holder = fields['host']
+        self.holder_revision = item.revision
         self.vacant_since_s = None
         if self.holder != self.own.host or self.lease is None:
             self.placer.leading = False
@@ -110,6 +120,7 @@
         store may have been away while the holder lives.
         """
         self.holder = None
+        self.holder_revision = 0
         self.vacant_since_s = self.clock.now_s()
         LOG.event('leader_gone')
 
@@ -125,14 +136,29 @@
                 self._contend()
 
     def _contend(self) -> None:
-        if self.vacant_since_s is None or self.members.leaving:
+        if self.members.leaving or not self.members.listed:
             return
-        if not self.members.listed:
+        now_s = self.clock.now_s()
+        if self.holder is not None and not self._holder_is_dead():
             return
-        waited_s = self.clock.now_s() - self.vacant_since_s
-        if waited_s < self._rank() * RANK_DELAY_S:
-            return
-        self._take()
+        if self.vacant_since_s is None:
+            self.vacant_since_s = now_s
+        # Who leads already knows the engines, and goes first.
+        rank = 0 if self.placer.leading else 1 + self._rank()
+        if now_s - self.vacant_since_s >= rank * RANK_DELAY_S:
+            self._take()
+
+    def _holder_is_dead(self) -> bool:
+        """Gossip has found the holder dead, or it has left.
+
+        Its lease may still run, so who replaces it gives no orders until
+        it has certainly ended; prompts can be placed at once.
+        """
+        member = self.members.core.view().members.get(self.holder)
+        return member is not None and member.state in (
+            membership.DEAD,
+            membership.LEFT,
+        )
 
     def _rank(self) -> int:
         """How many hosts are better placed: larger, then by a hash."""
@@ -153,9 +179,10 @@
             {'host': self.own.host, 'address': self.own.address}
         ).encode()
         put = store.Put(LEADER_KEY, value, granted.lease)
-        match self.store.commit({LEADER_KEY: 0}, (put,)):
+        replaced = self.holder_revision
+        match self.store.commit({LEADER_KEY: replaced}, (put,)):
             case store.Written(revision):
-                self._taken(granted, revision, asked_s)
+                self._taken(granted, revision, asked_s, replaced != 0)
             case store.Conflict():
                 self.vacant_since_s = None
                 self.store.revoke(granted.lease)
@@ -165,16 +192,27 @@
                 self.vacant_since_s = self.clock.now_s()
 
     def _taken(
-        self, granted: store.Granted, revision: int, asked_s: float
+        self,
+        granted: store.Granted,
+        revision: int,
+        asked_s: float,
+        by_force: bool,
     ) -> None:
+        now_s = self.clock.now_s()
+        wait_s = self.order_gap_s + GAP_MARGIN_S
+        if by_force:
+            wait_s += granted.ttl_s
         self.lease = granted.lease
-        self.lease_s = granted.ttl_s
         self.fencing = revision
-        self.since_s = self.clock.now_s()
+        self.holder = self.own.host
+        self.holder_revision = revision
+        self.order_from_s = now_s + wait_s
         self.order_until_s = asked_s + granted.ttl_s * ORDER_SHARE
         self.vacant_since_s = None
         self.placer.leading = True
-        LOG.event('leading', fencing=revision, lease=granted.lease)
+        LOG.event(
+            'leading', fencing=revision, lease=granted.lease, by_force=by_force
+        )
 
     def _renew(self) -> None:
         asked_s = self.clock.now_s()
@@ -182,11 +220,12 @@
             case store.Granted(_, ttl_s):
                 self.order_until_s = asked_s + ttl_s * ORDER_SHARE
             case store.NoLease():
+                # It goes on placing until somebody else leads: no one
+                # else knows what the engines have been given.
                 LOG.warning_event('leadership_lost', fencing=self.fencing)
                 self.lease = None
-                self.placer.leading = False
-                if self.holder in (None, self.own.host):
-                    self.vacant_since_s = self.clock.now_s()
+                if self.holder == self.own.host:
+                    self.removed(LEADER_KEY)
 
 
 def _order(record: members.HostRecord) -> tuple[float, bytes]:
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -275,7 +275,7 @@
             return
         pool = self._pool(self.served, service)
         waits = placing_codec.Waits(job.id)
-        if job.id in pool.core.fresh or job.id in pool.core.late:
+        if pool.core.waits(job.id):
             self._send(sender, waits)
             return
         now_s = self.clock.now_s()
--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -21,9 +21,6 @@
 #: Keys of the orders that are about to be sent.
 INTENT_PREFIX = 'magnoliadyke/intents/'
 TICK_S = 0.5
-#: Added to the time that two holders' orders are apart, in seconds: an
-#: order of the one before may still be on its way.
-GAP_MARGIN_S = 0.7
 #: An order without an answer may be carried out seconds later; that engine
 #: is left alone for so long.
 UNANSWERED_S = 15.0
@@ -32,10 +29,7 @@
 
 
 class Stages(app.Component):
-    """Orders engines to change their stage while this host leads.
-
-    :param order_gap_s: orders of two holders are at least this far apart
-    """
+    """Orders engines to change their stage while this host leads."""
 
     def __init__(
         self,
@@ -45,7 +39,6 @@
         known: catalog.Catalog,
         control: enginecontrol.EngineControl,
         kept: store.Store,
-        order_gap_s: float,
         clock: clocks.Clock,
     ) -> None:
         self.host = host
@@ -54,7 +47,6 @@
         self.catalog = known
         self.control = control
         self.store = kept
-        self.order_gap_s = order_gap_s
         self.clock = clock
         self.plans: dict[str, stageplan.StagePlan] = {}
         self.changing: dict[str, tuple[catalog.Stage, float]] = {}
@@ -73,19 +65,12 @@
     def _run(self) -> None:
         while True:
             self.clock.sleep(TICK_S)
-            if not self.leadership.may_order():
+            if not self.placer.leading:
                 self.plans.clear()
                 continue
             for service, pool in list(self.placer.served.items()):
                 self._plan(service, pool.core)
 
-    def _may_order(self) -> bool:
-        held_s = self.clock.now_s() - self.leadership.since_s
-        return (
-            self.leadership.may_order()
-            and held_s >= self.order_gap_s + GAP_MARGIN_S
-        )
-
     def _plan(self, service: str, core) -> None:
         now_s = self.clock.now_s()
         plan = self.plans.setdefault(service, stageplan.StagePlan())
@@ -95,7 +80,7 @@
         steady = [e for e in engines if e.id not in self.changing]
         reading = [e for e in steady if e.stage is catalog.Stage.PREFILL]
         answering = [e for e in steady if e.stage is catalog.Stage.DECODE]
-        if not self._may_order():
+        if not self.leadership.may_order():
             return
         change = plan.decide(
             len(reading),
@@ -159,7 +144,10 @@
         )
         expected = {leadership.LEADER_KEY: self.leadership.fencing}
         written = self.store.commit(expected, (put,))
-        if not isinstance(written, store.Written) or not self._may_order():
+        if (
+            not isinstance(written, store.Written)
+            or not self.leadership.may_order()
+        ):
             LOG.event('order_put_off', endpoint=endpoint.id, cause='lease')
             return
         self._send(endpoint, stage, state.orders, core)
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -136,6 +136,7 @@
             self.placer,
             self.store,
             settings.min_lease_s,
+            settings.order_gap_s,
             clock,
             rng,
         )
@@ -146,7 +147,6 @@
             self.catalog,
             engines.PlatformEngines(),
             self.store,
-            settings.order_gap_s,
             clock,
         )
         self.follower = follower.Follower(
