--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -259,12 +259,14 @@
 
     def figures(self) -> dict[str, str]:
         """What has been learned, for the log."""
-        found = {
-            stage.value: f'{cost.fit.base * 1e3:.2f}+{cost.fit.slope * 1e6:.2f}'
-            f'+{cost.latency_s * 1e3:.1f}'
-            for stage, cost in self.costs.items()
-            if stage is not catalog.Stage.NONE
-        }
+        found = {}
+        for stage, cost in self.costs.items():
+            if stage is not catalog.Stage.NONE:
+                found[stage.value] = (
+                    f'{cost.fit.base * 1e3:.2f}ms+'
+                    f'{cost.fit.slope * 1e6:.2f}us+'
+                    f'{cost.latency_s * 1e3:.1f}ms'
+                )
         for engine in self.engines.values():
             found[engine.endpoint.id] = (
                 f'{engine.endpoint.stage.value}/{engine.slowness:.2f}/'
