Place by an index of kept parts and leave free what follows reading

Cause: each placement looked through all engines several times, so that the placing host of a large fleet fell behind and hosts placed alone; prompts were let in that came just too late (p50 of the bursts 160 ms, due 150). Ruled out: transfers (3 ms), hops (1 ms).

--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -11,7 +11,6 @@
 
 from magnoliadyke.core import catalog
 from magnoliadyke.core import costs
-from magnoliadyke.core import promptcache
 
 __all__ = ['HOP_S', 'EngineModel', 'ReadingCost']
 
@@ -93,28 +92,30 @@
 
     :ivar slowness: measured over expected reading time
     :ivar readings: prompts given and not yet reported as read
-    :ivar runs: requests that hold a slot
-    :ivar long_runs: how many of them are answers that take long
+    :ivar runs: long answers, which hold a slot
+    :ivar freed_s: when it was last free of a prompt, as far as reported
     """
 
     def __init__(
         self,
         endpoint: catalog.Endpoint,
-        cache_tokens: float,
         cost: ReadingCost,
     ) -> None:
         self.endpoint = endpoint
-        self.cache = promptcache.PromptCache(cache_tokens)
         self.cost = cost
         self.slowness = 1.0
         self.readings: dict[int, Reading] = {}
         self.runs: set[int] = set()
-        self.long_runs = 0
         self.freed_s = 0.0
         self.transfer_until_s = 0.0
         self.rest_until_s = 0.0
         self.failures = 0
 
+    @property
+    def long_runs(self) -> int:
+        """How many long answers it gives; prompts would disturb them."""
+        return len(self.runs)
+
     def expected_s(self, tokens: float) -> float:
         """Time that this engine needs to read uncached tokens."""
         return self.cost.seconds(tokens) * self.slowness
--- /dev/null
+++ b/magnoliadyke/core/enginepool.py
@@ -0,0 +1,405 @@
+"""The engines of a model service: who has room, and what a way costs."""
+
+from collections.abc import Iterable
+import dataclasses
+import heapq
+import itertools
+from typing import NamedTuple
+
+from magnoliadyke.core import catalog
+from magnoliadyke.core import enginemodel
+from magnoliadyke.core import promptcache
+from magnoliadyke.core import routes
+
+__all__ = ['Capacity', 'EnginePool', 'Option', 'PoolSettings']
+
+
+class PoolSettings(NamedTuple):
+    """Constants of the pool.
+
+    :param ahead_s: an engine gets its next prompt this long before it is
+        expected to be free: a report and a placement take two hops each
+    :param most_ahead: prompts at one engine, for when the forecast is off
+    :param fetch_gain: a cached part is fetched from another engine if that
+        takes less than this share of the time to read it again
+    :param candidates: engines that are compared for one prompt, beside
+        those that keep part of it; more gain little and cost time
+    """
+
+    ahead_s: float = 0.008
+    most_ahead: int = 8
+    fetch_gain: float = 0.6
+    candidates: int = 12
+
+
+#: What a transfer takes before its first byte, in seconds; measured by the
+#: engines' own description at under a thousandth.
+TRANSFER_SETUP_S = 0.0007
+#: Transfers between failure domains take twice as long.
+REMOTE_FACTOR = 2.0
+#: Part of the memory that cached parts may fill; running requests use the
+#: rest.
+CACHE_SHARE = 0.9
+#: An engine that failed a send rests this long, doubled each time in a row.
+REST_S = 0.5
+MAX_REST_S = 4.0
+#: Prompt length at which the speeds of two engines are compared.
+TYPICAL_TOKENS = 4000
+#: Engines that answer which are slower than this are used last.
+SLOW = 2.0
+#: How long a computed capacity is used, in seconds: a job more or less.
+CAPACITY_S = 0.01
+#: Holders of a part that are considered for fetching it.
+SOURCES = 3
+
+
+class Capacity(NamedTuple):
+    """Reading power of all engines.
+
+    :param speed: in engines of the reading stage
+    :param given_s: what they have still to read, in seconds of one
+    """
+
+    speed: float
+    given_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Option:
+    """One way to serve a prompt.
+
+    :ivar source: address of an engine that keeps more of it
+    :ivar tokens: to be read
+    :ivar ready_s: moment at which it is read, and moved if it has to be
+    """
+
+    reader: enginemodel.EngineModel
+    runner: enginemodel.EngineModel
+    source: enginemodel.EngineModel | None
+    tokens: int
+    fetch_s: float
+    read_s: float
+    ready_s: float
+    cost_s: float
+
+
+class EnginePool:
+    """The engines, what they were given and what they keep."""
+
+    def __init__(
+        self,
+        traits: routes.EngineTraits,
+        settings: PoolSettings | None = None,
+    ) -> None:
+        self.traits = traits
+        self.settings = settings or PoolSettings()
+        self.engines: dict[str, enginemodel.EngineModel] = {}
+        self.costs = {
+            stage: enginemodel.ReadingCost() for stage in catalog.Stage
+        }
+        self.caches = promptcache.CacheIndex()
+        self.open: dict[str, None] = {}
+        self._opens: list[tuple[float, str]] = []
+        self._capacity = Capacity(0.0, 0.0)
+        self._capacity_s = float('-inf')
+
+    # Which engines there are.
+
+    def set_engines(self, endpoints: list[catalog.Endpoint]) -> None:
+        """Take the engines that may be given work.
+
+        One that left keeps nothing: it would come back without its memory.
+        """
+        listed = {each.id: each for each in endpoints}
+        for gone in [e for e in self.engines if e not in listed]:
+            del self.engines[gone]
+            self.caches.drop(gone)
+            self.open.pop(gone, None)
+        for endpoint in endpoints:
+            self._set_engine(endpoint)
+        self._capacity_s = float('-inf')
+
+    def _set_engine(self, endpoint: catalog.Endpoint) -> None:
+        model = self.engines.get(endpoint.id)
+        if model is None:
+            cost = self.costs[endpoint.stage]
+            self.engines[endpoint.id] = enginemodel.EngineModel(endpoint, cost)
+            self.caches.add(
+                endpoint.id, self.traits.cache_tokens * CACHE_SHARE
+            )
+            self.open[endpoint.id] = None
+            return
+        if model.endpoint.stage is not endpoint.stage:
+            model.slowness = 1.0
+            model.cost = self.costs[endpoint.stage]
+            model.rest_until_s = 0.0
+            self.open[endpoint.id] = None
+        model.endpoint = endpoint
+
+    def rest(self, engine_id: str, until_s: float) -> None:
+        """Give an engine no work for a time."""
+        engine = self.engines.get(engine_id)
+        if engine is not None:
+            engine.rest_until_s = until_s
+            self.open.pop(engine_id, None)
+            heapq.heappush(self._opens, (until_s, engine_id))
+            self._capacity_s = float('-inf')
+
+    def failed(self, engine_id: str, job: int, now_s: float) -> None:
+        """An engine refused a job, or could not be reached."""
+        engine = self.engines.get(engine_id)
+        if engine is None:
+            return
+        engine.forget(job, now_s)
+        engine.failures += 1
+        rest_s = REST_S * 2 ** min(engine.failures - 1, 3)
+        self.rest(engine_id, now_s + min(rest_s, MAX_REST_S))
+
+    # Who has room.
+
+    def refresh(self, now_s: float) -> None:
+        """Note the engines that have got room by now."""
+        while self._opens and self._opens[0][0] <= now_s:
+            _, engine_id = heapq.heappop(self._opens)
+            engine = self.engines.get(engine_id)
+            if engine is not None:
+                engine.expire(now_s)
+                self._note_room(engine, now_s)
+
+    def opens_s(self) -> float | None:
+        """When an engine is expected to get room without further word."""
+        return self._opens[0][0] if self._opens else None
+
+    def _note_room(
+        self, engine: enginemodel.EngineModel, now_s: float
+    ) -> None:
+        engine_id = engine.endpoint.id
+        if engine.rest_until_s > now_s:
+            self.open.pop(engine_id, None)
+            return
+        if not engine.readings:
+            self.open[engine_id] = None
+            return
+        opens_s = engine.free_s(now_s) - self.settings.ahead_s
+        full = len(engine.readings) >= self.settings.most_ahead
+        if opens_s <= now_s and not full:
+            self.open[engine_id] = None
+            return
+        self.open.pop(engine_id, None)
+        if full:
+            opens_s = max(opens_s, now_s + enginemodel.LOST_S)
+        heapq.heappush(self._opens, (opens_s, engine_id))
+
+    # What becomes of prompts.
+
+    def take(
+        self,
+        job: int,
+        parts: tuple[promptcache.PromptPart, ...],
+        option: Option,
+        now_s: float,
+    ) -> None:
+        """Give a prompt to the engines of an option."""
+        reader, runner = option.reader, option.runner
+        reader.give(job, option.tokens, option.fetch_s, now_s)
+        self.caches.use(reader.endpoint.id, parts)
+        if runner is not reader:
+            self.caches.use(runner.endpoint.id, parts)
+            runner.transfer_until_s = option.ready_s
+        self._note_room(reader, now_s)
+
+    def has_read(self, job: int, engine_id: str, now_s: float) -> None:
+        """An engine has read a prompt."""
+        engine = self.engines.get(engine_id)
+        if engine is not None:
+            engine.read(job, now_s)
+            engine.failures = 0
+            self._note_room(engine, now_s)
+
+    def forget(self, job: int, engine_id: str, now_s: float) -> None:
+        """An engine will not read a prompt after all."""
+        engine = self.engines.get(engine_id)
+        if engine is not None:
+            engine.forget(job, now_s)
+            self._note_room(engine, now_s)
+
+    # What it costs.
+
+    def need_s(self, kept: promptcache.Kept, tokens: int) -> float:
+        """Reading time of a prompt where most of it is kept."""
+        cost = self.costs[catalog.Stage.PREFILL]
+        return cost.seconds(tokens - kept.most_tokens)
+
+    def capacity(self, now_s: float) -> Capacity:
+        """Reading power of the engines that may read."""
+        if now_s - self._capacity_s < CAPACITY_S:
+            return self._capacity
+        speed = 0.0
+        given_s = 0.0
+        cost = self.costs[catalog.Stage.PREFILL]
+        reference_s = cost.seconds(TYPICAL_TOKENS)
+        for engine in self.engines.values():
+            if engine.rest_until_s > now_s or engine.long_runs:
+                continue
+            relative = engine.expected_s(TYPICAL_TOKENS) / reference_s
+            share = 1 / max(0.2, relative)
+            speed += share
+            given_s += (engine.free_s(now_s) - now_s) * share
+        self._capacity = Capacity(speed, given_s)
+        self._capacity_s = now_s
+        return self._capacity
+
+    def best(
+        self,
+        parts: tuple[promptcache.PromptPart, ...],
+        tokens: int,
+        avoid: tuple[str, ...],
+        now_s: float,
+    ) -> Option | None:
+        """The best way among the engines that have room."""
+        kept = self.caches.kept(parts)
+        runner = self.runner(avoid, now_s)
+        best: Option | None = None
+        for engine_id in self._candidates(kept):
+            reader = self.engines[engine_id]
+            if engine_id in avoid or reader.rest_until_s > now_s:
+                continue
+            target = runner
+            if reader.endpoint.stage is catalog.Stage.DECODE:
+                if reader.long_runs:
+                    continue
+                target = reader
+            if target is None:
+                continue
+            option = self._option(kept, tokens, reader, target, now_s)
+            if best is None or (
+                option.ready_s + option.cost_s < best.ready_s + best.cost_s
+            ):
+                best = option
+        return best
+
+    def _candidates(self, kept: promptcache.Kept) -> Iterable[str]:
+        found = dict.fromkeys(
+            itertools.islice(self.open, self.settings.candidates)
+        )
+        if len(self.open) > self.settings.candidates:
+            for holder in kept.holders(SOURCES):
+                if holder in self.open:
+                    found[holder] = None
+        return found
+
+    def _option(
+        self,
+        kept: promptcache.Kept,
+        tokens: int,
+        reader: enginemodel.EngineModel,
+        runner: enginemodel.EngineModel,
+        now_s: float,
+    ) -> Option:
+        missing = tokens - kept.tokens(reader.endpoint.id)
+        source, missing, fetch_s = self._source(kept, reader, missing, tokens)
+        read_s = reader.expected_s(missing) + fetch_s
+        ready_s = (
+            reader.free_s(now_s)
+            + enginemodel.HOP_S
+            + read_s
+            + reader.cost.latency_s
+        )
+        cost_s = read_s
+        if runner is not reader:
+            move_s = self._transfer_s(reader, runner, tokens)
+            ready_s = max(ready_s, runner.transfer_until_s) + move_s
+            cost_s += move_s
+        return Option(
+            reader, runner, source, missing, fetch_s, read_s, ready_s, cost_s
+        )
+
+    def _source(
+        self,
+        kept: promptcache.Kept,
+        reader: enginemodel.EngineModel,
+        missing: int,
+        tokens: int,
+    ) -> tuple[enginemodel.EngineModel | None, int, float]:
+        """Another engine to fetch cached parts from, if that is quicker.
+
+        :returns: the engine or None, tokens left to read, time to fetch
+        """
+        gained = missing - (tokens - kept.most_tokens)
+        if gained <= 0:
+            return None, missing, 0.0
+        saved_s = reader.expected_s(gained) - reader.expected_s(0)
+        for holder in kept.holders(SOURCES):
+            source = self.engines.get(holder)
+            if source is None or source is reader:
+                continue
+            fetch_s = self._transfer_s(source, reader, gained)
+            if fetch_s <= saved_s * self.settings.fetch_gain:
+                return source, missing - gained, fetch_s
+        return None, missing, 0.0
+
+    def _transfer_s(
+        self,
+        source: enginemodel.EngineModel,
+        target: enginemodel.EngineModel,
+        tokens: int,
+    ) -> float:
+        bits = tokens * self.traits.bytes_per_token * 8
+        seconds = TRANSFER_SETUP_S + bits / (self.traits.link_bits_s or 1e9)
+        here = source.endpoint.failure_domain
+        if here != target.endpoint.failure_domain:
+            return seconds * REMOTE_FACTOR
+        return seconds
+
+    # Engines that answer.
+
+    def answering(
+        self, avoid: tuple[str, ...], now_s: float
+    ) -> list[enginemodel.EngineModel]:
+        """Engines that may answer; those that rest only if none else."""
+        found = []
+        resting = []
+        for engine in self.engines.values():
+            if engine.endpoint.stage is not catalog.Stage.DECODE:
+                continue
+            if engine.rest_until_s > now_s or engine.endpoint.id in avoid:
+                resting.append(engine)
+            else:
+                found.append(engine)
+        return found or resting
+
+    def runner(
+        self, avoid: tuple[str, ...], now_s: float
+    ) -> enginemodel.EngineModel | None:
+        """The engine to answer what another one has read."""
+        return min(
+            self.answering(avoid, now_s),
+            key=lambda e: (
+                len(e.runs) >= e.endpoint.slots,
+                max(e.transfer_until_s - now_s, 0.0)
+                + (e.free_s(now_s) - now_s),
+                len(e.runs),
+            ),
+            default=None,
+        )
+
+    def answerer(
+        self, avoid: tuple[str, ...], now_s: float
+    ) -> enginemodel.EngineModel | None:
+        """The engine for a short prompt.
+
+        Long answers share few engines, so that the others can read.
+        """
+        return min(
+            self.answering(avoid, now_s),
+            key=lambda e: _answer_order(e, now_s),
+            default=None,
+        )
+
+
+def _answer_order(
+    engine: enginemodel.EngineModel, now_s: float
+) -> tuple[bool, bool, float]:
+    if len(engine.runs) >= engine.endpoint.slots:
+        return (True, engine.slowness > SLOW, len(engine.runs))
+    return (False, engine.slowness > SLOW, -len(engine.runs))
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -91,6 +91,7 @@
         self.tried: set[str] = set()
         self.endpoint = ''
         self.last_event: bytes | None = None
+        self.read_s: float | None = None
 
     def _pick_service(self) -> str:
         targets = self.route.targets
@@ -364,10 +365,17 @@
                 return outcomes.Refused(
                     decision.reason, decision.retry_after_s
                 )
+            tell = True
             try:
                 result = self._run_placed(job, decision, resume_after)
+                if isinstance(result, outcomes.Answered):
+                    tell = decision.tell_end
+                elif isinstance(result, outcomes.NotRun | outcomes.Lost):
+                    self.parts.placer.failed(
+                        self.service, job.id, self.endpoint
+                    )
             finally:
-                self.parts.placer.ended(self.service, job.id)
+                self.parts.placer.ended(self.service, job.id, tell)
             match result:
                 case outcomes.Answered() | outcomes.Failed():
                     return result
@@ -375,16 +383,10 @@
                     return self._deliver(result)
                 case outcomes.NotRun(reason):
                     self._log_try(reason, 'not run')
-                    self.parts.placer.failed(
-                        self.service, job.id, self.endpoint
-                    )
                     if not self._may_go_on():
                         return outcomes.Refused(reason, RETRY_AFTER_S)
                 case outcomes.Lost(reason, timed_out):
                     self._log_try(reason, 'unknown')
-                    self.parts.placer.failed(
-                        self.service, job.id, self.endpoint
-                    )
                     status = 504 if timed_out else 502
                     failure = outcomes.Failed(status, reason)
                     if not self.route.repeatable or not self._may_go_on():
@@ -409,6 +411,7 @@
         objective_s = self.arrived_s + self.route.objective_s
         if returning:
             objective_s -= self.route.timeout_s - wait_s
+        objective_s -= self.parts.placer.after_reading_s.high_s
         return placement.Job(
             id=self.parts.rng.getrandbits(62),
             parts=prompt.parts,
@@ -490,6 +493,7 @@
             self._prefill_failed(job, reader, reason)
             return None
         self.parts.placer.has_read(self.service, job.id, reader.id)
+        self.read_s = self.parts.clock.now_s()
         return f'{reader.address}/{read.handle}'
 
     def _prefill_failed(
@@ -557,7 +561,7 @@
                     request.method, request.target, headers, request.body
                 )
                 head = self._waited(used.head)
-                result = self._judge_stream(used, head, job, runner)
+                result = self._judge_stream(used, head, job, runner, options)
         except http.OutOfTime as error:
             result = outcomes.Lost(str(error), timed_out=True)
             used.close()
@@ -587,6 +591,7 @@
         head: http.Head,
         job: placement.Job,
         runner: catalog.Endpoint,
+        options: codecs.RunOptions,
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         facts = self.parts.codec.facts(head)
         if facts.status != 200:
@@ -597,7 +602,12 @@
             return outcomes.Lost("not the endpoint's own answer", False)
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
-        return self._relay(used, head, job, runner)
+        return self._relay(used, head, job, runner, options)
+
+    def _tell_read(self, job: placement.Job, runner: catalog.Endpoint) -> None:
+        """The first event shows that the prompt has been read."""
+        if job.tokens > placing.SHORT_TOKENS:
+            self.parts.placer.has_read(self.service, job.id, runner.id)
 
     def _relay(
         self,
@@ -605,6 +615,7 @@
         head: http.Head,
         job: placement.Job,
         runner: catalog.Endpoint,
+        options: codecs.RunOptions,
     ) -> outcomes.Answered:
         splitter = events.EventSplitter()
         first = True
@@ -615,9 +626,12 @@
             whole = splitter.feed(part.data)
             if not whole:
                 continue
-            if first:
-                first = False
-                self.parts.placer.has_read(self.service, job.id, runner.id)
+            if first and options.source is None:
+                self._tell_read(job, runner)
+            elif first and self.read_s is not None:
+                took_s = self.parts.clock.now_s() - self.read_s
+                self.parts.placer.after_reading_s.add(took_s)
+            first = False
             self._begin(head)
             data = b''.join(event.data for event in whole)
             self.caller.chunk(data)
--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -21,8 +21,9 @@
 #: tells nothing.
 WATCH_S = 3.0
 #: Pause between two watches: changes that come together are told together,
-#: which saves most of the calls while a fleet starts.
-GATHER_S = 0.1
+#: which saves most of the calls while a fleet starts.  Well inside the
+#: shortest time in which a change has to be in force (2 s).
+GATHER_S = 0.4
 #: Pause after a failure, spread by as much again.
 RETRY_S = 0.25
 #: Entries that vanish while the store is away, or with most of their
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -247,11 +247,29 @@
             self._answer_early(caller, request, 404, 'no route')
             return
         one = exchange.Exchange(self.parts, request, route, caller, arrived_s)
-        outcome = one.run()
+        try:
+            outcome = one.run()
+        except Exception as error:
+            # A fault of this program must not end a connection without an
+            # answer: nobody could tell whether the request has run.
+            LOG.error_event(
+                'request_error', error, id=request.id.decode('latin-1')
+            )
+            outcome = self._fail(caller, request)
         took_s = self.clock.now_s() - arrived_s
         self.record(outcome, route, took_s)
         self._log(one, outcome, took_s, configuration.version)
 
+    def _fail(
+        self, caller: callers.Caller, request: codecs.Request
+    ) -> outcomes.Failed:
+        if caller.begun:
+            caller.broken = True
+        else:
+            caller.closing = True
+            caller.answer(500, [(b'X-Request-Id', request.id)], b'')
+        return outcomes.Failed(500, 'an error of this program')
+
     def _answer_early(
         self,
         caller: callers.Caller,
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -29,7 +29,7 @@
 SHORT_TOKENS = placement.PlacementSettings().short_tokens
 #: An ask without answer is sent again after this time: several times the
 #: way there and back, so that only a lost datagram or a busy host is late.
-ASK_TIMEOUT_S = 0.015
+ASK_TIMEOUT_S = 0.02
 #: Asks without any answer before the host places by itself.
 ASKS = 2
 #: A placing host that did not answer is not asked for this long.
@@ -39,6 +39,33 @@
 #: How long decisions are remembered for asks that come twice.
 REMEMBERED = 4096
 MAX_DATAGRAM_BYTES = 65535
+#: From a read prompt to the first event before any was measured, in
+#: seconds: a transfer of some milliseconds and a step or two.
+AFTER_READING_S = 0.015
+#: Weight of a new measurement in a mean.
+MEAN_WEIGHT = 0.05
+
+
+class HighMean:
+    """A mean that leaves out little: the mean and a mean deviation.
+
+    :param first_s: value before anything was measured
+    """
+
+    def __init__(self, first_s: float) -> None:
+        self.mean_s = first_s
+        self.deviation_s = first_s / 4
+
+    @property
+    def high_s(self) -> float:
+        """What most of the measured times stay under."""
+        return self.mean_s + 1.5 * self.deviation_s
+
+    def add(self, seconds: float) -> None:
+        """Take a measurement."""
+        apart_s = abs(seconds - self.mean_s)
+        self.mean_s += MEAN_WEIGHT * (seconds - self.mean_s)
+        self.deviation_s += MEAN_WEIGHT * (apart_s - self.deviation_s)
 
 
 class _Waiting(NamedTuple):
@@ -65,6 +92,8 @@
     :ivar leader: address of the placing host, None if none is known
     :ivar leading: this host is the placing host
     :ivar hosts: live hosts
+    :ivar after_reading_s: time from a prompt that has been read to the
+        first event, which the place has to leave free
     """
 
     def __init__(
@@ -82,6 +111,7 @@
         self.rng = rng
         self.leader: str | None = None
         self.leading = False
+        self.after_reading_s = HighMean(AFTER_READING_S)
         self.hosts = 1
         self.silent_until_s = 0.0
         self.served: dict[str, _Pool] = {}
@@ -202,9 +232,13 @@
         """An engine failed a job."""
         self._report(service, job_id, placing_codec.Event.FAILED, endpoint)
 
-    def ended(self, service: str, job_id: int) -> None:
-        """A job holds no slot any longer."""
-        self._report(service, job_id, placing_codec.Event.ENDED, '')
+    def ended(self, service: str, job_id: int, tell: bool) -> None:
+        """A job holds no slot any longer.
+
+        :param tell: whether the place was to be told
+        """
+        if tell:
+            self._report(service, job_id, placing_codec.Event.ENDED, '')
         self.placed_by.pop(job_id, None)
 
     def _report(
@@ -304,8 +338,7 @@
             case placing_codec.Event.FAILED:
                 decisions = core.failed(report.job, report.endpoint, now_s)
             case placing_codec.Event.WITHDRAWN:
-                core.withdraw(report.job, now_s)
-                decisions = core.pump(now_s)
+                decisions = core.withdraw(report.job, now_s)
         self._publish(pool, decisions)
 
     def _publish(
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -156,6 +156,7 @@
                 fetch_from=decision.fetch_from,
                 read_tokens=decision.read_tokens,
                 expected_us=_micro(decision.expected_s),
+                tell_end=decision.tell_end,
             )
         case placement.Refused(job, retry_after_s, reason):
             return ttypes.Decision(
@@ -172,6 +173,7 @@
             decision.fetch_from,
             decision.read_tokens or 0,
             (decision.expected_us or 0) / MICRO,
+            bool(decision.tell_end),
         )
         return Told(placed)
     if decision.retry_after_us is not None:
--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -1,7 +1,5 @@
 """Carries the stage plan out, under the lease."""
 
-import json
-
 import gevent
 
 from magnoliadyke import app
@@ -14,12 +12,10 @@
 from magnoliadyke.gateway import store
 from magnoliadyke import logs
 
-__all__ = ['INTENT_PREFIX', 'Stages']
+__all__ = ['Stages']
 
 LOG = logs.get('stages')
 
-#: Keys of the orders that are about to be sent.
-INTENT_PREFIX = 'magnoliadyke/intents/'
 TICK_S = 0.5
 #: An order without an answer may be carried out seconds later; that engine
 #: is left alone for so long.
@@ -118,11 +114,13 @@
     def _order(
         self, endpoint: catalog.Endpoint, stage: catalog.Stage, core
     ) -> None:
-        """Write the intent, then order; the engine's word is read before.
+        """Check the lease at the store, then order.
 
-        The intent is written on condition that the lease's key is still
-        the one of this holder: a host that was paused learns at the store
-        that it has lost the lease, before it sends anything.
+        The check is a transaction that writes nothing, on condition that
+        the lease's key is still the one of this holder: a host that was
+        paused learns that it has lost the lease before it sends anything.
+        An order of a holder before that is still on its way is refused by
+        the engine: it names the number of orders that it was meant for.
         """
         state = self.control.state(endpoint)
         if isinstance(state, enginecontrol.Unreachable):
@@ -132,25 +130,13 @@
             return
         if state.busy or state.stage is stage:
             return
-        value = json.dumps(
-            {
-                'stage': stage.value,
-                'holder': self.host,
-                'orders': state.orders,
-            }
-        ).encode()
-        put = store.Put(
-            INTENT_PREFIX + endpoint.id, value, self.leadership.lease or 0
-        )
         expected = {leadership.LEADER_KEY: self.leadership.fencing}
-        written = self.store.commit(expected, (put,))
-        if (
-            not isinstance(written, store.Written)
-            or not self.leadership.may_order()
-        ):
-            LOG.event('order_put_off', endpoint=endpoint.id, cause='lease')
+        checked = self.store.commit(expected)
+        if not isinstance(checked, store.Written):
+            LOG.event('order_put_off', endpoint=endpoint.id, cause=checked)
             return
-        self._send(endpoint, stage, state.orders, core)
+        if self.leadership.may_order():
+            self._send(endpoint, stage, state.orders, core)
 
     def _send(
         self,
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -264,8 +264,6 @@
                 LOG.event(
                     'placement',
                     service=service,
-                    fresh=len(pool.core.fresh),
-                    late=len(pool.core.late),
                     **pool.core.figures(),
                 )
         LOG.event(
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -321,6 +321,7 @@
      - retry_after_us
      - reason
      - expected_us
+     - tell_end
 
     """
 
@@ -333,10 +334,11 @@
         'retry_after_us',
         'reason',
         'expected_us',
+        'tell_end',
     )
 
 
-    def __init__(self, job=None, prefill=None, run=None, fetch_from=None, read_tokens=None, retry_after_us=None, reason=None, expected_us=None,):
+    def __init__(self, job=None, prefill=None, run=None, fetch_from=None, read_tokens=None, retry_after_us=None, reason=None, expected_us=None, tell_end=None,):
         self.job = job
         self.prefill = prefill
         self.run = run
@@ -345,6 +347,7 @@
         self.retry_after_us = retry_after_us
         self.reason = reason
         self.expected_us = expected_us
+        self.tell_end = tell_end
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -395,6 +398,11 @@
                     self.expected_us = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.tell_end = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -437,6 +445,10 @@
             oprot.writeFieldBegin('expected_us', TType.I32, 8)
             oprot.writeI32(self.expected_us)
             oprot.writeFieldEnd()
+        if self.tell_end is not None:
+            oprot.writeFieldBegin('tell_end', TType.BOOL, 9)
+            oprot.writeBool(self.tell_end)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -702,6 +714,7 @@
     (6, TType.I32, 'retry_after_us', None, None, ),  # 6
     (7, TType.STRING, 'reason', 'UTF8', None, ),  # 7
     (8, TType.I32, 'expected_us', None, None, ),  # 8
+    (9, TType.BOOL, 'tell_end', None, None, ),  # 9
 )
 all_structs.append(Report)
 Report.thrift_spec = (
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -37,6 +37,7 @@
   6: optional i32 retry_after_us,
   7: optional string reason,
   8: optional i32 expected_us,
+  9: optional bool tell_end,
 }
 
 enum Event {
