--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -7,6 +7,7 @@
 prompt follows another without a gap, latency where a prompt came alone.
 """
 
+import collections
 import dataclasses
 
 from magnoliadyke.core import catalog
@@ -41,6 +42,9 @@
 #: times its expected length, and never before this many seconds.
 LOST_FACTOR = 5.0
 LOST_S = 0.5
+#: How long a short answer holds a slot after its prompt was moved, in
+#: seconds: a few steps, and the way of the request there.
+SHORT_RUN_S = 0.02
 #: Shortest time that counts as measured.
 LEAST_S = 0.0002
 
@@ -106,6 +110,7 @@
         self.slowness = 1.0
         self.readings: dict[int, Reading] = {}
         self.runs: set[int] = set()
+        self.short_ends: collections.deque[float] = collections.deque()
         self.freed_s = 0.0
         self.transfer_until_s = 0.0
         self.rest_until_s = 0.0
@@ -116,6 +121,16 @@
         """How many long answers it gives; prompts would disturb them."""
         return len(self.runs)
 
+    def expect_run(self, ready_s: float, now_s: float) -> None:
+        """A short answer follows a prompt that was read elsewhere."""
+        self.short_ends.append(max(ready_s, now_s) + SHORT_RUN_S)
+
+    def taken(self, now_s: float) -> int:
+        """Slots that answers hold, short ones by their expected end."""
+        while self.short_ends and self.short_ends[0] <= now_s:
+            self.short_ends.popleft()
+        return len(self.runs) + len(self.short_ends)
+
     def expected_s(self, tokens: float) -> float:
         """Time that this engine needs to read uncached tokens."""
         return self.cost.seconds(tokens) * self.slowness
@@ -157,7 +172,7 @@
             beside_s = now_s - 2 * HOP_S - arrived_s
             beside_s -= reading.expected_s * self.slowness
             self.cost.learn_latency(beside_s)
-        elif arrived_s <= self.freed_s:
+        elif arrived_s + latency_s <= self.freed_s:
             self._learn(reading, max(LEAST_S, took_s))
         self.freed_s = max(self.freed_s, freed_s)
         self._shift(now_s)
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -18,7 +18,8 @@
     """Constants of the pool.
 
     :param ahead_s: an engine gets its next prompt this long before it is
-        expected to be free: a report and a placement take two hops each
+        expected to be free, and the measured latency beside reading: the
+        way there is part of that, and on narrow links most of it
     :param most_ahead: prompts at one engine, for when the forecast is off
     :param fetch_gain: a cached part is fetched from another engine if that
         takes less than this share of the time to read it again
@@ -26,7 +27,7 @@
         those that keep part of it; more gain little and cost time
     """
 
-    ahead_s: float = 0.008
+    ahead_s: float = 0.005
     most_ahead: int = 8
     fetch_gain: float = 0.6
     candidates: int = 12
@@ -180,8 +181,9 @@
         if not engine.readings:
             self.open[engine_id] = None
             return
-        opens_s = engine.free_s(now_s) - self.settings.ahead_s
-        full = len(engine.readings) >= self.settings.most_ahead
+        ahead_s = self.settings.ahead_s + engine.cost.latency_s
+        opens_s = engine.free_s(now_s) - ahead_s
+        full = len(engine.readings) >= self._most_ahead(engine)
         if opens_s <= now_s and not full:
             self.open[engine_id] = None
             return
@@ -190,6 +192,16 @@
             opens_s = max(opens_s, now_s + enginemodel.LOST_S)
         heapq.heappush(self._opens, (opens_s, engine_id))
 
+    def _most_ahead(self, engine: enginemodel.EngineModel) -> int:
+        """A prompt takes a slot, also while it waits for the one before.
+
+        An engine that failed is tried with one: were it still down, all
+        that it was given would be late.
+        """
+        if engine.failures:
+            return 1
+        return min(self.settings.most_ahead, max(1, engine.endpoint.slots - 1))
+
     # What becomes of prompts.
 
     def take(
@@ -206,6 +218,7 @@
         if runner is not reader:
             self.caches.use(runner.endpoint.id, parts)
             runner.transfer_until_s = option.ready_s
+            runner.expect_run(option.ready_s, now_s)
         self._note_room(reader, now_s)
 
     def has_read(self, job: int, engine_id: str, now_s: float) -> None:
@@ -259,6 +272,8 @@
         """The best way among the engines that have room."""
         kept = self.caches.kept(parts)
         runner = self.runner(avoid, now_s)
+        if runner is not None and not self.has_slot(runner, now_s):
+            runner = None
         best: Option | None = None
         for engine_id in self._candidates(kept):
             reader = self.engines[engine_id]
@@ -351,6 +366,12 @@
             return seconds * REMOTE_FACTOR
         return seconds
 
+    def typical_move_s(self, tokens: int) -> float:
+        """Time that a prompt's transfer keeps an engine's link busy."""
+        bits = tokens * self.traits.bytes_per_token * 8
+        seconds = TRANSFER_SETUP_S + bits / (self.traits.link_bits_s or 1e9)
+        return seconds * REMOTE_FACTOR
+
     # Engines that answer.
 
     def answering(
@@ -375,7 +396,7 @@
         return min(
             self.answering(avoid, now_s),
             key=lambda e: (
-                len(e.runs) >= e.endpoint.slots,
+                e.taken(now_s) >= e.endpoint.slots,
                 max(e.transfer_until_s - now_s, 0.0)
                 + (e.free_s(now_s) - now_s),
                 len(e.runs),
@@ -383,6 +404,14 @@
             default=None,
         )
 
+    def has_slot(self, runner: enginemodel.EngineModel, now_s: float) -> bool:
+        """Whether an engine that answers has a slot for one more.
+
+        Without one it would turn the request away, and the prompt would
+        have been read for nothing.
+        """
+        return runner.taken(now_s) < runner.endpoint.slots
+
     def answerer(
         self, avoid: tuple[str, ...], now_s: float
     ) -> enginemodel.EngineModel | None:
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -58,6 +58,8 @@
 
 #: Slots counted as taken no longer than this without word of the end.
 RUN_LOST_S = 20.0
+#: Part of an engine's slots that long answers may fill: they come unevenly.
+FULL_SHARE = 0.8
 #: Seconds for each token of an answer before any was measured.
 PRIOR_OUTPUT_S = 0.02
 #: Weight of a new answer in that figure.
@@ -206,6 +208,7 @@
         self.output_s = PRIOR_OUTPUT_S
         self.asked = limits.Rate(DEMAND_S, 0.0)
         self.asked_fresh = limits.Rate(DEMAND_S, 0.0)
+        self.asked_moves = limits.Rate(DEMAND_S, 0.0)
         self.turns = 0
         self.bias = 1.0
         self.sorted_s = 0.0
@@ -233,8 +236,10 @@
 
     def load(self, now_s: float) -> stageplan.Load:
         """What is asked of the engines now, refused work included."""
+        slots = max(1, self.traits.slots) * FULL_SHARE
+        moves = self.asked_moves.now(now_s)
         return stageplan.Load(
-            self.asked.now(now_s), len(self.runs), self.traits.slots
+            self.asked.now(now_s), len(self.runs) / slots + moves
         )
 
     def figures(self) -> dict[str, str]:
@@ -267,6 +272,7 @@
         kept = self.pool.caches.kept(job.parts)
         job.need_s = self.pool.need_s(kept, job.tokens) * self.bias
         self.asked.add(job.need_s, now_s)
+        self.asked_moves.add(self.pool.typical_move_s(job.tokens), now_s)
         if now_s + self._wait_s(now_s) + job.need_s <= self._due_s(job):
             self.asked_fresh.add(job.need_s, now_s)
             self.fresh.put(job)
--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -5,11 +5,13 @@
 away for seconds and is paid for, so the plan follows the waves' peaks, not
 the swings inside them: an engine that answers can read at half speed in the
 meantime, one that reads can't answer.
+
+The plan balances: it moves an engine where that makes the busier of the two
+stages clearly less busy.
 """
 
 import collections
 import dataclasses
-import math
 from typing import NamedTuple
 
 __all__ = ['Change', 'Load', 'StagePlan', 'StagePlanSettings']
@@ -20,21 +22,16 @@
 
     :param memory_s: the peaks of this long are planned for; longer than a
         swing, so that a lull between two of them moves nothing
-    :param read_share: share of the reading engines' time that may be asked
-        for before another one is moved to them
-    :param answer_share: share of the answering engines' slots that may be
-        taken before another one is moved to them
-    :param spare_share: share of their slots that may be taken after one of
-        them has been moved away; below answer_share, so that no load moves
-        an engine there and back
+    :param least_busy: the busier stage has to be this busy before anything
+        moves; below it nobody waits
+    :param gain: how much less busy it has to become
     :param pause_s: least time between two changes in opposite directions
     :param most_changing: share of the engines that change at one time
     """
 
     memory_s: float = 6.0
-    read_share: float = 0.45
-    answer_share: float = 0.85
-    spare_share: float = 0.6
+    least_busy: float = 0.4
+    gain: float = 0.1
     pause_s: float = 10.0
     most_changing: float = 0.2
 
@@ -42,14 +39,12 @@
 class Load(NamedTuple):
     """What is asked of the engines of a service.
 
-    :param reading: reading time asked for in each second, in engines
-    :param answering: long answers under way
-    :param slots: requests that one engine runs at once
+    :param reading: engines that reading the prompts would fill
+    :param answering: engines that answers and transfers would fill
     """
 
     reading: float
     answering: float
-    slots: int
 
 
 class Change(NamedTuple):
@@ -103,21 +98,22 @@
     def _wanted(
         self, reading: int, answering: int, total: int
     ) -> Change | None:
-        peak = max(sample.load.reading for sample in self.samples)
-        taken = max(
-            sample.load.answering / max(1, sample.load.slots)
-            for sample in self.samples
-        )
-        if answering < 1 or taken > answering * self.settings.answer_share:
+        if answering < 1:
             return Change(False) if reading > 1 else None
-        least = max(
-            least_answering(total),
-            math.ceil(taken / self.settings.spare_share),
+        asked = Load(
+            max(sample.load.reading for sample in self.samples),
+            max(sample.load.answering for sample in self.samples),
         )
-        if answering <= least:
+        present = _busiest(asked, reading, answering)
+        if present < self.settings.least_busy:
             return None
-        if peak > reading * self.settings.read_share:
-            return Change(True)
+        wanted = present * (1 - self.settings.gain)
+        if answering > least_answering(total):
+            if _busiest(asked, reading + 1, answering - 1) <= wanted:
+                return Change(True)
+        if reading > 1:
+            if _busiest(asked, reading - 1, answering + 1) <= wanted:
+                return Change(False)
         return None
 
     def _is_reversal(self, change: Change, now_s: float) -> bool:
@@ -130,3 +126,10 @@
     """Engines that always answer: one more than needed where there are
     enough, since nobody could answer while the only one is down."""
     return 2 if total >= 4 else 1
+
+
+def _busiest(asked: Load, reading: int, answering: int) -> float:
+    """How busy the busier of the two stages would be."""
+    if not reading:
+        return max(asked.reading, asked.answering / max(1, answering))
+    return max(asked.reading / reading, asked.answering / max(1, answering))
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -38,11 +38,13 @@
 #: A prompt that is not read after this many times the expected time, and at
 #: least this many seconds, is taken elsewhere; reading is no run.
 PREFILL_FACTOR = 3.0
-MIN_PREFILL_S = 0.25
+MIN_PREFILL_S = 0.15
 #: A resumable stream that is silent for this long goes on at another
 #: engine, in seconds; several times the pause that callers accept.
 STALL_FACTOR = 5.0
 MIN_STALL_S = 0.5
+#: The same before the first event: it may wait for a slot.
+FIRST_STALL_S = 1.2
 
 
 class Parts(NamedTuple):
@@ -88,6 +90,7 @@
         self.service = self._pick_service()
         self.runs = 0
         self.sends = 0
+        self.prefills = 0
         self.tried: set[str] = set()
         self.endpoint = ''
         self.last_event: bytes | None = None
@@ -154,10 +157,20 @@
     def _budget(self) -> retrybudget.RetryBudget:
         return self.parts.budgets[self.service]
 
-    def _may_repeat(self) -> bool:
-        """Whether a further send fits the budget and the caller's time."""
-        if self.left_s < RETURN_S:
-            return False
+    def _may_send(self) -> bool:
+        """Count a send that is to run; all but the first are repeats."""
+        self.sends += 1
+        return self.sends == 1 or self._budget().take(self.parts.clock.now_s())
+
+    def _may_prefill(self) -> bool:
+        """Count a prompt that is to be read.
+
+        The first one that an engine takes is free; one that it turns away
+        counts as the request's first send.
+        """
+        self.prefills += 1
+        if self.prefills == 1:
+            return True
         return self._budget().take(self.parts.clock.now_s())
 
     # Plain services, and streams that come without a prompt.
@@ -203,7 +216,7 @@
             return False
         if self.sends > self.route.max_attempts:
             return False
-        return self._may_repeat()
+        return self.left_s >= RETURN_S
 
     def _choose(self) -> catalog.Endpoint | None:
         endpoints = self.parts.catalog.usable(self.service)
@@ -276,7 +289,9 @@
             )
         except upstream.NoConnection as error:
             return outcomes.NotRun(str(error), arrived=False)
-        self.sends += 1
+        if not self._may_send():
+            self.parts.upstream.give(endpoint, used)
+            return outcomes.NotRun('the retry budget is spent', False)
         self.runs += 1
         result = self._converse(used, headers, try_s)
         self.parts.upstream.give(endpoint, used)
@@ -455,11 +470,33 @@
         try:
             result = self._stream(runner, options, job)
             started = not isinstance(result, outcomes.NotRun)
+            if not started and source is not None:
+                other = self._other_runner(runner)
+                if other is not None:
+                    self.endpoint = other.id
+                    options = options._replace(endpoint=other.id)
+                    result = self._stream(other, options, job)
+                    started = not isinstance(result, outcomes.NotRun)
         finally:
             if source is not None and not started:
                 self._free(source)
         return result
 
+    def _other_runner(
+        self, failed: catalog.Endpoint
+    ) -> catalog.Endpoint | None:
+        """Another engine for a prompt that has been read already."""
+        if self.left_s < RETURN_S:
+            return None
+        others = [
+            each
+            for each in self.parts.catalog.usable(self.service)
+            if each.stage is catalog.Stage.DECODE and each.id != failed.id
+        ]
+        if not others:
+            return None
+        return self.parts.rng.choice(others)
+
     def _prefill(
         self, job: placement.Job, placed: placement.Placed
     ) -> str | None:
@@ -479,12 +516,16 @@
         except upstream.NoConnection as error:
             self._prefill_failed(job, reader, str(error))
             return None
+        if not self._may_prefill():
+            self.parts.upstream.give(reader, used)
+            return None
         try_s = max(MIN_PREFILL_S, placed.expected_s * PREFILL_FACTOR)
         try_s = min(self.left_s, try_s)
         result = self._converse(used, headers, try_s)
         self.parts.upstream.give(reader, used)
         match result:
             case outcomes.NotRun(reason) | outcomes.Lost(reason):
+                self.sends += 1
                 self._prefill_failed(job, reader, reason)
                 return None
         read = self.parts.codec.prefilled(result.body)
@@ -551,7 +592,9 @@
             )
         except upstream.NoConnection as error:
             return outcomes.NotRun(str(error), arrived=False)
-        self.sends += 1
+        if not self._may_send():
+            self.parts.upstream.give(runner, used)
+            return outcomes.NotRun('the retry budget is spent', False)
         self.runs += 1
         headers = self.parts.codec.run_headers(self.request, options)
         request = self.request
@@ -560,7 +603,7 @@
                 used.send(
                     request.method, request.target, headers, request.body
                 )
-                head = self._waited(used.head)
+                head = self._waited(used.head, FIRST_STALL_S)
                 result = self._judge_stream(used, head, job, runner, options)
         except http.OutOfTime as error:
             result = outcomes.Lost(str(error), timed_out=True)
@@ -577,11 +620,11 @@
             self.runs -= 1
         return result
 
-    def _waited(self, wait):
+    def _waited(self, wait, least_s):
         """Wait for the next piece, less long if it can go on elsewhere."""
         if not self.route.resumable:
             return wait()
-        stall_s = max(MIN_STALL_S, self.route.pause_s * STALL_FACTOR)
+        stall_s = max(least_s, self.route.pause_s * STALL_FACTOR)
         with gevent.Timeout(stall_s, http.OutOfTime('the engine is silent')):
             return wait()
 
@@ -620,7 +663,8 @@
         splitter = events.EventSplitter()
         first = True
         while True:
-            part = self._waited(used.part)
+            least_s = FIRST_STALL_S if first else MIN_STALL_S
+            part = self._waited(used.part, least_s)
             if isinstance(part, http.End):
                 break
             whole = splitter.feed(part.data)
--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -34,9 +34,10 @@
 #: mostly one writes.
 RANK_DELAY_S = 0.12
 MAX_RANK = 8
-#: Added to the time that two holders' orders are apart, in seconds: an
-#: order of the one before may still be on its way.
-GAP_MARGIN_S = 0.7
+#: Added to the time that two holders' orders are apart, in seconds.  The one
+#: before asks the store whether it still holds the key before each order,
+#: so its last one left within a call's time of the key's change.
+GAP_MARGIN_S = 1.5
 
 
 class Leadership(app.Component, follower.Listener):
@@ -72,6 +73,7 @@
         self.order_from_s = 0.0
         self.order_until_s = 0.0
         self.holder: str | None = None
+        self.holder_incarnation = 0
         self.holder_revision = 0
         self.vacant_since_s: float | None = clock.now_s()
         self.greenlet: gevent.Greenlet | None = None
@@ -96,7 +98,8 @@
     def may_order(self) -> bool:
         """Whether an order sent now is certainly under the own lease."""
         return (
-            self.lease is not None and self.clock.now_s() < self.order_until_s
+            self.lease is not None
+            and self.order_from_s <= self.clock.now_s() < self.order_until_s
         )
 
     # Word of the store.
@@ -105,6 +108,7 @@
         """A host holds the lease."""
         fields = json.loads(item.value)
         self.holder = fields['host']
+        self.holder_incarnation = fields['incarnation']
         self.holder_revision = item.revision
         self.vacant_since_s = None
         if self.holder != self.own.host or self.lease is None:
@@ -140,6 +144,7 @@
             return
         now_s = self.clock.now_s()
         if self.holder is not None and not self._holder_is_dead():
+            self.vacant_since_s = None
             return
         if self.vacant_since_s is None:
             self.vacant_since_s = now_s
@@ -149,16 +154,21 @@
             self._take()
 
     def _holder_is_dead(self) -> bool:
-        """Gossip has found the holder dead, or it has left.
+        """The process that holds the lease is gone, as far as is known.
 
-        Its lease may still run, so who replaces it gives no orders until
-        it has certainly ended; prompts can be placed at once.
+        Until it is replaced every host places alone, which serves callers
+        far worse than a holder replaced without need.
         """
+        if self.holder == self.own.host:
+            return self.holder_incarnation != self.own.incarnation
         member = self.members.core.view().members.get(self.holder)
-        return member is not None and member.state in (
-            membership.DEAD,
-            membership.LEFT,
-        )
+        if member is None:
+            return False
+        if member.incarnation > self.holder_incarnation:
+            return True
+        if member.state == membership.SUSPECT:
+            return self.clock.now_s() < self.placer.silent_until_s
+        return member.state in (membership.DEAD, membership.LEFT)
 
     def _rank(self) -> int:
         """How many hosts are better placed: larger, then by a hash."""
@@ -176,7 +186,11 @@
         if not isinstance(granted, store.Granted):
             return
         value = json.dumps(
-            {'host': self.own.host, 'address': self.own.address}
+            {
+                'host': self.own.host,
+                'address': self.own.address,
+                'incarnation': self.own.incarnation,
+            }
         ).encode()
         put = store.Put(LEADER_KEY, value, granted.lease)
         replaced = self.holder_revision
@@ -199,14 +213,12 @@
         by_force: bool,
     ) -> None:
         now_s = self.clock.now_s()
-        wait_s = self.order_gap_s + GAP_MARGIN_S
-        if by_force:
-            wait_s += granted.ttl_s
         self.lease = granted.lease
         self.fencing = revision
         self.holder = self.own.host
+        self.holder_incarnation = self.own.incarnation
         self.holder_revision = revision
-        self.order_from_s = now_s + wait_s
+        self.order_from_s = now_s + self.order_gap_s + GAP_MARGIN_S
         self.order_until_s = asked_s + granted.ttl_s * ORDER_SHARE
         self.vacant_since_s = None
         self.placer.leading = True
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -10,7 +10,7 @@
 
 #: Time for an opening packet and its answer; an endpoint that needs longer
 #: is down or out of reach, and another one can still be in time.
-CONNECT_TIMEOUT_S = 0.4
+CONNECT_TIMEOUT_S = 0.25
 #: A connection that idled for longer than this is not used for requests
 #: that may run at most once: the endpoint may just be closing it, and then
 #: nobody could tell whether the request has run.  Connections in use are
