Wait for the engine that is free first; balance stages moment by moment

Cause of refusals while engines idled (646 in 1.6 s while three engines that read had nothing): the wait was taken as the mean of all backlogs, so that one engine with slow transfers delayed all.

--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -48,6 +48,8 @@
 #: this long, in seconds: it reads for nothing.
 LAPSED_AGAIN_S = 1.0
 LAPSED_REST_S = 2.0
+#: Weight of a new measurement of what follows reading.
+MOVED_WEIGHT = 0.15
 #: Prompt length at which the speeds of two engines are compared.
 TYPICAL_TOKENS = 4000
 #: Engines that answer which are slower than this are used last.
@@ -58,15 +60,34 @@
 SOURCES = 3
 
 
-class Capacity(NamedTuple):
-    """Reading power of all engines.
+class Capacity:
+    """Reading power of all engines, and what each has still to read.
 
-    :param speed: in engines of the reading stage
-    :param given_s: what they have still to read, in seconds of one
+    :param backlogs: seconds that an engine has still to read, and its speed
+        in engines of the reading stage
     """
 
-    speed: float
-    given_s: float
+    def __init__(self, backlogs: Iterable[tuple[float, float]]) -> None:
+        self.backlogs = sorted(backlogs)
+        self.speed = sum(speed for _, speed in self.backlogs)
+
+    def wait_s(self, work_s: float) -> float:
+        """Time until the engines have taken in so much more work.
+
+        Whoever is free first takes the next prompt, so an engine that is
+        far behind the others delays nobody.
+
+        :param work_s: seconds of an engine of the reading stage
+        """
+        speed = 0.0
+        at_s = 0.0
+        for backlog_s, share in self.backlogs:
+            if speed and (backlog_s - at_s) * speed >= work_s:
+                break
+            work_s -= (backlog_s - at_s) * speed
+            at_s = backlog_s
+            speed += share
+        return at_s + max(0.0, work_s) / speed if speed else 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -103,9 +124,10 @@
             stage: enginemodel.ReadingCost() for stage in catalog.Stage
         }
         self.caches = promptcache.CacheIndex()
+        self.after_s = 0.0
         self.open: dict[str, None] = {}
         self._opens: list[tuple[float, str]] = []
-        self._capacity = Capacity(0.0, 0.0)
+        self._capacity = Capacity(())
         self._capacity_s = float('-inf')
 
     # Which engines there are.
@@ -263,22 +285,20 @@
 
     def capacity(self, now_s: float) -> Capacity:
         """Reading power of the engines that may read."""
-        if now_s - self._capacity_s < CAPACITY_S:
-            return self._capacity
-        speed = 0.0
-        given_s = 0.0
+        if now_s - self._capacity_s >= CAPACITY_S:
+            self._capacity_s = now_s
+            self._capacity = Capacity(
+                (engine.free_s(now_s) - now_s, 1 / self.relative(engine))
+                for engine in self.engines.values()
+                if engine.rest_until_s <= now_s and not engine.long_runs
+            )
+        return self._capacity
+
+    def relative(self, engine: enginemodel.EngineModel) -> float:
+        """How much longer an engine reads than one of the reading stage."""
         cost = self.costs[catalog.Stage.PREFILL]
         reference_s = cost.seconds(TYPICAL_TOKENS)
-        for engine in self.engines.values():
-            if engine.rest_until_s > now_s or engine.long_runs:
-                continue
-            relative = engine.expected_s(TYPICAL_TOKENS) / reference_s
-            share = 1 / max(0.2, relative)
-            speed += share
-            given_s += (engine.free_s(now_s) - now_s) * share
-        self._capacity = Capacity(speed, given_s)
-        self._capacity_s = now_s
-        return self._capacity
+        return max(0.2, engine.expected_s(TYPICAL_TOKENS) / reference_s)
 
     def best(
         self,
@@ -290,8 +310,6 @@
         """The best way among the engines that have room."""
         kept = self.caches.kept(parts)
         runner = self.runner(avoid, now_s)
-        if runner is not None and not self.has_slot(runner, now_s):
-            runner = None
         best: Option | None = None
         for engine_id in self._candidates(kept):
             reader = self.engines[engine_id]
@@ -305,6 +323,10 @@
             if target is None:
                 continue
             option = self._option(kept, tokens, reader, target, now_s)
+            if target is not reader and not self.has_slot(
+                target, option.ready_s, now_s
+            ):
+                continue
             if best is None or (
                 option.ready_s + option.cost_s < best.ready_s + best.cost_s
             ):
@@ -341,6 +363,7 @@
         cost_s = read_s
         if runner is not reader:
             move_s = self._transfer_s(reader, runner, tokens)
+            move_s += self._delay_s(runner)
             ready_s = max(ready_s, runner.transfer_until_s) + move_s
             cost_s += move_s
         return Option(
@@ -384,11 +407,28 @@
             return seconds * REMOTE_FACTOR
         return seconds
 
+    def moved(self, engine_id: str, took_s: float) -> None:
+        """A prompt that was read elsewhere gave its first event.
+
+        :param took_s: from when it had been read
+        """
+        engine = self.engines.get(engine_id)
+        if engine is None:
+            return
+        engine.after_s += MOVED_WEIGHT * (took_s - engine.after_s)
+        answering = self.engines.values()
+        self.after_s = min(
+            (e.after_s for e in answering if e.after_s > 0), default=0.0
+        )
+
+    def _delay_s(self, runner: enginemodel.EngineModel) -> float:
+        """How much later prompts come to an engine than to the quickest."""
+        return max(0.0, runner.after_s - self.after_s)
+
     def typical_move_s(self, tokens: int) -> float:
         """Time that a prompt's transfer keeps an engine's link busy."""
         bits = tokens * self.traits.bytes_per_token * 8
-        seconds = TRANSFER_SETUP_S + bits / (self.traits.link_bits_s or 1e9)
-        return seconds * REMOTE_FACTOR
+        return TRANSFER_SETUP_S + bits / (self.traits.link_bits_s or 1e9)
 
     # Engines that answer.
 
@@ -414,21 +454,24 @@
         return min(
             self.answering(avoid, now_s),
             key=lambda e: (
-                e.taken(now_s) >= e.endpoint.slots,
+                len(e.runs) >= e.endpoint.slots,
                 max(e.transfer_until_s - now_s, 0.0)
-                + (e.free_s(now_s) - now_s),
+                + (e.free_s(now_s) - now_s)
+                + self._delay_s(e),
                 len(e.runs),
             ),
             default=None,
         )
 
-    def has_slot(self, runner: enginemodel.EngineModel, now_s: float) -> bool:
-        """Whether an engine that answers has a slot for one more.
+    def has_slot(
+        self, runner: enginemodel.EngineModel, at_s: float, now_s: float
+    ) -> bool:
+        """Whether an engine that answers has a slot for one more then.
 
         Without one it would turn the request away, and the prompt would
         have been read for nothing.
         """
-        return runner.taken(now_s) < runner.endpoint.slots
+        return runner.taken(at_s, now_s) < runner.endpoint.slots
 
     def answerer(
         self, avoid: tuple[str, ...], now_s: float
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -58,8 +58,6 @@
 
 #: Slots counted as taken no longer than this without word of the end.
 RUN_LOST_S = 20.0
-#: Part of an engine's slots that long answers may fill: they come unevenly.
-FULL_SHARE = 0.8
 #: Seconds for each token of an answer before any was measured.
 PRIOR_OUTPUT_S = 0.02
 #: Weight of a new answer in that figure.
@@ -236,10 +234,10 @@
 
     def load(self, now_s: float) -> stageplan.Load:
         """What is asked of the engines now, refused work included."""
-        slots = max(1, self.traits.slots) * FULL_SHARE
-        moves = self.asked_moves.now(now_s)
         return stageplan.Load(
-            self.asked.now(now_s), len(self.runs) / slots + moves
+            self.asked.now(now_s),
+            self.asked_moves.now(now_s),
+            len(self.runs) / max(1, self.traits.slots),
         )
 
     def figures(self) -> dict[str, str]:
@@ -330,6 +328,11 @@
         self.pool.failed(engine_id, job_id, now_s)
         return self.pump(now_s)
 
+    def moved(self, engine_id: str, took_s: float) -> list[Decision]:
+        """A prompt that was read elsewhere gave its first event."""
+        self.pool.moved(engine_id, took_s)
+        return []
+
     def lapsed(
         self, job_id: int, engine_id: str, now_s: float
     ) -> list[Decision]:
@@ -392,11 +395,11 @@
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
             return
-        speed = capacity.speed * self._late_share(capacity, now_s)
-        ahead_s = capacity.given_s
+        share = self._late_share(capacity, now_s)
+        ahead_s = 0.0
         for queue in (self.returned, self.late):
             for job in list(queue.jobs.values()):
-                wait_s = ahead_s / speed * self.sharers
+                wait_s = capacity.wait_s(ahead_s / share) * self.sharers
                 ends_s = now_s + wait_s + job.need_s + self.settings.reserve_s
                 if ends_s <= job.deadline_s:
                     ahead_s += job.need_s
@@ -405,7 +408,9 @@
                 decisions.append(self._refuse(job, now_s, wait_s, 'too late'))
 
     def _due_s(self, job: Job) -> float:
-        return job.objective_s - self.settings.reserve_s
+        """When an engine has to be done with a job that is to be in time."""
+        latency_s = self.pool.costs[catalog.Stage.PREFILL].latency_s
+        return job.objective_s - self.settings.reserve_s - latency_s
 
     def _wait_s(self, now_s: float) -> float:
         """Time until the engines have read what they have and the queue of
@@ -413,11 +418,11 @@
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
             return NO_ENGINE_S
-        work_s = capacity.given_s + self.fresh.need_s
+        work_s = self.fresh.need_s
         if len(self.late) or len(self.returned):
             # Some of the turns go to these.
             work_s += self.fresh.need_s / (self.settings.late_turn - 1)
-        return work_s / capacity.speed * self.sharers
+        return capacity.wait_s(work_s) * self.sharers
 
     def _late_wait_s(self, now_s: float) -> float:
         """Time until one who is late already gets a place.
@@ -429,8 +434,9 @@
         if not capacity.speed:
             return NO_ENGINE_S
         late_s = self.returned.need_s + self.late.need_s
-        late_s /= capacity.speed * self._late_share(capacity, now_s)
-        return self._wait_s(now_s) + late_s * self.sharers
+        work_s = self.fresh.need_s
+        work_s += late_s / self._late_share(capacity, now_s)
+        return capacity.wait_s(work_s) * self.sharers
 
     def _late_share(
         self, capacity: enginepool.Capacity, now_s: float
@@ -467,7 +473,7 @@
         that engine is busy, and parts are read again or fetched.  Without
         the ratio too many are let in, and all of them come late.
         """
-        took_s = option.read_s / option.reader.slowness
+        took_s = option.read_s / self.pool.relative(option.reader)
         ratio = took_s / max(job.need_s / self.bias, 0.0005)
         ratio = min(4.0, max(0.5, ratio))
         self.bias += BIAS_WEIGHT * (ratio - self.bias)
--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -17,6 +17,12 @@
 __all__ = ['Change', 'Load', 'StagePlan', 'StagePlanSettings']
 
 
+#: Share of the slots from which on answers have to wait now and then.
+SLOTS_FULL = 0.95
+#: What slots count for below that.
+SLOTS_FREE_WEIGHT = 0.3
+
+
 class StagePlanSettings(NamedTuple):
     """Constants of the plan.
 
@@ -31,8 +37,8 @@
 
     memory_s: float = 6.0
     least_busy: float = 0.4
-    gain: float = 0.1
-    pause_s: float = 10.0
+    gain: float = 0.2
+    pause_s: float = 12.0
     most_changing: float = 0.2
 
 
@@ -40,11 +46,13 @@
     """What is asked of the engines of a service.
 
     :param reading: engines that reading the prompts would fill
-    :param answering: engines that answers and transfers would fill
+    :param moving: engines whose links the transfers would fill
+    :param slots: engines whose slots the long answers fill
     """
 
     reading: float
-    answering: float
+    moving: float
+    slots: float
 
 
 class Change(NamedTuple):
@@ -100,22 +108,28 @@
     ) -> Change | None:
         if answering < 1:
             return Change(False) if reading > 1 else None
-        asked = Load(
-            max(sample.load.reading for sample in self.samples),
-            max(sample.load.answering for sample in self.samples),
-        )
-        present = _busiest(asked, reading, answering)
+        present = self._busiest(reading, answering)
         if present < self.settings.least_busy:
             return None
         wanted = present * (1 - self.settings.gain)
         if answering > least_answering(total):
-            if _busiest(asked, reading + 1, answering - 1) <= wanted:
+            if self._busiest(reading + 1, answering - 1) <= wanted:
                 return Change(True)
         if reading > 1:
-            if _busiest(asked, reading - 1, answering + 1) <= wanted:
+            if self._busiest(reading - 1, answering + 1) <= wanted:
                 return Change(False)
         return None
 
+    def _busiest(self, reading: int, answering: int) -> float:
+        """How busy the busier stage would have been at the worst moment.
+
+        Taken moment by moment: prompts and answers have their peaks at
+        different times, and engines enough for both never happen at once.
+        """
+        return max(
+            _busier(sample.load, reading, answering) for sample in self.samples
+        )
+
     def _is_reversal(self, change: Change, now_s: float) -> bool:
         if self.last is None or change == self.last:
             return False
@@ -128,8 +142,16 @@
     return 2 if total >= 4 else 1
 
 
-def _busiest(asked: Load, reading: int, answering: int) -> float:
-    """How busy the busier of the two stages would be."""
-    if not reading:
-        return max(asked.reading, asked.answering / max(1, answering))
-    return max(asked.reading / reading, asked.answering / max(1, answering))
+def _busier(asked: Load, reading: int, answering: int) -> float:
+    """How busy the busier of the two stages is.
+
+    Prompts and transfers wait for each other long before an engine is full;
+    answers don't, so their slots count only when nearly all are taken.
+    """
+    answering = max(1, answering)
+    slots = asked.slots / answering
+    if slots < SLOTS_FULL:
+        slots *= SLOTS_FREE_WEIGHT
+    return max(
+        asked.reading / max(1, reading), asked.moving / answering, slots
+    )
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -674,7 +674,9 @@
                 self._tell_read(job, runner)
             elif first and self.read_s is not None:
                 took_s = self.parts.clock.now_s() - self.read_s
-                self.parts.placer.after_reading_s.add(took_s)
+                self.parts.placer.moved(
+                    self.service, job.id, runner.id, took_s
+                )
             first = False
             self._begin(head)
             data = b''.join(event.data for event in whole)
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -42,6 +42,8 @@
 #: From a read prompt to the first event before any was measured, in
 #: seconds: a transfer of some milliseconds and a step or two.
 AFTER_READING_S = 0.015
+#: One transfer in so many is reported.
+MOVES_TOLD = 3
 #: Weight of a new measurement in a mean.
 MEAN_WEIGHT = 0.05
 
@@ -236,6 +238,19 @@
         """What an engine had read was gone when it was to be fetched."""
         self._report(service, job_id, placing_codec.Event.LAPSED, endpoint)
 
+    def moved(
+        self, service: str, job_id: int, endpoint: str, took_s: float
+    ) -> None:
+        """A prompt that was read elsewhere has given its first event.
+
+        One in several is told: that shows engines whose transfers are slow
+        within a second or two, at a tenth of the messages.
+        """
+        self.after_reading_s.add(took_s)
+        if job_id % MOVES_TOLD == 0:
+            moved = placing_codec.Event.MOVED
+            self._report(service, job_id, moved, endpoint, took_s)
+
     def ended(self, service: str, job_id: int, tell: bool) -> None:
         """A job holds no slot any longer.
 
@@ -251,8 +266,9 @@
         job_id: int,
         what: placing_codec.Event,
         endpoint: str,
+        took_s: float = 0.0,
     ) -> None:
-        report = placing_codec.Report(service, job_id, what, endpoint)
+        report = placing_codec.Report(service, job_id, what, endpoint, took_s)
         leader = self.placed_by.get(job_id)
         if leader is not None and not self.leading:
             self._send(leader, report)
@@ -343,6 +359,8 @@
                 decisions = core.failed(report.job, report.endpoint, now_s)
             case placing_codec.Event.LAPSED:
                 decisions = core.lapsed(report.job, report.endpoint, now_s)
+            case placing_codec.Event.MOVED:
+                decisions = core.moved(report.endpoint, report.took_s)
             case placing_codec.Event.WITHDRAWN:
                 decisions = core.withdraw(report.job, now_s)
         self._publish(pool, decisions)
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -37,6 +37,7 @@
     FAILED = ttypes.Event.FAILED
     WITHDRAWN = ttypes.Event.WITHDRAWN
     LAPSED = ttypes.Event.LAPSED
+    MOVED = ttypes.Event.MOVED
 
 
 class Ask(NamedTuple):
@@ -65,6 +66,7 @@
     job: int
     event: Event
     endpoint: str
+    took_s: float = 0.0
 
 
 Message = Ask | Waits | Told | Report
@@ -80,8 +82,10 @@
             datagram.decision = ttypes.Decision(job=job)
         case Told(decision):
             datagram.decision = _encode_decision(decision)
-        case Report(service, job, event, endpoint):
-            datagram.report = ttypes.Report(job, service, event, endpoint)
+        case Report(service, job, event, endpoint, took_s):
+            datagram.report = ttypes.Report(
+                job, service, event, endpoint, _micro(took_s)
+            )
     return TSerialization.serialize(datagram, FACTORY)
 
 
@@ -100,7 +104,11 @@
         if datagram.report is not None:
             report = datagram.report
             return Report(
-                report.pool, report.job, Event(report.event), report.endpoint
+                report.pool,
+                report.job,
+                Event(report.event),
+                report.endpoint,
+                (report.took_us or 0) / MICRO,
             )
     except (
         EOFError,
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -22,6 +22,7 @@
     FAILED = 3
     WITHDRAWN = 4
     LAPSED = 5
+    MOVED = 6
 
     _VALUES_TO_NAMES = {
         1: "READ",
@@ -29,6 +30,7 @@
         3: "FAILED",
         4: "WITHDRAWN",
         5: "LAPSED",
+        6: "MOVED",
     }
 
     _NAMES_TO_VALUES = {
@@ -37,6 +39,7 @@
         "FAILED": 3,
         "WITHDRAWN": 4,
         "LAPSED": 5,
+        "MOVED": 6,
     }
 
 
@@ -484,6 +487,7 @@
      - pool
      - event
      - endpoint
+     - took_us
 
     """
 
@@ -492,14 +496,16 @@
         'pool',
         'event',
         'endpoint',
+        'took_us',
     )
 
 
-    def __init__(self, job=None, pool=None, event=None, endpoint=None,):
+    def __init__(self, job=None, pool=None, event=None, endpoint=None, took_us=None,):
         self.job = job
         self.pool = pool
         self.event = event
         self.endpoint = endpoint
+        self.took_us = took_us
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -530,6 +536,11 @@
                     self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.took_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -556,6 +567,10 @@
             oprot.writeFieldBegin('endpoint', TType.STRING, 4)
             oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
             oprot.writeFieldEnd()
+        if self.took_us is not None:
+            oprot.writeFieldBegin('took_us', TType.I32, 5)
+            oprot.writeI32(self.took_us)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -726,6 +741,7 @@
     (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
     (3, TType.I32, 'event', None, None, ),  # 3
     (4, TType.STRING, 'endpoint', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'took_us', None, None, ),  # 5
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -46,6 +46,7 @@
   FAILED = 3,
   WITHDRAWN = 4,
   LAPSED = 5,
+  MOVED = 6,
 }
 
 struct Report {
@@ -53,6 +54,7 @@
   2: string pool,
   3: Event event,
   4: optional string endpoint,
+  5: optional i32 took_us,
 }
 
 struct Datagram {
