--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -118,6 +118,9 @@
         self.rest_until_s = 0.0
         self.failures = 0
         self.lapsed_s = float('-inf')
+        self.turned_away = ('', float('-inf'))
+        self.served_s = float('-inf')
+        self.no_fetch_until_s = float('-inf')
 
     @property
     def long_runs(self) -> int:
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -44,6 +44,10 @@
 #: An engine that failed a send rests this long, doubled each time in a row.
 REST_S = 0.5
 MAX_REST_S = 4.0
+#: An engine that has served somebody within this time is not down.
+SERVED_S = 0.4
+#: Nothing is fetched for this long from an engine whose transfers hang.
+DISTRUST_S = 3.0
 #: Two lapses of an engine's read prompts within this time make it rest for
 #: this long, in seconds: it reads for nothing.
 LAPSED_AGAIN_S = 1.0
@@ -52,6 +56,9 @@
 MOVED_WEIGHT = 0.15
 #: Prompt length at which the speeds of two engines are compared.
 TYPICAL_TOKENS = 4000
+#: Slots that long answers leave to short ones: without any, no prompt that
+#: was read elsewhere could be answered there.
+SHORT_SLOTS = 2
 #: Engines that answer which are slower than this are used last.
 SLOW = 2.0
 #: How long a computed capacity is used, in seconds: a job more or less.
@@ -173,28 +180,49 @@
             self._capacity_s = float('-inf')
 
     def failed(self, engine_id: str, job: int, now_s: float) -> None:
-        """An engine refused a job, or could not be reached."""
+        """An engine refused a job, did not answer, or was out of reach.
+
+        One that has just served others rests no time: what failed was this
+        job, and each engine that rests without need is missed by many.
+        """
         engine = self.engines.get(engine_id)
         if engine is None:
             return
         engine.forget(job, now_s)
+        if now_s - engine.served_s < SERVED_S:
+            self._note_room(engine, now_s)
+            return
         engine.failures += 1
         rest_s = REST_S * 2 ** min(engine.failures - 1, 3)
         self.rest(engine_id, now_s + min(rest_s, MAX_REST_S))
 
-    def lapsed(self, engine_id: str, now_s: float) -> None:
-        """What an engine had read was gone when it was to be fetched.
+    def distrust(self, engine_id: str, now_s: float) -> None:
+        """Fetching from an engine took far too long; read for a while."""
+        engine = self.engines.get(engine_id)
+        if engine is not None:
+            engine.no_fetch_until_s = now_s + DISTRUST_S
+
+    def lapsed(self, reader_id: str, runner_id: str, now_s: float) -> None:
+        """An engine turned away a request whose prompt another had read.
 
-        Once may be the fetching engine's fault, which turns away with the
-        same word when it is full; twice is the reader's.
+        Either it is full or changing, or what was read is gone; both say
+        the same.  An engine that turns away the prompts of two readers is
+        at fault itself; a reader whose prompts are turned away twice, where
+        those of others are taken, reads for nothing.
         """
-        engine = self.engines.get(engine_id)
-        if engine is None:
+        reader = self.engines.get(reader_id)
+        runner = self.engines.get(runner_id)
+        if reader is None or runner is None:
+            return
+        last_reader, last_s = runner.turned_away
+        runner.turned_away = (reader_id, now_s)
+        if last_reader != reader_id and now_s - last_s < LAPSED_AGAIN_S:
+            self.rest(runner_id, now_s + REST_S)
             return
-        again = now_s - engine.lapsed_s < LAPSED_AGAIN_S
-        engine.lapsed_s = now_s
+        again = now_s - reader.lapsed_s < LAPSED_AGAIN_S
+        reader.lapsed_s = now_s
         if again:
-            self.rest(engine_id, now_s + LAPSED_REST_S)
+            self.rest(reader_id, now_s + LAPSED_REST_S)
 
     # Who has room.
 
@@ -267,6 +295,7 @@
         if engine is not None:
             engine.read(job, now_s)
             engine.failures = 0
+            engine.served_s = now_s
             self._note_room(engine, now_s)
 
     def forget(self, job: int, engine_id: str, now_s: float) -> None:
@@ -352,7 +381,9 @@
         now_s: float,
     ) -> Option:
         missing = tokens - kept.tokens(reader.endpoint.id)
-        source, missing, fetch_s = self._source(kept, reader, missing, tokens)
+        source, missing, fetch_s = self._source(
+            kept, reader, missing, tokens, now_s
+        )
         read_s = reader.expected_s(missing) + fetch_s
         ready_s = (
             reader.free_s(now_s)
@@ -376,6 +407,7 @@
         reader: enginemodel.EngineModel,
         missing: int,
         tokens: int,
+        now_s: float,
     ) -> tuple[enginemodel.EngineModel | None, int, float]:
         """Another engine to fetch cached parts from, if that is quicker.
 
@@ -389,6 +421,8 @@
             source = self.engines.get(holder)
             if source is None or source is reader:
                 continue
+            if source.no_fetch_until_s > now_s:
+                continue
             fetch_s = self._transfer_s(source, reader, gained)
             if fetch_s <= saved_s * self.settings.fetch_gain:
                 return source, missing - gained, fetch_s
@@ -490,6 +524,6 @@
 def _answer_order(
     engine: enginemodel.EngineModel, now_s: float
 ) -> tuple[bool, bool, float]:
-    if len(engine.runs) >= engine.endpoint.slots:
+    if len(engine.runs) >= engine.endpoint.slots - SHORT_SLOTS:
         return (True, engine.slowness > SLOW, len(engine.runs))
     return (False, engine.slowness > SLOW, -len(engine.runs))
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -167,6 +167,13 @@
         return next(iter(self.jobs.values()))
 
 
+class _Reader(NamedTuple):
+    """Where a prompt is being read, and from where parts are fetched."""
+
+    engine: str
+    source: str | None
+
+
 @dataclasses.dataclass(slots=True)
 class _Run:
     """A long answer under way."""
@@ -200,7 +207,7 @@
         self.fresh = _Queue()
         self.late = _Queue()
         self.returned = _Queue()
-        self.readers: dict[int, str] = {}
+        self.readers: dict[int, _Reader] = {}
         self.runs: dict[int, _Run] = {}
         self.lost_runs: list[tuple[float, int]] = []
         self.output_s = PRIOR_OUTPUT_S
@@ -312,7 +319,7 @@
         """A job's answer is complete, or was broken off."""
         reader = self.readers.pop(job_id, None)
         if reader is not None:
-            self.pool.forget(job_id, reader, now_s)
+            self.pool.forget(job_id, reader.engine, now_s)
         run = self._end_run(job_id)
         if run is not None:
             took_s = (now_s - run.begun_s) / max(1, run.output_tokens)
@@ -323,8 +330,12 @@
         self, job_id: int, engine_id: str, now_s: float
     ) -> list[Decision]:
         """An engine refused a job, or could not be reached."""
-        self.readers.pop(job_id, None)
+        reader = self.readers.pop(job_id, None)
         self._end_run(job_id)
+        if reader is not None and reader.source is not None:
+            self.pool.distrust(reader.source, now_s)
+            self.pool.forget(job_id, engine_id, now_s)
+            return self.pump(now_s)
         self.pool.failed(engine_id, job_id, now_s)
         return self.pump(now_s)
 
@@ -334,11 +345,11 @@
         return []
 
     def lapsed(
-        self, job_id: int, engine_id: str, now_s: float
+        self, job_id: int, reader_id: str, runner_id: str, now_s: float
     ) -> list[Decision]:
-        """What an engine had read was gone when it was to be fetched."""
+        """An engine turned away a request whose prompt another had read."""
         self._end_run(job_id)
-        self.pool.lapsed(engine_id, now_s)
+        self.pool.lapsed(reader_id, runner_id, now_s)
         return self.pump(now_s)
 
     # The queues.
@@ -453,9 +464,12 @@
         self.pool.take(job.id, job.parts, option, now_s)
         reader, runner = option.reader, option.runner
         self._learn_bias(job, option)
-        self.readers[job.id] = reader.endpoint.id
-        is_long = self._begin_run(job, runner.endpoint.id, now_s)
         source = option.source
+        self.readers[job.id] = _Reader(
+            reader.endpoint.id,
+            source.endpoint.id if source is not None else None,
+        )
+        is_long = self._begin_run(job, runner.endpoint.id, now_s)
         return Placed(
             job.id,
             reader.endpoint.id if runner is not reader else None,
--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -21,6 +21,8 @@
 SLOTS_FULL = 0.95
 #: What slots count for below that.
 SLOTS_FREE_WEIGHT = 0.3
+#: And above it: without a slot for the answer no prompt can be read either.
+SLOTS_FULL_WEIGHT = 3.0
 
 
 class StagePlanSettings(NamedTuple):
@@ -108,6 +110,8 @@
     ) -> Change | None:
         if answering < 1:
             return Change(False) if reading > 1 else None
+        if answering < least_answering(total) and reading > answering:
+            return Change(False)
         present = self._busiest(reading, answering)
         if present < self.settings.least_busy:
             return None
@@ -150,8 +154,8 @@
     """
     answering = max(1, answering)
     slots = asked.slots / answering
-    if slots < SLOTS_FULL:
-        slots *= SLOTS_FREE_WEIGHT
+    full = slots >= SLOTS_FULL
+    slots *= SLOTS_FULL_WEIGHT if full else SLOTS_FREE_WEIGHT
     return max(
         asked.reading / max(1, reading), asked.moving / answering, slots
     )
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -38,7 +38,7 @@
 #: A prompt that is not read after this many times the expected time, and at
 #: least this many seconds, is taken elsewhere; reading is no run.
 PREFILL_FACTOR = 3.0
-MIN_PREFILL_S = 0.15
+MIN_PREFILL_S = 0.25
 #: A resumable stream that is silent for this long goes on at another
 #: engine, in seconds; several times the pause that callers accept.
 STALL_FACTOR = 5.0
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -44,30 +44,33 @@
 AFTER_READING_S = 0.015
 #: One transfer in so many is reported.
 MOVES_TOLD = 3
-#: Weight of a new measurement in a mean.
-MEAN_WEIGHT = 0.05
+#: Step towards a new measurement, as a share; twenty of them double it.
+MEDIAN_STEP = 0.035
+#: What is kept free for those above the median, as a share of it.
+HIGH_SHARE = 1.4
 
 
-class HighMean:
-    """A mean that leaves out little: the mean and a mean deviation.
+class TypicalTime:
+    """The median of measured times, followed by small steps.
+
+    A mean would follow the few that wait for an engine that is down: all
+    prompts would then be taken for too late, whatever engine they go to.
 
     :param first_s: value before anything was measured
     """
 
     def __init__(self, first_s: float) -> None:
-        self.mean_s = first_s
-        self.deviation_s = first_s / 4
+        self.median_s = first_s
 
     @property
     def high_s(self) -> float:
         """What most of the measured times stay under."""
-        return self.mean_s + 1.5 * self.deviation_s
+        return self.median_s * HIGH_SHARE
 
     def add(self, seconds: float) -> None:
         """Take a measurement."""
-        apart_s = abs(seconds - self.mean_s)
-        self.mean_s += MEAN_WEIGHT * (seconds - self.mean_s)
-        self.deviation_s += MEAN_WEIGHT * (apart_s - self.deviation_s)
+        step = MEDIAN_STEP if seconds > self.median_s else -MEDIAN_STEP
+        self.median_s *= 1 + step
 
 
 class _Waiting(NamedTuple):
@@ -113,7 +116,7 @@
         self.rng = rng
         self.leader: str | None = None
         self.leading = False
-        self.after_reading_s = HighMean(AFTER_READING_S)
+        self.after_reading_s = TypicalTime(AFTER_READING_S)
         self.hosts = 1
         self.silent_until_s = 0.0
         self.served: dict[str, _Pool] = {}
@@ -234,9 +237,12 @@
         """An engine failed a job."""
         self._report(service, job_id, placing_codec.Event.FAILED, endpoint)
 
-    def lapsed(self, service: str, job_id: int, endpoint: str) -> None:
-        """What an engine had read was gone when it was to be fetched."""
-        self._report(service, job_id, placing_codec.Event.LAPSED, endpoint)
+    def lapsed(
+        self, service: str, job_id: int, reader: str, runner: str
+    ) -> None:
+        """An engine turned away a request whose prompt another had read."""
+        lapsed = placing_codec.Event.LAPSED
+        self._report(service, job_id, lapsed, reader, runner=runner)
 
     def moved(
         self, service: str, job_id: int, endpoint: str, took_s: float
@@ -267,8 +273,11 @@
         what: placing_codec.Event,
         endpoint: str,
         took_s: float = 0.0,
+        runner: str = '',
     ) -> None:
-        report = placing_codec.Report(service, job_id, what, endpoint, took_s)
+        report = placing_codec.Report(
+            service, job_id, what, endpoint, took_s, runner
+        )
         leader = self.placed_by.get(job_id)
         if leader is not None and not self.leading:
             self._send(leader, report)
@@ -358,7 +367,9 @@
             case placing_codec.Event.FAILED:
                 decisions = core.failed(report.job, report.endpoint, now_s)
             case placing_codec.Event.LAPSED:
-                decisions = core.lapsed(report.job, report.endpoint, now_s)
+                decisions = core.lapsed(
+                    report.job, report.endpoint, report.runner, now_s
+                )
             case placing_codec.Event.MOVED:
                 decisions = core.moved(report.endpoint, report.took_s)
             case placing_codec.Event.WITHDRAWN:
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -67,6 +67,7 @@
     event: Event
     endpoint: str
     took_s: float = 0.0
+    runner: str = ''
 
 
 Message = Ask | Waits | Told | Report
@@ -82,9 +83,9 @@
             datagram.decision = ttypes.Decision(job=job)
         case Told(decision):
             datagram.decision = _encode_decision(decision)
-        case Report(service, job, event, endpoint, took_s):
+        case Report(service, job, event, endpoint, took_s, runner):
             datagram.report = ttypes.Report(
-                job, service, event, endpoint, _micro(took_s)
+                job, service, event, endpoint, _micro(took_s), runner or None
             )
     return TSerialization.serialize(datagram, FACTORY)
 
@@ -109,6 +110,7 @@
                 Event(report.event),
                 report.endpoint,
                 (report.took_us or 0) / MICRO,
+                report.runner or '',
             )
     except (
         EOFError,
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -272,6 +272,9 @@
             open=self.ingress.open_requests,
             processor_s=round(time.process_time(), 3),
             opened=self.upstream.opened,
+            after_reading_ms=round(
+                self.placer.after_reading_s.high_s * 1000, 1
+            ),
             **self.outcomes,
             **{f'placed_{k}': v for k, v in self.placer.counts.items()},
             **{f'store_{k}': v for k, v in self.store.calls.items()},
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -488,6 +488,7 @@
      - event
      - endpoint
      - took_us
+     - runner
 
     """
 
@@ -497,15 +498,17 @@
         'event',
         'endpoint',
         'took_us',
+        'runner',
     )
 
 
-    def __init__(self, job=None, pool=None, event=None, endpoint=None, took_us=None,):
+    def __init__(self, job=None, pool=None, event=None, endpoint=None, took_us=None, runner=None,):
         self.job = job
         self.pool = pool
         self.event = event
         self.endpoint = endpoint
         self.took_us = took_us
+        self.runner = runner
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -541,6 +544,11 @@
                     self.took_us = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -571,6 +579,10 @@
             oprot.writeFieldBegin('took_us', TType.I32, 5)
             oprot.writeI32(self.took_us)
             oprot.writeFieldEnd()
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 6)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -742,6 +754,7 @@
     (3, TType.I32, 'event', None, None, ),  # 3
     (4, TType.STRING, 'endpoint', 'UTF8', None, ),  # 4
     (5, TType.I32, 'took_us', None, None, ),  # 5
+    (6, TType.STRING, 'runner', 'UTF8', None, ),  # 6
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
--- a/tests/test_stageplan.py
+++ b/tests/test_stageplan.py
@@ -32,6 +32,16 @@
     assert decide(3, 2, (1.0, 0.3, 2.4)) == stageplan.Change(False)
 
 
+def test_fleet_that_has_lost_engines_that_answer_gets_another():
+    """Two of three engines that answer have left; prompts press as before.
+
+    The one that is left has no slot for the answers, so nothing that was
+    read could be used.
+    """
+    assert decide(3, 1, (4.0, 0.5, 1.6)) == stageplan.Change(False)
+    assert decide(4, 1, (4.0, 0.5, 0.5)) == stageplan.Change(False)
+
+
 def test_change_has_to_gain():
     assert decide(2, 2, (1.0, 1.0, 1.0)) is None
 
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -55,6 +55,7 @@
   3: Event event,
   4: optional string endpoint,
   5: optional i32 took_us,
+  6: optional string runner,
 }
 
 struct Datagram {
