--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -424,8 +424,7 @@
         return job.objective_s - self.settings.reserve_s - latency_s
 
     def _wait_s(self, now_s: float) -> float:
-        """Time until the engines have read what they have and the queue of
-        those that can still be in time."""
+        """Time until a prompt that can still be in time gets an engine."""
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
             return NO_ENGINE_S
--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -141,8 +141,11 @@
 
 
 def least_answering(total: int) -> int:
-    """Engines that always answer: one more than needed where there are
-    enough, since nobody could answer while the only one is down."""
+    """Engines that always answer.
+
+    Two where there are enough: nobody could answer while the only one is
+    down.
+    """
     return 2 if total >= 4 else 1
 
 
--- a/magnoliadyke/gateway/codec.py
+++ b/magnoliadyke/gateway/codec.py
@@ -129,6 +129,10 @@
     def answer_headers(self, head: http.Head) -> http.Headers:
         """Headers of an endpoint's answer that the caller gets."""
 
+    @abc.abstractmethod
+    def own_headers(self, request: Request) -> http.Headers:
+        """Headers of an answer that no endpoint gave."""
+
     @abc.abstractmethod
     def prefilled(self, body: bytes) -> Prefilled | None:
         """Read the answer to a prompt that was read."""
--- a/magnoliadyke/gateway/http.py
+++ b/magnoliadyke/gateway/http.py
@@ -44,8 +44,11 @@
 
 
 class OutOfTime(Exception):
-    """Raised by a time limit; no kind of OSError, so that no handler of
-    broken connections mistakes it for one."""
+    """Raised by a time limit.
+
+    No kind of OSError, so that no handler of broken connections mistakes it
+    for one.
+    """
 
 
 class PeerClosed(errors.MagnoliadykeError):
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -267,7 +267,8 @@
             caller.broken = True
         else:
             caller.closing = True
-            caller.answer(500, [(b'X-Request-Id', request.id)], b'')
+            headers = self.parts.codec.own_headers(request)
+            caller.answer(500, headers, b'')
         return outcomes.Failed(500, 'an error of this program')
 
     def _answer_early(
@@ -277,7 +278,7 @@
         status: int,
         reason: str,
     ) -> None:
-        headers = [(b'X-Request-Id', request.id)]
+        headers = self.parts.codec.own_headers(request)
         if status == 503:
             headers.append((b'Retry-After', b'%.2f' % UNCONFIGURED_RETRY_S))
         configuration = self.parts.catalog.configuration
--- /dev/null
+++ b/magnoliadyke/gateway/measures.py
@@ -0,0 +1,82 @@
+"""Counters and latency histograms, as text for a scraper.
+
+The library is the one beneath the OpenTelemetry exporter, used directly:
+the whole SDK takes 5 MB of each host's memory (measured at import).
+"""
+
+import prometheus_client
+
+from magnoliadyke.core import routes
+from magnoliadyke.gateway import outcomes
+
+__all__ = ['Measures']
+
+#: Bounds of answer times in seconds: below, around and above the usual
+#: objectives (0.1 to 0.25 s), up to the longest timeouts.
+TIME_BOUNDS_S = (0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2, 5, 15)
+
+
+class Measures:
+    """What a host counts.
+
+    :ivar content_type: of the text
+    """
+
+    def __init__(self) -> None:
+        self.content_type = prometheus_client.CONTENT_TYPE_LATEST.encode()
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = self._counter(
+            'requests',
+            'Requests by kind of route and outcome.',
+            'kind',
+            'outcome',
+        )
+        self.took = prometheus_client.Histogram(
+            'magnoliadyke_answer_seconds',
+            'Time from a read head to the end of the answer.',
+            ('kind', 'outcome'),
+            buckets=TIME_BOUNDS_S,
+            registry=self.registry,
+        )
+        self.placed = self._gauge(
+            'placed', 'Prompts by who placed them.', 'by'
+        )
+        self.store_calls = self._gauge(
+            'store_calls', 'Calls to the store by kind.', 'call'
+        )
+        self.hosts = self._gauge('hosts', 'Hosts thought to run.')
+        self.open_requests = self._gauge(
+            'open_requests', 'Requests under way.'
+        )
+        self.version = self._gauge(
+            'configuration_version', 'Configuration in force.'
+        )
+        self.store_age = self._gauge(
+            'store_age_seconds', "Age of the store's last answer."
+        )
+
+    def _counter(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f'magnoliadyke_{name}', text, labels, registry=self.registry
+        )
+
+    def _gauge(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f'magnoliadyke_{name}', text, labels, registry=self.registry
+        )
+
+    def record(
+        self, outcome: outcomes.Outcome, route: routes.Route, took_s: float
+    ) -> None:
+        """Count one request."""
+        labels = (route.kind.value, type(outcome).__name__.lower())
+        self.requests.labels(*labels).inc()
+        self.took.labels(*labels).observe(took_s)
+
+    def text(self) -> bytes:
+        """All figures."""
+        return prometheus_client.generate_latest(self.registry)
--- a/magnoliadyke/platform/codec.py
+++ b/magnoliadyke/platform/codec.py
@@ -20,8 +20,6 @@
 SOURCE = b'X-Kv-Source'
 FETCH = b'Kv-Fetch'
 PRIORITY = b'X-Request-Priority'
-SIGNATURE = b'X-Server-Seal'
-NOT_RUN = b'x-not-executed'
 
 URGENT = b'1'
 PREFILL = b'prefill'
@@ -81,7 +79,7 @@
     b'last-event-id',
 )
 STATUS_WRONG_ENDPOINT = 421
-#: Statuses that say "not run" when the endpoint confirms it.
+#: Ids of parts are kept as positive numbers of 64 bits.
 MASK_64 = (1 << 63) - 1
 
 
@@ -197,6 +195,10 @@
             if name.lower() not in HOP_BY_HOP and name.lower() not in named
         ]
 
+    def own_headers(self, request: codec.Request) -> http.Headers:
+        """Headers of an answer that no endpoint gave."""
+        return [(REQUEST_ID, request.id)]
+
     def prefilled(self, body: bytes) -> codec.Prefilled | None:
         """Read the answer to a prompt that was read."""
         try:
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -18,6 +18,7 @@
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import ingress
 from magnoliadyke.gateway import leadership
+from magnoliadyke.gateway import measures
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import placing
@@ -37,6 +38,7 @@
 
 LOG = logs.get('node')
 
+METRICS_PATH = b'/metrics'
 UPKEEP_S = 0.5
 #: How long callers keep an answer of the directory, in seconds: a host that
 #: stops is not asked for longer than this after it said so.
@@ -119,6 +121,7 @@
         self.rng = rng
         self.stopping = event.Event()
         self.outcomes: collections.Counter[str] = collections.Counter()
+        self.measures = measures.Measures()
         self.catalog = catalog.Catalog()
         self.store = platform_store.PlatformStore(settings.store, clock)
         self.upstream = upstream.Upstream(clock)
@@ -179,6 +182,7 @@
             self.members.addresses, self._is_ready, ttl_s
         )
         self.application = app.Application(clock)
+        metrics_address = f'{settings.ip}:{settings.metrics_port}'
         for component in (
             self.placer,
             self.members,
@@ -187,6 +191,7 @@
             self.stages,
             smallserver.SmallServer(settings.readiness, answers.readiness),
             smallserver.SmallServer(settings.directory, answers.resolve),
+            smallserver.SmallServer(metrics_address, self._metrics),
             self.ingress,
         ):
             self.application.add(component)
@@ -214,6 +219,25 @@
         self, outcome: outcomes.Outcome, route: routes.Route, took_s: float
     ) -> None:
         self.outcomes[type(outcome).__name__.lower()] += 1
+        self.measures.record(outcome, route, took_s)
+
+    def _metrics(self, method: bytes, target: bytes) -> smallserver.Reply:
+        """Answer a scraper."""
+        if target.split(b'?', 1)[0] != METRICS_PATH:
+            return smallserver.Reply(404)
+        figures = self.measures
+        for by, count in self.placer.counts.items():
+            figures.placed.labels(by).set(count)
+        for call, count in self.store.calls.items():
+            figures.store_calls.labels(call).set(count)
+        figures.hosts.set(self.members.count())
+        figures.open_requests.set(self.ingress.open_requests)
+        if self.catalog.configuration is not None:
+            figures.version.set(self.catalog.configuration.version)
+        if self.catalog.checked_s is not None:
+            age_s = self.clock.now_s() - self.catalog.checked_s
+            figures.store_age.set(age_s)
+        return smallserver.Reply(200, figures.content_type, figures.text())
 
     def run(self) -> None:
         """Serve until a signal says to stop."""
@@ -255,7 +279,7 @@
             self.placer.hosts = hosts
             self.upstream.trim()
             self.balancer.forget(set(self.catalog.endpoints))
-            if ticks % 2 == 0:
+            if ticks % 10 == 0:
                 self._log_figures(hosts)
 
     def _log_figures(self, hosts: int) -> None:
--- a/magnoliadyke/platform/settings.py
+++ b/magnoliadyke/platform/settings.py
@@ -32,7 +32,7 @@
     :param readiness: address that the platform asks for readiness
     :param directory: address at which callers ask for hosts
     :param peer_ports: first and last port between hosts
-    :param metrics_port: port of the metrics, from the peer ports
+    :param metrics_port: port of the metrics
     :param store: address of the platform's store
     :param drain_s: a leaving endpoint gets no request later than this
     :param configuration_s: a configuration is in force by then
@@ -52,6 +52,7 @@
     directory: str
     control: str
     peer_ports: tuple[int, int]
+    metrics_port: int
     store: str
     min_lease_s: float
     cores: float
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -117,6 +117,7 @@
             'directory': f'{ip}:8143',
             'control': f'{ip}:8146',
             'peer_ports': [7660, 7675],
+            'metrics_port': 9464,
             'store': self.store.address,
             'min_lease_s': 0.5,
             'cores': 1.0,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -84,8 +84,9 @@
 
 
 def test_shared_parts_are_read_once():
-    """Engines keep what they read; the place sends a prompt where its parts
-    are, or has them fetched.
+    """Engines keep what they read.
+
+    A prompt is sent where its parts are, or has them fetched.
     """
     play = promptload.Play([80] * 6, subjects=40)
     play.run()
