Name the engine that turned a request away

Cause: a call with an argument too few; each request whose prompt had been read and that was then turned away got 500 (seen by its own test). Ruled out: nothing else raised in the tests of requests.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -471,7 +471,10 @@
             if not started and source is not None:
                 # Turned away: it is full, or what was read is gone.  An
                 # engine that reads the prompt itself can still answer.
-                self.parts.placer.lapsed(self.service, job.id, placed.prefill)
+                self.parts.placer.lapsed(
+                    self.service, job.id, placed.prefill, runner.id
+                )
+                self._log_try('turned away after reading', 'not run')
                 other = self._other_runner(runner)
                 if other is not None:
                     self.endpoint = other.id
