--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,142 @@
+"""Small parts of the gateway: messages, events, datagrams, medians."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from magnoliadyke import errors
+from magnoliadyke.core import placement
+from magnoliadyke.core import promptcache
+from magnoliadyke.gateway import events
+from magnoliadyke.gateway import http
+from magnoliadyke.gateway import placing
+from magnoliadyke.gateway import placing_codec
+
+
+class FakeSocket:
+    """Gives bytes in pieces, then an end or a reset."""
+
+    def __init__(self, pieces, reset=False):
+        self.pieces = list(pieces)
+        self.reset = reset
+
+    def recv(self, size):
+        if self.pieces:
+            return self.pieces.pop(0)
+        if self.reset:
+            raise ConnectionResetError('reset')
+        return b''
+
+
+def parts(reader):
+    found = []
+    while not isinstance(part := reader.next_part(), http.End):
+        found.append(part)
+    return found
+
+
+def test_answer_without_length_is_complete_only_after_an_orderly_end():
+    """A reset cuts off an answer that ends with its connection.
+
+    Taken for an end, half an answer would be passed on as whole.
+    """
+    data = b'HTTP/1.1 200 OK\r\n\r\nhalf'
+    whole = parts(http.AnswerReader(FakeSocket([data])))
+    assert whole[1:] == [http.Body(b'half')]
+    cut = http.AnswerReader(FakeSocket([data], reset=True))
+    with pytest.raises(http.PeerClosed):
+        parts(cut)
+
+
+def test_answer_that_ends_early_is_no_answer():
+    data = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'
+    with pytest.raises(http.PeerClosed):
+        parts(http.AnswerReader(FakeSocket([data])))
+
+
+def test_bytes_after_an_answer_are_noticed():
+    data = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 2'
+    reader = http.AnswerReader(FakeSocket([data]))
+    parts(reader)
+    assert reader.between_messages
+    reader.feed(b'00 OK\r\nContent-Length: 0\r\n\r\n')
+    assert not reader.between_messages
+
+
+def test_interim_and_reuse():
+    data = b'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
+    head = http.AnswerReader(FakeSocket([data])).next_part()
+    assert not head.reusable
+
+
+@hypothesis.settings(derandomize=True, max_examples=80)
+@hypothesis.given(
+    strategies.lists(strategies.integers(1, 30), max_size=30),
+    strategies.integers(1, 9),
+)
+def test_events_are_the_same_however_they_are_cut(cuts, count):
+    """An event may come in any number of pieces; none is lost or doubled."""
+    stream = b''.join(
+        b'id: %d\ndata: piece %d\n\n' % (n, n) for n in range(count)
+    )
+    rest = b'id: 99\ndat'
+    data = stream + rest
+    splitter = events.EventSplitter()
+    found = []
+    for cut in [*cuts, len(data)]:
+        found += splitter.feed(data[:cut])
+        data = data[cut:]
+    assert b''.join(event.data for event in found) == stream
+    assert [event.id for event in found] == [b'%d' % n for n in range(count)]
+    assert splitter.rest == rest
+
+
+JOB = placement.Job(
+    7,
+    (promptcache.PromptPart(2**63 - 1, 10), promptcache.PromptPart(1, 20)),
+    5,
+    0.15,
+    2.0,
+    'z1',
+    returning=True,
+    avoid=('e1',),
+)
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        placing_codec.Ask('model', JOB),
+        placing_codec.Waits(7),
+        placing_codec.Told(
+            placement.Placed(7, 'p', 'r', '1.2.3.4:5', 30, 0.0125, True)
+        ),
+        placing_codec.Told(
+            placement.Placed(7, None, 'r', None, 0, 0.0, False)
+        ),
+        placing_codec.Told(placement.Refused(7, 0.25, 'no room')),
+        placing_codec.Report(
+            'model', 7, placing_codec.Event.MOVED, 'r', 0.02, 'p'
+        ),
+    ],
+)
+def test_datagrams(message):
+    assert placing_codec.decode(placing_codec.encode(message)) == message
+
+
+@pytest.mark.parametrize('data', [b'', b'\x00', b'nonsense', b'\xff' * 50])
+def test_foreign_datagrams(data):
+    with pytest.raises(errors.ProtocolError):
+        placing_codec.decode(data)
+
+
+def test_few_long_times_do_not_move_the_median():
+    """One engine in four is down; what goes there takes a second.
+
+    A mean would grow to a quarter of a second, and every prompt would be
+    taken for too late.
+    """
+    typical = placing.TypicalTime(0.015)
+    for number in range(400):
+        typical.add(1.0 if number % 4 == 0 else 0.02)
+    assert typical.high_s < 0.06
--- /dev/null
+++ b/tests/test_platform_codec.py
@@ -0,0 +1,126 @@
+"""Headers of the platform, decoded and written."""
+
+import pytest
+
+from magnoliadyke.core import promptcache
+from magnoliadyke.gateway import codec as codecs
+from magnoliadyke.gateway import http
+from magnoliadyke.platform import codec
+
+
+def head(*headers, target=b'/a/b', status=0, method=b'POST'):
+    return http.Head(method, target, status, list(headers), None, False, True)
+
+
+def request(*headers, **fields):
+    base = [(b'Host', b'Site.example:80'), (b'X-Request-Id', b'r1')]
+    return codec.PlatformCodec().decode(head(*base, *headers, **fields))
+
+
+def test_request_is_decoded():
+    made = request(
+        (b'X-Deadline-Ms', b'1500'),
+        (b'X-Token-Counts', b'30,7'),
+        (b'X-Prompt-Prefix', b'a:10, ff:20'),
+        (b'Last-Event-Id', b'12'),
+        target=b'/a/b?q=1',
+    )
+    assert made.id == b'r1'
+    assert (made.host, made.path) == ('site.example', '/a/b')
+    assert made.wait_s == 1.5
+    assert made.prompt.output_tokens == 7
+    assert made.prompt.parts == (
+        promptcache.PromptPart(10, 10),
+        promptcache.PromptPart(255, 20),
+    )
+    assert made.resume_after == b'12'
+
+
+@pytest.mark.parametrize(
+    'header',
+    [
+        (b'X-Request-Id', b'r2'),
+        (b'Host', b'other'),
+        (b'X-Deadline-Ms', b'soon'),
+        (b'X-Deadline-Ms', b'-5'),
+        (b'X-Prompt-Prefix', b'a:many'),
+        (b'X-Token-Counts', b'1,x'),
+    ],
+)
+def test_malformed(header):
+    extra = [header]
+    if header[0] == b'X-Token-Counts':
+        extra.append((b'X-Prompt-Prefix', b'a:1'))
+    assert isinstance(request(*extra), codecs.Malformed)
+
+
+def test_absolute_target_is_malformed():
+    made = request(target=b'http://site.example/a')
+    assert isinstance(made, codecs.Malformed)
+
+
+def test_run_headers():
+    made = request((b'X-Kv-Source', b'evil'), (b'Last-Event-Id', b'1'))
+    options = codecs.RunOptions(
+        'e1', 0.7519, True, '1.2.3.4:5/h', '1.2.3.4:6', b'9'
+    )
+    written = dict(codec.PlatformCodec().run_headers(made, options))
+    assert written[b'X-Deadline-Ms'] == b'751'
+    assert written[b'X-Expect-Instance'] == b'e1'
+    assert written[b'X-Kv-Source'] == b'1.2.3.4:5/h'
+    assert written[b'Kv-Fetch'] == b'1.2.3.4:6'
+    assert written[b'Last-Event-Id'] == b'9'
+    assert b'X-Request-Priority' in written
+
+
+def test_prefill_headers_name_the_stage():
+    made = request()
+    options = codecs.RunOptions('e1', 1.0)
+    written = dict(codec.PlatformCodec().prefill_headers(made, options))
+    assert written[b'X-Stage'] == b'prefill'
+    assert b'X-Kv-Source' not in written
+
+
+def test_facts():
+    facts = codec.PlatformCodec().facts(
+        head(
+            (b'X-Request-Id', b'r1'),
+            (b'X-Server-Seal', b's'),
+            (b'Keep-Alive', b'timeout=5, max=10'),
+            status=200,
+        )
+    )
+    assert facts == codecs.AnswerFacts(
+        200, b'r1', False, False, True, False, 5.0
+    )
+    shed = codec.PlatformCodec().facts(
+        head((b'X-Not-Executed', b'1'), status=503)
+    )
+    assert shed.not_run and not shed.wrong_endpoint
+    assert codec.PlatformCodec().facts(head(status=421)).not_run
+    # Only the endpoint's own word says "not run", no status does.
+    assert not codec.PlatformCodec().facts(head(status=503)).not_run
+
+
+def test_answer_headers_keep_the_signature():
+    kept = codec.PlatformCodec().answer_headers(
+        head(
+            (b'Connection', b'X-Server-Seal, X-Hop'),
+            (b'X-Server-Seal', b's'),
+            (b'X-Hop', b'1'),
+            (b'Transfer-Encoding', b'chunked'),
+            (b'Content-Type', b'text/plain'),
+            status=200,
+        )
+    )
+    assert kept == [
+        (b'X-Server-Seal', b's'),
+        (b'Content-Type', b'text/plain'),
+    ]
+
+
+def test_prefilled():
+    made = codec.PlatformCodec().prefilled(b'{"kv_handle":"h","tokens":3}')
+    assert made == codecs.Prefilled('h', 3)
+    assert codec.PlatformCodec().prefilled(b'{}') is None
+    assert codec.PlatformCodec().prefilled(b'nothing') is None
