--- a/magnoliadyke/cli.py
+++ b/magnoliadyke/cli.py
@@ -18,6 +18,8 @@
   magnoliadyke roles [options]
   magnoliadyke drain (host | endpoint) NAME [--undo] [options]
   magnoliadyke report burn [--plot=FILE] [options]
+  magnoliadyke platform [SETTINGS] [--check]
+  magnoliadyke explain ID LOGFILE...
   magnoliadyke lab VERB [ARGS...]
   magnoliadyke --help | --version
 
@@ -39,6 +41,7 @@
   --stream          Print the answer as it comes.
   --limit=N         Most edits to show [default: 20].
   --undo            Give it new work again.
+  --check           Check the settings of a node on the platform only.
   --plot=FILE       Draw the burn rates too, as PNG.
   -h --help         Show this text.
   --version         Show the version.
@@ -60,6 +63,7 @@
   magnoliadyke call model lease-model 'When does lease 17 end?' --stream
   magnoliadyke call service portal POST /notices '{"flat": 4}' --once
   magnoliadyke report burn --json --admin 127.0.1.1:7081
+  magnoliadyke explain 9c41d07be2a35f68 logs/*.log
 """
 
 import dataclasses
@@ -342,11 +346,34 @@
     outcomes.Rejected: (REFUSED, 'rejected'),
 }
 
+
 #: Words of each command, in the order in which they are looked for.
+def _platform(args: Args) -> int:
+    problems = porcelain.platform(args['SETTINGS'], args['--check'])
+    for problem in problems:
+        print(problem, file=sys.stderr)
+    return REFUSED if problems else DONE
+
+
+def _explain(args: Args) -> int:
+    found = porcelain.explain(args['ID'], args['LOGFILE'])
+    if not found.lines:
+        return _fail(REFUSED, f'no line names the request {args["ID"]}')
+    print('what changed shortly before:')
+    for line in found.beliefs:
+        print(f'  {line.text}')
+    print('the request:')
+    for line in found.lines:
+        print(f'  {line.text}')
+    return DONE
+
+
 COMMANDS: dict[str, Callable[[Args], int]] = {
     'node': _node,
     'check': _check,
     'hosts': _hosts,
+    'platform': _platform,
+    'explain': _explain,
     'call model': _call_model,
     'call service': _call_service,
     'table show': _table_show,
--- /dev/null
+++ b/magnoliadyke/explain.py
@@ -0,0 +1,94 @@
+"""Gathers what all hosts logged of one request, in order of time."""
+
+from collections.abc import Iterable
+import datetime
+import re
+from typing import NamedTuple
+
+__all__ = ['Line', 'gather', 'nearby']
+
+_AT = re.compile(r'\bat=(\S+)')
+_HOST = re.compile(r'\bhost=(\S+)')
+_ENDPOINT = re.compile(r'\bendpoint=(\S+)')
+#: Events that change what a host believes; one of them may be the cause.
+BELIEFS = (
+    'configuration',
+    'endpoint',
+    'endpoint_doubted',
+    'endpoint_gone',
+    'leader',
+    'leader_gone',
+    'leading',
+    'member',
+    'order',
+    'paused',
+    'placing_host_silent',
+    'stage_settled',
+    'store_lost',
+    'store_regained',
+    'started',
+    'stopping',
+)
+
+
+class Line(NamedTuple):
+    """One line of a host's log.
+
+    :param at: as the host's clock had it
+    """
+
+    at: datetime.datetime
+    host: str
+    text: str
+
+
+def gather(request_id: str, lines: Iterable[str]) -> list[Line]:
+    """The lines that name a request, in order of time.
+
+    :param lines: of the logs of all hosts
+    """
+    mark = f' id={request_id} '
+    found = [_parse(text) for text in lines if mark in f'{text.rstrip()} ']
+    return sorted(line for line in found if line is not None)
+
+
+def nearby(
+    lines: Iterable[str], around: list[Line], seconds: float
+) -> list[Line]:
+    """Changes of belief that may have decided a request.
+
+    Those of the hosts that handled it, and any of the endpoints that it
+    went to, shortly before its first line and until its last one.
+
+    :param around: the lines of the request
+    :param seconds: how long before counts as shortly
+    """
+    if not around:
+        return []
+    hosts = {line.host for line in around}
+    endpoints = {m for each in around for m in _ENDPOINT.findall(each.text)}
+    from_at = around[0].at - datetime.timedelta(seconds=seconds)
+    found = []
+    for text in lines:
+        if not any(f'event={event} ' in f'{text} ' for event in BELIEFS):
+            continue
+        line = _parse(text)
+        if line is None or not from_at <= line.at <= around[-1].at:
+            continue
+        names = set(_ENDPOINT.findall(text))
+        if names & endpoints or (not names and line.host in hosts):
+            found.append(line)
+    return sorted(found)
+
+
+def _parse(text: str) -> Line | None:
+    at = _AT.search(text)
+    if at is None:
+        return None
+    host = _HOST.search(text)
+    try:
+        moment = datetime.datetime.fromisoformat(at[1])
+    except ValueError:
+        # A line of another program among the logs.
+        return None
+    return Line(moment, host[1] if host else '', text.strip())
--- a/magnoliadyke/platform/__main__.py
+++ b/magnoliadyke/platform/__main__.py
@@ -17,7 +17,14 @@
 from magnoliadyke.platform import node  # noqa: E402
 from magnoliadyke.platform import settings  # noqa: E402
 
-__all__ = ['main']
+__all__ = ['main', 'run']
+
+
+def run(loaded: settings.NodeSettings) -> None:
+    """Run a node until a signal says to stop."""
+    clock = clocks.SystemClock()
+    logs.setup_stream(sys.stdout, clock, loaded.name)
+    node.Node(loaded, clock, random.Random()).run()
 
 
 def main() -> int:
@@ -30,9 +37,7 @@
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
         return 1
-    clock = clocks.SystemClock()
-    logs.setup_stream(sys.stdout, clock, loaded.name)
-    node.Node(loaded, clock, random.Random()).run()
+    run(loaded)
     return 0
 
 
--- a/magnoliadyke/porcelain.py
+++ b/magnoliadyke/porcelain.py
@@ -19,6 +19,7 @@
 from magnoliadyke.core import outcomes
 from magnoliadyke.core import table
 from magnoliadyke import errors
+from magnoliadyke import explain as explanation
 from magnoliadyke import labverbs
 from magnoliadyke import settings as settings_module
 from magnoliadyke import sheets
@@ -446,6 +447,60 @@
         ) from error
 
 
+class Explanation(NamedTuple):
+    """What the logs say of a request.
+
+    :param lines: that name it
+    :param beliefs: changes shortly before that may have decided it
+    """
+
+    lines: list[explanation.Line]
+    beliefs: list[explanation.Line]
+
+
+#: How long before a request a change may have decided it, in seconds: a
+#: host waits no longer than this for the store's word.
+EXPLAIN_BEFORE_S = 5.0
+
+
+def explain(request_id: str, paths: Sequence[str]) -> Explanation:
+    """Gather what all hosts logged of a request.
+
+    :param paths: log files of the hosts
+    """
+    texts: list[str] = []
+    for path in paths:
+        try:
+            content = pathlib.Path(path).read_text('utf-8', 'replace')
+        except OSError as error:
+            raise errors.UsageError(
+                f'{path} cannot be read: {error.strerror}',
+                'name the log files of the hosts',
+            ) from error
+        texts += content.splitlines()
+    lines = explanation.gather(request_id, texts)
+    near = explanation.nearby(texts, lines, EXPLAIN_BEFORE_S)
+    return Explanation(lines, near)
+
+
+def platform(settings: str | None, check: bool) -> Sequence[object]:
+    """Run a node on the platform, or check its settings only.
+
+    :param settings: the settings file; that of the environment if None
+    :returns: problems of the settings
+    """
+    from magnoliadyke.platform import __main__ as program
+    from magnoliadyke.platform import settings as node_settings
+
+    try:
+        loaded = node_settings.load(settings)
+    except errors.SettingsError as error:
+        return error.problems
+    if not check:
+        program.run(loaded)
+    return ()
+
+
 def _split(cell: str) -> tuple[str, str, str]:
     parts = cell.split('/')
     if len(parts) != 3 or not all(parts):
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -4,9 +4,9 @@
 from hypothesis import strategies
 import pytest
 
-from magnoliadyke import errors
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
+from magnoliadyke import errors
 from magnoliadyke.gateway import events
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import placing
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -6,9 +6,9 @@
 
 from magnoliadyke.core import catalog
 from magnoliadyke.core import routes
+from magnoliadyke import errors
 from magnoliadyke.platform import records
 from magnoliadyke.platform import settings
-from magnoliadyke import errors
 from tests import gatewayworld
 
 
