--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -372,6 +372,7 @@
         while True:
             job = self._job(avoid, resume_after is not None)
             decision = self.parts.placer.place(self.service, job)
+            self._log_decision(job, decision)
             if isinstance(decision, placement.Refused):
                 if self.caller.begun:
                     raise Broken('no engine to go on')
@@ -408,6 +409,36 @@
                         resume_after = self.last_event
             avoid = (*avoid, self.endpoint)
 
+    def _log_decision(
+        self, job: placement.Job, decision: placement.Decision
+    ) -> None:
+        fields = {
+            'id': self.request.id.decode('latin-1'),
+            'by': self.parts.placer.decided_by(job.id),
+            'catalog': self.parts.catalog.generation,
+            'tokens': job.tokens,
+            'due_ms': round((job.objective_s - self.arrived_s) * 1000),
+            'left_ms': round(self.left_s * 1000),
+        }
+        match decision:
+            case placement.Placed():
+                LOG.event(
+                    'placed',
+                    **fields,
+                    reads=decision.prefill or decision.run,
+                    endpoint=decision.run,
+                    fetch_from=decision.fetch_from or 'none',
+                    read_tokens=decision.read_tokens,
+                    expected_ms=round(decision.expected_s * 1000),
+                )
+            case placement.Refused(_, retry_after_s, reason):
+                LOG.event(
+                    'not_placed',
+                    **fields,
+                    reason=reason,
+                    retry_after_ms=round(retry_after_s * 1000),
+                )
+
     def _break_off(self, failure: outcomes.Failed) -> outcomes.Failed:
         """A begun stream ends with a reset, so that it looks incomplete."""
         if self.caller.begun:
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -229,6 +229,13 @@
             job.avoid,
         )
 
+    def decided_by(self, job_id: int) -> str:
+        """Who decided on a job, for the log: a host, 'self' or 'alone'."""
+        leader = self.placed_by.get(job_id)
+        if leader is not None:
+            return leader
+        return 'self' if self.leading else 'alone'
+
     def has_read(self, service: str, job_id: int, endpoint: str) -> None:
         """An engine has read a job's prompt."""
         self._report(service, job_id, placing_codec.Event.READ, endpoint)
