Split the exchange by kind; refuse nothing that may have run

Cause of bytes of a refusal inside a stream, and of "not run" for a request that may have run: after a broken run the next refusal was told as it came. Ruled out: plain requests, which kept the first failure.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -1,5 +1,6 @@
 """One caller's request, from its arrival to exactly one outcome."""
 
+import abc
 import random
 from typing import NamedTuple
 
@@ -8,43 +9,26 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import balance
 from magnoliadyke.core import catalog
-from magnoliadyke.core import placement
 from magnoliadyke.core import retrybudget
 from magnoliadyke.core import routes
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import connection
-from magnoliadyke.gateway import events
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import upstream
 from magnoliadyke import logs
 
-__all__ = ['Exchange', 'Parts']
+__all__ = ['RETRY_AFTER_S', 'RETURN_S', 'Exchange', 'Parts']
 
 LOG = logs.get('exchange')
 
 #: What a refused caller is told when nothing better is known, in seconds.
 RETRY_AFTER_S = 0.4
-#: Part of the time left that the first of two tries may take.
-FIRST_TRY_SHARE = 0.45
 #: Kept of a caller's time for the answer's way back, in seconds: below it a
 #: further try could not be answered in time.
 RETURN_S = 0.02
-#: A request whose caller waits for less than its route's time by more than
-#: this has been here before: callers count from their first try.
-RETURNING_S = 0.1
-#: A prompt that is not read after this many times the expected time, and at
-#: least this many seconds, is taken elsewhere; reading is no run.
-PREFILL_FACTOR = 3.0
-MIN_PREFILL_S = 0.25
-#: A resumable stream that is silent for this long goes on at another
-#: engine, in seconds; several times the pause that callers accept.
-STALL_FACTOR = 5.0
-MIN_STALL_S = 0.5
-#: The same before the first event: it may wait for a slot.
-FIRST_STALL_S = 1.2
 
 
 class Parts(NamedTuple):
@@ -60,11 +44,7 @@
     rng: random.Random
 
 
-class Broken(Exception):
-    """A stream ended before its end."""
-
-
-class Exchange:
+class Exchange(abc.ABC):
     """One request under way.
 
     :param arrived_s: when its head had been read
@@ -90,11 +70,8 @@
         self.service = self._pick_service()
         self.runs = 0
         self.sends = 0
-        self.prefills = 0
         self.tried: set[str] = set()
         self.endpoint = ''
-        self.last_event: bytes | None = None
-        self.read_s: float | None = None
 
     def _pick_service(self) -> str:
         targets = self.route.targets
@@ -114,15 +91,15 @@
         self._budget().request(self.parts.clock.now_s())
         try:
             with self.caller.watched():
-                if self._is_for_engine():
-                    outcome = self._run_on_engine()
-                else:
-                    outcome = self._run_plain()
-                return self._tell(outcome)
+                return self._tell(self._serve())
         except callers.CallerLeft:
             self.caller.broken = True
             return outcomes.Left('the caller closed its connection')
 
+    @abc.abstractmethod
+    def _serve(self) -> outcomes.Outcome:
+        """Have an endpoint run the request."""
+
     def _tell(self, outcome: outcomes.Outcome) -> outcomes.Outcome:
         """Give the caller what it doesn't have yet."""
         match outcome:
@@ -136,14 +113,6 @@
                 self.caller.answer(status, headers, reason.encode())
         return outcome
 
-    def _is_for_engine(self) -> bool:
-        service = self._service()
-        return (
-            service is not None
-            and service.engine is not None
-            and self.request.prompt is not None
-        )
-
     def _service(self) -> routes.Service | None:
         configuration = self.parts.catalog.configuration
         return configuration.services.get(self.service)
@@ -160,55 +129,6 @@
         self.sends += 1
         return self.sends == 1 or self._budget().take(self.parts.clock.now_s())
 
-    def _may_prefill(self) -> bool:
-        """Count a prompt that is to be read.
-
-        The first one that an engine takes is free; one that it turns away
-        counts as the request's first send.
-        """
-        self.prefills += 1
-        if self.prefills == 1:
-            return True
-        return self._budget().take(self.parts.clock.now_s())
-
-    # Plain services, and streams that come without a prompt.
-
-    def _run_plain(self) -> outcomes.Outcome:
-        failure: outcomes.Outcome = outcomes.Refused(
-            'no endpoint is known', RETRY_AFTER_S
-        )
-        while True:
-            endpoint = self._choose()
-            if endpoint is None:
-                return failure
-            tried = self._try_plain(endpoint)
-            match tried:
-                case outcomes.Answered():
-                    return tried
-                case outcomes.Whole():
-                    if not self._wants_another(tried):
-                        return self._deliver(tried)
-                    failure = outcomes.Failed(502, 'the endpoint failed')
-                    self._log_try(tried.facts.status, 'failed')
-                    if not self._may_go_on():
-                        return self._deliver(tried)
-                case outcomes.NotRun(reason):
-                    self._log_try(reason, 'not run')
-                    if not isinstance(failure, outcomes.Failed):
-                        failure = outcomes.Refused(reason, RETRY_AFTER_S)
-                    if not self._may_go_on():
-                        return failure
-                case outcomes.Lost(reason, timed_out):
-                    self._log_try(reason, 'unknown')
-                    status = 504 if timed_out else 502
-                    failure = outcomes.Failed(status, reason)
-                    if self.caller.begun or not self.route.repeatable:
-                        return failure
-                    if not self._may_go_on():
-                        return failure
-                case outcomes.Failed():
-                    return tried
-
     def _may_go_on(self) -> bool:
         if self.runs >= self.route.max_attempts:
             return False
@@ -216,92 +136,6 @@
             return False
         return self.left_s >= RETURN_S
 
-    def _choose(self) -> catalog.Endpoint | None:
-        endpoints = self.parts.catalog.usable(self.service)
-        now_s = self.parts.clock.now_s()
-        return self.parts.balancer.choose(endpoints, self.tried, now_s)
-
-    def _wants_another(self, whole: outcomes.Whole) -> bool:
-        """A failure that another endpoint may not have."""
-        if whole.facts.status < 500:
-            return False
-        return (
-            self.route.kind is routes.Kind.SAFE
-            and self.runs < self.route.max_attempts
-        )
-
-    def _try_plain(
-        self, endpoint: catalog.Endpoint
-    ) -> (
-        outcomes.Whole
-        | outcomes.NotRun
-        | outcomes.Lost
-        | outcomes.Answered
-        | outcomes.Failed
-    ):
-        """Send the request to one endpoint."""
-        balancer = self.parts.balancer
-        self.tried.add(endpoint.id)
-        self.endpoint = endpoint.id
-        begun_s = self.parts.clock.now_s()
-        balancer.sent(endpoint.id)
-        try:
-            result = self._send_whole(endpoint, self._try_s())
-        except callers.CallerLeft:
-            balancer.left(endpoint.id)
-            raise
-        now_s = self.parts.clock.now_s()
-        match result:
-            case outcomes.Whole(facts=facts):
-                failed = facts.status >= 500
-                balancer.answered(endpoint.id, now_s - begun_s, failed)
-            case outcomes.NotRun(arrived=True):
-                balancer.answered(endpoint.id, now_s - begun_s, True)
-            case _:
-                balancer.lost(endpoint.id, now_s)
-        return result
-
-    def _try_s(self) -> float:
-        """Time for this try: a repeat has to find some left."""
-        if self.route.kind is routes.Kind.SAFE:
-            if self.runs + 1 < self.route.max_attempts:
-                share_s = self.left_s * FIRST_TRY_SHARE
-                return max(share_s, min(self.left_s, self.route.objective_s))
-        return self.left_s
-
-    def _send_whole(
-        self, endpoint: catalog.Endpoint, try_s: float
-    ) -> outcomes.Whole | outcomes.NotRun | outcomes.Lost:
-        """One try whose answer is read whole before it is passed on.
-
-        Passed on piece by piece, an answer that breaks off could not be
-        replaced by that of another endpoint.
-        """
-        if try_s <= 0:
-            return outcomes.NotRun('no time is left', arrived=False)
-        options = codecs.RunOptions(endpoint.id, self.left_s)
-        headers = self.parts.codec.run_headers(self.request, options)
-        try:
-            used = self.parts.upstream.take(
-                endpoint, self._max_connections(), self.route.repeatable
-            )
-        except upstream.NoConnection as error:
-            return outcomes.NotRun(str(error), arrived=False)
-        if not self._may_send():
-            self.parts.upstream.give(endpoint, used)
-            return outcomes.NotRun('the retry budget is spent', False)
-        self.runs += 1
-        result = self._converse(used, headers, try_s)
-        self.parts.upstream.give(endpoint, used)
-        match result:
-            case outcomes.NotRun():
-                self.runs -= 1
-            case outcomes.Whole(facts=facts):
-                # Only an answer with the endpoint's signature is a success.
-                if facts.status < 300 and not facts.sealed:
-                    return outcomes.Lost('the answer is not signed', False)
-        return result
-
     def _converse(
         self,
         used: connection.Connection,
@@ -363,365 +197,3 @@
             cause=cause,
             left_ms=round(self.left_s * 1000),
         )
-
-    # Model services.
-
-    def _run_on_engine(self) -> outcomes.Outcome:
-        avoid: tuple[str, ...] = ()
-        resume_after = self.request.resume_after
-        while True:
-            job = self._job(avoid, resume_after is not None)
-            decision = self.parts.placer.place(self.service, job)
-            self._log_decision(job, decision)
-            if isinstance(decision, placement.Refused):
-                if self.caller.begun:
-                    raise Broken('no engine to go on')
-                return outcomes.Refused(
-                    decision.reason, decision.retry_after_s
-                )
-            tell = True
-            try:
-                result = self._run_placed(job, decision, resume_after)
-                if isinstance(result, outcomes.Answered):
-                    tell = decision.tell_end
-                elif isinstance(result, outcomes.NotRun | outcomes.Lost):
-                    self.parts.placer.failed(
-                        self.service, job.id, self.endpoint
-                    )
-            finally:
-                self.parts.placer.ended(self.service, job.id, tell)
-            match result:
-                case outcomes.Answered() | outcomes.Failed():
-                    return result
-                case outcomes.Whole():
-                    return self._deliver(result)
-                case outcomes.NotRun(reason):
-                    self._log_try(reason, 'not run')
-                    if not self._may_go_on():
-                        return outcomes.Refused(reason, RETRY_AFTER_S)
-                case outcomes.Lost(reason, timed_out):
-                    self._log_try(reason, 'unknown')
-                    status = 504 if timed_out else 502
-                    failure = outcomes.Failed(status, reason)
-                    if not self.route.repeatable or not self._may_go_on():
-                        return self._break_off(failure)
-                    if self.last_event is not None:
-                        resume_after = self.last_event
-            avoid = (*avoid, self.endpoint)
-
-    def _log_decision(
-        self, job: placement.Job, decision: placement.Decision
-    ) -> None:
-        fields = {
-            'id': self.request.id.decode('latin-1'),
-            'by': self.parts.placer.decided_by(job.id),
-            'catalog': self.parts.catalog.generation,
-            'tokens': job.tokens,
-            'due_ms': round((job.objective_s - self.arrived_s) * 1000),
-            'left_ms': round(self.left_s * 1000),
-        }
-        match decision:
-            case placement.Placed():
-                LOG.event(
-                    'placed',
-                    **fields,
-                    reads=decision.prefill or decision.run,
-                    endpoint=decision.run,
-                    fetch_from=decision.fetch_from or 'none',
-                    read_tokens=decision.read_tokens,
-                    expected_ms=round(decision.expected_s * 1000),
-                )
-            case placement.Refused(_, retry_after_s, reason):
-                LOG.event(
-                    'not_placed',
-                    **fields,
-                    reason=reason,
-                    retry_after_ms=round(retry_after_s * 1000),
-                )
-
-    def _break_off(self, failure: outcomes.Failed) -> outcomes.Failed:
-        """A begun stream ends with a reset, so that it looks incomplete."""
-        if self.caller.begun:
-            self.caller.broken = True
-        return failure
-
-    def _job(self, avoid: tuple[str, ...], resumed: bool) -> placement.Job:
-        now_s = self.parts.clock.now_s()
-        prompt = self.request.prompt
-        wait_s = self.request.wait_s
-        returning = (
-            wait_s is not None and wait_s < self.route.timeout_s - RETURNING_S
-        )
-        objective_s = self.arrived_s + self.route.objective_s
-        if returning:
-            objective_s -= self.route.timeout_s - wait_s
-        objective_s -= self.parts.placer.after_reading_s.high_s
-        return placement.Job(
-            id=self.parts.rng.getrandbits(62),
-            parts=prompt.parts,
-            output_tokens=prompt.output_tokens,
-            objective_s=max(objective_s, now_s),
-            deadline_s=self.deadline_s,
-            failure_domain=self.parts.balancer.failure_domain,
-            returning=returning,
-            resumed=resumed,
-            avoid=avoid,
-        )
-
-    def _run_placed(
-        self,
-        job: placement.Job,
-        placed: placement.Placed,
-        resume_after: bytes | None,
-    ) -> (
-        outcomes.Answered
-        | outcomes.Failed
-        | outcomes.Whole
-        | outcomes.NotRun
-        | outcomes.Lost
-    ):
-        runner = self.parts.catalog.endpoints.get(placed.run)
-        self.endpoint = placed.run
-        if runner is None or runner.leaving:
-            return outcomes.NotRun('the engine has left', arrived=False)
-        source = None
-        if placed.prefill is not None:
-            source = self._prefill(job, placed)
-        options = codecs.RunOptions(
-            endpoint=runner.id,
-            left_s=self.left_s,
-            urgent=job.tokens <= placing.SHORT_TOKENS,
-            source=source,
-            fetch_from=placed.fetch_from if source is None else None,
-            resume_after=resume_after,
-        )
-        started = False
-        try:
-            result = self._stream(runner, options, job)
-            started = not isinstance(result, outcomes.NotRun)
-            if not started and source is not None:
-                # Turned away: it is full, or what was read is gone.  An
-                # engine that reads the prompt itself can still answer.
-                self.parts.placer.lapsed(
-                    self.service, job.id, placed.prefill, runner.id
-                )
-                self._log_try('turned away after reading', 'not run')
-                other = self._other_runner(runner)
-                if other is not None:
-                    self.endpoint = other.id
-                    options = options._replace(endpoint=other.id, source=None)
-                    result = self._stream(other, options, job)
-        finally:
-            if source is not None and not started:
-                self._free(source)
-        return result
-
-    def _other_runner(
-        self, failed: catalog.Endpoint
-    ) -> catalog.Endpoint | None:
-        """Another engine for a request that one has turned away."""
-        if self.left_s < RETURN_S:
-            return None
-        others = [
-            each
-            for each in self.parts.catalog.usable(self.service)
-            if each.stage is catalog.Stage.DECODE and each.id != failed.id
-        ]
-        return self.parts.rng.choice(others) if others else failed
-
-    def _prefill(
-        self, job: placement.Job, placed: placement.Placed
-    ) -> str | None:
-        """Have the prompt read; returns where it waits to be fetched."""
-        reader = self.parts.catalog.endpoints.get(placed.prefill)
-        if reader is None or reader.leaving:
-            self.parts.placer.failed(self.service, job.id, placed.prefill)
-            return None
-        options = codecs.RunOptions(
-            reader.id, self.left_s, fetch_from=placed.fetch_from
-        )
-        headers = self.parts.codec.prefill_headers(self.request, options)
-        try:
-            used = self.parts.upstream.take(
-                reader, self._max_connections(), repeatable=True
-            )
-        except upstream.NoConnection as error:
-            self._prefill_failed(job, reader, str(error))
-            return None
-        if not self._may_prefill():
-            self.parts.upstream.give(reader, used)
-            return None
-        try_s = max(MIN_PREFILL_S, placed.expected_s * PREFILL_FACTOR)
-        try_s = min(self.left_s, try_s)
-        result = self._converse(used, headers, try_s)
-        self.parts.upstream.give(reader, used)
-        match result:
-            case outcomes.NotRun(reason) | outcomes.Lost(reason):
-                self.sends += 1
-                self._prefill_failed(job, reader, reason)
-                return None
-        read = self.parts.codec.prefilled(result.body)
-        if read is None or result.facts.status != 200:
-            reason = f'status {result.facts.status}'
-            self._prefill_failed(job, reader, reason)
-            return None
-        self.parts.placer.has_read(self.service, job.id, reader.id)
-        self.read_s = self.parts.clock.now_s()
-        return f'{reader.address}/{read.handle}'
-
-    def _prefill_failed(
-        self, job: placement.Job, reader: catalog.Endpoint, reason: str
-    ) -> None:
-        self.parts.placer.failed(self.service, job.id, reader.id)
-        LOG.event(
-            'prefill_failed',
-            id=self.request.id.decode('latin-1'),
-            endpoint=reader.id,
-            cause=reason,
-            left_ms=round(self.left_s * 1000),
-        )
-
-    def _free(self, source: str) -> None:
-        """Free what was read for a caller that left or was refused."""
-        address, _, handle = source.partition('/')
-        gevent.spawn(self._free_now, address, handle)
-
-    def _free_now(self, address: str, handle: str) -> None:
-        for endpoint in self.parts.catalog.endpoints.values():
-            if endpoint.address == address:
-                break
-        else:
-            return
-        method, target = self.parts.codec.drop_target(handle)
-        try:
-            used = self.parts.upstream.take(endpoint, 0, repeatable=True)
-        except upstream.NoConnection as error:
-            LOG.repeated('handle_kept', endpoint.id, cause=str(error))
-            return
-        try:
-            with gevent.Timeout(1.0, http.OutOfTime('no answer in time')):
-                used.call(method, target, [(b'Host', address.encode())])
-        except (
-            OSError,
-            http.BrokenMessage,
-            http.OutOfTime,
-            http.PeerClosed,
-        ) as error:
-            used.close()
-            LOG.repeated('handle_kept', endpoint.id, cause=str(error))
-        self.parts.upstream.give(endpoint, used)
-
-    def _stream(
-        self,
-        runner: catalog.Endpoint,
-        options: codecs.RunOptions,
-        job: placement.Job,
-    ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
-        """Have the engine run the request and pass its events on."""
-        try:
-            used = self.parts.upstream.take(
-                runner, self._max_connections(), self.route.repeatable
-            )
-        except upstream.NoConnection as error:
-            return outcomes.NotRun(str(error), arrived=False)
-        if not self._may_send():
-            self.parts.upstream.give(runner, used)
-            return outcomes.NotRun('the retry budget is spent', False)
-        self.runs += 1
-        headers = self.parts.codec.run_headers(self.request, options)
-        request = self.request
-        try:
-            with gevent.Timeout(self.left_s, http.OutOfTime('out of time')):
-                used.send(
-                    request.method, request.target, headers, request.body
-                )
-                head = self._waited(used.head, FIRST_STALL_S)
-                result = self._judge_stream(used, head, job, runner, options)
-        except http.OutOfTime as error:
-            result = outcomes.Lost(str(error), timed_out=True)
-            used.close()
-        except (OSError, http.BrokenMessage, http.PeerClosed) as error:
-            result = outcomes.Lost(str(error), timed_out=False)
-            used.close()
-        except callers.CallerLeft:
-            used.close()
-            self.parts.upstream.give(runner, used)
-            raise
-        self.parts.upstream.give(runner, used)
-        if isinstance(result, outcomes.NotRun):
-            self.runs -= 1
-        return result
-
-    def _waited(self, wait, least_s):
-        """Wait for the next piece, less long if it can go on elsewhere."""
-        if not self.route.resumable:
-            return wait()
-        stall_s = max(least_s, self.route.pause_s * STALL_FACTOR)
-        with gevent.Timeout(stall_s, http.OutOfTime('the engine is silent')):
-            return wait()
-
-    def _judge_stream(
-        self,
-        used: connection.Connection,
-        head: http.Head,
-        job: placement.Job,
-        runner: catalog.Endpoint,
-        options: codecs.RunOptions,
-    ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
-        facts = self.parts.codec.facts(head)
-        if facts.status != 200:
-            return self._judge(used, head, used.body())
-        if facts.request_id != self.request.id:
-            return outcomes.Lost('answer to another request', False)
-        if not facts.sealed or facts.encoded:
-            return outcomes.Lost("not the endpoint's own answer", False)
-        if facts.idle_limit_s is not None:
-            used.idle_limit_s = facts.idle_limit_s
-        return self._relay(used, head, job, runner, options)
-
-    def _tell_read(self, job: placement.Job, runner: catalog.Endpoint) -> None:
-        """The first event shows that the prompt has been read."""
-        if job.tokens > placing.SHORT_TOKENS:
-            self.parts.placer.has_read(self.service, job.id, runner.id)
-
-    def _relay(
-        self,
-        used: connection.Connection,
-        head: http.Head,
-        job: placement.Job,
-        runner: catalog.Endpoint,
-        options: codecs.RunOptions,
-    ) -> outcomes.Answered:
-        splitter = events.EventSplitter()
-        first = True
-        while True:
-            least_s = FIRST_STALL_S if first else MIN_STALL_S
-            part = self._waited(used.part, least_s)
-            if isinstance(part, http.End):
-                break
-            whole = splitter.feed(part.data)
-            if not whole:
-                continue
-            if first and options.source is None:
-                self._tell_read(job, runner)
-            elif first and self.read_s is not None:
-                took_s = self.parts.clock.now_s() - self.read_s
-                self.parts.placer.moved(
-                    self.service, job.id, runner.id, took_s
-                )
-            first = False
-            self._begin(head)
-            data = b''.join(event.data for event in whole)
-            self.caller.chunk(data)
-            if whole[-1].id is not None:
-                self.last_event = whole[-1].id
-        self._begin(head)
-        if splitter.rest:
-            self.caller.chunk(splitter.rest)
-        self.caller.end_stream()
-        return outcomes.Answered(200, self.endpoint)
-
-    def _begin(self, head: http.Head) -> None:
-        if not self.caller.begun:
-            headers = self.parts.codec.answer_headers(head)
-            self.caller.begin_stream(head.status, headers)
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -15,6 +15,8 @@
 from magnoliadyke.gateway import exchange
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import outcomes
+from magnoliadyke.gateway import plainexchange
+from magnoliadyke.gateway import promptexchange
 from magnoliadyke import logs
 
 __all__ = ['Ingress']
@@ -246,7 +248,7 @@
         if route is None:
             self._answer_early(caller, request, 404, 'no route')
             return
-        one = exchange.Exchange(self.parts, request, route, caller, arrived_s)
+        one = self._exchange(request, route, caller, arrived_s)
         try:
             outcome = one.run()
         except Exception as error:
@@ -260,6 +262,25 @@
         self.record(outcome, route, took_s)
         self._log(one, outcome, took_s, configuration.version)
 
+    def _exchange(
+        self,
+        request: codecs.Request,
+        route: routes.Route,
+        caller: callers.Caller,
+        arrived_s: float,
+    ) -> exchange.Exchange:
+        """What serves a request, by whether engines are to read a prompt."""
+        services = self.parts.catalog.configuration.services
+        has_engines = any(
+            target.service in services
+            and services[target.service].engine is not None
+            for target in route.targets
+        )
+        kind = plainexchange.PlainExchange
+        if has_engines and request.prompt is not None:
+            kind = promptexchange.PromptExchange
+        return kind(self.parts, request, route, caller, arrived_s)
+
     def _fail(
         self, caller: callers.Caller, request: codecs.Request
     ) -> outcomes.Failed:
--- /dev/null
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -0,0 +1,142 @@
+"""A request for a plain service."""
+
+from magnoliadyke.core import catalog
+from magnoliadyke.core import routes
+from magnoliadyke.gateway import caller as callers
+from magnoliadyke.gateway import codec as codecs
+from magnoliadyke.gateway import exchange
+from magnoliadyke.gateway import outcomes
+from magnoliadyke.gateway import upstream
+
+__all__ = ['PlainExchange']
+
+#: Part of the time left that the first of two tries may take.
+FIRST_TRY_SHARE = 0.45
+
+
+class PlainExchange(exchange.Exchange):
+    """Goes to the endpoint that costs callers least, again if it may."""
+
+    def _serve(self) -> outcomes.Outcome:
+        failure: outcomes.Outcome = outcomes.Refused(
+            'no endpoint is known', exchange.RETRY_AFTER_S
+        )
+        while True:
+            endpoint = self._choose()
+            if endpoint is None:
+                return failure
+            tried = self._try_plain(endpoint)
+            match tried:
+                case outcomes.Answered():
+                    return tried
+                case outcomes.Whole():
+                    if not self._wants_another(tried):
+                        return self._deliver(tried)
+                    failure = outcomes.Failed(502, 'the endpoint failed')
+                    self._log_try(tried.facts.status, 'failed')
+                    if not self._may_go_on():
+                        return self._deliver(tried)
+                case outcomes.NotRun(reason):
+                    self._log_try(reason, 'not run')
+                    if not isinstance(failure, outcomes.Failed):
+                        failure = outcomes.Refused(
+                            reason, exchange.RETRY_AFTER_S
+                        )
+                    if not self._may_go_on():
+                        return failure
+                case outcomes.Lost(reason, timed_out):
+                    self._log_try(reason, 'unknown')
+                    status = 504 if timed_out else 502
+                    failure = outcomes.Failed(status, reason)
+                    if self.caller.begun or not self.route.repeatable:
+                        return failure
+                    if not self._may_go_on():
+                        return failure
+                case outcomes.Failed():
+                    return tried
+
+    def _choose(self) -> catalog.Endpoint | None:
+        endpoints = self.parts.catalog.usable(self.service)
+        now_s = self.parts.clock.now_s()
+        return self.parts.balancer.choose(endpoints, self.tried, now_s)
+
+    def _wants_another(self, whole: outcomes.Whole) -> bool:
+        """A failure that another endpoint may not have."""
+        if whole.facts.status < 500:
+            return False
+        return (
+            self.route.kind is routes.Kind.SAFE
+            and self.runs < self.route.max_attempts
+        )
+
+    def _try_plain(
+        self, endpoint: catalog.Endpoint
+    ) -> (
+        outcomes.Whole
+        | outcomes.NotRun
+        | outcomes.Lost
+        | outcomes.Answered
+        | outcomes.Failed
+    ):
+        """Send the request to one endpoint."""
+        balancer = self.parts.balancer
+        self.tried.add(endpoint.id)
+        self.endpoint = endpoint.id
+        begun_s = self.parts.clock.now_s()
+        balancer.sent(endpoint.id)
+        try:
+            result = self._send_whole(endpoint, self._try_s())
+        except callers.CallerLeft:
+            balancer.left(endpoint.id)
+            raise
+        now_s = self.parts.clock.now_s()
+        match result:
+            case outcomes.Whole(facts=facts):
+                failed = facts.status >= 500
+                balancer.answered(endpoint.id, now_s - begun_s, failed)
+            case outcomes.NotRun(arrived=True):
+                balancer.answered(endpoint.id, now_s - begun_s, True)
+            case _:
+                balancer.lost(endpoint.id, now_s)
+        return result
+
+    def _try_s(self) -> float:
+        """Time for this try: a repeat has to find some left."""
+        if self.route.kind is routes.Kind.SAFE:
+            if self.runs + 1 < self.route.max_attempts:
+                share_s = self.left_s * FIRST_TRY_SHARE
+                return max(share_s, min(self.left_s, self.route.objective_s))
+        return self.left_s
+
+    def _send_whole(
+        self, endpoint: catalog.Endpoint, try_s: float
+    ) -> outcomes.Whole | outcomes.NotRun | outcomes.Lost:
+        """One try whose answer is read whole before it is passed on.
+
+        Passed on piece by piece, an answer that breaks off could not be
+        replaced by that of another endpoint.
+        """
+        if try_s <= 0:
+            return outcomes.NotRun('no time is left', arrived=False)
+        options = codecs.RunOptions(endpoint.id, self.left_s)
+        headers = self.parts.codec.run_headers(self.request, options)
+        try:
+            used = self.parts.upstream.take(
+                endpoint, self._max_connections(), self.route.repeatable
+            )
+        except upstream.NoConnection as error:
+            return outcomes.NotRun(str(error), arrived=False)
+        if not self._may_send():
+            self.parts.upstream.give(endpoint, used)
+            return outcomes.NotRun('the retry budget is spent', False)
+        self.runs += 1
+        result = self._converse(used, headers, try_s)
+        self.parts.upstream.give(endpoint, used)
+        match result:
+            case outcomes.NotRun():
+                self.runs -= 1
+            case outcomes.Whole(facts=facts):
+                # Only an answer with the endpoint's signature is a success.
+                if facts.status < 300 and not facts.sealed:
+                    return outcomes.Lost('the answer is not signed', False)
+        return result
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -54,6 +54,8 @@
     :ivar work_s: how long it works on a request
     :ivar pause_s: between two events of a stream
     :ivar events: of a stream
+    :ivar refuses_resumed: streams that go on are turned away
+    :ivar refuses_after: runs after which everything is turned away
     """
 
     def __init__(
@@ -77,6 +79,8 @@
         self.pause_s = 0.0
         self.events = 3
         self.cut_after = 1
+        self.refuses_resumed = False
+        self.refuses_after: int | None = None
         self.arrivals: list[Arrival] = []
         self.orders: list[dict] = []
         self.handles: set[str] = set()
@@ -171,6 +175,11 @@
             return 421
         if self.mode == 'shed':
             return 503
+        if self.refuses_resumed and b'last-event-id' in headers:
+            return 503
+        if self.refuses_after is not None:
+            if len(self.runs) >= self.refuses_after:
+                return 503
         reads = headers.get(b'x-stage') == b'prefill'
         if self.stage and reads != (self.stage == 'prefill'):
             return 421
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import os
 import random
 import time
 
@@ -18,6 +19,9 @@
 HOST = 'site.example'
 WAIT_S = 10.0
 HOSTS = itertools.count(1)
+#: Addresses of this process's nodes: two runs of the tests side by side
+#: would else meet at the same ports.
+NET = f'127.{os.getpid() % 190 + 50}.{os.getpid() // 190 % 250 + 1}'
 
 
 def route(name, prefix, kind, service, **fields):
@@ -107,7 +111,7 @@
 
     def node(self, wait=True, **fields):
         """Start a node; waits until it is ready."""
-        ip = f'127.0.77.{next(HOSTS) % 250 + 1}'
+        ip = f'{NET}.{next(HOSTS) % 250 + 1}'
         values = {
             'name': f'front-{ip}',
             'ip': ip,
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -460,3 +460,40 @@
     gatewayworld.wait_for(is_free, 'the freed place')
     gevent.sleep(0.7)
     assert len(runner.runs) <= 1
+
+
+def test_broken_stream_gets_no_refusal_in_the_middle(world, engines):
+    """A resumable stream breaks off, and no engine takes the rest.
+
+    The caller has the head and an event of a success; a refusal written
+    after them would be bytes of no answer. Its connection is reset.
+    """
+    _, runner = engines
+    runner.mode = 'cut'
+    runner.pause_s = 0.3
+    world.node()
+    client = gatewayworld.Client(world.nodes[0])
+    client.request('POST', '/chat/x', 'r1', b'hi', **CHAT)
+    gatewayworld.wait_for(lambda: runner.runs, 'the first engine')
+    runner.refuses_resumed = True
+    received = b''
+    with pytest.raises(http.PeerClosed):
+        while True:
+            part = client.reader.next_part()
+            received += getattr(part, 'data', b'')
+    assert b'HTTP/1.1' not in received
+    assert received.count(b'data: piece') == 1
+
+
+def test_refusal_is_not_told_of_a_request_that_may_have_run(world, engines):
+    """The first engine may have run a request, the second turns it away.
+
+    Told "not run", its caller would take the run for one that never was.
+    """
+    _, runner = engines
+    runner.mode = 'reset'
+    runner.refuses_after = 1
+    world.node()
+    head, _ = run(world, '/chat/x', 'POST', b'hi', **CHAT)
+    assert len(runner.runs) == 1
+    assert head.status == 502
