Tell a new placing host what the engines keep

What the engines were given lately is told to the host that begins to place; before it took their memories for empty.

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -268,6 +268,12 @@
             )
         return found
 
+    def recall(
+        self, engine_id: str, parts: tuple[promptcache.PromptPart, ...]
+    ) -> None:
+        """An engine was given a prompt by the place before this one."""
+        self.pool.caches.use(engine_id, parts)
+
     # Jobs.
 
     def submit(self, job: Job, now_s: float) -> list[Decision]:
--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -112,9 +112,7 @@
         self.holder_revision = item.revision
         self.vacant_since_s = None
         if self.holder != self.own.host or self.lease is None:
-            self.placer.leading = False
-            self.placer.leader = fields['address']
-            self.placer.silent_until_s = 0.0
+            self.placer.follow(fields['address'])
             LOG.event('leader', leader=self.holder, revision=item.revision)
 
     def removed(self, key: str) -> None:
@@ -221,7 +219,7 @@
         self.order_from_s = now_s + self.order_gap_s + GAP_MARGIN_S
         self.order_until_s = asked_s + granted.ttl_s * ORDER_SHARE
         self.vacant_since_s = None
-        self.placer.leading = True
+        self.placer.lead()
         LOG.event(
             'leading', fencing=revision, lease=granted.lease, by_force=by_force
         )
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -36,6 +36,12 @@
 SILENT_S = 0.6
 #: A job that waits in the queue is asked for again this often.
 REASK_S = 0.2
+#: Prompts that a new placing host is told of: the last seconds of this host,
+#: as far as engines still keep them, and so many at most.
+GIVEN_S = 6.0
+MAX_GIVEN = 400
+#: Prompts told of in one datagram, which stays under a network's 1,400 B.
+GIVEN_IN_DATAGRAM = 16
 #: How long decisions are remembered for asks that come twice.
 REMEMBERED = 4096
 MAX_DATAGRAM_BYTES = 65535
@@ -73,6 +79,14 @@
         self.median_s *= 1 + step
 
 
+class _Given(NamedTuple):
+    """A prompt that was placed for this host."""
+
+    at_s: float
+    service: str
+    memory: placing_codec.Memory
+
+
 class _Waiting(NamedTuple):
     """A job of this host that waits for a decision."""
 
@@ -128,6 +142,9 @@
             collections.OrderedDict()
         )
         self.counts: collections.Counter[str] = collections.Counter()
+        self.given: collections.deque[_Given] = collections.deque(
+            maxlen=MAX_GIVEN
+        )
         self.socket: socket.socket | None = None
         self.greenlet: gevent.Greenlet | None = None
 
@@ -153,7 +170,9 @@
         waiting = _Waiting(event.AsyncResult(), event.Event())
         self.waiting[job.id] = waiting
         try:
-            return self._place(service, job, waiting)
+            decision = self._place(service, job, waiting)
+            self._note(service, job, decision)
+            return decision
         except BaseException:
             # The caller has left: the place goes to somebody else.
             self._report(service, job.id, placing_codec.Event.WITHDRAWN, '')
@@ -162,6 +181,56 @@
         finally:
             del self.waiting[job.id]
 
+    def _note(
+        self,
+        service: str,
+        job: placement.Job,
+        decision: placement.Decision,
+    ) -> None:
+        if isinstance(decision, placement.Refused):
+            return
+        now_s = self.clock.now_s()
+        for engine in {decision.prefill or decision.run, decision.run}:
+            memory = placing_codec.Memory(engine, job.parts)
+            self.given.append(_Given(now_s, service, memory))
+
+    def follow(self, leader: str) -> None:
+        """Another host places from now on; tell it what engines keep.
+
+        Without it the new host takes all memories for empty, and for some
+        seconds sends prompts where they have to be read anew.
+        """
+        if leader == self.leader and not self.leading:
+            return
+        self.leading = False
+        self.leader = leader
+        self.silent_until_s = 0.0
+        for service, memories in self._recent().items():
+            for start in range(0, len(memories), GIVEN_IN_DATAGRAM):
+                chunk = memories[start : start + GIVEN_IN_DATAGRAM]
+                self._send(leader, placing_codec.Recall(service, chunk))
+
+    def lead(self) -> None:
+        """This host places from now on."""
+        self.leading = True
+        for service, memories in self._recent().items():
+            self._recall(placing_codec.Recall(service, memories))
+
+    def _recent(self) -> dict[str, tuple[placing_codec.Memory, ...]]:
+        oldest_s = self.clock.now_s() - GIVEN_S
+        recent: dict[str, list[placing_codec.Memory]] = {}
+        for given in self.given:
+            if given.at_s >= oldest_s:
+                recent.setdefault(given.service, []).append(given.memory)
+        return {service: tuple(m) for service, m in recent.items()}
+
+    def _recall(self, recall: placing_codec.Recall) -> None:
+        if not self._knows(recall.service):
+            return
+        core = self._pool(self.served, recall.service).core
+        for memory in recall.memories:
+            core.recall(memory.engine, memory.parts)
+
     def _place(
         self, service: str, job: placement.Job, waiting: _Waiting
     ) -> placement.Decision:
@@ -325,6 +394,9 @@
                 if self.leading and service in self.served:
                     pool = self._pool(self.served, service)
                     self._take_report(pool, message)
+            case placing_codec.Recall():
+                if self.leading:
+                    self._recall(message)
             case placing_codec.Waits(job):
                 waiting = self.waiting.get(job)
                 if waiting is not None:
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -14,7 +14,17 @@
 from magnoliadyke.wire.placement import constants
 from magnoliadyke.wire.placement import ttypes
 
-__all__ = ['Ask', 'Event', 'Report', 'Told', 'Waits', 'decode', 'encode']
+__all__ = [
+    'Ask',
+    'Event',
+    'Memory',
+    'Recall',
+    'Report',
+    'Told',
+    'Waits',
+    'decode',
+    'encode',
+]
 
 MAX_STRING_BYTES = 1024
 MAX_ITEMS = 256
@@ -70,7 +80,21 @@
     runner: str = ''
 
 
-Message = Ask | Waits | Told | Report
+class Memory(NamedTuple):
+    """Parts of a prompt that an engine was given."""
+
+    engine: str
+    parts: tuple[promptcache.PromptPart, ...]
+
+
+class Recall(NamedTuple):
+    """What engines were given lately, for a host that begins to place."""
+
+    service: str
+    memories: tuple[Memory, ...]
+
+
+Message = Ask | Waits | Told | Report | Recall
 
 
 def encode(message: Message) -> bytes:
@@ -87,6 +111,14 @@
             datagram.report = ttypes.Report(
                 job, service, event, endpoint, _micro(took_s), runner or None
             )
+        case Recall(service, memories):
+            datagram.recall = ttypes.Recall(
+                service,
+                [
+                    ttypes.Memory(each.engine, _encode_parts(each.parts))
+                    for each in memories
+                ],
+            )
     return TSerialization.serialize(datagram, FACTORY)
 
 
@@ -112,6 +144,15 @@
                 (report.took_us or 0) / MICRO,
                 report.runner or '',
             )
+        if datagram.recall is not None:
+            recall = datagram.recall
+            return Recall(
+                recall.pool,
+                tuple(
+                    Memory(each.engine, _decode_parts(each.parts))
+                    for each in recall.memories
+                ),
+            )
     except (
         EOFError,
         TException,
@@ -128,7 +169,7 @@
     return ttypes.Ask(
         job=job.id,
         pool=ask.service,
-        parts=[ttypes.PromptPart(part.id, part.tokens) for part in job.parts],
+        parts=_encode_parts(job.parts),
         output_tokens=job.output_tokens,
         objective_us=_micro(job.objective_s),
         deadline_us=_micro(job.deadline_s),
@@ -140,12 +181,9 @@
 
 
 def _decode_ask(ask: ttypes.Ask) -> Ask:
-    parts = tuple(
-        promptcache.PromptPart(part.id, part.tokens) for part in ask.parts
-    )
     job = placement.Job(
         id=ask.job,
-        parts=parts,
+        parts=_decode_parts(ask.parts),
         output_tokens=ask.output_tokens,
         objective_s=ask.objective_us / MICRO,
         deadline_s=ask.deadline_us / MICRO,
@@ -197,5 +235,19 @@
     return Waits(decision.job)
 
 
+def _encode_parts(
+    parts: tuple[promptcache.PromptPart, ...],
+) -> list[ttypes.PromptPart]:
+    return [ttypes.PromptPart(part.id, part.tokens) for part in parts]
+
+
+def _decode_parts(
+    parts: list[ttypes.PromptPart],
+) -> tuple[promptcache.PromptPart, ...]:
+    return tuple(
+        promptcache.PromptPart(part.id, part.tokens) for part in parts
+    )
+
+
 def _micro(seconds: float) -> int:
     return max(-MAX_US, min(MAX_US, round(seconds * MICRO)))
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -608,6 +608,184 @@
         return not (self == other)
 
 
+class Memory(object):
+    """
+    Attributes:
+     - engine
+     - parts
+
+    """
+
+    __slots__ = (
+        'engine',
+        'parts',
+    )
+
+
+    def __init__(self, engine=None, parts=None,):
+        self.engine = engine
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = PromptPart()
+                        _elem19.read(iprot)
+                        self.parts.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Memory')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter20 in self.parts:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Recall(object):
+    """
+    Attributes:
+     - pool
+     - memories
+
+    """
+
+    __slots__ = (
+        'pool',
+        'memories',
+    )
+
+
+    def __init__(self, pool=None, memories=None,):
+        self.pool = pool
+        self.memories = memories
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.memories = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Memory()
+                        _elem26.read(iprot)
+                        self.memories.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Recall')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.memories is not None:
+            oprot.writeFieldBegin('memories', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.memories))
+            for iter27 in self.memories:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -615,6 +793,7 @@
      - ask
      - decision
      - report
+     - recall
 
     """
 
@@ -623,14 +802,16 @@
         'ask',
         'decision',
         'report',
+        'recall',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
         self.report = report
+        self.recall = recall
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -664,6 +845,12 @@
                     self.report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.recall = Recall()
+                    self.recall.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -690,6 +877,10 @@
             oprot.writeFieldBegin('report', TType.STRUCT, 4)
             self.report.write(oprot)
             oprot.writeFieldEnd()
+        if self.recall is not None:
+            oprot.writeFieldBegin('recall', TType.STRUCT, 5)
+            self.recall.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -756,6 +947,18 @@
     (5, TType.I32, 'took_us', None, None, ),  # 5
     (6, TType.STRING, 'runner', 'UTF8', None, ),  # 6
 )
+all_structs.append(Memory)
+Memory.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'parts', (TType.STRUCT, [PromptPart, None], False), None, ),  # 2
+)
+all_structs.append(Recall)
+Recall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'memories', (TType.STRUCT, [Memory, None], False), None, ),  # 2
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -763,6 +966,7 @@
     (2, TType.STRUCT, 'ask', [Ask, None], None, ),  # 2
     (3, TType.STRUCT, 'decision', [Decision, None], None, ),  # 3
     (4, TType.STRUCT, 'report', [Report, None], None, ),  # 4
+    (5, TType.STRUCT, 'recall', [Recall, None], None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_gateway_platform.py
+++ b/tests/test_gateway_platform.py
@@ -202,6 +202,37 @@
     gatewayworld.wait_for(left.leadership.may_order, 'the right to order')
 
 
+def test_new_placing_host_learns_what_engines_keep(world):
+    """The placing host changes; engines keep what they were given before.
+
+    Taken for empty, their prompts would be read anew for some seconds.
+    """
+    world.endpoint('e1', 'model', 'prefill')
+    world.endpoint('e2', 'model', 'decode')
+    first, second = world.node(), world.node()
+    gatewayworld.wait_for(
+        lambda: (
+            first.placer.leading != second.placer.leading
+            and (first.placer.leader or second.placer.leader)
+        ),
+        'one leader, known to both',
+    )
+    old, new = (first, second) if first.placer.leading else (second, first)
+    gatewayworld.wait_for(lambda: new.placer.leader, 'the leader')
+    client = gatewayworld.Client(old)
+    prompt = gatewayworld.prompt((0xA, 2000), (0xB, 3000), (0xC, 500))
+    head, _ = client.call('POST', '/once/x', 'r1', b'text', **prompt)
+    assert head.status == 200
+    new.placer.lead()
+    old.placer.follow(new.settings.ip)
+
+    def has_learned():
+        pool = new.placer.served.get('model')
+        return pool is not None and 0xB in pool.core.pool.caches.by_part
+
+    gatewayworld.wait_for(has_learned, 'the memory')
+
+
 def test_draining_host_ends_kept_connections_with_an_answer(world):
     world.endpoint('p1')
     node = world.node()
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -58,9 +58,21 @@
   6: optional string runner,
 }
 
+// Parts that an engine was given, told to a host that has begun to place.
+struct Memory {
+  1: string engine,
+  2: list<PromptPart> parts,
+}
+
+struct Recall {
+  1: string pool,
+  2: list<Memory> memories,
+}
+
 struct Datagram {
   1: i16 version,
   2: optional Ask ask,
   3: optional Decision decision,
   4: optional Report report,
+  5: optional Recall recall,
 }
