--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -112,17 +112,13 @@
             self._close(caller)
 
     def _close(self, caller: callers.Caller) -> None:
-        """Close; a broken answer ends with a reset, so that it shows."""
-        if caller.broken or caller.streaming:
-            linger = (1).to_bytes(4, 'little') + bytes(4)
-            try:
-                caller.sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, linger
-                )
-            except OSError:
-                # It is closed already, which is what was wanted.
-                return
-        else:
+        """Close a connection.
+
+        A stream that broke off lacks its last chunk, and that shows.  It is
+        closed in order all the same: a reset would also take back bytes
+        that are still on their way, and cut the answer in any place.
+        """
+        if not (caller.broken or caller.streaming):
             self._linger(caller.sock)
         http.drop(caller.sock)
 
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -130,8 +130,10 @@
             self.parts.upstream.give(endpoint, used)
             return outcomes.NotRun('the retry budget is spent', False)
         self.runs += 1
-        result = self._converse(used, headers, try_s)
-        self.parts.upstream.give(endpoint, used)
+        try:
+            result = self._converse(used, headers, try_s)
+        finally:
+            self.parts.upstream.give(endpoint, used)
         match result:
             case outcomes.NotRun():
                 self.runs -= 1
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -83,6 +83,10 @@
             match result:
                 case outcomes.Answered() | outcomes.Failed():
                     return result
+                case outcomes.Whole(facts=facts) if self.caller.begun:
+                    # In the middle of a stream it would be no answer.
+                    reason = f'status {facts.status} after a part'
+                    return self._break_off(outcomes.Failed(502, reason))
                 case outcomes.Whole():
                     return self._deliver(result)
                 case outcomes.NotRun(reason):
@@ -142,7 +146,7 @@
         return outcomes.Refused(reason, retry_after_s)
 
     def _break_off(self, failure: outcomes.Failed) -> outcomes.Failed:
-        """A begun stream ends with a reset, so that it looks incomplete."""
+        """A begun stream ends without its last chunk: it looks incomplete."""
         if self.caller.begun:
             self.caller.broken = True
         return failure
@@ -255,8 +259,10 @@
             return None
         try_s = max(MIN_PREFILL_S, placed.expected_s * PREFILL_FACTOR)
         try_s = min(self.left_s, try_s)
-        result = self._converse(used, headers, try_s)
-        self.parts.upstream.give(reader, used)
+        try:
+            result = self._converse(used, headers, try_s)
+        finally:
+            self.parts.upstream.give(reader, used)
         match result:
             case outcomes.NotRun(reason) | outcomes.Lost(reason):
                 self.sends += 1
@@ -347,9 +353,9 @@
             used.close()
         except callers.CallerLeft:
             used.close()
-            self.parts.upstream.give(runner, used)
             raise
-        self.parts.upstream.give(runner, used)
+        finally:
+            self.parts.upstream.give(runner, used)
         if isinstance(result, outcomes.NotRun):
             self.runs -= 1
         return result
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -55,6 +55,7 @@
     :ivar pause_s: between two events of a stream
     :ivar events: of a stream
     :ivar refuses_resumed: streams that go on are turned away
+    :ivar fails_resumed: streams that go on end in 500
     :ivar refuses_after: runs after which everything is turned away
     """
 
@@ -80,6 +81,7 @@
         self.events = 3
         self.cut_after = 1
         self.refuses_resumed = False
+        self.fails_resumed = False
         self.refuses_after: int | None = None
         self.arrivals: list[Arrival] = []
         self.orders: list[dict] = []
@@ -240,7 +242,8 @@
             caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             return False
         seal = [(b'X-Server-Seal', b'seal-' + self.name.encode())]
-        if self.mode == 'error':
+        resumed = b'last-event-id' in arrival.headers
+        if self.mode == 'error' or (self.fails_resumed and resumed):
             self._answer(caller, arrival, 500, seal, b'failed')
             return True
         if b'x-prompt-prefix' in arrival.headers:
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -497,3 +497,50 @@
     head, _ = run(world, '/chat/x', 'POST', b'hi', **CHAT)
     assert len(runner.runs) == 1
     assert head.status == 502
+
+
+def test_failure_of_the_next_engine_is_not_written_into_a_stream(
+    world, engines
+):
+    """A resumable stream breaks off; the engine that goes on answers 500.
+
+    Passed on, that answer would stand in the middle of the stream. The
+    caller's stream ends early instead.
+    """
+    _, runner = engines
+    runner.mode = 'cut'
+    runner.pause_s = 0.3
+    world.node()
+    client = gatewayworld.Client(world.nodes[0])
+    client.request('POST', '/chat/x', 'r1', b'hi', **CHAT)
+    gatewayworld.wait_for(lambda: runner.runs, 'the first engine')
+    runner.fails_resumed = True
+    received = b''
+    with pytest.raises(http.PeerClosed):
+        while True:
+            part = client.reader.next_part()
+            received += getattr(part, 'data', b'')
+    assert received.count(b'data: piece') == 1
+
+
+def test_callers_that_leave_give_their_connections_back(world, plain):
+    """Callers leave while their requests run, again and again.
+
+    Counted as in use for good, their connections would fill the host's
+    share of the endpoint's, and all later callers would be refused.
+    """
+    plain.work_s = 3.0
+    node = world.node()
+    for number in range(5):
+        client = gatewayworld.Client(node)
+        client.request('GET', '/safe/x', f'l{number}')
+        gatewayworld.wait_for(
+            lambda sent=number: len(plain.arrivals) > sent, 'the arrival'
+        )
+        client.close()
+    gatewayworld.wait_for(
+        lambda: all(each.left for each in plain.arrivals), 'the ends'
+    )
+    gatewayworld.wait_for(
+        lambda: node.upstream.in_use['p1'] == 0, 'the connections'
+    )
