--- /dev/null
+++ b/tests/test_gateway_stages.py
@@ -0,0 +1,91 @@
+"""Orders to engines: under the lease, checked at the store."""
+
+import pytest
+
+from magnoliadyke.core import catalog
+from tests import gatewayworld
+
+
+@pytest.fixture
+def fleet():
+    with gatewayworld.world() as world:
+        world.configure()
+        for number in range(2):
+            world.endpoint(f'p{number}', 'model', 'prefill')
+        for number in range(3):
+            world.endpoint(f'd{number}', 'model', 'decode')
+        node = world.node()
+        gatewayworld.wait_for(node.leadership.may_order, 'the lease')
+        gatewayworld.wait_for(
+            lambda: len(node.catalog.usable('model')) == 5, 'all engines'
+        )
+        yield world, node
+
+
+def press(node):
+    """Ask for more reading than the engines that read can do."""
+    pool = node.placer._pool(node.placer.served, 'model')
+    pool.core.asked.add(50.0, node.clock.now_s())
+    return pool.core
+
+
+def orders(world):
+    return [o for e in world.endpoints.values() for o in e.orders]
+
+
+def test_pressed_stage_gets_an_engine(fleet):
+    world, node = fleet
+    press(node)
+    gatewayworld.wait_for(lambda: orders(world), 'the order')
+    (order,) = orders(world)
+    assert order['stage'] == 'prefill'
+    assert order['holder'] == node.settings.name
+    assert order['fence'] == node.leadership.fencing
+    assert order['precondition'] == 0
+    (changed,) = [e for e in world.endpoints.values() if e.orders]
+    engine = node.placer.served['model'].core.pool.engines[changed.name]
+    assert engine.rest_until_s > node.clock.now_s()
+
+
+def test_holder_that_lost_its_key_orders_nothing(fleet):
+    """The key was taken over while its holder was paused.
+
+    Its own clock still says that the lease runs; the store's word is asked
+    for before each order, so no engine hears of two holders.
+    """
+    world, node = fleet
+    world.store.remove('magnoliadyke/leader')
+    core = press(node)
+    control = node.stages.control
+    target = node.catalog.endpoints['d0']
+    asked = []
+    original = control.order_stage
+    control.order_stage = lambda *args: asked.append(args) or original(*args)
+    node.stages._order(target, catalog.Stage.PREFILL, core)
+    assert not asked
+    assert not world.endpoints['d0'].orders
+
+
+def test_no_order_right_after_another_holder(fleet):
+    _, node = fleet
+    node.leadership.order_from_s = node.clock.now_s() + 60
+    assert not node.leadership.may_order()
+
+
+def test_no_order_once_the_lease_may_have_ended(fleet):
+    _, node = fleet
+    node.leadership.order_until_s = node.clock.now_s() - 0.1
+    assert not node.leadership.may_order()
+
+
+def test_order_without_an_answer_leaves_the_engine_alone(fleet):
+    """An order that got no answer may be carried out seconds later.
+
+    Another one meanwhile would be a second change on top of it.
+    """
+    world, node = fleet
+    engine = node.catalog.endpoints['d1']
+    world.endpoints['d1'].stop()
+    core = press(node)
+    node.stages._send(engine, catalog.Stage.PREFILL, 0, core)
+    assert node.stages.alone_until_s['d1'] > node.clock.now_s() + 10
