Follow the median of what engines take beside reading

Cause: a new placing host measured 94 ms (true: 9) from prompts that waited behind those of the host before, took every prompt for late and filled the engines too far ahead for seconds. Change: ReadingCost follows the median by small steps; an engine's own latency counts up to twice that. TypicalTime moved to core for it.

--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -12,6 +12,7 @@
 
 from magnoliadyke.core import catalog
 from magnoliadyke.core import costs
+from magnoliadyke.core import typicaltime
 
 __all__ = ['HOP_S', 'EngineModel', 'ReadingCost']
 
@@ -26,7 +27,11 @@
 FIT_MEMORY = 300
 #: Latency beside reading, before any was measured, in seconds.
 PRIOR_LATENCY_S = 0.004
+#: Weight of a new measurement in the latency of one engine.
 LATENCY_WEIGHT = 0.1
+#: An engine's latency above this multiple of the usual one is the wait for
+#: prompts that nobody here knows of; it says nothing of the next prompt.
+MOST_LATENCY = 2.0
 MAX_LATENCY_S = 0.3
 #: Weight of a new sample in an engine's slowness: half of the change shows
 #: after six prompts, while one odd sample moves it by a tenth.
@@ -50,16 +55,18 @@
 
 
 class ReadingCost:
-    """Seconds that engines of one stage take to read a prompt.
-
-    :ivar latency_s: what each prompt takes beside being read
-    """
+    """Seconds that engines of one stage take to read a prompt."""
 
     def __init__(self) -> None:
         self.fit = costs.LinearFit(
             PRIOR_BASE_S, PRIOR_S_PER_TOKEN, PRIOR_TOKENS, memory=FIT_MEMORY
         )
-        self.latency_s = PRIOR_LATENCY_S
+        self.latency = typicaltime.TypicalTime(PRIOR_LATENCY_S)
+
+    @property
+    def latency_s(self) -> float:
+        """What a prompt usually takes beside being read."""
+        return self.latency.median_s
 
     def seconds(self, tokens: float) -> float:
         """Expected time to read this many tokens that are not cached."""
@@ -71,7 +78,7 @@
 
     def learn_latency(self, seconds: float) -> None:
         """A prompt that came alone took this long beside being read."""
-        self.latency_s += LATENCY_WEIGHT * (seconds - self.latency_s)
+        self.latency.add(seconds)
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,6 +134,11 @@
         """How many long answers it gives; prompts would disturb them."""
         return len(self.runs)
 
+    @property
+    def latency_beside_s(self) -> float:
+        """The part of its latency in which it can read the next prompt."""
+        return min(self.latency_s, MOST_LATENCY * self.cost.latency_s)
+
     def expect_run(self, ready_s: float, now_s: float) -> None:
         """A short answer follows a prompt that was read elsewhere."""
         self.short_ends.append(max(ready_s, now_s) + SHORT_RUN_S)
@@ -179,7 +191,7 @@
         reading = self.readings.pop(job, None)
         if reading is None:
             return
-        latency_s = self.latency_s
+        latency_s = self.latency_beside_s
         arrived_s = reading.sent_s + HOP_S
         freed_s = now_s - 2 * HOP_S - latency_s
         took_s = freed_s - max(arrived_s, self.freed_s)
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -249,7 +249,7 @@
         if not engine.readings:
             self.open[engine_id] = None
             return
-        ahead_s = self.settings.ahead_s + engine.latency_s
+        ahead_s = self.settings.ahead_s + engine.latency_beside_s
         opens_s = engine.free_s(now_s) - ahead_s
         full = len(engine.readings) >= self._most_ahead(engine)
         if opens_s <= now_s and not full:
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -17,6 +17,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import catalog
 from magnoliadyke.core import placement
+from magnoliadyke.core import typicaltime
 from magnoliadyke import errors
 from magnoliadyke.gateway import placing_codec
 from magnoliadyke import logs
@@ -50,33 +51,6 @@
 AFTER_READING_S = 0.015
 #: One transfer in so many is reported.
 MOVES_TOLD = 3
-#: Step towards a new measurement, as a share; twenty of them double it.
-MEDIAN_STEP = 0.035
-#: What is kept free for those above the median, as a share of it.
-HIGH_SHARE = 1.4
-
-
-class TypicalTime:
-    """The median of measured times, followed by small steps.
-
-    A mean would follow the few that wait for an engine that is down: all
-    prompts would then be taken for too late, whatever engine they go to.
-
-    :param first_s: value before anything was measured
-    """
-
-    def __init__(self, first_s: float) -> None:
-        self.median_s = first_s
-
-    @property
-    def high_s(self) -> float:
-        """What most of the measured times stay under."""
-        return self.median_s * HIGH_SHARE
-
-    def add(self, seconds: float) -> None:
-        """Take a measurement."""
-        step = MEDIAN_STEP if seconds > self.median_s else -MEDIAN_STEP
-        self.median_s *= 1 + step
 
 
 class _Given(NamedTuple):
@@ -130,7 +104,7 @@
         self.rng = rng
         self.leader: str | None = None
         self.leading = False
-        self.after_reading_s = TypicalTime(AFTER_READING_S)
+        self.after_reading_s = typicaltime.TypicalTime(AFTER_READING_S)
         self.hosts = 1
         self.silent_until_s = 0.0
         self.served: dict[str, _Pool] = {}
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -6,10 +6,10 @@
 
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import typicaltime
 from magnoliadyke import errors
 from magnoliadyke.gateway import events
 from magnoliadyke.gateway import http
-from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import placing_codec
 
 
@@ -137,7 +137,7 @@
     A mean would grow to a quarter of a second, and every prompt would be
     taken for too late.
     """
-    typical = placing.TypicalTime(0.015)
+    typical = typicaltime.TypicalTime(0.015)
     for number in range(400):
         typical.add(1.0 if number % 4 == 0 else 0.02)
     assert typical.high_s < 0.06
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -282,3 +282,36 @@
         looked[count] = len(list(made.pool._candidates(kept)))
     assert looked[500] <= made.pool.settings.candidates + 3
     assert looked[5] <= looked[500]
+
+
+def test_new_place_does_not_learn_what_the_one_before_left_waiting():
+    """Callers come at a rate that the engines can read.
+
+    Another place takes over at a moment when the one before has given each
+    engine some tenths of a second to read.  Of that it knows nothing: its
+    first prompts wait behind those, as if engines took so long to answer.
+    Were that believed, it would take every prompt for late long after the
+    engines are free, and give them more than they can read next.
+    """
+    play = promptload.Play([300] * 5)
+    play.free_s = {name: 0.3 for name in play.core.pool.engines}
+    learned = []
+
+    def tick(at_s):
+        learned.append(max(c.latency_s for c in play.core.pool.costs.values()))
+
+    play.tick = tick
+    for tenth in range(50):
+        play.at(tenth / 10, 'tick', tenth / 10)
+    play.run()
+    assert max(learned) < 2 * promptload.LATENCY_S
+    later = [
+        number
+        for number, job in play.jobs.items()
+        if job.objective_s - play.objective_s > 2.0
+    ]
+    in_time = sum(
+        play.done.get(number, 9.9) <= play.jobs[number].objective_s
+        for number in later
+    )
+    assert in_time >= 0.95 * len(later)
