Keep a slow start out of the forecast of an engine's link

Cause: the time that an engine takes beside a transfer was added to the moment at which its link is free, so it added up over prompts. Change: the link is free after the transfer; the delay counts once a prompt. Test: an engine that starts 0.3 s late gives no forecast above a second.

--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -104,6 +104,7 @@
     :ivar source: address of an engine that keeps more of it
     :ivar tokens: to be read
     :ivar ready_s: moment at which it is read, and moved if it has to be
+    :ivar moved_s: moment at which the runner's link is free of it
     """
 
     reader: enginemodel.EngineModel
@@ -113,6 +114,7 @@
     fetch_s: float
     read_s: float
     ready_s: float
+    moved_s: float
     cost_s: float
 
 
@@ -285,7 +287,7 @@
         self.caches.use(reader.endpoint.id, parts)
         if runner is not reader:
             self.caches.use(runner.endpoint.id, parts)
-            runner.transfer_until_s = option.ready_s
+            runner.transfer_until_s = option.moved_s
             runner.expect_run(option.ready_s, now_s)
         self._note_room(reader, now_s)
 
@@ -392,13 +394,26 @@
             + reader.latency_s
         )
         cost_s = read_s
+        moved_s = ready_s
         if runner is not reader:
             move_s = self._transfer_s(reader, runner, tokens)
-            move_s += self._delay_s(runner)
-            ready_s = max(ready_s, runner.transfer_until_s) + move_s
-            cost_s += move_s
+            moved_s = max(ready_s, runner.transfer_until_s) + move_s
+            # What an engine takes beside the transfer keeps no prompt off
+            # its link: added up, it would soon put every prompt into the
+            # next minute.
+            delay_s = self._delay_s(runner)
+            ready_s = moved_s + delay_s
+            cost_s += move_s + delay_s
         return Option(
-            reader, runner, source, missing, fetch_s, read_s, ready_s, cost_s
+            reader,
+            runner,
+            source,
+            missing,
+            fetch_s,
+            read_s,
+            ready_s,
+            moved_s,
+            cost_s,
         )
 
     def _source(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -315,3 +315,28 @@
         for number in later
     )
     assert in_time >= 0.95 * len(later)
+
+
+def test_delay_of_an_engine_does_not_add_up():
+    """Prompts come at a rate that the engines can read.
+
+    One engine that answers is out of work, the other is slow to take up
+    what others have read.  Each prompt waits that time, not that of all
+    prompts before it: an expectation that grows with each prompt reaches
+    half a minute within a second, and says of slots that they are free.
+    """
+    made = core()
+    made.moved('d1', 0.02)
+    for _ in range(20):
+        made.moved('d0', 0.3)
+    made.pool.rest('d1', 60.0)
+    expected_s = []
+    for number in range(40):
+        now_s = number * 0.02
+        parts = [*LONG, part(100 + number, 1000)]
+        for decision in made.submit(job(number, parts, now_s), now_s):
+            assert isinstance(decision, placement.Placed)
+            expected_s.append(decision.expected_s)
+            made.has_read(decision.job, decision.prefill, now_s + 0.012)
+    assert len(expected_s) == 40
+    assert max(expected_s) < 1.0
