Notice engines that are quicker than they were taken for

A common cost learned too high stayed so for the same reason. Change: a prompt that came alone bounds what its engine takes.

--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -36,6 +36,9 @@
 #: Weight of a new sample in an engine's slowness: half of the change shows
 #: after six prompts, while one odd sample moves it by a tenth.
 SLOWNESS_WEIGHT = 0.1
+#: Weight of a sample that shows an engine faster than it was taken for, in
+#: which no other prompt can have had a part: three take away four fifths.
+RECOVERY_WEIGHT = 0.4
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 20.0
 #: Samples of engines within this range of slowness teach the common fit.
@@ -196,8 +199,9 @@
         freed_s = now_s - 2 * HOP_S - latency_s
         took_s = freed_s - max(arrived_s, self.freed_s)
         if reading.alone:
-            beside_s = now_s - 2 * HOP_S - arrived_s
-            beside_s -= reading.expected_s * self.slowness
+            whole_s = now_s - 2 * HOP_S - arrived_s
+            self._bound_slowness(reading, whole_s)
+            beside_s = whole_s - reading.expected_s * self.slowness
             self._learn_latency(beside_s)
         elif arrived_s + latency_s <= self.freed_s:
             self._learn(reading, max(LEAST_S, took_s))
@@ -238,6 +242,21 @@
         self.latency_s += LATENCY_WEIGHT * (beside_s - self.latency_s)
         self.cost.learn_latency(beside_s)
 
+    def _bound_slowness(self, reading: Reading, whole_s: float) -> None:
+        """A prompt that came alone was read within the time it took.
+
+        An engine that is taken for slow gets few prompts, each of them
+        alone: it would keep the name for good, long after it has
+        recovered, and with several of them nearly all callers would be
+        refused by idle engines.
+        """
+        ratio = max(MIN_SLOWNESS, whole_s / reading.expected_s)
+        if ratio < self.slowness:
+            self.slowness += RECOVERY_WEIGHT * (ratio - self.slowness)
+        if ratio * SOUND_SLOWNESS < 1:
+            # Quicker than engines differ: what was learned is too slow.
+            self.cost.learn(reading.tokens, max(LEAST_S, whole_s))
+
     def _learn(self, reading: Reading, took_s: float) -> None:
         ratio = took_s / reading.expected_s
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -340,3 +340,32 @@
             made.has_read(decision.job, decision.prefill, now_s + 0.012)
     assert len(expected_s) == 40
     assert max(expected_s) < 1.0
+
+
+def test_engine_that_has_recovered_is_used_again():
+    """Two engines read five times slower for three seconds, then recover.
+
+    While they are taken for slow they get few prompts, each of them alone.
+    Callers must not be refused by them for seconds after they are well.
+    """
+    play = promptload.Play([60, 60, 60, *[300] * 4])
+    play.speed = {name: 0.2 for name in play.core.pool.engines}
+
+    def recover():
+        play.speed = {}
+
+    play.recover = recover
+    play.at(3.0, 'recover')
+    play.run()
+    later = [
+        number
+        for number, job in play.jobs.items()
+        if job.objective_s - play.objective_s > 4.0
+    ]
+    in_time = sum(
+        play.done.get(number, 9.9) <= play.jobs[number].objective_s
+        for number in later
+    )
+    assert in_time >= 0.95 * len(later)
+    engines = play.core.pool.engines.values()
+    assert max(engine.slowness for engine in engines) < 1.5
