--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -17,6 +17,7 @@
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import placing
+from magnoliadyke.gateway import suspects
 from magnoliadyke.gateway import upstream
 from magnoliadyke import logs
 
@@ -29,6 +30,8 @@
 #: Kept of a caller's time for the answer's way back, in seconds: below it a
 #: further try could not be answered in time.
 RETURN_S = 0.02
+#: Reason told for a request that is not run any more.
+CRASHES = 'endpoints crash when they run it'
 
 
 class Parts(NamedTuple):
@@ -41,6 +44,7 @@
     balancer: balance.Balancer
     budgets: dict[str, retrybudget.RetryBudget]
     placer: placing.Placer
+    suspects: suspects.Suspects
     rng: random.Random
 
 
@@ -91,7 +95,14 @@
         self._budget().request(self.parts.clock.now_s())
         try:
             with self.caller.watched():
-                return self._tell(self._serve())
+                barred_s = self.parts.suspects.barred_s(self.request)
+                if barred_s:
+                    refused = outcomes.Refused(CRASHES, barred_s)
+                    return self._tell(refused)
+                outcome = self._serve()
+                if isinstance(outcome, outcomes.Answered):
+                    self.parts.suspects.served(self.request)
+                return self._tell(outcome)
         except callers.CallerLeft:
             self.caller.broken = True
             return outcomes.Left('the caller closed its connection')
@@ -134,8 +145,22 @@
             return False
         if self.sends > self.route.max_attempts:
             return False
+        if self.parts.suspects.barred_s(self.request):
+            return False
         return self.left_s >= RETURN_S
 
+    def _note_try(
+        self,
+        result: outcomes.Whole
+        | outcomes.NotRun
+        | outcomes.Lost
+        | outcomes.Answered,
+        endpoint: str,
+    ) -> None:
+        """A try that broke off may have crashed its endpoint."""
+        if isinstance(result, outcomes.Lost) and result.broke_off:
+            self.parts.suspects.broke(self.request, endpoint)
+
     def _converse(
         self,
         used: connection.Connection,
@@ -153,7 +178,10 @@
         except http.OutOfTime as error:
             used.close()
             return outcomes.Lost(str(error), timed_out=True)
-        except (OSError, http.BrokenMessage, http.PeerClosed) as error:
+        except (OSError, http.PeerClosed) as error:
+            used.close()
+            return outcomes.Lost(str(error), False, broke_off=True)
+        except http.BrokenMessage as error:
             used.close()
             return outcomes.Lost(str(error), timed_out=False)
         except callers.CallerLeft:
--- a/magnoliadyke/gateway/outcomes.py
+++ b/magnoliadyke/gateway/outcomes.py
@@ -71,7 +71,9 @@
     """A try of which nobody can say whether it has run.
 
     :param timed_out: the time for it was over
+    :param broke_off: the endpoint ended the connection, or it was reset
     """
 
     reason: str
     timed_out: bool
+    broke_off: bool = False
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -7,6 +7,7 @@
 
 import collections
 import random
+from typing import Callable
 from typing import NamedTuple
 
 import gevent
@@ -85,6 +86,7 @@
     :ivar leader: address of the placing host, None if none is known
     :ivar leading: this host is the placing host
     :ivar hosts: live hosts
+    :ivar heard: takes what other hosts tell of requests that broke off
     :ivar after_reading_s: time from a prompt that has been read to the
         first event, which the place has to leave free
     """
@@ -119,6 +121,7 @@
         self.given: collections.deque[_Given] = collections.deque(
             maxlen=MAX_GIVEN
         )
+        self.heard: Callable[[placing_codec.Broken], None] | None = None
         self.socket: socket.socket | None = None
         self.greenlet: gevent.Greenlet | None = None
 
@@ -182,7 +185,7 @@
         for service, memories in self._recent().items():
             for start in range(0, len(memories), GIVEN_IN_DATAGRAM):
                 chunk = memories[start : start + GIVEN_IN_DATAGRAM]
-                self._send(leader, placing_codec.Recall(service, chunk))
+                self.send(leader, placing_codec.Recall(service, chunk))
 
     def lead(self) -> None:
         """This host places from now on."""
@@ -245,7 +248,7 @@
         unanswered = 0
         while unanswered < ASKS:
             waiting.acknowledged.clear()
-            self._send(leader, placing_codec.Ask(service, self._aged(job)))
+            self.send(leader, placing_codec.Ask(service, self._aged(job)))
             if not waiting.acknowledged.wait(ASK_TIMEOUT_S):
                 unanswered += 1
                 continue
@@ -330,7 +333,7 @@
         )
         leader = self.placed_by.get(job_id)
         if leader is not None and not self.leading:
-            self._send(leader, report)
+            self.send(leader, report)
             return
         for pools in (self.served, self.local):
             if service in pools:
@@ -371,6 +374,9 @@
             case placing_codec.Recall():
                 if self.leading:
                     self._recall(message)
+            case placing_codec.Broken():
+                if self.heard is not None:
+                    self.heard(message)
             case placing_codec.Waits(job):
                 waiting = self.waiting.get(job)
                 if waiting is not None:
@@ -387,12 +393,12 @@
             return
         decided = self.decided.get(job.id)
         if decided is not None:
-            self._send(sender, placing_codec.Told(decided))
+            self.send(sender, placing_codec.Told(decided))
             return
         pool = self._pool(self.served, service)
         waits = placing_codec.Waits(job.id)
         if pool.core.waits(job.id):
-            self._send(sender, waits)
+            self.send(sender, waits)
             return
         now_s = self.clock.now_s()
         job.objective_s += now_s
@@ -400,7 +406,7 @@
         self.askers[job.id] = sender
         self._publish(pool, pool.core.submit(job, now_s))
         if job.id not in self.decided:
-            self._send(sender, waits)
+            self.send(sender, waits)
 
     def _knows(self, service: str) -> bool:
         configuration = self.catalog.configuration
@@ -442,7 +448,7 @@
             self.decided[decision.job] = decision
             if len(self.decided) > REMEMBERED:
                 self.decided.popitem(last=False)
-            self._send(asker, placing_codec.Told(decision))
+            self.send(asker, placing_codec.Told(decision))
         self._arm(pool)
 
     def _arm(self, pool: _Pool) -> None:
@@ -463,7 +469,7 @@
 
         timer.start(fire)
 
-    def _send(self, address: str, message: placing_codec.Message) -> None:
+    def send(self, address: str, message: placing_codec.Message) -> None:
         """Send a datagram; never waits, since the event loop sends too."""
         data = placing_codec.encode(message)
         try:
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     'Ask',
+    'Broken',
     'Event',
     'Memory',
     'Recall',
@@ -94,7 +95,17 @@
     memories: tuple[Memory, ...]
 
 
-Message = Ask | Waits | Told | Report | Recall
+class Broken(NamedTuple):
+    """A request that endpoints broke off, perhaps since they crashed.
+
+    :param fingerprint: digest of the request's content
+    """
+
+    fingerprint: bytes
+    endpoints: tuple[str, ...]
+
+
+Message = Ask | Waits | Told | Report | Recall | Broken
 
 
 def encode(message: Message) -> bytes:
@@ -119,6 +130,8 @@
                     for each in memories
                 ],
             )
+        case Broken(fingerprint, endpoints):
+            datagram.broken = ttypes.Broken(fingerprint, list(endpoints))
     return TSerialization.serialize(datagram, FACTORY)
 
 
@@ -153,6 +166,9 @@
                     for each in recall.memories
                 ),
             )
+        if datagram.broken is not None:
+            broken = datagram.broken
+            return Broken(broken.fingerprint, tuple(broken.endpoints))
     except (
         EOFError,
         TException,
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -89,6 +89,7 @@
         except callers.CallerLeft:
             balancer.left(endpoint.id)
             raise
+        self._note_try(result, endpoint.id)
         now_s = self.parts.clock.now_s()
         match result:
             case outcomes.Whole(facts=facts):
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -263,6 +263,7 @@
             result = self._converse(used, headers, try_s)
         finally:
             self.parts.upstream.give(reader, used)
+        self._note_try(result, reader.id)
         match result:
             case outcomes.NotRun(reason) | outcomes.Lost(reason):
                 self.sends += 1
@@ -348,7 +349,10 @@
         except http.OutOfTime as error:
             result = outcomes.Lost(str(error), timed_out=True)
             used.close()
-        except (OSError, http.BrokenMessage, http.PeerClosed) as error:
+        except (OSError, http.PeerClosed) as error:
+            result = outcomes.Lost(str(error), False, broke_off=True)
+            used.close()
+        except http.BrokenMessage as error:
             result = outcomes.Lost(str(error), timed_out=False)
             used.close()
         except callers.CallerLeft:
@@ -358,6 +362,7 @@
             self.parts.upstream.give(runner, used)
         if isinstance(result, outcomes.NotRun):
             self.runs -= 1
+        self._note_try(result, runner.id)
         return result
 
     def _waited(self, wait, least_s):
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -56,6 +56,7 @@
     :ivar events: of a stream
     :ivar refuses_resumed: streams that go on are turned away
     :ivar fails_resumed: streams that go on end in 500
+    :ivar crashes_on: body of a request that ends it when it begins it
     :ivar refuses_after: runs after which everything is turned away
     """
 
@@ -80,6 +81,7 @@
         self.pause_s = 0.0
         self.events = 3
         self.cut_after = 1
+        self.crashes_on: bytes | None = None
         self.refuses_resumed = False
         self.fails_resumed = False
         self.refuses_after: int | None = None
@@ -238,7 +240,10 @@
         gevent.sleep(self.work_s)
         if self.mode == 'silent':
             gevent.sleep(60)
-        if self.mode == 'reset':
+        crashes = arrival.body == self.crashes_on
+        if crashes:
+            self.server.close()
+        if self.mode == 'reset' or crashes:
             caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             return False
         seal = [(b'X-Server-Seal', b'seal-' + self.name.encode())]
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -22,9 +22,11 @@
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import placing
+from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import smallserver
 from magnoliadyke.gateway import stages
 from magnoliadyke.gateway import store
+from magnoliadyke.gateway import suspects
 from magnoliadyke.gateway import upstream
 from magnoliadyke import logs
 from magnoliadyke.platform import codec
@@ -164,6 +166,8 @@
             clock,
             rng,
         )
+        self.suspects = suspects.Suspects(clock, self._tell_hosts)
+        self.placer.heard = self.suspects.heard
         parts = exchange.Parts(
             clock,
             codec.PlatformCodec(),
@@ -172,6 +176,7 @@
             self.balancer,
             self.budgets,
             self.placer,
+            self.suspects,
             rng,
         )
         self.ingress = ingress.Ingress(
@@ -208,6 +213,11 @@
             capacity=settings.cores,
         )
 
+    def _tell_hosts(self, message: placing_codec.Message) -> None:
+        for member in self.members.core.view().alive():
+            if member.host != self.own.host:
+                self.placer.send(member.address, message)
+
     def _is_ready(self) -> bool:
         return (
             not self.stopping.is_set()
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -613,18 +613,27 @@
     Attributes:
      - engine
      - parts
+     - job
+     - read_tokens
+     - answers
 
     """
 
     __slots__ = (
         'engine',
         'parts',
+        'job',
+        'read_tokens',
+        'answers',
     )
 
 
-    def __init__(self, engine=None, parts=None,):
+    def __init__(self, engine=None, parts=None, job=None, read_tokens=None, answers=None,):
         self.engine = engine
         self.parts = parts
+        self.job = job
+        self.read_tokens = read_tokens
+        self.answers = answers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -651,6 +660,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.job = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.read_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.answers = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -672,6 +696,18 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.I64, 3)
+            oprot.writeI64(self.job)
+            oprot.writeFieldEnd()
+        if self.read_tokens is not None:
+            oprot.writeFieldBegin('read_tokens', TType.I32, 4)
+            oprot.writeI32(self.read_tokens)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.BOOL, 5)
+            oprot.writeBool(self.answers)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -786,6 +822,94 @@
         return not (self == other)
 
 
+class Broken(object):
+    """
+    Attributes:
+     - fingerprint
+     - endpoints
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'endpoints',
+    )
+
+
+    def __init__(self, fingerprint=None, endpoints=None,):
+        self.fingerprint = fingerprint
+        self.endpoints = endpoints
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.endpoints = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.endpoints.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Broken')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.endpoints))
+            for iter34 in self.endpoints:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -794,6 +918,7 @@
      - decision
      - report
      - recall
+     - broken
 
     """
 
@@ -803,15 +928,17 @@
         'decision',
         'report',
         'recall',
+        'broken',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
         self.report = report
         self.recall = recall
+        self.broken = broken
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -851,6 +978,12 @@
                     self.recall.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.broken = Broken()
+                    self.broken.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -881,6 +1014,10 @@
             oprot.writeFieldBegin('recall', TType.STRUCT, 5)
             self.recall.write(oprot)
             oprot.writeFieldEnd()
+        if self.broken is not None:
+            oprot.writeFieldBegin('broken', TType.STRUCT, 6)
+            self.broken.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -952,6 +1089,9 @@
     None,  # 0
     (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'parts', (TType.STRUCT, [PromptPart, None], False), None, ),  # 2
+    (3, TType.I64, 'job', None, None, ),  # 3
+    (4, TType.I32, 'read_tokens', None, None, ),  # 4
+    (5, TType.BOOL, 'answers', None, None, ),  # 5
 )
 all_structs.append(Recall)
 Recall.thrift_spec = (
@@ -959,6 +1099,12 @@
     (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'memories', (TType.STRUCT, [Memory, None], False), None, ),  # 2
 )
+all_structs.append(Broken)
+Broken.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.LIST, 'endpoints', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -967,6 +1113,7 @@
     (3, TType.STRUCT, 'decision', [Decision, None], None, ),  # 3
     (4, TType.STRUCT, 'report', [Report, None], None, ),  # 4
     (5, TType.STRUCT, 'recall', [Recall, None], None, ),  # 5
+    (6, TType.STRUCT, 'broken', [Broken, None], None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -59,9 +59,14 @@
 }
 
 // Parts that an engine was given, told to a host that has begun to place.
+// The other fields are there while the engine is still at work on the job:
+// read_tokens until it has read the prompt, answers while a slot is held.
 struct Memory {
   1: string engine,
   2: list<PromptPart> parts,
+  3: optional i64 job,
+  4: optional i32 read_tokens,
+  5: optional bool answers,
 }
 
 struct Recall {
@@ -69,10 +74,17 @@
   2: list<Memory> memories,
 }
 
+// A request that broke off at these endpoints, by a digest of its content.
+struct Broken {
+  1: binary fingerprint,
+  2: list<string> endpoints,
+}
+
 struct Datagram {
   1: i16 version,
   2: optional Ask ask,
   3: optional Decision decision,
   4: optional Report report,
   5: optional Recall recall,
+  6: optional Broken broken,
 }
