Tell a new placing host what engines are at work on

Cause: a new placing host knew what engines keep, but not what they still had to read nor which slots were held; its first prompts waited behind those, and full engines turned requests away. Change: each host tells the new one of its own jobs with tokens still to be read and slots held (gateway/handover.py, split from placing.py), and reports their end to it. Test: a place that takes over half a second of reading holds a prompt until it is read instead of sending it.

--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -174,18 +174,29 @@
         return latest_s
 
     def give(
-        self, job: int, tokens: int, fetch_s: float, now_s: float
+        self,
+        job: int,
+        tokens: int,
+        fetch_s: float,
+        now_s: float,
+        seen: bool = True,
     ) -> float:
         """Account a prompt; returns when it is expected to be read.
 
         :param fetch_s: time in which cached parts come from elsewhere
+        :param seen: it is sent now; else nobody here knows how long the
+            engine has had it, and its end says little of the engine
         """
         expected_s = self.cost.seconds(tokens)
         free_s = self.free_s(now_s)
         start_s = max(free_s, now_s + HOP_S + fetch_s)
         until_s = start_s + expected_s * self.slowness
         self.readings[job] = Reading(
-            tokens, expected_s, now_s + fetch_s, until_s, free_s <= now_s
+            tokens,
+            expected_s,
+            now_s + fetch_s,
+            until_s,
+            seen and free_s <= now_s,
         )
         return until_s
 
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -291,6 +291,14 @@
             runner.expect_run(option.ready_s, now_s)
         self._note_room(reader, now_s)
 
+    def adopt(
+        self, job: int, engine_id: str, tokens: int, now_s: float
+    ) -> None:
+        """An engine is at work on a prompt that somebody else gave it."""
+        engine = self.engines[engine_id]
+        engine.give(job, tokens, 0.0, now_s, seen=False)
+        self._note_room(engine, now_s)
+
     def has_read(self, job: int, engine_id: str, now_s: float) -> None:
         """An engine has read a prompt."""
         engine = self.engines.get(engine_id)
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -176,7 +176,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Run:
-    """A long answer under way."""
+    """A long answer under way.
+
+    :ivar output_tokens: 0 if it is not known when it began
+    """
 
     engine: str
     begun_s: float
@@ -274,6 +277,27 @@
         """An engine was given a prompt by the place before this one."""
         self.pool.caches.use(engine_id, parts)
 
+    def adopt(
+        self,
+        job_id: int,
+        engine_id: str,
+        read_tokens: int | None,
+        answers: bool,
+        now_s: float,
+    ) -> None:
+        """An engine works on a job that the place before this one gave it.
+
+        :param read_tokens: still to be read, None if they have been
+        :param answers: it holds a slot
+        """
+        if engine_id not in self.pool.engines:
+            return
+        if read_tokens is not None and job_id not in self.readers:
+            self.pool.adopt(job_id, engine_id, read_tokens, now_s)
+            self.readers[job_id] = _Reader(engine_id, None)
+        if answers and job_id not in self.runs:
+            self._hold_slot(job_id, engine_id, 0, now_s)
+
     # Jobs.
 
     def submit(self, job: Job, now_s: float) -> list[Decision]:
@@ -327,8 +351,8 @@
         if reader is not None:
             self.pool.forget(job_id, reader.engine, now_s)
         run = self._end_run(job_id)
-        if run is not None:
-            took_s = (now_s - run.begun_s) / max(1, run.output_tokens)
+        if run is not None and run.output_tokens:
+            took_s = (now_s - run.begun_s) / run.output_tokens
             self.output_s += OUTPUT_WEIGHT * (took_s - self.output_s)
         return self.pump(now_s)
 
@@ -526,12 +550,16 @@
         """Account an answer if it takes long enough to hold a slot."""
         if job.output_tokens * self.output_s <= self.settings.long_run_s:
             return False
-        engine = self.pool.engines[engine_id]
-        engine.runs.add(job.id)
-        self.runs[job.id] = _Run(engine_id, now_s, job.output_tokens)
-        heapq.heappush(self.lost_runs, (now_s + RUN_LOST_S, job.id))
+        self._hold_slot(job.id, engine_id, job.output_tokens, now_s)
         return True
 
+    def _hold_slot(
+        self, job_id: int, engine_id: str, output_tokens: int, now_s: float
+    ) -> None:
+        self.pool.engines[engine_id].runs.add(job_id)
+        self.runs[job_id] = _Run(engine_id, now_s, output_tokens)
+        heapq.heappush(self.lost_runs, (now_s + RUN_LOST_S, job_id))
+
     def _end_run(self, job_id: int) -> _Run | None:
         run = self.runs.pop(job_id, None)
         if run is None:
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -20,6 +20,7 @@
 from magnoliadyke.core import placement
 from magnoliadyke.core import typicaltime
 from magnoliadyke import errors
+from magnoliadyke.gateway import handover
 from magnoliadyke.gateway import placing_codec
 from magnoliadyke import logs
 
@@ -38,10 +39,6 @@
 SILENT_S = 0.6
 #: A job that waits in the queue is asked for again this often.
 REASK_S = 0.2
-#: Prompts that a new placing host is told of: the last seconds of this host,
-#: as far as engines still keep them, and so many at most.
-GIVEN_S = 6.0
-MAX_GIVEN = 400
 #: Prompts told of in one datagram, which stays under a network's 1,400 B.
 GIVEN_IN_DATAGRAM = 16
 #: How long decisions are remembered for asks that come twice.
@@ -54,14 +51,6 @@
 MOVES_TOLD = 3
 
 
-class _Given(NamedTuple):
-    """A prompt that was placed for this host."""
-
-    at_s: float
-    service: str
-    memory: placing_codec.Memory
-
-
 class _Waiting(NamedTuple):
     """A job of this host that waits for a decision."""
 
@@ -118,9 +107,7 @@
             collections.OrderedDict()
         )
         self.counts: collections.Counter[str] = collections.Counter()
-        self.given: collections.deque[_Given] = collections.deque(
-            maxlen=MAX_GIVEN
-        )
+        self.given = handover.GivenJobs()
         self.heard: Callable[[placing_codec.Broken], None] | None = None
         self.socket: socket.socket | None = None
         self.greenlet: gevent.Greenlet | None = None
@@ -148,7 +135,10 @@
         self.waiting[job.id] = waiting
         try:
             decision = self._place(service, job, waiting)
-            self._note(service, job, decision)
+            if isinstance(decision, placement.Placed):
+                short = job.resumed or job.tokens <= SHORT_TOKENS
+                now_s = self.clock.now_s()
+                self.given.placed(service, job, decision, short, now_s)
             return decision
         except BaseException:
             # The caller has left: the place goes to somebody else.
@@ -158,31 +148,19 @@
         finally:
             del self.waiting[job.id]
 
-    def _note(
-        self,
-        service: str,
-        job: placement.Job,
-        decision: placement.Decision,
-    ) -> None:
-        if isinstance(decision, placement.Refused):
-            return
-        now_s = self.clock.now_s()
-        for engine in {decision.prefill or decision.run, decision.run}:
-            memory = placing_codec.Memory(engine, job.parts)
-            self.given.append(_Given(now_s, service, memory))
-
     def follow(self, leader: str) -> None:
-        """Another host places from now on; tell it what engines keep.
+        """Another host places from now on; tell it what engines do.
 
-        Without it the new host takes all memories for empty, and for some
-        seconds sends prompts where they have to be read anew.
+        What becomes of the jobs under way is reported to it as well.
         """
         if leader == self.leader and not self.leading:
             return
         self.leading = False
         self.leader = leader
         self.silent_until_s = 0.0
-        for service, memories in self._recent().items():
+        self.placed_by.update(dict.fromkeys(self.given.open, leader))
+        now_s = self.clock.now_s()
+        for service, memories in self.given.memories(now_s).items():
             for start in range(0, len(memories), GIVEN_IN_DATAGRAM):
                 chunk = memories[start : start + GIVEN_IN_DATAGRAM]
                 self.send(leader, placing_codec.Recall(service, chunk))
@@ -190,23 +168,20 @@
     def lead(self) -> None:
         """This host places from now on."""
         self.leading = True
-        for service, memories in self._recent().items():
+        self.placed_by.update(dict.fromkeys(self.given.open))
+        now_s = self.clock.now_s()
+        for service, memories in self.given.memories(now_s).items():
             self._recall(placing_codec.Recall(service, memories))
 
-    def _recent(self) -> dict[str, tuple[placing_codec.Memory, ...]]:
-        oldest_s = self.clock.now_s() - GIVEN_S
-        recent: dict[str, list[placing_codec.Memory]] = {}
-        for given in self.given:
-            if given.at_s >= oldest_s:
-                recent.setdefault(given.service, []).append(given.memory)
-        return {service: tuple(m) for service, m in recent.items()}
-
     def _recall(self, recall: placing_codec.Recall) -> None:
         if not self._knows(recall.service):
             return
         core = self._pool(self.served, recall.service).core
-        for memory in recall.memories:
-            core.recall(memory.engine, memory.parts)
+        now_s = self.clock.now_s()
+        for engine, parts, job, read_tokens, answers in recall.memories:
+            core.recall(engine, parts)
+            if job is not None:
+                core.adopt(job, engine, read_tokens, answers, now_s)
 
     def _place(
         self, service: str, job: placement.Job, waiting: _Waiting
@@ -284,10 +259,12 @@
 
     def has_read(self, service: str, job_id: int, endpoint: str) -> None:
         """An engine has read a job's prompt."""
+        self.given.has_read(job_id)
         self._report(service, job_id, placing_codec.Event.READ, endpoint)
 
     def failed(self, service: str, job_id: int, endpoint: str) -> None:
         """An engine failed a job."""
+        self.given.has_read(job_id)
         self._report(service, job_id, placing_codec.Event.FAILED, endpoint)
 
     def lapsed(
@@ -315,6 +292,7 @@
 
         :param tell: whether the place was to be told
         """
+        self.given.ended(job_id)
         if tell:
             self._report(service, job_id, placing_codec.Event.ENDED, '')
         self.placed_by.pop(job_id, None)
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -82,10 +82,18 @@
 
 
 class Memory(NamedTuple):
-    """Parts of a prompt that an engine was given."""
+    """Parts of a prompt that an engine was given.
+
+    :param job: the job, while engines work on it
+    :param read_tokens: still to be read there, None if it has been
+    :param answers: the job holds a slot there
+    """
 
     engine: str
     parts: tuple[promptcache.PromptPart, ...]
+    job: int | None = None
+    read_tokens: int | None = None
+    answers: bool = False
 
 
 class Recall(NamedTuple):
@@ -125,10 +133,7 @@
         case Recall(service, memories):
             datagram.recall = ttypes.Recall(
                 service,
-                [
-                    ttypes.Memory(each.engine, _encode_parts(each.parts))
-                    for each in memories
-                ],
+                [_encode_memory(each) for each in memories],
             )
         case Broken(fingerprint, endpoints):
             datagram.broken = ttypes.Broken(fingerprint, list(endpoints))
@@ -161,10 +166,7 @@
             recall = datagram.recall
             return Recall(
                 recall.pool,
-                tuple(
-                    Memory(each.engine, _decode_parts(each.parts))
-                    for each in recall.memories
-                ),
+                tuple(_decode_memory(each) for each in recall.memories),
             )
         if datagram.broken is not None:
             broken = datagram.broken
@@ -251,6 +253,26 @@
     return Waits(decision.job)
 
 
+def _encode_memory(memory: Memory) -> ttypes.Memory:
+    return ttypes.Memory(
+        memory.engine,
+        _encode_parts(memory.parts),
+        memory.job,
+        memory.read_tokens,
+        memory.answers or None,
+    )
+
+
+def _decode_memory(memory: ttypes.Memory) -> Memory:
+    return Memory(
+        memory.engine,
+        _decode_parts(memory.parts),
+        memory.job,
+        memory.read_tokens,
+        bool(memory.answers),
+    )
+
+
 def _encode_parts(
     parts: tuple[promptcache.PromptPart, ...],
 ) -> list[ttypes.PromptPart]:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -115,6 +115,10 @@
             placement.Placed(7, None, 'r', None, 0, 0.0, False)
         ),
         placing_codec.Recall('model', (placing_codec.Memory('e', JOB.parts),)),
+        placing_codec.Recall(
+            'model', (placing_codec.Memory('e', JOB.parts, 9, 70, True),)
+        ),
+        placing_codec.Broken(b'12345678', ('e1', 'e2')),
         placing_codec.Told(placement.Refused(7, 0.25, 'no room')),
         placing_codec.Report(
             'model', 7, placing_codec.Event.MOVED, 'r', 0.02, 'p'
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,104 @@
+"""What a host that begins to place is told of the jobs under way."""
+
+import random
+
+from magnoliadyke.core import catalog
+from magnoliadyke.core import placement
+from magnoliadyke.core import promptcache
+from magnoliadyke.gateway import handover
+from magnoliadyke.gateway import placing_codec
+from tests import promptload
+
+PARTS = (promptcache.PromptPart(1, 4000), promptcache.PromptPart(2, 400))
+
+
+def job(number, **fields):
+    return placement.Job(number, PARTS, 200, 1.0, 3.0, 'z1', **fields)
+
+
+def placed(number, prefill='p0', run='d0', tell_end=False):
+    return placement.Placed(number, prefill, run, None, 3000, 0.1, tell_end)
+
+
+def memories(given, now_s=1.0):
+    return set(given.memories(now_s).get('model', ()))
+
+
+def test_prompt_that_is_being_read_is_told_of_as_such():
+    given = handover.GivenJobs()
+    given.placed('model', job(7), placed(7), False, 0.5)
+    assert memories(given) == {
+        placing_codec.Memory('p0', PARTS, 7, 3000, False),
+        placing_codec.Memory('d0', PARTS, 7, None, False),
+    }
+
+
+def test_job_that_has_ended_leaves_only_what_engines_keep():
+    given = handover.GivenJobs()
+    given.placed('model', job(7), placed(7), False, 0.5)
+    given.has_read(7)
+    given.ended(7)
+    assert memories(given) == {
+        placing_codec.Memory('p0', PARTS),
+        placing_codec.Memory('d0', PARTS),
+    }
+
+
+def test_long_answer_is_told_of_however_old_it_is():
+    """A stream has held a slot for a minute when the placing host changes.
+
+    Unknown to the next one, the slot would be given away again, and the
+    engine would turn away requests whose prompts have just been read.
+    """
+    given = handover.GivenJobs()
+    given.placed('model', job(7), placed(7, tell_end=True), False, 0.0)
+    given.has_read(7)
+    assert memories(given, 60.0) == {
+        placing_codec.Memory('d0', (), 7, None, True)
+    }
+
+
+def test_short_prompt_is_not_accounted_as_reading():
+    given = handover.GivenJobs()
+    given.placed('model', job(7), placed(7, prefill=None), True, 0.5)
+    assert memories(given) == {
+        placing_codec.Memory('d0', PARTS, 7, None, False)
+    }
+
+
+def test_new_place_waits_for_what_engines_still_read():
+    """The place changes while each engine has half a second to read.
+
+    The next one knows of it from the hosts: it does not put prompts behind
+    those, but refuses or holds those that would be late.
+    """
+    core = placement.Placement(promptload.TRAITS, random.Random(1))
+    core.set_engines(promptload.fleet())
+    for number in range(40):
+        core.adopt(number, f'p{number % 2}', 8000, False, 10.0)
+        core.adopt(100 + number, f'd{number % 2}', 4000, False, 10.0)
+    fresh = job(500)
+    fresh.objective_s, fresh.deadline_s = 10.15, 12.0
+    decisions = core.submit(fresh, 10.0)
+    assert not any(isinstance(each, placement.Placed) for each in decisions)
+    for number in range(40):
+        core.has_read(number, f'p{number % 2}', 10.1)
+        core.has_read(100 + number, f'd{number % 2}', 10.1)
+    assert 500 in core.readers
+
+
+def test_adopted_answer_holds_its_slot_until_it_ends():
+    core = placement.Placement(promptload.TRAITS, random.Random(1))
+    engines = [
+        promptload.engine('p0'),
+        promptload.engine('d0', catalog.Stage.DECODE, slots=4),
+    ]
+    core.set_engines(engines)
+    for number in range(4):
+        core.adopt(number, 'd0', None, True, 10.0)
+    engine = core.pool.engines['d0']
+    assert engine.taken(10.0, 10.0) == 4
+    before_s = core.output_s
+    core.ended(0, 15.0)
+    assert engine.taken(10.0, 10.0) == 3
+    assert core.output_s == before_s
