--- /dev/null
+++ b/magnoliadyke/core/answers.py
@@ -0,0 +1,87 @@
+"""Long answers: which engines give them, and for how long they hold a slot.
+
+Short answers take a few steps and are over before another request wants
+their slot; only the long ones have to be accounted.
+"""
+
+import dataclasses
+import heapq
+
+from magnoliadyke.core import enginepool
+
+__all__ = ['LongAnswers']
+
+#: Slots counted as taken no longer than this without word of the end, in
+#: seconds.
+RUN_LOST_S = 20.0
+#: Seconds for each token of an answer before any was measured.
+PRIOR_OUTPUT_S = 0.02
+#: Weight of a new answer in that figure.
+OUTPUT_WEIGHT = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """A long answer under way.
+
+    :ivar output_tokens: 0 if it is not known when it began
+    """
+
+    engine: str
+    begun_s: float
+    output_tokens: int
+
+
+class LongAnswers:
+    """The long answers under way.
+
+    :param long_run_s: answers expected to take longer are long
+    :ivar output_s: seconds for each token of an answer
+    """
+
+    def __init__(self, pool: enginepool.EnginePool, long_run_s: float) -> None:
+        self.pool = pool
+        self.long_run_s = long_run_s
+        self.runs: dict[int, _Run] = {}
+        self.lost_runs: list[tuple[float, int]] = []
+        self.output_s = PRIOR_OUTPUT_S
+
+    def __len__(self) -> int:
+        return len(self.runs)
+
+    def is_long(self, output_tokens: int) -> bool:
+        """Whether an answer of so many tokens holds a slot."""
+        return output_tokens * self.output_s > self.long_run_s
+
+    def hold(
+        self, job_id: int, engine_id: str, output_tokens: int, now_s: float
+    ) -> None:
+        """An answer begins; 0 tokens if it began some time ago."""
+        if job_id in self.runs:
+            return
+        self.pool.engines[engine_id].runs.add(job_id)
+        self.runs[job_id] = _Run(engine_id, now_s, output_tokens)
+        heapq.heappush(self.lost_runs, (now_s + RUN_LOST_S, job_id))
+
+    def ended(self, job_id: int, now_s: float) -> None:
+        """An answer is complete, or was broken off."""
+        run = self.release(job_id)
+        if run is not None and run.output_tokens:
+            took_s = (now_s - run.begun_s) / run.output_tokens
+            self.output_s += OUTPUT_WEIGHT * (took_s - self.output_s)
+
+    def release(self, job_id: int) -> _Run | None:
+        """An answer will not be given there; its slot is free."""
+        run = self.runs.pop(job_id, None)
+        if run is None:
+            return None
+        engine = self.pool.engines.get(run.engine)
+        if engine is not None:
+            engine.runs.discard(job_id)
+        return run
+
+    def expire(self, now_s: float) -> None:
+        """Give up answers of which no end was reported."""
+        while self.lost_runs and self.lost_runs[0][0] <= now_s:
+            _, job_id = heapq.heappop(self.lost_runs)
+            self.release(job_id)
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -11,25 +11,21 @@
 before, enough to cover the way there and back.
 """
 
-import collections
-import dataclasses
-import heapq
 from typing import Any
 from typing import NamedTuple
 
+from magnoliadyke.core import answers
 from magnoliadyke.core import catalog
 from magnoliadyke.core import enginepool
+from magnoliadyke.core import jobs
 from magnoliadyke.core import limits
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import routes
 from magnoliadyke.core import stageplan
 
 __all__ = [
-    'Job',
-    'Placed',
     'Placement',
     'PlacementSettings',
-    'Refused',
 ]
 
 
@@ -56,12 +52,6 @@
     long_run_s: float = 0.3
 
 
-#: Slots counted as taken no longer than this without word of the end.
-RUN_LOST_S = 20.0
-#: Seconds for each token of an answer before any was measured.
-PRIOR_OUTPUT_S = 0.02
-#: Weight of a new answer in that figure.
-OUTPUT_WEIGHT = 0.1
 #: Weight of a placed prompt in the ratio of what placing it took to what
 #: was expected when it came.
 BIAS_WEIGHT = 0.03
@@ -80,93 +70,6 @@
 MAX_RETRY_SHARE = 1 / 3
 
 
-@dataclasses.dataclass(slots=True)
-class Job:
-    """A request that needs an engine.
-
-    :param objective_s: moment at which its first event is due
-    :param deadline_s: moment at which its caller gives up
-    :param returning: it has been refused before
-    :param resumed: part of its answer was given by another engine
-    :param avoid: engines that failed it
-    :ivar tokens: of the whole prompt
-    :ivar need_s: reading time, where most of the prompt is kept
-    """
-
-    id: int
-    parts: tuple[promptcache.PromptPart, ...]
-    output_tokens: int
-    objective_s: float
-    deadline_s: float
-    failure_domain: str
-    returning: bool = False
-    resumed: bool = False
-    avoid: tuple[str, ...] = ()
-    tokens: int = 0
-    need_s: float = 0.0
-
-    def __post_init__(self) -> None:
-        self.tokens = promptcache.total_tokens(self.parts)
-
-
-class Placed(NamedTuple):
-    """Where a job goes.
-
-    :param prefill: engine that reads the prompt; None if ``run`` does
-    :param run: engine that answers
-    :param fetch_from: address of an engine that keeps more of the prompt
-        than the reader does
-    :param read_tokens: tokens expected to be read
-    :param expected_s: time until they are read
-    :param tell_end: the end of the answer is to be reported
-    """
-
-    job: int
-    prefill: str | None
-    run: str
-    fetch_from: str | None
-    read_tokens: int
-    expected_s: float
-    tell_end: bool
-
-
-class Refused(NamedTuple):
-    """The job is not placed; come back after so many seconds."""
-
-    job: int
-    retry_after_s: float
-    reason: str
-
-
-Decision = Placed | Refused
-
-
-class _Queue:
-    """Jobs in the order in which they came, and their reading time."""
-
-    def __init__(self) -> None:
-        self.jobs: collections.OrderedDict[int, Job] = (
-            collections.OrderedDict()
-        )
-        self.need_s = 0.0
-
-    def __len__(self) -> int:
-        return len(self.jobs)
-
-    def put(self, job: Job) -> None:
-        self.jobs[job.id] = job
-        self.need_s += job.need_s
-
-    def take(self, job_id: int) -> Job | None:
-        job = self.jobs.pop(job_id, None)
-        if job is not None:
-            self.need_s = max(0.0, self.need_s - job.need_s)
-        return job
-
-    def first(self) -> Job:
-        return next(iter(self.jobs.values()))
-
-
 class _Reader(NamedTuple):
     """Where a prompt is being read, and from where parts are fetched."""
 
@@ -174,18 +77,6 @@
     source: str | None
 
 
-@dataclasses.dataclass(slots=True)
-class _Run:
-    """A long answer under way.
-
-    :ivar output_tokens: 0 if it is not known when it began
-    """
-
-    engine: str
-    begun_s: float
-    output_tokens: int
-
-
 class Placement:
     """Places the requests of one model service.
 
@@ -207,13 +98,11 @@
         self.settings = settings or PlacementSettings()
         self.sharers = sharers
         self.pool = enginepool.EnginePool(traits, pool_settings)
-        self.fresh = _Queue()
-        self.late = _Queue()
-        self.returned = _Queue()
+        self.fresh = jobs.JobQueue()
+        self.late = jobs.JobQueue()
+        self.returned = jobs.JobQueue()
         self.readers: dict[int, _Reader] = {}
-        self.runs: dict[int, _Run] = {}
-        self.lost_runs: list[tuple[float, int]] = []
-        self.output_s = PRIOR_OUTPUT_S
+        self.answers = answers.LongAnswers(self.pool, self.settings.long_run_s)
         self.asked = limits.Rate(DEMAND_S, 0.0)
         self.asked_fresh = limits.Rate(DEMAND_S, 0.0)
         self.asked_moves = limits.Rate(DEMAND_S, 0.0)
@@ -247,7 +136,7 @@
         return stageplan.Load(
             self.asked.now(now_s),
             self.asked_moves.now(now_s),
-            len(self.runs) / max(1, self.traits.slots),
+            len(self.answers) / max(1, self.traits.slots),
         )
 
     def figures(self) -> dict[str, str]:
@@ -282,25 +171,25 @@
         job_id: int,
         engine_id: str,
         read_tokens: int | None,
-        answers: bool,
+        holds_slot: bool,
         now_s: float,
     ) -> None:
         """An engine works on a job that the place before this one gave it.
 
         :param read_tokens: still to be read, None if they have been
-        :param answers: it holds a slot
+        :param holds_slot: it gives a long answer
         """
         if engine_id not in self.pool.engines:
             return
         if read_tokens is not None and job_id not in self.readers:
             self.pool.adopt(job_id, engine_id, read_tokens, now_s)
             self.readers[job_id] = _Reader(engine_id, None)
-        if answers and job_id not in self.runs:
-            self._hold_slot(job_id, engine_id, 0, now_s)
+        if holds_slot:
+            self.answers.hold(job_id, engine_id, 0, now_s)
 
     # Jobs.
 
-    def submit(self, job: Job, now_s: float) -> list[Decision]:
+    def submit(self, job: jobs.Job, now_s: float) -> list[jobs.Decision]:
         """Take a job: it is placed, refused, or waits."""
         if job.resumed or job.tokens <= self.settings.short_tokens:
             return [self._place_short(job, now_s)]
@@ -326,12 +215,12 @@
             for queue in (self.fresh, self.returned, self.late)
         )
 
-    def _put_late(self, job: Job) -> None:
+    def _put_late(self, job: jobs.Job) -> None:
         """Who has been refused before goes first: it has no further try."""
         queue = self.returned if job.returning else self.late
         queue.put(job)
 
-    def withdraw(self, job_id: int, now_s: float) -> list[Decision]:
+    def withdraw(self, job_id: int, now_s: float) -> list[jobs.Decision]:
         """The caller has left, or the host takes the job elsewhere."""
         for queue in (self.fresh, self.returned, self.late):
             queue.take(job_id)
@@ -339,29 +228,26 @@
 
     def has_read(
         self, job_id: int, engine_id: str, now_s: float
-    ) -> list[Decision]:
+    ) -> list[jobs.Decision]:
         """An engine has read a job's prompt."""
         self.readers.pop(job_id, None)
         self.pool.has_read(job_id, engine_id, now_s)
         return self.pump(now_s)
 
-    def ended(self, job_id: int, now_s: float) -> list[Decision]:
+    def ended(self, job_id: int, now_s: float) -> list[jobs.Decision]:
         """A job's answer is complete, or was broken off."""
         reader = self.readers.pop(job_id, None)
         if reader is not None:
             self.pool.forget(job_id, reader.engine, now_s)
-        run = self._end_run(job_id)
-        if run is not None and run.output_tokens:
-            took_s = (now_s - run.begun_s) / run.output_tokens
-            self.output_s += OUTPUT_WEIGHT * (took_s - self.output_s)
+        self.answers.ended(job_id, now_s)
         return self.pump(now_s)
 
     def failed(
         self, job_id: int, engine_id: str, now_s: float
-    ) -> list[Decision]:
+    ) -> list[jobs.Decision]:
         """An engine refused a job, or could not be reached."""
         reader = self.readers.pop(job_id, None)
-        self._end_run(job_id)
+        self.answers.release(job_id)
         if reader is not None and reader.source is not None:
             self.pool.distrust(reader.source, now_s)
             self.pool.forget(job_id, engine_id, now_s)
@@ -369,26 +255,26 @@
         self.pool.failed(engine_id, job_id, now_s)
         return self.pump(now_s)
 
-    def moved(self, engine_id: str, took_s: float) -> list[Decision]:
+    def moved(self, engine_id: str, took_s: float) -> list[jobs.Decision]:
         """A prompt that was read elsewhere gave its first event."""
         self.pool.moved(engine_id, took_s)
         return []
 
     def lapsed(
         self, job_id: int, reader_id: str, runner_id: str, now_s: float
-    ) -> list[Decision]:
+    ) -> list[jobs.Decision]:
         """An engine turned away a request whose prompt another had read."""
-        self._end_run(job_id)
+        self.answers.release(job_id)
         self.pool.lapsed(reader_id, runner_id, now_s)
         return self.pump(now_s)
 
     # The queues.
 
-    def pump(self, now_s: float) -> list[Decision]:
+    def pump(self, now_s: float) -> list[jobs.Decision]:
         """Place what can be placed now; refuse what can't be in time."""
-        decisions: list[Decision] = []
+        decisions: list[jobs.Decision] = []
         self.pool.refresh(now_s)
-        self._expire_runs(now_s)
+        self.answers.expire(now_s)
         self._sort_out(now_s, decisions)
         while self.pool.open and (queue := self._next_queue()) is not None:
             job = queue.first()
@@ -410,7 +296,7 @@
             return latest_s
         return max(now_s + 0.001, min(opens_s, latest_s))
 
-    def _next_queue(self) -> _Queue | None:
+    def _next_queue(self) -> jobs.JobQueue | None:
         late = self.returned if len(self.returned) else self.late
         if not len(self.fresh):
             return late if len(late) else None
@@ -418,7 +304,7 @@
             return late
         return self.fresh
 
-    def _sort_out(self, now_s: float, decisions: list[Decision]) -> None:
+    def _sort_out(self, now_s: float, decisions: list[jobs.Decision]) -> None:
         """Move on whoever has waited too long for its queue."""
         while len(self.fresh):
             job = self.fresh.first()
@@ -431,7 +317,9 @@
         self.sorted_s = now_s
         self._sort_out_late(now_s, decisions)
 
-    def _sort_out_late(self, now_s: float, decisions: list[Decision]) -> None:
+    def _sort_out_late(
+        self, now_s: float, decisions: list[jobs.Decision]
+    ) -> None:
         """Refuse whoever will not be served in time, as soon as it shows."""
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
@@ -448,7 +336,7 @@
                 queue.take(job.id)
                 decisions.append(self._refuse(job, now_s, wait_s, 'too late'))
 
-    def _due_s(self, job: Job) -> float:
+    def _due_s(self, job: jobs.Job) -> float:
         """When an engine has to be done with a job that is to be in time."""
         latency_s = self.pool.costs[catalog.Stage.PREFILL].latency_s
         return job.objective_s - self.settings.reserve_s - latency_s
@@ -488,8 +376,8 @@
     # Placing and refusing.
 
     def _take(
-        self, job: Job, option: enginepool.Option, now_s: float
-    ) -> Placed:
+        self, job: jobs.Job, option: enginepool.Option, now_s: float
+    ) -> jobs.Placed:
         self.pool.take(job.id, job.parts, option, now_s)
         reader, runner = option.reader, option.runner
         self._learn_bias(job, option)
@@ -499,7 +387,7 @@
             source.endpoint.id if source is not None else None,
         )
         is_long = self._begin_run(job, runner.endpoint.id, now_s)
-        return Placed(
+        return jobs.Placed(
             job.id,
             reader.endpoint.id if runner is not reader else None,
             runner.endpoint.id,
@@ -509,7 +397,7 @@
             is_long,
         )
 
-    def _learn_bias(self, job: Job, option: enginepool.Option) -> None:
+    def _learn_bias(self, job: jobs.Job, option: enginepool.Option) -> None:
         """Expect of later prompts what this one takes.
 
         A prompt is expected to find all that is kept of it anywhere; often
@@ -521,7 +409,7 @@
         ratio = min(4.0, max(0.5, ratio))
         self.bias += BIAS_WEIGHT * (ratio - self.bias)
 
-    def _place_short(self, job: Job, now_s: float) -> Decision:
+    def _place_short(self, job: jobs.Job, now_s: float) -> jobs.Decision:
         """A short prompt goes straight to an engine that answers."""
         engine = self.pool.answerer(job.avoid, now_s)
         if engine is None:
@@ -532,45 +420,23 @@
         self.pool.caches.use(engine_id, job.parts)
         is_long = self._begin_run(job, engine_id, now_s)
         expected_s = engine.expected_s(missing)
-        return Placed(
+        return jobs.Placed(
             job.id, None, engine_id, None, missing, expected_s, is_long
         )
 
     def _refuse(
-        self, job: Job, now_s: float, wait_s: float, reason: str
-    ) -> Refused:
+        self, job: jobs.Job, now_s: float, wait_s: float, reason: str
+    ) -> jobs.Refused:
         """Tell when there will be room, spread over half of that time."""
         left_s = max(0.0, job.deadline_s - now_s)
         after_s = max(MIN_RETRY_S, wait_s) * (0.75 + 0.5 * self.rng.random())
-        return Refused(job.id, min(after_s, left_s * MAX_RETRY_SHARE), reason)
-
-    # Long answers.
+        return jobs.Refused(
+            job.id, min(after_s, left_s * MAX_RETRY_SHARE), reason
+        )
 
-    def _begin_run(self, job: Job, engine_id: str, now_s: float) -> bool:
+    def _begin_run(self, job: jobs.Job, engine_id: str, now_s: float) -> bool:
         """Account an answer if it takes long enough to hold a slot."""
-        if job.output_tokens * self.output_s <= self.settings.long_run_s:
+        if not self.answers.is_long(job.output_tokens):
             return False
-        self._hold_slot(job.id, engine_id, job.output_tokens, now_s)
+        self.answers.hold(job.id, engine_id, job.output_tokens, now_s)
         return True
-
-    def _hold_slot(
-        self, job_id: int, engine_id: str, output_tokens: int, now_s: float
-    ) -> None:
-        self.pool.engines[engine_id].runs.add(job_id)
-        self.runs[job_id] = _Run(engine_id, now_s, output_tokens)
-        heapq.heappush(self.lost_runs, (now_s + RUN_LOST_S, job_id))
-
-    def _end_run(self, job_id: int) -> _Run | None:
-        run = self.runs.pop(job_id, None)
-        if run is None:
-            return None
-        engine = self.pool.engines.get(run.engine)
-        if engine is not None:
-            engine.runs.discard(job_id)
-        return run
-
-    def _expire_runs(self, now_s: float) -> None:
-        """Give up runs of which no end was reported."""
-        while self.lost_runs and self.lost_runs[0][0] <= now_s:
-            _, job_id = heapq.heappop(self.lost_runs)
-            self._end_run(job_id)
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -8,7 +8,7 @@
 from thrift.Thrift import TException
 from thrift import TSerialization
 
-from magnoliadyke.core import placement
+from magnoliadyke.core import jobs
 from magnoliadyke.core import promptcache
 from magnoliadyke import errors
 from magnoliadyke.wire.placement import constants
@@ -55,7 +55,7 @@
     """Place this job; its times are relative to when this was sent."""
 
     service: str
-    job: placement.Job
+    job: jobs.Job
 
 
 class Waits(NamedTuple):
@@ -67,7 +67,7 @@
 class Told(NamedTuple):
     """What was decided of a job."""
 
-    decision: placement.Decision
+    decision: jobs.Decision
 
 
 class Report(NamedTuple):
@@ -199,7 +199,7 @@
 
 
 def _decode_ask(ask: ttypes.Ask) -> Ask:
-    job = placement.Job(
+    job = jobs.Job(
         id=ask.job,
         parts=_decode_parts(ask.parts),
         output_tokens=ask.output_tokens,
@@ -213,9 +213,9 @@
     return Ask(ask.pool, job)
 
 
-def _encode_decision(decision: placement.Decision) -> ttypes.Decision:
+def _encode_decision(decision: jobs.Decision) -> ttypes.Decision:
     match decision:
-        case placement.Placed():
+        case jobs.Placed():
             return ttypes.Decision(
                 job=decision.job,
                 prefill=decision.prefill,
@@ -225,7 +225,7 @@
                 expected_us=_micro(decision.expected_s),
                 tell_end=decision.tell_end,
             )
-        case placement.Refused(job, retry_after_s, reason):
+        case jobs.Refused(job, retry_after_s, reason):
             return ttypes.Decision(
                 job=job, retry_after_us=_micro(retry_after_s), reason=reason
             )
@@ -233,7 +233,7 @@
 
 def _decode_decision(decision: ttypes.Decision) -> Told | Waits:
     if decision.run is not None:
-        placed = placement.Placed(
+        placed = jobs.Placed(
             decision.job,
             decision.prefill,
             decision.run,
@@ -244,7 +244,7 @@
         )
         return Told(placed)
     if decision.retry_after_us is not None:
-        refused = placement.Refused(
+        refused = jobs.Refused(
             decision.job,
             decision.retry_after_us / MICRO,
             decision.reason or '',
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -3,7 +3,7 @@
 import gevent
 
 from magnoliadyke.core import catalog
-from magnoliadyke.core import placement
+from magnoliadyke.core import jobs
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import connection
@@ -67,7 +67,7 @@
             job = self._job(avoid, resume_after is not None)
             decision = self.parts.placer.place(self.service, job)
             self._log_decision(job, decision)
-            if isinstance(decision, placement.Refused):
+            if isinstance(decision, jobs.Refused):
                 return self._refused(decision.reason, decision.retry_after_s)
             tell = True
             try:
@@ -103,9 +103,7 @@
                         resume_after = self.last_event
             avoid = (*avoid, self.endpoint)
 
-    def _log_decision(
-        self, job: placement.Job, decision: placement.Decision
-    ) -> None:
+    def _log_decision(self, job: jobs.Job, decision: jobs.Decision) -> None:
         fields = {
             'id': self.request.id.decode('latin-1'),
             'by': self.parts.placer.decided_by(job.id),
@@ -115,7 +113,7 @@
             'left_ms': round(self.left_s * 1000),
         }
         match decision:
-            case placement.Placed():
+            case jobs.Placed():
                 LOG.event(
                     'placed',
                     **fields,
@@ -125,7 +123,7 @@
                     read_tokens=decision.read_tokens,
                     expected_ms=round(decision.expected_s * 1000),
                 )
-            case placement.Refused(_, retry_after_s, reason):
+            case jobs.Refused(_, retry_after_s, reason):
                 LOG.event(
                     'not_placed',
                     **fields,
@@ -151,7 +149,7 @@
             self.caller.broken = True
         return failure
 
-    def _job(self, avoid: tuple[str, ...], resumed: bool) -> placement.Job:
+    def _job(self, avoid: tuple[str, ...], resumed: bool) -> jobs.Job:
         now_s = self.parts.clock.now_s()
         prompt = self.request.prompt
         wait_s = self.request.wait_s
@@ -162,7 +160,7 @@
         if returning:
             objective_s -= self.route.timeout_s - wait_s
         objective_s -= self.parts.placer.after_reading_s.high_s
-        return placement.Job(
+        return jobs.Job(
             id=self.parts.rng.getrandbits(62),
             parts=prompt.parts,
             output_tokens=prompt.output_tokens,
@@ -176,8 +174,8 @@
 
     def _run_placed(
         self,
-        job: placement.Job,
-        placed: placement.Placed,
+        job: jobs.Job,
+        placed: jobs.Placed,
         resume_after: bytes | None,
     ) -> (
         outcomes.Answered
@@ -235,9 +233,7 @@
         ]
         return self.parts.rng.choice(others) if others else failed
 
-    def _prefill(
-        self, job: placement.Job, placed: placement.Placed
-    ) -> str | None:
+    def _prefill(self, job: jobs.Job, placed: jobs.Placed) -> str | None:
         """Have the prompt read; returns where it waits to be fetched."""
         reader = self.parts.catalog.endpoints.get(placed.prefill)
         if reader is None or reader.leaving:
@@ -279,7 +275,7 @@
         return f'{reader.address}/{read.handle}'
 
     def _prefill_failed(
-        self, job: placement.Job, reader: catalog.Endpoint, reason: str
+        self, job: jobs.Job, reader: catalog.Endpoint, reason: str
     ) -> None:
         self.parts.placer.failed(self.service, job.id, reader.id)
         LOG.event(
@@ -324,7 +320,7 @@
         self,
         runner: catalog.Endpoint,
         options: codecs.RunOptions,
-        job: placement.Job,
+        job: jobs.Job,
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         """Have the engine run the request and pass its events on."""
         try:
@@ -377,7 +373,7 @@
         self,
         used: connection.Connection,
         head: http.Head,
-        job: placement.Job,
+        job: jobs.Job,
         runner: catalog.Endpoint,
         options: codecs.RunOptions,
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
@@ -392,7 +388,7 @@
             used.idle_limit_s = facts.idle_limit_s
         return self._relay(used, head, job, runner, options)
 
-    def _tell_read(self, job: placement.Job, runner: catalog.Endpoint) -> None:
+    def _tell_read(self, job: jobs.Job, runner: catalog.Endpoint) -> None:
         """The first event shows that the prompt has been read."""
         if job.tokens > placing.SHORT_TOKENS:
             self.parts.placer.has_read(self.service, job.id, runner.id)
@@ -401,7 +397,7 @@
         self,
         used: connection.Connection,
         head: http.Head,
-        job: placement.Job,
+        job: jobs.Job,
         runner: catalog.Endpoint,
         options: codecs.RunOptions,
     ) -> outcomes.Answered:
--- a/tests/promptload.py
+++ b/tests/promptload.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from magnoliadyke.core import catalog
+from magnoliadyke.core import jobs
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import routes
@@ -103,7 +104,7 @@
             promptcache.PromptPart(1000 + subject, 3800),
             promptcache.PromptPart(100_000 + number, 2900),
         )
-        return placement.Job(
+        return jobs.Job(
             number,
             parts,
             2,
@@ -138,9 +139,9 @@
     def take(self, decisions):
         for decision in decisions:
             match decision:
-                case placement.Refused(job):
+                case jobs.Refused(job):
                     self.refused[job] = (self.now_s, decision)
-                case placement.Placed(job):
+                case jobs.Placed(job):
                     self.send(job, decision)
         wake_s = self.core.wake_s(self.now_s)
         if wake_s is not None and not self.waking:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,6 +3,7 @@
 import random
 
 from magnoliadyke.core import catalog
+from magnoliadyke.core import jobs
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
 from magnoliadyke.gateway import handover
@@ -13,11 +14,11 @@
 
 
 def job(number, **fields):
-    return placement.Job(number, PARTS, 200, 1.0, 3.0, 'z1', **fields)
+    return jobs.Job(number, PARTS, 200, 1.0, 3.0, 'z1', **fields)
 
 
 def placed(number, prefill='p0', run='d0', tell_end=False):
-    return placement.Placed(number, prefill, run, None, 3000, 0.1, tell_end)
+    return jobs.Placed(number, prefill, run, None, 3000, 0.1, tell_end)
 
 
 def memories(given, now_s=1.0):
@@ -80,7 +81,7 @@
     fresh = job(500)
     fresh.objective_s, fresh.deadline_s = 10.15, 12.0
     decisions = core.submit(fresh, 10.0)
-    assert not any(isinstance(each, placement.Placed) for each in decisions)
+    assert not any(isinstance(each, jobs.Placed) for each in decisions)
     for number in range(40):
         core.has_read(number, f'p{number % 2}', 10.1)
         core.has_read(100 + number, f'd{number % 2}', 10.1)
@@ -98,7 +99,7 @@
         core.adopt(number, 'd0', None, True, 10.0)
     engine = core.pool.engines['d0']
     assert engine.taken(10.0, 10.0) == 4
-    before_s = core.output_s
+    before_s = core.answers.output_s
     core.ended(0, 15.0)
     assert engine.taken(10.0, 10.0) == 3
-    assert core.output_s == before_s
+    assert core.answers.output_s == before_s
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,6 +1,8 @@
 """The placement under load: what callers get."""
 
+from magnoliadyke.core import answers
 from magnoliadyke.core import catalog
+from magnoliadyke.core import jobs
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
 from tests import promptload
@@ -17,7 +19,7 @@
         'deadline_s': now_s + 2.0,
         'failure_domain': 'z1',
     }
-    return placement.Job(number, tuple(parts), **(values | fields))
+    return jobs.Job(number, tuple(parts), **(values | fields))
 
 
 def core(engines=None, **fields):
@@ -42,7 +44,7 @@
 def test_nobody_is_refused_while_engines_are_free():
     made = core()
     (decision,) = made.submit(job(1, [*LONG, part(3, 2900)]), 0.0)
-    assert isinstance(decision, placement.Placed)
+    assert isinstance(decision, jobs.Placed)
 
 
 def test_burst_fills_the_engines_with_prompts_that_come_in_time():
@@ -165,12 +167,10 @@
             job(number, [*LONG, part(number, 2900)], 1.0), 1.0
         )
     to_p0 = [
-        d
-        for d in placed
-        if isinstance(d, placement.Placed) and d.prefill == 'p0'
+        d for d in placed if isinstance(d, jobs.Placed) and d.prefill == 'p0'
     ]
     assert len(to_p0) <= 1
-    assert isinstance(first, placement.Placed)
+    assert isinstance(first, jobs.Placed)
 
 
 def test_engine_whose_memory_lapses_gives_no_more_prompts_away():
@@ -244,15 +244,15 @@
 def test_long_answer_without_an_end_frees_its_slot():
     made = core(promptload.fleet(1, 1))
     made.submit(job(1, [part(7, 50)], output_tokens=100), 0.0)
-    assert made.runs
-    made.pump(placement.RUN_LOST_S + 1)
-    assert not made.runs
+    assert made.answers.runs
+    made.pump(answers.RUN_LOST_S + 1)
+    assert not made.answers.runs
 
 
 def test_no_engine_that_answers_is_told_at_once():
     made = core([promptload.engine('p0')])
     (decision,) = made.submit(job(1, [part(7, 50)]), 0.0)
-    assert isinstance(decision, placement.Refused)
+    assert isinstance(decision, jobs.Refused)
 
 
 def test_engine_that_changes_its_stage_rests_until_it_has():
@@ -335,7 +335,7 @@
         now_s = number * 0.02
         parts = [*LONG, part(100 + number, 1000)]
         for decision in made.submit(job(number, parts, now_s), now_s):
-            assert isinstance(decision, placement.Placed)
+            assert isinstance(decision, jobs.Placed)
             expected_s.append(decision.expected_s)
             made.has_read(decision.job, decision.prefill, now_s + 0.012)
     assert len(expected_s) == 40
