Keep slots for short answers; long ones wait for theirs

Change: core/answers.py leaves two slots an engine to short answers; a long answer waits for a slot, or is refused at once with the time at which one is expected. Test: a flood of 60 long answers, and prompts beside it that begin at once.

--- a/magnoliadyke/core/answers.py
+++ b/magnoliadyke/core/answers.py
@@ -2,12 +2,20 @@
 
 Short answers take a few steps and are over before another request wants
 their slot; only the long ones have to be accounted.
+
+The load that this answers: within seconds long answers become so many that
+they fill every slot, until more engines answer.  Left to it, none of the
+prompts that are read elsewhere could begin, though each of them needs a slot
+for a few hundredths of a second only; engines that read would idle.  So some
+slots are kept for short answers, and long ones wait for the others.
 """
 
 import dataclasses
 import heapq
 
+from magnoliadyke.core import enginemodel
 from magnoliadyke.core import enginepool
+from magnoliadyke.core import jobs
 
 __all__ = ['LongAnswers']
 
@@ -18,6 +26,9 @@
 PRIOR_OUTPUT_S = 0.02
 #: Weight of a new answer in that figure.
 OUTPUT_WEIGHT = 0.1
+#: Expected time until a slot is free when nobody can say, in seconds; a long
+#: answer takes about a second or two.
+UNKNOWN_SLOT_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,6 +48,7 @@
 
     :param long_run_s: answers expected to take longer are long
     :ivar output_s: seconds for each token of an answer
+    :ivar waiting: jobs that wait for a slot, in the order of their coming
     """
 
     def __init__(self, pool: enginepool.EnginePool, long_run_s: float) -> None:
@@ -45,6 +57,7 @@
         self.runs: dict[int, _Run] = {}
         self.lost_runs: list[tuple[float, int]] = []
         self.output_s = PRIOR_OUTPUT_S
+        self.waiting = jobs.JobQueue()
 
     def __len__(self) -> int:
         return len(self.runs)
@@ -80,6 +93,26 @@
             engine.runs.discard(job_id)
         return run
 
+    def engine(
+        self, avoid: tuple[str, ...], now_s: float
+    ) -> enginemodel.EngineModel | None:
+        """An engine with a slot for one more, None if there is none."""
+        engine = self.pool.answerer(avoid, now_s)
+        if engine is None or not self.pool.has_long_slot(engine):
+            return None
+        return engine
+
+    def wait_s(self, now_s: float) -> float:
+        """Time until one more that waits is expected to get a slot."""
+        ends_s = sorted(
+            run.begun_s + run.output_tokens * self.output_s
+            for run in self.runs.values()
+            if run.output_tokens
+        )
+        if len(self.waiting) >= len(ends_s):
+            return UNKNOWN_SLOT_S
+        return max(0.0, ends_s[len(self.waiting)] - now_s)
+
     def expire(self, now_s: float) -> None:
         """Give up answers of which no end was reported."""
         while self.lost_runs and self.lost_runs[0][0] <= now_s:
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -530,6 +530,11 @@
         """
         return runner.taken(at_s, now_s) < runner.endpoint.slots
 
+    def has_long_slot(self, engine: enginemodel.EngineModel) -> bool:
+        """Whether an engine has a slot that short answers don't need."""
+        kept = min(SHORT_SLOTS, engine.endpoint.slots // 2)
+        return len(engine.runs) < engine.endpoint.slots - kept
+
     def answerer(
         self, avoid: tuple[str, ...], now_s: float
     ) -> enginemodel.EngineModel | None:
@@ -547,6 +552,7 @@
 def _answer_order(
     engine: enginemodel.EngineModel, now_s: float
 ) -> tuple[bool, bool, float]:
-    if len(engine.runs) >= engine.endpoint.slots - SHORT_SLOTS:
+    kept = min(SHORT_SLOTS, engine.endpoint.slots // 2)
+    if len(engine.runs) >= engine.endpoint.slots - kept:
         return (True, engine.slowness > SLOW, len(engine.runs))
     return (False, engine.slowness > SLOW, -len(engine.runs))
--- a/magnoliadyke/core/jobs.py
+++ b/magnoliadyke/core/jobs.py
@@ -19,6 +19,7 @@
     :param resumed: part of its answer was given by another engine
     :param avoid: engines that failed it
     :ivar tokens: of the whole prompt
+    :ivar came_s: when it was submitted
     :ivar need_s: reading time, where most of the prompt is kept
     """
 
@@ -33,6 +34,7 @@
     avoid: tuple[str, ...] = ()
     tokens: int = 0
     need_s: float = 0.0
+    came_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.tokens = promptcache.total_tokens(self.parts)
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -136,7 +136,8 @@
         return stageplan.Load(
             self.asked.now(now_s),
             self.asked_moves.now(now_s),
-            len(self.answers) / max(1, self.traits.slots),
+            (len(self.answers) + len(self.answers.waiting))
+            / max(1, self.traits.slots),
         )
 
     def figures(self) -> dict[str, str]:
@@ -191,8 +192,9 @@
 
     def submit(self, job: jobs.Job, now_s: float) -> list[jobs.Decision]:
         """Take a job: it is placed, refused, or waits."""
+        job.came_s = now_s
         if job.resumed or job.tokens <= self.settings.short_tokens:
-            return [self._place_short(job, now_s)]
+            return self._submit_short(job, now_s)
         kept = self.pool.caches.kept(job.parts)
         job.need_s = self.pool.need_s(kept, job.tokens) * self.bias
         self.asked.add(job.need_s, now_s)
@@ -210,10 +212,38 @@
 
     def waits(self, job_id: int) -> bool:
         """Whether a job is in a queue."""
-        return any(
-            job_id in queue.jobs
-            for queue in (self.fresh, self.returned, self.late)
-        )
+        return any(job_id in queue.jobs for queue in self._queues())
+
+    def _queues(self) -> tuple[jobs.JobQueue, ...]:
+        return self.fresh, self.returned, self.late, self.answers.waiting
+
+    def _submit_short(
+        self, job: jobs.Job, now_s: float
+    ) -> list[jobs.Decision]:
+        """Only a long answer waits, and not if part of it was given."""
+        if job.resumed or not self.answers.is_long(job.output_tokens):
+            return [self._place_short(job, now_s)]
+        if not len(self.answers.waiting):
+            if self.answers.engine(job.avoid, now_s) is not None:
+                return [self._place_short(job, now_s)]
+        wait_s = self.answers.wait_s(now_s)
+        left_s = job.deadline_s - now_s
+        if wait_s > left_s * self.settings.hold_share:
+            return [self._refuse(job, now_s, wait_s, 'no slot in time')]
+        self.answers.waiting.put(job)
+        return []
+
+    def _pump_answers(
+        self, now_s: float, decisions: list[jobs.Decision]
+    ) -> None:
+        """Give the slots that are free to those that wait for one."""
+        waiting = self.answers.waiting
+        while len(waiting):
+            job = waiting.first()
+            if self.answers.engine(job.avoid, now_s) is None:
+                return
+            waiting.take(job.id)
+            decisions.append(self._place_short(job, now_s))
 
     def _put_late(self, job: jobs.Job) -> None:
         """Who has been refused before goes first: it has no further try."""
@@ -222,7 +252,7 @@
 
     def withdraw(self, job_id: int, now_s: float) -> list[jobs.Decision]:
         """The caller has left, or the host takes the job elsewhere."""
-        for queue in (self.fresh, self.returned, self.late):
+        for queue in self._queues():
             queue.take(job_id)
         return self.ended(job_id, now_s)
 
@@ -275,6 +305,7 @@
         decisions: list[jobs.Decision] = []
         self.pool.refresh(now_s)
         self.answers.expire(now_s)
+        self._pump_answers(now_s, decisions)
         self._sort_out(now_s, decisions)
         while self.pool.open and (queue := self._next_queue()) is not None:
             job = queue.first()
@@ -289,7 +320,7 @@
     def wake_s(self, now_s: float) -> float | None:
         """When :meth:`pump` has something to do without further word."""
         if self._next_queue() is None:
-            return None
+            return now_s + PUMP_S if len(self.answers.waiting) else None
         opens_s = self.pool.opens_s()
         latest_s = now_s + PUMP_S
         if opens_s is None:
@@ -315,8 +346,24 @@
         if now_s - self.sorted_s < SORT_S:
             return
         self.sorted_s = now_s
+        self._sort_out_waiting(now_s, decisions)
         self._sort_out_late(now_s, decisions)
 
+    def _sort_out_waiting(
+        self, now_s: float, decisions: list[jobs.Decision]
+    ) -> None:
+        """Refuse whoever has waited for a slot for as long as it may."""
+        waiting = self.answers.waiting
+        for job in list(waiting.jobs.values()):
+            may_wait_s = self.settings.hold_share * (
+                job.deadline_s - job.came_s
+            )
+            if now_s - job.came_s > may_wait_s:
+                waiting.take(job.id)
+                wait_s = self.answers.wait_s(now_s)
+                refused = self._refuse(job, now_s, wait_s, 'no slot in time')
+                decisions.append(refused)
+
     def _sort_out_late(
         self, now_s: float, decisions: list[jobs.Decision]
     ) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 from magnoliadyke.core import answers
 from magnoliadyke.core import catalog
+from magnoliadyke.core import enginepool
 from magnoliadyke.core import jobs
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
@@ -369,3 +370,69 @@
     assert in_time >= 0.95 * len(later)
     engines = play.core.pool.engines.values()
     assert max(engine.slowness for engine in engines) < 1.5
+
+
+def flood(made, count, now_s, output=400):
+    """Long answers to short prompts; returns the decisions."""
+    decisions = []
+    for number in range(count):
+        asked = job(
+            10_000 + number,
+            [part(50_000 + number, 300)],
+            now_s,
+            output_tokens=output,
+            deadline_s=now_s + 5.0,
+        )
+        decisions += made.submit(asked, now_s)
+    return decisions
+
+
+def test_long_answers_leave_slots_to_prompts():
+    """Long answers come in a flood; two engines answer, with 16 slots each.
+
+    Taking all slots, they would keep every prompt that another engine reads
+    from beginning, for seconds, though it needs a slot for a moment only.
+    """
+    made = core()
+    placed = [d for d in flood(made, 60, 0.0) if isinstance(d, jobs.Placed)]
+    assert len(placed) == 2 * (16 - enginepool.SHORT_SLOTS)
+    prompts = []
+    for number in range(10):
+        now_s = 0.2 + number * 0.02
+        asked = job(number, [*LONG, part(100 + number, 1000)], now_s)
+        prompts += made.submit(asked, now_s)
+        made.has_read(number, prompts[-1].prefill, now_s + 0.012)
+    assert all(isinstance(each, jobs.Placed) for each in prompts)
+
+
+def test_long_answer_gets_the_slot_of_one_that_ends():
+    made = core()
+    decisions = flood(made, 30, 0.0, output=80)
+    assert len(decisions) == 28
+    assert made.waits(10_028)
+    (next_one,) = made.ended(10_000, 1.0)
+    assert isinstance(next_one, jobs.Placed)
+    assert next_one.job == 10_028
+
+
+def test_long_answer_is_refused_when_no_slot_comes_in_time():
+    """Sixty answers of eight seconds each; callers wait for five.
+
+    Who can't have a slot is told at once, and until when; who was to get
+    one and doesn't is told when a third of its time is over.
+    """
+    made = core()
+    decisions = flood(made, 60, 0.0)
+    refused = [d for d in decisions if isinstance(d, jobs.Refused)]
+    assert refused
+    assert {each.reason for each in refused} == {'no slot in time'}
+    for tenth in range(60):
+        made.pump(tenth / 10)
+    assert not len(made.answers.waiting)
+
+
+def test_part_of_an_answer_is_never_held_up():
+    made = core()
+    flood(made, 40, 0.0)
+    (decision,) = made.submit(job(1, [part(9, 300)], resumed=True), 0.1)
+    assert isinstance(decision, jobs.Placed)
