Blame the engine that turns away what several have read

An engine that could not be reached counted as a prompt that was turned away, too. Change: an engine that turns away several readers is at fault; a reader is if two engines turn it away, or one that takes those of others; where it may be either, the one that answers rests first. Tests: three readers and one dark engine; a dead engine after reading.

--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -107,6 +107,9 @@
     :ivar readings: prompts given and not yet reported as read
     :ivar runs: long answers, which hold a slot
     :ivar after_s: time from a prompt read elsewhere to its first event
+    :ivar turned_away: whose prompts it turned away, and when last
+    :ivar lapsed_at: who turned away a prompt that it had read, and when
+    :ivar took_s: when it last answered a prompt that another had read
     :ivar freed_s: when it was last free of a prompt, as far as reported
     """
 
@@ -125,10 +128,11 @@
         self.freed_s = 0.0
         self.transfer_until_s = 0.0
         self.after_s = 0.0
-        self.rest_until_s = 0.0
+        self.rest_until_s = float('-inf')
         self.failures = 0
-        self.lapsed_s = float('-inf')
-        self.turned_away = ('', float('-inf'))
+        self.lapsed_at = ('', float('-inf'))
+        self.took_s = float('-inf')
+        self.turned_away: dict[str, float] = {}
         self.served_s = float('-inf')
         self.no_fetch_until_s = float('-inf')
 
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -149,6 +149,8 @@
         listed = {each.id: each for each in endpoints}
         for gone in [e for e in self.engines if e not in listed]:
             del self.engines[gone]
+            for engine in self.engines.values():
+                engine.turned_away.pop(gone, None)
             self.caches.drop(gone)
             self.open.pop(gone, None)
         for endpoint in endpoints:
@@ -168,7 +170,7 @@
         if model.endpoint.stage is not endpoint.stage:
             model.slowness = 1.0
             model.cost = self.costs[endpoint.stage]
-            model.rest_until_s = 0.0
+            model.rest_until_s = float('-inf')
             self.open[endpoint.id] = None
         model.endpoint = endpoint
 
@@ -209,22 +211,33 @@
 
         Either it is full or changing, or what was read is gone; both say
         the same.  An engine that turns away the prompts of two readers is
-        at fault itself; a reader whose prompts are turned away twice, where
-        those of others are taken, reads for nothing.
+        at fault itself; a reader whose prompts are turned away by two
+        engines, or by one that takes those of others, reads for nothing.
+        Where one turns away all that one reads it may be either: the engine
+        that answers rests first.  Taken for the readers' fault, one engine
+        that is down would make all of them rest, and nobody be served.
         """
         reader = self.engines.get(reader_id)
         runner = self.engines.get(runner_id)
         if reader is None or runner is None:
             return
-        last_reader, last_s = runner.turned_away
-        runner.turned_away = (reader_id, now_s)
-        if last_reader != reader_id and now_s - last_s < LAPSED_AGAIN_S:
+        since_s = now_s - LAPSED_AGAIN_S
+        last_runner, before_s = reader.lapsed_at
+        reader.lapsed_at = (runner_id, now_s)
+        runner.turned_away[reader_id] = now_s
+        of_late = [s for s in runner.turned_away.values() if s > since_s]
+        if len(of_late) > 1:
             self.rest(runner_id, now_s + REST_S)
+        elif before_s <= since_s:
             return
-        again = now_s - reader.lapsed_s < LAPSED_AGAIN_S
-        reader.lapsed_s = now_s
-        if again:
+        elif (
+            last_runner != runner_id
+            or runner.took_s > since_s
+            or runner.rest_until_s > since_s
+        ):
             self.rest(reader_id, now_s + LAPSED_REST_S)
+        else:
+            self.rest(runner_id, now_s + REST_S)
 
     # Who has room.
 
@@ -464,7 +477,7 @@
             return seconds * REMOTE_FACTOR
         return seconds
 
-    def moved(self, engine_id: str, took_s: float) -> None:
+    def moved(self, engine_id: str, took_s: float, now_s: float) -> None:
         """A prompt that was read elsewhere gave its first event.
 
         :param took_s: from when it had been read
@@ -472,6 +485,7 @@
         engine = self.engines.get(engine_id)
         if engine is None:
             return
+        engine.took_s = now_s
         engine.after_s += MOVED_WEIGHT * (took_s - engine.after_s)
         answering = self.engines.values()
         self.after_s = min(
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -285,9 +285,11 @@
         self.pool.failed(engine_id, job_id, now_s)
         return self.pump(now_s)
 
-    def moved(self, engine_id: str, took_s: float) -> list[jobs.Decision]:
+    def moved(
+        self, engine_id: str, took_s: float, now_s: float
+    ) -> list[jobs.Decision]:
         """A prompt that was read elsewhere gave its first event."""
-        self.pool.moved(engine_id, took_s)
+        self.pool.moved(engine_id, took_s, now_s)
         return []
 
     def lapsed(
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -409,7 +409,7 @@
                     report.job, report.endpoint, report.runner, now_s
                 )
             case placing_codec.Event.MOVED:
-                decisions = core.moved(report.endpoint, report.took_s)
+                decisions = core.moved(report.endpoint, report.took_s, now_s)
             case placing_codec.Event.WITHDRAWN:
                 decisions = core.withdraw(report.job, now_s)
         self._publish(pool, decisions)
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -206,10 +206,7 @@
             if not started and source is not None:
                 # Turned away: it is full, or what was read is gone.  An
                 # engine that reads the prompt itself can still answer.
-                self.parts.placer.lapsed(
-                    self.service, job.id, placed.prefill, runner.id
-                )
-                self._log_try('turned away after reading', 'not run')
+                self._note_turned_away(job, placed, result)
                 other = self._other_runner(runner)
                 if other is not None:
                     self.endpoint = other.id
@@ -220,6 +217,24 @@
                 self._free(source)
         return result
 
+    def _note_turned_away(
+        self,
+        job: jobs.Job,
+        placed: jobs.Placed,
+        result: outcomes.NotRun,
+    ) -> None:
+        """Who is at fault that a read prompt was not taken.
+
+        An engine that can't be reached has said nothing of the reader.
+        """
+        placer = self.parts.placer
+        if result.arrived:
+            placer.lapsed(self.service, job.id, placed.prefill, placed.run)
+            self._log_try('turned away after reading', 'not run')
+        else:
+            placer.failed(self.service, job.id, placed.run)
+            self._log_try(result.reason, 'not run')
+
     def _other_runner(
         self, failed: catalog.Endpoint
     ) -> catalog.Endpoint | None:
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -544,3 +544,25 @@
     gatewayworld.wait_for(
         lambda: node.upstream.in_use['p1'] == 0, 'the connections'
     )
+
+
+def test_reader_is_not_blamed_for_an_engine_that_is_down(world):
+    """One of two engines that answer is down; its entry is still there.
+
+    Prompts that the only reader has read find nobody there.  Their callers
+    are answered by the other engine; that the reader's prompts were turned
+    away, which would make it rest, is told to nobody.
+    """
+    reader = world.endpoint('p1', 'model', 'prefill')
+    world.endpoint('d1', 'model', 'decode').stop()
+    world.endpoint('d2', 'model', 'decode')
+    node = world.node()
+    turned_away = []
+    node.placer.lapsed = lambda *told: turned_away.append(told)
+    statuses = [
+        run(world, f'/chat/{number}', **PROMPT)[0].status
+        for number in range(8)
+    ]
+    assert statuses == [200] * 8
+    assert reader.arrivals
+    assert turned_away == []
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -271,7 +271,7 @@
             promptload.engine('d1', catalog.Stage.DECODE),
         ]
     )
-    assert made.pool.engines['d0'].rest_until_s == 0.0
+    assert made.pool.engines['d0'].rest_until_s <= 0.0
 
 
 def test_placement_cost_does_not_follow_the_number_of_engines():
@@ -327,9 +327,9 @@
     half a minute within a second, and says of slots that they are free.
     """
     made = core()
-    made.moved('d1', 0.02)
+    made.moved('d1', 0.02, 0.0)
     for _ in range(20):
-        made.moved('d0', 0.3)
+        made.moved('d0', 0.3, 0.0)
     made.pool.rest('d1', 60.0)
     expected_s = []
     for number in range(40):
@@ -436,3 +436,48 @@
     flood(made, 40, 0.0)
     (decision,) = made.submit(job(1, [part(9, 300)], resumed=True), 0.1)
     assert isinstance(decision, jobs.Placed)
+
+
+def test_one_engine_that_is_down_does_not_make_the_readers_rest():
+    """One of two engines that answer turns every prompt away.
+
+    Each of the readers hears of that more than once within a second.
+    Resting for it, they would all idle, and every caller be refused, while
+    the other engine could answer.
+    """
+    made = core(promptload.fleet(prefill=3))
+    for number, reader in enumerate(('p0', 'p0', 'p1', 'p1', 'p2', 'p2')):
+        now_s = 0.1 * number
+        made.moved('d1', 0.02, now_s)
+        made.lapsed(number, reader, 'd0', now_s)
+    engines = made.pool.engines
+    assert engines['d0'].rest_until_s > now_s
+    assert all(engines[f'p{n}'].rest_until_s <= now_s for n in range(3))
+
+
+def test_reader_that_reads_for_nothing_is_found_beside_others():
+    """What one engine has read is gone when it is fetched.
+
+    The engine that turns it away takes the prompts of others: it is sound.
+    """
+    made = core(promptload.fleet(prefill=3))
+    made.moved('d0', 0.02, 0.05)
+    made.lapsed(1, 'p0', 'd0', 0.1)
+    made.lapsed(2, 'p0', 'd0', 0.3)
+    engines = made.pool.engines
+    assert engines['p0'].rest_until_s > 1.0
+    assert engines['d0'].rest_until_s <= 0.3
+
+
+def test_only_reader_and_only_answerer_rest_in_turn():
+    """There is one of each, and nothing that is read is taken.
+
+    Neither can be told to be at fault; prompts must not be read for
+    nothing for longer than it takes to try both.
+    """
+    made = core(promptload.fleet(prefill=1, decode=1))
+    for number in range(4):
+        made.lapsed(number, 'p0', 'd0', 0.1 * number)
+    engines = made.pool.engines
+    assert engines['d0'].rest_until_s > 0.3
+    assert engines['p0'].rest_until_s > 0.3
