--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from magnoliadyke.core import jobs
 from magnoliadyke.gateway import http
 from tests import gatewayworld
 
@@ -549,20 +550,20 @@
 def test_reader_is_not_blamed_for_an_engine_that_is_down(world):
     """One of two engines that answer is down; its entry is still there.
 
-    Prompts that the only reader has read find nobody there.  Their callers
-    are answered by the other engine; that the reader's prompts were turned
-    away, which would make it rest, is told to nobody.
+    A prompt is read and finds nobody there; the caller is answered by the
+    other engine.  The one that is down is told as failed: that the reader's
+    prompt was turned away would make the reader rest.
     """
     reader = world.endpoint('p1', 'model', 'prefill')
     world.endpoint('d1', 'model', 'decode').stop()
     world.endpoint('d2', 'model', 'decode')
     node = world.node()
-    turned_away = []
-    node.placer.lapsed = lambda *told: turned_away.append(told)
-    statuses = [
-        run(world, f'/chat/{number}', **PROMPT)[0].status
-        for number in range(8)
-    ]
-    assert statuses == [200] * 8
-    assert reader.arrivals
-    assert turned_away == []
+    told = []
+    node.placer.place = lambda service, job: jobs.Placed(
+        job.id, 'p1', 'd1', None, 5500, 0.05, False
+    )
+    node.placer.lapsed = lambda *what: told.append('turned away')
+    node.placer.failed = lambda *what: told.append(what[2])
+    assert run(world, '/chat/1', **PROMPT)[0].status == 200
+    assert len(reader.arrivals) == 1
+    assert told == ['d1']
