--- a/tests/test_lab_platformday.py
+++ b/tests/test_lab_platformday.py
@@ -3,8 +3,8 @@
 import gevent
 import pytest
 
-from magnoliadyke import errors
 from magnoliadyke.core import routes
+from magnoliadyke import errors
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import exchange
 from magnoliadyke.gateway import outcomes
