Try an engine that is down with one request a second

Change: an engine with two failures in a row is down until it has served one; it comes after engines that are full, and gets one request a second. core/answerers.py is split from the pool for it. Test: a hundred requests that the full engine turned away; at most four go to the dark one.

--- /dev/null
+++ b/magnoliadyke/core/answerers.py
@@ -0,0 +1,153 @@
+"""The engines that answer: who may, who has a slot, who is quickest."""
+
+import collections
+
+from magnoliadyke.core import catalog
+from magnoliadyke.core import enginemodel
+
+__all__ = ['SHORT_SLOTS', 'Answerers']
+
+#: Slots that long answers leave to short ones: without any, no prompt that
+#: was read elsewhere could be answered there.
+SHORT_SLOTS = 2
+#: Engines that answer which are slower than this are used last.
+SLOW = 2.0
+#: Weight of a new measurement of what follows reading.
+MOVED_WEIGHT = 0.15
+#: From this many failures in a row on, an engine is taken for down.
+DOWN_FAILURES = 2
+#: One that is taken for down is given one request in this time, in seconds,
+#: until it has served one: that is how long a connection to nobody takes to
+#: fail, and how long its caller loses.
+PROBE_S = 1.0
+
+# How readily an engine is used; only the best class that there is, is.
+READY = 0
+TURNED_AWAY = 1
+RESTS = 2
+DOWN = 3
+
+
+class Answerers:
+    """The engines of a service in their part of answering.
+
+    :param engines: all engines, by id; belongs to the pool
+    :ivar after_s: what the quickest takes from a prompt that was read
+        elsewhere to its first event
+    """
+
+    def __init__(self, engines: dict[str, enginemodel.EngineModel]) -> None:
+        self.engines = engines
+        self.after_s = 0.0
+
+    def available(
+        self, avoid: tuple[str, ...], now_s: float
+    ) -> list[enginemodel.EngineModel]:
+        """Engines that may answer; those that rest only if none else.
+
+        One that is down comes last: a request that finds nobody there has
+        lost a second, one that is turned away has lost a moment.
+        """
+        classes = collections.defaultdict(list)
+        for engine in self.engines.values():
+            if engine.endpoint.stage is catalog.Stage.DECODE:
+                classes[_readiness(engine, avoid, now_s)].append(engine)
+        return classes[min(classes)] if classes else []
+
+    def for_read(
+        self, avoid: tuple[str, ...], now_s: float
+    ) -> enginemodel.EngineModel | None:
+        """The engine to answer what another one has read."""
+        return min(
+            self.available(avoid, now_s),
+            key=lambda e: (
+                len(e.runs) >= e.endpoint.slots,
+                max(e.transfer_until_s - now_s, 0.0)
+                + (e.free_s(now_s) - now_s)
+                + self.delay_s(e),
+                len(e.runs),
+            ),
+            default=None,
+        )
+
+    def for_short(
+        self, avoid: tuple[str, ...], now_s: float
+    ) -> enginemodel.EngineModel | None:
+        """The engine for a short prompt.
+
+        Long answers share few engines, so that the others can read.
+        """
+        return min(
+            self.available(avoid, now_s),
+            key=lambda e: _short_order(e, now_s),
+            default=None,
+        )
+
+    def given(self, engine: enginemodel.EngineModel, now_s: float) -> None:
+        """An engine is to answer a request."""
+        if engine.failures >= DOWN_FAILURES:
+            engine.probe_until_s = now_s + PROBE_S
+
+    def served(self, engine_id: str, now_s: float) -> None:
+        """An engine has shown that it works."""
+        engine = self.engines.get(engine_id)
+        if engine is not None:
+            engine.failures = 0
+            engine.served_s = now_s
+
+    def moved(self, engine_id: str, took_s: float, now_s: float) -> None:
+        """A prompt that was read elsewhere gave its first event.
+
+        :param took_s: from when it had been read
+        """
+        engine = self.engines.get(engine_id)
+        if engine is None:
+            return
+        engine.took_s = now_s
+        self.served(engine_id, now_s)
+        engine.after_s += MOVED_WEIGHT * (took_s - engine.after_s)
+        answering = self.engines.values()
+        self.after_s = min(
+            (e.after_s for e in answering if e.after_s > 0), default=0.0
+        )
+
+    def delay_s(self, engine: enginemodel.EngineModel) -> float:
+        """How much later prompts come to an engine than to the quickest."""
+        return max(0.0, engine.after_s - self.after_s)
+
+
+def has_slot(
+    engine: enginemodel.EngineModel, at_s: float, now_s: float
+) -> bool:
+    """Whether an engine that answers has a slot for one more then.
+
+    Without one it would turn the request away, and the prompt would have
+    been read for nothing.
+    """
+    return engine.taken(at_s, now_s) < engine.endpoint.slots
+
+
+def has_long_slot(engine: enginemodel.EngineModel) -> bool:
+    """Whether an engine has a slot that short answers don't need."""
+    kept = min(SHORT_SLOTS, engine.endpoint.slots // 2)
+    return len(engine.runs) < engine.endpoint.slots - kept
+
+
+def _readiness(
+    engine: enginemodel.EngineModel, avoid: tuple[str, ...], now_s: float
+) -> int:
+    rests = engine.rest_until_s > now_s
+    if engine.failures >= DOWN_FAILURES:
+        if rests or engine.probe_until_s > now_s:
+            return DOWN
+    if rests:
+        return RESTS
+    return TURNED_AWAY if engine.endpoint.id in avoid else READY
+
+
+def _short_order(
+    engine: enginemodel.EngineModel, now_s: float
+) -> tuple[bool, bool, float]:
+    if not has_long_slot(engine):
+        return (True, engine.slowness > SLOW, len(engine.runs))
+    return (False, engine.slowness > SLOW, -len(engine.runs))
--- a/magnoliadyke/core/answers.py
+++ b/magnoliadyke/core/answers.py
@@ -13,6 +13,7 @@
 import dataclasses
 import heapq
 
+from magnoliadyke.core import answerers
 from magnoliadyke.core import enginemodel
 from magnoliadyke.core import enginepool
 from magnoliadyke.core import jobs
@@ -79,7 +80,9 @@
     def ended(self, job_id: int, now_s: float) -> None:
         """An answer is complete, or was broken off."""
         run = self.release(job_id)
-        if run is not None and run.output_tokens:
+        if run is None:
+            return
+        if run.output_tokens:
             took_s = (now_s - run.begun_s) / run.output_tokens
             self.output_s += OUTPUT_WEIGHT * (took_s - self.output_s)
 
@@ -97,8 +100,8 @@
         self, avoid: tuple[str, ...], now_s: float
     ) -> enginemodel.EngineModel | None:
         """An engine with a slot for one more, None if there is none."""
-        engine = self.pool.answerer(avoid, now_s)
-        if engine is None or not self.pool.has_long_slot(engine):
+        engine = self.pool.answerers.for_short(avoid, now_s)
+        if engine is None or not answerers.has_long_slot(engine):
             return None
         return engine
 
--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -107,6 +107,9 @@
     :ivar readings: prompts given and not yet reported as read
     :ivar runs: long answers, which hold a slot
     :ivar after_s: time from a prompt read elsewhere to its first event
+    :ivar failures: in a row
+    :ivar probe_until_s: one that may be down is tried by a request until
+        then, and gets no other
     :ivar turned_away: whose prompts it turned away, and when last
     :ivar lapsed_at: who turned away a prompt that it had read, and when
     :ivar took_s: when it last answered a prompt that another had read
@@ -130,6 +133,7 @@
         self.after_s = 0.0
         self.rest_until_s = float('-inf')
         self.failures = 0
+        self.probe_until_s = float('-inf')
         self.lapsed_at = ('', float('-inf'))
         self.took_s = float('-inf')
         self.turned_away: dict[str, float] = {}
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -6,6 +6,7 @@
 import itertools
 from typing import NamedTuple
 
+from magnoliadyke.core import answerers
 from magnoliadyke.core import catalog
 from magnoliadyke.core import enginemodel
 from magnoliadyke.core import promptcache
@@ -52,15 +53,8 @@
 #: this long, in seconds: it reads for nothing.
 LAPSED_AGAIN_S = 1.0
 LAPSED_REST_S = 2.0
-#: Weight of a new measurement of what follows reading.
-MOVED_WEIGHT = 0.15
 #: Prompt length at which the speeds of two engines are compared.
 TYPICAL_TOKENS = 4000
-#: Slots that long answers leave to short ones: without any, no prompt that
-#: was read elsewhere could be answered there.
-SHORT_SLOTS = 2
-#: Engines that answer which are slower than this are used last.
-SLOW = 2.0
 #: How long a computed capacity is used, in seconds: a job more or less.
 CAPACITY_S = 0.01
 #: Holders of a part that are considered for fetching it.
@@ -129,11 +123,11 @@
         self.traits = traits
         self.settings = settings or PoolSettings()
         self.engines: dict[str, enginemodel.EngineModel] = {}
+        self.answerers = answerers.Answerers(self.engines)
         self.costs = {
             stage: enginemodel.ReadingCost() for stage in catalog.Stage
         }
         self.caches = promptcache.CacheIndex()
-        self.after_s = 0.0
         self.open: dict[str, None] = {}
         self._opens: list[tuple[float, str]] = []
         self._capacity = Capacity(())
@@ -302,6 +296,7 @@
             self.caches.use(runner.endpoint.id, parts)
             runner.transfer_until_s = option.moved_s
             runner.expect_run(option.ready_s, now_s)
+        self.answerers.given(runner, now_s)
         self._note_room(reader, now_s)
 
     def adopt(
@@ -317,8 +312,7 @@
         engine = self.engines.get(engine_id)
         if engine is not None:
             engine.read(job, now_s)
-            engine.failures = 0
-            engine.served_s = now_s
+            self.answerers.served(engine_id, now_s)
             self._note_room(engine, now_s)
 
     def forget(self, job: int, engine_id: str, now_s: float) -> None:
@@ -361,7 +355,7 @@
     ) -> Option | None:
         """The best way among the engines that have room."""
         kept = self.caches.kept(parts)
-        runner = self.runner(avoid, now_s)
+        runner = self.answerers.for_read(avoid, now_s)
         best: Option | None = None
         for engine_id in self._candidates(kept):
             reader = self.engines[engine_id]
@@ -375,7 +369,7 @@
             if target is None:
                 continue
             option = self._option(kept, tokens, reader, target, now_s)
-            if target is not reader and not self.has_slot(
+            if target is not reader and not answerers.has_slot(
                 target, option.ready_s, now_s
             ):
                 continue
@@ -422,7 +416,7 @@
             # What an engine takes beside the transfer keeps no prompt off
             # its link: added up, it would soon put every prompt into the
             # next minute.
-            delay_s = self._delay_s(runner)
+            delay_s = self.answerers.delay_s(runner)
             ready_s = moved_s + delay_s
             cost_s += move_s + delay_s
         return Option(
@@ -477,96 +471,7 @@
             return seconds * REMOTE_FACTOR
         return seconds
 
-    def moved(self, engine_id: str, took_s: float, now_s: float) -> None:
-        """A prompt that was read elsewhere gave its first event.
-
-        :param took_s: from when it had been read
-        """
-        engine = self.engines.get(engine_id)
-        if engine is None:
-            return
-        engine.took_s = now_s
-        engine.after_s += MOVED_WEIGHT * (took_s - engine.after_s)
-        answering = self.engines.values()
-        self.after_s = min(
-            (e.after_s for e in answering if e.after_s > 0), default=0.0
-        )
-
-    def _delay_s(self, runner: enginemodel.EngineModel) -> float:
-        """How much later prompts come to an engine than to the quickest."""
-        return max(0.0, runner.after_s - self.after_s)
-
     def typical_move_s(self, tokens: int) -> float:
         """Time that a prompt's transfer keeps an engine's link busy."""
         bits = tokens * self.traits.bytes_per_token * 8
         return TRANSFER_SETUP_S + bits / (self.traits.link_bits_s or 1e9)
-
-    # Engines that answer.
-
-    def answering(
-        self, avoid: tuple[str, ...], now_s: float
-    ) -> list[enginemodel.EngineModel]:
-        """Engines that may answer; those that rest only if none else."""
-        found = []
-        resting = []
-        for engine in self.engines.values():
-            if engine.endpoint.stage is not catalog.Stage.DECODE:
-                continue
-            if engine.rest_until_s > now_s or engine.endpoint.id in avoid:
-                resting.append(engine)
-            else:
-                found.append(engine)
-        return found or resting
-
-    def runner(
-        self, avoid: tuple[str, ...], now_s: float
-    ) -> enginemodel.EngineModel | None:
-        """The engine to answer what another one has read."""
-        return min(
-            self.answering(avoid, now_s),
-            key=lambda e: (
-                len(e.runs) >= e.endpoint.slots,
-                max(e.transfer_until_s - now_s, 0.0)
-                + (e.free_s(now_s) - now_s)
-                + self._delay_s(e),
-                len(e.runs),
-            ),
-            default=None,
-        )
-
-    def has_slot(
-        self, runner: enginemodel.EngineModel, at_s: float, now_s: float
-    ) -> bool:
-        """Whether an engine that answers has a slot for one more then.
-
-        Without one it would turn the request away, and the prompt would
-        have been read for nothing.
-        """
-        return runner.taken(at_s, now_s) < runner.endpoint.slots
-
-    def has_long_slot(self, engine: enginemodel.EngineModel) -> bool:
-        """Whether an engine has a slot that short answers don't need."""
-        kept = min(SHORT_SLOTS, engine.endpoint.slots // 2)
-        return len(engine.runs) < engine.endpoint.slots - kept
-
-    def answerer(
-        self, avoid: tuple[str, ...], now_s: float
-    ) -> enginemodel.EngineModel | None:
-        """The engine for a short prompt.
-
-        Long answers share few engines, so that the others can read.
-        """
-        return min(
-            self.answering(avoid, now_s),
-            key=lambda e: _answer_order(e, now_s),
-            default=None,
-        )
-
-
-def _answer_order(
-    engine: enginemodel.EngineModel, now_s: float
-) -> tuple[bool, bool, float]:
-    kept = min(SHORT_SLOTS, engine.endpoint.slots // 2)
-    if len(engine.runs) >= engine.endpoint.slots - kept:
-        return (True, engine.slowness > SLOW, len(engine.runs))
-    return (False, engine.slowness > SLOW, -len(engine.runs))
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -289,7 +289,7 @@
         self, engine_id: str, took_s: float, now_s: float
     ) -> list[jobs.Decision]:
         """A prompt that was read elsewhere gave its first event."""
-        self.pool.moved(engine_id, took_s, now_s)
+        self.pool.answerers.moved(engine_id, took_s, now_s)
         return []
 
     def lapsed(
@@ -460,9 +460,10 @@
 
     def _place_short(self, job: jobs.Job, now_s: float) -> jobs.Decision:
         """A short prompt goes straight to an engine that answers."""
-        engine = self.pool.answerer(job.avoid, now_s)
+        engine = self.pool.answerers.for_short(job.avoid, now_s)
         if engine is None:
             return self._refuse(job, now_s, NO_ENGINE_S, 'no engine answers')
+        self.pool.answerers.given(engine, now_s)
         engine_id = engine.endpoint.id
         kept = self.pool.caches.kept(job.parts)
         missing = job.tokens - kept.tokens(engine_id)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,8 +1,8 @@
 """The placement under load: what callers get."""
 
+from magnoliadyke.core import answerers
 from magnoliadyke.core import answers
 from magnoliadyke.core import catalog
-from magnoliadyke.core import enginepool
 from magnoliadyke.core import jobs
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
@@ -395,7 +395,7 @@
     """
     made = core()
     placed = [d for d in flood(made, 60, 0.0) if isinstance(d, jobs.Placed)]
-    assert len(placed) == 2 * (16 - enginepool.SHORT_SLOTS)
+    assert len(placed) == 2 * (16 - answerers.SHORT_SLOTS)
     prompts = []
     for number in range(10):
         now_s = 0.2 + number * 0.02
@@ -481,3 +481,33 @@
     engines = made.pool.engines
     assert engines['d0'].rest_until_s > 0.3
     assert engines['p0'].rest_until_s > 0.3
+
+
+def test_engine_that_is_down_gets_one_request_a_second():
+    """One of two engines that answer went dark; the other one is full.
+
+    Each request that is sent to the dark one has lost a second before its
+    host knows.  In a burst it must not get all that the other turns away.
+    """
+    made = core(promptload.fleet(prefill=2, decode=2))
+    for number in range(3):
+        made.failed(number, 'd0', 0.1 * number)
+    to_dark = 0
+    for number in range(100):
+        now_s = 1.0 + 0.03 * number
+        asked = job(100 + number, [part(number, 300)], now_s, avoid=('d1',))
+        (decision,) = made.submit(asked, now_s)
+        to_dark += decision.run == 'd0'
+    assert to_dark <= 4
+
+
+def test_engine_that_comes_back_is_used_again():
+    made = core(promptload.fleet(prefill=1, decode=1))
+    for number in range(3):
+        made.failed(number, 'd0', 0.1 * number)
+    (first,) = made.submit(job(10, [part(1, 300)], 5.0), 5.0)
+    assert first.run == 'd0'
+    made.moved('d0', 0.02, 5.1)
+    engine = made.pool.engines['d0']
+    assert engine in made.pool.answerers.available((), 5.2)
+    assert engine.failures == 0
