Let a placing host that the store turns away give way

Change: after 1.5 s without the store the holder tells the others, one that has it in reach takes the key and tells all. A new leader is known to all hosts at once by datagram, not with the next watch. Tests: one host turned away; the store away for all; late word.

--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -118,6 +118,18 @@
         if self.greenlet is not None:
             self.greenlet.kill()
 
+    def cut_off_s(self) -> float:
+        """For how long the store has been out of reach; 0 if it isn't."""
+        if self.failing_since_s is None:
+            return 0.0
+        return self.clock.now_s() - self.failing_since_s
+
+    def in_reach_s(self) -> float:
+        """For how long the store has been in reach; 0 if it isn't."""
+        if self.failing_since_s is not None:
+            return 0.0
+        return self.clock.now_s() - self.recovered_s
+
     def _run(self) -> None:
         while True:
             revision = self._read_all()
--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import random
+from typing import Callable
 
 import gevent
 
@@ -12,6 +13,7 @@
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import placing
+from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import store
 from magnoliadyke import logs
 
@@ -30,6 +32,14 @@
 #: run apart by the rest.
 ORDER_SHARE = 0.8
 TICK_S = 0.1
+#: A holder that the store has not answered for this long gives way, and
+#: another host takes over that has had the store in reach for so long: a
+#: watch that fails is seen within half a second, and a store that nobody
+#: reaches comes back to all hosts within that time.
+YIELD_S = 1.5
+IN_REACH_S = 1.0
+#: How often the holder looks whether it has to give way.
+HOLD_TICK_S = 0.25
 #: Pause after a call to the store that failed, spread by as much again.
 RETRY_S = 0.5
 #: Each candidate waits this much longer than the one before it, so that
@@ -47,6 +57,10 @@
 
     :param min_lease_s: shortest lease that the store grants
     :param order_gap_s: orders of two holders are at least this far apart
+    :param tell: sends a message to all other hosts
+    :ivar contact: knows whether the store is in reach
+    :ivar yielding: this host holds the lease and gives way
+    :ivar yielded: revision of a holder that gives way
     :ivar fencing: revision of the holder's key; grows with each holder
     :ivar order_from_s: when orders of the holder before have long ended
     """
@@ -59,6 +73,7 @@
         kept: store.Store,
         min_lease_s: float,
         order_gap_s: float,
+        tell: Callable[[placing_codec.Leads], None],
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
@@ -68,6 +83,11 @@
         self.store = kept
         self.lease_s = max(LEASE_S, min_lease_s)
         self.order_gap_s = order_gap_s
+        self.tell = tell
+        self.contact: follower.Follower | None = None
+        self.yielding = False
+        self.yielded = 0
+        self.renew_s = 0.0
         self.clock = clock
         self.rng = rng
         self.lease: int | None = None
@@ -101,6 +121,7 @@
         """Whether an order sent now is certainly under the own lease."""
         return (
             self.lease is not None
+            and not self.yielding
             and self.order_from_s <= self.clock.now_s() < self.order_until_s
         )
 
@@ -128,17 +149,66 @@
         self.vacant_since_s = self.clock.now_s()
         LOG.event('leader_gone')
 
+    # Word of other hosts.
+
+    def heard(self, message: placing_codec.Leads) -> None:
+        """Another host leads, or gives way.
+
+        A host that the store turns away would otherwise go on placing for
+        itself, beside the one that took over, until its lease ends.
+        """
+        if message.revision < self.holder_revision:
+            return
+        if message.yields:
+            self.yielded = message.revision
+        elif self.yielded == message.revision:
+            self.yielded = 0
+        if message.revision == self.holder_revision:
+            return
+        self.holder = message.host
+        self.holder_incarnation = message.incarnation
+        self.holder_revision = message.revision
+        self.vacant_since_s = None
+        if self.lease is not None:
+            LOG.warning_event('leadership_taken', by=message.host)
+            self.lease = None
+            self.yielding = False
+        self.placer.follow(message.address)
+        LOG.event('leader', leader=self.holder, revision=message.revision)
+
+    def _word(self) -> placing_codec.Leads:
+        return placing_codec.Leads(
+            self.own.host,
+            self.own.address,
+            self.own.incarnation,
+            self.fencing,
+            self.yielding,
+        )
+
     # Holding.
 
     def _run(self) -> None:
         while True:
             if self.lease is not None:
-                self._renew()
-                self.clock.sleep(RENEW_S)
+                self._hold()
+                self.clock.sleep(HOLD_TICK_S)
             else:
                 self.clock.sleep(TICK_S)
                 self._contend()
 
+    def _hold(self) -> None:
+        if self.clock.now_s() >= self.renew_s:
+            self._renew()
+            self.renew_s = self.clock.now_s() + RENEW_S
+        if self.lease is None or self.contact is None:
+            return
+        cut_off = self.contact.cut_off_s() >= YIELD_S
+        if cut_off or self.yielding:
+            if cut_off != self.yielding:
+                LOG.event('yielding', yields=cut_off, fencing=self.fencing)
+            self.yielding = cut_off
+            self.tell(self._word())
+
     def _contend(self) -> None:
         if self.members.leaving or not self.members.listed:
             return
@@ -161,6 +231,8 @@
         """
         if self.holder == self.own.host:
             return self.holder_incarnation != self.own.incarnation
+        if self.yielded and self.yielded == self.holder_revision:
+            return self._in_reach()
         member = self.members.core.view().members.get(self.holder)
         if member is None:
             return False
@@ -170,6 +242,12 @@
             return self.clock.now_s() < self.placer.silent_until_s
         return member.state in (membership.DEAD, membership.LEFT)
 
+    def _in_reach(self) -> bool:
+        return (
+            self.contact is not None
+            and self.contact.in_reach_s() >= IN_REACH_S
+        )
+
     def _rank(self) -> int:
         """How many hosts are better placed: larger, then by a hash."""
         listed = [
@@ -222,7 +300,10 @@
         self.order_from_s = now_s + self.order_gap_s + GAP_MARGIN_S
         self.order_until_s = asked_s + granted.ttl_s * ORDER_SHARE
         self.vacant_since_s = None
+        self.yielding = False
+        self.renew_s = now_s + RENEW_S
         self.placer.lead()
+        self.tell(self._word())
         LOG.event(
             'leading', fencing=revision, lease=granted.lease, by_force=by_force
         )
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -7,6 +7,7 @@
 
 import collections
 import random
+from typing import Any
 from typing import Callable
 from typing import NamedTuple
 
@@ -76,7 +77,8 @@
     :ivar leader: address of the placing host, None if none is known
     :ivar leading: this host is the placing host
     :ivar hosts: live hosts
-    :ivar heard: takes what other hosts tell of requests that broke off
+    :ivar listeners: take the messages of other hosts that are not about
+        placing, by their kind
     :ivar after_reading_s: time from a prompt that has been read to the
         first event, which the place has to leave free
     """
@@ -109,7 +111,7 @@
         )
         self.counts: collections.Counter[str] = collections.Counter()
         self.given = handover.GivenJobs()
-        self.heard: Callable[[placing_codec.Broken], None] | None = None
+        self.listeners: dict[type, Callable[[Any], None]] = {}
         self.socket: socket.socket | None = None
         self.greenlet: gevent.Greenlet | None = None
 
@@ -353,9 +355,10 @@
             case placing_codec.Recall():
                 if self.leading:
                     self._recall(message)
-            case placing_codec.Broken():
-                if self.heard is not None:
-                    self.heard(message)
+            case placing_codec.Broken() | placing_codec.Leads():
+                listener = self.listeners.get(type(message))
+                if listener is not None:
+                    listener(message)
             case placing_codec.Waits(job):
                 waiting = self.waiting.get(job)
                 if waiting is not None:
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -18,6 +18,7 @@
     'Ask',
     'Broken',
     'Event',
+    'Leads',
     'Memory',
     'Recall',
     'Report',
@@ -113,7 +114,22 @@
     endpoints: tuple[str, ...]
 
 
-Message = Ask | Waits | Told | Report | Recall | Broken
+class Leads(NamedTuple):
+    """A host places for all.
+
+    :param incarnation: of its process
+    :param revision: of its key in the store; later holders have larger ones
+    :param yields: the store is out of its reach, and another host may lead
+    """
+
+    host: str
+    address: str
+    incarnation: int
+    revision: int
+    yields: bool = False
+
+
+Message = Ask | Waits | Told | Report | Recall | Broken | Leads
 
 
 def encode(message: Message) -> bytes:
@@ -137,6 +153,10 @@
             )
         case Broken(fingerprint, endpoints):
             datagram.broken = ttypes.Broken(fingerprint, list(endpoints))
+        case Leads(host, address, incarnation, revision, yields):
+            datagram.leader = ttypes.Leader(
+                host, address, incarnation, revision, yields or None
+            )
     return TSerialization.serialize(datagram, FACTORY)
 
 
@@ -171,6 +191,15 @@
         if datagram.broken is not None:
             broken = datagram.broken
             return Broken(broken.fingerprint, tuple(broken.endpoints))
+        if datagram.leader is not None:
+            leader = datagram.leader
+            return Leads(
+                leader.host,
+                leader.address,
+                leader.incarnation,
+                leader.revision,
+                bool(leader.yields),
+            )
     except (
         EOFError,
         TException,
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -142,6 +142,7 @@
             self.store,
             settings.min_lease_s,
             settings.order_gap_s,
+            self._tell_hosts,
             clock,
             rng,
         )
@@ -166,8 +167,12 @@
             clock,
             rng,
         )
+        self.leadership.contact = self.follower
         self.suspects = suspects.Suspects(clock, self._tell_hosts)
-        self.placer.heard = self.suspects.heard
+        self.placer.listeners = {
+            placing_codec.Broken: self.suspects.heard,
+            placing_codec.Leads: self.leadership.heard,
+        }
         parts = exchange.Parts(
             clock,
             codec.PlatformCodec(),
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -910,6 +910,122 @@
         return not (self == other)
 
 
+class Leader(object):
+    """
+    Attributes:
+     - host
+     - address
+     - incarnation
+     - revision
+     - yields
+
+    """
+
+    __slots__ = (
+        'host',
+        'address',
+        'incarnation',
+        'revision',
+        'yields',
+    )
+
+
+    def __init__(self, host=None, address=None, incarnation=None, revision=None, yields=None,):
+        self.host = host
+        self.address = address
+        self.incarnation = incarnation
+        self.revision = revision
+        self.yields = yields
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.yields = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Leader')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 3)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 4)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.yields is not None:
+            oprot.writeFieldBegin('yields', TType.BOOL, 5)
+            oprot.writeBool(self.yields)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -919,6 +1035,7 @@
      - report
      - recall
      - broken
+     - leader
 
     """
 
@@ -929,16 +1046,18 @@
         'report',
         'recall',
         'broken',
+        'leader',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
         self.report = report
         self.recall = recall
         self.broken = broken
+        self.leader = leader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -984,6 +1103,12 @@
                     self.broken.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.leader = Leader()
+                    self.leader.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1018,6 +1143,10 @@
             oprot.writeFieldBegin('broken', TType.STRUCT, 6)
             self.broken.write(oprot)
             oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRUCT, 7)
+            self.leader.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1105,6 +1234,15 @@
     (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
     (2, TType.LIST, 'endpoints', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
+all_structs.append(Leader)
+Leader.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.I64, 'revision', None, None, ),  # 4
+    (5, TType.BOOL, 'yields', None, None, ),  # 5
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1114,6 +1252,7 @@
     (4, TType.STRUCT, 'report', [Report, None], None, ),  # 4
     (5, TType.STRUCT, 'recall', [Recall, None], None, ),  # 5
     (6, TType.STRUCT, 'broken', [Broken, None], None, ),  # 6
+    (7, TType.STRUCT, 'leader', [Leader, None], None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/tests/test_gateway_leadership.py
@@ -0,0 +1,95 @@
+"""Which host places: one that the store turns away gives way."""
+
+import gevent
+import pytest
+
+from magnoliadyke.gateway import store
+from tests import gatewayworld
+
+
+@pytest.fixture
+def world():
+    with gatewayworld.world() as made:
+        made.configure()
+        made.endpoint('p1')
+        yield made
+
+
+def hosts(world, count):
+    """Nodes that know of each other and of who leads; the leader first."""
+    for _ in range(count):
+        world.node()
+    gatewayworld.wait_for(
+        lambda: all(n.members.count() == count for n in world.nodes),
+        'all hosts',
+    )
+    gatewayworld.wait_for(
+        lambda: all(n.leadership.holder for n in world.nodes), 'a leader'
+    )
+    return sorted(world.nodes, key=lambda n: n.leadership.lease is None)
+
+
+def cut_off(node):
+    """The store turns this host away, and serves the others."""
+
+    def unavailable(*arguments, **named):
+        gevent.sleep(0.01)
+        return store.Unavailable('status 429', False)
+
+    for call in ('list_prefix', 'watch', 'commit', 'grant', 'renew'):
+        setattr(node.store, call, unavailable)
+
+
+def test_host_that_the_store_turns_away_gives_way(world):
+    """The store refuses the host that places, and no other one.
+
+    It can order no stage, however the load shifts, until its lease has
+    ended.  Another host takes over within seconds, and the first one hears
+    of it though it can't read the store.
+    """
+    first, *others = hosts(world, 3)
+    gevent.sleep(1.2)
+    cut_off(first)
+    gatewayworld.wait_for(
+        lambda: any(n.leadership.lease is not None for n in others),
+        'another leader',
+        wait_s=8.0,
+    )
+    (leader,) = [n for n in others if n.leadership.lease is not None]
+    gatewayworld.wait_for(
+        lambda: first.placer.leader == leader.own.address, 'word of it'
+    )
+    assert not first.placer.leading
+    assert not first.leadership.may_order()
+    assert leader.leadership.fencing > first.leadership.fencing
+
+
+def test_store_that_is_away_for_all_changes_no_leader(world):
+    """The store is away for everybody, and comes back.
+
+    Nobody could do better than the host that places: it stays.
+    """
+    first, *_ = hosts(world, 2)
+    fencing = first.leadership.fencing
+    gevent.sleep(1.2)
+    world.store.mode = 'busy'
+    world.store.cut()
+    gatewayworld.wait_for(
+        lambda: first.leadership.yielding, 'the store out of reach'
+    )
+    assert not first.leadership.may_order()
+    world.store.mode = 'up'
+    gatewayworld.wait_for(
+        lambda: not first.leadership.yielding, 'the store in reach'
+    )
+    gevent.sleep(1.5)
+    assert first.placer.leading
+    assert first.leadership.fencing == fencing
+
+
+def test_late_word_of_an_earlier_leader_changes_nothing(world):
+    first, second = hosts(world, 2)
+    word = first.leadership._word()
+    second.leadership.heard(word._replace(host='old', revision=1))
+    assert second.leadership.holder == first.own.host
+    assert second.placer.leader == first.own.address
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -117,6 +117,8 @@
             'model', (placing_codec.Memory('e', JOB.parts, 9, 70, True),)
         ),
         placing_codec.Broken(b'12345678', ('e1', 'e2')),
+        placing_codec.Leads('h1', '10.0.0.1', 1787, 40),
+        placing_codec.Leads('h1', '10.0.0.1', 1787, 40, True),
         placing_codec.Told(jobs.Refused(7, 0.25, 'no room')),
         placing_codec.Report(
             'model', 7, placing_codec.Event.MOVED, 'r', 0.02, 'p'
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -80,6 +80,16 @@
   2: list<string> endpoints,
 }
 
+// Who places; told by it when it begins, and while the store is out of its
+// reach (yields), so that another host takes over.
+struct Leader {
+  1: string host,
+  2: string address,
+  3: i64 incarnation,
+  4: i64 revision,
+  5: optional bool yields,
+}
+
 struct Datagram {
   1: i16 version,
   2: optional Ask ask,
@@ -87,4 +97,5 @@
   4: optional Report report,
   5: optional Recall recall,
   6: optional Broken broken,
+  7: optional Leader leader,
 }
