Free a host's own view of the jobs that it hands over

A host that led before used what it knew then. Change: handing a job over frees it here; a host that leads again begins anew.

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -264,6 +264,14 @@
         self.pool.has_read(job_id, engine_id, now_s)
         return self.pump(now_s)
 
+    def hand_over(self, job_id: int, now_s: float) -> list[jobs.Decision]:
+        """A job's end will be told to another place."""
+        reader = self.readers.pop(job_id, None)
+        if reader is not None:
+            self.pool.forget(job_id, reader.engine, now_s)
+        self.answers.release(job_id)
+        return self.pump(now_s)
+
     def ended(self, job_id: int, now_s: float) -> list[jobs.Decision]:
         """A job's answer is complete, or was broken off."""
         reader = self.readers.pop(job_id, None)
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -161,8 +161,8 @@
         self.leading = False
         self.leader = leader
         self.silent_until_s = 0.0
-        self.placed_by.update(dict.fromkeys(self.given.open, leader))
         now_s = self.clock.now_s()
+        self._hand_over(leader, now_s)
         for service, memories in self.given.memories(now_s).items():
             for start in range(0, len(memories), GIVEN_IN_DATAGRAM):
                 chunk = memories[start : start + GIVEN_IN_DATAGRAM]
@@ -170,12 +170,27 @@
 
     def lead(self) -> None:
         """This host places from now on."""
-        self.leading = True
-        self.placed_by.update(dict.fromkeys(self.given.open))
         now_s = self.clock.now_s()
+        if not self.leading:
+            # What it knew when it led before is long out of date.
+            self.served = {}
+        self.leading = True
+        self._hand_over(None, now_s)
         for service, memories in self.given.memories(now_s).items():
             self._recall(placing_codec.Recall(service, memories))
 
+    def _hand_over(self, leader: str | None, now_s: float) -> None:
+        """What becomes of this host's jobs is reported elsewhere from now on.
+
+        Those that it placed alone would else hold the engines in its own
+        view, which is used again when nobody leads.
+        """
+        for job_id in self.given.open:
+            if self.placed_by.get(job_id) is None:
+                for pool in self.local.values():
+                    self._publish(pool, pool.core.hand_over(job_id, now_s))
+            self.placed_by[job_id] = leader
+
     def _recall(self, recall: placing_codec.Recall) -> None:
         if not self._knows(recall.service):
             return
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,11 +2,13 @@
 
 import random
 
+from magnoliadyke import clock as clocks
 from magnoliadyke.core import catalog
 from magnoliadyke.core import jobs
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
 from magnoliadyke.gateway import handover
+from magnoliadyke.gateway import placing as gatewayplacing
 from magnoliadyke.gateway import placing_codec
 from tests import promptload
 
@@ -103,3 +105,42 @@
     core.ended(0, 15.0)
     assert engine.taken(10.0, 10.0) == 3
     assert core.answers.output_s == before_s
+
+
+def test_job_that_is_handed_over_holds_nothing_here():
+    """A host placed alone, then another one leads and hears of the jobs.
+
+    No word of their end comes here any more.  Still accounted, they would
+    hold the engines for seconds in this host's own view, and its callers
+    would wait to the end when it places alone again.
+    """
+    core = placement.Placement(promptload.TRAITS, random.Random(1))
+    core.set_engines(promptload.fleet(1, 1))
+    first = job(7)
+    first.objective_s, first.deadline_s = 10.5, 12.0
+    (decision,) = core.submit(first, 10.0)
+    core.answers.hold(7, decision.run, 200, 10.0)
+    before_s = core.answers.output_s
+    core.hand_over(7, 10.1)
+    engines = core.pool.engines.values()
+    assert not any(engine.readings for engine in engines)
+    assert not any(engine.runs for engine in engines)
+    assert core.answers.output_s == before_s
+
+
+def test_host_that_leads_again_begins_anew():
+    """It led, another host did, and it leads again.
+
+    Of the jobs that the other one placed meanwhile it knows by the hosts'
+    word only; what it had accounted before has long ended.
+    """
+    placer = gatewayplacing.Placer(
+        '127.0.0.1', 1, catalog.Catalog(), clocks.SystemClock(), None
+    )
+    placer.lead()
+    placer.served['model'] = before = object()
+    placer.lead()
+    assert placer.served['model'] is before
+    placer.follow('127.0.0.2')
+    placer.lead()
+    assert not placer.served
