--- a/magnoliadyke/core/answerers.py
+++ b/magnoliadyke/core/answerers.py
@@ -127,10 +127,14 @@
     return engine.taken(at_s, now_s) < engine.endpoint.slots
 
 
+def long_slots(slots: int) -> int:
+    """How many of an engine's slots long answers may hold."""
+    return slots - min(SHORT_SLOTS, slots // 2)
+
+
 def has_long_slot(engine: enginemodel.EngineModel) -> bool:
     """Whether an engine has a slot that short answers don't need."""
-    kept = min(SHORT_SLOTS, engine.endpoint.slots // 2)
-    return len(engine.runs) < engine.endpoint.slots - kept
+    return len(engine.runs) < long_slots(engine.endpoint.slots)
 
 
 def _readiness(
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -14,6 +14,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from magnoliadyke.core import answerers
 from magnoliadyke.core import answers
 from magnoliadyke.core import catalog
 from magnoliadyke.core import enginepool
@@ -133,11 +134,12 @@
 
     def load(self, now_s: float) -> stageplan.Load:
         """What is asked of the engines now, refused work included."""
+        long_answers = len(self.answers) + len(self.answers.waiting)
+        slots = answerers.long_slots(self.traits.slots)
         return stageplan.Load(
             self.asked.now(now_s),
             self.asked_moves.now(now_s),
-            (len(self.answers) + len(self.answers.waiting))
-            / max(1, self.traits.slots),
+            long_answers / max(1, slots),
         )
 
     def figures(self) -> dict[str, str]:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,6 +6,7 @@
 from magnoliadyke.core import jobs
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import stageplan
 from tests import promptload
 
 
@@ -511,3 +512,17 @@
     engine = made.pool.engines['d0']
     assert engine in made.pool.answerers.available((), 5.2)
     assert engine.failures == 0
+
+
+def test_engines_full_of_long_answers_are_planned_for():
+    """Long answers hold every slot that they may, and none waits yet.
+
+    The next one has to wait: the plan must see the engines as full, though
+    they keep slots for short answers.
+    """
+    made = core(promptload.fleet(prefill=3, decode=2))
+    flood(made, 2 * (16 - answerers.SHORT_SLOTS), 0.0)
+    plan = stageplan.StagePlan()
+    plan.note(made.load(0.1), 0.1)
+    change = plan.decide(reading=3, answering=2, changing=0, now_s=0.1)
+    assert change == stageplan.Change(to_reading=False)
