--- a/magnoliadyke/lab/platformcheck.py
+++ b/magnoliadyke/lab/platformcheck.py
@@ -74,6 +74,7 @@
     :param events: of each stream
     :param ended: exit status of nodes that ended by themselves
     :param unstopped: hosts that did not stop in time when told to
+    :param unready: hosts that did not become ready after a start
     """
 
     tries: list[Try]
@@ -84,6 +85,7 @@
     events: int
     ended: dict[str, int]
     unstopped: list[tuple[str, float]]
+    unready: list[tuple[str, float]]
 
 
 class Violation(NamedTuple):
@@ -214,6 +216,8 @@
         yield Violation('no exits of its own', 0.0, (host,), text)
     for host, at_s in seen.unstopped:
         yield Violation('it stops in time', at_s, (host,), 'had to be killed')
+    for host, at_s in seen.unready:
+        yield Violation('it comes back', at_s, (host,), 'not ready in time')
 
 
 def stream(events: int) -> bytes:
--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -35,6 +35,7 @@
 
 from magnoliadyke import errors
 from magnoliadyke.lab import arguments
+from magnoliadyke.lab import cluster
 from magnoliadyke.lab import platformcaller
 from magnoliadyke.lab import platformcheck
 from magnoliadyke.lab import platformfleet
@@ -170,6 +171,7 @@
         self.disturbed: list[platformcheck.Disturbed] = []
         self.leaving: list[platformcheck.Leaving] = []
         self.unstopped: list[tuple[str, float]] = []
+        self.unready: list[tuple[str, float]] = []
         self.running: list[gevent.Greenlet] = []
         self.busy: set[str] = set()
 
@@ -200,6 +202,7 @@
             platformfleet.EVENTS,
             self.fleet.ended,
             self.unstopped,
+            self.unready,
         )
 
     # Faults.
@@ -241,7 +244,11 @@
 
     def _restart(self, host: str) -> None:
         self.fleet.start_node(host)
-        self.fleet.wait_ready(host)
+        begun_s = time.monotonic()
+        try:
+            self.fleet.wait_ready(host)
+        except cluster.NotReady:
+            self.unready.append((host, begun_s))
 
     def kill(self, fault: Fault) -> None:
         """A node's process is killed and comes back."""
--- a/tests/test_lab_platformcheck.py
+++ b/tests/test_lab_platformcheck.py
@@ -43,6 +43,7 @@
         'events': 5,
         'ended': {},
         'unstopped': [],
+        'unready': [],
     }
     return platformcheck.Evidence(
         [*tries, *calm], list(endpoints), **(values | fields)
@@ -158,6 +159,7 @@
     assert found.promise == 'it recovers'
 
 
-def test_process_that_ends_or_does_not_stop_is_found():
+def test_process_that_ends_or_does_not_stop_or_start_is_found():
     assert broken(ended={'host-1': 1}) == ['no exits of its own']
     assert broken(unstopped=[('host-1', 5.0)]) == ['it stops in time']
+    assert broken(unready=[('host-1', 5.0)]) == ['it comes back']
--- a/tests/test_lab_platformday.py
+++ b/tests/test_lab_platformday.py
@@ -104,7 +104,7 @@
     disturbed = [platformcheck.Disturbed('endpoints', 0.0, float('inf'))]
     last_s = max(one.sent_s for one in calling.tries)
     seen = platformcheck.Evidence(
-        calling.tries, made, disturbed, [], last_s - 0.2, 5, {}, []
+        calling.tries, made, disturbed, [], last_s - 0.2, 5, {}, [], []
     )
     return {violation.promise for violation in platformcheck.check(seen)}
 
