--- a/magnoliadyke/core/answers.py
+++ b/magnoliadyke/core/longanswers.py
@@ -80,9 +80,7 @@
     def ended(self, job_id: int, now_s: float) -> None:
         """An answer is complete, or was broken off."""
         run = self.release(job_id)
-        if run is None:
-            return
-        if run.output_tokens:
+        if run is not None and run.output_tokens:
             took_s = (now_s - run.begun_s) / run.output_tokens
             self.output_s += OUTPUT_WEIGHT * (took_s - self.output_s)
 
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -15,11 +15,11 @@
 from typing import NamedTuple
 
 from magnoliadyke.core import answerers
-from magnoliadyke.core import answers
 from magnoliadyke.core import catalog
 from magnoliadyke.core import enginepool
 from magnoliadyke.core import jobs
 from magnoliadyke.core import limits
+from magnoliadyke.core import longanswers
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import routes
 from magnoliadyke.core import stageplan
@@ -103,7 +103,9 @@
         self.late = jobs.JobQueue()
         self.returned = jobs.JobQueue()
         self.readers: dict[int, _Reader] = {}
-        self.answers = answers.LongAnswers(self.pool, self.settings.long_run_s)
+        self.answers = longanswers.LongAnswers(
+            self.pool, self.settings.long_run_s
+        )
         self.asked = limits.Rate(DEMAND_S, 0.0)
         self.asked_fresh = limits.Rate(DEMAND_S, 0.0)
         self.asked_moves = limits.Rate(DEMAND_S, 0.0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,9 +1,9 @@
 """The placement under load: what callers get."""
 
 from magnoliadyke.core import answerers
-from magnoliadyke.core import answers
 from magnoliadyke.core import catalog
 from magnoliadyke.core import jobs
+from magnoliadyke.core import longanswers
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import stageplan
@@ -247,7 +247,7 @@
     made = core(promptload.fleet(1, 1))
     made.submit(job(1, [part(7, 50)], output_tokens=100), 0.0)
     assert made.answers.runs
-    made.pump(answers.RUN_LOST_S + 1)
+    made.pump(longanswers.RUN_LOST_S + 1)
     assert not made.answers.runs
 
 
