--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -96,9 +96,10 @@
         total = reading + answering + changing
         if not self.samples or total < 2:
             return None
-        if changing >= max(1, int(total * self.settings.most_changing)):
+        at_once = max(1, int(total * self.settings.most_changing))
+        if changing >= at_once:
             return None
-        change = self._wanted(reading, answering, total)
+        change = self._wanted(reading, answering, total, at_once)
         if change is None or self._is_reversal(change, now_s):
             return None
         self.last = change
@@ -106,8 +107,13 @@
         return change
 
     def _wanted(
-        self, reading: int, answering: int, total: int
+        self, reading: int, answering: int, total: int, at_once: int
     ) -> Change | None:
+        """The first of as many changes as may be under way together.
+
+        One engine more or less out of many gains little by itself, however
+        busy they are; together they gain what they are moved for.
+        """
         if answering < 1:
             return Change(False) if reading > 1 else None
         if answering < least_answering(total) and reading > answering:
@@ -116,12 +122,13 @@
         if present < self.settings.least_busy:
             return None
         wanted = present * (1 - self.settings.gain)
-        if answering > least_answering(total):
-            if self._busiest(reading + 1, answering - 1) <= wanted:
-                return Change(True)
-        if reading > 1:
-            if self._busiest(reading - 1, answering + 1) <= wanted:
-                return Change(False)
+        for moved in range(1, at_once + 1):
+            if answering - moved >= least_answering(total):
+                if self._busiest(reading + moved, answering - moved) <= wanted:
+                    return Change(True)
+            if reading - moved >= 1:
+                if self._busiest(reading - moved, answering + moved) <= wanted:
+                    return Change(False)
         return None
 
     def _busiest(self, reading: int, answering: int) -> float:
