Revert changes of stage judged together

Tried: as many changes as may be under way together weighed together. The readers it adds are taken from engines that read beside their answers, and each change costs seconds of one in the middle of a burst.

--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -96,10 +96,9 @@
         total = reading + answering + changing
         if not self.samples or total < 2:
             return None
-        at_once = max(1, int(total * self.settings.most_changing))
-        if changing >= at_once:
+        if changing >= max(1, int(total * self.settings.most_changing)):
             return None
-        change = self._wanted(reading, answering, total, at_once)
+        change = self._wanted(reading, answering, total)
         if change is None or self._is_reversal(change, now_s):
             return None
         self.last = change
@@ -107,13 +106,8 @@
         return change
 
     def _wanted(
-        self, reading: int, answering: int, total: int, at_once: int
+        self, reading: int, answering: int, total: int
     ) -> Change | None:
-        """The first of as many changes as may be under way together.
-
-        One engine more or less out of many gains little by itself, however
-        busy they are; together they gain what they are moved for.
-        """
         if answering < 1:
             return Change(False) if reading > 1 else None
         if answering < least_answering(total) and reading > answering:
@@ -122,13 +116,12 @@
         if present < self.settings.least_busy:
             return None
         wanted = present * (1 - self.settings.gain)
-        for moved in range(1, at_once + 1):
-            if answering - moved >= least_answering(total):
-                if self._busiest(reading + moved, answering - moved) <= wanted:
-                    return Change(True)
-            if reading - moved >= 1:
-                if self._busiest(reading - moved, answering + moved) <= wanted:
-                    return Change(False)
+        if answering > least_answering(total):
+            if self._busiest(reading + 1, answering - 1) <= wanted:
+                return Change(True)
+        if reading > 1:
+            if self._busiest(reading - 1, answering + 1) <= wanted:
+                return Change(False)
         return None
 
     def _busiest(self, reading: int, answering: int) -> float:
