--- a/magnoliadyke/core/jobs.py
+++ b/magnoliadyke/core/jobs.py
@@ -1,98 +1,116 @@
-"""Requests that need an engine, and what was decided of them."""
+"""What the decisions know of requests and endpoints."""
 
-import collections
 import dataclasses
-from typing import NamedTuple
-
-from magnoliadyke.core import promptcache
-
-__all__ = ['Decision', 'Job', 'JobQueue', 'Placed', 'Refused']
-
-
-@dataclasses.dataclass(slots=True)
-class Job:
-    """A request that needs an engine.
-
-    :param objective_s: moment at which its first event is due
-    :param deadline_s: moment at which its caller gives up
-    :param returning: it has been refused before
-    :param resumed: part of its answer was given by another engine
-    :param avoid: engines that failed it
-    :ivar tokens: of the whole prompt
-    :ivar came_s: when it was submitted
-    :ivar need_s: reading time, where most of the prompt is kept
+import typing
+
+__all__ = [
+    'Cancelled',
+    'EndpointInfo',
+    'Failed',
+    'Finished',
+    'Job',
+    'LoadReport',
+]
+
+
+class Job(typing.NamedTuple):
+    """A request as the scheduler sees it.
+
+    :param id: unique within the node
+    :param pool: name of the pool that serves it
+    :param kind: ``model`` or ``service``
+    :param prompt_tokens: estimate of the prompt's length
+    :param output_tokens: upper bound or estimate of the answer's length
+    :param prefix_blocks: chained ids of the prompt's cache blocks
+    :param priority: 0 (urgent) to 9
+    :param repeatable: whether it may run more than once
+    :param first_token_s: objective for the first token, in seconds
+    :param per_token_s: objective between tokens, in seconds
+    :param fingerprint: customer and content digest, equal in a resend
+    :param arrived_s: monotonic seconds
     """
 
-    id: int
-    parts: tuple[promptcache.PromptPart, ...]
-    output_tokens: int
-    objective_s: float
-    deadline_s: float
-    failure_domain: str
-    returning: bool = False
-    resumed: bool = False
-    avoid: tuple[str, ...] = ()
-    tokens: int = 0
-    need_s: float = 0.0
-    came_s: float = 0.0
-
-    def __post_init__(self) -> None:
-        self.tokens = promptcache.total_tokens(self.parts)
-
-
-class Placed(NamedTuple):
-    """Where a job goes.
-
-    :param prefill: engine that reads the prompt; None if ``run`` does
-    :param run: engine that answers
-    :param fetch_from: address of an engine that keeps more of the prompt
-        than the reader does
-    :param read_tokens: tokens expected to be read
-    :param expected_s: time until they are read
-    :param tell_end: the end of the answer is to be reported
+    id: str
+    customer: str
+    pool: str
+    kind: str = 'model'
+    model: str = ''
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    prefix_blocks: tuple[str, ...] = ()
+    priority: int = 5
+    repeatable: bool = True
+    first_token_s: float = 2.0
+    per_token_s: float = 0.07
+    fingerprint: str = ''
+    arrived_s: float = 0.0
+
+
+class LoadReport(typing.NamedTuple):
+    """An engine's own word about its load, as old as ``at_s`` says.
+
+    :param at_s: when it was true, in the reader's monotonic seconds
+    :param role: ``prefill`` or ``decode``
+    :param state: ``in``, ``leaving`` or ``changing``
+    :param generation: generation of the last command it carried out
     """
 
-    job: int
-    prefill: str | None
-    run: str
-    fetch_from: str | None
-    read_tokens: int
-    expected_s: float
-    tell_end: bool
+    at_s: float
+    role: str = 'decode'
+    state: str = 'in'
+    generation: int = 0
+    running: int = 0
+    queued: int = 0
+    queued_prompt_tokens: int = 0
+    kv_used_tokens: int = 0
+    kv_capacity_tokens: int = 0
+
 
+class EndpointInfo(typing.NamedTuple):
+    """An endpoint as the settings name it.
 
-class Refused(NamedTuple):
-    """The job is not placed; come back after so many seconds."""
+    :param kind: ``model`` or ``service``
+    :param address: ``ip:port``
+    :param checks_fencing: whether it refuses stale fencing numbers
+    :param role: its role at first, for model endpoints
+    """
 
-    job: int
-    retry_after_s: float
-    reason: str
+    name: str
+    pool: str
+    kind: str
+    address: str
+    failure_domain: str = ''
+    checks_fencing: bool = True
+    role: str = 'decode'
 
 
-Decision = Placed | Refused
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """The job ended with its whole answer; figures in tokens."""
 
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    cached_tokens: int = 0
 
-class JobQueue:
-    """Jobs in the order in which they came, and their reading time."""
 
-    def __init__(self) -> None:
-        self.jobs: collections.OrderedDict[int, Job] = (
-            collections.OrderedDict()
-        )
-        self.need_s = 0.0
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """An attempt ended without the whole answer.
 
-    def __len__(self) -> int:
-        return len(self.jobs)
+    :param endpoint: where it failed
+    :param stage: ``connect``, ``prefill`` or ``decode``
+    :param ran: whether a byte of it may have reached the endpoint
+    :param crashed: whether the endpoint died under it
+    :param retryable: whether the job may be placed again
+    """
 
-    def put(self, job: Job) -> None:
-        self.jobs[job.id] = job
-        self.need_s += job.need_s
+    endpoint: str
+    stage: str
+    ran: bool
+    crashed: bool = False
+    retryable: bool = True
 
-    def take(self, job_id: int) -> Job | None:
-        job = self.jobs.pop(job_id, None)
-        if job is not None:
-            self.need_s = max(0.0, self.need_s - job.need_s)
-        return job
 
-    def first(self) -> Job:
-        return next(iter(self.jobs.values()))
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The caller went away or the node gave the job up."""
--- a/magnoliadyke/core/longanswers.py
+++ b/magnoliadyke/core/longanswers.py
@@ -16,7 +16,7 @@
 from magnoliadyke.core import answerers
 from magnoliadyke.core import enginemodel
 from magnoliadyke.core import enginepool
-from magnoliadyke.core import jobs
+from magnoliadyke.core import promptjobs
 
 __all__ = ['LongAnswers']
 
@@ -58,7 +58,7 @@
         self.runs: dict[int, _Run] = {}
         self.lost_runs: list[tuple[float, int]] = []
         self.output_s = PRIOR_OUTPUT_S
-        self.waiting = jobs.JobQueue()
+        self.waiting = promptjobs.JobQueue()
 
     def __len__(self) -> int:
         return len(self.runs)
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -17,10 +17,10 @@
 from magnoliadyke.core import answerers
 from magnoliadyke.core import catalog
 from magnoliadyke.core import enginepool
-from magnoliadyke.core import jobs
 from magnoliadyke.core import limits
 from magnoliadyke.core import longanswers
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import promptjobs
 from magnoliadyke.core import routes
 from magnoliadyke.core import stageplan
 
@@ -99,9 +99,9 @@
         self.settings = settings or PlacementSettings()
         self.sharers = sharers
         self.pool = enginepool.EnginePool(traits, pool_settings)
-        self.fresh = jobs.JobQueue()
-        self.late = jobs.JobQueue()
-        self.returned = jobs.JobQueue()
+        self.fresh = promptjobs.JobQueue()
+        self.late = promptjobs.JobQueue()
+        self.returned = promptjobs.JobQueue()
         self.readers: dict[int, _Reader] = {}
         self.answers = longanswers.LongAnswers(
             self.pool, self.settings.long_run_s
@@ -194,7 +194,9 @@
 
     # Jobs.
 
-    def submit(self, job: jobs.Job, now_s: float) -> list[jobs.Decision]:
+    def submit(
+        self, job: promptjobs.Job, now_s: float
+    ) -> list[promptjobs.Decision]:
         """Take a job: it is placed, refused, or waits."""
         job.came_s = now_s
         if job.resumed or job.tokens <= self.settings.short_tokens:
@@ -218,12 +220,12 @@
         """Whether a job is in a queue."""
         return any(job_id in queue.jobs for queue in self._queues())
 
-    def _queues(self) -> tuple[jobs.JobQueue, ...]:
+    def _queues(self) -> tuple[promptjobs.JobQueue, ...]:
         return self.fresh, self.returned, self.late, self.answers.waiting
 
     def _submit_short(
-        self, job: jobs.Job, now_s: float
-    ) -> list[jobs.Decision]:
+        self, job: promptjobs.Job, now_s: float
+    ) -> list[promptjobs.Decision]:
         """Only a long answer waits, and not if part of it was given."""
         if job.resumed or not self.answers.is_long(job.output_tokens):
             return [self._place_short(job, now_s)]
@@ -238,7 +240,7 @@
         return []
 
     def _pump_answers(
-        self, now_s: float, decisions: list[jobs.Decision]
+        self, now_s: float, decisions: list[promptjobs.Decision]
     ) -> None:
         """Give the slots that are free to those that wait for one."""
         waiting = self.answers.waiting
@@ -249,12 +251,12 @@
             waiting.take(job.id)
             decisions.append(self._place_short(job, now_s))
 
-    def _put_late(self, job: jobs.Job) -> None:
+    def _put_late(self, job: promptjobs.Job) -> None:
         """Who has been refused before goes first: it has no further try."""
         queue = self.returned if job.returning else self.late
         queue.put(job)
 
-    def withdraw(self, job_id: int, now_s: float) -> list[jobs.Decision]:
+    def withdraw(self, job_id: int, now_s: float) -> list[promptjobs.Decision]:
         """The caller has left, or the host takes the job elsewhere."""
         for queue in self._queues():
             queue.take(job_id)
@@ -262,13 +264,15 @@
 
     def has_read(
         self, job_id: int, engine_id: str, now_s: float
-    ) -> list[jobs.Decision]:
+    ) -> list[promptjobs.Decision]:
         """An engine has read a job's prompt."""
         self.readers.pop(job_id, None)
         self.pool.has_read(job_id, engine_id, now_s)
         return self.pump(now_s)
 
-    def hand_over(self, job_id: int, now_s: float) -> list[jobs.Decision]:
+    def hand_over(
+        self, job_id: int, now_s: float
+    ) -> list[promptjobs.Decision]:
         """A job's end will be told to another place."""
         reader = self.readers.pop(job_id, None)
         if reader is not None:
@@ -276,7 +280,7 @@
         self.answers.release(job_id)
         return self.pump(now_s)
 
-    def ended(self, job_id: int, now_s: float) -> list[jobs.Decision]:
+    def ended(self, job_id: int, now_s: float) -> list[promptjobs.Decision]:
         """A job's answer is complete, or was broken off."""
         reader = self.readers.pop(job_id, None)
         if reader is not None:
@@ -286,7 +290,7 @@
 
     def failed(
         self, job_id: int, engine_id: str, now_s: float
-    ) -> list[jobs.Decision]:
+    ) -> list[promptjobs.Decision]:
         """An engine refused a job, or could not be reached."""
         reader = self.readers.pop(job_id, None)
         self.answers.release(job_id)
@@ -299,14 +303,14 @@
 
     def moved(
         self, engine_id: str, took_s: float, now_s: float
-    ) -> list[jobs.Decision]:
+    ) -> list[promptjobs.Decision]:
         """A prompt that was read elsewhere gave its first event."""
         self.pool.answerers.moved(engine_id, took_s, now_s)
         return []
 
     def lapsed(
         self, job_id: int, reader_id: str, runner_id: str, now_s: float
-    ) -> list[jobs.Decision]:
+    ) -> list[promptjobs.Decision]:
         """An engine turned away a request whose prompt another had read."""
         self.answers.release(job_id)
         self.pool.lapsed(reader_id, runner_id, now_s)
@@ -314,9 +318,9 @@
 
     # The queues.
 
-    def pump(self, now_s: float) -> list[jobs.Decision]:
+    def pump(self, now_s: float) -> list[promptjobs.Decision]:
         """Place what can be placed now; refuse what can't be in time."""
-        decisions: list[jobs.Decision] = []
+        decisions: list[promptjobs.Decision] = []
         self.pool.refresh(now_s)
         self.answers.expire(now_s)
         self._pump_answers(now_s, decisions)
@@ -341,7 +345,7 @@
             return latest_s
         return max(now_s + 0.001, min(opens_s, latest_s))
 
-    def _next_queue(self) -> jobs.JobQueue | None:
+    def _next_queue(self) -> promptjobs.JobQueue | None:
         late = self.returned if len(self.returned) else self.late
         if not len(self.fresh):
             return late if len(late) else None
@@ -349,7 +353,9 @@
             return late
         return self.fresh
 
-    def _sort_out(self, now_s: float, decisions: list[jobs.Decision]) -> None:
+    def _sort_out(
+        self, now_s: float, decisions: list[promptjobs.Decision]
+    ) -> None:
         """Move on whoever has waited too long for its queue."""
         while len(self.fresh):
             job = self.fresh.first()
@@ -364,7 +370,7 @@
         self._sort_out_late(now_s, decisions)
 
     def _sort_out_waiting(
-        self, now_s: float, decisions: list[jobs.Decision]
+        self, now_s: float, decisions: list[promptjobs.Decision]
     ) -> None:
         """Refuse whoever has waited for a slot for as long as it may."""
         waiting = self.answers.waiting
@@ -379,7 +385,7 @@
                 decisions.append(refused)
 
     def _sort_out_late(
-        self, now_s: float, decisions: list[jobs.Decision]
+        self, now_s: float, decisions: list[promptjobs.Decision]
     ) -> None:
         """Refuse whoever will not be served in time, as soon as it shows."""
         capacity = self.pool.capacity(now_s)
@@ -397,7 +403,7 @@
                 queue.take(job.id)
                 decisions.append(self._refuse(job, now_s, wait_s, 'too late'))
 
-    def _due_s(self, job: jobs.Job) -> float:
+    def _due_s(self, job: promptjobs.Job) -> float:
         """When an engine has to be done with a job that is to be in time."""
         latency_s = self.pool.costs[catalog.Stage.PREFILL].latency_s
         return job.objective_s - self.settings.reserve_s - latency_s
@@ -437,8 +443,8 @@
     # Placing and refusing.
 
     def _take(
-        self, job: jobs.Job, option: enginepool.Option, now_s: float
-    ) -> jobs.Placed:
+        self, job: promptjobs.Job, option: enginepool.Option, now_s: float
+    ) -> promptjobs.Placed:
         self.pool.take(job.id, job.parts, option, now_s)
         reader, runner = option.reader, option.runner
         self._learn_bias(job, option)
@@ -448,7 +454,7 @@
             source.endpoint.id if source is not None else None,
         )
         is_long = self._begin_run(job, runner.endpoint.id, now_s)
-        return jobs.Placed(
+        return promptjobs.Placed(
             job.id,
             reader.endpoint.id if runner is not reader else None,
             runner.endpoint.id,
@@ -458,7 +464,9 @@
             is_long,
         )
 
-    def _learn_bias(self, job: jobs.Job, option: enginepool.Option) -> None:
+    def _learn_bias(
+        self, job: promptjobs.Job, option: enginepool.Option
+    ) -> None:
         """Expect of later prompts what this one takes.
 
         A prompt is expected to find all that is kept of it anywhere; often
@@ -470,7 +478,9 @@
         ratio = min(4.0, max(0.5, ratio))
         self.bias += BIAS_WEIGHT * (ratio - self.bias)
 
-    def _place_short(self, job: jobs.Job, now_s: float) -> jobs.Decision:
+    def _place_short(
+        self, job: promptjobs.Job, now_s: float
+    ) -> promptjobs.Decision:
         """A short prompt goes straight to an engine that answers."""
         engine = self.pool.answerers.for_short(job.avoid, now_s)
         if engine is None:
@@ -482,21 +492,23 @@
         self.pool.caches.use(engine_id, job.parts)
         is_long = self._begin_run(job, engine_id, now_s)
         expected_s = engine.expected_s(missing)
-        return jobs.Placed(
+        return promptjobs.Placed(
             job.id, None, engine_id, None, missing, expected_s, is_long
         )
 
     def _refuse(
-        self, job: jobs.Job, now_s: float, wait_s: float, reason: str
-    ) -> jobs.Refused:
+        self, job: promptjobs.Job, now_s: float, wait_s: float, reason: str
+    ) -> promptjobs.Refused:
         """Tell when there will be room, spread over half of that time."""
         left_s = max(0.0, job.deadline_s - now_s)
         after_s = max(MIN_RETRY_S, wait_s) * (0.75 + 0.5 * self.rng.random())
-        return jobs.Refused(
+        return promptjobs.Refused(
             job.id, min(after_s, left_s * MAX_RETRY_SHARE), reason
         )
 
-    def _begin_run(self, job: jobs.Job, engine_id: str, now_s: float) -> bool:
+    def _begin_run(
+        self, job: promptjobs.Job, engine_id: str, now_s: float
+    ) -> bool:
         """Account an answer if it takes long enough to hold a slot."""
         if not self.answers.is_long(job.output_tokens):
             return False
--- a/magnoliadyke/gateway/handover.py
+++ b/magnoliadyke/gateway/handover.py
@@ -10,7 +10,7 @@
 import dataclasses
 from typing import NamedTuple
 
-from magnoliadyke.core import jobs
+from magnoliadyke.core import promptjobs
 from magnoliadyke.gateway import placing_codec
 
 __all__ = ['GivenJobs']
@@ -29,7 +29,7 @@
     """
 
     service: str
-    placed: jobs.Placed
+    placed: promptjobs.Placed
     reading: bool
 
     @property
@@ -43,7 +43,7 @@
 
     at_s: float
     service: str
-    job: jobs.Job
+    job: promptjobs.Job
     engine: str
 
 
@@ -62,8 +62,8 @@
     def placed(
         self,
         service: str,
-        job: jobs.Job,
-        placed: jobs.Placed,
+        job: promptjobs.Job,
+        placed: promptjobs.Placed,
         short: bool,
         now_s: float,
     ) -> None:
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -18,8 +18,8 @@
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import catalog
-from magnoliadyke.core import jobs
 from magnoliadyke.core import placement
+from magnoliadyke.core import promptjobs
 from magnoliadyke.core import typicaltime
 from magnoliadyke import errors
 from magnoliadyke.gateway import handover
@@ -106,7 +106,7 @@
         self.waiting: dict[int, _Waiting] = {}
         self.placed_by: dict[int, str | None] = {}
         self.askers: dict[int, str] = {}
-        self.decided: collections.OrderedDict[int, jobs.Decision] = (
+        self.decided: collections.OrderedDict[int, promptjobs.Decision] = (
             collections.OrderedDict()
         )
         self.counts: collections.Counter[str] = collections.Counter()
@@ -132,13 +132,13 @@
 
     # What exchanges ask and tell.
 
-    def place(self, service: str, job: jobs.Job) -> jobs.Decision:
+    def place(self, service: str, job: promptjobs.Job) -> promptjobs.Decision:
         """Wait until a job is placed or refused."""
         waiting = _Waiting(event.AsyncResult(), event.Event())
         self.waiting[job.id] = waiting
         try:
             decision = self._place(service, job, waiting)
-            if isinstance(decision, jobs.Placed):
+            if isinstance(decision, promptjobs.Placed):
                 short = job.resumed or job.tokens <= SHORT_TOKENS
                 now_s = self.clock.now_s()
                 self.given.placed(service, job, decision, short, now_s)
@@ -202,8 +202,8 @@
                 core.adopt(job, engine, read_tokens, answers, now_s)
 
     def _place(
-        self, service: str, job: jobs.Job, waiting: _Waiting
-    ) -> jobs.Decision:
+        self, service: str, job: promptjobs.Job, waiting: _Waiting
+    ) -> promptjobs.Decision:
         if self.leading:
             self.counts['own'] += 1
             return self._place_at(self.served, service, job, waiting)
@@ -221,9 +221,9 @@
         self,
         pools: dict[str, _Pool],
         service: str,
-        job: jobs.Job,
+        job: promptjobs.Job,
         waiting: _Waiting,
-    ) -> jobs.Decision:
+    ) -> promptjobs.Decision:
         self.placed_by[job.id] = None
         pool = self._pool(pools, service)
         now_s = self.clock.now_s()
@@ -234,9 +234,9 @@
         self,
         leader: str,
         service: str,
-        job: jobs.Job,
+        job: promptjobs.Job,
         waiting: _Waiting,
-    ) -> jobs.Decision | None:
+    ) -> promptjobs.Decision | None:
         """Ask the placing host; None if it doesn't answer."""
         unanswered = 0
         while unanswered < ASKS:
@@ -253,10 +253,10 @@
         LOG.repeated('placing_host_silent', leader, leader=leader)
         return None
 
-    def _aged(self, job: jobs.Job) -> jobs.Job:
+    def _aged(self, job: promptjobs.Job) -> promptjobs.Job:
         """The job with times relative to now."""
         now_s = self.clock.now_s()
-        return jobs.Job(
+        return promptjobs.Job(
             job.id,
             job.parts,
             job.output_tokens,
@@ -384,7 +384,9 @@
                     waiting.acknowledged.set()
                     waiting.decided.set(decision)
 
-    def _take_ask(self, service: str, job: jobs.Job, sender: str) -> None:
+    def _take_ask(
+        self, service: str, job: promptjobs.Job, sender: str
+    ) -> None:
         if not self.leading or not self._knows(service):
             # No answer: the host that asks will place by itself.
             return
@@ -432,7 +434,9 @@
                 decisions = core.withdraw(report.job, now_s)
         self._publish(pool, decisions)
 
-    def _publish(self, pool: _Pool, decisions: list[jobs.Decision]) -> None:
+    def _publish(
+        self, pool: _Pool, decisions: list[promptjobs.Decision]
+    ) -> None:
         for decision in decisions:
             waiting = self.waiting.get(decision.job)
             if waiting is not None:
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -8,8 +8,8 @@
 from thrift.Thrift import TException
 from thrift import TSerialization
 
-from magnoliadyke.core import jobs
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import promptjobs
 from magnoliadyke import errors
 from magnoliadyke.wire.placement import constants
 from magnoliadyke.wire.placement import ttypes
@@ -56,7 +56,7 @@
     """Place this job; its times are relative to when this was sent."""
 
     service: str
-    job: jobs.Job
+    job: promptjobs.Job
 
 
 class Waits(NamedTuple):
@@ -68,7 +68,7 @@
 class Told(NamedTuple):
     """What was decided of a job."""
 
-    decision: jobs.Decision
+    decision: promptjobs.Decision
 
 
 class Report(NamedTuple):
@@ -228,7 +228,7 @@
 
 
 def _decode_ask(ask: ttypes.Ask) -> Ask:
-    job = jobs.Job(
+    job = promptjobs.Job(
         id=ask.job,
         parts=_decode_parts(ask.parts),
         output_tokens=ask.output_tokens,
@@ -242,9 +242,9 @@
     return Ask(ask.pool, job)
 
 
-def _encode_decision(decision: jobs.Decision) -> ttypes.Decision:
+def _encode_decision(decision: promptjobs.Decision) -> ttypes.Decision:
     match decision:
-        case jobs.Placed():
+        case promptjobs.Placed():
             return ttypes.Decision(
                 job=decision.job,
                 prefill=decision.prefill,
@@ -254,7 +254,7 @@
                 expected_us=_micro(decision.expected_s),
                 tell_end=decision.tell_end,
             )
-        case jobs.Refused(job, retry_after_s, reason):
+        case promptjobs.Refused(job, retry_after_s, reason):
             return ttypes.Decision(
                 job=job, retry_after_us=_micro(retry_after_s), reason=reason
             )
@@ -262,7 +262,7 @@
 
 def _decode_decision(decision: ttypes.Decision) -> Told | Waits:
     if decision.run is not None:
-        placed = jobs.Placed(
+        placed = promptjobs.Placed(
             decision.job,
             decision.prefill,
             decision.run,
@@ -273,7 +273,7 @@
         )
         return Told(placed)
     if decision.retry_after_us is not None:
-        refused = jobs.Refused(
+        refused = promptjobs.Refused(
             decision.job,
             decision.retry_after_us / MICRO,
             decision.reason or '',
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -3,7 +3,7 @@
 import gevent
 
 from magnoliadyke.core import catalog
-from magnoliadyke.core import jobs
+from magnoliadyke.core import promptjobs
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import connection
@@ -67,7 +67,7 @@
             job = self._job(avoid, resume_after is not None)
             decision = self.parts.placer.place(self.service, job)
             self._log_decision(job, decision)
-            if isinstance(decision, jobs.Refused):
+            if isinstance(decision, promptjobs.Refused):
                 return self._refused(decision.reason, decision.retry_after_s)
             tell = True
             try:
@@ -103,7 +103,9 @@
                         resume_after = self.last_event
             avoid = (*avoid, self.endpoint)
 
-    def _log_decision(self, job: jobs.Job, decision: jobs.Decision) -> None:
+    def _log_decision(
+        self, job: promptjobs.Job, decision: promptjobs.Decision
+    ) -> None:
         fields = {
             'id': self.request.id.decode('latin-1'),
             'by': self.parts.placer.decided_by(job.id),
@@ -113,7 +115,7 @@
             'left_ms': round(self.left_s * 1000),
         }
         match decision:
-            case jobs.Placed():
+            case promptjobs.Placed():
                 LOG.event(
                     'placed',
                     **fields,
@@ -123,7 +125,7 @@
                     read_tokens=decision.read_tokens,
                     expected_ms=round(decision.expected_s * 1000),
                 )
-            case jobs.Refused(_, retry_after_s, reason):
+            case promptjobs.Refused(_, retry_after_s, reason):
                 LOG.event(
                     'not_placed',
                     **fields,
@@ -149,7 +151,7 @@
             self.caller.broken = True
         return failure
 
-    def _job(self, avoid: tuple[str, ...], resumed: bool) -> jobs.Job:
+    def _job(self, avoid: tuple[str, ...], resumed: bool) -> promptjobs.Job:
         now_s = self.parts.clock.now_s()
         prompt = self.request.prompt
         wait_s = self.request.wait_s
@@ -160,7 +162,7 @@
         if returning:
             objective_s -= self.route.timeout_s - wait_s
         objective_s -= self.parts.placer.after_reading_s.high_s
-        return jobs.Job(
+        return promptjobs.Job(
             id=self.parts.rng.getrandbits(62),
             parts=prompt.parts,
             output_tokens=prompt.output_tokens,
@@ -174,8 +176,8 @@
 
     def _run_placed(
         self,
-        job: jobs.Job,
-        placed: jobs.Placed,
+        job: promptjobs.Job,
+        placed: promptjobs.Placed,
         resume_after: bytes | None,
     ) -> (
         outcomes.Answered
@@ -219,8 +221,8 @@
 
     def _note_turned_away(
         self,
-        job: jobs.Job,
-        placed: jobs.Placed,
+        job: promptjobs.Job,
+        placed: promptjobs.Placed,
         result: outcomes.NotRun,
     ) -> None:
         """Who is at fault that a read prompt was not taken.
@@ -248,7 +250,9 @@
         ]
         return self.parts.rng.choice(others) if others else failed
 
-    def _prefill(self, job: jobs.Job, placed: jobs.Placed) -> str | None:
+    def _prefill(
+        self, job: promptjobs.Job, placed: promptjobs.Placed
+    ) -> str | None:
         """Have the prompt read; returns where it waits to be fetched."""
         reader = self.parts.catalog.endpoints.get(placed.prefill)
         if reader is None or reader.leaving:
@@ -290,7 +294,7 @@
         return f'{reader.address}/{read.handle}'
 
     def _prefill_failed(
-        self, job: jobs.Job, reader: catalog.Endpoint, reason: str
+        self, job: promptjobs.Job, reader: catalog.Endpoint, reason: str
     ) -> None:
         self.parts.placer.failed(self.service, job.id, reader.id)
         LOG.event(
@@ -335,7 +339,7 @@
         self,
         runner: catalog.Endpoint,
         options: codecs.RunOptions,
-        job: jobs.Job,
+        job: promptjobs.Job,
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         """Have the engine run the request and pass its events on."""
         try:
@@ -388,7 +392,7 @@
         self,
         used: connection.Connection,
         head: http.Head,
-        job: jobs.Job,
+        job: promptjobs.Job,
         runner: catalog.Endpoint,
         options: codecs.RunOptions,
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
@@ -403,7 +407,9 @@
             used.idle_limit_s = facts.idle_limit_s
         return self._relay(used, head, job, runner, options)
 
-    def _tell_read(self, job: jobs.Job, runner: catalog.Endpoint) -> None:
+    def _tell_read(
+        self, job: promptjobs.Job, runner: catalog.Endpoint
+    ) -> None:
         """The first event shows that the prompt has been read."""
         if job.tokens > placing.SHORT_TOKENS:
             self.parts.placer.has_read(self.service, job.id, runner.id)
@@ -412,7 +418,7 @@
         self,
         used: connection.Connection,
         head: http.Head,
-        job: jobs.Job,
+        job: promptjobs.Job,
         runner: catalog.Endpoint,
         options: codecs.RunOptions,
     ) -> outcomes.Answered:
--- a/tests/promptload.py
+++ b/tests/promptload.py
@@ -7,9 +7,9 @@
 from typing import NamedTuple
 
 from magnoliadyke.core import catalog
-from magnoliadyke.core import jobs
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import promptjobs
 from magnoliadyke.core import routes
 
 TRAITS = routes.EngineTraits(
@@ -104,7 +104,7 @@
             promptcache.PromptPart(1000 + subject, 3800),
             promptcache.PromptPart(100_000 + number, 2900),
         )
-        return jobs.Job(
+        return promptjobs.Job(
             number,
             parts,
             2,
@@ -139,9 +139,9 @@
     def take(self, decisions):
         for decision in decisions:
             match decision:
-                case jobs.Refused(job):
+                case promptjobs.Refused(job):
                     self.refused[job] = (self.now_s, decision)
-                case jobs.Placed(job):
+                case promptjobs.Placed(job):
                     self.send(job, decision)
         wake_s = self.core.wake_s(self.now_s)
         if wake_s is not None and not self.waking:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies
 import pytest
 
-from magnoliadyke.core import jobs
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import promptjobs
 from magnoliadyke.core import typicaltime
 from magnoliadyke import errors
 from magnoliadyke.gateway import events
@@ -91,7 +91,7 @@
     assert splitter.rest == rest
 
 
-JOB = jobs.Job(
+JOB = promptjobs.Job(
     7,
     (promptcache.PromptPart(2**63 - 1, 10), promptcache.PromptPart(1, 20)),
     5,
@@ -109,9 +109,11 @@
         placing_codec.Ask('model', JOB),
         placing_codec.Waits(7),
         placing_codec.Told(
-            jobs.Placed(7, 'p', 'r', '1.2.3.4:5', 30, 0.0125, True)
+            promptjobs.Placed(7, 'p', 'r', '1.2.3.4:5', 30, 0.0125, True)
+        ),
+        placing_codec.Told(
+            promptjobs.Placed(7, None, 'r', None, 0, 0.0, False)
         ),
-        placing_codec.Told(jobs.Placed(7, None, 'r', None, 0, 0.0, False)),
         placing_codec.Recall('model', (placing_codec.Memory('e', JOB.parts),)),
         placing_codec.Recall(
             'model', (placing_codec.Memory('e', JOB.parts, 9, 70, True),)
@@ -119,7 +121,7 @@
         placing_codec.Broken(b'12345678', ('e1', 'e2')),
         placing_codec.Leads('h1', '10.0.0.1', 1787, 40),
         placing_codec.Leads('h1', '10.0.0.1', 1787, 40, True),
-        placing_codec.Told(jobs.Refused(7, 0.25, 'no room')),
+        placing_codec.Told(promptjobs.Refused(7, 0.25, 'no room')),
         placing_codec.Report(
             'model', 7, placing_codec.Event.MOVED, 'r', 0.02, 'p'
         ),
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -3,7 +3,7 @@
 import gevent
 import pytest
 
-from magnoliadyke.core import jobs
+from magnoliadyke.core import promptjobs
 from magnoliadyke.gateway import http
 from tests import gatewayworld
 
@@ -559,7 +559,7 @@
     world.endpoint('d2', 'model', 'decode')
     node = world.node()
     told = []
-    node.placer.place = lambda service, job: jobs.Placed(
+    node.placer.place = lambda service, job: promptjobs.Placed(
         job.id, 'p1', 'd1', None, 5500, 0.05, False
     )
     node.placer.lapsed = lambda *what: told.append('turned away')
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -4,9 +4,9 @@
 
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import catalog
-from magnoliadyke.core import jobs
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import promptjobs
 from magnoliadyke.gateway import handover
 from magnoliadyke.gateway import placing as gatewayplacing
 from magnoliadyke.gateway import placing_codec
@@ -16,11 +16,11 @@
 
 
 def job(number, **fields):
-    return jobs.Job(number, PARTS, 200, 1.0, 3.0, 'z1', **fields)
+    return promptjobs.Job(number, PARTS, 200, 1.0, 3.0, 'z1', **fields)
 
 
 def placed(number, prefill='p0', run='d0', tell_end=False):
-    return jobs.Placed(number, prefill, run, None, 3000, 0.1, tell_end)
+    return promptjobs.Placed(number, prefill, run, None, 3000, 0.1, tell_end)
 
 
 def memories(given, now_s=1.0):
@@ -83,7 +83,7 @@
     fresh = job(500)
     fresh.objective_s, fresh.deadline_s = 10.15, 12.0
     decisions = core.submit(fresh, 10.0)
-    assert not any(isinstance(each, jobs.Placed) for each in decisions)
+    assert not any(isinstance(each, promptjobs.Placed) for each in decisions)
     for number in range(40):
         core.has_read(number, f'p{number % 2}', 10.1)
         core.has_read(100 + number, f'd{number % 2}', 10.1)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,10 +2,10 @@
 
 from magnoliadyke.core import answerers
 from magnoliadyke.core import catalog
-from magnoliadyke.core import jobs
 from magnoliadyke.core import longanswers
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import promptjobs
 from magnoliadyke.core import stageplan
 from tests import promptload
 
@@ -21,7 +21,7 @@
         'deadline_s': now_s + 2.0,
         'failure_domain': 'z1',
     }
-    return jobs.Job(number, tuple(parts), **(values | fields))
+    return promptjobs.Job(number, tuple(parts), **(values | fields))
 
 
 def core(engines=None, **fields):
@@ -46,7 +46,7 @@
 def test_nobody_is_refused_while_engines_are_free():
     made = core()
     (decision,) = made.submit(job(1, [*LONG, part(3, 2900)]), 0.0)
-    assert isinstance(decision, jobs.Placed)
+    assert isinstance(decision, promptjobs.Placed)
 
 
 def test_burst_fills_the_engines_with_prompts_that_come_in_time():
@@ -169,10 +169,12 @@
             job(number, [*LONG, part(number, 2900)], 1.0), 1.0
         )
     to_p0 = [
-        d for d in placed if isinstance(d, jobs.Placed) and d.prefill == 'p0'
+        d
+        for d in placed
+        if isinstance(d, promptjobs.Placed) and d.prefill == 'p0'
     ]
     assert len(to_p0) <= 1
-    assert isinstance(first, jobs.Placed)
+    assert isinstance(first, promptjobs.Placed)
 
 
 def test_engine_whose_memory_lapses_gives_no_more_prompts_away():
@@ -254,7 +256,7 @@
 def test_no_engine_that_answers_is_told_at_once():
     made = core([promptload.engine('p0')])
     (decision,) = made.submit(job(1, [part(7, 50)]), 0.0)
-    assert isinstance(decision, jobs.Refused)
+    assert isinstance(decision, promptjobs.Refused)
 
 
 def test_engine_that_changes_its_stage_rests_until_it_has():
@@ -337,7 +339,7 @@
         now_s = number * 0.02
         parts = [*LONG, part(100 + number, 1000)]
         for decision in made.submit(job(number, parts, now_s), now_s):
-            assert isinstance(decision, jobs.Placed)
+            assert isinstance(decision, promptjobs.Placed)
             expected_s.append(decision.expected_s)
             made.has_read(decision.job, decision.prefill, now_s + 0.012)
     assert len(expected_s) == 40
@@ -395,7 +397,9 @@
     from beginning, for seconds, though it needs a slot for a moment only.
     """
     made = core()
-    placed = [d for d in flood(made, 60, 0.0) if isinstance(d, jobs.Placed)]
+    placed = [
+        d for d in flood(made, 60, 0.0) if isinstance(d, promptjobs.Placed)
+    ]
     assert len(placed) == 2 * (16 - answerers.SHORT_SLOTS)
     prompts = []
     for number in range(10):
@@ -403,7 +407,7 @@
         asked = job(number, [*LONG, part(100 + number, 1000)], now_s)
         prompts += made.submit(asked, now_s)
         made.has_read(number, prompts[-1].prefill, now_s + 0.012)
-    assert all(isinstance(each, jobs.Placed) for each in prompts)
+    assert all(isinstance(each, promptjobs.Placed) for each in prompts)
 
 
 def test_long_answer_gets_the_slot_of_one_that_ends():
@@ -412,7 +416,7 @@
     assert len(decisions) == 28
     assert made.waits(10_028)
     (next_one,) = made.ended(10_000, 1.0)
-    assert isinstance(next_one, jobs.Placed)
+    assert isinstance(next_one, promptjobs.Placed)
     assert next_one.job == 10_028
 
 
@@ -424,7 +428,7 @@
     """
     made = core()
     decisions = flood(made, 60, 0.0)
-    refused = [d for d in decisions if isinstance(d, jobs.Refused)]
+    refused = [d for d in decisions if isinstance(d, promptjobs.Refused)]
     assert refused
     assert {each.reason for each in refused} == {'no slot in time'}
     for tenth in range(60):
@@ -436,7 +440,7 @@
     made = core()
     flood(made, 40, 0.0)
     (decision,) = made.submit(job(1, [part(9, 300)], resumed=True), 0.1)
-    assert isinstance(decision, jobs.Placed)
+    assert isinstance(decision, promptjobs.Placed)
 
 
 def test_one_engine_that_is_down_does_not_make_the_readers_rest():
