Take the key only from the holder that was found to be gone

Cause: since hosts hear of a new leader by datagram, the revision that a host's commit names could change between its decision to take the key and the commit: it took the key by force from a leader that had just begun. Change: the revision is noted before the store is asked for a lease. Test: word of a leader that comes while the lease is granted.

--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -260,6 +260,9 @@
 
     def _take(self) -> None:
         asked_s = self.clock.now_s()
+        # Another host may lead by the time that the store has answered; the
+        # key is taken only from the holder that was found to be gone.
+        replaced = self.holder_revision
         granted = self.store.grant(self.lease_s)
         if not isinstance(granted, store.Granted):
             self.clock.sleep(RETRY_S * (1 + self.rng.random()))
@@ -272,7 +275,6 @@
             }
         ).encode()
         put = store.Put(LEADER_KEY, value, granted.lease)
-        replaced = self.holder_revision
         match self.store.commit({LEADER_KEY: replaced}, (put,)):
             case store.Written(revision):
                 self._taken(granted, revision, asked_s, replaced != 0)
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -93,3 +93,30 @@
     second.leadership.heard(word._replace(host='old', revision=1))
     assert second.leadership.holder == first.own.host
     assert second.placer.leader == first.own.address
+
+
+def test_leader_that_comes_first_is_not_replaced(world):
+    """Two hosts want to lead at once, and one of them has just got the key.
+
+    The other hears of it while the store still answers its own first call.
+    It must not take the key from a holder that nobody misses: leaders would
+    follow each other within a second, each knowing less of the engines.
+    """
+    first, second = hosts(world, 2)
+    leadership = second.leadership
+    fencing = first.leadership.fencing
+    word = first.leadership._word()
+    leadership.holder = None
+    leadership.holder_revision = 0
+    grant = second.store.grant
+
+    def slow_grant(ttl_s):
+        granted = grant(ttl_s)
+        leadership.heard(word)
+        return granted
+
+    second.store.grant = slow_grant
+    leadership._take()
+    assert leadership.lease is None
+    assert leadership.holder == first.own.host
+    assert first.leadership.fencing == fencing
