Let no engine that may not read hide those that may

Cause: the placement looked at the first twelve engines with room, whatever their stage. Engines that give long answers have nothing to read either, so they count as having room and may not be used: a dozen of them first in the list, and nobody found one of 25 that idled. Callers were refused.

Change: engines that may be given a prompt are kept by stage, and one that begins a long answer leaves that list until its last one has ended. The engine to answer is one of a dozen that have a slot now, by turns, so neither hides those with slots; all are looked at only where none of them has one.

Ruled out: comparing all engines (serves, but a placement then costs with the size of the fleet).

--- a/magnoliadyke/core/answerers.py
+++ b/magnoliadyke/core/answerers.py
@@ -21,6 +21,10 @@
 #: fail, and how long its caller loses.
 PROBE_S = 1.0
 
+#: Engines that are compared for one prompt.  The least busy of a dozen is
+#: as good as that of all: more of them take longer to compare.
+COMPARED = 12
+
 # How readily an engine is used; only the best class that there is, is.
 READY = 0
 TURNED_AWAY = 1
@@ -39,6 +43,15 @@
     def __init__(self, engines: dict[str, enginemodel.EngineModel]) -> None:
         self.engines = engines
         self.after_s = 0.0
+        self.turns: collections.deque[str] = collections.deque()
+
+    def listed(self) -> None:
+        """The list of engines, or the stage of one, has changed."""
+        self.turns = collections.deque(
+            engine_id
+            for engine_id, engine in self.engines.items()
+            if engine.endpoint.stage is catalog.Stage.DECODE
+        )
 
     def available(
         self, avoid: tuple[str, ...], now_s: float
@@ -59,7 +72,7 @@
     ) -> enginemodel.EngineModel | None:
         """The engine to answer what another one has read."""
         return min(
-            self.available(avoid, now_s),
+            self._some(avoid, now_s) or self.available(avoid, now_s),
             key=lambda e: (
                 len(e.runs) >= e.endpoint.slots,
                 max(e.transfer_until_s - now_s, 0.0)
@@ -70,6 +83,27 @@
             default=None,
         )
 
+    def _some(
+        self, avoid: tuple[str, ...], now_s: float
+    ) -> list[enginemodel.EngineModel]:
+        """A few of the engines that can answer one more at once.
+
+        In a large fleet each has its turn, so the cost of a placement does
+        not follow the number of engines while most of them have slots.
+        """
+        found = []
+        for engine_id in self.turns:
+            engine = self.engines[engine_id]
+            if _readiness(engine, avoid, now_s) == READY and has_slot(
+                engine, now_s, now_s
+            ):
+                found.append(engine)
+                if len(found) >= COMPARED:
+                    break
+        if len(self.turns) > COMPARED:
+            self.turns.rotate(-COMPARED)
+        return found
+
     def for_short(
         self, avoid: tuple[str, ...], now_s: float
     ) -> enginemodel.EngineModel | None:
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -25,7 +25,8 @@
     :param fetch_gain: a cached part is fetched from another engine if that
         takes less than this share of the time to read it again
     :param candidates: engines that are compared for one prompt, beside
-        those that keep part of it; more gain little and cost time
+        those that keep part of it, the same number of each stage; more gain
+        little and cost time
     """
 
     ahead_s: float = 0.005
@@ -113,7 +114,11 @@
 
 
 class EnginePool:
-    """The engines, what they were given and what they keep."""
+    """The engines, what they were given and what they keep.
+
+    :ivar open: engines that may be given a prompt to read now, by stage;
+        first the one that has been waiting longest
+    """
 
     def __init__(
         self,
@@ -128,7 +133,9 @@
             stage: enginemodel.ReadingCost() for stage in catalog.Stage
         }
         self.caches = promptcache.CacheIndex()
-        self.open: dict[str, None] = {}
+        self.open: dict[catalog.Stage, dict[str, None]] = {
+            stage: {} for stage in catalog.Stage
+        }
         self._opens: list[tuple[float, str]] = []
         self._capacity = Capacity(())
         self._capacity_s = float('-inf')
@@ -146,9 +153,10 @@
             for engine in self.engines.values():
                 engine.turned_away.pop(gone, None)
             self.caches.drop(gone)
-            self.open.pop(gone, None)
+            self._close(gone)
         for endpoint in endpoints:
             self._set_engine(endpoint)
+        self.answerers.listed()
         self._capacity_s = float('-inf')
 
     def _set_engine(self, endpoint: catalog.Endpoint) -> None:
@@ -159,21 +167,24 @@
             self.caches.add(
                 endpoint.id, self.traits.cache_tokens * CACHE_SHARE
             )
-            self.open[endpoint.id] = None
+            self.open[endpoint.stage][endpoint.id] = None
             return
-        if model.endpoint.stage is not endpoint.stage:
+        changed = model.endpoint.stage is not endpoint.stage
+        model.endpoint = endpoint
+        if changed:
             model.slowness = 1.0
             model.cost = self.costs[endpoint.stage]
             model.rest_until_s = float('-inf')
-            self.open[endpoint.id] = None
-        model.endpoint = endpoint
+            self._close(endpoint.id)
+            if may_read(model):
+                self.open[endpoint.stage][endpoint.id] = None
 
     def rest(self, engine_id: str, until_s: float) -> None:
         """Give an engine no work for a time."""
         engine = self.engines.get(engine_id)
         if engine is not None:
             engine.rest_until_s = until_s
-            self.open.pop(engine_id, None)
+            self._close(engine_id)
             heapq.heappush(self._opens, (until_s, engine_id))
             self._capacity_s = float('-inf')
 
@@ -248,23 +259,32 @@
         """When an engine is expected to get room without further word."""
         return self._opens[0][0] if self._opens else None
 
+    def has_open(self) -> bool:
+        """Whether any engine may be given a prompt to read."""
+        return any(self.open.values())
+
+    def _close(self, engine_id: str) -> None:
+        for of_stage in self.open.values():
+            of_stage.pop(engine_id, None)
+
     def _note_room(
         self, engine: enginemodel.EngineModel, now_s: float
     ) -> None:
         engine_id = engine.endpoint.id
-        if engine.rest_until_s > now_s:
-            self.open.pop(engine_id, None)
+        if engine.rest_until_s > now_s or not may_read(engine):
+            self._close(engine_id)
             return
+        of_stage = self.open[engine.endpoint.stage]
         if not engine.readings:
-            self.open[engine_id] = None
+            of_stage[engine_id] = None
             return
         ahead_s = self.settings.ahead_s + engine.latency_beside_s
         opens_s = engine.free_s(now_s) - ahead_s
         full = len(engine.readings) >= self._most_ahead(engine)
         if opens_s <= now_s and not full:
-            self.open[engine_id] = None
+            of_stage[engine_id] = None
             return
-        self.open.pop(engine_id, None)
+        of_stage.pop(engine_id, None)
         if full:
             opens_s = max(opens_s, now_s + enginemodel.LOST_S)
         heapq.heappush(self._opens, (opens_s, engine_id))
@@ -322,6 +342,19 @@
             engine.forget(job, now_s)
             self._note_room(engine, now_s)
 
+    def begin_run(self, job: int, engine_id: str, now_s: float) -> None:
+        """An engine gives a long answer, and may not read beside it."""
+        engine = self.engines[engine_id]
+        engine.runs.add(job)
+        self._note_room(engine, now_s)
+
+    def end_run(self, job: int, engine_id: str, now_s: float) -> None:
+        """A long answer has ended, or goes on elsewhere."""
+        engine = self.engines.get(engine_id)
+        if engine is not None:
+            engine.runs.discard(job)
+            self._note_room(engine, now_s)
+
     # What it costs.
 
     def need_s(self, kept: promptcache.Kept, tokens: int) -> float:
@@ -336,7 +369,7 @@
             self._capacity = Capacity(
                 (engine.free_s(now_s) - now_s, 1 / self.relative(engine))
                 for engine in self.engines.values()
-                if engine.rest_until_s <= now_s and not engine.long_runs
+                if engine.rest_until_s <= now_s and may_read(engine)
             )
         return self._capacity
 
@@ -357,21 +390,15 @@
         kept = self.caches.kept(parts)
         runner = self.answerers.for_read(avoid, now_s)
         best: Option | None = None
-        for engine_id in self._candidates(kept):
+        for engine_id in self._candidates(kept, avoid):
             reader = self.engines[engine_id]
-            if engine_id in avoid or reader.rest_until_s > now_s:
-                continue
             target = runner
             if reader.endpoint.stage is catalog.Stage.DECODE:
-                if reader.long_runs:
-                    continue
                 target = reader
             if target is None:
                 continue
             option = self._option(kept, tokens, reader, target, now_s)
-            if target is not reader and not answerers.has_slot(
-                target, option.ready_s, now_s
-            ):
+            if not answerers.has_slot(target, option.ready_s, now_s):
                 continue
             if best is None or (
                 option.ready_s + option.cost_s < best.ready_s + best.cost_s
@@ -379,14 +406,25 @@
                 best = option
         return best
 
-    def _candidates(self, kept: promptcache.Kept) -> Iterable[str]:
-        found = dict.fromkeys(
-            itertools.islice(self.open, self.settings.candidates)
-        )
-        if len(self.open) > self.settings.candidates:
-            for holder in kept.holders(SOURCES):
-                if holder in self.open:
-                    found[holder] = None
+    def _candidates(
+        self, kept: promptcache.Kept, avoid: tuple[str, ...]
+    ) -> Iterable[str]:
+        """Engines to compare for a prompt.
+
+        Some of each stage: where the first ones were taken whatever their
+        stage, a dozen that could not take the prompt hid all others, and
+        callers were refused by a fleet that idled.
+        """
+        found: dict[str, None] = {}
+        stages = [of_stage for of_stage in self.open.values() if of_stage]
+        most = self.settings.candidates // max(1, len(stages))
+        for of_stage in stages:
+            usable = (each for each in of_stage if each not in avoid)
+            found.update(dict.fromkeys(itertools.islice(usable, most)))
+            if len(of_stage) > most:
+                for holder in kept.holders(SOURCES):
+                    if holder in of_stage and holder not in avoid:
+                        found[holder] = None
         return found
 
     def _option(
@@ -475,3 +513,14 @@
         """Time that a prompt's transfer keeps an engine's link busy."""
         bits = tokens * self.traits.bytes_per_token * 8
         return TRANSFER_SETUP_S + bits / (self.traits.link_bits_s or 1e9)
+
+
+def may_read(engine: enginemodel.EngineModel) -> bool:
+    """Whether an engine may be given prompts to read.
+
+    Not beside long answers: each step of these would wait for a piece of
+    the prompt.
+    """
+    return not (
+        engine.endpoint.stage is catalog.Stage.DECODE and engine.long_runs
+    )
--- a/magnoliadyke/core/longanswers.py
+++ b/magnoliadyke/core/longanswers.py
@@ -73,25 +73,23 @@
         """An answer begins; 0 tokens if it began some time ago."""
         if job_id in self.runs:
             return
-        self.pool.engines[engine_id].runs.add(job_id)
+        self.pool.begin_run(job_id, engine_id, now_s)
         self.runs[job_id] = _Run(engine_id, now_s, output_tokens)
         heapq.heappush(self.lost_runs, (now_s + RUN_LOST_S, job_id))
 
     def ended(self, job_id: int, now_s: float) -> None:
         """An answer is complete, or was broken off."""
-        run = self.release(job_id)
+        run = self.release(job_id, now_s)
         if run is not None and run.output_tokens:
             took_s = (now_s - run.begun_s) / run.output_tokens
             self.output_s += OUTPUT_WEIGHT * (took_s - self.output_s)
 
-    def release(self, job_id: int) -> _Run | None:
+    def release(self, job_id: int, now_s: float) -> _Run | None:
         """An answer will not be given there; its slot is free."""
         run = self.runs.pop(job_id, None)
         if run is None:
             return None
-        engine = self.pool.engines.get(run.engine)
-        if engine is not None:
-            engine.runs.discard(job_id)
+        self.pool.end_run(job_id, run.engine, now_s)
         return run
 
     def engine(
@@ -118,4 +116,4 @@
         """Give up answers of which no end was reported."""
         while self.lost_runs and self.lost_runs[0][0] <= now_s:
             _, job_id = heapq.heappop(self.lost_runs)
-            self.release(job_id)
+            self.release(job_id, now_s)
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -277,7 +277,7 @@
         reader = self.readers.pop(job_id, None)
         if reader is not None:
             self.pool.forget(job_id, reader.engine, now_s)
-        self.answers.release(job_id)
+        self.answers.release(job_id, now_s)
         return self.pump(now_s)
 
     def ended(self, job_id: int, now_s: float) -> list[promptjobs.Decision]:
@@ -293,7 +293,7 @@
     ) -> list[promptjobs.Decision]:
         """An engine refused a job, or could not be reached."""
         reader = self.readers.pop(job_id, None)
-        self.answers.release(job_id)
+        self.answers.release(job_id, now_s)
         if reader is not None and reader.source is not None:
             self.pool.distrust(reader.source, now_s)
             self.pool.forget(job_id, engine_id, now_s)
@@ -312,7 +312,7 @@
         self, job_id: int, reader_id: str, runner_id: str, now_s: float
     ) -> list[promptjobs.Decision]:
         """An engine turned away a request whose prompt another had read."""
-        self.answers.release(job_id)
+        self.answers.release(job_id, now_s)
         self.pool.lapsed(reader_id, runner_id, now_s)
         return self.pump(now_s)
 
@@ -325,7 +325,9 @@
         self.answers.expire(now_s)
         self._pump_answers(now_s, decisions)
         self._sort_out(now_s, decisions)
-        while self.pool.open and (queue := self._next_queue()) is not None:
+        while (
+            self.pool.has_open() and (queue := self._next_queue()) is not None
+        ):
             job = queue.first()
             option = self.pool.best(job.parts, job.tokens, job.avoid, now_s)
             if option is None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -283,7 +283,7 @@
     for count in (5, 500):
         made = core(promptload.fleet(count, count))
         kept = made.pool.caches.kept(LONG)
-        looked[count] = len(list(made.pool._candidates(kept)))
+        looked[count] = len(list(made.pool._candidates(kept, ())))
     assert looked[500] <= made.pool.settings.candidates + 3
     assert looked[5] <= looked[500]
 
@@ -530,3 +530,76 @@
     plan.note(made.load(0.1), 0.1)
     change = plan.decide(reading=3, answering=2, changing=0, now_s=0.1)
     assert change == stageplan.Change(to_reading=False)
+
+
+def many_engines(answering, reading, slots=16):
+    """Engines that answer come first in the list."""
+    engines = [
+        promptload.engine(f'd{n}', catalog.Stage.DECODE, slots=slots)
+        for n in range(answering)
+    ]
+    for n in range(reading):
+        engines.append(promptload.engine(f'p{n}', slots=slots))
+    return engines
+
+
+def test_engines_that_answer_do_not_hide_those_that_read():
+    """Callers are refused while 25 engines have nothing to read.
+
+    Of 70 engines 45 answer, each of them a long answer, beside which it may
+    not read.  They have no prompt to read either, and were counted among
+    the engines with room; once they were the first of these, no other one
+    was looked at, and the queue stood still until callers gave up.
+    """
+    made = core(many_engines(45, 25))
+    for number in range(45):
+        made.answers.hold(1000 + number, f'd{number}', 100, 0.0)
+    placed = []
+    for number in range(25):
+        parts = [part(2 * number, 6300), part(2 * number + 1, 2900)]
+        placed += made.submit(job(number, parts), 0.0)
+    assert len(placed) == 25
+    assert all(isinstance(each, promptjobs.Placed) for each in placed)
+    assert len({each.prefill for each in placed}) == 25
+
+
+def test_engine_reads_again_when_its_long_answers_have_ended():
+    """An engine that answers gave a long answer, which has just ended.
+
+    A prompt waits, since the engine that reads is busy.  Nothing but the end
+    of the answer says that the other one has room now.
+    """
+    made = core(many_engines(1, 1))
+    made.answers.hold(1000, 'd0', 10, 0.0)
+    for number in range(1, 20):
+        fields = {'objective_s': 3.0, 'deadline_s': 9.0}
+        made.submit(job(number, [part(number, 9200)], **fields), 0.0)
+    waiting = len(made.fresh)
+    assert waiting
+    placed = made.ended(1000, 0.001)
+    assert 'd0' in [each.run for each in placed if each.prefill is None]
+
+
+def test_engines_without_a_slot_do_not_hide_one_that_has_some():
+    """A prompt is not read although an engine could answer it.
+
+    The engine whose link is free has all its slots taken by short answers;
+    another one has slots, and its link is free a moment later.
+    """
+    made = core(many_engines(2, 1, slots=4))
+    full, other = (made.pool.engines[each] for each in ('d0', 'd1'))
+    for _ in range(4):
+        full.expect_run(10.0, 0.0)
+    other.transfer_until_s = 0.01
+    (placed,) = made.submit(job(1, LONG), 0.0)
+    assert placed.run == 'd1'
+
+
+def test_no_engine_that_answers_is_hidden_by_others_in_a_large_fleet():
+    """All but the last of 70 engines that answer have no slot left."""
+    made = core(many_engines(70, 1, slots=4))
+    for number in range(69):
+        for _ in range(4):
+            made.pool.engines[f'd{number}'].expect_run(10.0, 0.0)
+    (placed,) = made.submit(job(1, LONG), 0.0)
+    assert placed.run == 'd69'
