--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -12,30 +12,22 @@
 
 from magnoliadyke.core import catalog
 from magnoliadyke.core import costs
-from magnoliadyke.core import typicaltime
-
-__all__ = ['HOP_S', 'EngineModel', 'ReadingCost']
-
-#: Seconds to read a prompt before anything was measured: a base and a share
-#: for each token, and the prompt length that anchors the fit.  Low rather
-#: than high: too low a guess is mended by the first few measured prompts,
-#: too high a one refuses the callers that would have measured it.
-PRIOR_BASE_S = 0.001
-PRIOR_S_PER_TOKEN = 4e-6
-PRIOR_TOKENS = 8000
-#: Prompts that the fit remembers; a few seconds' worth at a busy engine.
-FIT_MEMORY = 300
-#: Latency beside reading, before any was measured, in seconds.
-PRIOR_LATENCY_S = 0.004
+from magnoliadyke.core import readingcost
+
+__all__ = ['HOP_S', 'EngineModel']
+
 #: Weight of a new measurement in the latency of one engine.
 LATENCY_WEIGHT = 0.1
 #: An engine's latency above this multiple of the usual one is the wait for
 #: prompts that nobody here knows of; it says nothing of the next prompt.
 MOST_LATENCY = 2.0
 MAX_LATENCY_S = 0.3
-#: Weight of a new sample in an engine's slowness: half of the change shows
-#: after six prompts, while one odd sample moves it by a tenth.
-SLOWNESS_WEIGHT = 0.1
+#: Reading time after which half of what an engine has shown is forgotten, in
+#: seconds, and what its first guess counts for.  Counted by time and not by
+#: prompts: engines work in steps, and of two short prompts in one step the
+#: first seems to take all of it and the second nothing.
+PACE_MEMORY_S = 0.5
+PACE_PRIOR_S = 0.1
 #: Weight of a sample that shows an engine faster than it was taken for, in
 #: which no other prompt can have had a part: three take away four fifths.
 RECOVERY_WEIGHT = 0.4
@@ -50,6 +42,12 @@
 #: times its expected length, and never before this many seconds.
 LOST_FACTOR = 5.0
 LOST_S = 0.5
+#: An engine that has shown no life for this long, in seconds, since it was
+#: due with a prompt, and for so many times what it takes to read all of that
+#: prompt, reads nothing.  One that is busy with what nobody here knows of,
+#: or that reads at half of its usual speed, is back within it.
+SILENT_S = 0.5
+SILENT_FACTOR = 2.0
 #: How long a short answer holds a slot after its prompt was moved, in
 #: seconds: a few steps, and the way of the request there.
 SHORT_RUN_S = 0.02
@@ -57,44 +55,19 @@
 LEAST_S = 0.0002
 
 
-class ReadingCost:
-    """Seconds that engines of one stage take to read a prompt."""
-
-    def __init__(self) -> None:
-        self.fit = costs.LinearFit(
-            PRIOR_BASE_S, PRIOR_S_PER_TOKEN, PRIOR_TOKENS, memory=FIT_MEMORY
-        )
-        self.latency = typicaltime.TypicalTime(PRIOR_LATENCY_S)
-
-    @property
-    def latency_s(self) -> float:
-        """What a prompt usually takes beside being read."""
-        return self.latency.median_s
-
-    def seconds(self, tokens: float) -> float:
-        """Expected time to read this many tokens that are not cached."""
-        return max(0.0005, self.fit.at(tokens))
-
-    def learn(self, tokens: float, seconds: float) -> None:
-        """An engine of ordinary speed took this long."""
-        self.fit.add(tokens, seconds)
-
-    def learn_latency(self, seconds: float) -> None:
-        """A prompt that came alone took this long beside being read."""
-        self.latency.add(seconds)
-
-
 @dataclasses.dataclass(slots=True)
 class Reading:
     """A prompt that an engine has been given.
 
     :ivar expected_s: reading time at ordinary speed
+    :ivar whole_s: the same if none of it is kept after all
     :ivar until_s: when the engine is expected to be free of it
     :ivar alone: the engine had nothing to read when it came
     """
 
-    tokens: int
+    size: readingcost.PromptSize
     expected_s: float
+    whole_s: float
     sent_s: float
     until_s: float
     alone: bool
@@ -103,7 +76,8 @@
 class EngineModel:
     """One engine as the placement sees it.
 
-    :ivar slowness: measured over expected reading time
+    :ivar pace: what reading took, over what it was expected to
+    :ivar extra_s: what prompts take here beside being read, beyond the usual
     :ivar readings: prompts given and not yet reported as read
     :ivar runs: long answers, which hold a slot
     :ivar after_s: time from a prompt read elsewhere to its first event
@@ -114,17 +88,18 @@
     :ivar lapsed_at: who turned away a prompt that it had read, and when
     :ivar took_s: when it last answered a prompt that another had read
     :ivar freed_s: when it was last free of a prompt, as far as reported
+    :ivar silent_s: when it was last found to read nothing
     """
 
     def __init__(
         self,
         endpoint: catalog.Endpoint,
-        cost: ReadingCost,
+        cost: readingcost.ReadingCost,
     ) -> None:
         self.endpoint = endpoint
         self.cost = cost
-        self.slowness = 1.0
-        self.latency_s = cost.latency_s
+        self.pace = _new_pace()
+        self.extra_s = 0.0
         self.readings: dict[int, Reading] = {}
         self.runs: set[int] = set()
         self.short_ends: collections.deque[float] = collections.deque()
@@ -138,13 +113,28 @@
         self.took_s = float('-inf')
         self.turned_away: dict[str, float] = {}
         self.served_s = float('-inf')
+        self.silent_s = float('-inf')
         self.no_fetch_until_s = float('-inf')
 
+    @property
+    def slowness(self) -> float:
+        """Measured over expected reading time."""
+        return min(MAX_SLOWNESS, max(MIN_SLOWNESS, self.pace.ratio))
+
+    def forget_pace(self) -> None:
+        """Nothing is known of how fast it reads."""
+        self.pace = _new_pace()
+
     @property
     def long_runs(self) -> int:
         """How many long answers it gives; prompts would disturb them."""
         return len(self.runs)
 
+    @property
+    def latency_s(self) -> float:
+        """What a prompt takes here beside being read."""
+        return self.cost.latency_s + max(0.0, self.extra_s)
+
     @property
     def latency_beside_s(self) -> float:
         """The part of its latency in which it can read the next prompt."""
@@ -169,9 +159,13 @@
             short += 1
         return len(self.runs) + short
 
-    def expected_s(self, tokens: float) -> float:
-        """Time that this engine needs to read uncached tokens."""
-        return self.cost.seconds(tokens) * self.slowness
+    def expected_s(self, tokens: float, before: float = 0.0) -> float:
+        """Time that this engine needs to read uncached tokens.
+
+        :param before: cached tokens that come before them
+        """
+        size = readingcost.PromptSize(tokens, before)
+        return self.cost.seconds(size) * self.slowness
 
     def free_s(self, now_s: float) -> float:
         """When it has read all that it was given."""
@@ -187,21 +181,26 @@
         tokens: int,
         fetch_s: float,
         now_s: float,
+        all_tokens: int = 0,
         seen: bool = True,
     ) -> float:
         """Account a prompt; returns when it is expected to be read.
 
+        :param all_tokens: of the prompt, with those that are kept
         :param fetch_s: time in which cached parts come from elsewhere
         :param seen: it is sent now; else nobody here knows how long the
             engine has had it, and its end says little of the engine
         """
-        expected_s = self.cost.seconds(tokens)
+        all_tokens = max(tokens, all_tokens)
+        size = readingcost.PromptSize(tokens, all_tokens - tokens)
+        expected_s = self.cost.seconds(size)
         free_s = self.free_s(now_s)
         start_s = max(free_s, now_s + HOP_S + fetch_s)
         until_s = start_s + expected_s * self.slowness
         self.readings[job] = Reading(
-            tokens,
+            size,
             expected_s,
+            self.cost.seconds(readingcost.PromptSize(all_tokens)),
             now_s + fetch_s,
             until_s,
             seen and free_s <= now_s,
@@ -220,10 +219,9 @@
         if reading.alone:
             whole_s = now_s - 2 * HOP_S - arrived_s
             self._bound_slowness(reading, whole_s)
-            beside_s = whole_s - reading.expected_s * self.slowness
-            self._learn_latency(beside_s)
+            self._learn_alone(reading, whole_s, now_s)
         elif arrived_s + latency_s <= self.freed_s:
-            self._learn(reading, max(LEAST_S, took_s))
+            self._learn(reading, max(LEAST_S, took_s), now_s)
         self.freed_s = max(self.freed_s, freed_s)
         self._shift(now_s)
 
@@ -248,18 +246,52 @@
         return lost
 
     def _lost_s(self, reading: Reading) -> float:
+        """From when on a prompt counts as lost.
+
+        An engine that has read others since is done with it.  One that has
+        not is busy still, or reads nothing, and then the hosts are told so:
+        taken for free it would be given more.
+        """
         length_s = reading.until_s - reading.sent_s
-        return reading.sent_s + max(LOST_S, length_s * LOST_FACTOR)
+        lost_s = reading.sent_s + max(LOST_S, length_s * LOST_FACTOR)
+        if self.served_s > reading.until_s:
+            return lost_s
+        return max(lost_s, reading.until_s + 2 * self._patience_s(reading))
+
+    def is_silent(self, now_s: float) -> bool:
+        """Whether it reads nothing of what it was given.
+
+        A prompt that takes long says little: its engine may be busy with
+        others, slow, or down.  One that is busy or slow reads others in the
+        meantime, and each of them is a sign of life; one that is down gives
+        none at all.
+        """
+        if not self.readings:
+            return False
+        first = next(iter(self.readings.values()))
+        life_s = max(first.until_s, self.served_s)
+        return now_s - life_s > self._patience_s(first)
+
+    def _patience_s(self, reading: Reading) -> float:
+        """How long an engine may show no life while it reads a prompt.
+
+        What was believed to be kept may be gone; then all of it is read.
+        """
+        return max(SILENT_S, reading.whole_s * self.slowness * SILENT_FACTOR)
 
-    def _learn_latency(self, beside_s: float) -> None:
-        """A prompt came alone; all that it took beyond reading counts.
+    def _learn_alone(
+        self, reading: Reading, whole_s: float, now_s: float
+    ) -> None:
+        """A prompt came alone; its time has the latency in it.
 
-        Kept by engine: one that has turned slow shows it here also while
-        it gets few prompts.
+        What is beyond the usual is kept by engine: one that has turned slow
+        shows it here also while it gets few prompts.
         """
-        beside_s = min(MAX_LATENCY_S, max(0.0, beside_s))
-        self.latency_s += LATENCY_WEIGHT * (beside_s - self.latency_s)
-        self.cost.learn_latency(beside_s)
+        extra_s = whole_s - reading.expected_s * self.slowness
+        extra_s = min(MAX_LATENCY_S, extra_s - self.cost.latency_s)
+        self.extra_s += LATENCY_WEIGHT * (extra_s - self.extra_s)
+        if self._is_sound():
+            self.cost.learn(reading.size, max(LEAST_S, whole_s), True, now_s)
 
     def _bound_slowness(self, reading: Reading, whole_s: float) -> None:
         """A prompt that came alone was read within the time it took.
@@ -271,17 +303,23 @@
         """
         ratio = max(MIN_SLOWNESS, whole_s / reading.expected_s)
         if ratio < self.slowness:
-            self.slowness += RECOVERY_WEIGHT * (ratio - self.slowness)
-        if ratio * SOUND_SLOWNESS < 1:
-            # Quicker than engines differ: what was learned is too slow.
-            self.cost.learn(reading.tokens, max(LEAST_S, whole_s))
-
-    def _learn(self, reading: Reading, took_s: float) -> None:
-        ratio = took_s / reading.expected_s
-        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
-        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
-        if self.slowness < SOUND_SLOWNESS:
-            self.cost.learn(reading.tokens, took_s)
+            ratio = self.slowness + RECOVERY_WEIGHT * (ratio - self.slowness)
+            self.pace = _new_pace(ratio)
+
+    def _learn(self, reading: Reading, took_s: float, now_s: float) -> None:
+        self.pace.add(reading.expected_s, took_s)
+        self.cost.surprise.add(self.slowness)
+        if self._is_sound():
+            self.cost.learn(reading.size, took_s, False, now_s)
+
+    def _is_sound(self) -> bool:
+        """Whether what it takes says something of engines in general.
+
+        Measured against what prompts usually take: while the expectation is
+        too low for all, none of them is slow.
+        """
+        usual = max(1.0, self.cost.surprise.median_s)
+        return self.slowness < SOUND_SLOWNESS * usual
 
     def _shift(self, now_s: float) -> None:
         """Expect the remaining prompts anew, one after another."""
@@ -290,3 +328,7 @@
             until_s = max(until_s, reading.sent_s + HOP_S)
             until_s += reading.expected_s * self.slowness
             reading.until_s = until_s
+
+
+def _new_pace(ratio: float = 1.0) -> costs.RatioFit:
+    return costs.RatioFit(ratio, PACE_PRIOR_S, PACE_MEMORY_S)
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -10,6 +10,7 @@
 from magnoliadyke.core import catalog
 from magnoliadyke.core import enginemodel
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import readingcost
 from magnoliadyke.core import routes
 
 __all__ = ['Capacity', 'EnginePool', 'Option', 'PoolSettings']
@@ -54,6 +55,9 @@
 #: this long, in seconds: it reads for nothing.
 LAPSED_AGAIN_S = 1.0
 LAPSED_REST_S = 2.0
+#: An engine that reads nothing is told of again after this time, in seconds,
+#: while prompts wait there: the word of it may have been lost.
+SILENT_AGAIN_S = 0.5
 #: Prompt length at which the speeds of two engines are compared.
 TYPICAL_TOKENS = 4000
 #: How long a computed capacity is used, in seconds: a job more or less.
@@ -129,8 +133,11 @@
         self.settings = settings or PoolSettings()
         self.engines: dict[str, enginemodel.EngineModel] = {}
         self.answerers = answerers.Answerers(self.engines)
-        self.costs = {
-            stage: enginemodel.ReadingCost() for stage in catalog.Stage
+        reading = readingcost.FittedCost()
+        self.costs: dict[catalog.Stage, readingcost.ReadingCost] = {
+            catalog.Stage.NONE: reading,
+            catalog.Stage.PREFILL: reading,
+            catalog.Stage.DECODE: readingcost.AnsweringCost(reading),
         }
         self.caches = promptcache.CacheIndex()
         self.open: dict[catalog.Stage, dict[str, None]] = {
@@ -172,7 +179,7 @@
         changed = model.endpoint.stage is not endpoint.stage
         model.endpoint = endpoint
         if changed:
-            model.slowness = 1.0
+            model.forget_pace()
             model.cost = self.costs[endpoint.stage]
             model.rest_until_s = float('-inf')
             self._close(endpoint.id)
@@ -194,6 +201,7 @@
         One that has just served others rests no time: what failed was this
         job, and each engine that rests without need is missed by many.
         """
+        self.caches.abandon(job)
         engine = self.engines.get(engine_id)
         if engine is None:
             return
@@ -205,6 +213,22 @@
         rest_s = REST_S * 2 ** min(engine.failures - 1, 3)
         self.rest(engine_id, now_s + min(rest_s, MAX_REST_S))
 
+    def find_silent(self, now_s: float) -> list[str]:
+        """Engines that read nothing of what they were given; they rest."""
+        silent = []
+        for engine_id, engine in self.engines.items():
+            if now_s - engine.silent_s < SILENT_AGAIN_S:
+                continue
+            if engine.endpoint.stage is catalog.Stage.DECODE:
+                # Its answers show whether it lives, event by event.
+                continue
+            if engine.is_silent(now_s):
+                engine.silent_s = now_s
+                engine.failures += 1
+                self.rest(engine_id, now_s + REST_S)
+                silent.append(engine_id)
+        return silent
+
     def distrust(self, engine_id: str, now_s: float) -> None:
         """Fetching from an engine took far too long; read for a while."""
         engine = self.engines.get(engine_id)
@@ -252,7 +276,8 @@
             _, engine_id = heapq.heappop(self._opens)
             engine = self.engines.get(engine_id)
             if engine is not None:
-                engine.expire(now_s)
+                for lost in engine.expire(now_s):
+                    self.caches.abandon(lost)
                 self._note_room(engine, now_s)
 
     def opens_s(self) -> float | None:
@@ -310,10 +335,11 @@
     ) -> None:
         """Give a prompt to the engines of an option."""
         reader, runner = option.reader, option.runner
-        reader.give(job, option.tokens, option.fetch_s, now_s)
-        self.caches.use(reader.endpoint.id, parts)
+        tokens = promptcache.total_tokens(parts)
+        reader.give(job, option.tokens, option.fetch_s, now_s, tokens)
+        self.caches.expect(reader.endpoint.id, job, parts)
         if runner is not reader:
-            self.caches.use(runner.endpoint.id, parts)
+            self.caches.expect(runner.endpoint.id, job, parts)
             runner.transfer_until_s = option.moved_s
             runner.expect_run(option.ready_s, now_s)
         self.answerers.given(runner, now_s)
@@ -329,6 +355,7 @@
 
     def has_read(self, job: int, engine_id: str, now_s: float) -> None:
         """An engine has read a prompt."""
+        self.caches.arrived(job)
         engine = self.engines.get(engine_id)
         if engine is not None:
             engine.read(job, now_s)
@@ -337,6 +364,7 @@
 
     def forget(self, job: int, engine_id: str, now_s: float) -> None:
         """An engine will not read a prompt after all."""
+        self.caches.abandon(job)
         engine = self.engines.get(engine_id)
         if engine is not None:
             engine.forget(job, now_s)
@@ -360,7 +388,8 @@
     def need_s(self, kept: promptcache.Kept, tokens: int) -> float:
         """Reading time of a prompt where most of it is kept."""
         cost = self.costs[catalog.Stage.PREFILL]
-        return cost.seconds(tokens - kept.most_tokens)
+        most = kept.most_tokens
+        return cost.seconds(readingcost.PromptSize(tokens - most, most))
 
     def capacity(self, now_s: float) -> Capacity:
         """Reading power of the engines that may read."""
@@ -376,13 +405,12 @@
     def relative(self, engine: enginemodel.EngineModel) -> float:
         """How much longer an engine reads than one of the reading stage."""
         cost = self.costs[catalog.Stage.PREFILL]
-        reference_s = cost.seconds(TYPICAL_TOKENS)
+        reference_s = cost.seconds(readingcost.PromptSize(TYPICAL_TOKENS))
         return max(0.2, engine.expected_s(TYPICAL_TOKENS) / reference_s)
 
     def best(
         self,
         parts: tuple[promptcache.PromptPart, ...],
-        tokens: int,
         avoid: tuple[str, ...],
         now_s: float,
     ) -> Option | None:
@@ -397,7 +425,7 @@
                 target = reader
             if target is None:
                 continue
-            option = self._option(kept, tokens, reader, target, now_s)
+            option = self._option(kept, parts, reader, target, now_s)
             if not answerers.has_slot(target, option.ready_s, now_s):
                 continue
             if best is None or (
@@ -430,16 +458,17 @@
     def _option(
         self,
         kept: promptcache.Kept,
-        tokens: int,
+        parts: tuple[promptcache.PromptPart, ...],
         reader: enginemodel.EngineModel,
         runner: enginemodel.EngineModel,
         now_s: float,
     ) -> Option:
+        tokens = promptcache.total_tokens(parts)
         missing = tokens - kept.tokens(reader.endpoint.id)
         source, missing, fetch_s = self._source(
-            kept, reader, missing, tokens, now_s
+            kept, parts, reader, missing, now_s
         )
-        read_s = reader.expected_s(missing) + fetch_s
+        read_s = reader.expected_s(missing, tokens - missing) + fetch_s
         ready_s = (
             reader.free_s(now_s)
             + enginemodel.HOP_S
@@ -472,25 +501,26 @@
     def _source(
         self,
         kept: promptcache.Kept,
+        parts: tuple[promptcache.PromptPart, ...],
         reader: enginemodel.EngineModel,
         missing: int,
-        tokens: int,
         now_s: float,
     ) -> tuple[enginemodel.EngineModel | None, int, float]:
         """Another engine to fetch cached parts from, if that is quicker.
 
         :returns: the engine or None, tokens left to read, time to fetch
         """
-        gained = missing - (tokens - kept.most_tokens)
-        if gained <= 0:
+        has = promptcache.total_tokens(parts) - missing
+        if kept.most_tokens <= has:
             return None, missing, 0.0
-        saved_s = reader.expected_s(gained) - reader.expected_s(0)
         for holder in kept.holders(SOURCES):
             source = self.engines.get(holder)
             if source is None or source is reader:
                 continue
-            if source.no_fetch_until_s > now_s:
+            gained = self.caches.ready_tokens(holder, parts) - has
+            if gained <= 0 or source.no_fetch_until_s > now_s:
                 continue
+            saved_s = reader.expected_s(gained, has)
             fetch_s = self._transfer_s(source, reader, gained)
             if fetch_s <= saved_s * self.settings.fetch_gain:
                 return source, missing - gained, fetch_s
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -153,11 +153,7 @@
         }
         for stage, cost in self.pool.costs.items():
             if stage is not catalog.Stage.NONE:
-                found[stage.value] = (
-                    f'{cost.fit.base * 1e3:.2f}ms+'
-                    f'{cost.fit.slope * 1e6:.2f}us+'
-                    f'{cost.latency_s * 1e3:.1f}ms'
-                )
+                found[stage.value] = cost.figures_text()
         for engine in self.pool.engines.values():
             found[engine.endpoint.id] = (
                 f'{engine.endpoint.stage.value}/{engine.slowness:.2f}/'
@@ -301,6 +297,10 @@
         self.pool.failed(engine_id, job_id, now_s)
         return self.pump(now_s)
 
+    def find_silent(self, now_s: float) -> list[str]:
+        """Engines that read nothing: their prompts should go elsewhere."""
+        return self.pool.find_silent(now_s)
+
     def moved(
         self, engine_id: str, took_s: float, now_s: float
     ) -> list[promptjobs.Decision]:
@@ -329,7 +329,7 @@
             self.pool.has_open() and (queue := self._next_queue()) is not None
         ):
             job = queue.first()
-            option = self.pool.best(job.parts, job.tokens, job.avoid, now_s)
+            option = self.pool.best(job.parts, job.avoid, now_s)
             if option is None:
                 break
             queue.take(job.id)
--- a/magnoliadyke/core/promptcache.py
+++ b/magnoliadyke/core/promptcache.py
@@ -57,6 +57,12 @@
             dropped.append(dropped_id)
         return dropped
 
+    def drop(self, part_id: int) -> None:
+        """A part is not there after all."""
+        tokens = self.parts.pop(part_id, None)
+        if tokens is not None:
+            self.used_tokens -= tokens
+
 
 class Kept:
     """Which engines keep how much of one prompt.
@@ -85,9 +91,13 @@
 
     def holders(self, most: int) -> list[str]:
         """Engines that have the most of the prompt, a few of them."""
-        if not self.levels:
-            return []
-        return list(itertools.islice(self.levels[-1][0], most))
+        found: dict[str, None] = {}
+        for engines, _ in reversed(self.levels):
+            for engine in itertools.islice(engines, most):
+                found[engine] = None
+            if len(found) >= most:
+                break
+        return list(itertools.islice(found, most))
 
 
 class CacheIndex:
@@ -95,26 +105,39 @@
 
     With it the cost of a placement follows the depth of the prompt and not
     the number of engines.
+
+    An engine that was given a prompt keeps its parts for those that follow
+    at the same engine, which reads one prompt after another.  For others it
+    has them only when it has read them: fetched sooner, nothing would come,
+    and the prompt of tens of thousands of tokens would be read anew.
+
+    :ivar unread: parts that an engine has been given and not read yet, and
+        the job with which it gets them
+    :ivar expected: where a job's parts are still to come, by job
     """
 
     def __init__(self) -> None:
         self.caches: dict[str, PromptCache] = {}
         self.by_part: dict[int, set[str]] = {}
+        self.unread: dict[str, dict[int, int]] = {}
+        self.expected: dict[int, list[tuple[str, int]]] = {}
 
     def add(self, engine: str, capacity_tokens: float) -> None:
         """An engine with an empty cache has come."""
         self.drop(engine)
         self.caches[engine] = PromptCache(capacity_tokens)
+        self.unread[engine] = {}
 
     def drop(self, engine: str) -> None:
         """An engine is gone, and its cache with it."""
+        self.unread.pop(engine, None)
         cache = self.caches.pop(engine, None)
         if cache is not None:
             for part in cache.parts:
                 self._forget(engine, part)
 
     def use(self, engine: str, parts: Sequence[PromptPart]) -> None:
-        """An engine reads these parts, or takes them over from another."""
+        """An engine keeps these parts, or will before it is asked."""
         cache = self.caches.get(engine)
         if cache is None:
             return
@@ -123,6 +146,48 @@
         for dropped in cache.use(parts):
             self._forget(engine, dropped)
 
+    def expect(
+        self, engine: str, job: int, parts: Sequence[PromptPart]
+    ) -> None:
+        """An engine is to read these parts, or to take them over."""
+        cache = self.caches.get(engine)
+        if cache is None:
+            return
+        missing = [part.id for part in parts if part.id not in cache.parts]
+        self.use(engine, parts)
+        self.unread[engine].update(dict.fromkeys(missing, job))
+        awaited = self.expected.setdefault(job, [])
+        awaited.extend((engine, part) for part in missing)
+
+    def arrived(self, job: int) -> None:
+        """A job's prompt has been read."""
+        for engine, part in self.expected.pop(job, ()):
+            unread = self.unread.get(engine, {})
+            if unread.get(part) == job:
+                del unread[part]
+
+    def abandon(self, job: int) -> None:
+        """A job's prompt will not be read; its parts are not kept."""
+        for engine, part in self.expected.pop(job, ()):
+            unread = self.unread.get(engine, {})
+            if unread.get(part) == job:
+                del unread[part]
+                self.caches[engine].drop(part)
+                self._forget(engine, part)
+
+    def ready_tokens(self, engine: str, parts: Sequence[PromptPart]) -> int:
+        """What another engine could fetch of a prompt now."""
+        cache = self.caches.get(engine)
+        if cache is None:
+            return 0
+        unread = self.unread[engine]
+        tokens = 0
+        for part in parts:
+            if part.id not in cache.parts or part.id in unread:
+                break
+            tokens += part.tokens
+        return tokens
+
     def kept(self, parts: Sequence[PromptPart]) -> Kept:
         """Which engines keep how much of a prompt."""
         levels: list[tuple[set[str], int]] = []
--- /dev/null
+++ b/magnoliadyke/core/readingcost.py
@@ -0,0 +1,290 @@
+"""What it takes to read a prompt, learned from prompts that were read.
+
+A prompt takes a fixed time, in which the engine already reads the next one,
+a time for each token, and one for each pair of a token with one before it:
+attention looks back at the whole prompt, so a prompt of fifty thousand
+tokens takes nearly twice as long for each of them as one of a thousand.
+"""
+
+import abc
+from typing import NamedTuple
+
+from magnoliadyke.core import typicaltime
+
+__all__ = ['AnsweringCost', 'FittedCost', 'PromptSize', 'ReadingCost']
+
+#: Before anything was measured, in seconds: beside reading, for a token and
+#: for a million pairs.  Low rather than high: too low a guess is mended by
+#: the first few measured prompts, too high a one refuses the callers that
+#: would have measured it.
+PRIOR_LATENCY_S = 0.004
+PRIOR_TOKEN_S = 4e-6
+PRIOR_MILLION_PAIRS_S = 0.0
+#: Prompts of this size anchor the guess, as if so many had been measured.
+PRIOR_TOKENS = 8000
+PRIOR_WEIGHT = 1.0
+#: Measured prompts that are remembered; a few seconds' worth at a busy
+#: engine.
+MEMORY = 300
+#: A prompt that takes longer than so many times what was expected has waited
+#: behind others that nobody here knows of, or its engine has turned slow; it
+#: counts as if it had taken so much, and the less the longer it took.  A
+#: guess that is too low by a factor of four is mended by twenty prompts all
+#: the same.
+MOST_SURPRISE = 2.0
+UNUSUAL_POWER = 4
+#: And beyond that, in seconds: engines work in steps of some hundredths of a
+#: second, and a prompt may get one more or less than its share of them.
+LEAST_SURPRISE_S = 0.025
+#: A prompt that came alone and is read so many times quicker than expected
+#: counts as many: no other one can have had a part in that, and while engines
+#: are taken for slow callers are refused that would have shown the contrary.
+QUICK = 1.5
+QUICK_WEIGHT = 10.0
+#: The latency doubles at most in this time, in seconds.  What engines still
+#: read for a place before this one holds up the first prompts of all of them
+#: for some tenths of a second: taken for latency, that would make every
+#: prompt look late long after the engines are free.
+DOUBLE_S = 0.4
+#: Shortest reading time that is expected, in seconds.
+LEAST_S = 0.0005
+#: An engine that also answers reads at half the speed, before its own was
+#: measured; and bounds of what it is taken for.
+ANSWERING_FACTOR = 2.0
+LEAST_FACTOR = 0.5
+MOST_FACTOR = 10.0
+#: Keeps the three figures apart while prompts of one size come.
+RIDGE = 1e-6
+
+MILLION = 1e6
+THOUSAND = 1e3
+
+
+class PromptSize(NamedTuple):
+    """What there is to read of a prompt.
+
+    :param tokens: that are not kept
+    :param before: kept tokens that come before them
+    """
+
+    tokens: float
+    before: float = 0.0
+
+    @property
+    def pairs(self) -> float:
+        """Pairs of a token to be read with one before it."""
+        return self.tokens * (self.before + self.tokens / 2)
+
+
+class ReadingCost(abc.ABC):
+    """Seconds that engines of one stage take to read a prompt.
+
+    :ivar surprise: usual share of the expected time that prompts take
+    """
+
+    def __init__(self) -> None:
+        self.surprise = typicaltime.TypicalTime(1.0)
+
+    @property
+    @abc.abstractmethod
+    def latency_s(self) -> float:
+        """What a prompt usually takes beside being read."""
+
+    @abc.abstractmethod
+    def seconds(self, size: PromptSize) -> float:
+        """Expected time to read a prompt, without the latency."""
+
+    @abc.abstractmethod
+    def learn(
+        self,
+        size: PromptSize,
+        seconds: float,
+        with_latency: bool,
+        now_s: float,
+    ) -> None:
+        """An engine of ordinary speed took this long.
+
+        :param with_latency: the time begins when the engine got it, not when
+            it was free to read it
+        """
+
+    @abc.abstractmethod
+    def figures_text(self) -> str:
+        """What was learned, for the log."""
+
+
+class AnsweringCost(ReadingCost):
+    """That of engines which also answer, by what the others take.
+
+    They read few prompts, or none for a long time: too few to learn more
+    than how much slower they are.
+    """
+
+    def __init__(self, reference: ReadingCost) -> None:
+        super().__init__()
+        self.reference = reference
+        self.factor = typicaltime.TypicalTime(ANSWERING_FACTOR)
+
+    @property
+    def latency_s(self) -> float:
+        return self.reference.latency_s
+
+    def seconds(self, size: PromptSize) -> float:
+        return self.factor.median_s * self.reference.seconds(size)
+
+    def learn(
+        self,
+        size: PromptSize,
+        seconds: float,
+        with_latency: bool,
+        now_s: float,
+    ) -> None:
+        if with_latency:
+            seconds -= self.latency_s
+        factor = seconds / self.reference.seconds(size)
+        self.factor.add(min(MOST_FACTOR, max(LEAST_FACTOR, factor)))
+
+    def figures_text(self) -> str:
+        return f'{self.factor.median_s:.2f}x'
+
+
+class FittedCost(ReadingCost):
+    """That of engines which only read, by least squares.
+
+    :ivar figures: latency in seconds, seconds for a thousand tokens and for
+        a million pairs
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.keep = 1.0 - 1.0 / MEMORY
+        self.grown_s = float('inf')
+        self.left = [[0.0] * 3 for _ in range(3)]
+        self.right = [0.0] * 3
+        self.figures = (
+            PRIOR_LATENCY_S,
+            PRIOR_TOKEN_S * THOUSAND,
+            PRIOR_MILLION_PAIRS_S,
+        )
+        for size, with_latency in (
+            (PromptSize(0), True),
+            (PromptSize(PRIOR_TOKENS), False),
+        ):
+            features = _features(size, with_latency)
+            seconds = _product(features, self.figures)
+            self._add(features, seconds, PRIOR_WEIGHT)
+        pairs = _features(PromptSize(PRIOR_TOKENS), False)[2]
+        self._add((0.0, 0.0, pairs), 0.0, PRIOR_WEIGHT)
+
+    @property
+    def latency_s(self) -> float:
+        return self.figures[0]
+
+    def figures_text(self) -> str:
+        latency_s, token_s, pairs_s = self.figures
+        return f'{latency_s:.4f}s+{token_s:.5f}s/1000+{pairs_s:.6f}s/1e6'
+
+    def seconds(self, size: PromptSize) -> float:
+        _, token_s, pairs_s = self.figures
+        seconds = token_s * size.tokens / THOUSAND
+        seconds += pairs_s * size.pairs / MILLION
+        return max(LEAST_S, seconds)
+
+    def learn(
+        self,
+        size: PromptSize,
+        seconds: float,
+        with_latency: bool,
+        now_s: float,
+    ) -> None:
+        features = _features(size, with_latency)
+        expected_s = max(LEAST_S, _product(features, self.figures))
+        most_s = expected_s * MOST_SURPRISE + LEAST_SURPRISE_S
+        weight = 1.0
+        if seconds > most_s:
+            weight = (most_s / seconds) ** UNUSUAL_POWER
+        elif with_latency and seconds * QUICK < expected_s:
+            weight = QUICK_WEIGHT
+        self._add(features, min(seconds, most_s), weight)
+        self._solve(now_s)
+
+    def _add(
+        self, features: tuple[float, ...], seconds: float, weight: float
+    ) -> None:
+        for row, feature in enumerate(features):
+            self.right[row] = (
+                self.right[row] * self.keep + weight * feature * seconds
+            )
+            for column, other in enumerate(features):
+                self.left[row][column] = (
+                    self.left[row][column] * self.keep
+                    + weight * feature * other
+                )
+
+    def _solve(self, now_s: float) -> None:
+        """Least squares; a figure that comes out below zero is zero."""
+        found = _solved(self._steady(), self.right)
+        if found[2] < 0:
+            found = self._without(2)
+        if found[0] < 0:
+            found = self._without(0)
+        latency_s, token_s, pairs_s = (max(0.0, each) for each in found)
+        since_s = min(10 * DOUBLE_S, max(0.0, now_s - self.grown_s))
+        grown = 2 ** (since_s / DOUBLE_S)
+        latency_s = min(
+            latency_s, max(PRIOR_LATENCY_S, self.latency_s) * grown
+        )
+        self.grown_s = now_s
+        self.figures = (latency_s, token_s, pairs_s)
+
+    def _steady(self) -> list[list[float]]:
+        left = [list(row) for row in self.left]
+        for each in range(3):
+            left[each][each] += RIDGE
+        return left
+
+    def _without(self, index: int) -> tuple[float, float, float]:
+        """The same with one figure held at zero."""
+        left = self._steady()
+        right = list(self.right)
+        for each in range(3):
+            left[each][index] = 0.0
+            left[index][each] = 0.0
+        left[index][index] = 1.0
+        right[index] = 0.0
+        return _solved(left, right)
+
+
+def _features(
+    size: PromptSize, with_latency: bool
+) -> tuple[float, float, float]:
+    return (
+        1.0 if with_latency else 0.0,
+        size.tokens / THOUSAND,
+        size.pairs / MILLION,
+    )
+
+
+def _product(one: tuple[float, ...], other: tuple[float, ...]) -> float:
+    return sum(a * b for a, b in zip(one, other, strict=True))
+
+
+def _solved(
+    left: list[list[float]], right: list[float]
+) -> tuple[float, float, float]:
+    """Solve three linear equations, by Cramer's rule."""
+    whole = _determinant(left)
+    if not whole:
+        return (0.0, 0.0, 0.0)
+    found = []
+    for column in range(3):
+        replaced = [list(row) for row in left]
+        for row in range(3):
+            replaced[row][column] = right[row]
+        found.append(_determinant(replaced) / whole)
+    return tuple(found)
+
+
+def _determinant(rows: list[list[float]]) -> float:
+    (a, b, c), (d, e, f), (g, h, i) = rows
+    return a * (e * i - f * h) - b * (d * i - f * g) + c * (d * h - e * g)
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -4,8 +4,6 @@
 import random
 from typing import NamedTuple
 
-import gevent
-
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import balance
 from magnoliadyke.core import catalog
@@ -19,6 +17,7 @@
 from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import suspects
 from magnoliadyke.gateway import upstream
+from magnoliadyke.gateway import waitlimit
 from magnoliadyke import logs
 
 __all__ = ['RETRY_AFTER_S', 'RETURN_S', 'Exchange', 'Parts']
@@ -165,11 +164,11 @@
         self,
         used: connection.Connection,
         headers: http.Headers,
-        try_s: float,
+        limit: waitlimit.WaitLimit,
     ) -> outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         request = self.request
         try:
-            with gevent.Timeout(try_s, http.OutOfTime('no answer in time')):
+            with limit:
                 used.send(
                     request.method, request.target, headers, request.body
                 )
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -6,6 +6,8 @@
 """
 
 import collections
+from collections.abc import Iterator
+import contextlib
 import random
 from typing import Any
 from typing import Callable
@@ -24,6 +26,7 @@
 from magnoliadyke import errors
 from magnoliadyke.gateway import handover
 from magnoliadyke.gateway import placing_codec
+from magnoliadyke.gateway import waitlimit
 from magnoliadyke import logs
 
 __all__ = ['SHORT_TOKENS', 'Placer']
@@ -51,6 +54,9 @@
 AFTER_READING_S = 0.015
 #: One transfer in so many is reported.
 MOVES_TOLD = 3
+#: Engines that read nothing are looked for this often, in seconds; a fifth
+#: of the time after which one counts as such.
+SILENT_CHECK_S = 0.1
 
 
 class _Waiting(NamedTuple):
@@ -79,6 +85,8 @@
     :ivar hosts: live hosts
     :ivar listeners: take the messages of other hosts that are not about
         placing, by their kind
+    :ivar reads: the waits for prompts that engines read, by engine
+    :ivar tell: sends a message to all other hosts
     :ivar after_reading_s: time from a prompt that has been read to the
         first event, which the place has to leave free
     """
@@ -112,8 +120,12 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.given = handover.GivenJobs()
         self.listeners: dict[type, Callable[[Any], None]] = {}
+        self.reads: collections.defaultdict[str, set[waitlimit.WaitLimit]] = (
+            collections.defaultdict(set)
+        )
+        self.tell: Callable[[placing_codec.Message], None] | None = None
         self.socket: socket.socket | None = None
-        self.greenlet: gevent.Greenlet | None = None
+        self.greenlets: list[gevent.Greenlet] = []
 
     # Life cycle.
 
@@ -121,12 +133,14 @@
         """Listen for other hosts."""
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind((self.address, self.port))
-        self.greenlet = gevent.spawn(self._receive_all)
+        self.greenlets = [
+            gevent.spawn(self._receive_all),
+            gevent.spawn(self._check_silent),
+        ]
 
     def stop(self, deadline_s: float) -> None:
         """Answer nobody from now on."""
-        if self.greenlet is not None:
-            self.greenlet.kill()
+        gevent.killall(self.greenlets)
         if self.socket is not None:
             self.socket.close()
 
@@ -191,6 +205,35 @@
                     self._publish(pool, pool.core.hand_over(job_id, now_s))
             self.placed_by[job_id] = leader
 
+    def _check_silent(self) -> None:
+        """Look for engines that read nothing, here or for all hosts."""
+        while True:
+            self.clock.sleep(SILENT_CHECK_S)
+            for engine in self._find_silent(self.local):
+                self._end_reads(engine)
+            if not self.leading:
+                # What it knew when it led: nobody reports to it any longer.
+                continue
+            for engine in self._find_silent(self.served):
+                self._end_reads(engine)
+                if self.tell is not None:
+                    self.tell(placing_codec.Silent(engine))
+
+    def _find_silent(self, pools: dict[str, _Pool]) -> list[str]:
+        now_s = self.clock.now_s()
+        return [
+            engine
+            for pool in list(pools.values())
+            for engine in pool.core.find_silent(now_s)
+        ]
+
+    def _end_reads(self, engine: str) -> None:
+        """Nobody waits any longer for prompts that an engine should read."""
+        waits = self.reads.get(engine, ())
+        LOG.event('engine_silent', endpoint=engine, waits=len(waits))
+        for limit in waits:
+            limit.end('the engine reads nothing')
+
     def _recall(self, recall: placing_codec.Recall) -> None:
         if not self._knows(recall.service):
             return
@@ -285,6 +328,20 @@
         self.given.has_read(job_id)
         self._report(service, job_id, placing_codec.Event.FAILED, endpoint)
 
+    @contextlib.contextmanager
+    def reading(
+        self, endpoint: str, limit: waitlimit.WaitLimit
+    ) -> Iterator[None]:
+        """An engine reads a prompt; the wait ends if it reads nothing."""
+        self.reads[endpoint].add(limit)
+        try:
+            yield
+        finally:
+            waits = self.reads[endpoint]
+            waits.discard(limit)
+            if not waits:
+                del self.reads[endpoint]
+
     def lapsed(
         self, service: str, job_id: int, reader: str, runner: str
     ) -> None:
@@ -370,6 +427,8 @@
             case placing_codec.Recall():
                 if self.leading:
                     self._recall(message)
+            case placing_codec.Silent(engine):
+                self._end_reads(engine)
             case placing_codec.Broken() | placing_codec.Leads():
                 listener = self.listeners.get(type(message))
                 if listener is not None:
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -22,6 +22,7 @@
     'Memory',
     'Recall',
     'Report',
+    'Silent',
     'Told',
     'Waits',
     'decode',
@@ -129,7 +130,13 @@
     yields: bool = False
 
 
-Message = Ask | Waits | Told | Report | Recall | Broken | Leads
+class Silent(NamedTuple):
+    """An engine reads nothing of the prompts that it was given."""
+
+    endpoint: str
+
+
+Message = Ask | Waits | Told | Report | Recall | Broken | Leads | Silent
 
 
 def encode(message: Message) -> bytes:
@@ -157,6 +164,8 @@
             datagram.leader = ttypes.Leader(
                 host, address, incarnation, revision, yields or None
             )
+        case Silent(endpoint):
+            datagram.silent = ttypes.Silent(endpoint)
     return TSerialization.serialize(datagram, FACTORY)
 
 
@@ -200,6 +209,8 @@
                 leader.revision,
                 bool(leader.yields),
             )
+        if datagram.silent is not None:
+            return Silent(datagram.silent.endpoint)
     except (
         EOFError,
         TException,
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -5,8 +5,10 @@
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import exchange
+from magnoliadyke.gateway import http
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import upstream
+from magnoliadyke.gateway import waitlimit
 
 __all__ = ['PlainExchange']
 
@@ -132,7 +134,8 @@
             return outcomes.NotRun('the retry budget is spent', False)
         self.runs += 1
         try:
-            result = self._converse(used, headers, try_s)
+            limit = waitlimit.WaitLimit(try_s, http.OutOfTime)
+            result = self._converse(used, headers, limit)
         finally:
             self.parts.upstream.give(endpoint, used)
         match result:
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -13,6 +13,7 @@
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import upstream
+from magnoliadyke.gateway import waitlimit
 from magnoliadyke import logs
 
 __all__ = ['PromptExchange']
@@ -22,16 +23,21 @@
 #: A request whose caller waits for less than its route's time by more than
 #: this has been here before: callers count from their first try.
 RETURNING_S = 0.1
-#: A prompt that is not read after this many times the expected time, and at
-#: least this many seconds, is taken elsewhere; reading is no run.
+#: Part of a caller's time in which one engine may read its prompt, if that is
+#: expected to be enough; the rest is for another try.  An engine that is
+#: down is found sooner, by its connections or by all hosts together: one
+#: that is only busy reads on, and what was read there would be read again.
+READ_SHARE = 0.5
+#: Never given up before so many times the expected time.
 PREFILL_FACTOR = 3.0
-MIN_PREFILL_S = 0.25
 #: A resumable stream that is silent for this long goes on at another
 #: engine, in seconds; several times the pause that callers accept.
 STALL_FACTOR = 5.0
 MIN_STALL_S = 0.5
 #: The same before the first event: it may wait for a slot.
 FIRST_STALL_S = 1.2
+#: Reason told for a request that would be one repeat too many.
+BUDGET_SPENT = 'the retry budget is spent'
 
 
 class PromptExchange(exchange.Exchange):
@@ -39,6 +45,7 @@
 
     :ivar prefills: times that the prompt was given to an engine to read
     :ivar last_event: last event that the caller has
+    :ivar budget_spent: the retry budget allows no further try
     :ivar unknown: how a try ended of which nobody can say whether it ran
     """
 
@@ -48,6 +55,7 @@
         self.last_event: bytes | None = None
         self.read_s: float | None = None
         self.unknown: outcomes.Failed | None = None
+        self.budget_spent = False
 
     def _may_prefill(self) -> bool:
         """Count a prompt that is to be read.
@@ -58,7 +66,15 @@
         self.prefills += 1
         if self.prefills == 1:
             return True
-        return self._budget().take(self.parts.clock.now_s())
+        self.budget_spent = not self._budget().take(self.parts.clock.now_s())
+        return not self.budget_spent
+
+    def _may_send(self) -> bool:
+        self.budget_spent = not super()._may_send()
+        return not self.budget_spent
+
+    def _may_go_on(self) -> bool:
+        return not self.budget_spent and super()._may_go_on()
 
     def _serve(self) -> outcomes.Outcome:
         avoid: tuple[str, ...] = ()
@@ -74,7 +90,10 @@
                 result = self._run_placed(job, decision, resume_after)
                 if isinstance(result, outcomes.Answered):
                     tell = decision.tell_end
-                elif isinstance(result, outcomes.NotRun | outcomes.Lost):
+                elif (
+                    isinstance(result, outcomes.NotRun | outcomes.Lost)
+                    and not self.budget_spent
+                ):
                     self.parts.placer.failed(
                         self.service, job.id, self.endpoint
                     )
@@ -152,6 +171,7 @@
         return failure
 
     def _job(self, avoid: tuple[str, ...], resumed: bool) -> promptjobs.Job:
+        """What has to be placed; one that has lost time goes first."""
         now_s = self.parts.clock.now_s()
         prompt = self.request.prompt
         wait_s = self.request.wait_s
@@ -169,7 +189,7 @@
             objective_s=max(objective_s, now_s),
             deadline_s=self.deadline_s,
             failure_domain=self.parts.balancer.failure_domain,
-            returning=returning,
+            returning=returning or self.prefills > 0,
             resumed=resumed,
             avoid=avoid,
         )
@@ -193,6 +213,9 @@
         source = None
         if placed.prefill is not None:
             source = self._prefill(job, placed)
+            if isinstance(source, outcomes.NotRun):
+                self.endpoint = placed.prefill
+                return source
         options = codecs.RunOptions(
             endpoint=runner.id,
             left_s=self.left_s,
@@ -252,12 +275,17 @@
 
     def _prefill(
         self, job: promptjobs.Job, placed: promptjobs.Placed
-    ) -> str | None:
-        """Have the prompt read; returns where it waits to be fetched."""
+    ) -> str | outcomes.NotRun:
+        """Have the prompt read; returns where it waits to be fetched.
+
+        A prompt that is not read goes back to the placement: the engine that
+        was to answer it would read all of it at half the speed, between the
+        tokens of others.
+        """
         reader = self.parts.catalog.endpoints.get(placed.prefill)
         if reader is None or reader.leaving:
-            self.parts.placer.failed(self.service, job.id, placed.prefill)
-            return None
+            return self._not_read(placed.prefill, 'the engine has left', False)
+        sent_s = self.parts.clock.now_s()
         options = codecs.RunOptions(
             reader.id, self.left_s, fetch_from=placed.fetch_from
         )
@@ -267,43 +295,50 @@
                 reader, self._max_connections(), repeatable=True
             )
         except upstream.NoConnection as error:
-            self._prefill_failed(job, reader, str(error))
-            return None
+            return self._not_read(reader.id, str(error), False)
         if not self._may_prefill():
             self.parts.upstream.give(reader, used)
-            return None
-        try_s = max(MIN_PREFILL_S, placed.expected_s * PREFILL_FACTOR)
-        try_s = min(self.left_s, try_s)
+            return self._not_read(reader.id, BUDGET_SPENT, False)
+        wait_s = placed.expected_s * PREFILL_FACTOR
+        wait_s = min(self.left_s, max(wait_s, self.left_s * READ_SHARE))
+        limit = waitlimit.WaitLimit(wait_s, http.OutOfTime)
         try:
-            result = self._converse(used, headers, try_s)
+            with self.parts.placer.reading(reader.id, limit):
+                result = self._converse(used, headers, limit)
         finally:
             self.parts.upstream.give(reader, used)
         self._note_try(result, reader.id)
         match result:
             case outcomes.NotRun(reason) | outcomes.Lost(reason):
                 self.sends += 1
-                self._prefill_failed(job, reader, reason)
-                return None
+                return self._not_read(reader.id, reason, True)
         read = self.parts.codec.prefilled(result.body)
         if read is None or result.facts.status != 200:
             reason = f'status {result.facts.status}'
-            self._prefill_failed(job, reader, reason)
-            return None
+            return self._not_read(reader.id, reason, True)
         self.parts.placer.has_read(self.service, job.id, reader.id)
         self.read_s = self.parts.clock.now_s()
+        LOG.event(
+            'prompt_read',
+            id=self.request.id.decode('latin-1'),
+            endpoint=reader.id,
+            tokens=placed.read_tokens,
+            took_ms=round((self.read_s - sent_s) * 1000),
+            expected_ms=round(placed.expected_s * 1000),
+        )
         return f'{reader.address}/{read.handle}'
 
-    def _prefill_failed(
-        self, job: promptjobs.Job, reader: catalog.Endpoint, reason: str
-    ) -> None:
-        self.parts.placer.failed(self.service, job.id, reader.id)
+    def _not_read(
+        self, reader: str, reason: str, arrived: bool
+    ) -> outcomes.NotRun:
         LOG.event(
             'prefill_failed',
             id=self.request.id.decode('latin-1'),
-            endpoint=reader.id,
+            endpoint=reader,
             cause=reason,
             left_ms=round(self.left_s * 1000),
         )
+        return outcomes.NotRun(reason, arrived)
 
     def _free(self, source: str) -> None:
         """Free what was read for a caller that left or was refused."""
@@ -350,7 +385,7 @@
             return outcomes.NotRun(str(error), arrived=False)
         if not self._may_send():
             self.parts.upstream.give(runner, used)
-            return outcomes.NotRun('the retry budget is spent', False)
+            return outcomes.NotRun(BUDGET_SPENT, False)
         self.runs += 1
         headers = self.parts.codec.run_headers(self.request, options)
         request = self.request
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -169,6 +169,7 @@
         )
         self.leadership.contact = self.follower
         self.suspects = suspects.Suspects(clock, self._tell_hosts)
+        self.placer.tell = self._tell_hosts
         self.placer.listeners = {
             placing_codec.Broken: self.suspects.heard,
             placing_codec.Leads: self.leadership.heard,
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -1026,6 +1026,74 @@
         return not (self == other)
 
 
+class Silent(object):
+    """
+    Attributes:
+     - endpoint
+
+    """
+
+    __slots__ = (
+        'endpoint',
+    )
+
+
+    def __init__(self, endpoint=None,):
+        self.endpoint = endpoint
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Silent')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -1036,6 +1104,7 @@
      - recall
      - broken
      - leader
+     - silent
 
     """
 
@@ -1047,10 +1116,11 @@
         'recall',
         'broken',
         'leader',
+        'silent',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
@@ -1058,6 +1128,7 @@
         self.recall = recall
         self.broken = broken
         self.leader = leader
+        self.silent = silent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1109,6 +1180,12 @@
                     self.leader.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.silent = Silent()
+                    self.silent.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1147,6 +1224,10 @@
             oprot.writeFieldBegin('leader', TType.STRUCT, 7)
             self.leader.write(oprot)
             oprot.writeFieldEnd()
+        if self.silent is not None:
+            oprot.writeFieldBegin('silent', TType.STRUCT, 8)
+            self.silent.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1243,6 +1324,11 @@
     (4, TType.I64, 'revision', None, None, ),  # 4
     (5, TType.BOOL, 'yields', None, None, ),  # 5
 )
+all_structs.append(Silent)
+Silent.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1253,6 +1339,7 @@
     (5, TType.STRUCT, 'recall', [Recall, None], None, ),  # 5
     (6, TType.STRUCT, 'broken', [Broken, None], None, ),  # 6
     (7, TType.STRUCT, 'leader', [Leader, None], None, ),  # 7
+    (8, TType.STRUCT, 'silent', [Silent, None], None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -120,6 +120,7 @@
         ),
         placing_codec.Broken(b'12345678', ('e1', 'e2')),
         placing_codec.Leads('h1', '10.0.0.1', 1787, 40),
+        placing_codec.Silent('e1'),
         placing_codec.Leads('h1', '10.0.0.1', 1787, 40, True),
         placing_codec.Told(promptjobs.Refused(7, 0.25, 'no room')),
         placing_codec.Report(
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -567,3 +567,89 @@
     assert run(world, '/chat/1', **PROMPT)[0].status == 200
     assert len(reader.arrivals) == 1
     assert told == ['d1']
+
+
+def test_prompt_at_an_engine_that_reads_nothing_goes_elsewhere(world):
+    """An engine accepts a prompt and gives no answer; its entry is there.
+
+    The place sees that it reads nothing of what it was given, and tells the
+    hosts.  The caller's prompt goes back to the placement and is read by
+    another engine, long before half of the caller's time is over.
+    """
+    silent = world.endpoint('p1', 'model', 'prefill')
+    silent.mode = 'silent'
+    node = world.node()
+    gatewayworld.wait_for(lambda: node.placer.leading, 'the placing host')
+    client = gatewayworld.Client(node)
+    world.endpoint('d1', 'model', 'decode')
+    gatewayworld.wait_for(
+        lambda: len(node.catalog.endpoints) == 2, 'both engines'
+    )
+    node.placer._pool(node.placer.served, 'model').core.answers.hold(
+        99, 'd1', 100, node.clock.now_s()
+    )
+    headers = PROMPT | {'X_Deadline_Ms': '2000'}
+    client.request('POST', '/chat/1', 'r1', b'text', **headers)
+    gatewayworld.wait_for(lambda: silent.arrivals, 'the prompt')
+    reader = world.endpoint('p2', 'model', 'prefill')
+    head, _ = client.answer()
+    assert head.status == 200
+    assert len(reader.arrivals) == 1
+
+
+def test_prompt_that_takes_long_is_not_read_twice(world, engines):
+    """An engine takes many times as long to read as expected.
+
+    Given up for dead, it would read on all the same, and the engine that
+    answers would read the whole prompt again.
+    """
+    reader, runner = engines
+    reader.work_s = 0.5
+    node = world.node()
+    node.placer.place = lambda service, job: promptjobs.Placed(
+        job.id, 'e1', 'e2', None, 5500, 0.05, False
+    )
+    assert run(world, '/chat/1', 'POST', b'x', **PROMPT)[0].status == 200
+    assert len(reader.arrivals) == 1
+    assert b'x-kv-source' in runner.runs[0].headers
+
+
+def test_prompt_that_no_engine_read_goes_back_to_the_placement(world):
+    """An engine turns a prompt away; another one has nothing to read.
+
+    The engine that was to answer would read all of it, at half the speed
+    and between the tokens of others.
+    """
+    world.endpoint('p1', 'model', 'prefill').mode = 'shed'
+    reader = world.endpoint('p2', 'model', 'prefill')
+    world.endpoint('d1', 'model', 'decode')
+    node = world.node()
+    decided = iter(('p1', 'p2'))
+    told = []
+    node.placer.place = lambda service, job: promptjobs.Placed(
+        job.id, next(decided), 'd1', None, 5500, 0.05, False
+    )
+    node.placer.failed = lambda *what: told.append(what[2])
+    assert run(world, '/chat/1', **PROMPT)[0].status == 200
+    assert len(reader.arrivals) == 1
+    assert told == ['p1']
+
+
+def test_host_that_leads_no_longer_tells_of_no_silent_engines(world, engines):
+    """The placing host was cut off, and another one places now.
+
+    Nobody reports to it what engines read.  Its last view, taken for the
+    truth, says that all of them read nothing; told of that, the hosts would
+    take every prompt away from engines that are well.
+    """
+    node = world.node()
+    gatewayworld.wait_for(lambda: node.placer.leading, 'the placing host')
+    told = []
+    node.placer.tell = told.append
+    core = node.placer._pool(node.placer.served, 'model').core
+    core.pool.adopt(1, 'e1', 5000, node.clock.now_s() - 60.0)
+    node.placer.leading = False
+    node.clock.sleep(0.3)
+    assert not told
+    node.placer.leading = True
+    gatewayworld.wait_for(lambda: told, 'the word of a silent engine')
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -184,7 +184,7 @@
     engine ends the same way; so the engine is not asked to for a while.
     """
     made = core(promptload.fleet(1, 1))
-    for number in (1, 2):
+    for number in (1, 2, 3):
         made.lapsed(number, 'p0', 'd0', 0.1)
     placed = []
     for number in range(10, 13):
@@ -603,3 +603,94 @@
             made.pool.engines[f'd{number}'].expect_run(10.0, 0.0)
     (placed,) = made.submit(job(1, LONG), 0.0)
     assert placed.run == 'd69'
+
+
+def busy_with(made, numbers, now_s=0.0):
+    """Give the engine p0 prompts; the others answer long, and can't read."""
+    for number, engine_id in enumerate(made.pool.engines):
+        if engine_id != 'p0':
+            made.answers.hold(-1 - number, engine_id, 100, now_s)
+    fields = {'objective_s': 9.0, 'deadline_s': 20.0}
+    for number in numbers:
+        made.submit(job(number, [part(number, 9200)], **fields), now_s)
+
+
+def test_engine_that_is_busy_is_not_taken_for_silent():
+    """A prompt takes ten times as long as expected.
+
+    The engine is busy with prompts that another place gave it, and reads
+    one after the other.  Given up, the prompt would be read a second time
+    elsewhere, and the engine still reads it to the end.
+    """
+    made = core([promptload.engine('p0'), *promptload.fleet(0, 1)])
+    busy_with(made, [1])
+    for tenth in range(1, 40):
+        made.pool.answerers.served('p0', tenth / 10)
+        assert made.find_silent(tenth / 10) == []
+
+
+def test_slow_engine_shows_life_before_it_is_taken_for_silent():
+    """It reads at a third of the usual speed, and nothing says so yet."""
+    made = core(promptload.fleet(1, 1))
+    expected_s = made.pool.engines['p0'].expected_s(9200)
+    busy_with(made, [1])
+    assert made.find_silent(3 * expected_s) == []
+
+
+def test_engine_that_reads_nothing_is_found_and_rests():
+    """Prompts wait at an engine that is down; its connections are open.
+
+    It has read others before, and shows no life since.  Its prompts are
+    told of once, and again half a second later in case that was lost; in
+    the meantime it gets no others.
+    """
+    made = core(promptload.fleet(1, 2))
+    busy_with(made, [1, 2])
+    expected_s = made.pool.engines['p0'].expected_s(9200)
+    assert made.find_silent(expected_s + 0.4) == []
+    assert made.find_silent(expected_s + 0.7) == ['p0']
+    assert made.pool.engines['p0'].rest_until_s > expected_s + 0.7
+    assert made.find_silent(expected_s + 0.8) == []
+    assert made.find_silent(expected_s + 1.3) == ['p0']
+
+
+def test_prompts_of_an_engine_without_life_hold_their_place_until_told():
+    """Its prompts count until their hosts have heard that it reads nothing.
+
+    Dropped when they are merely late, they would make room for others: each
+    half second an engine that is down would get as many again.
+    """
+    made = core(promptload.fleet(1, 1))
+    busy_with(made, [1])
+    engine = made.pool.engines['p0']
+    assert engine.expire(0.6) == []
+    assert made.find_silent(0.8) == ['p0']
+    assert engine.expire(2.0) == [1]
+
+
+def test_parts_that_are_still_being_read_are_not_fetched():
+    """Two prompts share 30,000 tokens; the first is still being read.
+
+    Fetched from there, nothing would come, and the second engine would read
+    all of it although a tenth was expected: everything behind it waits.
+    """
+    made = core(promptload.fleet(2, 2))
+    shared = part(1, 30_000)
+    (first,) = made.submit(job(1, [shared, part(2, 3000)]), 0.0)
+    reader = first.prefill or first.run
+    kept = made.pool.caches
+    assert kept.ready_tokens(reader, [shared]) == 0
+    busy = job(2, [shared, part(3, 3000)], objective_s=9.0, deadline_s=9.0)
+    for decision in made.submit(busy, 0.001):
+        assert decision.fetch_from is None
+    made.has_read(1, reader, 0.3)
+    assert kept.ready_tokens(reader, [shared]) == 30_000
+
+
+def test_parts_of_a_prompt_that_was_not_read_are_not_kept():
+    """An engine failed a prompt; its parts are looked for nowhere."""
+    made = core(promptload.fleet(1, 1))
+    parts = [part(1, 30_000), part(2, 3000)]
+    (first,) = made.submit(job(1, parts), 0.0)
+    made.failed(1, first.prefill or first.run, 0.1)
+    assert made.pool.caches.kept(parts).most_tokens == 0
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -90,6 +90,11 @@
   5: optional bool yields,
 }
 
+// An engine that reads nothing of what it was given.
+struct Silent {
+  1: string endpoint,
+}
+
 struct Datagram {
   1: i16 version,
   2: optional Ask ask,
@@ -98,4 +103,5 @@
   5: optional Recall recall,
   6: optional Broken broken,
   7: optional Leader leader,
+  8: optional Silent silent,
 }
