Tell processes of one id apart, and leave out entries of other writers

Cause: an endpoint may start again under the id that it had. All that is known of endpoints is kept by id, so a new process would have been taken for one that keeps prompts, holds slots, fails or rests, and a request that crashes it twice for one that crashed a single process. Entries may also be written by others; the decoders raised AttributeError, OverflowError and the like on some of them, which ended the task that follows the store.

Change: the id that everything is kept by names the process (its published id and its start). An entry with a later start takes the former process out like one that has gone, one with an earlier start is left out. Decoders return a record or the reason why there is none; an endpoint whose entry can't be used goes, with a log line and a counter, and the others hold; a configuration that can't be read leaves the one in force. An order without an answer keeps the engine of that name alone, whichever process it is. The stand-ins restart under one id and write foreign entries, and the soak draws both.

Ruled out: resetting each table when the start changes (nine tables in six modules, and each new one would have to be remembered).

--- a/magnoliadyke/core/catalog.py
+++ b/magnoliadyke/core/catalog.py
@@ -1,12 +1,18 @@
 """What a host believes of the configuration and the endpoints."""
 
+import collections
 from collections.abc import Iterable
 import enum
 from typing import NamedTuple
 
 from magnoliadyke.core import routes
 
-__all__ = ['Catalog', 'Endpoint', 'Stage']
+__all__ = ['Catalog', 'Endpoint', 'Stage', 'UnusableRecord']
+
+
+#: Names of endpoints whose latest start is remembered, beyond those of the
+#: largest fleet that is planned for.
+MOST_NAMES = 8192
 
 
 class Stage(enum.Enum):
@@ -17,11 +23,21 @@
     DECODE = 'decode'
 
 
+class UnusableRecord(NamedTuple):
+    """A record that is not in the form expected, and why."""
+
+    reason: str
+
+
 class Endpoint(NamedTuple):
     """One run of an endpoint's process; a later run has another id.
 
     :param slots: requests that it runs at once
     :param leaving: it takes no new work
+    :param published: the name that it goes by, which a later run may have
+        too; empty if that is its id
+    :param born_ms: when the process began, in milliseconds of its own clock,
+        0 if it does not say
     """
 
     id: str
@@ -31,11 +47,19 @@
     slots: int
     leaving: bool
     stage: Stage
+    published: str = ''
+    born_ms: int = 0
+
+    @property
+    def name(self) -> str:
+        """What it is called where others name it."""
+        return self.published or self.id
 
 
 class Catalog:
     """The newest configuration and the endpoints that are listed.
 
+    :ivar by_name: ids of the endpoints, by the name that they go by
     :ivar checked_s: when the store last confirmed all of it
     :ivar generation: counts the changes of endpoints and services
     """
@@ -44,6 +68,10 @@
         self.configuration: routes.Configuration | None = None
         self.endpoints: dict[str, Endpoint] = {}
         self.by_service: dict[str, dict[str, Endpoint]] = {}
+        self.by_name: dict[str, str] = {}
+        self._born_ms: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self.checked_s: float | None = None
         self.generation = 0
 
@@ -63,12 +91,26 @@
         self.generation += 1
         return True
 
+    def latest_born_ms(self, name: str) -> int:
+        """When the latest known process of a name began; 0 if unknown."""
+        return self._born_ms.get(name, 0)
+
+    def _remember_start(self, endpoint: Endpoint) -> None:
+        if not endpoint.born_ms:
+            return
+        self._born_ms[endpoint.name] = endpoint.born_ms
+        self._born_ms.move_to_end(endpoint.name)
+        if len(self._born_ms) > MOST_NAMES:
+            self._born_ms.popitem(last=False)
+
     def put(self, endpoint: Endpoint) -> None:
         """An endpoint is listed, or its entry has changed."""
         before = self.endpoints.get(endpoint.id)
         if before is not None and before.service != endpoint.service:
             del self.by_service[before.service][endpoint.id]
         self.endpoints[endpoint.id] = endpoint
+        self.by_name[endpoint.name] = endpoint.id
+        self._remember_start(endpoint)
         of_service = self.by_service.setdefault(endpoint.service, {})
         of_service[endpoint.id] = endpoint
         self.generation += 1
@@ -77,6 +119,8 @@
         """An endpoint is no longer listed."""
         endpoint = self.endpoints.pop(endpoint_id, None)
         if endpoint is not None:
+            if self.by_name.get(endpoint.name) == endpoint_id:
+                del self.by_name[endpoint.name]
             del self.by_service[endpoint.service][endpoint_id]
             self.generation += 1
         return endpoint
--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -1,5 +1,6 @@
 """Keeps the catalog, the hosts and the leader as the store has them."""
 
+import collections
 import random
 from typing import Callable
 
@@ -50,18 +51,16 @@
     configuration_key: str
     endpoint_prefix: str
 
-    def configuration(self, value: bytes) -> routes.Configuration:
-        """Decode a configuration.
-
-        :raises ValueError, KeyError: it is not in the form expected
-        """
+    def configuration(
+        self, value: bytes
+    ) -> routes.Configuration | catalog.UnusableRecord:
+        """Decode a configuration."""
         raise NotImplementedError
 
-    def endpoint(self, key: str, value: bytes) -> catalog.Endpoint:
-        """Decode an endpoint's entry.
-
-        :raises ValueError, KeyError: it is not in the form expected
-        """
+    def endpoint(
+        self, key: str, value: bytes
+    ) -> catalog.Endpoint | catalog.UnusableRecord:
+        """Decode an endpoint's entry."""
         raise NotImplementedError
 
 
@@ -81,6 +80,7 @@
     One watch for all keys: each watch is a call that is counted.
 
     :param own_prefix: of the project's keys
+    :ivar unusable: records that were not used, by kind
     :param gone: called with the id of each endpoint that is gone
     """
 
@@ -101,6 +101,7 @@
         self.gone = gone
         self.clock = clock
         self.rng = rng
+        self.unusable: collections.Counter[str] = collections.Counter()
         self.failures = 0
         self.failing_since_s: float | None = None
         self.recovered_s = float('-inf')
@@ -152,7 +153,9 @@
             self._remove_own(key)
         prefix = self.decoder.endpoint_prefix
         missing = [
-            e for e in self.catalog.endpoints if prefix + e not in listed
+            endpoint_id
+            for name, endpoint_id in self.catalog.by_name.items()
+            if prefix + name not in listed
         ]
         self._lose(missing)
         return items.revision
@@ -183,11 +186,13 @@
                 case store.Item():
                     self._apply(change)
                 case store.Removed(key) if key.startswith(prefix):
-                    missing.append(key.removeprefix(prefix))
+                    name = key.removeprefix(prefix)
+                    if name in self.catalog.by_name:
+                        missing.append(self.catalog.by_name[name])
                 case store.Removed(key):
                     self._remove_own(key)
         returned = {
-            change.key.removeprefix(prefix)
+            self.catalog.by_name.get(change.key.removeprefix(prefix))
             for change in changes
             if isinstance(change, store.Item)
         }
@@ -204,10 +209,14 @@
             self._put_own(item)
 
     def _configure(self, item: store.Item) -> None:
-        try:
-            configuration = self.decoder.configuration(item.value)
-        except (ValueError, KeyError, TypeError) as error:
-            LOG.error_event('configuration_ignored', error)
+        configuration = self.decoder.configuration(item.value)
+        if isinstance(configuration, catalog.UnusableRecord):
+            self.unusable['configuration'] += 1
+            LOG.warning_event(
+                'configuration_ignored',
+                reason=configuration.reason,
+                revision=item.revision,
+            )
             return
         if self.catalog.configure(configuration):
             LOG.event(
@@ -218,15 +227,30 @@
             )
 
     def _put_endpoint(self, item: store.Item) -> None:
-        try:
-            endpoint = self.decoder.endpoint(item.key, item.value)
-        except (ValueError, KeyError, TypeError) as error:
-            LOG.repeated('endpoint_ignored', item.key, error=str(error))
+        endpoint = self.decoder.endpoint(item.key, item.value)
+        if isinstance(endpoint, catalog.UnusableRecord):
+            self._ignore_endpoint(item, endpoint.reason)
+            return
+        latest_ms = self.catalog.latest_born_ms(endpoint.name)
+        if latest_ms and not endpoint.born_ms:
+            self._ignore_endpoint(item, 'it does not say when it began')
+            return
+        if endpoint.born_ms < latest_ms:
+            # Of a process that has been replaced.  Taken for the present
+            # one, all that is known would go twice: now, and when the new
+            # entry is seen again.
+            self.unusable['former endpoint'] += 1
+            LOG.repeated('endpoint_former', item.key, key=item.key)
             return
         self.doubted.pop(endpoint.id, None)
         before = self.catalog.endpoints.get(endpoint.id)
         if before == endpoint:
             return
+        former = self.catalog.by_name.get(endpoint.name)
+        if former is not None and former != endpoint.id:
+            # It holds and knows nothing of before, and what is still to come
+            # of its former process says nothing of it.
+            self._forget(former)
         self.catalog.put(endpoint)
         LOG.event(
             'endpoint',
@@ -237,6 +261,24 @@
             revision=item.revision,
         )
 
+    def _ignore_endpoint(self, item: store.Item, reason: str) -> None:
+        """An entry that names no endpoint to use; the others hold."""
+        self.unusable['endpoint'] += 1
+        LOG.repeated(
+            'endpoint_ignored',
+            item.key,
+            key=item.key,
+            reason=reason,
+            revision=item.revision,
+        )
+        name = item.key.removeprefix(self.decoder.endpoint_prefix)
+        if name in self.catalog.by_name:
+            self._forget(self.catalog.by_name[name])
+
+    def _forget(self, endpoint_id: str) -> None:
+        self.doubted.pop(endpoint_id, None)
+        self._drop(endpoint_id)
+
     def _put_own(self, item: store.Item) -> None:
         self.own_keys.add(item.key)
         for prefix, listener in self.listeners.items():
--- a/magnoliadyke/gateway/measures.py
+++ b/magnoliadyke/gateway/measures.py
@@ -44,6 +44,9 @@
         self.store_calls = self._gauge(
             'store_calls', 'Calls to the store by kind.', 'call'
         )
+        self.unusable = self._gauge(
+            'unusable_records', 'Records of the store not used.', 'kind'
+        )
         self.hosts = self._gauge('hosts', 'Hosts thought to run.')
         self.open_requests = self._gauge(
             'open_requests', 'Requests under way.'
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -121,7 +121,7 @@
         """
         if try_s <= 0:
             return outcomes.NotRun('no time is left', arrived=False)
-        options = codecs.RunOptions(endpoint.id, self.left_s)
+        options = codecs.RunOptions(endpoint.name, self.left_s)
         headers = self.parts.codec.run_headers(self.request, options)
         try:
             used = self.parts.upstream.take(
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -217,7 +217,7 @@
                 self.endpoint = placed.prefill
                 return source
         options = codecs.RunOptions(
-            endpoint=runner.id,
+            endpoint=runner.name,
             left_s=self.left_s,
             urgent=job.tokens <= placing.SHORT_TOKENS,
             source=source,
@@ -235,7 +235,9 @@
                 other = self._other_runner(runner)
                 if other is not None:
                     self.endpoint = other.id
-                    options = options._replace(endpoint=other.id, source=None)
+                    options = options._replace(
+                        endpoint=other.name, source=None
+                    )
                     result = self._stream(other, options, job)
         finally:
             if source is not None and not started:
@@ -287,7 +289,7 @@
             return self._not_read(placed.prefill, 'the engine has left', False)
         sent_s = self.parts.clock.now_s()
         options = codecs.RunOptions(
-            reader.id, self.left_s, fetch_from=placed.fetch_from
+            reader.name, self.left_s, fetch_from=placed.fetch_from
         )
         headers = self.parts.codec.prefill_headers(self.request, options)
         try:
--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -17,8 +17,9 @@
 LOG = logs.get('stages')
 
 TICK_S = 0.5
-#: An order without an answer may be carried out seconds later; that engine
-#: is left alone for so long.
+#: An order without an answer may be carried out seconds later, also by the
+#: next process of that name, whose count of orders begins anew; the engine of
+#: that name is left alone for so long.
 UNANSWERED_S = 15.0
 #: Time beyond the change itself in which running requests end.
 SETTLE_S = 8.0
@@ -88,7 +89,9 @@
             return
         candidates = answering if change.to_reading else reading
         candidates = [
-            e for e in candidates if self.alone_until_s.get(e.id, 0.0) <= now_s
+            e
+            for e in candidates
+            if self.alone_until_s.get(e.name, 0.0) <= now_s
         ]
         if not candidates:
             return
@@ -164,6 +167,6 @@
                 self.changing[endpoint.id] = (stage, until_s)
                 core.change_stage(endpoint.id, stage, until_s)
             case enginecontrol.Unreachable():
-                self.alone_until_s[endpoint.id] = now_s + UNANSWERED_S
+                self.alone_until_s[endpoint.name] = now_s + UNANSWERED_S
             case _:
-                self.alone_until_s[endpoint.id] = now_s + TICK_S * 4
+                self.alone_until_s[endpoint.name] = now_s + TICK_S * 4
--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -54,6 +54,14 @@
     'store_reset': 'reset',
     'store_silent': 'silent',
 }
+FOREIGN_ENTRIES = (
+    {'slots': -1},
+    {'address': 'nowhere'},
+    {'state': 'asleep'},
+    {'born': 'yesterday'},
+    {'service': None},
+    {'slots': float('nan')},
+)
 ENDPOINT_MODES = ('cut', 'error', 'reset')
 LINKS = {
     'link_cut': {'kind': 'cut', 'both': True},
@@ -305,6 +313,26 @@
             gevent.sleep(fault.for_s)
             self.fleet.add_endpoint(gone.service, gone.stage)
 
+    def restart(self, fault: Fault) -> None:
+        """An endpoint starts again under its name; it holds nothing."""
+        with self._disturbs('endpoints'):
+            self.fleet.restart_endpoint(self._endpoint(fault))
+            gevent.sleep(fault.for_s)
+
+    def foreign_entry(self, fault: Fault) -> None:
+        """Somebody else writes an endpoint's entry, and one of no endpoint."""
+        name = self._endpoint(fault)
+        endpoint = self.fleet.endpoints[name]
+        wrong = FOREIGN_ENTRIES[fault.pick % len(FOREIGN_ENTRIES)]
+        with self._disturbs('endpoints'):
+            for key in (name, f'{name}-copy'):
+                entry = endpoint.entry() | wrong
+                self.fleet.store.put(f'servers/{key}', entry)
+            gevent.sleep(fault.for_s)
+            self.fleet.store.remove(f'servers/{name}-copy')
+            if self.fleet.endpoints.get(name) is endpoint:
+                self.fleet.store.put(f'servers/{name}', endpoint.entry())
+
     def scale_in(self, fault: Fault) -> None:
         """An endpoint says that it leaves, and leaves; another one comes."""
         name = self._endpoint(fault)
@@ -375,6 +403,8 @@
     'stop': Day.stop,
     'pause': Day.pause,
     'crash': Day.crash,
+    'restart': Day.restart,
+    'foreign_entry': Day.foreign_entry,
     'scale_in': Day.scale_in,
     'store_lost': Day.store_lost,
     'store_slow': Day.store_slow,
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -57,6 +57,7 @@
     :ivar refuses_resumed: streams that go on are turned away
     :ivar fails_resumed: streams that go on end in 500
     :ivar crashes_on: body of a request that ends it when it begins it
+    :ivar born_ms: when it began, 0 if it doesn't say
     :ivar refuses_after: runs after which everything is turned away
     """
 
@@ -84,6 +85,7 @@
         self.crashes_on: bytes | None = None
         self.refuses_resumed = False
         self.fails_resumed = False
+        self.born_ms = 0
         self.refuses_after: int | None = None
         self.arrivals: list[Arrival] = []
         self.orders: list[dict] = []
@@ -129,6 +131,8 @@
         }
         if self.stage:
             entry['stage'] = self.stage
+        if self.born_ms:
+            entry['born'] = self.born_ms
         return entry
 
     @property
@@ -219,6 +223,8 @@
                 'busy': False,
                 'sequence': len(self.orders),
             }
+            if self.born_ms:
+                state['born'] = self.born_ms
             caller.answer(200, [], json.dumps(state).encode())
         elif path == '/api/order':
             self.orders.append(json.loads(body))
--- a/magnoliadyke/lab/platformfleet.py
+++ b/magnoliadyke/lab/platformfleet.py
@@ -131,15 +131,25 @@
         """Start an endpoint and list it; returns its id."""
         self.starts += 1
         name = f'{service}-{stage or "plain"}-{self.starts}'
+        self._start_endpoint(name, service, stage)
+        return name
+
+    def restart_endpoint(self, name: str) -> None:
+        """An endpoint dies, and starts again under the name that it had."""
+        gone = self.endpoints[name]
+        self.crash_endpoint(name)
+        self._start_endpoint(name, gone.service, gone.stage)
+
+    def _start_endpoint(self, name: str, service: str, stage: str) -> None:
         made = platformendpoint.EndpointStandIn(
             name, service, stage, address=f'127.{self.run}.2.1:0'
         )
         made.start()
         made.pause_s = PAUSE_S
         made.events = EVENTS
+        made.born_ms = round(time.time() * 1000)
         self.endpoints[name] = made
         self.store.put(f'servers/{name}', made.entry())
-        return name
 
     def crash_endpoint(self, name: str) -> None:
         """End an endpoint at once; its entry lapses later."""
--- a/magnoliadyke/platform/engines.py
+++ b/magnoliadyke/platform/engines.py
@@ -9,6 +9,7 @@
 from magnoliadyke.gateway import connection
 from magnoliadyke.gateway import enginecontrol
 from magnoliadyke.gateway import http
+from magnoliadyke.platform import fields as report
 from magnoliadyke.platform import records
 
 __all__ = ['PlatformEngines']
@@ -32,13 +33,22 @@
         status, fields = reply
         if status != STATUS_OK:
             return enginecontrol.Unreachable(f'status {status}')
-        return enginecontrol.EngineState(
-            records.STAGES.get(fields.get('stage'), catalog.Stage.NONE),
-            # Counts accepted orders; the list's field of that name counts
-            # heartbeats.
-            fields.get('sequence', 0),
-            bool(fields.get('busy')),
-        )
+        if endpoint.born_ms and fields.get('born') != endpoint.born_ms:
+            # Its entry is still that of the process before: the number of
+            # orders that it has taken is not that of this one.
+            return enginecontrol.Unreachable('another process answers')
+        try:
+            return enginecontrol.EngineState(
+                records.STAGES.get(
+                    report.text(fields, 'stage', ''), catalog.Stage.NONE
+                ),
+                # Counts accepted orders; the list's field of that name
+                # counts heartbeats.
+                report.whole(fields, 'sequence', 0, 0),
+                report.flag(fields, 'busy'),
+            )
+        except report.BadField as error:
+            return enginecontrol.Unreachable(f'unusable report: {error}')
 
     def order_stage(
         self,
@@ -77,7 +87,7 @@
         headers = [
             (b'Host', endpoint.address.encode()),
             (b'Content-Type', b'application/json'),
-            (b'X-Expect-Instance', endpoint.id.encode()),
+            (b'X-Expect-Instance', endpoint.name.encode()),
         ]
         held = None
         try:
@@ -86,7 +96,7 @@
                     endpoint.address, CONNECT_TIMEOUT_S
                 )
                 answer = held.call(method, target, headers, data)
-            fields = json.loads(answer.body) if answer.body else {}
+            fields = report.record(answer.body or b'{}')
         except (
             OSError,
             http.BrokenMessage,
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -58,11 +58,15 @@
     configuration_key = records.CONFIGURATION_KEY
     endpoint_prefix = records.ENDPOINT_PREFIX
 
-    def configuration(self, value: bytes) -> routes.Configuration:
+    def configuration(
+        self, value: bytes
+    ) -> routes.Configuration | catalog.UnusableRecord:
         """Decode a configuration."""
         return records.decode_configuration(value)
 
-    def endpoint(self, key: str, value: bytes) -> catalog.Endpoint:
+    def endpoint(
+        self, key: str, value: bytes
+    ) -> catalog.Endpoint | catalog.UnusableRecord:
         """Decode an endpoint's entry."""
         return records.decode_endpoint(key, value)
 
@@ -246,6 +250,8 @@
             figures.placed.labels(by).set(count)
         for call, count in self.store.calls.items():
             figures.store_calls.labels(call).set(count)
+        for kind, count in self.follower.unusable.items():
+            figures.unusable.labels(kind).set(count)
         figures.hosts.set(self.members.count())
         figures.open_requests.set(self.ingress.open_requests)
         if self.catalog.configuration is not None:
--- a/magnoliadyke/platform/records.py
+++ b/magnoliadyke/platform/records.py
@@ -1,10 +1,11 @@
 """The operator's configuration and the endpoints' entries, decoded."""
 
-import json
+import re
 from typing import Any
 
 from magnoliadyke.core import catalog
 from magnoliadyke.core import routes
+from magnoliadyke.platform import fields
 
 __all__ = [
     'CONFIGURATION_KEY',
@@ -26,93 +27,133 @@
     'decode': catalog.Stage.DECODE,
 }
 
+STATE_READY = 'ready'
+STATES = (STATE_READY, 'draining')
+#: Characters of an endpoint's id, which is sent back to it as a header.
+ENDPOINT_ID = re.compile('[!-~]{1,200}')
 
-def decode_configuration(value: bytes) -> routes.Configuration:
-    """Decode the newest configuration.
 
-    :raises ValueError, KeyError: it is not in the form expected
-    """
-    fields = json.loads(value)
+def decode_configuration(
+    value: bytes,
+) -> routes.Configuration | catalog.UnusableRecord:
+    """Decode the newest configuration."""
+    try:
+        return _configuration(fields.record(value))
+    except fields.BadField as error:
+        return catalog.UnusableRecord(str(error))
+
+
+def _configuration(found: dict[str, Any]) -> routes.Configuration:
+    services = [_service(each) for each in fields.records(found, 'services')]
+    limits = found.get('limits') or {}
+    if not isinstance(limits, dict):
+        raise fields.BadField('limits is no object')
     return routes.Configuration(
-        fields['version'],
-        tuple(_route(each) for each in fields['routes']),
-        {each['name']: _service(each) for each in fields['services']},
-        _limits(fields.get('limits') or {}),
+        fields.whole(found, 'version', 0),
+        tuple(_route(each) for each in fields.records(found, 'routes')),
+        {each.name: each for each in services},
+        _limits(limits),
     )
 
 
-def _route(fields: dict[str, Any]) -> routes.Route:
-    split = fields.get('traffic_split') or ()
+def _route(found: dict[str, Any]) -> routes.Route:
     targets = tuple(
-        routes.Target(each['service'], float(each['weight'])) for each in split
+        routes.Target(
+            fields.text(each, 'service'), fields.number(each, 'weight', 0.0)
+        )
+        for each in fields.records(found, 'traffic_split')
     )
     if not targets:
-        targets = (routes.Target(fields['service'], 1.0),)
-    timeout_s = fields['timeout_ms'] / 1000
-    objective_ms = fields.get('target_latency_ms')
-    pause_ms = fields.get('gap_aim_ms')
+        targets = (routes.Target(fields.text(found, 'service'), 1.0),)
+    if not any(target.weight for target in targets):
+        raise fields.BadField('traffic_split sends nothing anywhere')
+    timeout_s = fields.number(found, 'timeout_ms', 1) / 1000
+    objective_ms = fields.number(found, 'target_latency_ms', 0, 0)
+    pause_ms = fields.number(found, 'gap_aim_ms', 0, 0)
     return routes.Route(
-        name=fields['name'],
-        host=fields['hostname'],
-        prefix=fields['path_prefix'],
+        name=fields.text(found, 'name'),
+        host=fields.text(found, 'hostname'),
+        prefix=fields.text(found, 'path_prefix'),
         # A kind that is not known is handled as the strictest one.
-        kind=KINDS.get(fields['kind'], routes.Kind.UNSAFE),
+        kind=KINDS.get(fields.text(found, 'kind'), routes.Kind.UNSAFE),
         targets=targets,
         timeout_s=timeout_s,
         objective_s=objective_ms / 1000 if objective_ms else timeout_s,
         pause_s=pause_ms / 1000 if pause_ms else timeout_s,
-        priority=fields.get('priority', 0),
-        max_attempts=max(1, fields.get('max_attempts', 1)),
+        priority=fields.whole(found, 'priority', 0, 0),
+        max_attempts=max(1, fields.whole(found, 'max_attempts', 0, 1)),
         # The field's name speaks of sessions; what it marks is requests
         # that come with the headers on their prompt.
-        carries_prompt=bool(fields.get('sticky')),
-        resumable=bool(fields.get('resumable')),
+        carries_prompt=fields.flag(found, 'sticky'),
+        resumable=fields.flag(found, 'resumable'),
     )
 
 
-def _service(fields: dict[str, Any]) -> routes.Service:
-    engine = fields.get('engine')
+def _service(found: dict[str, Any]) -> routes.Service:
+    engine = found.get('engine') or None
+    if engine is not None and not isinstance(engine, dict):
+        raise fields.BadField('engine is no object')
     return routes.Service(
-        fields['name'],
-        fields.get('health_path', ''),
-        fields.get('max_conns', 0),
+        fields.text(found, 'name'),
+        fields.text(found, 'health_path', ''),
+        fields.whole(found, 'max_conns', 0, 0),
         _engine(engine) if engine else None,
     )
 
 
-def _engine(fields: dict[str, Any]) -> routes.EngineTraits:
+def _engine(found: dict[str, Any]) -> routes.EngineTraits:
     return routes.EngineTraits(
-        slots=fields['slots'],
-        cache_tokens=fields['kv_tokens'],
-        bytes_per_token=fields.get('token_kv_bytes', 0.0),
-        link_bits_s=fields.get('link_mbps', 0.0) * 1e6,
-        handle_s=fields.get('kv_hold_s', 1.0),
-        stage_change_s=fields.get('stage_switch_s', 1.0),
+        slots=fields.whole(found, 'slots', 1),
+        cache_tokens=fields.number(found, 'kv_tokens', 1),
+        bytes_per_token=fields.number(found, 'token_kv_bytes', 0, 0.0),
+        link_bits_s=fields.number(found, 'link_mbps', 0, 0.0) * 1e6,
+        handle_s=fields.number(found, 'kv_hold_s', 0, 1.0),
+        stage_change_s=fields.number(found, 'stage_switch_s', 0, 1.0),
     )
 
 
-def _limits(fields: dict[str, Any]) -> routes.CallerLimits:
+def _limits(found: dict[str, Any]) -> routes.CallerLimits:
     default = routes.CallerLimits()
     return routes.CallerLimits(
-        fields.get('max_header_bytes') or default.header_bytes,
-        fields.get('max_body_bytes') or default.body_bytes,
-        (fields.get('header_timeout_ms') or default.header_s * 1000) / 1000,
-        (fields.get('idle_timeout_ms') or default.idle_s * 1000) / 1000,
+        fields.whole(found, 'max_header_bytes', 0, 0) or default.header_bytes,
+        fields.whole(found, 'max_body_bytes', 0, 0) or default.body_bytes,
+        fields.number(found, 'header_timeout_ms', 0, 0) / 1000
+        or default.header_s,
+        fields.number(found, 'idle_timeout_ms', 0, 0) / 1000 or default.idle_s,
     )
 
 
-def decode_endpoint(key: str, value: bytes) -> catalog.Endpoint:
-    """Decode an endpoint's own entry.
-
-    :raises ValueError, KeyError: it is not in the form expected
-    """
-    fields = json.loads(value)
+def decode_endpoint(
+    key: str, value: bytes
+) -> catalog.Endpoint | catalog.UnusableRecord:
+    """Decode an endpoint's own entry; others may have written it."""
+    name = key.removeprefix(ENDPOINT_PREFIX)
+    if not ENDPOINT_ID.fullmatch(name):
+        return catalog.UnusableRecord('the key names no endpoint')
+    try:
+        return _endpoint(name, fields.record(value))
+    except fields.BadField as error:
+        return catalog.UnusableRecord(str(error))
+
+
+def _endpoint(name: str, found: dict[str, Any]) -> catalog.Endpoint:
+    state = fields.text(found, 'state')
+    if state not in STATES:
+        raise fields.BadField('state is not known')
+    stage = fields.text(found, 'stage', '')
+    if stage and stage not in STAGES:
+        raise fields.BadField('stage is not known')
+    born_ms = fields.whole(found, 'born', 0, 0)
     return catalog.Endpoint(
-        id=key.removeprefix(ENDPOINT_PREFIX),
-        service=fields['service'],
-        address=fields['address'],
-        failure_domain=fields.get('zone', ''),
-        slots=fields.get('slots', 1),
-        leaving=fields.get('state') != 'ready',
-        stage=STAGES.get(fields.get('stage'), catalog.Stage.NONE),
+        # What is known of a process is kept by this id: one that starts
+        # again under its name is another, which knows and holds nothing.
+        id=f'{name}~{born_ms:x}' if born_ms else name,
+        service=fields.text(found, 'service'),
+        address=fields.address(found, 'address'),
+        failure_domain=fields.text(found, 'zone'),
+        slots=fields.whole(found, 'slots', 1),
+        leaving=state != STATE_READY,
+        stage=STAGES.get(stage, catalog.Stage.NONE),
+        published=name if born_ms else '',
+        born_ms=born_ms,
     )
--- a/tests/test_gateway_platform.py
+++ b/tests/test_gateway_platform.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from magnoliadyke.core import promptcache
 from tests import gatewayworld
 
 
@@ -242,3 +243,143 @@
     head, _ = client.call('GET', '/safe/x', 'b')
     assert head.status == 200
     assert head.value(b'connection') == b'close'
+
+
+BORN_MS = 1_786_000_000_000
+
+
+def reborn(world, name, born_ms):
+    """The entry of a process that has started again under its name."""
+    endpoint = world.endpoints[name]
+    endpoint.born_ms = born_ms
+    world.list(endpoint)
+
+
+def only_engine(node):
+    pool = node.placer._pool(node.placer.served, 'model')
+    (engine,) = pool.core.pool.engines.values()
+    return pool.core, engine
+
+
+def test_engine_that_starts_again_is_taken_for_a_new_one(world):
+    """An engine crashes and is back under the id that it had.
+
+    It keeps no prompt, runs nothing, and its count of orders is 0 again.
+    Believed to be the former one, prompts would be sent to it for parts that
+    it has lost, and slots would count as taken for good.
+    """
+    world.endpoint('d1', 'model', 'decode')
+    reborn(world, 'd1', BORN_MS)
+    node = world.node()
+    gatewayworld.wait_for(lambda: node.placer.leading, 'the placing host')
+    core, engine = only_engine(node)
+    former = engine.endpoint.id
+    parts = (promptcache.PromptPart(1, 4000),)
+    core.recall(former, parts)
+    core.answers.hold(7, former, 100, 0.0)
+    engine.failures = 5
+    core.pool.rest(former, node.clock.now_s() + 60.0)
+    reborn(world, 'd1', BORN_MS + 5000)
+    gatewayworld.wait_for(
+        lambda: former not in node.catalog.endpoints, 'the new process'
+    )
+    core, engine = only_engine(node)
+    assert engine.endpoint.name == 'd1'
+    assert engine.endpoint.id != former
+    assert not engine.runs and not engine.failures
+    assert engine.rest_until_s == float('-inf')
+    assert core.pool.caches.kept(parts).most_tokens == 0
+
+
+def test_late_word_of_a_former_process_changes_nothing(world):
+    """What was sent to the former process fails after the new one is known.
+
+    Its failures say nothing of the new process, which must not rest, nor
+    count as having served.
+    """
+    world.endpoint('d1', 'model', 'decode')
+    reborn(world, 'd1', BORN_MS)
+    node = world.node()
+    gatewayworld.wait_for(lambda: node.placer.leading, 'the placing host')
+    former = only_engine(node)[1].endpoint.id
+    reborn(world, 'd1', BORN_MS + 5000)
+    gatewayworld.wait_for(
+        lambda: former not in node.catalog.endpoints, 'the new process'
+    )
+    only_engine(node)
+    node.placer.failed('model', 1, former)
+    node.placer.has_read('model', 2, former)
+    node.placer.moved('model', 3, former, 0.5)
+    _, engine = only_engine(node)
+    assert engine.failures == 0
+    assert engine.served_s == float('-inf')
+    assert engine.rest_until_s == float('-inf')
+
+
+def test_entry_of_a_former_process_is_not_taken_back(world):
+    """A write of the former process comes late, after that of the new one."""
+    world.endpoint('p1')
+    reborn(world, 'p1', BORN_MS + 5000)
+    node = world.node()
+    (present,) = node.catalog.endpoints
+    reborn(world, 'p1', BORN_MS)
+    gatewayworld.wait_for(
+        lambda: node.follower.unusable['former endpoint'], 'the old entry'
+    )
+    assert list(node.catalog.endpoints) == [present]
+    assert call(world, '/safe/x')[0].status == 200
+
+
+def test_request_names_the_process_by_its_published_id(world):
+    endpoint = world.endpoint('p1')
+    reborn(world, 'p1', BORN_MS)
+    world.node()
+    assert call(world, '/safe/x')[0].status == 200
+    assert endpoint.runs[0].headers[b'x-expect-instance'] == b'p1'
+
+
+def test_entry_of_another_writer_takes_only_its_own_endpoint_out(world):
+    """Somebody writes nonsense under the key of one of two endpoints.
+
+    It names no endpoint to use; requests go to the other one, and the first
+    is used again when its own entry is back.
+    """
+    first = world.endpoint('p1')
+    second = world.endpoint('p2')
+    node = world.node()
+    gatewayworld.wait_for(
+        lambda: len(node.catalog.endpoints) == 2, 'both endpoints'
+    )
+    for value in (b'\xff\xfe', b'[1]', b'{"slots": -4}', b'null'):
+        world.store.put('servers/p1', value)
+        world.store.put('servers/other', value)
+    gatewayworld.wait_for(
+        lambda: 'p1' not in node.catalog.endpoints, 'the word of it'
+    )
+    assert node.follower.unusable['endpoint']
+    for number in range(6):
+        assert call(world, f'/safe/{number}')[0].status == 200
+    assert not first.runs and len(second.runs) == 6
+    world.list(first)
+    gatewayworld.wait_for(
+        lambda: 'p1' in node.catalog.endpoints, 'its own entry'
+    )
+
+
+def test_configuration_that_cannot_be_read_is_kept_out(world):
+    """The one in force stays, and the next good one takes its place."""
+    world.endpoint('p1')
+    node = world.node()
+    before = node.catalog.configuration.version
+    wrong = gatewayworld.configuration(version=before + 1)
+    wrong['routes'][0]['timeout_ms'] = 'soon'
+    world.store.put('op/config', wrong)
+    gatewayworld.wait_for(
+        lambda: node.follower.unusable['configuration'], 'the word of it'
+    )
+    assert node.catalog.configuration.version == before
+    assert call(world, '/safe/x')[0].status == 200
+    world.configure(version=before + 2)
+    gatewayworld.wait_for(
+        lambda: node.catalog.configuration.version == before + 2, 'the next'
+    )
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -2,6 +2,8 @@
 
 import json
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from magnoliadyke.core import catalog
@@ -154,3 +156,154 @@
     monkeypatch.delenv(settings.VARIABLE)
     with pytest.raises(errors.SettingsError):
         settings.load()
+
+
+# Records that somebody else wrote.
+
+ENTRY = {
+    'service': 's',
+    'address': '1.2.3.4:5',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'sequence': 9,
+    'stage': 'decode',
+    'born': 1786000000123,
+}
+ANY_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=20),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=12,
+)
+
+
+def entry(**fields):
+    value = {k: v for k, v in (ENTRY | fields).items() if v is not ...}
+    return records.decode_endpoint('servers/i-1', json.dumps(value).encode())
+
+
+def test_process_that_starts_again_has_another_id():
+    first, second = entry(), entry(born=1786000009999)
+    assert first.name == second.name == 'i-1'
+    assert first.id != second.id
+    assert entry(born=...).id == 'i-1'
+
+
+@pytest.mark.parametrize(
+    'wrong',
+    [
+        {'service': ...},
+        {'service': 7},
+        {'address': ...},
+        {'address': '1.2.3.4'},
+        {'address': '1.2.3.4:0'},
+        {'address': 'somewhere:80'},
+        {'address': '1.2.3.4:99999'},
+        {'zone': ['z']},
+        {'slots': ...},
+        {'slots': -3},
+        {'slots': 0},
+        {'slots': 10**30},
+        {'slots': 2.5},
+        {'slots': True},
+        {'slots': float('nan')},
+        {'state': 'asleep'},
+        {'state': ...},
+        {'stage': 'thinking'},
+        {'stage': 3},
+        {'born': -1},
+        {'born': 1.5},
+        {'born': '1786000000123'},
+        {'zone': 'a\r\nX-Other: b'},
+    ],
+)
+def test_entry_that_names_no_endpoint(wrong):
+    """Each is refused with a reason; the fields that are right don't help."""
+    found = entry(**wrong)
+    assert isinstance(found, catalog.UnusableRecord)
+    assert found.reason
+
+
+@pytest.mark.parametrize('key', ['servers/', 'servers/a b', 'servers/a\r\nb'])
+def test_key_that_names_no_endpoint(key):
+    value = json.dumps(ENTRY).encode()
+    assert isinstance(
+        records.decode_endpoint(key, value), catalog.UnusableRecord
+    )
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_are_a_record_or_refused(value):
+    for found in (
+        records.decode_endpoint('servers/i-1', value),
+        records.decode_configuration(value),
+    ):
+        assert isinstance(found, catalog.UnusableRecord)
+
+
+@hypothesis.given(ANY_JSON)
+def test_any_json_is_a_record_or_refused(value):
+    data = json.dumps(value).encode()
+    for found in (
+        records.decode_endpoint('servers/i-1', data),
+        records.decode_configuration(data),
+    ):
+        assert isinstance(
+            found,
+            catalog.Endpoint | routes.Configuration | catalog.UnusableRecord,
+        )
+
+
+@hypothesis.given(strategies.sampled_from(sorted(ENTRY)), ANY_JSON)
+def test_entry_with_one_field_changed(name, value):
+    found = entry(**{name: value})
+    assert isinstance(found, catalog.Endpoint | catalog.UnusableRecord)
+    if isinstance(found, catalog.Endpoint):
+        assert found.slots >= 1
+        assert found.address.rpartition(':')[2].isdigit()
+        assert found.id.isprintable()
+
+
+def changed(value, path, new):
+    if not path:
+        return new
+    copy = list(value) if isinstance(value, list) else dict(value)
+    copy[path[0]] = changed(copy[path[0]], path[1:], new)
+    return copy
+
+
+def paths(value, path=()):
+    yield path
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            yield from paths(inner, (*path, name))
+    elif isinstance(value, list):
+        for number, inner in enumerate(value):
+            yield from paths(inner, (*path, number))
+
+
+CONFIGURATION = gatewayworld.configuration(version=3)
+
+
+@hypothesis.given(
+    strategies.sampled_from(list(paths(CONFIGURATION))), ANY_JSON
+)
+def test_configuration_with_one_value_changed(path, value):
+    """One that can be read can be used: each path finds a route or none."""
+    data = json.dumps(changed(CONFIGURATION, path, value)).encode()
+    found = records.decode_configuration(data)
+    if isinstance(found, catalog.UnusableRecord):
+        assert found.reason
+        return
+    for each in found.routes:
+        found.match(each.host, each.prefix)
+        assert each.timeout_s > 0 and each.targets
