Look up the engine that answers after its prompt has been read

The engine that was to answer was looked up before the prompt was read. Reading may take up to half of the caller's time since prompts are not given up for dead, longer than an engine that leaves may be given work.

Change: it is looked up afterwards, and where it leaves another engine fetches what was read. A prompt whose reader is gone by then is read again.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -36,6 +36,8 @@
 MIN_STALL_S = 0.5
 #: The same before the first event: it may wait for a slot.
 FIRST_STALL_S = 1.2
+#: Reason told for a request whose engine is gone, or leaves.
+LEFT = 'the engine has left'
 #: Reason told for a request that would be one repeat too many.
 BUDGET_SPENT = 'the retry budget is spent'
 
@@ -206,16 +208,23 @@
         | outcomes.NotRun
         | outcomes.Lost
     ):
-        runner = self.parts.catalog.endpoints.get(placed.run)
         self.endpoint = placed.run
-        if runner is None or runner.leaving:
-            return outcomes.NotRun('the engine has left', arrived=False)
         source = None
         if placed.prefill is not None:
             source = self._prefill(job, placed)
             if isinstance(source, outcomes.NotRun):
                 self.endpoint = placed.prefill
                 return source
+        # Looked up after reading: an engine that has begun to leave in the
+        # meantime may be given no work any longer.
+        runner = self._present(placed.run)
+        if runner is None and source is not None:
+            runner = self._other_runner(placed.run)
+        if runner is None:
+            if source is not None:
+                self._free(source)
+            return outcomes.NotRun(LEFT, arrived=False)
+        self.endpoint = runner.id
         options = codecs.RunOptions(
             endpoint=runner.name,
             left_s=self.left_s,
@@ -232,7 +241,7 @@
                 # Turned away: it is full, or what was read is gone.  An
                 # engine that reads the prompt itself can still answer.
                 self._note_turned_away(job, placed, result)
-                other = self._other_runner(runner)
+                other = self._other_runner(runner.id)
                 if other is not None:
                     self.endpoint = other.id
                     options = options._replace(
@@ -262,18 +271,23 @@
             placer.failed(self.service, job.id, placed.run)
             self._log_try(result.reason, 'not run')
 
-    def _other_runner(
-        self, failed: catalog.Endpoint
-    ) -> catalog.Endpoint | None:
-        """Another engine for a request that one has turned away."""
+    def _present(self, endpoint_id: str) -> catalog.Endpoint | None:
+        """An engine, unless it has left or is about to."""
+        endpoint = self.parts.catalog.endpoints.get(endpoint_id)
+        return None if endpoint is None or endpoint.leaving else endpoint
+
+    def _other_runner(self, failed: str) -> catalog.Endpoint | None:
+        """Another engine for a request that one has not taken."""
         if self.left_s < exchange.RETURN_S:
             return None
         others = [
             each
             for each in self.parts.catalog.usable(self.service)
-            if each.stage is catalog.Stage.DECODE and each.id != failed.id
+            if each.stage is catalog.Stage.DECODE and each.id != failed
         ]
-        return self.parts.rng.choice(others) if others else failed
+        if not others:
+            return self._present(failed)
+        return self.parts.rng.choice(others)
 
     def _prefill(
         self, job: promptjobs.Job, placed: promptjobs.Placed
@@ -284,9 +298,9 @@
         was to answer it would read all of it at half the speed, between the
         tokens of others.
         """
-        reader = self.parts.catalog.endpoints.get(placed.prefill)
-        if reader is None or reader.leaving:
-            return self._not_read(placed.prefill, 'the engine has left', False)
+        reader = self._present(placed.prefill)
+        if reader is None:
+            return self._not_read(placed.prefill, LEFT, False)
         sent_s = self.parts.clock.now_s()
         options = codecs.RunOptions(
             reader.name, self.left_s, fetch_from=placed.fetch_from
@@ -318,6 +332,10 @@
         if read is None or result.facts.status != 200:
             reason = f'status {result.facts.status}'
             return self._not_read(reader.id, reason, True)
+        if reader.id not in self.parts.catalog.endpoints:
+            # What it has read went with it, and the process after it may
+            # give another request the same handle.
+            return self._not_read(reader.id, LEFT, True)
         self.parts.placer.has_read(self.service, job.id, reader.id)
         self.read_s = self.parts.clock.now_s()
         LOG.event(
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -653,3 +653,60 @@
     assert not told
     node.placer.leading = True
     gatewayworld.wait_for(lambda: told, 'the word of a silent engine')
+
+
+def test_engine_that_leaves_while_the_prompt_is_read_gets_no_request(world):
+    """The engine that is to answer begins to leave while another one reads.
+
+    Reading takes longer than a leaving engine may be given work.  The
+    request goes to another engine that answers, which fetches what was read.
+    """
+    reader = world.endpoint('p1', 'model', 'prefill')
+    reader.work_s = 0.6
+    leaver = world.endpoint('d1', 'model', 'decode')
+    stays = world.endpoint('d2', 'model', 'decode')
+    node = world.node()
+    node.placer.place = lambda service, job: promptjobs.Placed(
+        job.id, 'p1', 'd1', None, 5500, 0.5, False
+    )
+    client = gatewayworld.Client(node)
+    client.request('POST', '/chat/1', 'r1', b'text', **PROMPT)
+    gatewayworld.wait_for(lambda: reader.arrivals, 'the prompt')
+    leaver.state = 'draining'
+    world.list(leaver)
+    head, _ = client.answer()
+    assert head.status == 200
+    assert not leaver.arrivals
+    assert b'x-kv-source' in stays.runs[0].headers
+
+
+def test_prompt_read_by_a_process_that_is_gone_is_read_again(world):
+    """The engine that has read a prompt starts again before it is fetched.
+
+    What it had read is gone, and the next process may give the same handle
+    to another request.
+    """
+    reader = world.endpoint('p1', 'model', 'prefill')
+    reader.work_s = 0.6
+    reader.born_ms = 1000
+    world.list(reader)
+    runner = world.endpoint('d1', 'model', 'decode')
+    node = world.node()
+    former = node.catalog.by_name['p1']
+    node.placer.place = lambda service, job: promptjobs.Placed(
+        job.id,
+        None if job.avoid else former,
+        'd1',
+        None,
+        5500,
+        0.5,
+        False,
+    )
+    client = gatewayworld.Client(node)
+    client.request('POST', '/chat/1', 'r1', b'text', **PROMPT)
+    gatewayworld.wait_for(lambda: reader.arrivals, 'the prompt')
+    reader.born_ms = 2000
+    world.list(reader)
+    head, _ = client.answer()
+    assert head.status == 200
+    assert [b'x-kv-source' in run.headers for run in runner.runs] == [False]
