Place who has the least to spare first; the longest make room

Cause: prompts were read in the order of their coming.

Change: the queue of those that can be in time is ordered by the moment at which an engine has to begin. Where not all can be in time the longest makes room (Moore and Hodgson), and is told at once if it has no place among the late ones.

--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -1,5 +1,6 @@
 """The engines of a model service: who has room, and what a way costs."""
 
+import bisect
 from collections.abc import Iterable
 import dataclasses
 import heapq
@@ -74,8 +75,20 @@
     """
 
     def __init__(self, backlogs: Iterable[tuple[float, float]]) -> None:
-        self.backlogs = sorted(backlogs)
-        self.speed = sum(speed for _, speed in self.backlogs)
+        self.speed = 0.0
+        # Where another engine gets free: the moment, and the work that the
+        # others have taken in by then.
+        self._free_s: list[float] = []
+        self._work_s: list[float] = []
+        self._speeds: list[float] = []
+        work_s = 0.0
+        for backlog_s, speed in sorted(backlogs):
+            if self._free_s:
+                work_s += (backlog_s - self._free_s[-1]) * self.speed
+            self.speed += speed
+            self._free_s.append(backlog_s)
+            self._work_s.append(work_s)
+            self._speeds.append(self.speed)
 
     def wait_s(self, work_s: float) -> float:
         """Time until the engines have taken in so much more work.
@@ -85,15 +98,11 @@
 
         :param work_s: seconds of an engine of the reading stage
         """
-        speed = 0.0
-        at_s = 0.0
-        for backlog_s, share in self.backlogs:
-            if speed and (backlog_s - at_s) * speed >= work_s:
-                break
-            work_s -= (backlog_s - at_s) * speed
-            at_s = backlog_s
-            speed += share
-        return at_s + max(0.0, work_s) / speed if speed else 0.0
+        if not self.speed:
+            return 0.0
+        last = bisect.bisect_right(self._work_s, work_s) - 1
+        rest_s = work_s - self._work_s[last]
+        return self._free_s[last] + rest_s / self._speeds[last]
 
 
 @dataclasses.dataclass(slots=True)
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -11,6 +11,7 @@
 before, enough to cover the way there and back.
 """
 
+import heapq
 from typing import Any
 from typing import NamedTuple
 
@@ -99,7 +100,7 @@
         self.settings = settings or PlacementSettings()
         self.sharers = sharers
         self.pool = enginepool.EnginePool(traits, pool_settings)
-        self.fresh = promptjobs.JobQueue()
+        self.fresh = promptjobs.SlackQueue()
         self.late = promptjobs.JobQueue()
         self.returned = promptjobs.JobQueue()
         self.readers: dict[int, _Reader] = {}
@@ -201,16 +202,23 @@
         job.need_s = self.pool.need_s(kept, job.tokens) * self.bias
         self.asked.add(job.need_s, now_s)
         self.asked_moves.add(self.pool.typical_move_s(job.tokens), now_s)
-        if now_s + self._wait_s(now_s) + job.need_s <= self._due_s(job):
+        job.latest_s = self._due_s(job) - job.need_s
+        if now_s + self._wait_s(job, now_s) <= job.latest_s:
             self.asked_fresh.add(job.need_s, now_s)
             self.fresh.put(job)
             return self.pump(now_s)
+        refused = self._put_late_or_refuse(job, now_s)
+        return [refused] if refused is not None else self.pump(now_s)
+
+    def _put_late_or_refuse(
+        self, job: promptjobs.Job, now_s: float
+    ) -> promptjobs.Refused | None:
         wait_s = self._late_wait_s(now_s)
         left_s = job.deadline_s - now_s
         if wait_s + job.need_s > left_s * self.settings.hold_share:
-            return [self._refuse(job, now_s, wait_s, 'no room in time')]
+            return self._refuse(job, now_s, wait_s, 'no room in time')
         self._put_late(job)
-        return self.pump(now_s)
+        return None
 
     def waits(self, job_id: int) -> bool:
         """Whether a job is in a queue."""
@@ -361,16 +369,52 @@
         """Move on whoever has waited too long for its queue."""
         while len(self.fresh):
             job = self.fresh.first()
-            if now_s + job.need_s <= self._due_s(job):
+            if now_s <= job.latest_s:
                 break
             self.fresh.take(job.id)
             self._put_late(job)
         if now_s - self.sorted_s < SORT_S:
             return
         self.sorted_s = now_s
+        self._thin_out(now_s, decisions)
         self._sort_out_waiting(now_s, decisions)
         self._sort_out_late(now_s, decisions)
 
+    def _thin_out(
+        self, now_s: float, decisions: list[promptjobs.Decision]
+    ) -> None:
+        """Keep as many in time as can be; the others are late.
+
+        By the rule of Moore and Hodgson: where the next one would be late,
+        the longest so far makes room.  Without it each one that is due soon
+        pushes others beyond their time, and under more load than can be read
+        nearly all of them end late.
+        """
+        capacity = self.pool.capacity(now_s)
+        if not capacity.speed:
+            return
+        factor = self._turns_factor()
+        longest: list[tuple[float, int]] = []
+        work_s = 0.0
+        for job in self.fresh.in_order():
+            wait_s = capacity.wait_s(work_s * factor) * self.sharers
+            heapq.heappush(longest, (-job.need_s, job.id))
+            work_s += job.need_s
+            if now_s + wait_s <= job.latest_s:
+                continue
+            _, job_id = heapq.heappop(longest)
+            late = self.fresh.take(job_id)
+            work_s -= late.need_s
+            refused = self._put_late_or_refuse(late, now_s)
+            if refused is not None:
+                decisions.append(refused)
+
+    def _turns_factor(self) -> float:
+        """What a place takes, with the turns of those that are late."""
+        if len(self.late) or len(self.returned):
+            return 1 + 1 / (self.settings.late_turn - 1)
+        return 1.0
+
     def _sort_out_waiting(
         self, now_s: float, decisions: list[promptjobs.Decision]
     ) -> None:
@@ -410,15 +454,13 @@
         latency_s = self.pool.costs[catalog.Stage.PREFILL].latency_s
         return job.objective_s - self.settings.reserve_s - latency_s
 
-    def _wait_s(self, now_s: float) -> float:
+    def _wait_s(self, job: promptjobs.Job, now_s: float) -> float:
         """Time until a prompt that can still be in time gets an engine."""
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
             return NO_ENGINE_S
-        work_s = self.fresh.need_s
-        if len(self.late) or len(self.returned):
-            # Some of the turns go to these.
-            work_s += self.fresh.need_s / (self.settings.late_turn - 1)
+        work_s = self.fresh.need_before_s(job.latest_s)
+        work_s *= self._turns_factor()
         return capacity.wait_s(work_s) * self.sharers
 
     def _late_wait_s(self, now_s: float) -> float:
--- a/magnoliadyke/core/promptjobs.py
+++ b/magnoliadyke/core/promptjobs.py
@@ -2,11 +2,12 @@
 
 import collections
 import dataclasses
+import heapq
 from typing import NamedTuple
 
 from magnoliadyke.core import promptcache
 
-__all__ = ['Decision', 'Job', 'JobQueue', 'Placed', 'Refused']
+__all__ = ['Decision', 'Job', 'JobQueue', 'Placed', 'Refused', 'SlackQueue']
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,6 +21,7 @@
     :param avoid: engines that failed it
     :ivar tokens: of the whole prompt
     :ivar came_s: when it was submitted
+    :ivar latest_s: when an engine has to begin for it to be in time
     :ivar need_s: reading time, where most of the prompt is kept
     """
 
@@ -35,6 +37,7 @@
     tokens: int = 0
     need_s: float = 0.0
     came_s: float = 0.0
+    latest_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.tokens = promptcache.total_tokens(self.parts)
@@ -96,3 +99,37 @@
 
     def first(self) -> Job:
         return next(iter(self.jobs.values()))
+
+
+class SlackQueue(JobQueue):
+    """Jobs that can still be in time; first who has the least to spare.
+
+    The load that this answers: some requests are due in half the time of
+    others and take twice as long.  In the order of their coming they wait
+    behind those that have seconds to spare, and come late one and all.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.order: list[tuple[float, int]] = []
+
+    def put(self, job: Job) -> None:
+        super().put(job)
+        heapq.heappush(self.order, (job.latest_s, job.id))
+
+    def first(self) -> Job:
+        while self.order[0][1] not in self.jobs:
+            heapq.heappop(self.order)
+        return self.jobs[self.order[0][1]]
+
+    def in_order(self) -> list[Job]:
+        """All of them, first who has the least to spare."""
+        return sorted(self.jobs.values(), key=lambda job: job.latest_s)
+
+    def need_before_s(self, latest_s: float) -> float:
+        """Reading time of those that would go before one of this moment."""
+        return sum(
+            job.need_s
+            for job in self.jobs.values()
+            if job.latest_s <= latest_s
+        )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -694,3 +694,41 @@
     (first,) = made.submit(job(1, parts), 0.0)
     made.failed(1, first.prefill or first.run, 0.1)
     assert made.pool.caches.kept(parts).most_tokens == 0
+
+
+def test_who_is_due_soon_does_not_wait_behind_who_has_time():
+    """Two kinds of prompts wait: due in half a second, and in four.
+
+    In the order of their coming the urgent ones come late although all of
+    them could be in time.
+    """
+    made = core(promptload.fleet(1, 1))
+    busy_with(made, [1])
+    for number in range(2, 12):
+        patient = job(number, [part(number, 4000)], objective_s=4.0)
+        patient.deadline_s = 8.0
+        made.submit(patient, 0.001)
+    urgent = job(20, [part(20, 4000)], objective_s=0.2, deadline_s=8.0)
+    made.submit(urgent, 0.001)
+    assert made.fresh.first() is urgent
+
+
+def test_longest_makes_room_where_not_all_can_be_in_time():
+    """More is asked than can be read in time.
+
+    One long prompt makes room for many short ones; taken in the order of
+    their due times alone, each would push others beyond theirs.
+    """
+    made = core(promptload.fleet(1, 1))
+    busy_with(made, [1])
+    fields = {'deadline_s': 9.0}
+    for number in range(2, 10):
+        made.submit(
+            job(number, [part(number, 9000)], objective_s=0.6, **fields), 0.001
+        )
+    long = job(20, [part(20, 60_000)], objective_s=0.59, **fields)
+    made.submit(long, 0.001)
+    waiting = len(made.fresh)
+    made._thin_out(0.002, [])
+    assert long.id not in made.fresh.jobs
+    assert len(made.fresh) >= waiting - 1
