--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -717,18 +717,21 @@
     """More is asked than can be read in time.
 
     One long prompt makes room for many short ones; taken in the order of
-    their due times alone, each would push others beyond theirs.
+    their due times alone, it would push all of them beyond theirs.
     """
     made = core(promptload.fleet(1, 1))
     busy_with(made, [1])
     fields = {'deadline_s': 9.0}
-    for number in range(2, 10):
-        made.submit(
-            job(number, [part(number, 9000)], objective_s=0.6, **fields), 0.001
-        )
-    long = job(20, [part(20, 60_000)], objective_s=0.59, **fields)
+    long = job(20, [part(20, 100_000)], objective_s=0.5, **fields)
     made.submit(long, 0.001)
-    waiting = len(made.fresh)
-    made._thin_out(0.002, [])
-    assert long.id not in made.fresh.jobs
-    assert len(made.fresh) >= waiting - 1
+    short = [
+        job(number, [part(number, 9000)], objective_s=0.52, **fields)
+        for number in range(2, 10)
+    ]
+    for each in short:
+        made.submit(each, 0.002)
+        made.fresh.take(each.id) or made.late.take(each.id)
+        made.fresh.put(each)
+    assert made.fresh.first() is long
+    made._thin_out(0.003, [])
+    assert list(made.fresh.jobs) == [each.id for each in short]
