Hand on what prompts were found to take when the placing host changes

Change: the placing host tells all others each second (some 40 bytes), and a place begins with the figures of the last one.

--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -59,6 +59,8 @@
 #: An engine that reads nothing is told of again after this time, in seconds,
 #: while prompts wait there: the word of it may have been lost.
 SILENT_AGAIN_S = 0.5
+#: Measured prompts after which the figures are no guess any more.
+ENOUGH_PROMPTS = 40
 #: Prompt length at which the speeds of two engines are compared.
 TYPICAL_TOKENS = 4000
 #: How long a computed capacity is used, in seconds: a job more or less.
@@ -394,6 +396,20 @@
 
     # What it costs.
 
+    def learned(self) -> readingcost.Figures | None:
+        """What prompts were found to take; None while it is a guess."""
+        reading = self.costs[catalog.Stage.PREFILL]
+        answering = self.costs[catalog.Stage.DECODE]
+        if reading.count < ENOUGH_PROMPTS:
+            return None
+        return readingcost.Figures(*reading.figures, answering.factor.median_s)
+
+    def begin_with(self, figures: readingcost.Figures) -> None:
+        """Take what another place has found; measurements go on."""
+        *reading, factor = figures
+        self.costs[catalog.Stage.PREFILL].guess(*reading)
+        self.costs[catalog.Stage.DECODE].factor.median_s = factor
+
     def need_s(self, kept: promptcache.Kept, tokens: int) -> float:
         """Reading time of a prompt where most of it is kept."""
         cost = self.costs[catalog.Stage.PREFILL]
--- a/magnoliadyke/core/readingcost.py
+++ b/magnoliadyke/core/readingcost.py
@@ -11,7 +11,13 @@
 
 from magnoliadyke.core import typicaltime
 
-__all__ = ['AnsweringCost', 'FittedCost', 'PromptSize', 'ReadingCost']
+__all__ = [
+    'AnsweringCost',
+    'FittedCost',
+    'Figures',
+    'PromptSize',
+    'ReadingCost',
+]
 
 #: Before anything was measured, in seconds: beside reading, for a token and
 #: for a million pairs.  Low rather than high: too low a guess is mended by
@@ -76,6 +82,21 @@
         return self.tokens * (self.before + self.tokens / 2)
 
 
+class Figures(NamedTuple):
+    """What one place has learned, for the next.
+
+    :param latency_s: of a prompt beside being read
+    :param thousand_tokens_s: for a thousand tokens
+    :param million_pairs_s: for a million pairs of tokens
+    :param answering_factor: how much longer engines take that also answer
+    """
+
+    latency_s: float
+    thousand_tokens_s: float
+    million_pairs_s: float
+    answering_factor: float
+
+
 class ReadingCost(abc.ABC):
     """Seconds that engines of one stage take to read a prompt.
 
@@ -151,6 +172,7 @@
 class FittedCost(ReadingCost):
     """That of engines which only read, by least squares.
 
+    :ivar count: prompts that were measured
     :ivar figures: latency in seconds, seconds for a thousand tokens and for
         a million pairs
     """
@@ -158,14 +180,22 @@
     def __init__(self) -> None:
         super().__init__()
         self.keep = 1.0 - 1.0 / MEMORY
+        self.count = 0
+        self.guess(
+            PRIOR_LATENCY_S, PRIOR_TOKEN_S * THOUSAND, PRIOR_MILLION_PAIRS_S
+        )
+
+    def guess(
+        self,
+        latency_s: float,
+        thousand_tokens_s: float,
+        million_pairs_s: float,
+    ) -> None:
+        """Begin with these figures."""
         self.grown_s = float('inf')
         self.left = [[0.0] * 3 for _ in range(3)]
         self.right = [0.0] * 3
-        self.figures = (
-            PRIOR_LATENCY_S,
-            PRIOR_TOKEN_S * THOUSAND,
-            PRIOR_MILLION_PAIRS_S,
-        )
+        self.figures = (latency_s, thousand_tokens_s, million_pairs_s)
         for size, with_latency in (
             (PromptSize(0), True),
             (PromptSize(PRIOR_TOKENS), False),
@@ -174,7 +204,8 @@
             seconds = _product(features, self.figures)
             self._add(features, seconds, PRIOR_WEIGHT)
         pairs = _features(PromptSize(PRIOR_TOKENS), False)[2]
-        self._add((0.0, 0.0, pairs), 0.0, PRIOR_WEIGHT)
+        pairs_s = pairs * million_pairs_s
+        self._add((0.0, 0.0, pairs), pairs_s, PRIOR_WEIGHT)
 
     @property
     def latency_s(self) -> float:
@@ -205,6 +236,7 @@
             weight = (most_s / seconds) ** UNUSUAL_POWER
         elif with_latency and seconds * QUICK < expected_s:
             weight = QUICK_WEIGHT
+        self.count += 1
         self._add(features, min(seconds, most_s), weight)
         self._solve(now_s)
 
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -22,6 +22,7 @@
 from magnoliadyke.core import catalog
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptjobs
+from magnoliadyke.core import readingcost
 from magnoliadyke.core import typicaltime
 from magnoliadyke import errors
 from magnoliadyke.gateway import handover
@@ -54,6 +55,9 @@
 AFTER_READING_S = 0.015
 #: One transfer in so many is reported.
 MOVES_TOLD = 3
+#: What prompts take is told to all hosts this often, in seconds: some 40 bytes
+#: each, and a host that takes over begins with figures of the last second.
+LEARNED_TOLD_S = 1.0
 #: Engines that read nothing are looked for this often, in seconds; a fifth
 #: of the time after which one counts as such.
 SILENT_CHECK_S = 0.1
@@ -86,6 +90,9 @@
     :ivar listeners: take the messages of other hosts that are not about
         placing, by their kind
     :ivar reads: the waits for prompts that engines read, by engine
+    :ivar learned: what prompts take, as the placing host has found, by
+        service; a host that begins to place would else learn it anew, and
+        let in too many or too few for seconds
     :ivar tell: sends a message to all other hosts
     :ivar after_reading_s: time from a prompt that has been read to the
         first event, which the place has to leave free
@@ -123,6 +130,7 @@
         self.reads: collections.defaultdict[str, set[waitlimit.WaitLimit]] = (
             collections.defaultdict(set)
         )
+        self.learned: dict[str, readingcost.Figures] = {}
         self.tell: Callable[[placing_codec.Message], None] | None = None
         self.socket: socket.socket | None = None
         self.greenlets: list[gevent.Greenlet] = []
@@ -136,6 +144,7 @@
         self.greenlets = [
             gevent.spawn(self._receive_all),
             gevent.spawn(self._check_silent),
+            gevent.spawn(self._tell_learned),
         ]
 
     def stop(self, deadline_s: float) -> None:
@@ -219,6 +228,20 @@
                 if self.tell is not None:
                     self.tell(placing_codec.Silent(engine))
 
+    def _tell_learned(self) -> None:
+        """Tell the other hosts what prompts take, while this one places."""
+        while True:
+            self.clock.sleep(LEARNED_TOLD_S)
+            if not self.leading:
+                continue
+            for service, pool in list(self.served.items()):
+                figures = pool.core.pool.learned()
+                if figures is None:
+                    continue
+                self.learned[service] = figures
+                if self.tell is not None:
+                    self.tell(placing_codec.Learned(service, figures))
+
     def _find_silent(self, pools: dict[str, _Pool]) -> list[str]:
         now_s = self.clock.now_s()
         return [
@@ -399,6 +422,8 @@
         if pool is None:
             traits = self.catalog.configuration.services[service].engine
             core = placement.Placement(traits, self.rng)
+            if service in self.learned:
+                core.pool.begin_with(self.learned[service])
             pool = pools[service] = _Pool(core)
         pool.core.sharers = 1 if pools is self.served else self.hosts
         if pool.generation != self.catalog.generation:
@@ -429,6 +454,8 @@
                     self._recall(message)
             case placing_codec.Silent(engine):
                 self._end_reads(engine)
+            case placing_codec.Learned(service, figures):
+                self._take_learned(service, figures)
             case placing_codec.Broken() | placing_codec.Leads():
                 listener = self.listeners.get(type(message))
                 if listener is not None:
@@ -443,6 +470,15 @@
                     waiting.acknowledged.set()
                     waiting.decided.set(decision)
 
+    def _take_learned(
+        self, service: str, figures: readingcost.Figures
+    ) -> None:
+        if self.leading:
+            return
+        self.learned[service] = figures
+        if service in self.local:
+            self.local[service].core.pool.begin_with(figures)
+
     def _take_ask(
         self, service: str, job: promptjobs.Job, sender: str
     ) -> None:
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -10,6 +10,7 @@
 
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import promptjobs
+from magnoliadyke.core import readingcost
 from magnoliadyke import errors
 from magnoliadyke.wire.placement import constants
 from magnoliadyke.wire.placement import ttypes
@@ -19,6 +20,7 @@
     'Broken',
     'Event',
     'Leads',
+    'Learned',
     'Memory',
     'Recall',
     'Report',
@@ -32,6 +34,7 @@
 MAX_STRING_BYTES = 1024
 MAX_ITEMS = 256
 MICRO = 1_000_000
+PERMILLE = 1000
 #: Longest time that fits the field, in microseconds.
 MAX_US = 2**31 - 1
 
@@ -136,7 +139,16 @@
     endpoint: str
 
 
-Message = Ask | Waits | Told | Report | Recall | Broken | Leads | Silent
+class Learned(NamedTuple):
+    """What prompts were found to take, for the host that places next."""
+
+    service: str
+    figures: readingcost.Figures
+
+
+Message = (
+    Ask | Waits | Told | Report | Recall | Broken | Leads | Silent | Learned
+)
 
 
 def encode(message: Message) -> bytes:
@@ -166,6 +178,14 @@
             )
         case Silent(endpoint):
             datagram.silent = ttypes.Silent(endpoint)
+        case Learned(service, figures):
+            datagram.learned = ttypes.Learned(
+                service,
+                _micro(figures.latency_s),
+                _micro(figures.thousand_tokens_s),
+                _micro(figures.million_pairs_s),
+                round(figures.answering_factor * PERMILLE),
+            )
     return TSerialization.serialize(datagram, FACTORY)
 
 
@@ -211,6 +231,8 @@
             )
         if datagram.silent is not None:
             return Silent(datagram.silent.endpoint)
+        if datagram.learned is not None:
+            return _decode_learned(datagram.learned)
     except (
         EOFError,
         TException,
@@ -293,6 +315,18 @@
     return Waits(decision.job)
 
 
+def _decode_learned(learned: ttypes.Learned) -> Learned:
+    return Learned(
+        learned.pool,
+        readingcost.Figures(
+            learned.latency_us / MICRO,
+            learned.thousand_tokens_us / MICRO,
+            learned.million_pairs_us / MICRO,
+            learned.answering_permille / PERMILLE,
+        ),
+    )
+
+
 def _encode_memory(memory: Memory) -> ttypes.Memory:
     return ttypes.Memory(
         memory.engine,
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -1094,6 +1094,122 @@
         return not (self == other)
 
 
+class Learned(object):
+    """
+    Attributes:
+     - pool
+     - latency_us
+     - thousand_tokens_us
+     - million_pairs_us
+     - answering_permille
+
+    """
+
+    __slots__ = (
+        'pool',
+        'latency_us',
+        'thousand_tokens_us',
+        'million_pairs_us',
+        'answering_permille',
+    )
+
+
+    def __init__(self, pool=None, latency_us=None, thousand_tokens_us=None, million_pairs_us=None, answering_permille=None,):
+        self.pool = pool
+        self.latency_us = latency_us
+        self.thousand_tokens_us = thousand_tokens_us
+        self.million_pairs_us = million_pairs_us
+        self.answering_permille = answering_permille
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.latency_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.thousand_tokens_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.million_pairs_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.answering_permille = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Learned')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.latency_us is not None:
+            oprot.writeFieldBegin('latency_us', TType.I32, 2)
+            oprot.writeI32(self.latency_us)
+            oprot.writeFieldEnd()
+        if self.thousand_tokens_us is not None:
+            oprot.writeFieldBegin('thousand_tokens_us', TType.I32, 3)
+            oprot.writeI32(self.thousand_tokens_us)
+            oprot.writeFieldEnd()
+        if self.million_pairs_us is not None:
+            oprot.writeFieldBegin('million_pairs_us', TType.I32, 4)
+            oprot.writeI32(self.million_pairs_us)
+            oprot.writeFieldEnd()
+        if self.answering_permille is not None:
+            oprot.writeFieldBegin('answering_permille', TType.I32, 5)
+            oprot.writeI32(self.answering_permille)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -1105,6 +1221,7 @@
      - broken
      - leader
      - silent
+     - learned
 
     """
 
@@ -1117,10 +1234,11 @@
         'broken',
         'leader',
         'silent',
+        'learned',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
@@ -1129,6 +1247,7 @@
         self.broken = broken
         self.leader = leader
         self.silent = silent
+        self.learned = learned
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1186,6 +1305,12 @@
                     self.silent.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.learned = Learned()
+                    self.learned.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1228,6 +1353,10 @@
             oprot.writeFieldBegin('silent', TType.STRUCT, 8)
             self.silent.write(oprot)
             oprot.writeFieldEnd()
+        if self.learned is not None:
+            oprot.writeFieldBegin('learned', TType.STRUCT, 9)
+            self.learned.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1329,6 +1458,15 @@
     None,  # 0
     (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
 )
+all_structs.append(Learned)
+Learned.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'latency_us', None, None, ),  # 2
+    (3, TType.I32, 'thousand_tokens_us', None, None, ),  # 3
+    (4, TType.I32, 'million_pairs_us', None, None, ),  # 4
+    (5, TType.I32, 'answering_permille', None, None, ),  # 5
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1340,6 +1478,7 @@
     (6, TType.STRUCT, 'broken', [Broken, None], None, ),  # 6
     (7, TType.STRUCT, 'leader', [Leader, None], None, ),  # 7
     (8, TType.STRUCT, 'silent', [Silent, None], None, ),  # 8
+    (9, TType.STRUCT, 'learned', [Learned, None], None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -6,6 +6,7 @@
 
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import promptjobs
+from magnoliadyke.core import readingcost
 from magnoliadyke.core import typicaltime
 from magnoliadyke import errors
 from magnoliadyke.gateway import events
@@ -121,6 +122,9 @@
         placing_codec.Broken(b'12345678', ('e1', 'e2')),
         placing_codec.Leads('h1', '10.0.0.1', 1787, 40),
         placing_codec.Silent('e1'),
+        placing_codec.Learned(
+            'model', readingcost.Figures(0.04, 0.009, 0.0002, 2.5)
+        ),
         placing_codec.Leads('h1', '10.0.0.1', 1787, 40, True),
         placing_codec.Told(promptjobs.Refused(7, 0.25, 'no room')),
         placing_codec.Report(
--- a/tests/test_gateway_platform.py
+++ b/tests/test_gateway_platform.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from magnoliadyke.core import catalog
 from magnoliadyke.core import promptcache
 from tests import gatewayworld
 
@@ -383,3 +384,27 @@
     gatewayworld.wait_for(
         lambda: node.catalog.configuration.version == before + 2, 'the next'
     )
+
+
+def test_host_that_takes_over_knows_what_prompts_take(world):
+    """The placing host goes; the one after it places the next prompt.
+
+    Learned anew, what a prompt takes would be guessed for seconds: the first
+    burst after each change of host would be let in by a guess.
+    """
+    world.endpoint('p1', 'model', 'prefill')
+    world.endpoint('d1', 'model', 'decode')
+    first, second = world.node(), world.node()
+    gatewayworld.wait_for(
+        lambda: first.placer.leading != second.placer.leading, 'one leader'
+    )
+    old, new = (first, second) if first.placer.leading else (second, first)
+    core = old.placer._pool(old.placer.served, 'model').core
+    reading = core.pool.costs[catalog.Stage.PREFILL]
+    reading.guess(0.04, 0.009, 0.0002)
+    reading.count = 1000
+    gatewayworld.wait_for(lambda: new.placer.learned, 'what was learned')
+    new.placer.lead()
+    core = new.placer._pool(new.placer.served, 'model').core
+    found = core.pool.costs[catalog.Stage.PREFILL].figures
+    assert [round(each, 6) for each in found] == [0.04, 0.009, 0.0002]
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -95,6 +95,15 @@
   1: string endpoint,
 }
 
+// What prompts were found to take, for the host that places next.
+struct Learned {
+  1: string pool,
+  2: i32 latency_us,
+  3: i32 thousand_tokens_us,
+  4: i32 million_pairs_us,
+  5: i32 answering_permille,
+}
+
 struct Datagram {
   1: i16 version,
   2: optional Ask ask,
@@ -104,4 +113,5 @@
   6: optional Broken broken,
   7: optional Leader leader,
   8: optional Silent silent,
+  9: optional Learned learned,
 }
