Wait for shared parts that another engine is reading, where it is far quicker

Change: such a prompt waits until the part has been read and is fetched, if it comes within half of the time that reading it again would take; twice at most.

--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -416,6 +416,11 @@
         most = kept.most_tokens
         return cost.seconds(readingcost.PromptSize(tokens - most, most))
 
+    def saved_s(self, tokens: int) -> float:
+        """Reading time of so many tokens at an engine that only reads."""
+        cost = self.costs[catalog.Stage.PREFILL]
+        return cost.seconds(readingcost.PromptSize(tokens))
+
     def capacity(self, now_s: float) -> Capacity:
         """Reading power of the engines that may read."""
         if now_s - self._capacity_s >= CAPACITY_S:
@@ -459,6 +464,34 @@
                 best = option
         return best
 
+    def coming_s(
+        self,
+        parts: tuple[promptcache.PromptPart, ...],
+        tokens: int,
+        now_s: float,
+    ) -> float | None:
+        """When an engine will have read so much of a prompt; None if none is.
+
+        :param tokens: of the first parts, to be kept there
+        """
+        kept = self.caches.kept(parts)
+        moments = []
+        for engine_id in kept.holders(SOURCES):
+            if kept.tokens(engine_id) < tokens:
+                continue
+            engine = self.engines[engine_id]
+            if self.caches.ready_tokens(engine_id, parts) >= tokens:
+                moments.append(now_s)
+                continue
+            reading_s = [
+                engine.readings[job].until_s
+                for job in self.caches.awaited(engine_id, parts)
+                if job in engine.readings
+            ]
+            if reading_s:
+                moments.append(max(reading_s) + engine.latency_s)
+        return min(moments, default=None)
+
     def _candidates(
         self, kept: promptcache.Kept, avoid: tuple[str, ...]
     ) -> Iterable[str]:
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -57,6 +57,13 @@
 #: Weight of a placed prompt in the ratio of what placing it took to what
 #: was expected when it came.
 BIAS_WEIGHT = 0.03
+#: Tokens that another engine is reading for which a prompt waits: fewer take
+#: hardly longer to read again than to fetch.
+LEAST_DEFERRED_TOKENS = 1000
+#: Part of the time to read them again that it waits at most.
+DEFER_SHARE = 0.5
+#: Times that a prompt waits so: what was to be read may fail to come.
+MOST_DEFERRED = 2
 #: Late jobs are looked through this often, in seconds: a wait that grows by
 #: this much costs no caller anything.
 SORT_S = 0.02
@@ -103,6 +110,10 @@
         self.fresh = promptjobs.SlackQueue()
         self.late = promptjobs.JobQueue()
         self.returned = promptjobs.JobQueue()
+        self.deferred: list[tuple[float, int]] = []
+        self.deferred_jobs: dict[
+            int, tuple[promptjobs.Job, promptjobs.JobQueue]
+        ] = {}
         self.readers: dict[int, _Reader] = {}
         self.answers = longanswers.LongAnswers(
             self.pool, self.settings.long_run_s
@@ -222,6 +233,8 @@
 
     def waits(self, job_id: int) -> bool:
         """Whether a job is in a queue."""
+        if job_id in self.deferred_jobs:
+            return True
         return any(job_id in queue.jobs for queue in self._queues())
 
     def _queues(self) -> tuple[promptjobs.JobQueue, ...]:
@@ -262,6 +275,7 @@
 
     def withdraw(self, job_id: int, now_s: float) -> list[promptjobs.Decision]:
         """The caller has left, or the host takes the job elsewhere."""
+        self.deferred_jobs.pop(job_id, None)
         for queue in self._queues():
             queue.take(job_id)
         return self.ended(job_id, now_s)
@@ -330,6 +344,7 @@
         """Place what can be placed now; refuse what can't be in time."""
         decisions: list[promptjobs.Decision] = []
         self.pool.refresh(now_s)
+        self._resume_deferred(now_s)
         self.answers.expire(now_s)
         self._pump_answers(now_s, decisions)
         self._sort_out(now_s, decisions)
@@ -341,16 +356,61 @@
             if option is None:
                 break
             queue.take(job.id)
+            if self._defer(job, option, queue, now_s):
+                continue
             self.turns += 1
             decisions.append(self._take(job, option, now_s))
         return decisions
 
+    def _defer(
+        self,
+        job: promptjobs.Job,
+        option: enginepool.Option,
+        queue: promptjobs.JobQueue,
+        now_s: float,
+    ) -> bool:
+        """Whether a prompt waits for parts that an engine is reading now.
+
+        Several prompts of one subject come within the time in which the
+        first of them is read.  Read by another engine in the meantime, the
+        parts that they share take its time for nothing; fetched, they are
+        there in a few hundredths of a second.  Waits only who is served
+        clearly sooner for it: what a prompt waits for is a forecast, and one
+        that waited as long as it would have read came late too often.
+        """
+        kept_tokens = self.pool.caches.kept(job.parts).most_tokens
+        again = option.tokens - (job.tokens - kept_tokens)
+        if again < LEAST_DEFERRED_TOKENS or job.deferred >= MOST_DEFERRED:
+            return False
+        coming_s = self.pool.coming_s(job.parts, kept_tokens, now_s)
+        if coming_s is None or coming_s <= now_s:
+            return False
+        saved_s = self.pool.saved_s(again)
+        begins_s = option.ready_s - option.read_s
+        if coming_s > begins_s + saved_s * DEFER_SHARE:
+            return False
+        job.deferred += 1
+        heapq.heappush(self.deferred, (coming_s, job.id))
+        self.deferred_jobs[job.id] = (job, queue)
+        return True
+
+    def _resume_deferred(self, now_s: float) -> None:
+        """Queue those again whose parts should have been read by now."""
+        while self.deferred and self.deferred[0][0] <= now_s:
+            _, job_id = heapq.heappop(self.deferred)
+            job, queue = self.deferred_jobs.pop(job_id, (None, None))
+            if job is not None:
+                queue.put(job)
+
     def wake_s(self, now_s: float) -> float | None:
         """When :meth:`pump` has something to do without further word."""
+        latest_s = now_s + PUMP_S
+        if self.deferred:
+            latest_s = min(latest_s, max(now_s, self.deferred[0][0]))
         if self._next_queue() is None:
-            return now_s + PUMP_S if len(self.answers.waiting) else None
+            waits = self.deferred or len(self.answers.waiting)
+            return latest_s if waits else None
         opens_s = self.pool.opens_s()
-        latest_s = now_s + PUMP_S
         if opens_s is None:
             return latest_s
         return max(now_s + 0.001, min(opens_s, latest_s))
--- a/magnoliadyke/core/promptcache.py
+++ b/magnoliadyke/core/promptcache.py
@@ -175,6 +175,11 @@
                 self.caches[engine].drop(part)
                 self._forget(engine, part)
 
+    def awaited(self, engine: str, parts: Sequence[PromptPart]) -> set[int]:
+        """Jobs with which an engine gets parts that it has not read yet."""
+        unread = self.unread.get(engine, {})
+        return {unread[part.id] for part in parts if part.id in unread}
+
     def ready_tokens(self, engine: str, parts: Sequence[PromptPart]) -> int:
         """What another engine could fetch of a prompt now."""
         cache = self.caches.get(engine)
--- a/magnoliadyke/core/promptjobs.py
+++ b/magnoliadyke/core/promptjobs.py
@@ -21,6 +21,7 @@
     :param avoid: engines that failed it
     :ivar tokens: of the whole prompt
     :ivar came_s: when it was submitted
+    :ivar deferred: times that it has waited for parts that are being read
     :ivar latest_s: when an engine has to begin for it to be in time
     :ivar need_s: reading time, where most of the prompt is kept
     """
@@ -38,6 +39,7 @@
     need_s: float = 0.0
     came_s: float = 0.0
     latest_s: float = 0.0
+    deferred: int = 0
 
     def __post_init__(self) -> None:
         self.tokens = promptcache.total_tokens(self.parts)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -735,3 +735,45 @@
     assert made.fresh.first() is long
     made._thin_out(0.003, [])
     assert list(made.fresh.jobs) == [each.id for each in short]
+
+
+def test_shared_parts_that_are_being_read_are_waited_for():
+    """Two prompts share 30,000 tokens and come a moment after each other.
+
+    Another engine has nothing to read.  It would read all of them again,
+    and take longer than the second prompt waits for the first.
+    """
+    made = core(promptload.fleet(2, 1))
+    made.answers.hold(99, 'd0', 100, 0.0)
+    shared = part(1, 30_000)
+    fields = {'objective_s': 2.0, 'deadline_s': 9.0}
+    (first,) = made.submit(job(1, [shared, part(2, 2000)], **fields), 0.0)
+    assert made.submit(job(2, [shared, part(3, 2000)], **fields), 0.08) == []
+    assert made.waits(2)
+    (second,) = [*made.has_read(1, first.prefill, 0.13), *made.pump(0.25)]
+    assert second.read_tokens == 2000
+
+
+def test_prompt_does_not_wait_for_parts_that_never_come():
+    """The engine that was to read them fails; the other one reads all."""
+    made = core(promptload.fleet(2, 1))
+    made.answers.hold(99, 'd0', 100, 0.0)
+    shared = part(1, 30_000)
+    fields = {'objective_s': 2.0, 'deadline_s': 9.0}
+    (first,) = made.submit(job(1, [shared, part(2, 2000)], **fields), 0.0)
+    made.submit(job(2, [shared, part(3, 2000)], **fields), 0.08)
+    made.failed(1, first.prefill, 0.1)
+    placed = made.pump(0.25)
+    assert [each.job for each in placed] == [2]
+
+
+def test_caller_that_leaves_while_its_prompt_waits_for_parts_is_forgotten():
+    made = core(promptload.fleet(2, 1))
+    made.answers.hold(99, 'd0', 100, 0.0)
+    shared = part(1, 30_000)
+    fields = {'objective_s': 2.0, 'deadline_s': 9.0}
+    made.submit(job(1, [shared, part(2, 2000)], **fields), 0.0)
+    made.submit(job(2, [shared, part(3, 2000)], **fields), 0.08)
+    made.withdraw(2, 0.1)
+    assert not made.waits(2)
+    assert made.pump(0.5) == []
