--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -215,18 +215,23 @@
             self.placed_by[job_id] = leader
 
     def _check_silent(self) -> None:
-        """Look for engines that read nothing, here or for all hosts."""
+        """Look for engines that read nothing, for all hosts.
+
+        Only while this host places for all.  One that places alone sees its
+        own prompts only, and one that did before hears no longer what is
+        read: to both an engine that reads for others looks as if it read
+        nothing, and its prompts would be given up one after the other.
+        """
         while True:
             self.clock.sleep(SILENT_CHECK_S)
-            for engine in self._find_silent(self.local):
-                self._end_reads(engine)
             if not self.leading:
-                # What it knew when it led: nobody reports to it any longer.
                 continue
-            for engine in self._find_silent(self.served):
-                self._end_reads(engine)
-                if self.tell is not None:
-                    self.tell(placing_codec.Silent(engine))
+            now_s = self.clock.now_s()
+            for pool in list(self.served.values()):
+                for engine in pool.core.find_silent(now_s):
+                    self._end_reads(engine)
+                    if self.tell is not None:
+                        self.tell(placing_codec.Silent(engine))
 
     def _tell_learned(self) -> None:
         """Tell the other hosts what prompts take, while this one places."""
@@ -242,14 +247,6 @@
                 if self.tell is not None:
                     self.tell(placing_codec.Learned(service, figures))
 
-    def _find_silent(self, pools: dict[str, _Pool]) -> list[str]:
-        now_s = self.clock.now_s()
-        return [
-            engine
-            for pool in list(pools.values())
-            for engine in pool.core.find_silent(now_s)
-        ]
-
     def _end_reads(self, engine: str) -> None:
         """Nobody waits any longer for prompts that an engine should read."""
         waits = self.reads.get(engine, ())
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -655,6 +655,25 @@
     gatewayworld.wait_for(lambda: told, 'the word of a silent engine')
 
 
+def test_host_that_places_alone_takes_no_engine_for_silent(world, engines):
+    """The placing host does not answer, and a host places its prompts alone.
+
+    The engine reads prompts of many other hosts first.  The host sees its
+    own only, and would give each of them up in turn.
+    """
+    reader, runner = engines
+    reader.work_s = 0.9
+    node = world.node()
+    gatewayworld.wait_for(lambda: node.placer.leading, 'the placing host')
+    node.placer.leading = False
+    node.placer.leader = None
+    core = node.placer._pool(node.placer.local, 'model').core
+    core.answers.hold(99, 'e2', 100, node.clock.now_s())
+    assert run(world, '/chat/1', 'POST', b'x', **PROMPT)[0].status == 200
+    assert len(reader.arrivals) == 1
+    assert b'x-kv-source' in runner.runs[0].headers
+
+
 def test_engine_that_leaves_while_the_prompt_is_read_gets_no_request(world):
     """The engine that is to answer begins to leave while another one reads.
 
