--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -1,6 +1,5 @@
 """The engines of a model service: who has room, and what a way costs."""
 
-import bisect
 from collections.abc import Iterable
 import dataclasses
 import heapq
@@ -8,13 +7,14 @@
 from typing import NamedTuple
 
 from magnoliadyke.core import answerers
+from magnoliadyke.core import capacity
 from magnoliadyke.core import catalog
 from magnoliadyke.core import enginemodel
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import readingcost
 from magnoliadyke.core import routes
 
-__all__ = ['Capacity', 'EnginePool', 'Option', 'PoolSettings']
+__all__ = ['EnginePool', 'Option', 'PoolSettings']
 
 
 class PoolSettings(NamedTuple):
@@ -69,44 +69,6 @@
 SOURCES = 3
 
 
-class Capacity:
-    """Reading power of all engines, and what each has still to read.
-
-    :param backlogs: seconds that an engine has still to read, and its speed
-        in engines of the reading stage
-    """
-
-    def __init__(self, backlogs: Iterable[tuple[float, float]]) -> None:
-        self.speed = 0.0
-        # Where another engine gets free: the moment, and the work that the
-        # others have taken in by then.
-        self._free_s: list[float] = []
-        self._work_s: list[float] = []
-        self._speeds: list[float] = []
-        work_s = 0.0
-        for backlog_s, speed in sorted(backlogs):
-            if self._free_s:
-                work_s += (backlog_s - self._free_s[-1]) * self.speed
-            self.speed += speed
-            self._free_s.append(backlog_s)
-            self._work_s.append(work_s)
-            self._speeds.append(self.speed)
-
-    def wait_s(self, work_s: float) -> float:
-        """Time until the engines have taken in so much more work.
-
-        Whoever is free first takes the next prompt, so an engine that is
-        far behind the others delays nobody.
-
-        :param work_s: seconds of an engine of the reading stage
-        """
-        if not self.speed:
-            return 0.0
-        last = bisect.bisect_right(self._work_s, work_s) - 1
-        rest_s = work_s - self._work_s[last]
-        return self._free_s[last] + rest_s / self._speeds[last]
-
-
 @dataclasses.dataclass(slots=True)
 class Option:
     """One way to serve a prompt.
@@ -155,7 +117,7 @@
             stage: {} for stage in catalog.Stage
         }
         self._opens: list[tuple[float, str]] = []
-        self._capacity = Capacity(())
+        self._capacity = capacity.Capacity(())
         self._capacity_s = float('-inf')
 
     # Which engines there are.
@@ -421,11 +383,11 @@
         cost = self.costs[catalog.Stage.PREFILL]
         return cost.seconds(readingcost.PromptSize(tokens))
 
-    def capacity(self, now_s: float) -> Capacity:
+    def capacity(self, now_s: float) -> capacity.Capacity:
         """Reading power of the engines that may read."""
         if now_s - self._capacity_s >= CAPACITY_S:
             self._capacity_s = now_s
-            self._capacity = Capacity(
+            self._capacity = capacity.Capacity(
                 (engine.free_s(now_s) - now_s, 1 / self.relative(engine))
                 for engine in self.engines.values()
                 if engine.rest_until_s <= now_s and may_read(engine)
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 from magnoliadyke.core import answerers
+from magnoliadyke.core import capacity as capacities
 from magnoliadyke.core import catalog
 from magnoliadyke.core import enginepool
 from magnoliadyke.core import limits
@@ -538,7 +539,7 @@
         return capacity.wait_s(work_s) * self.sharers
 
     def _late_share(
-        self, capacity: enginepool.Capacity, now_s: float
+        self, capacity: capacities.Capacity, now_s: float
     ) -> float:
         """Part of the engines' time that is left for late prompts."""
         taken = self.asked_fresh.now(now_s) * self.sharers / capacity.speed
