Take work that ends a hair below zero for none

Found by reading: sums of reading times that were added and taken away again may end at -1e-17, for which the wait of the engine that is farthest behind was told. Tests of the forecast against work poured in small steps.

--- a/magnoliadyke/core/capacity.py
+++ b/magnoliadyke/core/capacity.py
@@ -39,6 +39,8 @@
         """
         if not self.speed:
             return 0.0
+        # Work that was added and taken away again may end just below zero.
+        work_s = max(0.0, work_s)
         last = bisect.bisect_right(self._work_s, work_s) - 1
         rest_s = work_s - self._work_s[last]
         return self._free_s[last] + rest_s / self._speeds[last]
--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -22,7 +22,7 @@
 #: prompts that nobody here knows of; it says nothing of the next prompt.
 MOST_LATENCY = 2.0
 MAX_LATENCY_S = 0.3
-#: Reading time after which half of what an engine has shown is forgotten, in
+#: Reading time after which most of what an engine has shown is forgotten, in
 #: seconds, and what its first guess counts for.  Counted by time and not by
 #: prompts: engines work in steps, and of two short prompts in one step the
 #: first seems to take all of it and the second nothing.
