Try few engines for a request; restore those that answer at once

And the plan of stages let one engine answer for four that read, from 11 to 22 s, since a change back waits for twelve seconds.

Change: a request that four engines have not taken is told to come back. The least number that answers is restored without that wait.

Both tests failed before.

--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -99,7 +99,12 @@
         if changing >= max(1, int(total * self.settings.most_changing)):
             return None
         change = self._wanted(reading, answering, total)
-        if change is None or self._is_reversal(change, now_s):
+        if change is None:
+            return None
+        # Below the least number that answers nobody waits for a reversal:
+        # the only engine left would answer for all that the others read.
+        short = answering < least_answering(total) and not change.to_reading
+        if not short and self._is_reversal(change, now_s):
             return None
         self.last = change
         self.last_s = now_s
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -29,12 +29,17 @@
 MIN_STALL_S = 0.5
 #: The same before the first event: it may wait for a slot.
 FIRST_STALL_S = 1.2
+#: Engines that did not take a request before it is told to come back.  An
+#: engine that is down refuses a connection within a millisecond; where it is
+#: the only one left, a request would try it thousands of times.
+MOST_MISSES = 3
 
 
 class PromptExchange(promptreading.PromptReading):
     """Goes where the placing host says.
 
     :ivar last_event: last event that the caller has
+    :ivar misses: engines that did not take it
     :ivar unknown: how a try ended of which nobody can say whether it ran
     """
 
@@ -42,6 +47,7 @@
         super().__init__(*args)
         self.last_event: bytes | None = None
         self.unknown: outcomes.Failed | None = None
+        self.misses = 0
 
     def _serve(self) -> outcomes.Outcome:
         avoid: tuple[str, ...] = ()
@@ -77,7 +83,8 @@
                     return self._deliver(result)
                 case outcomes.NotRun(reason):
                     self._log_try(reason, 'not run')
-                    if not self._may_go_on():
+                    self.misses += 1
+                    if self.misses > MOST_MISSES or not self._may_go_on():
                         return self._refused(reason, exchange.RETRY_AFTER_S)
                 case outcomes.Lost(reason, timed_out):
                     self._log_try(reason, 'unknown')
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -729,3 +729,27 @@
     head, _ = client.answer()
     assert head.status == 200
     assert [b'x-kv-source' in run.headers for run in runner.runs] == [False]
+
+
+def test_request_is_not_tried_again_and_again_at_an_engine_that_is_down(
+    world,
+):
+    """The only engine that answers is down; its entry is still there.
+
+    It refuses each connection at once.  The caller is told to come back
+    after a few tries, not after thousands until its time is over.
+    """
+    world.endpoint('d1', 'model', 'decode').stop()
+    node = world.node()
+    asked = []
+    place = node.placer.place
+
+    def counted(service, job):
+        asked.append(job.id)
+        return place(service, job)
+
+    node.placer.place = counted
+    head, _ = run(world, '/chat/1', 'POST', b'x', **CHAT)
+    assert head.status == 503
+    assert head.value(b'retry-after') is not None
+    assert 1 <= len(asked) <= 5
--- a/tests/test_stageplan.py
+++ b/tests/test_stageplan.py
@@ -80,3 +80,16 @@
 
 def test_no_engine_answers_at_all():
     assert decide(3, 0, (1.0, 0.0, 0.0)) == stageplan.Change(False)
+
+
+def test_least_number_that_answers_is_restored_at_once():
+    """An engine was turned to reading; then all but one that answer go.
+
+    A change back would wait for twelve seconds, in which one engine answers
+    all that four read, and most callers run out of time.
+    """
+    plan = stageplan.StagePlan()
+    plan.note(stageplan.Load(3.5, 0.0, 0.1), 0.0)
+    assert plan.decide(3, 3, 0, 0.0) == stageplan.Change(True)
+    plan.note(stageplan.Load(3.5, 0.0, 0.1), 4.0)
+    assert plan.decide(4, 1, 0, 4.0) == stageplan.Change(False)
