Make sure that each engine that decodes streams before one changes

By the engines' ledgers nine streams came within 40 ms and were placed on two of three engines, before the hosts heard of each other's; the idle third one was changed, with nothing to move, which is right. The test took for granted that all of them stream.

Change: it starts streams until each engine that decodes has one, fourteen at most, and asks what it asked.

--- a/tests/test_role_change.py
+++ b/tests/test_role_change.py
@@ -17,6 +17,10 @@
 DALA = pathlib.Path(__file__).parent.parent / 'examples' / 'dala.json'
 POOL = 'lease-model'
 STREAMS = 9
+#: Beyond so many the first ones would end before the last ones begin.
+MOST_STREAMS = 14
+#: Later than any line of a ledger, in seconds.
+NEVER_S = float('inf')
 #: At 21 ms a token longer than the whole change takes.
 TOKENS = 900
 CHANGE_WAIT_S = 60
@@ -114,6 +118,33 @@
     ]
 
 
+def start_streams(running, hosts):
+    """Start streams until each engine that decodes has one.
+
+    Streams that come within a few hundredths of a second are placed before
+    the hosts hear of each other's: an engine may be left out, and would then
+    be the one that changes, with nothing to move.
+    """
+    decoding = [
+        name
+        for name in running.endpoints
+        if shown_role(running, name) == 'decode'
+    ]
+    callers = []
+    while len(callers) < MOST_STREAMS:
+        for _ in range(STREAMS if not callers else 1):
+            number = len(callers)
+            callers.append(
+                gevent.get_hub().threadpool.spawn(
+                    stream, running, hosts[number % 3], number
+                )
+            )
+        gevent.sleep(1.0)
+        if all(live_at(running.ledger(name), NEVER_S) for name in decoding):
+            return callers
+    raise AssertionError('an engine that decodes got no stream')
+
+
 def test_a_role_change_neither_cuts_nor_freezes_a_stream(dala):
     # Callers would see their answers stand still for the seconds of a role
     # change. All decode engines stream when one is to change; its streams
@@ -121,19 +152,13 @@
     # there, take the streams elsewhere, and only then the command goes out.
     hosts = list(dala.hosts)
     edit(dala, planning='fixed')
-    callers = [
-        gevent.get_hub().threadpool.spawn(
-            stream, dala, hosts[number % 3], number
-        )
-        for number in range(STREAMS)
-    ]
-    gevent.sleep(1.0)
+    callers = start_streams(dala, hosts)
     edit(dala, min_prefill=3)
     dala.wait_for(hosts[0], lambda: changed_engine(dala), CHANGE_WAIT_S)
     texts = [caller.get() for caller in callers]
     assert texts == [
         engines.answer_text(engines.digest(f'stream {number}'), 0, TOKENS)
-        for number in range(STREAMS)
+        for number in range(len(callers))
     ]
     name = changed_engine(dala)
     rows = dala.ledger(name)
