Log that no engine of a service answers, and what holds a change back

Cause: a model service without an engine that answers serves nothing, and nothing said so. That the plan wants no change, that the lease allows no order and that engines are left alone after an order looked the same: no line. Change: one line when it begins, when what holds the change back is another thing, and when it ends; an order that the engine is too busy for leaves a line; engines by service and stage among the metrics. No decision changes.

--- a/magnoliadyke/gateway/measures.py
+++ b/magnoliadyke/gateway/measures.py
@@ -48,6 +48,12 @@
             'unusable_records', 'Records of the store not used.', 'kind'
         )
         self.hosts = self._gauge('hosts', 'Hosts thought to run.')
+        self.engines = self._gauge(
+            'engines',
+            'Engines that may be given work.',
+            'service',
+            'stage',
+        )
         self.open_requests = self._gauge(
             'open_requests', 'Requests under way.'
         )
--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -1,5 +1,9 @@
 """Carries the stage plan out, under the lease."""
 
+import dataclasses
+import enum
+from typing import NamedTuple
+
 import gevent
 
 from magnoliadyke import app
@@ -25,6 +29,35 @@
 SETTLE_S = 8.0
 
 
+class Hindrance(enum.Enum):
+    """Why no order goes out in a look at a service."""
+
+    NONE = 'none'
+    NO_ENGINE = 'there is no engine to change'
+    LEASE = 'the lease allows no order now'
+    PLAN = 'the plan wants no change'
+    LEFT_ALONE = 'engines are left alone after an order'
+
+
+class _Fleet(NamedTuple):
+    """The engines of a service, by what they do."""
+
+    reading: list[catalog.Endpoint]
+    answering: list[catalog.Endpoint]
+    changing: list[catalog.Endpoint]
+
+
+@dataclasses.dataclass(slots=True)
+class _Outage:
+    """No engine of a service answers.
+
+    :ivar hindrance: as last logged, None before the first line
+    """
+
+    begun_s: float
+    hindrance: Hindrance | None = None
+
+
 class Stages(app.Component):
     """Orders engines to change their stage while this host leads."""
 
@@ -48,6 +81,7 @@
         self.plans: dict[str, stageplan.StagePlan] = {}
         self.changing: dict[str, tuple[catalog.Stage, float]] = {}
         self.alone_until_s: dict[str, float] = {}
+        self.outages: dict[str, _Outage] = {}
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -64,6 +98,7 @@
             self.clock.sleep(TICK_S)
             if not self.placer.leading:
                 self.plans.clear()
+                self.outages.clear()
                 continue
             for service, pool in list(self.placer.served.items()):
                 self._plan(service, pool.core)
@@ -73,33 +108,80 @@
         plan = self.plans.setdefault(service, stageplan.StagePlan())
         plan.note(core.load(now_s), now_s)
         self._settle(now_s)
+        fleet = self._fleet(service)
+        hindrance = self._change(plan, fleet, core, now_s)
+        self._note_outage(service, fleet, hindrance, now_s)
+
+    def _fleet(self, service: str) -> _Fleet:
         engines = self.catalog.usable(service)
         steady = [e for e in engines if e.id not in self.changing]
-        reading = [e for e in steady if e.stage is catalog.Stage.PREFILL]
-        answering = [e for e in steady if e.stage is catalog.Stage.DECODE]
+        return _Fleet(
+            [e for e in steady if e.stage is catalog.Stage.PREFILL],
+            [e for e in steady if e.stage is catalog.Stage.DECODE],
+            [e for e in engines if e.id in self.changing],
+        )
+
+    def _change(
+        self, plan: stageplan.StagePlan, fleet: _Fleet, core, now_s: float
+    ) -> Hindrance:
+        """Order what the plan wants.
+
+        :returns: why nothing was ordered
+        """
+        if not any(fleet):
+            return Hindrance.NO_ENGINE
         if not self.leadership.may_order():
-            return
+            return Hindrance.LEASE
         change = plan.decide(
-            len(reading),
-            len(answering),
-            len(engines) - len(steady),
+            len(fleet.reading),
+            len(fleet.answering),
+            len(fleet.changing),
             now_s,
         )
         if change is None:
-            return
-        candidates = answering if change.to_reading else reading
+            return Hindrance.PLAN
+        candidates = fleet.answering if change.to_reading else fleet.reading
         candidates = [
             e
             for e in candidates
             if self.alone_until_s.get(e.name, 0.0) <= now_s
         ]
         if not candidates:
-            return
+            return Hindrance.LEFT_ALONE
         chosen = min(candidates, key=lambda e: core.busyness(e.id, now_s))
         target = catalog.Stage.DECODE
         if change.to_reading:
             target = catalog.Stage.PREFILL
         self._order(chosen, target, core)
+        return Hindrance.NONE
+
+    def _note_outage(
+        self, service: str, fleet: _Fleet, hindrance: Hindrance, now_s: float
+    ) -> None:
+        """Log that no engine answers, what holds a change back, and the end.
+
+        Without an engine that answers no request of the service is served,
+        and what holds the change back tells whose fault that is.
+        """
+        outage = self.outages.get(service)
+        if fleet.answering:
+            if outage is not None:
+                del self.outages[service]
+                after_s = now_s - outage.begun_s
+                LOG.event('engine_answers', service=service, after_s=after_s)
+            return
+        if outage is None:
+            outage = self.outages[service] = _Outage(now_s)
+        if outage.hindrance is hindrance:
+            return
+        outage.hindrance = hindrance
+        LOG.warning_event(
+            'no_engine_answers',
+            service=service,
+            reading=len(fleet.reading),
+            changing=len(fleet.changing),
+            hindrance=hindrance.value,
+        )
 
     def _settle(self, now_s: float) -> None:
         """Engines that have changed, or will not, are steady again."""
@@ -132,6 +214,11 @@
             )
             return
         if state.busy or state.stage is stage:
+            LOG.event(
+                'order_put_off',
+                endpoint=endpoint.id,
+                cause='the engine is busy with an order or has the stage',
+            )
             return
         expected = {leadership.LEADER_KEY: self.leadership.fencing}
         checked = self.store.commit(expected)
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -252,6 +252,7 @@
             figures.store_calls.labels(call).set(count)
         for kind, count in self.follower.unusable.items():
             figures.unusable.labels(kind).set(count)
+        self._count_engines(figures)
         figures.hosts.set(self.members.count())
         figures.open_requests.set(self.ingress.open_requests)
         if self.catalog.configuration is not None:
@@ -261,6 +262,18 @@
             figures.store_age.set(age_s)
         return smallserver.Reply(200, figures.content_type, figures.text())
 
+    def _count_engines(self, figures: measures.Measures) -> None:
+        """Count engines by stage; a service whose engines all left keeps 0."""
+        if self.catalog.configuration is None:
+            return
+        for service, traits in self.catalog.configuration.services.items():
+            if traits.engine is None:
+                continue
+            held = [each.stage for each in self.catalog.usable(service)]
+            for stage in (catalog.Stage.PREFILL, catalog.Stage.DECODE):
+                gauge = figures.engines.labels(service, stage.value)
+                gauge.set(held.count(stage))
+
     def run(self) -> None:
         """Serve until a signal says to stop."""
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -1,8 +1,11 @@
 """Orders to engines: under the lease, checked at the store."""
 
+import logbook
 import pytest
 
 from magnoliadyke.core import catalog
+from magnoliadyke.gateway import stages
+from magnoliadyke.platform import node as nodes
 from tests import gatewayworld
 
 
@@ -22,9 +25,14 @@
         yield world, node
 
 
+def served(node):
+    """The placement of the service that has engines."""
+    return node.placer._pool(node.placer.served, 'model')
+
+
 def press(node):
     """Ask for more reading than the engines that read can do."""
-    pool = node.placer._pool(node.placer.served, 'model')
+    pool = served(node)
     pool.core.asked.add(50.0, node.clock.now_s())
     return pool.core
 
@@ -89,3 +97,66 @@
     core = press(node)
     node.stages._send(engine, catalog.Stage.PREFILL, 0, core)
     assert node.stages.alone_until_s['d1'] > node.clock.now_s() + 10
+
+
+@pytest.fixture
+def logged():
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        yield handler
+
+
+def lines(logged, event):
+    return [
+        each.message
+        for each in logged.records
+        if each.message.startswith(f'event={event} ')
+    ]
+
+
+@pytest.mark.parametrize(
+    ('may_order', 'left_alone', 'hindrance'),
+    [
+        (False, False, stages.Hindrance.LEASE),
+        (True, True, stages.Hindrance.LEFT_ALONE),
+    ],
+)
+def test_log_tells_why_no_engine_is_made_to_answer(
+    fleet, logged, may_order, left_alone, hindrance
+):
+    """All engines that answer leave, and no order brings another.
+
+    Whether the lease or an order on its way holds the change back can't be
+    seen at the engines: the line names it, once, until it changes.
+    """
+    world, node = fleet
+    served(node)
+    node.stages.leadership.may_order = lambda: may_order
+    if left_alone:
+        until_s = node.clock.now_s() + 60
+        node.stages.alone_until_s = {'p0': until_s, 'p1': until_s}
+    for name in ('d0', 'd1', 'd2'):
+        world.store.remove(f'servers/{name}')
+    gatewayworld.wait_for(lambda: lines(logged, 'no_engine_answers'), 'line')
+    gatewayworld.gevent.sleep(3 * stages.TICK_S)
+    (line,) = lines(logged, 'no_engine_answers')
+    assert f'hindrance="{hindrance.value}"' in line
+    assert 'reading=2' in line
+    assert not orders(world)
+    for name in ('d0', 'd1', 'd2'):
+        world.list(world.endpoints[name])
+    gatewayworld.wait_for(lambda: lines(logged, 'engine_answers'), 'the end')
+
+
+def test_metrics_count_engines_by_stage(fleet):
+    """An alarm on a stage without an engine needs its zero."""
+    world, node = fleet
+    for name in ('d0', 'd1', 'd2'):
+        world.store.remove(f'servers/{name}')
+    gatewayworld.wait_for(
+        lambda: len(node.catalog.usable('model')) == 2, 'that they left'
+    )
+    text = node._metrics(b'GET', nodes.METRICS_PATH).body.decode()
+    count = 'magnoliadyke_engines{service="model",stage="%s"} %.1f'
+    assert count % ('decode', 0) in text
+    assert count % ('prefill', 2) in text
