Show that a fleet of one engine serves nothing, or long answers only

Cause: where the engine left reads, the stage plan wants no change, so nobody ever answers; where it answers, long answers keep it from reading, and no other engine can. The stand-in of an engine carries out an order for a stage.

--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import time
+from typing import Callable
 
 import gevent
 from gevent import server
@@ -59,6 +60,9 @@
     :ivar crashes_on: body of a request that ends it when it begins it
     :ivar born_ms: when it began, 0 if it doesn't say
     :ivar refuses_after: runs after which everything is turned away
+    :ivar change_s: time in which it carries an order for a stage out, None
+        if it only notes orders
+    :ivar changed: called when its entry is another one
     """
 
     def __init__(
@@ -87,6 +91,8 @@
         self.fails_resumed = False
         self.born_ms = 0
         self.refuses_after: int | None = None
+        self.change_s: float | None = None
+        self.changed: Callable[[], None] | None = None
         self.arrivals: list[Arrival] = []
         self.orders: list[dict] = []
         self.handles: set[str] = set()
@@ -227,7 +233,10 @@
                 state['born'] = self.born_ms
             caller.answer(200, [], json.dumps(state).encode())
         elif path == '/api/order':
-            self.orders.append(json.loads(body))
+            order = json.loads(body)
+            self.orders.append(order)
+            if self.change_s is not None:
+                gevent.spawn_later(self.change_s, self._change_stage, order)
             caller.answer(202, [], b'{}')
         elif path.startswith('/api/kv-handle/'):
             handle = path.rsplit('/', 1)[1]
@@ -238,6 +247,11 @@
             caller.answer(404, [], b'{}')
         return True
 
+    def _change_stage(self, order: dict) -> None:
+        self.stage = order['stage']
+        if self.changed is not None:
+            self.changed()
+
     # Answers.
 
     def _answer(
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -1,5 +1,7 @@
 """Orders to engines: under the lease, checked at the store."""
 
+import functools
+
 import logbook
 import pytest
 
@@ -37,6 +39,20 @@
     return pool.core
 
 
+@pytest.fixture
+def pair():
+    """One engine that reads, one that answers; both carry orders out."""
+    with gatewayworld.world() as world:
+        world.configure()
+        for name, stage in (('p0', 'prefill'), ('d0', 'decode')):
+            engine = world.endpoint(name, 'model', stage)
+            engine.change_s = 0.2
+            engine.changed = functools.partial(world.list, engine)
+        node = world.node()
+        gatewayworld.wait_for(node.leadership.may_order, 'the lease')
+        yield world, node
+
+
 def orders(world):
     return [o for e in world.endpoints.values() for o in e.orders]
 
@@ -160,3 +176,30 @@
     count = 'magnoliadyke_engines{service="model",stage="%s"} %.1f'
     assert count % ('decode', 0) in text
     assert count % ('prefill', 2) in text
+
+
+LONG = gatewayworld.prompt((1, 4000), (2, 1000))
+
+
+def test_engine_that_is_left_alone_is_made_to_answer(pair):
+    """Every caller of a model service is refused, for good.
+
+    All its engines leave but one, and that one only reads.  Engines that
+    answer can read as well, at half speed; those that read can't answer, so
+    nothing is served until it changes.  The plan had no place for a fleet of
+    one: the engine idled, before and after all hosts came back, and the log
+    named neither the lease nor an order but "the plan wants no change".
+    """
+    world, node = pair
+    client = gatewayworld.Client(node)
+    head, _ = client.call('POST', '/chat/a', 'r1', b'x', **LONG)
+    assert head.status == 200
+    world.store.remove('servers/d0')
+    gatewayworld.wait_for(
+        lambda: world.endpoints['p0'].stage == 'decode', 'the change'
+    )
+    gatewayworld.wait_for(
+        lambda: served(node).core.pool.has_open(), 'the engine as known'
+    )
+    head, _ = client.call('POST', '/chat/a', 'r2', b'x', **LONG)
+    assert head.status == 200
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -777,3 +777,18 @@
     made.withdraw(2, 0.1)
     assert not made.waits(2)
     assert made.pump(0.5) == []
+
+
+def test_engine_that_is_left_alone_reads_beside_its_long_answers():
+    """Callers with a long prompt are refused while the engine half idles.
+
+    All engines but one have left.  Chats come one after the other, each a
+    few seconds long, so there is always one; prompts are kept away from
+    engines that give long answers, and here no other one can read them.  Of
+    20 prompts/s for 10 s none was served; the engine reads some 60/s.
+    """
+    left = promptload.engine('d0', catalog.Stage.DECODE)
+    play = promptload.Play([20] * 10, [left])
+    play.core.answers.hold(10_000, 'd0', 100, 0.0)
+    result = play.run()
+    assert result.in_time >= 0.9 * result.asked
