Have an engine answer whenever none does, also in a fleet of one

Cause: the plan had no place for fewer than two engines, and took one from those that read only where another stayed there. Of two engines, the one that answers left: the other read for nobody, for good. Change: where no engine answers or will, one that reads is changed, whatever the load, the pause before a reversal and the number that change already. An engine that is changing to reading no longer holds this back. Ruled out: the lease and engines left alone after orders (the log names neither), the return of the hosts (the state is older).

--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -85,24 +85,26 @@
             self.samples.popleft()
 
     def decide(
-        self, reading: int, answering: int, changing: int, now_s: float
+        self,
+        reading: int,
+        answering: int,
+        changing: int,
+        now_s: float,
+        to_answering: int = 0,
     ) -> Change | None:
         """Whether an engine should change its stage now.
 
         :param reading: engines that read
         :param answering: engines that answer
         :param changing: engines that are changing already
+        :param to_answering: those of them that will answer
         """
-        total = reading + answering + changing
-        if not self.samples or total < 2:
-            return None
-        if changing >= max(1, int(total * self.settings.most_changing)):
-            return None
-        change = self._wanted(reading, answering, total)
+        change = self._wanted(reading, answering, changing, to_answering)
         if change is None:
             return None
         # Below the least number that answers nobody waits for a reversal:
         # the only engine left would answer for all that the others read.
+        total = reading + answering + changing
         short = answering < least_answering(total) and not change.to_reading
         if not short and self._is_reversal(change, now_s):
             return None
@@ -111,12 +113,25 @@
         return change
 
     def _wanted(
-        self, reading: int, answering: int, total: int
+        self, reading: int, answering: int, changing: int, to_answering: int
     ) -> Change | None:
-        if answering < 1:
-            return Change(False) if reading > 1 else None
+        if answering + to_answering < 1:
+            # Engines that answer also read, those that read can't answer.
+            # While none answers nothing is served, whatever the load: also
+            # where a single engine is left, or the others are changing.
+            return Change(False) if reading else None
+        total = reading + answering + changing
+        if changing >= max(1, int(total * self.settings.most_changing)):
+            return None
         if answering < least_answering(total) and reading > answering:
             return Change(False)
+        return self._wanted_by_load(reading, answering, total)
+
+    def _wanted_by_load(
+        self, reading: int, answering: int, total: int
+    ) -> Change | None:
+        if not self.samples:
+            return None
         present = self._busiest(reading, answering)
         if present < self.settings.least_busy:
             return None
--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -137,6 +137,7 @@
             len(fleet.answering),
             len(fleet.changing),
             now_s,
+            self._to_answering(fleet),
         )
         if change is None:
             return Hindrance.PLAN
@@ -155,6 +156,10 @@
         self._order(chosen, target, core)
         return Hindrance.NONE
 
+    def _to_answering(self, fleet: _Fleet) -> int:
+        wanted = [self.changing[each.id][0] for each in fleet.changing]
+        return wanted.count(catalog.Stage.DECODE)
+
     def _note_outage(
         self, service: str, fleet: _Fleet, hindrance: Hindrance, now_s: float
     ) -> None:
--- a/tests/test_stageplan.py
+++ b/tests/test_stageplan.py
@@ -3,10 +3,12 @@
 from magnoliadyke.core import stageplan
 
 
-def decide(reading, answering, load, changing=0, plan=None, now_s=0.0):
+def decide(
+    reading, answering, load, changing=0, plan=None, now_s=0.0, coming=0
+):
     plan = plan or stageplan.StagePlan()
     plan.note(stageplan.Load(*load), now_s)
-    return plan.decide(reading, answering, changing, now_s)
+    return plan.decide(reading, answering, changing, now_s, coming)
 
 
 def test_reading_gets_an_engine_when_it_is_the_busier_stage():
@@ -82,6 +84,23 @@
     assert decide(3, 0, (1.0, 0.0, 0.0)) == stageplan.Change(False)
 
 
+def test_engine_that_is_alone_answers():
+    """Engines that answer also read; one that reads serves nobody."""
+    assert decide(1, 0, (0.0, 0.0, 0.0)) == stageplan.Change(False)
+    assert decide(0, 1, (9.0, 0.0, 0.0)) is None
+    assert decide(0, 0, (9.0, 0.0, 0.0), changing=1) is None
+
+
+def test_change_to_reading_keeps_no_other_from_answering():
+    """One of two that answer is changing to reading; the other one dies.
+
+    The change takes seconds, and nobody answers meanwhile.
+    """
+    load = (1.0, 0.0, 0.0)
+    assert decide(1, 0, load, changing=1) == stageplan.Change(False)
+    assert decide(1, 0, load, changing=1, coming=1) is None
+
+
 def test_least_number_that_answers_is_restored_at_once():
     """An engine was turned to reading; then all but one that answer go.
 
