Read prompts beside long answers while no other engine can

Cause: engines that give long answers are given no prompts, as each step of the answer would wait for a piece of the prompt. Where the other engines have left, rest or are changing, and there is nearly always a long answer, prompts were refused to the last one by engines that had time for them. Change: while no engine may read, those that answer long may. Found where the reading power is counted, so it costs one look at the first engine as a rule. Ruled out: slots (2 of 16 are kept for prompts), the caches.

--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -95,6 +95,7 @@
 
     :ivar open: engines that may be given a prompt to read now, by stage;
         first the one that has been waiting longest
+    :ivar beside: engines read beside their long answers, as no other can
     """
 
     def __init__(
@@ -116,6 +117,7 @@
         self.open: dict[catalog.Stage, dict[str, None]] = {
             stage: {} for stage in catalog.Stage
         }
+        self.beside = False
         self._opens: list[tuple[float, str]] = []
         self._capacity = capacity.Capacity(())
         self._capacity_s = float('-inf')
@@ -156,7 +158,7 @@
             model.cost = self.costs[endpoint.stage]
             model.rest_until_s = float('-inf')
             self._close(endpoint.id)
-            if may_read(model):
+            if self._may_read(model):
                 self.open[endpoint.stage][endpoint.id] = None
 
     def rest(self, engine_id: str, until_s: float) -> None:
@@ -269,7 +271,7 @@
         self, engine: enginemodel.EngineModel, now_s: float
     ) -> None:
         engine_id = engine.endpoint.id
-        if engine.rest_until_s > now_s or not may_read(engine):
+        if engine.rest_until_s > now_s or not self._may_read(engine):
             self._close(engine_id)
             return
         of_stage = self.open[engine.endpoint.stage]
@@ -387,13 +389,37 @@
         """Reading power of the engines that may read."""
         if now_s - self._capacity_s >= CAPACITY_S:
             self._capacity_s = now_s
+            self._look_for_readers(now_s)
             self._capacity = capacity.Capacity(
                 (engine.free_s(now_s) - now_s, 1 / self.relative(engine))
                 for engine in self.engines.values()
-                if engine.rest_until_s <= now_s and may_read(engine)
+                if engine.rest_until_s <= now_s and self._may_read(engine)
             )
         return self._capacity
 
+    def _look_for_readers(self, now_s: float) -> None:
+        """Have engines read beside long answers while no other one can.
+
+        The engines that read have left, are down or are changing, and each
+        of the others gives a long answer nearly always: prompts were refused
+        to the last one by engines that had time for most of them.  Answers
+        beside which prompts are read take longer; of the caller of a prompt
+        that is refused nothing is left.
+        """
+        beside = not any(
+            engine.rest_until_s <= now_s and may_read(engine)
+            for engine in self.engines.values()
+        )
+        if beside is self.beside:
+            return
+        self.beside = beside
+        for engine in self.engines.values():
+            if engine.long_runs:
+                self._note_room(engine, now_s)
+
+    def _may_read(self, engine: enginemodel.EngineModel) -> bool:
+        return self.beside or may_read(engine)
+
     def relative(self, engine: enginemodel.EngineModel) -> float:
         """How much longer an engine reads than one of the reading stage."""
         cost = self.costs[catalog.Stage.PREFILL]
@@ -566,7 +592,7 @@
 
 
 def may_read(engine: enginemodel.EngineModel) -> bool:
-    """Whether an engine may be given prompts to read.
+    """Whether an engine may be given prompts while others can read too.
 
     Not beside long answers: each step of these would wait for a piece of
     the prompt.
