Repeat an order that is lost while no engine answers

Cause: an engine whose order got no answer is left alone for 15 s, as the order may still come. Where it is the only one that could answer, every caller is refused until then. Change: while no engine answers the order is repeated after 2 s; both name the same number of orders before them, so the engine carries out one at most. Before: the test fails (no order within 10 s); after: it comes 2 s later.

--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -25,6 +25,10 @@
 #: next process of that name, whose count of orders begins anew; the engine of
 #: that name is left alone for so long.
 UNANSWERED_S = 15.0
+#: While no engine answers, an order without an answer, or one that was
+#: refused, is repeated after this time, in seconds: longer than the engine's
+#: answer is waited for.
+REPEAT_S = 2.0
 #: Time beyond the change itself in which running requests end.
 SETTLE_S = 8.0
 
@@ -81,6 +85,7 @@
         self.plans: dict[str, stageplan.StagePlan] = {}
         self.changing: dict[str, tuple[catalog.Stage, float]] = {}
         self.alone_until_s: dict[str, float] = {}
+        self.repeat_from_s: dict[str, float] = {}
         self.outages: dict[str, _Outage] = {}
         self.greenlet: gevent.Greenlet | None = None
 
@@ -141,12 +146,7 @@
         )
         if change is None:
             return Hindrance.PLAN
-        candidates = fleet.answering if change.to_reading else fleet.reading
-        candidates = [
-            e
-            for e in candidates
-            if self.alone_until_s.get(e.name, 0.0) <= now_s
-        ]
+        candidates = self._candidates(change, fleet, now_s)
         if not candidates:
             return Hindrance.LEFT_ALONE
         chosen = min(candidates, key=lambda e: core.busyness(e.id, now_s))
@@ -156,6 +156,24 @@
         self._order(chosen, target, core)
         return Hindrance.NONE
 
+    def _candidates(
+        self, change: stageplan.Change, fleet: _Fleet, now_s: float
+    ) -> list[catalog.Endpoint]:
+        """Engines that may be given an order now.
+
+        While no engine answers nothing is served, and an order that was lost
+        would keep it so for a quarter of a minute.  It is safe to repeat:
+        both name the same number of orders before them, so the engine
+        carries out one of them at most.
+        """
+        if change.to_reading:
+            engines, from_s = fleet.answering, self.alone_until_s
+        elif fleet.answering:
+            engines, from_s = fleet.reading, self.alone_until_s
+        else:
+            engines, from_s = fleet.reading, self.repeat_from_s
+        return [e for e in engines if from_s.get(e.name, 0.0) <= now_s]
+
     def _to_answering(self, fleet: _Fleet) -> int:
         wanted = [self.changing[each.id][0] for each in fleet.changing]
         return wanted.count(catalog.Stage.DECODE)
@@ -259,6 +277,10 @@
                 self.changing[endpoint.id] = (stage, until_s)
                 core.change_stage(endpoint.id, stage, until_s)
             case enginecontrol.Unreachable():
-                self.alone_until_s[endpoint.name] = now_s + UNANSWERED_S
+                self._leave_alone(endpoint.name, UNANSWERED_S, now_s)
             case _:
-                self.alone_until_s[endpoint.name] = now_s + TICK_S * 4
+                self._leave_alone(endpoint.name, REPEAT_S, now_s)
+
+    def _leave_alone(self, name: str, for_s: float, now_s: float) -> None:
+        self.alone_until_s[name] = now_s + for_s
+        self.repeat_from_s[name] = now_s + REPEAT_S
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -6,6 +6,7 @@
 import pytest
 
 from magnoliadyke.core import catalog
+from magnoliadyke.gateway import enginecontrol
 from magnoliadyke.gateway import stages
 from magnoliadyke.platform import node as nodes
 from tests import gatewayworld
@@ -149,8 +150,8 @@
     served(node)
     node.stages.leadership.may_order = lambda: may_order
     if left_alone:
-        until_s = node.clock.now_s() + 60
-        node.stages.alone_until_s = {'p0': until_s, 'p1': until_s}
+        for name in ('p0', 'p1'):
+            node.stages.repeat_from_s[name] = node.clock.now_s() + 60
     for name in ('d0', 'd1', 'd2'):
         world.store.remove(f'servers/{name}')
     gatewayworld.wait_for(lambda: lines(logged, 'no_engine_answers'), 'line')
@@ -203,3 +204,29 @@
     )
     head, _ = client.call('POST', '/chat/a', 'r2', b'x', **LONG)
     assert head.status == 200
+
+
+def test_order_that_is_lost_is_repeated_while_no_engine_answers(pair):
+    """Every caller is refused for a quarter of a minute after a lost order.
+
+    The engine that answers leaves; the order to the other one is lost on its
+    way.  An order without an answer may come late, so its engine is left
+    alone for 15 s, and there is no other engine to ask.
+    """
+    world, node = pair
+    lost = []
+    original = node.stages.control.order_stage
+
+    def order_stage(endpoint, stage, holder, fencing, accepted):
+        if not lost:
+            lost.append(accepted)
+            return enginecontrol.Unreachable('lost')
+        return original(endpoint, stage, holder, fencing, accepted)
+
+    node.stages.control.order_stage = order_stage
+    served(node)
+    world.store.remove('servers/d0')
+    gatewayworld.wait_for(lambda: orders(world), 'the order again')
+    (order,) = orders(world)
+    assert [order['precondition']] == lost
+    assert order['stage'] == 'decode'
