Tell callers at once that no engine answers

Cause: while no engine answers no queue moves. Change: while none answers whoever comes or waits is refused at once, and told when one should: when a change of stage is over, at most a third of the time left. Ruled out: holding those who have the time; a wait that is no forecast but a guess would fill the queue that the returning ones need.

--- a/magnoliadyke/core/answerers.py
+++ b/magnoliadyke/core/answerers.py
@@ -53,6 +53,10 @@
             if engine.endpoint.stage is catalog.Stage.DECODE
         )
 
+    def exist(self) -> bool:
+        """Whether any engine of the answering stage is listed."""
+        return bool(self.turns)
+
     def available(
         self, avoid: tuple[str, ...], now_s: float
     ) -> list[enginemodel.EngineModel]:
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -76,6 +76,13 @@
 MIN_RETRY_S = 0.1
 #: Wait told when no engine can read at all, in seconds.
 NO_ENGINE_S = 1.0
+#: From when no engine answers to the order that has another one answer, in
+#: seconds: the plan looks twice a second, and its calls to the engine and the
+#: store take some hundredths.
+ORDER_S = 0.6
+#: Refused callers return spread over this range, in shares of their wait.
+LEAST_SPREAD = 0.75
+SPREAD = 0.5
 #: Largest part of its remaining time that a caller can be asked to wait.
 MAX_RETRY_SHARE = 1 / 3
 
@@ -93,6 +100,7 @@
     :param rng: source of randomness, with ``random()``
     :param sharers: hosts that place on these engines at the same time, each
         without knowing of the others; 1 when this is the only place
+    :ivar unanswered_s: since when no engine answers; None while one does
     """
 
     def __init__(
@@ -125,6 +133,7 @@
         self.turns = 0
         self.bias = 1.0
         self.sorted_s = 0.0
+        self.unanswered_s: float | None = None
 
     # The engines.
 
@@ -208,6 +217,8 @@
     ) -> list[promptjobs.Decision]:
         """Take a job: it is placed, refused, or waits."""
         job.came_s = now_s
+        if self._nobody_answers(now_s):
+            return [self._refuse_unanswered(job, now_s)]
         if job.resumed or job.tokens <= self.settings.short_tokens:
             return self._submit_short(job, now_s)
         kept = self.pool.caches.kept(job.parts)
@@ -345,6 +356,8 @@
         """Place what can be placed now; refuse what can't be in time."""
         decisions: list[promptjobs.Decision] = []
         self.pool.refresh(now_s)
+        if self._nobody_answers(now_s):
+            return self._refuse_waiting(now_s)
         self._resume_deferred(now_s)
         self.answers.expire(now_s)
         self._pump_answers(now_s, decisions)
@@ -589,7 +602,7 @@
         """A short prompt goes straight to an engine that answers."""
         engine = self.pool.answerers.for_short(job.avoid, now_s)
         if engine is None:
-            return self._refuse(job, now_s, NO_ENGINE_S, 'no engine answers')
+            return self._refuse_unanswered(job, now_s)
         self.pool.answerers.given(engine, now_s)
         engine_id = engine.endpoint.id
         kept = self.pool.caches.kept(job.parts)
@@ -606,11 +619,47 @@
     ) -> promptjobs.Refused:
         """Tell when there will be room, spread over half of that time."""
         left_s = max(0.0, job.deadline_s - now_s)
-        after_s = max(MIN_RETRY_S, wait_s) * (0.75 + 0.5 * self.rng.random())
+        spread = LEAST_SPREAD + SPREAD * self.rng.random()
+        after_s = max(MIN_RETRY_S, wait_s) * spread
         return promptjobs.Refused(
             job.id, min(after_s, left_s * MAX_RETRY_SHARE), reason
         )
 
+    def _nobody_answers(self, now_s: float) -> bool:
+        """Whether no engine answers; notes since when."""
+        if self.pool.answerers.exist():
+            self.unanswered_s = None
+            return False
+        if self.unanswered_s is None:
+            self.unanswered_s = now_s
+        return True
+
+    def _refuse_unanswered(
+        self, job: promptjobs.Job, now_s: float
+    ) -> promptjobs.Refused:
+        """Nobody can be served; tell when there should be one who answers.
+
+        By then one of the engines that read has changed its stage; nobody
+        knows how long it takes where that is over.
+        """
+        wait_s = NO_ENGINE_S
+        if self.unanswered_s is not None:
+            over_s = self.unanswered_s + ORDER_S + self.traits.stage_change_s
+            wait_s = max(wait_s, (over_s - now_s) / LEAST_SPREAD)
+        return self._refuse(job, now_s, wait_s, 'no engine answers')
+
+    def _refuse_waiting(self, now_s: float) -> list[promptjobs.Decision]:
+        """Refuse all that wait, as no engine answers.
+
+        Held back they would wait until their time is over: no queue moves,
+        and few callers have as much time left as a change of stage takes.
+        """
+        waiting = [job for job, _ in self.deferred_jobs.values()]
+        self.deferred_jobs.clear()
+        for queue in self._queues():
+            waiting += [queue.take(job_id) for job_id in list(queue.jobs)]
+        return [self._refuse_unanswered(job, now_s) for job in waiting]
+
     def _begin_run(
         self, job: promptjobs.Job, engine_id: str, now_s: float
     ) -> bool:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -792,3 +792,45 @@
     play.core.answers.hold(10_000, 'd0', 100, 0.0)
     result = play.run()
     assert result.in_time >= 0.9 * result.asked
+
+
+def test_callers_are_told_at_once_that_no_engine_answers():
+    """Callers wait for most of their time, and are refused then.
+
+    The engine that answers leaves while the other one is busy; some prompts
+    wait for it, and more come.  It takes longer to bring another one to
+    answer than they have, so all of them are told at once, and those who
+    have the time for it come back when there should be one.
+    """
+    made = core(promptload.fleet(1, 1))
+    fields = {'objective_s': 3.0, 'deadline_s': 9.0}
+    for number in range(30):
+        made.submit(job(number, [part(number, 9200)], **fields), 0.0)
+    waiting = len(made.fresh)
+    assert waiting
+    made.set_engines([promptload.engine('p0')])
+    told = made.pump(1.0)
+    assert len(told) == waiting
+    told += made.submit(job(100, [part(100, 9200)], 1.0, **fields), 1.0)
+    told += made.submit(job(101, [part(101, 50)], 1.0, **fields), 1.0)
+    assert {each.reason for each in told} == {'no engine answers'}
+    assert not any(made.waits(each.job) for each in told)
+    # More than a third of the time left is asked of nobody.
+    assert all(each.retry_after_s == 8.0 / 3 for each in told)
+    patient = job(103, [part(103, 9200)], deadline_s=31.0)
+    (late,) = made.submit(patient, 1.0)
+    assert late.retry_after_s >= promptload.TRAITS.stage_change_s
+    made.set_engines([promptload.engine('p0', catalog.Stage.DECODE)])
+    (placed,) = made.submit(job(102, [part(102, 9200)], 5.0, **fields), 5.0)
+    assert placed.run == 'p0'
+
+
+def test_prompt_that_waits_for_parts_is_told_that_no_engine_answers():
+    """A prompt held for parts that are being read is in no queue."""
+    made = core(promptload.fleet(1, 1))
+    held = job(1, [part(1, 9200)], objective_s=3.0, deadline_s=9.0)
+    made.deferred_jobs[1] = (held, made.fresh)
+    made.set_engines([promptload.engine('p0')])
+    (told,) = made.pump(0.1)
+    assert told.job == 1
+    assert not made.waits(1)
