Test that all hosts killed at once are back before the former lease ends

That all processes are killed at once had no test that fails without its safeguard. No product code changes.

--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -136,17 +136,26 @@
             'order_gap_s': 0.2,
             'directory_ttl_s': 5,
         }
-        made = nodes.Node(
-            node_settings.parse(values | fields),
-            clocks.SystemClock(),
-            random.Random(1),
-        )
+        return self._start(node_settings.parse(values | fields), wait)
+
+    def _start(self, settings, wait):
+        made = nodes.Node(settings, clocks.SystemClock(), random.Random(1))
         made.application.start()
         self.nodes.append(made)
         if wait:
             wait_for(made._is_ready, 'a ready node')
         return made
 
+    def kill(self, node):
+        """End a node without a farewell: its lease and its key stay."""
+        node.leadership.lease = None
+        node.application.stop(0.1)
+        self.nodes.remove(node)
+
+    def start_again(self, node):
+        """Start a node that was killed anew, under its name and address."""
+        return self._start(node.settings, True)
+
     def close(self):
         """Stop all of it."""
         for each in self.nodes:
