--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -18,11 +18,13 @@
 from magnoliadyke.core import answerers
 from magnoliadyke.core import capacity as capacities
 from magnoliadyke.core import catalog
+from magnoliadyke.core import deferral
 from magnoliadyke.core import enginepool
 from magnoliadyke.core import limits
 from magnoliadyke.core import longanswers
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import promptjobs
+from magnoliadyke.core import refusals
 from magnoliadyke.core import routes
 from magnoliadyke.core import stageplan
 
@@ -58,13 +60,6 @@
 #: Weight of a placed prompt in the ratio of what placing it took to what
 #: was expected when it came.
 BIAS_WEIGHT = 0.03
-#: Tokens that another engine is reading for which a prompt waits: fewer take
-#: hardly longer to read again than to fetch.
-LEAST_DEFERRED_TOKENS = 1000
-#: Part of the time to read them again that it waits at most.
-DEFER_SHARE = 0.5
-#: Times that a prompt waits so: what was to be read may fail to come.
-MOST_DEFERRED = 2
 #: Late jobs are looked through this often, in seconds: a wait that grows by
 #: this much costs no caller anything.
 SORT_S = 0.02
@@ -72,19 +67,6 @@
 PUMP_S = 0.05
 #: Time constant of measured demand, in seconds: half a swing of the load.
 DEMAND_S = 1.5
-#: Shortest time to tell a refused caller to stay away, in seconds.
-MIN_RETRY_S = 0.1
-#: Wait told when no engine can read at all, in seconds.
-NO_ENGINE_S = 1.0
-#: From when no engine answers to the order that has another one answer, in
-#: seconds: the plan looks twice a second, and its calls to the engine and the
-#: store take some hundredths.
-ORDER_S = 0.6
-#: Refused callers return spread over this range, in shares of their wait.
-LEAST_SPREAD = 0.75
-SPREAD = 0.5
-#: Largest part of its remaining time that a caller can be asked to wait.
-MAX_RETRY_SHARE = 1 / 3
 
 
 class _Reader(NamedTuple):
@@ -100,7 +82,6 @@
     :param rng: source of randomness, with ``random()``
     :param sharers: hosts that place on these engines at the same time, each
         without knowing of the others; 1 when this is the only place
-    :ivar unanswered_s: since when no engine answers; None while one does
     """
 
     def __init__(
@@ -112,17 +93,14 @@
         pool_settings: enginepool.PoolSettings | None = None,
     ) -> None:
         self.traits = traits
-        self.rng = rng
         self.settings = settings or PlacementSettings()
         self.sharers = sharers
         self.pool = enginepool.EnginePool(traits, pool_settings)
         self.fresh = promptjobs.SlackQueue()
         self.late = promptjobs.JobQueue()
         self.returned = promptjobs.JobQueue()
-        self.deferred: list[tuple[float, int]] = []
-        self.deferred_jobs: dict[
-            int, tuple[promptjobs.Job, promptjobs.JobQueue]
-        ] = {}
+        self.deferral = deferral.Deferral(self.pool)
+        self.refusals = refusals.Refusals(traits.stage_change_s, rng)
         self.readers: dict[int, _Reader] = {}
         self.answers = longanswers.LongAnswers(
             self.pool, self.settings.long_run_s
@@ -133,7 +111,6 @@
         self.turns = 0
         self.bias = 1.0
         self.sorted_s = 0.0
-        self.unanswered_s: float | None = None
 
     # The engines.
 
@@ -218,7 +195,7 @@
         """Take a job: it is placed, refused, or waits."""
         job.came_s = now_s
         if self._nobody_answers(now_s):
-            return [self._refuse_unanswered(job, now_s)]
+            return [self.refusals.refuse_unanswered(job, now_s)]
         if job.resumed or job.tokens <= self.settings.short_tokens:
             return self._submit_short(job, now_s)
         kept = self.pool.caches.kept(job.parts)
@@ -239,15 +216,15 @@
         wait_s = self._late_wait_s(now_s)
         left_s = job.deadline_s - now_s
         if wait_s + job.need_s > left_s * self.settings.hold_share:
-            return self._refuse(job, now_s, wait_s, 'no room in time')
+            return self.refusals.refuse(job, now_s, wait_s, 'no room in time')
         self._put_late(job)
         return None
 
     def waits(self, job_id: int) -> bool:
         """Whether a job is in a queue."""
-        if job_id in self.deferred_jobs:
-            return True
-        return any(job_id in queue.jobs for queue in self._queues())
+        return job_id in self.deferral or any(
+            job_id in queue.jobs for queue in self._queues()
+        )
 
     def _queues(self) -> tuple[promptjobs.JobQueue, ...]:
         return self.fresh, self.returned, self.late, self.answers.waiting
@@ -264,7 +241,9 @@
         wait_s = self.answers.wait_s(now_s)
         left_s = job.deadline_s - now_s
         if wait_s > left_s * self.settings.hold_share:
-            return [self._refuse(job, now_s, wait_s, 'no slot in time')]
+            return [
+                self.refusals.refuse(job, now_s, wait_s, 'no slot in time')
+            ]
         self.answers.waiting.put(job)
         return []
 
@@ -287,7 +266,7 @@
 
     def withdraw(self, job_id: int, now_s: float) -> list[promptjobs.Decision]:
         """The caller has left, or the host takes the job elsewhere."""
-        self.deferred_jobs.pop(job_id, None)
+        self.deferral.take(job_id)
         for queue in self._queues():
             queue.take(job_id)
         return self.ended(job_id, now_s)
@@ -358,7 +337,7 @@
         self.pool.refresh(now_s)
         if self._nobody_answers(now_s):
             return self._refuse_waiting(now_s)
-        self._resume_deferred(now_s)
+        self.deferral.resume(now_s)
         self.answers.expire(now_s)
         self._pump_answers(now_s, decisions)
         self._sort_out(now_s, decisions)
@@ -370,59 +349,20 @@
             if option is None:
                 break
             queue.take(job.id)
-            if self._defer(job, option, queue, now_s):
+            if self.deferral.put(job, option, queue, now_s):
                 continue
             self.turns += 1
             decisions.append(self._take(job, option, now_s))
         return decisions
 
-    def _defer(
-        self,
-        job: promptjobs.Job,
-        option: enginepool.Option,
-        queue: promptjobs.JobQueue,
-        now_s: float,
-    ) -> bool:
-        """Whether a prompt waits for parts that an engine is reading now.
-
-        Several prompts of one subject come within the time in which the
-        first of them is read.  Read by another engine in the meantime, the
-        parts that they share take its time for nothing; fetched, they are
-        there in a few hundredths of a second.  Waits only who is served
-        clearly sooner for it: what a prompt waits for is a forecast, and one
-        that waited as long as it would have read came late too often.
-        """
-        kept_tokens = self.pool.caches.kept(job.parts).most_tokens
-        again = option.tokens - (job.tokens - kept_tokens)
-        if again < LEAST_DEFERRED_TOKENS or job.deferred >= MOST_DEFERRED:
-            return False
-        coming_s = self.pool.coming_s(job.parts, kept_tokens, now_s)
-        if coming_s is None or coming_s <= now_s:
-            return False
-        saved_s = self.pool.saved_s(again)
-        begins_s = option.ready_s - option.read_s
-        if coming_s > begins_s + saved_s * DEFER_SHARE:
-            return False
-        job.deferred += 1
-        heapq.heappush(self.deferred, (coming_s, job.id))
-        self.deferred_jobs[job.id] = (job, queue)
-        return True
-
-    def _resume_deferred(self, now_s: float) -> None:
-        """Queue those again whose parts should have been read by now."""
-        while self.deferred and self.deferred[0][0] <= now_s:
-            _, job_id = heapq.heappop(self.deferred)
-            job, queue = self.deferred_jobs.pop(job_id, (None, None))
-            if job is not None:
-                queue.put(job)
-
     def wake_s(self, now_s: float) -> float | None:
         """When :meth:`pump` has something to do without further word."""
         latest_s = now_s + PUMP_S
-        if self.deferred:
-            latest_s = min(latest_s, max(now_s, self.deferred[0][0]))
+        resumes_s = self.deferral.resumes_s()
+        if resumes_s is not None:
+            latest_s = min(latest_s, max(now_s, resumes_s))
         if self._next_queue() is None:
-            waits = self.deferred or len(self.answers.waiting)
+            waits = resumes_s is not None or len(self.answers.waiting)
             return latest_s if waits else None
         opens_s = self.pool.opens_s()
         if opens_s is None:
@@ -501,7 +441,9 @@
             if now_s - job.came_s > may_wait_s:
                 waiting.take(job.id)
                 wait_s = self.answers.wait_s(now_s)
-                refused = self._refuse(job, now_s, wait_s, 'no slot in time')
+                refused = self.refusals.refuse(
+                    job, now_s, wait_s, 'no slot in time'
+                )
                 decisions.append(refused)
 
     def _sort_out_late(
@@ -521,7 +463,9 @@
                     ahead_s += job.need_s
                     continue
                 queue.take(job.id)
-                decisions.append(self._refuse(job, now_s, wait_s, 'too late'))
+                decisions.append(
+                    self.refusals.refuse(job, now_s, wait_s, 'too late')
+                )
 
     def _due_s(self, job: promptjobs.Job) -> float:
         """When an engine has to be done with a job that is to be in time."""
@@ -532,7 +476,7 @@
         """Time until a prompt that can still be in time gets an engine."""
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
-            return NO_ENGINE_S
+            return refusals.NO_ENGINE_S
         work_s = self.fresh.need_before_s(job.latest_s)
         work_s *= self._turns_factor()
         return capacity.wait_s(work_s) * self.sharers
@@ -545,7 +489,7 @@
         """
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
-            return NO_ENGINE_S
+            return refusals.NO_ENGINE_S
         late_s = self.returned.need_s + self.late.need_s
         work_s = self.fresh.need_s
         work_s += late_s / self._late_share(capacity, now_s)
@@ -602,7 +546,7 @@
         """A short prompt goes straight to an engine that answers."""
         engine = self.pool.answerers.for_short(job.avoid, now_s)
         if engine is None:
-            return self._refuse_unanswered(job, now_s)
+            return self.refusals.refuse_unanswered(job, now_s)
         self.pool.answerers.given(engine, now_s)
         engine_id = engine.endpoint.id
         kept = self.pool.caches.kept(job.parts)
@@ -614,39 +558,10 @@
             job.id, None, engine_id, None, missing, expected_s, is_long
         )
 
-    def _refuse(
-        self, job: promptjobs.Job, now_s: float, wait_s: float, reason: str
-    ) -> promptjobs.Refused:
-        """Tell when there will be room, spread over half of that time."""
-        left_s = max(0.0, job.deadline_s - now_s)
-        spread = LEAST_SPREAD + SPREAD * self.rng.random()
-        after_s = max(MIN_RETRY_S, wait_s) * spread
-        return promptjobs.Refused(
-            job.id, min(after_s, left_s * MAX_RETRY_SHARE), reason
-        )
-
     def _nobody_answers(self, now_s: float) -> bool:
-        """Whether no engine answers; notes since when."""
-        if self.pool.answerers.exist():
-            self.unanswered_s = None
-            return False
-        if self.unanswered_s is None:
-            self.unanswered_s = now_s
-        return True
-
-    def _refuse_unanswered(
-        self, job: promptjobs.Job, now_s: float
-    ) -> promptjobs.Refused:
-        """Nobody can be served; tell when there should be one who answers.
-
-        By then one of the engines that read has changed its stage; nobody
-        knows how long it takes where that is over.
-        """
-        wait_s = NO_ENGINE_S
-        if self.unanswered_s is not None:
-            over_s = self.unanswered_s + ORDER_S + self.traits.stage_change_s
-            wait_s = max(wait_s, (over_s - now_s) / LEAST_SPREAD)
-        return self._refuse(job, now_s, wait_s, 'no engine answers')
+        answering = self.pool.answerers.exist()
+        self.refusals.note_answering(answering, now_s)
+        return not answering
 
     def _refuse_waiting(self, now_s: float) -> list[promptjobs.Decision]:
         """Refuse all that wait, as no engine answers.
@@ -654,11 +569,10 @@
         Held back they would wait until their time is over: no queue moves,
         and few callers have as much time left as a change of stage takes.
         """
-        waiting = [job for job, _ in self.deferred_jobs.values()]
-        self.deferred_jobs.clear()
+        waiting = self.deferral.take_all()
         for queue in self._queues():
             waiting += [queue.take(job_id) for job_id in list(queue.jobs)]
-        return [self._refuse_unanswered(job, now_s) for job in waiting]
+        return [self.refusals.refuse_unanswered(job, now_s) for job in waiting]
 
     def _begin_run(
         self, job: promptjobs.Job, engine_id: str, now_s: float
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -1,6 +1,7 @@
 """A small platform on loopback with real gateway nodes, for tests."""
 
 import contextlib
+import functools
 import itertools
 import os
 import random
@@ -105,6 +106,13 @@
         self.list(made)
         return made
 
+    def engine(self, name, stage):
+        """Start an engine that carries orders out, and list it."""
+        made = self.endpoint(name, 'model', stage)
+        made.change_s = 0.2
+        made.changed = functools.partial(self.list, made)
+        return made
+
     def list(self, endpoint):
         """Write an endpoint's entry."""
         self.store.put(f'servers/{endpoint.name}', endpoint.entry())
--- a/tests/test_gateway_restart.py
+++ b/tests/test_gateway_restart.py
@@ -1,7 +1,5 @@
 """All hosts are killed at the same moment and start again."""
 
-import functools
-
 import pytest
 
 from magnoliadyke.gateway import leadership
@@ -19,10 +17,8 @@
     monkeypatch.setattr(leadership, 'LEASE_S', 120.0)
     with gatewayworld.world() as world:
         world.configure()
-        for name, stage in (('p0', 'prefill'), ('d0', 'decode')):
-            engine = world.endpoint(name, 'model', stage)
-            engine.change_s = 0.2
-            engine.changed = functools.partial(world.list, engine)
+        world.engine('p0', 'prefill')
+        world.engine('d0', 'decode')
         before = [world.node(), world.node()]
         gatewayworld.wait_for(
             lambda: any(each.placer.leading for each in before), 'a leader'
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -1,7 +1,5 @@
 """Orders to engines: under the lease, checked at the store."""
 
-import functools
-
 import logbook
 import pytest
 
@@ -45,10 +43,8 @@
     """One engine that reads, one that answers; both carry orders out."""
     with gatewayworld.world() as world:
         world.configure()
-        for name, stage in (('p0', 'prefill'), ('d0', 'decode')):
-            engine = world.endpoint(name, 'model', stage)
-            engine.change_s = 0.2
-            engine.changed = functools.partial(world.list, engine)
+        world.engine('p0', 'prefill')
+        world.engine('d0', 'decode')
         node = world.node()
         gatewayworld.wait_for(node.leadership.may_order, 'the lease')
         yield world, node
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -829,7 +829,7 @@
     """A prompt held for parts that are being read is in no queue."""
     made = core(promptload.fleet(1, 1))
     held = job(1, [part(1, 9200)], objective_s=3.0, deadline_s=9.0)
-    made.deferred_jobs[1] = (held, made.fresh)
+    made.deferral.hold(held, made.fresh, 1.0)
     made.set_engines([promptload.engine('p0')])
     (told,) = made.pump(0.1)
     assert told.job == 1
