Wait for the host's answer before looking at what it does with it

Traced: with the answer held back for 50 ms (trial) it fails each time, and passes with the wait. It asks the same.

--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -65,7 +65,10 @@
     assert order['precondition'] == 0
     (changed,) = [e for e in world.endpoints.values() if e.orders]
     engine = node.placer.served['model'].core.pool.engines[changed.name]
-    assert engine.rest_until_s > node.clock.now_s()
+    # The engine has the order before the host has its answer.
+    gatewayworld.wait_for(
+        lambda: engine.rest_until_s > node.clock.now_s(), 'the rest'
+    )
 
 
 def test_holder_that_lost_its_key_orders_nothing(fleet):
