Write what the operator and the platform write in one place

The configuration, routes and node settings of a small deployment stood in the lab (twice) and in the tests' world; lab/platformrecords.py has them now. No product code changes.

--- a/magnoliadyke/lab/platformcaller.py
+++ b/magnoliadyke/lab/platformcaller.py
@@ -9,6 +9,7 @@
 from magnoliadyke.gateway import http
 from magnoliadyke.lab import platformcheck
 from magnoliadyke.lab import platformfleet
+from magnoliadyke.lab import platformrecords
 
 __all__ = ['Callers']
 
@@ -133,7 +134,7 @@
     method = 'POST' if one.kind == 'unsafe' else 'GET'
     lines = [
         f'{method} /{one.kind}/{rng.randrange(20)} HTTP/1.1',
-        f'Host: {platformfleet.SITE}',
+        f'Host: {platformrecords.SITE}',
         f'X-Request-Id: {one.id}',
     ]
     body = b''
--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -39,6 +39,7 @@
 from magnoliadyke.lab import platformcaller
 from magnoliadyke.lab import platformcheck
 from magnoliadyke.lab import platformfleet
+from magnoliadyke.lab import platformrecords
 
 __all__ = ['Fault', 'Plan', 'main', 'play', 'read_plan', 'report']
 
@@ -70,6 +71,8 @@
     'link_loss': {'kind': 'loss', 'both': True, 'share': 0.3},
 }
 STORE_SLOW_S = 0.4
+#: Of all routes: longer than a host that was killed takes to be back.
+TIMEOUT_MS = 3000
 
 
 class Fault(NamedTuple):
@@ -117,53 +120,19 @@
 
 def configuration(version: int) -> dict[str, Any]:
     """The operator's configuration; each version has one route more."""
-    routes = [
-        _route('safe', 'safe', 'plain'),
-        _route('unsafe', 'unsafe', 'plain'),
-        _route('once', 'streaming', 'model', max_attempts=1),
-        _route('chat', 'streaming', 'model', resumable=True),
-        _route(f'new{version}', 'safe', 'plain'),
-    ]
-    engine = {
-        'slots': 16,
-        'kv_tokens': 1_000_000,
-        'token_kv_bytes': 1000,
-        'link_mbps': 100000.0,
-        'kv_hold_s': 5.0,
-        'stage_switch_s': 0.2,
-    }
-    return {
-        'version': version,
-        'routes': routes,
-        'services': [
-            {'name': 'plain', 'health_path': '/health', 'max_conns': 100},
-            {'name': 'model', 'max_conns': 100, 'engine': engine},
-        ],
-        'limits': {
-            'max_header_bytes': 4096,
-            'max_body_bytes': 100_000,
-            'header_timeout_ms': 2000,
-            'idle_timeout_ms': 20000,
-        },
-    }
-
-
-def _route(name: str, kind: str, service: str, **fields: Any) -> dict:
-    values = {
-        'name': name,
-        'hostname': platformfleet.SITE,
-        'path_prefix': f'/{name}/',
-        'kind': kind,
-        'service': service,
-        'timeout_ms': 3000,
-        'target_latency_ms': 500,
-        'priority': 0,
-        'max_attempts': 2,
-        'sticky': kind == 'streaming',
-        'resumable': False,
-        'gap_aim_ms': 150,
-    }
-    return values | fields
+    name = f'new{version}'
+    routes = platformrecords.usual_routes(timeout_ms=TIMEOUT_MS)
+    routes.append(
+        platformrecords.route(
+            name, f'/{name}/', 'safe', 'plain', timeout_ms=TIMEOUT_MS
+        )
+    )
+    return platformrecords.configuration(
+        version,
+        routes,
+        header_timeout_ms=2000,
+        idle_timeout_ms=20000,
+    )
 
 
 class Day:
--- a/magnoliadyke/lab/platformfleet.py
+++ b/magnoliadyke/lab/platformfleet.py
@@ -17,22 +17,18 @@
 from magnoliadyke.lab import cluster
 from magnoliadyke.lab import links
 from magnoliadyke.lab import platformendpoint
+from magnoliadyke.lab import platformrecords
 from magnoliadyke.lab import platformstore
 from magnoliadyke.lab import proxy
 
-__all__ = ['EVENTS', 'SITE', 'Fleet', 'Shape']
+__all__ = ['EVENTS', 'Fleet', 'Shape']
 
-SITE = 'site.example'
-#: Ports of a node; the others follow from the platform's settings.
-CALLERS_PORT = 8144
-READINESS_PORT = 8140
 PROXY_PORT = 8199
 STORE_PORT = 8180
 #: Longest time until a node is expected to be ready, in seconds.
 READY_S = 20.0
 #: What a node is given to stop, in seconds, before it is killed.
 STOP_S = 5.0
-LEAST_LEASE_S = 0.5
 #: Streams of the endpoints: events, and seconds between two.
 EVENTS = 5
 PAUSE_S = 0.02
@@ -106,7 +102,7 @@
         names = {self.store.address: 'store'}
         for host in self.hosts():
             ip = self.ip(host)
-            for port in (CALLERS_PORT, 7660, 7661):
+            for port in (platformrecords.CALLERS_PORT, 7660, 7661):
                 names[f'{ip}:{port}'] = host
         self.proxy = proxy.Proxy(f'127.{self.run}.0.3:{PROXY_PORT}', names)
         self.proxy.start()
@@ -125,7 +121,7 @@
 
     def callers_address(self, host: str) -> tuple[str, int]:
         """Where a host takes callers' connections."""
-        return self.ip(host), CALLERS_PORT
+        return self.ip(host), platformrecords.CALLERS_PORT
 
     def add_endpoint(self, service: str, stage: str) -> str:
         """Start an endpoint and list it; returns its id."""
@@ -194,31 +190,9 @@
         self.nodes[host] = _Node(popen, time.monotonic())
 
     def _settings(self, host: str) -> dict[str, Any]:
-        ip = self.ip(host)
-        return {
-            'name': host,
-            'ip': ip,
-            'failure_domain': 'z1',
-            'callers': f'{ip}:{CALLERS_PORT}',
-            'readiness': f'{ip}:{READINESS_PORT}',
-            'directory': f'{ip}:8143',
-            'control': f'{ip}:8146',
-            'peer_ports': [7660, 7675],
-            'metrics_port': 9464,
-            'store': self.store.address,
-            'min_lease_s': LEAST_LEASE_S,
-            'cores': 1.0,
-            'memory_mb': 300,
-            'link_mbps': 1000.0,
-            'drain_s': 2.0,
-            'configuration_s': 2.0,
-            'stop_s': STOP_S,
-            'retry_ratio': 0.2,
-            'retry_window_s': 10,
-            'retry_extra': 56,
-            'order_gap_s': 0.2,
-            'directory_ttl_s': 5,
-        }
+        return platformrecords.node_settings(
+            host, self.ip(host), self.store.address, stop_s=STOP_S
+        )
 
     def wait_ready(self, host: str) -> None:
         """Wait until a node takes requests.
@@ -234,7 +208,7 @@
 
     def is_ready(self, host: str) -> bool:
         """Whether a node says that it takes requests."""
-        address = (self.ip(host), READINESS_PORT)
+        address = (self.ip(host), platformrecords.READINESS_PORT)
         with contextlib.suppress(OSError):
             with socket.create_connection(address, 1.0) as sock:
                 sock.sendall(b'GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n')
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -13,11 +13,12 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.gateway import http
 from magnoliadyke.lab import platformendpoint
+from magnoliadyke.lab import platformrecords
 from magnoliadyke.lab import platformstore
 from magnoliadyke.platform import node as nodes
 from magnoliadyke.platform import settings as node_settings
 
-HOST = 'site.example'
+HOST = platformrecords.SITE
 WAIT_S = 10.0
 HOSTS = itertools.count(1)
 #: Addresses of this process's nodes: two runs of the tests side by side
@@ -25,56 +26,14 @@
 NET = f'127.{os.getpid() % 190 + 50}.{os.getpid() // 190 % 250 + 1}'
 
 
-def route(name, prefix, kind, service, **fields):
-    """A route as the operator writes it."""
-    values = {
-        'name': name,
-        'hostname': HOST,
-        'path_prefix': prefix,
-        'kind': kind,
-        'service': service,
-        'timeout_ms': 2000,
-        'target_latency_ms': 500,
-        'priority': 0,
-        'max_attempts': 2,
-        'sticky': kind == 'streaming',
-        'resumable': False,
-        'gap_aim_ms': 150,
-    }
-    return values | fields
+route = platformrecords.route
 
 
 def configuration(version=1, routes=None, **fields):
     """A configuration as the operator writes it."""
-    routes = routes or [
-        route('safe', '/safe/', 'safe', 'plain'),
-        route('unsafe', '/unsafe/', 'unsafe', 'plain'),
-        route('once', '/once/', 'streaming', 'model', max_attempts=1),
-        route('chat', '/chat/', 'streaming', 'model', resumable=True),
-    ]
-    engine = {
-        'slots': 16,
-        'kv_tokens': 1_000_000,
-        'token_kv_bytes': 1000,
-        'link_mbps': 100000.0,
-        'kv_hold_s': 5.0,
-        'stage_switch_s': 0.2,
-    }
-    return {
-        'version': version,
-        'routes': routes,
-        'services': [
-            {'name': 'plain', 'health_path': '/health', 'max_conns': 100},
-            {'name': 'model', 'max_conns': 100, 'engine': engine},
-        ],
-        'limits': {
-            'max_header_bytes': 4096,
-            'max_body_bytes': 100_000,
-            'header_timeout_ms': 1000,
-            'idle_timeout_ms': 5000,
-        }
-        | fields,
-    }
+    return platformrecords.configuration(
+        version, routes or platformrecords.usual_routes(), **fields
+    )
 
 
 def wait_for(condition, what, wait_s=WAIT_S):
@@ -120,31 +79,10 @@
     def node(self, wait=True, **fields):
         """Start a node; waits until it is ready."""
         ip = f'{NET}.{next(HOSTS) % 250 + 1}'
-        values = {
-            'name': f'front-{ip}',
-            'ip': ip,
-            'failure_domain': 'z1',
-            'callers': f'{ip}:8144',
-            'readiness': f'{ip}:8140',
-            'directory': f'{ip}:8143',
-            'control': f'{ip}:8146',
-            'peer_ports': [7660, 7675],
-            'metrics_port': 9464,
-            'store': self.store.address,
-            'min_lease_s': 0.5,
-            'cores': 1.0,
-            'memory_mb': 300,
-            'link_mbps': 1000.0,
-            'drain_s': 2.0,
-            'configuration_s': 2.0,
-            'stop_s': 8.0,
-            'retry_ratio': 0.2,
-            'retry_window_s': 10,
-            'retry_extra': 56,
-            'order_gap_s': 0.2,
-            'directory_ttl_s': 5,
-        }
-        return self._start(node_settings.parse(values | fields), wait)
+        values = platformrecords.node_settings(
+            f'front-{ip}', ip, self.store.address, **fields
+        )
+        return self._start(node_settings.parse(values), wait)
 
     def _start(self, settings, wait):
         made = nodes.Node(settings, clocks.SystemClock(), random.Random(1))
