Replace a placing host that was never met and answers nothing

Cause: gossip finds dead only whom a host has met. After all hosts were killed and the placing one stays away, its key says for the rest of the lease that it leads: every host places alone, and none may order an engine to answer. Change: a holder that has not been met 2 s after its host was heard of, and answers no asks, counts as gone. Ruled out: the listing of hosts in the store, which knows it 6 s later. Before: in the test world nobody led within 14 s, now after some 2 s.

--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -38,6 +38,10 @@
 #: reaches comes back to all hosts within that time.
 YIELD_S = 1.5
 IN_REACH_S = 1.0
+#: A holder that a host has never met, and that answers nothing, counts as gone
+#: this long after the host has heard of it, in seconds: gossip takes as long
+#: to find a host dead.
+UNMET_S = 2.0
 #: How often the holder looks whether it has to give way.
 HOLD_TICK_S = 0.25
 #: Pause after a call to the store that failed, spread by as much again.
@@ -62,6 +66,7 @@
     :ivar yielding: this host holds the lease and gives way
     :ivar yielded: revision of a holder that gives way
     :ivar fencing: revision of the holder's key; grows with each holder
+    :ivar holder_since_s: when this host heard of the present holder
     :ivar order_from_s: when orders of the holder before have long ended
     """
 
@@ -97,6 +102,7 @@
         self.holder: str | None = None
         self.holder_incarnation = 0
         self.holder_revision = 0
+        self.holder_since_s = clock.now_s()
         self.vacant_since_s: float | None = clock.now_s()
         self.greenlet: gevent.Greenlet | None = None
 
@@ -130,6 +136,8 @@
     def changed(self, item: store.Item) -> None:
         """A host holds the lease."""
         fields = json.loads(item.value)
+        if item.revision != self.holder_revision:
+            self.holder_since_s = self.clock.now_s()
         self.holder = fields['host']
         self.holder_incarnation = fields['incarnation']
         self.holder_revision = item.revision
@@ -165,6 +173,7 @@
             self.yielded = 0
         if message.revision == self.holder_revision:
             return
+        self.holder_since_s = self.clock.now_s()
         self.holder = message.host
         self.holder_incarnation = message.incarnation
         self.holder_revision = message.revision
@@ -235,13 +244,27 @@
             return self._in_reach()
         member = self.members.core.view().members.get(self.holder)
         if member is None:
-            return False
+            return self._is_unmet()
         if member.incarnation > self.holder_incarnation:
             return True
         if member.state == membership.SUSPECT:
             return self.clock.now_s() < self.placer.silent_until_s
         return member.state in (membership.DEAD, membership.LEFT)
 
+    def _is_unmet(self) -> bool:
+        """A holder that gossip has never met does not answer either.
+
+        All hosts were killed and the holder's stays away: gossip finds dead
+        only whom it has met, and every host would place alone, and none
+        order an engine, until the lease ends.  A holder that lives is met
+        or answers within this time, and a host that places for nobody has
+        not asked it.
+        """
+        now_s = self.clock.now_s()
+        if now_s - self.holder_since_s < UNMET_S:
+            return False
+        return now_s < self.placer.silent_until_s
+
     def _in_reach(self) -> bool:
         return (
             self.contact is not None
--- a/tests/test_gateway_restart.py
+++ b/tests/test_gateway_restart.py
@@ -9,8 +9,8 @@
 
 
 @pytest.fixture
-def restarted(monkeypatch):
-    """Two hosts that were killed together and are back, and their world.
+def killed(monkeypatch):
+    """A world and its two hosts, killed together, the placing one first.
 
     The lease outlasts the test, so that nobody can wait for its end.
     """
@@ -19,14 +19,22 @@
         world.configure()
         world.engine('p0', 'prefill')
         world.engine('d0', 'decode')
-        before = [world.node(), world.node()]
+        nodes = [world.node(), world.node()]
         gatewayworld.wait_for(
-            lambda: any(each.placer.leading for each in before), 'a leader'
+            lambda: any(each.placer.leading for each in nodes), 'a leader'
         )
-        for node in before:
+        nodes.sort(key=lambda each: not each.placer.leading)
+        for node in nodes:
             world.kill(node)
         assert leadership.LEADER_KEY in world.store.items
-        yield world, [world.start_again(node) for node in before]
+        yield world, nodes
+
+
+@pytest.fixture
+def restarted(killed):
+    """The same world, and its hosts as they are back."""
+    world, nodes = killed
+    return world, [world.start_again(node) for node in nodes]
 
 
 def ask(node, number):
@@ -69,3 +77,46 @@
 
     gatewayworld.wait_for(asked_until_changed, 'the change')
     gatewayworld.wait_for(lambda: ask(nodes[0], 10) == 200, 'an answer')
+
+
+def test_host_that_never_met_the_former_holder_takes_over(killed):
+    """Callers are served badly, and no engine is ordered, for a lease's time.
+
+    All hosts are killed, and the one that placed for all stays away.  Those
+    that are back never met it, so gossip can't find it dead; its key says
+    that it leads.  It answers nothing for as long as gossip would wait.
+    """
+    world, (_, other) = killed
+    node = world.start_again(other)
+    world.store.remove('servers/d0')
+
+    def asked_until_led():
+        ask(node, 9)
+        return node.placer.leading
+
+    gatewayworld.wait_for(asked_until_led, 'a new holder')
+
+
+def test_holder_is_given_time_to_be_met(killed):
+    """A host that has just started has met nobody, and word may be lost.
+
+    Taken for gone at once, a holder that lives would be replaced by each
+    host that starts while links lose packets.
+    """
+    world, (holder, other) = killed
+    first = world.start_again(holder)
+    gatewayworld.wait_for(lambda: first.placer.leading, 'the holder again')
+    node = world.start_again(other)
+    led = node.leadership
+    gatewayworld.wait_for(lambda: led.holder == first.own.host, 'its word')
+    led.greenlet.kill()
+    node.members.core.members.pop(first.own.host, None)
+    node.members.core._view = None
+    now_s = node.clock.now_s()
+    node.placer.silent_until_s = now_s + 60
+    led.holder_since_s = now_s
+    assert not led._holder_is_dead()
+    led.holder_since_s = now_s - leadership.UNMET_S
+    assert led._holder_is_dead()
+    node.placer.silent_until_s = 0.0
+    assert not led._holder_is_dead()
