Plan stages by forecast, for any number of engines

Cause: the plan asked a fifth less load on the busier stage from moving one engine; with 25 readers one more takes off 4%, so none ever moved while all readers were full and 45 engines answered next to nothing. Change: the plan compares what part of the last seconds' load each split within reach would serve until it may be reversed, what is lost during the change included; engines that answer count for what they read beside; power to spare grows with the square root of what is asked.

--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -397,6 +397,24 @@
             )
         return self._capacity
 
+    def reading_beside(self, now_s: float) -> tuple[float, int]:
+        """What engines that answer can read.
+
+        :returns: engines' worth of reading, and the number of those that
+            give long answers and read nothing
+        """
+        answering = [
+            engine
+            for engine in self.engines.values()
+            if engine.endpoint.stage is catalog.Stage.DECODE
+        ]
+        power = sum(
+            1 / self.relative(engine)
+            for engine in answering
+            if engine.rest_until_s <= now_s and self._may_read(engine)
+        )
+        return power, sum(1 for each in answering if each.long_runs)
+
     def _look_for_readers(self, now_s: float) -> None:
         """Have engines read beside long answers while no other one can.
 
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -137,10 +137,13 @@
         """What is asked of the engines now, refused work included."""
         long_answers = len(self.answers) + len(self.answers.waiting)
         slots = answerers.long_slots(self.traits.slots)
+        beside, occupied = self.pool.reading_beside(now_s)
         return stageplan.Load(
             self.asked.now(now_s),
             self.asked_moves.now(now_s),
             long_answers / max(1, slots),
+            beside,
+            occupied,
         )
 
     def figures(self) -> dict[str, str]:
--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -2,46 +2,47 @@
 
 The load that this answers: the mix of long prompts and long answers shifts
 within seconds, in waves of many seconds.  A change of stage takes an engine
-away for seconds and is paid for, so the plan follows the waves' peaks, not
-the swings inside them: an engine that answers can read at half speed in the
-meantime, one that reads can't answer.
+away for seconds and is paid for, so it has to pay within the time in which it
+can't be taken back, also for what is lost meanwhile.
 
-The plan balances: it moves an engine where that makes the busier of the two
-stages clearly less busy.
+The plan forecasts: it takes the last seconds' load for that of the next ones,
+and compares what part of it the engines would serve in each split that the
+changes allowed now can reach.
 """
 
 import collections
 import dataclasses
+import math
 from typing import NamedTuple
 
-__all__ = ['Change', 'Load', 'StagePlan', 'StagePlanSettings']
-
-
-#: Share of the slots from which on answers have to wait now and then.
-SLOTS_FULL = 0.95
-#: What slots count for below that.
-SLOTS_FREE_WEIGHT = 0.3
-#: And above it: without a slot for the answer no prompt can be read either.
-SLOTS_FULL_WEIGHT = 3.0
+__all__ = ['Change', 'Fleet', 'Load', 'StagePlan', 'StagePlanSettings']
 
 
 class StagePlanSettings(NamedTuple):
     """Constants of the plan.
 
-    :param memory_s: the peaks of this long are planned for; longer than a
-        swing, so that a lull between two of them moves nothing
-    :param least_busy: the busier stage has to be this busy before anything
-        moves; below it nobody waits
-    :param gain: how much less busy it has to become
-    :param pause_s: least time between two changes in opposite directions
+    :param memory_s: the load of this long is taken for that of the next
+        seconds; longer than a swing, so that a lull between two of them
+        moves nothing
+    :param gain: part of the load that has to be served more
+    :param pause_s: least time between two changes in opposite directions,
+        within which a change has to pay
     :param most_changing: share of the engines that change at one time
+    :param reading_margin: reading power to spare, in square roots of what
+        is asked: what comes at random swings by so much, so few engines
+        need a larger part to spare than many
+    :param moving_share: the same of their links for transfers, which wait
+        for each other long before a link is full
+    :param slots_share: the same of the slots for long answers
     """
 
     memory_s: float = 6.0
-    least_busy: float = 0.4
-    gain: float = 0.2
+    gain: float = 0.04
     pause_s: float = 12.0
     most_changing: float = 0.2
+    reading_margin: float = 1.5
+    moving_share: float = 0.6
+    slots_share: float = 0.88
 
 
 class Load(NamedTuple):
@@ -50,23 +51,51 @@
     :param reading: engines that reading the prompts would fill
     :param moving: engines whose links the transfers would fill
     :param slots: engines whose slots the long answers fill
+    :param beside: engines' worth of reading that those that answer can do
+    :param occupied: engines that give long answers, and read nothing beside
     """
 
     reading: float
     moving: float
     slots: float
+    beside: float = 0.0
+    occupied: int = 0
+
+
+class Fleet(NamedTuple):
+    """The engines of a service by what they do.
+
+    :param reading: engines that read
+    :param answering: engines that answer
+    :param changing: engines that are changing already
+    :param to_answering: those of them that will answer
+    :param change_s: how long a change takes an engine away
+    """
+
+    reading: int
+    answering: int
+    changing: int = 0
+    to_answering: int = 0
+    change_s: float = 3.0
+
+    @property
+    def total(self) -> int:
+        """All engines."""
+        return self.reading + self.answering + self.changing
 
 
 class Change(NamedTuple):
-    """Move one engine; True to read prompts, False to answer."""
+    """Move engines; True to read prompts, False to answer."""
 
     to_reading: bool
+    count: int = 1
 
 
 @dataclasses.dataclass(slots=True)
 class _Sample:
     at_s: float
     load: Load
+    slots_asked: float
 
 
 class StagePlan:
@@ -78,86 +107,112 @@
         self.last: Change | None = None
         self.last_s = float('-inf')
 
-    def note(self, load: Load, now_s: float) -> None:
+    def note(self, load: Load, fleet: Fleet, now_s: float) -> None:
         """Take a measurement."""
-        self.samples.append(_Sample(now_s, load))
+        # Only what is read is answered: with more readers there would be
+        # more answers, too.
+        read = self._read_share(load, fleet.reading, load.beside)
+        slots_asked = load.slots / max(read, self.settings.gain)
+        self.samples.append(_Sample(now_s, load, slots_asked))
         while now_s - self.samples[0].at_s > self.settings.memory_s:
             self.samples.popleft()
 
-    def decide(
-        self,
-        reading: int,
-        answering: int,
-        changing: int,
-        now_s: float,
-        to_answering: int = 0,
-    ) -> Change | None:
-        """Whether an engine should change its stage now.
-
-        :param reading: engines that read
-        :param answering: engines that answer
-        :param changing: engines that are changing already
-        :param to_answering: those of them that will answer
-        """
-        change = self._wanted(reading, answering, changing, to_answering)
+    def decide(self, fleet: Fleet, now_s: float) -> Change | None:
+        """Whether engines should change their stage now, and how many."""
+        change = self._wanted(fleet)
         if change is None:
             return None
         # Below the least number that answers nobody waits for a reversal:
         # the only engine left would answer for all that the others read.
-        total = reading + answering + changing
-        short = answering < least_answering(total) and not change.to_reading
+        least = least_answering(fleet.total)
+        short = fleet.answering < least and not change.to_reading
         if not short and self._is_reversal(change, now_s):
             return None
         self.last = change
         self.last_s = now_s
         return change
 
-    def _wanted(
-        self, reading: int, answering: int, changing: int, to_answering: int
-    ) -> Change | None:
-        if answering + to_answering < 1:
+    def _wanted(self, fleet: Fleet) -> Change | None:
+        if fleet.answering + fleet.to_answering < 1:
             # Engines that answer also read, those that read can't answer.
             # While none answers nothing is served, whatever the load: also
-            # where a single engine is left, or the others are changing.  Of
-            # four played days with one reader left the mean worth rises
-            # from -0.16 to 0.06.
-            return Change(False) if reading else None
-        total = reading + answering + changing
-        if changing >= max(1, int(total * self.settings.most_changing)):
+            # where a single engine is left, or the others are changing.
+            return Change(False) if fleet.reading else None
+        most = max(1, int(fleet.total * self.settings.most_changing))
+        most -= fleet.changing
+        if most < 1:
             return None
-        if answering < least_answering(total) and reading > answering:
+        least = least_answering(fleet.total)
+        if fleet.answering < least and fleet.reading > fleet.answering:
             return Change(False)
-        return self._wanted_by_load(reading, answering, total)
+        return self._best(fleet, most, least)
 
-    def _wanted_by_load(
-        self, reading: int, answering: int, total: int
-    ) -> Change | None:
+    def _best(self, fleet: Fleet, most: int, least: int) -> Change | None:
+        """The change that serves the most, if it gains enough."""
         if not self.samples:
             return None
-        present = self._busiest(reading, answering)
-        if present < self.settings.least_busy:
-            return None
-        wanted = present * (1 - self.settings.gain)
-        if answering > least_answering(total):
-            if self._busiest(reading + 1, answering - 1) <= wanted:
-                return Change(True)
-        if reading > 1:
-            if self._busiest(reading - 1, answering + 1) <= wanted:
-                return Change(False)
-        return None
-
-    def _busiest(self, reading: int, answering: int) -> float:
-        """How busy the busier stage would have been at the worst moment.
+        best = None
+        best_served = self._served_with(fleet, 0) + self.settings.gain
+        to_reading = min(most, fleet.answering - least)
+        to_answering = min(most, fleet.reading - 1)
+        for moved in _steps(-to_answering, to_reading):
+            expected = self._served_with(fleet, moved)
+            if expected > best_served:
+                best_served = expected
+                best = Change(moved > 0, abs(moved))
+        return best
+
+    def _served_with(self, fleet: Fleet, moved: int) -> float:
+        """Part of the load that is served until a change may be reversed.
+
+        :param moved: engines that would come to read; below 0, to answer
+        """
+        away = self._served(
+            fleet,
+            fleet.reading + min(moved, 0),
+            fleet.answering - max(moved, 0),
+        )
+        coming = fleet.changing - fleet.to_answering
+        after = self._served(
+            fleet,
+            fleet.reading + coming + moved,
+            fleet.answering + fleet.to_answering - moved,
+        )
+        lost = min(1.0, fleet.change_s / self.settings.pause_s)
+        return lost * away + (1 - lost) * after
+
+    def _served(self, fleet: Fleet, reading: int, answering: int) -> float:
+        """Part of the load that is served by a split, over the samples.
 
         Taken moment by moment: prompts and answers have their peaks at
         different times, and engines enough for both never happen at once.
         """
-        return max(
-            _busier(sample.load, reading, answering) for sample in self.samples
+        shares = [
+            self._share(sample, fleet, reading, answering)
+            for sample in self.samples
+        ]
+        return sum(shares) / len(shares)
+
+    def _share(
+        self, sample: _Sample, fleet: Fleet, reading: int, answering: int
+    ) -> float:
+        load = sample.load
+        free = max(0, fleet.answering - load.occupied)
+        left = max(0, answering - load.occupied)
+        beside = load.beside * left / free if free else 0.0
+        settings = self.settings
+        return min(
+            self._read_share(load, reading, beside),
+            _part(answering * settings.moving_share, load.moving),
+            _part(answering * settings.slots_share, sample.slots_asked),
         )
 
+    def _read_share(self, load: Load, reading: int, beside: float) -> float:
+        margin = self.settings.reading_margin * math.sqrt(load.reading)
+        return _part(reading + beside, load.reading + margin)
+
     def _is_reversal(self, change: Change, now_s: float) -> bool:
-        if self.last is None or change == self.last:
+        if self.last is None or change.to_reading is self.last.to_reading:
             return False
         return now_s - self.last_s < self.settings.pause_s
 
@@ -171,16 +226,21 @@
     return 2 if total >= 4 else 1
 
 
-def _busier(asked: Load, reading: int, answering: int) -> float:
-    """How busy the busier of the two stages is.
+def _part(power: float, asked: float) -> float:
+    return min(1.0, power / asked) if asked > 0 else 1.0
+
+
+def _steps(least: int, most: int) -> list[int]:
+    """Numbers of engines to compare, few in a large fleet.
 
-    Prompts and transfers wait for each other long before an engine is full;
-    answers don't, so their slots count only when nearly all are taken.
+    Each engine up to some, then in growing steps; the ends are among them.
     """
-    answering = max(1, answering)
-    slots = asked.slots / answering
-    full = slots >= SLOTS_FULL
-    slots *= SLOTS_FULL_WEIGHT if full else SLOTS_FREE_WEIGHT
-    return max(
-        asked.reading / max(1, reading), asked.moving / answering, slots
-    )
+    found = []
+    for bound, sign in ((most, 1), (-least, -1)):
+        moved = 1
+        while moved < bound:
+            found.append(sign * moved)
+            moved += math.ceil(moved / 8)
+        if bound > 0:
+            found.append(sign * bound)
+    return found
--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import gevent
+import gevent.pool
 
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
@@ -29,6 +30,8 @@
 #: refused, is repeated after this time, in seconds: longer than the engine's
 #: answer is waited for.
 REPEAT_S = 2.0
+#: Orders under way at one time.
+ORDERED_AT_ONCE = 8
 #: Time beyond the change itself in which running requests end.
 SETTLE_S = 8.0
 
@@ -111,9 +114,9 @@
     def _plan(self, service: str, core) -> None:
         now_s = self.clock.now_s()
         plan = self.plans.setdefault(service, stageplan.StagePlan())
-        plan.note(core.load(now_s), now_s)
         self._settle(now_s)
         fleet = self._fleet(service)
+        plan.note(core.load(now_s), self._sizes(fleet, core), now_s)
         hindrance = self._change(plan, fleet, core, now_s)
         self._note_outage(service, fleet, hindrance, now_s)
 
@@ -137,25 +140,28 @@
             return Hindrance.NO_ENGINE
         if not self.leadership.may_order():
             return Hindrance.LEASE
-        change = plan.decide(
-            len(fleet.reading),
-            len(fleet.answering),
-            len(fleet.changing),
-            now_s,
-            self._to_answering(fleet),
-        )
+        change = plan.decide(self._sizes(fleet, core), now_s)
         if change is None:
             return Hindrance.PLAN
         candidates = self._candidates(change, fleet, now_s)
         if not candidates:
             return Hindrance.LEFT_ALONE
-        chosen = min(candidates, key=lambda e: core.busyness(e.id, now_s))
+        candidates.sort(key=lambda e: core.busyness(e.id, now_s))
         target = catalog.Stage.DECODE
         if change.to_reading:
             target = catalog.Stage.PREFILL
-        self._order(chosen, target, core)
+        self._order(_spread(candidates, change.count), target, core)
         return Hindrance.NONE
 
+    def _sizes(self, fleet: _Fleet, core) -> stageplan.Fleet:
+        return stageplan.Fleet(
+            len(fleet.reading),
+            len(fleet.answering),
+            len(fleet.changing),
+            self._to_answering(fleet),
+            core.traits.stage_change_s,
+        )
+
     def _candidates(
         self, change: stageplan.Change, fleet: _Fleet, now_s: float
     ) -> list[catalog.Endpoint]:
@@ -220,7 +226,10 @@
                 )
 
     def _order(
-        self, endpoint: catalog.Endpoint, stage: catalog.Stage, core
+        self,
+        endpoints: list[catalog.Endpoint],
+        stage: catalog.Stage,
+        core,
     ) -> None:
         """Check the lease at the store, then order.
 
@@ -230,32 +239,43 @@
         An order of a holder before that is still on its way is refused by
         the engine: it names the number of orders that it was meant for.
         """
-        state = self.control.state(endpoint)
-        if isinstance(state, enginecontrol.Unreachable):
-            LOG.event(
-                'order_put_off', endpoint=endpoint.id, cause=state.reason
-            )
-            return
-        if state.busy or state.stage is stage:
-            LOG.event(
-                'order_put_off',
-                endpoint=endpoint.id,
-                cause='the engine is busy with an order or has the stage',
-            )
+        asked = gevent.pool.Pool(ORDERED_AT_ONCE)
+        states = asked.map(lambda e: self._orders_so_far(e, stage), endpoints)
+        ready = [
+            (endpoint, orders)
+            for endpoint, orders in zip(endpoints, states, strict=True)
+            if orders is not None
+        ]
+        if not ready:
             return
         expected = {leadership.LEADER_KEY: self.leadership.fencing}
         checked = self.store.commit(expected)
         if not isinstance(checked, store.Written):
-            LOG.event('order_put_off', endpoint=endpoint.id, cause=checked)
+            LOG.event('orders_put_off', count=len(ready), cause=checked)
             return
         if self.leadership.may_order():
-            self._send(endpoint, stage, state.orders, core)
+            asked.map(lambda one: self._send(*one, stage, core), ready)
+
+    def _orders_so_far(
+        self, endpoint: catalog.Endpoint, stage: catalog.Stage
+    ) -> int | None:
+        """The number of orders before this one; None if none may be given."""
+        state = self.control.state(endpoint)
+        cause = None
+        if isinstance(state, enginecontrol.Unreachable):
+            cause = state.reason
+        elif state.busy or state.stage is stage:
+            cause = 'the engine is busy with an order or has the stage'
+        if cause is None:
+            return state.orders
+        LOG.event('order_put_off', endpoint=endpoint.id, cause=cause)
+        return None
 
     def _send(
         self,
         endpoint: catalog.Endpoint,
-        stage: catalog.Stage,
         orders: int,
+        stage: catalog.Stage,
         core,
     ) -> None:
         now_s = self.clock.now_s()
@@ -284,3 +304,23 @@
     def _leave_alone(self, name: str, for_s: float, now_s: float) -> None:
         self.alone_until_s[name] = now_s + for_s
         self.repeat_from_s[name] = now_s + REPEAT_S
+
+
+def _spread(
+    candidates: list[catalog.Endpoint], count: int
+) -> list[catalog.Endpoint]:
+    """The first ones of each failure domain in turn.
+
+    All from one domain would leave its hosts, or those of the others, no
+    engine of that stage near by, and lose them together.
+
+    :param candidates: those to be taken first come first
+    """
+    by_domain: dict[str, list[catalog.Endpoint]] = {}
+    for endpoint in candidates:
+        by_domain.setdefault(endpoint.failure_domain, []).append(endpoint)
+    chosen: list[catalog.Endpoint] = []
+    while len(chosen) < min(count, len(candidates)):
+        fullest = max(by_domain.values(), key=len)
+        chosen.append(fullest.pop(0))
+    return chosen
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -85,7 +85,7 @@
     asked = []
     original = control.order_stage
     control.order_stage = lambda *args: asked.append(args) or original(*args)
-    node.stages._order(target, catalog.Stage.PREFILL, core)
+    node.stages._order([target], catalog.Stage.PREFILL, core)
     assert not asked
     assert not world.endpoints['d0'].orders
 
@@ -111,7 +111,7 @@
     engine = node.catalog.endpoints['d1']
     world.endpoints['d1'].stop()
     core = press(node)
-    node.stages._send(engine, catalog.Stage.PREFILL, 0, core)
+    node.stages._send(engine, 0, catalog.Stage.PREFILL, core)
     assert node.stages.alone_until_s['d1'] > node.clock.now_s() + 10
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -527,8 +527,9 @@
     made = core(promptload.fleet(prefill=3, decode=2))
     flood(made, 2 * (16 - answerers.SHORT_SLOTS), 0.0)
     plan = stageplan.StagePlan()
-    plan.note(made.load(0.1), 0.1)
-    change = plan.decide(reading=3, answering=2, changing=0, now_s=0.1)
+    fleet = stageplan.Fleet(reading=3, answering=2)
+    plan.note(made.load(0.1), fleet, 0.1)
+    change = plan.decide(fleet, 0.1)
     assert change == stageplan.Change(to_reading=False)
 
 
--- a/tests/test_stageplan.py
+++ b/tests/test_stageplan.py
@@ -1,5 +1,9 @@
 """The share of engines that read and that answer."""
 
+import math
+
+import pytest
+
 from magnoliadyke.core import stageplan
 
 
@@ -7,8 +11,9 @@
     reading, answering, load, changing=0, plan=None, now_s=0.0, coming=0
 ):
     plan = plan or stageplan.StagePlan()
-    plan.note(stageplan.Load(*load), now_s)
-    return plan.decide(reading, answering, changing, now_s, coming)
+    fleet = stageplan.Fleet(reading, answering, changing, coming)
+    plan.note(stageplan.Load(*load), fleet, now_s)
+    return plan.decide(fleet, now_s)
 
 
 def test_reading_gets_an_engine_when_it_is_the_busier_stage():
@@ -108,7 +113,79 @@
     all that four read, and most callers run out of time.
     """
     plan = stageplan.StagePlan()
-    plan.note(stageplan.Load(3.5, 0.0, 0.1), 0.0)
-    assert plan.decide(3, 3, 0, 0.0) == stageplan.Change(True)
-    plan.note(stageplan.Load(3.5, 0.0, 0.1), 4.0)
-    assert plan.decide(4, 1, 0, 4.0) == stageplan.Change(False)
+    load = (3.5, 0.0, 0.1)
+    assert decide(3, 3, load, 0, plan, 0.0) == stageplan.Change(True)
+    assert decide(4, 1, load, 0, plan, 4.0) == stageplan.Change(False)
+
+
+@pytest.mark.parametrize('total', [13, 70, 500])
+def test_large_fleet_gets_as_many_readers_as_it_needs(total):
+    """A third of the engines read, all of them full; the others idle.
+
+    One engine more takes little off the readers' load, however many there
+    are: judged one at a time, none would ever change.
+    """
+    asked = total * 0.6
+    fleet, ordered = settled(total // 3, total - total // 3, asked)
+    assert fleet.reading >= asked
+    assert fleet.reading <= asked + 2 * math.sqrt(asked)
+    assert ordered == fleet.reading - total // 3
+
+
+@pytest.mark.parametrize('total', [13, 70, 500])
+def test_only_some_engines_change_at_one_time(total):
+    change = decide(total // 3, total - total // 3, (total * 0.6, 0.1, 0.1))
+    assert change.to_reading
+    assert 1 <= change.count <= max(1, total * 0.2)
+
+
+def test_engines_that_come_are_counted():
+    """Ten engines are on their way to reading, and will be enough.
+
+    Ordered anew at each look, twice as many would change as are needed.
+    """
+    load = (24.0, 0.1, 0.1)
+    assert decide(25, 45, load).to_reading
+    assert decide(25, 35, load, changing=10) is None
+
+
+def test_engines_that_read_beside_are_no_loss():
+    """Those that answer read as much as they would if they only read."""
+    load = (8.0, 0.1, 0.1, 8.0, 0)
+    assert decide(3, 8, load) is None
+
+
+def test_answers_that_would_come_are_planned_for():
+    """Half of the prompts are read; the slots are three quarters full.
+
+    With all of them read the answers need half as much again as there is.
+    """
+    change = decide(10, 10, (20.0, 0.1, 7.5))
+    assert change is None or not change.to_reading
+
+
+def test_links_are_left_room_for_transfers():
+    """Each prompt that is read comes over a link of an engine that answers.
+
+    Half of what is asked can be read, and half of it can be carried: with
+    fewer to carry it, more would be read for nothing.
+    """
+    assert decide(8, 5, (12.0, 6.0, 0.1)) is None
+
+
+def settled(reading, answering, asked):
+    """Let the plan have its way; returns the fleet and the orders."""
+    plan = stageplan.StagePlan()
+    fleet = stageplan.Fleet(reading, answering)
+    ordered = 0
+    for tick in range(40):
+        now_s = tick * 4.0
+        change = decide(
+            fleet.reading, fleet.answering, (asked, 0.1, 0.1), 0, plan, now_s
+        )
+        if change is None:
+            continue
+        ordered += change.count
+        moved = change.count if change.to_reading else -change.count
+        fleet = stageplan.Fleet(fleet.reading + moved, fleet.answering - moved)
+    return fleet, ordered
