--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -184,6 +184,11 @@
         if now_s - engine.served_s < SERVED_S:
             self._note_room(engine, now_s)
             return
+        if now_s - engine.silent_s < SILENT_AGAIN_S:
+            # It was found to read nothing, and all its prompts are given up
+            # at once.  That is one failure: counted each, one engine that
+            # was busy for a moment would be left idle for seconds.
+            return
         engine.failures += 1
         rest_s = REST_S * 2 ** min(engine.failures - 1, 3)
         self.rest(engine_id, now_s + min(rest_s, MAX_REST_S))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,6 +3,7 @@
 from magnoliadyke.core import answerers
 from magnoliadyke.core import catalog
 from magnoliadyke.core import longanswers
+from magnoliadyke.core import enginepool
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import promptjobs
@@ -655,6 +656,23 @@
     assert made.find_silent(expected_s + 1.3) == ['p0']
 
 
+def test_prompts_given_up_together_are_one_failure():
+    """An engine that was busy for a moment is taken for silent.
+
+    Each of the prompts that it was given is reported as failed.  Counted one
+    by one they would keep it idle for seconds, beside a full queue.
+    """
+    made = core(promptload.fleet(1, 2))
+    busy_with(made, [1, 2, 3, 4])
+    assert made.find_silent(2.0) == ['p0']
+    for number in (1, 2, 3, 4):
+        made.failed(number, 'p0', 2.01)
+    engine = made.pool.engines['p0']
+    assert engine.failures == 1
+    assert not engine.readings
+    assert engine.rest_until_s == 2.0 + enginepool.REST_S
+
+
 def test_prompts_of_an_engine_without_life_hold_their_place_until_told():
     """Its prompts count until their hosts have heard that it reads nothing.
 
