Let the placing host hear of prompts that others place alone

Cause: after a change of the placing host, hosts that place alone gave one engine up to twelve prompts, all of them the first of their list. Change: a prompt placed alone, and what becomes of it, is told to the host that leads; each host lists the engines in an order of its own.

--- a/magnoliadyke/gateway/handover.py
+++ b/magnoliadyke/gateway/handover.py
@@ -104,6 +104,10 @@
                 told.setdefault(opened.service, []).append(memory)
         return {service: tuple(found) for service, found in told.items()}
 
+    def memory(self, job: promptjobs.Job) -> placing_codec.Memory:
+        """What the engine that reads a job's prompt has been given."""
+        return self._memory(job.id, self.open[job.id].reader, job.parts)
+
     def _memory(self, job_id: int, engine: str, parts) -> placing_codec.Memory:
         opened = self.open.get(job_id)
         if opened is None:
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -165,6 +165,10 @@
                 short = job.resumed or job.tokens <= SHORT_TOKENS
                 now_s = self.clock.now_s()
                 self.given.placed(service, job, decision, short, now_s)
+                if self._placed_alone(job.id) and not short:
+                    memory = self.given.memory(job)
+                    recall = placing_codec.Recall(service, (memory,))
+                    self.send(self.leader, recall)
             return decision
         except BaseException:
             # The caller has left: the place goes to somebody else.
@@ -174,6 +178,19 @@
         finally:
             del self.waiting[job.id]
 
+    def _placed_alone(self, job_id: int) -> bool:
+        """Whether a job was placed here although another host leads.
+
+        That host may be there for others, or be back at any moment.  What it
+        does not hear of holds its engines up, which it then takes for slow,
+        or for silent, and takes their prompts away.
+        """
+        return (
+            not self.leading
+            and self.leader is not None
+            and self.placed_by.get(job_id) is None
+        )
+
     def follow(self, leader: str) -> None:
         """Another host places from now on; tell it what engines do.
 
@@ -408,6 +425,8 @@
         if leader is not None and not self.leading:
             self.send(leader, report)
             return
+        if self._placed_alone(job_id):
+            self.send(self.leader, report)
         for pools in (self.served, self.local):
             if service in pools:
                 self._take_report(self._pool(pools, service), report)
@@ -425,7 +444,12 @@
         pool.core.sharers = 1 if pools is self.served else self.hosts
         if pool.generation != self.catalog.generation:
             pool.generation = self.catalog.generation
-            pool.core.set_engines(self.catalog.usable(service))
+            engines = self.catalog.usable(service)
+            if pools is self.local:
+                # Of engines that look alike the first one is taken: hosts
+                # that place alone would all send to the same one.
+                self.rng.shuffle(engines)
+            pool.core.set_engines(engines)
         return pool
 
     def _receive_all(self) -> None:
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from magnoliadyke.core import catalog
 from magnoliadyke.core import promptjobs
 from magnoliadyke.gateway import http
 from tests import gatewayworld
@@ -674,6 +675,55 @@
     assert b'x-kv-source' in runner.runs[0].headers
 
 
+def test_placing_host_hears_of_prompts_that_are_placed_alone(world, engines):
+    """Datagrams to the placing host are lost; a host places for itself.
+
+    The engine reads that prompt first, and what the placing host gives it
+    waits.  Not knowing why, it would take the engine for silent, and have
+    all its prompts given up.
+    """
+    reader, _ = engines
+    reader.work_s = 0.5
+    world.node()
+    world.node()
+    gatewayworld.wait_for(
+        lambda: all(n.placer.leading or n.placer.leader for n in world.nodes),
+        'the placing host',
+    )
+    leader, other = sorted(world.nodes, key=lambda n: not n.placer.leading)
+    other.placer.silent_until_s = other.clock.now_s() + 60.0
+    for node in world.nodes:
+        for pools in (node.placer.served, node.placer.local):
+            core = node.placer._pool(pools, 'model').core
+            core.answers.hold(99, 'e2', 100, node.clock.now_s())
+    model = leader.placer.served['model'].core.pool.engines['e1']
+    client = gatewayworld.Client(other)
+    client.request('POST', '/chat/1', 'r1', b'text', **PROMPT)
+    gatewayworld.wait_for(lambda: model.readings, 'word of the prompt')
+    assert client.answer()[0].status == 200
+    gatewayworld.wait_for(lambda: not model.readings, 'word of its end')
+    assert model.served_s > 0
+
+
+def test_hosts_that_place_alone_do_not_all_take_the_same_engine(world):
+    """Nobody places for all, and many engines look alike.
+
+    Each host takes the first of its list; were that the same, one engine
+    would get the prompts of all hosts while the others idle.
+    """
+    for number in range(6):
+        world.endpoint(f'p{number}', 'model', 'prefill')
+    world.endpoint('d1', 'model', 'decode')
+    node = world.node()
+    firsts = set()
+    for seed in range(20):
+        node.placer.rng.seed(seed)
+        node.placer.local.clear()
+        core = node.placer._pool(node.placer.local, 'model').core
+        firsts.add(next(iter(core.pool.open[catalog.Stage.PREFILL])))
+    assert len(firsts) >= 4
+
+
 def test_engine_that_leaves_while_the_prompt_is_read_gets_no_request(world):
     """The engine that is to answer begins to leave while another one reads.
 
