Learn the latency of prompts only from engines with nothing else to read

Cause: a prompt counted as having come alone when the prompts before it were expected to be read by then; where they were late it had waited behind them, and that went into the latency. Change: alone means that no other prompt is outstanding there.

--- a/magnoliadyke/core/enginemodel.py
+++ b/magnoliadyke/core/enginemodel.py
@@ -203,7 +203,7 @@
             self.cost.seconds(readingcost.PromptSize(all_tokens)),
             now_s + fetch_s,
             until_s,
-            seen and free_s <= now_s,
+            seen and not self.readings,
         )
         return until_s
 
