Tell hosts that gossip has not met who leads, and ask it at once

It told those that it had met, having just started; and the key named the address that had not answered, so nothing seemed to have changed. Change: such word goes to all hosts that the store lists, unless gossip knows them gone; another term of the same host ends the wait after its silence.

--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -143,7 +143,7 @@
         self.holder_revision = item.revision
         self.vacant_since_s = None
         if self.holder != self.own.host or self.lease is None:
-            self.placer.follow(fields['address'])
+            self.placer.follow(fields['address'], item.revision)
             LOG.event('leader', leader=self.holder, revision=item.revision)
 
     def removed(self, key: str) -> None:
@@ -182,7 +182,7 @@
             LOG.warning_event('leadership_taken', by=message.host)
             self.lease = None
             self.yielding = False
-        self.placer.follow(message.address)
+        self.placer.follow(message.address, message.revision)
         LOG.event('leader', leader=self.holder, revision=message.revision)
 
     def _word(self) -> placing_codec.Leads:
--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -154,6 +154,21 @@
         others.sort(key=lambda member: member.host != first)
         return [f'{each.address}:{each.peer_port}' for each in others]
 
+    def listening(self) -> list[str]:
+        """Addresses of all other hosts that may run.
+
+        Those too that the store lists and gossip has not met: a host that
+        has just started has met few, and what it tells concerns all.
+        """
+        members = self.core.view().members
+        found = [m.address for m in members.values() if _may_run(m)]
+        found += [
+            self.records[host].address
+            for host in self.listed
+            if host not in members
+        ]
+        return [each for each in found if each != self.own.address]
+
     def tell_revision(self, revision: int) -> None:
         """Tell the others up to where this host has seen the store.
 
@@ -284,6 +299,10 @@
                 self.states[host] = member.state
 
 
+def _may_run(member: membership.Member) -> bool:
+    return member.state in (membership.ALIVE, membership.SUSPECT)
+
+
 def _member(record: HostRecord) -> membership.Member:
     return membership.Member(
         host=record.host,
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -85,6 +85,7 @@
     :param address: of this host, for other hosts
     :param port: of this host, the same on all hosts
     :ivar leader: address of the placing host, None if none is known
+    :ivar term: of the placing host; a later one has a larger one
     :ivar leading: this host is the placing host
     :ivar hosts: live hosts
     :ivar listeners: take the messages of other hosts that are not about
@@ -112,6 +113,7 @@
         self.clock = clock
         self.rng = rng
         self.leader: str | None = None
+        self.term = 0
         self.leading = False
         self.after_reading_s = typicaltime.TypicalTime(AFTER_READING_S)
         self.hosts = 1
@@ -191,13 +193,17 @@
             and self.placed_by.get(job_id) is None
         )
 
-    def follow(self, leader: str) -> None:
+    def follow(self, leader: str, term: int) -> None:
         """Another host places from now on; tell it what engines do.
 
         What becomes of the jobs under way is reported to it as well.
+
+        :param term: grows with each host that begins to place, also where
+            that is a later process of the same one
         """
-        if leader == self.leader and not self.leading:
+        if (leader, term) == (self.leader, self.term) and not self.leading:
             return
+        self.term = term
         self.leading = False
         self.leader = leader
         self.silent_until_s = 0.0
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -230,9 +230,8 @@
         )
 
     def _tell_hosts(self, message: placing_codec.Message) -> None:
-        for member in self.members.core.view().alive():
-            if member.host != self.own.host:
-                self.placer.send(member.address, message)
+        for address in self.members.listening():
+            self.placer.send(address, message)
 
     def _is_ready(self) -> bool:
         return (
--- a/tests/test_gateway_platform.py
+++ b/tests/test_gateway_platform.py
@@ -228,7 +228,7 @@
     head, _ = client.call('POST', '/once/x', 'r1', b'text', **prompt)
     assert head.status == 200
     new.placer.lead()
-    old.placer.follow(new.settings.ip)
+    old.placer.follow(new.settings.ip, 1 << 40)
 
     def has_learned():
         pool = new.placer.served.get('model')
--- a/tests/test_gateway_restart.py
+++ b/tests/test_gateway_restart.py
@@ -120,3 +120,49 @@
     assert led._holder_is_dead()
     node.placer.silent_until_s = 0.0
     assert not led._holder_is_dead()
+
+
+def test_hosts_that_gossip_has_not_met_hear_who_leads(restarted):
+    """Most prompts are placed alone though one host leads.
+
+    It has started with all others and has met few of them; told by their
+    own watches only, they hear of it half a second later.
+    """
+    _, nodes = restarted
+    gatewayworld.wait_for(
+        lambda: any(each.placer.leading for each in nodes), 'the new holder'
+    )
+    leader, other = sorted(nodes, key=lambda each: not each.placer.leading)
+    met = leader.members.core.members
+    met.pop(other.own.host, None)
+    leader.members.core._view = None
+    assert leader.members.listening() == [other.own.address]
+    word = leader.leadership._word()
+    later = word._replace(revision=word.revision + 1)
+    leader._tell_hosts(later)
+    gatewayworld.wait_for(
+        lambda: other.leadership.holder_revision == later.revision,
+        'word of the holder',
+    )
+
+
+def test_host_that_leads_again_is_asked_at_once(restarted):
+    """The placing host is back under its address, and nobody asks it.
+
+    Its former process did not answer, so it is left alone for a while; the
+    key names another process of it, which does.
+    """
+    _, nodes = restarted
+    gatewayworld.wait_for(
+        lambda: any(each.placer.leading for each in nodes), 'the new holder'
+    )
+    leader, other = sorted(nodes, key=lambda each: not each.placer.leading)
+    gatewayworld.wait_for(
+        lambda: other.placer.leader == leader.own.address, 'the holder'
+    )
+    other.placer.silent_until_s = other.clock.now_s() + 60.0
+    word = leader.leadership._word()
+    other.leadership.heard(word)
+    assert other.placer.silent_until_s > 0.0
+    other.leadership.heard(word._replace(revision=word.revision + 1))
+    assert other.placer.silent_until_s == 0.0
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -141,6 +141,6 @@
     placer.served['model'] = before = object()
     placer.lead()
     assert placer.served['model'] is before
-    placer.follow('127.0.0.2')
+    placer.follow('127.0.0.2', 1)
     placer.lead()
     assert not placer.served
