Choose the placing host by its link and its processor, once all are listed

Cause: the first host that is listed led, whatever its machine. Change: hosts that start give each other 1.5 s to be listed; the one that can place most prompts by link and processor leads; an answer is waited for longer where the own link is narrow (72 ms at 10 Mbit/s, 20 ms at 1,000). Ruled out: processor time (none was charged), a slow host (not among them).

--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -17,7 +17,7 @@
 from magnoliadyke.gateway import store
 from magnoliadyke import logs
 
-__all__ = ['LEADER_KEY', 'Leadership']
+__all__ = ['LEADER_KEY', 'Leadership', 'placing_capacity']
 
 LOG = logs.get('leadership')
 
@@ -46,6 +46,15 @@
 HOLD_TICK_S = 0.25
 #: Pause after a call to the store that failed, spread by as much again.
 RETRY_S = 0.5
+#: A host that has just started, and has heard of no holder, gives the others
+#: so long to be listed, in seconds: the first one listed would else lead
+#: whatever its machine.  Hosts of a fleet start within some tenths of a
+#: second, and read the list again within half a second.
+GATHERING_S = 1.5
+#: What placing one prompt takes of the placing host: seconds of a core, and
+#: bits on its link for the question, the answer and the reports.
+PLACED_CORE_S = 0.0003
+PLACED_BITS = 12_000
 #: Each candidate waits this much longer than the one before it, so that
 #: mostly one writes.
 RANK_DELAY_S = 0.12
@@ -104,6 +113,7 @@
         self.holder_revision = 0
         self.holder_since_s = clock.now_s()
         self.vacant_since_s: float | None = clock.now_s()
+        self.gathered_s = clock.now_s() + GATHERING_S
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -225,6 +235,8 @@
         if self.holder is not None and not self._holder_is_dead():
             self.vacant_since_s = None
             return
+        if self.holder is None and now_s < self.gathered_s:
+            return
         if self.vacant_since_s is None:
             self.vacant_since_s = now_s
         # Who leads already knows the engines, and goes first.
@@ -272,7 +284,7 @@
         )
 
     def _rank(self) -> int:
-        """How many hosts are better placed: larger, then by a hash."""
+        """How many hosts can place more prompts; of equals, by a hash."""
         listed = [
             self.members.records[host]
             for host in self.members.listed
@@ -347,6 +359,15 @@
                     self.removed(LEADER_KEY)
 
 
+def placing_capacity(cores: float, link_mbps: float) -> float:
+    """Prompts a second that a machine can place for all.
+
+    Where its link is narrow the questions of other hosts wait behind the
+    bodies of its own requests, and those hosts place alone.
+    """
+    return min(cores / PLACED_CORE_S, link_mbps * 1e6 / PLACED_BITS)
+
+
 def _order(record: members.HostRecord) -> tuple[float, bytes]:
     digest = hashlib.blake2b(record.host.encode(), digest_size=8).digest()
     return (-record.capacity, digest)
--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -40,7 +40,7 @@
 class HostRecord(NamedTuple):
     """What a host writes of itself into the store.
 
-    :param capacity: cores, for choosing the host that places
+    :param capacity: prompts a second that it can place for all hosts
     """
 
     host: str
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -39,6 +39,10 @@
 #: An ask without answer is sent again after this time: several times the
 #: way there and back, so that only a lost datagram or a busy host is late.
 ASK_TIMEOUT_S = 0.02
+#: An ask, or its answer, may wait behind so many bytes on this host's own
+#: link: the body of a long request.  On a narrow link that takes longer than
+#: the answer; without it each long request would look like a dead host.
+BEHIND_BYTES = 64 * 1024
 #: Asks without any answer before the host places by itself.
 ASKS = 2
 #: A placing host that did not answer is not asked for this long.
@@ -84,6 +88,7 @@
 
     :param address: of this host, for other hosts
     :param port: of this host, the same on all hosts
+    :param link_mbps: of this host's link
     :ivar leader: address of the placing host, None if none is known
     :ivar term: of the placing host; a later one has a larger one
     :ivar leading: this host is the placing host
@@ -106,12 +111,14 @@
         known: catalog.Catalog,
         clock: clocks.Clock,
         rng: random.Random,
+        link_mbps: float,
     ) -> None:
         self.address = address
         self.port = port
         self.catalog = known
         self.clock = clock
         self.rng = rng
+        self.ask_timeout_s = ask_timeout_s(link_mbps)
         self.leader: str | None = None
         self.term = 0
         self.leading = False
@@ -328,7 +335,7 @@
         while unanswered < ASKS:
             waiting.acknowledged.clear()
             self.send(leader, placing_codec.Ask(service, self._aged(job)))
-            if not waiting.acknowledged.wait(ASK_TIMEOUT_S):
+            if not waiting.acknowledged.wait(self.ask_timeout_s):
                 unanswered += 1
                 continue
             unanswered = 0
@@ -597,3 +604,8 @@
             self.socket._sock.sendto(data, (address, self.port))
         except OSError as error:
             LOG.repeated('send_failed', address, error=str(error))
+
+
+def ask_timeout_s(link_mbps: float) -> float:
+    """How long an answer of the placing host is waited for, in seconds."""
+    return ASK_TIMEOUT_S + BEHIND_BYTES * 8 / (link_mbps * 1e6)
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -138,7 +138,12 @@
         first_port = settings.peer_ports[0]
         self.members = members.Members(self.own, self.store, clock, rng)
         self.placer = placing.Placer(
-            settings.ip, first_port + 1, self.catalog, clock, rng
+            settings.ip,
+            first_port + 1,
+            self.catalog,
+            clock,
+            rng,
+            settings.link_mbps,
         )
         self.leadership = leadership.Leadership(
             self.own,
@@ -226,7 +231,9 @@
             callers=settings.callers,
             gossip_port=settings.peer_ports[0],
             failure_domain=settings.failure_domain,
-            capacity=settings.cores,
+            capacity=leadership.placing_capacity(
+                settings.cores, settings.link_mbps
+            ),
         )
 
     def _tell_hosts(self, message: placing_codec.Message) -> None:
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -45,9 +45,13 @@
 
 
 class World:
-    """The store, endpoints and nodes of one test."""
+    """The store, endpoints and nodes of one test.
+
+    :ivar gathers: hosts that start wait for others before one of them leads
+    """
 
     def __init__(self):
+        self.gathers = False
         self.store = platformstore.PlatformStoreStandIn()
         self.store.start()
         self.endpoints = {}
@@ -87,6 +91,8 @@
 
     def _start(self, settings, clock, wait):
         made = nodes.Node(settings, clock, random.Random(1))
+        if not self.gathers:
+            made.leadership.gathered_s = float('-inf')
         made.application.start()
         self.nodes.append(made)
         if wait:
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -3,6 +3,8 @@
 import gevent
 import pytest
 
+from magnoliadyke.gateway import leadership
+from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import store
 from tests import gatewayworld
 
@@ -87,6 +89,44 @@
     assert first.leadership.fencing == fencing
 
 
+def test_host_with_the_widest_link_leads_though_listed_last(world):
+    """All hosts of a fleet start, the smallest one first.
+
+    It would place for all over a link that its own requests fill: the
+    questions of the others are answered late, and most of them place alone.
+    """
+    world.gathers = True
+    for link_mbps in (10.0, 10.0, 10.0, 1000.0):
+        world.node(link_mbps=link_mbps)
+    gatewayworld.wait_for(
+        lambda: all(n.leadership.holder for n in world.nodes), 'a leader'
+    )
+    *_, widest = world.nodes
+    assert {n.leadership.holder for n in world.nodes} == {widest.own.host}
+
+
+def test_capacity_is_bound_by_the_link_or_the_processor():
+    assert leadership.placing_capacity(
+        0.5, 10.0
+    ) < leadership.placing_capacity(0.5, 100.0)
+    assert leadership.placing_capacity(
+        0.5, 1000.0
+    ) == leadership.placing_capacity(0.5, 10_000.0)
+    assert leadership.placing_capacity(
+        0.5, 1000.0
+    ) < leadership.placing_capacity(1.0, 1000.0)
+
+
+def test_answer_is_waited_for_as_long_as_the_own_link_may_hold_it_up():
+    """A long request leaves over a link of 10 Mbit/s, and takes 50 ms.
+
+    A question that follows it is answered later than that; the host would
+    take the placing host for dead, and place alone for half a second.
+    """
+    assert placing.ask_timeout_s(10.0) > 0.05
+    assert placing.ask_timeout_s(1000.0) < 0.025
+
+
 def test_late_word_of_an_earlier_leader_changes_nothing(world):
     first, second = hosts(world, 2)
     word = first.leadership._word()
@@ -103,20 +143,20 @@
     follow each other within a second, each knowing less of the engines.
     """
     first, second = hosts(world, 2)
-    leadership = second.leadership
+    contender = second.leadership
     fencing = first.leadership.fencing
     word = first.leadership._word()
-    leadership.holder = None
-    leadership.holder_revision = 0
+    contender.holder = None
+    contender.holder_revision = 0
     grant = second.store.grant
 
     def slow_grant(ttl_s):
         granted = grant(ttl_s)
-        leadership.heard(word)
+        contender.heard(word)
         return granted
 
     second.store.grant = slow_grant
-    leadership._take()
-    assert leadership.lease is None
-    assert leadership.holder == first.own.host
+    contender._take()
+    assert contender.lease is None
+    assert contender.holder == first.own.host
     assert first.leadership.fencing == fencing
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -135,7 +135,12 @@
     word only; what it had accounted before has long ended.
     """
     placer = gatewayplacing.Placer(
-        '127.0.0.1', 1, catalog.Catalog(), clocks.SystemClock(), None
+        '127.0.0.1',
+        1,
+        catalog.Catalog(),
+        clocks.SystemClock(),
+        None,
+        1000.0,
     )
     placer.lead()
     placer.served['model'] = before = object()
