--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -97,7 +97,7 @@
     """
     world.gathers = True
     for link_mbps in (10.0, 10.0, 10.0, 1000.0):
-        world.node(link_mbps=link_mbps)
+        world.node(wait=False, link_mbps=link_mbps)
     gatewayworld.wait_for(
         lambda: all(n.leadership.holder for n in world.nodes), 'a leader'
     )
