Have a few hosts of each failure domain watch the store for the others

Change: above 16 hosts two of each failure domain watch, and the one that places for all; they tell changes in datagrams, each beginning where the one before ended. Who misses one reads what it lacks; who hears nothing for a third of the bound watches by itself; a teller that lags is found out by the revisions that all hosts tell. Outages travel with the word, so that lapsed entries are kept by those that only listen. Ruled out: longer watches for all (calls still grow with hosts times changes); stale reads (seconds old).

--- a/magnoliadyke/core/lapses.py
+++ b/magnoliadyke/core/lapses.py
@@ -41,6 +41,19 @@
         self.regained_s = now_s
         self.unexplained = True
 
+    def regained_ago_s(self, now_s: float) -> float | None:
+        """How long ago the store came back; None if nothing lapses by it."""
+        ago_s = now_s - self.regained_s
+        return ago_s if ago_s < LAPSE_S else None
+
+    def regained_with(self, ago_s: float | None, now_s: float) -> None:
+        """The store was away for a host that tells this one of changes.
+
+        :param ago_s: how long ago it came back; None if it was not away
+        """
+        if ago_s is not None:
+            self.regained_s = max(self.regained_s, now_s - ago_s)
+
     def lost(self, missing: list[str], now_s: float) -> list[str]:
         """Endpoints have vanished from the list, together.
 
--- a/magnoliadyke/core/revisionlag.py
+++ b/magnoliadyke/core/revisionlag.py
@@ -67,12 +67,16 @@
         if revision > newest and len(self.told) < MOST_TOLD:
             self.told.append(_Told(host, revision, now_s))
 
-    def behind(self, now_s: float) -> Behind | None:
-        """The newest that this host should have seen by now, or None."""
+    def behind(self, now_s: float, asks: bool = True) -> Behind | None:
+        """The newest that this host should have seen by now, or None.
+
+        :param asks: it may still hear from the store; else it is behind as
+            soon as another host knows more
+        """
         newest = None
         for told in self.told:
             for_s = now_s - max(told.at_s, self.asked_s)
-            if for_s < self.allowed_s:
+            if asks and for_s < self.allowed_s:
                 break
             newest = Behind(told.host, told.revision, for_s)
         return newest
--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -15,7 +15,9 @@
 from magnoliadyke.core import lapses
 from magnoliadyke.core import revisionlag
 from magnoliadyke.core import routes
+from magnoliadyke.gateway import news
 from magnoliadyke.gateway import peerstate
+from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import store
 from magnoliadyke import logs
 
@@ -48,6 +50,15 @@
 LAG_TICK_S = 0.1
 #: Hosts that are asked what they have seen, until one can tell.
 ASKED = 3
+#: More such shares: hosts that watch tell the others at least this often, and
+#: one that has not heard of them twice watches by itself.
+NEWS_SHARE = 0.15
+NEWS_LOST_SHARE = 0.35
+#: How often a host that does not watch looks what it has missed, in seconds.
+LISTEN_TICK_S = 0.1
+#: Hosts that have missed the same change read it spread over this time, in
+#: seconds.
+MISSED_SPREAD_S = 0.2
 #: What a host that never lost the store says of how long it has had it.
 MAX_IN_REACH_S = 3600.0
 
@@ -96,25 +107,40 @@
     def tell_revision(self, revision: int) -> None:
         """Tell them up to where this host has seen the store's keys."""
 
+    @abc.abstractmethod
+    def watches(self) -> bool:
+        """Whether this host is one of those that watch the store."""
+
+    @abc.abstractmethod
+    def tell_news(self, told: list[placing_codec.News]) -> None:
+        """Tell changes to those that don't; a host that watches does so."""
+
 
 class Follower(app.Component):
     """Reads everything once, then watches.
 
-    One watch for all keys: each watch is a call that is counted.
+    One watch for all keys: each watch is a call that is counted.  In a large
+    fleet a few hosts of each failure domain watch and tell the others, which
+    read only what they have missed.
 
     What other hosts have seen earlier makes it read anew, and is taken from
     them where the store does not answer.
 
+    :param host: name of this host
     :param gone: called with the id of each endpoint that is gone
     :param bound_s: shortest time in which a change has to be in force
     :ivar others: the other hosts, None for one that is alone
     :ivar unusable: records that were not used, by kind
     :ivar items: the store's keys, as of ``lag.own``
+    :ivar eager: whether this host watches though others would tell it
+    :ivar listening: it goes by what others tell
+    :ivar news_s: when one that watches last told something
     :ivar caught_up: times that this host was behind, by what ended it
     """
 
     def __init__(
         self,
+        host: str,
         kept: store.Store,
         decoder: Decoder,
         known: catalog.Catalog,
@@ -125,6 +151,7 @@
         bound_s: float,
         others: Others | None = None,
     ) -> None:
+        self.host = host
         self.store = kept
         self.decoder = decoder
         self.catalog = known
@@ -144,6 +171,11 @@
         self.lag = revisionlag.RevisionLag(bound_s * LAG_SHARE)
         self.items: dict[str, store.Item] = {}
         self.behind = event.Event()
+        self.eager: Callable[[], bool] = lambda: False
+        self.listening = False
+        self.missed = False
+        self.news_s = float('-inf')
+        self.told_s = float('-inf')
         self.greenlets: list[gevent.Greenlet] = []
         self.watch_s = WATCH_S
 
@@ -175,7 +207,11 @@
 
         :param known_revision: items up to it are left out
         """
-        in_reach = self.failing_since_s is None and self.lag.own > 0
+        in_reach = (
+            self.failing_since_s is None
+            and self.lag.own > 0
+            and not self.listening
+        )
         return peerstate.PeerState(
             tuple(
                 item
@@ -185,6 +221,7 @@
             {key: item.revision for key, item in self.items.items()},
             self.lag.own,
             min(self.in_reach_s(), MAX_IN_REACH_S) if in_reach else None,
+            self.lapses.regained_ago_s(self.clock.now_s()),
         )
 
     # The store.
@@ -192,7 +229,7 @@
     def _run(self) -> None:
         while True:
             if self._read_all():
-                while self._watch():
+                while self._follow():
                     pass
                 if self.behind.is_set():
                     continue
@@ -208,6 +245,43 @@
         self._take_all({i.key: i for i in found.items}, found.revision)
         return True
 
+    def _follow(self) -> bool:
+        self.listening = self._may_listen()
+        return self._listen() if self.listening else self._watch()
+
+    def _may_listen(self) -> bool:
+        """Whether this host hears of changes without a watch of its own."""
+        if self.others is None or self.eager() or self.others.watches():
+            return False
+        return (
+            self.clock.now_s() - self.news_s < self.bound_s * NEWS_LOST_SHARE
+        )
+
+    def _listen(self) -> bool:
+        """Wait for word of others; False where all has to be read anew."""
+        self.clock.sleep(LISTEN_TICK_S)
+        self._drop_all(self.lapses.settle(self.clock.now_s()))
+        if not self.missed and not self.behind.is_set():
+            return True
+        self.behind.clear()
+        self.clock.sleep(MISSED_SPREAD_S * self.rng.random())
+        return self._read_missed()
+
+    def _read_missed(self) -> bool:
+        """Read the changes that nobody has told, without waiting for more."""
+        self.missed = False
+        revision = self.lag.own
+        match self.store.watch('', revision, 0.0):
+            case store.Changes(changes, new_revision):
+                self._answered()
+                if revision == self.lag.own:
+                    self._take(changes)
+                    self._seen(new_revision)
+                return True
+            case store.Unavailable(reason):
+                self._failed(reason)
+        return False
+
     def _watch(self) -> bool:
         """Take the next changes; False where all has to be read anew."""
         self.lag.asks(self.clock.now_s() + GATHER_S)
@@ -223,6 +297,7 @@
                 if revision == self.lag.own:
                     self._take(changes)
                     self._seen(new_revision)
+                    self._tell(revision, changes)
                 return True
             case store.Compacted():
                 LOG.warning_event('watch_compacted', revision=revision)
@@ -302,14 +377,62 @@
     # Other hosts.
 
     def heard(self, host: str, revision: int) -> None:
-        """Another host has told up to where it has seen the keys."""
-        self.lag.hear(host, revision, self.clock.now_s())
+        """Another host has told up to where it has seen the keys.
+
+        Those that tell this one what has changed may pause as long as any
+        host that watches.
+        """
+        at_s = self.clock.now_s()
+        if self.listening:
+            at_s += GATHER_S
+        self.lag.hear(host, revision, at_s)
+
+    def heard_news(self, told: placing_codec.News) -> None:
+        """A host that watches the store tells what it has seen."""
+        now_s = self.clock.now_s()
+        self.news_s = now_s
+        if not self.listening:
+            return
+        self.lapses.regained_with(told.regained_s, now_s)
+        if told.revision <= self.lag.own:
+            return
+        if told.base > self.lag.own or not told.complete:
+            self.missed = True
+            return
+        self._take(tuple(c for c in told.changes if c.revision > self.lag.own))
+        self._seen(told.revision)
+
+    def _tell(
+        self,
+        base: int,
+        changes: tuple[store.Item | store.Removed, ...] = (),
+    ) -> None:
+        """Tell the hosts that do not watch, if this one is to."""
+        if self.others is None:
+            return
+        if not self.eager() and not self.others.watches():
+            return
+        now_s = self.clock.now_s()
+        self.told_s = now_s
+        regained_s = self.lapses.regained_ago_s(now_s)
+        self.others.tell_news(
+            news.cut(self.host, base, self.lag.own, changes, regained_s)
+        )
+
+    def _tell_on(self) -> None:
+        """Tell that nothing has changed, as long as the store is there."""
+        if self.listening or self.failing_since_s is not None:
+            return
+        if self.clock.now_s() - self.told_s >= self.bound_s * NEWS_SHARE:
+            self._tell(self.lag.own)
 
     def _compare(self) -> None:
         """See to it that this host knows what the others know."""
         while True:
             self.clock.sleep(LAG_TICK_S)
-            behind = self.lag.behind(self.clock.now_s())
+            self._tell_on()
+            in_reach = self.failing_since_s is None
+            behind = self.lag.behind(self.clock.now_s(), in_reach)
             if behind is not None:
                 self._catch_up(behind)
             if self.lapses.asks_others():
@@ -324,8 +447,9 @@
             by=behind.host,
             for_s=round(behind.for_s, 3),
         )
-        self.behind.set()
-        self.clock.sleep(self.bound_s * READ_SHARE)
+        if self.failing_since_s is None:
+            self.behind.set()
+            self.clock.sleep(self.bound_s * READ_SHARE)
         source = 'store'
         if self.lag.own < behind.revision:
             told = self._take_from_others(behind.host)
@@ -351,6 +475,7 @@
                 LOG.warning_event('state_incomplete', told_by=address)
                 continue
             items = {key: items[key] for key in state.revisions}
+            self.lapses.regained_with(state.regained_s, self.clock.now_s())
             self._take_all(items, state.revision)
             return True
         return False
--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -1,5 +1,7 @@
 """The other hosts: found through the store, checked by gossip."""
 
+import functools
+import hashlib
 import json
 import random
 from typing import Any
@@ -14,6 +16,7 @@
 from magnoliadyke.core import membership
 from magnoliadyke import errors
 from magnoliadyke.gateway import follower
+from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import store
 from magnoliadyke import gossip_codec
 from magnoliadyke import logs
@@ -30,8 +33,13 @@
 TICK_S = 0.1
 #: Time to live of a host's key.  Gossip notices a dead host sooner; the key
 #: is for hosts that have just come, so few renewals do.
-LEASE_S = 6.0
-RENEW_S = 2.0
+LEASE_S = 10.0
+RENEW_S = 4.0
+#: Hosts of each failure domain that watch the store for the others: one may
+#: die, or be cut off, between two changes.
+WATCHERS = 2
+#: Up to so many hosts all of them watch: few calls, and no word to wait for.
+ALL_WATCH = 16
 #: Pause after a call to the store that failed, spread by as much again.
 RETRY_S = 0.8
 MAX_DATAGRAM_BYTES = 65535
@@ -77,6 +85,7 @@
     :param kept: the store
     :ivar revision_heard: takes a host's name and the revision of the store's
         keys that it has seen
+    :ivar send_news: sends word of the store to an address
     :ivar records: hosts that the store has named since this one started
     """
 
@@ -107,6 +116,7 @@
         )
         self.states: dict[str, str] = {}
         self.revision_heard: Callable[[str, int], None] | None = None
+        self.send_news: Callable[[str, placing_codec.News], None] | None = None
 
     # Life cycle.
 
@@ -169,6 +179,39 @@
         ]
         return [each for each in found if each != self.own.address]
 
+    def watches(self) -> bool:
+        """Whether this host watches the store for its failure domain."""
+        domain = self._domain()
+        return not domain or self.own in domain[:WATCHERS]
+
+    def tell_news(self, told: list[placing_codec.News]) -> None:
+        """Tell the hosts of this failure domain that do not watch."""
+        for record in self._domain()[WATCHERS:]:
+            if record == self.own:
+                continue
+            for message in told:
+                self.send_news(record.address, message)
+
+    def _domain(self) -> list[HostRecord]:
+        """Hosts of this failure domain, first those that watch.
+
+        Empty in a small fleet.  Hosts that see this differently for a moment
+        watch once too often, or hear nothing and watch by themselves.
+        """
+        members = self.core.view().members
+        running = [self.own]
+        for host in self.listed:
+            member = members.get(host)
+            if host != self.own.host and (member is None or _may_run(member)):
+                running.append(self.records[host])
+        if len(running) <= ALL_WATCH:
+            return []
+        domain = self.own.failure_domain
+        return sorted(
+            (each for each in running if each.failure_domain == domain),
+            key=lambda record: _digest(record.host),
+        )
+
     def tell_revision(self, revision: int) -> None:
         """Tell the others up to where this host has seen the store.
 
@@ -299,6 +342,11 @@
                 self.states[host] = member.state
 
 
+@functools.cache
+def _digest(host: str) -> bytes:
+    return hashlib.blake2b(host.encode(), digest_size=8).digest()
+
+
 def _may_run(member: membership.Member) -> bool:
     return member.state in (membership.ALIVE, membership.SUSPECT)
 
--- /dev/null
+++ b/magnoliadyke/gateway/news.py
@@ -0,0 +1,75 @@
+"""Changes of the store's keys, cut into datagrams for other hosts."""
+
+from collections.abc import Iterable
+import itertools
+
+from magnoliadyke.gateway import placing_codec
+from magnoliadyke.gateway import store
+
+__all__ = ['cut']
+
+#: Most bytes of keys and values in a datagram: it stays whole on networks
+#: that carry 1,400.
+MAX_BYTES = 1200
+#: What a change takes beside its key and its value, in bytes.
+CHANGE_BYTES = 16
+
+Change = store.Item | store.Removed
+
+
+def cut(
+    host: str,
+    base: int,
+    revision: int,
+    changes: tuple[Change, ...],
+    regained_s: float | None,
+) -> list[placing_codec.News]:
+    """Tell changes in as few datagrams as they fit.
+
+    Each begins where the one before it ends, so a host that misses one sees
+    it by the next.  Changes of one revision are never parted: a host that
+    had a part of them would take itself for having all.
+
+    :param base: revision after which the changes are
+    :param revision: up to which they are
+    """
+    told = []
+    for group, complete in _groups(changes):
+        until = group[-1].revision
+        told.append(
+            placing_codec.News(host, base, until, group, complete, regained_s)
+        )
+        base = until
+    if told and told[-1].complete:
+        told[-1] = told[-1]._replace(revision=revision)
+    elif revision > base or not told:
+        told.append(
+            placing_codec.News(host, base, revision, (), True, regained_s)
+        )
+    return told
+
+
+def _groups(
+    changes: tuple[Change, ...],
+) -> Iterable[tuple[tuple[Change, ...], bool]]:
+    """Changes that go together, and whether they fit a datagram."""
+    ordered = sorted(changes, key=lambda change: change.revision)
+    group: list[Change] = []
+    for _, same in itertools.groupby(ordered, lambda change: change.revision):
+        written = list(same)
+        if group and _size(group) + _size(written) > MAX_BYTES:
+            yield tuple(group), True
+            group = []
+        if _size(written) > MAX_BYTES:
+            yield tuple(written), False
+        else:
+            group += written
+    if group:
+        yield tuple(group), True
+
+
+def _size(changes: list[Change]) -> int:
+    return sum(
+        len(change.key) + CHANGE_BYTES + len(getattr(change, 'value', b''))
+        for change in changes
+    )
--- a/magnoliadyke/gateway/peerstate.py
+++ b/magnoliadyke/gateway/peerstate.py
@@ -41,12 +41,15 @@
     :param revision: up to which it has seen them
     :param in_reach_s: how long it has had the store in reach, None if it has
         not
+    :param regained_s: how long ago the store came back to it, or to the host
+        that it heard from; None if entries may have lapsed no more
     """
 
     items: tuple[store.Item, ...]
     revisions: dict[str, int]
     revision: int
     in_reach_s: float | None
+    regained_s: float | None
 
 
 class StateServer(app.Component):
@@ -99,11 +102,12 @@
             ttypes.Entry(key, revision, values.get(key))
             for key, revision in state.revisions.items()
         ]
-        in_reach_ms = None
-        if state.in_reach_s is not None:
-            in_reach_ms = round(state.in_reach_s * 1000)
         return ttypes.StateReply(
-            constants.VERSION, state.revision, entries, in_reach_ms
+            constants.VERSION,
+            state.revision,
+            entries,
+            _milliseconds(state.in_reach_s),
+            _milliseconds(state.regained_s),
         )
 
 
@@ -130,9 +134,6 @@
 
 
 def _decode(reply: ttypes.StateReply) -> PeerState:
-    in_reach_s = None
-    if reply.in_reach_ms is not None:
-        in_reach_s = reply.in_reach_ms / 1000
     return PeerState(
         tuple(
             store.Item(entry.key, entry.value, entry.revision)
@@ -141,5 +142,14 @@
         ),
         {entry.key: entry.revision for entry in reply.entries},
         reply.revision,
-        in_reach_s,
+        _seconds(reply.in_reach_ms),
+        _seconds(reply.regained_ms),
     )
+
+
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
+
+
+def _seconds(milliseconds: int | None) -> float | None:
+    return None if milliseconds is None else milliseconds / 1000
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -490,7 +490,11 @@
                 self._end_reads(engine)
             case placing_codec.Learned(service, figures):
                 self._take_learned(service, figures)
-            case placing_codec.Broken() | placing_codec.Leads():
+            case (
+                placing_codec.Broken()
+                | placing_codec.Leads()
+                | placing_codec.News()
+            ):
                 listener = self.listeners.get(type(message))
                 if listener is not None:
                     listener(message)
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -12,6 +12,7 @@
 from magnoliadyke.core import promptjobs
 from magnoliadyke.core import readingcost
 from magnoliadyke import errors
+from magnoliadyke.gateway import store
 from magnoliadyke.wire.placement import constants
 from magnoliadyke.wire.placement import ttypes
 
@@ -22,6 +23,7 @@
     'Leads',
     'Learned',
     'Memory',
+    'News',
     'Recall',
     'Report',
     'Silent',
@@ -146,8 +148,36 @@
     figures: readingcost.Figures
 
 
+class News(NamedTuple):
+    """Changes of the store's keys, for hosts that do not watch it.
+
+    :param host: that has seen them
+    :param base: revision after which they are
+    :param revision: up to which they are
+    :param complete: none of them was too large to be told
+    :param regained_s: how long ago the store came back to that host, None
+        where it has not been away
+    """
+
+    host: str
+    base: int
+    revision: int
+    changes: tuple[store.Item | store.Removed, ...] = ()
+    complete: bool = True
+    regained_s: float | None = None
+
+
 Message = (
-    Ask | Waits | Told | Report | Recall | Broken | Leads | Silent | Learned
+    Ask
+    | Waits
+    | Told
+    | Report
+    | Recall
+    | Broken
+    | Leads
+    | Silent
+    | Learned
+    | News
 )
 
 
@@ -186,6 +216,8 @@
                 _micro(figures.million_pairs_s),
                 round(figures.answering_factor * PERMILLE),
             )
+        case News():
+            datagram.news = _encode_news(message)
     return TSerialization.serialize(datagram, FACTORY)
 
 
@@ -233,6 +265,8 @@
             return Silent(datagram.silent.endpoint)
         if datagram.learned is not None:
             return _decode_learned(datagram.learned)
+        if datagram.news is not None:
+            return _decode_news(datagram.news)
     except (
         EOFError,
         TException,
@@ -327,6 +361,53 @@
     )
 
 
+def _encode_news(news: News) -> ttypes.News:
+    regained_ms = None
+    if news.regained_s is not None:
+        regained_ms = round(news.regained_s * 1000)
+    return ttypes.News(
+        news.host,
+        news.base,
+        news.revision,
+        [_encode_change(each, news.complete) for each in news.changes],
+        regained_ms,
+    )
+
+
+def _encode_change(
+    change: store.Item | store.Removed, complete: bool
+) -> ttypes.KeyChange:
+    match change:
+        case store.Item(key, value, revision):
+            told = value if complete else None
+            return ttypes.KeyChange(key, revision, told)
+        case store.Removed(key, revision):
+            return ttypes.KeyChange(key, revision, removed=True)
+
+
+def _decode_news(news: ttypes.News) -> News:
+    changes: list[store.Item | store.Removed] = []
+    complete = True
+    for each in news.changes:
+        if each.removed:
+            changes.append(store.Removed(each.key, each.revision))
+        elif each.value is None:
+            complete = False
+        else:
+            changes.append(store.Item(each.key, each.value, each.revision))
+    regained_s = None
+    if news.regained_ms is not None:
+        regained_s = news.regained_ms / 1000
+    return News(
+        news.host,
+        news.base,
+        news.revision,
+        tuple(changes),
+        complete,
+        regained_s,
+    )
+
+
 def _encode_memory(memory: Memory) -> ttypes.Memory:
     return ttypes.Memory(
         memory.engine,
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -166,6 +166,7 @@
             clock,
         )
         self.follower = follower.Follower(
+            settings.name,
             self.store,
             RecordDecoder(),
             self.catalog,
@@ -180,12 +181,15 @@
             self.members,
         )
         self.members.revision_heard = self.follower.heard
+        self.members.send_news = self.placer.send
+        self.follower.eager = lambda: self.placer.leading
         self.leadership.contact = self.follower
         self.suspects = suspects.Suspects(clock, self._tell_hosts)
         self.placer.tell = self._tell_hosts
         self.placer.listeners = {
             placing_codec.Broken: self.suspects.heard,
             placing_codec.Leads: self.leadership.heard,
+            placing_codec.News: self.follower.heard_news,
         }
         parts = exchange.Parts(
             clock,
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -1210,6 +1210,235 @@
         return not (self == other)
 
 
+class KeyChange(object):
+    """
+    Attributes:
+     - key
+     - revision
+     - value
+     - removed
+
+    """
+
+    __slots__ = (
+        'key',
+        'revision',
+        'value',
+        'removed',
+    )
+
+
+    def __init__(self, key=None, revision=None, value=None, removed=None,):
+        self.key = key
+        self.revision = revision
+        self.value = value
+        self.removed = removed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.removed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KeyChange')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.removed is not None:
+            oprot.writeFieldBegin('removed', TType.BOOL, 4)
+            oprot.writeBool(self.removed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class News(object):
+    """
+    Attributes:
+     - host
+     - base
+     - revision
+     - changes
+     - regained_ms
+
+    """
+
+    __slots__ = (
+        'host',
+        'base',
+        'revision',
+        'changes',
+        'regained_ms',
+    )
+
+
+    def __init__(self, host=None, base=None, revision=None, changes=None, regained_ms=None,):
+        self.host = host
+        self.base = base
+        self.revision = revision
+        self.changes = changes
+        self.regained_ms = regained_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.changes = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = KeyChange()
+                        _elem40.read(iprot)
+                        self.changes.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.regained_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('News')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 2)
+            oprot.writeI64(self.base)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.changes))
+            for iter41 in self.changes:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.regained_ms is not None:
+            oprot.writeFieldBegin('regained_ms', TType.I32, 5)
+            oprot.writeI32(self.regained_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -1222,6 +1451,7 @@
      - leader
      - silent
      - learned
+     - news
 
     """
 
@@ -1235,10 +1465,11 @@
         'leader',
         'silent',
         'learned',
+        'news',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, news=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
@@ -1248,6 +1479,7 @@
         self.leader = leader
         self.silent = silent
         self.learned = learned
+        self.news = news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1311,6 +1543,12 @@
                     self.learned.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.news = News()
+                    self.news.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1357,6 +1595,10 @@
             oprot.writeFieldBegin('learned', TType.STRUCT, 9)
             self.learned.write(oprot)
             oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRUCT, 10)
+            self.news.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1467,6 +1709,23 @@
     (4, TType.I32, 'million_pairs_us', None, None, ),  # 4
     (5, TType.I32, 'answering_permille', None, None, ),  # 5
 )
+all_structs.append(KeyChange)
+KeyChange.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.BOOL, 'removed', None, None, ),  # 4
+)
+all_structs.append(News)
+News.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'base', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.LIST, 'changes', (TType.STRUCT, [KeyChange, None], False), None, ),  # 4
+    (5, TType.I32, 'regained_ms', None, None, ),  # 5
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1479,6 +1738,7 @@
     (7, TType.STRUCT, 'leader', [Leader, None], None, ),  # 7
     (8, TType.STRUCT, 'silent', [Silent, None], None, ),  # 8
     (9, TType.STRUCT, 'learned', [Learned, None], None, ),  # 9
+    (10, TType.STRUCT, 'news', [News, None], None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/magnoliadyke/wire/state/ttypes.py
+++ b/magnoliadyke/wire/state/ttypes.py
@@ -115,6 +115,7 @@
      - revision
      - entries
      - in_reach_ms
+     - regained_ms
 
     """
 
@@ -123,14 +124,16 @@
         'revision',
         'entries',
         'in_reach_ms',
+        'regained_ms',
     )
 
 
-    def __init__(self, version=None, revision=None, entries=None, in_reach_ms=None,):
+    def __init__(self, version=None, revision=None, entries=None, in_reach_ms=None, regained_ms=None,):
         self.version = version
         self.revision = revision
         self.entries = entries
         self.in_reach_ms = in_reach_ms
+        self.regained_ms = regained_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -167,6 +170,11 @@
                     self.in_reach_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.regained_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -196,6 +204,10 @@
             oprot.writeFieldBegin('in_reach_ms', TType.I64, 4)
             oprot.writeI64(self.in_reach_ms)
             oprot.writeFieldEnd()
+        if self.regained_ms is not None:
+            oprot.writeFieldBegin('regained_ms', TType.I64, 5)
+            oprot.writeI64(self.regained_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -233,6 +245,7 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.LIST, 'entries', (TType.STRUCT, [Entry, None], False), None, ),  # 3
     (4, TType.I64, 'in_reach_ms', None, None, ),  # 4
+    (5, TType.I64, 'regained_ms', None, None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,242 @@
+"""Hosts that watch the store for others, and those that are told."""
+
+import gevent
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from magnoliadyke import clock as clocks
+from magnoliadyke.gateway import members
+from magnoliadyke.gateway import news
+from magnoliadyke.gateway import placing_codec
+from magnoliadyke.gateway import store
+from tests import gatewayworld
+from tests import test_follower
+
+BOUND_S = test_follower.BOUND_S
+advance_until = test_follower.advance_until
+#: Time in which a change that is told reaches all hosts.
+TOLD_S = 1.0
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def world(clock, monkeypatch):
+    """Four hosts of one failure domain, of which one watches for the others.
+
+    The one that places for all watches too, as it always does.
+    """
+    monkeypatch.setattr(members, 'ALL_WATCH', 1)
+    monkeypatch.setattr(members, 'WATCHERS', 1)
+    with gatewayworld.world() as made:
+        made.configure()
+        made.endpoint('p1')
+        made.endpoint('p2')
+        for _ in range(4):
+            # Watches end by the store's clock, which no test advances: one
+            # of seconds would outlast all that is played here.
+            made.node(wait=False, clock=clock).follower.watch_s = 0.2
+        advance_until(
+            clock,
+            lambda: all(
+                n._is_ready() and n.members.count() == 4 for n in made.nodes
+            ),
+        )
+        advance_until(
+            clock,
+            lambda: all(len(n.members.listed) == 4 for n in made.nodes),
+        )
+        advance_until(clock, lambda: len(listening(made)) >= 2)
+        yield made
+
+
+def listening(world):
+    return [n for n in world.nodes if n.follower.listening]
+
+
+def watching(world):
+    """The host that watches for the others."""
+    (node,) = [n for n in world.nodes if n.members.watches()]
+    return node
+
+
+def watches(world):
+    return world.store.calls.count('/api/kv-watch')
+
+
+def test_change_reaches_all_with_the_watches_of_a_few(world, clock):
+    told = listening(world)
+    before = watches(world)
+    world.store.remove('servers/p1')
+    took_s = advance_until(
+        clock,
+        lambda: all('p1' not in n.catalog.endpoints for n in world.nodes),
+    )
+    assert took_s < TOLD_S
+    assert listening(world) == told
+    assert watches(world) - before <= 2 * (len(world.nodes) - len(told))
+
+
+def test_configuration_too_large_to_be_told_is_read(world, clock):
+    world.configure(version=9)
+    took_s = advance_until(
+        clock,
+        lambda: all(n.catalog.configuration.version == 9 for n in world.nodes),
+    )
+    assert took_s < BOUND_S
+
+
+def test_teller_that_dies_between_two_changes_is_missed(world, clock):
+    """The only host that watches for the others is killed.
+
+    An endpoint leaves right after it.  The others hear nothing any more, and
+    watch by themselves.
+    """
+    world.kill(watching(world))
+    world.store.remove('servers/p1')
+    took_s = advance_until(
+        clock,
+        lambda: all('p1' not in n.catalog.endpoints for n in world.nodes),
+    )
+    assert took_s < BOUND_S
+
+
+def test_teller_that_is_cut_off_from_the_store_tells_no_more(world, clock):
+    """It still reaches all hosts; an endpoint leaves."""
+    teller = watching(world)
+    test_follower.refuse_calls(world, clock, teller)
+    world.store.remove('servers/p1')
+    took_s = advance_until(
+        clock,
+        lambda: all('p1' not in n.catalog.endpoints for n in world.nodes),
+    )
+    assert took_s < BOUND_S
+
+
+def test_teller_whose_watch_tells_nothing_is_found_out(world, clock):
+    """The store holds the only watch open; the placing host sees the change.
+
+    What the teller tells, that nothing has changed, is contradicted by the
+    revision that the other one tells.
+    """
+    test_follower.hold_watches(world, clock, watching(world))
+    world.store.remove('servers/p1')
+    took_s = advance_until(
+        clock,
+        lambda: all('p1' not in n.catalog.endpoints for n in world.nodes),
+    )
+    assert took_s < BOUND_S
+
+
+def test_history_that_is_gone_is_read_anew_by_all(world, clock):
+    world.store.remove('servers/p1')
+    world.store.compact()
+    took_s = advance_until(
+        clock,
+        lambda: all('p1' not in n.catalog.endpoints for n in world.nodes),
+    )
+    assert took_s < BOUND_S
+
+
+def test_old_news_takes_nothing_back(world, clock):
+    """A teller was frozen, and tells what it had seen before."""
+    node = listening(world)[0]
+    before = node.follower.lag.own
+    entry = world.store.items['servers/p1']
+    old = store.Item(entry.key, entry.value, entry.revision)
+    world.store.remove('servers/p1')
+    advance_until(clock, lambda: 'p1' not in node.catalog.endpoints)
+    node.follower.heard_news(
+        placing_codec.News('x', before - 1, before, (old,))
+    )
+    assert 'p1' not in node.catalog.endpoints
+
+
+def test_gap_between_news_is_read(world, clock):
+    """Two hosts tell different parts, and what came between them is lost."""
+    node = listening(world)[0]
+    world.store.remove('servers/p1')
+    gone = store.Removed('servers/p2', world.store.revision + 5)
+    own = node.follower.lag.own
+    node.follower.heard_news(
+        placing_codec.News('x', own + 3, own + 9, (gone,))
+    )
+    assert 'p2' in node.catalog.endpoints
+    advance_until(clock, lambda: 'p1' not in node.catalog.endpoints)
+    assert 'p2' in node.catalog.endpoints
+
+
+def test_entries_that_lapsed_for_the_teller_are_kept(world):
+    """The store was away for all; a host that only listens did not see it.
+
+    Told that the entries are gone it would drop endpoints that are about to
+    write theirs again, and have nobody to send requests to.
+    """
+    node = listening(world)[0]
+    own = node.follower.lag.own
+    gone = store.Removed('servers/p1', own + 1)
+    node.follower.heard_news(
+        placing_codec.News('x', own, own + 1, (gone,), regained_s=0.1)
+    )
+    assert 'p1' in node.catalog.endpoints
+    assert 'p1' in node.follower.lapses.doubted
+
+
+def test_news_travels():
+    item = store.Item('a', b'1', 4)
+    gone = store.Removed('b', 5)
+    for told in (
+        placing_codec.News('h', 3, 5, (item, gone), regained_s=1.5),
+        placing_codec.News('h', 3, 5),
+    ):
+        assert placing_codec.decode(placing_codec.encode(told)) == told
+    large = placing_codec.News('h', 3, 4, (item,), complete=False)
+    got = placing_codec.decode(placing_codec.encode(large))
+    assert got == large._replace(changes=())
+
+
+changes = strategies.builds(
+    lambda size, step, gone: (size, step, gone),
+    strategies.integers(0, 3000),
+    strategies.integers(0, 2),
+    strategies.booleans(),
+)
+
+
+@hypothesis.given(strategies.lists(changes, max_size=30), strategies.data())
+def test_host_that_misses_a_datagram_knows_it(drawn, data):
+    """Any datagrams are lost; whoever goes by the rest has all or knows."""
+    revision = 10
+    written = []
+    for number, (size, step, gone) in enumerate(drawn):
+        revision += step if written else 1
+        key = f'k{number}'
+        if gone:
+            written.append(store.Removed(key, revision))
+        else:
+            written.append(store.Item(key, b'x' * size, revision))
+    told = news.cut('h', 10, revision, tuple(written), None)
+    for each in told:
+        if each.complete and each.changes:
+            assert len(placing_codec.encode(each)) <= 1400
+    lost = data.draw(
+        strategies.sets(strategies.integers(0, max(0, len(told) - 1)))
+    )
+    own, missed, seen = 10, False, []
+    for number, each in enumerate(told):
+        if number in lost or each.revision <= own:
+            continue
+        if each.base > own or not each.complete:
+            missed = True
+            break
+        seen += [c for c in each.changes if c.revision > own]
+        own = each.revision
+    if not missed and own == revision:
+        assert seen == written
+    if not lost and all(each.complete for each in told):
+        assert own == revision
+    gevent.sleep(0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,8 +2,8 @@
 
 from magnoliadyke.core import answerers
 from magnoliadyke.core import catalog
-from magnoliadyke.core import longanswers
 from magnoliadyke.core import enginepool
+from magnoliadyke.core import longanswers
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import promptjobs
--- a/tests/test_revisionlag.py
+++ b/tests/test_revisionlag.py
@@ -55,6 +55,12 @@
     assert behind.revision == 11 + 17
 
 
+def test_host_that_can_not_ask_is_behind_at_once(lag):
+    lag.asks(1.5)
+    lag.hear('b', 12, 1.0)
+    assert lag.behind(1.0, asks=False).revision == 12
+
+
 def test_part_that_has_been_seen_counts_no_longer(lag):
     lag.hear('b', 11, 0.0)
     lag.hear('c', 12, 5.0)
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -104,6 +104,26 @@
   5: i32 answering_permille,
 }
 
+// A key of the store as it was written: removed, or with its value, or too
+// large for a datagram.
+struct KeyChange {
+  1: string key,
+  2: i64 revision,
+  3: optional binary value,
+  4: optional bool removed,
+}
+
+// Changes of the store's keys after one revision, up to another, as a host
+// that watches the store has seen them; regained_ms is how long ago the store
+// came back to it.
+struct News {
+  1: string host,
+  2: i64 base,
+  3: i64 revision,
+  4: list<KeyChange> changes,
+  5: optional i32 regained_ms,
+}
+
 struct Datagram {
   1: i16 version,
   2: optional Ask ask,
@@ -114,4 +134,5 @@
   7: optional Leader leader,
   8: optional Silent silent,
   9: optional Learned learned,
+  10: optional News news,
 }
