--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -125,7 +125,8 @@
         # Below the least number that answers nobody waits for a reversal:
         # the only engine left would answer for all that the others read.
         least = least_answering(fleet.total)
-        short = fleet.answering < least and not change.to_reading
+        answering = fleet.answering + fleet.to_answering
+        short = answering < least and not change.to_reading
         if not short and self._is_reversal(change, now_s):
             return None
         self.last = change
@@ -138,13 +139,16 @@
             # While none answers nothing is served, whatever the load: also
             # where a single engine is left, or the others are changing.
             return Change(False) if fleet.reading else None
+        least = least_answering(fleet.total)
+        answering = fleet.answering + fleet.to_answering
+        if answering < least and fleet.reading > answering:
+            # Also beside an engine that changes to reading: the only one
+            # left answers for all, and nobody does while it is down.
+            return Change(False)
         most = max(1, int(fleet.total * self.settings.most_changing))
         most -= fleet.changing
         if most < 1:
             return None
-        least = least_answering(fleet.total)
-        if fleet.answering < least and fleet.reading > fleet.answering:
-            return Change(False)
         return self._best(fleet, most, least)
 
     def _best(self, fleet: Fleet, most: int, least: int) -> Change | None:
--- a/tests/test_stageplan.py
+++ b/tests/test_stageplan.py
@@ -106,6 +106,17 @@
     assert decide(1, 0, load, changing=1, coming=1) is None
 
 
+def test_least_number_that_answers_waits_for_no_other_change():
+    """One engine changes to reading as another that answers leaves.
+
+    Put off until the change is over, the only one left answers for all that
+    three read, and nobody answers while it is down.
+    """
+    load = (2.0, 0.1, 0.1)
+    assert decide(3, 1, load, changing=1) == stageplan.Change(False)
+    assert decide(3, 1, load, changing=1, coming=1) is None
+
+
 def test_least_number_that_answers_is_restored_at_once():
     """An engine was turned to reading; then all but one that answer go.
 
