Plan for what engines that answer take over from those that read

The plan counted the transfer within a failure domain only, 2 ms a prompt, where the engine has a step for the first token beside it and most transfers cross domains. Change: taking over a prompt counts with both.

--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -42,6 +42,10 @@
 TRANSFER_SETUP_S = 0.0007
 #: Transfers between failure domains take twice as long.
 REMOTE_FACTOR = 2.0
+#: What a prompt that was read elsewhere takes of the engine that answers it
+#: beside the transfer, in seconds: a step for its first token, in which it
+#: takes over no other.
+FIRST_STEP_S = 0.005
 #: Part of the memory that cached parts may fill; running requests use the
 #: rest.
 CACHE_SHARE = 0.9
@@ -609,10 +613,19 @@
             return seconds * REMOTE_FACTOR
         return seconds
 
-    def typical_move_s(self, tokens: int) -> float:
-        """Time that a prompt's transfer keeps an engine's link busy."""
+    def taking_over_s(self, tokens: int) -> float:
+        """Time that an engine needs to take over what another has read.
+
+        Any other engine is as likely to have read it, so most transfers
+        come from another failure domain.
+        """
+        domains = {
+            engine.endpoint.failure_domain for engine in self.engines.values()
+        }
+        remote = 1 - 1 / max(1, len(domains))
         bits = tokens * self.traits.bytes_per_token * 8
-        return TRANSFER_SETUP_S + bits / (self.traits.link_bits_s or 1e9)
+        seconds = TRANSFER_SETUP_S + bits / (self.traits.link_bits_s or 1e9)
+        return seconds * (1 + (REMOTE_FACTOR - 1) * remote) + FIRST_STEP_S
 
 
 def may_read(engine: enginemodel.EngineModel) -> bool:
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -204,7 +204,7 @@
         kept = self.pool.caches.kept(job.parts)
         job.need_s = self.pool.need_s(kept, job.tokens) * self.bias
         self.asked.add(job.need_s, now_s)
-        self.asked_moves.add(self.pool.typical_move_s(job.tokens), now_s)
+        self.asked_moves.add(self.pool.taking_over_s(job.tokens), now_s)
         job.latest_s = self._due_s(job) - job.need_s
         if now_s + self._wait_s(job, now_s) <= job.latest_s:
             self.asked_fresh.add(job.need_s, now_s)
--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -31,8 +31,8 @@
     :param reading_margin: reading power to spare, in square roots of what
         is asked: what comes at random swings by so much, so few engines
         need a larger part to spare than many
-    :param moving_share: the same of their links for transfers, which wait
-        for each other long before a link is full
+    :param moving_share: part of their time in which engines can take over
+        what others have read before prompts wait for each other
     :param slots_share: the same of the slots for long answers
     """
 
@@ -49,7 +49,7 @@
     """What is asked of the engines of a service.
 
     :param reading: engines that reading the prompts would fill
-    :param moving: engines whose links the transfers would fill
+    :param moving: engines that taking over what others read would fill
     :param slots: engines whose slots the long answers fill
     :param beside: engines' worth of reading that those that answer can do
     :param occupied: engines that give long answers, and read nothing beside
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -534,6 +534,27 @@
     assert change == stageplan.Change(to_reading=False)
 
 
+def test_engines_that_answer_are_planned_for_what_they_take_over():
+    """Two hundred prompts a second are read by some engines of a fleet.
+
+    Each takes the engine that answers a few thousandths of a second for the
+    transfer and a step for its first token: one engine takes over some
+    eighty a second, and with one alone the engines that read would idle.
+    """
+    made = core(promptload.fleet(prefill=8, decode=5))
+    for number in range(400):
+        made.submit(
+            job(number, [part(number, 9200)], objective_s=0.15), number / 200
+        )
+    load = made.load(2.0)
+    assert 1.0 < load.moving < 2.5
+    plan = stageplan.StagePlan()
+    fleet = stageplan.Fleet(reading=8, answering=3)
+    plan.note(load, fleet, 2.0)
+    change = plan.decide(fleet, 2.0)
+    assert change is None or not change.to_reading
+
+
 def many_engines(answering, reading, slots=16):
     """Engines that answer come first in the list."""
     engines = [
