Hold a request that failed at the only engine that answers

Change: such a request waits until that engine's rest is over, or is told when it is, within the share of its time for which any request may wait.

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -235,21 +235,42 @@
     def _submit_short(
         self, job: promptjobs.Job, now_s: float
     ) -> list[promptjobs.Decision]:
-        """Only a long answer waits, and not if part of it was given."""
+        """Only a long answer waits, and not if part of it was given.
+
+        Besides, whoever has just failed at the only engine that answers.
+        """
+        if (rest_s := self._rest_s(job, now_s)) > 0:
+            return self._hold(job, rest_s, 'the engine is down', now_s)
         if job.resumed or not self.answers.is_long(job.output_tokens):
             return [self._place_short(job, now_s)]
         if not len(self.answers.waiting):
             if self.answers.engine(job.avoid, now_s) is not None:
                 return [self._place_short(job, now_s)]
         wait_s = self.answers.wait_s(now_s)
+        return self._hold(job, wait_s, 'no slot in time', now_s)
+
+    def _hold(
+        self, job: promptjobs.Job, wait_s: float, reason: str, now_s: float
+    ) -> list[promptjobs.Decision]:
+        """Have a job wait for an engine to answer it, or refuse it."""
         left_s = job.deadline_s - now_s
         if wait_s > left_s * self.settings.hold_share:
-            return [
-                self.refusals.refuse(job, now_s, wait_s, 'no slot in time')
-            ]
+            return [self.refusals.refuse(job, now_s, wait_s, reason)]
         self.answers.waiting.put(job)
         return []
 
+    def _rest_s(self, job: promptjobs.Job, now_s: float) -> float:
+        """How long the engine to answer a job rests after failing it.
+
+        Sent there again at once a job would use up its tries within some
+        hundredths of a second, at an engine that is down for a second or
+        two; it is the best one there is, since no other one answers.
+        """
+        engine = self.pool.answerers.for_short(job.avoid, now_s)
+        if engine is None or engine.endpoint.id not in job.avoid:
+            return 0.0
+        return engine.rest_until_s - now_s
+
     def _pump_answers(
         self, now_s: float, decisions: list[promptjobs.Decision]
     ) -> None:
@@ -257,7 +278,10 @@
         waiting = self.answers.waiting
         while len(waiting):
             job = waiting.first()
-            if self.answers.engine(job.avoid, now_s) is None:
+            if self._rest_s(job, now_s) > 0:
+                return
+            is_long = self.answers.is_long(job.output_tokens)
+            if is_long and self.answers.engine(job.avoid, now_s) is None:
                 return
             waiting.take(job.id)
             decisions.append(self._place_short(job, now_s))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -507,6 +507,32 @@
     assert to_dark <= 4
 
 
+def test_request_waits_for_the_only_engine_that_answers():
+    """It refuses connections for a second; no other engine answers.
+
+    Tried there again at once, a request uses up its tries within some
+    hundredths of a second, and its caller is sent away.
+    """
+    made = core(promptload.fleet(prefill=1, decode=1))
+    (placed,) = made.submit(job(1, [part(1, 300)], 0.0), 0.0)
+    made.failed(1, 'd0', 0.01)
+    again = job(2, [part(1, 300)], 0.0, avoid=(placed.run,))
+    assert made.submit(again, 0.012) == []
+    assert made.pump(0.3) == []
+    (placed,) = made.pump(0.01 + enginepool.REST_S)
+    assert (placed.job, placed.run) == (2, 'd0')
+
+
+def test_request_that_can_not_wait_for_the_engine_is_told_when_it_may():
+    made = core(promptload.fleet(prefill=1, decode=1))
+    made.submit(job(1, [part(1, 300)], 0.0), 0.0)
+    made.failed(1, 'd0', 0.01)
+    again = job(2, [part(1, 300)], 0.0, avoid=('d0',), deadline_s=1.0)
+    (refused,) = made.submit(again, 0.012)
+    assert isinstance(refused, promptjobs.Refused)
+    assert refused.retry_after_s > 0.3
+
+
 def test_engine_that_comes_back_is_used_again():
     made = core(promptload.fleet(prefill=1, decode=1))
     for number in range(3):
