--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -1,4 +1,4 @@
-"""Keeps the catalog, the hosts and the leader as the store has them."""
+"""Follows the store's keys, by its own watch or by what others tell."""
 
 import abc
 import collections
@@ -11,17 +11,15 @@
 
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
-from magnoliadyke.core import catalog
-from magnoliadyke.core import lapses
 from magnoliadyke.core import revisionlag
-from magnoliadyke.core import routes
+from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import news
 from magnoliadyke.gateway import peerstate
 from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import store
 from magnoliadyke import logs
 
-__all__ = ['Decoder', 'Follower', 'Listener', 'Others']
+__all__ = ['Follower', 'Others']
 
 LOG = logs.get('follower')
 
@@ -63,35 +61,6 @@
 MAX_IN_REACH_S = 3600.0
 
 
-class Decoder:
-    """What the store's keys and values mean; given by the platform."""
-
-    configuration_key: str
-    endpoint_prefix: str
-
-    def configuration(
-        self, value: bytes
-    ) -> routes.Configuration | catalog.UnusableRecord:
-        """Decode a configuration."""
-        raise NotImplementedError
-
-    def endpoint(
-        self, key: str, value: bytes
-    ) -> catalog.Endpoint | catalog.UnusableRecord:
-        """Decode an endpoint's entry."""
-        raise NotImplementedError
-
-
-class Listener:
-    """Who wants to hear of the project's own keys."""
-
-    def changed(self, item: store.Item) -> None:
-        """A key was written."""
-
-    def removed(self, key: str) -> None:
-        """A key is gone."""
-
-
 class Others(abc.ABC):
     """The other hosts, which follow the same store."""
 
@@ -127,11 +96,9 @@
     them where the store does not answer.
 
     :param host: name of this host
-    :param gone: called with the id of each endpoint that is gone
+    :param mirror: takes the keys, as of ``lag.own``
     :param bound_s: shortest time in which a change has to be in force
     :ivar others: the other hosts, None for one that is alone
-    :ivar unusable: records that were not used, by kind
-    :ivar items: the store's keys, as of ``lag.own``
     :ivar eager: whether this host watches though others would tell it
     :ivar listening: it goes by what others tell
     :ivar news_s: when one that watches last told something
@@ -142,10 +109,7 @@
         self,
         host: str,
         kept: store.Store,
-        decoder: Decoder,
-        known: catalog.Catalog,
-        listeners: dict[str, Listener],
-        gone: Callable[[str], None],
+        mirror: keymirror.KeyMirror,
         clock: clocks.Clock,
         rng: random.Random,
         bound_s: float,
@@ -153,23 +117,17 @@
     ) -> None:
         self.host = host
         self.store = kept
-        self.decoder = decoder
-        self.catalog = known
-        self.listeners = listeners
-        self.gone = gone
+        self.mirror = mirror
         self.clock = clock
         self.rng = rng
         self.bound_s = bound_s
         self.others = others
-        self.unusable: collections.Counter[str] = collections.Counter()
         self.caught_up: collections.Counter[str] = collections.Counter()
         self.failures = 0
         self.failing_since_s: float | None = None
         self.failed_since_s = 0.0
         self.regained_s = float('-inf')
-        self.lapses = lapses.Lapses(known)
         self.lag = revisionlag.RevisionLag(bound_s * LAG_SHARE)
-        self.items: dict[str, store.Item] = {}
         self.behind = event.Event()
         self.eager: Callable[[], bool] = lambda: False
         self.listening = False
@@ -215,13 +173,13 @@
         return peerstate.PeerState(
             tuple(
                 item
-                for item in self.items.values()
+                for item in self.mirror.items.values()
                 if item.revision > known_revision
             ),
-            {key: item.revision for key, item in self.items.items()},
+            {key: item.revision for key, item in self.mirror.items.items()},
             self.lag.own,
             min(self.in_reach_s(), MAX_IN_REACH_S) if in_reach else None,
-            self.lapses.regained_ago_s(self.clock.now_s()),
+            self.mirror.lapses.regained_ago_s(self.clock.now_s()),
         )
 
     # The store.
@@ -260,7 +218,7 @@
     def _listen(self) -> bool:
         """Wait for word of others; False where all has to be read anew."""
         self.clock.sleep(LISTEN_TICK_S)
-        self._drop_all(self.lapses.settle(self.clock.now_s()))
+        self.mirror.settle()
         if not self.missed and not self.behind.is_set():
             return True
         self.behind.clear()
@@ -275,7 +233,7 @@
             case store.Changes(changes, new_revision):
                 self._answered()
                 if revision == self.lag.own:
-                    self._take(changes)
+                    self.mirror.change(changes)
                     self._seen(new_revision)
                 return True
             case store.Unavailable(reason):
@@ -286,16 +244,16 @@
         """Take the next changes; False where all has to be read anew."""
         self.lag.asks(self.clock.now_s() + GATHER_S)
         self.clock.sleep(GATHER_S)
-        self._drop_all(self.lapses.settle(self.clock.now_s()))
+        self.mirror.settle()
         wait_s = self.watch_s
-        if self.lapses.doubted:
+        if self.mirror.lapses.doubted:
             wait_s = min(wait_s, DOUBT_WATCH_S)
         revision = self.lag.own
         match self._watch_unless_behind(revision, wait_s):
             case store.Changes(changes, new_revision):
                 self._answered()
                 if revision == self.lag.own:
-                    self._take(changes)
+                    self.mirror.change(changes)
                     self._seen(new_revision)
                     self._tell(revision, changes)
                 return True
@@ -331,19 +289,7 @@
         """
         if revision < self.lag.own:
             return
-        before, self.items = self.items, items
-        for item in items.values():
-            self._apply(item)
-        endpoint_prefix = self.decoder.endpoint_prefix
-        for key in before.keys() - items.keys():
-            if not key.startswith(endpoint_prefix):
-                self._remove_own(key)
-        missing = [
-            endpoint_id
-            for name, endpoint_id in self.catalog.by_name.items()
-            if endpoint_prefix + name not in items
-        ]
-        self._lose(missing)
+        self.mirror.replace(items)
         self._seen(revision)
 
     def _seen(self, revision: int) -> None:
@@ -351,29 +297,6 @@
         if self.others is not None:
             self.others.tell_revision(self.lag.own)
 
-    def _take(self, changes: tuple[store.Item | store.Removed, ...]) -> None:
-        missing = []
-        prefix = self.decoder.endpoint_prefix
-        for change in changes:
-            match change:
-                case store.Item(key):
-                    self.items[key] = change
-                    self._apply(change)
-                case store.Removed(key):
-                    self.items.pop(key, None)
-                    if not key.startswith(prefix):
-                        self._remove_own(key)
-                        continue
-                    name = key.removeprefix(prefix)
-                    if name in self.catalog.by_name:
-                        missing.append(self.catalog.by_name[name])
-        returned = {
-            self.catalog.by_name.get(change.key.removeprefix(prefix))
-            for change in changes
-            if isinstance(change, store.Item)
-        }
-        self._lose([each for each in missing if each not in returned])
-
     # Other hosts.
 
     def heard(self, host: str, revision: int) -> None:
@@ -393,13 +316,15 @@
         self.news_s = now_s
         if not self.listening:
             return
-        self.lapses.regained_with(told.regained_s, now_s)
+        self.mirror.lapses.regained_with(told.regained_s, now_s)
         if told.revision <= self.lag.own:
             return
         if told.base > self.lag.own or not told.complete:
             self.missed = True
             return
-        self._take(tuple(c for c in told.changes if c.revision > self.lag.own))
+        self.mirror.change(
+            tuple(c for c in told.changes if c.revision > self.lag.own)
+        )
         self._seen(told.revision)
 
     def _tell(
@@ -414,7 +339,7 @@
             return
         now_s = self.clock.now_s()
         self.told_s = now_s
-        regained_s = self.lapses.regained_ago_s(now_s)
+        regained_s = self.mirror.lapses.regained_ago_s(now_s)
         self.others.tell_news(
             news.cut(self.host, base, self.lag.own, changes, regained_s)
         )
@@ -435,7 +360,7 @@
             behind = self.lag.behind(self.clock.now_s(), in_reach)
             if behind is not None:
                 self._catch_up(behind)
-            if self.lapses.asks_others():
+            if self.mirror.lapses.asks_others():
                 self._explain_outage()
 
     def _catch_up(self, behind: revisionlag.Behind) -> None:
@@ -470,12 +395,16 @@
             state = peerstate.fetch(address, self.lag.own)
             if state is None or state.revision <= self.lag.own:
                 continue
-            items = self.items | {item.key: item for item in state.items}
+            items = self.mirror.items | {
+                item.key: item for item in state.items
+            }
             if not state.revisions.keys() <= items.keys():
                 LOG.warning_event('state_incomplete', told_by=address)
                 continue
             items = {key: items[key] for key in state.revisions}
-            self.lapses.regained_with(state.regained_s, self.clock.now_s())
+            self.mirror.lapses.regained_with(
+                state.regained_s, self.clock.now_s()
+            )
             self._take_all(items, state.revision)
             return True
         return False
@@ -490,130 +419,20 @@
             if alone:
                 break
         LOG.event('outage_explained', alone=alone)
-        self._drop_all(self.lapses.explained(alone))
-
-    # Single keys.
-
-    def _apply(self, item: store.Item) -> None:
-        if item.key == self.decoder.configuration_key:
-            self._configure(item)
-        elif item.key.startswith(self.decoder.endpoint_prefix):
-            self._put_endpoint(item)
-        else:
-            self._put_own(item)
-
-    def _configure(self, item: store.Item) -> None:
-        configuration = self.decoder.configuration(item.value)
-        if isinstance(configuration, catalog.UnusableRecord):
-            self.unusable['configuration'] += 1
-            LOG.warning_event(
-                'configuration_ignored',
-                reason=configuration.reason,
-                revision=item.revision,
-            )
-            return
-        if self.catalog.configure(configuration):
-            LOG.event(
-                'configuration',
-                version=configuration.version,
-                revision=item.revision,
-                routes=len(configuration.routes),
-            )
-
-    def _put_endpoint(self, item: store.Item) -> None:
-        endpoint = self.decoder.endpoint(item.key, item.value)
-        if isinstance(endpoint, catalog.UnusableRecord):
-            self._ignore_endpoint(item, endpoint.reason)
-            return
-        latest_ms = self.catalog.latest_born_ms(endpoint.name)
-        if latest_ms and not endpoint.born_ms:
-            self._ignore_endpoint(item, 'it does not say when it began')
-            return
-        if endpoint.born_ms < latest_ms:
-            # Of a process that has been replaced.  Taken for the present
-            # one, all that is known would go twice: now, and when the new
-            # entry is seen again.
-            self.unusable['former endpoint'] += 1
-            LOG.repeated('endpoint_former', item.key, key=item.key)
-            return
-        self.lapses.listed(endpoint.id)
-        before = self.catalog.endpoints.get(endpoint.id)
-        if before == endpoint:
-            return
-        former = self.catalog.by_name.get(endpoint.name)
-        if former is not None and former != endpoint.id:
-            # It holds and knows nothing of before, and what is still to come
-            # of its former process says nothing of it.
-            self._forget(former)
-        self.catalog.put(endpoint)
-        LOG.event(
-            'endpoint',
-            endpoint=endpoint.id,
-            address=endpoint.address,
-            leaving=endpoint.leaving,
-            stage=endpoint.stage.value or 'none',
-            revision=item.revision,
-        )
-
-    def _ignore_endpoint(self, item: store.Item, reason: str) -> None:
-        """An entry that names no endpoint to use; the others hold."""
-        self.unusable['endpoint'] += 1
-        LOG.repeated(
-            'endpoint_ignored',
-            item.key,
-            key=item.key,
-            reason=reason,
-            revision=item.revision,
-        )
-        name = item.key.removeprefix(self.decoder.endpoint_prefix)
-        if name in self.catalog.by_name:
-            self._forget(self.catalog.by_name[name])
-
-    def _forget(self, endpoint_id: str) -> None:
-        self.lapses.listed(endpoint_id)
-        self._drop(endpoint_id)
-
-    def _put_own(self, item: store.Item) -> None:
-        for prefix, listener in self.listeners.items():
-            if item.key.startswith(prefix):
-                listener.changed(item)
-
-    def _remove_own(self, key: str) -> None:
-        for prefix, listener in self.listeners.items():
-            if key.startswith(prefix):
-                listener.removed(key)
-
-    # Endpoints that are no longer listed.
-
-    def _lose(self, missing: list[str]) -> None:
-        """Endpoints have vanished from the list, together."""
-        gone = self.lapses.lost(missing, self.clock.now_s())
-        for endpoint_id in missing:
-            if endpoint_id in self.lapses.doubted:
-                LOG.event('endpoint_doubted', endpoint=endpoint_id)
-        self._drop_all(gone)
-
-    def _drop_all(self, endpoint_ids: list[str]) -> None:
-        for endpoint_id in endpoint_ids:
-            self._drop(endpoint_id)
-
-    def _drop(self, endpoint_id: str) -> None:
-        if self.catalog.remove(endpoint_id) is not None:
-            LOG.event('endpoint_gone', endpoint=endpoint_id)
-            self.gone(endpoint_id)
+        self.mirror.drop_all(self.mirror.lapses.explained(alone))
 
     # Whether the store is there.
 
     def _answered(self) -> None:
         now_s = self.clock.now_s()
-        self.catalog.checked_s = now_s
+        self.mirror.catalog.checked_s = now_s
         self.failures = 0
         if self.failing_since_s is not None:
             LOG.event('store_regained', after_s=now_s - self.failing_since_s)
             self.failed_since_s = self.failing_since_s
             self.failing_since_s = None
             self.regained_s = now_s
-            self.lapses.regained(now_s)
+            self.mirror.lapses.regained(now_s)
 
     def _failed(self, reason: str) -> None:
         self.failures += 1
--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -11,6 +11,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import membership
 from magnoliadyke.gateway import follower
+from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import placing_codec
@@ -65,7 +66,7 @@
 GAP_MARGIN_S = 1.5
 
 
-class Leadership(app.Component, follower.Listener):
+class Leadership(app.Component, keymirror.Listener):
     """Takes, keeps and follows the lease.
 
     :param min_lease_s: shortest lease that the store grants
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -17,6 +17,7 @@
 from magnoliadyke.gateway import exchange
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import ingress
+from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import leadership
 from magnoliadyke.gateway import measures
 from magnoliadyke.gateway import members
@@ -53,7 +54,7 @@
 EXIT_BEFORE_S = 0.7
 
 
-class RecordDecoder(follower.Decoder):
+class RecordDecoder(keymirror.Decoder):
     """The platform's keys and values."""
 
     configuration_key = records.CONFIGURATION_KEY
@@ -72,7 +73,7 @@
         return records.decode_endpoint(key, value)
 
 
-class HostListener(follower.Listener):
+class HostListener(keymirror.Listener):
     """Takes the keys of hosts to the members."""
 
     def __init__(self, joined: members.Members) -> None:
@@ -165,9 +166,7 @@
             self.store,
             clock,
         )
-        self.follower = follower.Follower(
-            settings.name,
-            self.store,
+        mirror = keymirror.KeyMirror(
             RecordDecoder(),
             self.catalog,
             {
@@ -176,6 +175,12 @@
             },
             self.upstream.drop_endpoint,
             clock,
+        )
+        self.follower = follower.Follower(
+            settings.name,
+            self.store,
+            mirror,
+            clock,
             rng,
             min(settings.drain_s, settings.configuration_s),
             self.members,
@@ -266,7 +271,7 @@
             figures.placed.labels(by).set(count)
         for call, count in self.store.calls.items():
             figures.store_calls.labels(call).set(count)
-        for kind, count in self.follower.unusable.items():
+        for kind, count in self.follower.mirror.unusable.items():
             figures.unusable.labels(kind).set(count)
         for source, count in self.follower.caught_up.items():
             figures.caught_up.labels(source).set(count)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -201,11 +201,14 @@
     for node in world.nodes:
         answer_calls(node)
     advance_until(
-        clock, lambda: all(n.follower.lapses.doubted for n in world.nodes)
+        clock,
+        lambda: all(n.follower.mirror.lapses.doubted for n in world.nodes),
     )
     advance_until(
         clock,
-        lambda: not any(n.follower.lapses.unexplained for n in world.nodes),
+        lambda: (
+            not any(n.follower.mirror.lapses.unexplained for n in world.nodes)
+        ),
     )
     assert all('p1' in n.catalog.endpoints for n in world.nodes)
 
--- a/tests/test_gateway_platform.py
+++ b/tests/test_gateway_platform.py
@@ -116,12 +116,12 @@
         lambda: node.follower.failing_since_s is None, 'the return'
     )
     gatewayworld.wait_for(
-        lambda: 'p1' in node.follower.lapses.doubted, 'the doubt'
+        lambda: 'p1' in node.follower.mirror.lapses.doubted, 'the doubt'
     )
     assert call(world, '/safe/x')[0].status == 200
     world.list(endpoint)
     gatewayworld.wait_for(
-        lambda: 'p1' not in node.follower.lapses.doubted, 'the entry'
+        lambda: 'p1' not in node.follower.mirror.lapses.doubted, 'the entry'
     )
     assert 'p1' in node.catalog.endpoints
 
@@ -327,7 +327,8 @@
     (present,) = node.catalog.endpoints
     reborn(world, 'p1', BORN_MS)
     gatewayworld.wait_for(
-        lambda: node.follower.unusable['former endpoint'], 'the old entry'
+        lambda: node.follower.mirror.unusable['former endpoint'],
+        'the old entry',
     )
     assert list(node.catalog.endpoints) == [present]
     assert call(world, '/safe/x')[0].status == 200
@@ -359,7 +360,7 @@
     gatewayworld.wait_for(
         lambda: 'p1' not in node.catalog.endpoints, 'the word of it'
     )
-    assert node.follower.unusable['endpoint']
+    assert node.follower.mirror.unusable['endpoint']
     for number in range(6):
         assert call(world, f'/safe/{number}')[0].status == 200
     assert not first.runs and len(second.runs) == 6
@@ -378,7 +379,8 @@
     wrong['routes'][0]['timeout_ms'] = 'soon'
     world.store.put('op/config', wrong)
     gatewayworld.wait_for(
-        lambda: node.follower.unusable['configuration'], 'the word of it'
+        lambda: node.follower.mirror.unusable['configuration'],
+        'the word of it',
     )
     assert node.catalog.configuration.version == before
     assert call(world, '/safe/x')[0].status == 200
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -183,7 +183,7 @@
         placing_codec.News('x', own, own + 1, (gone,), regained_s=0.1)
     )
     assert 'p1' in node.catalog.endpoints
-    assert 'p1' in node.follower.lapses.doubted
+    assert 'p1' in node.follower.mirror.lapses.doubted
 
 
 def test_news_travels():
