Change stages in the calm where that leaves room for a rush

Change: where a change loses nothing now and raises what the fleet could serve at its worst moment by a tenth, it is made until that is a fifth above the load with its margin. What engines read beside answering doesn't count for it: answers come with the rush.

--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -25,6 +25,10 @@
         seconds; longer than a swing, so that a lull between two of them
         moves nothing
     :param gain: part of the load that has to be served more
+    :param headroom: times the present load, with the power to spare, that
+        can be served from which on nothing is prepared any more
+    :param headroom_gain: factor by which a change that costs nothing now has
+        to raise that
     :param pause_s: least time between two changes in opposite directions,
         within which a change has to pay
     :param most_changing: share of the engines that change at one time
@@ -38,6 +42,8 @@
 
     memory_s: float = 6.0
     gain: float = 0.04
+    headroom: float = 1.2
+    headroom_gain: float = 1.1
     pause_s: float = 12.0
     most_changing: float = 0.2
     reading_margin: float = 1.5
@@ -111,8 +117,9 @@
         """Take a measurement."""
         # Only what is read is answered: with more readers there would be
         # more answers, too.
-        read = self._read_share(load, fleet.reading, load.beside)
-        slots_asked = load.slots / max(read, self.settings.gain)
+        read = self._read_ratio(load, fleet.reading, load.beside)
+        read = min(1.0, max(read, self.settings.gain))
+        slots_asked = load.slots / read
         self.samples.append(_Sample(now_s, load, slots_asked))
         while now_s - self.samples[0].at_s > self.settings.memory_s:
             self.samples.popleft()
@@ -164,8 +171,45 @@
             if expected > best_served:
                 best_served = expected
                 best = Change(moved > 0, abs(moved))
+        return best or self._prepare(fleet, to_answering, to_reading)
+
+    def _prepare(
+        self, fleet: Fleet, to_answering: int, to_reading: int
+    ) -> Change | None:
+        """The change that leaves most room for a rush, while it costs nothing.
+
+        A rush is over before a change that it calls for has paid.  In the
+        calm before it engines are spared for some seconds.
+        """
+        served = self._served_with(fleet, 0)
+        present = self._headroom(fleet, 0)
+        enough = self.settings.headroom
+        if present >= enough:
+            return None
+        best = None
+        most = present * self.settings.headroom_gain
+        for moved in _steps(-to_answering, to_reading):
+            if self._served_with(fleet, moved) < served:
+                continue
+            headroom = min(self._headroom(fleet, moved), enough)
+            if headroom > most:
+                most = headroom
+                best = Change(moved > 0, abs(moved))
         return best
 
+    def _headroom(self, fleet: Fleet, moved: int) -> float:
+        """Times the load that could be served at the worst moment.
+
+        Engines that answer don't count for what they read beside: in a rush
+        the answers keep them from it.
+        """
+        reading, answering = self._split_after(fleet, moved)
+        alone = fleet._replace(answering=0)
+        return min(
+            min(self._ratios(sample, alone, reading, answering))
+            for sample in self.samples
+        )
+
     def _served_with(self, fleet: Fleet, moved: int) -> float:
         """Part of the load that is served until a change may be reversed.
 
@@ -176,14 +220,17 @@
             fleet.reading + min(moved, 0),
             fleet.answering - max(moved, 0),
         )
+        after = self._served(fleet, *self._split_after(fleet, moved))
+        lost = min(1.0, fleet.change_s / self.settings.pause_s)
+        return lost * away + (1 - lost) * after
+
+    def _split_after(self, fleet: Fleet, moved: int) -> tuple[int, int]:
+        """Engines that read and that answer once all changes are over."""
         coming = fleet.changing - fleet.to_answering
-        after = self._served(
-            fleet,
+        return (
             fleet.reading + coming + moved,
             fleet.answering + fleet.to_answering - moved,
         )
-        lost = min(1.0, fleet.change_s / self.settings.pause_s)
-        return lost * away + (1 - lost) * after
 
     def _served(self, fleet: Fleet, reading: int, answering: int) -> float:
         """Part of the load that is served by a split, over the samples.
@@ -192,28 +239,29 @@
         different times, and engines enough for both never happen at once.
         """
         shares = [
-            self._share(sample, fleet, reading, answering)
+            min(1.0, *self._ratios(sample, fleet, reading, answering))
             for sample in self.samples
         ]
         return sum(shares) / len(shares)
 
-    def _share(
+    def _ratios(
         self, sample: _Sample, fleet: Fleet, reading: int, answering: int
-    ) -> float:
+    ) -> tuple[float, float, float]:
+        """What could be read, taken over and answered, over what is asked."""
         load = sample.load
         free = max(0, fleet.answering - load.occupied)
         left = max(0, answering - load.occupied)
         beside = load.beside * left / free if free else 0.0
         settings = self.settings
-        return min(
-            self._read_share(load, reading, beside),
-            _part(answering * settings.moving_share, load.moving),
-            _part(answering * settings.slots_share, sample.slots_asked),
+        return (
+            self._read_ratio(load, reading, beside),
+            _ratio(answering * settings.moving_share, load.moving),
+            _ratio(answering * settings.slots_share, sample.slots_asked),
         )
 
-    def _read_share(self, load: Load, reading: int, beside: float) -> float:
+    def _read_ratio(self, load: Load, reading: int, beside: float) -> float:
         margin = self.settings.reading_margin * math.sqrt(load.reading)
-        return _part(reading + beside, load.reading + margin)
+        return _ratio(reading + beside, load.reading + margin)
 
     def _is_reversal(self, change: Change, now_s: float) -> bool:
         if self.last is None or change.to_reading is self.last.to_reading:
@@ -230,8 +278,8 @@
     return 2 if total >= 4 else 1
 
 
-def _part(power: float, asked: float) -> float:
-    return min(1.0, power / asked) if asked > 0 else 1.0
+def _ratio(power: float, asked: float) -> float:
+    return power / asked if asked > 0 else math.inf
 
 
 def _steps(least: int, most: int) -> list[int]:
