--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -37,8 +37,7 @@
     candidates: int = 12
 
 
-#: What a transfer takes before its first byte, in seconds; measured by the
-#: engines' own description at under a thousandth.
+#: What a transfer takes before its first byte, in seconds.
 TRANSFER_SETUP_S = 0.0007
 #: Transfers between failure domains take twice as long.
 REMOTE_FACTOR = 2.0
@@ -431,8 +430,7 @@
         of the others gives a long answer nearly always: prompts were refused
         to the last one by engines that had time for many of them.  Answers
         beside which prompts are read take longer, but a refused caller has
-        nothing.  With one engine of five left it takes the share of refused
-        requests from 0.48 to 0.40, mean of six played days.
+        nothing.
         """
         beside = not any(
             engine.rest_until_s <= now_s and may_read(engine)
--- a/magnoliadyke/core/refusals.py
+++ b/magnoliadyke/core/refusals.py
@@ -59,9 +59,8 @@
         """No engine answers; tell when there should be one that does.
 
         By then one of the engines that read has changed its stage; nobody
-        knows how long it takes where that is over.  Told at once, of some
-        1,500 callers on a played day 33 waited before they were refused,
-        and 208 while they were held in the queue.
+        knows how long it takes where that is over.  Held in the queue instead,
+        callers would lose the time in which they could come back.
         """
         wait_s = NO_ENGINE_S
         if self.unanswered_s is not None:
--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -3,7 +3,6 @@
 import abc
 import collections
 import random
-from typing import Any
 from typing import Callable
 
 import gevent
@@ -13,7 +12,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import revisionlag
 from magnoliadyke.gateway import keymirror
-from magnoliadyke.gateway import news
+from magnoliadyke.gateway import keyupdates
 from magnoliadyke.gateway import peerstate
 from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import store
@@ -50,8 +49,8 @@
 ASKED = 3
 #: More such shares: hosts that watch tell the others at least this often, and
 #: one that has not heard of them twice watches by itself.
-NEWS_SHARE = 0.15
-NEWS_LOST_SHARE = 0.35
+RELAY_SHARE = 0.15
+RELAY_LOST_SHARE = 0.35
 #: How often a host that does not watch looks what it has missed, in seconds.
 LISTEN_TICK_S = 0.1
 #: Hosts that have missed the same change read it spread over this time, in
@@ -81,7 +80,7 @@
         """Whether this host is one of those that watch the store."""
 
     @abc.abstractmethod
-    def tell_news(self, told: list[placing_codec.News]) -> None:
+    def relay(self, told: list[placing_codec.KeyUpdates]) -> None:
         """Tell changes to those that don't; a host that watches does so."""
 
 
@@ -99,9 +98,9 @@
     :param mirror: takes the keys, as of ``lag.own``
     :param bound_s: shortest time in which a change has to be in force
     :ivar others: the other hosts, None for one that is alone
-    :ivar eager: whether this host watches though others would tell it
+    :ivar always_watches: whether this host watches though others would tell it
     :ivar listening: it goes by what others tell
-    :ivar news_s: when one that watches last told something
+    :ivar updated_s: when one that watches last relayed something
     :ivar caught_up: times that this host was behind, by what ended it
     """
 
@@ -129,11 +128,11 @@
         self.regained_s = float('-inf')
         self.lag = revisionlag.RevisionLag(bound_s * LAG_SHARE)
         self.behind = event.Event()
-        self.eager: Callable[[], bool] = lambda: False
+        self.always_watches: Callable[[], bool] = lambda: False
         self.listening = False
         self.missed = False
-        self.news_s = float('-inf')
-        self.told_s = float('-inf')
+        self.updated_s = float('-inf')
+        self.relayed_s = float('-inf')
         self.greenlets: list[gevent.Greenlet] = []
         self.watch_s = WATCH_S
 
@@ -204,15 +203,24 @@
         return True
 
     def _follow(self) -> bool:
-        self.listening = self._may_listen()
+        listening = self._may_listen()
+        if listening is not self.listening:
+            self.listening = listening
+            by = 'other hosts' if listening else 'its own watch'
+            LOG.event('follows', by=by, revision=self.lag.own)
         return self._listen() if self.listening else self._watch()
 
     def _may_listen(self) -> bool:
         """Whether this host hears of changes without a watch of its own."""
-        if self.others is None or self.eager() or self.others.watches():
+        if (
+            self.others is None
+            or self.always_watches()
+            or self.others.watches()
+        ):
             return False
         return (
-            self.clock.now_s() - self.news_s < self.bound_s * NEWS_LOST_SHARE
+            self.clock.now_s() - self.updated_s
+            < self.bound_s * RELAY_LOST_SHARE
         )
 
     def _listen(self) -> bool:
@@ -255,7 +263,7 @@
                 if revision == self.lag.own:
                     self.mirror.change(changes)
                     self._seen(new_revision)
-                    self._tell(revision, changes)
+                    self._relay(revision, changes)
                 return True
             case store.Compacted():
                 LOG.warning_event('watch_compacted', revision=revision)
@@ -265,7 +273,9 @@
                 LOG.warning_event('watch_given_up', revision=revision)
         return False
 
-    def _watch_unless_behind(self, revision: int, wait_s: float) -> Any:
+    def _watch_unless_behind(
+        self, revision: int, wait_s: float
+    ) -> store.Changes | store.Compacted | store.Unavailable | None:
         """Watch, but no longer than until this host is found to be behind.
 
         A watch that the store holds open and that tells nothing would else
@@ -310,10 +320,10 @@
             at_s += GATHER_S
         self.lag.hear(host, revision, at_s)
 
-    def heard_news(self, told: placing_codec.News) -> None:
+    def take_updates(self, told: placing_codec.KeyUpdates) -> None:
         """A host that watches the store tells what it has seen."""
         now_s = self.clock.now_s()
-        self.news_s = now_s
+        self.updated_s = now_s
         if not self.listening:
             return
         self.mirror.lapses.regained_with(told.regained_s, now_s)
@@ -327,7 +337,7 @@
         )
         self._seen(told.revision)
 
-    def _tell(
+    def _relay(
         self,
         base: int,
         changes: tuple[store.Item | store.Removed, ...] = (),
@@ -335,27 +345,29 @@
         """Tell the hosts that do not watch, if this one is to."""
         if self.others is None:
             return
-        if not self.eager() and not self.others.watches():
+        if not self.always_watches() and not self.others.watches():
             return
         now_s = self.clock.now_s()
-        self.told_s = now_s
+        self.relayed_s = now_s
         regained_s = self.mirror.lapses.regained_ago_s(now_s)
-        self.others.tell_news(
-            news.cut(self.host, base, self.lag.own, changes, regained_s)
+        self.others.relay(
+            keyupdates.split(
+                self.host, base, self.lag.own, changes, regained_s
+            )
         )
 
-    def _tell_on(self) -> None:
+    def _relay_idle(self) -> None:
         """Tell that nothing has changed, as long as the store is there."""
         if self.listening or self.failing_since_s is not None:
             return
-        if self.clock.now_s() - self.told_s >= self.bound_s * NEWS_SHARE:
-            self._tell(self.lag.own)
+        if self.clock.now_s() - self.relayed_s >= self.bound_s * RELAY_SHARE:
+            self._relay(self.lag.own)
 
     def _compare(self) -> None:
         """See to it that this host knows what the others know."""
         while True:
             self.clock.sleep(LAG_TICK_S)
-            self._tell_on()
+            self._relay_idle()
             in_reach = self.failing_since_s is None
             behind = self.lag.behind(self.clock.now_s(), in_reach)
             if behind is not None:
--- a/magnoliadyke/gateway/news.py
+++ b/magnoliadyke/gateway/keyupdates.py
@@ -6,7 +6,7 @@
 from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import store
 
-__all__ = ['cut']
+__all__ = ['split']
 
 #: Most bytes of keys and values in a datagram: it stays whole on networks
 #: that carry 1,400.
@@ -17,13 +17,13 @@
 Change = store.Item | store.Removed
 
 
-def cut(
+def split(
     host: str,
     base: int,
     revision: int,
     changes: tuple[Change, ...],
     regained_s: float | None,
-) -> list[placing_codec.News]:
+) -> list[placing_codec.KeyUpdates]:
     """Tell changes in as few datagrams as they fit.
 
     Each begins where the one before it ends, so a host that misses one sees
@@ -37,14 +37,18 @@
     for group, complete in _groups(changes):
         until = group[-1].revision
         told.append(
-            placing_codec.News(host, base, until, group, complete, regained_s)
+            placing_codec.KeyUpdates(
+                host, base, until, group, complete, regained_s
+            )
         )
         base = until
     if told and told[-1].complete:
         told[-1] = told[-1]._replace(revision=revision)
     elif revision > base or not told:
         told.append(
-            placing_codec.News(host, base, revision, (), True, regained_s)
+            placing_codec.KeyUpdates(
+                host, base, revision, (), True, regained_s
+            )
         )
     return told
 
--- a/magnoliadyke/gateway/measures.py
+++ b/magnoliadyke/gateway/measures.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms, as text for a scraper.
 
 The library is the one beneath the OpenTelemetry exporter, used directly:
-the whole SDK takes 5 MB of each host's memory (measured at import).
+the whole SDK would take some megabytes of each host's memory.
 """
 
 import prometheus_client
--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -85,7 +85,7 @@
     :param kept: the store
     :ivar revision_heard: takes a host's name and the revision of the store's
         keys that it has seen
-    :ivar send_news: sends word of the store to an address
+    :ivar send_updates: sends word of the store to an address
     :ivar records: hosts that the store has named since this one started
     """
 
@@ -116,7 +116,9 @@
         )
         self.states: dict[str, str] = {}
         self.revision_heard: Callable[[str, int], None] | None = None
-        self.send_news: Callable[[str, placing_codec.News], None] | None = None
+        self.send_updates: (
+            Callable[[str, placing_codec.KeyUpdates], None] | None
+        ) = None
 
     # Life cycle.
 
@@ -184,13 +186,13 @@
         domain = self._domain()
         return not domain or self.own in domain[:WATCHERS]
 
-    def tell_news(self, told: list[placing_codec.News]) -> None:
+    def relay(self, told: list[placing_codec.KeyUpdates]) -> None:
         """Tell the hosts of this failure domain that do not watch."""
         for record in self._domain()[WATCHERS:]:
             if record == self.own:
                 continue
             for message in told:
-                self.send_news(record.address, message)
+                self.send_updates(record.address, message)
 
     def _domain(self) -> list[HostRecord]:
         """Hosts of this failure domain, first those that watch.
--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -493,7 +493,7 @@
             case (
                 placing_codec.Broken()
                 | placing_codec.Leads()
-                | placing_codec.News()
+                | placing_codec.KeyUpdates()
             ):
                 listener = self.listeners.get(type(message))
                 if listener is not None:
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -23,7 +23,7 @@
     'Leads',
     'Learned',
     'Memory',
-    'News',
+    'KeyUpdates',
     'Recall',
     'Report',
     'Silent',
@@ -148,7 +148,7 @@
     figures: readingcost.Figures
 
 
-class News(NamedTuple):
+class KeyUpdates(NamedTuple):
     """Changes of the store's keys, for hosts that do not watch it.
 
     :param host: that has seen them
@@ -177,7 +177,7 @@
     | Leads
     | Silent
     | Learned
-    | News
+    | KeyUpdates
 )
 
 
@@ -216,8 +216,8 @@
                 _micro(figures.million_pairs_s),
                 round(figures.answering_factor * PERMILLE),
             )
-        case News():
-            datagram.news = _encode_news(message)
+        case KeyUpdates():
+            datagram.updates = _encode_updates(message)
     return TSerialization.serialize(datagram, FACTORY)
 
 
@@ -265,8 +265,8 @@
             return Silent(datagram.silent.endpoint)
         if datagram.learned is not None:
             return _decode_learned(datagram.learned)
-        if datagram.news is not None:
-            return _decode_news(datagram.news)
+        if datagram.updates is not None:
+            return _decode_updates(datagram.updates)
     except (
         EOFError,
         TException,
@@ -361,15 +361,15 @@
     )
 
 
-def _encode_news(news: News) -> ttypes.News:
+def _encode_updates(updates: KeyUpdates) -> ttypes.KeyUpdates:
     regained_ms = None
-    if news.regained_s is not None:
-        regained_ms = round(news.regained_s * 1000)
-    return ttypes.News(
-        news.host,
-        news.base,
-        news.revision,
-        [_encode_change(each, news.complete) for each in news.changes],
+    if updates.regained_s is not None:
+        regained_ms = round(updates.regained_s * 1000)
+    return ttypes.KeyUpdates(
+        updates.host,
+        updates.base,
+        updates.revision,
+        [_encode_change(each, updates.complete) for each in updates.changes],
         regained_ms,
     )
 
@@ -385,10 +385,10 @@
             return ttypes.KeyChange(key, revision, removed=True)
 
 
-def _decode_news(news: ttypes.News) -> News:
+def _decode_updates(updates: ttypes.KeyUpdates) -> KeyUpdates:
     changes: list[store.Item | store.Removed] = []
     complete = True
-    for each in news.changes:
+    for each in updates.changes:
         if each.removed:
             changes.append(store.Removed(each.key, each.revision))
         elif each.value is None:
@@ -396,12 +396,12 @@
         else:
             changes.append(store.Item(each.key, each.value, each.revision))
     regained_s = None
-    if news.regained_ms is not None:
-        regained_s = news.regained_ms / 1000
-    return News(
-        news.host,
-        news.base,
-        news.revision,
+    if updates.regained_ms is not None:
+        regained_s = updates.regained_ms / 1000
+    return KeyUpdates(
+        updates.host,
+        updates.base,
+        updates.revision,
         tuple(changes),
         complete,
         regained_s,
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -186,15 +186,15 @@
             self.members,
         )
         self.members.revision_heard = self.follower.heard
-        self.members.send_news = self.placer.send
-        self.follower.eager = lambda: self.placer.leading
+        self.members.send_updates = self.placer.send
+        self.follower.always_watches = lambda: self.placer.leading
         self.leadership.contact = self.follower
         self.suspects = suspects.Suspects(clock, self._tell_hosts)
         self.placer.tell = self._tell_hosts
         self.placer.listeners = {
             placing_codec.Broken: self.suspects.heard,
             placing_codec.Leads: self.leadership.heard,
-            placing_codec.News: self.follower.heard_news,
+            placing_codec.KeyUpdates: self.follower.take_updates,
         }
         parts = exchange.Parts(
             clock,
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -1314,7 +1314,7 @@
         return not (self == other)
 
 
-class News(object):
+class KeyUpdates(object):
     """
     Attributes:
      - host
@@ -1390,7 +1390,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('News')
+        oprot.writeStructBegin('KeyUpdates')
         if self.host is not None:
             oprot.writeFieldBegin('host', TType.STRING, 1)
             oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
@@ -1451,7 +1451,7 @@
      - leader
      - silent
      - learned
-     - news
+     - updates
 
     """
 
@@ -1465,11 +1465,11 @@
         'leader',
         'silent',
         'learned',
-        'news',
+        'updates',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, news=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, updates=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
@@ -1479,7 +1479,7 @@
         self.leader = leader
         self.silent = silent
         self.learned = learned
-        self.news = news
+        self.updates = updates
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1545,8 +1545,8 @@
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.STRUCT:
-                    self.news = News()
-                    self.news.read(iprot)
+                    self.updates = KeyUpdates()
+                    self.updates.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1595,9 +1595,9 @@
             oprot.writeFieldBegin('learned', TType.STRUCT, 9)
             self.learned.write(oprot)
             oprot.writeFieldEnd()
-        if self.news is not None:
-            oprot.writeFieldBegin('news', TType.STRUCT, 10)
-            self.news.write(oprot)
+        if self.updates is not None:
+            oprot.writeFieldBegin('updates', TType.STRUCT, 10)
+            self.updates.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1717,8 +1717,8 @@
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
     (4, TType.BOOL, 'removed', None, None, ),  # 4
 )
-all_structs.append(News)
-News.thrift_spec = (
+all_structs.append(KeyUpdates)
+KeyUpdates.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.I64, 'base', None, None, ),  # 2
@@ -1738,7 +1738,7 @@
     (7, TType.STRUCT, 'leader', [Leader, None], None, ),  # 7
     (8, TType.STRUCT, 'silent', [Silent, None], None, ),  # 8
     (9, TType.STRUCT, 'learned', [Learned, None], None, ),  # 9
-    (10, TType.STRUCT, 'news', [News, None], None, ),  # 10
+    (10, TType.STRUCT, 'updates', [KeyUpdates, None], None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_news.py
+++ b/tests/test_keyupdates.py
@@ -6,8 +6,8 @@
 import pytest
 
 from magnoliadyke import clock as clocks
+from magnoliadyke.gateway import keyupdates
 from magnoliadyke.gateway import members
-from magnoliadyke.gateway import news
 from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import store
 from tests import gatewayworld
@@ -142,7 +142,7 @@
     assert took_s < BOUND_S
 
 
-def test_old_news_takes_nothing_back(world, clock):
+def test_old_updates_take_nothing_back(world, clock):
     """A teller was frozen, and tells what it had seen before."""
     node = listening(world)[0]
     before = node.follower.lag.own
@@ -150,20 +150,20 @@
     old = store.Item(entry.key, entry.value, entry.revision)
     world.store.remove('servers/p1')
     advance_until(clock, lambda: 'p1' not in node.catalog.endpoints)
-    node.follower.heard_news(
-        placing_codec.News('x', before - 1, before, (old,))
+    node.follower.take_updates(
+        placing_codec.KeyUpdates('x', before - 1, before, (old,))
     )
     assert 'p1' not in node.catalog.endpoints
 
 
-def test_gap_between_news_is_read(world, clock):
+def test_gap_between_updates_is_read(world, clock):
     """Two hosts tell different parts, and what came between them is lost."""
     node = listening(world)[0]
     world.store.remove('servers/p1')
     gone = store.Removed('servers/p2', world.store.revision + 5)
     own = node.follower.lag.own
-    node.follower.heard_news(
-        placing_codec.News('x', own + 3, own + 9, (gone,))
+    node.follower.take_updates(
+        placing_codec.KeyUpdates('x', own + 3, own + 9, (gone,))
     )
     assert 'p2' in node.catalog.endpoints
     advance_until(clock, lambda: 'p1' not in node.catalog.endpoints)
@@ -179,22 +179,22 @@
     node = listening(world)[0]
     own = node.follower.lag.own
     gone = store.Removed('servers/p1', own + 1)
-    node.follower.heard_news(
-        placing_codec.News('x', own, own + 1, (gone,), regained_s=0.1)
+    node.follower.take_updates(
+        placing_codec.KeyUpdates('x', own, own + 1, (gone,), regained_s=0.1)
     )
     assert 'p1' in node.catalog.endpoints
     assert 'p1' in node.follower.mirror.lapses.doubted
 
 
-def test_news_travels():
+def test_updates_travel():
     item = store.Item('a', b'1', 4)
     gone = store.Removed('b', 5)
     for told in (
-        placing_codec.News('h', 3, 5, (item, gone), regained_s=1.5),
-        placing_codec.News('h', 3, 5),
+        placing_codec.KeyUpdates('h', 3, 5, (item, gone), regained_s=1.5),
+        placing_codec.KeyUpdates('h', 3, 5),
     ):
         assert placing_codec.decode(placing_codec.encode(told)) == told
-    large = placing_codec.News('h', 3, 4, (item,), complete=False)
+    large = placing_codec.KeyUpdates('h', 3, 4, (item,), complete=False)
     got = placing_codec.decode(placing_codec.encode(large))
     assert got == large._replace(changes=())
 
@@ -219,7 +219,7 @@
             written.append(store.Removed(key, revision))
         else:
             written.append(store.Item(key, b'x' * size, revision))
-    told = news.cut('h', 10, revision, tuple(written), None)
+    told = keyupdates.split('h', 10, revision, tuple(written), None)
     for each in told:
         if each.complete and each.changes:
             assert len(placing_codec.encode(each)) <= 1400
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -116,7 +116,7 @@
 // Changes of the store's keys after one revision, up to another, as a host
 // that watches the store has seen them; regained_ms is how long ago the store
 // came back to it.
-struct News {
+struct KeyUpdates {
   1: string host,
   2: i64 base,
   3: i64 revision,
@@ -134,5 +134,5 @@
   7: optional Leader leader,
   8: optional Silent silent,
   9: optional Learned learned,
-  10: optional News news,
+  10: optional KeyUpdates updates,
 }
