Make two tests independent of the machine's speed and of other processes

Fails with either safeguard off. test_other_nodes_are_told_of_long_prompts_only: a port found free on 127.0.0.1 was taken by a connection of another process before it was bound; the tests' servers have a loopback address of their own.

--- a/tests/requestpath.py
+++ b/tests/requestpath.py
@@ -3,6 +3,7 @@
 import hashlib
 import http.client
 import json
+import os
 import random
 import typing
 
@@ -33,10 +34,15 @@
 )
 
 
+#: Address of this process's servers.  On the usual one a port that was found
+#: free may be taken by a connection of another process before it is bound.
+LOOPBACK = f'127.{os.getpid() % 190 + 50}.{os.getpid() // 190 % 250 + 1}.254'
+
+
 def free_port():
-    """Return a TCP port of the loopback address that nobody uses."""
+    """Return a TCP port of the own loopback address that nobody uses."""
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
+        probe.bind((LOOPBACK, 0))
         return probe.getsockname()[1]
 
 
@@ -156,8 +162,8 @@
 
     def __init__(self, hosts=1, speeds=FAST):
         self.clock = clocks.SystemClock()
-        self.engine_address = f'127.0.0.1:{free_port()}'
-        self.service_address = f'127.0.0.1:{free_port()}'
+        self.engine_address = f'{LOOPBACK}:{free_port()}'
+        self.service_address = f'{LOOPBACK}:{free_port()}'
         self.engine = engine.EngineStandIn(engine.Spec(speeds=speeds))
         self.service = service.ServiceStandIn(service.Spec())
         self.servers = [
@@ -177,9 +183,9 @@
             settings_module.HostSettings(
                 f'host-{number}',
                 'alm-medeu',
-                '127.0.0.1',
+                LOOPBACK,
                 free_port(),
-                '127.0.0.1',
+                LOOPBACK,
                 free_port(),
                 free_port(),
             )
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from magnoliadyke import clock as clocks
 from magnoliadyke.gateway import leadership
 from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import store
@@ -96,13 +97,40 @@
     questions of the others are answered late, and most of them place alone.
     """
     world.gathers = True
+    clock = clocks.ManualClock()
     for link_mbps in (10.0, 10.0, 10.0, 1000.0):
-        world.node(wait=False, link_mbps=link_mbps)
-    gatewayworld.wait_for(
-        lambda: all(n.leadership.holder for n in world.nodes), 'a leader'
-    )
-    *_, widest = world.nodes
-    assert {n.leadership.holder for n in world.nodes} == {widest.own.host}
+        made = world.node(wait=False, clock=clock, link_mbps=link_mbps)
+        # Contends when the test says so, however long the others take.
+        made.leadership.greenlet.kill()
+    *small, widest = world.nodes
+
+    def listed(node, count):
+        clock.advance(0.05)
+        return len(node.members.listed) >= count
+
+    gatewayworld.wait_for(lambda: listed(small[0], 1), 'the first host')
+    first = small[0].leadership
+    first.gathered_s = clock.now_s() + 60.0
+    first._contend()
+    assert leadership.LEADER_KEY not in world.store.items
+    for node in world.nodes:
+        gatewayworld.wait_for(lambda n=node: listed(n, 4), 'all hosts')
+    for node in world.nodes:
+        node.leadership.gathered_s = clock.now_s()
+        node.leadership.vacant_since_s = clock.now_s()
+    clock.advance(leadership.RANK_DELAY_S)
+    for node in world.nodes:
+        node.leadership._contend()
+    assert widest.leadership.lease is not None
+    assert not any(node.leadership.lease for node in small)
+
+
+def test_host_that_starts_gives_the_others_time_to_be_listed(world):
+    world.gathers = True
+    clock = clocks.ManualClock()
+    node = world.node(wait=False, clock=clock)
+    waits_s = node.leadership.gathered_s - clock.now_s()
+    assert waits_s == pytest.approx(leadership.GATHERING_S)
 
 
 def test_capacity_is_bound_by_the_link_or_the_processor():
