Have another host watch where a test needs one beside the teller

Traced: in ten runs it failed just in the one in which the host that watches for the others also placed for all; then no other host watches, and the store tells nobody. The test's premise is that another one does, which it makes sure of now; what it asks is unchanged.

--- a/tests/test_keyupdates.py
+++ b/tests/test_keyupdates.py
@@ -118,12 +118,17 @@
 
 
 def test_teller_whose_watch_tells_nothing_is_found_out(world, clock):
-    """The store holds the only watch open; the placing host sees the change.
+    """The store holds one teller's watch open; another host sees the change.
 
     What the teller tells, that nothing has changed, is contradicted by the
     revision that the other one tells.
     """
-    test_follower.hold_watches(world, clock, watching(world))
+    teller = watching(world)
+    # The placing host watches too, but may be the teller itself.
+    other = next(n for n in world.nodes if n is not teller)
+    other.follower.always_watches = lambda: True
+    advance_until(clock, lambda: not other.follower.listening)
+    test_follower.hold_watches(world, clock, teller)
     world.store.remove('servers/p1')
     took_s = advance_until(
         clock,
