--- a/magnoliadyke/clock.py
+++ b/magnoliadyke/clock.py
@@ -17,6 +17,10 @@
     def now_s(self):
         """Return monotonic seconds."""
 
+    @abc.abstractmethod
+    def boot_s(self):
+        """Return steady seconds that also pass while the machine sleeps."""
+
     @abc.abstractmethod
     def wall_s(self):
         """Return seconds since the epoch."""
@@ -36,6 +40,10 @@
         """Return monotonic seconds."""
         return time.monotonic()
 
+    def boot_s(self):
+        """Return seconds since the machine was started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall_s(self):
         """Return seconds since the epoch."""
         return time.time()
@@ -50,11 +58,13 @@
 
     :param start_s: first monotonic reading, in seconds
     :param wall_start_s: first wall reading, in seconds since the epoch
+    :ivar suspended_s: time that the machine was suspended for, in seconds
     """
 
     def __init__(self, start_s=1000.0, wall_start_s=1.7e9):
         self.monotonic_s = start_s
         self.wall_offset_s = wall_start_s - start_s
+        self.suspended_s = 0.0
         self.sleepers = []
         self.sequence = 0
 
@@ -62,6 +72,10 @@
         """Return the paused monotonic time in seconds."""
         return self.monotonic_s
 
+    def boot_s(self):
+        """Return the paused time with that of suspensions, in seconds."""
+        return self.monotonic_s + self.suspended_s
+
     def wall_s(self):
         """Return the paused wall time in seconds since the epoch."""
         return self.monotonic_s + self.wall_offset_s
--- a/magnoliadyke/core/catalog.py
+++ b/magnoliadyke/core/catalog.py
@@ -38,6 +38,8 @@
         too; empty if that is its id
     :param born_ms: when the process began, in milliseconds of its own clock,
         0 if it does not say
+    :param reclaimable: it may be taken away at short notice, together with
+        the others of its kind in its failure domain
     """
 
     id: str
@@ -49,6 +51,7 @@
     stage: Stage
     published: str = ''
     born_ms: int = 0
+    reclaimable: bool = False
 
     @property
     def name(self) -> str:
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -152,6 +152,7 @@
             'fresh': str(len(self.fresh)),
             'late': str(len(self.late) + len(self.returned)),
             'bias': f'{self.bias:.2f}',
+            'output': f'{self.answers.output_s * 1000:.1f}ms/token',
         }
         for stage, cost in self.pool.costs.items():
             if stage is not catalog.Stage.NONE:
--- a/magnoliadyke/core/routes.py
+++ b/magnoliadyke/core/routes.py
@@ -1,6 +1,7 @@
 """Routes, services and limits of one version of the configuration."""
 
 import enum
+from typing import Any
 from typing import NamedTuple
 
 __all__ = [
@@ -42,6 +43,7 @@
     :param priority: 0 is the most urgent
     :param max_attempts: most endpoints that may run one request
     :param carries_prompt: requests tell of their prompt
+    :param public: requests need no key of a workspace
     """
 
     name: str
@@ -56,6 +58,7 @@
     max_attempts: int
     carries_prompt: bool
     resumable: bool
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -87,12 +90,15 @@
 
     :param max_connections: to one endpoint, from all hosts together
     :param engine: None for a plain service
+    :param scaling: how many of its endpoints may be ordered, a
+        :class:`magnoliadyke.core.fleetplan.Limits`; None if none may
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineTraits | None
+    scaling: Any | None = None
 
 
 class CallerLimits(NamedTuple):
@@ -108,6 +114,9 @@
     """One version of the routes, services and limits.
 
     :param version: grows with each configuration, by uneven steps
+    :param workspaces: who may use the routes that are not public, a
+        :class:`magnoliadyke.core.workspaces.Workspaces`; None where routes
+        need no key
     """
 
     def __init__(
@@ -116,11 +125,13 @@
         routes: tuple[Route, ...],
         services: dict[str, Service],
         limits: CallerLimits,
+        workspaces: Any | None = None,
     ) -> None:
         self.version = version
         self.routes = routes
         self.services = services
         self.limits = limits
+        self.workspaces = workspaces
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
--- /dev/null
+++ b/magnoliadyke/core/walltime.py
@@ -0,0 +1,78 @@
+"""The time of day, though clocks of some machines are set forth and back.
+
+A host takes the time of day once and goes on by its steady clock, so a step
+of its clock changes nothing.  What remains is a process that started while
+its machine's clock was off: the hosts' median tells it.
+"""
+
+import statistics
+
+__all__ = ['FleetTime', 'WallTime']
+
+#: A host that differs from the median by more is told the time, in seconds.
+MOST_OFF_S = 0.15
+#: How long a host's word counts for the median, in seconds.
+KEPT_S = 10.0
+
+
+class WallTime:
+    """The time of day as one host has it.
+
+    :param wall_s: seconds since the epoch, by the machine's clock
+    :param now_s: steady seconds at the same moment, by a clock that goes on
+        while the machine is suspended
+    """
+
+    def __init__(self, wall_s: float, now_s: float) -> None:
+        self.offset_s = wall_s - now_s
+
+    def at(self, now_s: float) -> float:
+        """Seconds since the epoch at a steady moment."""
+        return now_s + self.offset_s
+
+    def set(self, wall_s: float, now_s: float) -> None:
+        """Take the time that most hosts have."""
+        self.offset_s = wall_s - now_s
+
+
+class FleetTime:
+    """The median of what the hosts take for the time of day.
+
+    :param own: of the host that asks the others
+    """
+
+    def __init__(self, own: WallTime) -> None:
+        self.own = own
+        self._told: dict[str, tuple[float, float]] = {}
+
+    def told(self, host: str, wall_s: float, now_s: float) -> float | None:
+        """A host has told its time.
+
+        :returns: the time to tell it, if it is off
+        """
+        ahead_s = wall_s - self.own.at(now_s)
+        self._told[host] = (ahead_s, now_s)
+        median_s = self._median_s(now_s)
+        if abs(median_s) > MOST_OFF_S:
+            # Of all hosts this one differs: the others' words stay as they
+            # are, seen from the new time.
+            self.own.set(self.own.at(now_s) + median_s, now_s)
+            self._told = {
+                each: (ahead - median_s, at_s)
+                for each, (ahead, at_s) in self._told.items()
+            }
+            ahead_s -= median_s
+            median_s = 0.0
+        if abs(ahead_s - median_s) <= MOST_OFF_S:
+            return None
+        return self.own.at(now_s) + median_s
+
+    def _median_s(self, now_s: float) -> float:
+        self._told = {
+            host: word
+            for host, word in self._told.items()
+            if now_s - word[1] <= KEPT_S
+        }
+        return statistics.median(
+            [0.0, *(ahead_s for ahead_s, _ in self._told.values())]
+        )
--- a/magnoliadyke/gateway/codec.py
+++ b/magnoliadyke/gateway/codec.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import workspaces
 from magnoliadyke.gateway import http
 
 __all__ = [
@@ -42,6 +43,9 @@
     :param id: names this request; each further try of a caller has its own
     :param wait_s: how long the caller waits, None if it did not say
     :param resume_after: last event that the caller has of a stream
+    :param key_digest: of the caller's key, None if it gave none; the key
+        itself is not kept
+    :ivar workspace: that the request runs for, once it has been admitted
     """
 
     id: bytes
@@ -54,6 +58,8 @@
     wait_s: float | None
     prompt: Prompt | None
     resume_after: bytes | None
+    key_digest: bytes | None = None
+    workspace: workspaces.Workspace | None = None
 
 
 class RunOptions(NamedTuple):
--- /dev/null
+++ b/magnoliadyke/lab/platformcloud.py
@@ -0,0 +1,153 @@
+"""Stand-in of the platform's own interface, over HTTP on loopback."""
+
+import json
+import time
+from typing import Any
+from typing import NamedTuple
+
+import gevent
+from gevent import server
+from gevent import socket
+
+from magnoliadyke.gateway import caller as callers
+from magnoliadyke.gateway import http
+
+__all__ = ['Call', 'PlatformCloudStandIn']
+
+#: Longest wait of a call that is not answered, in seconds.
+SILENT_S = 30.0
+JSON_HEADERS = [(b'Content-Type', b'application/json')]
+
+
+class Call(NamedTuple):
+    """A call that was carried out.
+
+    :param subject: what the holder's turn is judged by
+    """
+
+    at_s: float
+    path: str
+    holder: str
+    fencing: int
+    body: dict[str, Any]
+    subject: str
+
+
+class PlatformCloudStandIn:
+    """Takes usage reports and orders of endpoints; faults are attributes.
+
+    :ivar mode: 'up', 'busy' (503), 'limited' (429), 'reset' or 'silent'
+    :ivar lose_answers: calls are carried out and not answered
+    :ivar delay_s: each call takes this much longer
+    :ivar scarce: domains in which none of the reclaimable kind is to be had
+    :ivar calls: those that were carried out
+    """
+
+    def __init__(self, address: str = '127.0.0.1:0') -> None:
+        self.requested = address
+        self.mode = 'up'
+        self.lose_answers = False
+        self.delay_s = 0.0
+        self.scarce: set[str] = set()
+        self.calls: list[Call] = []
+        self.server: server.StreamServer | None = None
+
+    def start(self) -> str:
+        """Listen; returns the address."""
+        host, _, port = self.requested.rpartition(':')
+        self.server = server.StreamServer((host, int(port)), self._serve)
+        self.server.start()
+        return self.address
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f'{self.server.server_host}:{self.server.server_port}'
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.server.stop(timeout=0.1)
+
+    def reports(self) -> dict[int, list[dict[str, int]]]:
+        """The different counts that were reported, by window."""
+        found: dict[int, list[dict[str, int]]] = {}
+        for call in self.calls:
+            if call.path == '/usage':
+                counts = found.setdefault(call.body['window_id'], [])
+                if call.body['counts'] not in counts:
+                    counts.append(call.body['counts'])
+        return found
+
+    def breaches(self) -> list[str]:
+        """What holders did that one holder at a time would not have done."""
+        found = [
+            f'window {window} reported with {len(counts)} counts'
+            for window, counts in self.reports().items()
+            if len(counts) > 1
+        ]
+        latest: dict[str, tuple[int, str]] = {}
+        for call in self.calls:
+            fencing, holder = latest.get(call.subject, (0, call.holder))
+            if call.fencing < fencing:
+                found.append(f'{call.subject}: fencing fell')
+            if call.fencing == fencing and call.holder != holder:
+                found.append(f'{call.subject}: two holders with one token')
+            latest[call.subject] = (call.fencing, call.holder)
+        return found
+
+    def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        caller = callers.Caller(sock)
+        reader = http.RequestReader(sock)
+        try:
+            while self._serve_one(caller, reader):
+                pass
+        except (callers.CallerLeft, http.BrokenMessage, http.PeerClosed):
+            # Callers come and go.
+            pass
+        finally:
+            http.drop(sock)
+
+    def _serve_one(
+        self, caller: callers.Caller, reader: http.RequestReader
+    ) -> bool:
+        head = reader.next_part()
+        pieces = []
+        while isinstance(part := reader.next_part(), http.Body):
+            pieces.append(part.data)
+        if self.delay_s:
+            gevent.sleep(self.delay_s)
+        match self.mode:
+            case 'reset':
+                return False
+            case 'silent':
+                gevent.sleep(SILENT_S)
+                return False
+            case 'busy' | 'limited':
+                status = 503 if self.mode == 'busy' else 429
+                caller.answer(status, JSON_HEADERS, b'{}')
+                return True
+        body = json.loads(b''.join(pieces) or b'{}')
+        status = self._carry_out(head, body)
+        if self.lose_answers:
+            return False
+        caller.answer(status, JSON_HEADERS, b'{}')
+        return True
+
+    def _carry_out(self, head: http.Head, body: dict[str, Any]) -> int:
+        path = head.target.decode()
+        subject = 'usage'
+        if path == '/scale':
+            subject = f'{body["service"]}/{body["zone"]}'
+            if body.get('spot') and body['zone'] in self.scarce:
+                return 409
+        self.calls.append(
+            Call(
+                time.monotonic(),
+                path,
+                (head.value(b'x-duty-holder') or b'').decode(),
+                int(head.value(b'x-fence-token') or 0),
+                body,
+                subject,
+            )
+        )
+        return 200
--- a/magnoliadyke/lab/platformrecords.py
+++ b/magnoliadyke/lab/platformrecords.py
@@ -60,12 +60,22 @@
 
 
 def configuration(
-    version: int, routes: Sequence[dict[str, Any]], **limits: Any
+    version: int,
+    routes: Sequence[dict[str, Any]],
+    workspaces: dict[str, Sequence[str]] | None = None,
+    **limits: Any,
 ) -> dict[str, Any]:
     """A configuration as the operator writes it.
 
+    :param workspaces: keys by name; None where routes need no key
     :param limits: towards callers, where they are not the usual ones
     """
+    tenants = {}
+    if workspaces is not None:
+        tenants['tenants'] = [
+            {'name': name, 'api_keys': list(keys)}
+            for name, keys in workspaces.items()
+        ]
     engine = {
         'slots': 16,
         'kv_tokens': 1_000_000,
@@ -88,6 +98,7 @@
             'idle_timeout_ms': 5000,
         }
         | limits,
+        **tenants,
     }
 
 
--- a/magnoliadyke/lab/platformstore.py
+++ b/magnoliadyke/lab/platformstore.py
@@ -234,6 +234,8 @@
         body: dict[str, Any],
     ) -> tuple[int, dict[str, Any]]:
         match path.rsplit('/', 1)[0], path:
+            case _, '/api/kv-key':
+                return self._read(query)
             case _, '/api/kv-range':
                 return self._range(query)
             case _, '/api/kv-watch':
@@ -249,6 +251,12 @@
                 return 200, {}
         return 404, {'error': f'no call {method.decode()} {path}'}
 
+    def _read(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        entry = self.items.get(query.get('key', ''))
+        if entry is None:
+            return 404, {}
+        return 200, _encode(entry) | {'store_revision': self.revision}
+
     def _range(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         prefix = query.get('path_prefix', '')
         after = query.get('after', '')
--- a/magnoliadyke/platform/codec.py
+++ b/magnoliadyke/platform/codec.py
@@ -5,6 +5,7 @@
 import zlib
 
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import workspaces
 from magnoliadyke.gateway import codec
 from magnoliadyke.gateway import http
 
@@ -20,6 +21,8 @@
 SOURCE = b'X-Kv-Source'
 FETCH = b'Kv-Fetch'
 PRIORITY = b'X-Request-Priority'
+WORKSPACE = b'X-Tenant'
+KEY = b'api-key'
 
 URGENT = b'1'
 PREFILL = b'prefill'
@@ -52,7 +55,10 @@
         b'x-expect-instance',
         b'x-expect-version',
         b'x-request-priority',
+        b'x-tenant',
         b'wait-ms',
+        # Goes no further than this host.
+        KEY,
     )
 )
 #: Headers of a request that a caller can't have dropped by naming them in
@@ -77,6 +83,7 @@
     b'x-token-counts',
     b'x-prompt-prefix',
     b'last-event-id',
+    KEY,
 )
 STATUS_WRONG_ENDPOINT = 421
 #: Ids of parts are kept as positive numbers of 64 bits.
@@ -121,6 +128,7 @@
             wait_s=wait_s,
             prompt=prompt,
             resume_after=known.get(b'last-event-id'),
+            key_digest=_key_digest(known.get(KEY)),
         )
 
     def run_headers(
@@ -152,6 +160,8 @@
             (DEADLINE, b'%d' % left_ms),
             (EXPECT_ENDPOINT, options.endpoint.encode()),
         ]
+        if request.workspace is not None:
+            headers.append((WORKSPACE, request.workspace.name.encode()))
         if options.urgent:
             headers.append((PRIORITY, URGENT))
         if options.fetch_from is not None:
@@ -213,6 +223,10 @@
         return b'DELETE', f'/api/kv-handle/{handle}'.encode()
 
 
+def _key_digest(value: bytes | None) -> bytes | None:
+    return workspaces.digest(value) if value else None
+
+
 def _wait_s(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/magnoliadyke/platform/records.py
+++ b/magnoliadyke/platform/records.py
@@ -4,7 +4,9 @@
 from typing import Any
 
 from magnoliadyke.core import catalog
+from magnoliadyke.core import fleetplan
 from magnoliadyke.core import routes
+from magnoliadyke.core import workspaces
 from magnoliadyke.platform import fields
 
 __all__ = [
@@ -53,9 +55,36 @@
         tuple(_route(each) for each in fields.records(found, 'routes')),
         {each.name: each for each in services},
         _limits(limits),
+        _workspaces(found),
     )
 
 
+def _workspaces(found: dict[str, Any]) -> workspaces.Workspaces | None:
+    """The workspaces; None where the configuration does not speak of any."""
+    if found.get('tenants') is None:
+        return None
+    return workspaces.Workspaces(
+        (_workspace(each), _keys(each))
+        for each in fields.records(found, 'tenants')
+    )
+
+
+def _workspace(found: dict[str, Any]) -> workspaces.Workspace:
+    priority = found.get('priority')
+    if priority is not None:
+        priority = fields.whole(found, 'priority', 0)
+    return workspaces.Workspace(fields.text(found, 'name'), priority)
+
+
+def _keys(found: dict[str, Any]) -> list[bytes]:
+    keys = found.get('api_keys') or []
+    if not isinstance(keys, list):
+        raise fields.BadField('api_keys is no list')
+    if not all(isinstance(key, str) for key in keys):
+        raise fields.BadField('api_keys holds something else than texts')
+    return [key.encode('utf-8', 'surrogatepass') for key in keys if key]
+
+
 def _route(found: dict[str, Any]) -> routes.Route:
     targets = tuple(
         routes.Target(
@@ -86,6 +115,7 @@
         # that come with the headers on their prompt.
         carries_prompt=fields.flag(found, 'sticky'),
         resumable=fields.flag(found, 'resumable'),
+        public=fields.flag(found, 'public'),
     )
 
 
@@ -98,6 +128,24 @@
         fields.text(found, 'health_path', ''),
         fields.whole(found, 'max_conns', 0, 0),
         _engine(engine) if engine else None,
+        _scaling(found.get('autoscale')),
+    )
+
+
+def _scaling(found: Any) -> fleetplan.Limits | None:
+    if not found:
+        return None
+    if not isinstance(found, dict):
+        raise fields.BadField('autoscale is no object')
+    prices = found.get('zone_prices') or {}
+    if not isinstance(prices, dict):
+        raise fields.BadField('zone_prices is no object')
+    return fleetplan.Limits(
+        least=fields.whole(found, 'min_replicas', 0),
+        most=fields.whole(found, 'max_replicas', 0),
+        boot_s=fields.number(found, 'boot_s', 0, 0),
+        reclaimable_price=fields.number(found, 'spot_price', 0, 1),
+        prices={zone: fields.number(prices, zone, 0) for zone in prices},
     )
 
 
@@ -156,4 +204,5 @@
         stage=STAGES.get(stage, catalog.Stage.NONE),
         published=name if born_ms else '',
         born_ms=born_ms,
+        reclaimable=fields.flag(found, 'spot'),
     )
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import itertools
+import json
 import os
 import random
 import time
@@ -178,3 +179,8 @@
         'X_Token_Counts': f'{total},{output}',
         'X_Prompt_Prefix': text,
     }
+
+
+def as_bytes(record):
+    """A record as the store keeps it."""
+    return json.dumps(record).encode()
--- a/tools/wirenames.py
+++ b/tools/wirenames.py
@@ -22,7 +22,8 @@
 NAMES = re.compile(
     r'/api/(kv-|resolve|readiness|order|report|hold-)|'
     r'\bx-(kv|stage|pin|deadline|expect|prompt|token|length|server'
-    r'|not-executed|instance|weight)\b',
+    r'|not-executed|instance|weight|tenant|duty|fence)\b|'
+    r'\bapi[-_]key(s|)\b',
     re.IGNORECASE,
 )
 
