--- a/magnoliadyke/gateway/placing.py
+++ b/magnoliadyke/gateway/placing.py
@@ -95,7 +95,7 @@
     :ivar leading: this host is the placing host
     :ivar hosts: live hosts
     :ivar listeners: take the messages of other hosts that are not about
-        placing, by their kind
+        placing, by their kind; what one returns is sent back
     :ivar reads: the waits for prompts that engines read, by engine
     :ivar learned: what prompts take, as the placing host has found, by
         service; a host that begins to place would else learn it anew, and
@@ -136,7 +136,9 @@
         )
         self.counts: collections.Counter[str] = collections.Counter()
         self.given = handover.GivenJobs()
-        self.listeners: dict[type, Callable[[Any], None]] = {}
+        self.listeners: dict[
+            type, Callable[[Any], placing_codec.Message | None]
+        ] = {}
         self.reads: collections.defaultdict[str, set[waitlimit.WaitLimit]] = (
             collections.defaultdict(set)
         )
@@ -491,14 +493,6 @@
                 self._end_reads(engine)
             case placing_codec.Learned(service, figures):
                 self._take_learned(service, figures)
-            case (
-                placing_codec.Broken()
-                | placing_codec.Leads()
-                | placing_codec.KeyUpdates()
-            ):
-                listener = self.listeners.get(type(message))
-                if listener is not None:
-                    listener(message)
             case placing_codec.Waits(job):
                 waiting = self.waiting.get(job)
                 if waiting is not None:
@@ -508,6 +502,14 @@
                 if waiting is not None:
                     waiting.acknowledged.set()
                     waiting.decided.set(decision)
+            case _:
+                self._pass_on(message, sender)
+
+    def _pass_on(self, message: placing_codec.Message, sender: str) -> None:
+        listener = self.listeners.get(type(message))
+        reply = listener(message) if listener is not None else None
+        if reply is not None:
+            self.send(sender, reply)
 
     def _take_learned(
         self, service: str, figures: readingcost.Figures
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -13,6 +13,7 @@
 from magnoliadyke.core import promptjobs
 from magnoliadyke.core import readingcost
 from magnoliadyke import errors
+from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import store
 from magnoliadyke.wire.placement import constants
 from magnoliadyke.wire.placement import ttypes
@@ -34,7 +35,8 @@
     'encode',
 ]
 
-MAX_STRING_BYTES = 1024
+#: A text or value fills a datagram at most.
+MAX_STRING_BYTES = 1400
 MAX_ITEMS = 256
 MICRO = 1_000_000
 PERMILLE = 1000
@@ -179,6 +181,7 @@
     | Silent
     | Learned
     | KeyUpdates
+    | duty_codec.Message
 )
 
 
@@ -224,6 +227,8 @@
             )
         case KeyUpdates():
             datagram.updates = _encode_updates(message)
+        case _:
+            duty_codec.encode(message, datagram)
     return TSerialization.serialize(datagram, FACTORY)
 
 
@@ -273,8 +278,12 @@
             return _decode_learned(datagram.learned)
         if datagram.updates is not None:
             return _decode_updates(datagram.updates)
+        found = duty_codec.decode(datagram)
+        if found is not None:
+            return found
     except (
         EOFError,
+        OverflowError,
         TException,
         TProtocol.TProtocolException,
         TypeError,
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -1463,6 +1463,437 @@
         return not (self == other)
 
 
+class ConfirmationRequest(object):
+    """
+    Attributes:
+     - nonce
+
+    """
+
+    __slots__ = (
+        'nonce',
+    )
+
+
+    def __init__(self, nonce=None,):
+        self.nonce = nonce
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.nonce = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfirmationRequest')
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.I64, 1)
+            oprot.writeI64(self.nonce)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfirmationReply(object):
+    """
+    Attributes:
+     - nonce
+     - version
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'nonce',
+        'version',
+        'age_ms',
+    )
+
+
+    def __init__(self, nonce=None, version=None, age_ms=None,):
+        self.nonce = nonce
+        self.version = version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.nonce = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfirmationReply')
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.I64, 1)
+            oprot.writeI64(self.nonce)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WindowUsage(object):
+    """
+    Attributes:
+     - window
+     - begun
+
+    """
+
+    __slots__ = (
+        'window',
+        'begun',
+    )
+
+
+    def __init__(self, window=None, begun=None,):
+        self.window = window
+        self.begun = begun
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.begun = {}
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val48 = iprot.readI32()
+                        self.begun[_key47] = _val48
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WindowUsage')
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 1)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.begun is not None:
+            oprot.writeFieldBegin('begun', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.begun))
+            for kiter49, viter50 in self.begun.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeI32(viter50)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Usage(object):
+    """
+    Attributes:
+     - host
+     - incarnation
+     - windows
+     - wall_ms
+
+    """
+
+    __slots__ = (
+        'host',
+        'incarnation',
+        'windows',
+        'wall_ms',
+    )
+
+
+    def __init__(self, host=None, incarnation=None, windows=None, wall_ms=None,):
+        self.host = host
+        self.incarnation = incarnation
+        self.windows = windows
+        self.wall_ms = wall_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.windows = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = WindowUsage()
+                        _elem56.read(iprot)
+                        self.windows.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.wall_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Usage')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.windows is not None:
+            oprot.writeFieldBegin('windows', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.windows))
+            for iter57 in self.windows:
+                iter57.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wall_ms is not None:
+            oprot.writeFieldBegin('wall_ms', TType.I64, 4)
+            oprot.writeI64(self.wall_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WallTime(object):
+    """
+    Attributes:
+     - wall_ms
+
+    """
+
+    __slots__ = (
+        'wall_ms',
+    )
+
+
+    def __init__(self, wall_ms=None,):
+        self.wall_ms = wall_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.wall_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WallTime')
+        if self.wall_ms is not None:
+            oprot.writeFieldBegin('wall_ms', TType.I64, 1)
+            oprot.writeI64(self.wall_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -1476,6 +1907,10 @@
      - silent
      - learned
      - updates
+     - confirmation_request
+     - confirmation_reply
+     - usage
+     - wall_time
 
     """
 
@@ -1490,10 +1925,14 @@
         'silent',
         'learned',
         'updates',
+        'confirmation_request',
+        'confirmation_reply',
+        'usage',
+        'wall_time',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, updates=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, updates=None, confirmation_request=None, confirmation_reply=None, usage=None, wall_time=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
@@ -1504,6 +1943,10 @@
         self.silent = silent
         self.learned = learned
         self.updates = updates
+        self.confirmation_request = confirmation_request
+        self.confirmation_reply = confirmation_reply
+        self.usage = usage
+        self.wall_time = wall_time
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1573,6 +2016,30 @@
                     self.updates.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.confirmation_request = ConfirmationRequest()
+                    self.confirmation_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.confirmation_reply = ConfirmationReply()
+                    self.confirmation_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.usage = Usage()
+                    self.usage.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.wall_time = WallTime()
+                    self.wall_time.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1623,6 +2090,22 @@
             oprot.writeFieldBegin('updates', TType.STRUCT, 10)
             self.updates.write(oprot)
             oprot.writeFieldEnd()
+        if self.confirmation_request is not None:
+            oprot.writeFieldBegin('confirmation_request', TType.STRUCT, 11)
+            self.confirmation_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.confirmation_reply is not None:
+            oprot.writeFieldBegin('confirmation_reply', TType.STRUCT, 12)
+            self.confirmation_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.STRUCT, 13)
+            self.usage.write(oprot)
+            oprot.writeFieldEnd()
+        if self.wall_time is not None:
+            oprot.writeFieldBegin('wall_time', TType.STRUCT, 14)
+            self.wall_time.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1752,6 +2235,37 @@
     (5, TType.I32, 'regained_ms', None, None, ),  # 5
     (6, TType.I64, 'era', None, None, ),  # 6
 )
+all_structs.append(ConfirmationRequest)
+ConfirmationRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'nonce', None, None, ),  # 1
+)
+all_structs.append(ConfirmationReply)
+ConfirmationReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'nonce', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(WindowUsage)
+WindowUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'window', None, None, ),  # 1
+    (2, TType.MAP, 'begun', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
+)
+all_structs.append(Usage)
+Usage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.LIST, 'windows', (TType.STRUCT, [WindowUsage, None], False), None, ),  # 3
+    (4, TType.I64, 'wall_ms', None, None, ),  # 4
+)
+all_structs.append(WallTime)
+WallTime.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'wall_ms', None, None, ),  # 1
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1765,6 +2279,10 @@
     (8, TType.STRUCT, 'silent', [Silent, None], None, ),  # 8
     (9, TType.STRUCT, 'learned', [Learned, None], None, ),  # 9
     (10, TType.STRUCT, 'updates', [KeyUpdates, None], None, ),  # 10
+    (11, TType.STRUCT, 'confirmation_request', [ConfirmationRequest, None], None, ),  # 11
+    (12, TType.STRUCT, 'confirmation_reply', [ConfirmationReply, None], None, ),  # 12
+    (13, TType.STRUCT, 'usage', [Usage, None], None, ),  # 13
+    (14, TType.STRUCT, 'wall_time', [WallTime, None], None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -13,6 +13,7 @@
 from magnoliadyke.gateway import events
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import placing_codec
+from magnoliadyke.gateway import store
 
 
 class FakeSocket:
@@ -155,3 +156,22 @@
     for number in range(400):
         typical.add(1.0 if number % 4 == 0 else 0.02)
     assert typical.high_s < 0.06
+
+
+@pytest.mark.parametrize('size', [1, 1024, 1199])
+def test_value_of_a_whole_datagram_is_read(size):
+    """A host stops to hear of others at the first value that it can't read."""
+    item = store.Item('k', b'x' * size, position.Position(3, 9))
+    message = placing_codec.KeyUpdates(
+        'h', position.Position(3, 8), item.position, (item,)
+    )
+    assert placing_codec.decode(placing_codec.encode(message)) == message
+
+
+def test_value_over_the_limit_is_a_protocol_error():
+    item = store.Item('k', b'x' * 5000, position.Position(3, 9))
+    message = placing_codec.KeyUpdates(
+        'h', position.Position(3, 8), item.position, (item,)
+    )
+    with pytest.raises(errors.ProtocolError):
+        placing_codec.decode(placing_codec.encode(message))
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -128,6 +128,38 @@
   6: optional i64 era,
 }
 
+// Asks for a proof that the configuration is the newest.
+struct ConfirmationRequest {
+  1: i64 nonce,
+}
+
+// The version that a host goes by, and how long ago it was the newest one.
+struct ConfirmationReply {
+  1: i64 nonce,
+  2: i64 version,
+  3: i32 age_ms,
+}
+
+// Requests that began to run in a window, by workspace.
+struct WindowUsage {
+  1: i64 window,
+  2: map<string, i32> begun,
+}
+
+// What one process has counted so far; windows are told again until they are
+// long over.  The time of day is there unless another host tells it.
+struct Usage {
+  1: string host,
+  2: i64 incarnation,
+  3: list<WindowUsage> windows,
+  4: optional i64 wall_ms,
+}
+
+// The time of day as most hosts have it, for one that differs.
+struct WallTime {
+  1: i64 wall_ms,
+}
+
 struct Datagram {
   1: i16 version,
   2: optional Ask ask,
@@ -139,4 +171,8 @@
   8: optional Silent silent,
   9: optional Learned learned,
   10: optional KeyUpdates updates,
+  11: optional ConfirmationRequest confirmation_request,
+  12: optional ConfirmationReply confirmation_reply,
+  13: optional Usage usage,
+  14: optional WallTime wall_time,
 }
