--- /dev/null
+++ b/magnoliadyke/gateway/confirming.py
@@ -0,0 +1,220 @@
+"""Keeps the proof that this host's configuration is the newest one."""
+
+import math
+import random
+
+import gevent
+
+from magnoliadyke import app
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import catalog
+from magnoliadyke.core import confirmation
+from magnoliadyke.gateway import duty_codec
+from magnoliadyke.gateway import follower
+from magnoliadyke.gateway import keymirror
+from magnoliadyke.gateway import members
+from magnoliadyke.gateway import placing
+from magnoliadyke.gateway import store
+from magnoliadyke import logs
+
+__all__ = ['Confirming']
+
+LOG = logs.get('confirming')
+
+TICK_S = 0.25
+#: Hosts that are asked at one time where the one that leads does not answer,
+#: beside those that watch the store.
+ASKED = 1
+#: How long a host that starts on a copy of the store waits for the others'
+#: word, in seconds.
+MEET_S = 1.0
+#: Pause after the store gave no proof, spread by as much again, in seconds.
+RETRY_S = 0.3
+
+
+class Confirming(app.Component):
+    """Asks the store, or other hosts, by the age of the proof.
+
+    Only where routes need the key of a workspace, and keys have to end in
+    time.  One host asks the store for all as long as it is reached.
+
+    :param bound_s: see :class:`confirmation.Confirmation`
+    :ivar proof: of this host
+    :ivar was_held: whether the proof held when last looked at, for the log
+    """
+
+    def __init__(
+        self,
+        bound_s: float | None,
+        known: catalog.Catalog,
+        decoder: keymirror.Decoder,
+        kept: store.Store,
+        followed: follower.Follower,
+        others: members.Members,
+        placer: placing.Placer,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.proof = confirmation.Confirmation(bound_s)
+        self.catalog = known
+        self.decoder = decoder
+        self.store = kept
+        self.follower = followed
+        self.members = others
+        self.placer = placer
+        self.clock = clock
+        self.rng = rng
+        self.was_held = True
+        self.started_s = clock.boot_s()
+        self.greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self.greenlet = gevent.spawn(self._run)
+
+    def stop(self, deadline_s: float) -> None:
+        """Ask nobody from now on."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+
+    def holds(self) -> bool:
+        """Whether this host may let keys be used now."""
+        return self.proof.holds(self.clock.boot_s())
+
+    def serves(self) -> bool:
+        """Whether this host takes the requests of all routes."""
+        return not self._needed() or self.holds()
+
+    def _needed(self) -> bool:
+        configuration = self.catalog.configuration
+        return (
+            self.proof.bound_s is not None
+            and configuration is not None
+            and configuration.workspaces is not None
+        )
+
+    def _run(self) -> None:
+        while True:
+            self.clock.sleep(TICK_S)
+            if self._needed():
+                self._renew()
+                self._log_change()
+
+    def _renew(self) -> None:
+        now_s = self.clock.boot_s()
+        match self.proof.source(now_s, self.placer.leading):
+            case confirmation.Source.STORE:
+                self._ask_others(self._some_peers())
+                if self._may_ask_store() and not self._ask_store():
+                    self.clock.sleep(RETRY_S * (1 + self.rng.random()))
+            case confirmation.Source.OTHERS:
+                self._ask_others(self._some_peers())
+            case confirmation.Source.LEADER:
+                leader = self.placer.leader
+                self._ask_others([leader] if leader else self._some_peers())
+
+    def _some_peers(self) -> list[str]:
+        listening = self.members.listening()
+        asked = self.rng.sample(listening, min(ASKED, len(listening)))
+        return list({*asked, *self.members.watchers()})
+
+    def _may_ask_store(self) -> bool:
+        """Whether this host has the store in reach, or has to find out.
+
+        While it is away it is looked for by those that follow it, and what
+        they read first is a proof.
+        """
+        if self.placer.leading:
+            return True
+        return not self.follower.listening and not self.follower.cut_off_s()
+
+    def listed(self, asked_s: float) -> None:
+        """All keys were read, and the configuration with them."""
+        if not self._needed():
+            return
+        item = self.follower.mirror.items.get(self.decoder.configuration_key)
+        if item is not None:
+            self._prove(item, asked_s)
+
+    def _log_change(self) -> None:
+        held = self.holds()
+        if held is self.was_held:
+            return
+        self.was_held = held
+        age_s = self.clock.boot_s() - self.proof.proved_s
+        LOG.event(
+            'confirmation',
+            holds=held,
+            version=self.catalog.configuration.version,
+            age_ms=round(age_s * 1000) if math.isfinite(age_s) else 'none',
+        )
+
+    # The store.
+
+    def _ask_store(self) -> bool:
+        """Read the configuration; False if that proved nothing."""
+        asked_s = self.clock.boot_s()
+        match self.store.read(self.decoder.configuration_key):
+            case store.Item() as item:
+                return self._prove(item, asked_s)
+        return False
+
+    def _prove(self, item: store.Item, asked_s: float) -> bool:
+        """Take the store's configuration for a proof, if it is one."""
+        newest = self.decoder.configuration(item.value)
+        if isinstance(newest, catalog.UnusableRecord):
+            return False
+        own_version = self.catalog.configuration.version
+        if newest.version > own_version:
+            self.follower.behind.set()
+            return False
+        if item.position.era and not self._has_met_others():
+            return False
+        self.proof.proved(asked_s, own_version)
+        return True
+
+    def _has_met_others(self) -> bool:
+        """Whether a host that starts on a copy of the store may trust it.
+
+        The others may go by a newer configuration than the copy has.
+        """
+        if self.proof.newest_told >= 0 or not self.members.listening():
+            return True
+        return self.clock.boot_s() - self.started_s >= MEET_S
+
+    # Other hosts.
+
+    def _ask_others(self, addresses: list[str]) -> None:
+        for address in addresses:
+            nonce = self.rng.getrandbits(62)
+            self.proof.asks(nonce, self.clock.boot_s())
+            self.placer.send(address, duty_codec.ConfirmationRequest(nonce))
+
+    def asked(
+        self, request: duty_codec.ConfirmationRequest
+    ) -> duty_codec.ConfirmationReply | None:
+        """Another host asks for a proof; None if this one can tell nothing.
+
+        One that has no proof tells its version all the same.
+        """
+        if not self._needed():
+            return None
+        return duty_codec.ConfirmationReply(
+            request.nonce,
+            self.catalog.configuration.version,
+            self.clock.boot_s() - self.proof.proved_s,
+        )
+
+    def heard(self, reply: duty_codec.ConfirmationReply) -> None:
+        """Another host has told its proof."""
+        configuration = self.catalog.configuration
+        if configuration is None:
+            return
+        nonce, version, age_s = reply
+        if self.proof.answered(nonce, version, age_s, configuration.version):
+            LOG.event(
+                'configuration_behind',
+                version=configuration.version,
+                told=version,
+            )
+            self.follower.behind.set()
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -17,6 +17,7 @@
 from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import suspects
 from magnoliadyke.gateway import upstream
+from magnoliadyke.gateway import usageduty
 from magnoliadyke.gateway import waitlimit
 from magnoliadyke import logs
 
@@ -34,7 +35,10 @@
 
 
 class Parts(NamedTuple):
-    """What an exchange works with."""
+    """What an exchange works with.
+
+    :param begun: counts a request of a workspace that has begun to run
+    """
 
     clock: clocks.Clock
     codec: codecs.Codec
@@ -45,6 +49,7 @@
     placer: placing.Placer
     suspects: suspects.Suspects
     rng: random.Random
+    begun: usageduty.Begun
 
 
 class Exchange(abc.ABC):
@@ -75,6 +80,7 @@
         self.sends = 0
         self.tried: set[str] = set()
         self.endpoint = ''
+        self.counted = False
 
     def _pick_service(self) -> str:
         targets = self.route.targets
@@ -148,6 +154,13 @@
             return False
         return self.left_s >= RETURN_S
 
+    def _note_begun(self, ago_s: float = 0.0) -> None:
+        """An endpoint has begun to run the request; counted once."""
+        workspace = self.request.workspace
+        if workspace is not None and not self.counted:
+            self.counted = True
+            self.parts.begun(workspace.name, ago_s)
+
     def _note_try(
         self,
         result: outcomes.Whole
--- /dev/null
+++ b/magnoliadyke/gateway/fleetduty.py
@@ -0,0 +1,176 @@
+"""Orders endpoints where this host leads."""
+
+import json
+
+import gevent
+
+from magnoliadyke import app
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import catalog
+from magnoliadyke.core import fleetplan
+from magnoliadyke.gateway import keymirror
+from magnoliadyke.gateway import leadership
+from magnoliadyke.gateway import operatorcalls
+from magnoliadyke.gateway import placing
+from magnoliadyke.gateway import store
+from magnoliadyke import logs
+
+__all__ = ['FLEET_PREFIX', 'FleetDuty']
+
+LOG = logs.get('fleet')
+
+#: Keys with the number of endpoints that a service is to have, by its name.
+FLEET_PREFIX = 'magnoliadyke/fleet/'
+TICK_S = 0.5
+#: Endpoints of a service that is set up are listed one after the other; their
+#: number counts once it has been the same for so long, in seconds.
+SET_UP_S = 2.0
+#: Pause after an order of which nobody can say whether it was taken, in
+#: seconds.
+RETRY_S = 1.0
+
+
+class FleetDuty(app.Component, keymirror.Listener):
+    """Carries the plans out, under the lease.
+
+    A service is to have as many endpoints as it was set up with.  The first
+    host that leads writes that down: later there are others, of another kind
+    and more of them.
+
+    :param calls: takes the orders; None where none may be given
+    :ivar wanted: endpoints by service, as the store has it
+    :ivar listed: endpoints of services that are being set up, and since when
+    """
+
+    def __init__(
+        self,
+        leader: leadership.Leadership,
+        placer: placing.Placer,
+        known: catalog.Catalog,
+        kept: store.Store,
+        calls: operatorcalls.OperatorCalls | None,
+        clock: clocks.Clock,
+    ) -> None:
+        self.leadership = leader
+        self.placer = placer
+        self.catalog = known
+        self.store = kept
+        self.calls = calls
+        self.clock = clock
+        self.plans: dict[str, fleetplan.FleetPlan] = {}
+        self.wanted: dict[str, int] = {}
+        self.listed: dict[str, tuple[int, float]] = {}
+        self.greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to plan."""
+        if self.calls is not None:
+            self.greenlet = gevent.spawn(self._run)
+
+    def stop(self, deadline_s: float) -> None:
+        """Order nothing from now on."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+
+    # The store.
+
+    def changed(self, item: store.Item) -> None:
+        """The number of a service's endpoints was written."""
+        try:
+            wanted = json.loads(item.value)
+        except ValueError:
+            wanted = None
+        if not isinstance(wanted, int) or wanted < 0:
+            LOG.repeated('fleet_size_ignored', item.key, key=item.key)
+            return
+        self.wanted[item.key.removeprefix(FLEET_PREFIX)] = wanted
+
+    # Orders.
+
+    def _run(self) -> None:
+        while True:
+            self.clock.sleep(TICK_S)
+            if not self.placer.leading:
+                self.plans.clear()
+                continue
+            configuration = self.catalog.configuration
+            if configuration is None:
+                continue
+            for service in configuration.services.values():
+                if service.scaling is not None:
+                    self._step(service.name, service.scaling)
+
+    def _step(self, service: str, limits: fleetplan.Limits) -> None:
+        present = self._present(service)
+        if service not in self.wanted:
+            self._set_up(
+                service, sum(each.lasting for each in present.values())
+            )
+            return
+        if not self.leadership.may_order():
+            return
+        plan = self.plans.setdefault(service, fleetplan.FleetPlan(service))
+        now_s = self.clock.now_s()
+        wanted = self.wanted[service]
+        for order in plan.decide(limits, present, wanted, now_s):
+            self._order(plan, order)
+
+    def _set_up(self, service: str, count: int) -> None:
+        """Write down how many endpoints a service was set up with."""
+        now_s = self.clock.now_s()
+        before, since_s = self.listed.get(service, (0, now_s))
+        if count != before:
+            self.listed[service] = (count, now_s)
+            return
+        if not count or now_s - since_s < SET_UP_S:
+            return
+        put = store.Put(FLEET_PREFIX + service, json.dumps(count).encode())
+        match self.store.commit({put.key: self.leadership.absent()}, (put,)):
+            case store.Written(written):
+                self.changed(store.Item(put.key, put.value, written))
+            case store.Conflict(items):
+                for item in items:
+                    self.changed(item)
+        LOG.event(
+            'fleet_size',
+            service=service,
+            listed=count,
+            wanted=self.wanted.get(service, 'unknown'),
+        )
+
+    def _present(self, service: str) -> dict[str, fleetplan.Present]:
+        found: dict[str, fleetplan.Present] = {}
+        for endpoint in self.catalog.usable(service):
+            domain = endpoint.failure_domain
+            there = found.get(domain, fleetplan.Present())
+            if endpoint.reclaimable:
+                there = there._replace(reclaimable=there.reclaimable + 1)
+            else:
+                there = there._replace(lasting=there.lasting + 1)
+            found[domain] = there
+        return found
+
+    def _order(
+        self, plan: fleetplan.FleetPlan, order: fleetplan.Order
+    ) -> None:
+        outcome = self.leadership.call(
+            lambda caller: self.calls.order_endpoints(caller, order)
+        )
+        LOG.event(
+            'endpoints_ordered',
+            service=order.service,
+            failure_domain=order.failure_domain,
+            count=order.count,
+            reclaimable=order.reclaimable,
+            outcome=type(outcome).__name__.lower(),
+            reason=getattr(outcome, 'reason', 'none'),
+            fencing=self.leadership.fencing,
+        )
+        now_s = self.clock.now_s()
+        match outcome:
+            case operatorcalls.Done():
+                plan.accepted(order, now_s)
+            case operatorcalls.Rejected(scarce=True):
+                plan.scarce(order, now_s)
+            case _:
+                self.clock.sleep(RETRY_S)
--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -97,6 +97,8 @@
     :param bound_s: shortest time in which a change has to be in force
     :ivar others: the other hosts, None for one that is alone
     :ivar always_watches: whether this host watches though others would tell it
+    :ivar read_whole: called once all keys were read, with the moment at which
+        they were asked for, by the clock that passes during a suspension
     :ivar listening: it goes by what others tell
     :ivar updated_s: when one that watches last relayed something
     :ivar catch_up: asks other hosts for what this one lacks
@@ -126,6 +128,7 @@
         self.lag = revisionlag.RevisionLag(bound_s * LAG_SHARE)
         self.behind = event.Event()
         self.always_watches: Callable[[], bool] = lambda: False
+        self.read_whole: Callable[[float], None] = lambda asked_s: None
         self.listening = False
         self.missed = False
         self.updated_s = float('-inf')
@@ -200,6 +203,7 @@
             self.clock.sleep(pause_s * (1 + self.rng.random()))
 
     def _read_all(self) -> bool:
+        asked_s = self.clock.boot_s()
         found = self.store.list_prefix('')
         if isinstance(found, store.Unavailable):
             self._failed(found.reason)
@@ -207,6 +211,7 @@
         self._answered()
         self.take_all({i.key: i for i in found.items}, found.position)
         self.behind.clear()
+        self.read_whole(asked_s)
         return True
 
     def _follow(self) -> bool:
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -10,6 +10,7 @@
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import routes
+from magnoliadyke.core import workspaces
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import exchange
@@ -24,8 +25,10 @@
 LOG = logs.get('ingress')
 
 BACKLOG = 1024
-#: A caller that is refused before any configuration is known.
+#: When a caller is told to come back that is refused before any
+#: configuration is known, or while it is not confirmed, in seconds.
 UNCONFIGURED_RETRY_S = 0.5
+UNCONFIRMED_RETRY_S = 0.3
 #: After an answer that ends a connection, unread bytes of the caller are
 #: taken for this long, in seconds: closing at once would reset the
 #: connection, and the caller could lose the answer.
@@ -49,6 +52,7 @@
     :param address: numeric ``ip:port``
     :param parts: what exchanges work with
     :param record: called with each request's outcome and seconds
+    :param confirmed: whether the configuration is known to be the newest
     """
 
     def __init__(
@@ -56,12 +60,14 @@
         address: str,
         parts: exchange.Parts,
         record: Callable[[outcomes.Outcome, routes.Route, float], None],
+        confirmed: Callable[[], bool],
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
         self.address = address
         self.parts = parts
         self.record = record
+        self.confirmed = confirmed
         self.clock = clock
         self.rng = rng
         self.draining = False
@@ -238,12 +244,20 @@
         request.body = body
         configuration = self.parts.catalog.configuration
         if configuration is None:
-            self._answer_early(caller, request, 503, 'not configured yet')
+            self._answer_early(
+                caller,
+                request,
+                503,
+                'not configured yet',
+                UNCONFIGURED_RETRY_S,
+            )
             return
         route = configuration.match(request.host, request.path)
         if route is None:
             self._answer_early(caller, request, 404, 'no route')
             return
+        if not self._admit(caller, request, configuration, route):
+            return
         one = self._exchange(request, route, caller, arrived_s)
         try:
             outcome = one.run()
@@ -258,6 +272,29 @@
         self.record(outcome, route, took_s)
         self._log(one, outcome, took_s, configuration.version)
 
+    def _admit(
+        self,
+        caller: callers.Caller,
+        request: codecs.Request,
+        configuration: routes.Configuration,
+        route: routes.Route,
+    ) -> bool:
+        """Whether the request may run; who may not is answered."""
+        admitted = workspaces.admit(
+            configuration, route, request.key_digest, self.confirmed()
+        )
+        match admitted:
+            case workspaces.Allowed(workspace):
+                request.workspace = workspace
+                return True
+            case workspaces.UnknownKey(remedy):
+                self._answer_early(caller, request, 401, remedy)
+            case workspaces.Unconfirmed(reason):
+                self._answer_early(
+                    caller, request, 503, reason, UNCONFIRMED_RETRY_S
+                )
+        return False
+
     def _exchange(
         self,
         request: codecs.Request,
@@ -294,10 +331,11 @@
         request: codecs.Request,
         status: int,
         reason: str,
+        retry_after_s: float | None = None,
     ) -> None:
         headers = self.parts.codec.own_headers(request)
-        if status == 503:
-            headers.append((b'Retry-After', b'%.2f' % UNCONFIGURED_RETRY_S))
+        if retry_after_s is not None:
+            headers.append((b'Retry-After', b'%.2f' % retry_after_s))
         configuration = self.parts.catalog.configuration
         LOG.event(
             'request_ended',
--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -6,6 +6,7 @@
 import random
 from typing import Callable
 from typing import NamedTuple
+from typing import TypeVar
 
 import gevent
 
@@ -16,6 +17,7 @@
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import members
+from magnoliadyke.gateway import operatorcalls
 from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import store
@@ -77,6 +79,10 @@
 MOST_TERMS = 32
 
 
+#: What a call came to.
+_Outcome = TypeVar('_Outcome')
+
+
 class _Term(NamedTuple):
     """Who holds the lease, and the revision of the key."""
 
@@ -184,6 +190,24 @@
         """
         return self.store.commit({LEADER_KEY: self.held})
 
+    def call(
+        self, make: Callable[[operatorcalls.Caller], _Outcome]
+    ) -> _Outcome | operatorcalls.Unreachable:
+        """Make a call that only the holder may make.
+
+        The store is asked first whether this host still is the holder.
+        """
+        checked = self.confirm()
+        if not isinstance(checked, store.Written):
+            return operatorcalls.Unreachable(f'not made: {checked}')
+        if not self.may_order():
+            return operatorcalls.Unreachable('not made: the lease is over')
+        return make(operatorcalls.Caller(self.own.host, self.fencing))
+
+    def absent(self) -> position.Position:
+        """Where a key is expected that is not there."""
+        return position.Position(self._era(), 0)
+
     # Word of the store.
 
     def changed(self, item: store.Item) -> None:
@@ -394,7 +418,7 @@
         replaced = self.holder_position
         expected = replaced
         if replaced == position.START:
-            expected = position.Position(self._era(), 0)
+            expected = self.absent()
         granted = self.store.grant(self.lease_s)
         if not isinstance(granted, store.Granted):
             self.clock.sleep(RETRY_S * (1 + self.rng.random()))
--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -195,6 +195,14 @@
         domain = self._domain()
         return not domain or self.own in domain[:WATCHERS]
 
+    def watchers(self) -> list[str]:
+        """Addresses of the others that watch for this failure domain.
+
+        Empty in a small fleet, where all hosts watch.
+        """
+        watching = self._domain()[:WATCHERS]
+        return [each.address for each in watching if each != self.own]
+
     def relay(self, told: list[placing_codec.KeyUpdates]) -> None:
         """Tell the hosts of this failure domain that do not watch."""
         for record in self._domain()[WATCHERS:]:
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -93,6 +93,8 @@
             raise
         self._note_try(result, endpoint.id)
         now_s = self.parts.clock.now_s()
+        if not isinstance(result, outcomes.NotRun):
+            self._note_begun(now_s - begun_s)
         match result:
             case outcomes.Whole(facts=facts):
                 failed = facts.status >= 500
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -104,6 +104,7 @@
             'by': self.parts.placer.decided_by(job.id),
             'catalog': self.parts.catalog.generation,
             'tokens': job.tokens,
+            'output_tokens': job.output_tokens,
             'due_ms': round((job.objective_s - self.arrived_s) * 1000),
             'left_ms': round(self.left_s * 1000),
         }
@@ -353,6 +354,8 @@
             whole = splitter.feed(part.data)
             if not whole:
                 continue
+            if first:
+                self._note_begun()
             if first and options.source is None:
                 self._tell_read(job, runner)
             elif first and self.read_s is not None:
--- a/magnoliadyke/gateway/store.py
+++ b/magnoliadyke/gateway/store.py
@@ -7,6 +7,7 @@
 from magnoliadyke.core import position
 
 __all__ = [
+    'Absent',
     'Changes',
     'Compacted',
     'Conflict',
@@ -38,6 +39,10 @@
     position: position.Position
 
 
+class Absent(NamedTuple):
+    """There is no such key."""
+
+
 class Items(NamedTuple):
     """All keys under a prefix; changes after ``position`` are not in it."""
 
@@ -123,6 +128,10 @@
     def list_prefix(self, prefix: str) -> Items | Unavailable:
         """Read all keys under a prefix."""
 
+    @abc.abstractmethod
+    def read(self, key: str) -> Item | Absent | Unavailable:
+        """Read one key as it is at some moment of this call."""
+
     @abc.abstractmethod
     def watch(
         self, prefix: str, after: position.Position, wait_s: float
--- /dev/null
+++ b/magnoliadyke/gateway/usageduty.py
@@ -0,0 +1,278 @@
+"""Counts what workspaces use, and reports it where this host leads."""
+
+from typing import Callable
+from typing import NamedTuple
+
+import gevent
+
+from magnoliadyke import app
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import usage
+from magnoliadyke.core import walltime
+from magnoliadyke.gateway import duty_codec
+from magnoliadyke.gateway import keymirror
+from magnoliadyke.gateway import leadership
+from magnoliadyke.gateway import members
+from magnoliadyke.gateway import operatorcalls
+from magnoliadyke.gateway import placing
+from magnoliadyke.gateway import store
+from magnoliadyke import logs
+
+__all__ = ['REPORTS_KEY', 'UsageDuty', 'UsageSettings']
+
+LOG = logs.get('usage')
+
+REPORTS_KEY = 'magnoliadyke/usage'
+#: How often counts are told, in seconds.
+TELL_S = 1.0
+#: Hosts that keep a copy of what the host that leads has counted itself: it
+#: is told to nobody else, and would go with that host.
+COPIES = 2
+TICK_S = 0.5
+#: From the end of a window until its report is fixed, in seconds: what began
+#: in it has been counted and told twice by then.
+SETTLE_S = 2.5
+#: Pause after a call that was not accepted, in seconds.
+RETRY_S = 1.0
+
+
+class UsageSettings(NamedTuple):
+    """What the platform asks for.
+
+    :param window_s: length of a window
+    :param due_s: from its end to when its report is due
+    """
+
+    window_s: float
+    due_s: float
+
+
+class UsageDuty(app.Component, keymirror.Listener):
+    """The counts of this host, and the reports of all.
+
+    :param own: host name and incarnation of this process
+    :param calls: takes the reports; None where none are asked for
+    :ivar reports: that have been fixed, as far as is known here
+    :ivar key: position of the key that they are in
+    :ivar kept: windows there is still something to be done about
+    :ivar sent: windows that this host has reported
+    :ivar copies: what hosts that led have counted themselves, by host
+    """
+
+    def __init__(
+        self,
+        own: tuple[str, int],
+        settings: UsageSettings,
+        leader: leadership.Leadership,
+        others: members.Members,
+        placer: placing.Placer,
+        kept: store.Store,
+        calls: operatorcalls.OperatorCalls | None,
+        clock: clocks.Clock,
+    ) -> None:
+        self.host, self.incarnation = own
+        self.members = others
+        self.settings = settings
+        self.leadership = leader
+        self.placer = placer
+        self.store = kept
+        self.calls = calls
+        self.clock = clock
+        self.wall = walltime.WallTime(clock.wall_s(), clock.boot_s())
+        self.fleet_time = walltime.FleetTime(self.wall)
+        self.kept = usage.kept_windows(settings.window_s, settings.due_s)
+        self.tally = usage.Tally(settings.window_s, self.kept)
+        self.ledger = usage.Ledger(self.kept)
+        self.reports = usage.Reports(self.kept)
+        self.key: store.Item | None = None
+        self.sent: set[int] = set()
+        self.copies: dict[str, duty_codec.Usage] = {}
+        self.greenlets: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Begin to tell and to report."""
+        if self.calls is not None:
+            self.greenlets = [
+                gevent.spawn(self._tell_all),
+                gevent.spawn(self._report_all),
+            ]
+
+    def stop(self, deadline_s: float) -> None:
+        """Tell the counts once more, and nothing from now on."""
+        gevent.killall(self.greenlets)
+        if self.calls is not None:
+            self._tell()
+
+    def wall_s(self) -> float:
+        """The time of day, though this machine's clock may be set."""
+        return self.wall.at(self.clock.boot_s())
+
+    # What this host has seen.
+
+    def begun(self, workspace: str, ago_s: float = 0.0) -> None:
+        """A request of a workspace has begun to run."""
+        if self.calls is not None:
+            self.tally.begun(workspace, self.wall_s() - ago_s)
+
+    def _tell_all(self) -> None:
+        while True:
+            self.clock.sleep(TELL_S)
+            self._tell()
+
+    def _tell(self) -> None:
+        wall_s = self.wall_s()
+        message = duty_codec.Usage(
+            self.host, self.incarnation, self.tally.recent(wall_s), wall_s
+        )
+        if self.placer.leading:
+            self.heard(message)
+            for address in self._keepers():
+                self.placer.send(address, message)
+        elif self.placer.leader is not None:
+            for each in (message, *self._recent_copies(wall_s)):
+                self.placer.send(self.placer.leader, each)
+
+    def _keepers(self) -> list[str]:
+        """The hosts that keep a copy; the same ones as long as they run."""
+        return sorted(self.members.listening())[:COPIES]
+
+    def _recent_copies(self, wall_s: float) -> list[duty_codec.Usage]:
+        """Copies of which something may still have to be reported."""
+        since_s = wall_s - self.kept * self.settings.window_s
+        for host, copy in list(self.copies.items()):
+            if copy.wall_s < since_s:
+                del self.copies[host]
+        return [each._replace(wall_s=None) for each in self.copies.values()]
+
+    # What other hosts tell.
+
+    def heard(self, message: duty_codec.Usage) -> duty_codec.WallTime | None:
+        """A host tells its counts; one whose clock is off hears the time."""
+        if not self.placer.leading:
+            if message.wall_s is not None:
+                self.copies[message.host] = message
+            return None
+        for window, begun in message.windows.items():
+            self.ledger.told(message.host, message.incarnation, window, begun)
+        if message.host == self.host or message.wall_s is None:
+            return None
+        now_s = self.clock.boot_s()
+        told = self.fleet_time.told(message.host, message.wall_s, now_s)
+        return None if told is None else duty_codec.WallTime(told)
+
+    def corrected(self, message: duty_codec.WallTime) -> None:
+        """The host that leads tells the time that most hosts have."""
+        off_s = message.wall_s - self.wall_s()
+        self.wall.set(message.wall_s, self.clock.boot_s())
+        LOG.event('wall_time_corrected', by_ms=round(off_s * 1000))
+
+    # The store.
+
+    def changed(self, item: store.Item) -> None:
+        """Reports were fixed."""
+        try:
+            read = self.reports.parse(item.value)
+        except (ValueError, TypeError) as error:
+            LOG.repeated('reports_ignored', item.key, error=str(error))
+            return
+        if self.key is None or item.position > self.key.position:
+            self.key = item
+        self.reports.merge(read)
+
+    def restored(self, items: dict[str, store.Item], at) -> None:
+        """The store came back from an older copy.
+
+        What is known of the reports outlives it, and is written again with
+        the next one.
+        """
+        self.key = None
+        for item in items.values():
+            self.changed(item)
+
+    # Reporting.
+
+    def _report_all(self) -> None:
+        while True:
+            self.clock.sleep(TICK_S)
+            if not self.placer.leading:
+                self.sent.clear()
+            elif self.leadership.may_order() and not self._step():
+                self.clock.sleep(RETRY_S)
+
+    def _step(self) -> bool:
+        """Fix what is due, and report it; False if some of it has to wait."""
+        done = True
+        while done and (window := self._due()) is not None:
+            done = self._fix(window)
+        for each in sorted(self.reports.fixed):
+            if each not in self.sent and not self._is_overdue(each):
+                done &= self._send(self.reports.fixed[each])
+        return done
+
+    def _due(self) -> int | None:
+        """The next window to be fixed, if it is over."""
+        over = self._window(SETTLE_S) - 1
+        last = self.reports.last
+        if last is None:
+            first = min(self.ledger.windows, default=over)
+            return first if first <= over else None
+        if last >= over:
+            return None
+        return max(last + 1, over - self.kept + 1)
+
+    def _window(self, ago_s: float) -> int:
+        return usage.window_of(self.wall_s() - ago_s, self.settings.window_s)
+
+    def _is_overdue(self, window: int) -> bool:
+        end_s = (window + 1) * self.settings.window_s
+        return self.wall_s() > end_s + self.settings.due_s
+
+    def _fix(self, window: int) -> bool:
+        """Write a window's report where no other host can write another."""
+        made = self.reports.fix(
+            usage.Report(window, self.ledger.counts(window))
+        )
+        expected = self.leadership.absent()
+        if self.key is not None:
+            expected = self.key.position
+        put = store.Put(REPORTS_KEY, made.dump())
+        match self.store.commit({REPORTS_KEY: expected}, (put,)):
+            case store.Written(written):
+                self.changed(store.Item(REPORTS_KEY, put.value, written))
+                LOG.event(
+                    'usage_fixed',
+                    window=window,
+                    requests=sum(made.fixed[window].counts.values()),
+                    workspaces=len(made.fixed[window].counts),
+                    position=written,
+                )
+                return True
+            case store.Conflict(items):
+                for item in items:
+                    self.changed(item)
+            case failure:
+                LOG.event('usage_not_fixed', window=window, cause=failure)
+        return False
+
+    def _send(self, report: usage.Report) -> bool:
+        outcome = self.leadership.call(
+            lambda caller: self.calls.report_usage(
+                caller, report.window, report.counts
+            )
+        )
+        LOG.event(
+            'usage_reported',
+            window=report.window,
+            outcome=type(outcome).__name__.lower(),
+            reason=getattr(outcome, 'reason', 'none'),
+            fencing=self.leadership.fencing,
+        )
+        match outcome:
+            case operatorcalls.Done() | operatorcalls.Rejected(again=False):
+                self.sent.add(report.window)
+                return True
+        return False
+
+
+#: Takes the name of a workspace, and how long ago its request began.
+Begun = Callable[[str, float], None]
--- /dev/null
+++ b/magnoliadyke/platform/cloud.py
@@ -0,0 +1,96 @@
+"""The platform's own interface: usage reports and orders of endpoints."""
+
+import json
+from typing import Any
+
+import gevent
+
+from magnoliadyke.core import fleetplan
+from magnoliadyke.gateway import connection
+from magnoliadyke.gateway import http
+from magnoliadyke.gateway import operatorcalls
+
+__all__ = ['PlatformCalls']
+
+#: Longer than the answers of a platform that is fifty times slower.
+CALL_TIMEOUT_S = 3.0
+CONNECT_TIMEOUT_S = 1.0
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_RATE_LIMITED = 429
+SERVER_ERRORS = range(500, 600)
+
+
+class PlatformCalls(operatorcalls.OperatorCalls):
+    """Each call on a connection of its own; few are made.
+
+    :param address: numeric ``ip:port``
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+    def report_usage(
+        self, caller: operatorcalls.Caller, window: int, counts: dict[str, int]
+    ) -> (
+        operatorcalls.Done | operatorcalls.Rejected | operatorcalls.Unreachable
+    ):
+        """Report what began to run in a window, by workspace."""
+        body = {'window_id': window, 'counts': counts}
+        return self._call(caller, b'/usage', body)
+
+    def order_endpoints(
+        self, caller: operatorcalls.Caller, order: fleetplan.Order
+    ) -> (
+        operatorcalls.Done | operatorcalls.Rejected | operatorcalls.Unreachable
+    ):
+        """Have a service run so many endpoints in a failure domain."""
+        body: dict[str, Any] = {
+            'service': order.service,
+            'zone': order.failure_domain,
+            'desired_count': order.count,
+        }
+        if order.reclaimable:
+            body['spot'] = True
+        return self._call(caller, b'/scale', body)
+
+    def _call(
+        self, caller: operatorcalls.Caller, target: bytes, body: dict[str, Any]
+    ) -> (
+        operatorcalls.Done | operatorcalls.Rejected | operatorcalls.Unreachable
+    ):
+        headers = [
+            (b'Host', self.address.encode()),
+            (b'Content-Type', b'application/json'),
+            (b'X-Duty-Holder', caller.host.encode()),
+            (b'X-Fence-Token', b'%d' % caller.fencing),
+        ]
+        held = None
+        try:
+            with gevent.Timeout(CALL_TIMEOUT_S, http.OutOfTime('no answer')):
+                held = connection.Connection(self.address, CONNECT_TIMEOUT_S)
+                answer = held.call(
+                    b'POST', target, headers, json.dumps(body).encode()
+                )
+        except (
+            OSError,
+            http.BrokenMessage,
+            http.OutOfTime,
+            http.PeerClosed,
+        ) as error:
+            return operatorcalls.Unreachable(str(error))
+        finally:
+            if held is not None:
+                held.close()
+        return _outcome(answer.head.status, answer.body)
+
+
+def _outcome(
+    status: int, body: bytes
+) -> operatorcalls.Done | operatorcalls.Rejected:
+    if status == STATUS_OK:
+        return operatorcalls.Done()
+    reason = f'status {status}: {body[:120].decode(errors="replace")}'
+    scarce = status == STATUS_CONFLICT
+    again = scarce or status == STATUS_RATE_LIMITED or status in SERVER_ERRORS
+    return operatorcalls.Rejected(reason, scarce, again)
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -15,7 +15,10 @@
 from magnoliadyke.core import position
 from magnoliadyke.core import retrybudget
 from magnoliadyke.core import routes
+from magnoliadyke.gateway import confirming
+from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import exchange
+from magnoliadyke.gateway import fleetduty
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import ingress
 from magnoliadyke.gateway import keymirror
@@ -31,7 +34,9 @@
 from magnoliadyke.gateway import store
 from magnoliadyke.gateway import suspects
 from magnoliadyke.gateway import upstream
+from magnoliadyke.gateway import usageduty
 from magnoliadyke import logs
+from magnoliadyke.platform import cloud
 from magnoliadyke.platform import codec
 from magnoliadyke.platform import directory
 from magnoliadyke.platform import engines
@@ -44,6 +49,11 @@
 LOG = logs.get('node')
 
 METRICS_PATH = b'/metrics'
+#: Names of the calls that one host makes for all.
+USAGE = 'usage_report'
+SCALING = 'autoscale'
+#: Where no usage is reported, windows have this length, in seconds.
+UNREPORTED = usageduty.UsageSettings(60.0, 60.0)
 UPKEEP_S = 0.5
 #: How long callers keep an answer of the directory, in seconds: a host that
 #: stops is not asked for longer than this after it said so.
@@ -172,12 +182,16 @@
             engines.PlatformEngines(),
             clock,
         )
+        self.usage, self.fleet = self._duties()
+        decoder = RecordDecoder()
         mirror = keymirror.KeyMirror(
-            RecordDecoder(),
+            decoder,
             self.catalog,
             {
                 members.HOST_PREFIX: HostListener(self.members),
                 leadership.LEADER_KEY: self.leadership,
+                usageduty.REPORTS_KEY: self.usage,
+                fleetduty.FLEET_PREFIX: self.fleet,
             },
             self.upstream.drop_endpoint,
             clock,
@@ -196,12 +210,28 @@
         self.members.send_updates = self.placer.send
         self.follower.always_watches = lambda: self.placer.leading
         self.leadership.contact = self.follower
+        self.confirming = confirming.Confirming(
+            settings.revoke_s,
+            self.catalog,
+            decoder,
+            self.store,
+            self.follower,
+            self.members,
+            self.placer,
+            clock,
+            rng,
+        )
+        self.follower.read_whole = self.confirming.listed
         self.suspects = suspects.Suspects(clock, self._tell_hosts)
         self.placer.tell = self._tell_hosts
         self.placer.listeners = {
             placing_codec.Broken: self.suspects.heard,
             placing_codec.Leads: self.leadership.heard,
             placing_codec.KeyUpdates: self.follower.take_updates,
+            duty_codec.ConfirmationRequest: self.confirming.asked,
+            duty_codec.ConfirmationReply: self.confirming.heard,
+            duty_codec.Usage: self.usage.heard,
+            duty_codec.WallTime: self.usage.corrected,
         }
         parts = exchange.Parts(
             clock,
@@ -213,9 +243,15 @@
             self.placer,
             self.suspects,
             rng,
+            self.usage.begun,
         )
         self.ingress = ingress.Ingress(
-            settings.callers, parts, self._record, clock, rng
+            settings.callers,
+            parts,
+            self._record,
+            self.confirming.holds,
+            clock,
+            rng,
         )
         ttl_s = min(DIRECTORY_TTL_S, settings.directory_ttl_s)
         answers = directory.Directory(
@@ -230,7 +266,10 @@
             peerstate.StateServer(state_address, self.follower.state),
             self.follower,
             self.leadership,
+            self.confirming,
             self.stages,
+            self.usage,
+            self.fleet,
             smallserver.SmallServer(settings.readiness, answers.readiness),
             smallserver.SmallServer(settings.directory, answers.resolve),
             smallserver.SmallServer(metrics_address, self._metrics),
@@ -252,6 +291,36 @@
             ),
         )
 
+    def _duties(self) -> tuple[usageduty.UsageDuty, fleetduty.FleetDuty]:
+        """What one host does for all, as far as the platform asks for it."""
+        asked = self.settings.duties
+        names = () if asked is None else asked.names
+        calls = None if asked is None else cloud.PlatformCalls(asked.address)
+        windows = UNREPORTED
+        if asked is not None:
+            windows = usageduty.UsageSettings(
+                asked.usage_window_s, asked.usage_due_s
+            )
+        usage = usageduty.UsageDuty(
+            (self.own.host, self.own.incarnation),
+            windows,
+            self.leadership,
+            self.members,
+            self.placer,
+            self.store,
+            calls if USAGE in names else None,
+            self.clock,
+        )
+        fleet = fleetduty.FleetDuty(
+            self.leadership,
+            self.placer,
+            self.catalog,
+            self.store,
+            calls if SCALING in names else None,
+            self.clock,
+        )
+        return usage, fleet
+
     def _tell_hosts(self, message: placing_codec.Message) -> None:
         for address in self.members.listening():
             self.placer.send(address, message)
@@ -261,6 +330,7 @@
             not self.stopping.is_set()
             and self.catalog.configuration is not None
             and bool(self.catalog.endpoints)
+            and self.confirming.serves()
         )
 
     def _record(
--- a/magnoliadyke/platform/settings.py
+++ b/magnoliadyke/platform/settings.py
@@ -7,7 +7,7 @@
 
 from magnoliadyke import errors
 
-__all__ = ['NodeSettings', 'Problem', 'load', 'parse']
+__all__ = ['DutySettings', 'NodeSettings', 'Problem', 'load', 'parse']
 
 #: Names the settings file; set by the platform.
 VARIABLE = 'MAGNOLIADYKE_SETTINGS'
@@ -23,6 +23,21 @@
         return f'{self.path}: {self.text}'
 
 
+class DutySettings(NamedTuple):
+    """Calls to the platform that one host makes for all.
+
+    :param address: of the platform's own interface
+    :param names: of the calls that are asked for
+    :param usage_window_s: length of a window of usage
+    :param usage_due_s: from its end to when its report is due
+    """
+
+    address: str
+    names: tuple[str, ...]
+    usage_window_s: float
+    usage_due_s: float
+
+
 class NodeSettings(NamedTuple):
     """What a node is told at its start.
 
@@ -42,6 +57,9 @@
     :param retry_extra: repeats allowed beside the ratio, in each window
     :param order_gap_s: orders of two holders are this far apart
     :param directory_ttl_s: longest time that callers keep an answer
+    :param revoke_s: a key that was taken away is used no later than this at
+        any host; None where only hosts in touch with the store are held to it
+    :param duties: None if no host has to call the platform
     """
 
     name: str
@@ -66,6 +84,8 @@
     retry_extra: float
     order_gap_s: float
     directory_ttl_s: float
+    revoke_s: float | None = None
+    duties: DutySettings | None = None
 
 
 def load(path: str | None = None) -> NodeSettings:
@@ -92,8 +112,10 @@
     """
     problems = []
     for name in NodeSettings._fields:
-        if fields.get(name) is None:
+        required = name not in NodeSettings._field_defaults
+        if required and fields.get(name) is None:
             problems.append(Problem(name, 'is missing; add it'))
+    problems += _duty_problems(fields.get('duties'))
     for name in ('callers', 'readiness', 'directory', 'control', 'store'):
         text = fields.get(name)
         if text and not str(text).rpartition(':')[2].isdigit():
@@ -103,6 +125,32 @@
         problems.append(Problem('peer_ports', 'name a range of three ports'))
     if problems:
         raise errors.SettingsError(problems)
-    values = {name: fields[name] for name in NodeSettings._fields}
+    values = {
+        name: fields[name] for name in NodeSettings._fields if name in fields
+    }
     values['peer_ports'] = (ports[0], ports[1])
+    if values.get('duties') is not None:
+        duties = values['duties']
+        values['duties'] = DutySettings(
+            duties['address'],
+            tuple(duties['names']),
+            duties['usage_window_s'],
+            duties['usage_due_s'],
+        )
     return NodeSettings(**values)
+
+
+def _duty_problems(duties: Any) -> list[Problem]:
+    if duties is None:
+        return []
+    if not isinstance(duties, dict):
+        return [Problem('duties', 'is no object')]
+    problems = [
+        Problem(f'duties.{name}', 'is missing; add it')
+        for name in DutySettings._fields
+        if duties.get(name) is None
+    ]
+    window_s = duties.get('usage_window_s')
+    if window_s is not None and not window_s > 0:
+        problems.append(Problem('duties.usage_window_s', 'is not above 0'))
+    return problems
--- a/magnoliadyke/platform/store.py
+++ b/magnoliadyke/platform/store.py
@@ -91,6 +91,19 @@
                 return store.Items(tuple(items), start)
             after = items[-1].key
 
+    def read(self, key: str) -> store.Item | store.Absent | store.Unavailable:
+        """Read one key as it is at some moment of this call."""
+        path = f'/api/kv-key?key={_quoted(key)}'
+        reply = self._call('read', b'GET', path)
+        if isinstance(reply, store.Unavailable):
+            return reply
+        match reply.status:
+            case status if status == STATUS_OK:
+                return _item(reply.fields, reply.era)
+            case status if status == STATUS_NOT_FOUND:
+                return store.Absent()
+        return _unavailable(reply)
+
     def watch(
         self, prefix: str, after: position.Position, wait_s: float
     ) -> store.Changes | store.Compacted | store.Restored | store.Unavailable:
--- /dev/null
+++ b/tests/test_gateway_keys.py
@@ -0,0 +1,374 @@
+"""Keys of workspaces through real nodes: who is served, what is passed on."""
+
+import io
+import sys
+
+import gevent
+import pytest
+
+from magnoliadyke import clock as clocks
+from magnoliadyke.gateway import store
+from magnoliadyke.lab import platformcloud
+from tests import gatewayworld
+
+KEYS = {'large': ['key-large-1', 'key-large-2'], 'small': ['key-small']}
+PROMPT = gatewayworld.prompt((0xA, 2000), (0xB, 3000), (0xC, 500))
+BOUND_S = 1.5
+
+
+@pytest.fixture
+def world():
+    with gatewayworld.world() as made:
+        made.configure(workspaces=KEYS)
+        yield made
+
+
+@pytest.fixture
+def plain(world):
+    return world.endpoint('p1')
+
+
+def run(world, key=None, path='/safe/x', method='GET', node=0, **headers):
+    if key is not None:
+        headers['Api_Key'] = key
+    client = gatewayworld.Client(world.nodes[node])
+    try:
+        return client.call(method, path, 'r1', **headers)
+    finally:
+        client.close()
+
+
+def test_endpoint_hears_the_workspace_and_not_the_key(world, plain):
+    world.node()
+    head, _ = run(world, 'key-large-2')
+    assert head.status == 200
+    (arrival,) = plain.arrivals
+    assert arrival.headers[b'x-tenant'] == b'large'
+    assert b'api-key' not in arrival.headers
+
+
+def test_workspace_that_a_caller_names_is_not_believed(world, plain):
+    world.node()
+    run(world, 'key-small', X_Tenant='large')
+    (arrival,) = plain.arrivals
+    assert arrival.headers[b'x-tenant'] == b'small'
+
+
+@pytest.mark.parametrize('key', [None, '', 'key-of-nobody', 'KEY-SMALL'])
+def test_unknown_key_is_rejected_with_a_remedy(world, plain, key):
+    world.node()
+    head, body = run(world, key)
+    assert head.status == 401
+    assert b'key' in body
+    assert not plain.arrivals
+
+
+def test_two_keys_are_no_key(world, plain):
+    world.node()
+    client = gatewayworld.Client(world.nodes[0])
+    client.send(
+        b'GET /safe/x HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: r1\r\n'
+        b'Api-Key: key-small\r\nApi-Key: key-large-1\r\n\r\n'
+    )
+    head, _ = client.answer()
+    assert head.status == 400
+    assert not plain.arrivals
+
+
+def test_public_route_needs_no_key_and_names_no_workspace(world, plain):
+    world.configure(
+        version=2,
+        workspaces=KEYS,
+        routes=[
+            gatewayworld.route('s', '/safe/', 'safe', 'plain', public=True)
+        ],
+    )
+    world.node()
+    head, _ = run(world, 'key-small', X_Tenant='large')
+    assert head.status == 200
+    (arrival,) = plain.arrivals
+    assert b'x-tenant' not in arrival.headers
+    assert b'api-key' not in arrival.headers
+
+
+def test_key_is_seen_nowhere_but_at_the_host_that_got_it(world, monkeypatch):
+    """First tries, prompts read elsewhere, repeats, logs, other hosts."""
+    written = io.StringIO()
+    monkeypatch.setattr(sys, 'stdout', written)
+    datagrams = []
+    world.endpoint('p1').mode = 'error'
+    world.endpoint('p2')
+    world.endpoint('e1', 'model', 'prefill')
+    world.endpoint('e2', 'model', 'decode')
+    for _ in range(2):
+        node = world.node()
+        send = node.placer.send
+        monkeypatch.setattr(
+            node.placer,
+            'send',
+            lambda to, m, send=send: (datagrams.append(m), send(to, m)),
+        )
+    for node in range(2):
+        assert run(world, 'key-small', node=node)[0].status == 200
+        head, _ = run(world, 'key-large-1', '/once/x', 'POST', node, **PROMPT)
+        assert head.status == 200
+        assert run(world, 'key-wrong', node=node)[0].status == 401
+    arrivals = [a for e in world.endpoints.values() for a in e.arrivals]
+    assert len(arrivals) >= 6
+    keys = (b'key-small', b'key-large', b'key-wrong')
+    seen = repr([(a.headers, a.target, a.body) for a in arrivals]).encode()
+    seen += repr(datagrams).encode()
+    seen += written.getvalue().encode()
+    for node in world.nodes:
+        seen += node._metrics(b'GET', b'/metrics').body
+    seen += repr(world.store.items.get('magnoliadyke/usage')).encode()
+    for key in keys:
+        assert key not in seen
+
+
+def test_key_that_was_taken_away_is_refused_and_a_new_one_works(world, plain):
+    world.node()
+    assert run(world, 'key-small')[0].status == 200
+    world.configure(
+        version=2, workspaces={'large': ['key-new'], 'small': ['key-large-1']}
+    )
+    gatewayworld.wait_for(
+        lambda: run(world, 'key-new')[0].status == 200, 'the new key'
+    )
+    assert run(world, 'key-small')[0].status == 401
+    assert run(world, 'key-large-1')[0].status == 200
+    assert plain.arrivals[-1].headers[b'x-tenant'] == b'small'
+
+
+def fail(node, calls=('list_prefix', 'watch', 'read', 'commit', 'renew')):
+    """The store answers this host no more."""
+
+    def unavailable(*arguments, **named):
+        gevent.sleep(0.01)
+        return store.Unavailable('status 503', False)
+
+    for call in calls:
+        setattr(node.store, call, unavailable)
+
+
+def strict_node(world, **fields):
+    node = world.node(revoke_s=BOUND_S, **fields)
+    gatewayworld.wait_for(node.confirming.holds, 'a proof')
+    return node
+
+
+def test_host_that_hears_of_nothing_stops_in_time(world, plain):
+    """A key that was taken away behind its back would run for good."""
+    node = strict_node(world)
+    assert run(world, 'key-small')[0].status == 200
+    fail(node)
+    gevent.sleep(BOUND_S + 0.05)
+    arrived = len(plain.arrivals)
+    head, _ = run(world, 'key-small')
+    assert head.status == 503
+    assert float(head.value(b'retry-after')) > 0
+    assert run(world, 'key-of-nobody')[0].status == 503
+    assert len(plain.arrivals) == arrived
+    assert not node._is_ready()
+
+
+def test_host_that_was_suspended_does_not_trust_what_it_knew(world, plain):
+    """The steady clock stands still while a machine is suspended."""
+    node = strict_node(world)
+    fail(node)
+    monkey = node.confirming.clock
+    jump = monkey.boot_s() + BOUND_S
+    node.confirming.clock = Suspended(monkey, BOUND_S)
+    assert node.confirming.clock.boot_s() >= jump
+    assert run(world, 'key-small')[0].status == 503
+
+
+class Suspended(clocks.SystemClock):
+    """A clock whose machine has been suspended for a time."""
+
+    def __init__(self, clock, for_s):
+        self.clock = clock
+        self.for_s = for_s
+
+    def boot_s(self):
+        return self.clock.boot_s() + self.for_s
+
+
+def test_host_cut_off_from_the_store_serves_by_the_others_proof(world, plain):
+    strict_node(world)
+    node = strict_node(world)
+    gatewayworld.wait_for(lambda: node.members.count() == 2, 'two hosts')
+    fail(node)
+    gevent.sleep(2 * BOUND_S)
+    assert run(world, 'key-small', node=1)[0].status == 200
+
+
+def test_host_cut_off_from_the_store_takes_no_key_that_was_revoked(
+    world, plain
+):
+    """It hears from the others that there is a newer configuration."""
+    strict_node(world)
+    node = strict_node(world)
+    gatewayworld.wait_for(lambda: node.members.count() == 2, 'two hosts')
+    fail(node)
+    world.configure(version=2, workspaces={'large': KEYS['large']})
+    gevent.sleep(BOUND_S)
+    assert run(world, 'key-small', node=1)[0].status in (401, 503)
+    gatewayworld.wait_for(
+        lambda: run(world, 'key-large-1', node=1)[0].status == 200,
+        'the key that stays',
+    )
+
+
+def test_host_that_starts_on_a_copy_of_the_store_asks_the_others(world, plain):
+    """The copy brings a key back that was taken away since."""
+    first = strict_node(world)
+    copy = world.store.copy()
+    world.configure(version=2, workspaces={'large': KEYS['large']})
+    gatewayworld.wait_for(
+        lambda: first.catalog.configuration.version == 2, 'version 2'
+    )
+    world.store.restore(copy)
+    world.node(revoke_s=BOUND_S, wait=False)
+    until_s = gevent.get_hub().loop.now() + 3.0
+    while gevent.get_hub().loop.now() < until_s:
+        status = run(world, 'key-small', node=1)[0].status
+        assert status in (401, 503)
+        gevent.sleep(0.1)
+
+
+def test_proof_is_renewed_by_one_host(world, plain):
+    for _ in range(4):
+        strict_node(world)
+    gatewayworld.wait_for(
+        lambda: all(n.placer.leading or n.placer.leader for n in world.nodes),
+        'who leads',
+    )
+    gevent.sleep(1.0)
+    before = world.store.calls.count('/api/kv-key')
+    gevent.sleep(3.0)
+    calls = world.store.calls.count('/api/kv-key') - before
+    assert 3 <= calls <= 3.0 / (0.2 * BOUND_S) + 2
+    assert all(n.confirming.holds() for n in world.nodes)
+
+
+def duty_settings(cloud, window_s=1.0, due_s=5.0):
+    return {
+        'address': cloud.address,
+        'names': ['usage_report', 'autoscale'],
+        'usage_window_s': window_s,
+        'usage_due_s': due_s,
+    }
+
+
+@pytest.fixture
+def cloud():
+    made = platformcloud.PlatformCloudStandIn()
+    made.start()
+    yield made
+    made.stop()
+
+
+def began(world, window_s=1.0):
+    """Runs by window and workspace, as the endpoints saw them."""
+    return sum(
+        1 for e in world.endpoints.values() for a in e.arrivals if a.run
+    )
+
+
+def reported(cloud):
+    return sum(sum(counts[0].values()) for counts in cloud.reports().values())
+
+
+def serving_nodes(world, cloud, count=3, **windows):
+    """Nodes of which one may order, that one first."""
+    for _ in range(count):
+        world.node(duties=duty_settings(cloud, **windows))
+    gatewayworld.wait_for(
+        lambda: any(n.leadership.may_order() for n in world.nodes),
+        'a host that may order',
+    )
+    return sorted(world.nodes, key=lambda n: not n.leadership.may_order())
+
+
+def call_for(world, seconds, key='key-small'):
+    until_s = gevent.get_hub().loop.now() + seconds
+    number = 0
+    while gevent.get_hub().loop.now() < until_s:
+        node = number % len(world.nodes)
+        assert run(world, key, node=node)[0].status == 200
+        number += 1
+        gevent.sleep(0.05)
+    return number
+
+
+def test_what_endpoints_began_is_reported_once(world, plain, cloud):
+    serving_nodes(world, cloud)
+    made = call_for(world, 2.0) + call_for(world, 0.5, 'key-large-1')
+    gatewayworld.wait_for(lambda: reported(cloud) == made, 'all reports')
+    assert began(world) == made
+    assert not cloud.breaches()
+    totals = {}
+    for counts in cloud.reports().values():
+        for name, count in counts[0].items():
+            totals[name] = totals.get(name, 0) + count
+    assert set(totals) == {'large', 'small'}
+
+
+def test_report_whose_answer_is_lost_is_repeated_exactly(world, plain, cloud):
+    """Counted again it would be another report of the same window."""
+    cloud.lose_answers = True
+    serving_nodes(world, cloud)
+    made = call_for(world, 1.0)
+    gatewayworld.wait_for(lambda: len(cloud.calls) >= 4, 'repeats')
+    cloud.lose_answers = False
+    gatewayworld.wait_for(lambda: reported(cloud) == made, 'all reports')
+    assert not cloud.breaches()
+
+
+@pytest.mark.parametrize('mode', ['busy', 'limited', 'reset'])
+def test_reports_wait_for_a_platform_that_does_not_answer(
+    world, plain, cloud, mode
+):
+    cloud.mode = mode
+    serving_nodes(world, cloud)
+    made = call_for(world, 1.0)
+    gevent.sleep(1.5)
+    cloud.mode = 'up'
+    gatewayworld.wait_for(lambda: reported(cloud) == made, 'all reports')
+    assert not cloud.breaches()
+
+
+def test_successor_repeats_what_was_fixed(world, plain, cloud):
+    """The host that reports is killed between the call and its answer."""
+    leader, *_ = serving_nodes(world, cloud, window_s=2.0, due_s=20.0)
+    made = call_for(world, 1.0)
+    cloud.lose_answers = True
+    gevent.sleep(1.2)
+    gatewayworld.wait_for(lambda: cloud.calls, 'a report')
+    world.kill(leader)
+    cloud.lose_answers = False
+    gatewayworld.wait_for(
+        lambda: (
+            reported(cloud) == made
+            and len({call.holder for call in cloud.calls}) == 2
+        ),
+        'the reports of the other host',
+        wait_s=20.0,
+    )
+    assert not cloud.breaches()
+
+
+def test_restore_of_the_store_makes_no_second_report(world, plain, cloud):
+    """The copy is from before the report was fixed."""
+    serving_nodes(world, cloud)
+    copy = world.store.copy()
+    call_for(world, 1.0)
+    gatewayworld.wait_for(lambda: cloud.reports(), 'a report')
+    world.store.restore(copy)
+    call_for(world, 1.0)
+    before = len(cloud.reports())
+    gatewayworld.wait_for(
+        lambda: len(cloud.reports()) > before + 1, 'more reports', wait_s=20.0
+    )
+    assert not cloud.breaches()
