--- a/magnoliadyke/gateway/confirming.py
+++ b/magnoliadyke/gateway/confirming.py
@@ -83,9 +83,10 @@
 
     def serves(self) -> bool:
         """Whether this host takes the requests of all routes."""
-        return not self._needed() or self.holds()
+        return not self.needed() or self.holds()
 
-    def _needed(self) -> bool:
+    def needed(self) -> bool:
+        """Whether requests need a proof of this host."""
         configuration = self.catalog.configuration
         return (
             self.proof.bound_s is not None
@@ -96,7 +97,7 @@
     def _run(self) -> None:
         while True:
             self.clock.sleep(TICK_S)
-            if self._needed():
+            if self.needed():
                 self._renew()
                 self._log_change()
 
@@ -130,7 +131,7 @@
 
     def listed(self, asked_s: float) -> None:
         """All keys were read, and the configuration with them."""
-        if not self._needed():
+        if not self.needed():
             return
         item = self.follower.mirror.items.get(self.decoder.configuration_key)
         if item is not None:
@@ -197,7 +198,7 @@
 
         One that has no proof tells its version all the same.
         """
-        if not self._needed():
+        if not self.needed():
             return None
         return duty_codec.ConfirmationReply(
             request.nonce,
--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -102,6 +102,8 @@
     :ivar listening: it goes by what others tell
     :ivar updated_s: when one that watches last relayed something
     :ivar catch_up: asks other hosts for what this one lacks
+    :ivar untold: keys that other hosts are told nothing of: whoever needs them
+        reads them
     """
 
     def __init__(
@@ -129,6 +131,7 @@
         self.behind = event.Event()
         self.always_watches: Callable[[], bool] = lambda: False
         self.read_whole: Callable[[float], None] = lambda asked_s: None
+        self.untold: frozenset[str] = frozenset()
         self.listening = False
         self.missed = False
         self.updated_s = float('-inf')
@@ -170,9 +173,14 @@
             tuple(
                 item
                 for item in self.mirror.items.values()
-                if item.position > known or known.era != item.position.era
+                if item.key not in self.untold
+                and (item.position > known or known.era != item.position.era)
             ),
-            {key: item.position for key, item in self.mirror.items.items()},
+            {
+                key: item.position
+                for key, item in self.mirror.items.items()
+                if key not in self.untold
+            },
             self.lag.own,
             self._reach(now_s),
             self.mirror.lapses.regained_ago_s(now_s),
@@ -386,10 +394,9 @@
         now_s = self.clock.now_s()
         self.relayed_s = now_s
         regained_s = self.mirror.lapses.regained_ago_s(now_s)
+        told = tuple(each for each in changes if each.key not in self.untold)
         self.others.relay(
-            keyupdates.split(
-                self.host, base, self.lag.own, changes, regained_s
-            )
+            keyupdates.split(self.host, base, self.lag.own, told, regained_s)
         )
 
     def _relay_idle(self) -> None:
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -52,6 +52,8 @@
     :param address: numeric ``ip:port``
     :param parts: what exchanges work with
     :param record: called with each request's outcome and seconds
+    :param record_early: called with the status of a request that is answered
+        before it is looked at
     :param confirmed: whether the configuration is known to be the newest
     """
 
@@ -60,6 +62,7 @@
         address: str,
         parts: exchange.Parts,
         record: Callable[[outcomes.Outcome, routes.Route, float], None],
+        record_early: Callable[[int], None],
         confirmed: Callable[[], bool],
         clock: clocks.Clock,
         rng: random.Random,
@@ -67,6 +70,7 @@
         self.address = address
         self.parts = parts
         self.record = record
+        self.record_early = record_early
         self.confirmed = confirmed
         self.clock = clock
         self.rng = rng
@@ -337,6 +341,7 @@
         if retry_after_s is not None:
             headers.append((b'Retry-After', b'%.2f' % retry_after_s))
         configuration = self.parts.catalog.configuration
+        self.record_early(status)
         LOG.event(
             'request_ended',
             id=request.id.decode('latin-1'),
@@ -365,6 +370,8 @@
             'endpoint': one.endpoint or 'none',
             'sends': one.sends,
         }
+        if one.request.workspace is not None:
+            fields['workspace'] = one.request.workspace.name
         match outcome:
             case outcomes.Answered(status):
                 fields['status'] = status
--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -357,9 +357,10 @@
             return
         if self.vacant_since_s is None:
             self.vacant_since_s = now_s
+        vacant_s = now_s - max(self.vacant_since_s, self.gathered_s)
         # Who leads already knows the engines, and goes first.
         rank = 0 if self.placer.leading else 1 + self._rank()
-        if now_s - self.vacant_since_s >= rank * RANK_DELAY_S:
+        if vacant_s >= rank * RANK_DELAY_S:
             self._take()
 
     def _holder_is_dead(self) -> bool:
--- a/magnoliadyke/gateway/measures.py
+++ b/magnoliadyke/gateway/measures.py
@@ -31,6 +31,11 @@
             'kind',
             'outcome',
         )
+        self.early = self._counter(
+            'early_answers',
+            'Requests without a route, a known key or a proof, by status.',
+            'status',
+        )
         self.took = prometheus_client.Histogram(
             'magnoliadyke_answer_seconds',
             'Time from a read head to the end of the answer.',
@@ -56,6 +61,18 @@
         self.unusable = self._gauge(
             'unusable_records', 'Records of the store not used.', 'kind'
         )
+        self.proof_age = self._gauge(
+            'confirmation_age_seconds',
+            'Time since the configuration was known to be the newest.',
+        )
+        self.usage_window = self._gauge(
+            'usage_window', 'Latest window of which the usage was fixed.'
+        )
+        self.endpoints_wanted = self._gauge(
+            'endpoints_wanted',
+            'Endpoints that a service is to have.',
+            'service',
+        )
         self.hosts = self._gauge('hosts', 'Hosts thought to run.')
         self.engines = self._gauge(
             'engines',
@@ -95,6 +112,10 @@
         self.requests.labels(*labels).inc()
         self.took.labels(*labels).observe(took_s)
 
+    def record_early(self, status: int) -> None:
+        """Count one request that was answered before it was looked at."""
+        self.early.labels(str(status)).inc()
+
     def text(self) -> bytes:
         """All figures."""
         return prometheus_client.generate_latest(self.registry)
--- a/magnoliadyke/gateway/usageduty.py
+++ b/magnoliadyke/gateway/usageduty.py
@@ -7,6 +7,7 @@
 
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
+from magnoliadyke.core import position
 from magnoliadyke.core import usage
 from magnoliadyke.core import walltime
 from magnoliadyke.gateway import duty_codec
@@ -53,7 +54,8 @@
     :param own: host name and incarnation of this process
     :param calls: takes the reports; None where none are asked for
     :ivar reports: that have been fixed, as far as is known here
-    :ivar key: position of the key that they are in
+    :ivar key: the key that they are in, as it was last read
+    :ivar read_for: this host's term for which the key was read
     :ivar kept: windows there is still something to be done about
     :ivar sent: windows that this host has reported
     :ivar copies: what hosts that led have counted themselves, by host
@@ -85,6 +87,7 @@
         self.ledger = usage.Ledger(self.kept)
         self.reports = usage.Reports(self.kept)
         self.key: store.Item | None = None
+        self.read_for = position.START
         self.sent: set[int] = set()
         self.copies: dict[str, duty_codec.Usage] = {}
         self.greenlets: list[gevent.Greenlet] = []
@@ -185,7 +188,7 @@
         What is known of the reports outlives it, and is written again with
         the next one.
         """
-        self.key = None
+        self.read_for = position.START
         for item in items.values():
             self.changed(item)
 
@@ -201,7 +204,7 @@
 
     def _step(self) -> bool:
         """Fix what is due, and report it; False if some of it has to wait."""
-        done = True
+        done = self.read_for == self.leadership.held or self._read()
         while done and (window := self._due()) is not None:
             done = self._fix(window)
         for each in sorted(self.reports.fixed):
@@ -209,6 +212,20 @@
                 done &= self._send(self.reports.fixed[each])
         return done
 
+    def _read(self) -> bool:
+        """Read what holders before this one have fixed."""
+        held = self.leadership.held
+        match self.store.read(REPORTS_KEY):
+            case store.Item() as item:
+                self.changed(item)
+            case store.Absent():
+                self.key = None
+            case store.Unavailable(reason):
+                LOG.event('usage_not_read', reason=reason)
+                return False
+        self.read_for = held
+        return True
+
     def _due(self) -> int | None:
         """The next window to be fixed, if it is over."""
         over = self._window(SETTLE_S) - 1
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -222,6 +222,7 @@
             rng,
         )
         self.follower.read_whole = self.confirming.listed
+        self.follower.untold = frozenset((usageduty.REPORTS_KEY,))
         self.suspects = suspects.Suspects(clock, self._tell_hosts)
         self.placer.tell = self._tell_hosts
         self.placer.listeners = {
@@ -249,14 +250,13 @@
             settings.callers,
             parts,
             self._record,
+            self.measures.record_early,
             self.confirming.holds,
             clock,
             rng,
         )
         ttl_s = min(DIRECTORY_TTL_S, settings.directory_ttl_s)
-        answers = directory.Directory(
-            self.members.addresses, self._is_ready, ttl_s
-        )
+        answers = directory.Directory(self._addresses, self._is_ready, ttl_s)
         self.application = app.Application(clock)
         state_address = f'{settings.ip}:{first_port}'
         metrics_address = f'{settings.ip}:{settings.metrics_port}'
@@ -325,6 +325,13 @@
         for address in self.members.listening():
             self.placer.send(address, message)
 
+    def _addresses(self) -> list[str]:
+        """Where callers can connect, without this host if it refuses."""
+        found = self.members.addresses()
+        if self.confirming.serves():
+            return found
+        return [each for each in found if each != self.settings.callers]
+
     def _is_ready(self) -> bool:
         return (
             not self.stopping.is_set()
@@ -353,6 +360,13 @@
             figures.unusable.labels(kind).set(count)
         for source, count in self.follower.catch_up.caught_up.items():
             figures.caught_up.labels(source).set(count)
+        if self.confirming.needed():
+            age_s = self.clock.boot_s() - self.confirming.proof.proved_s
+            figures.proof_age.set(age_s)
+        if self.usage.reports.last is not None:
+            figures.usage_window.set(self.usage.reports.last)
+        for service, wanted in self.fleet.wanted.items():
+            figures.endpoints_wanted.labels(service).set(wanted)
         self._count_engines(figures)
         figures.hosts.set(self.members.count())
         figures.open_requests.set(self.ingress.open_requests)
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliadyke import clock as clocks
+from magnoliadyke.gateway import members
 from magnoliadyke.gateway import store
 from magnoliadyke.lab import platformcloud
 from tests import gatewayworld
@@ -372,3 +373,28 @@
         lambda: len(cloud.reports()) > before + 1, 'more reports', wait_s=20.0
     )
     assert not cloud.breaches()
+
+
+def test_hosts_that_do_not_report_hear_nothing_of_reports(
+    world, plain, cloud, monkeypatch
+):
+    """A report is larger than a datagram: each host would read it anew."""
+    monkeypatch.setattr(members, 'ALL_WATCH', 2)
+    monkeypatch.setattr(members, 'WATCHERS', 1)
+    serving_nodes(world, cloud, 4)
+    gatewayworld.wait_for(
+        lambda: sum(n.follower.listening for n in world.nodes) >= 2,
+        'hosts that listen',
+    )
+    listening = [n for n in world.nodes if n.follower.listening]
+    gatewayworld.wait_for(lambda: cloud.reports(), 'a report')
+    before = [n.store.calls['watch'] for n in listening]
+    reports = len(cloud.reports())
+    gatewayworld.wait_for(
+        lambda: len(cloud.reports()) >= reports + 3, 'three more'
+    )
+    still = [n for n in listening if n.follower.listening]
+    assert still
+    for node, calls in zip(listening, before, strict=True):
+        if node in still:
+            assert node.store.calls['watch'] - calls <= 1
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -191,3 +191,23 @@
     assert contender.lease is None
     assert contender.holder == first.own.host
     assert first.leadership.fencing == fencing
+
+
+def test_hosts_that_gathered_do_not_all_ask_for_the_lease():
+    """Each would take the vacancy to be as old as its own start."""
+    with gatewayworld.world() as world:
+        world.gathers = True
+        world.configure()
+        world.endpoint('p1')
+        for _ in range(6):
+            world.node(wait=False)
+        gatewayworld.wait_for(
+            lambda: all(n.leadership.holder for n in world.nodes), 'a leader'
+        )
+        gevent.sleep(0.5)
+        asked = [
+            node.store.calls['revoke']
+            for node in world.nodes
+            if node.leadership.lease is None
+        ]
+        assert sum(asked) <= 1
