--- a/magnoliadyke/core/usage.py
+++ b/magnoliadyke/core/usage.py
@@ -9,6 +9,7 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Iterator
 import json
 import math
 from typing import NamedTuple
@@ -19,6 +20,7 @@
     'Reports',
     'Tally',
     'kept_windows',
+    'split',
     'window_of',
 ]
 
@@ -40,6 +42,25 @@
     return math.ceil(due_s / length_s) + SPARE_WINDOWS
 
 
+def split(
+    windows: dict[int, dict[str, int]], most: int
+) -> Iterator[dict[int, dict[str, int]]]:
+    """Parts of what is to be told, with so many counts at most.
+
+    At least one part, also if there is nothing to tell.
+    """
+    part: dict[int, dict[str, int]] = {}
+    size = 0
+    for window, begun in windows.items():
+        for workspace, count in begun.items():
+            if size == most:
+                yield part
+                part, size = {}, 0
+            part.setdefault(window, {})[workspace] = count
+            size += 1
+    yield part
+
+
 class Tally:
     """What one process has counted.
 
@@ -90,6 +111,20 @@
         for old in sorted(self.windows)[: -self.kept]:
             del self.windows[old]
 
+    def by_process(
+        self, since: int
+    ) -> dict[tuple[str, int], dict[int, dict[str, int]]]:
+        """What is known of each process, by window.
+
+        :param since: first window that matters
+        """
+        found: dict[tuple[str, int], dict[int, dict[str, int]]] = {}
+        for window, of_window in self.windows.items():
+            if window >= since:
+                for process, begun in of_window.items():
+                    found.setdefault(process, {})[window] = begun
+        return found
+
     def counts(self, window: int) -> dict[str, int]:
         """All requests that began in a window, by workspace."""
         total: collections.Counter[str] = collections.Counter()
--- a/magnoliadyke/gateway/usageduty.py
+++ b/magnoliadyke/gateway/usageduty.py
@@ -29,6 +29,8 @@
 #: Hosts that keep a copy of what the host that leads has counted itself: it
 #: is told to nobody else, and would go with that host.
 COPIES = 2
+#: Counts in a datagram: it stays whole on networks that carry 1,400 bytes.
+TOLD_AT_ONCE = 40
 TICK_S = 0.5
 #: From the end of a window until its report is fixed, in seconds: what began
 #: in it has been counted and told twice by then.
@@ -58,7 +60,7 @@
     :ivar read_for: this host's term for which the key was read
     :ivar kept: windows there is still something to be done about
     :ivar sent: windows that this host has reported
-    :ivar copies: what hosts that led have counted themselves, by host
+    :ivar copies: what hosts that led have counted themselves
     """
 
     def __init__(
@@ -89,7 +91,7 @@
         self.key: store.Item | None = None
         self.read_for = position.START
         self.sent: set[int] = set()
-        self.copies: dict[str, duty_codec.Usage] = {}
+        self.copies = usage.Ledger(self.kept)
         self.greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
@@ -124,39 +126,48 @@
 
     def _tell(self) -> None:
         wall_s = self.wall_s()
-        message = duty_codec.Usage(
-            self.host, self.incarnation, self.tally.recent(wall_s), wall_s
-        )
+        own = (self.host, self.incarnation)
+        counted = self._messages(own, self.tally.recent(wall_s), wall_s)
+        since = self._window(0.0) - self.kept + 1
+        copied = [
+            message
+            for process, windows in self.copies.by_process(since).items()
+            for message in self._messages(process, windows, None)
+        ]
         if self.placer.leading:
-            self.heard(message)
+            for message in counted + copied:
+                self.heard(message)
             for address in self._keepers():
-                self.placer.send(address, message)
+                for message in counted:
+                    self.placer.send(address, message)
         elif self.placer.leader is not None:
-            for each in (message, *self._recent_copies(wall_s)):
-                self.placer.send(self.placer.leader, each)
+            for message in counted + copied:
+                self.placer.send(self.placer.leader, message)
+
+    def _messages(
+        self,
+        process: tuple[str, int],
+        windows: dict[int, dict[str, int]],
+        wall_s: float | None,
+    ) -> list[duty_codec.Usage]:
+        return [
+            duty_codec.Usage(*process, part, wall_s)
+            for part in usage.split(windows, TOLD_AT_ONCE)
+        ]
 
     def _keepers(self) -> list[str]:
         """The hosts that keep a copy; the same ones as long as they run."""
         return sorted(self.members.listening())[:COPIES]
 
-    def _recent_copies(self, wall_s: float) -> list[duty_codec.Usage]:
-        """Copies of which something may still have to be reported."""
-        since_s = wall_s - self.kept * self.settings.window_s
-        for host, copy in list(self.copies.items()):
-            if copy.wall_s < since_s:
-                del self.copies[host]
-        return [each._replace(wall_s=None) for each in self.copies.values()]
-
     # What other hosts tell.
 
     def heard(self, message: duty_codec.Usage) -> duty_codec.WallTime | None:
         """A host tells its counts; one whose clock is off hears the time."""
+        ledger = self.ledger if self.placer.leading else self.copies
+        for window, begun in message.windows.items():
+            ledger.told(message.host, message.incarnation, window, begun)
         if not self.placer.leading:
-            if message.wall_s is not None:
-                self.copies[message.host] = message
             return None
-        for window, begun in message.windows.items():
-            self.ledger.told(message.host, message.incarnation, window, begun)
         if message.host == self.host or message.wall_s is None:
             return None
         now_s = self.clock.boot_s()
--- /dev/null
+++ b/magnoliadyke/lab/httpstandin.py
@@ -0,0 +1,74 @@
+"""What the stand-ins of the platform have in common: they listen for HTTP."""
+
+import abc
+
+from gevent import server
+from gevent import socket
+
+from magnoliadyke.gateway import caller as callers
+from magnoliadyke.gateway import http
+
+__all__ = ['HttpStandIn', 'read_request']
+
+
+class HttpStandIn(abc.ABC):
+    """Answers requests on kept connections.
+
+    :param address: numeric ``ip:port``; port 0 for any
+    :ivar sockets: open connections
+    """
+
+    def __init__(self, address: str) -> None:
+        self.requested = address
+        self.sockets: set[socket.socket] = set()
+        self.server: server.StreamServer | None = None
+
+    def start(self) -> str:
+        """Listen; returns the address."""
+        host, _, port = self.requested.rpartition(':')
+        self.server = server.StreamServer((host, int(port)), self._serve)
+        self.server.start()
+        return self.address
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f'{self.server.server_host}:{self.server.server_port}'
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.server.stop(timeout=0.1)
+
+    def cut(self) -> None:
+        """Reset all connections."""
+        for sock in list(self.sockets):
+            http.drop(sock)
+
+    def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        self.sockets.add(sock)
+        caller = callers.Caller(sock)
+        reader = http.RequestReader(sock)
+        try:
+            while self._serve_one(caller, reader):
+                pass
+        except (callers.CallerLeft, http.BrokenMessage, http.PeerClosed):
+            # Callers come and go.
+            pass
+        finally:
+            self.sockets.discard(sock)
+            http.drop(sock)
+
+    @abc.abstractmethod
+    def _serve_one(
+        self, caller: callers.Caller, reader: http.RequestReader
+    ) -> bool:
+        """Answer one request; False ends the connection."""
+
+
+def read_request(reader: http.RequestReader) -> tuple[http.Head, bytes]:
+    """Wait for a whole request."""
+    head = reader.next_part()
+    pieces = []
+    while isinstance(part := reader.next_part(), http.Body):
+        pieces.append(part.data)
+    return head, b''.join(pieces)
--- a/magnoliadyke/lab/platformcloud.py
+++ b/magnoliadyke/lab/platformcloud.py
@@ -6,11 +6,10 @@
 from typing import NamedTuple
 
 import gevent
-from gevent import server
-from gevent import socket
 
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import http
+from magnoliadyke.lab import httpstandin
 
 __all__ = ['Call', 'PlatformCloudStandIn']
 
@@ -33,7 +32,7 @@
     subject: str
 
 
-class PlatformCloudStandIn:
+class PlatformCloudStandIn(httpstandin.HttpStandIn):
     """Takes usage reports and orders of endpoints; faults are attributes.
 
     :ivar mode: 'up', 'busy' (503), 'limited' (429), 'reset' or 'silent'
@@ -44,29 +43,12 @@
     """
 
     def __init__(self, address: str = '127.0.0.1:0') -> None:
-        self.requested = address
+        super().__init__(address)
         self.mode = 'up'
         self.lose_answers = False
         self.delay_s = 0.0
         self.scarce: set[str] = set()
         self.calls: list[Call] = []
-        self.server: server.StreamServer | None = None
-
-    def start(self) -> str:
-        """Listen; returns the address."""
-        host, _, port = self.requested.rpartition(':')
-        self.server = server.StreamServer((host, int(port)), self._serve)
-        self.server.start()
-        return self.address
-
-    @property
-    def address(self) -> str:
-        """Where it listens."""
-        return f'{self.server.server_host}:{self.server.server_port}'
-
-    def stop(self) -> None:
-        """Stop listening."""
-        self.server.stop(timeout=0.1)
 
     def reports(self) -> dict[int, list[dict[str, int]]]:
         """The different counts that were reported, by window."""
@@ -95,25 +77,10 @@
             latest[call.subject] = (call.fencing, call.holder)
         return found
 
-    def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
-        caller = callers.Caller(sock)
-        reader = http.RequestReader(sock)
-        try:
-            while self._serve_one(caller, reader):
-                pass
-        except (callers.CallerLeft, http.BrokenMessage, http.PeerClosed):
-            # Callers come and go.
-            pass
-        finally:
-            http.drop(sock)
-
     def _serve_one(
         self, caller: callers.Caller, reader: http.RequestReader
     ) -> bool:
-        head = reader.next_part()
-        pieces = []
-        while isinstance(part := reader.next_part(), http.Body):
-            pieces.append(part.data)
+        head, data = httpstandin.read_request(reader)
         if self.delay_s:
             gevent.sleep(self.delay_s)
         match self.mode:
@@ -126,7 +93,7 @@
                 status = 503 if self.mode == 'busy' else 429
                 caller.answer(status, JSON_HEADERS, b'{}')
                 return True
-        body = json.loads(b''.join(pieces) or b'{}')
+        body = json.loads(data or b'{}')
         status = self._carry_out(head, body)
         if self.lose_answers:
             return False
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -6,11 +6,11 @@
 from typing import Callable
 
 import gevent
-from gevent import server
 from gevent import socket
 
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import http
+from magnoliadyke.lab import httpstandin
 
 __all__ = ['Arrival', 'EndpointStandIn']
 
@@ -43,7 +43,7 @@
         return self.headers.get(b'x-request-id', b'')
 
 
-class EndpointStandIn:
+class EndpointStandIn(httpstandin.HttpStandIn):
     """One run of an endpoint's process.
 
     :param stage: 'prefill' or 'decode' for an engine, '' for a plain one
@@ -74,11 +74,11 @@
         address: str = '127.0.0.1:0',
         slots: int = 16,
     ) -> None:
+        super().__init__(address)
         self.name = name
         self.service = service
         self.stage = stage
         self.domain = domain
-        self.requested = address
         self.slots = slots
         self.state = 'ready'
         self.mode = 'ok'
@@ -98,30 +98,11 @@
         self.handles: set[str] = set()
         self.dropped: list[str] = []
         self.next_handle = 0
-        self.sockets: set[socket.socket] = set()
-        self.server: server.StreamServer | None = None
-
-    def start(self) -> str:
-        """Listen; returns the address."""
-        host, _, port = self.requested.rpartition(':')
-        self.server = server.StreamServer((host, int(port)), self._serve)
-        self.server.start()
-        return self.address
-
-    @property
-    def address(self) -> str:
-        """Where it listens."""
-        return f'{self.server.server_host}:{self.server.server_port}'
-
-    def stop(self) -> None:
-        """Stop listening."""
-        self.server.stop(timeout=0.1)
 
     def crash(self) -> None:
         """End at once, with all that runs there."""
         self.server.close()
-        for sock in list(self.sockets):
-            http.drop(sock)
+        self.cut()
 
     def entry(self) -> dict:
         """What it writes into the store."""
@@ -148,29 +129,11 @@
 
     # Connections.
 
-    def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
-        caller = callers.Caller(sock)
-        self.sockets.add(sock)
-        reader = http.RequestReader(sock)
-        try:
-            while self._serve_one(caller, reader):
-                pass
-        except (callers.CallerLeft, http.BrokenMessage, http.PeerClosed):
-            # Callers come and go.
-            pass
-        finally:
-            self.sockets.discard(sock)
-            http.drop(sock)
-
     def _serve_one(
         self, caller: callers.Caller, reader: http.RequestReader
     ) -> bool:
-        head = reader.next_part()
-        pieces = []
-        while isinstance(part := reader.next_part(), http.Body):
-            pieces.append(part.data)
+        head, body = httpstandin.read_request(reader)
         headers = {k.lower(): v for k, v in head.headers}
-        body = b''.join(pieces)
         caller.begun = False
         if head.target.startswith(b'/api/'):
             return self._control(caller, head, body)
--- a/magnoliadyke/lab/platformstore.py
+++ b/magnoliadyke/lab/platformstore.py
@@ -9,11 +9,10 @@
 
 import gevent
 from gevent import event
-from gevent import server
-from gevent import socket
 
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import http
+from magnoliadyke.lab import httpstandin
 
 __all__ = ['Entry', 'PlatformStoreStandIn']
 
@@ -47,7 +46,7 @@
     next_lease: int
 
 
-class PlatformStoreStandIn:
+class PlatformStoreStandIn(httpstandin.HttpStandIn):
     """Items, history, leases and watches; faults are attributes.
 
     :ivar era: rises each time that the store is restored from a copy
@@ -58,7 +57,7 @@
     """
 
     def __init__(self, address: str = '127.0.0.1:0') -> None:
-        self.requested = address
+        super().__init__(address)
         self.items: dict[str, Entry] = {}
         self.history: list[tuple[int, str, Entry | None]] = []
         self.era = 1
@@ -71,36 +70,21 @@
         self.lose_answers = False
         self.delay_s = 0.0
         self.calls: list[str] = []
-        self.sockets: set[socket.socket] = set()
-        self.server: server.StreamServer | None = None
         self.greenlet: gevent.Greenlet | None = None
 
     # Life cycle.
 
     def start(self) -> str:
         """Listen; returns the address."""
-        host, _, port = self.requested.rpartition(':')
-        self.server = server.StreamServer((host, int(port)), self._serve)
-        self.server.start()
         self.greenlet = gevent.spawn(self._end_leases)
-        return self.address
-
-    @property
-    def address(self) -> str:
-        """Where it listens."""
-        return f'{self.server.server_host}:{self.server.server_port}'
+        return super().start()
 
     def stop(self) -> None:
         """Close everything."""
         self.greenlet.kill()
-        self.server.stop(timeout=0.1)
+        super().stop()
         self.cut()
 
-    def cut(self) -> None:
-        """Reset all connections."""
-        for sock in list(self.sockets):
-            http.drop(sock)
-
     # The operator's side.
 
     def put(self, key: str, value: bytes | dict, lease: int = 0) -> int:
@@ -180,27 +164,10 @@
 
     # Calls.
 
-    def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
-        self.sockets.add(sock)
-        caller = callers.Caller(sock)
-        reader = http.RequestReader(sock)
-        try:
-            while self._serve_one(caller, reader):
-                pass
-        except (callers.CallerLeft, http.BrokenMessage, http.PeerClosed):
-            # Callers come and go.
-            pass
-        finally:
-            self.sockets.discard(sock)
-            http.drop(sock)
-
     def _serve_one(
         self, caller: callers.Caller, reader: http.RequestReader
     ) -> bool:
-        head = reader.next_part()
-        pieces = []
-        while isinstance(part := reader.next_part(), http.Body):
-            pieces.append(part.data)
+        head, data = httpstandin.read_request(reader)
         if self.mode == 'reset':
             return False
         if self.mode == 'silent':
@@ -212,7 +179,7 @@
             gevent.sleep(self.delay_s)
         url = parse.urlsplit(head.target.decode())
         query = {k: v[0] for k, v in parse.parse_qs(url.query).items()}
-        body = json.loads(b''.join(pieces) or b'{}')
+        body = json.loads(data or b'{}')
         self.calls.append(url.path)
         status, answer = self._call(head.method, url.path, query, body)
         if self.lose_answers and url.path == '/api/kv-txn':
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -6,6 +6,8 @@
 
 from magnoliadyke.core import usage
 from magnoliadyke.core import walltime
+from magnoliadyke.gateway import duty_codec
+from magnoliadyke.gateway import placing_codec
 
 WINDOW_S = 5.0
 KEPT = usage.kept_windows(WINDOW_S, 10.0)
@@ -51,6 +53,21 @@
     assert ledger.counts(20) == total
 
 
+def test_counts_of_a_thousand_workspaces_fit_datagrams():
+    """A message with too many of them would be none at the other end."""
+    begun = {f'workspace-{n:04}': n for n in range(1000)}
+    ledger = usage.Ledger(KEPT)
+    for part in usage.split({20: begun, 21: {'a': 1}}, 40):
+        message = duty_codec.Usage('host-name-1', 17, part, 1.7e9)
+        data = placing_codec.encode(message)
+        assert len(data) <= 1400
+        for window, counts in placing_codec.decode(data).windows.items():
+            ledger.told('h', 1, window, counts)
+    assert ledger.counts(20) == begun
+    assert ledger.by_process(21) == {('h', 1): {21: {'a': 1}}}
+    assert list(usage.split({}, 40)) == [{}]
+
+
 def test_two_processes_of_one_host_are_both_counted():
     ledger = usage.Ledger(KEPT)
     ledger.told('h', 1, 20, {'a': 5})
