--- a/magnoliadyke/core/usage.py
+++ b/magnoliadyke/core/usage.py
@@ -79,6 +79,13 @@
         counts = self.windows.setdefault(window, collections.Counter())
         counts[workspace] += 1
 
+    def shift(self, by_s: float) -> None:
+        """The time of day was off by so much when requests were counted."""
+        by = round(by_s / self.length_s)
+        self.windows = {
+            window + by: counts for window, counts in self.windows.items()
+        }
+
     def recent(self, wall_s: float) -> dict[int, dict[str, int]]:
         """What is to be told of the present window and those before it."""
         present = window_of(wall_s, self.length_s)
--- a/magnoliadyke/core/workspaces.py
+++ b/magnoliadyke/core/workspaces.py
@@ -25,13 +25,9 @@
 
 
 class Workspace(NamedTuple):
-    """A customer's workspace.
-
-    :param priority: goes before a route's; None leaves it at that
-    """
+    """A customer's workspace."""
 
     name: str
-    priority: int | None = None
 
 
 class Workspaces:
@@ -116,10 +112,3 @@
     if key_digest is None:
         return UnknownKey('send the key of a workspace')
     return UnknownKey('no workspace holds this key; ask for a valid one')
-
-
-def priority(route: routes.Route, workspace: Workspace | None) -> int:
-    """How urgent a request is; 0 comes first."""
-    if workspace is None or workspace.priority is None:
-        return route.priority
-    return workspace.priority
--- a/magnoliadyke/gateway/usageduty.py
+++ b/magnoliadyke/gateway/usageduty.py
@@ -164,21 +164,33 @@
     def heard(self, message: duty_codec.Usage) -> duty_codec.WallTime | None:
         """A host tells its counts; one whose clock is off hears the time."""
         ledger = self.ledger if self.placer.leading else self.copies
+        present = self._window(0.0)
         for window, begun in message.windows.items():
-            ledger.told(message.host, message.incarnation, window, begun)
+            # A host whose clock is far off would push the others' out.
+            if present - self.kept < window <= present + 1:
+                ledger.told(message.host, message.incarnation, window, begun)
         if not self.placer.leading:
             return None
         if message.host == self.host or message.wall_s is None:
             return None
         now_s = self.clock.boot_s()
+        before_s = self.wall_s()
         told = self.fleet_time.told(message.host, message.wall_s, now_s)
+        self._moved(self.wall_s() - before_s)
         return None if told is None else duty_codec.WallTime(told)
 
     def corrected(self, message: duty_codec.WallTime) -> None:
         """The host that leads tells the time that most hosts have."""
         off_s = message.wall_s - self.wall_s()
         self.wall.set(message.wall_s, self.clock.boot_s())
-        LOG.event('wall_time_corrected', by_ms=round(off_s * 1000))
+        self._moved(off_s)
+
+    def _moved(self, by_s: float) -> None:
+        """This host goes by another time of day from now on."""
+        if abs(by_s) < walltime.MOST_OFF_S:
+            return
+        LOG.event('wall_time_corrected', by_ms=round(by_s * 1000))
+        self.tally.shift(by_s)
 
     # The store.
 
--- a/magnoliadyke/platform/records.py
+++ b/magnoliadyke/platform/records.py
@@ -64,18 +64,11 @@
     if found.get('tenants') is None:
         return None
     return workspaces.Workspaces(
-        (_workspace(each), _keys(each))
+        (workspaces.Workspace(fields.text(each, 'name')), _keys(each))
         for each in fields.records(found, 'tenants')
     )
 
 
-def _workspace(found: dict[str, Any]) -> workspaces.Workspace:
-    priority = found.get('priority')
-    if priority is not None:
-        priority = fields.whole(found, 'priority', 0)
-    return workspaces.Workspace(fields.text(found, 'name'), priority)
-
-
 def _keys(found: dict[str, Any]) -> list[bytes]:
     keys = found.get('api_keys') or []
     if not isinstance(keys, list):
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliadyke import clock as clocks
+from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import store
 from magnoliadyke.lab import platformcloud
@@ -398,3 +399,35 @@
     for node, calls in zip(listening, before, strict=True):
         if node in still:
             assert node.store.calls['watch'] - calls <= 1
+
+
+class Stepped(clocks.SystemClock):
+    """A clock whose time of day is off."""
+
+    def __init__(self, by_s):
+        self.by_s = by_s
+
+    def wall_s(self):
+        return super().wall_s() + self.by_s
+
+
+def test_host_that_starts_with_a_clock_that_is_far_off_is_counted(
+    world, plain, cloud
+):
+    """Its windows would be later ones, and push those of others out."""
+    for by_s in (0.0, 0.0, 2400.0):
+        clock = Stepped(by_s)
+        world.node(clock=clock, duties=duty_settings(cloud))
+    gatewayworld.wait_for(
+        lambda: any(n.leadership.may_order() for n in world.nodes),
+        'a host that may order',
+    )
+    leader = next(n for n in world.nodes if n.leadership.may_order())
+    later = leader.usage._window(0.0) + 2400
+    windows = {later + number: {'small': 1} for number in range(20)}
+    leader.usage.heard(duty_codec.Usage('front-9', 1, windows, None))
+    made = call_for(world, 1.0)
+    gatewayworld.wait_for(lambda: reported(cloud) == made, 'all reports')
+    present = world.nodes[0].usage._window(0.0)
+    assert all(abs(w - present) < 60 for w in cloud.reports())
+    assert not cloud.breaches()
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -53,6 +53,13 @@
     assert ledger.counts(20) == total
 
 
+def test_counts_follow_a_clock_that_is_set_right():
+    tally = usage.Tally(WINDOW_S, KEPT)
+    tally.begun('a', 101.0 + 2400.0)
+    tally.shift(-2400.0)
+    assert tally.recent(102.0) == {20: {'a': 1}}
+
+
 def test_counts_of_a_thousand_workspaces_fit_datagrams():
     """A message with too many of them would be none at the other end."""
     begun = {f'workspace-{n:04}': n for n in range(1000)}
