--- a/magnoliadyke/core/walltime.py
+++ b/magnoliadyke/core/walltime.py
@@ -38,6 +38,10 @@
 class FleetTime:
     """The median of what the hosts take for the time of day.
 
+    A word that was long on its way, or waited while this host stood still,
+    looks like that of a clock that is behind.  Of a host's words the one that
+    was quickest counts, for some seconds.
+
     :param own: of the host that asks the others
     """
 
@@ -50,8 +54,12 @@
 
         :returns: the time to tell it, if it is off
         """
-        ahead_s = wall_s - self.own.at(now_s)
-        self._told[host] = (ahead_s, now_s)
+        word = (wall_s - self.own.at(now_s), now_s)
+        known = self._told.get(host)
+        if known is not None and now_s - known[1] <= KEPT_S:
+            word = max(word, known)
+        self._told[host] = word
+        ahead_s = word[0]
         median_s = self._median_s(now_s)
         if abs(median_s) > MOST_OFF_S:
             # Of all hosts this one differs: the others' words stay as they
--- a/magnoliadyke/gateway/usageduty.py
+++ b/magnoliadyke/gateway/usageduty.py
@@ -31,6 +31,9 @@
 COPIES = 2
 #: Counts in a datagram: it stays whole on networks that carry 1,400 bytes.
 TOLD_AT_ONCE = 40
+#: From telling the counts until the answer with the time of day, at most, in
+#: seconds: a later one has waited while this host stood still.
+ANSWERED_S = 0.5
 TICK_S = 0.5
 #: From the end of a window until its report is fixed, in seconds: what began
 #: in it has been counted and told twice by then.
@@ -61,6 +64,7 @@
     :ivar kept: windows there is still something to be done about
     :ivar sent: windows that this host has reported
     :ivar copies: what hosts that led have counted themselves
+    :ivar told_s: when this host last told its counts
     """
 
     def __init__(
@@ -92,6 +96,7 @@
         self.read_for = position.START
         self.sent: set[int] = set()
         self.copies = usage.Ledger(self.kept)
+        self.told_s = float('-inf')
         self.greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
@@ -141,6 +146,7 @@
                 for message in counted:
                     self.placer.send(address, message)
         elif self.placer.leader is not None:
+            self.told_s = self.clock.boot_s()
             for message in counted + copied:
                 self.placer.send(self.placer.leader, message)
 
@@ -181,6 +187,8 @@
 
     def corrected(self, message: duty_codec.WallTime) -> None:
         """The host that leads tells the time that most hosts have."""
+        if self.clock.boot_s() - self.told_s > ANSWERED_S:
+            return
         off_s = message.wall_s - self.wall_s()
         self.wall.set(message.wall_s, self.clock.boot_s())
         self._moved(off_s)
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -431,3 +431,17 @@
     present = world.nodes[0].usage._window(0.0)
     assert all(abs(w - present) < 60 for w in cloud.reports())
     assert not cloud.breaches()
+
+
+def test_time_that_waited_while_this_host_stood_still_is_not_taken(
+    world, plain, cloud
+):
+    leader, *others = serving_nodes(world, cloud)
+    node = others[0].usage
+    before_s = node.wall.offset_s
+    node.told_s -= 6.0
+    node.corrected(duty_codec.WallTime(node.wall_s() - 6.0))
+    assert node.wall.offset_s == before_s
+    node.told_s = node.clock.boot_s()
+    node.corrected(duty_codec.WallTime(node.wall_s() - 6.0))
+    assert node.wall.offset_s < before_s - 5.0
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -128,6 +128,19 @@
     assert fleet.told('a', 1010.0, 10.0) is None
 
 
+def test_words_that_waited_while_a_host_stood_still_move_nobody():
+    """They tell the time at which they were sent, some seconds ago."""
+    own = walltime.WallTime(1000.0, 0.0)
+    fleet = walltime.FleetTime(own)
+    hosts = [f'h{number}' for number in range(8)]
+    for host in hosts:
+        assert fleet.told(host, 1010.0, 10.0) is None
+    for sent_s in (1011.0, 1013.0, 1016.0):
+        for host in hosts:
+            assert fleet.told(host, sent_s, 16.0) is None
+    assert own.at(16.0) == pytest.approx(1016.0)
+
+
 def test_clocks_of_a_quarter_of_the_hosts_move_nobody():
     own = walltime.WallTime(1000.0, 0.0)
     fleet = walltime.FleetTime(own)
