--- a/tests/test_leadership_model.py
+++ b/tests/test_leadership_model.py
@@ -43,6 +43,7 @@
         return self.at_s
 
     monotonic = now_s
+    boot_s = now_s
 
     def sleep(self, seconds):
         pass
