--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliadyke import clock as clocks
+from magnoliadyke.core import usage
 from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import store
@@ -445,3 +446,19 @@
     node.told_s = node.clock.boot_s()
     node.corrected(duty_codec.WallTime(node.wall_s() - 6.0))
     assert node.wall.offset_s < before_s - 5.0
+
+
+def test_host_that_knows_of_no_report_cannot_fix_another_one(
+    world, plain, cloud
+):
+    """Both count the window, and have heard of different requests."""
+    first, second, *_ = serving_nodes(world, cloud)
+    call_for(world, 0.5)
+    gatewayworld.wait_for(lambda: reported(cloud), 'a report')
+    window, fixed = max(first.usage.reports.fixed.items())
+    other = second.usage
+    other.key = None
+    other.reports = usage.Reports(other.kept)
+    other.ledger.told('front-9', 1, window, {'small': 99})
+    assert not other._fix(window)
+    assert other.reports.fixed[window] == fixed
