Name the requests that the end of a process cuts

A request that was still under way when its host ended left no line at all, so nobody could tell from logs whether it had been waiting for a place, was running, or had been answered. `request_cut` tells its age, the time its caller still gave it, its endpoint and whether an answer had begun.

--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -55,6 +55,7 @@
     :param record_early: called with the status of a request that is answered
         before it is looked at
     :param confirmed: whether the configuration is known to be the newest
+    :ivar running: requests under way
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self.draining = False
         self.open_requests = 0
         self.connections: dict[callers.Caller, bool] = {}
+        self.running: dict[callers.Caller, exchange.Exchange] = {}
         self.server: server.StreamServer | None = None
 
     # Life cycle.
@@ -103,6 +105,21 @@
             if not busy:
                 http.drop(caller.sock)
 
+    def log_running(self) -> None:
+        """Name the requests that the end of this process cuts."""
+        now_s = self.clock.now_s()
+        for one in self.running.values():
+            LOG.warning_event(
+                'request_cut',
+                id=one.request.id.decode('latin-1'),
+                route=one.route.name,
+                age_ms=round((now_s - one.arrived_s) * 1000),
+                left_ms=round(one.left_s * 1000),
+                endpoint=one.endpoint or 'none',
+                sends=one.sends,
+                begun=one.caller.begun,
+            )
+
     def stop(self, deadline_s: float) -> None:
         """Stop listening; requests under way are the process's to wait."""
         self.close_idle()
@@ -263,6 +280,7 @@
         if not self._admit(caller, request, configuration, route):
             return
         one = self._exchange(request, route, caller, arrived_s)
+        self.running[caller] = one
         try:
             outcome = one.run()
         except Exception as error:
@@ -272,6 +290,8 @@
                 'request_error', error, id=request.id.decode('latin-1')
             )
             outcome = self._fail(caller, request)
+        finally:
+            del self.running[caller]
         took_s = self.clock.now_s() - arrived_s
         self.record(outcome, route, took_s)
         self._log(one, outcome, took_s, configuration.version)
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -405,6 +405,7 @@
         self.stopping.wait()
         upkeep.kill()
         self._drain()
+        self.ingress.log_running()
         self.application.stop(EXIT_BEFORE_S)
         self.store.close()
         LOG.event('stopped')
