Show that a host takes requests that it can't end before it stops

Failing: a chat with 15 s of time that comes 3.1, 4.5 or 5.9 s after SIGTERM is taken, and is still under way when the process ends 7.3 s after SIGTERM.

--- /dev/null
+++ b/tests/test_gateway_stop.py
@@ -0,0 +1,85 @@
+"""A host is told to stop while callers keep coming."""
+
+import gevent
+import pytest
+
+from magnoliadyke import clock as clocks
+from tests import gatewayworld
+
+CHAT = gatewayworld.prompt((0x1, 40), (0x2, 60))
+#: Time that the caller of a chat gives it, in milliseconds.
+WAIT_MS = 15000
+
+
+class Skipping(clocks.SystemClock):
+    """A clock that tests move on."""
+
+    def __init__(self):
+        self.skipped_s = 0.0
+
+    def now_s(self):
+        return super().now_s() + self.skipped_s
+
+
+class Stopping:
+    """A host that has been told to stop."""
+
+    def __init__(self, world):
+        self.clock = Skipping()
+        self.node = world.node(clock=self.clock)
+        self.ended = None
+
+    def begin(self):
+        """Tell it to stop."""
+        self.ended = gevent.spawn(self.node._drain)
+        gatewayworld.wait_for(lambda: self.node.ingress.draining, 'the stop')
+
+    def end(self):
+        """Move on to where its process ends."""
+        self.clock.skipped_s += self.node.settings.stop_s
+        self.ended.get(timeout=gatewayworld.WAIT_S)
+
+
+@pytest.fixture
+def world():
+    with gatewayworld.world() as made:
+        routes = gatewayworld.platformrecords.usual_routes(timeout_ms=WAIT_MS)
+        made.configure(routes=routes)
+        yield made
+
+
+@pytest.fixture
+def engine(world):
+    world.endpoint('e0', 'model', 'prefill')
+    return world.endpoint('e1', 'model', 'decode')
+
+
+def ask(client, request_id):
+    """Send a chat; its answer is not waited for."""
+    client.request(
+        'POST', '/chat/a', request_id, b'x', X_Deadline_Ms=WAIT_MS, **CHAT
+    )
+
+
+@pytest.mark.parametrize('after_s', [3.1, 4.5, 5.9])
+def test_no_request_that_came_long_after_the_stop_is_cut(
+    world, engine, after_s
+):
+    """A request was taken seconds after SIGTERM and cut with its host."""
+    stopping = Stopping(world)
+    engine.mode, engine.cut_after = 'stall', 1
+    client = gatewayworld.Client(stopping.node)
+    stopping.begin()
+    stopping.clock.skipped_s += after_s
+    ask(client, 'late')
+    gatewayworld.wait_for(
+        lambda: engine.runs or not stopping.node.ingress.connections,
+        'the request',
+    )
+    stopping.end()
+    assert not stopping.node.ingress.open_requests
+    head, _ = client.answer()
+    assert head.status == 503
+    assert float(head.value(b'retry-after')) == 0.0
+    assert head.value(b'connection') == b'close'
+    assert not engine.arrivals
