Refuse what may outlast a host that was told to stop

Callers saw a stream end in the middle, or wait and then end, though they had sent it seconds after SIGTERM to a host that knew it had to go (LOST).

Cause: a stopping host took each request for as long as it listened, 6.0 s after SIGTERM, whatever time the request could need; its process ends at 7.3 s. Some callers keep an answer of the directory for three times its time to live, and longer while the directory fails them, so requests do come so late. Class: work is accepted without asking whether it can be finished.

Now: once callers can know of other hosts (time to live of the directory's answers, and 0.5 s for the word), only a request whose caller gives up before the process ends is taken. Others are refused at once, truthfully as not run, to come back at once. The decision is core/shutdown.py.

Ruled out: a call to the store that delays the stop ('stopped' 7.3 s after 'stopping' on all).

Test: failed before on all three times of arrival.

--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -10,6 +10,7 @@
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import routes
+from magnoliadyke.core import shutdown
 from magnoliadyke.core import workspaces
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
@@ -29,6 +30,8 @@
 #: configuration is known, or while it is not confirmed, in seconds.
 UNCONFIGURED_RETRY_S = 0.5
 UNCONFIRMED_RETRY_S = 0.3
+#: Reason told for a request that may outlast this host.
+STOPPING = 'this host is stopping'
 #: After an answer that ends a connection, unread bytes of the caller are
 #: taken for this long, in seconds: closing at once would reset the
 #: connection, and the caller could lose the answer.
@@ -56,6 +59,7 @@
         before it is looked at
     :param confirmed: whether the configuration is known to be the newest
     :ivar running: requests under way
+    :ivar shutdown: set once this host has been told to stop
     """
 
     def __init__(
@@ -75,7 +79,7 @@
         self.confirmed = confirmed
         self.clock = clock
         self.rng = rng
-        self.draining = False
+        self.shutdown: shutdown.Shutdown | None = None
         self.open_requests = 0
         self.connections: dict[callers.Caller, bool] = {}
         self.running: dict[callers.Caller, exchange.Exchange] = {}
@@ -91,9 +95,9 @@
         )
         self.server.start()
 
-    def drain(self) -> None:
+    def drain(self, course: shutdown.Shutdown) -> None:
         """Each answer from now on ends its connection."""
-        self.draining = True
+        self.shutdown = course
         for caller in self.connections:
             caller.closing = True
 
@@ -164,7 +168,7 @@
     ) -> None:
         while True:
             caller.begun = False
-            caller.closing = caller.closing or self.draining
+            caller.closing = caller.closing or self.shutdown is not None
             try:
                 head = self._read_head(reader)
                 if head is None:
@@ -280,6 +284,9 @@
         if not self._admit(caller, request, configuration, route):
             return
         one = self._exchange(request, route, caller, arrived_s)
+        if not self._ends_in_time(one):
+            self._answer_early(caller, request, 503, STOPPING, 0.0)
+            return
         self.running[caller] = one
         try:
             outcome = one.run()
@@ -296,6 +303,12 @@
         self.record(outcome, route, took_s)
         self._log(one, outcome, took_s, configuration.version)
 
+    def _ends_in_time(self, one: exchange.Exchange) -> bool:
+        """Whether a request is over before this host is."""
+        if self.shutdown is None:
+            return True
+        return self.shutdown.takes(one.arrived_s, one.deadline_s)
+
     def _admit(
         self,
         caller: callers.Caller,
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -15,6 +15,7 @@
 from magnoliadyke.core import position
 from magnoliadyke.core import retrybudget
 from magnoliadyke.core import routes
+from magnoliadyke.core import shutdown
 from magnoliadyke.gateway import confirming
 from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import exchange
@@ -58,11 +59,6 @@
 #: How long callers keep an answer of the directory, in seconds: a host that
 #: stops is not asked for longer than this after it said so.
 DIRECTORY_TTL_S = 2.0
-#: Idle connections of callers are closed this long before the platform ends
-#: the process, in seconds.
-CLOSE_BEFORE_S = 2.0
-#: Time kept for the last steps of a stop, in seconds.
-EXIT_BEFORE_S = 0.7
 
 
 class RecordDecoder(keymirror.Decoder):
@@ -255,8 +251,10 @@
             clock,
             rng,
         )
-        ttl_s = min(DIRECTORY_TTL_S, settings.directory_ttl_s)
-        answers = directory.Directory(self._addresses, self._is_ready, ttl_s)
+        self.directory_ttl_s = min(DIRECTORY_TTL_S, settings.directory_ttl_s)
+        answers = directory.Directory(
+            self._addresses, self._is_ready, self.directory_ttl_s
+        )
         self.application = app.Application(clock)
         state_address = f'{settings.ip}:{first_port}'
         metrics_address = f'{settings.ip}:{settings.metrics_port}'
@@ -406,7 +404,7 @@
         upkeep.kill()
         self._drain()
         self.ingress.log_running()
-        self.application.stop(EXIT_BEFORE_S)
+        self.application.stop(shutdown.EXIT_BEFORE_S)
         self.store.close()
         LOG.event('stopped')
 
@@ -459,17 +457,19 @@
         """Leave without cutting a request.
 
         Callers hear within the time to live of the directory's answers that
-        this host is gone; until then it serves, one request a connection.
+        this host is gone.  Until then it serves, one request a connection;
+        later only what is certain to end before it does.
         """
-        begun_s = self.clock.now_s()
+        course = shutdown.Shutdown(
+            self.clock.now_s(), self.settings.stop_s, self.directory_ttl_s
+        )
         LOG.event('stopping', open=self.ingress.open_requests)
-        self.ingress.drain()
+        self.ingress.drain(course)
         self.members.leave()
         self.leadership.resign()
-        grace_s = self.settings.stop_s
-        self._wait_until(begun_s + grace_s - CLOSE_BEFORE_S, False)
+        self._wait_until(course.closes_s, False)
         self.ingress.close_idle()
-        self._wait_until(begun_s + grace_s - EXIT_BEFORE_S, True)
+        self._wait_until(course.ends_s, True)
 
     def _wait_until(self, until_s: float, may_end: bool) -> None:
         while self.clock.now_s() < until_s:
--- a/tests/test_gateway_platform.py
+++ b/tests/test_gateway_platform.py
@@ -9,6 +9,7 @@
 from magnoliadyke.core import catalog
 from magnoliadyke.core import position
 from magnoliadyke.core import promptcache
+from magnoliadyke.core import shutdown
 from tests import gatewayworld
 
 
@@ -243,7 +244,8 @@
     node = world.node()
     client = gatewayworld.Client(node)
     assert client.call('GET', '/safe/x', 'a')[0].status == 200
-    node.ingress.drain()
+    course = shutdown.Shutdown(node.clock.now_s(), 8.0, 2.0)
+    node.ingress.drain(course)
     head, _ = client.call('GET', '/safe/x', 'b')
     assert head.status == 200
     assert head.value(b'connection') == b'close'
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -32,7 +32,7 @@
     def begin(self):
         """Tell it to stop."""
         self.ended = gevent.spawn(self.node._drain)
-        gatewayworld.wait_for(lambda: self.node.ingress.draining, 'the stop')
+        gatewayworld.wait_for(lambda: self.node.ingress.shutdown, 'the stop')
 
     def end(self):
         """Move on to where its process ends."""
@@ -83,3 +83,15 @@
     assert float(head.value(b'retry-after')) == 0.0
     assert head.value(b'connection') == b'close'
     assert not engine.arrivals
+
+
+def test_late_request_that_is_over_in_time_is_served(world):
+    """Short requests were refused though their host had seconds left."""
+    plain = world.endpoint('p1')
+    stopping = Stopping(world)
+    client = gatewayworld.Client(stopping.node)
+    stopping.begin()
+    stopping.clock.skipped_s += 4.5
+    head, _ = client.call('GET', '/safe/x', 'short', X_Deadline_Ms=1000)
+    assert head.status == 200
+    assert len(plain.runs) == 1
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,36 @@
+"""Which requests a host takes after it was told to stop."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from magnoliadyke.core import shutdown
+
+COURSE = shutdown.Shutdown(begun_s=100.0, grace_s=8.0, directory_ttl_s=2.0)
+
+
+def test_callers_that_know_of_no_other_host_are_served():
+    assert COURSE.takes(now_s=100.1, deadline_s=115.1)
+    assert COURSE.takes(now_s=102.4, deadline_s=117.4)
+
+
+def test_request_that_is_over_in_time_is_taken_until_the_listener_closes():
+    assert COURSE.takes(now_s=105.9, deadline_s=106.9)
+
+
+def test_request_that_may_outlast_its_host_is_refused():
+    assert not COURSE.takes(now_s=102.6, deadline_s=117.6)
+    assert not COURSE.takes(now_s=105.9, deadline_s=107.9)
+
+
+@given(
+    strategies.floats(0.1, 60.0),
+    strategies.floats(0.1, 30.0),
+    strategies.floats(0.0, 60.0),
+    strategies.floats(0.0, 60.0),
+)
+def test_whatever_is_taken_late_is_over_before_the_end(
+    grace_s, ttl_s, after_s, wait_s
+):
+    course = shutdown.Shutdown(0.0, grace_s, ttl_s)
+    if after_s >= course.refuses_s and course.takes(after_s, after_s + wait_s):
+        assert after_s + wait_s < course.ends_s
