End a process only after its callers' connections are closed

A host that stops answers the last request and waits up to 0.3 s for its caller to close: unread bytes would reset the connection, and the answer with it. The process did not wait for that; it ended as soon as no request was under way. Callers could lose the last answer of a stop.

The test failed before: the drain was over while the connection lingered. Class: something accepted is counted as done before its caller has it.

--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -139,8 +139,10 @@
         except callers.CallerLeft:
             caller.broken = True
         finally:
-            del self.connections[caller]
+            # Busy until it is closed: its last answer may be on the way.
+            self.connections[caller] = True
             self._close(caller)
+            del self.connections[caller]
 
     def _close(self, caller: callers.Caller) -> None:
         """Close a connection.
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -473,6 +473,6 @@
 
     def _wait_until(self, until_s: float, may_end: bool) -> None:
         while self.clock.now_s() < until_s:
-            if may_end and not self.ingress.open_requests:
+            if may_end and not self.ingress.connections:
                 return
             self.clock.sleep(0.05)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -4,6 +4,7 @@
 import pytest
 
 from magnoliadyke import clock as clocks
+from magnoliadyke.gateway import http
 from tests import gatewayworld
 
 CHAT = gatewayworld.prompt((0x1, 40), (0x2, 60))
@@ -34,9 +35,12 @@
         self.ended = gevent.spawn(self.node._drain)
         gatewayworld.wait_for(lambda: self.node.ingress.shutdown, 'the stop')
 
-    def end(self):
-        """Move on to where its process ends."""
-        self.clock.skipped_s += self.node.settings.stop_s
+    def end(self, after_s=None):
+        """Move on until its process ends.
+
+        :param after_s: not later than the end of the grace time
+        """
+        self.clock.skipped_s += after_s or self.node.settings.stop_s
         self.ended.get(timeout=gatewayworld.WAIT_S)
 
 
@@ -95,3 +99,22 @@
     head, _ = client.call('GET', '/safe/x', 'short', X_Deadline_Ms=1000)
     assert head.status == 200
     assert len(plain.runs) == 1
+
+
+def test_host_ends_no_connection_that_is_being_closed(world, monkeypatch):
+    """The last answer was lost: its host ended with unread bytes."""
+    world.endpoint('p1')
+    stopping = Stopping(world)
+    client = gatewayworld.Client(stopping.node)
+    client.request('GET', '/safe/x', 'warm')
+    client.answer()
+    (caller,) = stopping.node.ingress.connections
+    dropped = []
+    drop = http.drop
+    monkeypatch.setattr(http, 'drop', lambda s: dropped.append(s) or drop(s))
+    stopping.begin()
+    client.request('GET', '/safe/x', 'last')
+    client.send(b'GET /safe/x HTTP/1.1\r\n')
+    assert client.answer()[0].status == 200
+    stopping.end(6.1)
+    assert caller.sock in dropped
