Leave requests unread that cross the end of an idle connection

An idle connection was ended like one whose answer has just been sent: its sending side first, then up to 0.3 s in which whatever came was read and thrown away. A request that crossed that end was read without an answer. A caller may send an unsafe request again only if it has not been read, so it was lost.

Such a connection is closed at once now; the caller's request meets a reset. The test failed before.

--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -153,8 +153,10 @@
         A stream that broke off lacks its last chunk, and that shows.  It is
         closed in order all the same: a reset would also take back bytes
         that are still on their way, and cut the answer in any place.
+        A connection that ends without an answer is closed at once: a request
+        that comes just then is to stay unread.
         """
-        if not (caller.broken or caller.streaming):
+        if caller.begun and not (caller.broken or caller.streaming):
             self._linger(caller.sock)
         http.drop(caller.sock)
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -5,6 +5,7 @@
 
 from magnoliadyke import clock as clocks
 from magnoliadyke.gateway import http
+from magnoliadyke.gateway import ingress
 from tests import gatewayworld
 
 CHAT = gatewayworld.prompt((0x1, 40), (0x2, 60))
@@ -165,3 +166,19 @@
     assert not stopping.node.ingress.running
     with pytest.raises(http.PeerClosed):
         client.answer()
+
+
+def test_request_that_crosses_the_end_of_an_idle_connection_is_not_read(
+    world, monkeypatch
+):
+    """It was read and dropped, so its caller could not send it again."""
+    monkeypatch.setattr(ingress, 'LINGER_S', gatewayworld.WAIT_S)
+    world.endpoint('p1')
+    world.configure(version=2, idle_timeout_ms=100)
+    client = gatewayworld.Client(world.node())
+    assert client.call('GET', '/safe/x', 'warm')[0].status == 200
+    assert client.sock.recv(1) == b''
+    with pytest.raises(BrokenPipeError):
+        for _ in range(20):
+            client.request('POST', '/unsafe/x', 'crossing', b'x')
+            gevent.sleep(0.01)
