Log that an endpoint says in an answer that it leaves

The header Server-Leaving is decoded in the adapter; an answer of another process at the same address, or to another request, tells nothing. Nothing goes by it yet: the line tells whether hosts hear of a leave in answers when the store says nothing.

--- a/magnoliadyke/gateway/codec.py
+++ b/magnoliadyke/gateway/codec.py
@@ -90,6 +90,7 @@
     :param sealed: it bears the endpoint's signature
     :param encoded: the body is not the endpoint's own bytes
     :param idle_limit_s: how long the connection may idle, None if not told
+    :param leaving: the endpoint will take no new work
     """
 
     status: int
@@ -99,6 +100,7 @@
     sealed: bool
     encoded: bool
     idle_limit_s: float | None
+    leaving: bool
 
 
 class Prefilled(NamedTuple):
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -184,8 +184,31 @@
         if isinstance(result, outcomes.Lost) and result.broke_off:
             self.parts.suspects.broke(self.request, endpoint)
 
+    def _facts(
+        self, endpoint: catalog.Endpoint, head: http.Head
+    ) -> codecs.AnswerFacts:
+        """Read an answer's head, and what it tells of its endpoint.
+
+        An answer to another request, or of another process at the same
+        address, tells nothing of the one that was asked.
+        """
+        facts = self.parts.codec.facts(head)
+        own = facts.request_id in (None, self.request.id)
+        if own and not facts.wrong_endpoint and facts.leaving:
+            self._heard_leaving(endpoint)
+        return facts
+
+    def _heard_leaving(self, endpoint: catalog.Endpoint) -> None:
+        LOG.repeated(
+            'endpoint_said_leaving',
+            endpoint.id,
+            id=self.request.id.decode('latin-1'),
+            endpoint=endpoint.id,
+        )
+
     def _converse(
         self,
+        endpoint: catalog.Endpoint,
         used: connection.Connection,
         headers: http.Headers,
         limit: waitlimit.WaitLimit,
@@ -210,10 +233,14 @@
         except callers.Interrupted:
             used.close()
             raise
-        return self._judge(used, head, body)
+        return self._judge(endpoint, used, head, body)
 
     def _judge(
-        self, used: connection.Connection, head: http.Head, body: bytes
+        self,
+        endpoint: catalog.Endpoint,
+        used: connection.Connection,
+        head: http.Head,
+        body: bytes,
     ) -> outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         """Whether an answer is that of this request.
 
@@ -221,7 +248,7 @@
         connection; the id tells them apart.  Such a connection is closed:
         what comes next on it belongs to no one.
         """
-        facts = self.parts.codec.facts(head)
+        facts = self._facts(endpoint, head)
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
         if facts.not_run and facts.request_id in (None, self.request.id):
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -137,7 +137,7 @@
         self.runs += 1
         try:
             limit = waitlimit.WaitLimit(try_s, http.OutOfTime)
-            result = self._converse(used, headers, limit)
+            result = self._converse(endpoint, used, headers, limit)
         finally:
             self.parts.upstream.give(endpoint, used)
         match result:
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -318,9 +318,9 @@
         runner: catalog.Endpoint,
         options: codecs.RunOptions,
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
-        facts = self.parts.codec.facts(head)
+        facts = self._facts(runner, head)
         if facts.status != 200:
-            return self._judge(used, head, used.body())
+            return self._judge(runner, used, head, used.body())
         if facts.request_id != self.request.id:
             return outcomes.Lost('answer to another request', False)
         if not facts.sealed or facts.encoded:
--- a/magnoliadyke/gateway/promptreading.py
+++ b/magnoliadyke/gateway/promptreading.py
@@ -98,7 +98,7 @@
         limit = waitlimit.WaitLimit(wait_s, http.OutOfTime)
         try:
             with self.parts.placer.reading(reader.id, limit):
-                result = self._converse(used, headers, limit)
+                result = self._converse(reader, used, headers, limit)
         finally:
             self.parts.upstream.give(reader, used)
         self._note_try(result, reader.id)
--- a/magnoliadyke/platform/codec.py
+++ b/magnoliadyke/platform/codec.py
@@ -171,7 +171,7 @@
     def facts(self, head: http.Head) -> codec.AnswerFacts:
         """Read an endpoint's head."""
         request_id = None
-        not_run = sealed = encoded = False
+        not_run = sealed = encoded = leaving = False
         idle_limit_s = None
         for name, value in head.headers:
             match name.lower():
@@ -183,6 +183,8 @@
                     sealed = True
                 case b'content-encoding':
                     encoded = value.lower() != b'identity'
+                case b'server-leaving':
+                    leaving = value.strip() == b'1'
                 case b'keep-alive':
                     idle_limit_s = _idle_limit_s(value)
         wrong = head.status == STATUS_WRONG_ENDPOINT
@@ -194,6 +196,7 @@
             sealed,
             encoded,
             idle_limit_s,
+            leaving,
         )
 
     def answer_headers(self, head: http.Head) -> http.Headers:
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -91,7 +91,7 @@
         )
     )
     assert facts == codecs.AnswerFacts(
-        200, b'r1', False, False, True, False, 5.0
+        200, b'r1', False, False, True, False, 5.0, False
     )
     shed = codec.PlatformCodec().facts(
         head((b'X-Not-Executed', b'1'), status=503)
@@ -102,6 +102,16 @@
     assert not codec.PlatformCodec().facts(head(status=503)).not_run
 
 
+@pytest.mark.parametrize(
+    'value, leaving', [(b'1', True), (b' 1 ', True), (b'0', False)]
+)
+def test_answer_says_that_its_endpoint_leaves(value, leaving):
+    facts = codec.PlatformCodec().facts(
+        head((b'server-leaving', value), status=200)
+    )
+    assert facts.leaving is leaving
+
+
 def test_answer_headers_keep_the_signature():
     kept = codec.PlatformCodec().answer_headers(
         head(
