Show that endpoints that say they leave are asked on

Failing: a plain, safe or unsafe, request, the reading of a prompt, the answer to a prompt that was read, a stream that goes on, and whatever follows a refusal are sent to an endpoint that has said in an answer that it leaves, while the store's entry says that it is ready.

--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -63,6 +63,7 @@
     :ivar change_s: time in which it carries an order for a stage out, None
         if it only notes orders
     :ivar changed: called when its entry is another one
+    :ivar says_leaving: its answers tell that it leaves
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         self.fails_resumed = False
         self.born_ms = 0
         self.refuses_after: int | None = None
+        self.says_leaving = False
         self.change_s: float | None = None
         self.changed: Callable[[], None] | None = None
         self.arrivals: list[Arrival] = []
@@ -179,7 +181,7 @@
         handle = f'{self.name}-{self.next_handle}'
         self.handles.add(handle)
         body = json.dumps({'kv_handle': handle, 'tokens': 1, 'version': 1})
-        caller.answer(200, [(b'X-Request-Id', arrival.id)], body.encode())
+        self._answer(caller, arrival, 200, [], body.encode())
         return True
 
     def _control(
@@ -225,9 +227,13 @@
         extra: http.Headers,
         body: bytes = b'',
     ) -> None:
-        headers = [(b'X-Request-Id', arrival.id), *extra]
+        headers = [(b'X-Request-Id', arrival.id), *self._word(), *extra]
         caller.answer(status, headers, body)
 
+    def _word(self) -> http.Headers:
+        """What each of its answers tells of itself."""
+        return [(b'Server-Leaving', b'1')] if self.says_leaving else []
+
     def _run(self, caller: callers.Caller, arrival: Arrival) -> bool:
         gevent.sleep(self.work_s)
         if self.mode == 'silent':
@@ -284,6 +290,7 @@
         headers = [
             (b'X-Request-Id', arrival.id),
             (b'Content-Type', b'text/event-stream'),
+            *self._word(),
             *seal,
         ]
         caller.begin_stream(200, headers)
