Log that an endpoint asks for rest

Retry-After of an endpoint's 503 is decoded in the adapter. Nothing goes by it yet: the line tells for how long which endpoint asked, so that requests that reach it meanwhile can be told from those before.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -194,10 +194,21 @@
         """
         facts = self.parts.codec.facts(head)
         own = facts.request_id in (None, self.request.id)
-        if own and not facts.wrong_endpoint and facts.leaving:
-            self._heard_leaving(endpoint)
+        if own and not facts.wrong_endpoint:
+            if facts.leaving:
+                self._heard_leaving(endpoint)
+            if facts.rest_s:
+                self._heard_rest(endpoint, facts.rest_s)
         return facts
 
+    def _heard_rest(self, endpoint: catalog.Endpoint, for_s: float) -> None:
+        LOG.event(
+            'endpoint_asked_for_rest',
+            id=self.request.id.decode('latin-1'),
+            endpoint=endpoint.id,
+            for_ms=round(for_s * 1000),
+        )
+
     def _heard_leaving(self, endpoint: catalog.Endpoint) -> None:
         if self.parts.catalog.heard_leaving(endpoint.id):
             LOG.event(
--- a/magnoliadyke/platform/codec.py
+++ b/magnoliadyke/platform/codec.py
@@ -86,6 +86,7 @@
     KEY,
 )
 STATUS_WRONG_ENDPOINT = 421
+STATUS_UNAVAILABLE = 503
 #: Ids of parts are kept as positive numbers of 64 bits.
 MASK_64 = (1 << 63) - 1
 
@@ -173,6 +174,7 @@
         request_id = None
         not_run = sealed = encoded = leaving = False
         idle_limit_s = None
+        rest_s = 0.0
         for name, value in head.headers:
             match name.lower():
                 case b'x-request-id':
@@ -183,6 +185,8 @@
                     sealed = True
                 case b'content-encoding':
                     encoded = value.lower() != b'identity'
+                case b'retry-after' if head.status == STATUS_UNAVAILABLE:
+                    rest_s = _rest_s(value)
                 case b'server-leaving':
                     leaving = value.strip() == b'1'
                 case b'keep-alive':
@@ -197,6 +201,7 @@
             encoded,
             idle_limit_s,
             leaving,
+            rest_s,
         )
 
     def answer_headers(self, head: http.Head) -> http.Headers:
@@ -284,6 +289,15 @@
     return frozenset(named)
 
 
+def _rest_s(value: bytes) -> float:
+    try:
+        rest_s = float(value)
+    except ValueError:
+        # A moment in place of a time: not what the platform sends.
+        return 0.0
+    return rest_s if 0 < rest_s < math.inf else 0.0
+
+
 def _idle_limit_s(value: bytes) -> float | None:
     for entry in value.split(b','):
         key, _, seconds = entry.strip().partition(b'=')
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -91,7 +91,7 @@
         )
     )
     assert facts == codecs.AnswerFacts(
-        200, b'r1', False, False, True, False, 5.0, False
+        200, b'r1', False, False, True, False, 5.0, False, 0.0
     )
     shed = codec.PlatformCodec().facts(
         head((b'X-Not-Executed', b'1'), status=503)
@@ -112,6 +112,25 @@
     assert facts.leaving is leaving
 
 
+@pytest.mark.parametrize(
+    'status, value, rest_s',
+    [
+        (503, b'3', 3.0),
+        (503, b'0.25', 0.25),
+        (503, b'soon', 0.0),
+        (503, b'-1', 0.0),
+        (503, b'inf', 0.0),
+        (503, b'nan', 0.0),
+        (429, b'3', 0.0),
+    ],
+)
+def test_refusal_asks_for_rest(status, value, rest_s):
+    facts = codec.PlatformCodec().facts(
+        head((b'Retry-After', value), status=status)
+    )
+    assert facts.rest_s == rest_s
+
+
 def test_answer_headers_keep_the_signature():
     kept = codec.PlatformCodec().answer_headers(
         head(
