Show that endpoints that ask for rest are asked on

Failing: an endpoint that turned a request away with 503 and Retry-After gets the next plain requests, prompts to read and prompts to answer of the same host, and callers are not told when it may be asked again.

--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -64,6 +64,7 @@
         if it only notes orders
     :ivar changed: called when its entry is another one
     :ivar says_leaving: its answers tell that it leaves
+    :ivar rest_s: for which it asks where it turns a request away, in seconds
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         self.born_ms = 0
         self.refuses_after: int | None = None
         self.says_leaving = False
+        self.rest_s: float | None = None
         self.change_s: float | None = None
         self.changed: Callable[[], None] | None = None
         self.arrivals: list[Arrival] = []
@@ -145,7 +147,10 @@
         self.arrivals.append(arrival)
         refusal = self._refusal(headers)
         if refusal is not None:
-            self._answer(caller, arrival, refusal, [(b'X-Not-Executed', b'1')])
+            extra = [(b'X-Not-Executed', b'1')]
+            if refusal == 503 and self.rest_s is not None:
+                extra.append((b'Retry-After', b'%g' % self.rest_s))
+            self._answer(caller, arrival, refusal, extra)
             return True
         if headers.get(b'x-stage') == b'prefill':
             return self._read_prompt(caller, arrival)
