Let no job that must avoid the free engines hold up the others

Callers whose prompts could be read at once waited, and some were refused, behind one that could not: the first job of a queue that no free engine may take (each is among those that failed it) ended the look at the queue.

Now up to eight such jobs are passed over in a look, and keep their places. Test: the second job was not placed before.

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -63,6 +63,8 @@
 #: Late jobs are looked through this often, in seconds: a wait that grows by
 #: this much costs no caller anything.
 SORT_S = 0.02
+#: Jobs that no free engine may take which a look at the queue passes over.
+MOST_PASSED_OVER = 8
 #: Longest time between two looks at the queue, in seconds.
 PUMP_S = 0.05
 #: Time constant of measured demand, in seconds: half a swing of the load.
@@ -369,18 +371,26 @@
         self.answers.expire(now_s)
         self._pump_answers(now_s, decisions)
         self._sort_out(now_s, decisions)
+        passed_over: list[tuple[promptjobs.JobQueue, promptjobs.Job]] = []
         while (
             self.pool.has_open() and (queue := self._next_queue()) is not None
         ):
             job = queue.first()
             option = self.pool.best(job.parts, job.avoid, now_s)
             if option is None:
-                break
+                if not job.avoid or len(passed_over) >= MOST_PASSED_OVER:
+                    break
+                # Others may take the engines that are free.
+                queue.take(job.id)
+                passed_over.append((queue, job))
+                continue
             queue.take(job.id)
             if self.deferral.put(job, option, queue, now_s):
                 continue
             self.turns += 1
             decisions.append(self._take(job, option, now_s))
+        for queue, job in reversed(passed_over):
+            queue.put_back(job)
         return decisions
 
     def wake_s(self, now_s: float) -> float | None:
--- a/magnoliadyke/core/promptjobs.py
+++ b/magnoliadyke/core/promptjobs.py
@@ -99,6 +99,11 @@
             self.need_s = max(0.0, self.need_s - job.need_s)
         return job
 
+    def put_back(self, job: Job) -> None:
+        """Put a job that was taken where it was, before all others."""
+        self.put(job)
+        self.jobs.move_to_end(job.id, last=False)
+
     def first(self) -> Job:
         return next(iter(self.jobs.values()))
 
@@ -119,6 +124,13 @@
         super().put(job)
         heapq.heappush(self.order, (job.latest_s, job.id))
 
+    def put_back(self, job: Job) -> None:
+        super().put(job)
+        entry = (job.latest_s, job.id)
+        # Its entry is still there unless another job was looked for since.
+        if not self.order or self.order[0] != entry:
+            heapq.heappush(self.order, entry)
+
     def first(self) -> Job:
         while self.order[0][1] not in self.jobs:
             heapq.heappop(self.order)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -894,3 +894,34 @@
     (told,) = made.pump(0.1)
     assert told.job == 1
     assert not made.waits(1)
+
+
+def test_job_that_no_free_engine_may_take_holds_up_no_other():
+    """All prompts waited behind one whose engine rested for its host."""
+    made = core()
+    everyone = tuple(each.id for each in promptload.fleet())
+    barred = job(1, [*LONG, part(3, 2900)], avoid=everyone)
+    assert made.submit(barred, 0.0) == []
+    (decision,) = made.submit(job(2, [*LONG, part(4, 2900)], 0.01), 0.01)
+    assert isinstance(decision, promptjobs.Placed)
+    assert decision.job == 2
+    assert made.waits(1)
+
+
+def test_jobs_that_are_passed_over_keep_their_order():
+    queue = promptjobs.SlackQueue()
+    jobs = [job(n, [part(n, 300)], float(n)) for n in range(4)]
+    for each in jobs:
+        each.latest_s = each.objective_s
+        queue.put(each)
+    for _ in range(5):
+        taken = [queue.take(queue.first().id) for _ in range(3)]
+        for each in reversed(taken):
+            queue.put_back(each)
+        assert queue.in_order() == jobs
+        assert queue.first() is jobs[0]
+        assert len(queue.order) == 4
+    for _ in range(2):
+        for each in reversed([queue.take(queue.first().id) for _ in jobs]):
+            queue.put_back(each)
+    assert len(queue.order) == 4
