Leave an endpoint the rest that it asks for

Callers were served by the next try; the tries were spent for nothing.

Cause: Retry-After of an endpoint's 503 was not read. A refusal was one failure among many to the balancer and to the placement, and an endpoint that answers quickly that it is full stays the best one. Class: a peer's wish is taken for a measurement.

Now core/rests.py keeps until when each endpoint wants nothing from this host, one for all paths. Plain requests choose among the others; a prompt's host names the engines that rest when it asks for a place, and declines a place at one; the last check is where a connection is taken. If all rest, the caller is refused at once and told when the first rest is over. Freeing what an engine has read is left to its lapse meanwhile. Orders to engines are not requests and go on.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -7,6 +7,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import balance
 from magnoliadyke.core import catalog
+from magnoliadyke.core import rests
 from magnoliadyke.core import retrybudget
 from magnoliadyke.core import routes
 from magnoliadyke.gateway import caller as callers
@@ -21,7 +22,14 @@
 from magnoliadyke.gateway import waitlimit
 from magnoliadyke import logs
 
-__all__ = ['RETRY_AFTER_S', 'RETURN_S', 'STOPPING', 'Exchange', 'Parts']
+__all__ = [
+    'RESTS',
+    'RETRY_AFTER_S',
+    'RETURN_S',
+    'STOPPING',
+    'Exchange',
+    'Parts',
+]
 
 LOG = logs.get('exchange')
 
@@ -30,6 +38,8 @@
 #: Kept of a caller's time for the answer's way back, in seconds: below it a
 #: further try could not be answered in time.
 RETURN_S = 0.02
+#: Reason told for a request that no endpoint wants at present.
+RESTS = 'the endpoint asked for rest'
 #: Reason told for a request that may outlast this host, or did.
 STOPPING = 'this host is stopping'
 #: Reason told for a request that is not run any more.
@@ -50,6 +60,7 @@
     budgets: dict[str, retrybudget.RetryBudget]
     placer: placing.Placer
     suspects: suspects.Suspects
+    rests: rests.Rests
     rng: random.Random
     begun: usageduty.Begun
 
@@ -151,6 +162,31 @@
     def _budget(self) -> retrybudget.RetryBudget:
         return self.parts.budgets[self.service]
 
+    def _take(
+        self, endpoint: catalog.Endpoint, repeatable: bool
+    ) -> connection.Connection:
+        """Get a connection to an endpoint, unless it rests.
+
+        :param repeatable: what it is for may be sent again
+        :raises upstream.NoConnection: there is none; nothing has been sent
+        """
+        if self._rest_s(endpoint.id):
+            raise upstream.NoConnection(RESTS)
+        return self.parts.upstream.take(
+            endpoint, self._max_connections(), repeatable
+        )
+
+    def _rest_s(self, endpoint_id: str) -> float:
+        """How much longer an endpoint wants nothing from this host."""
+        now_s = self.parts.clock.now_s()
+        return self.parts.rests.left_s(endpoint_id, now_s)
+
+    def _retry_after_s(self) -> float:
+        """When a request that none takes may come back."""
+        usable = self.parts.catalog.usable(self.service)
+        now_s = self.parts.clock.now_s()
+        return self.parts.rests.all_rest_s(usable, now_s) or RETRY_AFTER_S
+
     def _may_send(self) -> bool:
         """Count a send that is to run; all but the first are repeats."""
         self.sends += 1
@@ -202,6 +238,8 @@
         return facts
 
     def _heard_rest(self, endpoint: catalog.Endpoint, for_s: float) -> None:
+        now_s = self.parts.clock.now_s()
+        self.parts.rests.asked(endpoint.id, for_s, now_s)
         LOG.event(
             'endpoint_asked_for_rest',
             id=self.request.id.decode('latin-1'),
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -20,13 +20,12 @@
     """Goes to the endpoint that costs callers least, again if it may."""
 
     def _serve(self) -> outcomes.Outcome:
-        failure: outcomes.Outcome = outcomes.Refused(
-            'no endpoint is known', exchange.RETRY_AFTER_S
-        )
+        failure: outcomes.Failed | None = None
+        reason = 'no endpoint takes it'
         while True:
             endpoint = self._choose()
             if endpoint is None:
-                return failure
+                return failure or self._refused(reason)
             tried = self._try_plain(endpoint)
             match tried:
                 case outcomes.Answered():
@@ -40,12 +39,8 @@
                         return self._deliver(tried)
                 case outcomes.NotRun(reason):
                     self._log_try(reason, 'not run')
-                    if not isinstance(failure, outcomes.Failed):
-                        failure = outcomes.Refused(
-                            reason, exchange.RETRY_AFTER_S
-                        )
                     if not self._may_go_on():
-                        return failure
+                        return failure or self._refused(reason)
                 case outcomes.Lost(reason, timed_out):
                     self._log_try(reason, 'unknown')
                     status = 504 if timed_out else 502
@@ -57,9 +52,14 @@
                 case outcomes.Failed():
                     return tried
 
+    def _refused(self, reason: str) -> outcomes.Refused:
+        return outcomes.Refused(reason, self._retry_after_s())
+
     def _choose(self) -> catalog.Endpoint | None:
-        endpoints = self.parts.catalog.usable(self.service)
         now_s = self.parts.clock.now_s()
+        endpoints = self.parts.rests.awake(
+            self.parts.catalog.usable(self.service), now_s
+        )
         return self.parts.balancer.choose(endpoints, self.tried, now_s)
 
     def _wants_another(self, whole: outcomes.Whole) -> bool:
@@ -126,9 +126,7 @@
         options = codecs.RunOptions(endpoint.name, self.left_s)
         headers = self.parts.codec.run_headers(self.request, options)
         try:
-            used = self.parts.upstream.take(
-                endpoint, self._max_connections(), self.route.repeatable
-            )
+            used = self._take(endpoint, self.route.repeatable)
         except upstream.NoConnection as error:
             return outcomes.NotRun(str(error), arrived=False)
         if not self._may_send():
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -33,6 +33,8 @@
 #: engine that is down refuses a connection within a millisecond; where it is
 #: the only one left, a request would try it thousands of times.
 MOST_MISSES = 3
+#: Engines that rest of which the placing host is told with a request.
+MOST_UNWILLING = 32
 
 
 class PromptExchange(promptreading.PromptReading):
@@ -53,11 +55,22 @@
         avoid: tuple[str, ...] = ()
         resume_after = self.request.resume_after
         while True:
+            rest_s = self._answerers_rest_s()
+            if rest_s:
+                return self._refused(exchange.RESTS, rest_s)
             job = self._job(avoid, resume_after is not None)
             decision = self.parts.placer.place(self.service, job)
             self._log_decision(job, decision)
             if isinstance(decision, promptjobs.Refused):
                 return self._refused(decision.reason, decision.retry_after_s)
+            resting = self._resting(decision)
+            if resting is not None:
+                self.parts.placer.ended(self.service, job.id, True)
+                self.misses += 1
+                if resting in job.avoid or self.misses > MOST_MISSES:
+                    rest_s = self._rest_s(resting)
+                    return self._refused(exchange.RESTS, rest_s)
+                continue
             tell = True
             try:
                 result = self._run_placed(job, decision, resume_after)
@@ -85,7 +98,7 @@
                     self._log_try(reason, 'not run')
                     self.misses += 1
                     if self.misses > MOST_MISSES or not self._may_go_on():
-                        return self._refused(reason, exchange.RETRY_AFTER_S)
+                        return self._refused(reason, self._retry_after_s())
                 case outcomes.Lost(reason, timed_out):
                     self._log_try(reason, 'unknown')
                     status = 504 if timed_out else 502
@@ -127,6 +140,30 @@
                     retry_after_ms=round(retry_after_s * 1000),
                 )
 
+    def _resting(self, placed: promptjobs.Placed) -> str | None:
+        """The engine of a placement that wants nothing from this host."""
+        for engine in (placed.prefill, placed.run):
+            if engine is not None and self._rest_s(engine):
+                return engine
+        return None
+
+    def _answerers_rest_s(self) -> float:
+        """How long no engine answers this host; 0 if one does."""
+        listed = self.parts.catalog.by_service.get(self.service, {})
+        answering = (
+            each
+            for each in listed.values()
+            if each.stage is catalog.Stage.DECODE and not each.leaving
+        )
+        now_s = self.parts.clock.now_s()
+        return self.parts.rests.all_rest_s(answering, now_s)
+
+    def _unwilling(self) -> list[str]:
+        """Engines that rest, which the placing host does not know."""
+        listed = self.parts.catalog.by_service.get(self.service, {})
+        resting = self.parts.rests.resting(self.parts.clock.now_s())
+        return [each for each in resting if each in listed][:MOST_UNWILLING]
+
     def _refused(
         self, reason: str, retry_after_s: float
     ) -> outcomes.Refused | outcomes.Failed:
@@ -166,7 +203,7 @@
             failure_domain=self.parts.balancer.failure_domain,
             returning=returning or self.prefills > 0,
             resumed=resumed,
-            avoid=avoid,
+            avoid=(*avoid, *self._unwilling()),
         )
 
     def _run_placed(
@@ -248,13 +285,16 @@
         """Another engine for a request that one has not taken."""
         if self.left_s < exchange.RETURN_S:
             return None
-        others = [
+        answering = [
             each
             for each in self.parts.catalog.usable(self.service)
-            if each.stage is catalog.Stage.DECODE and each.id != failed
+            if each.stage is catalog.Stage.DECODE
         ]
+        now_s = self.parts.clock.now_s()
+        awake = self.parts.rests.awake(answering, now_s)
+        others = [each for each in awake if each.id != failed]
         if not others:
-            return self._present(failed)
+            return next(iter(awake), None)
         return self.parts.rng.choice(others)
 
     def _stream(
@@ -265,9 +305,7 @@
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         """Have the engine run the request and pass its events on."""
         try:
-            used = self.parts.upstream.take(
-                runner, self._max_connections(), self.route.repeatable
-            )
+            used = self._take(runner, self.route.repeatable)
         except upstream.NoConnection as error:
             return outcomes.NotRun(str(error), arrived=False)
         if not self._may_send():
--- a/magnoliadyke/gateway/promptreading.py
+++ b/magnoliadyke/gateway/promptreading.py
@@ -85,9 +85,7 @@
         )
         headers = self.parts.codec.prefill_headers(self.request, options)
         try:
-            used = self.parts.upstream.take(
-                reader, self._max_connections(), repeatable=True
-            )
+            used = self._take(reader, repeatable=True)
         except upstream.NoConnection as error:
             return self._not_read(reader.id, str(error), False)
         if not self._may_prefill():
@@ -149,6 +147,9 @@
                 break
         else:
             return
+        if self._rest_s(endpoint.id):
+            # What it keeps lapses by itself.
+            return
         method, target = self.parts.codec.drop_target(handle)
         try:
             used = self.parts.upstream.take(endpoint, 0, repeatable=True)
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -13,6 +13,7 @@
 from magnoliadyke.core import balance
 from magnoliadyke.core import catalog
 from magnoliadyke.core import position
+from magnoliadyke.core import rests
 from magnoliadyke.core import retrybudget
 from magnoliadyke.core import routes
 from magnoliadyke.core import shutdown
@@ -239,6 +240,7 @@
             self.budgets,
             self.placer,
             self.suspects,
+            rests.Rests(),
             rng,
             self.usage.begun,
         )
