Name engines that said they leave when asking for a place

A host that has heard in an answer that an engine leaves declined each place that the placing host, which has not, gave it there; each such prompt was placed twice. Its host now names these engines with the request. Test failed before: half of the places were at that engine.

--- a/magnoliadyke/core/catalog.py
+++ b/magnoliadyke/core/catalog.py
@@ -64,6 +64,7 @@
 
     :ivar said_leaving: ids of endpoints that have said themselves that they
         leave; no entry takes that back
+    :ivar leavers: ids of those of them that are listed
     :ivar by_name: ids of the endpoints, by the name that they go by
     :ivar checked_s: when the store last confirmed all of it
     :ivar generation: counts the changes of endpoints and services
@@ -80,6 +81,7 @@
         self.said_leaving: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self.leavers: set[str] = set()
         self.checked_s: float | None = None
         self.generation = 0
 
@@ -114,6 +116,7 @@
     def put(self, endpoint: Endpoint) -> None:
         """An endpoint is listed, or its entry has changed."""
         if endpoint.id in self.said_leaving:
+            self.leavers.add(endpoint.id)
             endpoint = endpoint._replace(leaving=True)
         before = self.endpoints.get(endpoint.id)
         if before is not None and before.service != endpoint.service:
@@ -143,6 +146,7 @@
     def remove(self, endpoint_id: str) -> Endpoint | None:
         """An endpoint is no longer listed."""
         endpoint = self.endpoints.pop(endpoint_id, None)
+        self.leavers.discard(endpoint_id)
         if endpoint is not None:
             if self.by_name.get(endpoint.name) == endpoint_id:
                 del self.by_name[endpoint.name]
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -33,7 +33,7 @@
 #: engine that is down refuses a connection within a millisecond; where it is
 #: the only one left, a request would try it thousands of times.
 MOST_MISSES = 3
-#: Engines that rest of which the placing host is told with a request.
+#: Engines that take nothing of which the placing host is told with a request.
 MOST_UNWILLING = 32
 
 
@@ -159,10 +159,15 @@
         return self.parts.rests.all_rest_s(answering, now_s)
 
     def _unwilling(self) -> list[str]:
-        """Engines that rest, which the placing host does not know."""
-        listed = self.parts.catalog.by_service.get(self.service, {})
+        """Engines that take nothing, which the placing host may not know.
+
+        Rests are this host's own, and a leave may have been told here only.
+        """
+        known = self.parts.catalog
+        listed = known.by_service.get(self.service, {})
         resting = self.parts.rests.resting(self.parts.clock.now_s())
-        return [each for each in resting if each in listed][:MOST_UNWILLING]
+        ids = [each for each in (*resting, *known.leavers) if each in listed]
+        return ids[:MOST_UNWILLING]
 
     def _refused(
         self, reason: str, retry_after_s: float
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -156,3 +156,35 @@
     for number in range(9):
         known.heard_leaving(f'p{number}')
     assert len(known.said_leaving) == 3
+
+
+def test_placing_host_gives_no_prompt_to_who_said_so_elsewhere(world):
+    """Each prompt was placed there first, and placed anew by its host."""
+    world.endpoint('e0', 'model', 'prefill')
+    world.endpoint('d1', 'model', 'decode')
+    world.endpoint('d2', 'model', 'decode')
+    nodes = [world.node(), world.node()]
+    gatewayworld.wait_for(
+        lambda: any(each.placer.leading for each in nodes), 'a placing host'
+    )
+    other = min(nodes, key=lambda each: each.placer.leading)
+    gatewayworld.wait_for(lambda: other.placer.leader, 'its word')
+    other.catalog.heard_leaving('d1')
+    placed = []
+    place = other.placer.place
+
+    def noted(service, job):
+        placed.append(place(service, job))
+        return placed[-1]
+
+    other.placer.place = noted
+    for number in range(10):
+        head = ask(
+            world,
+            '/chat/a',
+            node=nodes.index(other),
+            request_id=f'n{number}',
+            **CHAT,
+        )
+        assert head.status == 200
+    assert {each.run for each in placed} == {'d2'}
