--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -70,6 +70,16 @@
         self.list(made)
         return made
 
+    def join(self, name, service='plain', stage='', **fields):
+        """Start an endpoint and wait until all nodes have it listed."""
+        made = self.endpoint(name, service, stage, **fields)
+
+        def listed():
+            return all(name in each.catalog.endpoints for each in self.nodes)
+
+        wait_for(listed, f'the entry of {name}')
+        return made
+
     def engine(self, name, stage):
         """Start an engine that carries orders out, and list it."""
         made = self.endpoint(name, 'model', stage)
@@ -77,6 +87,22 @@
         made.changed = functools.partial(self.list, made)
         return made
 
+    def ask(
+        self,
+        path,
+        method='POST',
+        request_id='r1',
+        body=b'x',
+        node=0,
+        **headers,
+    ):
+        """Ask a node on a connection of its own; the answer's head."""
+        client = Client(self.nodes[node])
+        try:
+            return client.call(method, path, request_id, body, **headers)[0]
+        finally:
+            client.close()
+
     def list(self, endpoint):
         """Write an endpoint's entry."""
         self.store.put(f'servers/{endpoint.name}', endpoint.entry())
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -17,39 +17,23 @@
         yield made
 
 
-def ask(world, path, method='POST', node=0, request_id='r1', **headers):
-    client = gatewayworld.Client(world.nodes[node])
-    try:
-        return client.call(method, path, request_id, b'x', **headers)[0]
-    finally:
-        client.close()
-
-
 def say(world, endpoint, path, **headers):
     """Ask an endpoint that tells in its answer that it leaves."""
     endpoint.says_leaving = True
-    ask(world, path, **headers)
+    world.ask(path, **headers)
     assert endpoint.arrivals
     endpoint.arrivals.clear()
 
 
-def join(world, name, service='plain', stage=''):
-    """Another endpoint is listed."""
-    made = world.endpoint(name, service, stage)
-    (node,) = world.nodes
-    gatewayworld.wait_for(lambda: name in node.catalog.endpoints, name)
-    return made
-
-
 @pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x'])
 def test_endpoint_that_said_so_gets_no_request(world, path):
     """Requests went on to an endpoint that was leaving, for a whole outage."""
     leaver = world.endpoint('p1')
     world.node()
     say(world, leaver, path)
-    join(world, 'p2')
+    world.join('p2')
     for number in range(10):
-        assert ask(world, path, request_id=f'n{number}').status == 200
+        assert world.ask(path, request_id=f'n{number}').status == 200
     assert not leaver.arrivals
 
 
@@ -61,9 +45,9 @@
     world.node()
     leaver = world.endpoints[f'a-{stage}']
     say(world, leaver, '/chat/a', **LONG)
-    join(world, 'b', 'model', stage)
+    world.join('b', 'model', stage)
     for number in range(10):
-        head = ask(world, '/chat/a', request_id=f'n{number}', **LONG)
+        head = world.ask('/chat/a', request_id=f'n{number}', **LONG)
         assert head.status == 200
     assert not leaver.arrivals
 
@@ -74,7 +58,7 @@
     world.endpoint('e0', 'model', 'prefill')
     world.node()
     say(world, leaver, '/chat/a', **CHAT)
-    other = join(world, 'd2', 'model', 'decode')
+    other = world.join('d2', 'model', 'decode')
     other.mode = 'cut'
     client = gatewayworld.Client(world.nodes[0])
     client.request('POST', '/chat/a', 'm1', b'x', **CHAT)
@@ -91,10 +75,10 @@
     leaver.mode = 'shed'
     say(world, leaver, '/safe/x', method='GET')
     leaver.mode = 'ok'
-    join(world, 'p2')
+    world.join('p2')
     assert world.nodes[0].catalog.endpoints['p1'].leaving
     for number in range(10):
-        assert ask(world, '/safe/x', request_id=f'n{number}').status == 200
+        assert world.ask('/safe/x', request_id=f'n{number}').status == 200
     assert not leaver.arrivals
 
 
@@ -102,7 +86,7 @@
     leaver = world.endpoint('p1')
     world.node()
     say(world, leaver, '/safe/x')
-    assert ask(world, '/safe/x').status == 503
+    assert world.ask('/safe/x').status == 503
     assert not leaver.arrivals
 
 
@@ -136,7 +120,7 @@
     leaver.born_ms += 5000
     world.list(leaver)
     gatewayworld.wait_for(lambda: node.catalog.usable('plain'), 'the next run')
-    assert ask(world, '/safe/x').status == 200
+    assert world.ask('/safe/x').status == 200
 
 
 def test_word_of_another_process_at_a_reused_address_is_not_believed(world):
@@ -145,7 +129,7 @@
     node = world.node()
     present.says_leaving = True
     present.name = 'p9'
-    assert ask(world, '/safe/x').status == 503
+    assert world.ask('/safe/x').status == 503
     assert not node.catalog.endpoints['p1'].leaving
 
 
@@ -179,8 +163,7 @@
 
     other.placer.place = noted
     for number in range(10):
-        head = ask(
-            world,
+        head = world.ask(
             '/chat/a',
             node=nodes.index(other),
             request_id=f'n{number}',
--- a/tests/test_gateway_rest.py
+++ b/tests/test_gateway_rest.py
@@ -16,40 +16,24 @@
         yield made
 
 
-def ask(world, path, method='POST', request_id='r1', node=0, **headers):
-    client = gatewayworld.Client(world.nodes[node])
-    try:
-        return client.call(method, path, request_id, b'x', **headers)[0]
-    finally:
-        client.close()
-
-
 def tire(world, endpoint, path, node=0, **headers):
     """Have an endpoint turn a request away and ask for rest."""
     endpoint.mode, endpoint.rest_s = 'shed', REST_S
-    ask(world, path, node=node, **headers)
+    world.ask(path, node=node, **headers)
     assert endpoint.arrivals
     endpoint.arrivals.clear()
     endpoint.mode = 'ok'
 
 
-def join(world, name, service='plain', stage=''):
-    """Another endpoint is listed."""
-    made = world.endpoint(name, service, stage)
-    (node,) = world.nodes
-    gatewayworld.wait_for(lambda: name in node.catalog.endpoints, name)
-    return made
-
-
 @pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x'])
 def test_plain_requests_leave_an_endpoint_its_rest(world, path):
     """A refusal was one failure among many, and the next request came."""
     tired = world.endpoint('p1')
     world.node()
     tire(world, tired, path)
-    join(world, 'p2').mode = 'error'
+    world.join('p2').mode = 'error'
     for number in range(20):
-        ask(world, path, request_id=f'n{number}')
+        world.ask(path, request_id=f'n{number}')
     assert not tired.arrivals
 
 
@@ -61,9 +45,9 @@
     world.node()
     tired = world.endpoints[f'a-{stage}']
     tire(world, tired, '/chat/a', **LONG)
-    join(world, 'b', 'model', stage)
+    world.join('b', 'model', stage)
     for number in range(10):
-        head = ask(world, '/chat/a', request_id=f'n{number}', **LONG)
+        head = world.ask('/chat/a', request_id=f'n{number}', **LONG)
         assert head.status == 200
     assert not tired.arrivals
 
@@ -74,7 +58,7 @@
     world.endpoint('e0', 'model', 'prefill')
     world.node()
     tire(world, tired, '/chat/a', **CHAT)
-    other = join(world, 'd2', 'model', 'decode')
+    other = world.join('d2', 'model', 'decode')
     other.mode = 'cut'
     ask_broken(world, '/chat/a', **CHAT)
     assert other.runs
@@ -98,9 +82,9 @@
     world.node()
     tire(world, tired, '/chat/a', **CHAT)
     for number in range(5):
-        ask(world, '/once/a', request_id=f'o{number}', **CHAT)
-        ask(world, '/chat/a', request_id=f'l{number}', **LONG)
-        ask(world, '/chat/a', request_id=f'c{number}', **CHAT)
+        world.ask('/once/a', request_id=f'o{number}', **CHAT)
+        world.ask('/chat/a', request_id=f'l{number}', **LONG)
+        world.ask('/chat/a', request_id=f'c{number}', **CHAT)
     assert not tired.arrivals
 
 
@@ -115,7 +99,7 @@
     world.node()
     name = 'd1' if headers else 'p1'
     tire(world, world.endpoints[name], path, **headers)
-    head = ask(world, path, **headers)
+    head = world.ask(path, **headers)
     assert head.status == 503
     retry_after_s = float(head.value(b'retry-after'))
     assert REST_S / 2 < retry_after_s <= REST_S
@@ -126,9 +110,9 @@
     tired = world.endpoint('p1')
     world.node()
     tired.mode, tired.rest_s = 'shed', 0.2
-    assert ask(world, '/safe/x').status == 503
+    assert world.ask('/safe/x').status == 503
     tired.mode = 'ok'
-    gatewayworld.wait_for(lambda: ask(world, '/safe/x').status == 200, 'it')
+    gatewayworld.wait_for(lambda: world.ask('/safe/x').status == 200, 'it')
 
 
 def test_rest_is_that_of_the_host_that_was_turned_away(world):
@@ -137,8 +121,8 @@
     world.node()
     world.node()
     tire(world, tired, '/safe/x')
-    assert ask(world, '/safe/x', node=1).status == 200
-    assert ask(world, '/safe/x').status == 503
+    assert world.ask('/safe/x', node=1).status == 200
+    assert world.ask('/safe/x').status == 503
 
 
 def test_next_process_of_an_endpoint_is_not_left_alone(world):
@@ -153,4 +137,4 @@
     gatewayworld.wait_for(
         lambda: set(node.catalog.endpoints) != before, 'the next run'
     )
-    assert ask(world, '/safe/x').status == 200
+    assert world.ask('/safe/x').status == 200
