Take a host's figures, its budgets and its listener out of the adapter

platform/node.py gathered metrics of all parts, held the retry budgets and took the keys of hosts; none of that is the platform's. Now figures.py, retrybudget.py and members.py. No change of behaviour.

--- a/magnoliadyke/core/retrybudget.py
+++ b/magnoliadyke/core/retrybudget.py
@@ -2,7 +2,7 @@
 
 import collections
 
-__all__ = ['RetryBudget']
+__all__ = ['Budgets', 'RetryBudget']
 
 #: Slices into which the window is cut; the budget errs by at most one.
 SLICES = 10
@@ -61,3 +61,30 @@
         while counts and counts[0][0] < oldest:
             counts.popleft()
         return sum(count for _, count in counts)
+
+
+class Budgets(dict):
+    """Retry budgets by service, made when first asked for.
+
+    See :class:`RetryBudget` for the parameters.
+    """
+
+    def __init__(self, ratio: float, extra: float, window_s: float) -> None:
+        super().__init__()
+        self.ratio = ratio
+        self.extra = extra
+        self.window_s = window_s
+        self.hosts = 1
+
+    def __missing__(self, service: str) -> RetryBudget:
+        budget = self[service] = RetryBudget(
+            self.ratio, self.extra, self.window_s
+        )
+        budget.hosts = self.hosts
+        return budget
+
+    def set_hosts(self, hosts: int) -> None:
+        """Split the allowance among the live hosts."""
+        self.hosts = hosts
+        for budget in self.values():
+            budget.hosts = hosts
--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -17,13 +17,14 @@
 from magnoliadyke.core import position
 from magnoliadyke import errors
 from magnoliadyke.gateway import follower
+from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import store
 from magnoliadyke import gossip_codec
 from magnoliadyke import logs
 from magnoliadyke.wire import constants
 
-__all__ = ['HOST_PREFIX', 'HostRecord', 'Members']
+__all__ = ['HOST_PREFIX', 'HostListener', 'HostRecord', 'Members']
 
 LOG = logs.get('members')
 
@@ -385,6 +386,27 @@
                 self.states[host] = member.state
 
 
+class HostListener(keymirror.Listener):
+    """Takes the keys of hosts to the members."""
+
+    def __init__(self, joined: Members) -> None:
+        self.members = joined
+
+    def changed(self, item: store.Item) -> None:
+        """A host's key was written."""
+        self.members.listed_host(item.value)
+
+    def removed(self, key: str) -> None:
+        """A host's key is gone."""
+        self.members.unlisted_host(key.removeprefix(HOST_PREFIX))
+
+    def restored(
+        self, items: dict[str, store.Item], at: position.Position
+    ) -> None:
+        """The store came back from an older copy."""
+        self.members.restored([item.value for item in items.values()])
+
+
 @functools.cache
 def _digest(host: str) -> bytes:
     return hashlib.blake2b(host.encode(), digest_size=8).digest()
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -1,6 +1,5 @@
 """Joins the parts of a node on the platform."""
 
-import collections
 import random
 import signal
 import time
@@ -12,7 +11,6 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import balance
 from magnoliadyke.core import catalog
-from magnoliadyke.core import position
 from magnoliadyke.core import rests
 from magnoliadyke.core import retrybudget
 from magnoliadyke.core import routes
@@ -20,20 +18,18 @@
 from magnoliadyke.gateway import confirming
 from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import exchange
+from magnoliadyke.gateway import figures
 from magnoliadyke.gateway import fleetduty
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import ingress
 from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import leadership
-from magnoliadyke.gateway import measures
 from magnoliadyke.gateway import members
-from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import peerstate
 from magnoliadyke.gateway import placing
 from magnoliadyke.gateway import placing_codec
 from magnoliadyke.gateway import smallserver
 from magnoliadyke.gateway import stages
-from magnoliadyke.gateway import store
 from magnoliadyke.gateway import suspects
 from magnoliadyke.gateway import upstream
 from magnoliadyke.gateway import usageduty
@@ -50,7 +46,6 @@
 
 LOG = logs.get('node')
 
-METRICS_PATH = b'/metrics'
 #: Names of the calls that one host makes for all.
 USAGE = 'usage_report'
 SCALING = 'autoscale'
@@ -81,51 +76,6 @@
         return records.decode_endpoint(key, value)
 
 
-class HostListener(keymirror.Listener):
-    """Takes the keys of hosts to the members."""
-
-    def __init__(self, joined: members.Members) -> None:
-        self.members = joined
-
-    def changed(self, item: store.Item) -> None:
-        """A host's key was written."""
-        self.members.listed_host(item.value)
-
-    def removed(self, key: str) -> None:
-        """A host's key is gone."""
-        self.members.unlisted_host(key.removeprefix(members.HOST_PREFIX))
-
-    def restored(
-        self, items: dict[str, store.Item], at: position.Position
-    ) -> None:
-        """The store came back from an older copy."""
-        self.members.restored([item.value for item in items.values()])
-
-
-class Budgets(dict):
-    """Retry budgets by service, made when first asked for."""
-
-    def __init__(self, settings: node_settings.NodeSettings) -> None:
-        super().__init__()
-        self.settings = settings
-        self.hosts = 1
-
-    def __missing__(self, service: str) -> retrybudget.RetryBudget:
-        budget = self[service] = retrybudget.RetryBudget(
-            self.settings.retry_ratio,
-            self.settings.retry_extra,
-            self.settings.retry_window_s,
-        )
-        budget.hosts = self.hosts
-        return budget
-
-    def set_hosts(self, hosts: int) -> None:
-        """Split the allowance among the live hosts."""
-        self.hosts = hosts
-        for budget in self.values():
-            budget.hosts = hosts
-
-
 class Node:
     """One host on the platform.
 
@@ -142,13 +92,16 @@
         self.clock = clock
         self.rng = rng
         self.stopping = event.Event()
-        self.outcomes: collections.Counter[str] = collections.Counter()
-        self.measures = measures.Measures()
+        self.figures = figures.Figures(clock)
         self.catalog = catalog.Catalog()
         self.store = platform_store.PlatformStore(settings.store, clock)
         self.upstream = upstream.Upstream(clock)
         self.balancer = balance.Balancer(settings.failure_domain, rng)
-        self.budgets = Budgets(settings)
+        self.budgets = retrybudget.Budgets(
+            settings.retry_ratio,
+            settings.retry_extra,
+            settings.retry_window_s,
+        )
         self.own = self._own_record()
         first_port = settings.peer_ports[0]
         self.members = members.Members(self.own, self.store, clock, rng)
@@ -185,7 +138,7 @@
             decoder,
             self.catalog,
             {
-                members.HOST_PREFIX: HostListener(self.members),
+                members.HOST_PREFIX: members.HostListener(self.members),
                 leadership.LEADER_KEY: self.leadership,
                 usageduty.REPORTS_KEY: self.usage,
                 fleetduty.FLEET_PREFIX: self.fleet,
@@ -247,12 +200,24 @@
         self.ingress = ingress.Ingress(
             settings.callers,
             parts,
-            self._record,
-            self.measures.record_early,
+            self.figures.record,
+            self.figures.measures.record_early,
             self.confirming.holds,
             clock,
             rng,
         )
+        self.figures.watched = figures.Watched(
+            self.catalog,
+            self.confirming,
+            self.fleet,
+            self.follower,
+            self.ingress,
+            self.members,
+            self.placer,
+            self.store,
+            self.upstream,
+            self.usage,
+        )
         self.directory_ttl_s = min(DIRECTORY_TTL_S, settings.directory_ttl_s)
         answers = directory.Directory(
             self._addresses, self._is_ready, self.directory_ttl_s
@@ -272,7 +237,7 @@
             self.fleet,
             smallserver.SmallServer(settings.readiness, answers.readiness),
             smallserver.SmallServer(settings.directory, answers.resolve),
-            smallserver.SmallServer(metrics_address, self._metrics),
+            smallserver.SmallServer(metrics_address, self.figures.answer),
             self.ingress,
         ):
             self.application.add(component)
@@ -340,55 +305,6 @@
             and self.confirming.serves()
         )
 
-    def _record(
-        self, outcome: outcomes.Outcome, route: routes.Route, took_s: float
-    ) -> None:
-        self.outcomes[type(outcome).__name__.lower()] += 1
-        self.measures.record(outcome, route, took_s)
-
-    def _metrics(self, method: bytes, target: bytes) -> smallserver.Reply:
-        """Answer a scraper."""
-        if target.split(b'?', 1)[0] != METRICS_PATH:
-            return smallserver.Reply(404)
-        figures = self.measures
-        for by, count in self.placer.counts.items():
-            figures.placed.labels(by).set(count)
-        for call, count in self.store.calls.items():
-            figures.store_calls.labels(call).set(count)
-        figures.restores.set(self.store.restores)
-        for kind, count in self.follower.mirror.unusable.items():
-            figures.unusable.labels(kind).set(count)
-        for source, count in self.follower.catch_up.caught_up.items():
-            figures.caught_up.labels(source).set(count)
-        if self.confirming.needed():
-            age_s = self.clock.boot_s() - self.confirming.proof.proved_s
-            figures.proof_age.set(age_s)
-        if self.usage.reports.last is not None:
-            figures.usage_window.set(self.usage.reports.last)
-        for service, wanted in self.fleet.wanted.items():
-            figures.endpoints_wanted.labels(service).set(wanted)
-        self._count_engines(figures)
-        figures.hosts.set(self.members.count())
-        figures.open_requests.set(self.ingress.open_requests)
-        if self.catalog.configuration is not None:
-            figures.version.set(self.catalog.configuration.version)
-        if self.catalog.checked_s is not None:
-            age_s = self.clock.now_s() - self.catalog.checked_s
-            figures.store_age.set(age_s)
-        return smallserver.Reply(200, figures.content_type, figures.text())
-
-    def _count_engines(self, figures: measures.Measures) -> None:
-        """Count engines by stage; a service whose engines all left keeps 0."""
-        if self.catalog.configuration is None:
-            return
-        for service, traits in self.catalog.configuration.services.items():
-            if traits.engine is None:
-                continue
-            held = [each.stage for each in self.catalog.usable(service)]
-            for stage in (catalog.Stage.PREFILL, catalog.Stage.DECODE):
-                gauge = figures.engines.labels(service, stage.value)
-                gauge.set(held.count(stage))
-
     def run(self) -> None:
         """Serve until a signal says to stop."""
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
@@ -431,29 +347,7 @@
             self.upstream.trim()
             self.balancer.forget(set(self.catalog.endpoints))
             if ticks % 10 == 0:
-                self._log_figures(hosts)
-
-    def _log_figures(self, hosts: int) -> None:
-        if self.placer.leading:
-            for service, pool in self.placer.served.items():
-                LOG.event(
-                    'placement',
-                    service=service,
-                    **pool.core.figures(),
-                )
-        LOG.event(
-            'figures',
-            hosts=hosts,
-            open=self.ingress.open_requests,
-            processor_s=round(time.process_time(), 3),
-            opened=self.upstream.opened,
-            after_reading_ms=round(
-                self.placer.after_reading_s.high_s * 1000, 1
-            ),
-            **self.outcomes,
-            **{f'placed_{k}': v for k, v in self.placer.counts.items()},
-            **{f'store_{k}': v for k, v in self.store.calls.items()},
-        )
+                self.figures.log()
 
     def _drain(self) -> None:
         """Leave without cutting a request.
