--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -21,11 +21,11 @@
 
     def _serve(self) -> outcomes.Outcome:
         failure: outcomes.Failed | None = None
-        reason = 'no endpoint takes it'
+        reason = ''
         while True:
             endpoint = self._choose()
             if endpoint is None:
-                return failure or self._refused(reason)
+                return failure or self._refused(reason or self._why_none())
             tried = self._try_plain(endpoint)
             match tried:
                 case outcomes.Answered():
@@ -52,6 +52,11 @@
                 case outcomes.Failed():
                     return tried
 
+    def _why_none(self) -> str:
+        if self.parts.catalog.usable(self.service):
+            return exchange.RESTS
+        return 'no endpoint is known'
+
     def _refused(self, reason: str) -> outcomes.Refused:
         return outcomes.Refused(reason, self._retry_after_s())
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -6,6 +6,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import ingress
+from magnoliadyke.gateway import plainexchange
 from tests import gatewayworld
 
 CHAT = gatewayworld.prompt((0x1, 40), (0x2, 60))
@@ -155,6 +156,26 @@
     assert not world.endpoints['e1'].arrivals
 
 
+def test_answer_that_is_being_sent_is_not_followed_by_another(
+    world, monkeypatch
+):
+    """A refusal was written into the middle of an answer."""
+    world.endpoint('p1')
+    stopping = Stopping(world)
+
+    def serve(one):
+        one.caller.begun = True
+        gevent.sleep(gatewayworld.WAIT_S)
+
+    monkeypatch.setattr(plainexchange.PlainExchange, '_serve', serve)
+    client = gatewayworld.Client(stopping.node)
+    client.request('GET', '/safe/x', 'slow')
+    gatewayworld.wait_for(lambda: stopping.node.ingress.running, 'the request')
+    stopping.begin()
+    stopping.end()
+    assert client.sock.recv(1) == b''
+
+
 def test_stream_that_is_cut_at_the_end_does_not_look_complete(world, engine):
     engine.mode, engine.cut_after = 'stall', 1
     stopping = Stopping(world)
