Judge a request by when it has been read whole, where its host stops

A request whose head came soon after SIGTERM and whose body came seconds later counted as early and was taken, whatever time was left. Its host now goes by the moment at which it could be sent on. The test failed before.

--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -314,7 +314,7 @@
         """Whether a request is over before this host is."""
         if self.shutdown is None:
             return True
-        return self.shutdown.takes(one.arrived_s, one.deadline_s)
+        return self.shutdown.takes(self.clock.now_s(), one.deadline_s)
 
     def _admit(
         self,
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -91,6 +91,30 @@
     assert not engine.arrivals
 
 
+def test_request_whose_body_comes_long_after_the_stop_is_refused(
+    world, engine
+):
+    """It counted as taken when its head came, and was cut."""
+    stopping = Stopping(world)
+    client = gatewayworld.Client(stopping.node)
+    stopping.begin()
+    client.request(
+        'POST',
+        '/chat/a',
+        'slow',
+        X_Deadline_Ms=WAIT_MS,
+        Content_Length=4,
+        **CHAT,
+    )
+    gatewayworld.wait_for(
+        lambda: stopping.node.ingress.open_requests, 'its head'
+    )
+    stopping.clock.skipped_s += 4.0
+    client.send(b'body')
+    assert client.answer()[0].status == 503
+    assert not engine.arrivals
+
+
 def test_late_request_that_is_over_in_time_is_served(world):
     """Short requests were refused though their host had seconds left."""
     plain = world.endpoint('p1')
