--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -314,6 +314,7 @@
         """Whether a request is over before this host is."""
         if self.shutdown is None:
             return True
+        # Its body may have come long after its head.
         return self.shutdown.takes(self.clock.now_s(), one.deadline_s)
 
     def _admit(
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -227,3 +227,31 @@
         for _ in range(20):
             client.request('POST', '/unsafe/x', 'crossing', b'x')
             gevent.sleep(0.01)
+
+
+@pytest.mark.parametrize('after_s', [4.5, 7.4])
+def test_body_that_ends_long_after_the_stop_is_not_passed_on(world, after_s):
+    """A request was passed on after its host had given up all others."""
+    plain = world.endpoint('p1')
+    plain.mode = 'silent'
+    stopping = Stopping(world)
+    client = gatewayworld.Client(stopping.node)
+    stopping.begin()
+    client.send(
+        b'POST /unsafe/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: slow\r\n'
+        b'X-Deadline-Ms: %d\r\nContent-Length: 2\r\n\r\nx'
+        % (gatewayworld.HOST.encode(), WAIT_MS)
+    )
+    gatewayworld.wait_for(
+        lambda: stopping.node.ingress.open_requests, 'the head'
+    )
+    stopping.clock.skipped_s += after_s
+    client.send(b'y')
+    gatewayworld.wait_for(
+        lambda: plain.runs or not stopping.node.ingress.connections,
+        'the request',
+    )
+    stopping.end()
+    head, _ = client.answer()
+    assert head.status == 503
+    assert not plain.arrivals
