Look at connections that were taken last before a process ends

A connection that the listener takes in the turn of the event loop in which it is closed is not among the connections until its greenlet begins. The drain looked at them at once, found none and was over; the process ended while the request was read and passed on.

Now the drain pauses before it looks, so that the greenlet has begun.

The test failed before: the request was under way when the drain was over.

--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -371,6 +371,8 @@
 
     def _wait_until(self, until_s: float, may_end: bool) -> None:
         while self.clock.now_s() < until_s:
+            # First a pause: a connection that has just been taken is not
+            # among the others yet.
+            self.clock.sleep(0.05)
             if may_end and not self.ingress.connections:
                 return
-            self.clock.sleep(0.05)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -255,3 +255,28 @@
     head, _ = client.answer()
     assert head.status == 503
     assert not plain.arrivals
+
+
+def test_connection_that_was_taken_last_is_served(world, monkeypatch):
+    """A host was gone before it looked at a connection it had taken."""
+    plain = world.endpoint('p1')
+    plain.work_s = 0.2
+    stopping = Stopping(world)
+    ingress = stopping.node.ingress
+    close_idle = ingress.close_idle
+
+    def take_one_more():
+        # No turn of the event loop between the two.
+        ingress.server._do_read()
+        close_idle()
+
+    monkeypatch.setattr(ingress, 'close_idle', take_one_more)
+    stopping.begin()
+    ingress.server.stop_accepting()
+    client = gatewayworld.Client(stopping.node)
+    client.request('GET', '/safe/x', 'last', X_Deadline_Ms=1000)
+    stopping.end(6.1)
+    assert not ingress.open_requests
+    monkeypatch.undo()
+    client.sock.settimeout(0.1)
+    assert client.answer()[0].status == 200
