Answer a request after a stream that did not end its connection

A stream that began before SIGTERM carries no Connection: close. Its connection was ended after its last chunk all the same: what the caller sent next was read for 0.3 s and dropped, unanswered, and for a request that must not run twice nobody could tell whether it had run.

Now such a connection is read on until idle ones are closed; the next answer ends it.

The test failed before: the connection ended without an answer.

--- a/magnoliadyke/gateway/caller.py
+++ b/magnoliadyke/gateway/caller.py
@@ -42,6 +42,7 @@
     """One caller's connection.
 
     :ivar closing: the connection ends with the next answer
+    :ivar told: the caller knows from an answer that it ends
     :ivar begun: bytes of an answer to the present request have been sent
     :ivar serving: who serves the present request and can be interrupted
     """
@@ -49,6 +50,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.closing = False
+        self.told = False
         self.begun = False
         self.streaming = False
         self.broken = False
@@ -118,6 +120,7 @@
         if status not in (204, 304):
             lines.append(b'Content-Length: %d' % len(body))
         if self.closing:
+            self.told = True
             lines.append(b'Connection: close')
         self._send(b'\r\n'.join(lines) + b'\r\n\r\n' + body)
 
@@ -127,6 +130,7 @@
         lines += [b'%s: %s' % header for header in headers]
         lines.append(b'Transfer-Encoding: chunked')
         if self.closing:
+            self.told = True
             lines.append(b'Connection: close')
         self.streaming = True
         self._send(b'\r\n'.join(lines) + b'\r\n\r\n')
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -199,9 +199,19 @@
                 if reader.begun:
                     self._refuse_bytes(caller, 408, 'the request is late')
                 return
-            if caller.closing or caller.broken:
+            if caller.broken or (caller.closing and self._may_end(caller)):
                 return
 
+    def _may_end(self, caller: callers.Caller) -> bool:
+        """Whether a connection may end now that its request is answered.
+
+        The head of a stream may have left before this host was told to
+        stop; its caller may be sending the next request already.
+        """
+        if caller.told or self.shutdown is None:
+            return True
+        return self.clock.now_s() >= self.shutdown.closes_s
+
     def _limits(self) -> routes.CallerLimits:
         configuration = self.parts.catalog.configuration
         if configuration is None:
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -280,3 +280,18 @@
     monkeypatch.undo()
     client.sock.settimeout(0.1)
     assert client.answer()[0].status == 200
+
+
+def test_request_after_a_stream_that_did_not_end_its_connection(world, engine):
+    """A request was read on a kept connection and dropped unanswered."""
+    engine.pause_s = 0.1
+    stopping = Stopping(world)
+    client = gatewayworld.Client(stopping.node)
+    ask(client, 'stream')
+    kept = client.reader.next_part()
+    assert kept.value(b'connection') is None
+    stopping.begin()
+    while not isinstance(client.reader.next_part(), http.End):
+        pass
+    head, _ = client.call('GET', '/safe/x', 'next')
+    assert head.value(b'connection') == b'close'
