--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -295,3 +295,27 @@
         pass
     head, _ = client.call('GET', '/safe/x', 'next')
     assert head.value(b'connection') == b'close'
+
+
+def test_request_that_was_only_read_is_refused_at_the_end(world):
+    """A caller was told that it may have run, though no engine had it."""
+    reader = world.endpoint('e0', 'model', 'prefill')
+    other = world.endpoint('e2', 'model', 'prefill')
+    world.endpoint('e1', 'model', 'decode')
+    reader.mode = other.mode = 'silent'
+    stopping = Stopping(world)
+    client = gatewayworld.Client(stopping.node)
+    long = gatewayworld.prompt((0xA, 4000), (0xB, 2000))
+    client.request('POST', '/chat/a', 'early', b'x', **long)
+    gatewayworld.wait_for(
+        lambda: reader.arrivals or other.arrivals, 'the reading'
+    )
+    first = reader if reader.arrivals else other
+    first.cut()
+    second = other if first is reader else reader
+    gatewayworld.wait_for(lambda: second.arrivals, 'the second reading')
+    stopping.begin()
+    stopping.end()
+    head, _ = client.answer()
+    assert head.status == 503
+    assert not world.endpoints['e1'].arrivals
