Count a caller that left unseen as gone when its host ends

Bytes of a further request end the watch over a caller's connection, so its end may go unseen until the host gives the request up. Telling it then raised CallerLeft past its handler: an error of this program was logged, and the request counted as failed.

The test failed before: outcome failed instead of left.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -111,6 +111,13 @@
     def run(self) -> outcomes.Outcome:
         """Serve the request; the caller has its answer afterwards."""
         self._budget().request(self.parts.clock.now_s())
+        try:
+            return self._run()
+        except callers.CallerLeft:
+            self.caller.broken = True
+            return outcomes.Left('the caller closed its connection')
+
+    def _run(self) -> outcomes.Outcome:
         try:
             with self.caller.watched():
                 barred_s = self.parts.suspects.barred_s(self.request)
@@ -121,9 +128,6 @@
                 if isinstance(outcome, outcomes.Answered):
                     self.parts.suspects.served(self.request)
                 return self._tell(outcome)
-        except callers.CallerLeft:
-            self.caller.broken = True
-            return outcomes.Left('the caller closed its connection')
         except callers.HostStops:
             return self._tell(self._give_up())
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -1,12 +1,14 @@
 """A host is told to stop while callers keep coming."""
 
 import gevent
+from gevent import socket
 import pytest
 
 from magnoliadyke import clock as clocks
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import ingress
 from magnoliadyke.gateway import plainexchange
+from magnoliadyke.lab import platformendpoint
 from tests import gatewayworld
 
 CHAT = gatewayworld.prompt((0x1, 40), (0x2, 60))
@@ -319,3 +321,23 @@
     head, _ = client.answer()
     assert head.status == 503
     assert not world.endpoints['e1'].arrivals
+
+
+def test_caller_that_left_unseen_is_no_error_at_the_end(world):
+    """The end of a host logged an error of this program."""
+    plain = world.endpoint('p1')
+    plain.mode = 'silent'
+    stopping = Stopping(world)
+    client = gatewayworld.Client(stopping.node)
+    client.request('POST', '/unsafe/x', 'early', b'x', X_Deadline_Ms=WAIT_MS)
+    gatewayworld.wait_for(lambda: plain.runs, 'the run')
+    client.send(b'GET')
+    gevent.sleep(0.05)
+    client.sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, platformendpoint.RESET
+    )
+    client.close()
+    gevent.sleep(0.05)
+    stopping.begin()
+    stopping.end()
+    assert stopping.node.outcomes == {'left': 1}
