Don't begin to lead on a host that was told to stop

A call to the store that takes the lead could be under way at SIGTERM. The host gave up what it held, then took the lead all the same, and the others asked it until its process ended; its last steps waited for the store again.

Class: work is accepted without asking whether it can be finished. Now the lease is given back as soon as the store has answered.

The test failed before: the key of the lead stayed.

--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -433,6 +433,9 @@
         ).encode()
         put = store.Put(LEADER_KEY, value, granted.lease)
         match self.store.commit({LEADER_KEY: expected}, (put,)):
+            case store.Written() if self.members.leaving:
+                # Told to stop meanwhile.
+                self.store.revoke(granted.lease)
             case store.Written(written):
                 by_force = replaced != position.START
                 self._taken(granted, written, asked_s, by_force)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -1,6 +1,7 @@
 """A host is told to stop while callers keep coming."""
 
 import gevent
+from gevent import event
 from gevent import socket
 import pytest
 
@@ -8,6 +9,8 @@
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import ingress
 from magnoliadyke.gateway import plainexchange
+from magnoliadyke.gateway import leadership
+from magnoliadyke.gateway import store
 from magnoliadyke.lab import platformendpoint
 from tests import gatewayworld
 
@@ -341,3 +344,36 @@
     stopping.begin()
     stopping.end()
     assert stopping.node.outcomes == {'left': 1}
+
+
+def test_host_that_stops_does_not_begin_to_lead(world, monkeypatch):
+    """The others asked a host that was about to be gone."""
+    clock = Skipping()
+    node = world.node(wait=False, clock=clock)
+    asked, answered = event.Event(), event.Event()
+    written = []
+    commit = node.store.commit
+
+    def slow(expected, *changes):
+        if leadership.LEADER_KEY not in expected:
+            return commit(expected, *changes)
+        asked.set()
+        answered.wait()
+        written.append(commit(expected, *changes))
+        return written[0]
+
+    monkeypatch.setattr(node.store, 'commit', slow)
+    assert asked.wait(gatewayworld.WAIT_S)
+    ended = gevent.spawn(node._drain)
+    gatewayworld.wait_for(lambda: node.ingress.shutdown, 'the stop')
+    answered.set()
+    gatewayworld.wait_for(lambda: written, 'the key')
+    assert isinstance(written[0], store.Written)
+    gatewayworld.wait_for(
+        lambda: leadership.LEADER_KEY not in world.store.items,
+        'the end of the lease',
+        2.0,
+    )
+    assert not node.placer.leading
+    clock.skipped_s += node.settings.stop_s
+    ended.get(timeout=gatewayworld.WAIT_S)
