Leave a begun stream to its engine where no other may go on

A resumable stream that paused for 0.75 s (five times the pause that callers accept) was given up for another engine also where max_attempts allowed none: it ended without its last chunk, though its engine went on and its caller would have waited for two seconds at least. Around a planned stop this ends a request that was read and passed on.

Class: the silence of an endpoint ends an answer. Before its first event a request that can go nowhere else is still answered with 504.

Both tests failed before (max_attempts 1 and 2): the stream ended early.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -346,9 +346,15 @@
         return result
 
     def _waited(self, wait, least_s):
-        """Wait for the next piece, less long if it can go on elsewhere."""
+        """Wait for the next piece, less long if it can go on elsewhere.
+
+        A stream that has begun and can't is left to its engine: the caller
+        has no answer without the rest.
+        """
         if not self.route.resumable:
             return wait()
+        if self.caller.begun and not self._may_go_on():
+            return wait()
         stall_s = max(least_s, self.route.pause_s * STALL_FACTOR)
         with gevent.Timeout(stall_s, http.OutOfTime('the engine is silent')):
             return wait()
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -396,6 +396,20 @@
     assert head.value(b'x-server-seal') == b'seal-' + broken.name.encode()
 
 
+@pytest.mark.parametrize('attempts', [1, 2])
+def test_last_engine_of_a_stream_may_pause(world, engines, attempts):
+    """A stream was ended for a pause though no other engine could go on."""
+    _, runner = engines
+    runner.pause_s = 0.9
+    routes = gatewayworld.platformrecords.usual_routes(timeout_ms=15000)
+    routes[-1]['max_attempts'] = attempts
+    world.configure(version=2, routes=routes)
+    world.node()
+    head, body = run(world, '/chat/x', 'POST', b'hi', **CHAT)
+    assert head.status == 200
+    assert [body.count(b'piece %d' % n) for n in (1, 2, 3)] == [1, 1, 1]
+
+
 def test_stream_that_may_not_be_resumed_looks_broken(world, engines):
     """The engine breaks off a stream that runs at most once.
 
