Leave a begun stream to its engine while no repeat may be sent

The same as for a stream whose tries are used up: with the retry budget spent a silent engine was given up, and the stream could not go on elsewhere.

Class: the silence of an endpoint ends an answer.

The test failed before: the stream ended early.

--- a/magnoliadyke/core/retrybudget.py
+++ b/magnoliadyke/core/retrybudget.py
@@ -33,14 +33,18 @@
         """A caller's request for the service has arrived."""
         self._count(self.requests, now_s)
 
+    def has_left(self, now_s: float) -> bool:
+        """Whether a repeat could be sent now."""
+        allowed = self.ratio * self._sum(self.requests, now_s)
+        allowed = (allowed + self.extra / self.hosts) * SPENT_SHARE
+        return self._sum(self.repeats, now_s) + 1 <= allowed
+
     def take(self, now_s: float) -> bool:
         """Spend one repeat, if one is left.
 
         :returns: whether the repeat may be sent
         """
-        allowed = self.ratio * self._sum(self.requests, now_s)
-        allowed = (allowed + self.extra / self.hosts) * SPENT_SHARE
-        if self._sum(self.repeats, now_s) + 1 > allowed:
+        if not self.has_left(now_s):
             return False
         self._count(self.repeats, now_s)
         return True
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -353,12 +353,16 @@
         """
         if not self.route.resumable:
             return wait()
-        if self.caller.begun and not self._may_go_on():
+        if self.caller.begun and not self._could_resume():
             return wait()
         stall_s = max(least_s, self.route.pause_s * STALL_FACTOR)
         with gevent.Timeout(stall_s, http.OutOfTime('the engine is silent')):
             return wait()
 
+    def _could_resume(self) -> bool:
+        now_s = self.parts.clock.now_s()
+        return self._may_go_on() and self._budget().has_left(now_s)
+
     def _judge_stream(
         self,
         used: connection.Connection,
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -410,6 +410,19 @@
     assert [body.count(b'piece %d' % n) for n in (1, 2, 3)] == [1, 1, 1]
 
 
+def test_engine_of_a_stream_may_pause_once_no_repeat_is_left(world, engines):
+    """A stream was ended for a pause though it could not be resumed."""
+    _, runner = engines
+    runner.pause_s = 0.9
+    routes = gatewayworld.platformrecords.usual_routes(timeout_ms=15000)
+    world.configure(version=2, routes=routes)
+    world.node(retry_extra=0)
+    head, body = run(world, '/chat/x', 'POST', b'hi', **CHAT)
+    assert head.status == 200
+    assert [body.count(b'piece %d' % n) for n in (1, 2, 3)] == [1, 1, 1]
+    assert len(runner.runs) == 1
+
+
 def test_stream_that_may_not_be_resumed_looks_broken(world, engines):
     """The engine breaks off a stream that runs at most once.
 
