Take nothing once requests have been given up, however short the grace

With grace_s up to 3.2 s the time in which everything is taken lasted longer than the drain: a request whose body ended after the others had been given up was passed on and cut.

The test failed before.

--- a/magnoliadyke/core/shutdown.py
+++ b/magnoliadyke/core/shutdown.py
@@ -60,6 +60,6 @@
 
         :param deadline_s: when its caller gives up
         """
-        if now_s < self.refuses_s:
+        if now_s < min(self.refuses_s, self.ends_s):
             return True
         return deadline_s <= self.ends_s - ANSWER_S
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -34,3 +34,18 @@
     course = shutdown.Shutdown(0.0, grace_s, ttl_s)
     if after_s >= course.refuses_s and course.takes(after_s, after_s + wait_s):
         assert after_s + wait_s < course.ends_s
+
+
+@given(
+    strategies.floats(0.1, 60.0),
+    strategies.floats(0.1, 30.0),
+    strategies.floats(0.0, 60.0),
+    strategies.floats(0.0, 60.0),
+)
+def test_nothing_is_taken_once_requests_have_been_given_up(
+    grace_s, ttl_s, late_s, wait_s
+):
+    """With a short grace time requests were taken until the process ended."""
+    course = shutdown.Shutdown(0.0, grace_s, ttl_s)
+    now_s = course.ends_s + late_s
+    assert not course.takes(now_s, now_s + wait_s)
