--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -133,10 +133,8 @@
 
     def _give_up(self) -> outcomes.Refused | outcomes.Failed:
         """How a request ends that this process can't finish."""
-        if not self.runs:
-            return outcomes.Refused(STOPPING, 0.0)
         self.caller.broken = self.caller.begun
-        if not (self.sends or self.caller.begun):
+        if not (self.runs or self.caller.begun):
             return outcomes.Refused(STOPPING, 0.0)
         return outcomes.Failed(504, STOPPING)
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -8,8 +8,8 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import ingress
-from magnoliadyke.gateway import plainexchange
 from magnoliadyke.gateway import leadership
+from magnoliadyke.gateway import plainexchange
 from magnoliadyke.gateway import store
 from magnoliadyke.lab import platformendpoint
 from tests import gatewayworld
@@ -343,7 +343,7 @@
     gevent.sleep(0.05)
     stopping.begin()
     stopping.end()
-    assert stopping.node.outcomes == {'left': 1}
+    assert stopping.node.figures.outcomes == {'left': 1}
 
 
 def test_host_that_stops_does_not_begin_to_lead(world, monkeypatch):
