Refuse what still waits when a stopping host could not end it

A request that came just before or after SIGTERM and waited for a place was passed on whenever it got one, also a tenth of a second before its host ended: it was cut, and its caller told that it may have run.

When callers can know of other hosts, a stopping host now refuses what no endpoint has been asked for yet and may outlast it, as it does with requests that come then. The test failed before (no answer).

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -103,6 +103,11 @@
         chosen = self.parts.rng.choices(targets, weights)[0]
         return chosen.service
 
+    @property
+    def waits(self) -> bool:
+        """Whether no endpoint has been asked for anything yet."""
+        return not self.sends
+
     @property
     def left_s(self) -> float:
         """Time until the caller gives up."""
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -107,6 +107,12 @@
             if not busy:
                 http.drop(caller.sock)
 
+    def refuse_waiting(self) -> None:
+        """Refuse what waits and is not certain to end in time."""
+        for caller, one in self.running.items():
+            if one.waits and not self._ends_in_time(one):
+                caller.interrupt()
+
     def give_up(self) -> None:
         """Tell the callers whose requests are under way that they are over."""
         for caller in self.running:
--- a/magnoliadyke/gateway/promptreading.py
+++ b/magnoliadyke/gateway/promptreading.py
@@ -43,6 +43,11 @@
         self.read_s: float | None = None
         self.budget_spent = False
 
+    @property
+    def waits(self) -> bool:
+        """Whether no engine has been asked for anything yet."""
+        return not self.prefills and super().waits
+
     def _may_prefill(self) -> bool:
         """Count a prompt that is to be read.
 
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -363,6 +363,8 @@
         self.ingress.drain(course)
         self.members.leave()
         self.leadership.resign()
+        self._wait_until(course.refuses_s, False)
+        self.ingress.refuse_waiting()
         self._wait_until(course.closes_s, False)
         self.ingress.close_idle()
         self._wait_until(course.ends_s, True)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -120,6 +120,26 @@
     assert not engine.arrivals
 
 
+def test_request_that_waits_for_a_place_is_refused_in_time(
+    world, engine, monkeypatch
+):
+    """It got its place when its host had no time left to answer it."""
+    stopping = Stopping(world)
+    place = event.Event()
+    waits = stopping.node.placer.place
+    monkeypatch.setattr(
+        stopping.node.placer, 'place', lambda *job: place.wait() or waits(*job)
+    )
+    monkeypatch.setattr(stopping.node.ingress, 'give_up', lambda: None)
+    client = gatewayworld.Client(stopping.node)
+    ask(client, 'early')
+    gatewayworld.wait_for(lambda: stopping.node.ingress.running, 'the request')
+    stopping.begin()
+    stopping.clock.skipped_s += 2.6
+    assert client.answer()[0].status == 503
+    assert not engine.arrivals
+
+
 def test_late_request_that_is_over_in_time_is_served(world):
     """Short requests were refused though their host had seconds left."""
     plain = world.endpoint('p1')
