Close the listener in time however short the grace time is

With a grace time below 4.5 s a stop waited for the time to live of the directory's answers before it closed its listener, later than planned. What is refused for want of time is refused from then on at the latest. The test failed before.

--- a/magnoliadyke/core/shutdown.py
+++ b/magnoliadyke/core/shutdown.py
@@ -35,7 +35,8 @@
     @property
     def refuses_s(self) -> float:
         """From then on callers can know of other hosts."""
-        return self.begun_s + self.directory_ttl_s + SPREAD_S
+        known_s = self.begun_s + self.directory_ttl_s + SPREAD_S
+        return min(known_s, self.closes_s)
 
     @property
     def closes_s(self) -> float:
@@ -60,6 +61,6 @@
 
         :param deadline_s: when its caller gives up
         """
-        if now_s < min(self.refuses_s, self.ends_s):
+        if now_s < self.refuses_s:
             return True
         return deadline_s <= self.ends_s - ANSWER_S
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -36,6 +36,14 @@
         assert after_s + wait_s < course.ends_s
 
 
+@given(strategies.floats(0.1, 60.0), strategies.floats(0.1, 30.0))
+def test_steps_of_a_stop_come_in_their_order(grace_s, ttl_s):
+    """With a short grace time the listener was closed too late."""
+    course = shutdown.Shutdown(0.0, grace_s, ttl_s)
+    assert course.refuses_s <= course.closes_s < course.ends_s
+    assert course.ends_s < course.exits_s < grace_s
+
+
 @given(
     strategies.floats(0.1, 60.0),
     strategies.floats(0.1, 30.0),
