Name bursts of changes that would fill a watcher's link

In the two seconds before, the scaling of endpoints had written 854 keys, which each of them told 23 hosts one by one: some 7 MB on a link of 5 to 10 Mbit/s, with its own watch behind them. At 300 hosts both factors are three times as large.

Changes of one watch now may take 0.2 s of the teller's link. More are named in one datagram for each host, which reads them from the store by one call, as it does for a configuration that fits no datagram. A message that names changes says so also where all of them are removals or there are none.

The test failed before: 340,720 bytes in the 0.1 s in which the link carries 12,500. The property test of lost datagrams now draws the room as well.

--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -77,6 +77,10 @@
     def watches(self) -> bool:
         """Whether this host is one of those that watch the store."""
 
+    @abc.abstractmethod
+    def room(self) -> float:
+        """Most bytes of changes to tell each of those that don't, at once."""
+
     @abc.abstractmethod
     def relay(self, told: list[placing_codec.KeyUpdates]) -> None:
         """Tell changes to those that don't; a host that watches does so."""
@@ -396,7 +400,14 @@
         regained_s = self.mirror.lapses.regained_ago_s(now_s)
         told = tuple(each for each in changes if each.key not in self.untold)
         self.others.relay(
-            keyupdates.split(self.host, base, self.lag.own, told, regained_s)
+            keyupdates.split(
+                self.host,
+                base,
+                self.lag.own,
+                told,
+                regained_s,
+                self.others.room(),
+            )
         )
 
     def _relay_idle(self) -> None:
--- a/magnoliadyke/gateway/keyupdates.py
+++ b/magnoliadyke/gateway/keyupdates.py
@@ -24,6 +24,7 @@
     upto: position.Position,
     changes: tuple[Change, ...],
     regained_s: float | None,
+    room: float,
 ) -> list[placing_codec.KeyUpdates]:
     """Tell changes in as few datagrams as they fit.
 
@@ -33,7 +34,12 @@
 
     :param base: position after which the changes are
     :param upto: up to which they are, in the same era
+    :param room: most bytes of changes; more are named, and read by the others
     """
+    if _size(changes) > room:
+        return [
+            placing_codec.KeyUpdates(host, base, upto, (), False, regained_s)
+        ]
     told = []
     for group, complete in _groups(changes):
         until = group[-1].position
@@ -71,7 +77,7 @@
         yield tuple(group), True
 
 
-def _size(changes: list[Change]) -> int:
+def _size(changes: Iterable[Change]) -> int:
     return sum(
         len(change.key) + CHANGE_BYTES + len(getattr(change, 'value', b''))
         for change in changes
--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -43,6 +43,10 @@
 WATCHERS = 2
 #: Up to so many hosts all of them watch: few calls, and no word to wait for.
 ALL_WATCH = 16
+#: For how long changes that are told at once may fill this host's own link,
+#: in seconds: half of the pause between two watches.  The next watch, proofs
+#: and requests wait behind them.
+RELAY_LINK_S = 0.2
 #: Pause after a call to the store that failed, spread by as much again.
 RETRY_S = 0.8
 #: After a restore of the store all hosts renew their keys, or write them
@@ -89,6 +93,7 @@
 
     :param own: this host
     :param kept: the store
+    :param link_mbps: of this host's link
     :ivar position_heard: takes a host's name and the position of the store's
         keys that it has seen
     :ivar send_updates: sends word of the store to an address
@@ -101,9 +106,11 @@
         kept: store.Store,
         clock: clocks.Clock,
         rng: random.Random,
+        link_mbps: float,
     ) -> None:
         self.own = own
         self.store = kept
+        self.link_bytes_s = link_mbps * 1e6 / 8
         self.clock = clock
         self.rng = rng
         self.records: dict[str, HostRecord] = {own.host: own}
@@ -204,14 +211,20 @@
         watching = self._domain()[:WATCHERS]
         return [each.address for each in watching if each != self.own]
 
+    def room(self) -> float:
+        """What this host's link carries to each; see :meth:`relay`."""
+        told = max(1, len(self._told()))
+        return self.link_bytes_s * RELAY_LINK_S / told
+
     def relay(self, told: list[placing_codec.KeyUpdates]) -> None:
         """Tell the hosts of this failure domain that do not watch."""
-        for record in self._domain()[WATCHERS:]:
-            if record == self.own:
-                continue
+        for record in self._told():
             for message in told:
                 self.send_updates(record.address, message)
 
+    def _told(self) -> list[HostRecord]:
+        return [r for r in self._domain()[WATCHERS:] if r != self.own]
+
     def _domain(self) -> list[HostRecord]:
         """Hosts of this failure domain, first those that watch.
 
--- a/magnoliadyke/gateway/placing_codec.py
+++ b/magnoliadyke/gateway/placing_codec.py
@@ -384,7 +384,7 @@
         updates.host,
         updates.base.revision,
         updates.position.revision,
-        [_encode_change(each, updates.complete) for each in updates.changes],
+        _encode_changes(updates),
         regained_ms,
         updates.position.era,
     )
@@ -396,13 +396,17 @@
     return era
 
 
-def _encode_change(
-    change: store.Item | store.Removed, complete: bool
-) -> ttypes.KeyChange:
+def _encode_changes(updates: KeyUpdates) -> list[ttypes.KeyChange]:
+    if not updates.complete:
+        # A change without its value says that there is more to read.
+        return [ttypes.KeyChange('', updates.position.revision)]
+    return [_encode_change(each) for each in updates.changes]
+
+
+def _encode_change(change: store.Item | store.Removed) -> ttypes.KeyChange:
     match change:
         case store.Item(key, value, written):
-            told = value if complete else None
-            return ttypes.KeyChange(key, written.revision, told)
+            return ttypes.KeyChange(key, written.revision, value)
         case store.Removed(key, removed):
             return ttypes.KeyChange(key, removed.revision, removed=True)
 
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -104,7 +104,9 @@
         )
         self.own = self._own_record()
         first_port = settings.peer_ports[0]
-        self.members = members.Members(self.own, self.store, clock, rng)
+        self.members = members.Members(
+            self.own, self.store, clock, rng, settings.link_mbps
+        )
         self.placer = placing.Placer(
             settings.ip,
             first_port + 1,
--- a/tests/test_keyupdates.py
+++ b/tests/test_keyupdates.py
@@ -1,5 +1,7 @@
 """Hosts that watch the store for others, and those that are told."""
 
+import contextlib
+
 import gevent
 import hypothesis
 from hypothesis import strategies
@@ -31,6 +33,12 @@
 
     The one that places for all watches too, as it always does.
     """
+    with four_hosts(clock, monkeypatch) as made:
+        yield made
+
+
+@contextlib.contextmanager
+def four_hosts(clock, monkeypatch, **fields):
     monkeypatch.setattr(members, 'ALL_WATCH', 1)
     monkeypatch.setattr(members, 'WATCHERS', 1)
     with gatewayworld.world() as made:
@@ -40,7 +48,8 @@
         for _ in range(4):
             # Watches end by the store's clock, which no test advances: one
             # of seconds would outlast all that is played here.
-            made.node(wait=False, clock=clock).follower.watch_s = 0.2
+            node = made.node(wait=False, clock=clock, **fields)
+            node.follower.watch_s = 0.2
         advance_until(
             clock,
             lambda: all(
@@ -91,6 +100,42 @@
     assert took_s < BOUND_S
 
 
+def test_many_changes_do_not_fill_the_link_of_who_tells_them(
+    clock, monkeypatch
+):
+    """What else goes over that link, its own watch too, would wait."""
+    link_mbps = 1.0
+    sent = []
+    with four_hosts(clock, monkeypatch, link_mbps=link_mbps) as world:
+        for node in world.nodes:
+            note_updates(node, sent)
+        for number in range(200):
+            world.store.put(f'magnoliadyke/many/{number}', b'x' * 300)
+        newest = world.store.revision
+        took_s = advance_until(
+            clock,
+            lambda: all(
+                n.follower.lag.own.revision >= newest for n in world.nodes
+            ),
+        )
+        for node in world.nodes:
+            keys = node.follower.mirror.items.keys()
+            assert sum('/many/' in key for key in keys) == 200
+    assert took_s < TOLD_S
+    assert sum(sent) * 8 < link_mbps * 1e6 * took_s
+
+
+def note_updates(node, sent):
+    """Note the bytes of all that this host tells others of the store."""
+    send = node.members.send_updates
+
+    def noting(address, told):
+        sent.append(len(placing_codec.encode(told)))
+        send(address, told)
+
+    node.members.send_updates = noting
+
+
 def test_teller_that_dies_between_two_changes_is_missed(world, clock):
     """The only host that watches for the others is killed.
 
@@ -231,11 +276,12 @@
         placing_codec.KeyUpdates('h', base, fifth),
     ):
         assert placing_codec.decode(placing_codec.encode(told)) == told
-    large = placing_codec.KeyUpdates(
-        'h', base, fourth, (item,), complete=False
-    )
-    got = placing_codec.decode(placing_codec.encode(large))
-    assert got == large._replace(changes=())
+    for left_out in ((item,), (gone,), ()):
+        large = placing_codec.KeyUpdates(
+            'h', base, fifth, left_out, complete=False
+        )
+        got = placing_codec.decode(placing_codec.encode(large))
+        assert got == large._replace(changes=())
 
 
 changes = strategies.builds(
@@ -246,6 +292,10 @@
 )
 
 
+#: Bytes for changes: none at all, few, or as many as there are.
+rooms = strategies.sampled_from([0, 3000, float('inf')])
+
+
 @hypothesis.given(strategies.lists(changes, max_size=30), strategies.data())
 def test_host_that_misses_a_datagram_knows_it(drawn, data):
     """Any datagrams are lost; whoever goes by the rest has all or knows."""
@@ -260,7 +310,9 @@
         else:
             written.append(store.Item(key, b'x' * size, changed))
     base, newest = position.Position(7, 10), position.Position(7, revision)
-    told = keyupdates.split('h', base, newest, tuple(written), None)
+    told = keyupdates.split(
+        'h', base, newest, tuple(written), None, data.draw(rooms)
+    )
     for each in told:
         if each.complete and each.changes:
             assert len(placing_codec.encode(each)) <= 1400
--- a/tests/test_leadership_model.py
+++ b/tests/test_leadership_model.py
@@ -133,6 +133,9 @@
     def watches(self):
         return True
 
+    def room(self):
+        return 0.0
+
     def relay(self, told):
         pass
 
