Wait for a large answer of the store while it goes on

A whole answer had to be there 0.7 s after the end of a watch's wait, and 1.5 s after any other call. Over a link of 5 Mbit/s that is 0.44 MB for a host that reads what it has missed: some 800 keys of endpoints. A host that reads more took the store for lost, left the answer, and asked for all keys instead, which is more bytes over the same link; entries that vanished meanwhile were doubted. Found by reading, after bursts of changes came to be read by all hosts that listen.

The time is for the beginning of the answer now. After that it may pause for 0.7 s at most, and take 3 s as a whole.

--- a/magnoliadyke/platform/store.py
+++ b/magnoliadyke/platform/store.py
@@ -25,6 +25,11 @@
 #: A watch that is silent for this long past its own time waits on a
 #: connection that something between the two ends has lost track of.
 WATCH_GRACE_S = 0.7
+#: Once an answer has begun, it may pause for so long, and take so long as a
+#: whole: many keys take seconds over a narrow link, and a store that is taken
+#: for lost is asked for all of them again.
+PAUSE_S = 0.7
+ANSWER_S = 3.0
 #: A connection that has idled for longer is replaced: a new one costs a
 #: round trip, one that was silently dropped a whole timeout.
 MAX_IDLE_S = 4.0
@@ -272,8 +277,10 @@
                     )
                 sent = True
                 headers = [(b'Host', self.address.encode()), *JSON_HEADERS]
-                answer = held.call(method, path.encode(), headers, body)
-            fields = json.loads(answer.body) if answer.body else {}
+                held.send(method, path.encode(), headers, body)
+                head = held.head()
+            answer = _body(held)
+            fields = json.loads(answer) if answer else {}
         except (
             OSError,
             http.BrokenMessage,
@@ -296,7 +303,7 @@
             held = None
         else:
             held.used_s = self.clock.now_s()
-        return self._in_era(answer.head, fields), held
+        return self._in_era(head, fields), held
 
     def _in_era(
         self, head: http.Head, fields: dict[str, Any]
@@ -319,6 +326,21 @@
         return _Reply(head.status, fields, era)
 
 
+def _body(held: connection.Connection) -> bytes:
+    """Wait for the rest of an answer, as long as it goes on.
+
+    :raises http.OutOfTime: it does not
+    """
+    pieces = []
+    with gevent.Timeout(ANSWER_S, http.OutOfTime('no whole answer in time')):
+        while True:
+            with gevent.Timeout(PAUSE_S, http.OutOfTime('the answer stopped')):
+                part = held.part()
+            if isinstance(part, http.End):
+                return b''.join(pieces)
+            pieces.append(part.data)
+
+
 def _unavailable(reply: _Reply) -> store.Unavailable:
     # A 503 says that nothing was done, a 429 that the rate was exceeded;
     # of any other status nothing is known.
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,9 @@
 """The store's client against its stand-in."""
 
+import json
+
 import gevent
+from gevent import server
 import pytest
 
 from magnoliadyke import clock as clocks
@@ -185,3 +188,60 @@
     assert isinstance(outcome, store.Unavailable)
     assert 'era 1' in outcome.reason
     assert client.era == 2
+
+
+@pytest.fixture
+def slow():
+    """A store that answers each call in pieces, with a pause after each."""
+
+    class Slow(server.StreamServer):
+        pieces = 8
+        pause_s = 0.2
+        stalls_after = 8
+
+        def handle(self, sock, address):
+            sock.recv(65536)
+            body = json.dumps({'events': [], 'store_revision': 7}).encode()
+            body += b' ' * 800
+            sock.sendall(
+                b'HTTP/1.1 200 OK\r\nstore-era: 1\r\n'
+                b'Content-Length: %d\r\n\r\n' % len(body)
+            )
+            size = -(-len(body) // self.pieces)
+            for number in range(self.pieces):
+                if number >= self.stalls_after:
+                    gevent.sleep(30.0)
+                sock.sendall(body[number * size : (number + 1) * size])
+                gevent.sleep(self.pause_s)
+
+    made = Slow(('127.0.0.1', 0))
+    made.start()
+    yield made
+    made.stop(timeout=0)
+
+
+def call_of(slow):
+    return platform_store.PlatformStore(
+        f'127.0.0.1:{slow.server_port}', clocks.SystemClock()
+    )
+
+
+def test_large_answer_over_a_narrow_link_is_no_loss_of_the_store(slow):
+    """It takes longer than a store that is silent is waited for."""
+    assert slow.pieces * slow.pause_s > platform_store.CALL_TIMEOUT_S
+    changes = call_of(slow).watch('', at(3), 0.0)
+    assert changes == store.Changes((), at(7))
+
+
+def test_answer_that_stops_midway_is_given_up(slow):
+    slow.stalls_after = 3
+    with gevent.Timeout(3 * slow.pause_s + platform_store.WATCH_GRACE_S + 0.3):
+        outcome = call_of(slow).watch('', at(3), 0.0)
+    assert isinstance(outcome, store.Unavailable)
+
+
+def test_answer_that_never_ends_is_given_up(slow):
+    slow.pieces = 100
+    with gevent.Timeout(platform_store.ANSWER_S + 1.0):
+        outcome = call_of(slow).watch('', at(3), 0.0)
+    assert isinstance(outcome, store.Unavailable)
