Call the time for which an endpoint wants nothing a backoff

The field's word for it; no change of behaviour. A prompt's host names the engines that take nothing as unavailable, and leaves out of a placement what it has excluded.

--- a/magnoliadyke/core/rests.py
+++ b/magnoliadyke/core/backoffs.py
@@ -1,17 +1,17 @@
-"""Endpoints that asked this host for rest."""
+"""Endpoints that asked this host to back off."""
 
 from collections.abc import Iterable
 import math
 
 from magnoliadyke.core import catalog
 
-__all__ = ['Rests']
+__all__ = ['Backoffs']
 
-#: Rests that are remembered before those that are over are looked for.
-MOST_RESTS = 1024
+#: Backoffs that are remembered before those that are over are looked for.
+MOST_BACKOFFS = 1024
 
 
-class Rests:
+class Backoffs:
     """Until when endpoints want nothing from this host.
 
     :ivar until_s: by endpoint
@@ -21,29 +21,29 @@
         self.until_s: dict[str, float] = {}
 
     def asked(self, endpoint_id: str, for_s: float, now_s: float) -> None:
-        """An endpoint has turned a request away and asks for rest.
+        """An endpoint has turned a request away and told when to return.
 
-        :param for_s: how long, in seconds
+        :param for_s: how long to back off, in seconds
         """
-        if len(self.until_s) >= MOST_RESTS:
+        if len(self.until_s) >= MOST_BACKOFFS:
             self.forget(now_s)
         until_s = max(now_s + for_s, self.until_s.get(endpoint_id, 0.0))
         self.until_s[endpoint_id] = until_s
 
     def left_s(self, endpoint_id: str, now_s: float) -> float:
-        """How much longer an endpoint rests, in seconds."""
+        """How much longer an endpoint wants nothing, in seconds."""
         return max(0.0, self.until_s.get(endpoint_id, now_s) - now_s)
 
-    def awake(
+    def available(
         self, endpoints: Iterable[catalog.Endpoint], now_s: float
     ) -> list[catalog.Endpoint]:
-        """Endpoints that do not rest."""
+        """Endpoints that may be asked."""
         return [e for e in endpoints if not self.left_s(e.id, now_s)]
 
-    def all_rest_s(
+    def least_s(
         self, endpoints: Iterable[catalog.Endpoint], now_s: float
     ) -> float:
-        """How long all of them rest; 0 if one does not, or there is none."""
+        """How long none of them may be asked; 0 if one may, or none is."""
         shortest_s = math.inf
         for endpoint in endpoints:
             left_s = self.left_s(endpoint.id, now_s)
@@ -52,12 +52,12 @@
             shortest_s = min(shortest_s, left_s)
         return shortest_s if shortest_s < math.inf else 0.0
 
-    def resting(self, now_s: float) -> list[str]:
-        """Ids of the endpoints that rest."""
+    def active(self, now_s: float) -> list[str]:
+        """Ids of the endpoints that want nothing."""
         return [e for e, until_s in self.until_s.items() if until_s > now_s]
 
     def forget(self, now_s: float) -> None:
-        """Drop the rests that are over."""
+        """Drop the backoffs that are over."""
         for endpoint_id, until_s in list(self.until_s.items()):
             if until_s <= now_s:
                 del self.until_s[endpoint_id]
--- a/magnoliadyke/gateway/codec.py
+++ b/magnoliadyke/gateway/codec.py
@@ -91,8 +91,8 @@
     :param encoded: the body is not the endpoint's own bytes
     :param idle_limit_s: how long the connection may idle, None if not told
     :param leaving: the endpoint will take no new work
-    :param rest_s: how long it wants nothing from this host, 0 if it asks for
-        no rest
+    :param backoff_s: how long it wants nothing from this host, 0 if it did not
+        say so
     """
 
     status: int
@@ -103,7 +103,7 @@
     encoded: bool
     idle_limit_s: float | None
     leaving: bool
-    rest_s: float
+    backoff_s: float
 
 
 class Prefilled(NamedTuple):
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -5,9 +5,9 @@
 from typing import NamedTuple
 
 from magnoliadyke import clock as clocks
+from magnoliadyke.core import backoffs
 from magnoliadyke.core import balance
 from magnoliadyke.core import catalog
-from magnoliadyke.core import rests
 from magnoliadyke.core import retrybudget
 from magnoliadyke.core import routes
 from magnoliadyke.gateway import caller as callers
@@ -23,7 +23,7 @@
 from magnoliadyke import logs
 
 __all__ = [
-    'RESTS',
+    'BACKOFF',
     'RETRY_AFTER_S',
     'RETURN_S',
     'STOPPING',
@@ -39,7 +39,7 @@
 #: further try could not be answered in time.
 RETURN_S = 0.02
 #: Reason told for a request that no endpoint wants at present.
-RESTS = 'the endpoint asked for rest'
+BACKOFF = 'the endpoint asked to back off'
 #: Reason told for a request that may outlast this host, or did.
 STOPPING = 'this host is stopping'
 #: Reason told for a request that is not run any more.
@@ -60,7 +60,7 @@
     budgets: dict[str, retrybudget.RetryBudget]
     placer: placing.Placer
     suspects: suspects.Suspects
-    rests: rests.Rests
+    backoffs: backoffs.Backoffs
     rng: random.Random
     begun: usageduty.Begun
 
@@ -174,27 +174,27 @@
     def _take(
         self, endpoint: catalog.Endpoint, repeatable: bool
     ) -> connection.Connection:
-        """Get a connection to an endpoint, unless it rests.
+        """Get a connection to an endpoint, unless it asked to back off.
 
         :param repeatable: what it is for may be sent again
         :raises upstream.NoConnection: there is none; nothing has been sent
         """
-        if self._rest_s(endpoint.id):
-            raise upstream.NoConnection(RESTS)
+        if self._backoff_s(endpoint.id):
+            raise upstream.NoConnection(BACKOFF)
         return self.parts.upstream.take(
             endpoint, self._max_connections(), repeatable
         )
 
-    def _rest_s(self, endpoint_id: str) -> float:
+    def _backoff_s(self, endpoint_id: str) -> float:
         """How much longer an endpoint wants nothing from this host."""
         now_s = self.parts.clock.now_s()
-        return self.parts.rests.left_s(endpoint_id, now_s)
+        return self.parts.backoffs.left_s(endpoint_id, now_s)
 
     def _retry_after_s(self) -> float:
         """When a request that none takes may come back."""
         usable = self.parts.catalog.usable(self.service)
         now_s = self.parts.clock.now_s()
-        return self.parts.rests.all_rest_s(usable, now_s) or RETRY_AFTER_S
+        return self.parts.backoffs.least_s(usable, now_s) or RETRY_AFTER_S
 
     def _may_send(self) -> bool:
         """Count a send that is to run; all but the first are repeats."""
@@ -242,15 +242,15 @@
         if own and not facts.wrong_endpoint:
             if facts.leaving:
                 self._heard_leaving(endpoint)
-            if facts.rest_s:
-                self._heard_rest(endpoint, facts.rest_s)
+            if facts.backoff_s:
+                self._heard_backoff(endpoint, facts.backoff_s)
         return facts
 
-    def _heard_rest(self, endpoint: catalog.Endpoint, for_s: float) -> None:
+    def _heard_backoff(self, endpoint: catalog.Endpoint, for_s: float) -> None:
         now_s = self.parts.clock.now_s()
-        self.parts.rests.asked(endpoint.id, for_s, now_s)
+        self.parts.backoffs.asked(endpoint.id, for_s, now_s)
         LOG.event(
-            'endpoint_asked_for_rest',
+            'endpoint_asked_to_back_off',
             id=self.request.id.decode('latin-1'),
             endpoint=endpoint.id,
             for_ms=round(for_s * 1000),
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -54,7 +54,7 @@
 
     def _why_none(self) -> str:
         if self.parts.catalog.usable(self.service):
-            return exchange.RESTS
+            return exchange.BACKOFF
         return 'no endpoint is known'
 
     def _refused(self, reason: str) -> outcomes.Refused:
@@ -62,7 +62,7 @@
 
     def _choose(self) -> catalog.Endpoint | None:
         now_s = self.parts.clock.now_s()
-        endpoints = self.parts.rests.awake(
+        endpoints = self.parts.backoffs.available(
             self.parts.catalog.usable(self.service), now_s
         )
         return self.parts.balancer.choose(endpoints, self.tried, now_s)
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -34,7 +34,7 @@
 #: the only one left, a request would try it thousands of times.
 MOST_MISSES = 3
 #: Engines that take nothing of which the placing host is told with a request.
-MOST_UNWILLING = 32
+MOST_UNAVAILABLE = 32
 
 
 class PromptExchange(promptreading.PromptReading):
@@ -55,21 +55,21 @@
         avoid: tuple[str, ...] = ()
         resume_after = self.request.resume_after
         while True:
-            rest_s = self._answerers_rest_s()
-            if rest_s:
-                return self._refused(exchange.RESTS, rest_s)
+            backoff_s = self._answerers_backoff_s()
+            if backoff_s:
+                return self._refused(exchange.BACKOFF, backoff_s)
             job = self._job(avoid, resume_after is not None)
             decision = self.parts.placer.place(self.service, job)
             self._log_decision(job, decision)
             if isinstance(decision, promptjobs.Refused):
                 return self._refused(decision.reason, decision.retry_after_s)
-            resting = self._resting(decision)
-            if resting is not None:
+            excluded = self._excluded(decision)
+            if excluded is not None:
                 self.parts.placer.ended(self.service, job.id, True)
                 self.misses += 1
-                if resting in job.avoid or self.misses > MOST_MISSES:
-                    rest_s = self._rest_s(resting)
-                    return self._refused(exchange.RESTS, rest_s)
+                if excluded in job.avoid or self.misses > MOST_MISSES:
+                    backoff_s = self._backoff_s(excluded)
+                    return self._refused(exchange.BACKOFF, backoff_s)
                 continue
             tell = True
             try:
@@ -140,14 +140,14 @@
                     retry_after_ms=round(retry_after_s * 1000),
                 )
 
-    def _resting(self, placed: promptjobs.Placed) -> str | None:
+    def _excluded(self, placed: promptjobs.Placed) -> str | None:
         """The engine of a placement that wants nothing from this host."""
         for engine in (placed.prefill, placed.run):
-            if engine is not None and self._rest_s(engine):
+            if engine is not None and self._backoff_s(engine):
                 return engine
         return None
 
-    def _answerers_rest_s(self) -> float:
+    def _answerers_backoff_s(self) -> float:
         """How long no engine answers this host; 0 if one does."""
         listed = self.parts.catalog.by_service.get(self.service, {})
         answering = (
@@ -156,18 +156,20 @@
             if each.stage is catalog.Stage.DECODE and not each.leaving
         )
         now_s = self.parts.clock.now_s()
-        return self.parts.rests.all_rest_s(answering, now_s)
+        return self.parts.backoffs.least_s(answering, now_s)
 
-    def _unwilling(self) -> list[str]:
+    def _unavailable(self) -> list[str]:
         """Engines that take nothing, which the placing host may not know.
 
-        Rests are this host's own, and a leave may have been told here only.
+        Backoffs are this host's own, and a leave may have been told here only.
         """
         known = self.parts.catalog
         listed = known.by_service.get(self.service, {})
-        resting = self.parts.rests.resting(self.parts.clock.now_s())
-        ids = [each for each in (*resting, *known.leavers) if each in listed]
-        return ids[:MOST_UNWILLING]
+        backing_off = self.parts.backoffs.active(self.parts.clock.now_s())
+        ids = [
+            each for each in (*backing_off, *known.leavers) if each in listed
+        ]
+        return ids[:MOST_UNAVAILABLE]
 
     def _refused(
         self, reason: str, retry_after_s: float
@@ -208,7 +210,7 @@
             failure_domain=self.parts.balancer.failure_domain,
             returning=returning or self.prefills > 0,
             resumed=resumed,
-            avoid=(*avoid, *self._unwilling()),
+            avoid=(*avoid, *self._unavailable()),
         )
 
     def _run_placed(
@@ -296,10 +298,10 @@
             if each.stage is catalog.Stage.DECODE
         ]
         now_s = self.parts.clock.now_s()
-        awake = self.parts.rests.awake(answering, now_s)
-        others = [each for each in awake if each.id != failed]
+        available = self.parts.backoffs.available(answering, now_s)
+        others = [each for each in available if each.id != failed]
         if not others:
-            return next(iter(awake), None)
+            return next(iter(available), None)
         return self.parts.rng.choice(others)
 
     def _stream(
--- a/magnoliadyke/gateway/promptreading.py
+++ b/magnoliadyke/gateway/promptreading.py
@@ -152,7 +152,7 @@
                 break
         else:
             return
-        if self._rest_s(endpoint.id):
+        if self._backoff_s(endpoint.id):
             # What it keeps lapses by itself.
             return
         method, target = self.parts.codec.drop_target(handle)
--- a/magnoliadyke/lab/platformcheck.py
+++ b/magnoliadyke/lab/platformcheck.py
@@ -35,10 +35,10 @@
 #: A leaving endpoint gets no new request later than this after the word, in
 #: seconds: the settings' drain time and a way through the lab's proxy.
 LEAVING_S = 2.3
-#: An endpoint that asked a host for rest gets so many requests of it at most,
-#: from so much later to the end of that time.
-MOST_IN_REST = 2
-REST_HEARD_S = 0.5
+#: An endpoint that asked a host to back off gets so many requests of it at
+#: most, from so much later to the end of that time.
+MOST_IN_BACKOFF = 2
+BACKOFF_HEARD_S = 0.5
 #: A caller that left less than this after the endpoint's answer may have kept
 #: its host from reading it, in seconds.
 READ_S = 0.1
@@ -365,17 +365,17 @@
         ]
         if late:
             yield _about(told, 'hosts keep a leave they heard of', f'{late}')
-    if said.rest_s:
-        until_s = said.at_s + said.rest_s
+    if said.backoff_s:
+        until_s = said.at_s + said.backoff_s
         within = [
             arrival.id.decode()
             for _, arrival in pairs
-            if said.at_s + REST_HEARD_S < arrival.at_s < until_s
+            if said.at_s + BACKOFF_HEARD_S < arrival.at_s < until_s
         ]
-        if len(within) <= MOST_IN_REST:
+        if len(within) <= MOST_IN_BACKOFF:
             return
         if not _was_disturbed(seen, host, said.at_s, until_s):
-            yield _about(told, 'hosts keep a rest asked for', f'{within}')
+            yield _about(told, 'hosts back off when asked to', f'{within}')
 
 
 def _was_disturbed(
--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -52,8 +52,8 @@
 UNLIST_S = 1.0
 #: A leaving endpoint goes after this time.
 LEAVE_S = 3.5
-#: An endpoint that turns requests away asks for rest so long, in seconds.
-REST_S = 2.0
+#: An endpoint that turns requests away asks to back off so long, in seconds.
+BACKOFF_S = 2.0
 STORE_MODES = {
     'store_busy': 'busy',
     'store_reset': 'reset',
@@ -367,12 +367,12 @@
             endpoint.mode = 'ok'
 
     def shed(self, fault: Fault) -> None:
-        """An endpoint turns requests away and asks for rest."""
+        """An endpoint turns requests away and asks to back off."""
         endpoint = self.fleet.endpoints[self._endpoint(fault)]
         with self._disturbs('endpoints'):
-            endpoint.mode, endpoint.rest_s = 'shed', REST_S
+            endpoint.mode, endpoint.backoff_s = 'shed', BACKOFF_S
             gevent.sleep(fault.for_s)
-            endpoint.mode, endpoint.rest_s = 'ok', None
+            endpoint.mode, endpoint.backoff_s = 'ok', None
 
     def store_mode(self, fault: Fault) -> None:
         """The store is away in one way."""
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -30,7 +30,7 @@
     :ivar broke: it broke the request off, or failed it
     :ivar until_s: when it worked no longer on it
     :ivar said_leaving: the answer told that the endpoint leaves
-    :ivar rest_s: for which the answer asked, 0 if for none
+    :ivar backoff_s: to back off by the answer, 0 if it does not ask
     """
 
     at_s: float
@@ -44,7 +44,7 @@
     broke: bool = False
     until_s: float = math.inf
     said_leaving: bool = False
-    rest_s: float = 0.0
+    backoff_s: float = 0.0
 
     @property
     def id(self) -> bytes:
@@ -75,7 +75,7 @@
         if it only notes orders
     :ivar changed: called when its entry is another one
     :ivar says_leaving: its answers tell that it leaves
-    :ivar rest_s: for which it asks where it turns a request away, in seconds
+    :ivar backoff_s: to back off where it turns a request away, in seconds
     """
 
     def __init__(
@@ -106,7 +106,7 @@
         self.born_ms = 0
         self.refuses_after: int | None = None
         self.says_leaving = False
-        self.rest_s: float | None = None
+        self.backoff_s: float | None = None
         self.change_s: float | None = None
         self.changed: Callable[[], None] | None = None
         self.arrivals: list[Arrival] = []
@@ -163,9 +163,9 @@
         refusal = self._refusal(headers)
         if refusal is not None:
             extra = [(b'X-Not-Executed', b'1')]
-            if refusal == 503 and self.rest_s is not None:
-                arrival.rest_s = self.rest_s
-                extra.append((b'Retry-After', b'%g' % self.rest_s))
+            if refusal == 503 and self.backoff_s is not None:
+                arrival.backoff_s = self.backoff_s
+                extra.append((b'Retry-After', b'%g' % self.backoff_s))
             self._answer(caller, arrival, refusal, extra)
             return True
         if headers.get(b'x-stage') == b'prefill':
--- a/magnoliadyke/platform/codec.py
+++ b/magnoliadyke/platform/codec.py
@@ -174,7 +174,7 @@
         request_id = None
         not_run = sealed = encoded = leaving = False
         idle_limit_s = None
-        rest_s = 0.0
+        backoff_s = 0.0
         for name, value in head.headers:
             match name.lower():
                 case b'x-request-id':
@@ -186,7 +186,7 @@
                 case b'content-encoding':
                     encoded = value.lower() != b'identity'
                 case b'retry-after' if head.status == STATUS_UNAVAILABLE:
-                    rest_s = _rest_s(value)
+                    backoff_s = _backoff_s(value)
                 case b'server-leaving':
                     leaving = value.strip() == b'1'
                 case b'keep-alive':
@@ -201,7 +201,7 @@
             encoded,
             idle_limit_s,
             leaving,
-            rest_s,
+            backoff_s,
         )
 
     def answer_headers(self, head: http.Head) -> http.Headers:
@@ -289,13 +289,13 @@
     return frozenset(named)
 
 
-def _rest_s(value: bytes) -> float:
+def _backoff_s(value: bytes) -> float:
     try:
-        rest_s = float(value)
+        backoff_s = float(value)
     except ValueError:
         # A moment in place of a time: not what the platform sends.
         return 0.0
-    return rest_s if 0 < rest_s < math.inf else 0.0
+    return backoff_s if 0 < backoff_s < math.inf else 0.0
 
 
 def _idle_limit_s(value: bytes) -> float | None:
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -9,9 +9,9 @@
 
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
+from magnoliadyke.core import backoffs
 from magnoliadyke.core import balance
 from magnoliadyke.core import catalog
-from magnoliadyke.core import rests
 from magnoliadyke.core import retrybudget
 from magnoliadyke.core import routes
 from magnoliadyke.core import shutdown
@@ -195,7 +195,7 @@
             self.budgets,
             self.placer,
             self.suspects,
-            rests.Rests(),
+            backoffs.Backoffs(),
             rng,
             self.usage.begun,
         )
--- a/tests/test_lab_platformcheck.py
+++ b/tests/test_lab_platformcheck.py
@@ -293,7 +293,7 @@
 
 
 LEAVE = 'hosts keep a leave they heard of'
-REST = 'hosts keep a rest asked for'
+BACKOFF = 'hosts back off when asked to'
 
 
 def test_request_to_an_endpoint_that_told_its_host_of_a_leave_is_found():
@@ -306,10 +306,10 @@
     )
 
 
-def test_requests_to_an_endpoint_that_rests_are_found():
-    told = said(100.0, 'c1', rest_s=2.0, run=False)
+def test_requests_to_an_endpoint_that_asked_to_back_off_are_found():
+    told = said(100.0, 'c1', backoff_s=2.0, run=False)
     within = [said(100.6 + n / 10, f'd{n}') for n in range(3)]
-    assert at_one_endpoint(told, *within) == [REST]
+    assert at_one_endpoint(told, *within) == [BACKOFF]
     assert at_one_endpoint(told, *within[:2]) == []
     after = [said(102.1 + n / 10, f'd{n}') for n in range(3)]
     assert at_one_endpoint(told, *after) == []
--- a/tests/test_lab_platformday.py
+++ b/tests/test_lab_platformday.py
@@ -125,7 +125,7 @@
     assert 'stopping hosts end what they take' in promises
 
 
-#: A plain endpoint and an engine leave by word of mouth, others ask for rest.
+#: Endpoints say that they leave, or ask to back off, in their answers only.
 WORDS = platformday.Plan(
     6.0,
     tuple(
@@ -140,12 +140,12 @@
 
 
 def test_hosts_keep_what_endpoints_say_in_answers(tmp_path):
-    """Endpoints that leave, or ask for rest, in answers only were asked on."""
+    """Endpoints that leave, or ask to back off, were asked on."""
     found, seen = platformday.play(WORDS, 1, tmp_path)
     assert not found
     arrivals = [a for each in seen.endpoints for a in each.arrivals]
     assert any(each.said_leaving for each in arrivals)
-    assert any(each.rest_s for each in arrivals)
+    assert any(each.backoff_s for each in arrivals)
 
 
 def test_hosts_that_heed_no_word_of_endpoints_are_caught(
@@ -155,7 +155,7 @@
     found, _ = platformday.play(WORDS, 1, tmp_path)
     assert {violation.promise for violation in found} >= {
         'hosts keep a leave they heard of',
-        'hosts keep a rest asked for',
+        'hosts back off when asked to',
     }
 
 
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -113,7 +113,7 @@
 
 
 @pytest.mark.parametrize(
-    'status, value, rest_s',
+    'status, value, backoff_s',
     [
         (503, b'3', 3.0),
         (503, b'0.25', 0.25),
@@ -124,11 +124,11 @@
         (429, b'3', 0.0),
     ],
 )
-def test_refusal_asks_for_rest(status, value, rest_s):
+def test_refusal_asks_to_back_off(status, value, backoff_s):
     facts = codec.PlatformCodec().facts(
         head((b'Retry-After', value), status=status)
     )
-    assert facts.rest_s == rest_s
+    assert facts.backoff_s == backoff_s
 
 
 def test_answer_headers_keep_the_signature():
--- a/tests/unheedingnode.py
+++ b/tests/unheedingnode.py
@@ -4,12 +4,12 @@
 
 from gevent import monkey
 
+from magnoliadyke.core import backoffs
 from magnoliadyke.core import catalog
-from magnoliadyke.core import rests
 from magnoliadyke.lab import links
 
 if __name__ == '__main__':
     monkey.patch_all()
     catalog.Catalog.heard_leaving = lambda self, endpoint_id: False
-    rests.Rests.asked = lambda self, endpoint_id, for_s, now_s: None
+    backoffs.Backoffs.asked = lambda self, endpoint_id, for_s, now_s: None
     sys.exit(links.main(sys.argv[1:]))
