Say "not now" while changes are known that a host has missed

Such a host now answers 503 with a time to come back where it would say 401 or 404, once it has missed what others know for longer than a change may take on its way to it (0.4 s and 0.15 of the bound). Keys and routes that it knows are served as before, as long as its proof holds.

Both cases of the test failed before (401 and 404 for 503).

--- a/magnoliadyke/core/revisionlag.py
+++ b/magnoliadyke/core/revisionlag.py
@@ -69,6 +69,13 @@
         if upto > newest and len(self.told) < MOST_TOLD:
             self.told.append(_Told(host, upto, now_s))
 
+    def missed_s(self, now_s: float) -> float:
+        """How long ago another host told first what this one has not seen.
+
+        Zero if there is nothing; also counted while the store is not asked.
+        """
+        return now_s - self.told[0].at_s if self.told else 0.0
+
     def behind(self, now_s: float, asks: bool = True) -> Behind | None:
         """The newest that this host should have seen by now, or None.
 
--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -167,6 +167,11 @@
             return 0.0
         return self.clock.now_s() - self.regained_s
 
+    def is_behind(self) -> bool:
+        """Whether others have known for long what this host has not seen."""
+        missed_s = self.lag.missed_s(self.clock.now_s())
+        return missed_s > GATHER_S + self.lag.allowed_s
+
     def state(self, known: position.Position) -> peerstate.PeerState:
         """What this host has seen, for one that asks.
 
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -56,6 +56,7 @@
     :param record_early: called with the status of a request that is answered
         before it is looked at
     :param confirmed: whether the configuration is known to be the newest
+    :param behind: whether other hosts know of changes that this one has missed
     :ivar running: requests under way
     :ivar shutdown: set once this host has been told to stop
     """
@@ -67,6 +68,7 @@
         record: Callable[[outcomes.Outcome, routes.Route, float], None],
         record_early: Callable[[int], None],
         confirmed: Callable[[], bool],
+        behind: Callable[[], bool],
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
@@ -75,6 +77,7 @@
         self.record = record
         self.record_early = record_early
         self.confirmed = confirmed
+        self.behind = behind
         self.clock = clock
         self.rng = rng
         self.shutdown: shutdown.Shutdown | None = None
@@ -302,7 +305,7 @@
             return
         route = configuration.match(request.host, request.path)
         if route is None:
-            self._answer_early(caller, request, 404, 'no route')
+            self._deny(caller, request, 404, 'no route')
             return
         if not self._admit(caller, request, configuration, route):
             return
@@ -349,13 +352,32 @@
                 request.workspace = workspace
                 return True
             case workspaces.UnknownKey(remedy):
-                self._answer_early(caller, request, 401, remedy)
+                self._deny(caller, request, 401, remedy)
             case workspaces.Unconfirmed(reason):
                 self._answer_early(
                     caller, request, 503, reason, UNCONFIRMED_RETRY_S
                 )
         return False
 
+    def _deny(
+        self,
+        caller: callers.Caller,
+        request: codecs.Request,
+        status: int,
+        reason: str,
+    ) -> None:
+        """Answer who may not be served under the configuration in force.
+
+        A host that has missed changes can't tell whether it still is.
+        """
+        if self.behind():
+            reason = 'changes of the configuration may have been missed'
+            self._answer_early(
+                caller, request, 503, reason, UNCONFIRMED_RETRY_S
+            )
+        else:
+            self._answer_early(caller, request, status, reason)
+
     def _exchange(
         self,
         request: codecs.Request,
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -205,6 +205,7 @@
             self.figures.record,
             self.figures.measures.record_early,
             self.confirming.holds,
+            self.follower.is_behind,
             clock,
             rng,
         )
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -66,6 +66,28 @@
     assert not plain.arrivals
 
 
+@pytest.mark.parametrize(
+    ('path', 'status'), [('/safe/x', 401), ('/of-nobody', 404)]
+)
+def test_host_that_has_missed_changes_does_not_say_no_for_good(
+    world, plain, path, status
+):
+    """The key or the route may be of a configuration that it has not read."""
+    node = world.node()
+    assert run(world, 'key-new', path)[0].status == status
+    own = node.follower.lag.own
+    heard_s = node.clock.now_s() - 1.0
+    node.follower.lag.hear(
+        'x', own._replace(revision=own.revision + 50), heard_s
+    )
+    head, _ = run(world, 'key-new', path)
+    assert head.status == 503
+    assert head.value(b'retry-after')
+    assert run(world, 'key-small')[0].status == 200
+    node.follower.lag.told.clear()
+    assert run(world, 'key-new', path)[0].status == status
+
+
 def test_two_keys_are_no_key(world, plain):
     world.node()
     client = gatewayworld.Client(world.nodes[0])
