Show that a stream that found no place once is not moved at all

Failing: no engine takes work when the first try is made and one does later; after nine ticks (2.25 s) nothing has been exported.

--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -27,6 +27,22 @@
         return self.outcome
 
 
+class Pump:
+    """A connection on which an answer comes in."""
+
+    connections = types.SimpleNamespace(suspect=lambda: False)
+
+    def __init__(self, run):
+        self.run_ = run
+
+    def check(self, now_s, suspect):
+        """The connection is well."""
+        return False
+
+    def progress(self):
+        """Nothing to report."""
+
+
 def make_run(places, outcome=KV):
     """A run on an engine; the dispatcher names these places in turn."""
     left = list(places)
@@ -86,3 +102,22 @@
     run.moving = moves.Move(run)
     assert run.read_on('e1').ran is False
     assert run.number == 1 + moves.MOST_PLACES
+
+
+def test_a_stream_that_found_no_place_at_first_is_moved_later():
+    # It would stand still for the whole change: at the moment of the first
+    # try no other engine took work.
+    run = make_run(['', 'e2'])
+    run.assembly.offset = 5
+    run.engine.name = 'e1'
+    run.dispatcher.changing = {'e1': 0.0}
+    clock = types.SimpleNamespace(now_s=lambda: 10.0)
+    watch = streams.Streams(run.dispatcher, clock)
+    watch.pumps.add(Pump(run))
+    tried = []
+    for _ in range(9):
+        watch.tick()
+        gevent.sleep(0)
+        tried.append(len(run.engine.exported))
+    assert tried[0] == 0
+    assert tried[-1] == 1
