Try again to move a stream that could not be moved at first

Callers of a stream would see it stand still for the whole change of its engine's role: when the one try to move it came to nothing (no other engine took work just then, the dispatcher or the engine did not answer in time), it was never tried again, though the engine is waited for up to 8 s.

Cause: a run keeps its move until its connection ends, and begins no other while it has one, failed or not. Found by reading, while tracing a test.

A move that is over and has not taken the answer away is now begun anew, once a second, as long as the engine is to change.

Passed with the change: test_moves, test_streams, test_refuge, test_dispatch, test_role_change and test_role_change_faults (32 tests); the whole suite was not run.

Not mended: a place that was given out stays booked when the export fails, so that engine is not asked for again for this stream.

--- a/magnoliadyke/moves.py
+++ b/magnoliadyke/moves.py
@@ -65,6 +65,10 @@
             )
         return self.kv is not None
 
+    def failed(self):
+        """Whether it is over and the answer is where it was."""
+        return self.greenlet.ready() and self.kv is None
+
     def next_place(self):
         """Return a further engine, '' when enough have refused."""
         self.places += 1
--- a/magnoliadyke/streams.py
+++ b/magnoliadyke/streams.py
@@ -39,6 +39,8 @@
 MAX_RESUMES_ONLY_WAY = 12
 #: Ticks of 0.25 s between reports of progress to the scheduler.
 PROGRESS_TICKS = 4
+#: Ticks between tries to move an answer.
+MOVE_TICKS = 4
 RESUME_PAUSE_S = 0.1
 COMPRESSION_LEVEL = 1
 COMPRESSED_FROM_BYTES = 4096
@@ -396,8 +398,13 @@
         self.cancel_attempt()
         return self.failed(name, 'decode', True)
 
-    def move(self):
-        """Take the answer elsewhere, once it has begun."""
+    def move(self, again=False):
+        """Take the answer elsewhere, once it has begun.
+
+        :param again: whether a move that failed is tried anew
+        """
+        if again and self.moving is not None and self.moving.failed():
+            self.moving = None
         if self.moving is None and self.assembly.offset:
             self.moving = moves.Move(self)
 
@@ -599,7 +606,7 @@
                 continue  # a relay: the answer's home moves it
             since_s = changing.get(run.engine.name, math.inf)
             if now_s - since_s >= moves.AFTER_S:
-                run.move()
+                run.move(again=self.ticks % MOVE_TICKS == 0)
 
     def report_progress(self):
         """Tell the scheduler how far the streams are."""
