Decode, log and count the rate limits that endpoints name

An endpoint's answers may name the requests per second that it takes from all hosts. The adapter did not know the header, and neither logs nor metrics told whether a host had heard of a limit, or how much it sent since.

The adapter decodes it; a value that is no decimal number is logged and changes nothing. Each host keeps the limit of each endpoint by what its own answers named, in the order that the times of request and answer prove, and logs each change (endpoint_limit). Metrics: the limits in force, and the requests that this host sent to endpoints with one. What hosts send is unchanged.

--- a/magnoliadyke/gateway/codec.py
+++ b/magnoliadyke/gateway/codec.py
@@ -102,6 +102,10 @@
         requests
     :param backoff_s: how long this host must send it no requests, in seconds;
         0 if the endpoint requested no backoff
+    :param rate_limit_s: requests per second that the endpoint accepts from
+        all hosts together; None if it named no limit that can be decoded
+    :param rate_limit_error: why the limit that it named can't be decoded,
+        empty if it can
     """
 
     status: int
@@ -113,6 +117,8 @@
     idle_limit_s: float | None
     leaving: bool
     backoff_s: float
+    rate_limit_s: float | None = None
+    rate_limit_error: str = ''
 
 
 class Prefilled(NamedTuple):
--- a/magnoliadyke/gateway/connection.py
+++ b/magnoliadyke/gateway/connection.py
@@ -43,6 +43,8 @@
     :param address: numeric ``ip:port``
     :param timeout_s: time limit for connecting, in seconds
     :ivar sent: whether bytes of the current request may have been sent
+    :ivar sent_s: when the owner sent the current request, in monotonic
+        seconds
     :ivar last_used_s: when the owner last got the connection back after a
         request, in monotonic seconds
     :ivar is_reused: whether the connection served an earlier request
@@ -56,6 +58,7 @@
         self.sock: socket.socket = http.connect(address, timeout_s)
         self.reader = http.AnswerReader(self.sock)
         self.sent = False
+        self.sent_s = 0.0
         self.last_used_s = 0.0
         self.is_reused = False
         self.idle_limit_s: float | None = None
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -14,6 +14,7 @@
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import connection
 from magnoliadyke.gateway import crashreports
+from magnoliadyke.gateway import endpointlimits
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import placementservice
@@ -66,6 +67,7 @@
     placement_service: placementservice.PlacementService
     crashreports: crashreports.CrashReporter
     backoffs: backoffs.Backoffs
+    limits: endpointlimits.EndpointLimits
     rng: random.Random
     record_start: usageduty.StartRecorder
 
@@ -259,23 +261,46 @@
             self.parts.crashreports.record_crash(self.request, endpoint)
 
     def _read_facts(
-        self, endpoint: catalog.Endpoint, head: http.Head
+        self,
+        endpoint: catalog.Endpoint,
+        used: connection.Connection,
+        head: http.Head,
     ) -> codecs.ResponseFacts:
         """Parse an answer's head, and record the endpoint's signals in it.
 
-        The signals are a backoff and a planned stop. They are ignored in an
-        answer to another request and in one from another process at the
-        same address, which say nothing about this endpoint.
+        The signals are a backoff, a planned stop and a rate limit. They are
+        ignored in an answer to another request and in one from another
+        process at the same address, which say nothing about this endpoint.
         """
         facts = self.parts.codec.facts(head)
         own = facts.request_id in (None, self.request.id)
         if own and not facts.wrong_endpoint:
+            self._record_limit(endpoint, used, facts)
             if facts.leaving:
                 self._record_leaving(endpoint)
             if facts.backoff_s:
                 self._record_backoff(endpoint, facts.backoff_s)
         return facts
 
+    def _record_limit(
+        self,
+        endpoint: catalog.Endpoint,
+        used: connection.Connection,
+        facts: codecs.ResponseFacts,
+    ) -> None:
+        limits = self.parts.limits
+        if facts.rate_limit_error:
+            limits.record_malformed(
+                endpoint.id, facts.rate_limit_error, self.request.id
+            )
+        named = facts.rate_limit_s is not None
+        if named or (
+            not facts.rate_limit_error and facts.request_id == self.request.id
+        ):
+            limits.record_response(
+                endpoint.id, facts.rate_limit_s, used.sent_s, self.request.id
+            )
+
     def _record_backoff(
         self, endpoint: catalog.Endpoint, for_s: float
     ) -> None:
@@ -296,6 +321,12 @@
                 endpoint=endpoint.id,
             )
 
+    def _record_send(
+        self, endpoint: catalog.Endpoint, used: connection.Connection
+    ) -> None:
+        used.sent_s = self.parts.clock.now_s()
+        self.parts.limits.record_send(endpoint.id)
+
     def _send_request(
         self,
         endpoint: catalog.Endpoint,
@@ -306,6 +337,7 @@
         request = self.request
         try:
             with limit:
+                self._record_send(endpoint, used)
                 used.send(
                     request.method, request.target, headers, request.body
                 )
@@ -338,7 +370,7 @@
         request, which has another request id. That connection is closed:
         further bytes on it can't be assigned to a request.
         """
-        facts = self._read_facts(endpoint, head)
+        facts = self._read_facts(endpoint, used, head)
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
         if facts.not_run and facts.request_id in (None, self.request.id):
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -9,6 +9,7 @@
 from magnoliadyke.core import routes
 from magnoliadyke.gateway import autoscaling
 from magnoliadyke.gateway import confirming
+from magnoliadyke.gateway import endpointlimits
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import ingress
 from magnoliadyke.gateway import members
@@ -36,6 +37,7 @@
     fleet: autoscaling.AutoscalingDuty
     follower: follower.Follower
     ingress: ingress.Ingress
+    limits: endpointlimits.EndpointLimits
     members: members.Members
     placement_service: placementservice.PlacementService
     store: store.Store
@@ -90,6 +92,7 @@
             gauges.usage_window.set(parts.usage.reports.last)
         for service, wanted in parts.fleet.wanted.items():
             gauges.endpoints_wanted.labels(service).set(wanted)
+        self._gather_limits()
         self._count_engines()
         gauges.hosts.set(parts.members.count())
         gauges.open_requests.set(parts.ingress.open_requests)
@@ -100,6 +103,15 @@
                 self.clock.now_s() - parts.catalog.confirmed_s
             )
 
+    def _gather_limits(self) -> None:
+        gauges, limits = self.registry, self.sources.limits
+        gauges.endpoint_limit.clear()
+        for endpoint, rate_s in limits.named.limited().items():
+            gauges.endpoint_limit.labels(endpoint).set(rate_s)
+        gauges.limited_sends.clear()
+        for endpoint, count in limits.sends.items():
+            gauges.limited_sends.labels(endpoint).set(count)
+
     def _count_engines(self) -> None:
         """Set the number of engines of each service by stage.
 
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -81,6 +81,16 @@
             'service',
             'stage',
         )
+        self.endpoint_limit = self._gauge(
+            'endpoint_limit',
+            'Requests per second that an endpoint takes from all hosts.',
+            'endpoint',
+        )
+        self.limited_sends = self._gauge(
+            'limited_sends',
+            'Requests that this host sent to endpoints that named a limit.',
+            'endpoint',
+        )
         self.open_requests = self._gauge(
             'open_requests', 'Requests under way.'
         )
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -372,6 +372,7 @@
         request = self.request
         try:
             with gevent.Timeout(self.left_s, http.OutOfTime('out of time')):
+                self._record_send(engine, used)
                 used.send(
                     request.method, request.target, headers, request.body
                 )
@@ -429,7 +430,7 @@
         engine: catalog.Endpoint,
         options: codecs.RunOptions,
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
-        facts = self._read_facts(engine, head)
+        facts = self._read_facts(engine, used, head)
         if facts.status != 200:
             return self._classify(engine, used, head, used.body())
         if facts.request_id != self.request.id:
--- a/magnoliadyke/platform/codec.py
+++ b/magnoliadyke/platform/codec.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 import zlib
 
 from magnoliadyke.core import promptcache
@@ -91,6 +92,8 @@
 STATUS_UNAVAILABLE = 503
 #: Truncates the id of a prompt part to a non-negative signed 64-bit integer.
 PART_ID_MASK = (1 << 63) - 1
+#: A decimal number without a sign.
+DECIMAL = re.compile(rb'[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]+)?')
 
 
 class PlatformCodec(codec.Codec):
@@ -182,6 +185,7 @@
         not_run = sealed = has_content_encoding = leaving = False
         idle_limit_s = None
         backoff_s = 0.0
+        limits: list[bytes] = []
         for name, value in head.headers:
             match name.lower():
                 case b'x-request-id':
@@ -196,9 +200,12 @@
                     backoff_s = _backoff_s(value)
                 case b'server-leaving':
                     leaving = value.strip() == b'1'
+                case b'server-limit':
+                    limits.append(value.strip())
                 case b'keep-alive':
                     idle_limit_s = _idle_limit_s(value)
         wrong = head.status == STATUS_WRONG_ENDPOINT
+        rate_limit_s, rate_limit_error = _rate_limit_s(limits)
         return codec.ResponseFacts(
             head.status,
             request_id,
@@ -209,6 +216,8 @@
             idle_limit_s,
             leaving,
             backoff_s,
+            rate_limit_s,
+            rate_limit_error,
         )
 
     def answer_headers(self, head: http.Head) -> http.Headers:
@@ -307,6 +316,34 @@
     return backoff_s if 0 < backoff_s < math.inf else 0.0
 
 
+def _rate_limit_s(values: list[bytes]) -> tuple[float | None, str]:
+    """Decode an endpoint's rate limit, given as requests per second.
+
+    Of several values the lowest one applies.
+
+    :returns: the limit, None without one that can be decoded, and why a value
+        can't be decoded, empty if all can
+    """
+    found = []
+    errors = []
+    for value in values:
+        rate_s = math.nan
+        if DECIMAL.fullmatch(value):
+            rate_s = float(value)
+        if 0 <= rate_s < math.inf:
+            found.append(rate_s)
+        else:
+            errors.append(
+                'header server-limit: expected requests per second, '
+                f'got {value!r:.40}'
+            )
+    if len(set(found)) > 1:
+        errors.append(
+            f'header server-limit: expected once, got {sorted(found)}'
+        )
+    return min(found, default=None), '; '.join(errors)
+
+
 def _idle_limit_s(value: bytes) -> float | None:
     for entry in value.split(b','):
         key, _, seconds = entry.strip().partition(b'=')
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -19,6 +19,7 @@
 from magnoliadyke.gateway import confirming
 from magnoliadyke.gateway import crashreports
 from magnoliadyke.gateway import duty_codec
+from magnoliadyke.gateway import endpointlimits
 from magnoliadyke.gateway import exchange
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import ingress
@@ -138,6 +139,7 @@
             engines.PlatformEngines(),
             clock,
         )
+        self.limits = endpointlimits.EndpointLimits(clock)
         self.usage, self.fleet = self._duties()
         decoder = RecordDecoder()
         mirror = keymirror.KeyMirror(
@@ -204,6 +206,7 @@
             self.placement_service,
             self.crashreports,
             backoffs.Backoffs(),
+            self.limits,
             rng,
             self.usage.record_start,
         )
@@ -223,6 +226,7 @@
             self.fleet,
             self.follower,
             self.ingress,
+            self.limits,
             self.members,
             self.placement_service,
             self.store,
@@ -362,7 +366,9 @@
             self.budgets.set_hosts(hosts)
             self.placement_service.hosts = hosts
             self.upstream.trim()
-            self.balancer.drop_unlisted(set(self.catalog.endpoints))
+            listed = set(self.catalog.endpoints)
+            self.balancer.drop_unlisted(listed)
+            self.limits.remove_unlisted(listed)
             if ticks % 10 == 0:
                 self.metrics.log()
 
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -131,6 +131,34 @@
     assert facts.backoff_s == backoff_s
 
 
+@pytest.mark.parametrize(
+    'values, rate_s, is_malformed',
+    [
+        ((), None, False),
+        ((b'14.1',), 14.1, False),
+        ((b' 8 ',), 8.0, False),
+        ((b'0',), 0.0, False),
+        ((b'1e308',), 1e308, False),
+        ((b'1e309',), None, True),
+        ((b'-3',), None, True),
+        ((b'nan',), None, True),
+        ((b'inf',), None, True),
+        ((b'1_0',), None, True),
+        ((b'',), None, True),
+        ((b'soon',), None, True),
+        ((b'8', b'8'), 8.0, False),
+        ((b'9', b'8'), 8.0, True),
+        ((b'many', b'8'), 8.0, True),
+    ],
+)
+def test_answer_names_a_rate_limit(values, rate_s, is_malformed):
+    facts = codec.PlatformCodec().facts(
+        head(*((b'Server-Limit', value) for value in values), status=200)
+    )
+    assert facts.rate_limit_s == rate_s
+    assert bool(facts.rate_limit_error) is is_malformed
+
+
 def test_answer_headers_keep_the_signature():
     kept = codec.PlatformCodec().answer_headers(
         head(
