--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -33,6 +33,7 @@
         until then
     :ivar leaving_announced: the answer announced that the endpoint leaves
     :ivar backoff_s: backoff that the answer asked for, in seconds, 0 for none
+    :ivar rate_limit: rate limit that the answer named, None for none
     """
 
     at_s: float
@@ -47,6 +48,7 @@
     until_s: float = math.inf
     leaving_announced: bool = False
     backoff_s: float = 0.0
+    rate_limit: bytes | None = None
 
     @property
     def id(self) -> bytes:
@@ -86,6 +88,8 @@
     :ivar announces_leaving: answers announce that the endpoint leaves
     :ivar backoff_s: backoff asked for in refusals with 503, in seconds, None
         to ask for none
+    :ivar rate_limit: value of the rate limit that answers name, None if they
+        name none
     :ivar arrivals: requests that reached the endpoint, in order
     :ivar orders: orders for a stage, in order
     :ivar handles: handles of KV caches that are held
@@ -121,6 +125,7 @@
         self.max_runs: int | None = None
         self.announces_leaving = False
         self.backoff_s: float | None = None
+        self.rate_limit: bytes | None = None
         self.change_s: float | None = None
         self.on_change: Callable[[], None] | None = None
         self.arrivals: list[Arrival] = []
@@ -264,14 +269,20 @@
         extra: http.Headers,
         body: bytes = b'',
     ) -> None:
-        leaving_header = self._leaving_header(arrival)
-        headers = [(b'X-Request-Id', arrival.id), *leaving_header, *extra]
+        signals = self._signal_headers(arrival)
+        headers = [(b'X-Request-Id', arrival.id), *signals, *extra]
         caller.answer(status, headers, body)
 
-    def _leaving_header(self, arrival: Arrival) -> http.Headers:
-        """Header that announces that the endpoint leaves, if it does."""
+    def _signal_headers(self, arrival: Arrival) -> http.Headers:
+        """Headers by which the endpoint says that it leaves, or its limit."""
         arrival.leaving_announced = self.announces_leaving
-        return [(b'Server-Leaving', b'1')] if self.announces_leaving else []
+        arrival.rate_limit = self.rate_limit
+        headers = []
+        if self.announces_leaving:
+            headers.append((b'Server-Leaving', b'1'))
+        if self.rate_limit is not None:
+            headers.append((b'Server-Limit', self.rate_limit))
+        return headers
 
     def _run(self, caller: callers.Caller, arrival: Arrival) -> bool:
         streams = b'x-prompt-prefix' in arrival.headers
@@ -346,7 +357,7 @@
         headers = [
             (b'X-Request-Id', arrival.id),
             (b'Content-Type', b'text/event-stream'),
-            *self._leaving_header(arrival),
+            *self._signal_headers(arrival),
             *seal,
         ]
         caller.start_stream(200, headers)
