--- a/magnoliadyke/core/catalog.py
+++ b/magnoliadyke/core/catalog.py
@@ -172,6 +172,11 @@
             self.put(endpoint)
         return gone
 
+    def find_staying(self, endpoint_id: str) -> Endpoint | None:
+        """Return an endpoint by id, None if it has left or is leaving."""
+        endpoint = self.endpoints.get(endpoint_id)
+        return None if endpoint is None or endpoint.leaving else endpoint
+
     def usable(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that accept new work."""
         listed = self.by_service.get(service, {})
--- a/magnoliadyke/core/decodeengines.py
+++ b/magnoliadyke/core/decodeengines.py
@@ -3,6 +3,7 @@
 import collections
 
 from magnoliadyke.core import catalog
+from magnoliadyke.core import endpointlimits
 from magnoliadyke.core import enginemodel
 
 __all__ = ['SHORT_SLOTS', 'DecodeEngines']
@@ -37,14 +38,20 @@
     """The decode engines of a model service.
 
     :param engines: all engines, by id; maintained by the pool
+    :param pacer: paces the requests to engines with a rate limit
     :ivar first_event_s: average time from the end of a prefill on another
         engine to the first event, on the fastest decode engine, in seconds
     :ivar rotation: ids of the decode engines, in the order in which they are
         considered
     """
 
-    def __init__(self, engines: dict[str, enginemodel.EngineModel]) -> None:
+    def __init__(
+        self,
+        engines: dict[str, enginemodel.EngineModel],
+        pacer: endpointlimits.Pacer,
+    ) -> None:
         self.engines = engines
+        self.pacer = pacer
         self.first_event_s = 0.0
         self.rotation: collections.deque[str] = collections.deque()
 
@@ -67,7 +74,9 @@
 
         Engines in a cooldown are returned only if there are no others, and
         engines that are down come last: a request to an engine that is down
-        loses a second, one that is rejected only a moment.
+        loses a second, one that is rejected only a moment.  Engines whose
+        rate limit allows no request now are left out, and no worse class
+        replaces them.
 
         :param avoid: ids of engines that have rejected the request
         """
@@ -75,7 +84,27 @@
         for engine in self.engines.values():
             if engine.endpoint.stage is catalog.Stage.DECODE:
                 classes[_readiness(engine, avoid, now_s)].append(engine)
-        return classes[min(classes)] if classes else []
+        best = classes[min(classes)] if classes else []
+        return [e for e in best if not self._limit_wait_s(e, now_s)]
+
+    def _limit_wait_s(
+        self, engine: enginemodel.EngineModel, now_s: float
+    ) -> float:
+        return self.pacer.wait_s(engine.endpoint.id, now_s)
+
+    def limit_wait_s(self, now_s: float) -> float:
+        """Return the time until the rate limits allow a request, in seconds.
+
+        0 if an engine accepts one now, or if there is none.
+        """
+        return min(
+            (self.pacer.wait_s(each, now_s) for each in self.rotation),
+            default=0.0,
+        )
+
+    def rate_s(self) -> float:
+        """Return how many requests per second the rate limits allow."""
+        return sum(self.pacer.rate_s(each) for each in self.rotation)
 
     def choose_for_prefilled(
         self, avoid: tuple[str, ...], now_s: float
@@ -105,8 +134,10 @@
         found = []
         for engine_id in self.rotation:
             engine = self.engines[engine_id]
-            if _readiness(engine, avoid, now_s) == READY and has_slot(
-                engine, now_s, now_s
+            if (
+                _readiness(engine, avoid, now_s) == READY
+                and has_slot(engine, now_s, now_s)
+                and not self._limit_wait_s(engine, now_s)
             ):
                 found.append(engine)
                 if len(found) >= CANDIDATES_COMPARED:
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -4,12 +4,15 @@
 import dataclasses
 import heapq
 import itertools
+import math
 from typing import NamedTuple
 
-from magnoliadyke.core import capacity
+from magnoliadyke.core import capacity as capacities
 from magnoliadyke.core import catalog
 from magnoliadyke.core import decodeengines
+from magnoliadyke.core import endpointlimits
 from magnoliadyke.core import enginemodel
+from magnoliadyke.core import limits
 from magnoliadyke.core import prefillcost
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import routes
@@ -76,6 +79,13 @@
 #: Age up to which a computed capacity is reused, in seconds; it is off by
 #: about one job at most.
 CAPACITY_MAX_AGE_S = 0.01
+#: Weight of a prompt in the moving average of the prefill time.
+NEED_WEIGHT = 0.05
+#: Time constant of the measured rate of short prompts, in seconds.
+SHORT_RATE_TIME_CONSTANT_S = 1.5
+#: Least share of the prefill speed that rate limits of the decode engines
+#: leave, so that waits stay finite.
+MIN_SPEED_SHARE = 0.01
 #: Engines that are considered as the source of cached parts.
 MAX_SOURCES = 3
 
@@ -110,6 +120,11 @@
 class EnginePool:
     """The engines, the prompts sent to them, and their estimated caches.
 
+    :param pacer: paces the requests to engines with a rate limit; without it
+        no engine has one
+    :ivar mean_need_s: average prefill time of a prompt, in seconds
+    :ivar short_prompts: rate of prompts that decode engines prefill
+        themselves
     :ivar costs: cost model of prefill, by the engine's stage
     :ivar open: engines that may be sent a prompt now, by stage; the one that
         has been open longest is first
@@ -121,11 +136,19 @@
         self,
         traits: routes.EngineTraits,
         settings: PoolSettings | None = None,
+        pacer: endpointlimits.Pacer | None = None,
     ) -> None:
         self.traits = traits
         self.settings = settings or PoolSettings()
+        self.pacer = pacer or endpointlimits.Pacer(
+            endpointlimits.NamedLimits(), endpointlimits.TOLERANCE_S
+        )
+        self.mean_need_s = 0.0
+        self.short_prompts = limits.Rate(SHORT_RATE_TIME_CONSTANT_S, 0.0)
         self.engines: dict[str, enginemodel.EngineModel] = {}
-        self.decode_engines = decodeengines.DecodeEngines(self.engines)
+        self.decode_engines = decodeengines.DecodeEngines(
+            self.engines, self.pacer
+        )
         prefill_cost = prefillcost.FittedCost()
         self.costs: dict[catalog.Stage, prefillcost.PrefillCost] = {
             catalog.Stage.NONE: prefill_cost,
@@ -140,7 +163,7 @@
         }
         self.allow_interference = False
         self._opening_heap: list[tuple[float, str]] = []
-        self._capacity = capacity.Capacity(())
+        self._capacity = capacities.Capacity(())
         self._capacity_s = float('-inf')
 
     # Membership and cooldowns.
@@ -374,9 +397,19 @@
             self.caches.add_pending(decode_engine.endpoint.id, job_id, parts)
             decode_engine.transfer_until_s = option.transferred_s
             decode_engine.expect_run(option.ready_s, now_s)
+            self.pacer.take(decode_engine.endpoint.id, now_s)
+        self.pacer.take(prefill_engine.endpoint.id, now_s)
         self.decode_engines.record_assignment(decode_engine, now_s)
         self._update_open(prefill_engine, now_s)
 
+    def assign_short(
+        self, engine: enginemodel.EngineModel, now_s: float
+    ) -> None:
+        """Account for a short prompt that is sent to a decode engine."""
+        self.short_prompts.add(1.0, now_s)
+        self.pacer.take(engine.endpoint.id, now_s)
+        self.decode_engines.record_assignment(engine, now_s)
+
     def adopt(
         self, job_id: int, engine_id: str, tokens: int, now_s: float
     ) -> None:
@@ -454,19 +487,57 @@
         cost = self.costs[catalog.Stage.PREFILL]
         return cost.seconds(prefillcost.PromptSize(tokens))
 
-    def capacity(self, now_s: float) -> capacity.Capacity:
+    def capacity(self, now_s: float) -> capacities.Capacity:
         """Return the prefill capacity of all engines that may prefill."""
         if now_s - self._capacity_s >= CAPACITY_MAX_AGE_S:
             self._capacity_s = now_s
             self._update_interference(now_s)
-            self._capacity = capacity.Capacity(
-                (engine.free_s(now_s) - now_s, 1 / self.relative_cost(engine))
-                for engine in self.engines.values()
-                if engine.cooldown_until_s <= now_s
-                and self._can_prefill(engine)
-            )
+            self._capacity = self._current_capacity(now_s)
         return self._capacity
 
+    def _current_capacity(self, now_s: float) -> capacities.Capacity:
+        """Return the capacity within the rate limits of the engines.
+
+        A prompt also needs a request to a decode engine, so the limits of
+        these bound the prefill capacity that is of use.
+        """
+        backlogs = [
+            (
+                max(
+                    engine.free_s(now_s) - now_s,
+                    self.pacer.wait_s(engine.endpoint.id, now_s),
+                ),
+                self._prefill_speed(engine),
+            )
+            for engine in self.engines.values()
+            if engine.cooldown_until_s <= now_s and self._can_prefill(engine)
+        ]
+        speed = sum(each for _, each in backlogs)
+        decoded_s = self.decode_engines.rate_s()
+        decoded_s -= self.short_prompts.now(now_s)
+        limit = max(decoded_s * self.mean_need_s, speed * MIN_SPEED_SHARE)
+        if limit < speed:
+            share = limit / speed
+            backlogs = [(free_s, each * share) for free_s, each in backlogs]
+        return capacities.Capacity(backlogs)
+
+    def _prefill_speed(self, engine: enginemodel.EngineModel) -> float:
+        """Return an engine's speed relative to a prefill engine.
+
+        A rate limit bounds it by the prompts that the engine accepts.
+        """
+        speed = 1 / self.relative_cost(engine)
+        rate_s = self.pacer.rate_s(engine.endpoint.id)
+        if rate_s == math.inf:
+            return speed
+        return min(speed, max(rate_s * self.mean_need_s, MIN_SPEED_SHARE))
+
+    def record_need(self, need_s: float) -> None:
+        """Record the prefill time of a new prompt, in seconds."""
+        if not self.mean_need_s:
+            self.mean_need_s = need_s
+        self.mean_need_s += NEED_WEIGHT * (need_s - self.mean_need_s)
+
     def decode_stage_capacity(self, now_s: float) -> tuple[float, int]:
         """Return the prefill capacity of the decode engines.
 
@@ -479,7 +550,7 @@
             if engine.endpoint.stage is catalog.Stage.DECODE
         ]
         speed = sum(
-            1 / self.relative_cost(engine)
+            self._prefill_speed(engine)
             for engine in decode_stage
             if engine.cooldown_until_s <= now_s and self._can_prefill(engine)
         )
@@ -527,7 +598,7 @@
         cached = self.caches.cached_prefixes(parts)
         decode_engine = self.decode_engines.choose_for_prefilled(avoid, now_s)
         best: Option | None = None
-        for engine_id in self._candidates(cached, avoid):
+        for engine_id in self._candidates(cached, avoid, now_s):
             prefill_engine = self.engines[engine_id]
             target = decode_engine
             if prefill_engine.endpoint.stage is catalog.Stage.DECODE:
@@ -574,7 +645,10 @@
         return min(ready_times_s, default=None)
 
     def _candidates(
-        self, cached: promptcache.CachedPrefixes, avoid: tuple[str, ...]
+        self,
+        cached: promptcache.CachedPrefixes,
+        avoid: tuple[str, ...],
+        now_s: float,
     ) -> Iterable[str]:
         """Return the ids of the open engines to compare for a prompt.
 
@@ -586,11 +660,19 @@
         stages = [of_stage for of_stage in self.open.values() if of_stage]
         most = self.settings.candidates // max(1, len(stages))
         for of_stage in stages:
-            usable = (each for each in of_stage if each not in avoid)
+            usable = (
+                each
+                for each in of_stage
+                if each not in avoid and not self.pacer.wait_s(each, now_s)
+            )
             found.update(dict.fromkeys(itertools.islice(usable, most)))
             if len(of_stage) > most:
                 for holder in cached.holders(MAX_SOURCES):
-                    if holder in of_stage and holder not in avoid:
+                    if (
+                        holder in of_stage
+                        and holder not in avoid
+                        and not self.pacer.wait_s(holder, now_s)
+                    ):
                         found[holder] = None
         return found
 
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -1,6 +1,7 @@
 """Chooses the prefill and the decode engine of each request, or refuses it."""
 
 import heapq
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 from magnoliadyke.core import catalog
 from magnoliadyke.core import decodeengines
 from magnoliadyke.core import deferral
+from magnoliadyke.core import endpointlimits
 from magnoliadyke.core import enginepool
 from magnoliadyke.core import limits
 from magnoliadyke.core import longanswers
@@ -61,6 +63,8 @@
 MAX_SKIPPED_JOBS = 8
 #: Longest time between two passes over the queue, in seconds.
 PLACEMENT_INTERVAL_S = 0.05
+#: Reason of a refusal for the rate limits of the decode engines.
+LIMIT_REASON = 'the limits of the engines leave no room'
 #: Time constant of measured demand, in seconds: half a period of the load's
 #: fluctuation.
 DEMAND_TIME_CONSTANT_S = 1.5
@@ -97,6 +101,8 @@
     :param rng: source of randomness, with ``random()``
     :param placing_hosts: number of hosts that place on these engines at the
         same time without coordination; 1 on the placement leader
+    :param pacer: paces the requests to engines with a rate limit; without it
+        no engine has one
     :ivar on_time: jobs that can still meet their objective
     :ivar late: jobs that will miss their objective, on their first attempt
     :ivar resubmitted: those that will miss it and were refused before
@@ -111,11 +117,12 @@
         settings: PlacementSettings | None = None,
         placing_hosts: int = 1,
         pool_settings: enginepool.PoolSettings | None = None,
+        pacer: endpointlimits.Pacer | None = None,
     ) -> None:
         self.traits = traits
         self.settings = settings or PlacementSettings()
         self.placing_hosts = placing_hosts
-        self.pool = enginepool.EnginePool(traits, pool_settings)
+        self.pool = enginepool.EnginePool(traits, pool_settings, pacer)
         self.on_time = promptjobs.SlackQueue()
         self.late = promptjobs.JobQueue()
         self.resubmitted = promptjobs.JobQueue()
@@ -128,6 +135,7 @@
         self.prefill_demand = limits.Rate(DEMAND_TIME_CONSTANT_S, 0.0)
         self.on_time_demand = limits.Rate(DEMAND_TIME_CONSTANT_S, 0.0)
         self.transfer_demand = limits.Rate(DEMAND_TIME_CONSTANT_S, 0.0)
+        self.request_demand = limits.Rate(DEMAND_TIME_CONSTANT_S, 0.0)
         self.placements = 0
         self.bias = 1.0
         self.late_checked_s = 0.0
@@ -150,6 +158,11 @@
         if engine is not None and engine.endpoint.stage is not stage:
             self.pool.cool_down(engine_id, until_s)
 
+    def limit_s(self, engine_id: str) -> float | None:
+        """Return an engine's rate limit in requests per second, if any."""
+        rate_s = self.pool.pacer.rate_s(engine_id)
+        return None if rate_s == math.inf else rate_s
+
     def load_sort_key(
         self, engine_id: str, now_s: float
     ) -> tuple[float, float]:
@@ -175,6 +188,8 @@
             long_answers / max(1, slots),
             decode_capacity,
             busy_engines,
+            self.request_demand.now(now_s),
+            self.pool.mean_need_s,
         )
 
     def log_fields(self) -> dict[str, str]:
@@ -233,12 +248,14 @@
             was queued
         """
         job.submitted_s = now_s
+        self.request_demand.add(1.0, now_s)
         if self._has_no_decode_engine(now_s):
             return [self.refusals.refuse_without_decode_engine(job, now_s)]
         if job.resumed or job.tokens <= self.settings.short_tokens:
             return self._submit_short(job, now_s)
         cached = self.pool.caches.cached_prefixes(job.parts)
         job.need_s = self.pool.need_s(cached, job.tokens) * self.bias
+        self.pool.record_need(job.need_s)
         self.prefill_demand.add(job.need_s, now_s)
         self.transfer_demand.add(self.pool.handoff_s(job.tokens), now_s)
         job.latest_start_s = self._due_s(job) - job.need_s
@@ -279,6 +296,8 @@
         """
         if (cooldown_s := self._cooldown_s(job, now_s)) > 0:
             return self._hold(job, cooldown_s, 'the engine is down', now_s)
+        if (limit_wait_s := self._limit_wait_s(now_s)) > 0:
+            return self._hold(job, limit_wait_s, LIMIT_REASON, now_s)
         if job.resumed or not self.answers.is_long(job.output_tokens):
             return [self._place_short(job, now_s)]
         if not len(self.answers.waiting):
@@ -301,6 +320,17 @@
         self.answers.waiting.put(job)
         return []
 
+    def _limit_wait_s(self, now_s: float) -> float:
+        """Return the wait for the rate limits of the decode engines.
+
+        The jobs in the queue go first.
+        """
+        decode_engines = self.pool.decode_engines
+        wait_s = decode_engines.limit_wait_s(now_s)
+        if not wait_s:
+            return 0.0
+        return wait_s + len(self.answers.waiting) / decode_engines.rate_s()
+
     def _cooldown_s(self, job: promptjobs.Job, now_s: float) -> float:
         """Return the remaining cooldown of a decode engine that failed a job.
 
@@ -326,6 +356,8 @@
             job = waiting.first()
             if self._cooldown_s(job, now_s) > 0:
                 return
+            if self.pool.decode_engines.limit_wait_s(now_s) > 0:
+                return
             is_long = self.answers.is_long(job.output_tokens)
             if (
                 is_long
@@ -670,7 +702,7 @@
         )
         if engine is None:
             return self.refusals.refuse_without_decode_engine(job, now_s)
-        self.pool.decode_engines.record_assignment(engine, now_s)
+        self.pool.assign_short(engine, now_s)
         engine_id = engine.endpoint.id
         cached = self.pool.caches.cached_prefixes(job.parts)
         missing = job.tokens - cached.tokens(engine_id)
--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -65,6 +65,8 @@
         prefill engines
     :param occupied: decode engines that run long answers and so do no
         prefill
+    :param requests_s: requests for decode engines per second
+    :param prompt_s: prefill time of a prompt, in seconds
     """
 
     prefilling: float
@@ -72,6 +74,8 @@
     slots: float
     prefill_on_decode: float = 0.0
     occupied: int = 0
+    requests_s: float = 0.0
+    prompt_s: float = 0.0
 
 
 class Fleet(NamedTuple):
@@ -83,6 +87,9 @@
     :param to_decode: those of the changing engines that change to decode
     :param change_s: time for which a change makes an engine unavailable, in
         seconds
+    :param prefill_limits_s: rate limits of those of the prefill engines that
+        have one, in requests per second
+    :param decode_limits_s: the same of the decode engines
     """
 
     prefilling: int
@@ -90,6 +97,33 @@
     changing: int = 0
     to_decode: int = 0
     change_s: float = 3.0
+    prefill_limits_s: tuple[float, ...] = ()
+    decode_limits_s: tuple[float, ...] = ()
+
+    def with_limits_of(self, moved: int, is_done: bool) -> 'Fleet':
+        """Return the fleet with the limits that are left by a change.
+
+        Each prompt is a request to a decode engine, so the decode engines
+        with the lowest limits change to prefill first, and the prefill
+        engines without a limit to decode.
+
+        :param moved: engines that change to prefill; negative, to decode
+        :param is_done: whether the change is over; until then the engines
+            serve neither stage
+        """
+        prefill = sorted(self.prefill_limits_s)
+        decode = sorted(self.decode_limits_s)
+        if moved >= 0:
+            changed, decode = decode[:moved], decode[moved:]
+            prefill += changed if is_done else []
+        else:
+            unlimited = self.prefilling - len(prefill)
+            kept = len(prefill) - max(0, -moved - unlimited)
+            prefill, changed = prefill[:kept], prefill[kept:]
+            decode += changed if is_done else []
+        return self._replace(
+            prefill_limits_s=tuple(prefill), decode_limits_s=tuple(decode)
+        )
 
     @property
     def total(self) -> int:
@@ -238,7 +272,7 @@
         :param moved: engines that change to prefill; negative, to decode
         """
         prefilling, decoding = self._split_after(fleet, moved)
-        prefill_only = fleet._replace(decoding=0)
+        prefill_only = fleet.with_limits_of(moved, True)._replace(decoding=0)
         return min(
             min(self._ratios(sample, prefill_only, prefilling, decoding))
             for sample in self.samples
@@ -250,11 +284,13 @@
         :param moved: engines that change to prefill; negative, to decode
         """
         during_change = self._served(
-            fleet,
+            fleet.with_limits_of(moved, False),
             fleet.prefilling + min(moved, 0),
             fleet.decoding - max(moved, 0),
         )
-        after = self._served(fleet, *self._split_after(fleet, moved))
+        after = self._served(
+            fleet.with_limits_of(moved, True), *self._split_after(fleet, moved)
+        )
         lost = min(1.0, fleet.change_s / self.settings.pause_s)
         return lost * during_change + (1 - lost) * after
 
@@ -281,8 +317,11 @@
 
     def _ratios(
         self, sample: _Sample, fleet: Fleet, prefilling: int, decoding: int
-    ) -> tuple[float, float, float]:
-        """Return capacity over demand for prefill, transfers and slots."""
+    ) -> tuple[float, float, float, float]:
+        """Return capacity over demand.
+
+        :returns: the ratios for prefill, transfers, slots and requests
+        """
         load = sample.load
         free = max(0, fleet.decoding - load.occupied)
         left = max(0, decoding - load.occupied)
@@ -290,10 +329,31 @@
             load.prefill_on_decode * left / free if free else 0.0
         )
         settings = self.settings
+        prefilled = prefilling - sum(
+            max(0.0, 1 - limit_s * load.prompt_s)
+            for limit_s in fleet.prefill_limits_s
+        )
+        needed = max(
+            load.transferring / settings.transfer_share,
+            sample.slots_demand / settings.slots_share,
+        )
+        requests_ratio = math.inf
+        decoded = float(decoding)
+        if fleet.decode_limits_s and load.requests_s > 0:
+            # Share of one engine's work that a limit lets an engine do.
+            per_request = needed / load.requests_s
+            decoded -= sum(
+                max(0.0, 1 - limit_s * per_request)
+                for limit_s in fleet.decode_limits_s
+            )
+            if decoding <= len(fleet.decode_limits_s):
+                limit_s = sum(fleet.decode_limits_s)
+                requests_ratio = limit_s / load.requests_s
         return (
-            self._prefill_ratio(load, prefilling, prefill_on_decode),
-            _ratio(decoding * settings.transfer_share, load.transferring),
-            _ratio(decoding * settings.slots_share, sample.slots_demand),
+            self._prefill_ratio(load, prefilled, prefill_on_decode),
+            _ratio(decoded * settings.transfer_share, load.transferring),
+            _ratio(decoded * settings.slots_share, sample.slots_demand),
+            requests_ratio,
         )
 
     def _prefill_ratio(
--- a/magnoliadyke/gateway/endpointlimits.py
+++ b/magnoliadyke/gateway/endpointlimits.py
@@ -1,28 +1,137 @@
-"""Rate limits of endpoints, as their responses name them."""
+"""Keeps the rate limits of endpoints, for all hosts together.
+
+The placement leader grants the requests to limited endpoints: a prompt that
+it places needs nothing else, and for any other request a host asks it for a
+permit.  While no leader answers, each host sends its part of the limit.
+"""
 
 import collections
+from typing import Callable
+from typing import NamedTuple
+
+import gevent
+from gevent import event
 
+from magnoliadyke import app
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import endpointlimits
+from magnoliadyke.gateway import limit_codec
+from magnoliadyke.gateway import placementservice
 from magnoliadyke import logs
 
-__all__ = ['EndpointLimits']
+__all__ = ['Denied', 'EndpointLimits', 'Granted']
 
 LOG = logs.get('endpointlimits')
 
+#: Interval at which known limits are sent again, in seconds: a datagram may
+#: be lost, and hosts start.
+REPEAT_INTERVAL_S = 1.0
+#: Minimum time between two messages about changed limits, in seconds.
+MIN_UPDATE_INTERVAL_S = 0.1
+#: Time for which the end of a limit is sent again, in seconds.
+END_REPEAT_S = 5.0
+#: Time that a message between hosts may take, in seconds.  A statement of
+#: another host counts as that much older than its message says.
+MESSAGE_DELAY_S = 0.1
+#: Maximum number of limits in a datagram, so that it does not exceed the
+#: 1,400 bytes of a network packet.
+MAX_LIMITS_PER_DATAGRAM = 24
+#: Maximum number of endpoints in a request for a permit.
+MAX_PERMIT_ENDPOINTS = 24
+#: Number of requests for one permit; after the last one the leader counts as
+#: silent.
+MAX_PERMIT_REQUESTS = 2
+#: Maximum number of replies kept to answer duplicate requests.
+MAX_CACHED_REPLIES = 4096
+#: Time during which a host that asked for a permit counts as one that will
+#: ask again, in seconds.
+DEMAND_WINDOW_S = 2.0
+#: Longest time for which a host that got no permit asks for no other one for
+#: the same endpoints, in seconds.
+MAX_DENIAL_S = 1.0
+
+
+class Granted(NamedTuple):
+    """A permit to send one request.
+
+    :param endpoint: id of the endpoint
+    :param wait_s: time until the request may be sent, in seconds
+    """
+
+    endpoint: str
+    wait_s: float
+
 
-class EndpointLimits:
-    """The rate limits of endpoints that this host knows.
+class Denied(NamedTuple):
+    """No permit; none of the endpoints accepts the request in time.
 
-    :ivar named: the limits that responses named
+    :param wait_s: time until there may be a permit, in seconds
+    """
+
+    wait_s: float
+
+
+class EndpointLimits(app.Component):
+    """The rate limits of endpoints, and the permits to send them requests.
+
+    :param host: name of this host
+    :param pacers: the limits that this host knows, and its pacers; shared
+        with the placement
+    :ivar broadcast: sends a message to all other hosts
     :ivar sends: number of requests that this host sent to endpoints while
         they had a limit, by endpoint id
+    :ivar counts: number of requests for permits by outcome
+    :ivar leader_limits: limits that the leader last sent, by endpoint id
+    :ivar denied_until_s: when a permit may be asked for again, by endpoint id
+    :ivar asked_s: when each host last asked for a permit, used by the leader
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        host: str,
+        pacers: endpointlimits.Pacers,
+        placement_service: placementservice.PlacementService,
+        clock: clocks.Clock,
+        rng,
+    ) -> None:
+        self.host = host
+        self.pacers = pacers
+        self.named = pacers.named
+        self.placement_service = placement_service
         self.clock = clock
-        self.named = endpointlimits.NamedLimits()
+        self.rng = rng
+        self.broadcast: Callable[[limit_codec.Message], None] | None = None
         self.sends: collections.Counter[str] = collections.Counter()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.leader_limits: dict[str, float | None] = {}
+        self.denied_until_s: dict[str, float] = {}
+        self.asked_s: dict[str, float] = {}
+        self.waiting: dict[int, event.AsyncResult] = {}
+        self.replies: collections.OrderedDict[int, limit_codec.PermitReply] = (
+            collections.OrderedDict()
+        )
+        self.updating: gevent.Greenlet | None = None
+        self.updated_s = float('-inf')
+        self.greenlet: gevent.Greenlet | None = None
+
+    # Life cycle.
+
+    def start(self) -> None:
+        """Start to send the known limits to other hosts."""
+        self.greenlet = gevent.spawn(self._run)
+
+    def stop(self, deadline_s: float) -> None:
+        """Stop sending limits."""
+        for greenlet in (self.greenlet, self.updating):
+            if greenlet is not None:
+                greenlet.kill()
+
+    def _run(self) -> None:
+        while True:
+            self.clock.sleep(REPEAT_INTERVAL_S)
+            self._send_limits()
+
+    # Limits that responses name.
 
     def record_send(self, endpoint_id: str) -> None:
         """Count a request that is sent to an endpoint."""
@@ -41,20 +150,12 @@
         :param rate_s: requests per second, None if it names no limit
         :param sent_s: when the request was sent, in monotonic seconds
         """
-        before = self.named.rate_s(endpoint_id)
         statement = endpointlimits.Statement(
             rate_s, sent_s, self.clock.now_s()
         )
-        if self.named.record(endpoint_id, statement):
-            LOG.event(
-                'endpoint_limit',
-                id=request_id.decode('latin-1'),
-                endpoint=endpoint_id,
-                rate_s='none' if rate_s is None else rate_s,
-                before='none' if before is None else before,
-                source='response',
-                age_ms=round((statement.received_s - sent_s) * 1000),
-            )
+        source = request_id.decode('latin-1')
+        if self._record(endpoint_id, statement, 'response', id=source):
+            self._schedule_update()
 
     def record_malformed(
         self, endpoint_id: str, error: str, request_id: bytes
@@ -68,8 +169,255 @@
             error=error,
         )
 
+    def _record(
+        self,
+        endpoint_id: str,
+        statement: endpointlimits.Statement,
+        source: str,
+        **fields: str,
+    ) -> bool:
+        before = self.named.rate_s(endpoint_id)
+        if not self.named.record(endpoint_id, statement):
+            return False
+        if statement.rate_s is None:
+            self.denied_until_s.pop(endpoint_id, None)
+        LOG.event(
+            'endpoint_limit',
+            endpoint=endpoint_id,
+            rate_s=_rate_text(statement.rate_s),
+            before=_rate_text(before),
+            source=source,
+            age_ms=round((self.clock.now_s() - statement.sent_s) * 1000),
+            **fields,
+        )
+        return True
+
     def remove_unlisted(self, listed: set[str]) -> None:
         """Forget the limits of endpoints that are no longer listed."""
         for endpoint_id in [e for e in self.named.latest if e not in listed]:
             self.named.drop(endpoint_id)
+            self.pacers.granted.drop(endpoint_id)
+            self.pacers.alone.drop(endpoint_id)
             self.sends.pop(endpoint_id, None)
+            self.denied_until_s.pop(endpoint_id, None)
+
+    # Messages about limits.
+
+    def handle_update(self, message: limit_codec.LimitUpdate) -> None:
+        """Record the limits that another host sent."""
+        now_s = self.clock.now_s()
+        leading = self.placement_service.leading
+        if message.leads and leading:
+            return
+        changed = False
+        for each in message.limits:
+            statement = endpointlimits.Statement(
+                each.rate_s,
+                now_s - each.sent_ago_s - MESSAGE_DELAY_S,
+                now_s - each.received_ago_s,
+            )
+            source = 'leader' if message.leads else 'host'
+            if self._record(each.endpoint, statement, source):
+                changed = True
+            if message.leads:
+                self.leader_limits[each.endpoint] = each.rate_s
+        if changed and leading:
+            self._schedule_update()
+
+    def _schedule_update(self) -> None:
+        """Send changed limits now, or once the last message is old enough."""
+        if self.updating is not None and not self.updating.dead:
+            return
+        due_s = self.updated_s + MIN_UPDATE_INTERVAL_S
+        self.updating = gevent.spawn(
+            self._update_after, due_s - self.clock.now_s()
+        )
+
+    def _update_after(self, wait_s: float) -> None:
+        if wait_s > 0:
+            self.clock.sleep(wait_s)
+        self._send_limits()
+
+    def _send_limits(self) -> None:
+        """Send the limits to all hosts as the leader, or news to the leader.
+
+        A host that does not lead sends what the leader has not sent itself.
+        """
+        service = self.placement_service
+        self.updated_s = now_s = self.clock.now_s()
+        if service.leading:
+            self.leader_limits = {}
+            known = {
+                endpoint_id: statement
+                for endpoint_id, statement in self.named.latest.items()
+                if statement.rate_s is not None
+                or now_s - statement.received_s < END_REPEAT_S
+            }
+            send = self.broadcast
+        elif service.leader is not None:
+            known = {
+                endpoint_id: statement
+                for endpoint_id, statement in self.named.latest.items()
+                if self.leader_limits.get(endpoint_id) != statement.rate_s
+            }
+            leader = service.leader
+
+            def send(message: limit_codec.LimitUpdate) -> None:
+                service.send(leader, message)
+
+        else:
+            return
+        if not known or send is None:
+            return
+        limits = [
+            limit_codec.NamedLimit(
+                endpoint_id,
+                statement.rate_s,
+                now_s - statement.sent_s,
+                now_s - statement.received_s,
+            )
+            for endpoint_id, statement in known.items()
+        ]
+        for start in range(0, len(limits), MAX_LIMITS_PER_DATAGRAM):
+            chunk = limits[start : start + MAX_LIMITS_PER_DATAGRAM]
+            send(limit_codec.LimitUpdate(tuple(chunk), service.leading))
+
+    # Permits.
+
+    def is_limited(self, endpoint_id: str) -> bool:
+        """Whether an endpoint has a limit."""
+        return self.named.rate_s(endpoint_id) is not None
+
+    def denied_s(self, endpoint_id: str) -> float:
+        """Return for how long there is no permit, in seconds; 0 if unknown."""
+        if not self.is_limited(endpoint_id):
+            return 0.0
+        until_s = self.denied_until_s.get(endpoint_id, 0.0)
+        return max(0.0, until_s - self.clock.now_s())
+
+    def acquire(
+        self, endpoint_ids: list[str], max_wait_s: float
+    ) -> Granted | Denied:
+        """Get a permit to send one request to one of some endpoints.
+
+        :param endpoint_ids: ids of endpoints with a limit, the preferred one
+            first
+        :param max_wait_s: time for which the request can wait, in seconds
+        """
+        endpoint_ids = endpoint_ids[:MAX_PERMIT_ENDPOINTS]
+        reply = None
+        if not self.placement_service.leading:
+            reply = self._ask_leader(endpoint_ids, max_wait_s)
+        if reply is None:
+            leading = self.placement_service.leading
+            by = 'own' if leading else 'alone'
+            pacers = self.pacers
+            pacer = pacers.granted if leading else pacers.alone
+            outcome = self._reserve(pacer, endpoint_ids, max_wait_s)
+        else:
+            by = 'leader'
+            outcome = Denied(reply.wait_s)
+            if reply.endpoint is not None:
+                outcome = Granted(reply.endpoint, reply.wait_s)
+        self.counts[f'{by}_{type(outcome).__name__.lower()}'] += 1
+        if isinstance(outcome, Denied):
+            until_s = self.clock.now_s() + outcome.wait_s
+            for endpoint_id in endpoint_ids:
+                self.denied_until_s[endpoint_id] = until_s
+        return outcome
+
+    def _reserve(
+        self,
+        pacer: endpointlimits.Pacer,
+        endpoint_ids: list[str],
+        max_wait_s: float,
+    ) -> Granted | Denied:
+        now_s = self.clock.now_s()
+        # The sort is stable: of endpoints that accept a request at the same
+        # time the preferred one is chosen.
+        first = min(endpoint_ids, key=lambda e: pacer.wait_s(e, now_s))
+        wait_s = pacer.reserve(first, max_wait_s, now_s)
+        if wait_s is not None:
+            return Granted(first, wait_s)
+        return Denied(pacer.wait_s(first, now_s))
+
+    def _ask_leader(
+        self, endpoint_ids: list[str], max_wait_s: float
+    ) -> limit_codec.PermitReply | None:
+        """Ask the leader for a permit; None if it does not answer."""
+        service = self.placement_service
+        leader = service.answering_leader()
+        if leader is None:
+            return None
+        request = limit_codec.PermitRequest(
+            self.rng.getrandbits(62),
+            tuple(endpoint_ids),
+            max_wait_s,
+            self.host,
+        )
+        reply = self.waiting[request.nonce] = event.AsyncResult()
+        try:
+            for _ in range(MAX_PERMIT_REQUESTS):
+                service.send(leader, request)
+                with gevent.Timeout(service.request_timeout_s, False):
+                    return reply.get()
+        finally:
+            del self.waiting[request.nonce]
+        service.record_silence(leader)
+        return None
+
+    def handle_reply(self, message: limit_codec.PermitReply) -> None:
+        """Pass the leader's reply to the request that waits for it."""
+        waiting = self.waiting.get(message.nonce)
+        if waiting is not None:
+            self.placement_service.record_answer()
+            waiting.set(message)
+
+    def handle_request(
+        self, message: limit_codec.PermitRequest
+    ) -> limit_codec.PermitReply | None:
+        """Grant or deny a permit as the leader; None if another host leads."""
+        if not self.placement_service.leading or not message.endpoints:
+            return None
+        reply = self.replies.get(message.nonce)
+        if reply is None:
+            reply = self._grant(message)
+            self.replies[message.nonce] = reply
+            if len(self.replies) > MAX_CACHED_REPLIES:
+                self.replies.popitem(last=False)
+        return reply
+
+    def _grant(
+        self, message: limit_codec.PermitRequest
+    ) -> limit_codec.PermitReply:
+        now_s = self.clock.now_s()
+        self.asked_s[message.host] = now_s
+        pacer = self.pacers.granted
+        match self._reserve(
+            pacer, list(message.endpoints), message.max_wait_s
+        ):
+            case Granted(endpoint, wait_s):
+                return limit_codec.PermitReply(message.nonce, endpoint, wait_s)
+            case Denied(wait_s):
+                wait_s = self._denial_s(message.endpoints, wait_s)
+                return limit_codec.PermitReply(message.nonce, None, wait_s)
+
+    def _denial_s(self, endpoints: tuple[str, ...], wait_s: float) -> float:
+        """Return after which time a host without a permit may ask again.
+
+        Hosts that share a limit ask in turn.  If each asked at the next free
+        slot, the messages would grow with the number of hosts.
+
+        :param wait_s: time until the next free slot, in seconds
+        """
+        now_s = self.clock.now_s()
+        for host, at_s in list(self.asked_s.items()):
+            if now_s - at_s > DEMAND_WINDOW_S:
+                del self.asked_s[host]
+        rate_s = sum(self.pacers.granted.rate_s(e) for e in endpoints)
+        turn_s = len(self.asked_s) / rate_s * self.rng.random()
+        return wait_s + min(turn_s, MAX_DENIAL_S)
+
+
+def _rate_text(rate_s: float | None) -> str:
+    return 'none' if rate_s is None else f'{rate_s:g}'
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -25,6 +25,7 @@
 
 __all__ = [
     'BACKOFF_REASON',
+    'LIMIT_REASON',
     'RETRY_AFTER_S',
     'RESPONSE_MARGIN_S',
     'STOPPING',
@@ -43,6 +44,12 @@
 RESPONSE_MARGIN_S = 0.02
 #: Reason of a refusal when all usable endpoints asked this host to back off.
 BACKOFF_REASON = 'the endpoint asked to back off'
+#: Reason of a refusal when the rate limits of the usable endpoints leave no
+#: room for the request in time.
+LIMIT_REASON = 'the limits of the endpoints leave no room'
+#: Share of the time until a caller's deadline for which a request may wait
+#: for a permit at an endpoint that it has to go to.
+MAX_PERMIT_WAIT_SHARE = 0.1
 #: Reason of a refusal or failure when a request may not complete, or did not,
 #: before this host stops.
 STOPPING = 'this host is stopping'
@@ -51,6 +58,17 @@
 CRASH_REASON = 'endpoints crash when they run it'
 
 
+class HeldBack(upstream.NoConnection):
+    """The endpoint's rate limit does not allow the request in time.
+
+    :ivar wait_s: time until it may, in seconds
+    """
+
+    def __init__(self, wait_s: float) -> None:
+        super().__init__(LIMIT_REASON)
+        self.wait_s = wait_s
+
+
 class Parts(NamedTuple):
     """Shared components that an exchange uses.
 
@@ -84,6 +102,8 @@
     :ivar tried: ids of endpoints that the request was sent to
     :ivar endpoint: id of the last endpoint tried, empty if none
     :ivar start_recorded: whether the request was recorded as usage
+    :ivar permits: ids of endpoints to which it may be sent once, whatever
+        their rate limits
     """
 
     def __init__(
@@ -109,6 +129,7 @@
         self.tried: set[str] = set()
         self.endpoint = ''
         self.start_recorded = False
+        self.permits: set[str] = set()
 
     def _pick_service(self) -> str:
         targets = self.route.targets
@@ -193,18 +214,37 @@
     def _acquire_connection(
         self, endpoint: catalog.Endpoint, repeatable: bool
     ) -> connection.Connection:
-        """Acquire a connection to an endpoint, unless it asked to back off.
+        """Acquire a connection to an endpoint, if it accepts the request now.
 
         :param repeatable: whether the request may be sent again
-        :raises upstream.NoConnection: the endpoint asked to back off, or no
-            connection is available; nothing has been sent
+        :raises upstream.NoConnection: the endpoint asked to back off, its
+            rate limit is used up, or no connection is available; nothing has
+            been sent
         """
         if self._backoff_s(endpoint.id):
             raise upstream.NoConnection(BACKOFF_REASON)
+        self._use_permit(endpoint)
         return self.parts.upstream.acquire(
             endpoint, self._max_connections(), repeatable
         )
 
+    def _use_permit(self, endpoint: catalog.Endpoint) -> None:
+        """Use a permit for an endpoint with a rate limit, or get one.
+
+        :raises HeldBack: there is no permit in time
+        """
+        if endpoint.id in self.permits:
+            self.permits.discard(endpoint.id)
+            return
+        if not self.parts.limits.is_limited(endpoint.id):
+            return
+        max_wait_s = max(0.0, self.left_s * MAX_PERMIT_WAIT_SHARE)
+        match self.parts.limits.acquire([endpoint.id], max_wait_s):
+            case endpointlimits.Granted(wait_s=wait_s):
+                self.parts.clock.sleep(wait_s)
+            case endpointlimits.Denied(wait_s):
+                raise HeldBack(wait_s)
+
     def _backoff_s(self, endpoint_id: str) -> float:
         """Return the rest of an endpoint's backoff in seconds, 0 if none."""
         now_s = self.parts.clock.now_s()
@@ -238,6 +278,11 @@
             return False
         return self.left_s >= RESPONSE_MARGIN_S
 
+    def _not_sent(self, error: upstream.NoConnection) -> outcomes.NotRun:
+        """Return the result of an attempt that got no connection."""
+        wait_s = error.wait_s if isinstance(error, HeldBack) else None
+        return outcomes.NotRun(str(error), False, wait_s)
+
     def _record_start(self, ago_s: float = 0.0) -> None:
         """Record, once per request, that it began to run, as usage.
 
--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -55,6 +55,9 @@
 #: After a restore of the store all hosts renew or rewrite their keys, each
 #: after a random delay up to this, in seconds.
 RESTORED_SPREAD_S = 1.0
+#: Time for which a host that gossip declared dead still counts as one that
+#: may run behind a cut, in seconds.
+UNHEARD_HOLD_S = 10.0
 MAX_DATAGRAM_BYTES = 65535
 
 
@@ -109,6 +112,7 @@
     :ivar listed: names of the hosts that the store lists now
     :ivar lease: lease of this host's key, None until the key is written
     :ivar states: state of each host as last logged
+    :ivar dead_s: when gossip declared a host dead, by host
     """
 
     def __init__(
@@ -140,6 +144,7 @@
             clock.now_s(),
         )
         self.states: dict[str, str] = {}
+        self.dead_s: dict[str, float] = {}
         self.on_peer_position: (
             Callable[[str, position.Position], None] | None
         ) = None
@@ -268,6 +273,23 @@
         """Return the number of hosts that gossip lists as alive."""
         return max(1, len(self.membership.view().alive()))
 
+    def unheard_count(self) -> int:
+        """Return the number of hosts that may run but are not heard of.
+
+        Those are the suspects of gossip, and the hosts that it declared dead
+        within the last :data:`UNHEARD_HOLD_S`.
+        """
+        since_s = self.clock.now_s() - UNHEARD_HOLD_S
+        return sum(
+            1
+            for host, member in self.membership.view().members.items()
+            if member.state == membership.SUSPECT
+            or (
+                member.state == membership.DEAD
+                and self.dead_s.get(host, since_s) > since_s
+            )
+        )
+
     # Changes of the hosts' keys in the store.
 
     def add_listed_host(self, value: bytes) -> None:
@@ -414,6 +436,10 @@
                     incarnation=member.incarnation,
                 )
                 self.states[host] = member.state
+                if member.state == membership.DEAD:
+                    self.dead_s[host] = self.clock.now_s()
+                else:
+                    self.dead_s.pop(host, None)
 
 
 class HostListener(keymirror.Listener):
--- a/magnoliadyke/gateway/outcomes.py
+++ b/magnoliadyke/gateway/outcomes.py
@@ -68,10 +68,13 @@
 
     :param was_received: whether the endpoint received the request and
         rejected it
+    :param held_back_s: time until the endpoint's rate limit may allow the
+        request, in seconds; None if it was not held back for a limit
     """
 
     reason: str
     was_received: bool
+    held_back_s: float | None = None
 
 
 class Lost(NamedTuple):
--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -14,6 +14,7 @@
 from magnoliadyke.core import promptjobs
 from magnoliadyke import errors
 from magnoliadyke.gateway import duty_codec
+from magnoliadyke.gateway import limit_codec
 from magnoliadyke.gateway import store
 from magnoliadyke.wire.placement import constants
 from magnoliadyke.wire.placement import ttypes
@@ -201,6 +202,7 @@
     | CostUpdate
     | KeyUpdates
     | duty_codec.Message
+    | limit_codec.Message
 )
 
 
@@ -251,6 +253,12 @@
             )
         case KeyUpdates():
             datagram.updates = _encode_updates(message)
+        case (
+            limit_codec.LimitUpdate()
+            | limit_codec.PermitRequest()
+            | limit_codec.PermitReply()
+        ):
+            limit_codec.encode(message, datagram)
         case _:
             duty_codec.encode(message, datagram)
     return TSerialization.serialize(datagram, PROTOCOL_FACTORY)
@@ -305,7 +313,7 @@
             return _decode_cost_update(datagram.learned)
         if datagram.updates is not None:
             return _decode_updates(datagram.updates)
-        found = duty_codec.decode(datagram)
+        found = duty_codec.decode(datagram) or limit_codec.decode(datagram)
         if found is not None:
             return found
     except (
--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -21,6 +21,7 @@
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import catalog
+from magnoliadyke.core import endpointlimits
 from magnoliadyke.core import medianestimator
 from magnoliadyke.core import placement
 from magnoliadyke.core import position
@@ -102,12 +103,15 @@
     :param address: address of this host at which it receives datagrams
     :param port: UDP port, the same on all hosts
     :param link_mbps: bandwidth of this host's link, in Mbit/s
+    :param pacers: limits of endpoints, kept by the placement
     :ivar leader: address of the leader, None before the first one
     :ivar term: term of the leader; each later leader has a larger one
     :ivar leading: whether this host is the leader
     :ivar hosts: number of live hosts
     :ivar leader_retry_at_s: when the leader, if it did not answer, gets
         requests again
+    :ivar silent_since_s: since when the leader leaves requests unanswered,
+        None if it answers
     :ivar served: placement of all hosts' jobs by service, used as the leader
     :ivar local: placement of this host's jobs by service, used without an
         answering leader
@@ -136,6 +140,7 @@
         clock: clocks.Clock,
         rng: random.Random,
         link_mbps: float,
+        pacers: endpointlimits.Pacers | None = None,
     ) -> None:
         self.address = address
         self.port = port
@@ -143,12 +148,14 @@
         self.clock = clock
         self.rng = rng
         self.request_timeout_s = request_timeout_s(link_mbps)
+        self.pacers = pacers or endpointlimits.new_pacers(rng)
         self.leader: str | None = None
         self.term = position.START
         self.leading = False
         self.transfer_s = medianestimator.MedianEstimator(INITIAL_TRANSFER_S)
         self.hosts = 1
         self.leader_retry_at_s = 0.0
+        self.silent_since_s: float | None = None
         self.served: dict[str, _ServicePlacement] = {}
         self.local: dict[str, _ServicePlacement] = {}
         self.waiting: dict[int, _WaitingJob] = {}
@@ -245,6 +252,7 @@
         self.leading = False
         self.leader = leader
         self.leader_retry_at_s = 0.0
+        self.silent_since_s = None
         now_s = self.clock.now_s()
         self._hand_over(leader, now_s)
         for service, cache_contents in self.in_flight_jobs.cache_contents(
@@ -266,6 +274,7 @@
         if not self.leading:
             # The state of an earlier term of this host is out of date.
             self.served = {}
+            self.pacers.granted.reset()
         self.leading = True
         self._hand_over(None, now_s)
         for service, cache_contents in self.in_flight_jobs.cache_contents(
@@ -358,8 +367,8 @@
         if self.leading:
             self.counts['own'] += 1
             return self._place_at(self.served, service, job, waiting)
-        leader = self.leader
-        if leader is not None and self.clock.now_s() >= self.leader_retry_at_s:
+        leader = self.answering_leader()
+        if leader is not None:
             self.placed_by[job.id] = leader
             decision = self._place_remotely(leader, service, job, waiting)
             if decision is not None:
@@ -402,12 +411,31 @@
                 unanswered += 1
                 continue
             unanswered = 0
+            self.record_answer()
             with gevent.Timeout(RESEND_INTERVAL_S, False):
                 return waiting.decided.get()
-        self.leader_retry_at_s = self.clock.now_s() + LEADER_COOLDOWN_S
+        self.record_silence(leader)
+        return None
+
+    def answering_leader(self) -> str | None:
+        """Return the leader's address; None if there is none that answers."""
+        if self.clock.now_s() < self.leader_retry_at_s:
+            return None
+        return self.leader
+
+    def record_answer(self) -> None:
+        """Record that the leader answered."""
+        self.silent_since_s = None
+
+    def record_silence(self, leader: str) -> None:
+        """Record that the leader left requests unanswered."""
+        now_s = self.clock.now_s()
+        self.leader_retry_at_s = now_s + LEADER_COOLDOWN_S
+        if self.silent_since_s is None:
+            self.silent_since_s = now_s
+            self.pacers.record_silence(now_s)
         self.counts['silent'] += 1
         LOG.throttled_warning('placing_host_silent', leader, leader=leader)
-        return None
 
     def _with_relative_times(self, job: promptjobs.Job) -> promptjobs.Job:
         """Return a copy of a job with times relative to the current time."""
@@ -539,7 +567,11 @@
         pool = pools.get(service)
         if pool is None:
             traits = self.catalog.configuration.services[service].engine
-            service_placement = placement.Placement(traits, self.rng)
+            pacers = self.pacers
+            pacer = pacers.granted if pools is self.served else pacers.alone
+            service_placement = placement.Placement(
+                traits, self.rng, pacer=pacer
+            )
             if service in self.learned_costs:
                 service_placement.pool.restore_costs(
                     self.learned_costs[service]
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -4,6 +4,7 @@
 from magnoliadyke.core import routes
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
+from magnoliadyke.gateway import endpointlimits
 from magnoliadyke.gateway import exchange
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import outcomes
@@ -14,14 +15,24 @@
 
 #: Share of the remaining time that an attempt may take if a retry may follow.
 FIRST_TRY_SHARE = 0.45
+#: Share of a route's latency objective for which a request may wait for an
+#: endpoint's rate limit, so that its answer is on time.
+LIMIT_WAIT_SHARE = 0.5
 
 
 class PlainExchange(exchange.Exchange):
     """Sends a request to the endpoint that the balancer chooses.
 
     Failed attempts are retried at other endpoints where the route allows it.
+
+    :ivar limit_wait_s: time until the limits of the endpoints may leave room
+        for the request, in seconds; 0 if they did at the last choice
     """
 
+    def __init__(self, *args) -> None:
+        super().__init__(*args)
+        self.limit_wait_s = 0.0
+
     def _serve(self) -> outcomes.Outcome:
         failure: outcomes.Failed | None = None
         reason = ''
@@ -58,19 +69,65 @@
                     return tried
 
     def _unavailable_reason(self) -> str:
+        if self.limit_wait_s:
+            return exchange.LIMIT_REASON
         if self.parts.catalog.usable(self.service):
             return exchange.BACKOFF_REASON
         return 'no endpoint is known'
 
     def _refused(self, reason: str) -> outcomes.Refused:
-        return outcomes.Refused(reason, self._retry_after_s())
+        wait_s = self.limit_wait_s or self._retry_after_s()
+        return outcomes.Refused(reason, wait_s)
 
     def _choose(self) -> catalog.Endpoint | None:
+        """Choose an endpoint, and get a permit if it has a rate limit.
+
+        If there is no permit, an endpoint without a limit is chosen, if any.
+        """
+        self.limit_wait_s = 0.0
         now_s = self.parts.clock.now_s()
-        endpoints = self.parts.backoffs.available(
+        limits = self.parts.limits
+        available = self.parts.backoffs.available(
             self.parts.catalog.usable(self.service), now_s
         )
-        return self.parts.balancer.choose(endpoints, self.tried, now_s)
+        permitted = [e for e in available if not limits.denied_s(e.id)]
+        chosen = self.parts.balancer.choose(permitted, self.tried, now_s)
+        if chosen is not None and not limits.is_limited(chosen.id):
+            return chosen
+        limited = [
+            e
+            for e in available
+            if e.id not in self.tried and limits.is_limited(e.id)
+        ]
+        unlimited = [e for e in available if not limits.is_limited(e.id)]
+        if chosen is not None:
+            limited.sort(key=lambda each: each.id != chosen.id)
+            granted = self._get_permit(limited, not unlimited)
+            if granted is not None:
+                return granted
+        chosen = self.parts.balancer.choose(unlimited, self.tried, now_s)
+        if chosen is None and limited:
+            self.limit_wait_s = min(limits.denied_s(e.id) for e in limited)
+        return chosen
+
+    def _get_permit(
+        self, limited: list[catalog.Endpoint], may_wait: bool
+    ) -> catalog.Endpoint | None:
+        """Get a permit for one of some endpoints, and wait for its time.
+
+        :param limited: endpoints with a rate limit, the preferred one first
+        """
+        max_wait_s = 0.0
+        if may_wait:
+            max_wait_s = min(self.left_s, self.route.objective_s)
+            max_wait_s *= LIMIT_WAIT_SHARE
+        limits = self.parts.limits
+        match limits.acquire([each.id for each in limited], max_wait_s):
+            case endpointlimits.Granted(endpoint_id, wait_s):
+                self.parts.clock.sleep(wait_s)
+                self.permits.add(endpoint_id)
+                return self.parts.catalog.find_staying(endpoint_id)
+        return None
 
     def _should_retry(self, whole: outcomes.Whole) -> bool:
         """Return whether to retry a server error at another endpoint."""
@@ -109,6 +166,10 @@
             case outcomes.Whole(facts=facts):
                 failed = facts.status >= 500
                 balancer.record_answer(endpoint.id, now_s - started_s, failed)
+            case outcomes.NotRun(held_back_s=held_back_s) if (
+                held_back_s is not None
+            ):
+                balancer.record_cancel(endpoint.id)
             case outcomes.NotRun(was_received=True):
                 balancer.record_answer(endpoint.id, now_s - started_s, True)
             case _:
@@ -138,7 +199,7 @@
         try:
             used = self._acquire_connection(endpoint, self.route.repeatable)
         except upstream.NoConnection as error:
-            return outcomes.NotRun(str(error), was_received=False)
+            return self._not_sent(error)
         if not self._may_send():
             self.parts.upstream.release(endpoint, used)
             return outcomes.NotRun('the retry budget is spent', False)
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -84,6 +84,9 @@
                     return self._refused(exchange.BACKOFF_REASON, backoff_s)
                 continue
             report_end = True
+            self.permits = {decision.decode_engine}
+            if decision.prefill_engine is not None:
+                self.permits.add(decision.prefill_engine)
             try:
                 result = self._run_placed(job, decision, resume_after)
                 if isinstance(result, outcomes.Answered):
@@ -91,6 +94,7 @@
                 elif (
                     isinstance(result, outcomes.NotRun | outcomes.Lost)
                     and not self.budget_spent
+                    and not _was_held_back(result)
                 ):
                     self.parts.placement_service.record_failure(
                         self.service, job.id, self.endpoint
@@ -115,7 +119,10 @@
                         self.rejections > MAX_ENGINE_REJECTIONS
                         or not self._may_retry()
                     ):
-                        return self._refused(reason, self._retry_after_s())
+                        retry_after_s = self._retry_after_s()
+                        if _was_held_back(result):
+                            retry_after_s = result.held_back_s
+                        return self._refused(reason, retry_after_s)
                 case outcomes.Lost(reason, timed_out):
                     self._log_attempt(reason, 'unknown')
                     status = 504 if timed_out else 502
@@ -265,7 +272,7 @@
                 return kv_source
         # The engine is looked up after the prefill: one that has announced its
         # stop in the meantime accepts no more work.
-        engine = self._find_staying_engine(placed.decode_engine)
+        engine = self.parts.catalog.find_staying(placed.decode_engine)
         if engine is None and kv_source is not None:
             engine = self._alternative_engine(placed.decode_engine)
         if engine is None:
@@ -317,7 +324,9 @@
         reported alone: its failure says nothing about the prefill engine.
         """
         placement_service = self.parts.placement_service
-        if result.was_received:
+        if _was_held_back(result):
+            self._log_attempt(result.reason, 'not run')
+        elif result.was_received:
             placement_service.record_rejection(
                 self.service,
                 job.id,
@@ -363,7 +372,7 @@
         try:
             used = self._acquire_connection(engine, self.route.repeatable)
         except upstream.NoConnection as error:
-            return outcomes.NotRun(str(error), was_received=False)
+            return self._not_sent(error)
         if not self._may_send():
             self.parts.upstream.release(engine, used)
             return outcomes.NotRun(remoteprefill.BUDGET_SPENT, False)
@@ -493,3 +502,10 @@
         if not self.caller.answer_started:
             headers = self.parts.codec.answer_headers(head)
             self.caller.start_stream(head.status, headers)
+
+
+def _was_held_back(result: outcomes.NotRun | outcomes.Lost) -> bool:
+    """Whether a rate limit held an attempt back; the engine did not fail."""
+    return (
+        isinstance(result, outcomes.NotRun) and result.held_back_s is not None
+    )
--- a/magnoliadyke/gateway/remoteprefill.py
+++ b/magnoliadyke/gateway/remoteprefill.py
@@ -2,7 +2,6 @@
 
 import gevent
 
-from magnoliadyke.core import catalog
 from magnoliadyke.core import promptjobs
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import exchange
@@ -71,13 +70,6 @@
     def _may_retry(self) -> bool:
         return not self.budget_spent and super()._may_retry()
 
-    def _find_staying_engine(
-        self, endpoint_id: str
-    ) -> catalog.Endpoint | None:
-        """Return an engine by id, None if it has left or is leaving."""
-        endpoint = self.parts.catalog.endpoints.get(endpoint_id)
-        return None if endpoint is None or endpoint.leaving else endpoint
-
     def _prefill(
         self, job: promptjobs.Job, placed: promptjobs.Placed
     ) -> str | outcomes.NotRun:
@@ -90,7 +82,7 @@
         :returns: address of the engine and handle of the KV cache, as
             ``ADDRESS/HANDLE``; the outcome if the prefill failed
         """
-        prefill_engine = self._find_staying_engine(placed.prefill_engine)
+        prefill_engine = self.parts.catalog.find_staying(placed.prefill_engine)
         if prefill_engine is None:
             return self._record_prefill_failure(
                 placed.prefill_engine, ENGINE_LEFT, False
@@ -103,9 +95,8 @@
         try:
             used = self._acquire_connection(prefill_engine, repeatable=True)
         except upstream.NoConnection as error:
-            return self._record_prefill_failure(
-                prefill_engine.id, str(error), False
-            )
+            self._record_prefill_failure(prefill_engine.id, str(error), False)
+            return self._not_sent(error)
         if not self._may_prefill():
             self.parts.upstream.release(prefill_engine, used)
             return self._record_prefill_failure(
@@ -184,7 +175,8 @@
                 break
         else:
             return
-        if self._backoff_s(endpoint.id):
+        limited = self.parts.limits.is_limited(endpoint.id)
+        if limited or self._backoff_s(endpoint.id):
             # The engine drops the KV cache when its lifetime ends.
             return
         method, target = self.parts.codec.drop_target(handle)
--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 from typing import NamedTuple
 
 import gevent
@@ -157,7 +158,12 @@
         candidates = self._candidates(change, fleet, now_s)
         if not candidates:
             return BlockedReason.COOLING_DOWN
-        candidates.sort(key=lambda e: placement.load_sort_key(e.id, now_s))
+        candidates.sort(
+            key=lambda e: (
+                _limit_sort_key(placement.limit_s(e.id), change.to_prefill),
+                placement.load_sort_key(e.id, now_s),
+            )
+        )
         target = catalog.Stage.DECODE
         if change.to_prefill:
             target = catalog.Stage.PREFILL
@@ -173,6 +179,8 @@
             len(fleet.changing),
             self._to_decode(fleet),
             placement.traits.stage_change_s,
+            _limits_s(fleet.prefilling, placement),
+            _limits_s(fleet.decoding, placement),
         )
 
     def _candidates(
@@ -331,6 +339,21 @@
         self.retry_from_s[name] = now_s + RETRY_INTERVAL_S
 
 
+def _limits_s(engines: list[catalog.Endpoint], placement) -> tuple[float, ...]:
+    limits_s = (placement.limit_s(each.id) for each in engines)
+    return tuple(each for each in limits_s if each is not None)
+
+
+def _limit_sort_key(limit_s: float | None, to_prefill: bool) -> float:
+    """Return a sort key by which engines are chosen for a stage change.
+
+    Engines with low limits change to prefill first, and those without one to
+    decode; see :meth:`stageplan.Fleet.with_limits_of`.
+    """
+    limit_s = math.inf if limit_s is None else limit_s
+    return limit_s if to_prefill else -limit_s
+
+
 def _spread_over_domains(
     candidates: list[catalog.Endpoint], count: int
 ) -> list[catalog.Endpoint]:
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -12,6 +12,7 @@
 from magnoliadyke.core import backoffs
 from magnoliadyke.core import balance
 from magnoliadyke.core import catalog
+from magnoliadyke.core import endpointlimits as core_limits
 from magnoliadyke.core import retrybudget
 from magnoliadyke.core import routes
 from magnoliadyke.core import shutdown
@@ -25,6 +26,7 @@
 from magnoliadyke.gateway import ingress
 from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import leadership
+from magnoliadyke.gateway import limit_codec
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import metricscollector
 from magnoliadyke.gateway import peerstate
@@ -112,6 +114,7 @@
         self.members = members.Members(
             self.own_record, self.store, clock, rng, settings.link_mbps
         )
+        pacers = core_limits.new_pacers(rng)
         self.placement_service = placementservice.PlacementService(
             settings.ip,
             first_port + 1,
@@ -119,6 +122,7 @@
             clock,
             rng,
             settings.link_mbps,
+            pacers,
         )
         self.leadership = leadership.Leadership(
             self.own_record,
@@ -139,7 +143,9 @@
             engines.PlatformEngines(),
             clock,
         )
-        self.limits = endpointlimits.EndpointLimits(clock)
+        self.limits = endpointlimits.EndpointLimits(
+            settings.name, pacers, self.placement_service, clock, rng
+        )
         self.usage, self.fleet = self._duties()
         decoder = RecordDecoder()
         mirror = keymirror.KeyMirror(
@@ -185,6 +191,7 @@
         self.follower.not_relayed = frozenset((usageduty.REPORTS_KEY,))
         self.crashreports = crashreports.CrashReporter(clock, self._broadcast)
         self.placement_service.broadcast = self._broadcast
+        self.limits.broadcast = self._broadcast
         self.placement_service.listeners = {
             placement_codec.CrashNotification: self.crashreports.handle_report,
             placement_codec.LeaderAnnouncement: (
@@ -195,6 +202,9 @@
             duty_codec.ConfirmationReply: self.confirming.handle_reply,
             duty_codec.Usage: self.usage.handle_usage,
             duty_codec.WallTime: self.usage.handle_wall_time,
+            limit_codec.LimitUpdate: self.limits.handle_update,
+            limit_codec.PermitRequest: self.limits.handle_request,
+            limit_codec.PermitReply: self.limits.handle_reply,
         }
         parts = exchange.Parts(
             clock,
@@ -246,6 +256,7 @@
             peerstate.StateServer(state_address, self.follower.state),
             self.follower,
             self.leadership,
+            self.limits,
             self.confirming,
             self.stages,
             self.usage,
@@ -365,6 +376,7 @@
             self.upstream.hosts = hosts
             self.budgets.set_hosts(hosts)
             self.placement_service.hosts = hosts
+            self.limits.pacers.set_hosts(hosts, self.members.unheard_count())
             self.upstream.trim()
             listed = set(self.catalog.endpoints)
             self.balancer.drop_unlisted(listed)
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -1894,6 +1894,403 @@
         return not (self == other)
 
 
+class EndpointLimit(object):
+    """
+    Attributes:
+     - endpoint
+     - rate_s
+     - sent_ms
+     - received_ms
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'rate_s',
+        'sent_ms',
+        'received_ms',
+    )
+
+
+    def __init__(self, endpoint=None, rate_s=None, sent_ms=None, received_ms=None,):
+        self.endpoint = endpoint
+        self.rate_s = rate_s
+        self.sent_ms = sent_ms
+        self.received_ms = received_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.rate_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.sent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.received_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLimit')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.rate_s is not None:
+            oprot.writeFieldBegin('rate_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.rate_s)
+            oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I32, 3)
+            oprot.writeI32(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.received_ms is not None:
+            oprot.writeFieldBegin('received_ms', TType.I32, 4)
+            oprot.writeI32(self.received_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndpointLimits(object):
+    """
+    Attributes:
+     - limits
+     - leads
+
+    """
+
+    __slots__ = (
+        'limits',
+        'leads',
+    )
+
+
+    def __init__(self, limits=None, leads=None,):
+        self.limits = limits
+        self.leads = leads
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = EndpointLimit()
+                        _elem63.read(iprot)
+                        self.limits.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.leads = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLimits')
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter64 in self.limits:
+                iter64.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leads is not None:
+            oprot.writeFieldBegin('leads', TType.BOOL, 2)
+            oprot.writeBool(self.leads)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitRequest(object):
+    """
+    Attributes:
+     - nonce
+     - endpoints
+     - max_wait_ms
+     - host
+
+    """
+
+    __slots__ = (
+        'nonce',
+        'endpoints',
+        'max_wait_ms',
+        'host',
+    )
+
+
+    def __init__(self, nonce=None, endpoints=None, max_wait_ms=None, host=None,):
+        self.nonce = nonce
+        self.endpoints = endpoints
+        self.max_wait_ms = max_wait_ms
+        self.host = host
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.nonce = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.endpoints = []
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.endpoints.append(_elem70)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.max_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitRequest')
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.I64, 1)
+            oprot.writeI64(self.nonce)
+            oprot.writeFieldEnd()
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.endpoints))
+            for iter71 in self.endpoints:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.max_wait_ms is not None:
+            oprot.writeFieldBegin('max_wait_ms', TType.I32, 3)
+            oprot.writeI32(self.max_wait_ms)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 4)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitReply(object):
+    """
+    Attributes:
+     - nonce
+     - endpoint
+     - wait_ms
+
+    """
+
+    __slots__ = (
+        'nonce',
+        'endpoint',
+        'wait_ms',
+    )
+
+
+    def __init__(self, nonce=None, endpoint=None, wait_ms=None,):
+        self.nonce = nonce
+        self.endpoint = endpoint
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.nonce = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitReply')
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.I64, 1)
+            oprot.writeI64(self.nonce)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 2)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -1911,6 +2308,9 @@
      - confirmation_reply
      - usage
      - wall_time
+     - endpoint_limits
+     - permit_request
+     - permit_reply
 
     """
 
@@ -1929,10 +2329,13 @@
         'confirmation_reply',
         'usage',
         'wall_time',
+        'endpoint_limits',
+        'permit_request',
+        'permit_reply',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, updates=None, confirmation_request=None, confirmation_reply=None, usage=None, wall_time=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, updates=None, confirmation_request=None, confirmation_reply=None, usage=None, wall_time=None, endpoint_limits=None, permit_request=None, permit_reply=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
@@ -1947,6 +2350,9 @@
         self.confirmation_reply = confirmation_reply
         self.usage = usage
         self.wall_time = wall_time
+        self.endpoint_limits = endpoint_limits
+        self.permit_request = permit_request
+        self.permit_reply = permit_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2040,6 +2446,24 @@
                     self.wall_time.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.endpoint_limits = EndpointLimits()
+                    self.endpoint_limits.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.permit_request = PermitRequest()
+                    self.permit_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.permit_reply = PermitReply()
+                    self.permit_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2106,6 +2530,18 @@
             oprot.writeFieldBegin('wall_time', TType.STRUCT, 14)
             self.wall_time.write(oprot)
             oprot.writeFieldEnd()
+        if self.endpoint_limits is not None:
+            oprot.writeFieldBegin('endpoint_limits', TType.STRUCT, 15)
+            self.endpoint_limits.write(oprot)
+            oprot.writeFieldEnd()
+        if self.permit_request is not None:
+            oprot.writeFieldBegin('permit_request', TType.STRUCT, 16)
+            self.permit_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.permit_reply is not None:
+            oprot.writeFieldBegin('permit_reply', TType.STRUCT, 17)
+            self.permit_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2266,6 +2702,35 @@
     None,  # 0
     (1, TType.I64, 'wall_ms', None, None, ),  # 1
 )
+all_structs.append(EndpointLimit)
+EndpointLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'rate_s', None, None, ),  # 2
+    (3, TType.I32, 'sent_ms', None, None, ),  # 3
+    (4, TType.I32, 'received_ms', None, None, ),  # 4
+)
+all_structs.append(EndpointLimits)
+EndpointLimits.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 1
+    (2, TType.BOOL, 'leads', None, None, ),  # 2
+)
+all_structs.append(PermitRequest)
+PermitRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'nonce', None, None, ),  # 1
+    (2, TType.LIST, 'endpoints', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.I32, 'max_wait_ms', None, None, ),  # 3
+    (4, TType.STRING, 'host', 'UTF8', None, ),  # 4
+)
+all_structs.append(PermitReply)
+PermitReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'nonce', None, None, ),  # 1
+    (2, TType.STRING, 'endpoint', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -2283,6 +2748,9 @@
     (12, TType.STRUCT, 'confirmation_reply', [ConfirmationReply, None], None, ),  # 12
     (13, TType.STRUCT, 'usage', [Usage, None], None, ),  # 13
     (14, TType.STRUCT, 'wall_time', [WallTime, None], None, ),  # 14
+    (15, TType.STRUCT, 'endpoint_limits', [EndpointLimits, None], None, ),  # 15
+    (16, TType.STRUCT, 'permit_request', [PermitRequest, None], None, ),  # 16
+    (17, TType.STRUCT, 'permit_reply', [PermitReply, None], None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/promptload.py
+++ b/tests/promptload.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from magnoliadyke.core import catalog
+from magnoliadyke.core import endpointlimits
 from magnoliadyke.core import placement
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import promptjobs
@@ -63,6 +64,7 @@
 
     :param rates: prompts a second, by second
     :param speed: share of the usual rate, by engine
+    :param limits: rate limits that engines have named, by engine
     """
 
     def __init__(
@@ -75,9 +77,17 @@
         objective_s=0.15,
         deadline_s=2.0,
         seed=1,
+        limits=None,
     ):
         self.rng = random.Random(seed)
-        self.core = placement.Placement(TRAITS, self.rng, settings)
+        named = endpointlimits.NamedLimits()
+        for name, rate_s in (limits or {}).items():
+            said = endpointlimits.Statement(rate_s, 0.0, 0.0)
+            named.record(name, said)
+        pacer = endpointlimits.Pacer(named, endpointlimits.TOLERANCE_S)
+        self.core = placement.Placement(
+            TRAITS, self.rng, settings, pacer=pacer
+        )
         self.core.set_engines(engines or fleet())
         self.rates = rates
         self.speed = speed or {}
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -1,5 +1,7 @@
 """Endpoints that name the requests per second they take from all hosts."""
 
+import bisect
+
 import gevent
 import pytest
 
@@ -70,11 +72,20 @@
 
 
 def counted(world, endpoint, paths):
-    """Let all nodes learn of the limit; count what arrives after that."""
+    """Let all nodes learn of the limit; then count the arrivals.
+
+    :returns: the most arrivals in any window, and the mean number in one
+    """
     press(world, paths, 1.5)
     endpoint.arrivals.clear()
-    press(world, paths, COUNTED_S)
-    return len(endpoint.arrivals)
+    press(world, paths, COUNTED_S + 1)
+    times = [each.at_s for each in endpoint.arrivals]
+    assert times, 'nothing arrived'
+    most = max(
+        bisect.bisect(times, first_s + COUNTED_S) - number
+        for number, first_s in enumerate(times)
+    )
+    return most, len(times) * COUNTED_S / (times[-1] - times[0])
 
 
 @pytest.mark.parametrize(
@@ -93,6 +104,6 @@
     limited = world.endpoints[f'e-{stage}' if stage else 'p1']
     limited.rate_limit = b'%g' % RATE_S
     hosts(world)
-    arrived = counted(world, limited, paths)
-    assert arrived <= RATE_S * COUNTED_S * 1.25
-    assert arrived >= RATE_S * COUNTED_S * LEAST_USED
+    most, mean = counted(world, limited, paths)
+    assert most <= RATE_S * COUNTED_S * 1.25
+    assert mean >= RATE_S * COUNTED_S * LEAST_USED
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,9 @@
 """The placement under load: what callers get."""
 
+import statistics
+
+import pytest
+
 from magnoliadyke.core import catalog
 from magnoliadyke.core import decodeengines
 from magnoliadyke.core import enginepool
@@ -284,7 +288,7 @@
     for count in (5, 500):
         made = core(promptload.fleet(count, count))
         kept = made.pool.caches.cached_prefixes(LONG)
-        looked[count] = len(list(made.pool._candidates(kept, ())))
+        looked[count] = len(list(made.pool._candidates(kept, (), 0.0)))
     assert looked[500] <= made.pool.settings.candidates + 3
     assert looked[5] <= looked[500]
 
@@ -934,3 +938,69 @@
         for each in reversed([queue.pop(queue.first().id) for _ in jobs]):
             queue.put_back(each)
     assert len(queue.order) == 4
+
+
+@pytest.mark.parametrize(
+    'limits',
+    [
+        {'d0': 13.0, 'd1': 18.0},
+        {name: 10.0 for name in ('p0', 'p1', 'p2', 'd0', 'd1')},
+    ],
+)
+def test_prompts_beyond_the_limits_are_refused_soon(limits):
+    """Prompts were admitted as if the engines had no limits."""
+    play = promptload.Play([80] * 10, promptload.fleet(3, 2), limits=limits)
+    result = play.run()
+    decoded = [each.decode_engine for each in play.placed.values()]
+    for name in ('d0', 'd1'):
+        count = decoded.count(name)
+        assert count <= limits[name] * 11
+        assert count >= limits[name] * 10 * 0.85
+    held_s = [
+        when_s - play.jobs[number].objective_s + play.objective_s
+        for number, (when_s, _) in play.refused.items()
+    ]
+    soon = sum(each < 0.25 for each in held_s)
+    assert soon >= 0.95 * result.refused
+    assert statistics.mean(result.retry_s) > 0.25
+    assert result.in_time > 2 * result.late
+
+
+def test_engines_without_a_limit_take_what_a_limited_one_may_not():
+    play = promptload.Play(
+        [80] * 10, promptload.fleet(3, 2), limits={'d0': 13.0, 'p0': 13.0}
+    )
+    result = play.run()
+    assert result.in_time == 800
+    used = [
+        name
+        for each in play.placed.values()
+        for name in (each.prefill_engine, each.decode_engine)
+    ]
+    for name in ('d0', 'p0'):
+        assert 0.7 * 130 <= used.count(name) <= 13 * 10.5
+
+
+def test_short_prompt_waits_for_the_limits_of_the_decode_engines():
+    """It was refused as if there were no engine, or sent all the same."""
+    play = promptload.Play([], promptload.fleet(1, 1), limits={'d0': 2.0})
+    core, parts = play.core, (promptcache.PromptPart(1, 100),)
+    jobs = [
+        promptjobs.Job(n, parts, 2, 10.2, 25.0, 'z1') for n in range(1, 11)
+    ]
+    core.pool.pacer.wait_s('d0', 9.0)
+    decided = [each for job in jobs for each in core.submit(job, 10.0)]
+    placed = [e for e in decided if isinstance(e, promptjobs.Placed)]
+    assert len(placed) == 1
+    assert not core.place_queued(10.3)
+    assert len(core.place_queued(10.51)) == 1
+
+
+@pytest.mark.parametrize('count', [1, 12])
+def test_prompts_of_a_large_fleet_keep_the_limits_of_its_engines(count):
+    limits = {f'd{n}': 8.0 for n in range(count)}
+    play = promptload.Play([250] * 4, promptload.fleet(18, 12), limits=limits)
+    play.run()
+    decoded = [each.decode_engine for each in play.placed.values()]
+    for name in limits:
+        assert 8 * 4 * 0.7 <= decoded.count(name) <= 8 * 4.25 + 1
--- a/tests/test_stageplan.py
+++ b/tests/test_stageplan.py
@@ -214,3 +214,47 @@
             fleet.prefilling + moved, fleet.decoding - moved
         )
     return fleet, ordered
+
+
+#: 80 prompts a second keep one engine reading, and half of one answering.
+LIMITED_LOAD = stageplan.Load(1.0, 0.2, 0.4, requests_s=80.0, prompt_s=0.0125)
+
+
+def decide_with_limits(prefilling, decoding, prefill=(), decode=()):
+    plan = stageplan.StagePlan()
+    fleet = stageplan.Fleet(
+        prefilling,
+        decoding,
+        prefill_limits_s=prefill,
+        decode_limits_s=decode,
+    )
+    plan.record_load(LIMITED_LOAD, fleet, 0.0)
+    return plan.decide(fleet, 0.0)
+
+
+def test_engine_without_a_limit_answers_where_all_others_are_limited():
+    """Limits of the engines that answer refused most of the prompts."""
+    assert decide_with_limits(3, 2) is None
+    change = decide_with_limits(3, 2, decode=(13.0, 18.0))
+    assert change == stageplan.Change(False)
+
+
+def test_one_limited_engine_among_those_that_answer_changes_nothing():
+    assert decide_with_limits(3, 2, decode=(13.0,)) is None
+
+
+def test_limits_of_engines_that_read_count_as_less_reading():
+    change = decide_with_limits(2, 3, prefill=(1.0, 2.0))
+    assert change == stageplan.Change(True)
+
+
+def test_engines_with_the_lowest_limits_change_to_prefill_first():
+    fleet = stageplan.Fleet(
+        2, 3, prefill_limits_s=(7.0,), decode_limits_s=(9.0, 5.0)
+    )
+    done = fleet.with_limits_of(1, True)
+    assert done.prefill_limits_s == (7.0, 5.0)
+    assert done.decode_limits_s == (9.0,)
+    assert fleet.with_limits_of(1, False).prefill_limits_s == (7.0,)
+    assert fleet.with_limits_of(-1, True).prefill_limits_s == (7.0,)
+    assert fleet.with_limits_of(-2, True).decode_limits_s == (5.0, 9.0, 7.0)
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -160,6 +160,40 @@
   1: i64 wall_ms,
 }
 
+// What an endpoint named as the requests per second that it takes from all
+// hosts, in an answer that was received received_ms ago to a request that was
+// sent sent_ms ago; without rate_s the answer named no limit.
+struct EndpointLimit {
+  1: string endpoint,
+  2: optional double rate_s,
+  3: i32 sent_ms,
+  4: i32 received_ms,
+}
+
+// Limits as a host knows them: told by the leader to all hosts, or by a host
+// that has got another answer to the leader.
+struct EndpointLimits {
+  1: list<EndpointLimit> limits,
+  2: bool leads,
+}
+
+// Asks the leader for leave to send one request to any of these endpoints,
+// within max_wait_ms.
+struct PermitRequest {
+  1: i64 nonce,
+  2: list<string> endpoints,
+  3: i32 max_wait_ms,
+  4: string host,
+}
+
+// The endpoint and the time until which the request has to wait; without an
+// endpoint there is no permit, and none is to be asked for until then.
+struct PermitReply {
+  1: i64 nonce,
+  2: optional string endpoint,
+  3: i32 wait_ms,
+}
+
 struct Datagram {
   1: i16 version,
   2: optional Ask ask,
@@ -175,4 +209,7 @@
   12: optional ConfirmationReply confirmation_reply,
   13: optional Usage usage,
   14: optional WallTime wall_time,
+  15: optional EndpointLimits endpoint_limits,
+  16: optional PermitRequest permit_request,
+  17: optional PermitReply permit_reply,
 }
