--- a/magnoliadyke/core/endpointlimits.py
+++ b/magnoliadyke/core/endpointlimits.py
@@ -275,8 +275,10 @@
     :param rng: source of randomness, with ``random()``
     """
     named = NamedLimits()
-    return Pacers(
+    pacers = Pacers(
         named,
         Pacer(named, TOLERANCE_S),
         Pacer(named, ALONE_TOLERANCE_S, rng),
     )
+    pacers.set_hosts(1, 0)
+    return pacers
--- a/magnoliadyke/gateway/endpointlimits.py
+++ b/magnoliadyke/gateway/endpointlimits.py
@@ -16,6 +16,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import endpointlimits
 from magnoliadyke.gateway import limit_codec
+from magnoliadyke.gateway import members
 from magnoliadyke.gateway import placementservice
 from magnoliadyke import logs
 
@@ -23,8 +24,8 @@
 
 LOG = logs.get('endpointlimits')
 
-#: Interval at which known limits are sent again, in seconds: a datagram may
-#: be lost, and hosts start.
+#: Interval at which known limits are sent again, and divided among the hosts
+#: that run, in seconds: a datagram may be lost, and hosts start.
 REPEAT_INTERVAL_S = 1.0
 #: Minimum time between two messages about changed limits, in seconds.
 MIN_UPDATE_INTERVAL_S = 0.1
@@ -74,7 +75,6 @@
 class EndpointLimits(app.Component):
     """The rate limits of endpoints, and the permits to send them requests.
 
-    :param host: name of this host
     :param pacers: the limits that this host knows, and its pacers; shared
         with the placement
     :ivar broadcast: sends a message to all other hosts
@@ -88,13 +88,13 @@
 
     def __init__(
         self,
-        host: str,
         pacers: endpointlimits.Pacers,
+        host_members: members.Members,
         placement_service: placementservice.PlacementService,
         clock: clocks.Clock,
         rng,
     ) -> None:
-        self.host = host
+        self.members = host_members
         self.pacers = pacers
         self.named = pacers.named
         self.placement_service = placement_service
@@ -129,6 +129,9 @@
     def _run(self) -> None:
         while True:
             self.clock.sleep(REPEAT_INTERVAL_S)
+            self.pacers.set_hosts(
+                self.members.count(), self.members.unheard_count()
+            )
             self._send_limits()
 
     # Limits that responses name.
@@ -353,7 +356,7 @@
             self.rng.getrandbits(62),
             tuple(endpoint_ids),
             max_wait_s,
-            self.host,
+            self.members.own.host,
         )
         reply = self.waiting[request.nonce] = event.AsyncResult()
         try:
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -144,7 +144,7 @@
             clock,
         )
         self.limits = endpointlimits.EndpointLimits(
-            settings.name, pacers, self.placement_service, clock, rng
+            pacers, self.members, self.placement_service, clock, rng
         )
         self.usage, self.fleet = self._duties()
         decoder = RecordDecoder()
@@ -376,7 +376,6 @@
             self.upstream.hosts = hosts
             self.budgets.set_hosts(hosts)
             self.placement_service.hosts = hosts
-            self.limits.pacers.set_hosts(hosts, self.members.unheard_count())
             self.upstream.trim()
             listed = set(self.catalog.endpoints)
             self.balancer.drop_unlisted(listed)
