Draw limits of endpoints in the soak, and judge them

The stand-in of an endpoint names a limit, the soak draws such times of 9 s and more beside its other faults, and the checker counts what reached the endpoint in any 4 s from 3 s after the first answer that named it: at most 1.5 times the limit and 5 requests, of all hosts, with no excuse for stops, cuts or outages. The share of each limit that was used is printed.

Three processes under load, with a host killed and the store silent, keep it; the same with the limits ignored is caught.

--- a/magnoliadyke/lab/platformcheck.py
+++ b/magnoliadyke/lab/platformcheck.py
@@ -18,9 +18,11 @@
     'Disturbance',
     'Evidence',
     'Leaving',
+    'Limit',
     'Stop',
     'check',
     'late_requests',
+    'limit_use',
 ]
 
 #: Statuses that promise that a request was not and will not be executed.
@@ -42,6 +44,13 @@
 #: answer that asked for it, in seconds.
 MAX_REQUESTS_IN_BACKOFF = 2
 BACKOFF_REACTION_S = 0.5
+#: Time from an endpoint's first answer with a rate limit until the limit has
+#: to be kept, in seconds, and the window in which requests are counted.
+LIMIT_REACTION_S = 3.0
+LIMIT_WINDOW_S = 4.0
+#: Requests allowed in a window: as a multiple of the limit, and besides that.
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 #: If a request ended less than this time after it reached the endpoint, its
 #: host may not have read the endpoint's answer, in seconds.
 ANSWER_READ_S = 0.1
@@ -123,6 +132,21 @@
     at_s: float
 
 
+class Limit(NamedTuple):
+    """A rate limit that an endpoint named in its answers.
+
+    :param endpoint: name of the endpoint
+    :param rate_s: requests per second from all hosts
+    :param from_s: when it began to name it, in monotonic seconds
+    :param to_s: when it ceased to
+    """
+
+    endpoint: str
+    rate_s: float
+    from_s: float
+    to_s: float
+
+
 class Stop(NamedTuple):
     """Graceful stop of a host.
 
@@ -173,6 +197,7 @@
     :param unstopped: hosts that had to be killed, and when their stop began
     :param unready: hosts that did not become ready, and when they started
     :param stops: graceful stops of hosts
+    :param limits: rate limits of endpoints
     """
 
     requests: list[CallerRequest]
@@ -185,6 +210,7 @@
     unstopped: list[tuple[str, float]]
     unready: list[tuple[str, float]]
     stops: list[Stop]
+    limits: list[Limit]
 
 
 class Violation(NamedTuple):
@@ -214,6 +240,7 @@
         *_check_unanswered(evidence, runs),
         *_check_leaving(evidence),
         *_check_announcements(evidence),
+        *_check_limits(evidence),
         *_check_stops(evidence),
         *_check_calm(evidence),
         *_check_processes(evidence),
@@ -452,6 +479,52 @@
             )
 
 
+def _check_limits(evidence: Evidence) -> Iterable[Violation]:
+    endpoints = {each.name: each for each in evidence.endpoints}
+    for limit in evidence.limits:
+        arrivals = _arrivals_under(limit, endpoints[limit.endpoint])
+        allowed = LIMIT_FACTOR * limit.rate_s * LIMIT_WINDOW_S + LIMIT_EXTRA
+        for number, first in enumerate(arrivals):
+            until_s = first.at_s + LIMIT_WINDOW_S
+            window = [a for a in arrivals[number:] if a.at_s < until_s]
+            if len(window) > allowed:
+                yield Violation(
+                    'hosts together keep the limits of endpoints',
+                    first.at_s,
+                    tuple(each.id.decode() for each in window),
+                    f'{limit.endpoint} named {limit.rate_s:g} a second and '
+                    f'got {len(window)} in {LIMIT_WINDOW_S:g} s',
+                )
+                break
+
+
+def _arrivals_under(
+    limit: Limit, endpoint: platformendpoint.EndpointStandIn
+) -> list[platformendpoint.Arrival]:
+    """Requests that came after hosts had time to learn of a limit."""
+    named_s = [
+        each.at_s
+        for each in endpoint.arrivals
+        if each.rate_limit is not None and each.at_s >= limit.from_s
+    ]
+    if not named_s:
+        return []
+    from_s = named_s[0] + LIMIT_REACTION_S
+    return [a for a in endpoint.arrivals if from_s <= a.at_s <= limit.to_s]
+
+
+def limit_use(evidence: Evidence) -> list[float]:
+    """Shares of the endpoints' limits that the hosts used, limit by limit."""
+    endpoints = {each.name: each for each in evidence.endpoints}
+    shares = []
+    for limit in evidence.limits:
+        arrivals = _arrivals_under(limit, endpoints[limit.endpoint])
+        if arrivals:
+            for_s = limit.to_s - arrivals[0].at_s
+            shares.append(len(arrivals) / max(1.0, limit.rate_s * for_s))
+    return shares
+
+
 def _was_disturbed(
     evidence: Evidence, host: str, from_s: float, to_s: float
 ) -> bool:
--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -15,7 +15,7 @@
 number that selects the host or endpoint).  Kinds are kill, stop, pause,
 crash, restart, foreign_entry, scale_in, leave_unlisted, shed, reset, error,
 cut, store_busy, store_reset, store_silent, store_lost, store_slow,
-store_deaf, store_restore, compact, configure, link_cut, link_delay,
+store_deaf, store_restore, compact, configure, limit, link_cut, link_delay,
 link_silence and link_loss.
 
 Nodes are processes of their own; the store and the endpoints are stand-ins.
@@ -59,6 +59,10 @@
 DEPARTURE_DELAY_S = 3.5
 #: Backoff that an endpoint asks for when it refuses requests, in seconds.
 BACKOFF_S = 2.0
+#: Rate limits that endpoints name, in requests per second, and the time that
+#: a limit lasts besides the duration of its fault, in seconds.
+LIMITS_S = (1.0, 2.5, 4.0)
+MIN_LIMIT_TIME_S = 9.0
 STORE_MODES = {
     'store_busy': 'busy',
     'store_reset': 'reset',
@@ -177,6 +181,7 @@
     """One run of a plan.
 
     :ivar reserved: hosts whose process is stopped, killed or suspended
+    :ivar limits: rate limits that endpoints named
     :ivar unstopped: hosts that had to be killed, and when their stop began
     :ivar unready: hosts that did not become ready, and when they started
     """
@@ -193,6 +198,7 @@
         self.disturbed: list[platformcheck.Disturbance] = []
         self.leaving: list[platformcheck.Leaving] = []
         self.stops: list[platformcheck.Stop] = []
+        self.limits: list[platformcheck.Limit] = []
         self.unstopped: list[tuple[str, float]] = []
         self.unready: list[tuple[str, float]] = []
         self.tasks: list[gevent.Greenlet] = []
@@ -224,6 +230,7 @@
             self.unstopped,
             self.unready,
             self.stops,
+            self.limits,
         )
 
     # Faults.
@@ -398,6 +405,21 @@
             gevent.sleep(fault.for_s)
             endpoint.mode, endpoint.backoff_s = 'ok', None
 
+    def limit(self, fault: Fault) -> None:
+        """Have an endpoint name a rate limit for some time."""
+        name = self._pick_endpoint(fault)
+        endpoint = self.fleet.endpoints[name]
+        if endpoint.rate_limit is not None:
+            return
+        rate_s = LIMITS_S[fault.pick % len(LIMITS_S)]
+        begun_s = time.monotonic()
+        endpoint.rate_limit = b'%g' % rate_s
+        gevent.sleep(MIN_LIMIT_TIME_S + fault.for_s)
+        endpoint.rate_limit = None
+        self.limits.append(
+            platformcheck.Limit(name, rate_s, begun_s, time.monotonic())
+        )
+
     def store_mode(self, fault: Fault) -> None:
         """Make the store unavailable in the way of the fault's kind."""
         with self._record_disturbance('store'):
@@ -482,6 +504,7 @@
     'scale_in': Day.scale_in,
     'leave_unlisted': Day.leave_unlisted,
     'shed': Day.shed,
+    'limit': Day.limit,
     'store_lost': Day.store_lost,
     'store_slow': Day.store_slow,
     'store_deaf': Day.store_deaf,
@@ -530,6 +553,8 @@
     print(
         f'{len(evidence.stops)} stops, {len(late)} requests sent late in them'
     )
+    for share in platformcheck.limit_use(evidence):
+        print(f'{share:.2f} of a limit was used')
     begun_s = min(
         (request.sent_s for request in evidence.requests), default=0.0
     )
--- a/magnoliadyke/lab/soak.py
+++ b/magnoliadyke/lab/soak.py
@@ -37,10 +37,11 @@
 LASTING_PER_HOST = 4
 #: Mean time between two graceful stops of nodes, besides those faults.
 MEAN_STOP_INTERVAL_S = 5.0
-#: Mean time between two events of the kinds below: an endpoint that leaves or
-#: asks for backoff, and says so only in its responses to requests.
+#: Mean time between two events of the kinds below: an endpoint that leaves,
+#: asks for backoff or has a rate limit, and says so only in its responses to
+#: requests.
 MEAN_NOTICE_INTERVAL_S = 5.0
-RESPONSE_ONLY_KINDS = frozenset(('leave_unlisted', 'shed'))
+RESPONSE_ONLY_KINDS = frozenset(('leave_unlisted', 'limit', 'shed'))
 
 
 def draw(seed: int, seconds: float, hosts: int) -> platformday.Plan:
--- a/tests/test_lab_platformcheck.py
+++ b/tests/test_lab_platformcheck.py
@@ -45,6 +45,7 @@
         'unstopped': [],
         'unready': [],
         'stops': [],
+        'limits': [],
     }
     return platformcheck.Evidence(
         [*requests, *calm], list(endpoints), **(values | fields)
@@ -317,3 +318,41 @@
     assert at_one_endpoint(told, *within[:2]) == []
     after = [said(102.1 + n / 10, f'd{n}') for n in range(3)]
     assert at_one_endpoint(told, *after) == []
+
+
+def limited(*times_s):
+    """Promises broken where requests came while a limit was named."""
+    made = platformendpoint.EndpointStandIn('p1', 'plain')
+    made.arrivals = [
+        said(at_s, f'l{number}', rate_limit=b'2')
+        for number, at_s in enumerate(times_s)
+    ]
+    requests = [
+        one(each.id.decode(), sent_s=each.at_s, ended_s=each.at_s + 0.1)
+        for each in made.arrivals
+    ]
+    limit = platformcheck.Limit('p1', 2.0, 100.0, 115.0)
+    return broken(*requests, endpoints=[made], limits=[limit])
+
+
+def test_requests_beyond_the_limit_of_an_endpoint_are_found():
+    """Allowed are 1.5 times 2 a second for 4 s, and 5 more."""
+    broken_limit = ['hosts together keep the limits of endpoints']
+    early = [100.1 + n / 100 for n in range(60)]
+    assert limited(*early) == []
+    assert limited(*early, *(104.0 + n / 10 for n in range(17))) == []
+    assert (
+        limited(*early, *(104.0 + n / 10 for n in range(18))) == broken_limit
+    )
+    assert limited(*early, *(104.0 + n / 3 for n in range(33))) == []
+
+
+def test_use_of_a_limit_is_reported():
+    made = endpoint('a')
+    made.arrivals = [
+        said(100.0 + n, f'l{n}', rate_limit=b'2') for n in range(15)
+    ]
+    limit = platformcheck.Limit('p1', 2.0, 100.0, 115.0)
+    seen = evidence(endpoints=[made], limits=[limit])
+    (share,) = platformcheck.limit_use(seen)
+    assert 0.45 < share < 0.55
--- a/tests/test_lab_platformday.py
+++ b/tests/test_lab_platformday.py
@@ -159,6 +159,38 @@
     }
 
 
+#: Endpoints name limits while a host is killed and the store is away.
+LIMITS = platformday.Plan(
+    11.0,
+    (
+        *(platformday.Fault(0.5, 'limit', 1.0, pick) for pick in (0, 2, 3)),
+        platformday.Fault(4.0, 'kill', 0.5, 1),
+        platformday.Fault(6.0, 'store_silent', 1.0),
+    ),
+    hosts=3,
+    callers=24,
+    settle_s=1.0,
+    calm_s=0.5,
+)
+
+
+def test_hosts_together_keep_the_limits_of_endpoints(tmp_path):
+    """Each of three processes sent endpoints as much as it liked."""
+    found, seen = platformday.play(LIMITS, 1, tmp_path)
+    assert not found
+    assert len(platformcheck.limit_use(seen)) == 3
+
+
+def test_hosts_that_heed_no_limit_of_endpoints_are_caught(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(platformfleet, 'MODULE', 'tests.unheedingnode')
+    found, _ = platformday.play(LIMITS, 1, tmp_path)
+    assert 'hosts together keep the limits of endpoints' in {
+        violation.promise for violation in found
+    }
+
+
 class _OneHost:
     """Looks like a fleet whose only host is a node of this process."""
 
@@ -200,7 +232,17 @@
     disturbed = [platformcheck.Disturbance('endpoints', 0.0, float('inf'))]
     last_s = max(one.sent_s for one in calling.requests)
     seen = platformcheck.Evidence(
-        calling.requests, made, disturbed, [], last_s - 0.2, 5, {}, [], [], []
+        calling.requests,
+        made,
+        disturbed,
+        [],
+        last_s - 0.2,
+        5,
+        {},
+        [],
+        [],
+        [],
+        [],
     )
     return {violation.promise for violation in platformcheck.check(seen)}
 
