Tell all hosts of a leave that one was told in an answer

A belief that ended at one host: what an endpoint says in an answer about its leave was used by the host that got the answer alone, and each other host sent it a request first.

Before: three hosts sent three requests to an endpoint that says it leaves; after: one (test_all_hosts_hear_of_a_leave_that_one_was_told).

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -14,6 +14,7 @@
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import connection
 from magnoliadyke.gateway import crashreports
+from magnoliadyke.gateway import departures
 from magnoliadyke.gateway import endpointlimits
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import outcomes
@@ -86,6 +87,7 @@
     crashreports: crashreports.CrashReporter
     backoffs: backoffs.Backoffs
     limits: endpointlimits.EndpointLimits
+    departures: departures.Departures
     rng: random.Random
     record_start: usageduty.StartRecorder
 
@@ -243,6 +245,7 @@
             case endpointlimits.Granted(wait_s=wait_s):
                 self.parts.clock.sleep(wait_s)
             case endpointlimits.Denied(wait_s):
+                self._log_held_back([endpoint.id], wait_s)
                 raise HeldBack(wait_s)
 
     def _backoff_s(self, endpoint_id: str) -> float:
@@ -278,6 +281,15 @@
             return False
         return self.left_s >= RESPONSE_MARGIN_S
 
+    def _log_held_back(self, endpoint_ids: list[str], wait_s: float) -> None:
+        LOG.event(
+            'request_held_back',
+            id=self.request.id.decode('latin-1'),
+            endpoints=','.join(endpoint_ids),
+            wait_ms=round(wait_s * 1000),
+            left_ms=round(self.left_s * 1000),
+        )
+
     def _not_sent(self, error: upstream.NoConnection) -> outcomes.NotRun:
         """Return the result of an attempt that got no connection."""
         wait_s = error.wait_s if isinstance(error, HeldBack) else None
@@ -322,7 +334,7 @@
         if own and not facts.wrong_endpoint:
             self._record_limit(endpoint, used, facts)
             if facts.leaving:
-                self._record_leaving(endpoint)
+                self.parts.departures.record(endpoint.id, self.request.id)
             if facts.backoff_s:
                 self._record_backoff(endpoint, facts.backoff_s)
         return facts
@@ -358,14 +370,6 @@
             for_ms=round(for_s * 1000),
         )
 
-    def _record_leaving(self, endpoint: catalog.Endpoint) -> None:
-        if self.parts.catalog.mark_leaving(endpoint.id):
-            LOG.event(
-                'endpoint_said_leaving',
-                id=self.request.id.decode('latin-1'),
-                endpoint=endpoint.id,
-            )
-
     def _record_send(
         self, endpoint: catalog.Endpoint, used: connection.Connection
     ) -> None:
--- a/magnoliadyke/gateway/limit_codec.py
+++ b/magnoliadyke/gateway/limit_codec.py
@@ -1,10 +1,11 @@
-"""Messages between hosts about the rate limits of endpoints."""
+"""Messages between hosts about what endpoints name in their responses."""
 
 from typing import NamedTuple
 
 from magnoliadyke.wire.placement import ttypes
 
 __all__ = [
+    'Leaving',
     'LimitUpdate',
     'Message',
     'NamedLimit',
@@ -70,7 +71,18 @@
     wait_s: float
 
 
-Message = LimitUpdate | PermitRequest | PermitReply
+class Leaving(NamedTuple):
+    """Endpoints that announced in a response that they leave.
+
+    :param endpoints: their ids
+    :param leads: whether the leader sends the message
+    """
+
+    endpoints: tuple[str, ...]
+    leads: bool
+
+
+Message = LimitUpdate | Leaving | PermitRequest | PermitReply
 
 
 def encode(message: Message, datagram: ttypes.Datagram) -> None:
@@ -89,6 +101,10 @@
                 ],
                 leads,
             )
+        case Leaving(endpoints, leads):
+            datagram.endpoints_leaving = ttypes.EndpointsLeaving(
+                list(endpoints), leads
+            )
         case PermitRequest(nonce, endpoints, max_wait_s, host):
             datagram.permit_request = ttypes.PermitRequest(
                 nonce, list(endpoints), _to_ms(max_wait_s), host
@@ -115,6 +131,9 @@
             ),
             update.leads,
         )
+    if datagram.endpoints_leaving is not None:
+        leaving = datagram.endpoints_leaving
+        return Leaving(tuple(leaving.endpoints), leaving.leads)
     if datagram.permit_request is not None:
         request = datagram.permit_request
         return PermitRequest(
--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -255,6 +255,7 @@
             datagram.updates = _encode_updates(message)
         case (
             limit_codec.LimitUpdate()
+            | limit_codec.Leaving()
             | limit_codec.PermitRequest()
             | limit_codec.PermitReply()
         ):
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -19,6 +19,7 @@
 from magnoliadyke.gateway import autoscaling
 from magnoliadyke.gateway import confirming
 from magnoliadyke.gateway import crashreports
+from magnoliadyke.gateway import departures
 from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import endpointlimits
 from magnoliadyke.gateway import exchange
@@ -146,6 +147,9 @@
         self.limits = endpointlimits.EndpointLimits(
             pacers, self.members, self.placement_service, clock, rng
         )
+        self.departures = departures.Departures(
+            self.catalog, self.placement_service, clock
+        )
         self.usage, self.fleet = self._duties()
         decoder = RecordDecoder()
         mirror = keymirror.KeyMirror(
@@ -192,6 +196,7 @@
         self.crashreports = crashreports.CrashReporter(clock, self._broadcast)
         self.placement_service.broadcast = self._broadcast
         self.limits.broadcast = self._broadcast
+        self.departures.broadcast = self._broadcast
         self.placement_service.listeners = {
             placement_codec.CrashNotification: self.crashreports.handle_report,
             placement_codec.LeaderAnnouncement: (
@@ -203,6 +208,7 @@
             duty_codec.Usage: self.usage.handle_usage,
             duty_codec.WallTime: self.usage.handle_wall_time,
             limit_codec.LimitUpdate: self.limits.handle_update,
+            limit_codec.Leaving: self.departures.handle,
             limit_codec.PermitRequest: self.limits.handle_request,
             limit_codec.PermitReply: self.limits.handle_reply,
         }
@@ -217,6 +223,7 @@
             self.crashreports,
             backoffs.Backoffs(),
             self.limits,
+            self.departures,
             rng,
             self.usage.record_start,
         )
@@ -257,6 +264,7 @@
             self.follower,
             self.leadership,
             self.limits,
+            self.departures,
             self.confirming,
             self.stages,
             self.usage,
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -2291,6 +2291,94 @@
         return not (self == other)
 
 
+class EndpointsLeaving(object):
+    """
+    Attributes:
+     - endpoints
+     - leads
+
+    """
+
+    __slots__ = (
+        'endpoints',
+        'leads',
+    )
+
+
+    def __init__(self, endpoints=None, leads=None,):
+        self.endpoints = endpoints
+        self.leads = leads
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.endpoints = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.endpoints.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.leads = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointsLeaving')
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.endpoints))
+            for iter78 in self.endpoints:
+                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leads is not None:
+            oprot.writeFieldBegin('leads', TType.BOOL, 2)
+            oprot.writeBool(self.leads)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -2311,6 +2399,7 @@
      - endpoint_limits
      - permit_request
      - permit_reply
+     - endpoints_leaving
 
     """
 
@@ -2332,10 +2421,11 @@
         'endpoint_limits',
         'permit_request',
         'permit_reply',
+        'endpoints_leaving',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, updates=None, confirmation_request=None, confirmation_reply=None, usage=None, wall_time=None, endpoint_limits=None, permit_request=None, permit_reply=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, updates=None, confirmation_request=None, confirmation_reply=None, usage=None, wall_time=None, endpoint_limits=None, permit_request=None, permit_reply=None, endpoints_leaving=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
@@ -2353,6 +2443,7 @@
         self.endpoint_limits = endpoint_limits
         self.permit_request = permit_request
         self.permit_reply = permit_reply
+        self.endpoints_leaving = endpoints_leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2464,6 +2555,12 @@
                     self.permit_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.endpoints_leaving = EndpointsLeaving()
+                    self.endpoints_leaving.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2542,6 +2639,10 @@
             oprot.writeFieldBegin('permit_reply', TType.STRUCT, 17)
             self.permit_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.endpoints_leaving is not None:
+            oprot.writeFieldBegin('endpoints_leaving', TType.STRUCT, 18)
+            self.endpoints_leaving.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2731,6 +2832,12 @@
     (2, TType.STRING, 'endpoint', 'UTF8', None, ),  # 2
     (3, TType.I32, 'wait_ms', None, None, ),  # 3
 )
+all_structs.append(EndpointsLeaving)
+EndpointsLeaving.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'endpoints', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.BOOL, 'leads', None, None, ),  # 2
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -2751,6 +2858,7 @@
     (15, TType.STRUCT, 'endpoint_limits', [EndpointLimits, None], None, ),  # 15
     (16, TType.STRUCT, 'permit_request', [PermitRequest, None], None, ),  # 16
     (17, TType.STRUCT, 'permit_reply', [PermitReply, None], None, ),  # 17
+    (18, TType.STRUCT, 'endpoints_leaving', [EndpointsLeaving, None], None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -172,3 +172,29 @@
         )
         assert head.status == 200
     assert {each.decode_engine for each in placed} == {'d2'}
+
+
+@pytest.mark.parametrize('teller', [0, 1, 2])
+def test_all_hosts_hear_of_a_leave_that_one_was_told(world, teller):
+    """Each host sent the endpoint a request before it knew."""
+    leaving = world.endpoint('p1')
+    for _ in range(3):
+        world.node()
+    gatewayworld.wait_for(
+        lambda: all(
+            n.placement_service.leading or n.placement_service.leader
+            for n in world.nodes
+        ),
+        'a leader',
+    )
+    leaving.announces_leaving = True
+    assert world.ask('/safe/x', node=teller).status == 200
+    known = world.nodes[0].catalog.by_name['p1']
+    for node in world.nodes:
+        gatewayworld.wait_for(
+            lambda n=node: n.catalog.endpoints[known].leaving, 'the leave'
+        )
+    assert len(leaving.arrivals) == 1
+    for number in range(3):
+        assert world.ask('/safe/x', node=number).status == 503
+    assert len(leaving.arrivals) == 1
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -194,6 +194,13 @@
   3: i32 wait_ms,
 }
 
+// Endpoints that said in an answer that they leave: told by the leader to all
+// hosts, or by a host that has got such an answer to the leader.
+struct EndpointsLeaving {
+  1: list<string> endpoints,
+  2: bool leads,
+}
+
 struct Datagram {
   1: i16 version,
   2: optional Ask ask,
@@ -212,4 +219,5 @@
   15: optional EndpointLimits endpoint_limits,
   16: optional PermitRequest permit_request,
   17: optional PermitReply permit_reply,
+  18: optional EndpointsLeaving endpoints_leaving,
 }
