Name the limits of endpoints in refusals, logs and metrics

A prompt refused for limits was told 'no room in time', as under a burst, and a request that was held back left no line. Refusals name the limits now, each request that was held back has a line with the endpoints and the wait, the placement line has the limits of engines, and permits are counted.

--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -123,6 +123,7 @@
     :param pacer: paces the requests to engines with a rate limit; without it
         no engine has one
     :ivar mean_need_s: average prefill time of a prompt, in seconds
+    :ivar limits_bind: whether rate limits bound the latest capacity
     :ivar short_prompts: rate of prompts that decode engines prefill
         themselves
     :ivar costs: cost model of prefill, by the engine's stage
@@ -144,6 +145,7 @@
             endpointlimits.NamedLimits(), endpointlimits.TOLERANCE_S
         )
         self.mean_need_s = 0.0
+        self.limits_bind = False
         self.short_prompts = limits.Rate(SHORT_RATE_TIME_CONSTANT_S, 0.0)
         self.engines: dict[str, enginemodel.EngineModel] = {}
         self.decode_engines = decodeengines.DecodeEngines(
@@ -501,6 +503,11 @@
         A prompt also needs a request to a decode engine, so the limits of
         these bound the prefill capacity that is of use.
         """
+        prefilling = [
+            engine
+            for engine in self.engines.values()
+            if engine.cooldown_until_s <= now_s and self._can_prefill(engine)
+        ]
         backlogs = [
             (
                 max(
@@ -509,13 +516,14 @@
                 ),
                 self._prefill_speed(engine),
             )
-            for engine in self.engines.values()
-            if engine.cooldown_until_s <= now_s and self._can_prefill(engine)
+            for engine in prefilling
         ]
         speed = sum(each for _, each in backlogs)
         decoded_s = self.decode_engines.rate_s()
         decoded_s -= self.short_prompts.now(now_s)
         limit = max(decoded_s * self.mean_need_s, speed * MIN_SPEED_SHARE)
+        unlimited = sum(1 / self.relative_cost(each) for each in prefilling)
+        self.limits_bind = min(speed, limit) < unlimited
         if limit < speed:
             share = limit / speed
             backlogs = [(free_s, each * share) for free_s, each in backlogs]
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -208,6 +208,9 @@
                 f'{engine.endpoint.stage.value}/{engine.slowness:.2f}/'
                 f'{len(engine.pending_prefills)}/{len(engine.runs)}'
             )
+            limit_s = self.limit_s(engine.endpoint.id)
+            if limit_s is not None:
+                fields[engine.endpoint.id] += f'/limit={limit_s:.1f}'
         return fields
 
     def restore_cache(
@@ -272,7 +275,10 @@
         wait_s = self._late_wait_s(now_s)
         left_s = job.deadline_s - now_s
         if wait_s + job.need_s > left_s * self.settings.max_wait_share:
-            return self.refusals.refuse(job, now_s, wait_s, 'no room in time')
+            reason = 'no room in time'
+            if self.pool.limits_bind:
+                reason = LIMIT_REASON
+            return self.refusals.refuse(job, now_s, wait_s, reason)
         self._put_late(job)
         return None
 
--- a/magnoliadyke/explain.py
+++ b/magnoliadyke/explain.py
@@ -17,6 +17,8 @@
     'endpoint',
     'endpoint_doubted',
     'endpoint_gone',
+    'endpoint_limit',
+    'endpoint_said_leaving',
     'leader',
     'leader_gone',
     'leading',
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -108,6 +108,8 @@
         gauges.endpoint_limit.clear()
         for endpoint, rate_s in limits.named.limited().items():
             gauges.endpoint_limit.labels(endpoint).set(rate_s)
+        for outcome, count in limits.counts.items():
+            gauges.permits.labels(outcome).set(count)
         gauges.limited_sends.clear()
         for endpoint, count in limits.sends.items():
             gauges.limited_sends.labels(endpoint).set(count)
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -86,6 +86,11 @@
             'Requests per second that an endpoint takes from all hosts.',
             'endpoint',
         )
+        self.permits = self._gauge(
+            'permits',
+            'Permits for endpoints with a limit, by who decided and how.',
+            'outcome',
+        )
         self.limited_sends = self._gauge(
             'limited_sends',
             'Requests that this host sent to endpoints that named a limit.',
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -127,6 +127,8 @@
                 self.parts.clock.sleep(wait_s)
                 self.permits.add(endpoint_id)
                 return self.parts.catalog.find_staying(endpoint_id)
+            case endpointlimits.Denied(wait_s):
+                self._log_held_back([each.id for each in limited], wait_s)
         return None
 
     def _should_retry(self, whole: outcomes.Whole) -> bool:
