--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -117,7 +117,7 @@
         return self._start(node_settings.parse(values), clock, wait)
 
     def _start(self, settings, clock, wait):
-        made = nodes.Node(settings, clock, random.Random(1))
+        made = nodes.Node(settings, clock, random.Random(len(self.nodes) + 1))
         if not self.gathers:
             made.leadership.gathered_s = float('-inf')
         made.application.start()
