Tell callers under a limit when there is room, and let those who return wait

A host that was denied a permit told callers when it would ask again, at most a second, though a limit below one a second leaves no room for longer; and while it paced alone it asked no leader until its own next slot, which may be a minute off. The two times are kept apart.

Callers who return seldom do so again: their plain requests may wait for a slot up to 0.35 of their time, other requests for half of the objective.

--- a/magnoliadyke/gateway/endpointlimits.py
+++ b/magnoliadyke/gateway/endpointlimits.py
@@ -48,7 +48,7 @@
 #: ask again, in seconds.
 DEMAND_WINDOW_S = 2.0
 #: Longest time for which a host that got no permit asks for no other one for
-#: the same endpoints, in seconds.
+#: the same endpoints, in seconds: a limit may end, or a leader answer again.
 MAX_DENIAL_S = 1.0
 
 
@@ -72,6 +72,17 @@
     wait_s: float
 
 
+class _Denial(NamedTuple):
+    """Times that follow from a denied permit, in monotonic seconds.
+
+    :param room_s: when there may be a permit
+    :param ask_s: when another one may be asked for
+    """
+
+    room_s: float
+    ask_s: float
+
+
 class EndpointLimits(app.Component):
     """The rate limits of endpoints, and the permits to send them requests.
 
@@ -82,7 +93,7 @@
         they had a limit, by endpoint id
     :ivar counts: number of requests for permits by outcome
     :ivar leader_limits: limits that the leader last sent, by endpoint id
-    :ivar denied_until_s: when a permit may be asked for again, by endpoint id
+    :ivar denials: the latest denial of a permit, by endpoint id
     :ivar asked_s: when each host last asked for a permit, used by the leader
     """
 
@@ -104,7 +115,7 @@
         self.sends: collections.Counter[str] = collections.Counter()
         self.counts: collections.Counter[str] = collections.Counter()
         self.leader_limits: dict[str, float | None] = {}
-        self.denied_until_s: dict[str, float] = {}
+        self.denials: dict[str, _Denial] = {}
         self.asked_s: dict[str, float] = {}
         self.waiting: dict[int, event.AsyncResult] = {}
         self.replies: collections.OrderedDict[int, limit_codec.PermitReply] = (
@@ -183,7 +194,7 @@
         if not self.named.record(endpoint_id, statement):
             return False
         if statement.rate_s is None:
-            self.denied_until_s.pop(endpoint_id, None)
+            self.denials.pop(endpoint_id, None)
         LOG.event(
             'endpoint_limit',
             endpoint=endpoint_id,
@@ -202,7 +213,7 @@
             self.pacers.granted.drop(endpoint_id)
             self.pacers.alone.drop(endpoint_id)
             self.sends.pop(endpoint_id, None)
-            self.denied_until_s.pop(endpoint_id, None)
+            self.denials.pop(endpoint_id, None)
 
     # Messages about limits.
 
@@ -291,12 +302,17 @@
         """Whether an endpoint has a limit."""
         return self.named.rate_s(endpoint_id) is not None
 
-    def denied_s(self, endpoint_id: str) -> float:
-        """Return for how long there is no permit, in seconds; 0 if unknown."""
-        if not self.is_limited(endpoint_id):
+    def is_denied(self, endpoint_id: str) -> bool:
+        """Whether no permit for an endpoint is to be asked for now."""
+        denial = self.denials.get(endpoint_id)
+        return denial is not None and denial.ask_s > self.clock.now_s()
+
+    def room_in_s(self, endpoint_id: str) -> float:
+        """Return when there may be a permit, in seconds; 0 if unknown."""
+        denial = self.denials.get(endpoint_id)
+        if denial is None:
             return 0.0
-        until_s = self.denied_until_s.get(endpoint_id, 0.0)
-        return max(0.0, until_s - self.clock.now_s())
+        return max(0.0, denial.room_s - self.clock.now_s())
 
     def acquire(
         self, endpoint_ids: list[str], max_wait_s: float
@@ -324,9 +340,13 @@
                 outcome = Granted(reply.endpoint, reply.wait_s)
         self.counts[f'{by}_{type(outcome).__name__.lower()}'] += 1
         if isinstance(outcome, Denied):
-            until_s = self.clock.now_s() + outcome.wait_s
+            now_s = self.clock.now_s()
+            denial = _Denial(
+                now_s + outcome.wait_s,
+                now_s + min(outcome.wait_s, MAX_DENIAL_S),
+            )
             for endpoint_id in endpoint_ids:
-                self.denied_until_s[endpoint_id] = until_s
+                self.denials[endpoint_id] = denial
         return outcome
 
     def _reserve(
@@ -419,7 +439,7 @@
                 del self.asked_s[host]
         rate_s = sum(self.pacers.granted.rate_s(e) for e in endpoints)
         turn_s = len(self.asked_s) / rate_s * self.rng.random()
-        return wait_s + min(turn_s, MAX_DENIAL_S)
+        return wait_s + turn_s
 
 
 def _rate_text(rate_s: float | None) -> str:
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -43,6 +43,10 @@
 #: back, in seconds: with less left, another attempt could not be answered in
 #: time.
 RESPONSE_MARGIN_S = 0.02
+#: A request is a caller's retry if its remaining time is shorter than the
+#: route's timeout by more than this, in seconds: callers send the time left
+#: since their first attempt.
+RETRY_DETECTION_S = 0.1
 #: Reason of a refusal when all usable endpoints asked this host to back off.
 BACKOFF_REASON = 'the endpoint asked to back off'
 #: Reason of a refusal when the rate limits of the usable endpoints leave no
@@ -146,6 +150,15 @@
         """Whether the request has not been sent to any endpoint yet."""
         return not self.send_count
 
+    @property
+    def is_callers_retry(self) -> bool:
+        """Whether the caller was refused before; it seldom retries again."""
+        wait_s = self.request.wait_s
+        return (
+            wait_s is not None
+            and wait_s < self.route.timeout_s - RETRY_DETECTION_S
+        )
+
     @property
     def left_s(self) -> float:
         """Time until the caller's timeout ends, in seconds."""
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -18,6 +18,9 @@
 #: Share of a route's latency objective for which a request may wait for an
 #: endpoint's rate limit, so that its answer is on time.
 LIMIT_WAIT_SHARE = 0.5
+#: The same for a caller's retry, as a share of the time until its deadline: a
+#: late answer is better than none, and the caller seldom retries again.
+RETRY_LIMIT_WAIT_SHARE = 0.35
 
 
 class PlainExchange(exchange.Exchange):
@@ -90,7 +93,7 @@
         available = self.parts.backoffs.available(
             self.parts.catalog.usable(self.service), now_s
         )
-        permitted = [e for e in available if not limits.denied_s(e.id)]
+        permitted = [e for e in available if not limits.is_denied(e.id)]
         chosen = self.parts.balancer.choose(permitted, self.tried, now_s)
         if chosen is not None and not limits.is_limited(chosen.id):
             return chosen
@@ -107,7 +110,7 @@
                 return granted
         chosen = self.parts.balancer.choose(unlimited, self.tried, now_s)
         if chosen is None and limited:
-            self.limit_wait_s = min(limits.denied_s(e.id) for e in limited)
+            self.limit_wait_s = min(limits.room_in_s(e.id) for e in limited)
         return chosen
 
     def _get_permit(
@@ -121,6 +124,10 @@
         if may_wait:
             max_wait_s = min(self.left_s, self.route.objective_s)
             max_wait_s *= LIMIT_WAIT_SHARE
+            if self.is_callers_retry:
+                max_wait_s = max(
+                    max_wait_s, self.left_s * RETRY_LIMIT_WAIT_SHARE
+                )
         limits = self.parts.limits
         match limits.acquire([each.id for each in limited], max_wait_s):
             case endpointlimits.Granted(endpoint_id, wait_s):
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -20,10 +20,6 @@
 
 LOG = logs.get('promptexchange')
 
-#: A request is a caller's retry if its remaining time is shorter than the
-#: route's timeout by more than this, in seconds: callers send the time left
-#: since their first attempt.
-RETRY_DETECTION_S = 0.1
 #: Silence after which a resumable stream is resumed at another engine, as a
 #: multiple of the pause between events that the route allows.
 STALL_FACTOR = 5.0
@@ -231,10 +227,7 @@
         now_s = self.parts.clock.now_s()
         prompt = self.request.prompt
         wait_s = self.request.wait_s
-        is_retry = (
-            wait_s is not None
-            and wait_s < self.route.timeout_s - RETRY_DETECTION_S
-        )
+        is_retry = self.is_callers_retry
         objective_s = self.arrived_s + self.route.objective_s
         if is_retry:
             objective_s -= self.route.timeout_s - wait_s
--- a/tests/test_gateway_endpointlimits.py
+++ b/tests/test_gateway_endpointlimits.py
@@ -136,7 +136,7 @@
                 for host in self.hosts.values():
                     host._send_limits()
             host = self.rng.choice(list(self.hosts.values()))
-            if host.denied_s(E):
+            if host.is_denied(E):
                 continue
             match host.acquire([E], max_wait_s):
                 case endpointlimits.Granted(wait_s=wait_s):
@@ -226,7 +226,7 @@
     sent_s = []
     while len(sent_s) < 10:
         net.clock.time_s += 0.01
-        if host.denied_s(E):
+        if host.is_denied(E):
             continue
         match host.acquire([E], 0.0):
             case endpointlimits.Granted():
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -139,6 +139,23 @@
     assert stats.failure_rate == 0.0
 
 
+def test_caller_who_returns_finds_room_under_a_limit_first(world):
+    """Refused again, a caller who returns gets no answer at all."""
+    limited = world.endpoint('p1')
+    limited.rate_limit = b'2'
+    hosts(world, 1)
+    node = world.nodes[0]
+    learn(world, limited)
+    gatewayworld.wait_for(
+        lambda: world.ask('/safe/x').status == 503, 'the limit to be used up'
+    )
+    node.limits.denials.clear()
+    assert world.ask('/safe/x', request_id='first').status == 503
+    node.limits.denials.clear()
+    again = world.ask('/safe/x', request_id='again', X_Deadline_Ms=1800)
+    assert again.status == 200
+
+
 def test_endpoint_without_a_limit_serves_what_a_limited_one_may_not(world):
     limited = world.endpoint('p1')
     limited.rate_limit = b'1'
