Count limited engines only where they can serve

An endpoint that a host can't reach uses none of its slots, so its next one was always the earliest and a permit for it was granted before those of others. An engine that is down and has no limit hid that the limits of the others leave no room: short prompts were refused with 'no engine answers', and the capacity was taken for unlimited. A limit of an endpoint that a host does not list was recorded and dropped each second, with a log line each time.

Permits are asked for endpoints that are not in a cooldown, the limits of engines count within the best class of readiness, and limits of unlisted endpoints are ignored. Without any limit the capacity costs what it did. test_unreachable_endpoint_takes_no_permits_from_others, test_engine_that_is_down_replaces_no_limited_one.

--- a/magnoliadyke/core/balance.py
+++ b/magnoliadyke/core/balance.py
@@ -73,12 +73,18 @@
         :param avoid: ids of endpoints not to use
         """
         usable = [e for e in endpoints if e.id not in avoid]
-        ready = [e for e in usable if self._cooldown_until_s(e) <= now_s]
-        candidates = ready or usable
+        candidates = self.ready(usable, now_s)
         if not candidates:
             return None
         return min(candidates, key=self._cost)
 
+    def ready(
+        self, endpoints: list[catalog.Endpoint], now_s: float
+    ) -> list[catalog.Endpoint]:
+        """Return the endpoints that are not in cooldown; all if none is."""
+        found = [e for e in endpoints if self._cooldown_until_s(e) <= now_s]
+        return found or endpoints
+
     def _cooldown_until_s(self, endpoint: catalog.Endpoint) -> float:
         stats = self.stats_by_id.get(endpoint.id)
         return stats.cooldown_until_s if stats is not None else 0.0
--- a/magnoliadyke/core/decodeengines.py
+++ b/magnoliadyke/core/decodeengines.py
@@ -80,31 +80,47 @@
 
         :param avoid: ids of engines that have rejected the request
         """
+        best = self._best_class(avoid, now_s)
+        return [e for e in best if not self._limit_wait_s(e, now_s)]
+
+    def _best_class(
+        self, avoid: tuple[str, ...], now_s: float
+    ) -> list[enginemodel.EngineModel]:
         classes = collections.defaultdict(list)
         for engine in self.engines.values():
             if engine.endpoint.stage is catalog.Stage.DECODE:
                 classes[_readiness(engine, avoid, now_s)].append(engine)
-        best = classes[min(classes)] if classes else []
-        return [e for e in best if not self._limit_wait_s(e, now_s)]
+        return classes[min(classes)] if classes else []
 
     def _limit_wait_s(
         self, engine: enginemodel.EngineModel, now_s: float
     ) -> float:
         return self.pacer.wait_s(engine.endpoint.id, now_s)
 
-    def limit_wait_s(self, now_s: float) -> float:
+    def limit_wait_s(self, avoid: tuple[str, ...], now_s: float) -> float:
         """Return the time until the rate limits allow a request, in seconds.
 
         0 if an engine accepts one now, or if there is none.
         """
+        if not self.pacer.has_limits:
+            return 0.0
         return min(
-            (self.pacer.wait_s(each, now_s) for each in self.rotation),
+            (
+                self._limit_wait_s(each, now_s)
+                for each in self._best_class(avoid, now_s)
+            ),
             default=0.0,
         )
 
-    def rate_s(self) -> float:
-        """Return how many requests per second the rate limits allow."""
-        return sum(self.pacer.rate_s(each) for each in self.rotation)
+    def rate_s(self, now_s: float) -> float:
+        """Return how many requests per second the rate limits allow.
+
+        Engines in a cooldown count only if there are no others.
+        """
+        return sum(
+            self.pacer.rate_s(each.endpoint.id)
+            for each in self._best_class((), now_s)
+        )
 
     def choose_for_prefilled(
         self, avoid: tuple[str, ...], now_s: float
--- a/magnoliadyke/core/endpointlimits.py
+++ b/magnoliadyke/core/endpointlimits.py
@@ -63,12 +63,14 @@
     last response with the limit was received.
 
     :ivar latest: the statement in force, by endpoint id
+    :ivar limited_ids: ids of the endpoints with a limit
     """
 
     def __init__(self) -> None:
         self.latest: collections.OrderedDict[str, Statement] = (
             collections.OrderedDict()
         )
+        self.limited_ids: set[str] = set()
 
     def rate_s(self, endpoint_id: str) -> float | None:
         """Return an endpoint's limit in requests per second, None if none."""
@@ -77,11 +79,7 @@
 
     def limited(self) -> dict[str, float]:
         """Return the limits in force, by endpoint id."""
-        return {
-            endpoint_id: known.rate_s
-            for endpoint_id, known in self.latest.items()
-            if known.rate_s is not None
-        }
+        return {each: self.latest[each].rate_s for each in self.limited_ids}
 
     def record(self, endpoint_id: str, statement: Statement) -> bool:
         """Record a statement.
@@ -108,12 +106,17 @@
     def _keep(self, endpoint_id: str, statement: Statement) -> None:
         self.latest[endpoint_id] = statement
         self.latest.move_to_end(endpoint_id)
+        if statement.rate_s is None:
+            self.limited_ids.discard(endpoint_id)
+        else:
+            self.limited_ids.add(endpoint_id)
         if len(self.latest) > MAX_ENDPOINTS:
-            self.latest.popitem(last=False)
+            self.drop(next(iter(self.latest)))
 
     def drop(self, endpoint_id: str) -> None:
         """Forget an endpoint that has left."""
         self.latest.pop(endpoint_id, None)
+        self.limited_ids.discard(endpoint_id)
 
 
 @dataclasses.dataclass(slots=True)
@@ -173,6 +176,11 @@
         self.starts_s = float('-inf')
         self.slots: dict[str, _Slots] = {}
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any endpoint has a limit."""
+        return bool(self.named.limited_ids)
+
     def rate_s(self, endpoint_id: str) -> float:
         """Return the rate granted, in requests per second.
 
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -508,21 +508,25 @@
             for engine in self.engines.values()
             if engine.cooldown_until_s <= now_s and self._can_prefill(engine)
         ]
+        backlogs = [
+            (engine.free_s(now_s) - now_s, 1 / self.relative_cost(engine))
+            for engine in prefilling
+        ]
+        self.limits_bind = False
+        if not self.pacer.has_limits:
+            return capacities.Capacity(backlogs)
+        unlimited = sum(speed for _, speed in backlogs)
         backlogs = [
             (
-                max(
-                    engine.free_s(now_s) - now_s,
-                    self.pacer.wait_s(engine.endpoint.id, now_s),
-                ),
+                max(free_s, self.pacer.wait_s(engine.endpoint.id, now_s)),
                 self._prefill_speed(engine),
             )
-            for engine in prefilling
+            for engine, (free_s, _) in zip(prefilling, backlogs, strict=True)
         ]
         speed = sum(each for _, each in backlogs)
-        decoded_s = self.decode_engines.rate_s()
+        decoded_s = self.decode_engines.rate_s(now_s)
         decoded_s -= self.short_prompts.now(now_s)
         limit = max(decoded_s * self.mean_need_s, speed * MIN_SPEED_SHARE)
-        unlimited = sum(1 / self.relative_cost(each) for each in prefilling)
         self.limits_bind = min(speed, limit) < unlimited
         if limit < speed:
             share = limit / speed
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -302,7 +302,7 @@
         """
         if (cooldown_s := self._cooldown_s(job, now_s)) > 0:
             return self._hold(job, cooldown_s, 'the engine is down', now_s)
-        if (limit_wait_s := self._limit_wait_s(now_s)) > 0:
+        if (limit_wait_s := self._limit_wait_s(job, now_s)) > 0:
             return self._hold(job, limit_wait_s, LIMIT_REASON, now_s)
         if job.resumed or not self.answers.is_long(job.output_tokens):
             return [self._place_short(job, now_s)]
@@ -326,16 +326,17 @@
         self.answers.waiting.put(job)
         return []
 
-    def _limit_wait_s(self, now_s: float) -> float:
+    def _limit_wait_s(self, job: promptjobs.Job, now_s: float) -> float:
         """Return the wait for the rate limits of the decode engines.
 
         The jobs in the queue go first.
         """
         decode_engines = self.pool.decode_engines
-        wait_s = decode_engines.limit_wait_s(now_s)
+        wait_s = decode_engines.limit_wait_s(job.avoid, now_s)
         if not wait_s:
             return 0.0
-        return wait_s + len(self.answers.waiting) / decode_engines.rate_s()
+        rate_s = decode_engines.rate_s(now_s)
+        return wait_s + len(self.answers.waiting) / rate_s
 
     def _cooldown_s(self, job: promptjobs.Job, now_s: float) -> float:
         """Return the remaining cooldown of a decode engine that failed a job.
@@ -362,7 +363,8 @@
             job = waiting.first()
             if self._cooldown_s(job, now_s) > 0:
                 return
-            if self.pool.decode_engines.limit_wait_s(now_s) > 0:
+            decode_engines = self.pool.decode_engines
+            if decode_engines.limit_wait_s(job.avoid, now_s) > 0:
                 return
             is_long = self.answers.is_long(job.output_tokens)
             if (
--- a/magnoliadyke/gateway/endpointlimits.py
+++ b/magnoliadyke/gateway/endpointlimits.py
@@ -224,7 +224,10 @@
         if message.leads and leading:
             return
         changed = False
+        listed = self.placement_service.catalog.endpoints
         for each in message.limits:
+            if each.endpoint not in listed:
+                continue
             statement = endpointlimits.Statement(
                 each.rate_s,
                 now_s - each.sent_ago_s - MESSAGE_DELAY_S,
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -105,7 +105,8 @@
         unlimited = [e for e in available if not limits.is_limited(e.id)]
         if chosen is not None:
             limited.sort(key=lambda each: each.id != chosen.id)
-            granted = self._get_permit(limited, not unlimited)
+            ready = self.parts.balancer.ready(limited, now_s)
+            granted = self._get_permit(ready, not unlimited)
             if granted is not None:
                 return granted
         chosen = self.parts.balancer.choose(unlimited, self.tried, now_s)
@@ -119,6 +120,7 @@
         """Get a permit for one of some endpoints, and wait for its time.
 
         :param limited: endpoints with a rate limit, the preferred one first
+        :param may_wait: whether to wait, as no other endpoint can serve it
         """
         max_wait_s = 0.0
         if may_wait:
--- a/tests/test_gateway_endpointlimits.py
+++ b/tests/test_gateway_endpointlimits.py
@@ -27,6 +27,10 @@
         gevent.sleep(0)
 
 
+class Catalog:
+    endpoints = {E: None}
+
+
 class Service:
     """The part of the placement service that permits need.
 
@@ -40,6 +44,7 @@
         self.leader = None
         self.request_timeout_s = 0.0
         self.silent_s = []
+        self.catalog = Catalog()
 
     def answering_leader(self):
         return self.leader
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -167,6 +167,19 @@
     assert len(limited.arrivals) <= 3
 
 
+def test_unreachable_endpoint_takes_no_permits_from_others(world):
+    """Its unused slots were granted again and again."""
+    gone, limited = world.endpoint('p1'), world.endpoint('p2')
+    gone.rate_limit = limited.rate_limit = b'10'
+    hosts(world, 1)
+    press(world, [('/safe/x', {})], 1.0)
+    gone.crash()
+    press(world, [('/safe/x', {})], 1.0)
+    limited.arrivals.clear()
+    press(world, [('/safe/x', {})], 2.0)
+    assert len(limited.arrivals) >= 2.0 * RATE_S * LEAST_USED
+
+
 def test_limit_ends_with_the_answers_that_name_it(world):
     """A limit lasted after the endpoint had stopped to name it."""
     limited = world.endpoint('p1')
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1004,3 +1004,15 @@
     decoded = [each.decode_engine for each in play.placed.values()]
     for name in limits:
         assert 8 * 4 * 0.7 <= decoded.count(name) <= 8 * 4.25 + 1
+
+
+def test_engine_that_is_down_replaces_no_limited_one():
+    """Requests went to one that is down while a limited one had no room."""
+    play = promptload.Play([], promptload.fleet(1, 2), limits={'d0': 2.0})
+    core, parts = play.core, (promptcache.PromptPart(1, 100),)
+    core.pool.pacer.wait_s('d0', 9.0)
+    for number in range(101, 104):
+        core.pool.record_failure('d1', number, 9.9)
+    jobs = [promptjobs.Job(n, parts, 2, 10.2, 25.0, 'z1') for n in range(1, 4)]
+    decided = [each for job in jobs for each in core.submit(job, 10.0)]
+    assert [each.decode_engine for each in decided] == ['d0']
