Tell a new leader of the limits and of their ends

A host compared what it knows with what the leader had sent, and kept that over a change of the leader: one that had just started was told nothing until its own first answers. The end of a limit was taken for told where the leader had sent nothing about the endpoint (test_leader_that_has_just_started_is_told_of_ limits, test_end_of_a_limit_reaches_all_hosts failed with either fault).

What was told is dropped with the leader that told it, and the end of a limit is told unless the leader has sent it.

--- a/magnoliadyke/gateway/endpointlimits.py
+++ b/magnoliadyke/gateway/endpointlimits.py
@@ -93,6 +93,7 @@
         they had a limit, by endpoint id
     :ivar counts: number of requests for permits by outcome
     :ivar leader_limits: limits that the leader last sent, by endpoint id
+    :ivar leader: address of that leader
     :ivar denials: the latest denial of a permit, by endpoint id
     :ivar asked_s: when each host last asked for a permit, used by the leader
     """
@@ -115,6 +116,7 @@
         self.sends: collections.Counter[str] = collections.Counter()
         self.counts: collections.Counter[str] = collections.Counter()
         self.leader_limits: dict[str, float | None] = {}
+        self.leader: str | None = None
         self.denials: dict[str, _Denial] = {}
         self.asked_s: dict[str, float] = {}
         self.waiting: dict[int, event.AsyncResult] = {}
@@ -262,30 +264,11 @@
         """
         service = self.placement_service
         self.updated_s = now_s = self.clock.now_s()
-        if service.leading:
+        leader = None if service.leading else service.leader
+        if leader != self.leader:
+            # A new leader may know of no limit yet.
+            self.leader = leader
             self.leader_limits = {}
-            known = {
-                endpoint_id: statement
-                for endpoint_id, statement in self.named.latest.items()
-                if statement.rate_s is not None
-                or now_s - statement.received_s < END_REPEAT_S
-            }
-            send = self.broadcast
-        elif service.leader is not None:
-            known = {
-                endpoint_id: statement
-                for endpoint_id, statement in self.named.latest.items()
-                if self.leader_limits.get(endpoint_id) != statement.rate_s
-            }
-            leader = service.leader
-
-            def send(message: limit_codec.LimitUpdate) -> None:
-                service.send(leader, message)
-
-        else:
-            return
-        if not known or send is None:
-            return
         limits = [
             limit_codec.NamedLimit(
                 endpoint_id,
@@ -293,11 +276,24 @@
                 now_s - statement.sent_s,
                 now_s - statement.received_s,
             )
-            for endpoint_id, statement in known.items()
+            for endpoint_id, statement in self.named.latest.items()
+            if statement.rate_s is not None
+            or now_s - statement.received_s < END_REPEAT_S
         ]
+        if not service.leading:
+            limits = [each for each in limits if not self._is_told(each)]
         for start in range(0, len(limits), MAX_LIMITS_PER_DATAGRAM):
             chunk = limits[start : start + MAX_LIMITS_PER_DATAGRAM]
-            send(limit_codec.LimitUpdate(tuple(chunk), service.leading))
+            message = limit_codec.LimitUpdate(tuple(chunk), service.leading)
+            if service.leading:
+                self.broadcast(message)
+            elif leader is not None:
+                service.send(leader, message)
+
+    def _is_told(self, limit: limit_codec.NamedLimit) -> bool:
+        """Whether the leader has sent the same limit."""
+        told = self.leader_limits
+        return limit.endpoint in told and told[limit.endpoint] == limit.rate_s
 
     # Permits.
 
--- a/tests/test_gateway_endpointlimits.py
+++ b/tests/test_gateway_endpointlimits.py
@@ -207,6 +207,18 @@
     assert all(h.is_limited(E) for h in net.hosts.values())
 
 
+def test_leader_that_has_just_started_is_told_of_limits():
+    """Hosts took it for told what the former leader had told them."""
+    net = Net(4)
+    net.tell('h1', 8.0)
+    net.hosts['h3'].remove_unlisted(set())
+    for name, host in net.hosts.items():
+        host.placement_service.leading = name == 'h3'
+        host.placement_service.leader = None if name == 'h3' else 'h3'
+    net.hosts['h1']._send_limits()
+    assert net.hosts['h3'].is_limited(E)
+
+
 def test_request_that_is_sent_twice_uses_one_slot():
     """A permit whose reply was lost used the limit up."""
     net = Net(2)
