--- a/tests/test_endpointlimits.py
+++ b/tests/test_endpointlimits.py
@@ -248,3 +248,11 @@
         now_s += for_s
     assert most_in_window(fleet.times) <= 1.5 * rate_s * WINDOW_S + 5
     assert len(fleet.times) >= rate_s * 2.0
+
+
+@pytest.mark.parametrize('hosts', [8, 30])
+def test_host_that_lost_a_message_does_not_pace_alone_at_once(hosts):
+    """Hosts that lost a message sent their parts beside what was granted."""
+    fleet = Fleet(hosts, 60.0, seed=1)
+    fleet.run(10.0, 30.0, 600.0)
+    assert most_in_window(fleet.times) <= 60.0 * (WINDOW_S + 0.25 + 0.05) + 1
