Refuse prompts under a limit soon, and place none at its deadline

The wait of a late prompt was forecast from the prefill time ahead of it, and its queue was left only when it could not be prefilled in time any more.

While limits bind, a prompt that can't be on time waits for a tenth of its time at most, one that was refused before for 0.35 of it, and is refused then.

test_prompt_held_back_for_limits_is_placed_with_time_left failed before (1.1 of 2 s left and less).

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -35,6 +35,8 @@
         without a noticeable delay to the answers that they generate
     :param max_wait_share: share of the time until its deadline for which a
         request that will miss its objective may queue
+    :param limited_wait_share: the same while rate limits of the engines bind,
+        for a request that was not refused before
     :param late_placement_interval: one of this many placements goes to a
         request that will miss its objective, even while others can still
         meet theirs; without it a long burst would leave all late requests
@@ -48,6 +50,7 @@
     reserve_s: float = 0.016
     short_tokens: int = 1200
     max_wait_share: float = 0.35
+    limited_wait_share: float = 0.1
     late_placement_interval: int = 6
     long_run_s: float = 0.3
 
@@ -274,7 +277,7 @@
     ) -> promptjobs.Refused | None:
         wait_s = self._late_wait_s(now_s)
         left_s = job.deadline_s - now_s
-        if wait_s + job.need_s > left_s * self.settings.max_wait_share:
+        if wait_s + job.need_s > left_s * self._late_wait_share(job):
             reason = 'no room in time'
             if self.pool.limits_bind:
                 reason = LIMIT_REASON
@@ -589,10 +592,7 @@
         """Refuse jobs that have used up their time to wait for a slot."""
         waiting = self.answers.waiting
         for job in list(waiting.jobs.values()):
-            max_wait_s = self.settings.max_wait_share * (
-                job.deadline_s - job.submitted_s
-            )
-            if now_s - job.submitted_s > max_wait_s:
+            if _has_waited(job, self.settings.max_wait_share, now_s):
                 waiting.pop(job.id)
                 wait_s = self.answers.wait_s(now_s)
                 refused = self.refusals.refuse(
@@ -613,14 +613,28 @@
             for job in list(queue.jobs.values()):
                 wait_s = capacity.wait_s(ahead_s / share) * self.placing_hosts
                 ends_s = now_s + wait_s + job.need_s + self.settings.reserve_s
-                if ends_s <= job.deadline_s:
+                reason = 'too late'
+                share = self._late_wait_share(job)
+                if self.pool.limits_bind and _has_waited(job, share, now_s):
+                    reason = LIMIT_REASON
+                elif ends_s <= job.deadline_s:
                     ahead_s += job.need_s
                     continue
                 queue.pop(job.id)
                 decisions.append(
-                    self.refusals.refuse(job, now_s, wait_s, 'too late')
+                    self.refusals.refuse(job, now_s, wait_s, reason)
                 )
 
+    def _late_wait_share(self, job: promptjobs.Job) -> float:
+        """Return the share of its time for which a late job may queue.
+
+        Rate limits of a few requests per second leave waits that can't be
+        forecast, so a job that was not refused before is refused soon.
+        """
+        if self.pool.limits_bind and not job.is_retry:
+            return self.settings.limited_wait_share
+        return self.settings.max_wait_share
+
     def _due_s(self, job: promptjobs.Job) -> float:
         """Return when the prefill has to be complete to meet the objective."""
         latency_s = self.pool.costs[catalog.Stage.PREFILL].latency_s
@@ -752,3 +766,8 @@
             return False
         self.answers.reserve_slot(job.id, engine_id, job.output_tokens, now_s)
         return True
+
+
+def _has_waited(job: promptjobs.Job, share: float, now_s: float) -> bool:
+    """Whether a job has queued for a share of the time until its deadline."""
+    return now_s - job.submitted_s > share * (job.deadline_s - job.submitted_s)
--- a/tests/test_lab_platformday.py
+++ b/tests/test_lab_platformday.py
@@ -159,11 +159,14 @@
     }
 
 
+#: Both engines that decode, and all plain endpoints: no other one could take
+#: what they may not.
+LIMITED_PICKS = (0, 1, 4, 5, 6)
 #: Endpoints name limits while a host is killed and the store is away.
 LIMITS = platformday.Plan(
     11.0,
     (
-        *(platformday.Fault(0.5, 'limit', 1.0, pick) for pick in (0, 2, 3)),
+        *(platformday.Fault(0.5, 'limit', 1.0, n) for n in LIMITED_PICKS),
         platformday.Fault(4.0, 'kill', 0.5, 1),
         platformday.Fault(6.0, 'store_silent', 1.0),
     ),
@@ -178,7 +181,9 @@
     """Each of three processes sent endpoints as much as it liked."""
     found, seen = platformday.play(LIMITS, 1, tmp_path)
     assert not found
-    assert len(platformcheck.limit_use(seen)) == 3
+    shares = platformcheck.limit_use(seen)
+    assert len(shares) == len(LIMITED_PICKS)
+    assert min(shares) >= 0.4
 
 
 def test_hosts_that_heed_no_limit_of_endpoints_are_caught(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1016,3 +1016,27 @@
     jobs = [promptjobs.Job(n, parts, 2, 10.2, 25.0, 'z1') for n in range(1, 4)]
     decided = [each for job in jobs for each in core.submit(job, 10.0)]
     assert [each.decode_engine for each in decided] == ['d0']
+
+
+@pytest.mark.parametrize('limit_s', [1.0, 2.5, 13.0])
+def test_prompt_held_back_for_limits_is_placed_with_time_left(limit_s):
+    """Streams began shortly before their deadline and were cut by it."""
+    play = promptload.Play(
+        [20] * 10,
+        promptload.fleet(2, 2),
+        limits={'d0': limit_s, 'd1': 2.5},
+    )
+    placed_s = {}
+    send = play.send
+
+    def record(number, placed):
+        placed_s[number] = play.now_s
+        send(number, placed)
+
+    play.send = record
+    result = play.run()
+    assert result.refused and placed_s
+    for number, at_s in placed_s.items():
+        job = play.jobs[number]
+        left_s = job.deadline_s - at_s
+        assert left_s >= 0.6 * play.deadline_s
