--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -333,22 +333,9 @@
             max(0.0, 1 - limit_s * load.prompt_s)
             for limit_s in fleet.prefill_limits_s
         )
-        needed = max(
-            load.transferring / settings.transfer_share,
-            sample.slots_demand / settings.slots_share,
+        decoded, requests_ratio = self._decoding_within_limits(
+            sample, fleet, decoding
         )
-        requests_ratio = math.inf
-        decoded = float(decoding)
-        if fleet.decode_limits_s and load.requests_s > 0:
-            # Share of one engine's work that a limit lets an engine do.
-            per_request = needed / load.requests_s
-            decoded -= sum(
-                max(0.0, 1 - limit_s * per_request)
-                for limit_s in fleet.decode_limits_s
-            )
-            if decoding <= len(fleet.decode_limits_s):
-                limit_s = sum(fleet.decode_limits_s)
-                requests_ratio = limit_s / load.requests_s
         return (
             self._prefill_ratio(load, prefilled, prefill_on_decode),
             _ratio(decoded * settings.transfer_share, load.transferring),
@@ -356,6 +343,30 @@
             requests_ratio,
         )
 
+    def _decoding_within_limits(
+        self, sample: _Sample, fleet: Fleet, decoding: int
+    ) -> tuple[float, float]:
+        """Return what rate limits leave of the decode engines.
+
+        :returns: the engines that do as much as these without limits, and
+            the requests that all of them accept over those demanded
+        """
+        limits_s = fleet.decode_limits_s
+        requests_s = sample.load.requests_s
+        if not limits_s or requests_s <= 0:
+            return decoding, math.inf
+        settings = self.settings
+        needed = max(
+            sample.load.transferring / settings.transfer_share,
+            sample.slots_demand / settings.slots_share,
+        )
+        decoded = decoding - sum(
+            max(0.0, 1 - limit_s * needed / requests_s) for limit_s in limits_s
+        )
+        if decoding > len(limits_s):
+            return decoded, math.inf
+        return decoded, sum(limits_s) / requests_s
+
     def _prefill_ratio(
         self, load: Load, prefilling: int, prefill_on_decode: float
     ) -> float:
--- a/magnoliadyke/gateway/endpointlimits.py
+++ b/magnoliadyke/gateway/endpointlimits.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import random
 from typing import Callable
 from typing import NamedTuple
 
@@ -104,7 +105,7 @@
         host_members: members.Members,
         placement_service: placementservice.PlacementService,
         clock: clocks.Clock,
-        rng,
+        rng: random.Random,
     ) -> None:
         self.members = host_members
         self.pacers = pacers
@@ -355,8 +356,7 @@
         max_wait_s: float,
     ) -> Granted | Denied:
         now_s = self.clock.now_s()
-        # The sort is stable: of endpoints that accept a request at the same
-        # time the preferred one is chosen.
+        # Of endpoints with the same wait, min() returns the preferred one.
         first = min(endpoint_ids, key=lambda e: pacer.wait_s(e, now_s))
         wait_s = pacer.reserve(first, max_wait_s, now_s)
         if wait_s is not None:
