Log and count how answers of endpoints are framed and how they end

What the logs lacked to tell the hypotheses on the broken answer apart: the framing of an answer, what ended it, and the bytes of an event that were left over. What is sent and answered is unchanged.

--- /dev/null
+++ b/magnoliadyke/core/answerend.py
@@ -0,0 +1,44 @@
+"""How an endpoint's answer is framed, and how reading it ended."""
+
+import enum
+from typing import NamedTuple
+
+__all__ = ['AnswerEnd', 'End', 'Framing']
+
+
+class Framing(enum.Enum):
+    """What marks the end of an answer (RFC 9112, section 6.3).
+
+    CLOSE: neither a length nor chunks; the answer ends with its connection.
+    """
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CLOSE = 'close'
+
+
+class End(enum.Enum):
+    """What ended the reading of an answer.
+
+    MARKED: its length or its last chunk.  CLOSED: the endpoint closed the
+    connection, without a reset.  RESET: the connection failed.  TIMED_OUT: a
+    time limit expired.  INVALID: the bytes are not valid HTTP.
+    """
+
+    MARKED = 'marked'
+    CLOSED = 'closed'
+    RESET = 'reset'
+    TIMED_OUT = 'timed_out'
+    INVALID = 'invalid'
+
+
+class AnswerEnd(NamedTuple):
+    """The end of one answer.
+
+    :param framing: None if the connection ended before the head was complete
+    :param left_over: bytes received after the last whole event of a stream
+    """
+
+    framing: Framing | None
+    end: End
+    left_over: int = 0
--- a/magnoliadyke/gateway/connection.py
+++ b/magnoliadyke/gateway/connection.py
@@ -5,6 +5,7 @@
 import gevent
 from gevent import socket
 
+from magnoliadyke.core import answerend
 from magnoliadyke.gateway import http
 
 __all__ = ['Answer', 'Connection', 'request_bytes']
@@ -49,6 +50,9 @@
     :ivar last_used_s: when the owner last got the connection back after a
         request, in monotonic seconds
     :ivar is_reused: whether the connection served an earlier request
+    :ivar framing: framing of the current answer, None before its head
+    :ivar ended_by_close: whether the end of the connection is all that marked
+        the end of the current answer
     :ivar idle_limit_s: idle time after which the server closes the connection,
         in seconds; None if the server did not send it
     :raises OSError: the connection failed or timed out
@@ -64,6 +68,8 @@
         self.last_used_s = 0.0
         self.is_reused = False
         self.idle_limit_s: float | None = None
+        self.framing: answerend.Framing | None = None
+        self.ended_by_close = False
         self._reusable = False
         self._complete = False
         self._sender: gevent.Greenlet | None = None
@@ -82,6 +88,8 @@
         """
         self._complete = False
         self._reusable = False
+        self.framing = None
+        self.ended_by_close = False
         self.sent = True
         data = request_bytes(method, target, headers, body)
         if len(body) <= INLINE_BODY_BYTES:
@@ -109,6 +117,7 @@
             match part:
                 case http.Head() if part.status >= 200:
                     self._reusable = part.reusable
+                    self.framing = part.framing
                     return part
 
     def part(self) -> http.Body | http.MessageEnd:
@@ -116,6 +125,7 @@
         part = self.reader.next_part()
         if isinstance(part, http.MessageEnd):
             self._complete = True
+            self.ended_by_close = part.by_close
         return part
 
     def body(self) -> bytes:
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from magnoliadyke import clock as clocks
+from magnoliadyke.core import answerend
 from magnoliadyke.core import backoffs
 from magnoliadyke.core import balance
 from magnoliadyke.core import catalog
@@ -29,11 +30,13 @@
 __all__ = [
     'BACKOFF_REASON',
     'LIMIT_REASON',
+    'LOST_ERRORS',
     'RETRY_AFTER_S',
     'RESPONSE_MARGIN_S',
     'STOPPING',
     'Exchange',
     'Parts',
+    'marked_or_closed',
 ]
 
 LOG = logs.get('exchange')
@@ -63,6 +66,8 @@
 #: Reason of a refusal when a request is blocked because endpoints that ran it
 #: crashed.
 CRASH_REASON = 'endpoints crash when they run it'
+#: Errors that end an attempt after the request may have been sent.
+LOST_ERRORS = (OSError, http.BrokenMessage, http.OutOfTime, http.PeerClosed)
 
 
 class HeldBack(upstream.NoConnection):
@@ -114,6 +119,8 @@
     :ivar start_recorded: whether the request was recorded as usage
     :ivar permits: ids of endpoints to which it may be sent once, whatever
         their rate limits
+    :ivar answer_end: how the last answer of an endpoint ended, None without
+        one
     :ivar is_relayed: whether another host passed the request on to this one
     """
 
@@ -141,6 +148,7 @@
         self.endpoint = ''
         self.start_recorded = False
         self.permits: set[str] = set()
+        self.answer_end: answerend.AnswerEnd | None = None
         self.is_relayed = caller.is_peer
 
     def _pick_service(self) -> str:
@@ -471,20 +479,48 @@
                 )
                 head = used.head()
                 body = used.body()
-        except http.OutOfTime as error:
-            used.close()
-            return outcomes.Lost(str(error), timed_out=True)
-        except (OSError, http.PeerClosed) as error:
-            used.close()
-            return outcomes.Lost(str(error), False, broke_off=True)
-        except http.BrokenMessage as error:
-            used.close()
-            return outcomes.Lost(str(error), timed_out=False)
+        except LOST_ERRORS as error:
+            return self._lost(used, error)
         except callers.Interrupted:
             used.close()
             raise
         return self._classify(endpoint, used, head, body)
 
+    def _lost(
+        self, used: connection.Connection, error: Exception
+    ) -> outcomes.Lost:
+        """Close a connection that failed; return the attempt's outcome.
+
+        :param error: one of :data:`LOST_ERRORS`
+        """
+        used.close()
+        match error:
+            case http.OutOfTime():
+                self._record_end(used, answerend.End.TIMED_OUT)
+                return outcomes.Lost(str(error), timed_out=True)
+            case http.BrokenMessage():
+                self._record_end(used, answerend.End.INVALID)
+                return outcomes.Lost(str(error), timed_out=False)
+            case http.PeerClosed(orderly=True):
+                self._record_end(used, answerend.End.CLOSED)
+            case _:
+                self._record_end(used, answerend.End.RESET)
+        return outcomes.Lost(str(error), False, broke_off=True)
+
+    def _record_end(
+        self,
+        used: connection.Connection,
+        end: answerend.End,
+        left_over: int = 0,
+    ) -> None:
+        """Record how an endpoint's answer ended.
+
+        :param left_over: bytes after the last whole event of a stream
+        """
+        ended = answerend.AnswerEnd(used.framing, end, left_over)
+        self.answer_end = ended
+        self.parts.upstream.record_end(ended)
+
     def _classify(
         self,
         endpoint: catalog.Endpoint,
@@ -498,6 +534,7 @@
         request, which has another request id. That connection is closed:
         further bytes on it can't be assigned to a request.
         """
+        self._record_end(used, marked_or_closed(used))
         facts = self._read_facts(endpoint, used, head)
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
@@ -525,3 +562,9 @@
             cause=cause,
             left_ms=round(self.left_s * 1000),
         )
+
+
+def marked_or_closed(used: connection.Connection) -> answerend.End:
+    """Return what ended an answer that was read to its end."""
+    closed = used.ended_by_close
+    return answerend.End.CLOSED if closed else answerend.End.MARKED
--- a/magnoliadyke/gateway/http.py
+++ b/magnoliadyke/gateway/http.py
@@ -7,6 +7,7 @@
 from gevent import socket
 import httptools
 
+from magnoliadyke.core import answerend
 from magnoliadyke import errors
 
 __all__ = [
@@ -83,6 +84,15 @@
     reusable: bool
     http_1_0: bool = False
 
+    @property
+    def framing(self) -> answerend.Framing:
+        """What marks the end of the message."""
+        if self.chunked:
+            return answerend.Framing.CHUNKED
+        if self.length is not None:
+            return answerend.Framing.LENGTH
+        return answerend.Framing.CLOSE
+
     def values(self, name: bytes) -> list[bytes]:
         """Return all values of a header.
 
@@ -108,7 +118,12 @@
 
 
 class MessageEnd(NamedTuple):
-    """Marks the end of a message."""
+    """Marks the end of a message.
+
+    :param by_close: whether the end of the connection is all that marks it
+    """
+
+    by_close: bool = False
 
 
 Part = Head | Body | MessageEnd
@@ -303,7 +318,7 @@
         if not self.until_close:
             super()._closed()
         self.until_close = False
-        self.parts.append(MessageEnd())
+        self.parts.append(MessageEnd(by_close=True))
 
 
 def connect(address: str, timeout_s: float) -> socket.socket:
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -116,6 +116,14 @@
             'Retries that the budget allows this host in the window.',
             'service',
         )
+        self.answer_ends = self._gauge(
+            'answer_ends',
+            'Answers of endpoints by framing, by what ended them, and whether '
+            'bytes of an event were left over.',
+            'framing',
+            'end',
+            'in_event',
+        )
         self.open_requests = self._gauge(
             'open_requests', 'Requests under way.'
         )
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -392,15 +392,8 @@
                 result = self._classify_stream(
                     used, head, job, engine, options
                 )
-        except http.OutOfTime as error:
-            result = outcomes.Lost(str(error), timed_out=True)
-            used.close()
-        except (OSError, http.PeerClosed) as error:
-            result = outcomes.Lost(str(error), False, broke_off=True)
-            used.close()
-        except http.BrokenMessage as error:
-            result = outcomes.Lost(str(error), timed_out=False)
-            used.close()
+        except exchange.LOST_ERRORS as error:
+            result = self._lost(used, error)
         except callers.Interrupted:
             used.close()
             raise
@@ -495,6 +488,11 @@
             self.caller.chunk(data)
             if complete[-1].id is not None:
                 self.last_event = complete[-1].id
+        self._record_end(
+            used,
+            exchange.marked_or_closed(used),
+            len(splitter.incomplete),
+        )
         self._begin(head)
         if splitter.incomplete:
             self.caller.chunk(splitter.incomplete)
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -5,6 +5,7 @@
 from typing import Callable
 
 from magnoliadyke import clock as clocks
+from magnoliadyke.core import answerend
 from magnoliadyke.core import catalog
 from magnoliadyke.core import reachability
 from magnoliadyke.gateway import connection
@@ -48,6 +49,7 @@
     :ivar connect: opens a connection to an address within a time limit in
         seconds; raises OSError
     :ivar opened: number of connections opened since the start
+    :ivar ends: number of answers by how they ended
     :ivar reachability: which endpoints connections could be opened to
     :ivar on_unreachable: called with an endpoint when the first connection to
         it could not be opened
@@ -62,6 +64,9 @@
             connection.Connection
         )
         self.opened = 0
+        self.ends: collections.Counter[answerend.AnswerEnd] = (
+            collections.Counter()
+        )
         self.reachability = reachability.Reachability()
         self.on_unreachable: Callable[[catalog.Endpoint], None] = (
             lambda endpoint: None
@@ -162,6 +167,10 @@
         self._keep(endpoint, opened)
         return True
 
+    def record_end(self, ended: answerend.AnswerEnd) -> None:
+        """Count an answer by its framing and by what ended it."""
+        self.ends[ended._replace(left_over=min(1, ended.left_over))] += 1
+
     def release(
         self, endpoint: catalog.Endpoint, used: connection.Connection
     ) -> None:
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -277,6 +277,28 @@
     assert body == b'answer to r1'
 
 
+@pytest.mark.parametrize(
+    'mode, expected',
+    [
+        ('ok', ('length', 'marked')),
+        ('unframed', ('close', 'closed')),
+        ('cut', ('length', 'closed')),
+        ('reset', ('none', 'reset')),
+    ],
+)
+def test_framing_and_end_of_answers_are_counted(world, plain, mode, expected):
+    plain.mode = mode
+    node = world.node()
+    run(world, '/unsafe/x', 'POST', b'order')
+    (ended,) = node.upstream.ends
+    framing = ended.framing.value if ended.framing else 'none'
+    assert (framing, ended.end.value) == expected
+    framing, end = expected
+    labels = f'{{end="{end}",framing="{framing}",in_event="false"}}'
+    text = node.metrics.answer(b'GET', b'/metrics').body.decode()
+    assert f'magnoliadyke_answer_ends{labels} 1.0' in text
+
+
 def test_second_answer_is_nobodys(world, plain):
     """An endpoint sends a second answer after a complete one.
 
