Split events that are ended by carriage returns as they arrive

Events may end their lines by a carriage return, a line feed or both (server- sent events, HTML standard). Only pairs of line feeds were found, so such a stream reached its caller as a whole at its end, and could not be resumed.

Test: red for carriage returns, alone or with line feeds, on the code before.

--- a/magnoliadyke/gateway/events.py
+++ b/magnoliadyke/gateway/events.py
@@ -1,9 +1,16 @@
 """Splits the bytes of a stream into server-sent events."""
 
+import re
 from typing import NamedTuple
 
 __all__ = ['Event', 'EventSplitter']
 
+#: Two line ends, of which the second ends a blank line: each is a carriage
+#: return, a line feed, or both.
+BLANK_LINE = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
+#: The same where no carriage return was received, which is faster to find.
+LINE_FEEDS = re.compile(rb'\n\n')
+
 
 class Event(NamedTuple):
     """One complete server-sent event.
@@ -30,19 +37,20 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Append bytes; return the events that they complete."""
-        self.incomplete += data
+        data = self.incomplete + data
         events = []
-        while (end := self.incomplete.find(b'\n\n')) >= 0:
-            event, self.incomplete = (
-                self.incomplete[: end + 2],
-                self.incomplete[end + 2 :],
-            )
+        begin = 0
+        blank_line = BLANK_LINE if b'\r' in data else LINE_FEEDS
+        for blank in blank_line.finditer(data):
+            event = data[begin : blank.end()]
+            begin = blank.end()
             events.append(Event(_event_id(event), event))
+        self.incomplete = data[begin:]
         return events
 
 
 def _event_id(event: bytes) -> bytes | None:
-    for line in event.split(b'\n'):
+    for line in event.splitlines():
         if line.startswith(b'id:'):
             return line[3:].strip()
     return None
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -182,3 +182,21 @@
     )
     with pytest.raises(errors.ProtocolError):
         placement_codec.decode(placement_codec.encode(message))
+
+
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+@pytest.mark.parametrize('size', [1, 2, 3, 7, 1000])
+def test_events_with_any_line_ends_are_split_as_they_arrive(line_end, size):
+    """Events ended by carriage returns were held back to the stream's end."""
+    events_sent = [
+        b'id: %d' % n + line_end + b'data: x' + line_end * 2 for n in range(5)
+    ]
+    stream = b''.join(events_sent)
+    splitter = events.EventSplitter()
+    found = []
+    for start in range(0, len(stream), size):
+        found += splitter.feed(stream[start : start + size])
+    assert [event.id for event in found] == [b'%d' % n for n in range(5)]
+    data = b''.join(event.data for event in found) + splitter.incomplete
+    assert data == stream
+    assert not splitter.incomplete.strip(b'\n')
