Take no stream that ends inside an event for a whole one

Callers got half a stream with its last chunk (ORDER) when an engine broke off an answer without a length and without chunks. Cause: the close of such a connection was taken for the end of the answer, whatever had arrived; the bytes of the event that was cut were passed on, and the answer was framed anew in chunks, whose last one vouches for what nobody knew. The same held for streams whose own framing ended them inside an event.

core/answerend.py decides now whether an answer is whole, by its framing, by what ended it and by what is left over; a stream that is not goes on at another engine, or ends without its last chunk. It counts as a break for the crash history and the placement, which took it for a success. Answers to prompts that are no event streams are passed on as bodies.

--- a/magnoliadyke/core/answerend.py
+++ b/magnoliadyke/core/answerend.py
@@ -1,9 +1,9 @@
-"""How an endpoint's answer is framed, and how reading it ended."""
+"""Tells the end of an endpoint's answer from a break."""
 
 import enum
 from typing import NamedTuple
 
-__all__ = ['AnswerEnd', 'End', 'Framing']
+__all__ = ['AnswerEnd', 'End', 'Framing', 'break_reason']
 
 
 class Framing(enum.Enum):
@@ -42,3 +42,22 @@
     framing: Framing | None
     end: End
     left_over: int = 0
+
+
+def break_reason(ended: AnswerEnd) -> str | None:
+    """Return why an answer is not whole, None if it is.
+
+    An answer without a length and without chunks is ended by an orderly close
+    of its connection.  A stream that ends inside an event was broken off,
+    whatever its framing says.
+    """
+    match ended:
+        case AnswerEnd(end=End.MARKED):
+            pass
+        case AnswerEnd(framing=Framing.CLOSE, end=End.CLOSED):
+            pass
+        case _:
+            return f'the answer was broken off: {ended.end.value}'
+    if ended.left_over:
+        return f'the stream ended {ended.left_over} bytes into an event'
+    return None
--- a/magnoliadyke/gateway/events.py
+++ b/magnoliadyke/gateway/events.py
@@ -3,13 +3,17 @@
 import re
 from typing import NamedTuple
 
-__all__ = ['Event', 'EventSplitter']
+from magnoliadyke.gateway import http
 
+__all__ = ['Event', 'EventSplitter', 'is_stream']
+
+CONTENT_TYPE = b'text/event-stream'
 #: Two line ends, of which the second ends a blank line: each is a carriage
 #: return, a line feed, or both.
 BLANK_LINE = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
 #: The same where no carriage return was received, which is faster to find.
 LINE_FEEDS = re.compile(rb'\n\n')
+LINE_ENDS = b'\r\n'
 
 
 class Event(NamedTuple):
@@ -48,6 +52,20 @@
         self.incomplete = data[begin:]
         return events
 
+    @property
+    def left_over(self) -> int:
+        """Number of bytes of an event that is not complete.
+
+        Line ends between two events belong to none.
+        """
+        return len(self.incomplete.lstrip(LINE_ENDS))
+
+
+def is_stream(head: http.Head) -> bool:
+    """Return whether the body of a response is a stream of events."""
+    content_type = head.value(b'content-type') or b''
+    return content_type.split(b';', 1)[0].strip().lower() == CONTENT_TYPE
+
 
 def _event_id(event: bytes) -> bytes | None:
     for line in event.splitlines():
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -512,14 +512,15 @@
         used: connection.Connection,
         end: answerend.End,
         left_over: int = 0,
-    ) -> None:
-        """Record how an endpoint's answer ended.
+    ) -> answerend.AnswerEnd:
+        """Record and return how an endpoint's answer ended.
 
         :param left_over: bytes after the last whole event of a stream
         """
         ended = answerend.AnswerEnd(used.framing, end, left_over)
         self.answer_end = ended
         self.parts.upstream.record_end(ended)
+        return ended
 
     def _classify(
         self,
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -2,8 +2,10 @@
 
 import gevent
 
+from magnoliadyke.core import answerend
 from magnoliadyke.core import catalog
 from magnoliadyke.core import promptjobs
+from magnoliadyke.core import routes
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import connection
@@ -442,10 +444,18 @@
             return outcomes.Lost('answer to another request', False)
         if not facts.sealed or facts.has_content_encoding:
             return outcomes.Lost("not the endpoint's own answer", False)
+        if not self._is_stream(head):
+            return self._classify(engine, used, head, used.body())
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
         return self._relay(used, head, job, engine, options)
 
+    def _is_stream(self, head: http.Head) -> bool:
+        """Return whether an answer is a stream of events."""
+        if head.value(b'content-type') is None:
+            return self.route.kind is routes.Kind.STREAM
+        return events.is_stream(head)
+
     def _report_prefill_done(
         self, job: promptjobs.Job, engine: catalog.Endpoint
     ) -> None:
@@ -462,7 +472,7 @@
         job: promptjobs.Job,
         engine: catalog.Endpoint,
         options: codecs.RunOptions,
-    ) -> outcomes.Answered:
+    ) -> outcomes.Answered | outcomes.Lost:
         splitter = events.EventSplitter()
         first = True
         while True:
@@ -488,11 +498,13 @@
             self.caller.chunk(data)
             if complete[-1].id is not None:
                 self.last_event = complete[-1].id
-        self._record_end(
-            used,
-            exchange.marked_or_closed(used),
-            len(splitter.incomplete),
+        ended = self._record_end(
+            used, exchange.marked_or_closed(used), splitter.left_over
         )
+        reason = answerend.break_reason(ended)
+        if reason is not None:
+            used.close()
+            return outcomes.Lost(reason, False, broke_off=True)
         self._begin(head)
         if splitter.incomplete:
             self.caller.chunk(splitter.incomplete)
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -78,6 +78,7 @@
     :ivar events: number of events of a stream
     :ivar cut_after: number of events before a stream is cut or stalls
     :ivar framing: framing of answers, None for the usual one
+    :ivar content_type: content type of streams
     :ivar broken: where and how answers are broken off, None if they are not
     :ivar refuses_resumed: resumed streams are refused with 503
     :ivar fails_resumed: resumed streams end with 500
@@ -124,6 +125,7 @@
         self.cut_after = 1
         self.framing: answerend.Framing | None = None
         self.broken: framedanswer.Break | None = None
+        self.content_type = b'text/event-stream'
         self.crash_on_body: bytes | None = None
         self.refuses_resumed = False
         self.fails_resumed = False
@@ -396,7 +398,7 @@
         first = int(arrival.headers.get(b'last-event-id', b'0')) + 1
         headers = [
             (b'X-Request-Id', arrival.id),
-            (b'Content-Type', b'text/event-stream'),
+            (b'Content-Type', self.content_type),
             *self._signal_headers(arrival),
             *seal,
         ]
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -89,3 +89,15 @@
     (other if engines.runs else engines).broken = None
     head, body = client.answer()
     assert (head.status, body) == (200, b''.join(EVENTS))
+
+
+def test_answer_to_a_prompt_that_is_no_stream_is_not_split_into_events(
+    world, engines
+):
+    """An answer in another format has no events, so it ends inside none."""
+    engines.content_type = b'application/json'
+    engines.broken = framedanswer.Break(AT.INSIDE, BY.MARKED)
+    world.node()
+    status, body, whole = read_answer(world, '/once/x', **PROMPT)
+    assert (status, whole) == (200, True)
+    assert body == EVENTS[0] + EVENTS[1][: len(EVENTS[1]) // 2]
