Let a refusal count whose body is broken off

A caller was told 502, "may have run", of a request that its endpoint had refused with the statement that it was not run, when the body of that refusal was broken off or late: the whole answer was read before its head was looked at. The head says all; the body is read, for at most 50 ms, only so that the connection can be used again.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -4,6 +4,8 @@
 import random
 from typing import NamedTuple
 
+import gevent
+
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import answerend
 from magnoliadyke.core import backoffs
@@ -66,6 +68,9 @@
 #: Reason of a refusal when a request is blocked because endpoints that ran it
 #: crashed.
 CRASH_REASON = 'endpoints crash when they run it'
+#: Time limit for the body of an answer that says that the request was not
+#: run, in seconds; the body is read only to use the connection again.
+REFUSAL_BODY_TIMEOUT_S = 0.05
 #: Errors that end an attempt after the request may have been sent.
 LOST_ERRORS = (OSError, http.BrokenMessage, http.OutOfTime, http.PeerClosed)
 
@@ -478,7 +483,7 @@
                     request.method, request.target, headers, request.body
                 )
                 head = used.head()
-                body = used.body()
+                body = self._read_body(used, head)
         except LOST_ERRORS as error:
             return self._lost(used, error)
         except callers.Interrupted:
@@ -486,6 +491,31 @@
             raise
         return self._classify(endpoint, used, head, body)
 
+    def _read_body(
+        self, used: connection.Connection, head: http.Head
+    ) -> bytes:
+        """Wait for the body of an answer, and record how the answer ended.
+
+        A refusal that says that the request was not run holds without its
+        body, which may be broken off or late.
+
+        :returns: the body, empty for such a refusal
+        """
+        if not self.parts.codec.facts(head).not_run:
+            body = used.body()
+            self._record_end(used, marked_or_closed(used))
+            return body
+        try:
+            with gevent.Timeout(
+                REFUSAL_BODY_TIMEOUT_S, http.OutOfTime('refusal without body')
+            ):
+                body = used.body()
+        except LOST_ERRORS as error:
+            self._lost(used, error)
+            return b''
+        self._record_end(used, marked_or_closed(used))
+        return body
+
     def _lost(
         self, used: connection.Connection, error: Exception
     ) -> outcomes.Lost:
@@ -535,7 +565,6 @@
         request, which has another request id. That connection is closed:
         further bytes on it can't be assigned to a request.
         """
-        self._record_end(used, marked_or_closed(used))
         facts = self._read_facts(endpoint, used, head)
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
--- a/magnoliadyke/lab/framedanswer.py
+++ b/magnoliadyke/lab/framedanswer.py
@@ -64,8 +64,9 @@
     framing: answerend.Framing,
     broken: Break | None = None,
     pause: Callable[[], None] = lambda: None,
+    status: int = 200,
 ) -> bool:
-    """Send an answer with status 200.
+    """Send an answer.
 
     :param pieces: the body, for a stream its events
     :param broken: where and how it is broken off, None to send all of it
@@ -78,7 +79,7 @@
     promised = pieces
     if broken is not None and broken.by is BreakBy.MARKED:
         promised = [*sent, partial]
-    head = _head(headers, promised, framing)
+    head = _head(status, headers, promised, framing)
     if broken is not None and broken.at is BreakAt.HEAD:
         caller._send(head[: len(head) // 2])
         return _end_broken(caller, broken)
@@ -115,9 +116,12 @@
 
 
 def _head(
-    headers: http.Headers, pieces: list[bytes], framing: answerend.Framing
+    status: int,
+    headers: http.Headers,
+    pieces: list[bytes],
+    framing: answerend.Framing,
 ) -> bytes:
-    lines = [b'HTTP/1.1 200 OK']
+    lines = [b'HTTP/1.1 %d Status' % status]
     lines += [b'%s: %s' % header for header in headers]
     match framing:
         case answerend.Framing.LENGTH:
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -194,8 +194,7 @@
             if refusal == 503 and self.backoff_s is not None:
                 arrival.backoff_s = self.backoff_s
                 extra.append((b'Retry-After', b'%g' % self.backoff_s))
-            self._answer(caller, arrival, refusal, extra)
-            return True
+            return self._refuse(caller, arrival, refusal, extra)
         if headers.get(b'x-stage') == b'prefill':
             return self._prefill(caller, arrival)
         arrival.run = True
@@ -208,6 +207,29 @@
         finally:
             arrival.until_s = time.monotonic()
 
+    def _refuse(
+        self,
+        caller: callers.Caller,
+        arrival: Arrival,
+        status: int,
+        extra: http.Headers,
+    ) -> bool:
+        if self.framing is None and self.broken is None:
+            self._answer(caller, arrival, status, extra)
+            return True
+        return framedanswer.send(
+            caller,
+            [
+                (b'X-Request-Id', arrival.id),
+                *self._signal_headers(arrival),
+                *extra,
+            ],
+            [b'not ', b'now'],
+            self.framing or answerend.Framing.LENGTH,
+            self.broken,
+            status=status,
+        )
+
     def _refusal_status(self, headers: dict[bytes, bytes]) -> int | None:
         expected = headers.get(b'x-expect-instance')
         if expected is not None and expected != self.name.encode():
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -20,6 +20,11 @@
         yield made
 
 
+@pytest.fixture
+def plain(world):
+    return world.endpoint('p1')
+
+
 @pytest.fixture
 def engines(world):
     world.endpoint('e1', 'model', 'prefill')
@@ -101,3 +106,21 @@
     status, body, whole = read_answer(world, '/once/x', **PROMPT)
     assert (status, whole) == (200, True)
     assert body == EVENTS[0] + EVENTS[1][: len(EVENTS[1]) // 2]
+
+
+@pytest.mark.parametrize(
+    'path, headers', [('/unsafe/x', {}), ('/once/x', PROMPT)]
+)
+@pytest.mark.parametrize('by', [BY.CLOSE, BY.RESET, BY.SILENCE])
+@pytest.mark.parametrize('at', [AT.START, AT.INSIDE])
+def test_refusal_counts_though_its_body_is_broken_off(
+    world, plain, engines, path, headers, at, by
+):
+    """A caller was told 502 of a request that had not run."""
+    for each in (plain, engines):
+        each.mode = 'shed'
+        each.broken = framedanswer.Break(at, by)
+    world.node()
+    status, _, whole = read_answer(world, path, **headers)
+    assert (status, whole) == (503, True)
+    assert not plain.runs and not engines.runs
