Take no close before the first byte of a body for an empty answer

An answer with neither a length nor chunks whose connection was closed right after its head passed for a whole, empty one. Callers got 200 with an empty body or an empty stream with its last chunk; the store's client took it for an answer without fields, and the KeyError ended the greenlet that had asked.

Connection.part() asks core/answerend.py whether such a close may be an end.

--- a/magnoliadyke/core/answerend.py
+++ b/magnoliadyke/core/answerend.py
@@ -37,24 +37,28 @@
 
     :param framing: None if the connection ended before the head was complete
     :param left_over: bytes received after the last whole event of a stream
+    :param is_empty: whether no byte of the body was received
     """
 
     framing: Framing | None
     end: End
     left_over: int = 0
+    is_empty: bool = False
 
 
 def break_reason(ended: AnswerEnd) -> str | None:
     """Return why an answer is not whole, None if it is.
 
     An answer without a length and without chunks is ended by an orderly close
-    of its connection.  A stream that ends inside an event was broken off,
-    whatever its framing says.
+    of its connection, after the first byte of its body.  A stream that ends
+    inside an event was broken off, whatever its framing says.
     """
     match ended:
         case AnswerEnd(end=End.MARKED):
             pass
-        case AnswerEnd(framing=Framing.CLOSE, end=End.CLOSED):
+        case AnswerEnd(Framing.CLOSE, End.CLOSED, is_empty=True):
+            return 'the connection was closed before the body of the answer'
+        case AnswerEnd(Framing.CLOSE, End.CLOSED):
             pass
         case _:
             return f'the answer was broken off: {ended.end.value}'
--- a/magnoliadyke/gateway/connection.py
+++ b/magnoliadyke/gateway/connection.py
@@ -70,6 +70,7 @@
         self.idle_limit_s: float | None = None
         self.framing: answerend.Framing | None = None
         self.ended_by_close = False
+        self._has_body = False
         self._reusable = False
         self._complete = False
         self._sender: gevent.Greenlet | None = None
@@ -90,6 +91,7 @@
         self._reusable = False
         self.framing = None
         self.ended_by_close = False
+        self._has_body = False
         self.sent = True
         data = request_bytes(method, target, headers, body)
         if len(body) <= INLINE_BODY_BYTES:
@@ -121,13 +123,35 @@
                     return part
 
     def part(self) -> http.Body | http.MessageEnd:
-        """Wait for the next part of the response's body."""
+        """Wait for the next part of the response's body.
+
+        :raises http.PeerClosed: the response was broken off
+        """
         part = self.reader.next_part()
-        if isinstance(part, http.MessageEnd):
-            self._complete = True
-            self.ended_by_close = part.by_close
+        match part:
+            case http.Body():
+                self._has_body = True
+            case http.MessageEnd(by_close=True):
+                self._check_close()
+                self._complete = self.ended_by_close = True
+            case http.MessageEnd():
+                self._complete = True
         return part
 
+    def _check_close(self) -> None:
+        """Check that an orderly close may be the end of the response.
+
+        :raises http.PeerClosed: it is not
+        """
+        ended = answerend.AnswerEnd(
+            self.framing,
+            answerend.End.CLOSED,
+            is_empty=not self._has_body,
+        )
+        reason = answerend.break_reason(ended)
+        if reason is not None:
+            raise http.PeerClosed(reason, orderly=True)
+
     def body(self) -> bytes:
         """Wait for the rest of the response's body and return it."""
         pieces = []
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -650,10 +650,12 @@
         if active.request.workspace is not None:
             fields['workspace'] = active.request.workspace.name
         if active.answer_end is not None:
-            framing, end, left_over = active.answer_end
-            fields['framing'] = framing.value if framing else 'none'
-            fields['end'] = end.value
-            fields['left_over'] = left_over
+            ended = active.answer_end
+            fields['framing'] = (
+                ended.framing.value if ended.framing else 'none'
+            )
+            fields['end'] = ended.end.value
+            fields['left_over'] = ended.left_over
         match outcome:
             case outcomes.Answered(status):
                 fields['status'] = status
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -101,10 +101,11 @@
         gauges.unreachable_endpoints.set(
             len(parts.upstream.reachability.failing_since_s)
         )
-        for (framing, end, left_over), count in parts.upstream.ends.items():
-            framing_name = framing.value if framing else 'none'
+        for ended, count in parts.upstream.ends.items():
             gauges.answer_ends.labels(
-                framing_name, end.value, str(bool(left_over)).lower()
+                ended.framing.value if ended.framing else 'none',
+                ended.end.value,
+                str(bool(ended.left_over)).lower(),
             ).set(count)
         relayer = parts.ingress.parts.relayer
         for outcome, count in relayer.counts.items():
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -169,7 +169,8 @@
 
     def record_end(self, ended: answerend.AnswerEnd) -> None:
         """Count an answer by its framing and by what ended it."""
-        self.ends[ended._replace(left_over=min(1, ended.left_over))] += 1
+        counted = ended._replace(left_over=min(1, ended.left_over))
+        self.ends[counted] += 1
 
     def release(
         self, endpoint: catalog.Endpoint, used: connection.Connection
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,4 +1,9 @@
-"""How answers end, framing by framing: what callers may take for whole."""
+"""How answers end, framing by framing: what callers may take for whole.
+
+The table is in docs/design/answer-ends.md; each of its cells is a test.
+"""
+
+import itertools
 
 import pytest
 
@@ -8,11 +13,29 @@
 from tests import gatewayworld
 
 PROMPT = gatewayworld.prompt((0xA, 2000), (0xB, 3000), (0xC, 500))
+FRAMINGS = list(answerend.Framing)
 AT = framedanswer.BreakAt
 BY = framedanswer.BreakBy
+#: Time until the deadline of requests that get silence, in milliseconds.
+DEADLINE_MS = 400
 EVENTS = [b'id: %d\ndata: piece %d\n\n' % (n, n) for n in (1, 2, 3)]
 
 
+def _breaks(places):
+    """Cells of the table: those in which the answer is not whole.
+
+    An answer without a frame, or without a whole head, can't be marked.
+    """
+    return [
+        pytest.param(
+            framing, at, by, id=f'{framing.value}-{at.value}-{by.value}'
+        )
+        for framing, at, by in itertools.product(FRAMINGS, places, BY)
+        if by is not BY.MARKED
+        or (at is not AT.HEAD and framing is not answerend.Framing.CLOSE)
+    ]
+
+
 @pytest.fixture
 def world():
     with gatewayworld.world() as made:
@@ -54,6 +77,99 @@
         client.close()
 
 
+@pytest.mark.parametrize('framing', FRAMINGS)
+def test_whole_body_looks_whole(world, plain, framing):
+    plain.framing = framing
+    world.node()
+    answer = read_answer(world, '/unsafe/x')
+    assert answer == (200, b'answer to r1', True)
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+def test_whole_stream_looks_whole(world, engines, framing):
+    engines.framing = framing
+    world.node()
+    answer = read_answer(world, '/once/x', **PROMPT)
+    assert answer == (200, b''.join(EVENTS), True)
+
+
+#: Ends that are the proper end of another, shorter answer: nothing that the
+#: endpoint sent tells it from that answer.
+WHOLE_BY_THE_PAGES = {
+    ('body', framing, at, BY.MARKED)
+    for framing in (answerend.Framing.LENGTH, answerend.Framing.CHUNKED)
+    for at in AT
+} | {
+    ('body', answerend.Framing.CLOSE, AT.INSIDE, BY.CLOSE),
+    ('body', answerend.Framing.CLOSE, AT.BETWEEN, BY.CLOSE),
+    ('stream', answerend.Framing.LENGTH, AT.START, BY.MARKED),
+    ('stream', answerend.Framing.CHUNKED, AT.START, BY.MARKED),
+    ('stream', answerend.Framing.LENGTH, AT.BETWEEN, BY.MARKED),
+    ('stream', answerend.Framing.CHUNKED, AT.BETWEEN, BY.MARKED),
+    ('stream', answerend.Framing.CLOSE, AT.BETWEEN, BY.CLOSE),
+}
+
+
+@pytest.mark.parametrize('framing, at, by', _breaks(AT))
+def test_broken_body_never_looks_whole(world, plain, framing, at, by):
+    """An answer that was broken off was passed on as a whole one."""
+    plain.framing, plain.broken = framing, framedanswer.Break(at, by)
+    world.node()
+    status, body, whole = read_answer(
+        world, '/unsafe/x', X_Deadline_Ms=DEADLINE_MS
+    )
+    assert len(plain.runs) == 1
+    assert whole
+    if ('body', framing, at, by) in WHOLE_BY_THE_PAGES:
+        assert status == 200
+    else:
+        assert status == (504 if by is BY.SILENCE else 502)
+        assert not body.startswith(b'answer')
+
+
+@pytest.mark.parametrize('framing, at, by', _breaks(AT))
+def test_broken_stream_never_looks_whole(world, engines, framing, at, by):
+    """A stream that was broken off was passed on as a whole one."""
+    engines.framing, engines.broken = framing, framedanswer.Break(at, by)
+    world.node()
+    status, body, whole = read_answer(
+        world, '/once/x', X_Deadline_Ms=DEADLINE_MS, **PROMPT
+    )
+    assert len(engines.runs) == 1
+    if ('stream', framing, at, by) in WHOLE_BY_THE_PAGES:
+        assert (status, whole) == (200, True)
+    elif status == 200:
+        assert not whole
+        assert body == EVENTS[0]
+    else:
+        assert status == (504 if by is BY.SILENCE else 502)
+
+
+@pytest.mark.parametrize('framing, at, by', _breaks([AT.INSIDE, AT.BETWEEN]))
+def test_broken_stream_goes_on_with_each_event_once(
+    world, engines, framing, at, by
+):
+    """A stream that was broken off ended where it could go on elsewhere."""
+    other = world.endpoint('e3', 'model', 'decode')
+    for each in (engines, other):
+        each.framing, each.broken = framing, framedanswer.Break(at, by)
+        each.pause_s = 0.1
+    node = world.node()
+    node.balancer.rng.seed(1)
+    client = gatewayworld.Client(node)
+    client.request('POST', '/chat/x', 'r1', b'hi', **PROMPT)
+    gatewayworld.wait_for(
+        lambda: engines.runs or other.runs, 'the first engine'
+    )
+    (other if engines.runs else engines).broken = None
+    head, body = client.answer()
+    assert head.status == 200
+    if ('stream', framing, at, by) in WHOLE_BY_THE_PAGES:
+        assert body == EVENTS[0]
+    else:
+        assert body == b''.join(EVENTS)
+
+
 #: Ends inside an event that look like that of a whole answer.
 INSIDE = [
     pytest.param(framing, framedanswer.Break(AT.INSIDE, by), id=framing.value)
--- a/tests/test_answerend.py
+++ b/tests/test_answerend.py
@@ -43,9 +43,13 @@
             # A blank line may end by its carriage return alone.
             between.add(len(stream) - 1)
     cut = min(position, len(stream))
-    ended = answerend.AnswerEnd(framing, end, _left_over(stream[:cut], size))
+    ended = answerend.AnswerEnd(
+        framing, end, _left_over(stream[:cut], size), is_empty=not cut
+    )
     is_ended_by_framing = end is answerend.End.MARKED or (
-        framing is answerend.Framing.CLOSE and end is answerend.End.CLOSED
+        framing is answerend.Framing.CLOSE
+        and end is answerend.End.CLOSED
+        and cut > 0
     )
     assert (answerend.break_reason(ended) is None) == (
         is_ended_by_framing and cut in between
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -245,3 +245,44 @@
     with gevent.Timeout(platform_store.RESPONSE_TIMEOUT_S + 1.0):
         outcome = call_of(slow).watch('', at(3), 0.0)
     assert isinstance(outcome, store.Unavailable)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'HTTP/1.1 200 OK\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\n\r\n{"items":[],"store_rev',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{"items":[]}',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n',
+        b'HTTP/1.1 200 O',
+        b'',
+    ],
+)
+def test_answer_that_was_broken_off_is_none(answer):
+    """A write without an answer passed for an answer without fields."""
+
+    def serve(sock, address):
+        sock.recv(65536)
+        sock.sendall(answer)
+        sock.close()
+
+    breaking = server.StreamServer(('127.0.0.1', 0), serve)
+    breaking.start()
+    client = platform_store.PlatformStore(
+        f'127.0.0.1:{breaking.server_port}', clocks.SystemClock()
+    )
+    try:
+        written = client.commit({'a': ABSENT}, (store.Put('a', b'1', 0),))
+        assert isinstance(written, store.Unavailable)
+        assert written.maybe_applied
+        for found in (
+            client.list_prefix(''),
+            client.read('a'),
+            client.watch('', at(1), 0.1),
+            client.grant(1.0),
+            client.renew(1),
+        ):
+            assert isinstance(found, store.Unavailable)
+    finally:
+        client.close()
+        breaking.stop()
