Take no stream of a plain service that ends inside an event for whole

Streams of services without engines are buffered and passed on as bodies, so the check of their events was missing there: a stream that ended inside an event, by a close without a frame or by a mark, reached its caller as whole.

Test: three framings, red before.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -19,6 +19,7 @@
 from magnoliadyke.gateway import crashreports
 from magnoliadyke.gateway import departures
 from magnoliadyke.gateway import endpointlimits
+from magnoliadyke.gateway import events
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import paths
@@ -503,7 +504,10 @@
         """
         if not self.parts.codec.facts(head).not_run:
             body = used.body()
-            self._record_end(used, marked_or_closed(used))
+            left_over = (
+                events.ends_inside(body) if events.is_stream(head) else 0
+            )
+            self._record_end(used, marked_or_closed(used), left_over)
             return body
         try:
             with gevent.Timeout(
@@ -576,6 +580,10 @@
         if facts.has_content_encoding:
             used.close()
             return outcomes.Lost("not the endpoint's own answer", False)
+        reason = answerend.break_reason(self.answer_end)
+        if reason is not None:
+            used.close()
+            return outcomes.Lost(reason, False, broke_off=True)
         return outcomes.Whole(head, facts, body)
 
     def _deliver(self, whole: outcomes.Whole) -> outcomes.Answered:
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -18,6 +18,7 @@
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import relaying
 from magnoliadyke.lab import framedanswer
+from magnoliadyke.lab import platformrecords
 from magnoliadyke.platform import codec
 from tests import gatewayworld
 
@@ -338,3 +339,19 @@
     received = far.recv(65536)
     assert not received.endswith(b'0\r\n\r\n')
     assert caller.broken == bool(received)
+
+
+@pytest.mark.parametrize('framing, broken', INSIDE)
+def test_stream_of_a_plain_service_that_ends_inside_an_event_is_no_answer(
+    world, plain, framing, broken
+):
+    """Half a stream of a service without engines looked whole."""
+    route = platformrecords.route('feed', '/feed/', 'streaming', 'plain')
+    world.configure(version=2, routes=[route])
+    plain.framing, plain.broken = framing, broken
+    world.node()
+    status, body, whole = read_answer(world, '/feed/x', **PROMPT)
+    assert (status, whole) == (502, True)
+    plain.broken = None
+    answer = read_answer(world, '/feed/x', 'r2', **PROMPT)
+    assert answer == (200, b''.join(EVENTS), True)
