Resume no stream behind events that have no id

A stream that was broken off behind events without an id was resumed from the last id, or from its start, so that its caller got those events twice. Only a position whose last event had an id can be resumed at now (core/streamposition.py); else the stream ends without its last chunk.

Test: streams with no ids and with ids on some events, both red before.

--- a/magnoliadyke/gateway/events.py
+++ b/magnoliadyke/gateway/events.py
@@ -26,6 +26,11 @@
     id: bytes | None
     data: bytes
 
+    @property
+    def has_data(self) -> bool:
+        """Whether it has a ``data`` field; others are not dispatched."""
+        return any(line.startswith(b'data') for line in self.data.splitlines())
+
 
 class EventSplitter:
     """Buffers the bytes of a stream and returns complete server-sent events.
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -6,6 +6,7 @@
 from magnoliadyke.core import catalog
 from magnoliadyke.core import promptjobs
 from magnoliadyke.core import routes
+from magnoliadyke.core import streamposition
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import connection
@@ -44,7 +45,7 @@
 class PromptExchange(remoteprefill.RemotePrefill):
     """Runs a request on the engines that the placement leader assigns.
 
-    :ivar last_event: id of the last event that was relayed to the caller
+    :ivar position: position of the caller in the stream
     :ivar rejections: number of times that an engine did not accept the
         request
     :ivar possibly_run_failure: failure of the last attempt that may have run
@@ -53,7 +54,7 @@
 
     def __init__(self, *args) -> None:
         super().__init__(*args)
-        self.last_event: bytes | None = None
+        self.position = streamposition.StreamPosition()
         self.possibly_run_failure: outcomes.Failed | None = None
         self.rejections = 0
 
@@ -132,10 +133,14 @@
                     failure = self.possibly_run_failure = outcomes.Failed(
                         status, reason
                     )
-                    if not self.route.repeatable or not self._may_retry():
+                    if not (
+                        self.route.repeatable
+                        and self.position.can_resume
+                        and self._may_retry()
+                    ):
                         return self._mark_incomplete(failure)
-                    if self.last_event is not None:
-                        resume_after = self.last_event
+                    if self.position.last_id is not None:
+                        resume_after = self.position.last_id
             avoid = (*avoid, self.endpoint)
 
     def _log_decision(
@@ -426,6 +431,8 @@
             return wait()
 
     def _can_resume(self) -> bool:
+        if not self.position.can_resume:
+            return False
         now_s = self.parts.clock.now_s()
         return self._may_retry() and self._budget().has_left(now_s)
 
@@ -500,8 +507,9 @@
             self._begin(head)
             data = b''.join(event.data for event in complete)
             self.caller.chunk(data)
-            if complete[-1].id is not None:
-                self.last_event = complete[-1].id
+            for event in complete:
+                has_data = event.id is None and event.has_data
+                self.position.advance(event.id, has_data)
         ended = self._record_end(
             used, exchange.marked_or_closed(used), splitter.left_over
         )
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -79,6 +79,7 @@
     :ivar cut_after: number of events before a stream is cut or stalls
     :ivar framing: framing of answers, None for the usual one
     :ivar content_type: content type of streams
+    :ivar without_id: numbers of the events of a stream that have no id
     :ivar broken: where and how answers are broken off, None if they are not
     :ivar refuses_resumed: resumed streams are refused with 503
     :ivar fails_resumed: resumed streams end with 500
@@ -126,6 +127,7 @@
         self.framing: answerend.Framing | None = None
         self.broken: framedanswer.Break | None = None
         self.content_type = b'text/event-stream'
+        self.without_id: frozenset[int] = frozenset()
         self.crash_on_body: bytes | None = None
         self.refuses_resumed = False
         self.fails_resumed = False
@@ -443,4 +445,7 @@
         )
 
     def _event(self, number: int) -> bytes:
-        return b'id: %d\ndata: piece %d\n\n' % (number, number)
+        data = b'data: piece %d\n\n' % number
+        if number in self.without_id:
+            return data
+        return b'id: %d\n' % number + data
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -355,3 +355,29 @@
     plain.broken = None
     answer = read_answer(world, '/feed/x', 'r2', **PROMPT)
     assert answer == (200, b''.join(EVENTS), True)
+
+
+@pytest.mark.parametrize('without_id', [{1, 2, 3}, {2}])
+def test_events_without_an_id_are_not_sent_twice(world, engines, without_id):
+    """A resumed stream brought events again that had no id to resume at."""
+    other = world.endpoint('e3', 'model', 'decode')
+    broken = framedanswer.Break(AT.BETWEEN, BY.RESET, after=2)
+    for each in (engines, other):
+        each.without_id = frozenset(without_id)
+        each.broken = broken
+        each.pause_s = 0.1
+    world.node()
+    client = gatewayworld.Client(world.nodes[0])
+    client.request('POST', '/chat/x', 'r1', b'hi', **PROMPT)
+    gatewayworld.wait_for(
+        lambda: engines.runs or other.runs, 'the first engine'
+    )
+    (other if engines.runs else engines).broken = None
+    body = b''
+    with pytest.raises(http.PeerClosed):
+        while not isinstance(part := client.reader.next_part(), http.Body):
+            pass
+        body += part.data
+        while isinstance(part := client.reader.next_part(), http.Body):
+            body += part.data
+    assert body.count(b'piece 1') == body.count(b'piece 2') == 1
