Use what the head of an answer says though its body is broken off

Leaves, backoffs and rate limits that an endpoint names in a head were lost when the body behind it was broken off: the head was looked at only with the whole answer. An endpoint that had said that it leaves got more requests.

Test: red before, the leaving endpoint got the second request.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -484,13 +484,15 @@
                     request.method, request.target, headers, request.body
                 )
                 head = used.head()
+                # Before the body, which may be broken off.
+                facts = self._read_facts(endpoint, used, head)
                 body = self._read_body(used, head)
         except LOST_ERRORS as error:
             return self._lost(used, error)
         except callers.Interrupted:
             used.close()
             raise
-        return self._classify(endpoint, used, head, body)
+        return self._classify(used, head, facts, body)
 
     def _read_body(
         self, used: connection.Connection, head: http.Head
@@ -558,9 +560,9 @@
 
     def _classify(
         self,
-        endpoint: catalog.Endpoint,
         used: connection.Connection,
         head: http.Head,
+        facts: codecs.ResponseFacts,
         body: bytes,
     ) -> outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         """Check an answer against the request, and return the result.
@@ -569,7 +571,6 @@
         request, which has another request id. That connection is closed:
         further bytes on it can't be assigned to a request.
         """
-        facts = self._read_facts(endpoint, used, head)
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
         if facts.not_run and facts.request_id in (None, self.request.id):
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -446,17 +446,15 @@
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         facts = self._read_facts(engine, used, head)
         if facts.status != 200:
-            return self._classify(
-                engine, used, head, self._read_body(used, head)
-            )
+            body = self._read_body(used, head)
+            return self._classify(used, head, facts, body)
         if facts.request_id != self.request.id:
             return outcomes.Lost('answer to another request', False)
         if not facts.sealed or facts.has_content_encoding:
             return outcomes.Lost("not the endpoint's own answer", False)
         if not self._is_stream(head):
-            return self._classify(
-                engine, used, head, self._read_body(used, head)
-            )
+            body = self._read_body(used, head)
+            return self._classify(used, head, facts, body)
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
         return self._relay(used, head, job, engine, options)
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -381,3 +381,13 @@
         while isinstance(part := client.reader.next_part(), http.Body):
             body += part.data
     assert body.count(b'piece 1') == body.count(b'piece 2') == 1
+
+
+def test_what_a_head_says_counts_though_the_body_is_broken_off(world, plain):
+    """An endpoint that said that it leaves got requests, as it broke off."""
+    plain.announces_leaving = True
+    plain.broken = framedanswer.Break(AT.INSIDE, BY.RESET)
+    world.node()
+    assert read_answer(world, '/unsafe/x')[0] == 502
+    assert read_answer(world, '/unsafe/x', 'r2')[0] == 503
+    assert len(plain.runs) == 1
