Take no close for an end that a crashed endpoint left behind

The kernel closes the connections of a process that crashes in order, mostly between two events. Without a length or chunks this looked like the end of the answer: callers got half a body, or half a stream with its last chunk.

After such a close a host opens the connection that its next request needs; if it is refused and the endpoint has announced no leave, the answer was broken off. It costs a round trip after the last event, for such answers only.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -39,7 +39,6 @@
     'STOPPING',
     'Exchange',
     'Parts',
-    'marked_or_closed',
 ]
 
 LOG = logs.get('exchange')
@@ -486,7 +485,7 @@
                 head = used.head()
                 # Before the body, which may be broken off.
                 facts = self._read_facts(endpoint, used, head)
-                body = self._read_body(used, head)
+                body = self._read_body(endpoint, used, head)
         except LOST_ERRORS as error:
             return self._lost(used, error)
         except callers.Interrupted:
@@ -495,7 +494,10 @@
         return self._classify(used, head, facts, body)
 
     def _read_body(
-        self, used: connection.Connection, head: http.Head
+        self,
+        endpoint: catalog.Endpoint,
+        used: connection.Connection,
+        head: http.Head,
     ) -> bytes:
         """Wait for the body of an answer, and record how the answer ended.
 
@@ -509,7 +511,7 @@
             left_over = (
                 events.ends_inside(body) if events.is_stream(head) else 0
             )
-            self._record_end(used, marked_or_closed(used), left_over)
+            self._record_whole(endpoint, used, left_over)
             return body
         try:
             with gevent.Timeout(
@@ -519,7 +521,7 @@
         except LOST_ERRORS as error:
             self._lost(used, error)
             return b''
-        self._record_end(used, marked_or_closed(used))
+        self._record_end(used, answerend.End.MARKED)
         return body
 
     def _lost(
@@ -543,17 +545,38 @@
                 self._record_end(used, answerend.End.RESET)
         return outcomes.Lost(str(error), False, broke_off=True)
 
-    def _record_end(
+    def _record_whole(
         self,
+        endpoint: catalog.Endpoint,
         used: connection.Connection,
-        end: answerend.End,
-        left_over: int = 0,
+        left_over: int,
     ) -> answerend.AnswerEnd:
-        """Record and return how an endpoint's answer ended.
+        """Record and return the end of an answer that was read to its end.
+
+        A crash closes connections in order, like the end of an answer without
+        a frame, but then nothing listens at the endpoint's address.  The
+        connection that is opened to find out replaces the one that ended.
 
         :param left_over: bytes after the last whole event of a stream
         """
-        ended = answerend.AnswerEnd(used.framing, end, left_over)
+        if not used.ended_by_close:
+            return self._record_end(used, answerend.End.MARKED, left_over)
+        is_gone = self.parts.catalog.find_staying(
+            endpoint.id
+        ) is not None and self.parts.upstream.is_refused(endpoint)
+        return self._record_end(used, answerend.End.CLOSED, left_over, is_gone)
+
+    def _record_end(
+        self,
+        used: connection.Connection,
+        end: answerend.End,
+        left_over: int = 0,
+        is_process_gone: bool = False,
+    ) -> answerend.AnswerEnd:
+        """Record and return how an endpoint's answer ended."""
+        ended = answerend.AnswerEnd(
+            used.framing, end, left_over, is_process_gone=is_process_gone
+        )
         self.answer_end = ended
         self.parts.upstream.record_end(ended)
         return ended
@@ -601,9 +624,3 @@
             cause=cause,
             left_ms=round(self.left_s * 1000),
         )
-
-
-def marked_or_closed(used: connection.Connection) -> answerend.End:
-    """Return what ended an answer that was read to its end."""
-    closed = used.ended_by_close
-    return answerend.End.CLOSED if closed else answerend.End.MARKED
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -446,14 +446,14 @@
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         facts = self._read_facts(engine, used, head)
         if facts.status != 200:
-            body = self._read_body(used, head)
+            body = self._read_body(engine, used, head)
             return self._classify(used, head, facts, body)
         if facts.request_id != self.request.id:
             return outcomes.Lost('answer to another request', False)
         if not facts.sealed or facts.has_content_encoding:
             return outcomes.Lost("not the endpoint's own answer", False)
         if not self._is_stream(head):
-            body = self._read_body(used, head)
+            body = self._read_body(engine, used, head)
             return self._classify(used, head, facts, body)
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
@@ -508,9 +508,7 @@
             for event in complete:
                 has_data = event.id is None and event.has_data
                 self.position.advance(event.id, has_data)
-        ended = self._record_end(
-            used, exchange.marked_or_closed(used), splitter.left_over
-        )
+        ended = self._record_whole(engine, used, splitter.left_over)
         reason = answerend.break_reason(ended)
         if reason is not None:
             used.close()
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -167,6 +167,19 @@
         self._keep(endpoint, opened)
         return True
 
+    def is_refused(self, endpoint: catalog.Endpoint) -> bool:
+        """Try to open a connection, and keep it for the next request.
+
+        :returns: whether nothing listens at the endpoint's address
+        """
+        try:
+            opened = self._connect(endpoint)
+        except NoConnection as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        opened.last_used_s = self.clock.now_s()
+        self._keep(endpoint, opened)
+        return False
+
     def record_end(self, ended: answerend.AnswerEnd) -> None:
         """Count an answer by its framing and by what ended it."""
         counted = ended._replace(left_over=min(1, ended.left_over))
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -78,6 +78,7 @@
     :ivar events: number of events of a stream
     :ivar cut_after: number of events before a stream is cut or stalls
     :ivar framing: framing of answers, None for the usual one
+    :ivar ends_with_break: it stops listening as it breaks an answer off
     :ivar content_type: content type of streams
     :ivar without_id: numbers of the events of a stream that have no id
     :ivar broken: where and how answers are broken off, None if they are not
@@ -126,6 +127,7 @@
         self.cut_after = 1
         self.framing: answerend.Framing | None = None
         self.broken: framedanswer.Break | None = None
+        self.ends_with_break = False
         self.content_type = b'text/event-stream'
         self.without_id: frozenset[int] = frozenset()
         self.crash_on_body: bytes | None = None
@@ -406,6 +408,8 @@
         if broken is not None and broken.after >= len(pieces):
             broken = None
         arrival.aborted = arrival.aborted or broken is not None
+        if broken is not None and self.ends_with_break:
+            self.server.close()
         reusable = framedanswer.send(
             caller, headers, pieces, framing, broken, pause
         )
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -383,6 +383,55 @@
     assert body.count(b'piece 1') == body.count(b'piece 2') == 1
 
 
+@pytest.mark.parametrize(
+    'path, headers, expected',
+    [('/unsafe/x', {}, (502, True)), ('/once/x', PROMPT, (200, False))],
+    ids=['body', 'stream'],
+)
+def test_close_by_an_endpoint_that_crashes_is_no_end(
+    world, plain, engines, path, headers, expected
+):
+    """The kernel closed the connections of a crashed process in order."""
+    for each in (plain, engines):
+        each.framing = answerend.Framing.CLOSE
+        each.broken = framedanswer.Break(AT.BETWEEN, BY.CLOSE)
+        each.ends_with_break = True
+    world.node()
+    status, _, whole = read_answer(world, path, **headers)
+    assert (status, whole) == expected
+
+
+def test_stream_of_an_engine_that_crashes_goes_on_elsewhere(world, engines):
+    """Half a stream without a frame was its answer, as its engine crashed."""
+    other = world.endpoint('e3', 'model', 'decode')
+    for each in (engines, other):
+        each.framing = answerend.Framing.CLOSE
+        each.broken = framedanswer.Break(AT.BETWEEN, BY.CLOSE)
+        each.ends_with_break = True
+        each.pause_s = 0.1
+    world.node()
+    client = gatewayworld.Client(world.nodes[0])
+    client.request('POST', '/chat/x', 'r1', b'hi', **PROMPT)
+    gatewayworld.wait_for(
+        lambda: engines.runs or other.runs, 'the first engine'
+    )
+    (other if engines.runs else engines).broken = None
+    head, body = client.answer()
+    assert (head.status, body) == (200, b''.join(EVENTS))
+
+
+def test_last_answer_of_an_endpoint_that_leaves_is_whole(world, plain):
+    """An endpoint answered without a frame, and ended as it had announced."""
+    plain.framing = answerend.Framing.CLOSE
+    plain.announces_leaving = True
+    node = world.node()
+    plain.broken = framedanswer.Break(AT.BETWEEN, BY.CLOSE, after=1)
+    plain.ends_with_break = True
+    status, body, _ = read_answer(world, '/unsafe/x')
+    assert (status, body) == (200, b'answer')
+    assert 'p1' in node.catalog.leaving_ids
+
+
 def test_what_a_head_says_counts_though_the_body_is_broken_off(world, plain):
     """An endpoint that said that it leaves got requests, as it broke off."""
     plain.announces_leaving = True
