--- a/magnoliadyke/lab/framedanswer.py
+++ b/magnoliadyke/lab/framedanswer.py
@@ -1,6 +1,7 @@
 """Answers of stand-ins, framed and broken off in every way that HTTP has."""
 
 import enum
+import itertools
 from typing import Callable
 from typing import NamedTuple
 
@@ -11,7 +12,9 @@
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import http
 
-__all__ = ['Break', 'BreakAt', 'BreakBy', 'send']
+__all__ = ['Break', 'BreakAt', 'BreakBy', 'detectable_breaks', 'send']
+
+Framing = answerend.Framing
 
 #: Value of SO_LINGER with which close() resets the connection.
 LINGER_RESET = (1).to_bytes(4, 'little') + bytes(4)
@@ -46,22 +49,48 @@
     MARKED = 'marked'
 
 
+_BEFORE_BODY = (BreakAt.HEAD, BreakAt.START)
+
+
 class Break(NamedTuple):
     """A break of an answer.
 
     :param after: number of whole pieces that are sent before it
+    :param framing: framing of the answer, None for that of other answers
     """
 
     at: BreakAt
     by: BreakBy
     after: int = 1
+    framing: Framing | None = None
+
+
+def detectable_breaks(is_stream: bool) -> list[Break]:
+    """Return the breaks that are not the end of a shorter answer.
+
+    :param is_stream: whether the pieces are events
+    """
+    found = []
+    for framing in Framing:
+        for at, by in itertools.product(BreakAt, BreakBy):
+            if by is BreakBy.MARKED:
+                is_seen = is_stream and at is BreakAt.INSIDE
+                is_possible = framing is not Framing.CLOSE
+            else:
+                is_end = framing is Framing.CLOSE and by is BreakBy.CLOSE
+                is_inside = at is BreakAt.INSIDE and is_stream
+                is_seen = not is_end or is_inside or at in _BEFORE_BODY
+                is_possible = True
+            if is_seen and is_possible:
+                found.append(Break(at, by, framing=framing))
+    return found
 
 
 def send(
     caller: callers.Caller,
     headers: http.Headers,
     pieces: list[bytes],
-    framing: answerend.Framing,
+    framing: Framing,
     broken: Break | None = None,
     pause: Callable[[], None] = lambda: None,
     status: int = 200,
@@ -75,6 +104,7 @@
     """
     sent, partial = pieces, b''
     if broken is not None:
+        framing = broken.framing or framing
         sent, partial = _broken_off(pieces, broken)
     promised = pieces
     if broken is not None and broken.by is BreakBy.MARKED:
@@ -90,15 +120,15 @@
     is_marked = broken is None or broken.by is BreakBy.MARKED
     if partial:
         framed = _framed(partial, framing)
-        if not is_marked and framing is answerend.Framing.CHUNKED:
+        if not is_marked and framing is Framing.CHUNKED:
             # The chunk is announced with more bytes than are sent.
             framed = b'%x\r\n%s' % (2 * len(partial), partial)
         caller._send(framed)
     if not is_marked:
         return _end_broken(caller, broken)
-    if framing is answerend.Framing.CHUNKED:
+    if framing is Framing.CHUNKED:
         caller._send(b'0\r\n\r\n')
-    return framing is not answerend.Framing.CLOSE
+    return framing is not Framing.CLOSE
 
 
 def _broken_off(
@@ -119,20 +149,20 @@
     status: int,
     headers: http.Headers,
     pieces: list[bytes],
-    framing: answerend.Framing,
+    framing: Framing,
 ) -> bytes:
     lines = [b'HTTP/1.1 %d Status' % status]
     lines += [b'%s: %s' % header for header in headers]
     match framing:
-        case answerend.Framing.LENGTH:
+        case Framing.LENGTH:
             lines.append(b'Content-Length: %d' % sum(map(len, pieces)))
-        case answerend.Framing.CHUNKED:
+        case Framing.CHUNKED:
             lines.append(b'Transfer-Encoding: chunked')
     return b'\r\n'.join(lines) + b'\r\n\r\n'
 
 
-def _framed(piece: bytes, framing: answerend.Framing) -> bytes:
-    if framing is answerend.Framing.CHUNKED and piece:
+def _framed(piece: bytes, framing: Framing) -> bytes:
+    if framing is Framing.CHUNKED and piece:
         return b'%x\r\n%s\r\n' % (len(piece), piece)
     return piece
 
--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -14,11 +14,11 @@
 "at_s" and "kind", and optionally "for_s" (duration in seconds) and "pick" (a
 number that selects the host or endpoint).  Kinds are kill, stop, pause,
 crash, restart, foreign_entry, scale_in, leave_unlisted, shed, reset, error,
-cut, store_busy, store_reset, store_silent, store_lost, store_slow,
-store_deaf, store_restore, compact, configure, limit, link_cut, link_delay,
-link_silence, link_loss, path_reset, path_silence, path_one_way, path_refuse
-and path_some (of these five the duration is that after the first three
-seconds, in which hosts have to find out).
+cut, frame, break, store_busy, store_reset, store_silent, store_lost,
+store_slow, store_deaf, store_restore, compact, configure, limit, link_cut,
+link_delay, link_silence, link_loss, path_reset, path_silence, path_one_way,
+path_refuse and path_some (of these five the duration is that after the first
+three seconds, in which hosts have to find out).
 
 Nodes are processes of their own; the store and the endpoints are stand-ins.
 Callers use open connections until the process at the other end has exited;
@@ -40,9 +40,11 @@
 import docopt
 import gevent
 
+from magnoliadyke.core import answerend
 from magnoliadyke import errors
 from magnoliadyke.lab import arguments
 from magnoliadyke.lab import cluster
+from magnoliadyke.lab import framedanswer
 from magnoliadyke.lab import platformcaller
 from magnoliadyke.lab import platformcheck
 from magnoliadyke.lab import platformfleet
@@ -79,6 +81,7 @@
     {'slots': float('nan')},
 )
 ENDPOINT_MODES = ('cut', 'error', 'reset')
+FRAMINGS = tuple(answerend.Framing)
 LINK_RULES = {
     'link_cut': {'kind': 'cut', 'both': True},
     'link_delay': {'kind': 'delay', 'both': True, 'delay_s': 0.1},
@@ -417,6 +420,25 @@
             gevent.sleep(fault.for_s)
             endpoint.mode = 'ok'
 
+    def frame(self, fault: Fault) -> None:
+        """Have an endpoint frame its answers in another way.
+
+        This is no disturbance: the answers are whole.
+        """
+        endpoint = self.fleet.endpoints[self._pick_endpoint(fault)]
+        endpoint.framing = FRAMINGS[fault.pick % len(FRAMINGS)]
+        gevent.sleep(fault.for_s)
+        endpoint.framing = None
+
+    def break_off(self, fault: Fault) -> None:
+        """Have an endpoint break its answers off in one of all ways."""
+        endpoint = self.fleet.endpoints[self._pick_endpoint(fault)]
+        ways = framedanswer.detectable_breaks(bool(endpoint.stage))
+        with self._record_disturbance('endpoints'):
+            endpoint.broken = ways[fault.pick % len(ways)]
+            gevent.sleep(fault.for_s)
+            endpoint.broken = None
+
     def shed(self, fault: Fault) -> None:
         """Have an endpoint refuse requests and ask for a backoff."""
         endpoint = self.fleet.endpoints[self._pick_endpoint(fault)]
@@ -553,6 +575,8 @@
     'foreign_entry': Day.foreign_entry,
     'scale_in': Day.scale_in,
     'leave_unlisted': Day.leave_unlisted,
+    'frame': Day.frame,
+    'break': Day.break_off,
     'shed': Day.shed,
     'limit': Day.limit,
     'store_lost': Day.store_lost,
--- a/magnoliadyke/lab/soak.py
+++ b/magnoliadyke/lab/soak.py
@@ -44,6 +44,10 @@
 RESPONSE_ONLY_KINDS = frozenset(('leave_unlisted', 'limit', 'shed'))
 #: Mean time between two cuts of a host from endpoints.
 MEAN_PATH_INTERVAL_S = 8.0
+#: Mean time between two changes of how an endpoint frames or breaks off its
+#: answers.
+MEAN_FRAME_INTERVAL_S = 2.0
+FRAME_KINDS = frozenset(('frame', 'break'))
 
 
 def draw(seed: int, seconds: float, hosts: int) -> platformday.Plan:
@@ -53,7 +57,8 @@
     :param hosts: number of nodes
     """
     rng = random.Random(seed)
-    drawn_apart = RESPONSE_ONLY_KINDS | platformday.PATH_RULES.keys()
+    drawn_apart = RESPONSE_ONLY_KINDS | FRAME_KINDS
+    drawn_apart |= platformday.PATH_RULES.keys()
     kinds = sorted(platformday.KINDS.keys() - drawn_apart)
     faults = []
     at_s = rng.expovariate(1 / MEAN_FAULT_INTERVAL_S)
@@ -90,6 +95,13 @@
             platformday.Fault(round(at_s, 3), kind, MAX_FAULT_S, pick)
         )
         at_s += rng.expovariate(1 / MEAN_PATH_INTERVAL_S)
+    at_s = rng.expovariate(1 / MEAN_FRAME_INTERVAL_S)
+    while at_s < seconds:
+        kind = rng.choice(sorted(FRAME_KINDS))
+        for_s = round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 3)
+        pick = rng.randrange(1000)
+        faults.append(platformday.Fault(round(at_s, 3), kind, for_s, pick))
+        at_s += rng.expovariate(1 / MEAN_FRAME_INTERVAL_S)
     return platformday.Plan(
         seconds,
         tuple(faults),
--- a/tests/test_lab_platformday.py
+++ b/tests/test_lab_platformday.py
@@ -3,11 +3,13 @@
 import gevent
 import pytest
 
+from magnoliadyke.core import answerend
 from magnoliadyke.core import routes
 from magnoliadyke import errors
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import exchange
 from magnoliadyke.gateway import outcomes
+from magnoliadyke.lab import framedanswer
 from magnoliadyke.lab import platformcaller
 from magnoliadyke.lab import platformcheck
 from magnoliadyke.lab import platformday
@@ -263,7 +265,7 @@
     misbehave(made)
     gevent.sleep(1.5)
     for endpoint in made:
-        endpoint.mode = 'ok'
+        endpoint.mode, endpoint.broken = 'ok', None
     gevent.sleep(1.0)
     calling.stop()
     disturbed = [platformcheck.Disturbance('endpoints', 0.0, float('inf'))]
@@ -294,6 +296,15 @@
         endpoint.mode = 'cut'
 
 
+def _break_streams(made):
+    for endpoint in made[3:]:
+        endpoint.broken = framedanswer.Break(
+            framedanswer.BreakAt.INSIDE,
+            framedanswer.BreakBy.CLOSE,
+            framing=answerend.Framing.CLOSE,
+        )
+
+
 @pytest.fixture
 def world():
     with gatewayworld.world() as made:
@@ -304,6 +315,10 @@
     assert _play(world, _reset_plain) == set()
 
 
+def test_sound_node_keeps_the_promises_of_broken_streams(world):
+    assert _play(world, _break_streams) == set()
+
+
 def test_sound_node_keeps_the_promises_of_streams(world):
     assert _play(world, _cut_streams) == set()
 
@@ -340,6 +355,11 @@
     assert 'streams are whole' in _play(world, _cut_streams)
 
 
+def test_taking_half_an_event_for_an_end_is_caught(world, monkeypatch):
+    monkeypatch.setattr(answerend, 'break_reason', lambda ended: None)
+    assert 'streams are whole' in _play(world, _break_streams)
+
+
 def test_answering_nothing_is_caught(world, monkeypatch):
     def nothing(self, *arguments):
         raise callers.CallerLeft('for the test')
