Read and log software versions and the attempt that a stream resumes

What the logs lacked to tell the hypotheses on streams of two versions apart. Endpoints carry the version of their software; an entry without a readable one is usable as before. The lines endpoint and placed name it, placed says whether the request is resumed, and request_ended names what it resumes. A second Resumes header is refused like that of other single headers. Where requests are sent is unchanged.

--- a/magnoliadyke/core/catalog.py
+++ b/magnoliadyke/core/catalog.py
@@ -41,6 +41,7 @@
         clock; 0 if unknown
     :param reclaimable: whether the provider may reclaim it at short notice,
         together with the other reclaimable ones in its failure domain
+    :param version: version of its software, empty if its entry names none
     """
 
     id: str
@@ -53,6 +54,7 @@
     published_name: str = ''
     started_ms: int = 0
     reclaimable: bool = False
+    version: str = ''
 
     @property
     def name(self) -> str:
--- a/magnoliadyke/gateway/codec.py
+++ b/magnoliadyke/gateway/codec.py
@@ -46,6 +46,8 @@
     :param wait_s: how long the caller waits, in seconds; None if not given
     :param prompt: description of the prompt, None if not given
     :param resume_after: id of the last stream event that the caller received
+    :param resumes: id of the request that brought the first event of a stream
+        that this one resumes, None if not given
     :param key_digest: digest of the caller's API key, None without one; the
         key itself is not stored
     :ivar workspace: workspace that the request runs for, set at admission
@@ -61,6 +63,7 @@
     wait_s: float | None
     prompt: Prompt | None
     resume_after: bytes | None
+    resumes: bytes | None = None
     key_digest: bytes | None = None
     workspace: workspaces.Workspace | None = None
 
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -649,6 +649,10 @@
         }
         if active.request.workspace is not None:
             fields['workspace'] = active.request.workspace.name
+        if active.request.resume_after is not None:
+            fields['resumes'] = (active.request.resumes or b'none').decode(
+                'latin-1'
+            )
         if active.answer_end is not None:
             ended = active.answer_end
             fields['framing'] = (
--- a/magnoliadyke/gateway/keymirror.py
+++ b/magnoliadyke/gateway/keymirror.py
@@ -281,6 +281,7 @@
             address=endpoint.address,
             leaving=endpoint.leaving,
             stage=endpoint.stage.value or 'none',
+            software=endpoint.version or 'none',
             position=item.position,
         )
 
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -157,9 +157,14 @@
         }
         match decision:
             case promptjobs.Placed():
+                engine = self.parts.catalog.endpoints.get(
+                    decision.decode_engine
+                )
                 LOG.event(
                     'placed',
                     **fields,
+                    resumed=job.resumed,
+                    software=engine.version if engine else 'none',
                     reads=decision.prefill_engine or decision.decode_engine,
                     endpoint=decision.decode_engine,
                     fetch_from=decision.fetch_from or 'none',
--- a/magnoliadyke/platform/codec.py
+++ b/magnoliadyke/platform/codec.py
@@ -73,6 +73,7 @@
         b'x-token-counts',
         b'x-prompt-prefix',
         b'last-event-id',
+        b'resumes',
         b'x-length-hint',
     )
 )
@@ -86,6 +87,7 @@
     b'x-token-counts',
     b'x-prompt-prefix',
     b'last-event-id',
+    b'resumes',
     API_KEY,
 )
 STATUS_WRONG_ENDPOINT = 421
@@ -139,6 +141,7 @@
             wait_s=wait_s,
             prompt=prompt,
             resume_after=single_values.get(b'last-event-id'),
+            resumes=single_values.get(b'resumes') or None,
             key_digest=_key_digest(single_values.get(API_KEY)),
         )
 
--- a/magnoliadyke/platform/records.py
+++ b/magnoliadyke/platform/records.py
@@ -31,6 +31,7 @@
 
 STATE_READY = 'ready'
 STATES = (STATE_READY, 'draining')
+MAX_VERSION_CHARACTERS = 64
 #: Valid endpoint names; a name is sent to its endpoint in a header.
 ENDPOINT_ID = re.compile('[!-~]{1,200}')
 
@@ -229,4 +230,15 @@
         published_name=name if started_ms else '',
         started_ms=started_ms,
         reclaimable=fields.read_bool(found, 'spot'),
+        version=_version(found.get('version')),
     )
+
+
+def _version(found: Any) -> str:
+    """Return the version of an endpoint's software, empty if unusable.
+
+    An endpoint whose version can't be read is usable all the same.
+    """
+    if isinstance(found, str) and len(found) <= MAX_VERSION_CHARACTERS:
+        return found
+    return ''
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -34,6 +34,19 @@
         promptcache.PromptPart(255, 20),
     )
     assert made.resume_after == b'12'
+    assert made.resumes is None
+
+
+def test_attempt_that_a_request_resumes():
+    assert request((b'Resumes', b'r0')).resumes == b'r0'
+    assert request((b'Resumes', b'')).resumes is None
+    repeated = request((b'Resumes', b'r0'), (b'Resumes', b'r0'))
+    assert isinstance(repeated, codecs.Malformed)
+    headers = codec.PlatformCodec().run_headers(
+        request((b'Resumes', b'r0'), (b'Connection', b'Resumes')),
+        codecs.RunOptions('e1', 1.0),
+    )
+    assert (b'Resumes', b'r0') in headers
 
 
 @pytest.mark.parametrize(
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -307,3 +307,22 @@
     for each in found.routes:
         found.match(each.host, each.prefix)
         assert each.timeout_s > 0 and each.targets
+
+
+@pytest.mark.parametrize(
+    'value, expected',
+    [('v1.2', 'v1.2'), (None, ''), (7, ''), ([], ''), ('x' * 100, '')],
+)
+def test_version_of_the_software_never_makes_an_entry_unusable(
+    value, expected
+):
+    fields = {
+        'service': 'model',
+        'address': '1.2.3.4:5',
+        'zone': 'z1',
+        'slots': 1,
+        'state': 'ready',
+        'version': value,
+    }
+    found = records.decode_endpoint('servers/e1', json.dumps(fields).encode())
+    assert found.version == expected
