--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -63,6 +63,7 @@
 
     :param stage: 'prefill' or 'decode' for an engine, '' for a plain one
     :param domain: failure domain
+    :param version: version of its software
     :ivar mode: how requests are served: 'ok', 'error' (500), 'shed' (503, not
         executed), 'reset' (the connection is reset after the execution),
         'silent' (no answer for 60 s), 'cut' (the connection is reset or
@@ -111,6 +112,7 @@
         domain: str = 'z1',
         address: str = '127.0.0.1:0',
         slots: int = 16,
+        version: str = 'v1',
     ) -> None:
         super().__init__(address)
         self.name = name
@@ -118,6 +120,7 @@
         self.stage = stage
         self.domain = domain
         self.slots = slots
+        self.version = version
         self.state = 'ready'
         self.mode = 'ok'
         self.work_s = 0.0
@@ -160,7 +163,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.domain,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': self.state,
             'cold_left_ms': 0,
