Let a stream go on only at the software version that began it

Callers got streams that held events of two software versions (ORDER): a host resumed its own stream at any engine, and a caller's retry at another host, which knew nothing of the stream, went to any engine as well. Cause: nobody read the versions in the endpoints' entries, and which endpoint wrote a stream was known to the host alone that passed it on, and lost with it.

A host records the version of a stream that may be resumed before its first event is passed on and, unless one version alone can have served for a minute, tells three hosts chosen by rendezvous hashing of the stream's key; when a second version appears it tells of all its streams. A host at which a caller takes a stream up asks five hosts in that order. If nobody knows, the stream goes on only where one version alone can have begun it; else it is refused, "not run", like one whose version serves no more. The placement leader is told the version that a job needs.

--- a/magnoliadyke/core/decodeengines.py
+++ b/magnoliadyke/core/decodeengines.py
@@ -67,8 +67,18 @@
         """Whether any engine of the decode stage is listed."""
         return bool(self.rotation)
 
+    def has_version(self, version: str) -> bool:
+        """Whether a decode engine of a software version is listed."""
+        return any(
+            self.engines[each].endpoint.version == version
+            for each in self.rotation
+        )
+
     def available(
-        self, avoid: tuple[str, ...], now_s: float
+        self,
+        avoid: tuple[str, ...],
+        now_s: float,
+        version: str | None = None,
     ) -> list[enginemodel.EngineModel]:
         """Return the decode engines of the best readiness class.
 
@@ -79,15 +89,21 @@
         replaces them.
 
         :param avoid: ids of engines that have rejected the request
+        :param version: software version of the engines, None for any
         """
-        best = self._best_class(avoid, now_s)
+        best = self._best_class(avoid, now_s, version)
         return [e for e in best if not self._limit_wait_s(e, now_s)]
 
     def _best_class(
-        self, avoid: tuple[str, ...], now_s: float
+        self,
+        avoid: tuple[str, ...],
+        now_s: float,
+        version: str | None = None,
     ) -> list[enginemodel.EngineModel]:
         classes = collections.defaultdict(list)
         for engine in self.engines.values():
+            if version is not None and engine.endpoint.version != version:
+                continue
             if engine.endpoint.stage is catalog.Stage.DECODE:
                 classes[_readiness(engine, avoid, now_s)].append(engine)
         return classes[min(classes)] if classes else []
@@ -97,7 +113,12 @@
     ) -> float:
         return self.pacer.wait_s(engine.endpoint.id, now_s)
 
-    def limit_wait_s(self, avoid: tuple[str, ...], now_s: float) -> float:
+    def limit_wait_s(
+        self,
+        avoid: tuple[str, ...],
+        now_s: float,
+        version: str | None = None,
+    ) -> float:
         """Return the time until the rate limits allow a request, in seconds.
 
         0 if an engine accepts one now, or if there is none.
@@ -107,7 +128,7 @@
         return min(
             (
                 self._limit_wait_s(each, now_s)
-                for each in self._best_class(avoid, now_s)
+                for each in self._best_class(avoid, now_s, version)
             ),
             default=0.0,
         )
@@ -163,15 +184,18 @@
         return found
 
     def choose_for_short_prompt(
-        self, avoid: tuple[str, ...], now_s: float
+        self,
+        avoid: tuple[str, ...],
+        now_s: float,
+        version: str | None = None,
     ) -> enginemodel.EngineModel | None:
-        """Choose the decode engine for a short prompt.
+        """Choose the decode engine for a short prompt, or a resumed job.
 
         Requests are packed onto engines that generate long answers already,
         so that the other decode engines can prefill.
         """
         return min(
-            self.available(avoid, now_s),
+            self.available(avoid, now_s, version),
             key=lambda e: _short_order(e, now_s),
             default=None,
         )
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -68,6 +68,8 @@
 PLACEMENT_INTERVAL_S = 0.05
 #: Reason of a refusal for the rate limits of the decode engines.
 LIMIT_REASON = 'the limits of the engines leave no room'
+#: Reason of a refusal when no engine of the version of a stream is listed.
+VERSION_GONE_REASON = 'no engine of the version that began the stream serves'
 #: Time constant of measured demand, in seconds: half a period of the load's
 #: fluctuation.
 DEMAND_TIME_CONSTANT_S = 1.5
@@ -303,6 +305,10 @@
         the answer was already sent to the caller, and one that has just
         failed at the only available decode engine.
         """
+        if job.version is not None and not (
+            self.pool.decode_engines.has_version(job.version)
+        ):
+            return [self.refusals.refuse(job, now_s, 0.0, VERSION_GONE_REASON)]
         if (cooldown_s := self._cooldown_s(job, now_s)) > 0:
             return self._hold(job, cooldown_s, 'the engine is down', now_s)
         if (limit_wait_s := self._limit_wait_s(job, now_s)) > 0:
@@ -335,7 +341,7 @@
         The jobs in the queue go first.
         """
         decode_engines = self.pool.decode_engines
-        wait_s = decode_engines.limit_wait_s(job.avoid, now_s)
+        wait_s = decode_engines.limit_wait_s(job.avoid, now_s, job.version)
         if not wait_s:
             return 0.0
         rate_s = decode_engines.rate_s(now_s)
@@ -351,7 +357,7 @@
         while the engine is down for a second or two.
         """
         engine = self.pool.decode_engines.choose_for_short_prompt(
-            job.avoid, now_s
+            job.avoid, now_s, job.version
         )
         if engine is None or engine.endpoint.id not in job.avoid:
             return 0.0
@@ -360,23 +366,29 @@
     def _place_queued_short(
         self, now_s: float, decisions: list[promptjobs.Decision]
     ) -> None:
-        """Place queued jobs with short prompts on free decode slots."""
+        """Place queued jobs with short prompts on free decode slots.
+
+        A job that can't be placed yet holds back those behind it, unless it
+        waits for engines of its version.
+        """
         waiting = self.answers.waiting
-        while len(waiting):
-            job = waiting.first()
-            if self._cooldown_s(job, now_s) > 0:
-                return
-            decode_engines = self.pool.decode_engines
-            if decode_engines.limit_wait_s(job.avoid, now_s) > 0:
-                return
-            is_long = self.answers.is_long(job.output_tokens)
-            if (
-                is_long
-                and self.answers.available_engine(job.avoid, now_s) is None
-            ):
+        for job in list(waiting.jobs.values()):
+            if self._can_place_short(job, now_s):
+                waiting.pop(job.id)
+                decisions.append(self._place_short(job, now_s))
+            elif job.version is None:
                 return
-            waiting.pop(job.id)
-            decisions.append(self._place_short(job, now_s))
+
+    def _can_place_short(self, job: promptjobs.Job, now_s: float) -> bool:
+        if self._cooldown_s(job, now_s) > 0:
+            return False
+        decode_engines = self.pool.decode_engines
+        if decode_engines.limit_wait_s(job.avoid, now_s, job.version) > 0:
+            return False
+        is_long = self.answers.is_long(job.output_tokens)
+        if job.version is not None or not is_long:
+            return True
+        return self.answers.available_engine(job.avoid, now_s) is not None
 
     def _put_late(self, job: promptjobs.Job) -> None:
         """Queue a late job; one that was refused before has priority.
@@ -720,7 +732,7 @@
     ) -> promptjobs.Decision:
         """Place a job with a short prompt on a decode engine, or refuse it."""
         engine = self.pool.decode_engines.choose_for_short_prompt(
-            job.avoid, now_s
+            job.avoid, now_s, job.version
         )
         if engine is None:
             return self.refusals.refuse_without_decode_engine(job, now_s)
--- a/magnoliadyke/core/promptjobs.py
+++ b/magnoliadyke/core/promptjobs.py
@@ -19,6 +19,8 @@
     :param is_retry: whether the request is a retry after a refusal
     :param resumed: whether another engine generated part of the answer
     :param avoid: ids of engines that failed the job
+    :param version: software version at which the answer may go on, None for
+        any; set for resumed jobs only
     :ivar tokens: length of the complete prompt, in tokens
     :ivar submitted_s: when the job was submitted
     :ivar deferred: number of times that the job was deferred until another
@@ -37,6 +39,7 @@
     is_retry: bool = False
     resumed: bool = False
     avoid: tuple[str, ...] = ()
+    version: str | None = None
     tokens: int = 0
     need_s: float = 0.0
     submitted_s: float = 0.0
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -13,6 +13,7 @@
 from magnoliadyke.core import catalog
 from magnoliadyke.core import retrybudget
 from magnoliadyke.core import routes
+from magnoliadyke.core import streamversions
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import connection
@@ -25,6 +26,7 @@
 from magnoliadyke.gateway import paths
 from magnoliadyke.gateway import placementservice
 from magnoliadyke.gateway import relaying
+from magnoliadyke.gateway import streamrecords
 from magnoliadyke.gateway import upstream
 from magnoliadyke.gateway import usageduty
 from magnoliadyke.gateway import waitlimit
@@ -65,6 +67,13 @@
 #: Reason of a refusal or failure when a request may not complete, or did not,
 #: before this host stops.
 STOPPING = 'this host is stopping'
+#: Reasons of a refusal when a stream can't be taken up, as the software
+#: version that began it is not known or serves no more.
+VERSION_UNKNOWN = 'the software version that began the stream is unknown'
+VERSION_GONE = 'no endpoint of the version that began the stream serves'
+#: Retry-After of the latter, in seconds: an endpoint that crashed starts again
+#: at its version within seconds.
+VERSION_GONE_RETRY_S = 1.0
 #: Reason of a refusal when a request is blocked because endpoints that ran it
 #: crashed.
 CRASH_REASON = 'endpoints crash when they run it'
@@ -108,6 +117,7 @@
     record_start: usageduty.StartRecorder
     paths: paths.PathMonitor
     relayer: relaying.Relayer
+    streams: streamrecords.StreamRecords
 
 
 class Exchange(abc.ABC):
@@ -126,6 +136,8 @@
         their rate limits
     :ivar answer_end: how the last answer of an endpoint ended, None without
         one
+    :ivar version: software version that began the stream, at which alone it
+        may go on; None while any may serve it
     :ivar is_relayed: whether another host passed the request on to this one
     """
 
@@ -154,6 +166,7 @@
         self.start_recorded = False
         self.permits: set[str] = set()
         self.answer_end: answerend.AnswerEnd | None = None
+        self.version: str | None = None
         self.is_relayed = caller.is_peer
 
     def _pick_service(self) -> str:
@@ -247,6 +260,49 @@
         """
         return not self.send_count or self._acquire_retry()
 
+    def _find_version(self) -> outcomes.Refused | None:
+        """Find the version of a stream that its caller takes up.
+
+        :returns: the refusal if it can't go on, None if it may
+        """
+        if (
+            self.route.kind is not routes.Kind.STREAM
+            or self.request.resume_after is None
+            or self.version is not None
+        ):
+            return None
+        known = self.parts.streams.resolve(self.request, self.service)
+        match known:
+            case streamversions.Unknown(reason):
+                LOG.event(
+                    'stream_version_unknown',
+                    id=self.request.id.decode('latin-1'),
+                    reason=reason,
+                )
+                return outcomes.Refused(VERSION_UNKNOWN, RETRY_AFTER_S)
+            case streamversions.Known(version):
+                self.version = version
+        if not any(map(self._may_answer, self._usable())):
+            return outcomes.Refused(VERSION_GONE, VERSION_GONE_RETRY_S)
+        return None
+
+    def _usable(self) -> list[catalog.Endpoint]:
+        return self.parts.catalog.usable(self.service)
+
+    def _may_answer(self, endpoint: catalog.Endpoint) -> bool:
+        """Return whether an endpoint has the version that a stream needs."""
+        return self.version is None or endpoint.version == self.version
+
+    def _record_version(self, endpoint: catalog.Endpoint) -> None:
+        """Record the version of a stream before its first event is sent."""
+        if self.route.kind is not routes.Kind.STREAM:
+            return
+        self.version = endpoint.version
+        if self.route.resumable:
+            self.parts.streams.record(
+                self.request, self.service, endpoint.version, self.deadline_s
+            )
+
     def _end_interrupted(self) -> outcomes.Refused | outcomes.Failed:
         """Return the outcome of a request that this host's stop aborts."""
         self.caller.broken = self.caller.answer_started
--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -17,6 +17,7 @@
 from magnoliadyke.gateway import limit_codec
 from magnoliadyke.gateway import path_codec
 from magnoliadyke.gateway import store
+from magnoliadyke.gateway import stream_codec
 from magnoliadyke.wire.placement import constants
 from magnoliadyke.wire.placement import ttypes
 
@@ -205,6 +206,7 @@
     | duty_codec.Message
     | limit_codec.Message
     | path_codec.Message
+    | stream_codec.Message
 )
 
 
@@ -264,6 +266,12 @@
             limit_codec.encode(message, datagram)
         case path_codec.PathQuery() | path_codec.PathReply():
             path_codec.encode(message, datagram)
+        case (
+            stream_codec.StreamRecords()
+            | stream_codec.StreamQuery()
+            | stream_codec.StreamReply()
+        ):
+            stream_codec.encode(message, datagram)
         case _:
             duty_codec.encode(message, datagram)
     return TSerialization.serialize(datagram, PROTOCOL_FACTORY)
@@ -322,6 +330,7 @@
             duty_codec.decode(datagram)
             or limit_codec.decode(datagram)
             or path_codec.decode(datagram)
+            or stream_codec.decode(datagram)
         )
         if found is not None:
             return found
@@ -352,6 +361,7 @@
         resumed=job.resumed,
         failure_domain=job.failure_domain,
         avoid=list(job.avoid),
+        version=job.version,
     )
 
 
@@ -366,6 +376,7 @@
         is_retry=ask.returning,
         resumed=ask.resumed,
         avoid=tuple(ask.avoid),
+        version=ask.version,
     )
     return PlacementRequest(ask.pool, job)
 
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -40,6 +40,9 @@
     def _serve(self) -> outcomes.Outcome:
         failure: outcomes.Failed | None = None
         reason = ''
+        refused = self._find_version()
+        if refused is not None:
+            return refused
         while True:
             if failure is None and self._is_cut_off():
                 return self._refused(relaying.UNREACHABLE)
@@ -54,6 +57,7 @@
                     return tried
                 case outcomes.Whole():
                     if not self._should_retry(tried):
+                        self._record_version(endpoint)
                         return self._deliver(tried)
                     failure = outcomes.Failed(502, 'the endpoint failed')
                     self._log_attempt(tried.facts.status, 'failed')
@@ -94,7 +98,7 @@
         now_s = self.parts.clock.now_s()
         limits = self.parts.limits
         reachable = self.parts.paths.reachable(
-            self.parts.catalog.usable(self.service)
+            [each for each in self._usable() if self._may_answer(each)]
         )
         available = self.parts.backoffs.available(reachable, now_s)
         permitted = [e for e in available if not limits.is_denied(e.id)]
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -66,6 +66,9 @@
                 return self._refused(
                     relaying.UNREACHABLE, relaying.RETRY_AFTER_S
                 )
+            refused = self._find_version()
+            if refused is not None:
+                return refused
             backoff_s = self._decode_engines_backoff_s()
             if backoff_s:
                 return self._refused(exchange.BACKOFF_REASON, backoff_s)
@@ -263,6 +266,7 @@
             is_retry=is_retry or self.prefills > 0,
             resumed=resumed,
             avoid=(*avoid, *self._unavailable_engines()),
+            version=self.version,
         )
 
     def _run_placed(
@@ -296,6 +300,10 @@
                 remoteprefill.ENGINE_LEFT, was_received=False
             )
         self.endpoint = engine.id
+        if not self._may_answer(engine):
+            if kv_source is not None:
+                self._release_kv_cache(kv_source)
+            return outcomes.NotRun(exchange.VERSION_GONE, was_received=False)
         options = codecs.RunOptions(
             endpoint=engine.name,
             left_s=self.left_s,
@@ -364,11 +372,7 @@
         """
         if self.left_s < exchange.RESPONSE_MARGIN_S:
             return None
-        decode_engines = [
-            each
-            for each in self.parts.catalog.usable(self.service)
-            if each.stage is catalog.Stage.DECODE
-        ]
+        decode_engines = self._usable_decode_engines()
         now_s = self.parts.clock.now_s()
         reachable = self.parts.paths.reachable(decode_engines)
         available = self.parts.backoffs.available(reachable, now_s)
@@ -377,6 +381,14 @@
             return next(iter(available), None)
         return self.parts.rng.choice(others)
 
+    def _usable_decode_engines(self) -> list[catalog.Endpoint]:
+        """Return the engines that may generate the rest of the answer."""
+        return [
+            each
+            for each in self._usable()
+            if each.stage is catalog.Stage.DECODE and self._may_answer(each)
+        ]
+
     def _stream(
         self,
         engine: catalog.Endpoint,
@@ -438,6 +450,9 @@
     def _can_resume(self) -> bool:
         if not self.position.can_resume:
             return False
+        others = self._usable_decode_engines()
+        if not any(each.id != self.endpoint for each in others):
+            return False
         now_s = self.parts.clock.now_s()
         return self._may_retry() and self._budget().has_left(now_s)
 
@@ -499,6 +514,7 @@
                 continue
             if first:
                 self._record_start()
+                self._record_version(engine)
             if first and options.kv_source is None:
                 self._report_prefill_done(job, engine)
             elif first and self.prefill_done_s is not None:
--- /dev/null
+++ b/magnoliadyke/gateway/streamrecords.py
@@ -0,0 +1,286 @@
+"""Finds the software version at which a stream may go on.
+
+See :mod:`magnoliadyke.core.streamversions`.
+"""
+
+import collections
+import random
+
+import gevent
+from gevent import event
+
+from magnoliadyke import app
+from magnoliadyke import clock as clocks
+from magnoliadyke.core import catalog
+from magnoliadyke.core import streamversions
+from magnoliadyke.gateway import codec as codecs
+from magnoliadyke.gateway import members
+from magnoliadyke.gateway import placementservice
+from magnoliadyke.gateway import stream_codec
+from magnoliadyke import logs
+
+__all__ = ['StreamRecords']
+
+LOG = logs.get('streamrecords')
+
+TICK_S = 0.1
+#: Number of hosts that are told of a stream, and that are asked about one:
+#: more are asked, as hosts differ in which others they take to be running.
+HOSTS_TOLD = 3
+HOSTS_ASKED = 5
+#: Time limit for the replies, and time after which hosts that have not
+#: replied are asked again, as a datagram may be lost, in seconds.
+REPLY_TIMEOUT_S = 0.1
+REPEAT_S = 0.04
+#: Shortest time for which a version counts after its last entry, in seconds;
+#: the longest timeout of a route counts if it is longer.
+MIN_WINDOW_S = 60.0
+#: Time added to a caller's deadline, in seconds.
+DEADLINE_MARGIN_S = 2.0
+#: Age from which on the list of endpoints is too old to tell that one version
+#: alone serves, in seconds: above the longest wait of a watch.
+MAX_LIST_AGE_S = 5.0
+#: Interval between two removals of expired records, in seconds.
+EXPIRY_INTERVAL_S = 1.0
+#: Maximum number of streams in a datagram, so that it does not exceed the
+#: 1,400 bytes of a network packet.
+MAX_STREAMS_PER_DATAGRAM = 24
+
+
+class _Query:
+    """A query of this host that waits for replies."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self.addresses = addresses
+        self.reports: list[streamversions.Report] = []
+        self.done = event.Event()
+
+    def add(self, report: streamversions.Report) -> None:
+        self.reports.append(report)
+        if report.is_recorded or len(self.reports) >= len(self.addresses):
+            self.done.set()
+
+
+class StreamRecords(app.Component):
+    """Records the versions that began streams, here and at other hosts.
+
+    :ivar versions: streams on record at this host
+    :ivar history: versions that the entries of endpoints named
+    :ivar queries: queries that wait for replies, by nonce
+    :ivar counts: number of streams that callers took up, by what was known
+    """
+
+    def __init__(
+        self,
+        endpoint_catalog: catalog.Catalog,
+        others: members.Members,
+        placement_service: placementservice.PlacementService,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.catalog = endpoint_catalog
+        self.members = others
+        self.placement_service = placement_service
+        self.clock = clock
+        self.rng = rng
+        self.versions = streamversions.StreamVersions()
+        self.history = streamversions.VersionHistory()
+        self.queries: dict[int, _Query] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.generation = -1
+        self.certain: dict[str, str] = {}
+        self.expired_s = 0.0
+        self.greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start to follow the versions that endpoints have."""
+        self.greenlet = gevent.spawn(self._run)
+
+    def stop(self, deadline_s: float) -> None:
+        """Stop following them."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+
+    def _run(self) -> None:
+        while True:
+            self.clock.sleep(TICK_S)
+            self._update()
+            now_s = self.clock.now_s()
+            if now_s - self.expired_s >= EXPIRY_INTERVAL_S:
+                self.expired_s = now_s
+                self.versions.expire(now_s)
+            for service in list(self.certain):
+                if self._only_version(service) is None:
+                    self._tell_all(service)
+
+    def _update(self) -> None:
+        """Record the versions in the list of endpoints, if it has changed."""
+        known = self.catalog
+        if known.confirmed_s is None or known.generation == self.generation:
+            return
+        self.generation = known.generation
+        now_s = self.clock.now_s()
+        if self.history.since_s is None:
+            self.history.since_s = now_s
+        for service, listed in known.by_service.items():
+            self.history.update(
+                service, {each.version for each in listed.values()}, now_s
+            )
+
+    def _window_s(self) -> float:
+        configuration = self.catalog.configuration
+        timeouts_s = [
+            route.timeout_s
+            for route in (configuration.routes if configuration else ())
+            if route.resumable
+        ]
+        return max(MIN_WINDOW_S, *timeouts_s, 0.0)
+
+    def _only_version(self, service: str) -> str | None:
+        """Return the only version that can have begun a stream, if certain."""
+        self._update()
+        now_s = self.clock.now_s()
+        confirmed_s = self.catalog.confirmed_s
+        if confirmed_s is None or now_s - confirmed_s > MAX_LIST_AGE_S:
+            return None
+        return self.history.only_version(service, self._window_s(), now_s)
+
+    # Streams that begin.
+
+    def record(
+        self,
+        request: codecs.Request,
+        service: str,
+        version: str,
+        deadline_s: float,
+    ) -> None:
+        """Record the version of a stream, before its first event is passed on.
+
+        :param request: the request that began it, or that takes it up
+        :param deadline_s: the caller's deadline, in monotonic seconds
+        """
+        key = _key(request, service)
+        if key is None:
+            return
+        now_s = self.clock.now_s()
+        until_s = deadline_s + DEADLINE_MARGIN_S
+        self.versions.record(key, service, version, until_s, now_s)
+        if self._only_version(service) is not None:
+            self.certain[service] = version
+            return
+        told = stream_codec.StreamRecord(key, version, until_s - now_s)
+        self._tell(service, {key: told})
+
+    def _tell_all(self, service: str) -> None:
+        """Tell of all streams, as a second version may serve from now on."""
+        del self.certain[service]
+        now_s = self.clock.now_s()
+        streams = {
+            key: stream_codec.StreamRecord(key, version, for_s)
+            for key, version, for_s in self.versions.of_service(service, now_s)
+        }
+        LOG.event(
+            'stream_versions_told', service=service, streams=len(streams)
+        )
+        self._tell(service, streams)
+
+    def _tell(
+        self, service: str, streams: dict[bytes, stream_codec.StreamRecord]
+    ) -> None:
+        by_host = collections.defaultdict(list)
+        others = self.members.reachable_addresses()
+        for key, told in streams.items():
+            for address in streamversions.rank_hosts(key, others)[:HOSTS_TOLD]:
+                by_host[address].append(told)
+        for address, found in by_host.items():
+            for start in range(0, len(found), MAX_STREAMS_PER_DATAGRAM):
+                chunk = found[start : start + MAX_STREAMS_PER_DATAGRAM]
+                message = stream_codec.StreamRecords(service, tuple(chunk))
+                self.placement_service.send(address, message)
+
+    def handle_records(self, message: stream_codec.StreamRecords) -> None:
+        """Record streams that another host has begun."""
+        now_s = self.clock.now_s()
+        for key, version, for_s in message.streams:
+            self.versions.record(
+                key, message.service, version, now_s + for_s, now_s
+            )
+
+    # Streams that callers take up.
+
+    def resolve(
+        self, request: codecs.Request, service: str
+    ) -> streamversions.Known | streamversions.Unknown:
+        """Find the version at which a stream that its caller takes up goes on.
+
+        Waits for other hosts, unless the stream is on record here.
+        """
+        known = self._resolve(request, service)
+        match known:
+            case streamversions.Known(_, is_recorded):
+                self.counts['recorded' if is_recorded else 'only'] += 1
+            case streamversions.Unknown():
+                self.counts['unknown'] += 1
+        return known
+
+    def _resolve(
+        self, request: codecs.Request, service: str
+    ) -> streamversions.Known | streamversions.Unknown:
+        only = self._only_version(service)
+        key = _key(request, service)
+        if key is None:
+            return streamversions.resolve(None, [], only)
+        own = self.versions.find(key, self.clock.now_s())
+        if own is not None:
+            return streamversions.resolve(own, [], only)
+        ranked = streamversions.rank_hosts(
+            key, self.members.reachable_addresses()
+        )
+        query = _Query(ranked[:HOSTS_ASKED])
+        reports = self._ask(query, service, key) if query.addresses else []
+        return streamversions.resolve(None, reports, only)
+
+    def _ask(
+        self, query: _Query, service: str, key: bytes
+    ) -> list[streamversions.Report]:
+        nonce = self.rng.getrandbits(62)
+        message = stream_codec.StreamQuery(nonce, service, key)
+        self.queries[nonce] = query
+        try:
+            for wait_s in (REPEAT_S, REPLY_TIMEOUT_S - REPEAT_S):
+                for address in query.addresses:
+                    self.placement_service.send(address, message)
+                if query.done.wait(wait_s):
+                    break
+        finally:
+            del self.queries[nonce]
+        return query.reports
+
+    def handle_query(
+        self, query: stream_codec.StreamQuery
+    ) -> stream_codec.StreamReply:
+        """Reply what this host knows of a stream."""
+        found = self.versions.find(query.key, self.clock.now_s())
+        if found is not None:
+            report = streamversions.Report(found, True)
+        else:
+            only = self._only_version(query.service)
+            report = streamversions.Report(only, False)
+        return stream_codec.StreamReply(query.nonce, report)
+
+    def handle_reply(self, reply: stream_codec.StreamReply) -> None:
+        """Pass a reply on to the request that waits for it."""
+        query = self.queries.get(reply.nonce)
+        if query is not None:
+            query.add(reply.report)
+
+
+def _key(request: codecs.Request, service: str) -> bytes | None:
+    """Return the key of a request's stream, None if it does not name it."""
+    began = request.id
+    if request.resume_after is not None:
+        if request.resumes is None:
+            return None
+        began = request.resumes
+    workspace = request.workspace.name if request.workspace else ''
+    return streamversions.stream_key(service, workspace, began)
--- a/magnoliadyke/platform/codec.py
+++ b/magnoliadyke/platform/codec.py
@@ -140,7 +140,7 @@
             body=b'',
             wait_s=wait_s,
             prompt=prompt,
-            resume_after=single_values.get(b'last-event-id'),
+            resume_after=single_values.get(b'last-event-id') or None,
             resumes=single_values.get(b'resumes') or None,
             key_digest=_key_digest(single_values.get(API_KEY)),
         )
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -39,6 +39,8 @@
 from magnoliadyke.gateway import relaying
 from magnoliadyke.gateway import smallserver
 from magnoliadyke.gateway import stages
+from magnoliadyke.gateway import stream_codec
+from magnoliadyke.gateway import streamrecords
 from magnoliadyke.gateway import upstream
 from magnoliadyke.gateway import usageduty
 from magnoliadyke import logs
@@ -215,6 +217,9 @@
         self.crashreports = crashreports.CrashReporter(
             clock, self._broadcast, self.catalog, self.follower.store_contact
         )
+        self.streams = streamrecords.StreamRecords(
+            self.catalog, self.members, self.placement_service, clock, rng
+        )
         self.placement_service.broadcast = self._broadcast
         self.limits.broadcast = self._broadcast
         self.departures.broadcast = self._broadcast
@@ -234,6 +239,9 @@
             limit_codec.PermitReply: self.limits.handle_reply,
             path_codec.PathQuery: self.paths.handle_query,
             path_codec.PathReply: self.paths.handle_reply,
+            stream_codec.StreamRecords: self.streams.handle_records,
+            stream_codec.StreamQuery: self.streams.handle_query,
+            stream_codec.StreamReply: self.streams.handle_reply,
         }
         parts = exchange.Parts(
             clock,
@@ -251,6 +259,7 @@
             self.usage.record_start,
             self.paths,
             self.relayer,
+            self.streams,
         )
         self.ingress = ingress.Ingress(
             settings.callers,
@@ -297,6 +306,7 @@
             self.limits,
             self.departures,
             self.paths,
+            self.streams,
             self.confirming,
             self.stages,
             self.usage,
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -136,6 +136,7 @@
      - resumed
      - failure_domain
      - avoid
+     - version
 
     """
 
@@ -150,10 +151,11 @@
         'resumed',
         'failure_domain',
         'avoid',
+        'version',
     )
 
 
-    def __init__(self, job=None, pool=None, parts=None, output_tokens=None, objective_us=None, deadline_us=None, returning=None, resumed=None, failure_domain=None, avoid=None,):
+    def __init__(self, job=None, pool=None, parts=None, output_tokens=None, objective_us=None, deadline_us=None, returning=None, resumed=None, failure_domain=None, avoid=None, version=None,):
         self.job = job
         self.pool = pool
         self.parts = parts
@@ -164,6 +166,7 @@
         self.resumed = resumed
         self.failure_domain = failure_domain
         self.avoid = avoid
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -235,6 +238,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -291,6 +299,10 @@
                 oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 11)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2567,6 +2579,371 @@
         return not (self == other)
 
 
+class StreamVersion(object):
+    """
+    Attributes:
+     - key
+     - version
+     - for_ms
+
+    """
+
+    __slots__ = (
+        'key',
+        'version',
+        'for_ms',
+    )
+
+
+    def __init__(self, key=None, version=None, for_ms=None,):
+        self.key = key
+        self.version = version
+        self.for_ms = for_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.for_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamVersion')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeBinary(self.key)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.for_ms is not None:
+            oprot.writeFieldBegin('for_ms', TType.I32, 3)
+            oprot.writeI32(self.for_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamVersions(object):
+    """
+    Attributes:
+     - pool
+     - streams
+
+    """
+
+    __slots__ = (
+        'pool',
+        'streams',
+    )
+
+
+    def __init__(self, pool=None, streams=None,):
+        self.pool = pool
+        self.streams = streams
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.streams = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = StreamVersion()
+                        _elem98.read(iprot)
+                        self.streams.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamVersions')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.streams))
+            for iter99 in self.streams:
+                iter99.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamQuery(object):
+    """
+    Attributes:
+     - nonce
+     - pool
+     - key
+
+    """
+
+    __slots__ = (
+        'nonce',
+        'pool',
+        'key',
+    )
+
+
+    def __init__(self, nonce=None, pool=None, key=None,):
+        self.nonce = nonce
+        self.pool = pool
+        self.key = key
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.nonce = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.key = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamQuery')
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.I64, 1)
+            oprot.writeI64(self.nonce)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 2)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 3)
+            oprot.writeBinary(self.key)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamReply(object):
+    """
+    Attributes:
+     - nonce
+     - version
+     - recorded
+
+    """
+
+    __slots__ = (
+        'nonce',
+        'version',
+        'recorded',
+    )
+
+
+    def __init__(self, nonce=None, version=None, recorded=None,):
+        self.nonce = nonce
+        self.version = version
+        self.recorded = recorded
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.nonce = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.recorded = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamReply')
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.I64, 1)
+            oprot.writeI64(self.nonce)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.recorded is not None:
+            oprot.writeFieldBegin('recorded', TType.BOOL, 3)
+            oprot.writeBool(self.recorded)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -2590,6 +2967,9 @@
      - endpoints_leaving
      - path_query
      - path_reply
+     - stream_versions
+     - stream_query
+     - stream_reply
 
     """
 
@@ -2614,10 +2994,13 @@
         'endpoints_leaving',
         'path_query',
         'path_reply',
+        'stream_versions',
+        'stream_query',
+        'stream_reply',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, updates=None, confirmation_request=None, confirmation_reply=None, usage=None, wall_time=None, endpoint_limits=None, permit_request=None, permit_reply=None, endpoints_leaving=None, path_query=None, path_reply=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, broken=None, leader=None, silent=None, learned=None, updates=None, confirmation_request=None, confirmation_reply=None, usage=None, wall_time=None, endpoint_limits=None, permit_request=None, permit_reply=None, endpoints_leaving=None, path_query=None, path_reply=None, stream_versions=None, stream_query=None, stream_reply=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
@@ -2638,6 +3021,9 @@
         self.endpoints_leaving = endpoints_leaving
         self.path_query = path_query
         self.path_reply = path_reply
+        self.stream_versions = stream_versions
+        self.stream_query = stream_query
+        self.stream_reply = stream_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2767,6 +3153,24 @@
                     self.path_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.stream_versions = StreamVersions()
+                    self.stream_versions.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRUCT:
+                    self.stream_query = StreamQuery()
+                    self.stream_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.stream_reply = StreamReply()
+                    self.stream_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2857,6 +3261,18 @@
             oprot.writeFieldBegin('path_reply', TType.STRUCT, 20)
             self.path_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.stream_versions is not None:
+            oprot.writeFieldBegin('stream_versions', TType.STRUCT, 21)
+            self.stream_versions.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stream_query is not None:
+            oprot.writeFieldBegin('stream_query', TType.STRUCT, 22)
+            self.stream_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stream_reply is not None:
+            oprot.writeFieldBegin('stream_reply', TType.STRUCT, 23)
+            self.stream_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2899,6 +3315,7 @@
     (8, TType.BOOL, 'resumed', None, None, ),  # 8
     (9, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 9
     (10, TType.LIST, 'avoid', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.STRING, 'version', 'UTF8', None, ),  # 11
 )
 all_structs.append(Decision)
 Decision.thrift_spec = (
@@ -3065,6 +3482,33 @@
     (2, TType.LIST, 'endpoints', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.I32, 'relayed', None, None, ),  # 3
 )
+all_structs.append(StreamVersion)
+StreamVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'for_ms', None, None, ),  # 3
+)
+all_structs.append(StreamVersions)
+StreamVersions.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'streams', (TType.STRUCT, [StreamVersion, None], False), None, ),  # 2
+)
+all_structs.append(StreamQuery)
+StreamQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'nonce', None, None, ),  # 1
+    (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'key', 'BINARY', None, ),  # 3
+)
+all_structs.append(StreamReply)
+StreamReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'nonce', None, None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'recorded', None, None, ),  # 3
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -3088,6 +3532,9 @@
     (18, TType.STRUCT, 'endpoints_leaving', [EndpointsLeaving, None], None, ),  # 18
     (19, TType.STRUCT, 'path_query', [PathQuery, None], None, ),  # 19
     (20, TType.STRUCT, 'path_reply', [PathReply, None], None, ),  # 20
+    (21, TType.STRUCT, 'stream_versions', [StreamVersions, None], None, ),  # 21
+    (22, TType.STRUCT, 'stream_query', [StreamQuery, None], None, ),  # 22
+    (23, TType.STRUCT, 'stream_reply', [StreamReply, None], None, ),  # 23
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -25,6 +25,7 @@
   8: bool resumed,
   9: string failure_domain,
   10: list<string> avoid,
+  11: optional string version,
 }
 
 // One of run (placed), retry_after_us (refused) or neither (it waits).
@@ -216,6 +217,34 @@
   3: i32 relayed,
 }
 
+// The software version that began a stream, on record for for_ms more.
+struct StreamVersion {
+  1: binary key,
+  2: string version,
+  3: i32 for_ms,
+}
+
+// Streams of a service that their host has begun.
+struct StreamVersions {
+  1: string pool,
+  2: list<StreamVersion> streams,
+}
+
+// Asks a host which version began a stream.
+struct StreamQuery {
+  1: i64 nonce,
+  2: string pool,
+  3: binary key,
+}
+
+// Without a version the host knows nothing of the stream; one that is not on
+// record is the only one that can have served.
+struct StreamReply {
+  1: i64 nonce,
+  2: optional string version,
+  3: bool recorded,
+}
+
 struct Datagram {
   1: i16 version,
   2: optional Ask ask,
@@ -237,4 +266,7 @@
   18: optional EndpointsLeaving endpoints_leaving,
   19: optional PathQuery path_query,
   20: optional PathReply path_reply,
+  21: optional StreamVersions stream_versions,
+  22: optional StreamQuery stream_query,
+  23: optional StreamReply stream_reply,
 }
