Go by the only version that served where another host confirms it

A host whose list of endpoints was a few seconds behind, or that reached no other, could take the version it knew for the only one and let a stream of a newer version go on at it. Hosts report now whether they have seen several versions, and a host that reaches none of those it asks does not go by its own list.

--- a/magnoliadyke/core/streamversions.py
+++ b/magnoliadyke/core/streamversions.py
@@ -53,10 +53,12 @@
 
     :param version: None if it knows nothing
     :param is_recorded: whether that is on record there
+    :param has_several: whether several versions can have served
     """
 
     version: str | None
     is_recorded: bool
+    has_several: bool = False
 
 
 def stream_key(service: str, workspace: str, request_id: bytes) -> bytes:
@@ -188,21 +190,35 @@
         """
         if self.since_s is None or now_s - self.since_s < window_s:
             return None
-        times = self.last_listed_s.get(service, {})
-        recent = [v for v, last in times.items() if last > now_s - window_s]
+        recent = self._recent(service, window_s, now_s)
         return recent[0] if len(recent) == 1 else None
 
+    def has_several(self, service: str, window_s: float, now_s: float) -> bool:
+        """Return whether several versions were listed within a time."""
+        return len(self._recent(service, window_s, now_s)) > 1
+
+    def _recent(
+        self, service: str, window_s: float, now_s: float
+    ) -> list[str]:
+        times = self.last_listed_s.get(service, {})
+        return [v for v, last in times.items() if last > now_s - window_s]
+
 
 def resolve(
     own: str | None,
     reports: list[Report],
     only: str | None,
+    hosts_asked: int,
 ) -> Known | Unknown:
     """Decide at which version a stream that its caller takes up goes on.
 
+    The only version that can have served counts where another host confirms
+    that it has not seen several: this host's own list may be behind.
+
     :param own: version on record at this host
     :param reports: reports of other hosts
     :param only: the only version that can have served, as this host knows
+    :param hosts_asked: number of other hosts that were asked
     """
     recorded = {each.version for each in reports if each.is_recorded}
     if own is not None:
@@ -211,6 +227,10 @@
         return Unknown('streams of two versions have this id')
     if recorded:
         return Known(recorded.pop(), True)
+    if hosts_asked and not reports:
+        return Unknown('no other host answers')
+    if any(each.has_several for each in reports):
+        return Unknown('several versions serve, and no host has it on record')
     possible = {each.version for each in reports if each.version is not None}
     if only is not None:
         possible.add(only)
--- a/magnoliadyke/gateway/stream_codec.py
+++ b/magnoliadyke/gateway/stream_codec.py
@@ -70,7 +70,10 @@
             datagram.stream_query = ttypes.StreamQuery(nonce, service, key)
         case StreamReply(nonce, report):
             datagram.stream_reply = ttypes.StreamReply(
-                nonce, report.version, report.is_recorded
+                nonce,
+                report.version,
+                report.is_recorded,
+                report.has_several or None,
             )
 
 
@@ -92,6 +95,8 @@
         reply = datagram.stream_reply
         return StreamReply(
             reply.nonce,
-            streamversions.Report(reply.version, bool(reply.recorded)),
+            streamversions.Report(
+                reply.version, bool(reply.recorded), bool(reply.several)
+            ),
         )
     return None
--- a/magnoliadyke/gateway/streamrecords.py
+++ b/magnoliadyke/gateway/streamrecords.py
@@ -229,16 +229,18 @@
         only = self._only_version(service)
         key = _key(request, service)
         if key is None:
-            return streamversions.resolve(None, [], only)
+            return streamversions.resolve(None, [], only, 0)
         own = self.versions.find(key, self.clock.now_s())
         if own is not None:
-            return streamversions.resolve(own, [], only)
+            return streamversions.resolve(own, [], only, 0)
         ranked = streamversions.rank_hosts(
             key, self.members.reachable_addresses()
         )
         query = _Query(ranked[:HOSTS_ASKED])
         reports = self._ask(query, service, key) if query.addresses else []
-        return streamversions.resolve(None, reports, only)
+        return streamversions.resolve(
+            None, reports, only, len(query.addresses)
+        )
 
     def _ask(
         self, query: _Query, service: str, key: bytes
@@ -260,12 +262,18 @@
         self, query: stream_codec.StreamQuery
     ) -> stream_codec.StreamReply:
         """Reply what this host knows of a stream."""
-        found = self.versions.find(query.key, self.clock.now_s())
+        now_s = self.clock.now_s()
+        found = self.versions.find(query.key, now_s)
         if found is not None:
             report = streamversions.Report(found, True)
         else:
-            only = self._only_version(query.service)
-            report = streamversions.Report(only, False)
+            report = streamversions.Report(
+                self._only_version(query.service),
+                False,
+                self.history.has_several(
+                    query.service, self._window_s(), now_s
+                ),
+            )
         return stream_codec.StreamReply(query.nonce, report)
 
     def handle_reply(self, reply: stream_codec.StreamReply) -> None:
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -2858,6 +2858,7 @@
      - nonce
      - version
      - recorded
+     - several
 
     """
 
@@ -2865,13 +2866,15 @@
         'nonce',
         'version',
         'recorded',
+        'several',
     )
 
 
-    def __init__(self, nonce=None, version=None, recorded=None,):
+    def __init__(self, nonce=None, version=None, recorded=None, several=None,):
         self.nonce = nonce
         self.version = version
         self.recorded = recorded
+        self.several = several
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2897,6 +2900,11 @@
                     self.recorded = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.several = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2919,6 +2927,10 @@
             oprot.writeFieldBegin('recorded', TType.BOOL, 3)
             oprot.writeBool(self.recorded)
             oprot.writeFieldEnd()
+        if self.several is not None:
+            oprot.writeFieldBegin('several', TType.BOOL, 4)
+            oprot.writeBool(self.several)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3508,6 +3520,7 @@
     (1, TType.I64, 'nonce', None, None, ),  # 1
     (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'recorded', None, None, ),  # 3
+    (4, TType.BOOL, 'several', None, None, ),  # 4
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
--- /dev/null
+++ b/tests/test_streamversions.py
@@ -0,0 +1,329 @@
+"""What hosts know of streams' versions: records, history, decisions, a model.
+
+The model draws starts, streams, breaks, kills, cuts, releases and late
+entries; its invariants are that no stream goes on at another version, and
+that it goes on wherever a host that can be reached has it on record.
+"""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from magnoliadyke.core import streamversions
+
+WINDOW_S = 60.0
+Report = streamversions.Report
+Known = streamversions.Known
+Unknown = streamversions.Unknown
+
+
+def key(request_id=b'r1', service='model', workspace=''):
+    return streamversions.stream_key(service, workspace, request_id)
+
+
+# Records.
+
+
+def test_stream_is_on_record_until_its_caller_comes_no_more():
+    versions = streamversions.StreamVersions()
+    versions.record(key(), 'model', 'v1', 10.0, 0.0)
+    assert versions.find(key(), 9.9) == 'v1'
+    assert versions.find(key(), 10.0) is None
+    versions.expire(10.0)
+    assert not len(versions)
+
+
+def test_id_of_two_streams_of_two_versions_names_neither():
+    """A caller that uses an id twice must not choose the version."""
+    versions = streamversions.StreamVersions()
+    versions.record(key(), 'model', 'v1', 10.0, 0.0)
+    versions.record(key(), 'model', 'v2', 10.0, 1.0)
+    assert versions.find(key(), 2.0) is None
+    versions.record(key(), 'model', 'v2', 30.0, 20.0)
+    assert versions.find(key(), 21.0) == 'v2'
+
+
+def test_stream_of_another_workspace_or_service_is_not_found():
+    keys = {
+        key(),
+        key(workspace='w1'),
+        key(service='other'),
+        key(b'', 'modelr1'),
+        key(b'x' * 100_000),
+    }
+    assert len(keys) == 5
+    assert {len(each) for each in keys} == {streamversions.KEY_BYTES}
+
+
+def test_records_are_bounded():
+    """Callers that begin streams without end must not fill the memory."""
+    versions = streamversions.StreamVersions()
+    for number in range(streamversions.MAX_RECORDS + 100):
+        each = key(b'%d' % number)
+        versions.record(each, 'model', 'v1', 1e9, 0.0)
+    assert len(versions) == streamversions.MAX_RECORDS
+    assert versions.find(each, streamversions.MAX_RECORD_S - 1) == 'v1'
+    assert versions.find(each, streamversions.MAX_RECORD_S) is None
+
+
+def test_hosts_keep_their_order_when_others_come_and_go():
+    hosts = [f'10.0.0.{n}' for n in range(300)]
+    ranked = streamversions.rank_hosts(key(), hosts)
+    fewer = [each for each in hosts if each != ranked[1]]
+    remaining = streamversions.rank_hosts(key(), reversed(fewer))
+    assert remaining == [ranked[0], *ranked[2:]]
+
+
+@pytest.mark.parametrize('hosts', [8, 30, 300])
+def test_records_are_spread_over_the_hosts(hosts):
+    addresses = [f'10.0.{n // 200}.{n % 200}' for n in range(hosts)]
+    counts = dict.fromkeys(addresses, 0)
+    for number in range(hosts * 20):
+        ranked = streamversions.rank_hosts(key(b'%d' % number), addresses)
+        for each in ranked[:3]:
+            counts[each] += 1
+    assert max(counts.values()) < 60 * 2
+
+
+# History and decisions.
+
+
+def test_one_version_is_certain_only_after_the_window():
+    history = streamversions.VersionHistory()
+    assert history.only_version('model', WINDOW_S, 1000.0) is None
+    history.since_s = 0.0
+    history.update('model', {'v1'}, 0.0)
+    assert history.only_version('model', WINDOW_S, 59.0) is None
+    assert history.only_version('model', WINDOW_S, 60.0) == 'v1'
+    history.update('model', {'v1', 'v2'}, 100.0)
+    assert history.only_version('model', WINDOW_S, 100.0) is None
+    history.update('model', {'v2'}, 200.0)
+    assert history.only_version('model', WINDOW_S, 259.0) is None
+    assert history.only_version('model', WINDOW_S, 261.0) == 'v2'
+
+
+def test_service_without_endpoints_has_no_version():
+    history = streamversions.VersionHistory()
+    history.since_s = 0.0
+    assert history.only_version('model', WINDOW_S, 100.0) is None
+
+
+@pytest.mark.parametrize(
+    'own, reports, only, expected',
+    [
+        ('v1', [], None, Known('v1', True)),
+        ('v1', [], 'v2', Known('v1', True)),
+        (None, [Report('v1', True)], 'v2', Known('v1', True)),
+        (None, [Report(None, False), Report('v1', True)], None, 'v1'),
+        (None, [Report('v2', False), Report('v1', True)], None, 'v1'),
+        (None, [Report('v1', True), Report('v2', True)], 'v1', None),
+        (None, [Report('v1', False)], None, Known('v1', False)),
+        (None, [Report('v1', False), Report('v2', False)], None, None),
+        (None, [Report('v2', False)], 'v1', None),
+        (None, [Report(None, False)], 'v1', Known('v1', False)),
+        (None, [Report(None, False, True)], 'v1', None),
+        (None, [Report('v1', False), Report(None, False, True)], None, None),
+        (None, [Report(None, False)], None, None),
+        (None, [], None, None),
+    ],
+)
+def test_what_is_on_record_goes_before_what_can_have_served(
+    own, reports, only, expected
+):
+    found = streamversions.resolve(own, reports, only, 3)
+    match expected:
+        case None:
+            assert isinstance(found, Unknown)
+        case str():
+            assert found.version == expected
+        case _:
+            assert found == expected
+
+
+def test_host_that_reaches_no_other_does_not_go_by_its_own_list():
+    """A host that was cut off took its old list for the truth."""
+    assert isinstance(streamversions.resolve(None, [], 'v1', 3), Unknown)
+    found = streamversions.resolve(None, [], 'v1', 0)
+    assert found == Known('v1', False)
+
+
+# The model.
+
+HOSTS_TOLD, HOSTS_ASKED = 3, 5
+#: Longest time for which a host's list may lag behind the store, in seconds,
+#: before it takes its own list for too old.
+MAX_LIST_AGE_S = 5.0
+
+
+class Host:
+    """One process of a host.
+
+    :ivar applied: changes of the store's list that it has read
+    """
+
+    def __init__(self, fleet):
+        self.versions = streamversions.StreamVersions()
+        self.history = streamversions.VersionHistory()
+        self.history.since_s = fleet.now_s
+        self.applied = len(fleet.changes)
+        self.confirmed_s = fleet.now_s
+        self.history.update('model', fleet.listed(), fleet.now_s)
+        self.alive = True
+        self.cut = False
+        self.certain = False
+
+    def only(self, now_s):
+        if now_s - self.confirmed_s > MAX_LIST_AGE_S:
+            return None
+        return self.history.only_version('model', WINDOW_S, now_s)
+
+
+class Fleet:
+    """Hosts, the store's list of versions, and the streams that were begun.
+
+    :ivar changes: the versions that were listed, after each change
+    :ivar streams: version and host of each stream, by number
+    """
+
+    def __init__(self, count):
+        self.now_s = 0.0
+        self.changes = [{'v1'}]
+        self.streams = []
+        self.names = [f'h{n}' for n in range(count)]
+        self.hosts = {name: Host(self) for name in self.names}
+        self.certain = 0
+
+    def listed(self):
+        return self.changes[-1]
+
+    def sync(self, name):
+        """A host reads the changes that it has not read yet."""
+        host = self.hosts[name]
+        if not host.alive or host.cut:
+            return
+        for versions in self.changes[host.applied :]:
+            host.history.update('model', versions, self.now_s)
+        host.applied = len(self.changes)
+        host.confirmed_s = self.now_s
+        if host.certain and host.only(self.now_s) is None:
+            host.certain = False
+            for each, version, for_s in host.versions.of_service(
+                'model', self.now_s
+            ):
+                self.tell(name, each, version, for_s)
+
+    def tell(self, name, stream, version, for_s):
+        others = [each for each in self.names if each != name]
+        ranked = streamversions.rank_hosts(stream, others)[:HOSTS_TOLD]
+        for each in ranked:
+            if self.can_reach(name, each):
+                self.hosts[each].versions.record(
+                    stream, 'model', version, self.now_s + for_s, self.now_s
+                )
+
+    def can_reach(self, one, other):
+        hosts = self.hosts[one], self.hosts[other]
+        return all(each.alive and not each.cut for each in hosts)
+
+    def begin(self, name, version):
+        """A stream begins at a version that the host knows to serve."""
+        host = self.hosts[name]
+        known = self.changes[host.applied - 1]
+        if not host.alive or version not in known:
+            return
+        stream = key(b'%d' % len(self.streams))
+        self.streams.append((stream, version, name, self.now_s))
+        host.versions.record(
+            stream, 'model', version, self.now_s + 20.0, self.now_s
+        )
+        if host.only(self.now_s) is not None:
+            host.certain = True
+            self.certain += 1
+        else:
+            self.tell(name, stream, version, 20.0)
+
+    def take_up(self, name, number):
+        """A caller takes a stream up; checks both invariants."""
+        host = self.hosts[name]
+        if not host.alive or not self.streams:
+            return
+        stream, version, began, begun_s = self.streams[
+            number % len(self.streams)
+        ]
+        if self.now_s - begun_s > 15.0:
+            return
+        others = [each for each in self.names if each != name]
+        asked = streamversions.rank_hosts(stream, others)[:HOSTS_ASKED]
+        reached = [each for each in asked if self.can_reach(name, each)]
+        reports = []
+        for each in reached:
+            other = self.hosts[each]
+            found = other.versions.find(stream, self.now_s)
+            if found is not None:
+                reports.append(Report(found, True))
+            else:
+                several = other.history.has_several(
+                    'model', WINDOW_S, self.now_s
+                )
+                reports.append(Report(other.only(self.now_s), False, several))
+        own = host.versions.find(stream, self.now_s)
+        found = streamversions.resolve(
+            own, reports, host.only(self.now_s), len(asked)
+        )
+        if isinstance(found, Known):
+            assert found.version == version
+        else:
+            assert own is None
+            assert not any(each.is_recorded for each in reports)
+
+
+EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ['begin'] * 4
+            + ['take_up'] * 4
+            + ['kill', 'cut', 'heal', 'release', 'retire', 'sync', 'wait']
+            + ['settle']
+        ),
+        strategies.integers(0, 9),
+        strategies.integers(0, 40),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
+@hypothesis.given(strategies.integers(1, 10), EVENTS)
+def test_no_stream_goes_on_at_another_version(count, events):
+    """Kills, cuts, releases and late entries let two versions meet."""
+    fleet = Fleet(count)
+    releases = 1
+    for kind, number, drawn in events:
+        name = fleet.names[number % count]
+        match kind:
+            case 'begin':
+                versions = sorted(fleet.listed())
+                fleet.begin(name, versions[drawn % len(versions)])
+            case 'take_up':
+                fleet.take_up(name, drawn)
+            case 'kill':
+                fleet.hosts[name] = Host(fleet)
+            case 'cut':
+                fleet.hosts[name].cut = True
+            case 'heal':
+                fleet.hosts[name].cut = False
+                fleet.sync(name)
+            case 'release' if len(fleet.listed()) < 2:
+                releases += 1
+                fleet.changes.append(fleet.listed() | {f'v{releases}'})
+            case 'retire' if len(fleet.listed()) > 1:
+                fleet.changes.append({max(fleet.listed())})
+            case 'sync':
+                fleet.sync(name)
+            case 'wait':
+                fleet.now_s += 1.0
+            case 'settle':
+                # All hosts that are not cut off read the list in this time.
+                fleet.now_s += 30.0
+                for each in fleet.names:
+                    fleet.sync(each)
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -238,11 +238,13 @@
 }
 
 // Without a version the host knows nothing of the stream; one that is not on
-// record is the only one that can have served.
+// record is the only one that can have served.  With several, more than one
+// can have.
 struct StreamReply {
   1: i64 nonce,
   2: optional string version,
   3: bool recorded,
+  4: optional bool several,
 }
 
 struct Datagram {
