Test streams beside two versions: unknown, gone, told late, chains, services

What a caller gets for wrong, empty, huge and missing names of attempts, at a host that has just started, when a version leaves or appears, over a chain of retries, and at a service without engines.

--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -130,3 +130,156 @@
         if status == 200:
             assert body.count(b'data') == 3 - after
     assert statuses.count(200) >= STREAMS * 3 // 4
+
+
+def settle(world):
+    """Let hosts have seen one version alone for long."""
+    for node in world.nodes:
+        node.streams.history.since_s = float('-inf')
+
+
+def hosts(world, count):
+    for _ in range(count):
+        world.node()
+    gatewayworld.wait_for(
+        lambda: all(each.members.count() == count for each in world.nodes),
+        'the hosts',
+    )
+
+
+def test_stream_that_no_host_knows_is_refused_beside_two_versions(world):
+    """A stream of unknown version went on at any engine."""
+    engines = [
+        world.endpoint(f'd{n}', 'model', 'decode', version=f'v{n}')
+        for n in (1, 2)
+    ]
+    hosts(world, 2)
+    settle(world)
+    for resumes in ('r9', '', 'r' * 3000, None):
+        status, body = take_up(world, 's1', resumes, 1)
+        assert status == 503
+        assert b'unknown' in body
+    assert not any(engine.runs for engine in engines)
+
+
+def test_stream_that_no_host_knows_goes_on_where_one_version_serves(world):
+    """A caller was refused though no other version can have served."""
+    world.endpoint('d1', 'model', 'decode')
+    hosts(world, 2)
+    status, _ = take_up(world, 's1', 'r9', 1)
+    assert status == 503
+    settle(world)
+    for resumes in ('r9', None):
+        status, body = take_up(world, 's2', resumes, 1)
+        assert (status, body.count(b'data')) == (200, 2)
+
+
+def test_host_that_has_just_started_goes_by_what_the_others_have_seen(world):
+    world.endpoint('d1', 'model', 'decode')
+    hosts(world, 2)
+    settle(world)
+    world.node()
+    gatewayworld.wait_for(
+        lambda: world.nodes[2].members.count() == 3, 'the other hosts'
+    )
+    status, body = take_up(world, 's1', 'r9', 1, node=2)
+    assert (status, body.count(b'data')) == (200, 2)
+
+
+def test_stream_whose_version_serves_no_more_is_refused_at_once(world):
+    """A caller waited for an engine of a version that was gone."""
+    world.endpoint('e1', 'model', 'prefill')
+    first = world.endpoint('d1', 'model', 'decode')
+    first.pause_s = 0.05
+    hosts(world, 2)
+    after = begin(world, 'r1')
+    later = world.join('d2', 'model', 'decode', version='v2')
+    first.state = 'draining'
+    world.list(first)
+    gatewayworld.wait_for(
+        lambda: all(e.catalog.endpoints['d1'].leaving for e in world.nodes),
+        'the leave of the first engine',
+    )
+    status, body = take_up(world, 's1', 'r1', after, node=1)
+    assert status == 503
+    assert b'serves' in body
+    assert not later.runs
+
+
+def test_streams_begun_beside_one_version_are_told_when_another_appears(world):
+    """Streams that were begun before a release could not be taken up."""
+    world.endpoint('e1', 'model', 'prefill')
+    first = world.endpoint('d1', 'model', 'decode')
+    first.pause_s = 0.05
+    hosts(world, 3)
+    settle(world)
+    after = begin(world, 'r1')
+    assert not any(len(each.streams.versions) for each in world.nodes[1:])
+    world.join('d2', 'model', 'decode', version='v2')
+    gatewayworld.wait_for(
+        lambda: all(len(each.streams.versions) for each in world.nodes),
+        'the record of the stream',
+    )
+    world.kill(world.nodes[0])
+    status, body = take_up(world, 's1', 'r1', after)
+    assert (status, body.count(b'data')) == (200, 3 - after)
+    assert len(first.runs) == 2
+
+
+def test_chain_of_retries_names_the_attempt_that_brought_the_first_event(
+    world,
+):
+    world.endpoint('e1', 'model', 'prefill')
+    first = world.endpoint('d1', 'model', 'decode')
+    other = world.endpoint('d2', 'model', 'decode', version='v2')
+    for each in (first, other):
+        each.events, each.pause_s = 6, 0.05
+    hosts(world, 3)
+    after = begin(world, 'r1')
+    for number in (2, 3, 4):
+        client = gatewayworld.Client(world.nodes[number % 3])
+        client.request(
+            'POST',
+            '/chat/x',
+            f'r{number}',
+            b'hi',
+            Last_Event_Id=after,
+            Resumes='r1',
+            **prompt('r1'),
+        )
+        assert client.reader.next_part().status == 200
+        body = b''
+        while body.count(b'\n\n') < 1:
+            body += client.reader.next_part().data
+        after += body.count(b'\n\n')
+        client.close()
+    ids = [f'r{number}' for number in (1, 2, 3, 4)]
+    assert len(versions([first, other], *ids)) == 1
+
+
+def test_stream_of_a_plain_service_goes_on_at_its_version(world):
+    route = gatewayworld.platformrecords.route(
+        'feed', '/feed/', 'streaming', 'plain', resumable=True
+    )
+    world.configure(version=2, routes=[route])
+    first = world.endpoint('p1', version='v1')
+    hosts(world, 2)
+    client = gatewayworld.Client(world.nodes[0])
+    client.call('POST', '/feed/x', 'r1', b'hi', **prompt('r1'))
+    client.close()
+    other = world.join('p2', version='v2')
+    for number in range(STREAMS):
+        client = gatewayworld.Client(world.nodes[1])
+        head, body = client.call(
+            'POST',
+            '/feed/x',
+            f's{number}',
+            b'hi',
+            Last_Event_Id=1,
+            Resumes='r1',
+            **prompt('r1'),
+        )
+        client.close()
+        assert (head.status, body.count(b'data')) == (200, 2)
+    assert len(first.runs) == STREAMS + 1
+    assert not other.runs
