Leave each software version an engine that decodes when stages change

A change of stages could turn the last engine that decodes for a version into one that prefills, so that streams of that version could go on nowhere though other engines of it served. Where versions serve side by side, engines whose version another one decodes for change first, and one of a version without any first back. With one version nothing changes.

Test: test_stageplan.py.

--- a/magnoliadyke/core/stageplan.py
+++ b/magnoliadyke/core/stageplan.py
@@ -15,7 +15,16 @@
 import math
 from typing import NamedTuple
 
-__all__ = ['Change', 'Fleet', 'Load', 'StagePlan', 'StagePlanSettings']
+from magnoliadyke.core import catalog
+
+__all__ = [
+    'Change',
+    'Fleet',
+    'Load',
+    'StagePlan',
+    'StagePlanSettings',
+    'prefer_by_version',
+]
 
 
 class StagePlanSettings(NamedTuple):
@@ -410,3 +419,35 @@
         if bound > 0:
             found.append(sign * bound)
     return found
+
+
+def prefer_by_version(
+    candidates: list[catalog.Endpoint],
+    decoding: list[catalog.Endpoint],
+    to_prefill: bool,
+) -> list[catalog.Endpoint]:
+    """Return the engines to change so that each version can be decoded.
+
+    A stream goes on only at an engine of the software version that began it.
+
+    :param candidates: engines that may be ordered to change their stage, the
+        preferred ones first
+    :param decoding: engines in the decode stage
+    :param to_prefill: whether the change is from decode to prefill
+    :returns: those whose change serves that best; all, if none does
+    """
+    decoding_by_version = collections.Counter(e.version for e in decoding)
+    if len({each.version for each in (*candidates, *decoding)}) < 2:
+        return candidates
+    if not to_prefill:
+        return [
+            each
+            for each in candidates
+            if not decoding_by_version[each.version]
+        ] or candidates
+    spared = []
+    for each in candidates:
+        if decoding_by_version[each.version] > 1:
+            decoding_by_version[each.version] -= 1
+            spared.append(each)
+    return spared or candidates
--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -164,6 +164,9 @@
                 placement.load_sort_key(e.id, now_s),
             )
         )
+        candidates = stageplan.prefer_by_version(
+            candidates, fleet.decoding, change.to_prefill
+        )
         target = catalog.Stage.DECODE
         if change.to_prefill:
             target = catalog.Stage.PREFILL
--- a/tests/test_stageplan.py
+++ b/tests/test_stageplan.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from magnoliadyke.core import catalog
 from magnoliadyke.core import stageplan
 
 
@@ -258,3 +259,29 @@
     assert fleet.with_limits_of(1, False).prefill_limits_s == (7.0,)
     assert fleet.with_limits_of(-1, True).prefill_limits_s == (7.0,)
     assert fleet.with_limits_of(-2, True).decode_limits_s == (5.0, 9.0, 7.0)
+
+
+def _engine(name, version):
+    return catalog.Endpoint(
+        name,
+        'model',
+        '',
+        'z1',
+        16,
+        False,
+        catalog.Stage.DECODE,
+        version=version,
+    )
+
+
+def test_each_version_keeps_an_engine_that_decodes():
+    """Streams of a version could go on nowhere after a change of stages."""
+    old = [_engine('a1', 'v1'), _engine('a2', 'v1')]
+    new = [_engine('b1', 'v2')]
+    chosen = stageplan.prefer_by_version(new + old, new + old, True)
+    assert [each.id for each in chosen] == ['a1']
+    only = stageplan.prefer_by_version(new, new, True)
+    assert only == new
+    chosen = stageplan.prefer_by_version(old + new, old, False)
+    assert chosen == new
+    assert stageplan.prefer_by_version(old, old, False) == old
