Let hosts that start adopt what others know of the versions that served

A host asks others now until one that is certain tells it; it is certain from the first start of the whole system on (setting first_start); and a version counts for as long as a caller of the longest timeout may come back, in place of a minute. What was known when a stream was taken up is logged (stream_taken_up).

--- a/magnoliadyke/core/streamversions.py
+++ b/magnoliadyke/core/streamversions.py
@@ -163,15 +163,44 @@
     """Which versions of a service were listed, and until when.
 
     :ivar since_s: from when on all entries are known, None before that
+    :ivar inherited: services of which another host knows what was listed
+        before
     """
 
     def __init__(self) -> None:
         self.since_s: float | None = None
+        self.inherited: set[str] = set()
         self.last_listed_s: dict[str, dict[str, float]] = {}
 
     def restart(self, now_s: float) -> None:
-        """Record that versions may have come and gone unseen until now."""
+        """Record that versions may have come and gone unseen until now.
+
+        :param now_s: negative infinity if none has ever served before
+        """
         self.since_s = now_s
+        self.inherited.clear()
+
+    def inherit(
+        self,
+        service: str,
+        reports: list[Report],
+        window_s: float,
+        now_s: float,
+    ) -> bool:
+        """Adopt what other hosts know of the time before this one started.
+
+        :param reports: what they can tell of any stream of the service
+        :returns: whether one of them knows that only the version that is
+            listed here has served, and none knows better
+        """
+        recent = self._recent(service, window_s, now_s)
+        possible = {e.version for e in reports if e.version is not None}
+        if any(each.has_several for each in reports):
+            return False
+        if not possible or set(recent) != possible:
+            return False
+        self.inherited.add(service)
+        return True
 
     def update(
         self, service: str, versions: Iterable[str], now_s: float
@@ -192,7 +221,9 @@
         :param window_s: time for which callers may take up a stream, in
             seconds
         """
-        if self.since_s is None or now_s - self.since_s < window_s:
+        if self.since_s is None:
+            return None
+        if service not in self.inherited and now_s - self.since_s < window_s:
             return None
         recent = self._recent(service, window_s, now_s)
         return recent[0] if len(recent) == 1 else None
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -273,12 +273,7 @@
             return None
         known = self.parts.streams.resolve(self.request, self.service)
         match known:
-            case streamversions.Unknown(reason):
-                LOG.event(
-                    'stream_version_unknown',
-                    id=self.request.id.decode('latin-1'),
-                    reason=reason,
-                )
+            case streamversions.Unknown():
                 return outcomes.Refused(VERSION_UNKNOWN, RETRY_AFTER_S)
             case streamversions.Known(version):
                 self.version = version
@@ -299,8 +294,12 @@
             return
         self.version = endpoint.version
         if self.route.resumable:
+            wait_s = max(self.route.timeout_s, self.request.wait_s or 0.0)
             self.parts.streams.record(
-                self.request, self.service, endpoint.version, self.deadline_s
+                self.request,
+                self.service,
+                endpoint.version,
+                self.arrived_s + wait_s,
             )
 
     def _end_interrupted(self) -> outcomes.Refused | outcomes.Failed:
--- a/magnoliadyke/gateway/streamrecords.py
+++ b/magnoliadyke/gateway/streamrecords.py
@@ -29,14 +29,18 @@
 #: Number of hosts that are told of a stream, and that are asked about one:
 #: more are asked, as hosts differ in which others they take to be running.
 HOSTS_TOLD = 3
-HOSTS_ASKED = 5
+HOSTS_ASKED = 7
 #: Time limit for the replies, and time after which hosts that have not
 #: replied are asked again, as a datagram may be lost, in seconds.
 REPLY_TIMEOUT_S = 0.1
 REPEAT_S = 0.04
-#: Shortest time for which a version counts after its last entry, in seconds;
-#: the longest timeout of a route counts if it is longer.
-MIN_WINDOW_S = 60.0
+#: Shortest time for which a version counts after its last entry, in seconds.
+#: It counts for the longest timeout that a route whose streams may be resumed
+#: has had, as callers of before a change may wait for as long.
+MIN_WINDOW_S = 10.0
+#: Interval at which a host asks others what was listed before it started, in
+#: seconds.
+INHERIT_INTERVAL_S = 0.5
 #: Time added to a caller's deadline, in seconds.
 DEADLINE_MARGIN_S = 2.0
 #: Age from which on the list of endpoints is too old to tell that one version
@@ -106,6 +110,8 @@
         self.last_read: dict[str, _Read] = {}
         self.queries: dict[int, _Query] = {}
         self.counts: collections.Counter[str] = collections.Counter()
+        self.window_s = MIN_WINDOW_S
+        self.inherit_s = 0.0
         self.generation = -1
         self.certain: dict[str, str] = {}
         self.expired_s = 0.0
@@ -131,6 +137,32 @@
             for service in list(self.certain):
                 if self._only_version(service) is None:
                     self._tell_all(service)
+            if now_s - self.inherit_s >= INHERIT_INTERVAL_S:
+                self.inherit_s = now_s
+                self._inherit()
+
+    def _inherit(self) -> None:
+        """Ask others what was listed before this host knew the endpoints."""
+        configuration = self.catalog.configuration
+        since_s = self.history.since_s
+        if configuration is None or since_s is None:
+            return
+        now_s = self.clock.now_s()
+        window_s = self._window_s()
+        if now_s - since_s >= window_s:
+            return
+        services = {
+            target.service
+            for route in configuration.routes
+            if route.resumable
+            for target in route.targets
+        }
+        for service in services - self.history.inherited:
+            reports = self._ask(service, b'')
+            if self.history.inherit(
+                service, reports, window_s, self.clock.now_s()
+            ):
+                LOG.event('versions_inherited', service=service)
 
     def _update(self) -> None:
         """Record the versions in the list of endpoints, if it has changed."""
@@ -156,7 +188,9 @@
             for route in (configuration.routes if configuration else ())
             if route.resumable
         ]
-        return max(MIN_WINDOW_S, *timeouts_s, 0.0)
+        longest_s = max(timeouts_s, default=0.0) + DEADLINE_MARGIN_S
+        self.window_s = max(self.window_s, longest_s)
+        return self.window_s
 
     def _only_version(self, service: str) -> str | None:
         """Return the only version that can have begun a stream, if certain."""
@@ -174,18 +208,19 @@
         request: codecs.Request,
         service: str,
         version: str,
-        deadline_s: float,
+        until_s: float,
     ) -> None:
         """Record the version of a stream, before its first event is passed on.
 
         :param request: the request that began it, or that takes it up
-        :param deadline_s: the caller's deadline, in monotonic seconds
+        :param until_s: until when its caller may take it up, in monotonic
+            seconds
         """
         key = _key(request, service)
         if key is None:
             return
         now_s = self.clock.now_s()
-        until_s = deadline_s + DEADLINE_MARGIN_S
+        until_s += DEADLINE_MARGIN_S
         self.versions.record(key, service, version, until_s, now_s)
         if self._only_version(service) is not None:
             self.certain[service] = version
@@ -249,18 +284,29 @@
         self, request: codecs.Request, service: str
     ) -> streamversions.Known | streamversions.Unknown:
         only = self._only_version(service)
-        key = _key(request, service)
-        own = None
-        reports: list[streamversions.Report] = []
-        if key is not None:
-            own = self.versions.find(key, self.clock.now_s())
-            if own is None:
-                reports = self._ask(service, key)
+        # Without a key other hosts still know which versions have served.
+        key = _key(request, service) or b''
+        own = self.versions.find(key, self.clock.now_s())
+        reports = [] if own is not None else self._ask(service, key)
         known = streamversions.resolve(own, reports, only, ())
-        if isinstance(known, streamversions.Known):
-            return known
-        listed = self._read_listed(service)
-        return streamversions.resolve(own, reports, only, listed)
+        listed: frozenset[str] = frozenset()
+        if isinstance(known, streamversions.Unknown):
+            listed = self._read_listed(service)
+            known = streamversions.resolve(own, reports, only, listed)
+        LOG.event(
+            'stream_taken_up',
+            id=request.id.decode('latin-1'),
+            resumes=(request.resumes or b'none').decode('latin-1'),
+            known=type(known).__name__.lower(),
+            software=getattr(known, 'version', 'none'),
+            own=own or 'none',
+            replies=len(reports),
+            recorded=sum(each.is_recorded for each in reports),
+            several=sum(each.has_several for each in reports),
+            only=only or 'none',
+            listed=','.join(sorted(listed)) or 'none',
+        )
+        return known
 
     def _read_listed(self, service: str) -> frozenset[str]:
         """Return the versions that the store lists, empty if unknown.
@@ -330,7 +376,7 @@
 
 
 def _key(request: codecs.Request, service: str) -> bytes | None:
-    """Return the key of a request's stream, None if it does not name it."""
+    """Return the key of a request's stream, None if it names none."""
     began = request.id
     if request.resume_after is not None:
         if request.resumes is None:
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -222,6 +222,8 @@
             self.catalog, self.members, self.placement_service, clock, rng
         )
         self.streams.read_versions = self._read_versions
+        if settings.first_start:
+            self.streams.history.restart(float('-inf'))
         self.placement_service.broadcast = self._broadcast
         self.limits.broadcast = self._broadcast
         self.departures.broadcast = self._broadcast
@@ -415,6 +417,7 @@
         LOG.event(
             'started',
             host_name=self.settings.name,
+            first_start=self.settings.first_start,
             callers=self.settings.callers,
             process_ms=round(time.process_time() * 1000),
         )
--- a/magnoliadyke/platform/settings.py
+++ b/magnoliadyke/platform/settings.py
@@ -73,6 +73,8 @@
         store
     :param duties: singleton tasks that the hosts carry out, None if there are
         none
+    :param first_start: whether the whole system starts for the first time, so
+        that no request was served before
     """
 
     name: str
@@ -99,6 +101,7 @@
     directory_ttl_s: float
     revoke_s: float | None = None
     duties: DutySettings | None = None
+    first_start: bool = False
 
 
 def load(path: str | None = None) -> NodeSettings:
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -104,6 +104,29 @@
     assert history.only_version('model', WINDOW_S, 261.0) == 'v2'
 
 
+def test_host_that_starts_adopts_what_another_one_knows():
+    """Each restart made hosts uncertain for as long as callers may wait."""
+    history = streamversions.VersionHistory()
+    history.restart(100.0)
+    history.update('model', {'v1'}, 100.0)
+    for reports in (
+        [],
+        [Report(None, False)],
+        [Report('v2', False)],
+        [Report('v1', False), Report(None, False, True)],
+        [Report('v1', False), Report('v2', False)],
+    ):
+        assert not history.inherit('model', reports, WINDOW_S, 101.0)
+    assert history.only_version('model', WINDOW_S, 101.0) is None
+    reports = [Report(None, False), Report('v1', False)]
+    assert history.inherit('model', reports, WINDOW_S, 101.0)
+    assert history.only_version('model', WINDOW_S, 101.0) == 'v1'
+    history.update('model', {'v1', 'v2'}, 102.0)
+    assert history.only_version('model', WINDOW_S, 102.0) is None
+    history.restart(200.0)
+    assert history.only_version('model', WINDOW_S, 201.0) is None
+
+
 def test_service_without_endpoints_has_no_version():
     history = streamversions.VersionHistory()
     history.since_s = 0.0
@@ -155,7 +178,7 @@
 
 # The model.
 
-HOSTS_TOLD, HOSTS_ASKED = 3, 5
+HOSTS_TOLD, HOSTS_ASKED = 3, 7
 #: Longest time for which a host's list may lag behind the store, in seconds,
 #: before it takes its own list for too old.
 MAX_LIST_AGE_S = 5.0
@@ -237,6 +260,26 @@
         host.cut = host.store_cut = False
         self.sync(name)
 
+    def report(self, name, stream):
+        """What a host replies of a stream."""
+        host = self.hosts[name]
+        found = host.versions.find(stream, self.now_s)
+        if found is not None:
+            return Report(found, True)
+        several = host.history.has_several('model', WINDOW_S, self.now_s)
+        return Report(host.only(self.now_s), False, several)
+
+    def inherit(self, name):
+        """A host asks others what was listed before it started."""
+        reports = [
+            self.report(each, b'')
+            for each in self.names
+            if each != name and self.can_reach(name, each)
+        ]
+        host = self.hosts[name]
+        if self.now_s - host.confirmed_s <= MAX_LIST_AGE_S:
+            host.history.inherit('model', reports, WINDOW_S, self.now_s)
+
     def tell(self, name, stream, version, for_s):
         others = [each for each in self.names if each != name]
         ranked = streamversions.rank_hosts(stream, others)[:HOSTS_TOLD]
@@ -279,17 +322,7 @@
         others = [each for each in self.names if each != name]
         asked = streamversions.rank_hosts(stream, others)[:HOSTS_ASKED]
         reached = [each for each in asked if self.can_reach(name, each)]
-        reports = []
-        for each in reached:
-            other = self.hosts[each]
-            found = other.versions.find(stream, self.now_s)
-            if found is not None:
-                reports.append(Report(found, True))
-            else:
-                several = other.history.has_several(
-                    'model', WINDOW_S, self.now_s
-                )
-                reports.append(Report(other.only(self.now_s), False, several))
+        reports = [self.report(each, stream) for each in reached]
         own = host.versions.find(stream, self.now_s)
         listed = set() if host.store_cut else self.listed()
         found = streamversions.resolve(
@@ -331,6 +364,8 @@
                 fleet.changes.append({min(fleet.listed())})
             case 'sync':
                 fleet.sync(name)
+            case 'inherit':
+                fleet.inherit(name)
             case 'sync_all':
                 fleet.sync_all()
             case 'wait':
@@ -345,6 +380,7 @@
             ['begin'] * 3
             + ['take_up'] * 3
             + ['kill', 'cut', 'store_cut', 'heal', 'sync', 'sync_all', 'wait']
+            + ['kill', 'inherit', 'inherit']
             + ['release', 'release', 'retire', 'roll_back']
         ),
         strategies.integers(0, 9),
