Draw two software versions and callers that resume at any host in the soak

Faults 'release' replace engines by ones of the next version, drawn behind all others; events name the version that wrote them; callers take streams that break off up at any host, up to three times, and name the first attempt. The checker judges that each stream holds events of one version over its caller's tries, and that streams that are taken up go on, while two engines of their version serve, at least half as often as new ones begin.

--- a/magnoliadyke/lab/platformcaller.py
+++ b/magnoliadyke/lab/platformcaller.py
@@ -40,6 +40,8 @@
 #: host ends each request first.
 ANSWER_TIMEOUT_S = 6.0
 CONNECT_TIMEOUT_S = 1.0
+#: Number of times that a caller takes one stream up.
+MAX_TAKE_UPS = 3
 #: Longest additional pause of a caller after a refusal, in seconds.
 MAX_RETRY_PAUSE_S = 1.0
 SHARED_PROMPTS = 4
@@ -169,6 +171,7 @@
             if not connection.exchange(request, rng):
                 connection.close()
                 connection = None
+                self._take_up(request, rng)
             gevent.sleep(self._pause_s(request, rng))
         if connection is not None:
             connection.close()
@@ -195,6 +198,7 @@
             if not connection.exchange(request, rng):
                 connection.close()
                 connection = None
+                self._take_up(request, rng)
             pause_s = self._pause_s(request, rng)
             gevent.sleep(
                 pause_s + rng.choice((0, MAX_LASTING_PAUSE_S)) * rng.random()
@@ -202,6 +206,30 @@
         if connection is not None:
             connection.close()
 
+    def _take_up(
+        self, broken: platformcheck.CallerRequest, rng: random.Random
+    ) -> None:
+        """Take a stream that was broken off up, at any host."""
+        root, after = broken, 0
+        for number in range(MAX_TAKE_UPS):
+            events = broken.body.count(platformcheck.EVENT_END)
+            if broken.kind not in platformcheck.RESUMABLE_KINDS or not (
+                broken.status == 200 and not broken.complete and events
+            ):
+                return
+            after += events
+            connection = self._connect(rng.choice(self.fleet.hosts()))
+            if connection is None:
+                return
+            taken = self._new_request(
+                f'{root.id}-u{number}', root.kind, connection
+            )
+            taken.resumes, taken.after = root.id, after
+            taken.prompt = root.prompt
+            connection.exchange(taken, rng)
+            connection.close()
+            broken = taken
+
     def _pause_s(
         self, request: platformcheck.CallerRequest, rng: random.Random
     ) -> float:
@@ -334,7 +362,11 @@
         body = f'order {request.id}'.encode()
         lines.append(f'Content-Length: {len(body)}')
     if request.kind in platformcheck.STREAM_KINDS:
-        lines += _prompt(rng)
+        request.prompt = request.prompt or tuple(_prompt(rng))
+        lines += request.prompt
+    if request.resumes:
+        lines.append(f'Last-Event-Id: {request.after}')
+        lines.append(f'Resumes: {request.resumes}')
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
 
--- a/magnoliadyke/lab/platformcheck.py
+++ b/magnoliadyke/lab/platformcheck.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import math
+import re
 from typing import Iterable
 from typing import NamedTuple
 
@@ -64,6 +65,16 @@
 #: Kinds of requests: answered by a body, by a stream, executed at most once.
 SINGLE_BODY_KINDS = ('safe', 'unsafe', 'slow')
 STREAM_KINDS = ('once', 'chat', 'long')
+RESUMABLE_KINDS = ('chat', 'long')
+EVENT_END = b'\n\n'
+#: Line of an event that names the software version that wrote it.
+VERSION_LINE = re.compile(rb'^: (\w+)\n', re.MULTILINE)
+#: Such a line that was cut off at the end of what a caller received.
+VERSION_CUT = re.compile(rb'(?<=\n):[^\n]*\Z')
+#: Number of streams that callers take up from which it is judged whether they
+#: go on, and their share of success relative to that of new streams.
+TAKEN_UP_STREAMS = 12
+TAKEN_UP_SHARE = 0.5
 UNREPEATABLE_KINDS = ('unsafe', 'slow')
 #: Status of a request that timed out and may have been executed.
 GATEWAY_TIMEOUT = 504
@@ -94,6 +105,10 @@
     :ivar body: received bytes of the answer's body
     :ivar complete: the answer was received up to its proper end
     :ivar wait_s: time until its deadline, in seconds
+    :ivar prompt: headers of its prompt, empty until it was sent
+    :ivar resumes: id of the request that began the stream that this one takes
+        up, empty if it takes none up
+    :ivar after: number of the events of that stream that were received before
     """
 
     id: str
@@ -106,6 +121,9 @@
     body: bytes = b''
     complete: bool = False
     wait_s: float = math.inf
+    prompt: tuple[str, ...] = ()
+    resumes: str = ''
+    after: int = 0
 
     @property
     def timed_out(self) -> bool:
@@ -266,6 +284,8 @@
         *_check_limits(evidence),
         *_check_path_cuts(evidence),
         *_check_stops(evidence),
+        *_check_versions(evidence),
+        *_check_taken_up(evidence),
         *_check_calm(evidence),
         *_check_processes(evidence),
     ]
@@ -273,8 +293,9 @@
 
 
 def _check_answers(evidence: Evidence) -> Iterable[Violation]:
-    expected = expected_stream(evidence.events)
     for request in evidence.requests:
+        expected = expected_stream(evidence.events, request.after)
+        body = VERSION_LINE.sub(b'', request.body)
         if request.status in UNEXPECTED_STATUSES:
             yield _violation(
                 request, 'valid requests are accepted', f'{request.status}'
@@ -291,11 +312,11 @@
                 yield _violation(
                     request, 'answers are whole', repr(request.body[:80])
                 )
-        elif request.complete and request.body != expected:
+        elif request.complete and body != expected:
             yield _violation(
                 request, 'streams are whole', repr(request.body[-80:])
             )
-        elif not expected.startswith(request.body):
+        elif not expected.startswith(VERSION_CUT.sub(b'', body)):
             yield _violation(
                 request,
                 'each event is delivered once',
@@ -659,14 +680,93 @@
         )
 
 
-def expected_stream(events: int) -> bytes:
-    """Body of a complete stream of the endpoints' stand-in."""
+def expected_stream(events: int, after: int = 0) -> bytes:
+    """Body of a complete stream of the endpoints' stand-in.
+
+    :param after: number of events that the caller has already
+    """
     return b''.join(
         b'id: %d\ndata: piece %d\n\n' % (number, number)
-        for number in range(1, events + 1)
+        for number in range(after + 1, events + 1)
     )
 
 
+def _versions(request: CallerRequest) -> set[bytes]:
+    return set(VERSION_LINE.findall(request.body))
+
+
+def _check_versions(evidence: Evidence) -> Iterable[Violation]:
+    """Each stream holds events of one version, over its caller's tries."""
+    found: dict[str, set[bytes]] = collections.defaultdict(set)
+    for request in evidence.requests:
+        root = request.resumes or request.id
+        found[root] |= _versions(request)
+        if len(found[root]) > 1:
+            yield _violation(
+                request,
+                'streams hold one software version',
+                b', '.join(sorted(found[root])).decode(),
+            )
+
+
+def _check_taken_up(evidence: Evidence) -> Iterable[Violation]:
+    """Streams that callers take up go on like new streams begin.
+
+    Counted are those at times without a disturbance of the store or of the
+    host, while two engines of their version serve.
+    """
+    began = {
+        request.id: _versions(request)
+        for request in evidence.requests
+        if not request.resumes
+    }
+    judged: dict[bool, list[bool]] = {True: [], False: []}
+    failed = []
+    for request in evidence.requests:
+        if request.kind not in RESUMABLE_KINDS or any(
+            each.what in (request.host, 'store')
+            for each in _overlapping_disturbances(evidence, request)
+        ):
+            continue
+        versions = began.get(request.resumes, set())
+        if request.resumes and not _serve(evidence, versions, request.sent_s):
+            continue
+        succeeded = request.status == 200
+        judged[bool(request.resumes)].append(succeeded)
+        if request.resumes and not succeeded:
+            failed.append(request.id)
+    taken_up, new = judged[True], judged[False]
+    if len(taken_up) < TAKEN_UP_STREAMS:
+        return
+    share = sum(taken_up) / len(taken_up)
+    if share < TAKEN_UP_SHARE * sum(new) / len(new):
+        yield Violation(
+            'streams that are taken up go on',
+            0.0,
+            tuple(failed),
+            f'{sum(taken_up)} of {len(taken_up)} went on, '
+            f'{sum(new)} of {len(new)} new ones began',
+        )
+
+
+def _serve(evidence: Evidence, versions: set[bytes], at_s: float) -> bool:
+    """Whether two engines of a version serve at a moment."""
+    engines = [
+        each
+        for each in evidence.endpoints
+        if each.stage == 'decode'
+        and each.version.encode() in versions
+        and each.from_s <= at_s < each.to_s
+    ]
+    return len(engines) >= 2
+
+
+def taken_up(evidence: Evidence) -> tuple[int, int]:
+    """Numbers of streams that callers took up, and of those that went on."""
+    found = [each for each in evidence.requests if each.resumes]
+    return len(found), sum(each.status == 200 for each in found)
+
+
 def _violation(request: CallerRequest, promise: str, text: str) -> Violation:
     at = f'{request.kind} at {request.host}'
     return Violation(promise, request.sent_s, (request.id,), f'{at}: {text}')
--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -13,8 +13,8 @@
 recovery, and then for the final check), and "faults", a list of objects with
 "at_s" and "kind", and optionally "for_s" (duration in seconds) and "pick" (a
 number that selects the host or endpoint).  Kinds are kill, stop, pause,
-crash, restart, foreign_entry, scale_in, leave_unlisted, shed, reset, error,
-cut, frame, break, store_busy, store_reset, store_silent, store_lost,
+crash, restart, foreign_entry, scale_in, leave_unlisted, release, shed, reset,
+error, cut, frame, break, store_busy, store_reset, store_silent, store_lost,
 store_slow, store_deaf, store_restore, compact, configure, limit, link_cut,
 link_delay, link_silence, link_loss, path_reset, path_silence, path_one_way,
 path_refuse and path_some (of these five the duration is that after the first
@@ -27,6 +27,7 @@
 """
 
 import contextlib
+import math
 import pathlib
 import random
 import signal
@@ -363,7 +364,9 @@
             gevent.sleep(ENTRY_EXPIRY_S)
             self.fleet.remove_entry(name)
             gevent.sleep(fault.for_s)
-            self.fleet.add_endpoint(endpoint.service, endpoint.stage)
+            self.fleet.add_endpoint(
+                endpoint.service, endpoint.stage, endpoint.version
+            )
 
     def restart(self, fault: Fault) -> None:
         """Restart an endpoint under its name, without its state."""
@@ -389,18 +392,42 @@
         """Replace an endpoint, which announces in its entry that it leaves."""
         name = self._pick_endpoint(fault)
         leaver = self.fleet.endpoints[name]
-        self.fleet.add_endpoint(leaver.service, leaver.stage)
+        self.fleet.add_endpoint(leaver.service, leaver.stage, leaver.version)
         leaver.state = 'draining'
+        leaver.to_s = time.monotonic()
         leaver.announces_leaving = True
         self.fleet.store.put(f'servers/{name}', leaver.entry())
         self.leaving.append(platformcheck.Leaving(name, time.monotonic()))
         self._remove_after_delay(name)
 
+    def release(self, fault: Fault) -> None:
+        """Replace an engine by one of the next software version."""
+        engines = sorted(
+            (each.version, name)
+            for name, each in self.fleet.endpoints.items()
+            if each.stage and each.to_s == math.inf
+        )
+        if not engines:
+            return
+        # The oldest ones first, so that no more than two versions meet often.
+        version, name = engines[0]
+        leaver = self.fleet.endpoints[name]
+        newest = engines[-1][0]
+        if newest == version:
+            newest = f'v{int(version[1:]) + 1}'
+        self.fleet.add_endpoint(leaver.service, leaver.stage, newest)
+        leaver.state = 'draining'
+        leaver.to_s = time.monotonic()
+        self.fleet.store.put(f'servers/{name}', leaver.entry())
+        self.leaving.append(platformcheck.Leaving(name, time.monotonic()))
+        self._remove_after_delay(name)
+
     def leave_unlisted(self, fault: Fault) -> None:
         """Replace an endpoint that announces it in its answers only."""
         name = self._pick_endpoint(fault)
         leaver = self.fleet.endpoints[name]
-        self.fleet.add_endpoint(leaver.service, leaver.stage)
+        self.fleet.add_endpoint(leaver.service, leaver.stage, leaver.version)
+        leaver.to_s = time.monotonic()
         leaver.announces_leaving = True
         self._remove_after_delay(name)
 
@@ -574,6 +601,7 @@
     'restart': Day.restart,
     'foreign_entry': Day.foreign_entry,
     'scale_in': Day.scale_in,
+    'release': Day.release,
     'leave_unlisted': Day.leave_unlisted,
     'frame': Day.frame,
     'break': Day.break_off,
@@ -628,6 +656,8 @@
     print(
         f'{len(evidence.stops)} stops, {len(late)} requests sent late in them'
     )
+    taken_up, went_on = platformcheck.taken_up(evidence)
+    print(f'{taken_up} streams taken up, {went_on} went on')
     for share in platformcheck.limit_use(evidence):
         print(f'{share:.2f} of a limit was used')
     begun_s = min(
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -81,6 +81,10 @@
     :ivar framing: framing of answers, None for the usual one
     :ivar ends_with_break: it stops listening as it breaks an answer off
     :ivar content_type: content type of streams
+    :ivar marks_version: each event names the version of the endpoint's
+        software in a comment
+    :ivar from_s: when it started, in monotonic seconds
+    :ivar to_s: when it ended or announced its leave
     :ivar without_id: numbers of the events of a stream that have no id
     :ivar broken: where and how answers are broken off, None if they are not
     :ivar refuses_resumed: resumed streams are refused with 503
@@ -132,6 +136,9 @@
         self.broken: framedanswer.Break | None = None
         self.ends_with_break = False
         self.content_type = b'text/event-stream'
+        self.marks_version = False
+        self.from_s = time.monotonic()
+        self.to_s = math.inf
         self.without_id: frozenset[int] = frozenset()
         self.crash_on_body: bytes | None = None
         self.refuses_resumed = False
@@ -452,7 +459,10 @@
         )
 
     def _event(self, number: int) -> bytes:
-        data = b'data: piece %d\n\n' % number
+        data = b'data: piece %d\n' % number
+        if self.marks_version:
+            data += b': %s\n' % self.version.encode()
+        data += b'\n'
         if number in self.without_id:
             return data
         return b'id: %d\n' % number + data
--- a/magnoliadyke/lab/platformfleet.py
+++ b/magnoliadyke/lab/platformfleet.py
@@ -49,6 +49,7 @@
 #: shorter than the whole period.
 LONG_WORK_S = 2.5
 LONG_PREFIXES = (b'/long/', b'/slow/')
+FIRST_VERSION = 'v1'
 #: Timeouts of the routes for long requests, and of all others: longer than a
 #: killed host takes to be ready again.
 LONG_ROUTE_TIMEOUT_MS = 5000
@@ -163,27 +164,39 @@
         """Address of the directory of hosts that a host serves."""
         return self.ip(host), platformrecords.DIRECTORY_PORT
 
-    def add_endpoint(self, service: str, stage: str) -> str:
+    def add_endpoint(
+        self, service: str, stage: str, version: str = FIRST_VERSION
+    ) -> str:
         """Start an endpoint and write its entry.
 
         :param stage: 'prefill' or 'decode' for an engine, '' for a plain one
+        :param version: version of its software
         :returns: its name
         """
         self.endpoint_count += 1
         name = f'{service}-{stage or "plain"}-{self.endpoint_count}'
-        self._start_endpoint(name, service, stage)
+        self._start_endpoint(name, service, stage, version)
         return name
 
     def restart_endpoint(self, name: str) -> None:
         """Crash an endpoint, and start it again under the same name."""
         endpoint = self.endpoints[name]
         self.crash_endpoint(name)
-        self._start_endpoint(name, endpoint.service, endpoint.stage)
+        self._start_endpoint(
+            name, endpoint.service, endpoint.stage, endpoint.version
+        )
 
-    def _start_endpoint(self, name: str, service: str, stage: str) -> None:
+    def _start_endpoint(
+        self, name: str, service: str, stage: str, version: str
+    ) -> None:
         endpoint = platformendpoint.EndpointStandIn(
-            name, service, stage, address=f'{self.endpoint_ip}:0'
+            name,
+            service,
+            stage,
+            address=f'{self.endpoint_ip}:0',
+            version=version,
         )
+        endpoint.marks_version = True
         endpoint.start()
         endpoint.pause_s = EVENT_INTERVAL_S
         endpoint.events = STREAM_EVENTS
@@ -196,6 +209,7 @@
     def crash_endpoint(self, name: str) -> None:
         """Crash an endpoint without notice; its entry stays in the store."""
         endpoint = self.endpoints.pop(name)
+        endpoint.to_s = min(endpoint.to_s, time.monotonic())
         self.crashed.append(endpoint)
         endpoint.crash()
 
--- a/magnoliadyke/lab/soak.py
+++ b/magnoliadyke/lab/soak.py
@@ -48,6 +48,8 @@
 #: answers.
 MEAN_FRAME_INTERVAL_S = 2.0
 FRAME_KINDS = frozenset(('frame', 'break'))
+#: Mean time between two engines that are replaced by a later version.
+MEAN_RELEASE_INTERVAL_S = 4.0
 
 
 def draw(seed: int, seconds: float, hosts: int) -> platformday.Plan:
@@ -57,7 +59,7 @@
     :param hosts: number of nodes
     """
     rng = random.Random(seed)
-    drawn_apart = RESPONSE_ONLY_KINDS | FRAME_KINDS
+    drawn_apart = RESPONSE_ONLY_KINDS | FRAME_KINDS | {'release'}
     drawn_apart |= platformday.PATH_RULES.keys()
     kinds = sorted(platformday.KINDS.keys() - drawn_apart)
     faults = []
@@ -102,6 +104,10 @@
         pick = rng.randrange(1000)
         faults.append(platformday.Fault(round(at_s, 3), kind, for_s, pick))
         at_s += rng.expovariate(1 / MEAN_FRAME_INTERVAL_S)
+    at_s = rng.expovariate(1 / MEAN_RELEASE_INTERVAL_S)
+    while at_s < seconds:
+        faults.append(platformday.Fault(round(at_s, 3), 'release'))
+        at_s += rng.expovariate(1 / MEAN_RELEASE_INTERVAL_S)
     return platformday.Plan(
         seconds,
         tuple(faults),
--- a/tests/test_lab_platformcheck.py
+++ b/tests/test_lab_platformcheck.py
@@ -404,3 +404,67 @@
     frozen = [disturbed('host-2')]
     assert broken(lost, disturbed=frozen)
     assert not broken(lost, disturbed=frozen, path_cuts=[CUT])
+
+
+def stream(request_id, version, first=1, last=5, **fields):
+    body = b''.join(
+        b'id: %d\ndata: piece %d\n: %s\n\n' % (n, n, version)
+        for n in range(first, last + 1)
+    )
+    whole = {'body': body, 'complete': last == 5, 'ended_s': 100.5}
+    return one(request_id, 'chat', **(whole | fields))
+
+
+def test_stream_of_two_versions():
+    began = stream('c1', b'v1', last=2)
+    same = stream('c1-u0', b'v1', first=3, resumes='c1', after=2)
+    other = stream('c1-u0', b'v2', first=3, resumes='c1', after=2)
+    cut = [disturbed('endpoints')]
+    assert broken(began, same, disturbed=cut) == []
+    promise = 'streams hold one software version'
+    assert broken(began, other, disturbed=cut) == [promise]
+    mixed = stream('c2', b'v1')
+    mixed.body = mixed.body.replace(b': v1', b': v2', 1)
+    assert broken(mixed) == [promise]
+
+
+def test_events_of_a_stream_that_was_taken_up():
+    again = stream('c1-u0', b'v1', first=2, resumes='c1', after=2)
+    assert broken(again) == ['streams are whole']
+    cut = stream('c2', b'v1', last=2)
+    cut.body += b'id: 3\ndata: piece 3\n: v'
+    assert broken(cut, disturbed=[disturbed('endpoints')]) == []
+    cut.body += b'1\n\nid: 3\n'
+    assert broken(cut, disturbed=[disturbed('endpoints')]) == [
+        'each event is delivered once'
+    ]
+
+
+def test_streams_that_do_not_go_on():
+    engines = [
+        platformendpoint.EndpointStandIn(f'd{n}', 'model', 'decode')
+        for n in (1, 2)
+    ]
+    for engine in engines:
+        engine.from_s = 0.0
+    requests = []
+    for number in range(12):
+        requests.append(stream(f'c{number}', b'v1', last=2))
+        taken = one(
+            f'c{number}-u0',
+            'chat',
+            status=503 if number < 7 else 200,
+            body=b'' if number < 7 else stream('', b'v1', first=3).body,
+            resumes=f'c{number}',
+            after=2,
+        )
+        requests.append(taken)
+    found = broken(
+        *requests, endpoints=engines, disturbed=[disturbed('endpoints')]
+    )
+    assert found == ['streams that are taken up go on']
+    engines[0].to_s = 50.0
+    found = broken(
+        *requests, endpoints=engines, disturbed=[disturbed('endpoints')]
+    )
+    assert found == []
