--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -107,6 +107,10 @@
                 ended.end.value,
                 str(bool(ended.left_over)).lower(),
             ).set(count)
+        streams = parts.ingress.parts.streams
+        for known, count in streams.counts.items():
+            gauges.streams_taken_up.labels(known).set(count)
+        gauges.stream_records.set(len(streams.versions))
         relayer = parts.ingress.parts.relayer
         for outcome, count in relayer.counts.items():
             gauges.relayed.labels(outcome).set(count)
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -124,6 +124,14 @@
             'end',
             'in_event',
         )
+        self.streams_taken_up = self._gauge(
+            'streams_taken_up',
+            'Streams that callers took up, by how their version was known.',
+            'known',
+        )
+        self.stream_records = self._gauge(
+            'stream_records', 'Streams of which this host keeps the version.'
+        )
         self.open_requests = self._gauge(
             'open_requests', 'Requests under way.'
         )
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -160,6 +160,8 @@
         assert status == 503
         assert b'unknown' in body
     assert not any(engine.runs for engine in engines)
+    text = world.nodes[0].metrics.answer(b'GET', b'/metrics').body.decode()
+    assert 'magnoliadyke_streams_taken_up{known="unknown"} 4.0' in text
 
 
 def test_stream_that_no_host_knows_goes_on_where_one_version_serves(world):
