--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -540,7 +540,7 @@
                 head = used.head()
                 # Before the body, which may be broken off.
                 facts = self._read_facts(endpoint, used, head)
-                body = self._read_body(endpoint, used, head)
+                body = self._read_body(endpoint, used, head, facts)
         except LOST_ERRORS as error:
             return self._lost(used, error)
         except callers.Interrupted:
@@ -553,6 +553,7 @@
         endpoint: catalog.Endpoint,
         used: connection.Connection,
         head: http.Head,
+        facts: codecs.ResponseFacts,
     ) -> bytes:
         """Wait for the body of an answer, and record how the answer ended.
 
@@ -561,7 +562,7 @@
 
         :returns: the body, empty for such a refusal
         """
-        if not self.parts.codec.facts(head).not_run:
+        if not facts.not_run:
             body = used.body()
             left_over = (
                 events.ends_inside(body) if events.is_stream(head) else 0
@@ -616,9 +617,9 @@
         """
         if not used.ended_by_close:
             return self._record_end(used, answerend.End.MARKED, left_over)
-        is_gone = self.parts.catalog.find_staying(
-            endpoint.id
-        ) is not None and self.parts.upstream.is_refused(endpoint)
+        is_gone = False
+        if self.parts.catalog.find_staying(endpoint.id) is not None:
+            is_gone = self.parts.upstream.is_refused(endpoint)
         return self._record_end(used, answerend.End.CLOSED, left_over, is_gone)
 
     def _record_end(
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -448,13 +448,27 @@
             return wait()
 
     def _can_resume(self) -> bool:
-        if not self.position.can_resume:
-            return False
-        others = self._usable_decode_engines()
-        if not any(each.id != self.endpoint for each in others):
-            return False
         now_s = self.parts.clock.now_s()
-        return self._may_retry() and self._budget().has_left(now_s)
+        return (
+            self.position.can_resume
+            and self._may_retry()
+            and self._budget().has_left(now_s)
+            and self._has_other_engine()
+        )
+
+    def _has_other_engine(self) -> bool:
+        """Return whether another engine may generate the rest of the answer.
+
+        Called for each event, so it looks no further than the first one.
+        """
+        listed = self.parts.catalog.by_service.get(self.service, {})
+        return any(
+            each.id != self.endpoint
+            and not each.leaving
+            and each.stage is catalog.Stage.DECODE
+            and self._may_answer(each)
+            for each in listed.values()
+        )
 
     def _classify_stream(
         self,
@@ -466,14 +480,14 @@
     ) -> outcomes.Answered | outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         facts = self._read_facts(engine, used, head)
         if facts.status != 200:
-            body = self._read_body(engine, used, head)
+            body = self._read_body(engine, used, head, facts)
             return self._classify(used, head, facts, body)
         if facts.request_id != self.request.id:
             return outcomes.Lost('answer to another request', False)
         if not facts.sealed or facts.has_content_encoding:
             return outcomes.Lost("not the endpoint's own answer", False)
         if not self._is_stream(head):
-            body = self._read_body(engine, used, head)
+            body = self._read_body(engine, used, head, facts)
             return self._classify(used, head, facts, body)
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -440,3 +440,22 @@
     assert read_answer(world, '/unsafe/x')[0] == 502
     assert read_answer(world, '/unsafe/x', 'r2')[0] == 503
     assert len(plain.runs) == 1
+
+
+def test_requests_behind_a_broken_stream_get_no_answer_of_it(world, engines):
+    """A request sent behind a stream took the rest of it for its answer."""
+    engines.broken = framedanswer.Break(AT.BETWEEN, BY.RESET)
+    engines.pause_s = 0.1
+    world.node()
+    client = gatewayworld.Client(world.nodes[0])
+    client.request('POST', '/once/x', 'r1', b'x', **PROMPT)
+    client.request('POST', '/once/x', 'r2', b'x', **PROMPT)
+    received = b''
+    with pytest.raises(http.PeerClosed):
+        while True:
+            part = client.reader.next_part()
+            if isinstance(part, http.Body):
+                received += part.data
+            assert not isinstance(part, http.MessageEnd)
+    assert received == EVENTS[0]
+    assert [run.id for run in engines.runs] == [b'r1']
