Let hosts that follow others be certain which version has served

Hosts of fleets of more than 16 that don't watch the store read it rarely, so they took their list of endpoints for too old: they told other hosts of each stream, and refused streams that no host had on record, beside one version. Found by reading. The age of the list counts from the last update of another host as well now (Follower.list_age_s).

Test: red before with 503.

--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -1,6 +1,7 @@
 """Keeps a host's copy of the store's keys current, by watch or relay."""
 
 import abc
+import math
 import random
 from typing import Callable
 
@@ -182,6 +183,20 @@
             return 0.0
         return self.clock.now_s() - self.regained_s
 
+    def list_age_s(self) -> float:
+        """Return how long ago this host knew all keys, in seconds.
+
+        A host that follows others knows them by each of their updates.
+        Infinite before the first read.
+        """
+        known_s = [self.mirror.catalog.confirmed_s]
+        if self.is_following_peers and not self.missed:
+            known_s.append(self.updated_s)
+        latest_s = max((s for s in known_s if s is not None), default=None)
+        if latest_s is None:
+            return math.inf
+        return self.clock.now_s() - latest_s
+
     def is_behind(self) -> bool:
         """Return whether a change seen by another host is overdue here."""
         missed_s = self.lag.missed_s(self.clock.now_s())
--- a/magnoliadyke/gateway/streamrecords.py
+++ b/magnoliadyke/gateway/streamrecords.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import math
 import random
 from typing import NamedTuple
 
@@ -84,6 +85,7 @@
 
     :ivar versions: streams on record at this host
     :ivar history: versions that the entries of endpoints named
+    :ivar list_age_s: returns the age of the list of endpoints, in seconds
     :ivar read_versions: reads the versions of a service's endpoints from the
         store; returns None if it does not answer
     :ivar queries: queries that wait for replies, by nonce
@@ -105,6 +107,7 @@
         self.rng = rng
         self.versions = streamversions.StreamVersions()
         self.history = streamversions.VersionHistory()
+        self.list_age_s = _list_age_unknown
         self.read_versions = _read_nothing
         self.reading = lock.BoundedSemaphore(1)
         self.last_read: dict[str, _Read] = {}
@@ -166,17 +169,16 @@
 
     def _update(self) -> None:
         """Record the versions in the list of endpoints, if it has changed."""
-        known = self.catalog
-        if known.confirmed_s is None:
+        age_s = self.list_age_s()
+        if age_s == math.inf:
             return
         now_s = self.clock.now_s()
-        is_old = now_s - known.confirmed_s > MAX_LIST_AGE_S
-        if is_old or self.history.since_s is None:
+        if age_s > MAX_LIST_AGE_S or self.history.since_s is None:
             self.history.restart(now_s)
-        if known.generation == self.generation:
+        if self.catalog.generation == self.generation:
             return
-        self.generation = known.generation
-        for service, listed in known.by_service.items():
+        self.generation = self.catalog.generation
+        for service, listed in self.catalog.by_service.items():
             self.history.update(
                 service, {each.version for each in listed.values()}, now_s
             )
@@ -195,10 +197,9 @@
     def _only_version(self, service: str) -> str | None:
         """Return the only version that can have begun a stream, if certain."""
         self._update()
-        now_s = self.clock.now_s()
-        confirmed_s = self.catalog.confirmed_s
-        if confirmed_s is None or now_s - confirmed_s > MAX_LIST_AGE_S:
+        if self.list_age_s() > MAX_LIST_AGE_S:
             return None
+        now_s = self.clock.now_s()
         return self.history.only_version(service, self._window_s(), now_s)
 
     # Streams that begin.
@@ -371,6 +372,10 @@
             query.add(reply.report)
 
 
+def _list_age_unknown() -> float:
+    return math.inf
+
+
 def _read_nothing(service: str) -> set[str] | None:
     return None
 
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -221,6 +221,7 @@
         self.streams = streamrecords.StreamRecords(
             self.catalog, self.members, self.placement_service, clock, rng
         )
+        self.streams.list_age_s = self.follower.list_age_s
         self.streams.read_versions = self._read_versions
         if settings.first_start:
             self.streams.history.restart(float('-inf'))
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -2,9 +2,12 @@
 
 import contextlib
 
+import gevent
 import pytest
 
 from magnoliadyke.gateway import http
+from magnoliadyke.gateway import members
+from magnoliadyke.gateway import streamrecords
 from magnoliadyke.lab import framedanswer
 from tests import gatewayworld
 
@@ -285,3 +288,25 @@
         assert (head.status, body.count(b'data')) == (200, 2)
     assert len(first.runs) == STREAMS + 1
     assert not other.runs
+
+
+def test_hosts_that_follow_others_are_certain_of_one_version(
+    world, monkeypatch
+):
+    """Hosts of large fleets, which don't watch the store, refused streams."""
+    monkeypatch.setattr(members, 'MAX_ALL_WATCH_HOSTS', 0)
+    monkeypatch.setattr(members, 'WATCHERS', 1)
+    monkeypatch.setattr(streamrecords, 'MAX_LIST_AGE_S', 0.6)
+    world.endpoint('d1', 'model', 'decode')
+    hosts(world, 3)
+    gatewayworld.wait_for(
+        lambda: any(e.follower.is_following_peers for e in world.nodes),
+        'a host that follows others',
+    )
+    following = next(
+        n for n, e in enumerate(world.nodes) if e.follower.is_following_peers
+    )
+    gevent.sleep(1.5)
+    settle(world)
+    status, body = take_up(world, 's1', 'r9', 1, node=following)
+    assert (status, body.count(b'data')) == (200, 2)
