Place a stream of which only comments were passed on as a resumed one

Its version is fixed by then, and only resumed jobs are placed by version: the job was placed at any engine and refused there up to three times. Found by reading.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -72,7 +72,8 @@
             backoff_s = self._decode_engines_backoff_s()
             if backoff_s:
                 return self._refused(exchange.BACKOFF_REASON, backoff_s)
-            job = self._job(avoid, resume_after is not None)
+            resumed = resume_after is not None or self.caller.answer_started
+            job = self._job(avoid, resumed)
             decision = self.parts.placement_service.place(self.service, job)
             self._log_decision(job, decision)
             if isinstance(decision, promptjobs.Refused):
