Count requests under a limit by the time that they took in a test

Traced: where the break of the other engine is noticed before its caller has left, that engine rests and all eight requests wait for the limited one, which gets one each 0.51 s: five in 2.55 s, as its limit of two a second allows. The test allowed three, whatever the time.

--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -1,6 +1,7 @@
 """Endpoints that name the requests per second they take from all hosts."""
 
 import bisect
+import time
 
 import gevent
 import pytest
@@ -290,9 +291,11 @@
     world.join('d2', 'model', 'decode').mode = 'cut'
     limited.arrivals.clear()
     asked = 8
+    began_s = time.monotonic()
     for number in range(asked):
         client = gatewayworld.Client(world.nodes[0])
         client.request('POST', '/chat/a', f'm{number}', b'x', **CHAT)
         client.reader.next_part()
         client.close()
-    assert len(limited.arrivals) <= 3
+    took_s = time.monotonic() - began_s
+    assert len(limited.arrivals) <= 1 + 2 * took_s
