--- a/magnoliadyke/gateway/streamrecords.py
+++ b/magnoliadyke/gateway/streamrecords.py
@@ -88,7 +88,13 @@
     :ivar list_age_s: returns the age of the list of endpoints, in seconds
     :ivar read_versions: reads the versions of a service's endpoints from the
         store; returns None if it does not answer
+    :ivar last_read: what :attr:`read_versions` returned last, by service
     :ivar queries: queries that wait for replies, by nonce
+    :ivar window_s: longest time for which a caller may take a stream up, in
+        seconds
+    :ivar generation: generation of the list of endpoints that the history has
+    :ivar certain: version of the streams that no other host was told of, by
+        service
     :ivar counts: number of streams that callers took up, by what was known
     """
 
