--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -24,7 +24,9 @@
 HOSTS = itertools.count(1)
 #: Addresses of this process's nodes: two runs of the tests side by side
 #: would else meet at the same ports.
-NET = f'127.{os.getpid() % 190 + 50}.{os.getpid() // 190 % 250 + 1}'
+NET = f'127.{os.getpid() % 190 + 50}'
+SUBNET = os.getpid() // 190
+HOSTS_PER_SUBNET = 250
 
 
 route = platformrecords.route
@@ -112,7 +114,8 @@
 
     def node(self, wait=True, clock=None, **fields):
         """Start a node; waits until it is ready."""
-        ip = f'{NET}.{next(HOSTS) % 250 + 1}'
+        subnet, host = divmod(next(HOSTS), HOSTS_PER_SUBNET)
+        ip = f'{NET}.{(SUBNET + subnet) % 250 + 1}.{host + 1}'
         values = platformrecords.node_settings(
             f'front-{ip}', ip, self.store.address, **fields
         )
