Count one reply of each host that is asked about a stream

A query that was repeated for lost datagrams went to all hosts again, and the replies of a host to both counted as those of two: the wait could end before a slower host that had the stream on record had replied, and the stream was refused. Seen in lines stream_taken_up with six replies where five hosts were asked. Each host is asked under a nonce of its own, and only those that have not replied are asked again.

Test: red before with 503.

--- a/magnoliadyke/gateway/streamrecords.py
+++ b/magnoliadyke/gateway/streamrecords.py
@@ -67,16 +67,22 @@
 
 
 class _Query:
-    """A query of this host that waits for replies."""
+    """A query of this host that waits for replies.
 
-    def __init__(self, addresses: list[str]) -> None:
-        self.addresses = addresses
+    :ivar waiting: hosts that have not replied, by the nonce sent to each
+    """
+
+    def __init__(self, waiting: dict[int, str]) -> None:
+        self.waiting = waiting
         self.reports: list[streamversions.Report] = []
         self.done = event.Event()
 
-    def add(self, report: streamversions.Report) -> None:
+    def add(self, nonce: int, report: streamversions.Report) -> None:
+        """Add a reply; a second one of the same host is ignored."""
+        if self.waiting.pop(nonce, None) is None:
+            return
         self.reports.append(report)
-        if report.is_recorded or len(self.reports) >= len(self.addresses):
+        if report.is_recorded or not self.waiting:
             self.done.set()
 
 
@@ -337,20 +343,24 @@
         ranked = streamversions.rank_hosts(
             key, self.members.reachable_addresses()
         )
-        query = _Query(ranked[:HOSTS_ASKED])
-        if not query.addresses:
+        waiting = {
+            self.rng.getrandbits(62): each for each in ranked[:HOSTS_ASKED]
+        }
+        if not waiting:
             return []
-        nonce = self.rng.getrandbits(62)
-        message = stream_codec.StreamQuery(nonce, service, key)
-        self.queries[nonce] = query
+        query = _Query(waiting)
+        nonces = list(waiting)
+        self.queries.update(dict.fromkeys(nonces, query))
         try:
             for wait_s in (REPEAT_S, REPLY_TIMEOUT_S - REPEAT_S):
-                for address in query.addresses:
+                for nonce, address in list(query.waiting.items()):
+                    message = stream_codec.StreamQuery(nonce, service, key)
                     self.placement_service.send(address, message)
                 if query.done.wait(wait_s):
                     break
         finally:
-            del self.queries[nonce]
+            for nonce in nonces:
+                del self.queries[nonce]
         return query.reports
 
     def handle_query(
@@ -375,7 +385,7 @@
         """Pass a reply on to the request that waits for it."""
         query = self.queries.get(reply.nonce)
         if query is not None:
-            query.add(reply.report)
+            query.add(reply.nonce, reply.report)
 
 
 def _list_age_unknown() -> float:
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -5,8 +5,10 @@
 import gevent
 import pytest
 
+from magnoliadyke.core import streamversions
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import members
+from magnoliadyke.gateway import stream_codec
 from magnoliadyke.gateway import streamrecords
 from magnoliadyke.lab import framedanswer
 from tests import gatewayworld
@@ -310,3 +312,28 @@
     settle(world)
     status, body = take_up(world, 's1', 'r9', 1, node=following)
     assert (status, body.count(b'data')) == (200, 2)
+
+
+def test_host_that_replies_twice_stands_for_no_other(world):
+    """Replies to a repeated query ended the wait for the host that knew."""
+    world.endpoint('d1', 'model', 'decode')
+    hosts(world, 3)
+    asking, other, knowing = world.nodes
+    for node in (other, knowing):
+        node.streams.history.restart(node.clock.now_s())
+    key = streamversions.stream_key('model', '', b'r9')
+    now_s = knowing.clock.now_s()
+    knowing.streams.versions.record(key, 'model', 'v1', now_s + 9, now_s)
+    handle_reply = asking.streams.handle_reply
+    late = asking.placement_service.listeners
+
+    def twice(reply):
+        if reply.report.is_recorded:
+            gevent.spawn_later(0.03, handle_reply, reply)
+        else:
+            handle_reply(reply)
+            handle_reply(reply)
+
+    late[stream_codec.StreamReply] = twice
+    status, _ = take_up(world, 's1', 'r9', 1)
+    assert status == 200
