--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -137,6 +137,10 @@
      - failure_domain
      - avoid
      - version
+     - priority
+     - workspace
+     - pause_us
+     - backed_up
 
     """
 
@@ -152,10 +156,14 @@
         'failure_domain',
         'avoid',
         'version',
+        'priority',
+        'workspace',
+        'pause_us',
+        'backed_up',
     )
 
 
-    def __init__(self, job=None, pool=None, parts=None, output_tokens=None, objective_us=None, deadline_us=None, returning=None, resumed=None, failure_domain=None, avoid=None, version=None,):
+    def __init__(self, job=None, pool=None, parts=None, output_tokens=None, objective_us=None, deadline_us=None, returning=None, resumed=None, failure_domain=None, avoid=None, version=None, priority=None, workspace=None, pause_us=None, backed_up=None,):
         self.job = job
         self.pool = pool
         self.parts = parts
@@ -167,6 +175,10 @@
         self.failure_domain = failure_domain
         self.avoid = avoid
         self.version = version
+        self.priority = priority
+        self.workspace = workspace
+        self.pause_us = pause_us
+        self.backed_up = backed_up
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -243,6 +255,26 @@
                     self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.workspace = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.pause_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.backed_up = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -303,6 +335,22 @@
             oprot.writeFieldBegin('version', TType.STRING, 11)
             oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
             oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 12)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.STRING, 13)
+            oprot.writeString(self.workspace.encode('utf-8') if sys.version_info[0] == 2 else self.workspace)
+            oprot.writeFieldEnd()
+        if self.pause_us is not None:
+            oprot.writeFieldBegin('pause_us', TType.I32, 14)
+            oprot.writeI32(self.pause_us)
+            oprot.writeFieldEnd()
+        if self.backed_up is not None:
+            oprot.writeFieldBegin('backed_up', TType.BOOL, 15)
+            oprot.writeBool(self.backed_up)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -340,6 +388,7 @@
      - reason
      - expected_us
      - tell_end
+     - backup
 
     """
 
@@ -353,10 +402,11 @@
         'reason',
         'expected_us',
         'tell_end',
+        'backup',
     )
 
 
-    def __init__(self, job=None, prefill=None, run=None, fetch_from=None, read_tokens=None, retry_after_us=None, reason=None, expected_us=None, tell_end=None,):
+    def __init__(self, job=None, prefill=None, run=None, fetch_from=None, read_tokens=None, retry_after_us=None, reason=None, expected_us=None, tell_end=None, backup=None,):
         self.job = job
         self.prefill = prefill
         self.run = run
@@ -366,6 +416,7 @@
         self.reason = reason
         self.expected_us = expected_us
         self.tell_end = tell_end
+        self.backup = backup
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -421,6 +472,11 @@
                     self.tell_end = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.backup = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -467,6 +523,10 @@
             oprot.writeFieldBegin('tell_end', TType.BOOL, 9)
             oprot.writeBool(self.tell_end)
             oprot.writeFieldEnd()
+        if self.backup is not None:
+            oprot.writeFieldBegin('backup', TType.STRING, 10)
+            oprot.writeString(self.backup.encode('utf-8') if sys.version_info[0] == 2 else self.backup)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1650,6 +1710,8 @@
      - thousand_tokens_us
      - million_pairs_us
      - answering_permille
+     - output_ns
+     - requests_s
 
     """
 
@@ -1659,15 +1721,19 @@
         'thousand_tokens_us',
         'million_pairs_us',
         'answering_permille',
+        'output_ns',
+        'requests_s',
     )
 
 
-    def __init__(self, pool=None, latency_us=None, thousand_tokens_us=None, million_pairs_us=None, answering_permille=None,):
+    def __init__(self, pool=None, latency_us=None, thousand_tokens_us=None, million_pairs_us=None, answering_permille=None, output_ns=None, requests_s=None,):
         self.pool = pool
         self.latency_us = latency_us
         self.thousand_tokens_us = thousand_tokens_us
         self.million_pairs_us = million_pairs_us
         self.answering_permille = answering_permille
+        self.output_ns = output_ns
+        self.requests_s = requests_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1703,6 +1769,16 @@
                     self.answering_permille = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.output_ns = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.requests_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1733,6 +1809,525 @@
             oprot.writeFieldBegin('answering_permille', TType.I32, 5)
             oprot.writeI32(self.answering_permille)
             oprot.writeFieldEnd()
+        if self.output_ns is not None:
+            oprot.writeFieldBegin('output_ns', TType.I32, 6)
+            oprot.writeI32(self.output_ns)
+            oprot.writeFieldEnd()
+        if self.requests_s is not None:
+            oprot.writeFieldBegin('requests_s', TType.I32, 7)
+            oprot.writeI32(self.requests_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EnginePace(object):
+    """
+    Attributes:
+     - engine
+     - events
+     - mean_us
+     - longest_us
+
+    """
+
+    __slots__ = (
+        'engine',
+        'events',
+        'mean_us',
+        'longest_us',
+    )
+
+
+    def __init__(self, engine=None, events=None, mean_us=None, longest_us=None,):
+        self.engine = engine
+        self.events = events
+        self.mean_us = mean_us
+        self.longest_us = longest_us
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.events = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.mean_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.longest_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EnginePace')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.events is not None:
+            oprot.writeFieldBegin('events', TType.I32, 2)
+            oprot.writeI32(self.events)
+            oprot.writeFieldEnd()
+        if self.mean_us is not None:
+            oprot.writeFieldBegin('mean_us', TType.I32, 3)
+            oprot.writeI32(self.mean_us)
+            oprot.writeFieldEnd()
+        if self.longest_us is not None:
+            oprot.writeFieldBegin('longest_us', TType.I32, 4)
+            oprot.writeI32(self.longest_us)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PaceReport(object):
+    """
+    Attributes:
+     - pool
+     - engines
+
+    """
+
+    __slots__ = (
+        'pool',
+        'engines',
+    )
+
+
+    def __init__(self, pool=None, engines=None,):
+        self.pool = pool
+        self.engines = engines
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.engines = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = EnginePace()
+                        _elem61.read(iprot)
+                        self.engines.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PaceReport')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.engines is not None:
+            oprot.writeFieldBegin('engines', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.engines))
+            for iter62 in self.engines:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LearnedPaces(object):
+    """
+    Attributes:
+     - pool
+     - engines
+
+    """
+
+    __slots__ = (
+        'pool',
+        'engines',
+    )
+
+
+    def __init__(self, pool=None, engines=None,):
+        self.pool = pool
+        self.engines = engines
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.engines = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = EnginePace()
+                        _elem68.read(iprot)
+                        self.engines.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LearnedPaces')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.engines is not None:
+            oprot.writeFieldBegin('engines', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.engines))
+            for iter69 in self.engines:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndpointObservation(object):
+    """
+    Attributes:
+     - endpoint
+     - responses
+     - mean_us
+     - failures
+     - in_flight
+     - cooldown_ms
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'responses',
+        'mean_us',
+        'failures',
+        'in_flight',
+        'cooldown_ms',
+    )
+
+
+    def __init__(self, endpoint=None, responses=None, mean_us=None, failures=None, in_flight=None, cooldown_ms=None,):
+        self.endpoint = endpoint
+        self.responses = responses
+        self.mean_us = mean_us
+        self.failures = failures
+        self.in_flight = in_flight
+        self.cooldown_ms = cooldown_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.responses = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.mean_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.failures = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.in_flight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.cooldown_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointObservation')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.responses is not None:
+            oprot.writeFieldBegin('responses', TType.I32, 2)
+            oprot.writeI32(self.responses)
+            oprot.writeFieldEnd()
+        if self.mean_us is not None:
+            oprot.writeFieldBegin('mean_us', TType.I32, 3)
+            oprot.writeI32(self.mean_us)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.I32, 4)
+            oprot.writeI32(self.failures)
+            oprot.writeFieldEnd()
+        if self.in_flight is not None:
+            oprot.writeFieldBegin('in_flight', TType.I32, 5)
+            oprot.writeI32(self.in_flight)
+            oprot.writeFieldEnd()
+        if self.cooldown_ms is not None:
+            oprot.writeFieldBegin('cooldown_ms', TType.I32, 6)
+            oprot.writeI32(self.cooldown_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndpointObservations(object):
+    """
+    Attributes:
+     - host
+     - incarnation
+     - endpoints
+
+    """
+
+    __slots__ = (
+        'host',
+        'incarnation',
+        'endpoints',
+    )
+
+
+    def __init__(self, host=None, incarnation=None, endpoints=None,):
+        self.host = host
+        self.incarnation = incarnation
+        self.endpoints = endpoints
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.endpoints = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = EndpointObservation()
+                        _elem75.read(iprot)
+                        self.endpoints.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointObservations')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
+            for iter76 in self.endpoints:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1919,11 +2514,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = KeyChange()
-                        _elem61.read(iprot)
-                        self.changes.append(_elem61)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = KeyChange()
+                        _elem82.read(iprot)
+                        self.changes.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1962,8 +2557,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter62 in self.changes:
-                iter62.write(oprot)
+            for iter83 in self.changes:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.regained_ms is not None:
@@ -2194,11 +2789,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.begun = {}
-                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
-                    for _i67 in range(_size63):
-                        _key68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val69 = iprot.readI32()
-                        self.begun[_key68] = _val69
+                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
+                    for _i88 in range(_size84):
+                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val90 = iprot.readI32()
+                        self.begun[_key89] = _val90
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2219,9 +2814,9 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.begun))
-            for kiter70, viter71 in self.begun.items():
-                oprot.writeString(kiter70.encode('utf-8') if sys.version_info[0] == 2 else kiter70)
-                oprot.writeI32(viter71)
+            for kiter91, viter92 in self.begun.items():
+                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
+                oprot.writeI32(viter92)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2295,11 +2890,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.windows = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = WindowUsage()
-                        _elem77.read(iprot)
-                        self.windows.append(_elem77)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = WindowUsage()
+                        _elem98.read(iprot)
+                        self.windows.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2329,8 +2924,8 @@
         if self.windows is not None:
             oprot.writeFieldBegin('windows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.windows))
-            for iter78 in self.windows:
-                iter78.write(oprot)
+            for iter99 in self.windows:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wall_ms is not None:
@@ -2564,11 +3159,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = EndpointLimit()
-                        _elem84.read(iprot)
-                        self.limits.append(_elem84)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = EndpointLimit()
+                        _elem105.read(iprot)
+                        self.limits.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2590,8 +3185,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter85 in self.limits:
-                iter85.write(oprot)
+            for iter106 in self.limits:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leads is not None:
@@ -2664,10 +3259,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.endpoints.append(_elem91)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.endpoints.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2698,8 +3293,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.endpoints))
-            for iter92 in self.endpoints:
-                oprot.writeString(iter92.encode('utf-8') if sys.version_info[0] == 2 else iter92)
+            for iter113 in self.endpoints:
+                oprot.writeString(iter113.encode('utf-8') if sys.version_info[0] == 2 else iter113)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.max_wait_ms is not None:
@@ -2857,10 +3452,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.endpoints.append(_elem98)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.endpoints.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2882,8 +3477,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.endpoints))
-            for iter99 in self.endpoints:
-                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
+            for iter120 in self.endpoints:
+                oprot.writeString(iter120.encode('utf-8') if sys.version_info[0] == 2 else iter120)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leads is not None:
@@ -2950,10 +3545,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.endpoints.append(_elem105)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.endpoints.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2974,8 +3569,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.endpoints))
-            for iter106 in self.endpoints:
-                oprot.writeString(iter106.encode('utf-8') if sys.version_info[0] == 2 else iter106)
+            for iter127 in self.endpoints:
+                oprot.writeString(iter127.encode('utf-8') if sys.version_info[0] == 2 else iter127)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3041,10 +3636,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.endpoints.append(_elem112)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.endpoints.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3070,8 +3665,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.endpoints))
-            for iter113 in self.endpoints:
-                oprot.writeString(iter113.encode('utf-8') if sys.version_info[0] == 2 else iter113)
+            for iter134 in self.endpoints:
+                oprot.writeString(iter134.encode('utf-8') if sys.version_info[0] == 2 else iter134)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.relayed is not None:
@@ -3230,11 +3825,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype117, _size114) = iprot.readListBegin()
-                    for _i118 in range(_size114):
-                        _elem119 = StreamVersion()
-                        _elem119.read(iprot)
-                        self.streams.append(_elem119)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = StreamVersion()
+                        _elem140.read(iprot)
+                        self.streams.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3255,8 +3850,8 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter120 in self.streams:
-                iter120.write(oprot)
+            for iter141 in self.streams:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3507,6 +4102,9 @@
      - stream_reply
      - crash_report
      - cause_states
+     - pace_report
+     - learned_paces
+     - endpoint_observations
 
     """
 
@@ -3535,10 +4133,13 @@
         'stream_reply',
         'crash_report',
         'cause_states',
+        'pace_report',
+        'learned_paces',
+        'endpoint_observations',
     )
 
 
-    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, leader=None, silent=None, learned=None, updates=None, confirmation_request=None, confirmation_reply=None, usage=None, wall_time=None, endpoint_limits=None, permit_request=None, permit_reply=None, endpoints_leaving=None, path_query=None, path_reply=None, stream_versions=None, stream_query=None, stream_reply=None, crash_report=None, cause_states=None,):
+    def __init__(self, version=None, ask=None, decision=None, report=None, recall=None, leader=None, silent=None, learned=None, updates=None, confirmation_request=None, confirmation_reply=None, usage=None, wall_time=None, endpoint_limits=None, permit_request=None, permit_reply=None, endpoints_leaving=None, path_query=None, path_reply=None, stream_versions=None, stream_query=None, stream_reply=None, crash_report=None, cause_states=None, pace_report=None, learned_paces=None, endpoint_observations=None,):
         self.version = version
         self.ask = ask
         self.decision = decision
@@ -3563,6 +4164,9 @@
         self.stream_reply = stream_reply
         self.crash_report = crash_report
         self.cause_states = cause_states
+        self.pace_report = pace_report
+        self.learned_paces = learned_paces
+        self.endpoint_observations = endpoint_observations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3716,6 +4320,24 @@
                     self.cause_states.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.STRUCT:
+                    self.pace_report = PaceReport()
+                    self.pace_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.STRUCT:
+                    self.learned_paces = LearnedPaces()
+                    self.learned_paces.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.STRUCT:
+                    self.endpoint_observations = EndpointObservations()
+                    self.endpoint_observations.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3822,6 +4444,18 @@
             oprot.writeFieldBegin('cause_states', TType.STRUCT, 25)
             self.cause_states.write(oprot)
             oprot.writeFieldEnd()
+        if self.pace_report is not None:
+            oprot.writeFieldBegin('pace_report', TType.STRUCT, 26)
+            self.pace_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.learned_paces is not None:
+            oprot.writeFieldBegin('learned_paces', TType.STRUCT, 27)
+            self.learned_paces.write(oprot)
+            oprot.writeFieldEnd()
+        if self.endpoint_observations is not None:
+            oprot.writeFieldBegin('endpoint_observations', TType.STRUCT, 28)
+            self.endpoint_observations.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3865,6 +4499,10 @@
     (9, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 9
     (10, TType.LIST, 'avoid', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.STRING, 'version', 'UTF8', None, ),  # 11
+    (12, TType.I32, 'priority', None, None, ),  # 12
+    (13, TType.STRING, 'workspace', 'UTF8', None, ),  # 13
+    (14, TType.I32, 'pause_us', None, None, ),  # 14
+    (15, TType.BOOL, 'backed_up', None, None, ),  # 15
 )
 all_structs.append(Decision)
 Decision.thrift_spec = (
@@ -3878,6 +4516,7 @@
     (7, TType.STRING, 'reason', 'UTF8', None, ),  # 7
     (8, TType.I32, 'expected_us', None, None, ),  # 8
     (9, TType.BOOL, 'tell_end', None, None, ),  # 9
+    (10, TType.STRING, 'backup', 'UTF8', None, ),  # 10
 )
 all_structs.append(Report)
 Report.thrift_spec = (
@@ -3971,6 +4610,45 @@
     (3, TType.I32, 'thousand_tokens_us', None, None, ),  # 3
     (4, TType.I32, 'million_pairs_us', None, None, ),  # 4
     (5, TType.I32, 'answering_permille', None, None, ),  # 5
+    (6, TType.I32, 'output_ns', None, None, ),  # 6
+    (7, TType.I32, 'requests_s', None, None, ),  # 7
+)
+all_structs.append(EnginePace)
+EnginePace.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'events', None, None, ),  # 2
+    (3, TType.I32, 'mean_us', None, None, ),  # 3
+    (4, TType.I32, 'longest_us', None, None, ),  # 4
+)
+all_structs.append(PaceReport)
+PaceReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'engines', (TType.STRUCT, [EnginePace, None], False), None, ),  # 2
+)
+all_structs.append(LearnedPaces)
+LearnedPaces.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'engines', (TType.STRUCT, [EnginePace, None], False), None, ),  # 2
+)
+all_structs.append(EndpointObservation)
+EndpointObservation.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'responses', None, None, ),  # 2
+    (3, TType.I32, 'mean_us', None, None, ),  # 3
+    (4, TType.I32, 'failures', None, None, ),  # 4
+    (5, TType.I32, 'in_flight', None, None, ),  # 5
+    (6, TType.I32, 'cooldown_ms', None, None, ),  # 6
+)
+all_structs.append(EndpointObservations)
+EndpointObservations.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.LIST, 'endpoints', (TType.STRUCT, [EndpointObservation, None], False), None, ),  # 3
 )
 all_structs.append(KeyChange)
 KeyChange.thrift_spec = (
@@ -4125,6 +4803,9 @@
     (23, TType.STRUCT, 'stream_reply', [StreamReply, None], None, ),  # 23
     (24, TType.STRUCT, 'crash_report', [CrashReport, None], None, ),  # 24
     (25, TType.STRUCT, 'cause_states', [CauseStates, None], None, ),  # 25
+    (26, TType.STRUCT, 'pace_report', [PaceReport, None], None, ),  # 26
+    (27, TType.STRUCT, 'learned_paces', [LearnedPaces, None], None, ),  # 27
+    (28, TType.STRUCT, 'endpoint_observations', [EndpointObservations, None], None, ),  # 28
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -26,6 +26,13 @@
   9: string failure_domain,
   10: list<string> avoid,
   11: optional string version,
+  // Urgency of the request, 0 first; without it the order is as before.
+  12: optional i32 priority,
+  13: optional string workspace,
+  // Longest pause between two events for which the answer is on time.
+  14: optional i32 pause_us,
+  // Whether a copy of the answer's KV cache is to be kept at another engine.
+  15: optional bool backed_up,
 }
 
 // One of run (placed), retry_after_us (refused) or neither (it waits).
@@ -39,6 +46,8 @@
   7: optional string reason,
   8: optional i32 expected_us,
   9: optional bool tell_end,
+  // The engine that keeps the copy.
+  10: optional string backup,
 }
 
 enum Event {
@@ -145,6 +154,49 @@
   3: i32 thousand_tokens_us,
   4: i32 million_pairs_us,
   5: i32 answering_permille,
+  // Average decode time of an output token.
+  6: optional i32 output_ns,
+  // Requests that the hosts send to be placed, per second.
+  7: optional i32 requests_s,
+}
+
+// Events of the streams of one engine, as one host received them.
+struct EnginePace {
+  1: string engine,
+  2: i32 events,
+  3: i32 mean_us,
+  4: i32 longest_us,
+}
+
+// What a host received from engines since its last report; told to the leader.
+struct PaceReport {
+  1: string pool,
+  2: list<EnginePace> engines,
+}
+
+// What the leader has learned of some engines: the interval between events,
+// for the host that places next.
+struct LearnedPaces {
+  1: string pool,
+  2: list<EnginePace> engines,
+}
+
+// What a host observed of an endpoint of a plain service since its last report.
+struct EndpointObservation {
+  1: string endpoint,
+  2: i32 responses,
+  3: i32 mean_us,
+  4: i32 failures,
+  5: i32 in_flight,
+  // Remaining time of the cooldown that the host has given the endpoint.
+  6: optional i32 cooldown_ms,
+}
+
+// Observations of one host, told to some others.
+struct EndpointObservations {
+  1: string host,
+  2: i64 incarnation,
+  3: list<EndpointObservation> endpoints,
 }
 
 // A key of the store as it was written: removed, or with its value, or too
@@ -313,4 +365,7 @@
   23: optional StreamReply stream_reply,
   24: optional CrashReport crash_report,
   25: optional CauseStates cause_states,
+  26: optional PaceReport pace_report,
+  27: optional LearnedPaces learned_paces,
+  28: optional EndpointObservations endpoint_observations,
 }
