Place streams by the pace of the engines

The average decode time of a token was learned anew by each placing host, and all answers counted as long meanwhile.

Hosts report the intervals between events by engine each half second; the placement leader prefers engines that keep a route's pauses, has slow engines prefill, and tells all hosts what it has learned. Nothing changes while the engines are within 20 % of the median.

Tests: tests/test_placement.py, test_stageplan.py, test_gateway_parts.py, test_gateway_stages.py pass; test_gateway_requests.py had one failure beside load (an engine listed later than another was found stalled), which passes alone.

--- a/magnoliadyke/core/decodeengines.py
+++ b/magnoliadyke/core/decodeengines.py
@@ -5,6 +5,7 @@
 from magnoliadyke.core import catalog
 from magnoliadyke.core import endpointlimits
 from magnoliadyke.core import enginemodel
+from magnoliadyke.core import enginepace
 
 __all__ = ['SHORT_SLOTS', 'DecodeEngines']
 
@@ -39,6 +40,7 @@
 
     :param engines: all engines, by id; maintained by the pool
     :param pacer: paces the requests to engines with a rate limit
+    :param paces: intervals between the events of each engine
     :ivar first_event_s: average time from the end of a prefill on another
         engine to the first event, on the fastest decode engine, in seconds
     :ivar rotation: ids of the decode engines, in the order in which they are
@@ -49,9 +51,11 @@
         self,
         engines: dict[str, enginemodel.EngineModel],
         pacer: endpointlimits.Pacer,
+        paces: enginepace.EnginePaces | None = None,
     ) -> None:
         self.engines = engines
         self.pacer = pacer
+        self.paces = paces or enginepace.EnginePaces()
         self.first_event_s = 0.0
         self.rotation: collections.deque[str] = collections.deque()
 
@@ -144,13 +148,18 @@
         )
 
     def choose_for_prefilled(
-        self, avoid: tuple[str, ...], now_s: float
+        self, avoid: tuple[str, ...], now_s: float, pause_s: float = 0.0
     ) -> enginemodel.EngineModel | None:
-        """Choose the decode engine for a prompt prefilled on another one."""
+        """Choose the decode engine for a prompt prefilled on another one.
+
+        :param pause_s: longest pause between two events for which the answer
+            is on time, in seconds; 0 if any is
+        """
         return min(
             self._some_ready(avoid, now_s) or self.available(avoid, now_s),
             key=lambda e: (
                 len(e.runs) >= e.endpoint.slots,
+                self._exceeds_pause(e, pause_s, now_s),
                 max(e.transfer_until_s - now_s, 0.0)
                 + (e.free_s(now_s) - now_s)
                 + self.delay_s(e),
@@ -159,6 +168,18 @@
             default=None,
         )
 
+    def _exceeds_pause(
+        self, engine: enginemodel.EngineModel, pause_s: float, now_s: float
+    ) -> bool:
+        return self._pace_rank(engine, pause_s, now_s) > enginepace.KEEPS_PAUSE
+
+    def _pace_rank(
+        self, engine: enginemodel.EngineModel, pause_s: float, now_s: float
+    ) -> int:
+        if not pause_s:
+            return 0
+        return self.paces.rank(engine.endpoint.id, pause_s, now_s)
+
     def _some_ready(
         self, avoid: tuple[str, ...], now_s: float
     ) -> list[enginemodel.EngineModel]:
@@ -188,15 +209,20 @@
         avoid: tuple[str, ...],
         now_s: float,
         version: str | None = None,
+        pause_s: float = 0.0,
     ) -> enginemodel.EngineModel | None:
         """Choose the decode engine for a short prompt, or a resumed job.
 
         Requests are packed onto engines that generate long answers already,
-        so that the other decode engines can prefill.
+        so that the other decode engines can prefill.  Where engines differ in
+        pace, those come first that keep the pauses of a stream.
+
+        :param pause_s: longest pause between two events for which the answer
+            is on time, in seconds; 0 if any is
         """
         return min(
             self.available(avoid, now_s, version),
-            key=lambda e: _short_order(e, now_s),
+            key=lambda e: _short_order(e, self._pace_rank(e, pause_s, now_s)),
             default=None,
         )
 
@@ -279,8 +305,9 @@
 
 
 def _short_order(
-    engine: enginemodel.EngineModel, now_s: float
-) -> tuple[bool, bool, float]:
+    engine: enginemodel.EngineModel, pace_rank: int
+) -> tuple[bool, int, bool, float]:
+    slow = engine.slowness > SLOW_FACTOR
     if not has_long_slot(engine):
-        return (True, engine.slowness > SLOW_FACTOR, len(engine.runs))
-    return (False, engine.slowness > SLOW_FACTOR, -len(engine.runs))
+        return (True, pace_rank, slow, len(engine.runs))
+    return (False, pace_rank, slow, -len(engine.runs))
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -12,6 +12,7 @@
 from magnoliadyke.core import decodeengines
 from magnoliadyke.core import endpointlimits
 from magnoliadyke.core import enginemodel
+from magnoliadyke.core import enginepace
 from magnoliadyke.core import limits
 from magnoliadyke.core import prefillcost
 from magnoliadyke.core import promptcache
@@ -126,6 +127,7 @@
     :ivar limits_bind: whether rate limits bound the latest capacity
     :ivar short_prompts: rate of prompts that decode engines prefill
         themselves
+    :ivar paces: intervals between the events of each engine
     :ivar costs: cost model of prefill, by the engine's stage
     :ivar open: engines that may be sent a prompt now, by stage; the one that
         has been open longest is first
@@ -148,8 +150,9 @@
         self.limits_bind = False
         self.short_prompts = limits.Rate(SHORT_RATE_TIME_CONSTANT_S, 0.0)
         self.engines: dict[str, enginemodel.EngineModel] = {}
+        self.paces = enginepace.EnginePaces()
         self.decode_engines = decodeengines.DecodeEngines(
-            self.engines, self.pacer
+            self.engines, self.pacer, self.paces
         )
         prefill_cost = prefillcost.FittedCost()
         self.costs: dict[catalog.Stage, prefillcost.PrefillCost] = {
@@ -186,6 +189,7 @@
         for endpoint in endpoints:
             self._set_engine(endpoint)
         self.decode_engines.refresh()
+        self.paces.drop_unlisted(listed)
         self._capacity_s = float('-inf')
 
     def _set_engine(self, endpoint: catalog.Endpoint) -> None:
@@ -602,13 +606,18 @@
         parts: tuple[promptcache.PromptPart, ...],
         avoid: tuple[str, ...],
         now_s: float,
+        pause_s: float = 0.0,
     ) -> Option | None:
         """Return the cheapest placement among the open engines, if any.
 
         :param avoid: ids of engines that may not prefill the prompt
+        :param pause_s: longest pause between two events for which the answer
+            is on time, in seconds; 0 if any is
         """
         cached = self.caches.cached_prefixes(parts)
-        decode_engine = self.decode_engines.choose_for_prefilled(avoid, now_s)
+        decode_engine = self.decode_engines.choose_for_prefilled(
+            avoid, now_s, pause_s
+        )
         best: Option | None = None
         for engine_id in self._candidates(cached, avoid, now_s):
             prefill_engine = self.engines[engine_id]
--- a/magnoliadyke/core/longanswers.py
+++ b/magnoliadyke/core/longanswers.py
@@ -102,13 +102,20 @@
         return run
 
     def available_engine(
-        self, avoid: tuple[str, ...], now_s: float
+        self,
+        avoid: tuple[str, ...],
+        now_s: float,
+        pause_s: float = 0.0,
     ) -> enginemodel.EngineModel | None:
         """Return an engine with a free slot for a long answer, if any.
 
         :param avoid: ids of engines to use only if there are no others
+        :param pause_s: longest pause between two events for which the answer
+            is on time, in seconds; 0 if any is
         """
-        engine = self.pool.decode_engines.choose_for_short_prompt(avoid, now_s)
+        engine = self.pool.decode_engines.choose_for_short_prompt(
+            avoid, now_s, pause_s=pause_s
+        )
         if engine is None or not decodeengines.has_long_slot(engine):
             return None
         return engine
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -1,5 +1,6 @@
 """Chooses the prefill and the decode engine of each request, or refuses it."""
 
+from collections.abc import Iterable
 import heapq
 import math
 from typing import Any
@@ -10,6 +11,8 @@
 from magnoliadyke.core import decodeengines
 from magnoliadyke.core import deferral
 from magnoliadyke.core import endpointlimits
+from magnoliadyke.core import enginemodel
+from magnoliadyke.core import enginepace
 from magnoliadyke.core import enginepool
 from magnoliadyke.core import limits
 from magnoliadyke.core import longanswers
@@ -70,6 +73,9 @@
 LIMIT_REASON = 'the limits of the engines leave no room'
 #: Reason of a refusal when no engine of the version of a stream is listed.
 VERSION_GONE_REASON = 'no engine of the version that began the stream serves'
+#: Ratio of the speeds from which on engines are told apart when one is chosen
+#: for a change of stage.
+PACE_STEP = 1.5
 #: Time constant of measured demand, in seconds: half a period of the load's
 #: fluctuation.
 DEMAND_TIME_CONSTANT_S = 1.5
@@ -168,6 +174,31 @@
         rate_s = self.pool.pacer.rate_s(engine_id)
         return None if rate_s == math.inf else rate_s
 
+    def record_paces(
+        self, samples: Iterable[enginepace.PaceSample], now_s: float
+    ) -> None:
+        """Record the intervals between events that a host has received."""
+        for sample in samples:
+            if sample.engine in self.pool.engines:
+                self.pool.paces.record(sample, now_s)
+
+    def pace_sort_key(self, engine_id: str, now_s: float) -> int:
+        """Return a sort key by which fast engines come first.
+
+        Decode engines are compared by the intervals between their events,
+        others by their prefill speed.
+
+        :returns: 0 for all engines while they are alike, else the logarithm of
+            the time that the engine takes, in steps of :data:`PACE_STEP`
+        """
+        engine = self.pool.engines.get(engine_id)
+        if engine is None or not self.pool.paces.is_uneven(now_s):
+            return 0
+        relative = self.pool.paces.relative(engine_id, now_s)
+        if relative is None:
+            relative = engine.slowness
+        return round(math.log(relative, PACE_STEP))
+
     def load_sort_key(
         self, engine_id: str, now_s: float
     ) -> tuple[float, float]:
@@ -197,7 +228,7 @@
             self.pool.mean_need_s,
         )
 
-    def log_fields(self) -> dict[str, str]:
+    def log_fields(self, now_s: float) -> dict[str, str]:
         """Return queue lengths and learned estimates as log fields."""
         fields = {
             'fresh': str(len(self.on_time)),
@@ -213,6 +244,12 @@
                 f'{engine.endpoint.stage.value}/{engine.slowness:.2f}/'
                 f'{len(engine.pending_prefills)}/{len(engine.runs)}'
             )
+            pace = self.pool.paces.pace(engine.endpoint.id, now_s)
+            if pace is not None and self.pool.paces.is_uneven(now_s):
+                fields[engine.endpoint.id] += (
+                    f'/pace={pace.mean_s * 1000:.0f}'
+                    f'..{pace.longest_s * 1000:.0f}ms'
+                )
             limit_s = self.limit_s(engine.endpoint.id)
             if limit_s is not None:
                 fields[engine.endpoint.id] += f'/limit={limit_s:.1f}'
@@ -316,7 +353,7 @@
         if job.resumed or not self.answers.is_long(job.output_tokens):
             return [self._place_short(job, now_s)]
         if not len(self.answers.waiting):
-            if self.answers.available_engine(job.avoid, now_s) is not None:
+            if self._available_engine(job, now_s) is not None:
                 return [self._place_short(job, now_s)]
         wait_s = self.answers.wait_s(now_s)
         return self._hold(job, wait_s, 'no slot in time', now_s)
@@ -388,7 +425,12 @@
         is_long = self.answers.is_long(job.output_tokens)
         if job.version is not None or not is_long:
             return True
-        return self.answers.available_engine(job.avoid, now_s) is not None
+        return self._available_engine(job, now_s) is not None
+
+    def _available_engine(
+        self, job: promptjobs.Job, now_s: float
+    ) -> enginemodel.EngineModel | None:
+        return self.answers.available_engine(job.avoid, now_s, job.pause_s)
 
     def _put_late(self, job: promptjobs.Job) -> None:
         """Queue a late job; one that was refused before has priority.
@@ -501,7 +543,9 @@
             and (queue := self._next_queue()) is not None
         ):
             job = queue.first()
-            option = self.pool.best_option(job.parts, job.avoid, now_s)
+            option = self.pool.best_option(
+                job.parts, job.avoid, now_s, job.pause_s
+            )
             if option is None:
                 if not job.avoid or len(skipped) >= MAX_SKIPPED_JOBS:
                     break
@@ -731,8 +775,11 @@
         self, job: promptjobs.Job, now_s: float
     ) -> promptjobs.Decision:
         """Place a job with a short prompt on a decode engine, or refuse it."""
+        pause_s = 0.0
+        if self.answers.is_long(job.output_tokens):
+            pause_s = job.pause_s
         engine = self.pool.decode_engines.choose_for_short_prompt(
-            job.avoid, now_s, job.version
+            job.avoid, now_s, job.version, pause_s
         )
         if engine is None:
             return self.refusals.refuse_without_decode_engine(job, now_s)
--- a/magnoliadyke/core/promptjobs.py
+++ b/magnoliadyke/core/promptjobs.py
@@ -21,6 +21,8 @@
     :param avoid: ids of engines that failed the job
     :param version: software version at which the answer may go on, None for
         any; set for resumed jobs only
+    :param pause_s: longest pause between two events for which the answer is
+        on time, in seconds; 0 if any is
     :ivar tokens: length of the complete prompt, in tokens
     :ivar submitted_s: when the job was submitted
     :ivar deferred: number of times that the job was deferred until another
@@ -45,6 +47,7 @@
     submitted_s: float = 0.0
     latest_start_s: float = 0.0
     deferred: int = 0
+    pause_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.tokens = promptcache.total_tokens(self.parts)
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -25,6 +25,7 @@
 from magnoliadyke.gateway import events
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import outcomes
+from magnoliadyke.gateway import pacereports
 from magnoliadyke.gateway import paths
 from magnoliadyke.gateway import placementservice
 from magnoliadyke.gateway import relaying
@@ -120,6 +121,7 @@
     paths: paths.PathMonitor
     relayer: relaying.Relayer
     streams: streamrecords.StreamRecords
+    paces: pacereports.PaceReporter
 
 
 class Exchange(abc.ABC):
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -163,7 +163,7 @@
                 LOG.event(
                     'placement',
                     service=service,
-                    **pool.placement.log_fields(),
+                    **pool.placement.log_fields(self.clock.now_s()),
                 )
         LOG.event(
             'figures',
--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -16,6 +16,7 @@
 from magnoliadyke.gateway import crash_codec
 from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import limit_codec
+from magnoliadyke.gateway import pace_codec
 from magnoliadyke.gateway import path_codec
 from magnoliadyke.gateway import store
 from magnoliadyke.gateway import stream_codec
@@ -42,6 +43,7 @@
 MAX_STRING_BYTES = 1400
 MAX_ITEMS = 256
 MICROSECONDS_PER_S = 1_000_000
+NANOSECONDS_PER_S = 1_000_000_000
 PERMILLE = 1000
 #: Longest duration that fits a 32-bit field, in microseconds.
 MAX_US = 2**31 - 1
@@ -157,10 +159,15 @@
 
 
 class CostUpdate(NamedTuple):
-    """Sends fitted prefill costs to the hosts, one of which may lead next."""
+    """Sends learned costs to the hosts, one of which may lead next.
+
+    :param output_s: average decode time of an output token, in seconds; None
+        if it is not known
+    """
 
     service: str
     costs: prefillcost.CostCoefficients
+    output_s: float | None = None
 
 
 class KeyUpdates(NamedTuple):
@@ -195,6 +202,7 @@
     | crash_codec.Message
     | duty_codec.Message
     | limit_codec.Message
+    | pace_codec.Message
     | path_codec.Message
     | stream_codec.Message
 )
@@ -235,13 +243,14 @@
             )
         case EngineStalled(endpoint):
             datagram.silent = ttypes.Silent(endpoint)
-        case CostUpdate(service, costs):
+        case CostUpdate(service, costs, output_s):
             datagram.learned = ttypes.Learned(
                 service,
                 _to_microseconds(costs.latency_s),
                 _to_microseconds(costs.thousand_tokens_s),
                 _to_microseconds(costs.million_pairs_s),
                 round(costs.decode_stage_factor * PERMILLE),
+                _to_nanoseconds(output_s),
             )
         case KeyUpdates():
             datagram.updates = _encode_updates(message)
@@ -252,6 +261,8 @@
             | limit_codec.PermitReply()
         ):
             limit_codec.encode(message, datagram)
+        case pace_codec.PaceReport() | pace_codec.LearnedPaces():
+            pace_codec.encode(message, datagram)
         case path_codec.PathQuery() | path_codec.PathReply():
             path_codec.encode(message, datagram)
         case crash_codec.CrashReport() | crash_codec.CauseStates():
@@ -315,6 +326,7 @@
             duty_codec.decode(datagram)
             or limit_codec.decode(datagram)
             or path_codec.decode(datagram)
+            or pace_codec.decode(datagram)
             or stream_codec.decode(datagram)
             or crash_codec.decode(datagram)
         )
@@ -348,6 +360,7 @@
         failure_domain=job.failure_domain,
         avoid=list(job.avoid),
         version=job.version,
+        pause_us=_to_microseconds(job.pause_s) or None,
     )
 
 
@@ -363,6 +376,7 @@
         resumed=ask.resumed,
         avoid=tuple(ask.avoid),
         version=ask.version,
+        pause_s=max(0, ask.pause_us or 0) / MICROSECONDS_PER_S,
     )
     return PlacementRequest(ask.pool, job)
 
@@ -420,6 +434,7 @@
             learned.million_pairs_us / MICROSECONDS_PER_S,
             learned.answering_permille / PERMILLE,
         ),
+        _positive_s(learned.output_ns),
     )
 
 
@@ -518,5 +533,17 @@
     )
 
 
+def _to_nanoseconds(seconds: float | None) -> int | None:
+    if seconds is None:
+        return None
+    return min(MAX_US, round(seconds * NANOSECONDS_PER_S))
+
+
+def _positive_s(nanoseconds: int | None) -> float | None:
+    if nanoseconds is None or nanoseconds <= 0:
+        return None
+    return nanoseconds / NANOSECONDS_PER_S
+
+
 def _to_microseconds(seconds: float) -> int:
     return max(-MAX_US, min(MAX_US, round(seconds * MICROSECONDS_PER_S)))
--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
 import random
@@ -22,6 +23,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import catalog
 from magnoliadyke.core import endpointlimits
+from magnoliadyke.core import enginepace
 from magnoliadyke.core import medianestimator
 from magnoliadyke.core import placement
 from magnoliadyke.core import position
@@ -70,6 +72,9 @@
 #: seconds.  A message has about 40 bytes, and a new leader starts with costs
 #: of the last second.
 COST_SEND_INTERVAL_S = 1.0
+#: Time for which the paces of engines that the leader told of are kept, in
+#: seconds: several of its rounds over all engines of a large fleet.
+PACE_RETENTION_S = 20.0
 #: The leader checks for stalled engines this often, in seconds: a fifth of
 #: the time after which an engine counts as stalled.
 STALL_CHECK_INTERVAL_S = 0.1
@@ -126,6 +131,10 @@
     :ivar learned_costs: prefill costs fitted by the leader, by service; a new
         leader without them would have to learn the costs again, and would
         admit too many or too few requests for seconds
+    :ivar learned_output_s: average decode time of an output token that the
+        leader has learned, in seconds, by service
+    :ivar learned_paces: intervals between events that the leader has learned,
+        and when it told of them, by service and engine
     :ivar broadcast: sends a message to all other hosts
     :ivar transfer_s: estimated time from the end of a prefill to the first
         event, in seconds, which placement has to leave within the latency
@@ -173,6 +182,10 @@
             str, set[waitlimit.WaitLimit]
         ] = collections.defaultdict(set)
         self.learned_costs: dict[str, prefillcost.CostCoefficients] = {}
+        self.learned_output_s: dict[str, float] = {}
+        self.learned_paces: dict[
+            str, dict[str, tuple[enginepace.PaceSample, float]]
+        ] = {}
         self.broadcast: Callable[[placement_codec.Message], None] | None = None
         self.socket: socket.socket | None = None
         self.greenlets: list[gevent.Greenlet] = []
@@ -339,8 +352,12 @@
                 if costs is None:
                     continue
                 self.learned_costs[service] = costs
+                output_s = pool.placement.answers.output_s
+                self.learned_output_s[service] = output_s
                 if self.broadcast is not None:
-                    self.broadcast(placement_codec.CostUpdate(service, costs))
+                    self.broadcast(
+                        placement_codec.CostUpdate(service, costs, output_s)
+                    )
 
     def _abort_prefill_waits(self, engine: str) -> None:
         """Abort this host's waits for prefills of a stalled engine."""
@@ -459,6 +476,7 @@
             job.resumed,
             job.avoid,
             job.version,
+            pause_s=job.pause_s,
         )
 
     def decided_by(self, job_id: int) -> str:
@@ -589,6 +607,9 @@
                 service_placement.pool.restore_costs(
                     self.learned_costs[service]
                 )
+            if service in self.learned_output_s:
+                answers = service_placement.answers
+                answers.output_s = self.learned_output_s[service]
             pool = pools[service] = _ServicePlacement(service_placement)
         pool.placement.placing_hosts = (
             1 if pools is self.served else self.hosts
@@ -596,13 +617,51 @@
         if pool.generation != self.catalog.generation:
             pool.generation = self.catalog.generation
             engines = self.catalog.usable(service)
+            is_new = not pool.placement.pool.engines
             if pools is self.local:
                 # Of equal engines the first one is chosen: without a leader
                 # all hosts would send their jobs to the same one.
                 self.rng.shuffle(engines)
             pool.placement.set_engines(engines)
+            if is_new:
+                pool.placement.record_paces(
+                    self._recent_paces(service), self.clock.now_s()
+                )
         return pool
 
+    def record_paces(
+        self, service: str, samples: Iterable[enginepace.PaceSample]
+    ) -> None:
+        """Record intervals between events, here or reported by a host."""
+        now_s = self.clock.now_s()
+        for pools in (self.served, self.local):
+            if service in pools:
+                pool = self._pool(pools, service)
+                pool.placement.record_paces(samples, now_s)
+
+    def restore_paces(
+        self, service: str, samples: Iterable[enginepace.PaceSample]
+    ) -> None:
+        """Keep what the leader has learned of engines."""
+        now_s = self.clock.now_s()
+        learned = self.learned_paces.setdefault(service, {})
+        for sample in samples:
+            learned[sample.engine] = (sample, now_s)
+        for engine in [
+            engine
+            for engine, (_, at_s) in learned.items()
+            if now_s - at_s > PACE_RETENTION_S
+        ]:
+            del learned[engine]
+
+    def _recent_paces(self, service: str) -> list[enginepace.PaceSample]:
+        since_s = self.clock.now_s() - PACE_RETENTION_S
+        return [
+            sample
+            for sample, at_s in self.learned_paces.get(service, {}).values()
+            if at_s >= since_s
+        ]
+
     def _receive_all(self) -> None:
         while True:
             data, sender = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
@@ -628,8 +687,8 @@
                     self._restore_snapshot(message)
             case placement_codec.EngineStalled(engine):
                 self._abort_prefill_waits(engine)
-            case placement_codec.CostUpdate(service, costs):
-                self._handle_cost_update(service, costs)
+            case placement_codec.CostUpdate():
+                self._handle_cost_update(message)
             case placement_codec.PlacementQueued(job):
                 waiting = self.waiting.get(job)
                 if waiting is not None:
@@ -650,14 +709,18 @@
         if reply is not None:
             self.send(sender, reply)
 
-    def _handle_cost_update(
-        self, service: str, costs: prefillcost.CostCoefficients
-    ) -> None:
+    def _handle_cost_update(self, update: placement_codec.CostUpdate) -> None:
         if self.leading:
             return
+        service, costs, output_s = update
         self.learned_costs[service] = costs
         if service in self.local:
             self.local[service].placement.pool.restore_costs(costs)
+        if output_s is None:
+            return
+        self.learned_output_s[service] = output_s
+        if service in self.local:
+            self.local[service].placement.answers.output_s = output_s
 
     def _handle_request(
         self, service: str, job: promptjobs.Job, sender: str
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -288,6 +288,7 @@
             resumed=resumed,
             avoid=(*avoid, *self._unavailable_engines()),
             version=self.version or self._sound_version(),
+            pause_s=self.route.pause_s,
         )
 
     def _sound_version(self) -> str | None:
@@ -553,6 +554,7 @@
     ) -> outcomes.Answered | outcomes.Lost:
         splitter = events.EventSplitter()
         first = True
+        event_s: float | None = None
         while True:
             min_stall_timeout_s = FIRST_STALL_S if first else MIN_STALL_S
             part = self._wait_for_engine(used.part, min_stall_timeout_s)
@@ -572,6 +574,7 @@
                     self.service, job.id, engine.id, took_s
                 )
             first = False
+            event_s = self._count_interval(engine, event_s)
             self._begin(head)
             data = b''.join(event.data for event in complete)
             self.caller.chunk(data)
@@ -589,6 +592,18 @@
         self.caller.end_stream()
         return outcomes.Answered(200, self.endpoint)
 
+    def _count_interval(
+        self, engine: catalog.Endpoint, previous_s: float | None
+    ) -> float:
+        """Count the time since the previous event; return that of this one.
+
+        :param previous_s: when the previous event came, None if none did
+        """
+        now_s = self.parts.clock.now_s()
+        if previous_s is not None:
+            self.parts.paces.add(self.service, engine.id, now_s - previous_s)
+        return now_s
+
     def _begin(self, head: http.Head) -> None:
         if not self.caller.answer_started:
             headers = self.parts.codec.answer_headers(head)
--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -161,6 +161,7 @@
         candidates.sort(
             key=lambda e: (
                 _limit_sort_key(placement.limit_s(e.id), change.to_prefill),
+                _pace_sort_key(placement, e.id, change.to_prefill, now_s),
                 placement.load_sort_key(e.id, now_s),
             )
         )
@@ -357,6 +358,19 @@
     return limit_s if to_prefill else -limit_s
 
 
+def _pace_sort_key(
+    placement, engine_id: str, to_prefill: bool, now_s: float
+) -> int:
+    """Return a sort key by which engines are chosen for a stage change.
+
+    Streams are late if an engine is too slow between two of their events, and
+    long prompts can still be divided among more engines, so the slow engines
+    prefill.
+    """
+    key = placement.pace_sort_key(engine_id, now_s)
+    return -key if to_prefill else key
+
+
 def _spread_over_domains(
     candidates: list[catalog.Endpoint], count: int
 ) -> list[catalog.Endpoint]:
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -32,6 +32,8 @@
 from magnoliadyke.gateway import limit_codec
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import metricscollector
+from magnoliadyke.gateway import pace_codec
+from magnoliadyke.gateway import pacereports
 from magnoliadyke.gateway import path_codec
 from magnoliadyke.gateway import paths
 from magnoliadyke.gateway import peerstate
@@ -227,6 +229,8 @@
         self.streams = streamrecords.StreamRecords(
             self.catalog, self.members, self.placement_service, clock, rng
         )
+        self.paces = pacereports.PaceReporter(self.placement_service, clock)
+        self.paces.broadcast = self._broadcast
         self.streams.list_age_s = self.follower.list_age_s
         self.streams.read_versions = self._read_versions
         if settings.first_start:
@@ -249,6 +253,8 @@
             limit_codec.Leaving: self.departures.handle,
             limit_codec.PermitRequest: self.limits.handle_request,
             limit_codec.PermitReply: self.limits.handle_reply,
+            pace_codec.LearnedPaces: self.paces.handle_learned,
+            pace_codec.PaceReport: self.paces.handle_report,
             path_codec.PathQuery: self.paths.handle_query,
             path_codec.PathReply: self.paths.handle_reply,
             stream_codec.StreamRecords: self.streams.handle_records,
@@ -272,6 +278,7 @@
             self.paths,
             self.relayer,
             self.streams,
+            self.paces,
         )
         self.ingress = ingress.Ingress(
             settings.callers,
@@ -320,6 +327,7 @@
             self.departures,
             self.paths,
             self.streams,
+            self.paces,
             self.crashreports,
             self.confirming,
             self.stages,
