Tell all hosts the rate of requests to place

Cause: hosts other than the placement leader don't know the demand, which the selection of hosts for callers needs.

A host goes by the latest one for 10 s. A new leader goes by what the former one sent until its own average, which starts at 0, has settled; until then it sends that value on, or none.

--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -157,10 +157,15 @@
 
 
 class CostUpdate(NamedTuple):
-    """Sends fitted prefill costs to the hosts, one of which may lead next."""
+    """Sends fitted prefill costs to the hosts, one of which may lead next.
+
+    :param requests_s: requests per second that the leader is sent to place,
+        of all services; None if it does not know them yet
+    """
 
     service: str
     costs: prefillcost.CostCoefficients
+    requests_s: float | None = None
 
 
 class KeyUpdates(NamedTuple):
@@ -242,6 +247,7 @@
                 _to_microseconds(costs.thousand_tokens_s),
                 _to_microseconds(costs.million_pairs_s),
                 round(costs.decode_stage_factor * PERMILLE),
+                requests_s=_to_whole(message.requests_s),
             )
         case KeyUpdates():
             datagram.updates = _encode_updates(message)
@@ -411,6 +417,10 @@
     return PlacementQueued(decision.job)
 
 
+def _to_whole(number: float | None) -> int | None:
+    return None if number is None else round(number)
+
+
 def _decode_cost_update(learned: ttypes.Learned) -> CostUpdate:
     return CostUpdate(
         learned.pool,
@@ -420,6 +430,7 @@
             learned.million_pairs_us / MICROSECONDS_PER_S,
             learned.answering_permille / PERMILLE,
         ),
+        requests_s=learned.requests_s,
     )
 
 
--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -33,7 +33,7 @@
 from magnoliadyke.gateway import waitlimit
 from magnoliadyke import logs
 
-__all__ = ['SHORT_TOKENS', 'PlacementService']
+__all__ = ['SHORT_TOKENS', 'Demand', 'PlacementService']
 
 LOG = logs.get('placing')
 
@@ -73,6 +73,23 @@
 #: The leader checks for stalled engines this often, in seconds: a fifth of
 #: the time after which an engine counts as stalled.
 STALL_CHECK_INTERVAL_S = 0.1
+#: Time for which the demand that the leader has sent counts, in seconds.  It
+#: outlasts some lost messages and a change of leader.
+DEMAND_TTL_S = 10.0
+#: Time after which a new leader goes by the demand that it measures, in
+#: seconds: twice the time constant of its moving average, which starts at 0.
+DEMAND_WARM_UP_S = 2 * placement.DEMAND_TIME_CONSTANT_S
+
+
+class Demand(NamedTuple):
+    """Requests that all hosts send to be placed.
+
+    :param requests_s: number per second, of all services
+    :param measured_s: when this host measured or received it, in seconds
+    """
+
+    requests_s: float
+    measured_s: float
 
 
 class _WaitingJob(NamedTuple):
@@ -126,6 +143,8 @@
     :ivar learned_costs: prefill costs fitted by the leader, by service; a new
         leader without them would have to learn the costs again, and would
         admit too many or too few requests for seconds
+    :ivar leading_since_s: when this host became the leader, in seconds
+    :ivar received_demand: demand that the leader has sent last
     :ivar broadcast: sends a message to all other hosts
     :ivar transfer_s: estimated time from the end of a prefill to the first
         event, in seconds, which placement has to leave within the latency
@@ -152,6 +171,8 @@
         self.leader: str | None = None
         self.term = position.START
         self.leading = False
+        self.leading_since_s = 0.0
+        self.received_demand: Demand | None = None
         self.transfer_s = medianestimator.MedianEstimator(INITIAL_TRANSFER_S)
         self.hosts = 1
         self.leader_retry_at_s = 0.0
@@ -283,6 +304,7 @@
             # The state of an earlier term of this host is out of date.
             self.served = {}
             self.pacers.granted.reset()
+            self.leading_since_s = now_s
         self.leading = True
         self._hand_over(None, now_s)
         for service, cache_contents in self.in_flight_jobs.cache_contents(
@@ -334,13 +356,39 @@
             self.clock.sleep(COST_SEND_INTERVAL_S)
             if not self.leading:
                 continue
+            demand = self.demand()
+            requests_s = None if demand is None else demand.requests_s
             for service, pool in list(self.served.items()):
                 costs = pool.placement.pool.learned_costs()
                 if costs is None:
                     continue
                 self.learned_costs[service] = costs
                 if self.broadcast is not None:
-                    self.broadcast(placement_codec.CostUpdate(service, costs))
+                    self.broadcast(
+                        placement_codec.CostUpdate(
+                            service, costs, requests_s=requests_s
+                        )
+                    )
+
+    def demand(self) -> Demand | None:
+        """Return the demand as measured here or received; None if unknown.
+
+        A new leader goes by what the former one has sent until its own
+        average has settled.
+        """
+        now_s = self.clock.now_s()
+        if self.leading and now_s - self.leading_since_s >= DEMAND_WARM_UP_S:
+            return Demand(
+                sum(
+                    pool.placement.request_demand.now(now_s)
+                    for pool in self.served.values()
+                ),
+                now_s,
+            )
+        received = self.received_demand
+        if received is None or now_s - received.measured_s > DEMAND_TTL_S:
+            return None
+        return received
 
     def _abort_prefill_waits(self, engine: str) -> None:
         """Abort this host's waits for prefills of a stalled engine."""
@@ -630,6 +678,7 @@
                 self._abort_prefill_waits(engine)
             case placement_codec.CostUpdate(service, costs):
                 self._handle_cost_update(service, costs)
+                self._record_demand(message.requests_s, sender)
             case placement_codec.PlacementQueued(job):
                 waiting = self.waiting.get(job)
                 if waiting is not None:
@@ -659,6 +708,19 @@
         if service in self.local:
             self.local[service].placement.pool.restore_costs(costs)
 
+    def _record_demand(self, requests_s: float | None, sender: str) -> None:
+        if self.leading or requests_s is None:
+            return
+        if requests_s < 0:
+            LOG.throttled_warning(
+                'demand_ignored',
+                sender,
+                requests_s=requests_s,
+                reason='expected 0 or more requests per second',
+            )
+            return
+        self.received_demand = Demand(requests_s, self.clock.now_s())
+
     def _handle_request(
         self, service: str, job: promptjobs.Job, sender: str
     ) -> None:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -151,6 +151,11 @@
         placement_codec.CostUpdate(
             'model', prefillcost.CostCoefficients(0.04, 0.009, 0.0002, 2.5)
         ),
+        placement_codec.CostUpdate(
+            'model',
+            prefillcost.CostCoefficients(0.04, 0.009, 0.0002, 2.5),
+            requests_s=120.0,
+        ),
         placement_codec.LeaderAnnouncement(
             'h1', '10.0.0.1', 1787, position.Position(2, 40), True
         ),
