Select the hosts that callers are told by capacity and demand

Cause: callers were told up to 64 hosts whatever their capacity, so most bodies of 9 to 55 kB passed links of 5 Mbit/s, behind which events of streams wait.

Change: where the highest capacity is twice the lowest or more, hosts are listed by capacity up to four times the demand, at least 8 and two of each failure domain. Equal fleets of up to 64 hosts are listed whole as before; of larger ones 64 are drawn at random, no longer always the same ones. This host leaves itself out before the selection while its configuration is not proven, so that the minimum holds for the others. A host record whose capacity is no number from 0 to 1e9 is ignored with the existing log line; it would have raised an exception in comparisons.

--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -13,12 +13,14 @@
 
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
+from magnoliadyke.core import hostselection
 from magnoliadyke.core import membership
 from magnoliadyke.core import position
 from magnoliadyke import errors
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import placement_codec
+from magnoliadyke.gateway import placementservice
 from magnoliadyke.gateway import store
 from magnoliadyke import gossip_codec
 from magnoliadyke import logs
@@ -61,6 +63,11 @@
 #: Time for which a host that gossip declared dead still counts as one that
 #: may run behind a cut, in seconds.
 UNHEARD_HOLD_S = 10.0
+#: Minimum time between two log lines on the hosts selected for callers, in
+#: seconds.
+SELECTION_LOG_INTERVAL_S = 5.0
+#: Maximum capacity of a host that is believed, in prompts per second.
+MAX_CAPACITY_S = 1e9
 MAX_DATAGRAM_BYTES = 65535
 
 
@@ -94,9 +101,16 @@
     def parse(cls, value: bytes) -> 'HostRecord':
         """Decode a stored record.
 
-        :raises ValueError, TypeError: not JSON, or a field is missing
+        :raises ValueError, KeyError, TypeError: not JSON, a field is missing,
+            or the capacity is not from 0 to :data:`MAX_CAPACITY_S`
         """
         fields: dict[str, Any] = json.loads(value)
+        capacity = fields['capacity']
+        if not 0 <= capacity <= MAX_CAPACITY_S:
+            raise ValueError(
+                f'host {fields["host"]!r}: capacity is {capacity}, expected 0 '
+                f'to {MAX_CAPACITY_S:.0f}'
+            )
         return cls(**{n: fields[n] for n in cls._fields if n in fields})
 
     @property
@@ -113,6 +127,8 @@
     :param link_mbps: bandwidth of this host's link, in Mbit/s
     :ivar on_peer_position: called with another host's name and the position
         up to which it has read the store
+    :ivar demand: returns the rate of the requests of all hosts
+    :ivar accepts_requests: returns whether callers may be told this host
     :ivar send_updates: sends an update of the store's keys to an address
     :ivar records: every host listed by the store since this one started
     :ivar listed: names of the hosts that the store lists now
@@ -121,6 +137,9 @@
         seconds of the boot clock
     :ivar states: state of each host as last logged
     :ivar dead_s: when gossip declared a host dead, by host
+    :ivar logged_selection: number of hosts and basis of the selection for
+        callers as last logged, None before the first line
+    :ivar selection_logged_s: when that line was logged, in seconds
     """
 
     def __init__(
@@ -157,6 +176,12 @@
         self.on_peer_position: (
             Callable[[str, position.Position], None] | None
         ) = None
+        self.demand: Callable[[], placementservice.Demand | None] = lambda: (
+            None
+        )
+        self.accepts_requests: Callable[[], bool] = lambda: True
+        self.logged_selection: tuple[int, hostselection.Basis] | None = None
+        self.selection_logged_s = float('-inf')
         self.send_updates: (
             Callable[[str, placement_codec.KeyUpdates], None] | None
         ) = None
@@ -190,12 +215,69 @@
     # Queries.
 
     def addresses(self) -> list[str]:
-        """Return the ``ip:port`` addresses at which hosts serve callers."""
-        found = []
-        for member in self.membership.view().alive():
-            if member.caller_port:
-                found.append(f'{member.address}:{member.caller_port}')
-        return found
+        """Return the ``ip:port`` addresses that callers are to be told."""
+        hosts = self._caller_hosts()
+        demand = self.demand()
+        selection = hostselection.select(
+            hosts, None if demand is None else demand.requests_s, self.rng
+        )
+        self._log_selection(len(hosts), demand, selection)
+        return [host.address for host in selection.hosts]
+
+    def _caller_hosts(self) -> list[hostselection.Host]:
+        """Return the hosts alive that serve callers.
+
+        A host whose record is unknown counts with the lowest known capacity.
+        """
+        found = [
+            member
+            for member in self.membership.view().alive()
+            if member.caller_port
+            and (member.host != self.own.host or self.accepts_requests())
+        ]
+        known = {
+            member.host: self.records[member.host].capacity
+            for member in found
+            if member.host in self.records
+        }
+        lowest = min(known.values(), default=self.own.capacity)
+        return [
+            hostselection.Host(
+                f'{member.address}:{member.caller_port}',
+                member.failure_domain,
+                known.get(member.host, lowest),
+            )
+            for member in found
+        ]
+
+    def _log_selection(
+        self,
+        alive: int,
+        demand: placementservice.Demand | None,
+        selection: hostselection.Selection,
+    ) -> None:
+        state = (len(selection.hosts), selection.basis)
+        now_s = self.clock.now_s()
+        if (
+            state == self.logged_selection
+            or now_s - self.selection_logged_s < SELECTION_LOG_INTERVAL_S
+        ):
+            return
+        self.logged_selection, self.selection_logged_s = state, now_s
+        fields: dict[str, Any] = {'demand_s': 'unknown'}
+        if demand is not None:
+            fields = {
+                'demand_s': round(demand.requests_s, 1),
+                'demand_age_s': round(now_s - demand.measured_s, 1),
+            }
+        LOG.event(
+            'hosts_listed',
+            alive=alive,
+            listed=len(selection.hosts),
+            basis=selection.basis.value,
+            capacity_s=round(selection.capacity),
+            **fields,
+        )
 
     def peer_addresses(self, first: str) -> list[str]:
         """Return the other hosts' addresses; see :class:`follower.Others`."""
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -120,6 +120,7 @@
         for outcome, count in relayer.counts.items():
             gauges.relayed.labels(outcome).set(count)
         gauges.hosts.set(parts.members.count())
+        gauges.hosts_listed.set(len(parts.members.addresses()))
         gauges.open_requests.set(parts.ingress.open_requests)
         if parts.catalog.configuration is not None:
             gauges.version.set(parts.catalog.configuration.version)
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -75,6 +75,9 @@
             'service',
         )
         self.hosts = self._gauge('hosts', 'Hosts thought to run.')
+        self.hosts_listed = self._gauge(
+            'hosts_listed', 'Hosts that callers are told to connect to.'
+        )
         self.engines = self._gauge(
             'engines',
             'Engines that may be given work.',
--- a/magnoliadyke/platform/directory.py
+++ b/magnoliadyke/platform/directory.py
@@ -10,14 +10,13 @@
 RESOLVE = b'/api/resolve'
 READINESS = b'/api/readiness'
 JSON = b'application/json'
-#: Maximum number of addresses in a response; callers pick one at random.
-MAX_ADDRESSES = 64
 
 
 class Directory:
     """Serves the directory of hosts and this host's readiness.
 
-    :param addresses: returns the addresses of hosts that accept requests
+    :param addresses: returns the addresses that callers are to be told, as
+        many as a response may have
     :param ready: returns whether this host accepts requests
     :param ttl_s: how long callers may cache a response, in seconds
     """
@@ -36,7 +35,7 @@
         """Return the addresses to connect to; status 503 without any."""
         if target.split(b'?', 1)[0] != RESOLVE:
             return smallserver.Reply(404)
-        addresses = self.addresses()[:MAX_ADDRESSES]
+        addresses = self.addresses()
         if not addresses:
             return smallserver.Reply(503)
         body = {'addresses': addresses, 'ttl_s': self.ttl_s}
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -186,6 +186,7 @@
         self.store.era_changed = self.follower.era_changed
         self.members.on_peer_position = self.follower.record_peer_position
         self.members.send_updates = self.placement_service.send
+        self.members.demand = self.placement_service.demand
         self.follower.is_always_watcher = lambda: (
             self.placement_service.leading
         )
@@ -202,6 +203,7 @@
             clock,
             rng,
         )
+        self.members.accepts_requests = self.confirming.can_serve_all_routes
         self.follower.on_full_read = self.confirming.record_full_read
         self.follower.not_relayed = frozenset((usageduty.REPORTS_KEY,))
         self.paths = paths.PathMonitor(
@@ -305,7 +307,7 @@
         )
         self.directory_ttl_s = min(DIRECTORY_TTL_S, settings.directory_ttl_s)
         answers = directory.Directory(
-            self._addresses, self._is_ready, self.directory_ttl_s
+            self.members.addresses, self._is_ready, self.directory_ttl_s
         )
         self.application = app.Application(clock)
         state_address = f'{settings.ip}:{first_port}'
@@ -399,17 +401,6 @@
         for address in self.members.reachable_addresses():
             self.placement_service.send(address, message)
 
-    def _addresses(self) -> list[str]:
-        """Return the addresses of hosts that accept requests.
-
-        This host's is left out while it lacks proof that its configuration is
-        current.
-        """
-        found = self.members.addresses()
-        if self.confirming.can_serve_all_routes():
-            return found
-        return [each for each in found if each != self.settings.callers]
-
     def _is_ready(self) -> bool:
         return (
             not self.stopping.is_set()
