--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -163,11 +163,14 @@
 
     :param output_s: average decode time of an output token, in seconds; None
         if it is not known
+    :param requests_s: requests per second that the leader is sent to place,
+        of all services; None if it does not know them yet
     """
 
     service: str
     costs: prefillcost.CostCoefficients
     output_s: float | None = None
+    requests_s: float | None = None
 
 
 class KeyUpdates(NamedTuple):
@@ -243,7 +246,7 @@
             )
         case EngineStalled(endpoint):
             datagram.silent = ttypes.Silent(endpoint)
-        case CostUpdate(service, costs, output_s):
+        case CostUpdate(service, costs, output_s, requests_s):
             datagram.learned = ttypes.Learned(
                 service,
                 _to_microseconds(costs.latency_s),
@@ -251,6 +254,7 @@
                 _to_microseconds(costs.million_pairs_s),
                 round(costs.decode_stage_factor * PERMILLE),
                 _to_nanoseconds(output_s),
+                _to_whole(requests_s),
             )
         case KeyUpdates():
             datagram.updates = _encode_updates(message)
@@ -425,6 +429,10 @@
     return PlacementQueued(decision.job)
 
 
+def _to_whole(number: float | None) -> int | None:
+    return None if number is None else round(number)
+
+
 def _decode_cost_update(learned: ttypes.Learned) -> CostUpdate:
     return CostUpdate(
         learned.pool,
@@ -435,6 +443,7 @@
             learned.answering_permille / PERMILLE,
         ),
         _positive_s(learned.output_ns),
+        learned.requests_s,
     )
 
 
--- a/magnoliadyke/platform/settings.py
+++ b/magnoliadyke/platform/settings.py
@@ -57,6 +57,7 @@
     :param store: address of the platform's store
     :param min_lease_s: shortest lease that the store grants
     :param link_mbps: bandwidth of this host's network link, in Mbit/s
+    :param core_speed: speed of its processor, relative to an ordinary core
     :param drain_s: maximum time until a draining endpoint gets no more
         requests
     :param configuration_s: maximum time until a new configuration is in force
@@ -102,6 +103,7 @@
     revoke_s: float | None = None
     duties: DutySettings | None = None
     first_start: bool = False
+    core_speed: float = 1.0
 
 
 def load(path: str | None = None) -> NodeSettings:
