--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -184,13 +184,17 @@
         match result:
             case outcomes.Whole(facts=facts):
                 failed = facts.status >= 500
-                balancer.record_answer(endpoint.id, now_s - started_s, failed)
+                balancer.record_answer(
+                    endpoint.id, now_s - started_s, failed, now_s
+                )
             case outcomes.NotRun(held_back_s=held_back_s) if (
                 held_back_s is not None
             ):
                 balancer.record_cancel(endpoint.id)
             case outcomes.NotRun(was_received=True):
-                balancer.record_answer(endpoint.id, now_s - started_s, True)
+                balancer.record_answer(
+                    endpoint.id, now_s - started_s, True, now_s
+                )
             case _:
                 balancer.record_failure(endpoint.id, now_s)
         return result
