Exchange observations of endpoints between hosts

Each host sends what it observed to 3 others every 0.5 s if there are more than 16 hosts and it used an endpoint. A report with a figure that cannot be is refused by the decoder with the field, its value and what was expected. After a suspension a host drops what it observed and what waited in its socket, as both would count as new. Log lines tell when an endpoint is left out because of other hosts, and the metrics count reports sent, received and dropped.

--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -14,6 +14,7 @@
 from magnoliadyke.gateway import ingress
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import metricsregistry
+from magnoliadyke.gateway import observationexchange
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.gateway import placementservice
 from magnoliadyke.gateway import smallserver
@@ -39,6 +40,7 @@
     ingress: ingress.Ingress
     limits: endpointlimits.EndpointLimits
     members: members.Members
+    observations: observationexchange.ObservationExchange
     placement_service: placementservice.PlacementService
     store: store.Store
     upstream: upstream.Upstream
@@ -119,6 +121,8 @@
         relayer = parts.ingress.parts.relayer
         for outcome, count in relayer.counts.items():
             gauges.relayed.labels(outcome).set(count)
+        for outcome, count in parts.observations.counts.items():
+            gauges.observation_reports.labels(outcome).set(count)
         gauges.hosts.set(parts.members.count())
         gauges.open_requests.set(parts.ingress.open_requests)
         if parts.catalog.configuration is not None:
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -91,6 +91,12 @@
             'them.',
             'outcome',
         )
+        self.observation_reports = self._gauge(
+            'observation_reports',
+            'Reports on endpoints of plain services, sent to other hosts, '
+            'received, and dropped of those received.',
+            'outcome',
+        )
         self.endpoint_limit = self._gauge(
             'endpoint_limit',
             'Requests per second that an endpoint takes from all hosts.',
--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -16,6 +16,7 @@
 from magnoliadyke.gateway import crash_codec
 from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import limit_codec
+from magnoliadyke.gateway import observation_codec
 from magnoliadyke.gateway import path_codec
 from magnoliadyke.gateway import store
 from magnoliadyke.gateway import stream_codec
@@ -195,6 +196,7 @@
     | crash_codec.Message
     | duty_codec.Message
     | limit_codec.Message
+    | observation_codec.Message
     | path_codec.Message
     | stream_codec.Message
 )
@@ -252,6 +254,8 @@
             | limit_codec.PermitReply()
         ):
             limit_codec.encode(message, datagram)
+        case observation_codec.ObservationReport():
+            observation_codec.encode(message, datagram)
         case path_codec.PathQuery() | path_codec.PathReply():
             path_codec.encode(message, datagram)
         case crash_codec.CrashReport() | crash_codec.CauseStates():
@@ -317,6 +321,7 @@
             or path_codec.decode(datagram)
             or stream_codec.decode(datagram)
             or crash_codec.decode(datagram)
+            or observation_codec.decode(datagram)
         )
         if found is not None:
             return found
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -32,6 +32,8 @@
 from magnoliadyke.gateway import limit_codec
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import metricscollector
+from magnoliadyke.gateway import observation_codec
+from magnoliadyke.gateway import observationexchange
 from magnoliadyke.gateway import path_codec
 from magnoliadyke.gateway import paths
 from magnoliadyke.gateway import peerstate
@@ -160,6 +162,15 @@
         self.departures = departures.Departures(
             self.catalog, self.placement_service, clock
         )
+        self.observations = observationexchange.ObservationExchange(
+            (self.own_record.host, self.own_record.incarnation),
+            self.balancer,
+            self.catalog,
+            self.members,
+            self.placement_service,
+            clock,
+            rng,
+        )
         self.usage, self.fleet = self._duties()
         decoder = RecordDecoder()
         mirror = keymirror.KeyMirror(
@@ -249,6 +260,7 @@
             limit_codec.Leaving: self.departures.handle,
             limit_codec.PermitRequest: self.limits.handle_request,
             limit_codec.PermitReply: self.limits.handle_reply,
+            observation_codec.ObservationReport: self.observations.handle,
             path_codec.PathQuery: self.paths.handle_query,
             path_codec.PathReply: self.paths.handle_reply,
             stream_codec.StreamRecords: self.streams.handle_records,
@@ -298,6 +310,7 @@
             self.ingress,
             self.limits,
             self.members,
+            self.observations,
             self.placement_service,
             self.store,
             self.upstream,
@@ -318,6 +331,7 @@
             self.leadership,
             self.limits,
             self.departures,
+            self.observations,
             self.paths,
             self.streams,
             self.crashreports,
