--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -16,6 +16,7 @@
 from magnoliadyke.gateway import observationexchange
 from magnoliadyke.gateway import placement_codec
 from magnoliadyke.wire.placement import ttypes
+from tests import gatewayworld
 
 NAMES = ('a', 'b', 'c', 'd')
 DRAWN = settings(derandomize=True, deadline=None)
@@ -214,10 +215,21 @@
     assert shared.summary('a', clock.now_s()) is not None
 
 
-def test_unknown_endpoint_is_ignored(exchange):
-    """The sender may know of a new endpoint before this host does."""
-    exchange.handle(report(seen('new', 1, 0.1), seen('a', 1, 0.1)))
-    assert set(exchange.balancer.shared.reports) == {'a'}
+def test_unusable_datagram_loses_nothing_else(monkeypatch):
+    """Neither the report after it, nor what that one says of known ones."""
+    with gatewayworld.world() as world:
+        world.endpoint('p0')
+        world.configure()
+        node = world.node()
+        gatewayworld.wait_for(lambda: node.catalog.endpoints, 'an endpoint')
+        (known,) = node.catalog.endpoints
+        monkeypatch.setattr(node.members, 'count', lambda: 17)
+        for observed in (seen(known, -1), seen('new', 1), seen(known, 1)):
+            node.placement_service.send(node.settings.ip, report(observed))
+        shared = node.balancer.shared
+        gatewayworld.wait_for(lambda: shared.reports, 'a report')
+        assert set(shared.reports) == {known}
+        assert node.observations.counts['received'] == 2
 
 
 def test_leaving_an_endpoint_out_is_logged_once(exchange, monkeypatch):
