--- a/magnoliadyke/core/balance.py
+++ b/magnoliadyke/core/balance.py
@@ -24,7 +24,9 @@
 COOLDOWN_S = 0.5
 MAX_COOLDOWN_S = 4.0
 #: Maximum number of responses for which this host's own averages count beside
-#: those of other hosts: as many as the moving averages reflect.
+#: those of other hosts: as many as the moving averages reflect. They do not
+#: lose weight by age: what other hosts report is seconds old and known to many
+#: hosts, which would all turn to the same endpoint and overload it.
 MAX_OWN_RESPONSES = 10
 #: Time after an own response of an endpoint during which cooldowns that other
 #: hosts report do not count, in seconds: this host reaches the endpoint.
@@ -41,11 +43,9 @@
     :ivar failure_rate: moving average of failures, 0 to 1
     :ivar unreachable: consecutive attempts without a response
     :ivar cooldown_until_s: when its cooldown ends, in monotonic seconds
-    :ivar responses: number of responses, weighted by age at the last one, up
-        to :data:`MAX_OWN_RESPONSES`
+    :ivar responses: number of responses, up to :data:`MAX_OWN_RESPONSES`
     :ivar results: the same of responses and failures to reach it
     :ivar response_at_s: time of the last response, in monotonic seconds
-    :ivar result_at_s: the same of the last response or failure to reach it
     :ivar initial_share: weight that :data:`INITIAL_RESPONSE_S` still has in
         ``response_s``, 0 to 1
     """
@@ -55,10 +55,9 @@
     failure_rate: float = 0.0
     unreachable: int = 0
     cooldown_until_s: float = 0.0
-    responses: float = 0.0
-    results: float = 0.0
+    responses: int = 0
+    results: int = 0
     response_at_s: float = NEVER_S
-    result_at_s: float = NEVER_S
     initial_share: float = 1.0
 
     @property
@@ -182,13 +181,13 @@
             in_flight += shared.in_flight
             response_s = _weighted_mean(
                 response_s,
-                stats.responses * _recency(stats.response_at_s, now_s),
+                stats.responses,
                 shared.mean_s,
                 shared.successes,
             )
             failure_rate = _weighted_mean(
                 failure_rate,
-                stats.results * _recency(stats.result_at_s, now_s),
+                stats.results,
                 shared.failure_rate,
                 shared.responses,
             )
@@ -226,12 +225,9 @@
         stats.unreachable = 0
         stats.response_s += RESPONSE_WEIGHT * (took_s - stats.response_s)
         stats.initial_share *= 1 - RESPONSE_WEIGHT
-        stats.responses = min(
-            stats.responses * _recency(stats.response_at_s, now_s) + 1,
-            MAX_OWN_RESPONSES,
-        )
+        stats.responses = min(stats.responses + 1, MAX_OWN_RESPONSES)
         stats.response_at_s = max(stats.response_at_s, now_s)
-        self._record_result(endpoint_id, took_s, failed, now_s)
+        self._record_result(endpoint_id, took_s, failed)
 
     def record_cancel(self, endpoint_id: str) -> None:
         """Record that the caller disconnected before the response.
@@ -245,7 +241,7 @@
         stats = self._stats(endpoint_id)
         stats.in_flight -= 1
         stats.unreachable += 1
-        self._record_result(endpoint_id, 0.0, True, now_s)
+        self._record_result(endpoint_id, 0.0, True)
         if stats.unreachable >= 2:
             cooldown_s = COOLDOWN_S * 2 ** min(stats.unreachable - 2, 3)
             stats.cooldown_until_s = now_s + min(cooldown_s, MAX_COOLDOWN_S)
@@ -264,26 +260,15 @@
         self.own_counts.drop_unlisted(listed)
 
     def _record_result(
-        self, endpoint_id: str, took_s: float, failed: bool, now_s: float
+        self, endpoint_id: str, took_s: float, failed: bool
     ) -> None:
         stats = self._stats(endpoint_id)
-        stats.results = min(
-            stats.results * _recency(stats.result_at_s, now_s) + 1,
-            MAX_OWN_RESPONSES,
-        )
-        stats.result_at_s = max(stats.result_at_s, now_s)
+        stats.results = min(stats.results + 1, MAX_OWN_RESPONSES)
         self.own_counts.record_result(endpoint_id, took_s, failed)
         target = 1.0 if failed else 0.0
         stats.failure_rate += FAILURE_WEIGHT * (target - stats.failure_rate)
 
 
-def _recency(at_s: float, now_s: float) -> float:
-    """Return the weight of an own observation by its age, 0 to 1."""
-    if at_s == NEVER_S:
-        return 0.0
-    return min(1.0, max(0.0, 1 - (now_s - at_s) / observations.WINDOW_S))
-
-
 def _weighted_mean(
     own: float, own_weight: float, others: float, others_weight: float
 ) -> float:
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -79,19 +79,20 @@
     )
 
 
-def slow_share(seed, share, lost=0.0):
-    """Return the share of requests to an endpoint that becomes slow.
+def play_hosts(seed, share, lost=0.0, rate=0.5, slow=3.5):
+    """Return an endpoint's share of the requests, and their mean time.
 
-    90 hosts send 0.5 requests a second each to 4 endpoints of 6 slots that
-    take 60 ms; from 20 s on one of them takes 3.5 times as long. The share is
-    that of the next 12 s.
+    90 hosts send requests to 4 endpoints of 6 slots that take 60 ms; from 20 s
+    on one of them takes longer. The results are those of the next 12 s.
 
     :param share: whether the hosts report to each other
     :param lost: share of the reports that are lost
+    :param rate: requests of each host per second
+    :param slow: how many times as long that endpoint takes
     """
     rng = random.Random(seed)
     hosts = [balancer(rng.random()) for _ in range(90)]
-    running, counts = [], dict.fromkeys(NAMES, 0)
+    running, sent = [], []
     for tick in range(320):
         now_s = tick / 10
         for each in [r for r in running if r[0] <= now_s]:
@@ -99,13 +100,13 @@
             _, host, name, took_s = each
             host.record_answer(name, took_s, False, now_s)
         for host in hosts:
-            if rng.random() >= 0.05:
+            if rng.random() >= rate / 10:
                 continue
             name = host.choose(ENDPOINTS, set(), now_s).id
-            counts[name] += now_s >= 20
             load = sum(r[2] == name for r in running)
-            took_s = 0.06 * (3.5 if name == 'a' and now_s >= 20 else 1)
+            took_s = 0.06 * (slow if name == 'a' and now_s >= 20 else 1)
             took_s *= rng.uniform(0.8, 1.2) * max(1, (load + 1) / 6)
+            sent += [(name, took_s)] * (now_s >= 20)
             host.record_sent(name)
             running.append((now_s + took_s, host, name, took_s))
         if not share or tick % 5:
@@ -116,7 +117,8 @@
             for receiver in rng.sample(others, 3):
                 if observed and rng.random() >= lost:
                     receiver.shared.record(str(number), 1, observed, now_s)
-    return counts['a'] / sum(counts.values())
+    to_slow = sum(name == 'a' for name, _ in sent)
+    return to_slow / len(sent), sum(took for _, took in sent) / len(sent)
 
 
 @pytest.mark.parametrize(
@@ -127,10 +129,21 @@
 
     Lost reports reduce the accuracy only.
     """
-    low = [slow_share(n, shares, lost) < 1 / 4 / 2 for n in range(3)]
+    low = [play_hosts(n, shares, lost)[0] < 1 / 4 / 2 for n in range(3)]
     assert low == [shares] * 3
 
 
+@pytest.mark.parametrize('seed', range(3))
+def test_hosts_do_not_turn_to_the_same_endpoint(seed):
+    """Two thirds of the slots are in use; 0.1 s is the shortest objective.
+
+    Reports are seconds old; hosts that only went by them would all turn to
+    the endpoint that was the fastest then, and overload it.
+    """
+    _, mean_s = play_hosts(seed, share=True, rate=3.0, slow=1)
+    assert mean_s < 0.1
+
+
 @pytest.mark.parametrize('a', [seen('a', 9, 0.2), seen('a', 9, 0.01, 6)])
 def test_host_that_starts_relies_on_others(a):
     """An endpoint that fails at once would look the fastest to it."""
