Count own averages as up to 30 responses beside reports

Near saturation 10 were too few: the reports of others decided, and hosts moved together. After 30 responses the initial value of the averages weighs under 5 %.

tests/test_observations.py, tests/test_balance.py: 36 passed.

--- a/magnoliadyke/core/balance.py
+++ b/magnoliadyke/core/balance.py
@@ -24,10 +24,10 @@
 COOLDOWN_S = 0.5
 MAX_COOLDOWN_S = 4.0
 #: Maximum number of responses for which this host's own averages count beside
-#: those of other hosts: as many as the moving averages reflect. They do not
-#: lose weight by age: what other hosts report is seconds old and known to many
-#: hosts, which would all turn to the same endpoint and overload it.
-MAX_OWN_RESPONSES = 10
+#: those of other hosts: so many that their first values weigh under 5 %. They
+#: do not lose weight by age: what other hosts report is seconds old and known
+#: to many hosts, which would all turn to the same endpoint and overload it.
+MAX_OWN_RESPONSES = 30
 #: Time after an own response of an endpoint during which cooldowns that other
 #: hosts report do not count, in seconds: this host reaches the endpoint.
 REACHED_S = 1.0
