--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -16,6 +16,7 @@
 from magnoliadyke.gateway import crash_codec
 from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import limit_codec
+from magnoliadyke.gateway import observation_codec
 from magnoliadyke.gateway import pace_codec
 from magnoliadyke.gateway import path_codec
 from magnoliadyke.gateway import store
@@ -206,6 +207,7 @@
     | duty_codec.Message
     | limit_codec.Message
     | pace_codec.Message
+    | observation_codec.Message
     | path_codec.Message
     | stream_codec.Message
 )
@@ -267,6 +269,8 @@
             limit_codec.encode(message, datagram)
         case pace_codec.PaceReport() | pace_codec.LearnedPaces():
             pace_codec.encode(message, datagram)
+        case observation_codec.ObservationReport():
+            observation_codec.encode(message, datagram)
         case path_codec.PathQuery() | path_codec.PathReply():
             path_codec.encode(message, datagram)
         case crash_codec.CrashReport() | crash_codec.CauseStates():
@@ -333,6 +337,7 @@
             or pace_codec.decode(datagram)
             or stream_codec.decode(datagram)
             or crash_codec.decode(datagram)
+            or observation_codec.decode(datagram)
         )
         if found is not None:
             return found
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -33,6 +33,8 @@
 from magnoliadyke.gateway import limit_codec
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import metricscollector
+from magnoliadyke.gateway import observation_codec
+from magnoliadyke.gateway import observationexchange
 from magnoliadyke.gateway import pace_codec
 from magnoliadyke.gateway import pacereports
 from magnoliadyke.gateway import path_codec
@@ -163,6 +165,15 @@
         self.departures = departures.Departures(
             self.catalog, self.placement_service, clock
         )
+        self.observations = observationexchange.ObservationExchange(
+            (self.own_record.host, self.own_record.incarnation),
+            self.balancer,
+            self.catalog,
+            self.members,
+            self.placement_service,
+            clock,
+            rng,
+        )
         self.usage, self.fleet = self._duties()
         decoder = RecordDecoder()
         mirror = keymirror.KeyMirror(
@@ -258,6 +269,7 @@
             limit_codec.PermitReply: self.limits.handle_reply,
             pace_codec.LearnedPaces: self.paces.handle_learned,
             pace_codec.PaceReport: self.paces.handle_report,
+            observation_codec.ObservationReport: self.observations.handle,
             path_codec.PathQuery: self.paths.handle_query,
             path_codec.PathReply: self.paths.handle_reply,
             stream_codec.StreamRecords: self.streams.handle_records,
@@ -308,6 +320,7 @@
             self.ingress,
             self.limits,
             self.members,
+            self.observations,
             self.placement_service,
             self.store,
             self.upstream,
@@ -328,6 +341,7 @@
             self.leadership,
             self.limits,
             self.departures,
+            self.observations,
             self.paths,
             self.streams,
             self.paces,
