Decide on backups of streams that may not run twice

Cause: a crash of its engine ends a chat stream whose route is not resumable: 41 streams of 957 were cut by one crash of six engines.

The engine field `backups` of a service enables it.

--- a/magnoliadyke/core/promptjobs.py
+++ b/magnoliadyke/core/promptjobs.py
@@ -21,6 +21,8 @@
     :param avoid: ids of engines that failed the job
     :param version: software version at which the answer may go on, None for
         any; set for resumed jobs only
+    :param backed_up: whether another engine is to keep a backup copy of the
+        answer's KV cache
     :ivar tokens: length of the complete prompt, in tokens
     :ivar submitted_s: when the job was submitted
     :ivar deferred: number of times that the job was deferred until another
@@ -45,6 +47,7 @@
     submitted_s: float = 0.0
     latest_start_s: float = 0.0
     deferred: int = 0
+    backed_up: bool = False
 
     def __post_init__(self) -> None:
         self.tokens = promptcache.total_tokens(self.parts)
@@ -61,6 +64,8 @@
     :param prefill_tokens: tokens expected to be prefilled
     :param expected_s: expected time until the answer can start, in seconds
     :param report_end: whether the end of the answer has to be reported
+    :param backup: id of the engine that keeps the backup copy, None without
+        one
     """
 
     job: int
@@ -70,6 +75,7 @@
     prefill_tokens: int
     expected_s: float
     report_end: bool
+    backup: str | None = None
 
 
 class Refused(NamedTuple):
--- a/magnoliadyke/core/routes.py
+++ b/magnoliadyke/core/routes.py
@@ -84,6 +84,8 @@
         prompt until it is fetched, in seconds
     :param stage_change_s: how long an engine is unavailable during a change
         of stage, in seconds
+    :param backups: whether engines keep backup copies of the KV cache of
+        streams that may not run a second time
     """
 
     slots: int
@@ -92,6 +94,7 @@
     link_bits_s: float
     handle_ttl_s: float
     stage_change_s: float
+    backups: bool = False
 
 
 class Service(NamedTuple):
--- a/magnoliadyke/platform/records.py
+++ b/magnoliadyke/platform/records.py
@@ -168,6 +168,7 @@
         link_bits_s=fields.read_number(found, 'link_mbps', 0, 0.0) * 1e6,
         handle_ttl_s=fields.read_number(found, 'kv_hold_s', 0, 1.0),
         stage_change_s=fields.read_number(found, 'stage_switch_s', 0, 1.0),
+        backups=fields.read_bool(found, 'backups'),
     )
 
 
