--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -18,6 +18,7 @@
 from magnoliadyke.core import refusals
 from magnoliadyke.core import routes
 from magnoliadyke.core import stageplan
+from magnoliadyke.core import streambackup
 
 __all__ = [
     'Placement',
@@ -743,8 +744,20 @@
         self.pool.caches.use(engine_id, job.parts)
         is_long = self._begin_run(job, engine_id, now_s)
         expected_s = engine.expected_s(missing)
+        backup = None
+        if job.backed_up:
+            backup = streambackup.choose(
+                self.pool.engines.values(), engine, job, now_s
+            )
         return promptjobs.Placed(
-            job.id, None, engine_id, None, missing, expected_s, is_long
+            job.id,
+            None,
+            engine_id,
+            None,
+            missing,
+            expected_s,
+            is_long,
+            backup.endpoint.id if backup is not None else None,
         )
 
     def _has_no_decode_engine(self, now_s: float) -> bool:
--- a/magnoliadyke/gateway/inflightjobs.py
+++ b/magnoliadyke/gateway/inflightjobs.py
@@ -87,6 +87,20 @@
         if in_flight_job is not None:
             in_flight_job.is_prefilling = False
 
+    def record_continuation(
+        self, job: promptjobs.Job, engine: str
+    ) -> placement_codec.CacheContents:
+        """Record that a job's answer goes on at another engine.
+
+        :returns: the cache contents of that engine
+        """
+        in_flight_job = self.in_flight[job.id]
+        in_flight_job.is_prefilling = False
+        in_flight_job.placed = in_flight_job.placed._replace(
+            decode_engine=engine
+        )
+        return self._cache_contents(job.id, engine, job.parts)
+
     def record_end(self, job_id: int) -> None:
         """Record that no engine works on a job any longer."""
         self.in_flight.pop(job_id, None)
--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -348,6 +348,7 @@
         failure_domain=job.failure_domain,
         avoid=list(job.avoid),
         version=job.version,
+        backed_up=job.backed_up or None,
     )
 
 
@@ -363,6 +364,7 @@
         resumed=ask.resumed,
         avoid=tuple(ask.avoid),
         version=ask.version,
+        backed_up=bool(ask.backed_up),
     )
     return PlacementRequest(ask.pool, job)
 
@@ -378,6 +380,7 @@
                 read_tokens=decision.prefill_tokens,
                 expected_us=_to_microseconds(decision.expected_s),
                 tell_end=decision.report_end,
+                backup=decision.backup,
             )
         case promptjobs.Refused(job, retry_after_s, reason):
             return ttypes.Decision(
@@ -399,6 +402,7 @@
             decision.read_tokens or 0,
             (decision.expected_us or 0) / MICROSECONDS_PER_S,
             bool(decision.tell_end),
+            decision.backup,
         )
         return PlacementDecision(placed)
     if decision.retry_after_us is not None:
--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -459,6 +459,7 @@
             job.resumed,
             job.avoid,
             job.version,
+            backed_up=job.backed_up,
         )
 
     def decided_by(self, job_id: int) -> str:
@@ -484,6 +485,21 @@
         self.in_flight_jobs.record_prefill_done(job_id)
         self._report(service, job_id, placement_codec.Event.FAILED, endpoint)
 
+    def record_continuation(
+        self, service: str, job: promptjobs.Job, endpoint: str
+    ) -> None:
+        """Record that a job's answer goes on at another engine.
+
+        The slot at the engine that failed has to be released before.
+        """
+        contents = self.in_flight_jobs.record_continuation(job, endpoint)
+        snapshot = placement_codec.CacheSnapshot(service, (contents,))
+        leader = self.placed_by.get(job.id)
+        if self.leading:
+            self._restore_snapshot(snapshot)
+        elif leader is not None:
+            self.send(leader, snapshot)
+
     @contextlib.contextmanager
     def track_prefill(
         self, endpoint: str, limit: waitlimit.WaitLimit
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -107,6 +107,7 @@
     'z1',
     is_retry=True,
     avoid=('e1',),
+    backed_up=True,
 )
 
 
@@ -119,7 +120,7 @@
             promptjobs.Placed(7, 'p', 'r', '1.2.3.4:5', 30, 0.0125, True)
         ),
         placement_codec.PlacementDecision(
-            promptjobs.Placed(7, None, 'r', None, 0, 0.0, False)
+            promptjobs.Placed(7, None, 'r', None, 0, 0.0, False, 'b')
         ),
         placement_codec.CacheSnapshot(
             'model', (placement_codec.CacheContents('e', JOB.parts),)
