Name the backup engine to engines, and stop runs at them

Cause: the run names where its KV cache is to be copied, and a stream may go on elsewhere only once its old run is over.

Change: RunOptions.backup_to is sent as a header; EngineControl.stop_run stops a run and moves its KV cache, with the outcomes as data classes. A failure of the host itself is not taken for the end of the engine. The stand-in engine answers the call, and may lack a backup.

--- a/magnoliadyke/gateway/codec.py
+++ b/magnoliadyke/gateway/codec.py
@@ -79,6 +79,8 @@
     :param fetch_from: address of an engine with more of the prompt in its KV
         cache
     :param resume_after: id of the last stream event sent to the caller
+    :param backup_to: address of the engine that keeps a backup copy of the
+        run's KV cache, None without one
     """
 
     endpoint: str
@@ -87,6 +89,7 @@
     kv_source: str | None = None
     fetch_from: str | None = None
     resume_after: bytes | None = None
+    backup_to: str | None = None
 
 
 class ResponseFacts(NamedTuple):
--- a/magnoliadyke/gateway/enginecontrol.py
+++ b/magnoliadyke/gateway/enginecontrol.py
@@ -1,9 +1,10 @@
-"""Interface to read the state of engines and order stage changes."""
+"""Interface to read the state of engines, stop runs and order stages."""
 
 import abc
 from typing import NamedTuple
 
 from magnoliadyke.core import catalog
+from magnoliadyke.core import streambackup
 
 __all__ = ['EngineControl', 'EngineState', 'Ordered', 'Unreachable']
 
@@ -60,3 +61,15 @@
         :param orders: number of orders that the engine must have accepted
             before; the engine refuses a delayed order, as its count differs
         """
+
+    @abc.abstractmethod
+    def stop_run(
+        self, endpoint: catalog.Endpoint, request_id: bytes, target: str
+    ) -> streambackup.Stopped:
+        """Stop a run at an engine, and move its KV cache to another one.
+
+        Takes at most :data:`streambackup.STOP_LIMIT_S` seconds.
+
+        :param request_id: id of the request that it runs
+        :param target: address of the other engine
+        """
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -115,6 +115,12 @@
         to ask for none
     :ivar rate_limit: value of the rate limit that answers name, None if they
         name none
+    :ivar runs_on: a run goes on after its answer was broken off
+    :ivar has_backups: it has the backups that requests name
+    :ivar move_status: status of the answer to calls that stop a run, None for
+        the usual one
+    :ivar move_s: time until that answer, in seconds
+    :ivar moves: bodies of these calls, in order
     :ivar arrivals: requests that reached the endpoint, in order
     :ivar orders: orders for a stage, in order
     :ivar handles: handles of KV caches that are held
@@ -166,6 +172,11 @@
         self.rate_limit: bytes | None = None
         self.change_s: float | None = None
         self.on_change: Callable[[], None] | None = None
+        self.runs_on = False
+        self.has_backups = True
+        self.move_status: int | None = None
+        self.move_s = 0.0
+        self.moves: list[dict] = []
         self.arrivals: list[Arrival] = []
         self.orders: list[dict] = []
         self.handles: set[str] = set()
@@ -235,7 +246,8 @@
             arrival.cancelled = True
             return False
         finally:
-            arrival.until_s = time.monotonic()
+            if not (self.runs_on and arrival.aborted):
+                arrival.until_s = time.monotonic()
 
     def _refuse(
         self,
@@ -271,6 +283,9 @@
         if self.max_runs is not None:
             if len(self.runs) >= self.max_runs:
                 return 503
+        source = headers.get(b'x-kv-source', b'').partition(b'/')[0]
+        if source == self.address.encode() and not self.has_backups:
+            return 503
         is_prefill = headers.get(b'x-stage') == b'prefill'
         if self.stage and is_prefill != (self.stage == 'prefill'):
             return 421
@@ -306,6 +321,8 @@
             if self.change_s is not None:
                 gevent.spawn_later(self.change_s, self._change_stage, order)
             caller.answer(202, [], b'{}')
+        elif path == '/api/kv-move':
+            self._move(caller, head, json.loads(body))
         elif path.startswith('/api/kv-handle/'):
             handle = path.rsplit('/', 1)[1]
             self.handles.discard(handle)
@@ -315,6 +332,24 @@
             caller.answer(404, [], b'{}')
         return True
 
+    def _move(
+        self, caller: callers.Caller, head: http.Head, order: dict
+    ) -> None:
+        """Stop a run, and move its KV cache to another engine."""
+        self.moves.append(order)
+        gevent.sleep(self.move_s)
+        status = self.move_status or 404
+        answer = {}
+        if head.value(b'x-expect-instance') != self.name.encode():
+            status = 421
+        elif self.move_status is None:
+            for arrival in self.runs:
+                is_run = arrival.id.decode() == order['id']
+                if is_run and arrival.until_s == math.inf:
+                    arrival.until_s = time.monotonic()
+                    status, answer = 200, {'kv_handle': 'moved-1'}
+        caller.answer(status, [], json.dumps(answer).encode())
+
     def _change_stage(self, order: dict) -> None:
         self.stage = order['stage']
         if self.on_change is not None:
--- a/magnoliadyke/lab/platformrecords.py
+++ b/magnoliadyke/lab/platformrecords.py
@@ -71,12 +71,14 @@
     version: int,
     routes: Sequence[dict[str, Any]],
     workspaces: dict[str, Sequence[str]] | None = None,
+    backups: bool = False,
     **limits: Any,
 ) -> dict[str, Any]:
     """A configuration as the operator writes it into the store.
 
     :param workspaces: API keys by name of the workspace; None if requests
         need no key
+    :param backups: whether engines keep backups of streams
     :param limits: on callers' connections, where they differ from the
         defaults
     """
@@ -94,6 +96,8 @@
         'kv_hold_s': 5.0,
         'stage_switch_s': 0.2,
     }
+    if backups:
+        engine['backups'] = True
     return {
         'version': version,
         'routes': list(routes),
--- a/magnoliadyke/platform/codec.py
+++ b/magnoliadyke/platform/codec.py
@@ -20,6 +20,7 @@
 EXPECT_ENDPOINT = b'X-Expect-Instance'
 STAGE = b'X-Stage'
 SOURCE = b'X-Kv-Source'
+BACKUP = b'X-Kv-Backup'
 FETCH_FROM = b'Kv-Fetch'
 PRIORITY = b'X-Request-Priority'
 WORKSPACE = b'X-Tenant'
@@ -152,6 +153,8 @@
         headers = self._headers(request, options)
         if options.kv_source is not None:
             headers.append((SOURCE, options.kv_source.encode()))
+        if options.backup_to is not None:
+            headers.append((BACKUP, options.backup_to.encode()))
         if options.resume_after is not None:
             headers = [h for h in headers if h[0].lower() != b'last-event-id']
             headers.append((LAST_EVENT, options.resume_after))
--- a/magnoliadyke/platform/engines.py
+++ b/magnoliadyke/platform/engines.py
@@ -1,4 +1,4 @@
-"""HTTP client for the engines' state reports and stage orders."""
+"""HTTP client for the engines' state reports, stage orders and stops."""
 
 import json
 from typing import Any
@@ -6,6 +6,7 @@
 import gevent
 
 from magnoliadyke.core import catalog
+from magnoliadyke.core import streambackup
 from magnoliadyke.gateway import connection
 from magnoliadyke.gateway import enginecontrol
 from magnoliadyke.gateway import http
@@ -18,6 +19,7 @@
 CONNECT_TIMEOUT_S = 0.4
 STATUS_OK = 200
 STATUS_ACCEPTED = 202
+STATUS_NOT_FOUND = 404
 
 
 class PlatformEngines(enginecontrol.EngineControl):
@@ -80,6 +82,57 @@
             reason += f': {fields["error"]}'
         return enginecontrol.Ordered(accepted, reason)
 
+    def stop_run(
+        self, endpoint: catalog.Endpoint, request_id: bytes, target: str
+    ) -> streambackup.Stopped:
+        """Stop a run at an engine, and move its KV cache to another one."""
+        body = {
+            'id': request_id.decode('latin-1'),
+            'target': target,
+            'last': True,
+        }
+        conn = None
+        try:
+            with gevent.Timeout(
+                streambackup.STOP_LIMIT_S,
+                http.OutOfTime('engine did not respond in time'),
+            ):
+                conn = connection.Connection(
+                    endpoint.address, streambackup.STOP_LIMIT_S
+                )
+                answer = conn.call(
+                    b'POST',
+                    b'/api/kv-move',
+                    _headers(endpoint),
+                    json.dumps(body).encode(),
+                )
+            status = answer.head.status
+            if status == STATUS_NOT_FOUND:
+                return streambackup.NoSuchRun()
+            if status != STATUS_OK:
+                return streambackup.Uncertain(f'status {status}')
+            fields = report.parse_object(answer.body or b'{}')
+            handle = report.read_string(fields, 'kv_handle')
+            if not handle:
+                return streambackup.Uncertain('kv_handle: empty')
+            return streambackup.Moved(handle)
+        except ConnectionRefusedError:
+            return streambackup.EngineGone(was_refused=True)
+        except (TimeoutError, http.OutOfTime) as error:
+            if conn is None:
+                return streambackup.EngineGone(was_refused=False)
+            return streambackup.Uncertain(str(error))
+        except (
+            OSError,
+            http.BrokenMessage,
+            http.PeerClosed,
+            ValueError,
+        ) as error:
+            return streambackup.Uncertain(str(error) or type(error).__name__)
+        finally:
+            if conn is not None:
+                conn.close()
+
     def _call(
         self,
         endpoint: catalog.Endpoint,
@@ -88,11 +141,6 @@
         body: dict[str, Any] | None,
     ) -> tuple[int, dict[str, Any]] | enginecontrol.Unreachable:
         data = b'' if body is None else json.dumps(body).encode()
-        headers = [
-            (b'Host', endpoint.address.encode()),
-            (b'Content-Type', b'application/json'),
-            (b'X-Expect-Instance', endpoint.name.encode()),
-        ]
         conn = None
         try:
             with gevent.Timeout(
@@ -102,7 +150,7 @@
                 conn = connection.Connection(
                     endpoint.address, CONNECT_TIMEOUT_S
                 )
-                answer = conn.call(method, target, headers, data)
+                answer = conn.call(method, target, _headers(endpoint), data)
             fields = report.parse_object(answer.body or b'{}')
         except (
             OSError,
@@ -116,3 +164,11 @@
             if conn is not None:
                 conn.close()
         return answer.head.status, fields
+
+
+def _headers(endpoint: catalog.Endpoint) -> http.Headers:
+    return [
+        (b'Host', endpoint.address.encode()),
+        (b'Content-Type', b'application/json'),
+        (b'X-Expect-Instance', endpoint.name.encode()),
+    ]
