Continue broken streams at the engines with their backups

Cause: a stream that may not run twice ended with its engine.

If the old run may go on, or there is no backup, the stream ends incomplete as before.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -28,6 +28,7 @@
 from magnoliadyke.gateway import paths
 from magnoliadyke.gateway import placementservice
 from magnoliadyke.gateway import relaying
+from magnoliadyke.gateway import streambackups
 from magnoliadyke.gateway import streamrecords
 from magnoliadyke.gateway import upstream
 from magnoliadyke.gateway import usageduty
@@ -120,6 +121,7 @@
     paths: paths.PathMonitor
     relayer: relaying.Relayer
     streams: streamrecords.StreamRecords
+    streambackups: streambackups.StreamBackups
 
 
 class Exchange(abc.ABC):
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -116,6 +116,9 @@
         for known, count in streams.counts.items():
             gauges.streams_taken_up.labels(known).set(count)
         gauges.stream_records.set(len(streams.versions))
+        backups = parts.ingress.parts.streambackups
+        for event, count in backups.counts.items():
+            gauges.stream_backups.labels(event).set(count)
         relayer = parts.ingress.parts.relayer
         for outcome, count in relayer.counts.items():
             gauges.relayed.labels(outcome).set(count)
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -144,6 +144,12 @@
         self.stream_records = self._gauge(
             'stream_records', 'Streams of which this host keeps the version.'
         )
+        self.stream_backups = self._gauge(
+            'stream_backups',
+            'Backups of streams requested, breaks by how the old run was '
+            'stopped, and continuations by outcome.',
+            'event',
+        )
         self.open_requests = self._gauge(
             'open_requests', 'Requests under way.'
         )
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -5,8 +5,10 @@
 from magnoliadyke.core import answerend
 from magnoliadyke.core import catalog
 from magnoliadyke.core import crashcauses
+from magnoliadyke.core import promptcache
 from magnoliadyke.core import promptjobs
 from magnoliadyke.core import routes
+from magnoliadyke.core import streambackup
 from magnoliadyke.core import streamposition
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import codec as codecs
@@ -18,6 +20,7 @@
 from magnoliadyke.gateway import placementservice
 from magnoliadyke.gateway import relaying
 from magnoliadyke.gateway import remoteprefill
+from magnoliadyke.gateway import streambackups
 from magnoliadyke.gateway import upstream
 from magnoliadyke import logs
 
@@ -50,6 +53,8 @@
     :ivar rejections: number of times that an engine did not accept the
         request
     :ivar placing: id of the job that waits to be placed, None if none does
+    :ivar backup: the engine that runs the request, and the one that keeps a
+        backup of its KV cache; None without a backup
     :ivar possibly_run_failure: failure of the last attempt that may have run
         the request, None if there is none
     """
@@ -59,6 +64,7 @@
         self.position = streamposition.StreamPosition()
         self.possibly_run_failure: outcomes.Failed | None = None
         self.rejections = 0
+        self.backup: tuple[catalog.Endpoint, catalog.Endpoint] | None = None
         self.placing: int | None = None
 
     def refuse_if_barred(self) -> None:
@@ -117,6 +123,8 @@
                 self.permits.add(decision.prefill_engine)
             try:
                 result = self._run_placed(job, decision, resume_after)
+                if isinstance(result, outcomes.Lost) and self.backup:
+                    result = self._continue_from_backup(job, decision, result)
                 if isinstance(result, outcomes.Answered):
                     report_end = decision.report_end
                 elif (
@@ -192,6 +200,7 @@
                     reads=decision.prefill_engine or decision.decode_engine,
                     endpoint=decision.decode_engine,
                     fetch_from=decision.fetch_from or 'none',
+                    backup=decision.backup or 'none',
                     read_tokens=decision.prefill_tokens,
                     expected_ms=round(decision.expected_s * 1000),
                 )
@@ -288,6 +297,20 @@
             resumed=resumed,
             avoid=(*avoid, *self._unavailable_engines()),
             version=self.version or self._sound_version(),
+            backed_up=self._is_backed_up(),
+        )
+
+    def _is_backed_up(self) -> bool:
+        service = self._service()
+        return (
+            service is not None
+            # The id names the backup in a header.
+            and self.request.id.isascii()
+            and streambackup.is_backed_up(
+                service.engine,
+                self.route,
+                promptcache.total_tokens(self.request.prompt.parts),
+            )
         )
 
     def _sound_version(self) -> str | None:
@@ -339,6 +362,10 @@
             if kv_source is not None:
                 self._release_kv_cache(kv_source)
             return outcomes.NotRun(exchange.VERSION_GONE, was_received=False)
+        backup = self.parts.streambackups.find_backup(placed, engine)
+        self.backup = (engine, backup) if backup is not None else None
+        if backup is not None:
+            self.parts.streambackups.counts['requested'] += 1
         options = codecs.RunOptions(
             endpoint=engine.name,
             left_s=self.left_s,
@@ -346,6 +373,7 @@
             kv_source=kv_source,
             fetch_from=placed.fetch_from if kv_source is None else None,
             resume_after=resume_after,
+            backup_to=backup.address if backup is not None else None,
         )
         started = False
         try:
@@ -368,6 +396,70 @@
                 self._release_kv_cache(kv_source)
         return result
 
+    def _continue_from_backup(
+        self,
+        job: promptjobs.Job,
+        placed: promptjobs.Placed,
+        lost: outcomes.Lost,
+    ) -> outcomes.Answered | outcomes.Failed | outcomes.Lost:
+        """Continue a broken stream at the engine that keeps its backup.
+
+        :returns: ``lost`` if nothing was sent to that engine
+        """
+        engine, backup = self.backup
+        went_on = self.parts.streambackups.stop_run(
+            streambackups.Broken(
+                self.request,
+                engine,
+                backup,
+                self.position,
+                self._budget(),
+                self.deadline_s,
+            )
+        )
+        if went_on is None:
+            return lost
+        self._log_attempt(lost.reason, 'unknown')
+        placement_service = self.parts.placement_service
+        placement_service.record_failure(self.service, job.id, engine.id)
+        if placed.report_end:
+            placement_service.record_continuation(self.service, job, backup.id)
+        self.endpoint = backup.id
+        options = codecs.RunOptions(
+            endpoint=backup.name,
+            left_s=self.left_s,
+            urgent=True,
+            kv_source=went_on.kv_source,
+            resume_after=self.position.last_id,
+        )
+        result = None
+        try:
+            result = self._stream(backup, options, job)
+        finally:
+            if went_on.is_moved and (
+                result is None or isinstance(result, outcomes.NotRun)
+            ):
+                self._release_kv_cache(went_on.kv_source)
+        self.parts.streambackups.record_result(result)
+        has_failed = False
+        match result:
+            case outcomes.Answered():
+                return result
+            case outcomes.Whole(facts=facts):
+                reason = f'status {facts.status} on resume'
+            case outcomes.NotRun(reason, was_received):
+                self._log_attempt(reason, 'not run')
+                # An engine without the backup refuses, and works.
+                has_failed = not (
+                    was_received or self.budget_spent or _was_held_back(result)
+                )
+            case outcomes.Lost(reason):
+                self._log_attempt(reason, 'unknown')
+                has_failed = True
+        if has_failed:
+            placement_service.record_failure(self.service, job.id, backup.id)
+        return self._mark_incomplete(outcomes.Failed(502, reason))
+
     def _report_rejection(
         self,
         job: promptjobs.Job,
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -42,6 +42,7 @@
 from magnoliadyke.gateway import stages
 from magnoliadyke.gateway import store
 from magnoliadyke.gateway import stream_codec
+from magnoliadyke.gateway import streambackups
 from magnoliadyke.gateway import streamrecords
 from magnoliadyke.gateway import upstream
 from magnoliadyke.gateway import usageduty
@@ -272,6 +273,9 @@
             self.paths,
             self.relayer,
             self.streams,
+            streambackups.StreamBackups(
+                self.catalog, engines.PlatformEngines(), clock
+            ),
         )
         self.ingress = ingress.Ingress(
             settings.callers,
--- /dev/null
+++ b/tests/test_gateway_streambackups.py
@@ -0,0 +1,186 @@
+"""Streams that may not run twice, and go on at the engine with a backup."""
+
+import gevent
+import pytest
+
+from magnoliadyke.gateway import http
+from magnoliadyke.lab import framedanswer
+from tests import gatewayworld
+
+BREAK = framedanswer.Break(
+    framedanswer.BreakAt.BETWEEN, framedanswer.BreakBy.RESET
+)
+#: An answer of this many tokens is long: it holds a slot.
+CHAT = gatewayworld.prompt((0x1, 40), (0x2, 60), output=60)
+
+
+@pytest.fixture
+def world():
+    with gatewayworld.world() as made:
+        configure(made)
+        yield made
+
+
+@pytest.fixture
+def engines(world):
+    """The engine that streams go to first, whose answers break; another."""
+    world.endpoint('e1', 'model', 'prefill')
+    first = world.endpoint('d1', 'model', 'decode')
+    first.broken = BREAK
+    return first, world.endpoint('d2', 'model', 'decode', domain='z2')
+
+
+def configure(world, version=1, backups=True):
+    routes = gatewayworld.platformrecords.usual_routes(timeout_ms=8000)
+    world.configure(version=version, routes=routes, backups=backups)
+
+
+def start(world, **fields):
+    """Start a node, and wait until it places: alone it shuffles engines."""
+    node = world.node(**fields)
+    gatewayworld.wait_for(
+        lambda: node.placement_service.leading, 'the placing host'
+    )
+    return node
+
+
+def stream(world, path='/once/x'):
+    """Ask for a stream; returns its body, and whether it was whole."""
+    client = gatewayworld.Client(world.nodes[0])
+    client.request('POST', path, 'r1', b'hi', **CHAT)
+    body = b''
+    try:
+        while not isinstance(
+            part := client.reader.next_part(), http.MessageEnd
+        ):
+            if isinstance(part, http.Body):
+                body += part.data
+    except http.PeerClosed:
+        return body, False
+    finally:
+        client.close()
+    return body, True
+
+
+def counts(world):
+    return dict(world.nodes[0].ingress.parts.streambackups.counts)
+
+
+@pytest.mark.parametrize('stop', ['engine_gone', 'no_run', 'moved'])
+def test_stream_goes_on_after_its_engine_broke_off(world, engines, stop):
+    """A stream that may run once was lost with its engine."""
+    first, second = engines
+    first.ends_with_break = stop == 'engine_gone'
+    first.runs_on = stop == 'moved'
+    start(world)
+    body, whole = stream(world)
+    assert whole
+    assert body == b''.join(first._event(n) for n in (1, 2, 3))
+    (run,) = first.runs
+    assert run.headers[b'x-kv-backup'] == second.address.encode()
+    (resumed,) = second.runs
+    assert resumed.headers[b'last-event-id'] == b'1'
+    assert b'x-kv-backup' not in resumed.headers
+    source = f'{second.address}/r1'
+    if stop == 'moved':
+        source = f'{first.address}/moved-1'
+    assert resumed.headers[b'x-kv-source'] == source.encode()
+    if stop != 'engine_gone':
+        order = {'id': 'r1', 'target': second.address, 'last': True}
+        assert first.moves == [order]
+    assert counts(world) == {'requested': 1, stop: 1, 'completed': 1}
+    text = world.nodes[0].metrics.answer(b'GET', b'/metrics').body.decode()
+    assert f'magnoliadyke_stream_backups{{event="{stop}"}} 1.0' in text
+
+
+@pytest.mark.parametrize('fault', ['409', '503', 'silent', 'address reused'])
+def test_stream_ends_if_its_old_run_may_go_on(world, engines, fault):
+    """A request ran at two engines at once."""
+    first, second = engines
+    first.pause_s = 0.2
+    if fault.isdigit():
+        first.move_status = int(fault)
+    first.move_s = 60.0 if fault == 'silent' else 0.0
+    start(world)
+    if fault == 'address reused':
+        gevent.spawn(_rename, first)
+    body, whole = stream(world)
+    assert (body, whole) == (first._event(1), False)
+    assert not second.arrivals
+    assert counts(world) == {'requested': 1, 'uncertain': 1}
+
+
+def _rename(engine):
+    gatewayworld.wait_for(lambda: engine.runs, 'the run')
+    engine.name = 'q7'
+
+
+@pytest.mark.parametrize('fault', ['no copy', 'gone', 'broken again'])
+def test_stream_without_a_usable_backup_ends_incomplete(world, engines, fault):
+    """The end of a stream that was cut looked like that of a whole one."""
+    first, second = engines
+    second.has_backups = fault != 'no copy'
+    if fault == 'broken again':
+        second.broken = BREAK
+    start(world)
+    if fault == 'gone':
+        second.crash()
+    body, whole = stream(world)
+    passed = 2 if fault == 'broken again' else 1
+    assert not whole
+    assert body == b''.join(first._event(n + 1) for n in range(passed))
+    outcome = 'broken_again' if fault == 'broken again' else 'not_run'
+    assert counts(world) == {'requested': 1, 'no_run': 1, outcome: 1}
+
+
+def test_stream_is_not_continued_beyond_the_retry_budget(world, engines):
+    first, second = engines
+    start(world, retry_ratio=0.0, retry_extra=0)
+    assert not stream(world)[1]
+    assert not first.moves
+    assert not second.arrivals
+
+
+def test_event_without_an_id_does_not_come_twice(world, engines):
+    first, second = engines
+    first.without_id = frozenset((1,))
+    start(world)
+    assert not stream(world)[1]
+    assert not second.arrivals
+    assert counts(world) == {'requested': 1, 'not_tried': 1}
+
+
+def test_stream_is_served_as_before_without_the_setting(world, engines):
+    first, second = engines
+    configure(world, version=2, backups=False)
+    start(world)
+    body, whole = stream(world)
+    assert (body, whole) == (first._event(1), False)
+    assert b'x-kv-backup' not in first.runs[0].headers
+    assert not first.moves
+    assert not second.arrivals
+    assert not counts(world)
+
+
+def test_resumable_stream_has_no_backup(world, engines):
+    first, second = engines
+    start(world)
+    body, whole = stream(world, '/chat/x')
+    assert whole
+    assert b'x-kv-backup' not in first.runs[0].headers
+    assert b'x-kv-source' not in second.runs[0].headers
+    assert not first.moves
+
+
+def test_continued_stream_holds_a_slot_where_it_goes_on(world, engines):
+    """The engine that took a stream over counted as idle."""
+    first, second = engines
+    second.pause_s = 0.3
+    node = start(world)
+    asked = gevent.spawn(stream, world)
+    gatewayworld.wait_for(lambda: second.runs, 'the continuation')
+    placement = node.placement_service.served['model'].placement
+    models = placement.pool.engines
+    assert [len(models[each].runs) for each in ('d1', 'd2')] == [0, 1]
+    assert asked.get(timeout=gatewayworld.WAIT_S)[1]
+    assert not placement.answers.runs
