--- a/magnoliadyke/core/promptjobs.py
+++ b/magnoliadyke/core/promptjobs.py
@@ -23,6 +23,8 @@
         any; set for resumed jobs only
     :param pause_s: longest pause between two events for which the answer is
         on time, in seconds; 0 if any is
+    :param backed_up: whether another engine is to keep a backup copy of the
+        answer's KV cache
     :ivar tokens: length of the complete prompt, in tokens
     :ivar submitted_s: when the job was submitted
     :ivar deferred: number of times that the job was deferred until another
@@ -48,6 +50,7 @@
     latest_start_s: float = 0.0
     deferred: int = 0
     pause_s: float = 0.0
+    backed_up: bool = False
 
     def __post_init__(self) -> None:
         self.tokens = promptcache.total_tokens(self.parts)
@@ -64,6 +67,8 @@
     :param prefill_tokens: tokens expected to be prefilled
     :param expected_s: expected time until the answer can start, in seconds
     :param report_end: whether the end of the answer has to be reported
+    :param backup: id of the engine that keeps the backup copy, None without
+        one
     """
 
     job: int
@@ -73,6 +78,7 @@
     prefill_tokens: int
     expected_s: float
     report_end: bool
+    backup: str | None = None
 
 
 class Refused(NamedTuple):
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -29,6 +29,7 @@
 from magnoliadyke.gateway import paths
 from magnoliadyke.gateway import placementservice
 from magnoliadyke.gateway import relaying
+from magnoliadyke.gateway import streambackups
 from magnoliadyke.gateway import streamrecords
 from magnoliadyke.gateway import upstream
 from magnoliadyke.gateway import usageduty
@@ -122,6 +123,7 @@
     relayer: relaying.Relayer
     streams: streamrecords.StreamRecords
     paces: pacereports.PaceReporter
+    streambackups: streambackups.StreamBackups
 
 
 class Exchange(abc.ABC):
--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -370,6 +370,7 @@
         avoid=list(job.avoid),
         version=job.version,
         pause_us=_to_microseconds(job.pause_s) or None,
+        backed_up=job.backed_up or None,
     )
 
 
@@ -386,6 +387,7 @@
         avoid=tuple(ask.avoid),
         version=ask.version,
         pause_s=max(0, ask.pause_us or 0) / MICROSECONDS_PER_S,
+        backed_up=bool(ask.backed_up),
     )
     return PlacementRequest(ask.pool, job)
 
@@ -401,6 +403,7 @@
                 read_tokens=decision.prefill_tokens,
                 expected_us=_to_microseconds(decision.expected_s),
                 tell_end=decision.report_end,
+                backup=decision.backup,
             )
         case promptjobs.Refused(job, retry_after_s, reason):
             return ttypes.Decision(
@@ -422,6 +425,7 @@
             decision.read_tokens or 0,
             (decision.expected_us or 0) / MICROSECONDS_PER_S,
             bool(decision.tell_end),
+            decision.backup,
         )
         return PlacementDecision(placed)
     if decision.retry_after_us is not None:
