Share prefill capacity between workspaces, and schedule returns

Under overload the longest prompts were refused first, whoever sent them, so that a workspace with ten times the requests was served ten times as often; refused callers came back together into the same burst.

core/fairshare.py chooses who gives way: the least urgent rank, in it the workspace that uses most, of its jobs the longest. core/returns.py schedules when refused callers come back.

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -1,6 +1,5 @@
 """Chooses the prefill and the decode engine of each request, or refuses it."""
 
-import heapq
 import math
 from typing import Any
 from typing import NamedTuple
@@ -11,6 +10,7 @@
 from magnoliadyke.core import deferral
 from magnoliadyke.core import endpointlimits
 from magnoliadyke.core import enginepool
+from magnoliadyke.core import fairshare
 from magnoliadyke.core import limits
 from magnoliadyke.core import longanswers
 from magnoliadyke.core import promptcache
@@ -20,6 +20,7 @@
 from magnoliadyke.core import stageplan
 
 __all__ = [
+    'REASONS',
     'Placement',
     'PlacementSettings',
 ]
@@ -41,6 +42,9 @@
         request that will miss its objective, even while others can still
         meet theirs; without it a long burst would leave all late requests
         unserved
+    :param least_urgent_interval: one of this many placements goes to the
+        least urgent rank that waits, which a burst of more urgent requests
+        would otherwise leave unserved
     :param long_run_s: an answer that takes longer than this, in seconds,
         keeps its engine from prefilling prompts at the same time: each
         decode step would wait for a chunk of a prompt, and the pauses
@@ -52,6 +56,7 @@
     max_wait_share: float = 0.35
     limited_wait_share: float = 0.1
     late_placement_interval: int = 6
+    least_urgent_interval: int = 12
     long_run_s: float = 0.3
 
 
@@ -68,8 +73,38 @@
 PLACEMENT_INTERVAL_S = 0.05
 #: Reason of a refusal for the rate limits of the decode engines.
 LIMIT_REASON = 'the limits of the engines leave no room'
+#: Reasons of a refusal for the prefill engines, by what decided.
+ROOM_REASONS = {
+    fairshare.Arrival.LESS_URGENT: 'more urgent requests need the engines',
+    fairshare.Arrival.ABOVE_SHARE: 'above the fair share of the workspace',
+    fairshare.Arrival.EQUAL: 'no room in time',
+}
+#: Turn of the least urgent rank within its interval; late jobs have another.
+LEAST_URGENT_TURN = 3
+#: Time by which a returned job precedes the others of its rank, in seconds.
+AHEAD_S = 1e-6
+#: Workspaces named in the log with the engine-seconds given to them.
+MAX_LOGGED_WORKSPACES = 3
 #: Reason of a refusal when no engine of the version of a stream is listed.
 VERSION_GONE_REASON = 'no engine of the version that began the stream serves'
+#: Reason of a refusal of a late job that no longer fits into its time.
+TOO_LATE_REASON = 'too late'
+#: Reason of a refusal of a job whose engine is in a cooldown.
+DOWN_REASON = 'the engine is down'
+#: Reason of a refusal of a long answer for which no slot gets free.
+SLOT_REASON = 'no slot in time'
+#: All reasons of refusals by the placement.
+REASONS = frozenset(
+    (
+        *ROOM_REASONS.values(),
+        DOWN_REASON,
+        LIMIT_REASON,
+        SLOT_REASON,
+        TOO_LATE_REASON,
+        VERSION_GONE_REASON,
+        refusals.NO_ENGINE_REASON,
+    )
+)
 #: Time constant of measured demand, in seconds: half a period of the load's
 #: fluctuation.
 DEMAND_TIME_CONSTANT_S = 1.5
@@ -111,6 +146,8 @@
     :ivar on_time: jobs that can still meet their objective
     :ivar late: jobs that will miss their objective, on their first attempt
     :ivar resubmitted: those that will miss it and were refused before
+    :ivar returned: those whose scheduled return time had come
+    :ivar served: engine-seconds given to workspaces
     :ivar prefills: prompts sent to engines and not yet prefilled, by job
     :ivar bias: average ratio of prefill time at placement to the estimate
     """
@@ -131,6 +168,9 @@
         self.on_time = promptjobs.SlackQueue()
         self.late = promptjobs.JobQueue()
         self.resubmitted = promptjobs.JobQueue()
+        self.returned = promptjobs.JobQueue()
+        self.late_queues = (self.returned, self.resubmitted, self.late)
+        self.served = fairshare.ServedTime()
         self.deferral = deferral.Deferral(self.pool)
         self.refusals = refusals.Refusals(traits.stage_change_s, rng)
         self.prefills: dict[int, _Prefill] = {}
@@ -197,14 +237,20 @@
             self.pool.mean_need_s,
         )
 
-    def log_fields(self) -> dict[str, str]:
+    def log_fields(self, now_s: float | None = None) -> dict[str, str]:
         """Return queue lengths and learned estimates as log fields."""
         fields = {
             'fresh': str(len(self.on_time)),
-            'late': str(len(self.late) + len(self.resubmitted)),
+            'late': str(sum(len(queue) for queue in self.late_queues)),
             'bias': f'{self.bias:.2f}',
             'output': f'{self.answers.output_s * 1000:.1f}ms/token',
         }
+        if now_s is not None:
+            largest = self.served.largest(MAX_LOGGED_WORKSPACES, now_s)
+            fields['served'] = ','.join(
+                f'{name or "none"}:{served_s:.2f}s'
+                for name, served_s in largest
+            )
         for stage, cost in self.pool.costs.items():
             if stage is not catalog.Stage.NONE:
                 fields[stage.value] = cost.coefficients_text()
@@ -267,26 +313,96 @@
         self.prefill_demand.add(job.need_s, now_s)
         self.transfer_demand.add(self.pool.handoff_s(job.tokens), now_s)
         job.latest_start_s = self._due_s(job) - job.need_s
+        if job.is_retry and self.refusals.returns.take_due(now_s):
+            return self._submit_returned(job, now_s)
         if now_s + self._wait_s(job, now_s) <= job.latest_start_s:
             self.on_time_demand.add(job.need_s, now_s)
             self.on_time.put(job)
             return self.place_queued(now_s)
-        refused = self._put_late_or_refuse(job, now_s)
+        found = self._arrival(job, now_s)
+        if found is fairshare.Arrival.DISPLACES:
+            # The next check for late jobs demotes the one that gives way.
+            self.on_time.put(job)
+            return self.place_queued(now_s)
+        refused = self._put_late_or_refuse(job, now_s, found)
         return [refused] if refused is not None else self.place_queued(now_s)
 
-    def _put_late_or_refuse(
+    def _submit_returned(
         self, job: promptjobs.Job, now_s: float
+    ) -> list[promptjobs.Decision]:
+        """Queue a job ahead of others, as its return time has come."""
+        capacity = self.pool.capacity(now_s)
+        wait_s = capacity.wait_s(0.0) * self.placing_hosts
+        if capacity.speed and now_s + wait_s <= job.latest_start_s:
+            if job.priority in self.on_time.ranks:
+                first = self.on_time.first_of(job.priority)
+                job.latest_start_s = min(
+                    job.latest_start_s, first.latest_start_s - AHEAD_S
+                )
+            self.on_time_demand.add(job.need_s, now_s)
+            self.on_time.put(job)
+            return self.place_queued(now_s)
+        wait_s = self._late_wait_s(now_s, (self.returned,))
+        left_s = job.deadline_s - now_s
+        if wait_s + job.need_s > left_s * self._late_wait_share(job):
+            refused = self._put_late_or_refuse(job, now_s)
+            if refused is not None:
+                return [refused]
+        else:
+            self.returned.put(job)
+        return self.place_queued(now_s)
+
+    def _arrival(self, job: promptjobs.Job, now_s: float) -> fairshare.Arrival:
+        """Decide whether a job that would be late displaces another one."""
+        if self.on_time.has_one_group(job):
+            return fairshare.Arrival.EQUAL
+        capacity = self.pool.capacity(now_s)
+        wait_s = capacity.wait_s(0.0) * self.placing_hosts
+        if not capacity.speed or now_s + wait_s > job.latest_start_s:
+            return fairshare.Arrival.EQUAL
+        waiting = self.on_time.jobs.values()
+        usage = fairshare.usage_s([*waiting, job], self.served, now_s)
+        ahead = (
+            each
+            for each in waiting
+            if each.latest_start_s <= job.latest_start_s
+        )
+        return fairshare.arrival(job, ahead, usage)
+
+    def _put_late_or_refuse(
+        self,
+        job: promptjobs.Job,
+        now_s: float,
+        found: fairshare.Arrival = fairshare.Arrival.EQUAL,
     ) -> promptjobs.Refused | None:
         wait_s = self._late_wait_s(now_s)
         left_s = job.deadline_s - now_s
         if wait_s + job.need_s > left_s * self._late_wait_share(job):
-            reason = 'no room in time'
             if self.pool.limits_bind:
-                reason = LIMIT_REASON
-            return self.refusals.refuse(job, now_s, wait_s, reason)
+                return self.refusals.refuse(job, now_s, wait_s, LIMIT_REASON)
+            return self._refuse_until_scheduled(
+                job, now_s, ROOM_REASONS[found]
+            )
         self._put_late(job)
         return None
 
+    def _refuse_until_scheduled(
+        self, job: promptjobs.Job, now_s: float, reason: str
+    ) -> promptjobs.Refused:
+        capacity = self.pool.capacity(now_s)
+        if not capacity.speed:
+            wait_s = refusals.NO_ENGINE_S
+            return self.refusals.refuse(job, now_s, wait_s, reason)
+        work_s = self.on_time.need_s
+        work_s += sum(queue.need_s for queue in self.late_queues)
+        return self.refusals.refuse_until_scheduled(
+            job,
+            now_s,
+            capacity.wait_s(work_s) * self.placing_hosts,
+            job.need_s / capacity.speed * self.placing_hosts,
+            reason,
+        )
+
     def is_waiting(self, job_id: int) -> bool:
         """Whether a job is queued or deferred."""
         return job_id in self.deferral or any(
@@ -294,7 +410,7 @@
         )
 
     def _queues(self) -> tuple[promptjobs.JobQueue, ...]:
-        return self.on_time, self.resubmitted, self.late, self.answers.waiting
+        return self.on_time, *self.late_queues, self.answers.waiting
 
     def _submit_short(
         self, job: promptjobs.Job, now_s: float
@@ -310,7 +426,7 @@
         ):
             return [self.refusals.refuse(job, now_s, 0.0, VERSION_GONE_REASON)]
         if (cooldown_s := self._cooldown_s(job, now_s)) > 0:
-            return self._hold(job, cooldown_s, 'the engine is down', now_s)
+            return self._hold(job, cooldown_s, DOWN_REASON, now_s)
         if (limit_wait_s := self._limit_wait_s(job, now_s)) > 0:
             return self._hold(job, limit_wait_s, LIMIT_REASON, now_s)
         if job.resumed or not self.answers.is_long(job.output_tokens):
@@ -319,7 +435,7 @@
             if self.answers.available_engine(job.avoid, now_s) is not None:
                 return [self._place_short(job, now_s)]
         wait_s = self.answers.wait_s(now_s)
-        return self._hold(job, wait_s, 'no slot in time', now_s)
+        return self._hold(job, wait_s, SLOT_REASON, now_s)
 
     def _hold(
         self, job: promptjobs.Job, wait_s: float, reason: str, now_s: float
@@ -498,9 +614,9 @@
         skipped: list[tuple[promptjobs.JobQueue, promptjobs.Job]] = []
         while (
             self.pool.has_open_engine()
-            and (queue := self._next_queue()) is not None
+            and (found := self._next_job(now_s)) is not None
         ):
-            job = queue.first()
+            queue, job = found
             option = self.pool.best_option(job.parts, job.avoid, now_s)
             if option is None:
                 if not job.avoid or len(skipped) >= MAX_SKIPPED_JOBS:
@@ -536,7 +652,7 @@
         return max(now_s + 0.001, min(next_opening_s, latest_s))
 
     def _next_queue(self) -> promptjobs.JobQueue | None:
-        late = self.resubmitted if len(self.resubmitted) else self.late
+        late = next((each for each in self.late_queues if each), self.late)
         if not len(self.on_time):
             return late if len(late) else None
         if (
@@ -546,6 +662,35 @@
             return late
         return self.on_time
 
+    def _next_job(
+        self, now_s: float
+    ) -> tuple[promptjobs.JobQueue, promptjobs.Job] | None:
+        """Return the job to place next, and its queue."""
+        queue = self._next_queue()
+        if queue is None:
+            return None
+        ranks = set(self.on_time.ranks)
+        for each in self.late_queues:
+            ranks.update(each.ranks)
+        if len(ranks) == 1:
+            return queue, queue.first()
+        interval = self.settings.least_urgent_interval
+        if self.placements % interval == LEAST_URGENT_TURN:
+            return self._first_of((self.on_time, *self.late_queues), ranks)
+        if queue is self.on_time:
+            return queue, self.on_time.next_by_rank(now_s)
+        late = self.late_queues
+        rank = min(min(each.ranks) for each in late if each)
+        return self._first_of(late, {rank})
+
+    def _first_of(
+        self, queues: tuple[promptjobs.JobQueue, ...], ranks: set[int]
+    ) -> tuple[promptjobs.JobQueue, promptjobs.Job]:
+        """Return the first job of the least urgent of some ranks."""
+        rank = max(ranks)
+        queue = next(each for each in queues if rank in each.ranks)
+        return queue, queue.first_of(rank)
+
     def _update_queues(
         self, now_s: float, decisions: list[promptjobs.Decision]
     ) -> None:
@@ -568,33 +713,29 @@
     ) -> None:
         """Demote the fewest jobs such that the others meet their objective.
 
-        Uses the Moore-Hodgson algorithm: where the next job would be late,
-        the longest job so far is demoted.  Otherwise each job that is due
-        soon would delay others past their objective, and under overload
-        nearly all jobs would miss it.
+        Otherwise each job that is due soon would delay others past their
+        objective, and under overload nearly all jobs would miss it.
         """
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
             return
         factor = self._late_wait_factor()
-        longest: list[tuple[float, int]] = []
-        work_s = 0.0
-        for job in self.on_time.in_order():
-            wait_s = capacity.wait_s(work_s * factor) * self.placing_hosts
-            heapq.heappush(longest, (-job.need_s, job.id))
-            work_s += job.need_s
-            if now_s + wait_s <= job.latest_start_s:
-                continue
-            _, job_id = heapq.heappop(longest)
-            late = self.on_time.pop(job_id)
-            work_s -= late.need_s
-            refused = self._put_late_or_refuse(late, now_s)
+
+        def start_s(work_s: float) -> float:
+            wait_s = capacity.wait_s(work_s * factor)
+            return now_s + wait_s * self.placing_hosts
+
+        waiting = self.on_time.in_order()
+        usage = fairshare.usage_s(waiting, self.served, now_s)
+        for late, why in fairshare.give_way(waiting, start_s, usage):
+            self.on_time.pop(late.id)
+            refused = self._put_late_or_refuse(late, now_s, why)
             if refused is not None:
                 decisions.append(refused)
 
     def _late_wait_factor(self) -> float:
         """Return the factor by which late jobs' placements lengthen a wait."""
-        if len(self.late) or len(self.resubmitted):
+        if any(self.late_queues):
             return 1 + 1 / (self.settings.late_placement_interval - 1)
         return 1.0
 
@@ -607,9 +748,7 @@
             if _has_waited(job, self.settings.max_wait_share, now_s):
                 waiting.pop(job.id)
                 wait_s = self.answers.wait_s(now_s)
-                refused = self.refusals.refuse(
-                    job, now_s, wait_s, 'no slot in time'
-                )
+                refused = self.refusals.refuse(job, now_s, wait_s, SLOT_REASON)
                 decisions.append(refused)
 
     def _shed_late(
@@ -621,11 +760,11 @@
             return
         share = self._late_share(capacity, now_s)
         ahead_s = 0.0
-        for queue in (self.resubmitted, self.late):
+        for queue in self.late_queues:
             for job in list(queue.jobs.values()):
                 wait_s = capacity.wait_s(ahead_s / share) * self.placing_hosts
                 ends_s = now_s + wait_s + job.need_s + self.settings.reserve_s
-                reason = 'too late'
+                reason = TOO_LATE_REASON
                 share = self._late_wait_share(job)
                 if self.pool.limits_bind and _has_waited(job, share, now_s):
                     reason = LIMIT_REASON
@@ -633,9 +772,11 @@
                     ahead_s += job.need_s
                     continue
                 queue.pop(job.id)
-                decisions.append(
-                    self.refusals.refuse(job, now_s, wait_s, reason)
-                )
+                if reason is LIMIT_REASON:
+                    refused = self.refusals.refuse(job, now_s, wait_s, reason)
+                else:
+                    refused = self._refuse_until_scheduled(job, now_s, reason)
+                decisions.append(refused)
 
     def _late_wait_share(self, job: promptjobs.Job) -> float:
         """Return the share of its time for which a late job may queue.
@@ -661,16 +802,22 @@
         work_s *= self._late_wait_factor()
         return capacity.wait_s(work_s) * self.placing_hosts
 
-    def _late_wait_s(self, now_s: float) -> float:
+    def _late_wait_s(
+        self,
+        now_s: float,
+        queues: tuple[promptjobs.JobQueue, ...] | None = None,
+    ) -> float:
         """Return the expected wait of a late job until it is placed.
 
         Jobs that can be on time go first.  Late jobs get the capacity that
         remains, and at least one of ``late_placement_interval`` placements.
+
+        :param queues: queues of late jobs ahead of it, None for all
         """
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
             return refusals.NO_ENGINE_S
-        late_s = self.resubmitted.need_s + self.late.need_s
+        late_s = sum(queue.need_s for queue in queues or self.late_queues)
         work_s = self.on_time.need_s
         work_s += late_s / self._late_share(capacity, now_s)
         return capacity.wait_s(work_s) * self.placing_hosts
@@ -694,6 +841,7 @@
         self.pool.assign(job.id, job.parts, option, now_s)
         prefill, decode_engine = option.prefill_engine, option.decode_engine
         self._learn_bias(job, option)
+        self.served.charge(job.workspace, job.need_s, now_s)
         source = option.source
         self.prefills[job.id] = _Prefill(
             prefill.endpoint.id,
--- a/magnoliadyke/core/promptjobs.py
+++ b/magnoliadyke/core/promptjobs.py
@@ -28,6 +28,8 @@
     :ivar latest_start_s: when the prefill has to start to meet the objective
     :ivar need_s: prefill time at the engine that caches most of the prompt,
         in seconds
+    :param priority: rank of the request, 0 for the most urgent
+    :param workspace: name of the workspace, empty without one
     """
 
     id: int
@@ -45,6 +47,8 @@
     submitted_s: float = 0.0
     latest_start_s: float = 0.0
     deferred: int = 0
+    priority: int = 0
+    workspace: str = ''
 
     def __post_init__(self) -> None:
         self.tokens = promptcache.total_tokens(self.parts)
@@ -87,6 +91,8 @@
     """A first-in, first-out queue of jobs.
 
     :ivar need_s: total prefill time of the jobs, in seconds
+    :ivar ranks: number of jobs by rank
+    :ivar workspaces: number of jobs by workspace
     """
 
     def __init__(self) -> None:
@@ -94,11 +100,16 @@
             collections.OrderedDict()
         )
         self.need_s = 0.0
+        self.ranks: dict[int, int] = {}
+        self.workspaces: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self.jobs)
 
     def put(self, job: Job) -> None:
+        if job.id not in self.jobs:
+            _add(self.ranks, job.priority)
+            _add(self.workspaces, job.workspace)
         self.jobs[job.id] = job
         self.need_s += job.need_s
 
@@ -106,6 +117,8 @@
         job = self.jobs.pop(job_id, None)
         if job is not None:
             self.need_s = max(0.0, self.need_s - job.need_s)
+            _remove(self.ranks, job.priority)
+            _remove(self.workspaces, job.workspace)
         return job
 
     def put_back(self, job: Job) -> None:
@@ -116,6 +129,10 @@
     def first(self) -> Job:
         return next(iter(self.jobs.values()))
 
+    def first_of(self, rank: int) -> Job:
+        """Return the first job of a rank that has one."""
+        return next(job for job in self.jobs.values() if job.priority == rank)
+
 
 class SlackQueue(JobQueue):
     """A queue of jobs that can be on time, ordered by least slack.
@@ -148,6 +165,33 @@
             heapq.heappop(self.order)
         return self.jobs[self.order[0][1]]
 
+    def has_one_group(self, job: Job) -> bool:
+        """Whether all jobs are of a job's rank and workspace."""
+        return self.ranks.keys() <= {job.priority} and (
+            self.workspaces.keys() <= {job.workspace}
+        )
+
+    def first_of(self, rank: int) -> Job:
+        return min(
+            (job for job in self.jobs.values() if job.priority == rank),
+            key=lambda job: (job.latest_start_s, job.id),
+        )
+
+    def next_by_rank(self, now_s: float) -> Job:
+        """Return the job with the least slack that delays none more urgent.
+
+        A less urgent job does not go before a more urgent one that would
+        miss its objective if it started only after the less urgent one.
+        """
+        job = self.first()
+        for rank in sorted(self.ranks):
+            if rank >= job.priority:
+                break
+            urgent = self.first_of(rank)
+            if urgent.latest_start_s - now_s < job.need_s:
+                return urgent
+        return job
+
     def in_order(self) -> list[Job]:
         """Return all jobs, least slack first."""
         return sorted(self.jobs.values(), key=lambda job: job.latest_start_s)
@@ -162,3 +206,13 @@
             for job in self.jobs.values()
             if job.latest_start_s <= latest_start_s
         )
+
+
+def _add(counts: dict, key: int | str) -> None:
+    counts[key] = counts.get(key, 0) + 1
+
+
+def _remove(counts: dict, key: int | str) -> None:
+    counts[key] -= 1
+    if not counts[key]:
+        del counts[key]
--- a/magnoliadyke/core/refusals.py
+++ b/magnoliadyke/core/refusals.py
@@ -3,9 +3,12 @@
 from typing import Any
 
 from magnoliadyke.core import promptjobs
+from magnoliadyke.core import returns
 
-__all__ = ['NO_ENGINE_S', 'Refusals']
+__all__ = ['NO_ENGINE_REASON', 'NO_ENGINE_S', 'Refusals']
 
+#: Reason of a refusal when there is no decode engine.
+NO_ENGINE_REASON = 'no engine answers'
 #: Lower bound of the expected wait from which a retry time is drawn, in
 #: seconds.
 MIN_RETRY_S = 0.1
@@ -15,6 +18,9 @@
 #: expected wait.  Without jitter the retries would arrive as a burst.
 MIN_SPREAD = 0.75
 SPREAD = 0.5
+#: Jitter of a scheduled return time, as a share of it; the times themselves
+#: are spread.
+SCHEDULE_JITTER = 0.1
 #: Expected wait when no engine can prefill or decode at all, in seconds.
 NO_ENGINE_S = 1.0
 #: Time from the loss of the last decode engine to the order by which another
@@ -30,6 +36,7 @@
     :param stage_change_s: time for which an engine is unavailable while it
         changes its stage, in seconds
     :param rng: source of randomness, with ``random()``
+    :ivar returns: scheduled return times of refused callers
     :ivar outage_since_s: since when there is no decode engine; None while
         there is one
     """
@@ -37,6 +44,7 @@
     def __init__(self, stage_change_s: float, rng: Any) -> None:
         self.stage_change_s = stage_change_s
         self.rng = rng
+        self.returns = returns.Returns()
         self.outage_since_s: float | None = None
 
     def refuse(
@@ -54,6 +62,33 @@
             job.id, min(after_s, left_s * MAX_RETRY_SHARE), reason
         )
 
+    def refuse_until_scheduled(
+        self,
+        job: promptjobs.Job,
+        now_s: float,
+        ahead_s: float,
+        took_s: float,
+        reason: str,
+    ) -> promptjobs.Refused:
+        """Refuse a job for which the prefill engines have no room in time.
+
+        Its caller is told to come back when the work ahead of it is done,
+        that of the requests refused before it included.
+
+        :param ahead_s: time until the waiting prompts are prefilled
+        :param took_s: time in which the engines prefill the job's prompt
+        """
+        longest_s = max(0.0, job.deadline_s - now_s) * MAX_RETRY_SHARE
+        after_s = self.returns.schedule(
+            now_s, max(MIN_RETRY_S, ahead_s), took_s, longest_s
+        )
+        if after_s is None:
+            # All who get the longest time would else come back as they came.
+            spread = (1 - MIN_SPREAD) * self.rng.random()
+            return promptjobs.Refused(job.id, longest_s * (1 - spread), reason)
+        after_s *= 1 + SCHEDULE_JITTER * self.rng.random()
+        return promptjobs.Refused(job.id, min(after_s, longest_s), reason)
+
     def record_availability(self, available: bool, now_s: float) -> None:
         """Record whether there is any decode engine."""
         if available:
@@ -75,4 +110,4 @@
         if self.outage_since_s is not None:
             over_s = self.outage_since_s + STAGE_ORDER_S + self.stage_change_s
             wait_s = max(wait_s, (over_s - now_s) / MIN_SPREAD)
-        return self.refuse(job, now_s, wait_s, 'no engine answers')
+        return self.refuse(job, now_s, wait_s, NO_ENGINE_REASON)
