Tell the placement a request's rank and workspace

The placement could not share by workspace, as it did not know it. Ask.priority and Ask.workspace are encoded and decoded; a workspace's own priority precedes its route's. Refusals are logged with both, and counted by reason and rank.

--- a/magnoliadyke/core/workspaces.py
+++ b/magnoliadyke/core/workspaces.py
@@ -21,9 +21,14 @@
 
 
 class Workspace(NamedTuple):
-    """A customer's workspace."""
+    """A customer's workspace.
+
+    :param priority: rank of its requests, 0 for the most urgent; None if
+        their route gives it
+    """
 
     name: str
+    priority: int | None = None
 
 
 class Workspaces:
@@ -42,7 +47,9 @@
     ) -> None:
         self.shared = 0
         self._by_digest: dict[bytes, Workspace] = {}
+        self._by_name: dict[str, Workspace] = {}
         for workspace, keys in listed:
+            self._by_name.setdefault(workspace.name, workspace)
             for key in keys:
                 known = self._by_digest.setdefault(digest(key), workspace)
                 if known.name != workspace.name:
@@ -57,6 +64,10 @@
             return None
         return self._by_digest.get(key_digest)
 
+    def listed(self, workspace: Workspace) -> Workspace:
+        """The workspace of the same name, or the given one if none is."""
+        return self._by_name.get(workspace.name, workspace)
+
 
 @dataclasses.dataclass(frozen=True)
 class Allowed:
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -474,7 +474,7 @@
             )
             self._decline(caller, request, relayed, reason)
             return
-        request.workspace = relayed.workspace
+        request.workspace = _listed(configuration, relayed.workspace)
         active = self._exchange(
             request, route, caller, arrived_s - relayed.waited_s
         )
@@ -684,3 +684,14 @@
     """Return the bytes of a head with line ends and separators."""
     size = len(head.method) + len(head.target) + len(' HTTP/1.1') + 5
     return size + sum(len(n) + len(v) + 4 for n, v in head.headers)
+
+
+def _listed(
+    configuration: routes.Configuration,
+    relayed: workspaces.Workspace | None,
+) -> workspaces.Workspace | None:
+    """Return a relayed request's workspace as the configuration lists it."""
+    known = configuration.workspaces
+    if relayed is None or known is None:
+        return relayed
+    return known.listed(relayed)
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -78,6 +78,8 @@
         gauges, parts = self.registry, self.sources
         for by, count in parts.placement_service.counts.items():
             gauges.placed.labels(by).set(count)
+        for labels, count in parts.placement_service.refusals.items():
+            gauges.prompts_refused.labels(*labels).set(count)
         for call, count in parts.store.calls.items():
             gauges.store_calls.labels(call).set(count)
         gauges.restores.set(parts.store.restores)
@@ -163,7 +165,7 @@
                 LOG.event(
                     'placement',
                     service=service,
-                    **pool.placement.log_fields(),
+                    **pool.placement.log_fields(self.clock.now_s()),
                 )
         LOG.event(
             'figures',
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -47,6 +47,12 @@
         self.placed = self._gauge(
             'placed', 'Prompts by who placed them.', 'by'
         )
+        self.prompts_refused = self._gauge(
+            'prompts_refused',
+            'Prompts that were not placed, by reason and rank.',
+            'reason',
+            'rank',
+        )
         self.store_calls = self._gauge(
             'store_calls', 'Calls to the store by kind.', 'call'
         )
--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -41,6 +41,10 @@
 #: Maximum length of a string or binary field: the size of a datagram.
 MAX_STRING_BYTES = 1400
 MAX_ITEMS = 256
+#: Longest name of a workspace, in characters.
+MAX_WORKSPACE_CHARACTERS = 200
+#: Largest priority: that of a 32-bit field.
+MAX_PRIORITY = 2**31 - 1
 MICROSECONDS_PER_S = 1_000_000
 PERMILLE = 1000
 #: Longest duration that fits a 32-bit field, in microseconds.
@@ -348,6 +352,8 @@
         failure_domain=job.failure_domain,
         avoid=list(job.avoid),
         version=job.version,
+        priority=min(job.priority, MAX_PRIORITY),
+        workspace=job.workspace[:MAX_WORKSPACE_CHARACTERS],
     )
 
 
@@ -363,10 +369,21 @@
         resumed=ask.resumed,
         avoid=tuple(ask.avoid),
         version=ask.version,
+        priority=max(0, ask.priority or 0),
+        workspace=_workspace(ask.workspace),
     )
     return PlacementRequest(ask.pool, job)
 
 
+def _workspace(name: str | None) -> str:
+    if name is not None and len(name) > MAX_WORKSPACE_CHARACTERS:
+        raise errors.ProtocolError(
+            f'workspace: expected at most {MAX_WORKSPACE_CHARACTERS} '
+            f'characters, got {len(name)}'
+        )
+    return name or ''
+
+
 def _encode_decision(decision: promptjobs.Decision) -> ttypes.Decision:
     match decision:
         case promptjobs.Placed():
--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -120,6 +120,7 @@
     :ivar requesters: address of the host that waits for a decision, by job id
     :ivar decided: the latest decisions sent to other hosts, by job id
     :ivar counts: number of jobs by how they were placed, for the metrics
+    :ivar refusals: number of refused jobs by reason and rank, for the metrics
     :ivar listeners: handlers of the messages that do not concern placement,
         by message type; a handler's result is sent back as the reply
     :ivar prefill_waits: wait limits of the prefills in flight, by engine
@@ -165,6 +166,9 @@
             collections.OrderedDict()
         )
         self.counts: collections.Counter[str] = collections.Counter()
+        self.refusals: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self.in_flight_jobs = inflightjobs.InFlightJobs()
         self.listeners: dict[
             type, Callable[[Any], placement_codec.Message | None]
@@ -459,6 +463,8 @@
             job.resumed,
             job.avoid,
             job.version,
+            priority=job.priority,
+            workspace=job.workspace,
         )
 
     def decided_by(self, job_id: int) -> str:
@@ -535,9 +541,16 @@
             moved = placement_codec.Event.MOVED
             self._report(service, job_id, moved, endpoint, took_s)
 
-    def record_refusal(self, job_id: int) -> None:
+    def record_refusal(
+        self, job: promptjobs.Job, refused: promptjobs.Refused
+    ) -> None:
         """Record that a job was refused, so that none of it is left."""
-        self.placed_by.pop(job_id, None)
+        self.placed_by.pop(job.id, None)
+        reason = refused.reason
+        if reason not in placement.REASONS:
+            reason = 'other'
+        rank = 'urgent' if job.priority == 0 else 'other'
+        self.refusals[reason, rank] += 1
 
     def record_end(self, service: str, job_id: int, must_report: bool) -> None:
         """Record that a job holds no decode slot any longer.
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -96,7 +96,7 @@
             self.placing = None
             self._log_decision(job, decision)
             if isinstance(decision, promptjobs.Refused):
-                self.parts.placement_service.record_refusal(job.id)
+                self.parts.placement_service.record_refusal(job, decision)
                 return self._refused(decision.reason, decision.retry_after_s)
             excluded = self._engine_in_backoff(decision)
             if excluded is not None:
@@ -178,6 +178,8 @@
             'output_tokens': job.output_tokens,
             'due_ms': round((job.objective_s - self.arrived_s) * 1000),
             'left_ms': round(self.left_s * 1000),
+            'workspace': job.workspace or 'none',
+            'rank': job.priority,
         }
         match decision:
             case promptjobs.Placed():
@@ -273,6 +275,7 @@
         prompt = self.request.prompt
         wait_s = self.request.wait_s
         is_retry = self.is_callers_retry
+        workspace = self.request.workspace
         objective_s = self.arrived_s + self.route.objective_s
         if is_retry:
             objective_s -= self.route.timeout_s - wait_s
@@ -288,8 +291,17 @@
             resumed=resumed,
             avoid=(*avoid, *self._unavailable_engines()),
             version=self.version or self._sound_version(),
+            priority=self._priority(),
+            workspace=workspace.name if workspace is not None else '',
         )
 
+    def _priority(self) -> int:
+        """Return the rank of the request; its workspace's has precedence."""
+        workspace = self.request.workspace
+        if workspace is not None and workspace.priority is not None:
+            return workspace.priority
+        return self.route.priority
+
     def _sound_version(self) -> str | None:
         """Return the version to place at if the request crashes others."""
         if not self.parts.crashreports.has_bars:
--- a/magnoliadyke/platform/records.py
+++ b/magnoliadyke/platform/records.py
@@ -69,11 +69,18 @@
     if found.get('tenants') is None:
         return None
     return workspaces.Workspaces(
-        (workspaces.Workspace(fields.read_string(each, 'name')), _keys(each))
+        (_workspace(each), _keys(each))
         for each in fields.read_objects(found, 'tenants')
     )
 
 
+def _workspace(found: dict[str, Any]) -> workspaces.Workspace:
+    priority = None
+    if found.get('priority') is not None:
+        priority = fields.read_integer(found, 'priority', 0)
+    return workspaces.Workspace(fields.read_string(found, 'name'), priority)
+
+
 def _keys(found: dict[str, Any]) -> list[bytes]:
     keys = found.get('api_keys') or []
     if not isinstance(keys, list):
