--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -81,8 +81,6 @@
 }
 #: Turn of the least urgent rank within its interval; late jobs have another.
 LEAST_URGENT_TURN = 3
-#: Time by which a returned job precedes the others of its rank, in seconds.
-AHEAD_S = 1e-6
 #: Workspaces named in the log with the engine-seconds given to them.
 MAX_LOGGED_WORKSPACES = 3
 #: Reason of a refusal when no engine of the version of a stream is listed.
@@ -330,26 +328,24 @@
     def _submit_returned(
         self, job: promptjobs.Job, now_s: float
     ) -> list[promptjobs.Decision]:
-        """Queue a job ahead of others, as its return time has come."""
+        """Queue a job ahead of others, as its return time has come.
+
+        Among the jobs that can be on time its place is that of its slack,
+        which counts from its first arrival; new jobs give way to it.  A late
+        one is admitted like other late ones, since more of them would take
+        turns from jobs that can be on time, but goes before them.
+        """
         capacity = self.pool.capacity(now_s)
         wait_s = capacity.wait_s(0.0) * self.placing_hosts
         if capacity.speed and now_s + wait_s <= job.latest_start_s:
-            if job.priority in self.on_time.ranks:
-                first = self.on_time.first_of(job.priority)
-                job.latest_start_s = min(
-                    job.latest_start_s, first.latest_start_s - AHEAD_S
-                )
             self.on_time_demand.add(job.need_s, now_s)
             self.on_time.put(job)
             return self.place_queued(now_s)
-        wait_s = self._late_wait_s(now_s, (self.returned,))
-        left_s = job.deadline_s - now_s
-        if wait_s + job.need_s > left_s * self._late_wait_share(job):
-            refused = self._put_late_or_refuse(job, now_s)
-            if refused is not None:
-                return [refused]
-        else:
-            self.returned.put(job)
+        refused = self._put_late_or_refuse(job, now_s)
+        if refused is not None:
+            return [refused]
+        self.resubmitted.pop(job.id)
+        self.returned.put(job)
         return self.place_queued(now_s)
 
     def _arrival(self, job: promptjobs.Job, now_s: float) -> fairshare.Arrival:
@@ -802,22 +798,16 @@
         work_s *= self._late_wait_factor()
         return capacity.wait_s(work_s) * self.placing_hosts
 
-    def _late_wait_s(
-        self,
-        now_s: float,
-        queues: tuple[promptjobs.JobQueue, ...] | None = None,
-    ) -> float:
+    def _late_wait_s(self, now_s: float) -> float:
         """Return the expected wait of a late job until it is placed.
 
         Jobs that can be on time go first.  Late jobs get the capacity that
         remains, and at least one of ``late_placement_interval`` placements.
-
-        :param queues: queues of late jobs ahead of it, None for all
         """
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
             return refusals.NO_ENGINE_S
-        late_s = sum(queue.need_s for queue in queues or self.late_queues)
+        late_s = sum(queue.need_s for queue in self.late_queues)
         work_s = self.on_time.need_s
         work_s += late_s / self._late_share(capacity, now_s)
         return capacity.wait_s(work_s) * self.placing_hosts
