--- a/magnoliadyke/core/fairshare.py
+++ b/magnoliadyke/core/fairshare.py
@@ -115,7 +115,7 @@
     :param waiting: the jobs ahead of it
     :param usage: engine-seconds by workspace, those of the new job included
     """
-    own_s = usage[job.workspace]
+    names = {job.workspace}
     found = Arrival.EQUAL
     for other in waiting:
         if other.priority > job.priority:
@@ -123,15 +123,17 @@
         if other.priority < job.priority:
             found = Arrival.LESS_URGENT
         elif other.workspace != job.workspace:
-            if usage[other.workspace] > own_s:
-                return Arrival.DISPLACES
+            names.add(other.workspace)
             if found is Arrival.EQUAL:
                 found = Arrival.ABOVE_SHARE
+    share_s = sum(usage[name] for name in names) / len(names)
+    if len(names) > 1 and usage[job.workspace] < share_s:
+        return Arrival.DISPLACES
     return found
 
 
 def give_way(
-    jobs: Iterable[promptjobs.Job],
+    jobs: list[promptjobs.Job],
     start_s: Callable[[float], float],
     usage: dict[str, float],
 ) -> list[GivesWay]:
@@ -139,84 +141,172 @@
 
     The Moore-Hodgson algorithm, extended by ranks and shares: where the next
     job would be late, one of the jobs so far gives way.  That is one of the
-    least urgent rank; in it one of the workspace that uses most; of those the
-    longest.  With one rank and one workspace it is the longest job so far.
-    Taking from the workspace that uses most, until all fit, leaves every
-    workspace what max-min fairness with equal weights gives it.
+    least urgent rank; in it one of a workspace that uses more than an equal
+    share; of those the longest.  With one rank and one workspace it is the
+    longest job so far.  The share is the mean usage of the workspaces that
+    wait, which falls as jobs give way, so that a workspace that asks for less
+    than max-min fairness leaves it keeps all that it asks for.
 
     :param jobs: waiting jobs, earliest latest start first
     :param start_s: returns when a job starts behind so much work
     :param usage: engine-seconds by workspace; not changed
     """
-    candidates = _Candidates(dict(usage))
+    if len(usage) <= 1 and len({job.priority for job in jobs}) <= 1:
+        return _give_way_by_length(jobs, start_s)
+    candidates = _Candidates(jobs, dict(usage))
     chosen: list[GivesWay] = []
     work_s = 0.0
     for job in jobs:
         starts_s = start_s(work_s)
         candidates.add(job)
         work_s += job.need_s
-        # The longest job makes enough room at once; one of another rank or
-        # workspace may be shorter than the job that would be late.
+        # A job of another rank or workspace may be shorter than the one that
+        # would be late, and not make enough room for it.
         while starts_s > job.latest_start_s:
-            enough = candidates.have_one_group
             victim = candidates.pop()
             chosen.append(victim)
             work_s -= victim.job.need_s
-            if enough or victim.job is job:
+            if victim.job is job:
                 break
             starts_s = start_s(work_s - job.need_s)
     return chosen
 
 
+def _give_way_by_length(
+    jobs: list[promptjobs.Job], start_s: Callable[[float], float]
+) -> list[GivesWay]:
+    """Choose the longest job so far wherever the next one would be late."""
+    longest: list[tuple[float, int, promptjobs.Job]] = []
+    chosen: list[GivesWay] = []
+    work_s = 0.0
+    for job in jobs:
+        starts_s = start_s(work_s)
+        heapq.heappush(longest, (-job.need_s, job.id, job))
+        work_s += job.need_s
+        if starts_s > job.latest_start_s:
+            late = heapq.heappop(longest)[2]
+            work_s -= late.need_s
+            chosen.append(GivesWay(late, Arrival.EQUAL))
+    return chosen
+
+
 class _Candidates:
-    """Jobs that may give way, grouped by rank and workspace.
+    """Jobs that may give way, by rank.
 
-    :ivar longest: heaps of jobs, longest first, by workspace, by rank
-    :ivar heaviest: heaps of workspaces by usage, by rank.  The usage only
-        falls, so an outdated entry is too high and is corrected at the top.
+    :param jobs: all waiting jobs, also those that are not candidates yet
+    :param usage: engine-seconds by workspace; changed
+    :ivar ranks: the ranks of all waiting jobs
+    :ivar count: number of candidates by rank, where there are any
     """
 
-    def __init__(self, usage: dict[str, float]) -> None:
+    def __init__(
+        self, jobs: list[promptjobs.Job], usage: dict[str, float]
+    ) -> None:
         self.usage = usage
-        self.longest: dict[
-            int, dict[str, list[tuple[float, int, promptjobs.Job]]]
-        ] = {}
-        self.heaviest: dict[int, list[tuple[float, str]]] = {}
-
-    @property
-    def have_one_group(self) -> bool:
-        return len(self.longest) == 1 and all(
-            len(each) == 1 for each in self.longest.values()
-        )
+        names: dict[int, set[str]] = {}
+        for job in jobs:
+            names.setdefault(job.priority, set()).add(job.workspace)
+        self.ranks = {rank: _Rank(each, usage) for rank, each in names.items()}
+        self.count: dict[int, int] = {}
 
     def add(self, job: promptjobs.Job) -> None:
-        ranked = self.longest.setdefault(job.priority, {})
-        heap = ranked.get(job.workspace)
-        if heap is None:
-            heap = ranked[job.workspace] = []
-            heapq.heappush(
-                self.heaviest.setdefault(job.priority, []),
-                (-self.usage[job.workspace], job.workspace),
-            )
-        heapq.heappush(heap, (-job.need_s, job.id, job))
+        self.count[job.priority] = self.count.get(job.priority, 0) + 1
+        self.ranks[job.priority].add(job)
 
     def pop(self) -> GivesWay:
-        rank = max(self.longest)
-        ranked, heaviest = self.longest[rank], self.heaviest[rank]
+        number = max(self.count)
         why = Arrival.EQUAL
-        if len(self.longest) > 1:
+        if len(self.count) > 1:
             why = Arrival.LESS_URGENT
-        elif len(ranked) > 1:
+        elif len(self.ranks[number].longest) > 1:
             why = Arrival.ABOVE_SHARE
-        while -heaviest[0][0] != self.usage[heaviest[0][1]]:
-            workspace = heaviest[0][1]
-            heapq.heapreplace(heaviest, (-self.usage[workspace], workspace))
-        workspace = heaviest[0][1]
-        job = heapq.heappop(ranked[workspace])[2]
-        self.usage[workspace] -= job.need_s
-        if not ranked[workspace]:
-            del ranked[workspace]
-            heapq.heappop(heaviest)
-        if not ranked:
-            del self.longest[rank], self.heaviest[rank]
+        job = self.ranks[number].pop()
+        self.usage[job.workspace] -= job.need_s
+        for rank in self.ranks.values():
+            if job.workspace in rank.names:
+                rank.total_s -= job.need_s
+        self.count[number] -= 1
+        if not self.count[number]:
+            del self.count[number]
         return GivesWay(job, why)
+
+
+class _Rank:
+    """Candidates of one rank, by workspace.
+
+    The usage of a workspace only falls, and so does the share.  Each heap has
+    outdated entries, which are corrected or dropped at its top.
+
+    :param names: the workspaces with waiting jobs of the rank
+    :ivar total_s: usage of these workspaces
+    :ivar longest: heap of jobs, longest first, by workspace
+    :ivar above: workspaces found above the share
+    :ivar above_heap: longest job of each of these, longest first
+    :ivar below_heap: the other workspaces, highest usage first
+    """
+
+    def __init__(self, names: set[str], usage: dict[str, float]) -> None:
+        self.names = names
+        self.usage = usage
+        self.total_s = sum(usage[name] for name in names)
+        self.longest: dict[str, list[tuple[float, int, promptjobs.Job]]] = {}
+        self.above: set[str] = set()
+        self.above_heap: list[tuple[float, int, str]] = []
+        self.below_heap: list[tuple[float, str]] = []
+
+    def add(self, job: promptjobs.Job) -> None:
+        name = job.workspace
+        if name not in self.longest:
+            self.longest[name] = []
+            heapq.heappush(self.below_heap, (-self.usage[name], name))
+        heapq.heappush(self.longest[name], (-job.need_s, job.id, job))
+        if name in self.above and self.longest[name][0][2] is job:
+            heapq.heappush(self.above_heap, (-job.need_s, job.id, name))
+
+    def pop(self) -> promptjobs.Job:
+        """Remove the longest job of the workspaces above the share.
+
+        If these have no candidate, the workspace that uses most has the job.
+        """
+        self._sort_by_share()
+        if self.above_heap:
+            name = heapq.heappop(self.above_heap)[2]
+        else:
+            name = self.below_heap[0][1]
+        jobs = self.longest[name]
+        job = heapq.heappop(jobs)[2]
+        if jobs and name in self.above:
+            need_s, job_id, _ = jobs[0]
+            heapq.heappush(self.above_heap, (need_s, job_id, name))
+        elif not jobs:
+            del self.longest[name]
+            if name in self.above:
+                self.above.remove(name)
+            else:
+                heapq.heappop(self.below_heap)
+        return job
+
+    def _sort_by_share(self) -> None:
+        """Bring both heaps up to date, as far as their tops go."""
+        share_s = self.total_s / len(self.names)
+        while self.below_heap:
+            used_s, name = self.below_heap[0]
+            if -used_s != self.usage[name]:
+                entry = (-self.usage[name], name)
+                heapq.heapreplace(self.below_heap, entry)
+            elif -used_s > share_s:
+                heapq.heappop(self.below_heap)
+                self.above.add(name)
+                need_s, job_id, _ = self.longest[name][0]
+                heapq.heappush(self.above_heap, (need_s, job_id, name))
+            else:
+                break
+        while self.above_heap:
+            _, job_id, name = self.above_heap[0]
+            if name in self.above and self.longest[name][0][1] == job_id:
+                if self.usage[name] > share_s:
+                    break
+                self.above.remove(name)
+                entry = (-self.usage[name], name)
+                heapq.heappush(self.below_heap, entry)
+            heapq.heappop(self.above_heap)
