--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -80,6 +80,8 @@
         gauges, parts = self.registry, self.sources
         for by, count in parts.placement_service.counts.items():
             gauges.placed.labels(by).set(count)
+        for labels, count in parts.placement_service.refusals.items():
+            gauges.prompts_refused.labels(*labels).set(count)
         for call, count in parts.store.calls.items():
             gauges.store_calls.labels(call).set(count)
         gauges.restores.set(parts.store.restores)
--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -43,6 +43,10 @@
 #: Maximum length of a string or binary field: the size of a datagram.
 MAX_STRING_BYTES = 1400
 MAX_ITEMS = 256
+#: Longest name of a workspace, in characters.
+MAX_WORKSPACE_CHARACTERS = 200
+#: Largest priority: that of a 32-bit field.
+MAX_PRIORITY = 2**31 - 1
 MICROSECONDS_PER_S = 1_000_000
 NANOSECONDS_PER_S = 1_000_000_000
 PERMILLE = 1000
@@ -371,6 +375,8 @@
         version=job.version,
         pause_us=_to_microseconds(job.pause_s) or None,
         backed_up=job.backed_up or None,
+        priority=min(job.priority, MAX_PRIORITY),
+        workspace=job.workspace[:MAX_WORKSPACE_CHARACTERS],
     )
 
 
@@ -388,10 +394,21 @@
         version=ask.version,
         pause_s=max(0, ask.pause_us or 0) / MICROSECONDS_PER_S,
         backed_up=bool(ask.backed_up),
+        priority=max(0, ask.priority or 0),
+        workspace=_workspace(ask.workspace),
     )
     return PlacementRequest(ask.pool, job)
 
 
+def _workspace(name: str | None) -> str:
+    if name is not None and len(name) > MAX_WORKSPACE_CHARACTERS:
+        raise errors.ProtocolError(
+            f'workspace: expected at most {MAX_WORKSPACE_CHARACTERS} '
+            f'characters, got {len(name)}'
+        )
+    return name or ''
+
+
 def _encode_decision(decision: promptjobs.Decision) -> ttypes.Decision:
     match decision:
         case promptjobs.Placed():
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -102,7 +102,7 @@
             self.placing = None
             self._log_decision(job, decision)
             if isinstance(decision, promptjobs.Refused):
-                self.parts.placement_service.record_refusal(job.id)
+                self.parts.placement_service.record_refusal(job, decision)
                 return self._refused(decision.reason, decision.retry_after_s)
             excluded = self._engine_in_backoff(decision)
             if excluded is not None:
@@ -186,6 +186,8 @@
             'output_tokens': job.output_tokens,
             'due_ms': round((job.objective_s - self.arrived_s) * 1000),
             'left_ms': round(self.left_s * 1000),
+            'workspace': job.workspace or 'none',
+            'rank': job.priority,
         }
         match decision:
             case promptjobs.Placed():
@@ -282,6 +284,7 @@
         prompt = self.request.prompt
         wait_s = self.request.wait_s
         is_retry = self.is_callers_retry
+        workspace = self.request.workspace
         objective_s = self.arrived_s + self.route.objective_s
         if is_retry:
             objective_s -= self.route.timeout_s - wait_s
@@ -299,6 +302,8 @@
             version=self.version or self._sound_version(),
             pause_s=self.route.pause_s,
             backed_up=self._is_backed_up(),
+            priority=self._priority(),
+            workspace=workspace.name if workspace is not None else '',
         )
 
     def _is_backed_up(self) -> bool:
@@ -314,6 +319,13 @@
             )
         )
 
+    def _priority(self) -> int:
+        """Return the rank of the request; its workspace's has precedence."""
+        workspace = self.request.workspace
+        if workspace is not None and workspace.priority is not None:
+            return workspace.priority
+        return self.route.priority
+
     def _sound_version(self) -> str | None:
         """Return the version to place at if the request crashes others."""
         if not self.parts.crashreports.has_bars:
