Continue a stream from its backup when its engine falls silent

A stream with a backup gets the stall timeout that resumable streams have; the old run is stopped first as after a break.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -420,6 +420,7 @@
         :returns: ``lost`` if nothing was sent to that engine
         """
         engine, backup = self.backup
+        self.backup = None
         went_on = self.parts.streambackups.stop_run(
             streambackups.Broken(
                 self.request,
@@ -572,21 +573,35 @@
         """Wait for the next part of an answer.
 
         The wait has a stall timeout if another engine could resume the
-        stream. A stream that has started and can't be resumed has none: only
-        its engine can still complete the answer.
+        stream, or continue it from a backup. A stream that has started and
+        can go on nowhere else has none: only its engine can still complete
+        the answer.
 
         :param wait: waits for the part and returns it
         :param min_stall_timeout_s: minimum stall timeout in seconds
         :raises http.OutOfTime: the engine has stalled
         """
-        if not self.route.resumable:
+        if not self.route.resumable and not self._can_continue():
             return wait()
-        if self.caller.answer_started and not self._can_resume():
+        if (
+            self.route.resumable
+            and self.caller.answer_started
+            and not self._can_resume()
+        ):
             return wait()
         stall_s = max(min_stall_timeout_s, self.route.pause_s * STALL_FACTOR)
         with gevent.Timeout(stall_s, http.OutOfTime('the engine is silent')):
             return wait()
 
+    def _can_continue(self) -> bool:
+        """Return whether a backup allows the stream to go on elsewhere."""
+        return (
+            self.backup is not None
+            and self.position.last_id is not None
+            and self.position.can_resume
+            and self._budget().has_left(self.parts.clock.now_s())
+        )
+
     def _can_resume(self) -> bool:
         now_s = self.parts.clock.now_s()
         return (
--- a/tests/test_gateway_streambackups.py
+++ b/tests/test_gateway_streambackups.py
@@ -93,6 +93,20 @@
     assert f'magnoliadyke_stream_backups{{event="{stop}"}} 1.0' in text
 
 
+def test_stream_goes_on_after_its_engine_fell_silent(world, engines):
+    """An engine that lost power resets no connection; callers left."""
+    first, second = engines
+    first.broken = None
+    first.mode = 'stall'
+    first.cut_after = 1
+    start(world)
+    body, whole = stream(world)
+    assert whole
+    assert body == b''.join(first._event(n) for n in (1, 2, 3))
+    assert len(second.runs) == 1
+    assert counts(world)['completed'] == 1
+
+
 @pytest.mark.parametrize('fault', ['409', '503', 'silent'])
 def test_stream_ends_if_its_old_run_may_go_on(world, engines, fault):
     """A request ran at two engines at once."""
