Keep only the longest recent intervals of an engine

Cause: each report of the last 2 s was kept by engine, and each choice of an engine for a stream went through all of them, for all engines.

Only the intervals that no later one exceeds are kept, so the first that is young enough is the longest; whether engines differ is looked up once for a choice.

--- a/magnoliadyke/core/decodeengines.py
+++ b/magnoliadyke/core/decodeengines.py
@@ -155,11 +155,12 @@
         :param pause_s: longest pause between two events for which the answer
             is on time, in seconds; 0 if any is
         """
+        pause_s = self._compared_pause_s(pause_s, now_s)
         return min(
             self._some_ready(avoid, now_s) or self.available(avoid, now_s),
             key=lambda e: (
                 len(e.runs) >= e.endpoint.slots,
-                self._exceeds_pause(e, pause_s, now_s),
+                self._pace_rank(e, pause_s, now_s) > enginepace.KEEPS_PAUSE,
                 max(e.transfer_until_s - now_s, 0.0)
                 + (e.free_s(now_s) - now_s)
                 + self.delay_s(e),
@@ -168,10 +169,12 @@
             default=None,
         )
 
-    def _exceeds_pause(
-        self, engine: enginemodel.EngineModel, pause_s: float, now_s: float
-    ) -> bool:
-        return self._pace_rank(engine, pause_s, now_s) > enginepace.KEEPS_PAUSE
+    def _compared_pause_s(self, pause_s: float, now_s: float) -> float:
+        """Return the pause by which engines are compared, 0 if they are not.
+
+        Looked up once for a choice, not for each engine.
+        """
+        return pause_s if pause_s and self.paces.is_uneven(now_s) else 0.0
 
     def _pace_rank(
         self, engine: enginemodel.EngineModel, pause_s: float, now_s: float
@@ -220,6 +223,7 @@
         :param pause_s: longest pause between two events for which the answer
             is on time, in seconds; 0 if any is
         """
+        pause_s = self._compared_pause_s(pause_s, now_s)
         return min(
             self.available(avoid, now_s, version),
             key=lambda e: _short_order(e, self._pace_rank(e, pause_s, now_s)),
--- a/magnoliadyke/core/enginepace.py
+++ b/magnoliadyke/core/enginepace.py
@@ -1,5 +1,6 @@
 """Estimates the interval between the events that each engine sends."""
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -89,12 +90,29 @@
     """The estimate for one engine.
 
     :ivar updated_s: when the engine was last reported
-    :ivar longest: times and longest intervals of the latest samples
+    :ivar longest: times and longest intervals of the latest samples that no
+        later sample equals or exceeds, so the first that counts is the longest
     """
 
     mean_s: float
     updated_s: float
-    longest: list[tuple[float, float]]
+    longest: collections.deque[tuple[float, float]]
+
+    def add_longest(self, longest_s: float, now_s: float) -> None:
+        """Add the longest interval of a sample."""
+        longest = self.longest
+        while longest and longest[-1][1] <= longest_s:
+            longest.pop()
+        longest.append((now_s, longest_s))
+        while now_s - longest[0][0] > LONGEST_WINDOW_S:
+            longest.popleft()
+
+    def longest_s(self, now_s: float) -> float:
+        """Return the longest interval that counts, in seconds."""
+        for at_s, longest_s in self.longest:
+            if now_s - at_s <= LONGEST_WINDOW_S:
+                return max(self.mean_s, longest_s)
+        return self.mean_s
 
 
 class EnginePaces:
@@ -117,17 +135,12 @@
         """Update the estimate of an engine."""
         known = self.estimates.get(sample.engine)
         if known is None or now_s - known.updated_s > MAX_AGE_S:
-            known = _Estimate(sample.mean_s, now_s, [])
+            known = _Estimate(sample.mean_s, now_s, collections.deque())
             self.estimates[sample.engine] = known
         weight = 1 - math.exp(-sample.events / MEMORY_EVENTS)
         known.mean_s += weight * (sample.mean_s - known.mean_s)
         known.updated_s = now_s
-        known.longest = [
-            each
-            for each in known.longest
-            if now_s - each[0] <= LONGEST_WINDOW_S
-        ]
-        known.longest.append((now_s, sample.longest_s))
+        known.add_longest(sample.longest_s, now_s)
 
     def drop_unlisted(self, listed: Iterable[str]) -> None:
         """Drop the estimates of engines that are no longer listed."""
@@ -157,15 +170,7 @@
             if math.isnan(self._median_s):
                 return None
             return Pace(self._median_s, self._median_s)
-        longest_s = max(
-            (
-                each_s
-                for at_s, each_s in known.longest
-                if now_s - at_s <= LONGEST_WINDOW_S
-            ),
-            default=known.mean_s,
-        )
-        return Pace(known.mean_s, max(known.mean_s, longest_s))
+        return Pace(known.mean_s, known.longest_s(now_s))
 
     def rank(self, engine: str, pause_s: float, now_s: float) -> int:
         """Return how well an engine suits a stream; 0 is best.
--- a/tests/test_enginepace.py
+++ b/tests/test_enginepace.py
@@ -137,6 +137,38 @@
     assert ranks == sorted(ranks)
 
 
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 8), strategies.integers(1, 9)
+        ),
+        min_size=1,
+    ),
+    strategies.integers(0, 20),
+)
+def test_longest_interval_is_that_of_the_last_seconds(steps, later):
+    paces = enginepace.EnginePaces()
+    now, added = 0, []
+    for wait, tenths in steps:
+        now += wait
+        added.append((now, tenths / 10))
+        sample = enginepace.PaceSample('d0', 60, 0.1, tenths / 10)
+        paces.record(sample, now / 4)
+    now += later
+    recent = [s for at, s in added if (now - at) / 4 <= 2]
+    pace = paces.pace('d0', now / 4)
+    assert pace.longest_s == pytest.approx(max([0.1, *recent]))
+
+
+def test_reports_of_many_hosts_are_not_kept():
+    """With 300 hosts, each choice went through all reports of 2 s."""
+    paces = enginepace.EnginePaces()
+    for number in range(1200):
+        sample = enginepace.PaceSample('d0', 9, 0.03, 0.06 + number * 1e-6)
+        paces.record(sample, number / 600)
+    assert len(paces.estimates['d0'].longest) == 1
+
+
 def test_counter_reports_each_interval_once():
     counter = enginepace.PaceCounter()
     for interval_s in (0.1, 0.2, 0.6):
