Judge no engine by the interval between a few events

Cause: the first report of an engine became its mean, however few events it counted. One report of two events that came at once made an engine of 450 the fastest and the only one of the best rank, so all streams went there; one long interval made engines that are alike count as different.

An engine with under 20 events in its mean counts as the median one; the longest interval still counts. The mean of the first events is that of all.

--- a/magnoliadyke/core/enginepace.py
+++ b/magnoliadyke/core/enginepace.py
@@ -21,8 +21,11 @@
 LONGEST_WINDOW_S = 2.0
 #: Age from which on an estimate is no longer used, in seconds.
 MAX_AGE_S = 5.0
-#: Number of events over which earlier samples decay in the moving average.
+#: Number of earlier events that the moving average weighs at most.
 MEMORY_EVENTS = 60
+#: Events from which on an engine's own mean is used, about a third of those of
+#: a stream: the interval between two events alone may be any.
+MIN_EVENTS = 20
 #: Interval between two computations of the median, in seconds: each placement
 #: asks for it, and it changes little within this time.
 SUMMARY_INTERVAL_S = 0.1
@@ -90,14 +93,24 @@
     """The estimate for one engine.
 
     :ivar updated_s: when the engine was last reported
+    :ivar events: number of events that the mean is made of
     :ivar longest: times and longest intervals of the latest samples that no
         later sample equals or exceeds, so the first that counts is the longest
     """
 
     mean_s: float
     updated_s: float
+    events: int
     longest: collections.deque[tuple[float, float]]
 
+    def is_settled(self, now_s: float) -> bool:
+        """Whether the mean is recent and made of enough events."""
+        return self.events >= MIN_EVENTS and self.is_recent(now_s)
+
+    def is_recent(self, now_s: float) -> bool:
+        """Whether the engine was reported within :data:`MAX_AGE_S`."""
+        return now_s - self.updated_s <= MAX_AGE_S
+
     def add_longest(self, longest_s: float, now_s: float) -> None:
         """Add the longest interval of a sample."""
         longest = self.longest
@@ -108,11 +121,11 @@
             longest.popleft()
 
     def longest_s(self, now_s: float) -> float:
-        """Return the longest interval that counts, in seconds."""
+        """Return the longest interval that counts, in seconds; 0 if none."""
         for at_s, longest_s in self.longest:
             if now_s - at_s <= LONGEST_WINDOW_S:
-                return max(self.mean_s, longest_s)
-        return self.mean_s
+                return longest_s
+        return 0.0
 
 
 class EnginePaces:
@@ -134,10 +147,12 @@
     def record(self, sample: PaceSample, now_s: float) -> None:
         """Update the estimate of an engine."""
         known = self.estimates.get(sample.engine)
-        if known is None or now_s - known.updated_s > MAX_AGE_S:
-            known = _Estimate(sample.mean_s, now_s, collections.deque())
+        if known is None or not known.is_recent(now_s):
+            known = _Estimate(sample.mean_s, now_s, 0, collections.deque())
             self.estimates[sample.engine] = known
-        weight = 1 - math.exp(-sample.events / MEMORY_EVENTS)
+        events = known.events + sample.events
+        weight = sample.events / events
+        known.events = min(events, MEMORY_EVENTS)
         known.mean_s += weight * (sample.mean_s - known.mean_s)
         known.updated_s = now_s
         known.add_longest(sample.longest_s, now_s)
@@ -160,17 +175,20 @@
     def pace(self, engine: str, now_s: float) -> Pace | None:
         """Return what to expect of an engine.
 
-        An engine without a recent estimate counts as the median one.
+        An engine without a recent estimate, or with one of few events, counts
+        as the median one.  A long interval counts even then.
 
         :returns: None if no engine has an estimate
         """
         self._summarize(now_s)
         known = self.estimates.get(engine)
-        if known is None or now_s - known.updated_s > MAX_AGE_S:
-            if math.isnan(self._median_s):
-                return None
-            return Pace(self._median_s, self._median_s)
-        return Pace(known.mean_s, known.longest_s(now_s))
+        mean_s = self._median_s
+        if known is not None and known.is_settled(now_s):
+            mean_s = known.mean_s
+        if math.isnan(mean_s):
+            return None
+        longest_s = known.longest_s(now_s) if known is not None else 0.0
+        return Pace(mean_s, max(mean_s, longest_s))
 
     def rank(self, engine: str, pause_s: float, now_s: float) -> int:
         """Return how well an engine suits a stream; 0 is best.
@@ -195,7 +213,7 @@
         """Return an engine's interval over the median one, None if unknown."""
         self._summarize(now_s)
         known = self.estimates.get(engine)
-        if known is None or now_s - known.updated_s > MAX_AGE_S:
+        if known is None or not known.is_settled(now_s):
             return None
         return known.mean_s / self._median_s
 
@@ -208,7 +226,7 @@
         ids = sorted(
             engine
             for engine, known in self.estimates.items()
-            if now_s - known.updated_s <= MAX_AGE_S
+            if known.is_settled(now_s)
         )
         found = []
         for offset in range(min(most, len(ids))):
@@ -227,7 +245,7 @@
         means_s = [
             known.mean_s
             for known in self.estimates.values()
-            if now_s - known.updated_s <= MAX_AGE_S
+            if known.is_settled(now_s)
         ]
         if not means_s:
             self._median_s = self._fastest_s = math.nan
--- a/tests/test_enginepace.py
+++ b/tests/test_enginepace.py
@@ -169,6 +169,33 @@
     assert len(paces.estimates['d0'].longest) == 1
 
 
+@pytest.mark.parametrize('interval_s', [0.001, 0.2])
+def test_one_interval_says_nothing_of_an_engine(interval_s):
+    """All streams went to an engine that sent two events at once."""
+    paces = enginepace.EnginePaces()
+    for engine in ('d1', 'd2', 'd3'):
+        paces.record(enginepace.PaceSample(engine, 60, 0.05, 0.06), 0.0)
+    paces.record(enginepace.PaceSample('d0', 1, interval_s, interval_s), 0.0)
+    assert not paces.is_uneven(0.2)
+    for engine in ('d4', 'd5'):
+        paces.record(enginepace.PaceSample(engine, 60, 0.1, 0.11), 0.3)
+    assert paces.is_uneven(0.5)
+    assert paces.rank('d1', PAUSE_S, 0.5) == 0
+    keeps_pause = paces.rank('d0', PAUSE_S, 0.5) <= enginepace.KEEPS_PAUSE
+    assert keeps_pause == (interval_s < PAUSE_S)
+
+
+def test_mean_of_few_events_is_that_of_all_of_them():
+    """A new engine would long be judged by its first interval."""
+    paces = enginepace.EnginePaces()
+    for number in range(24):
+        interval_s = 0.4 if number == 0 else 0.05
+        sample = enginepace.PaceSample('d0', 1, interval_s, interval_s)
+        paces.record(sample, number / 10)
+    mean_s = (0.4 + 23 * 0.05) / 24
+    assert paces.pace('d0', 2.4).mean_s == pytest.approx(mean_s)
+
+
 def test_counter_reports_each_interval_once():
     counter = enginepace.PaceCounter()
     for interval_s in (0.1, 0.2, 0.6):
