Record no interval of zero between events, and refuse absurd ones

Cause: of two events in one piece the clock can read the same time. An engine whose mean was 0 had no logarithm in pace_sort_key, and the choice of engines for a stage change raised ValueError. A report could also tell of intervals of 35 minutes, and one whose rounded mean exceeded its longest interval was refused with those of 23 other engines.

Intervals are recorded and accepted from 1 us to 10 s.

--- a/magnoliadyke/core/enginepace.py
+++ b/magnoliadyke/core/enginepace.py
@@ -29,6 +29,9 @@
 #: Interval between two computations of the median, in seconds: each placement
 #: asks for it, and it changes little within this time.
 SUMMARY_INTERVAL_S = 0.1
+#: Shortest interval that is recorded, in seconds: of two events that come in
+#: one piece the clock may read the same time.
+MIN_INTERVAL_S = 1e-6
 #: Longest interval that is recorded, in seconds: a longer one is an engine
 #: that is stalled, which other checks find.
 MAX_INTERVAL_S = 10.0
@@ -70,7 +73,7 @@
 
     def add(self, engine: str, interval_s: float) -> None:
         """Count an interval between two events of one stream."""
-        interval_s = min(interval_s, MAX_INTERVAL_S)
+        interval_s = max(MIN_INTERVAL_S, min(interval_s, MAX_INTERVAL_S))
         count, total_s, longest_s = self.sums.get(engine, (0, 0.0, 0.0))
         self.sums[engine] = (
             count + 1,
--- a/magnoliadyke/gateway/pace_codec.py
+++ b/magnoliadyke/gateway/pace_codec.py
@@ -18,9 +18,11 @@
 #: Maximum number of engines in a datagram, so that it does not exceed the
 #: 1,400 bytes of a network packet.
 MAX_ENGINES = 24
+#: Largest number that fits a 32-bit field.
+MAX_EVENTS = 2**31 - 1
 MICROSECONDS_PER_S = 1_000_000
-#: Longest duration that fits a 32-bit field, in microseconds.
-MAX_US = 2**31 - 1
+#: Longest interval that a counter records, in microseconds.
+MAX_US = int(enginepace.MAX_INTERVAL_S * MICROSECONDS_PER_S)
 
 
 class PaceReport(NamedTuple):
@@ -65,12 +67,10 @@
 
 
 def _encode_sample(sample: enginepace.PaceSample) -> ttypes.EnginePace:
-    return ttypes.EnginePace(
-        sample.engine,
-        sample.events,
-        _to_microseconds(sample.mean_s),
-        _to_microseconds(sample.longest_s),
-    )
+    mean_us = _to_microseconds(sample.mean_s)
+    # The mean of equal intervals can exceed them by a rounding error.
+    longest_us = max(mean_us, _to_microseconds(sample.longest_s))
+    return ttypes.EnginePace(sample.engine, sample.events, mean_us, longest_us)
 
 
 def _decode_samples(
@@ -88,15 +88,15 @@
 def _decode_sample(pace: ttypes.EnginePace) -> enginepace.PaceSample:
     if not pace.engine:
         raise errors.ProtocolError('pace of an engine: no engine id')
-    for name, value, least in (
-        ('events', pace.events, 1),
-        ('mean_us', pace.mean_us, 0),
-        ('longest_us', pace.longest_us, pace.mean_us or 0),
+    for name, value, least, most in (
+        ('events', pace.events, 1, MAX_EVENTS),
+        ('mean_us', pace.mean_us, 1, MAX_US),
+        ('longest_us', pace.longest_us, pace.mean_us or 1, MAX_US),
     ):
-        if value is None or value < least:
+        if value is None or not least <= value <= most:
             raise errors.ProtocolError(
-                f'pace of engine {pace.engine:.80}: expected {name} of at '
-                f'least {least}, got {value}'
+                f'pace of engine {pace.engine:.80}: expected {name} from '
+                f'{least} to {most}, got {value}'
             )
     return enginepace.PaceSample(
         pace.engine,
@@ -107,4 +107,4 @@
 
 
 def _to_microseconds(seconds: float) -> int:
-    return max(0, min(MAX_US, round(seconds * MICROSECONDS_PER_S)))
+    return max(1, min(MAX_US, round(seconds * MICROSECONDS_PER_S)))
--- a/tests/test_enginepace.py
+++ b/tests/test_enginepace.py
@@ -207,6 +207,22 @@
     assert counter.take() == []
 
 
+def test_events_at_one_moment_leave_engines_comparable():
+    """The choice of engines for a stage change raised ValueError."""
+    counter = enginepace.PaceCounter()
+    for _ in range(60):
+        counter.add('d0', 0.0)
+        counter.add('d1', 0.0005025)
+    sent = pace_codec.PaceReport('m', tuple(counter.take()))
+    received = placement_codec.decode(placement_codec.encode(sent))
+    placer = new_placement()
+    report(placer, {'d2': 50, 'd3': 50}, 0.0)
+    for samples in (counter.take(), received.samples):
+        placer.record_paces(samples, 0.0)
+    keys = [placer.pace_sort_key(f'd{n}', 0.2) for n in range(4)]
+    assert keys[0] < keys[1] < keys[2] == keys[3]
+
+
 def test_reports_survive_the_wire():
     sent = pace_codec.PaceReport(
         'm', (enginepace.PaceSample('d0', 7, 0.05, 0.2),)
@@ -222,6 +238,8 @@
         ttypes.EnginePace('d0', 1, -1, 1),
         ttypes.EnginePace('d0', 1, 5, 4),
         ttypes.EnginePace('d0', 1, None, 4),
+        ttypes.EnginePace('d0', 1, 0, 4),
+        ttypes.EnginePace('d0', 1, 5, 20_000_000),
     ],
 )
 def test_unusable_report_is_refused(pace):
