Compare engines by pace for long answers only, also in cooldowns

Cause: the decode engine of a long prompt was chosen by its pace whatever the length of the answer, so short answers queued for the links of the fast engines. Whether a stream waits out a cooldown was looked up for an engine chosen without the pause, so it was sent again at once to the one that had just failed it.

One function gives the pause for all choices: 0 for a short answer.

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -395,7 +395,7 @@
         while the engine is down for a second or two.
         """
         engine = self.pool.decode_engines.choose_for_short_prompt(
-            job.avoid, now_s, job.version
+            job.avoid, now_s, job.version, self._pause_s(job)
         )
         if engine is None or engine.endpoint.id not in job.avoid:
             return 0.0
@@ -431,7 +431,16 @@
     def _available_engine(
         self, job: promptjobs.Job, now_s: float
     ) -> enginemodel.EngineModel | None:
-        return self.answers.available_engine(job.avoid, now_s, job.pause_s)
+        return self.answers.available_engine(
+            job.avoid, now_s, self._pause_s(job)
+        )
+
+    def _pause_s(self, job: promptjobs.Job) -> float:
+        """Return the pause that the engine of a job is to keep, in seconds.
+
+        0 for a short answer, whose value depends on the first event.
+        """
+        return job.pause_s if self.answers.is_long(job.output_tokens) else 0.0
 
     def _put_late(self, job: promptjobs.Job) -> None:
         """Queue a late job; one that was refused before has priority.
@@ -545,7 +554,7 @@
         ):
             job = queue.first()
             option = self.pool.best_option(
-                job.parts, job.avoid, now_s, job.pause_s
+                job.parts, job.avoid, now_s, self._pause_s(job)
             )
             if option is None:
                 if not job.avoid or len(skipped) >= MAX_SKIPPED_JOBS:
@@ -776,11 +785,8 @@
         self, job: promptjobs.Job, now_s: float
     ) -> promptjobs.Decision:
         """Place a job with a short prompt on a decode engine, or refuse it."""
-        pause_s = 0.0
-        if self.answers.is_long(job.output_tokens):
-            pause_s = job.pause_s
         engine = self.pool.decode_engines.choose_for_short_prompt(
-            job.avoid, now_s, job.version, pause_s
+            job.avoid, now_s, job.version, self._pause_s(job)
         )
         if engine is None:
             return self.refusals.refuse_without_decode_engine(job, now_s)
--- a/tests/test_enginepace.py
+++ b/tests/test_enginepace.py
@@ -80,6 +80,53 @@
     assert chosen == ['d0'] * 6
 
 
+def test_short_answers_of_long_prompts_go_to_slow_engines_too():
+    """They queued for the links of the fast engines only."""
+    placer = new_placement(2)
+    prefill = catalog.Endpoint(
+        'p0', 'm', '10.0.1.0:1', 'a', 8, False, catalog.Stage.PREFILL
+    )
+    engines = placer.pool.engines.values()
+    placer.set_engines([prefill, *(e.endpoint for e in engines)])
+    report(placer, {'d0': 300, 'd1': 30}, 0.0)
+    for number, engine in enumerate(('d0', 'd1')):
+        placer.answers.reserve_slot(number, engine, 0, 0.0)
+    placer.pool.engines['d1'].transfer_until_s = 1.4
+    for tokens, chosen in ((14_000, 'd1'), (2, 'd0')):
+        job = promptjobs.Job(
+            tokens,
+            (promptcache.PromptPart(tokens, 4000),),
+            tokens,
+            6.0,
+            16.0,
+            'a',
+            pause_s=PAUSE_S,
+        )
+        (decision,) = placer.submit(job, 1.0)
+        assert decision.prefill_engine == 'p0'
+        assert decision.decode_engine == chosen
+        placer.record_prefill_done(tokens, 'p0', 1.2)
+
+
+def test_stream_is_not_sent_again_to_the_engine_that_failed_it():
+    """The cooldown looked at was that of an engine that was not chosen."""
+    placer = new_placement(2)
+    report(placer, {'d0': 300, 'd1': 30}, 0.0)
+    placer.pool.cool_down('d0', 1.5)
+    placer.pool.cool_down('d1', 1.5)
+    job = promptjobs.Job(
+        1,
+        (promptcache.PromptPart(1, 200),),
+        14_000,
+        1.1,
+        16.0,
+        'a',
+        avoid=('d1',),
+        pause_s=PAUSE_S,
+    )
+    assert placer.submit(job, 1.0) == []
+
+
 def test_engine_is_used_again_after_a_slow_spell():
     """An engine that is slow by turns was used while it was slow."""
     placer = new_placement(2)
