Keep streams off a slow engine that prefills their prompt itself

Cause: a decode engine that prefills a long prompt also sends its answer, and the choice of the prefill engine did not regard its pace. An idle engine that sends an event each 300 ms kept the streams of the prompts it had cached.

An option whose engine exceeds the pause comes after all others.

--- a/magnoliadyke/core/decodeengines.py
+++ b/magnoliadyke/core/decodeengines.py
@@ -160,7 +160,7 @@
             self._some_ready(avoid, now_s) or self.available(avoid, now_s),
             key=lambda e: (
                 len(e.runs) >= e.endpoint.slots,
-                self._pace_rank(e, pause_s, now_s) > enginepace.KEEPS_PAUSE,
+                self.exceeds_pause(e, pause_s, now_s),
                 max(e.transfer_until_s - now_s, 0.0)
                 + (e.free_s(now_s) - now_s)
                 + self.delay_s(e),
@@ -176,6 +176,16 @@
         """
         return pause_s if pause_s and self.paces.is_uneven(now_s) else 0.0
 
+    def exceeds_pause(
+        self, engine: enginemodel.EngineModel, pause_s: float, now_s: float
+    ) -> bool:
+        """Whether an engine is expected to exceed the pause of a stream.
+
+        :param pause_s: longest pause between two events for which the answer
+            is on time, in seconds; 0 if any is
+        """
+        return self._pace_rank(engine, pause_s, now_s) > enginepace.KEEPS_PAUSE
+
     def _pace_rank(
         self, engine: enginemodel.EngineModel, pause_s: float, now_s: float
     ) -> int:
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -610,6 +610,9 @@
     ) -> Option | None:
         """Return the cheapest placement among the open engines, if any.
 
+        A decode engine that keeps the pause comes before a cheaper one that
+        does not.
+
         :param avoid: ids of engines that may not prefill the prompt
         :param pause_s: longest pause between two events for which the answer
             is on time, in seconds; 0 if any is
@@ -619,6 +622,7 @@
             avoid, now_s, pause_s
         )
         best: Option | None = None
+        best_order = (True, float('inf'))
         for engine_id in self._candidates(cached, avoid, now_s):
             prefill_engine = self.engines[engine_id]
             target = decode_engine
@@ -629,10 +633,12 @@
             option = self._option(cached, parts, prefill_engine, target, now_s)
             if not decodeengines.has_slot(target, option.ready_s, now_s):
                 continue
-            if best is None or (
-                option.ready_s + option.cost_s < best.ready_s + best.cost_s
-            ):
-                best = option
+            order = (
+                self.decode_engines.exceeds_pause(target, pause_s, now_s),
+                option.ready_s + option.cost_s,
+            )
+            if best is None or order < best_order:
+                best, best_order = option, order
         return best
 
     def prefilled_at_s(
--- a/tests/test_enginepace.py
+++ b/tests/test_enginepace.py
@@ -108,6 +108,18 @@
         placer.record_prefill_done(tokens, 'p0', 1.2)
 
 
+def test_slow_engine_does_not_keep_the_stream_of_its_own_prefill():
+    """An idle decode engine that prefilled a prompt also sent the stream."""
+    placer = new_placement(2)
+    report(placer, {'d0': 300, 'd1': 30}, 0.0)
+    parts = (promptcache.PromptPart(1, 4000),)
+    placer.pool.caches.use('d0', parts)
+    for pause_s, chosen in ((0.0, 'd0'), (PAUSE_S, 'd1')):
+        placer.pool.refresh(1.0)
+        option = placer.pool.best_option(parts, (), 1.0, pause_s)
+        assert option.decode_engine.endpoint.id == chosen
+
+
 def test_stream_is_not_sent_again_to_the_engine_that_failed_it():
     """The cooldown looked at was that of an engine that was not chosen."""
     placer = new_placement(2)
