--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -705,6 +705,8 @@
         self, service: str, samples: Iterable[enginepace.PaceSample]
     ) -> None:
         """Keep what the leader has learned of engines."""
+        if not self._is_model_service(service):
+            return
         now_s = self.clock.now_s()
         learned = self.learned_paces.setdefault(service, {})
         for sample in samples:
--- a/tests/test_enginepace.py
+++ b/tests/test_enginepace.py
@@ -352,6 +352,7 @@
     for message in (
         placement_codec.CostUpdate('m', costs, 0.0002),
         learned({'d0': 300, 'd1': 30, 'd2': 30, 'd3': 30}),
+        learned({'d1': 30})._replace(service='unknown'),
     ):
         sent = placement_codec.decode(placement_codec.encode(message))
         service._receive(sent, '10.1.0.1')
@@ -360,6 +361,7 @@
     placer = service._pool(service.served, 'm').placement
     assert placer.answers.output_s == pytest.approx(0.0002)
     assert place(placer, 1, clock.now_s()) == 'd1'
+    assert list(service.learned_paces) == ['m']
 
 
 def test_leader_tells_of_each_engine_while_it_is_remembered():
