Use what the leader told of paces each time a host places alone

Cause: the placement without a leader took the paces that the leader had told only when it was made, so a later time without a leader began with none.

They are recorded when the leader is found silent.

Result: the new test failed before and passes.

--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -505,6 +505,8 @@
         if self.silent_since_s is None:
             self.silent_since_s = now_s
             self.pacers.record_silence(now_s)
+            for service, pool in self.local.items():
+                pool.placement.record_paces(self._recent_paces(service), now_s)
         self.counts['silent'] += 1
         LOG.throttled_warning('placing_host_silent', leader, leader=leader)
 
--- a/tests/test_enginepace.py
+++ b/tests/test_enginepace.py
@@ -364,6 +364,21 @@
     assert list(service.learned_paces) == ['m']
 
 
+def test_host_that_places_alone_again_uses_what_the_leader_told():
+    """Only its first time without a leader began with these paces."""
+    clock = clocks.ManualClock()
+    service = follower(clock)
+    placer = service._pool(service.local, 'm').placement
+    clock.advance(60.0)
+    *slow, fast = placer.pool.engines
+    service._receive(
+        learned({fast: 30, **dict.fromkeys(slow, 300)}), '10.1.0.1'
+    )
+    clock.advance(8.0)
+    service.record_silence('10.1.0.1')
+    assert place(placer, 1, clock.now_s()) == fast
+
+
 def test_leader_tells_of_each_engine_while_it_is_remembered():
     """Of 450 engines a new leader knew the paces of half."""
     clock = clocks.ManualClock()
