Drop the intervals of a host that was suspended

Cause: a host that did not run for some seconds found long intervals on all streams that it relayed, and reported them; the leader then held all of their engines for slow for 2 s.

If its report is over 0.1 s late, a host drops the intervals and counts that.

--- a/magnoliadyke/gateway/pacereports.py
+++ b/magnoliadyke/gateway/pacereports.py
@@ -22,6 +22,10 @@
 #: Number of report intervals between two messages of the leader on what it
 #: has learned.  In 20 s it tells of 450 engines.
 TELL_INTERVALS = 2
+#: Delay of a report, in seconds, from which on its intervals are dropped: this
+#: process was suspended or overloaded, and events waited here.
+MAX_DELAY_S = 0.1
+
 
 class PaceReporter(app.Component):
     """Counts the events of streams and reports their intervals.
@@ -31,7 +35,8 @@
         service
     :ivar uneven: whether engines of a service differed when last logged
     :ivar broadcast: sends a message to all other hosts
-    :ivar counts: number of reports sent and received, for the metrics
+    :ivar counts: number of reports sent, received, and dropped as this host
+        was delayed, for the metrics
     """
 
     def __init__(
@@ -81,8 +86,12 @@
     def _run(self) -> None:
         rounds = 0
         while True:
+            due_s = self.clock.now_s() + REPORT_INTERVAL_S
             self.clock.sleep(REPORT_INTERVAL_S)
             rounds += 1
+            if self.clock.now_s() - due_s > MAX_DELAY_S:
+                self.counts['dropped'] += len(self.counters)
+                self.counters.clear()
             for service in list(self.counters):
                 self._report(service)
             if rounds % TELL_INTERVALS == 0:
--- a/tests/test_enginepace.py
+++ b/tests/test_enginepace.py
@@ -396,3 +396,29 @@
             paces.record(sample, clock.now_s())
         reporter._tell()
     assert len(told) == 450
+
+
+class StopRounds(Exception):
+    pass
+
+
+def test_host_that_was_suspended_reports_no_intervals_of_that_time():
+    """All engines that it used looked slow to the leader for 2 s."""
+    clock = clocks.ManualClock()
+    delays_s = [0.5, 4.0]
+
+    def sleep(_):
+        if not delays_s:
+            raise StopRounds
+        reporter.add('m', 'd0', delays_s[0])
+        clock.advance(delays_s.pop(0))
+
+    service = follower(clock)
+    sent = []
+    service.send = lambda address, message: sent.append(message)
+    reporter = pacereports.PaceReporter(service, clock)
+    clock.sleep = sleep
+    with pytest.raises(StopRounds):
+        reporter._run()
+    assert [e.longest_s for m in sent for e in m.samples] == [0.5]
+    assert reporter.counts == {'sent': 1, 'dropped': 1}
