--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -126,6 +126,9 @@
             gauges.relayed.labels(outcome).set(count)
         for outcome, count in parts.observations.counts.items():
             gauges.observation_reports.labels(outcome).set(count)
+        paces = parts.ingress.parts.paces
+        for outcome, count in paces.counts.items():
+            gauges.pace_reports.labels(outcome).set(count)
         gauges.hosts.set(parts.members.count())
         gauges.hosts_listed.set(len(parts.members.addresses()))
         gauges.open_requests.set(parts.ingress.open_requests)
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -100,6 +100,12 @@
             'received, and dropped of those received.',
             'outcome',
         )
+        self.pace_reports = self._gauge(
+            'pace_reports',
+            'Reports on the pace of engines, sent to the placement leader, '
+            'received, and dropped as this host was delayed.',
+            'outcome',
+        )
         self.endpoint_limit = self._gauge(
             'endpoint_limit',
             'Requests per second that an endpoint takes from all hosts.',
