Count no interval after which a caller read slowly

Cause: a host reads the next event only when the caller has taken the one before, so a caller that read nothing for 0.3 s made its engine look slow, and streams avoided that engine for 2 s.

Where sending took over 10 ms, the next interval is not counted.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -33,6 +33,9 @@
 STALL_FACTOR = 5.0
 #: Minimum of the stall timeout between events, in seconds.
 MIN_STALL_S = 0.5
+#: Time to send events to the caller from which on the interval to the next
+#: ones is not counted as the engine's, in seconds: a fifth of an interval.
+MAX_SEND_S = 0.01
 #: Minimum of the stall timeout before the first event, in seconds: the request
 #: may have to wait for a decode slot.
 FIRST_STALL_S = 1.2
@@ -669,7 +672,7 @@
             event_s = self._count_interval(engine, event_s)
             self._begin(head)
             data = b''.join(event.data for event in complete)
-            self.caller.chunk(data)
+            event_s = self._pass_on(data, event_s)
             for event in complete:
                 has_data = event.id is None and event.has_data
                 self.position.advance(event.id, has_data)
@@ -696,6 +699,17 @@
             self.parts.paces.add(self.service, engine.id, now_s - previous_s)
         return now_s
 
+    def _pass_on(self, data: bytes, event_s: float) -> float | None:
+        """Send events to the caller; return when they came.
+
+        :returns: None if the caller read so slowly that the next event may
+            have waited here, and its interval is not that of the engine
+        """
+        self.caller.chunk(data)
+        if self.parts.clock.now_s() - event_s > MAX_SEND_S:
+            return None
+        return event_s
+
     def _begin(self, head: http.Head) -> None:
         if not self.caller.answer_started:
             headers = self.parts.codec.answer_headers(head)
--- a/tests/test_enginepace.py
+++ b/tests/test_enginepace.py
@@ -1,6 +1,7 @@
 """Tests of the placement of streams by the pace of engines."""
 
 import random
+import types
 
 from hypothesis import given
 from hypothesis import strategies
@@ -20,6 +21,7 @@
 from magnoliadyke.gateway import pacereports
 from magnoliadyke.gateway import placement_codec
 from magnoliadyke.gateway import placementservice
+from magnoliadyke.gateway import promptexchange
 from magnoliadyke.wire.placement import ttypes
 
 PAUSE_S = 0.15
@@ -422,3 +424,22 @@
         reporter._run()
     assert [e.longest_s for m in sent for e in m.samples] == [0.5]
     assert reporter.counts == {'sent': 1, 'dropped': 1}
+
+
+@pytest.mark.parametrize('send_s', [0.0, 0.3])
+def test_slow_caller_does_not_make_its_engine_look_slow(send_s):
+    """The time for which the caller read nothing counted as the engine's."""
+    clock = clocks.ManualClock()
+    counter = enginepace.PaceCounter()
+    paces = types.SimpleNamespace(add=lambda _, *args: counter.add(*args))
+    caller = types.SimpleNamespace(chunk=lambda data: clock.advance(send_s))
+    relay = object.__new__(promptexchange.PromptExchange)
+    relay.parts = types.SimpleNamespace(clock=clock, paces=paces)
+    relay.caller, relay.service = caller, 'm'
+    engine = new_placement(1).pool.engines['d0'].endpoint
+    event_s = None
+    for _ in range(2):
+        clock.advance(0.05)
+        event_s = relay._count_interval(engine, event_s)
+        event_s = relay._pass_on(b'data: x', event_s)
+    assert len(counter.take()) == (0 if send_s else 1)
