--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -73,7 +73,7 @@
 #: of the last second.
 COST_SEND_INTERVAL_S = 1.0
 #: Time for which the paces of engines that the leader told of are kept, in
-#: seconds: several of its rounds over all engines of a large fleet.
+#: seconds: one of its rounds over 450 engines.
 PACE_RETENTION_S = 20.0
 #: The leader checks for stalled engines this often, in seconds: a fifth of
 #: the time after which an engine counts as stalled.
@@ -509,6 +509,8 @@
         if self.silent_since_s is None:
             self.silent_since_s = now_s
             self.pacers.record_silence(now_s)
+            for service, pool in self.local.items():
+                pool.placement.record_paces(self._recent_paces(service), now_s)
         self.counts['silent'] += 1
         LOG.throttled_warning('placing_host_silent', leader, leader=leader)
 
@@ -718,6 +720,8 @@
         self, service: str, samples: Iterable[enginepace.PaceSample]
     ) -> None:
         """Keep what the leader has learned of engines."""
+        if not self._is_model_service(service):
+            return
         now_s = self.clock.now_s()
         learned = self.learned_paces.setdefault(service, {})
         for sample in samples:
