--- a/magnoliadyke/core/decodeengines.py
+++ b/magnoliadyke/core/decodeengines.py
@@ -28,6 +28,10 @@
 #: about as good as the least busy of all, and quicker to find.
 CANDIDATES_COMPARED = 12
 
+#: Wait for a decode engine that keeps the pause of a short answer, in
+#: seconds, up to which it is chosen before one that does not.
+SHORT_PAUSE_PENALTY_S = 0.05
+
 # Readiness classes of an engine; only engines of the lowest class are used.
 READY = 0
 REJECTED_BEFORE = 1
@@ -148,22 +152,31 @@
         )
 
     def choose_for_prefilled(
-        self, avoid: tuple[str, ...], now_s: float, pause_s: float = 0.0
+        self,
+        avoid: tuple[str, ...],
+        now_s: float,
+        pause_s: float = 0.0,
+        is_long: bool = True,
     ) -> enginemodel.EngineModel | None:
         """Choose the decode engine for a prompt prefilled on another one.
 
         :param pause_s: longest pause between two events for which the answer
             is on time, in seconds; 0 if any is
+        :param is_long: whether the answer is long; a short one may have no
+            second event, so for it the pause is weighed against the time to
+            the first one
         """
         pause_s = self._compared_pause_s(pause_s, now_s)
+        penalty_s = 0.0 if is_long else SHORT_PAUSE_PENALTY_S
         return min(
             self._some_ready(avoid, now_s) or self.available(avoid, now_s),
             key=lambda e: (
                 len(e.runs) >= e.endpoint.slots,
-                self.exceeds_pause(e, pause_s, now_s),
+                is_long and self.exceeds_pause(e, pause_s, now_s),
                 max(e.transfer_until_s - now_s, 0.0)
                 + (e.free_s(now_s) - now_s)
-                + self.delay_s(e),
+                + self.delay_s(e)
+                + penalty_s * self.exceeds_pause(e, pause_s, now_s),
                 len(e.runs),
             ),
             default=None,
--- a/magnoliadyke/core/enginepool.py
+++ b/magnoliadyke/core/enginepool.py
@@ -607,19 +607,21 @@
         avoid: tuple[str, ...],
         now_s: float,
         pause_s: float = 0.0,
+        is_long: bool = True,
     ) -> Option | None:
         """Return the cheapest placement among the open engines, if any.
 
-        A decode engine that keeps the pause comes before a cheaper one that
-        does not.
+        For a long answer a decode engine that keeps the pause comes before a
+        cheaper one that does not.
 
         :param avoid: ids of engines that may not prefill the prompt
         :param pause_s: longest pause between two events for which the answer
             is on time, in seconds; 0 if any is
+        :param is_long: whether the answer is long
         """
         cached = self.caches.cached_prefixes(parts)
         decode_engine = self.decode_engines.choose_for_prefilled(
-            avoid, now_s, pause_s
+            avoid, now_s, pause_s, is_long
         )
         best: Option | None = None
         best_order = (True, float('inf'))
@@ -634,7 +636,8 @@
             if not decodeengines.has_slot(target, option.ready_s, now_s):
                 continue
             order = (
-                self.decode_engines.exceeds_pause(target, pause_s, now_s),
+                is_long
+                and self.decode_engines.exceeds_pause(target, pause_s, now_s),
                 option.ready_s + option.cost_s,
             )
             if best is None or order < best_order:
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -664,7 +664,11 @@
         ):
             queue, job = found
             option = self.pool.best_option(
-                job.parts, job.avoid, now_s, self._pause_s(job)
+                job.parts,
+                job.avoid,
+                now_s,
+                job.pause_s,
+                self.answers.is_long(job.output_tokens),
             )
             if option is None:
                 if not job.avoid or len(skipped) >= MAX_SKIPPED_JOBS:
