Give the stand-in engine a pace, and record when it crashes

Cause: engines of a run send events at one interval, and the ledger of an endpoint does not tell which runs a crash ended, or when. A run that was stopped by kv-move was recorded as ended again when its connection closed.

Change: a factor of the pauses between events; the moment of a crash; a mark of the runs that it ended; the end of a stopped run stays as recorded.

--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -36,6 +36,7 @@
     :ivar rate_limit: rate limit that the answer named, None for none
     :ivar sender: IP address that it came from
     :ivar crashed: it made the endpoint crash
+    :ivar killed: the endpoint crashed during the execution
     """
 
     at_s: float
@@ -53,6 +54,7 @@
     rate_limit: bytes | None = None
     sender: str = ''
     crashed: bool = False
+    killed: bool = False
 
     @property
     def shared_parts(self) -> list[int]:
@@ -85,6 +87,7 @@
         prefix, in seconds; in a stream it is spread over the events, in place
         of ``pause_s``
     :ivar pause_s: pause between two events of a stream, in seconds
+    :ivar pace: factor of the pauses between the events of a stream
     :ivar events: number of events of a stream
     :ivar cut_after: number of events before a stream is cut or stalls
     :ivar framing: framing of answers, None for the usual one
@@ -94,6 +97,7 @@
         software in a comment
     :ivar from_s: when it started, in monotonic seconds
     :ivar to_s: when it ended or announced its leave
+    :ivar gone_s: when it crashed, infinite until then
     :ivar without_id: numbers of the events of a stream that have no id
     :ivar broken: where and how answers are broken off, None if they are not
     :ivar refuses_resumed: resumed streams are refused with 503
@@ -149,6 +153,7 @@
         self.work_s = 0.0
         self.work_s_by_prefix: dict[bytes, float] = {}
         self.pause_s = 0.0
+        self.pace = 1.0
         self.events = 3
         self.cut_after = 1
         self.framing: answerend.Framing | None = None
@@ -158,6 +163,7 @@
         self.marks_version = False
         self.from_s = time.monotonic()
         self.to_s = math.inf
+        self.gone_s = math.inf
         self.without_id: frozenset[int] = frozenset()
         self.crash_on_body: bytes | None = None
         self.crash_on_parts: frozenset[int] = frozenset()
@@ -187,7 +193,8 @@
         """Exit without notice and abort all requests in execution."""
         for arrival in self.runs:
             if arrival.until_s == math.inf:
-                arrival.aborted = True
+                arrival.aborted = arrival.killed = True
+        self.gone_s = min(self.gone_s, time.monotonic())
         self.server.close()
         self.cut()
 
@@ -214,6 +221,11 @@
         """Requests whose execution has begun, without prefills."""
         return [each for each in self.arrivals if each.run]
 
+    @property
+    def open_runs(self) -> int:
+        """Number of executions that have not ended."""
+        return sum(each.until_s == math.inf for each in self.runs)
+
     # Connections.
 
     def _serve_one(
@@ -246,7 +258,8 @@
             arrival.cancelled = True
             return False
         finally:
-            if not (self.runs_on and arrival.aborted):
+            is_stopped = arrival.until_s < math.inf
+            if not is_stopped and not (self.runs_on and arrival.aborted):
                 arrival.until_s = time.monotonic()
 
     def _refuse(
@@ -407,7 +420,7 @@
             return True
         if streams:
             pause_s = prefix_work_s / self.events or self.pause_s
-            return self._stream(caller, arrival, seal, pause_s)
+            return self._stream(caller, arrival, seal, self.pace * pause_s)
         return self._answer_with_body(caller, arrival, seal)
 
     def _is_crashed_by(self, arrival: Arrival) -> bool:
