Check streams with backups and the service of workspaces

Cause: the soak does not judge whether a stream that may not run twice runs at two engines at once, whether streams with backups go on when their engine is killed, or whether each workspace is served after the last fault.

Change: a check of each, with a test that it can fail. The last two say in the report if they have seen too little to judge.

--- a/magnoliadyke/lab/platformcheck.py
+++ b/magnoliadyke/lab/platformcheck.py
@@ -6,12 +6,14 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 import re
 from typing import Iterable
 from typing import NamedTuple
 
 from magnoliadyke.lab import platformendpoint
+from magnoliadyke.lab import platformmix
 
 __all__ = [
     'MIN_SUCCESS_SHARE',
@@ -69,7 +71,7 @@
 LATE_ARRIVALS_ALLOWED = 3
 #: Kinds of requests: answered by a body, by a stream, executed at most once.
 SINGLE_BODY_KINDS = ('safe', 'unsafe', 'slow')
-STREAM_KINDS = ('once', 'chat', 'long')
+STREAM_KINDS = ('once', 'chat', 'long', platformmix.BACKED_KIND)
 RESUMABLE_KINDS = ('chat', 'long')
 EVENT_END = b'\n\n'
 #: Line of an event that names the software version that wrote it.
@@ -80,7 +82,17 @@
 #: go on, and their share of success relative to that of new streams.
 TAKEN_UP_STREAMS = 12
 TAKEN_UP_SHARE = 0.5
+#: Number of streams with backups that lose their engine from which it is
+#: judged whether they go on, and the share of them that has to.
+BROKEN_BACKED_STREAMS = 8
+BROKEN_BACKED_SHARE = 0.5
+#: Requests of a workspace after the last fault from which it is judged whether
+#: it is served, and the least share served, relative to that of all requests.
+WORKSPACE_REQUESTS = 10
+WORKSPACE_SHARE = 0.25
 UNREPEATABLE_KINDS = ('unsafe', 'slow')
+#: Kinds of streams that may not run at two engines at once.
+SINGLE_RUN_STREAMS = ('once', platformmix.BACKED_KIND)
 #: Status of a request that timed out and may have been executed.
 GATEWAY_TIMEOUT = 504
 #: Time after SIGTERM until which callers may still have an answer of the
@@ -100,7 +112,7 @@
 class CallerRequest:
     """One request of a caller, and its answer.
 
-    :ivar kind: 'safe', 'unsafe', 'slow', 'once', 'chat' or 'long'
+    :ivar kind: 'safe', 'unsafe', 'slow', 'once', 'chat', 'long' or 'backed'
     :ivar host: host that it was sent to
     :ivar sent_s: monotonic seconds at which it was sent
     :ivar ended_s: monotonic seconds at which the answer or the connection
@@ -116,6 +128,7 @@
     :ivar after: number of the events of that stream that were received before
     :ivar is_crashing: it has a part that crashes engines, and is not judged by
         its answer
+    :ivar workspace: workspace whose key it has, empty for none
     """
 
     id: str
@@ -132,6 +145,7 @@
     resumes: str = ''
     after: int = 0
     is_crashing: bool = False
+    workspace: str = ''
 
     @property
     def timed_out(self) -> bool:
@@ -287,6 +301,7 @@
     )
     found = [
         *_check_runs(evidence, runs),
+        *_check_overlaps(evidence),
         *_check_crashing_parts(evidence),
     ]
     evidence = evidence._replace(
@@ -302,6 +317,8 @@
         *_check_stops(evidence),
         *_check_versions(evidence),
         *_check_taken_up(evidence),
+        *_check_broken_backed(evidence),
+        *_check_workspaces(evidence),
         *_check_calm(evidence),
         *_check_processes(evidence),
     ]
@@ -819,6 +836,100 @@
         )
 
 
+def _check_overlaps(evidence: Evidence) -> Iterable[Violation]:
+    """A stream goes on after its last run ended, or its engine was gone."""
+    runs = collections.defaultdict(list)
+    for endpoint in evidence.endpoints:
+        for run in endpoint.runs:
+            until_s = min(run.until_s, endpoint.gone_s)
+            runs[run.id.decode()].append((run.at_s, until_s, endpoint.name))
+    for request in evidence.requests:
+        if request.kind not in SINGLE_RUN_STREAMS:
+            continue
+        pairs = itertools.pairwise(sorted(runs[request.id]))
+        for (_, until_s, first), (at_s, _, second) in pairs:
+            if at_s < until_s:
+                text = f'{until_s - at_s:.3f} s at {first} and {second}'
+                yield _violation(request, 'streams run at one engine', text)
+
+
+def broken_backed(evidence: Evidence) -> dict[str, bool]:
+    """Whether streams with a backup went on whose engine was killed, by id.
+
+    Counted are those of which callers had events, while another engine of
+    their version served, at times without a disturbance of their host.
+    """
+    lost = {
+        run.id.decode(): endpoint
+        for endpoint in evidence.endpoints
+        for run in endpoint.runs
+        if run.killed and b'last-event-id' not in run.headers
+    }
+    return {
+        request.id: request.complete
+        for request in evidence.requests
+        if request.kind == platformmix.BACKED_KIND
+        and (engine := lost.get(request.id)) is not None
+        and EVENT_END in request.body
+        and any(
+            other is not engine
+            and other.stage == 'decode'
+            and other.version == engine.version
+            and other.from_s <= engine.gone_s < other.to_s
+            for other in evidence.endpoints
+        )
+        and not any(
+            _disturbs_host(evidence, request, each)
+            for each in _overlapping_disturbances(evidence, request)
+        )
+    }
+
+
+def _check_broken_backed(evidence: Evidence) -> Iterable[Violation]:
+    found = broken_backed(evidence)
+    least = BROKEN_BACKED_SHARE * len(found)
+    if len(found) >= BROKEN_BACKED_STREAMS and sum(found.values()) < least:
+        text = f'{sum(found.values())} of {len(found)} went on'
+        ended = tuple(each for each in found if not found[each])
+        yield Violation('streams with a backup go on', 0.0, ended, text)
+
+
+def describe_served(evidence: Evidence) -> Iterable[str]:
+    """Lines on what of both is seen, and whether it is enough to judge."""
+    found = list(broken_backed(evidence).values())
+    counts = {'streams that lost an engine with a backup': found}
+    for workspace, served in calm_shares(evidence).items():
+        counts[f'requests of {workspace} after the last fault'] = served
+    for what, each in counts.items():
+        least = BROKEN_BACKED_STREAMS if each is found else WORKSPACE_REQUESTS
+        judged = 'judged' if len(each) >= least else 'not judged, too few'
+        yield f'{what}: {sum(each)} of {len(each)} served, {judged}'
+
+
+def calm_shares(evidence: Evidence) -> dict[str, list[bool]]:
+    """Which requests after the last fault were served, by workspace."""
+    served = collections.defaultdict(list)
+    for request in evidence.requests:
+        if request.workspace and request.sent_s >= evidence.calm_s:
+            served[request.workspace].append(
+                request.status == 200 and request.complete
+            )
+    return dict(sorted(served.items()))
+
+
+def _check_workspaces(evidence: Evidence) -> Iterable[Violation]:
+    served = calm_shares(evidence)
+    everything = [each for found in served.values() for each in found]
+    for workspace, found in served.items():
+        share = sum(found) / len(found)
+        least = WORKSPACE_SHARE * sum(everything) / len(everything)
+        if len(found) >= WORKSPACE_REQUESTS and share < least:
+            text = f'{workspace}: {sum(found)} of {len(found)} requests'
+            yield Violation(
+                'each workspace is served', evidence.calm_s, (), text
+            )
+
+
 def _serve(evidence: Evidence, versions: set[bytes], at_s: float) -> bool:
     """Whether two engines of a version serve at a moment."""
     engines = [
--- a/tests/test_lab_platformcheck.py
+++ b/tests/test_lab_platformcheck.py
@@ -503,3 +503,73 @@
     assert crashing(5, 3) == []
     assert crashing(4, 4) == []
     assert crashing(5, 4, 'host-2') == []
+
+
+def backed(number, lost=True, **fields):
+    """A stream with a backup, and its run at the engine that was killed."""
+    run = endpoint(f'b{number}', at_s=100.0).arrivals[0]
+    run.killed, run.until_s = lost, 101.0
+    return one(f'b{number}', 'backed', ended_s=102.0, **fields), run
+
+
+def engines_of(*runs, other='v1'):
+    """An engine that was killed at 101.0 s, and another one."""
+    engines = [
+        platformendpoint.EndpointStandIn(name, 'model', 'decode', version=each)
+        for name, each in (('d1', 'v1'), ('d2', other))
+    ]
+    for engine in engines:
+        engine.from_s = 0.0
+    engines[0].arrivals = list(runs)
+    engines[0].gone_s = engines[0].to_s = 101.0
+    return engines
+
+
+def test_stream_that_runs_at_two_engines_at_once_is_found():
+    """Its old run went on after it was continued from a backup."""
+    request, old = backed(1, lost=False)
+    new = endpoint('b1', at_s=100.9).arrivals[0]
+    old.until_s = float('inf')
+    engines = engines_of(old)
+    engines[1].arrivals = [new]
+    assert broken(request, endpoints=engines) == ['streams run at one engine']
+    new.at_s = 101.1
+    assert broken(request, endpoints=engines) == []
+    engines[0].gone_s = 102.0
+    assert broken(request, endpoints=engines) == ['streams run at one engine']
+    old.until_s = 101.0
+    assert broken(request, endpoints=engines) == []
+
+
+def test_streams_that_end_with_their_engine_though_they_have_backups():
+    """Of eight streams only three went on at the engine with the backup."""
+    cut = {'body': WHOLE[:40], 'complete': False}
+    lost = [backed(n, **(cut if n < 5 else {})) for n in range(8)]
+    requests = [request for request, _ in lost]
+    runs = [run for _, run in lost]
+    fields = {'disturbed': [disturbed('endpoints')]}
+    promise = 'streams with a backup go on'
+    found = broken(*requests, endpoints=engines_of(*runs), **fields)
+    assert found == [promise]
+    few = engines_of(*runs[1:])
+    assert not broken(*requests[1:], endpoints=few, **fields)
+    other = engines_of(*runs, other='v2')
+    assert not broken(*requests, endpoints=other, **fields)
+    half = [backed(4)[0], *requests[:4], *requests[5:]]
+    assert not broken(*half, endpoints=engines_of(*runs), **fields)
+
+
+def test_workspace_that_is_not_served_is_found():
+    """All others were served, so that few of all requests failed."""
+    requests = [
+        one(f'w{n}', sent_s=200.0, workspace='w1' if n < 90 else 'w2')
+        for n in range(400)
+    ]
+    small = [
+        one(f's{n}', status=503, sent_s=200.0, workspace='w3')
+        for n in range(10)
+    ]
+    assert broken(*requests, *small) == ['each workspace is served']
+    assert broken(*requests, *small[1:]) == []
+    small[:3] = [one(f's{n}', sent_s=200.0, workspace='w3') for n in range(3)]
+    assert broken(*requests, *small) == []
