Let the soak draw unlike engines, workspaces, ranks and backups

Cause: all engines of a soak have one pace, all callers belong to no workspace, all routes have one priority, and no engine keeps backups.

Further callers ask for streams with backups; the busiest engine is crashed after another one was added, which could keep the backups.

--- a/magnoliadyke/lab/platformcaller.py
+++ b/magnoliadyke/lab/platformcaller.py
@@ -10,6 +10,7 @@
 from magnoliadyke.gateway import http
 from magnoliadyke.lab import platformcheck
 from magnoliadyke.lab import platformfleet
+from magnoliadyke.lab import platformmix
 from magnoliadyke.lab import platformrecords
 
 __all__ = ['Callers']
@@ -55,6 +56,8 @@
     :param count: number of callers that choose among all hosts
     :param lasting: number of additional callers with long work, which use
         outdated answers of the directory
+    :param mix: their workspaces, and the number of further callers whose
+        streams have backups
     :ivar requests: requests of all callers, in the order of their sending
     :ivar held_count: connections that were opened by
         :meth:`hold_connections`
@@ -67,8 +70,10 @@
         count: int,
         rng: random.Random,
         lasting: int = 0,
+        mix: platformmix.Mix = platformmix.UNIFORM,
     ) -> None:
         self.fleet = fleet
+        self.mix = mix
         self.requests: list[platformcheck.CallerRequest] = []
         self.stopped = False
         self.held_count = 0
@@ -83,6 +88,12 @@
             )
             for number in range(lasting)
         ]
+        self.greenlets += [
+            gevent.Greenlet(
+                self._run_caller, number, rng.getrandbits(32), is_backed=True
+            )
+            for number in range(mix.backed_callers)
+        ]
 
     def start(self) -> None:
         """Start all callers."""
@@ -96,7 +107,7 @@
         the host has not closed it by then.
         """
         for number in range(HELD_CONNECTIONS):
-            connection = self._connect(host)
+            connection = self._connect(host, number)
             if connection is not None:
                 self.held_count += 1
                 after_s = (
@@ -165,7 +176,7 @@
             connection.close()
 
     def _send_once(self, host: str, number: int, seed: float) -> None:
-        connection = self._connect(host)
+        connection = self._connect(host, number)
         if connection is None:
             return
         rng = random.Random(seed)
@@ -179,19 +190,26 @@
         self.stopped = True
         gevent.joinall(self.greenlets, raise_error=True)
 
-    def _run_caller(self, number: int, seed: int) -> None:
+    def _run_caller(
+        self, number: int, seed: int, is_backed: bool = False
+    ) -> None:
         rng = random.Random(seed)
+        name, kinds, weights = f'c{number}', KINDS, KIND_WEIGHTS
+        if is_backed:
+            name, kinds = f'b{number}', (platformmix.BACKED_KIND,)
+            weights = None
         connection = None
         sent = 0
         while not self.stopped:
             if connection is None:
-                connection = self._connect(rng.choice(self.fleet.hosts()))
+                host = rng.choice(self.fleet.hosts())
+                connection = self._connect(host, number)
                 if connection is None:
                     gevent.sleep(0.05)
                     continue
             sent += 1
-            (kind,) = rng.choices(KINDS, KIND_WEIGHTS)
-            request = self._new_request(f'c{number}-{sent}', kind, connection)
+            (kind,) = rng.choices(kinds, weights)
+            request = self._new_request(f'{name}-{sent}', kind, connection)
             if not connection.exchange(request, rng):
                 connection.close()
                 connection = None
@@ -210,7 +228,7 @@
                 connection.close()
                 connection = None
             if connection is None:
-                connection = self._connect(directory.pick())
+                connection = self._connect(directory.pick(), number)
                 if connection is None:
                     gevent.sleep(0.05)
                     continue
@@ -248,6 +266,7 @@
             taken = self._new_request(
                 f'{root.id}-u{number}', root.kind, connection
             )
+            taken.workspace = root.workspace
             taken.resumes, taken.after = root.id, after
             taken.prompt = root.prompt
             connection.exchange(taken, rng)
@@ -266,18 +285,22 @@
         self, request_id: str, kind: str, connection: '_Connection'
     ) -> platformcheck.CallerRequest:
         wait_ms = platformfleet.ROUTE_TIMEOUT_MS
-        if kind in LONG_KINDS:
+        if kind in (*LONG_KINDS, platformmix.BACKED_KIND):
             wait_ms = platformfleet.LONG_ROUTE_TIMEOUT_MS
         request = platformcheck.CallerRequest(
             request_id, kind, connection.host, time.monotonic()
         )
         request.wait_s = wait_ms / 1000
+        request.workspace = connection.workspace
         self.requests.append(request)
         return request
 
-    def _connect(self, host: str) -> '_Connection | None':
+    def _connect(self, host: str, number: int = 0) -> '_Connection | None':
+        """Connect the caller with a number, by its workspace, to a host."""
+        workspace = self.mix.workspace(number)
         try:
-            return _Connection(host, self.fleet.callers_address(host))
+            address = self.fleet.callers_address(host)
+            return _Connection(host, address, workspace)
         except OSError:
             # The host does not listen at present; the caller tries another.
             return None
@@ -330,8 +353,11 @@
 class _Connection:
     """A caller's connection to a host."""
 
-    def __init__(self, host: str, address: tuple[str, int]) -> None:
+    def __init__(
+        self, host: str, address: tuple[str, int], workspace: str = ''
+    ) -> None:
         self.host = host
+        self.workspace = workspace
         self.sock = socket.create_connection(address, CONNECT_TIMEOUT_S)
         self.sock.settimeout(ANSWER_TIMEOUT_S)
         self.reader = http.AnswerReader(self.sock)
@@ -378,6 +404,8 @@
         f'Host: {platformrecords.SITE}',
         f'X-Request-Id: {request.id}',
     ]
+    if request.workspace:
+        lines.append(f'api-key: {platformmix.api_key(request.workspace)}')
     wait_ms = round(request.wait_s * 1000)
     if wait_ms != platformfleet.ROUTE_TIMEOUT_MS:
         lines.append(f'X-Deadline-Ms: {wait_ms}')
@@ -386,7 +414,9 @@
         body = f'order {request.id}'.encode()
         lines.append(f'Content-Length: {len(body)}')
     if request.kind in platformcheck.STREAM_KINDS:
-        request.prompt = request.prompt or tuple(_prompt(rng))
+        is_short = request.kind == platformmix.BACKED_KIND
+        prompt = request.prompt or tuple(_prompt(rng, is_short=is_short))
+        request.prompt = prompt
         lines += request.prompt
     if request.resumes:
         lines.append(f'Last-Event-Id: {request.after}')
@@ -394,15 +424,18 @@
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
 
-def _prompt(rng: random.Random, inserted: int | None = None) -> list[str]:
+def _prompt(
+    rng: random.Random, inserted: int | None = None, is_short: bool = False
+) -> list[str]:
     """Headers of a prompt.
 
     Six of ten prompts begin with one of a few long parts, which they share.
 
     :param inserted: a part that comes before the last one
+    :param is_short: it begins with no such part
     """
     parts = [(rng.getrandbits(30) + 100, rng.choice((40, 900)))]
-    if rng.random() < 0.6:
+    if not is_short and rng.random() < 0.6:
         parts.insert(0, (rng.randrange(SHARED_PROMPTS) + 1, 4000))
     if inserted is not None:
         parts.insert(len(parts) - 1, (inserted, 40))
--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -13,13 +13,14 @@
 recovery, and then for the final check), and "faults", a list of objects with
 "at_s" and "kind", and optionally "for_s" (duration in seconds) and "pick" (a
 number that selects the host or endpoint).  Kinds are kill, stop, pause,
-crash, restart, foreign_entry, scale_in, leave_unlisted, release, shed, reset,
-error, cut, frame, break, store_busy, store_reset, store_silent, store_lost,
-store_slow, store_deaf, store_restore, compact, configure, limit, link_cut,
-link_delay, link_silence, link_loss, crashing_part (from then on requests with
-a part that crashes engines come to all hosts), path_reset, path_silence,
-path_one_way, path_refuse and path_some (of these five the duration is that
-after the first three seconds, in which hosts have to find out).
+crash, engine_kill (of the busiest, after another one was added), restart,
+foreign_entry, scale_in, leave_unlisted, release, shed, reset, error, cut,
+frame, break, store_busy, store_reset, store_silent, store_lost, store_slow,
+store_deaf, store_restore, compact, configure, limit, link_cut, link_delay,
+link_silence, link_loss, crashing_part (from then on requests with a part that
+crashes engines come to all hosts), path_reset, path_silence, path_one_way,
+path_refuse and path_some (of these five the duration is that after the first
+three seconds, in which hosts have to find out).
 
 Nodes are processes of their own; the store and the endpoints are stand-ins.
 Callers use open connections until the process at the other end has exited;
@@ -51,6 +52,7 @@
 from magnoliadyke.lab import platformcheck
 from magnoliadyke.lab import platformendpoint
 from magnoliadyke.lab import platformfleet
+from magnoliadyke.lab import platformmix
 from magnoliadyke.lab import platformrecords
 
 __all__ = ['Fault', 'Plan', 'main', 'play', 'read_plan', 'report']
@@ -66,6 +68,10 @@
 DEPARTURE_DELAY_S = 3.5
 #: Backoff that an endpoint asks for when it refuses requests, in seconds.
 BACKOFF_S = 2.0
+#: Time between the start of an additional engine and the crash of the busiest,
+#: in seconds: longer than a stream with a backup takes, so that the streams
+#: that lose their engine have their backups.
+SPARE_ENGINE_S = 2.5
 #: Rate limits that endpoints name, in requests per second, and the time that
 #: a limit lasts besides the duration of its fault, in seconds.
 LIMITS_S = (1.0, 2.5, 4.0)
@@ -154,6 +160,7 @@
     :param settle_s: seconds between that phase and the final check, in which
         the hosts recover
     :param calm_s: seconds of the final check
+    :param mix: what differs between engines, workspaces and routes
     """
 
     seconds: float
@@ -163,6 +170,7 @@
     lasting: int = 0
     settle_s: float = SETTLE_S
     calm_s: float = CALM_S
+    mix: platformmix.Mix = platformmix.UNIFORM
 
 
 def read_plan(path: str) -> Plan:
@@ -187,7 +195,9 @@
     return plan
 
 
-def configuration(version: int) -> dict[str, Any]:
+def configuration(
+    version: int, mix: platformmix.Mix = platformmix.UNIFORM
+) -> dict[str, Any]:
     """The operator's configuration; each version has a route of its own."""
     name = f'new{version}'
     usual = {'timeout_ms': platformfleet.ROUTE_TIMEOUT_MS}
@@ -203,9 +213,20 @@
         ),
         platformrecords.route(name, f'/{name}/', 'safe', 'plain', **usual),
     ]
+    if mix.backed_callers:
+        name = platformmix.BACKED_KIND
+        backed = platformrecords.route(
+            name, f'/{name}/', 'streaming', 'model', max_attempts=1, **long
+        )
+        routes.append(backed)
+    for each in routes:
+        each['priority'] = int(each['name'] in mix.less_urgent)
+    names = dict.fromkeys(filter(None, mix.workspaces))
     return platformrecords.configuration(
         version,
         routes,
+        {name: [platformmix.api_key(name)] for name in names} or None,
+        backups=mix.backed_callers > 0,
         header_timeout_ms=2000,
         idle_timeout_ms=20000,
     )
@@ -227,7 +248,7 @@
         self.plan = plan
         self.fleet = fleet
         self.callers = platformcaller.Callers(
-            fleet, plan.callers, rng, plan.lasting
+            fleet, plan.callers, rng, plan.lasting, plan.mix
         )
         self.version = 1
         self.disturbed: list[platformcheck.Disturbance] = []
@@ -244,7 +265,7 @@
 
     def play(self) -> platformcheck.Evidence:
         """Run the load, the faults and the final check."""
-        self.fleet.start(configuration(self.version))
+        self.fleet.start(configuration(self.version, self.plan.mix))
         self.callers.start()
         begun_s = time.monotonic()
         for fault in sorted(self.plan.faults):
@@ -386,6 +407,29 @@
                 endpoint.service, endpoint.stage, endpoint.version
             )
 
+    def engine_kill(self, fault: Fault) -> None:
+        """Crash the busiest engine that decodes, after adding another one."""
+        busiest = self._busiest_engine()
+        if busiest is None:
+            return
+        self.fleet.add_endpoint(busiest.service, 'decode', busiest.version)
+        gevent.sleep(SPARE_ENGINE_S)
+        busiest = self._busiest_engine()
+        if busiest is None:
+            return
+        with self._record_disturbance('endpoints'):
+            self.fleet.crash_endpoint(busiest.name)
+            gevent.sleep(ENTRY_EXPIRY_S)
+            self.fleet.remove_entry(busiest.name)
+
+    def _busiest_engine(self) -> platformendpoint.EndpointStandIn | None:
+        engines = [
+            each
+            for each in self.fleet.endpoints.values()
+            if each.stage == 'decode' and each.to_s == math.inf
+        ]
+        return max(engines, key=lambda each: each.open_runs, default=None)
+
     def crashing_part(self, fault: Fault) -> None:
         """Send requests with a part that crashes engines from now on."""
         part = FIRST_CRASHING_PART + fault.pick
@@ -578,7 +622,8 @@
             self.fleet.store.restore(copy)
             self.fleet.store.mode = 'up'
             gevent.sleep(rewrite_s)
-            self.fleet.store.put('op/config', configuration(self.version))
+            written = configuration(self.version, self.plan.mix)
+            self.fleet.store.put('op/config', written)
             self.fleet.write_entries()
             gevent.sleep(STALE_ENTRY_S)
             self.fleet.remove_stale_entries()
@@ -591,7 +636,8 @@
     def configure(self, fault: Fault) -> None:
         """Write a new configuration, as the operator does."""
         self.version += 1
-        self.fleet.store.put('op/config', configuration(self.version))
+        written = configuration(self.version, self.plan.mix)
+        self.fleet.store.put('op/config', written)
 
     def link(self, fault: Fault) -> None:
         """Disturb the links of a host to the store and the other hosts."""
@@ -639,6 +685,7 @@
     'stop': Day.stop,
     'pause': Day.pause,
     'crash': Day.crash,
+    'engine_kill': Day.engine_kill,
     'crashing_part': Day.crashing_part,
     'restart': Day.restart,
     'foreign_entry': Day.foreign_entry,
@@ -670,7 +717,7 @@
     :param directory: for the settings and logs of the nodes
     :returns: violations of the promises, and the evidence
     """
-    shape = platformfleet.Shape(hosts=plan.hosts)
+    shape = platformfleet.Shape(hosts=plan.hosts, mix=plan.mix)
     with platformfleet.Fleet(shape, directory) as fleet:
         evidence = Day(plan, fleet, random.Random(seed)).play()
     return platformcheck.check(evidence), evidence
@@ -700,6 +747,8 @@
     )
     taken_up, went_on = platformcheck.taken_up(evidence)
     print(f'{taken_up} streams taken up, {went_on} went on')
+    for line in platformcheck.describe_served(evidence):
+        print(line)
     for part, count in platformcheck.engines_crashed(evidence).items():
         print(f'{count} engines crashed by part {part:x}')
     for share in platformcheck.limit_use(evidence):
--- a/magnoliadyke/lab/platformfleet.py
+++ b/magnoliadyke/lab/platformfleet.py
@@ -19,6 +19,7 @@
 from magnoliadyke.lab import framedanswer
 from magnoliadyke.lab import links
 from magnoliadyke.lab import platformendpoint
+from magnoliadyke.lab import platformmix
 from magnoliadyke.lab import platformrecords
 from magnoliadyke.lab import platformstore
 from magnoliadyke.lab import proxy
@@ -51,6 +52,10 @@
 #: shorter than the whole period.
 LONG_WORK_S = 2.5
 LONG_PREFIXES = (b'/long/', b'/slow/')
+#: Execution time of streams with backups, in seconds: so long that an engine
+#: that crashes has some of them.
+BACKED_WORK_S = 1.5
+BACKED_PREFIX = b'/%s/' % platformmix.BACKED_KIND.encode()
 FIRST_VERSION = 'v1'
 #: Timeouts of the routes for long requests, and of all others: longer than a
 #: killed host takes to be ready again.
@@ -59,12 +64,16 @@
 
 
 class Shape(NamedTuple):
-    """Numbers of hosts, plain endpoints, and engines of each stage."""
+    """Numbers of hosts, plain endpoints, and engines of each stage.
+
+    :param mix: what differs between them
+    """
 
     hosts: int = 4
     plain: int = 3
     prefill: int = 2
     decode: int = 2
+    mix: platformmix.Mix = platformmix.UNIFORM
 
 
 class _Node(NamedTuple):
@@ -209,6 +218,8 @@
         endpoint.pause_s = EVENT_INTERVAL_S
         endpoint.events = STREAM_EVENTS
         endpoint.work_s_by_prefix = dict.fromkeys(LONG_PREFIXES, LONG_WORK_S)
+        endpoint.work_s_by_prefix[BACKED_PREFIX] = BACKED_WORK_S
+        endpoint.pace = self.shape.mix.pace(int(name.rpartition('-')[2]))
         endpoint.started_ms = round(time.time() * 1000)
         endpoint.on_crash = lambda: self.on_engine_crash(name)
         self.endpoints[name] = endpoint
--- a/magnoliadyke/lab/soak.py
+++ b/magnoliadyke/lab/soak.py
@@ -25,6 +25,7 @@
 from magnoliadyke import errors
 from magnoliadyke.lab import arguments
 from magnoliadyke.lab import platformday
+from magnoliadyke.lab import platformmix
 
 __all__ = ['draw', 'main']
 
@@ -50,6 +51,8 @@
 FRAME_KINDS = frozenset(('frame', 'break'))
 #: Mean time between two new parts of prompts that crash engines.
 MEAN_CRASHING_PART_INTERVAL_S = 15.0
+#: Mean time between two crashes of engines with streams that have backups.
+MEAN_ENGINE_KILL_INTERVAL_S = 4.0
 #: Mean time between two engines that are replaced by a later version.
 MEAN_RELEASE_INTERVAL_S = 4.0
 
@@ -62,7 +65,7 @@
     """
     rng = random.Random(seed)
     drawn_apart = RESPONSE_ONLY_KINDS | FRAME_KINDS
-    drawn_apart |= {'release', 'crashing_part'}
+    drawn_apart |= {'release', 'crashing_part', 'engine_kill'}
     drawn_apart |= platformday.PATH_RULES.keys()
     kinds = sorted(platformday.KINDS.keys() - drawn_apart)
     faults = []
@@ -118,12 +121,19 @@
             platformday.Fault(round(at_s, 3), 'crashing_part', pick=pick)
         )
         at_s += rng.expovariate(1 / MEAN_CRASHING_PART_INTERVAL_S)
+    # Drawn last, so that the faults of a seed stay the same.
+    mix = platformmix.draw(rng, hosts)
+    at_s = rng.expovariate(1 / MEAN_ENGINE_KILL_INTERVAL_S)
+    while at_s < seconds:
+        faults.append(platformday.Fault(round(at_s, 3), 'engine_kill'))
+        at_s += rng.expovariate(1 / MEAN_ENGINE_KILL_INTERVAL_S)
     return platformday.Plan(
         seconds,
         tuple(faults),
         hosts,
         CALLERS_PER_HOST * hosts,
         LASTING_PER_HOST * hosts,
+        mix=mix,
     )
 
 
