Keep only the intervals that can be the longest of an engine

Each report of a host added an interval, and each choice of an engine for a stream went through all of them: with many hosts that is their number times four, for every engine.

An interval that a later one reaches is never the longest again, so it is dropped when the later one is recorded. The first that is left and recent is the longest.

The results are the same; a property test compares them with the maximum of all recent samples.

--- a/magnoliadyke/core/enginepace.py
+++ b/magnoliadyke/core/enginepace.py
@@ -1,5 +1,6 @@
 """Estimates the interval between the events that each engine sends."""
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -89,12 +90,13 @@
     """The estimate for one engine.
 
     :ivar updated_s: when the engine was last reported
-    :ivar longest: times and longest intervals of the latest samples
+    :ivar longest: times and longest intervals of the latest samples, without
+        those that a later one reaches: the first is the longest
     """
 
     mean_s: float
     updated_s: float
-    longest: list[tuple[float, float]]
+    longest: collections.deque[tuple[float, float]]
 
 
 class EnginePaces:
@@ -117,17 +119,17 @@
         """Update the estimate of an engine."""
         known = self.estimates.get(sample.engine)
         if known is None or now_s - known.updated_s > MAX_AGE_S:
-            known = _Estimate(sample.mean_s, now_s, [])
+            known = _Estimate(sample.mean_s, now_s, collections.deque())
             self.estimates[sample.engine] = known
         weight = 1 - math.exp(-sample.events / MEMORY_EVENTS)
         known.mean_s += weight * (sample.mean_s - known.mean_s)
         known.updated_s = now_s
-        known.longest = [
-            each
-            for each in known.longest
-            if now_s - each[0] <= LONGEST_WINDOW_S
-        ]
-        known.longest.append((now_s, sample.longest_s))
+        longest = known.longest
+        while longest and longest[-1][1] <= sample.longest_s:
+            longest.pop()
+        longest.append((now_s, sample.longest_s))
+        while now_s - longest[0][0] > LONGEST_WINDOW_S:
+            longest.popleft()
 
     def drop_unlisted(self, listed: Iterable[str]) -> None:
         """Drop the estimates of engines that are no longer listed."""
@@ -152,20 +154,18 @@
         :returns: None if no engine has an estimate
         """
         self._summarize(now_s)
+        mean_s, longest_s = self._intervals_s(engine, now_s)
+        return None if math.isnan(mean_s) else Pace(mean_s, longest_s)
+
+    def _intervals_s(self, engine: str, now_s: float) -> tuple[float, float]:
+        """Return the fields of :class:`Pace`, NaN without any estimate."""
         known = self.estimates.get(engine)
         if known is None or now_s - known.updated_s > MAX_AGE_S:
-            if math.isnan(self._median_s):
-                return None
-            return Pace(self._median_s, self._median_s)
-        longest_s = max(
-            (
-                each_s
-                for at_s, each_s in known.longest
-                if now_s - at_s <= LONGEST_WINDOW_S
-            ),
-            default=known.mean_s,
-        )
-        return Pace(known.mean_s, max(known.mean_s, longest_s))
+            return self._median_s, self._median_s
+        for at_s, longest_s in known.longest:
+            if now_s - at_s <= LONGEST_WINDOW_S:
+                return known.mean_s, max(known.mean_s, longest_s)
+        return known.mean_s, known.mean_s
 
     def rank(self, engine: str, pause_s: float, now_s: float) -> int:
         """Return how well an engine suits a stream; 0 is best.
--- a/tests/test_enginepace.py
+++ b/tests/test_enginepace.py
@@ -137,6 +137,35 @@
     assert ranks == sorted(ranks)
 
 
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from([0.0, 0.1, 0.5, 1.5, 2.5]),
+            strategies.floats(0.0, 1.0),
+        ),
+        min_size=1,
+    ),
+    strategies.sampled_from([0.0, 0.1, 1.0, 2.0, 3.0]),
+)
+def test_longest_interval_is_that_of_all_recent_samples(samples, age_s):
+    """A long interval was dropped while it was still to count."""
+    paces = enginepace.EnginePaces()
+    now_s = 0.0
+    recorded = []
+    for gap_s, longest_s in samples:
+        now_s += gap_s
+        paces.record(enginepace.PaceSample('d0', 1, 0.0, longest_s), now_s)
+        recorded.append((now_s, longest_s))
+    now_s += age_s
+    recent = [
+        each_s
+        for at_s, each_s in recorded
+        if now_s - at_s <= enginepace.LONGEST_WINDOW_S
+    ]
+    expected_s = max(recent, default=0.0)
+    assert paces.pace('d0', now_s).longest_s == expected_s
+
+
 def test_counter_reports_each_interval_once():
     counter = enginepace.PaceCounter()
     for interval_s in (0.1, 0.2, 0.6):
