Choose the decode engine of a stream with fewer steps for each engine

Each choice went through the engines of all stages, asked for the wait of a rate limit that none has, and compared all of them by every part of the order, with the pace of each computed by itself.

Only decode engines are gone through, limits are asked for where there are some, and the parts of the order are applied one after another to the engines that are left. The paces are ranked together.

--- a/magnoliadyke/core/decodeengines.py
+++ b/magnoliadyke/core/decodeengines.py
@@ -45,6 +45,7 @@
         engine to the first event, on the fastest decode engine, in seconds
     :ivar rotation: ids of the decode engines, in the order in which they are
         considered
+    :ivar decoding: the decode engines, in the order of ``engines``
     """
 
     def __init__(
@@ -58,14 +59,18 @@
         self.paces = paces or enginepace.EnginePaces()
         self.first_event_s = 0.0
         self.rotation: collections.deque[str] = collections.deque()
+        self.decoding: tuple[enginemodel.EngineModel, ...] = ()
 
     def refresh(self) -> None:
         """Rebuild the rotation after a change of engines or their stages."""
-        self.rotation = collections.deque(
-            engine_id
-            for engine_id, engine in self.engines.items()
+        self.decoding = tuple(
+            engine
+            for engine in self.engines.values()
             if engine.endpoint.stage is catalog.Stage.DECODE
         )
+        self.rotation = collections.deque(
+            engine.endpoint.id for engine in self.decoding
+        )
 
     def has_any(self) -> bool:
         """Whether any engine of the decode stage is listed."""
@@ -96,6 +101,8 @@
         :param version: software version of the engines, None for any
         """
         best = self._best_class(avoid, now_s, version)
+        if not self.pacer.has_limits and not self.pacer.slots:
+            return best
         return [e for e in best if not self._limit_wait_s(e, now_s)]
 
     def _best_class(
@@ -104,13 +111,17 @@
         now_s: float,
         version: str | None = None,
     ) -> list[enginemodel.EngineModel]:
-        classes = collections.defaultdict(list)
-        for engine in self.engines.values():
+        best: list[enginemodel.EngineModel] = []
+        best_class = DOWN
+        for engine in self.decoding:
             if version is not None and engine.endpoint.version != version:
                 continue
-            if engine.endpoint.stage is catalog.Stage.DECODE:
-                classes[_readiness(engine, avoid, now_s)].append(engine)
-        return classes[min(classes)] if classes else []
+            readiness = _readiness(engine, avoid, now_s)
+            if readiness < best_class:
+                best, best_class = [], readiness
+            if readiness == best_class:
+                best.append(engine)
+        return best
 
     def _limit_wait_s(
         self, engine: enginemodel.EngineModel, now_s: float
@@ -220,11 +231,20 @@
         :param pause_s: longest pause between two events for which the answer
             is on time, in seconds; 0 if any is
         """
-        return min(
-            self.available(avoid, now_s, version),
-            key=lambda e: _short_order(e, self._pace_rank(e, pause_s, now_s)),
-            default=None,
-        )
+        engines = self.available(avoid, now_s, version)
+        with_slot = [e for e in engines if has_long_slot(e)]
+        best = with_slot or engines
+        if pause_s:
+            ids = [e.endpoint.id for e in best]
+            ranks = self.paces.ranks(ids, pause_s, now_s)
+            least = min(ranks, default=0)
+            best = [
+                e for e, rank in zip(best, ranks, strict=True) if rank == least
+            ]
+        # Sorting keeps the order of engines with equally many answers.
+        best = sorted(best, key=lambda e: len(e.runs), reverse=bool(with_slot))
+        usual = (e for e in best if not e.slowness > SLOW_FACTOR)
+        return next(usual, best[0] if best else None)
 
     def record_assignment(
         self, engine: enginemodel.EngineModel, now_s: float
@@ -302,12 +322,3 @@
     if cooling_down:
         return COOLING_DOWN
     return REJECTED_BEFORE if engine.endpoint.id in avoid else READY
-
-
-def _short_order(
-    engine: enginemodel.EngineModel, pace_rank: int
-) -> tuple[bool, int, bool, float]:
-    slow = engine.slowness > SLOW_FACTOR
-    if not has_long_slot(engine):
-        return (True, pace_rank, slow, len(engine.runs))
-    return (False, pace_rank, slow, -len(engine.runs))
--- a/magnoliadyke/core/enginepace.py
+++ b/magnoliadyke/core/enginepace.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import math
 import statistics
@@ -176,15 +177,24 @@
             fastest, 1 for one that keeps the pause, higher the further it
             exceeds the pause; 0 for all while the engines are alike
         """
+        return self.ranks((engine,), pause_s, now_s)[0]
+
+    def ranks(
+        self, engines: Sequence[str], pause_s: float, now_s: float
+    ) -> list[int]:
+        """Return the :meth:`rank` of each of some engines."""
         if not self.is_uneven(now_s):
-            return 0
-        pace = self.pace(engine, now_s)
-        if pace is None:
-            return 0
+            return [0] * len(engines)
         limit_s = pause_s * PAUSE_SHARE
-        if pace.longest_s > limit_s:
-            return KEEPS_PAUSE + 1 + int(pace.mean_s / limit_s * 4)
-        return int(pace.mean_s > self._fastest_s * (1 + TOLERANCE))
+        fast_s = self._fastest_s * (1 + TOLERANCE)
+        found = []
+        for engine in engines:
+            mean_s, longest_s = self._intervals_s(engine, now_s)
+            if longest_s > limit_s:
+                found.append(KEEPS_PAUSE + 1 + int(mean_s / limit_s * 4))
+            else:
+                found.append(int(mean_s > fast_s))
+        return found
 
     def relative(self, engine: str, now_s: float) -> float | None:
         """Return an engine's interval over the median one, None if unknown."""
