--- a/magnoliadyke/lab/capacity.py
+++ b/magnoliadyke/lab/capacity.py
@@ -11,9 +11,9 @@
   --seconds S      length of the measurement of nodes at each size
                    [default: 10]
 
-Probes: membership gossip scheduler planner records table nodes. The name
-core selects all probes in this process, all selects nodes as well, which
-starts deployments of real processes.
+Probes: membership gossip scheduler planner records table contention
+messages nodes. The name core selects all probes in this process, all selects
+nodes as well, which starts deployments of real processes.
 """
 
 import gc
@@ -32,6 +32,7 @@
 from magnoliadyke.core import scheduler
 from magnoliadyke.core import table
 from magnoliadyke import gossip_codec
+from magnoliadyke.lab import contentioncost
 from magnoliadyke.lab import gossipcost
 from magnoliadyke.lab import nodecost
 from magnoliadyke.lab import slopes
@@ -382,6 +383,8 @@
     'planner': probe_planner,
     'records': probe_records,
     'table': probe_table,
+    'contention': contentioncost.probe,
+    'messages': contentioncost.probe_messages,
 }
 PROBES = (*CORE_PROBES, 'nodes')
 
