--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -504,6 +504,8 @@
         a job would use up its attempts within some hundredths of a second
         while the engine is down for a second or two.
         """
+        if not job.avoid:
+            return 0.0
         engine = self.pool.decode_engines.choose_for_short_prompt(
             job.avoid, now_s, job.version, self._pause_s(job)
         )
