Show a request that runs after it was answered 503

Cause: a decode engine that refuses a request gets it again at once if there is no other, on the connection that the refusal came on. A faulty engine's late copy of the refusal bears the same request id and is taken for the answer to the second send.

Change: review/2, a script. Nothing is fixed.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if it could not run.
+cd "$(dirname "$0")" || exit 2
+exec timeout --kill-after=5 110 python3 play.py
