--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,6 +1,7 @@
 """A model server refuses a request, and sends some refusals twice."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -161,4 +162,5 @@
     return 1 if broken or twice else 0
 
 
-standins.main(play, FOLDER)
+# With TROUBLE=0 all goes on without the disruption.
+standins.main(play, FOLDER, os.environ.get('TROUBLE', '1') != '0')
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,6 +1,7 @@
 """A new version adds a route that is split between two services."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -169,4 +170,5 @@
     return 1 if shares[ADDED] < MIN_SHARE * shares[FIRST] else 0
 
 
-standins.main(play, FOLDER)
+# With TROUBLE=0 all goes on without the disruption.
+standins.main(play, FOLDER, os.environ.get('TROUBLE', '1') != '0')
--- a/review/standins.py
+++ b/review/standins.py
@@ -791,10 +791,12 @@
     return secrets.token_hex(8)
 
 
-def main(play, folder):
-    """Run a test; exit with 0 if the rule held, 1 if not, 2 if not run."""
+def main(play, folder, trouble):
+    """Run a test; exit with 0 if the rule held, 1 if not, 2 if not run.
+
+    :param trouble: whether the disruption comes
+    """
     record = Record(pathlib.Path(folder) / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     status = 2
 
     async def run():
