Log the connection of each try, and how many requests it carried

The lines of a host could not tell whether a try's answer was that of its own send: two tries at one endpoint look alike, whatever connection each used. try_ended, prefill_failed and request_ended name the connection and the number of requests sent on it.

No change of what is sent or answered.

--- a/magnoliadyke/gateway/connection.py
+++ b/magnoliadyke/gateway/connection.py
@@ -1,5 +1,6 @@
 """A persistent HTTP/1.1 client connection, for one request at a time."""
 
+import itertools
 from typing import Callable
 from typing import NamedTuple
 
@@ -20,6 +21,8 @@
 #: bytes: those are reports and results, not what callers are given.
 MAX_CALL_BODY_BYTES = 1 << 20
 
+_numbers = itertools.count(1)
+
 
 class Answer(NamedTuple):
     """A complete response."""
@@ -48,13 +51,14 @@
 
     :param address: numeric ``ip:port``
     :param timeout_s: time limit for connecting, in seconds
+    :ivar number: its number among the connections of this process
     :ivar sent: whether bytes of the current request may have been sent
+    :ivar sends: number of requests sent on it
     :ivar opened_s: when its owner opened it, in monotonic seconds
     :ivar sent_s: when the owner sent the current request, in monotonic
         seconds
     :ivar last_used_s: when the owner last got the connection back after a
         request, in monotonic seconds
-    :ivar is_reused: whether the connection served an earlier request
     :ivar length: Content-Length of the current answer in bytes, None without
         one or before its head
     :ivar framing: framing of the current answer, None before its head
@@ -67,13 +71,14 @@
 
     def __init__(self, address: str, timeout_s: float) -> None:
         self.address = address
+        self.number = next(_numbers)
         self.sock: socket.socket = http.connect(address, timeout_s)
         self.reader = http.AnswerReader(self.sock)
         self.sent = False
+        self.sends = 0
         self.opened_s = 0.0
         self.sent_s = 0.0
         self.last_used_s = 0.0
-        self.is_reused = False
         self.idle_limit_s: float | None = None
         self.length: int | None = None
         self.framing: answerend.Framing | None = None
@@ -102,6 +107,7 @@
         self.ended_by_close = False
         self._has_body = False
         self.sent = True
+        self.sends += 1
         data = request_bytes(method, target, headers, body)
         if len(body) <= INLINE_BODY_BYTES:
             self.sock.sendall(data + body)
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -142,6 +142,9 @@
     :ivar tried: ids of endpoints that the request was sent to
     :ivar endpoint: id of the last endpoint tried, empty if none
     :ivar sent_s: when the request was last sent, in monotonic seconds
+    :ivar sent_on: connection on which the request was last sent, as
+        ``NUMBER.REQUEST`` where ``REQUEST`` counts the requests sent on it;
+        'none' before, and if the last attempt was not sent
     :ivar start_recorded: whether the request was recorded as usage
     :ivar permits: ids of endpoints to which it may be sent once, whatever
         their rate limits
@@ -177,6 +180,7 @@
         self.tried: set[str] = set()
         self.endpoint = ''
         self.sent_s = arrived_s
+        self.sent_on = 'none'
         self.start_recorded = False
         self.permits: set[str] = set()
         self.answer_end: answerend.AnswerEnd | None = None
@@ -442,6 +446,7 @@
             left, its rate limit is used up, the request crashes endpoints, or
             no connection is available; nothing has been sent
         """
+        self.sent_on = 'none'
         self._check_barred(endpoint)
         if self._backoff_s(endpoint.id):
             raise upstream.NoConnection(BACKOFF_REASON)
@@ -625,6 +630,7 @@
         self, endpoint: catalog.Endpoint, used: connection.Connection
     ) -> None:
         used.sent_s = self.sent_s = self.parts.clock.now_s()
+        self.sent_on = f'{used.number}.{used.sends + 1}'
         self.parts.upstream.reachability.record_sent(endpoint.id, used.sent_s)
         self.parts.limits.record_send(endpoint.id)
 
@@ -781,6 +787,7 @@
             'try_ended',
             id=self.request.id.decode('latin-1'),
             endpoint=self.endpoint,
+            connection=self.sent_on,
             meaning=meaning,
             cause=cause,
             left_ms=round(self.left_s * 1000),
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -777,6 +777,7 @@
             'took_ms': round(took_s * 1000, 1),
             'endpoint': active.endpoint or 'none',
             'sends': active.send_count,
+            'connection': active.sent_on,
             'relayed': active.is_relayed,
         }
         if active.request.workspace is not None:
--- a/magnoliadyke/gateway/remoteprefill.py
+++ b/magnoliadyke/gateway/remoteprefill.py
@@ -154,6 +154,7 @@
             'prefill_failed',
             id=self.request.id.decode('latin-1'),
             endpoint=prefill_engine,
+            connection=self.sent_on,
             cause=reason,
             left_ms=round(self.left_s * 1000),
         )
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -114,7 +114,6 @@
             if kept.idle_limit_s is not None:
                 max_idle_s = min(max_idle_s, kept.idle_limit_s / 2)
             if now_s - kept.last_used_s <= max_idle_s and kept.is_quiet():
-                kept.is_reused = True
                 return kept
             if now_s - kept.last_used_s <= MAX_IDLE_S and kept.is_quiet():
                 # Too old for this request, but a repeatable one can use it.
