Send a request once only on a connection

Where a route allows two attempts the request ran twice.

Cause: an endpoint's answers are told apart by the id of the request, which two sends of a request share. An engine refused a request whose KV cache had lapsed, the host sent it to the same engine again on the same connection, and the copy of the refusal that the engine sent 15 ms later was read as the answer to the second send.

A connection keeps the ids of the requests that it carried, and none is used for the same id a second time, whoever sends it: an exchange that tries again, a second prefill, a continuation at the engine with a backup, a request that another host passes on. So an answer with the id belongs to the one send. A refusal without an id counts on a connection with one request only. After 1,000 requests a connection is closed, which bounds the ids. Requests that are sent once to an endpoint open no further connections.

--- a/magnoliadyke/gateway/connection.py
+++ b/magnoliadyke/gateway/connection.py
@@ -20,6 +20,9 @@
 #: Maximum size of the body of the response to a :meth:`Connection.call`, in
 #: bytes: those are reports and results, not what callers are given.
 MAX_CALL_BODY_BYTES = 1 << 20
+#: Number of requests after which a connection is closed, which bounds the ids
+#: that it keeps.
+MAX_REQUESTS = 1000
 
 _numbers = itertools.count(1)
 
@@ -87,6 +90,19 @@
         self._reusable = False
         self._complete = False
         self._sender: gevent.Greenlet | None = None
+        self._request_ids: set[int] = set()
+
+    def record_request(self, request_id: bytes) -> None:
+        """Record the id of a request that is to be sent."""
+        self._request_ids.add(hash(request_id))
+
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether a request with this id was to be sent here.
+
+        A late copy of its answer could not be told from the answer to another
+        request with the id.
+        """
+        return hash(request_id) in self._request_ids
 
     def send(
         self,
@@ -218,6 +234,8 @@
         """
         if not (self._complete and self._reusable):
             return False
+        if self.sends >= MAX_REQUESTS:
+            return False
         if self._sender is not None:
             if not self._sender.ready() or not self._sender.value:
                 return False
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -452,7 +452,7 @@
             raise upstream.NoConnection(BACKOFF_REASON)
         self._use_permit(endpoint)
         used = self.parts.upstream.acquire(
-            endpoint, self._max_connections(), repeatable
+            endpoint, self._max_connections(), repeatable, self.request.id
         )
         # The waits for a verdict, a permit and a connection may be long.
         if self.parts.catalog.find_staying(endpoint.id) is None:
@@ -583,8 +583,7 @@
         self.parts.upstream.reachability.record_answer(
             endpoint.id, self.parts.clock.now_s()
         )
-        own = facts.request_id in (None, self.request.id)
-        if own and not facts.wrong_endpoint:
+        if self._is_own(used, facts) and not facts.wrong_endpoint:
             self.parts.crashreports.record_answer(
                 endpoint.id, used.opened_s, used.sent_s
             )
@@ -595,6 +594,17 @@
                 self._record_backoff(endpoint, facts.backoff_s)
         return facts
 
+    def _is_own(
+        self, used: connection.Connection, facts: codecs.ResponseFacts
+    ) -> bool:
+        """Return whether an answer is to this request.
+
+        One without an id is, if no other request was sent on its connection.
+        """
+        if facts.request_id is None:
+            return used.sends == 1
+        return facts.request_id == self.request.id
+
     def _record_limit(
         self,
         endpoint: catalog.Endpoint,
@@ -763,7 +773,7 @@
         """
         if facts.idle_limit_s is not None:
             used.idle_limit_s = facts.idle_limit_s
-        if facts.not_run and facts.request_id in (None, self.request.id):
+        if facts.not_run and self._is_own(used, facts):
             return outcomes.NotRun(f'status {facts.status}', was_received=True)
         if facts.request_id != self.request.id:
             used.close()
--- a/magnoliadyke/gateway/relaying.py
+++ b/magnoliadyke/gateway/relaying.py
@@ -186,7 +186,9 @@
             return outcomes.NotRun(f'host {address}: no token known', False)
         host = _Host(address, f'{address}:{self.port}')
         try:
-            used = self.connections.acquire(host, 0, active.route.repeatable)
+            used = self.connections.acquire(
+                host, 0, active.route.repeatable, active.request.id
+            )
         except upstream.NoConnection as error:
             self.paths.peers.drop(address)
             self._log(active, address, str(error))
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -87,40 +87,55 @@
         endpoint: catalog.Endpoint,
         max_connections: int,
         repeatable: bool,
+        request_id: bytes | None = None,
     ) -> connection.Connection:
         """Return an idle or a new connection for one request.
 
         :param max_connections: number of connections that the endpoint
             accepts from all hosts together; 0 if unlimited
         :param repeatable: whether the request may be sent again
+        :param request_id: id that tells the answer from others, for which no
+            connection is used twice; None for a request without one
         :raises NoConnection: this host's share is in use, or connecting
             failed
         """
         limit_s = MAX_IDLE_S if repeatable else MAX_IDLE_UNREPEATABLE_S
-        kept = self._pop_idle(endpoint.id, limit_s)
+        kept = self._pop_idle(endpoint.id, limit_s, request_id)
         if kept is None:
             kept = self._open(endpoint, max_connections)
+        if request_id is not None:
+            kept.record_request(request_id)
         self.in_use[endpoint.id] += 1
         return kept
 
     def _pop_idle(
-        self, endpoint_id: str, limit_s: float
+        self, endpoint_id: str, limit_s: float, request_id: bytes | None
     ) -> connection.Connection | None:
+        """Remove and return the suitable connection that was used last."""
         idle = self.idle.get(endpoint_id)
         now_s = self.clock.now_s()
+        unsuitable = []
+        found = None
         while idle:
             kept = idle.pop()
             max_idle_s = limit_s
             if kept.idle_limit_s is not None:
                 max_idle_s = min(max_idle_s, kept.idle_limit_s / 2)
-            if now_s - kept.last_used_s <= max_idle_s and kept.is_quiet():
-                return kept
-            if now_s - kept.last_used_s <= MAX_IDLE_S and kept.is_quiet():
+            idle_s = now_s - kept.last_used_s
+            if idle_s > MAX_IDLE_S or not kept.is_quiet():
+                kept.close()
+            elif idle_s > max_idle_s:
                 # Too old for this request, but a repeatable one can use it.
-                idle.append(kept)
-                return None
-            kept.close()
-        return None
+                unsuitable.append(kept)
+                break
+            elif request_id is not None and kept.has_carried(request_id):
+                unsuitable.append(kept)
+            else:
+                found = kept
+                break
+        if unsuitable:
+            idle.extend(reversed(unsuitable))
+        return found
 
     def _open(
         self, endpoint: catalog.Endpoint, max_connections: int
--- a/magnoliadyke/lab/httpstandin.py
+++ b/magnoliadyke/lab/httpstandin.py
@@ -89,14 +89,19 @@
 
 
 class _Caller(callers.Caller):
-    """A connection on which nothing is sent while its stand-in is silent."""
+    """A connection on which nothing is sent while its stand-in is silent.
+
+    :ivar last_answer: what was sent since the owner last cleared it
+    """
 
     def __init__(self, sock: socket.socket, stand_in: HttpStandIn) -> None:
         super().__init__(sock)
         self.stand_in = stand_in
+        self.last_answer = bytearray()
 
     def _send(self, data: bytes) -> None:
         self.stand_in.wait_while_silent()
+        self.last_answer += data
         super()._send(data)
 
 
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -122,6 +122,11 @@
     :ivar on_crash: called after the endpoint has crashed by a request
     :ivar started_ms: start time in the endpoint's entry and reports, in
         milliseconds since the epoch; 0 if they have none
+    :ivar refusals: number of requests that are refused with 503 before others
+        are served
+    :ivar sends_copies: each answer is sent again, late: when the next request
+        has arrived on its connection
+    :ivar names_requests: refusals have the id of their request
     :ivar max_runs: number of executions after which requests are refused
         with 503, None for no limit
     :ivar change_s: time until an ordered change of stage takes effect, in
@@ -187,6 +192,9 @@
         self.refuses_resumed = False
         self.fails_resumed = False
         self.started_ms = 0
+        self.refusals = 0
+        self.sends_copies = False
+        self.names_requests = True
         self.max_runs: int | None = None
         self.announces_leaving = False
         self.backoff_s: float | None = None
@@ -249,6 +257,10 @@
         head, body = httpstandin.read_request(reader)
         headers = {k.lower(): v for k, v in head.headers}
         caller.answer_started = False
+        answered = bytes(caller.last_answer)
+        if self.sends_copies and answered:
+            caller._send(answered)
+        caller.last_answer.clear()
         reached_s = time.monotonic()
         self.wait_while_silent()
         if time.monotonic() >= self.gone_s:
@@ -312,6 +324,9 @@
             return 421
         if self.mode == 'shed':
             return 503
+        if self.refusals:
+            self.refusals -= 1
+            return 503
         if self.refuses_resumed and b'last-event-id' in headers:
             return 503
         if self.max_runs is not None:
@@ -399,8 +414,9 @@
         extra: http.Headers,
         body: bytes = b'',
     ) -> None:
-        signals = self._signal_headers(arrival)
-        headers = [(b'X-Request-Id', arrival.id), *signals, *extra]
+        headers = [*self._signal_headers(arrival), *extra]
+        if self.names_requests:
+            headers.insert(0, (b'X-Request-Id', arrival.id))
         caller.answer(status, headers, body)
 
     def _signal_headers(self, arrival: Arrival) -> http.Headers:
