Drop late copies of answers to earlier requests

Found beside the refusals before: a copy that came when the connection had been handed on ended the next request with 502, "answer to another request", though its own answer followed. One that may run only once was lost.

The ids that a connection has carried tell such a copy from an answer that is nobody's. It is read to its end and dropped, with a line late_copy_dropped and counted in magnoliadyke_late_copies, and the answer to the request is read after it. An answer with an id that was never sent on the connection still ends the attempt, and the connection.

test_copy_for_another_request_costs_no_answer fails before: 502 for a plain request and for a stream.

--- a/magnoliadyke/gateway/connection.py
+++ b/magnoliadyke/gateway/connection.py
@@ -116,12 +116,7 @@
         :raises OSError: the connection failed; the server may have received
             part of the request
         """
-        self._complete = False
-        self._reusable = False
-        self.length = None
-        self.framing = None
-        self.ended_by_close = False
-        self._has_body = False
+        self._begin_answer()
         self.sent = True
         self.sends += 1
         data = request_bytes(method, target, headers, body)
@@ -131,6 +126,23 @@
         self.sock.sendall(data)
         self._sender = gevent.spawn(self._send_rest, body)
 
+    def _begin_answer(self) -> None:
+        self._complete = False
+        self._reusable = False
+        self.length = None
+        self.framing = None
+        self.ended_by_close = False
+        self._has_body = False
+
+    def drop_answer(self) -> None:
+        """Discard the answer whose head was read, to wait for the next one.
+
+        :raises http.PeerClosed: the answer was broken off
+        """
+        while not isinstance(self.part(), http.MessageEnd):
+            continue
+        self._begin_answer()
+
     def _send_rest(self, body: bytes) -> bool:
         try:
             self.sock.sendall(body)
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -3,6 +3,7 @@
 import abc
 import functools
 import random
+from typing import Callable
 from typing import NamedTuple
 
 import gevent
@@ -567,6 +568,37 @@
                 self.sent_s,
             )
 
+    def _read_head(
+        self,
+        endpoint: catalog.Endpoint,
+        used: connection.Connection,
+        wait: Callable[[], http.Head],
+    ) -> tuple[http.Head, codecs.ResponseFacts]:
+        """Wait for the head of an answer, and read its facts.
+
+        Late copies of answers to earlier requests on the connection are
+        dropped: the answer to this request follows them.
+
+        :param wait: waits for a head and returns it
+        """
+        while True:
+            head = wait()
+            facts = self._read_facts(endpoint, used, head)
+            if facts.request_id in (None, self.request.id) or (
+                not used.has_carried(facts.request_id)
+            ):
+                return head, facts
+            self.parts.upstream.late_copies += 1
+            LOG.event(
+                'late_copy_dropped',
+                id=self.request.id.decode('latin-1'),
+                copy_of=facts.request_id.decode('latin-1'),
+                status=facts.status,
+                endpoint=endpoint.id,
+                connection=self.sent_on,
+            )
+            used.drop_answer()
+
     def _read_facts(
         self,
         endpoint: catalog.Endpoint,
@@ -658,9 +690,8 @@
                 used.send(
                     request.method, request.target, headers, request.body
                 )
-                head = used.head()
                 # Before the body, which may be broken off.
-                facts = self._read_facts(endpoint, used, head)
+                head, facts = self._read_head(endpoint, used, used.head)
                 body = self._read_body(endpoint, used, head, facts)
         except LOST_ERRORS as error:
             return self._lost(used, error)
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -111,6 +111,7 @@
                 ended.end.value,
                 str(bool(ended.left_over)).lower(),
             ).set(count)
+        gauges.late_copies.set(parts.upstream.late_copies)
         for outcome, count in parts.upstream.silences.items():
             gauges.silent_runs.labels(outcome).set(count)
         for of, bodies in (
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -145,6 +145,10 @@
             'end',
             'in_event',
         )
+        self.late_copies = self._gauge(
+            'late_copies',
+            'Answers of endpoints dropped as copies of earlier ones.',
+        )
         self.silent_runs = self._gauge(
             'silent_runs',
             'Runs at engines that were silent, by what came of them.',
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -870,8 +870,10 @@
         used = run.used
         if run.head is not None:
             return self._relay(run)
-        run.head = head = self._wait_for_engine(run, used.head)
-        facts = self._read_facts(run.engine, used, head)
+        head, facts = self._read_head(
+            run.engine, used, lambda: self._wait_for_engine(run, used.head)
+        )
+        run.head = head
         if facts.status != 200:
             body = self._read_body(run.engine, used, head, facts)
             return self._classify(used, head, facts, body)
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -55,6 +55,8 @@
     :ivar opened: number of connections opened since the start
     :ivar bodies: bodies of answers that are being received or passed on
     :ivar ends: number of answers by how they ended
+    :ivar late_copies: number of answers dropped that had come before, for an
+        earlier request on their connection
     :ivar silences: number of runs at silent engines by what came of them:
         ``begins``, ``waits`` for the engine, ``replaced`` by a run elsewhere,
         ``stopped`` and moved to the engine with the backup, ``ended``
@@ -76,6 +78,7 @@
         self.ends: collections.Counter[answerend.AnswerEnd] = (
             collections.Counter()
         )
+        self.late_copies = 0
         self.silences: collections.Counter[str] = collections.Counter()
         self.reachability = reachability.Reachability()
         self.on_unreachable: Callable[[catalog.Endpoint], None] = (
--- a/tests/test_gateway_latecopies.py
+++ b/tests/test_gateway_latecopies.py
@@ -102,3 +102,25 @@
     endpoint.refusals = 1
     world.node()
     assert world.ask('/unsafe/x').status == 503
+
+
+@pytest.mark.parametrize('path', ['/unsafe/x', '/once/x'])
+def test_copy_for_another_request_costs_no_answer(world, path):
+    """Callers got 502 for requests that ran and were answered."""
+    endpoint = world.endpoint('p1')
+    decoding = world.endpoint('d1', 'model', 'decode')
+    endpoint.sends_copies = decoding.sends_copies = True
+    node = world.node()
+    headers = LONG_ANSWER if path == '/once/x' else {}
+    bodies = []
+    for request_id in ('r1', 'r2', 'r3'):
+        client = gatewayworld.Client(node)
+        head, body = client.call('POST', path, request_id, b'x', **headers)
+        client.close()
+        assert head.status == 200
+        assert head.value(b'x-request-id') == request_id.encode()
+        bodies.append(body)
+    if not headers:
+        assert bodies == [b'answer to r1', b'answer to r2', b'answer to r3']
+    text = node.metrics.answer(b'GET', b'/metrics').body.decode()
+    assert 'magnoliadyke_late_copies 2.0' in text
