Check that a relayed request's answer is to this request

A host that sent the answer to another request would have its 503 passed on, and the caller would send a request again that may have run.

--- a/magnoliadyke/gateway/relaying.py
+++ b/magnoliadyke/gateway/relaying.py
@@ -239,6 +239,8 @@
         used.send(request.method, request.target, headers, request.body)
         head = used.head()
         facts = codec.facts(head)
+        if facts.request_id not in (None, request.id):
+            raise http.BrokenMessage('answer to another request')
         if not facts.sealed:
             return self._read_unsealed(head, used.body(active.hold_body()))
         if head.chunked:
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -262,6 +262,19 @@
     assert head.value(b'retry-after')
 
 
+def test_refusal_of_another_request_is_not_passed_on(world):
+    """The caller may send a request again that another host has run."""
+    cut_and_wait(world)
+    for node in world.nodes[1:]:
+        codec = node.ingress.parts.codec
+        codec.local_response_headers = lambda request: [
+            (b'X-Request-Id', b'another')
+        ]
+    for name in ('p1', 'p2'):
+        world.endpoints[name].mode = 'shed'
+    assert world.ask('/unsafe/x', request_id='s1').status == 502
+
+
 def test_host_that_has_started_again_fails_no_relayed_request(world):
     """Its new secret was not known yet: callers got its 400 for a request."""
     cut_and_wait(world)
