Repeat the stop of a run on a connection of its own

Calls that stop a run have no id, and the one repeated after a 409 went out on the connection of the first: a late copy of the 409 was read as its answer, and the answer itself by the call after that.

test_late_copy_answers_no_repeated_stop fails before (no second connection).

--- a/magnoliadyke/platform/engines.py
+++ b/magnoliadyke/platform/engines.py
@@ -95,21 +95,23 @@
             'target': target,
             'last': True,
         }
-        conn = None
+        reached = False
         try:
             with gevent.Timeout(
                 streambackup.STOP_LIMIT_S,
                 http.OutOfTime('engine did not respond in time'),
             ):
-                conn = connection.Connection(
-                    endpoint.address, streambackup.STOP_LIMIT_S
-                )
-                answer = self._stop(conn, endpoint, body)
-                while answer.head.status == STATUS_CONFLICT:
+                while True:
+                    conn = connection.Connection(
+                        endpoint.address, streambackup.STOP_LIMIT_S
+                    )
+                    reached = True
+                    answer = self._stop(conn, endpoint, body)
+                    if answer.head.status != STATUS_CONFLICT:
+                        break
                     # The engine is carrying out an earlier stop, of which no
                     # answer came in time.
                     gevent.sleep(STOP_RETRY_S)
-                    answer = self._stop(conn, endpoint, body)
             status = answer.head.status
             if status == STATUS_NOT_FOUND:
                 return streambackup.NoSuchRun()
@@ -123,7 +125,7 @@
         except ConnectionRefusedError:
             return streambackup.EngineGone(was_refused=True)
         except (TimeoutError, http.OutOfTime) as error:
-            if conn is None:
+            if not reached:
                 return streambackup.EngineGone(was_refused=False)
             return streambackup.Uncertain(str(error))
         except (
@@ -133,9 +135,6 @@
             ValueError,
         ) as error:
             return streambackup.Uncertain(str(error) or type(error).__name__)
-        finally:
-            if conn is not None:
-                conn.close()
 
     def _stop(
         self,
@@ -143,12 +142,16 @@
         endpoint: catalog.Endpoint,
         body: dict[str, Any],
     ) -> connection.Answer:
-        return conn.call(
-            b'POST',
-            b'/api/kv-move',
-            _headers(endpoint),
-            json.dumps(body).encode(),
-        )
+        """Send a stop, and wait for its answer; close the connection."""
+        try:
+            return conn.call(
+                b'POST',
+                b'/api/kv-move',
+                _headers(endpoint),
+                json.dumps(body).encode(),
+            )
+        finally:
+            conn.close()
 
     def _call(
         self,
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -54,3 +54,21 @@
     opened = mock.Mock()
     opened.call.side_effect = [answer]
     assert isinstance(stop_run(opened), streambackup.Uncertain)
+
+
+def test_late_copy_answers_no_repeated_stop():
+    """The answer to an earlier stop was taken for that to the next one."""
+    busy, done = mock.Mock(), mock.Mock()
+    conflict = connection.Answer(
+        http.Head(b'', b'', 409, [], None, False, True), b''
+    )
+    busy.call.side_effect = [conflict, conflict]
+    moved = http.Head(b'', b'', 200, [], None, False, True)
+    done.call.side_effect = [connection.Answer(moved, b'{"kv_handle": "h"}')]
+    with mock.patch.object(connection, 'Connection', side_effect=[busy, done]):
+        found = engines.PlatformEngines().stop_run(
+            ENGINE, b'r1', '192.0.2.2:1'
+        )
+    assert found == streambackup.Moved('h')
+    assert busy.call.call_count == 1
+    assert busy.close.called
