Do not reuse the connection on which a KV cache was released

The release has no id. A late copy of an earlier answer was read as its answer, and its own went to the next request on the connection: without an id of a request, so that the request ended with 502 though it may have run. The connection is closed after a release; releases follow refusals of an engine.

test_connection_of_a_release_serves_no_request fails before: the connection is back in the pool.

--- a/magnoliadyke/gateway/remoteprefill.py
+++ b/magnoliadyke/gateway/remoteprefill.py
@@ -195,6 +195,7 @@
             http.OutOfTime,
             http.PeerClosed,
         ) as error:
-            used.close()
             LOG.throttled_warning('handle_kept', endpoint.id, cause=str(error))
-        self.parts.upstream.release(endpoint, used)
+        # Nothing tells the answer from a late one to an earlier request, so
+        # that the answer itself may follow yet.
+        self.parts.upstream.discard(endpoint, used)
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -216,13 +216,20 @@
         self, endpoint: catalog.Endpoint, used: connection.Connection
     ) -> None:
         """Return a connection to the pool, or close it if not reusable."""
-        self.in_use[endpoint.id] -= 1
         if not used.reusable:
-            used.close()
+            self.discard(endpoint, used)
             return
+        self.in_use[endpoint.id] -= 1
         used.last_used_s = self.clock.now_s()
         self._keep(endpoint, used)
 
+    def discard(
+        self, endpoint: catalog.Endpoint, used: connection.Connection
+    ) -> None:
+        """Close an acquired connection."""
+        self.in_use[endpoint.id] -= 1
+        used.close()
+
     def _keep(
         self, endpoint: catalog.Endpoint, used: connection.Connection
     ) -> None:
--- a/tests/test_gateway_latecopies.py
+++ b/tests/test_gateway_latecopies.py
@@ -124,3 +124,16 @@
         assert bodies == [b'answer to r1', b'answer to r2', b'answer to r3']
     text = node.metrics.answer(b'GET', b'/metrics').body.decode()
     assert 'magnoliadyke_late_copies 2.0' in text
+
+
+def test_connection_of_a_release_serves_no_request(world, engines):
+    """A late copy answered the release, whose answer went to the next one."""
+    prefilling, decoding = engines
+    decoding.refusals = 1
+    node = world.node()
+    assert world.ask('/once/x', **PROMPT).status == 200
+    gatewayworld.wait_for(lambda: prefilling.released_handles, 'the release')
+    gatewayworld.wait_for(
+        lambda: not node.upstream.in_use['e1'], 'its connection'
+    )
+    assert not node.upstream.idle.get('e1')
