Choose the kind of exchange by the service that was drawn

Cause: the ingress made a prompt exchange if any target of the route had engines, and the exchange drew its service afterwards. For a plain service that was drawn PlacementService._pool built a Placement without traits of engines.

The service is drawn first, by the route, and both the kind of the exchange and all that it does go by it. A request without a prompt, or to a service without engines, is a plain one, whatever the route's other services have.

--- a/magnoliadyke/core/routes.py
+++ b/magnoliadyke/core/routes.py
@@ -71,6 +71,20 @@
         """Whether a request may run again if its last result is unknown."""
         return self.kind is Kind.SAFE or self.resumable
 
+    def draw_service(self, rng: Any) -> str:
+        """Return the service of one request, drawn by the weights.
+
+        :param rng: source of randomness, with ``choices()``
+        """
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        weights = [target.weight for target in self.targets]
+        return rng.choices(self.targets, weights)[0].service
+
+    def has_target(self, service: str) -> bool:
+        """Return whether requests may go to a service."""
+        return any(target.service == service for target in self.targets)
+
 
 class EngineTraits(NamedTuple):
     """Properties shared by the engines of a model service.
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -134,6 +134,7 @@
 class Exchange(abc.ABC):
     """One request in flight.
 
+    :param service: service that was drawn for the request
     :param arrived_s: when the head of the request was complete, in monotonic
         seconds
     :ivar deadline_s: when the caller's timeout ends, in monotonic seconds
@@ -163,19 +164,20 @@
         parts: Parts,
         request: codecs.Request,
         route: routes.Route,
+        service: str,
         caller: callers.Caller,
         arrived_s: float,
     ) -> None:
         self.parts = parts
         self.request = request
         self.route = route
+        self.service = service
         self.caller = caller
         self.arrived_s = arrived_s
         wait_s = route.timeout_s
         if request.wait_s is not None:
             wait_s = min(wait_s, request.wait_s)
         self.deadline_s = arrived_s + wait_s
-        self.service = self._pick_service()
         self.runs = 0
         self.send_count = 0
         self.tried: set[str] = set()
@@ -190,14 +192,6 @@
         self.is_relayed = caller.is_peer
         self.is_trial = False
 
-    def _pick_service(self) -> str:
-        targets = self.route.targets
-        if len(targets) == 1:
-            return targets[0].service
-        weights = [target.weight for target in targets]
-        chosen = self.parts.rng.choices(targets, weights)[0]
-        return chosen.service
-
     @property
     def is_waiting(self) -> bool:
         """Whether the request has not been sent to any endpoint yet."""
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -518,7 +518,8 @@
         configuration, route, _ = found
         if not self._admit(caller, request, found, is_proven):
             return
-        active = self._exchange(request, route, caller, arrived_s)
+        service = route.draw_service(self.parts.rng)
+        active = self._exchange(request, route, service, caller, arrived_s)
         if not self._can_finish(active):
             self._answer_early(caller, request, 503, exchange.STOPPING, 0.0)
             return
@@ -566,9 +567,10 @@
             )
             self._decline(caller, request, relayed, reason)
             return
+        service = route.draw_service(self.parts.rng)
         request.workspace = _listed(configuration, relayed.workspace)
         active = self._exchange(
-            request, route, caller, arrived_s - relayed.waited_s
+            request, route, service, caller, arrived_s - relayed.waited_s
         )
         if not self._can_finish(active):
             self._decline(caller, request, relayed, exchange.STOPPING)
@@ -666,24 +668,26 @@
         self,
         request: codecs.Request,
         route: routes.Route,
+        service: str,
         caller: callers.Caller,
         arrived_s: float,
     ) -> exchange.Exchange:
         """Return the exchange for a request.
 
-        It is a prompt exchange if the request has a prompt and a target of
-        the route is a service with engines.
+        It is a prompt exchange if the request has a prompt and its service
+        has engines, whatever the other services of the route have.
+
+        :param service: service that was drawn for the request
         """
-        services = self.parts.catalog.configuration.services
-        has_engines = any(
-            target.service in services
-            and services[target.service].engine is not None
-            for target in route.targets
-        )
+        known = self.parts.catalog.configuration.services.get(service)
         kind = plainexchange.PlainExchange
-        if has_engines and request.prompt is not None:
+        if (
+            request.prompt is not None
+            and known is not None
+            and known.engine is not None
+        ):
             kind = promptexchange.PromptExchange
-        return kind(self.parts, request, route, caller, arrived_s)
+        return kind(self.parts, request, route, service, caller, arrived_s)
 
     def _answer_internal_error(
         self,
--- /dev/null
+++ b/tests/test_gateway_splitroutes.py
@@ -0,0 +1,52 @@
+"""Routes whose requests are split among services of two kinds."""
+
+import collections
+
+import pytest
+
+from tests import gatewayworld
+
+PROMPT = gatewayworld.prompt((0xA, 2000), (0xB, 500))
+REQUESTS = 20
+
+
+@pytest.fixture
+def world():
+    with gatewayworld.world() as made:
+        made.endpoint('p1')
+        made.endpoint('e1', 'model', 'prefill')
+        made.endpoint('d1', 'model', 'decode')
+        yield made
+
+
+def split(world, version, model, plain, kind='streaming'):
+    """Configure a route that is split by two weights."""
+    route = gatewayworld.route('split', '/split/', kind, None, max_attempts=1)
+    del route['service']
+    route['traffic_split'] = [
+        {'service': 'model', 'weight': model},
+        {'service': 'plain', 'weight': plain},
+    ]
+    world.configure(version=version, routes=[route])
+
+
+def ask_all(world, headers, node=0):
+    """Ask for a number of requests; the statuses of their answers."""
+    heads = [
+        world.ask('/split/x', request_id=f'{node}-{n}', node=node, **headers)
+        for n in range(REQUESTS)
+    ]
+    return collections.Counter(head.status for head in heads)
+
+
+@pytest.mark.parametrize('headers', [PROMPT, {}], ids=['prompt', 'none'])
+@pytest.mark.parametrize('weights', [(10, 90), (90, 10), (0, 100), (100, 0)])
+def test_request_is_served_by_the_service_that_was_drawn(
+    world, weights, headers
+):
+    """Nine in ten ended with an error of the host's own."""
+    split(world, 1, *weights)
+    world.node()
+    assert ask_all(world, headers) == {200: REQUESTS}
+    for weight, name in zip(weights, ('d1', 'p1'), strict=True):
+        assert bool(world.endpoints[name].runs) == bool(weight)
