Refuse prompts whose service has lost its engines

The prompt is refused at once, with the reason of a service none of whose engines answers: it has not run, and the caller's next try draws by the new configuration. Stages of such a service are not planned any more, either.

test_prompt_waits_while_its_service_loses_its_engines fails before: the answer is "unhandled exception".

--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -29,6 +29,7 @@
 from magnoliadyke.core import position
 from magnoliadyke.core import prefillcost
 from magnoliadyke.core import promptjobs
+from magnoliadyke.core import refusals
 from magnoliadyke import errors
 from magnoliadyke.gateway import inflightjobs
 from magnoliadyke.gateway import placement_codec
@@ -419,7 +420,7 @@
     def _restore_snapshot(
         self, snapshot: placement_codec.CacheSnapshot
     ) -> None:
-        if not self._is_model_service(snapshot.service):
+        if not self.is_model_service(snapshot.service):
             return
         service_placement = self._pool(self.served, snapshot.service).placement
         now_s = self.clock.now_s()
@@ -460,6 +461,11 @@
         waiting: _WaitingJob,
     ) -> promptjobs.Decision:
         self.placed_by[job.id] = None
+        if not self.is_model_service(service):
+            # The configuration has changed since the request was read.
+            return promptjobs.Refused(
+                job.id, refusals.NO_ENGINE_S, refusals.NO_ENGINE_REASON
+            )
         pool = self._pool(pools, service)
         now_s = self.clock.now_s()
         self._publish(pool, pool.placement.submit(job, now_s))
@@ -720,7 +726,7 @@
         self, service: str, samples: Iterable[enginepace.PaceSample]
     ) -> None:
         """Keep what the leader has learned of engines."""
-        if not self._is_model_service(service):
+        if not self.is_model_service(service):
             return
         now_s = self.clock.now_s()
         learned = self.learned_paces.setdefault(service, {})
@@ -818,7 +824,7 @@
     def _handle_request(
         self, service: str, job: promptjobs.Job, sender: str
     ) -> None:
-        if not self.leading or not self._is_model_service(service):
+        if not self.leading or not self.is_model_service(service):
             # Without an answer the requesting host places the job itself.
             return
         decided = self.decided.get(job.id)
@@ -838,7 +844,8 @@
         if job.id not in self.decided:
             self.send(sender, waits)
 
-    def _is_model_service(self, service: str) -> bool:
+    def is_model_service(self, service: str) -> bool:
+        """Return whether a service has engines by the configuration."""
         configuration = self.catalog.configuration
         if configuration is None:
             return False
--- a/magnoliadyke/gateway/stages.py
+++ b/magnoliadyke/gateway/stages.py
@@ -119,7 +119,8 @@
                 self.outages.clear()
                 continue
             for service, pool in list(self.placement_service.served.items()):
-                self._plan(service, pool.placement)
+                if self.placement_service.is_model_service(service):
+                    self._plan(service, pool.placement)
 
     def _plan(self, service: str, placement) -> None:
         now_s = self.clock.now_s()
--- a/tests/test_gateway_splitroutes.py
+++ b/tests/test_gateway_splitroutes.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from magnoliadyke.core import promptjobs
+from magnoliadyke.core import refusals
 from tests import gatewayworld
 
 PROMPT = gatewayworld.prompt((0xA, 2000), (0xB, 500))
@@ -50,3 +52,28 @@
     assert ask_all(world, headers) == {200: REQUESTS}
     for weight, name in zip(weights, ('d1', 'p1'), strict=True):
         assert bool(world.endpoints[name].runs) == bool(weight)
+
+
+def test_prompt_waits_while_its_service_loses_its_engines(world):
+    """The request ended with an error of the host's own."""
+    world.configure()
+    node = world.node()
+    place = node.placement_service.place
+
+    def configure_and_place(service, job):
+        changed = gatewayworld.configuration(version=2)
+        del changed['services'][1]['engine']
+        world.store.put('op/config', changed)
+        gatewayworld.wait_for(
+            lambda: node.catalog.configuration.version == 2, 'the change'
+        )
+        decision = place(service, job)
+        assert isinstance(decision, promptjobs.Refused)
+        return decision
+
+    node.placement_service.place = configure_and_place
+    client = gatewayworld.Client(node)
+    head, body = client.call('POST', '/once/x', 'r1', b'x', **PROMPT)
+    client.close()
+    assert head.status == 503
+    assert body.decode() == refusals.NO_ENGINE_REASON
