Have a relayed request served by the service that was drawn first

Related to the split routes before: a host that can't reach the endpoints of the drawn service looks for another one that reaches those, and that host drew again. It could draw a service that it does not reach, or one of the other kind; and its answer was counted for the service that the first had drawn.

Hosts name the service with the request that they pass on. One that does not, of earlier software, has it drawn as before; a service that is not of the route is declined.

test_relayed_request_keeps_its_service fails before at the first request.

--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -567,7 +567,14 @@
             )
             self._decline(caller, request, relayed, reason)
             return
-        service = route.draw_service(self.parts.rng)
+        service = relayed.service
+        if service is None:
+            # Software before this one does not name it.
+            service = route.draw_service(self.parts.rng)
+        elif not route.has_target(service):
+            reason = f'service {service:.80}: not one of route {route.name}'
+            self._decline(caller, request, relayed, reason)
+            return
         request.workspace = _listed(configuration, relayed.workspace)
         active = self._exchange(
             request, route, service, caller, arrived_s - relayed.waited_s
--- a/magnoliadyke/gateway/relaying.py
+++ b/magnoliadyke/gateway/relaying.py
@@ -67,6 +67,8 @@
     :param waited_s: time since it arrived at that host, in seconds
     :param token: secret of the host that it is passed on to, which the store
         tells hosts and no caller
+    :param service: service that was drawn for the request, None if the host
+        does not tell
     :param workspace: the workspace that its key belongs to, None without one
     """
 
@@ -74,6 +76,7 @@
     version: int
     waited_s: float
     token: str
+    service: str | None
     workspace: workspaces.Workspace | None
 
     def encode(self) -> tuple[bytes, bytes]:
@@ -84,6 +87,8 @@
             'waited_ms': round(self.waited_s * 1000),
             'token': self.token,
         }
+        if self.service is not None:
+            fields['service'] = self.service
         if self.workspace is not None:
             fields['workspace'] = self.workspace.name
         return HEADER, parse.urlencode(fields).encode()
@@ -105,6 +110,7 @@
             int(fields['version']),
             int(fields['waited_ms']) / 1000,
             fields['token'],
+            fields.get('service'),
             None if workspace is None else workspaces.Workspace(workspace),
         )
     except (KeyError, ValueError) as error:
@@ -232,6 +238,7 @@
             known.version,
             self.clock.now_s() - active.arrived_s,
             token,
+            active.service,
             request.workspace,
         )
         codec = active.parts.codec
--- a/tests/test_gateway_splitroutes.py
+++ b/tests/test_gateway_splitroutes.py
@@ -54,6 +54,32 @@
         assert bool(world.endpoints[name].runs) == bool(weight)
 
 
+def test_relayed_request_keeps_its_service(world):
+    """Another host drew again, a service that the first had not drawn."""
+    split(world, 1, 50, 50)
+    for _ in range(2):
+        world.node()
+    first, second = world.nodes
+    gatewayworld.wait_for(
+        lambda: first.members.relay_token(second.settings.ip), 'the other host'
+    )
+    drawn = []
+
+    def choose_host(service, declined):
+        drawn.append(service)
+        return second.settings.ip
+
+    first.paths.is_cut_off = lambda service: True
+    first.paths.choose_host = choose_host
+    assert ask_all(world, {}) == {200: REQUESTS}
+    ran_by = {
+        run.id.decode(): endpoint.service
+        for endpoint in world.endpoints.values()
+        for run in endpoint.runs
+    }
+    assert drawn == [ran_by[f'0-{n}'] for n in range(REQUESTS)]
+
+
 def test_prompt_waits_while_its_service_loses_its_engines(world):
     """The request ended with an error of the host's own."""
     world.configure()
