Reload the settings file that a node was started with

On the prepared platform, where the environment names the file, nothing changes.

test_reload_reads_the_file_that_the_host_was_started_with fails before.

--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -465,7 +465,7 @@
     def _reload(self) -> None:
         """Read the settings again; open listeners keep their addresses."""
         try:
-            self.settings = node_settings.load()
+            self.settings = node_settings.load(self.settings.path)
         except node_settings.errors.SettingsError as error:
             LOG.error_event('settings_refused', error)
             return
--- a/magnoliadyke/platform/settings.py
+++ b/magnoliadyke/platform/settings.py
@@ -76,6 +76,7 @@
         none
     :param first_start: whether the whole system starts for the first time, so
         that no request was served before
+    :param path: path of the file that they were read from, empty if none
     """
 
     name: str
@@ -104,6 +105,7 @@
     duties: DutySettings | None = None
     first_start: bool = False
     core_speed: float = 1.0
+    path: str = ''
 
 
 def load(path: str | None = None) -> NodeSettings:
@@ -131,7 +133,7 @@
         raise errors.SettingsError(
             [Problem(path, f'expected a readable JSON file: {error}')]
         ) from error
-    return parse(fields)
+    return parse(fields)._replace(path=path)
 
 
 def parse(fields: dict[str, Any]) -> NodeSettings:
--- a/tests/test_platform_main.py
+++ b/tests/test_platform_main.py
@@ -3,13 +3,16 @@
 import itertools
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
 
 import pytest
 
+from magnoliadyke import clock
 from magnoliadyke.lab import platformrecords
+from magnoliadyke.platform import node
 from magnoliadyke.platform import settings
 from tests import gatewayworld
 
@@ -73,3 +76,19 @@
     gatewayworld.wait_for(lambda: process.logged('stopped'), 'stop', WAIT_S)
     assert process.popen.wait(timeout=WAIT_S) == 0
     assert process.log.read_text().endswith('event=stopped\n')
+
+
+def test_reload_reads_the_file_that_the_host_was_started_with(
+    tmp_path, monkeypatch
+):
+    """Only a file named by the environment was read, and others refused."""
+    monkeypatch.delenv(settings.VARIABLE, raising=False)
+    values = platformrecords.node_settings('h', '127.0.0.1', '127.0.0.1:1')
+    path = tmp_path / 'h.json'
+    path.write_text(json.dumps(values))
+    made = node.Node(
+        settings.load(str(path)), clock.SystemClock(), random.Random(1)
+    )
+    path.write_text(json.dumps(values | {'retry_extra': 7}))
+    made._reload()
+    assert made.settings.retry_extra == 7
