Draw late copies, split routes and errors of nodes in the soak

It judged "not run" for requests with a body only, drew no answer that comes twice, split no route between services of two kinds, and took an error of a node's own for the 503 that callers got.

Now each configuration has other weights of a split route, a service and a route of its own; endpoints of a kind refuse some requests and send each answer again when the next request has come ("copies"); "not run" is judged of streams that may run once; each error line in the nodes' logs is a violation. The faults that a seed drew before stay the same.

--- a/magnoliadyke/lab/platformcaller.py
+++ b/magnoliadyke/lab/platformcaller.py
@@ -15,8 +15,8 @@
 
 __all__ = ['Callers']
 
-KINDS = ('safe', 'unsafe', 'once', 'chat')
-KIND_WEIGHTS = (4, 3, 2, 3)
+KINDS = ('safe', 'unsafe', 'once', 'chat', platformmix.SPLIT_KIND)
+KIND_WEIGHTS = (4, 3, 2, 3, 2)
 #: Kinds of requests, and their weights, of callers with long work.
 LASTING_KINDS = ('safe', 'unsafe', 'slow', 'long')
 LASTING_WEIGHTS = (2, 1, 2, 4)
--- a/magnoliadyke/lab/platformcheck.py
+++ b/magnoliadyke/lab/platformcheck.py
@@ -71,7 +71,13 @@
 LATE_ARRIVALS_ALLOWED = 3
 #: Kinds of requests: answered by a body, by a stream, executed at most once.
 SINGLE_BODY_KINDS = ('safe', 'unsafe', 'slow')
-STREAM_KINDS = ('once', 'chat', 'long', platformmix.BACKED_KIND)
+STREAM_KINDS = (
+    'once',
+    'chat',
+    'long',
+    platformmix.BACKED_KIND,
+    platformmix.SPLIT_KIND,
+)
 RESUMABLE_KINDS = ('chat', 'long')
 EVENT_END = b'\n\n'
 #: Line of an event that names the software version that wrote it.
@@ -92,7 +98,11 @@
 WORKSPACE_SHARE = 0.25
 UNREPEATABLE_KINDS = ('unsafe', 'slow')
 #: Kinds of streams that may not run at two engines at once.
-SINGLE_RUN_STREAMS = ('once', platformmix.BACKED_KIND)
+SINGLE_RUN_STREAMS = (
+    'once',
+    platformmix.BACKED_KIND,
+    platformmix.SPLIT_KIND,
+)
 #: Status of a request that timed out and may have been executed.
 GATEWAY_TIMEOUT = 504
 #: Time after SIGTERM until which callers may still have an answer of the
@@ -112,7 +122,8 @@
 class CallerRequest:
     """One request of a caller, and its answer.
 
-    :ivar kind: 'safe', 'unsafe', 'slow', 'once', 'chat', 'long' or 'backed'
+    :ivar kind: 'safe', 'unsafe', 'slow', 'once', 'chat', 'long', 'backed' or
+        'split'
     :ivar host: host that it was sent to
     :ivar sent_s: monotonic seconds at which it was sent
     :ivar ended_s: monotonic seconds at which the answer or the connection
@@ -260,6 +271,7 @@
     :param path_cuts: cuts between hosts and endpoints
     :param hosts: names of the hosts by IP address
     :param crashing_parts: parts of prompts that crash engines
+    :param errors: log lines of hosts' own errors, each with its host
     """
 
     requests: list[CallerRequest]
@@ -276,6 +288,7 @@
     path_cuts: list[PathCut] = []
     hosts: dict[str, str] = {}
     crashing_parts: list[int] = []
+    errors: list[tuple[str, str]] = []
 
 
 class Violation(NamedTuple):
@@ -362,9 +375,9 @@
 ) -> Iterable[Violation]:
     sent_ids = {request.id for request in evidence.requests}
     for request in evidence.requests:
-        if request.kind not in UNREPEATABLE_KINDS:
+        if request.kind not in UNREPEATABLE_KINDS + SINGLE_RUN_STREAMS:
             continue
-        if runs[request.id] > 1:
+        if request.kind in UNREPEATABLE_KINDS and runs[request.id] > 1:
             yield _violation(
                 request, 'at most once', f'{runs[request.id]} runs'
             )
@@ -833,6 +846,8 @@
 
 
 def _check_processes(evidence: Evidence) -> Iterable[Violation]:
+    for host, line in evidence.errors:
+        yield Violation('nodes log no errors of their own', 0.0, (host,), line)
     for host, status in evidence.ended.items():
         text = f'exit status {status}'
         yield Violation('nodes do not exit by themselves', 0.0, (host,), text)
--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -12,17 +12,17 @@
 send long requests), "settle_s" and "calm_s" (seconds after that phase for
 recovery, and then for the final check), and "faults", a list of objects with
 "at_s" and "kind", and optionally "for_s" (duration in seconds) and "pick" (a
-number that selects the host or endpoint).  Kinds are kill, stop, pause,
-reload, crash, engine_kill (of the busiest, after another one was added),
-restart, foreign_entry, scale_in, leave_unlisted, leave_at_once (of an endpoint
-that has just started), release, shed, reset, error, cut, silence (an endpoint
-goes on where it was), frame, break, store_busy, store_reset, store_silent,
-store_lost, store_slow, store_deaf, store_restore, compact, configure, limit,
-link_cut, link_delay, link_silence, link_loss, crashing_part (from then on
-requests with a part that crashes engines come to all hosts), path_reset,
-path_silence, path_one_way, path_refuse and path_some (of these five the
-duration is that after the first three seconds, in which hosts have to find
-out).
+number that selects the host or endpoint). Kinds are kill, stop, pause, reload,
+crash, engine_kill (of the busiest, after another one was added), restart,
+foreign_entry, scale_in, leave_unlisted, leave_at_once (of an endpoint that has
+just started), release, shed, reset, error, cut, silence (an endpoint goes on
+where it was), copies (endpoints of a kind refuse some requests and send each
+answer again), frame, break, store_busy, store_reset, store_silent, store_lost,
+store_slow, store_deaf, store_restore, compact, configure, limit, link_cut,
+link_delay, link_silence, link_loss, crashing_part (from then on requests with
+a part that crashes engines come to all hosts), path_reset, path_silence,
+path_one_way, path_refuse and path_some (of these five the duration is that
+after the first three seconds, in which hosts have to find out).
 
 Nodes are processes of their own; the store and the endpoints are stand-ins.
 Callers use open connections until the process at the other end has exited;
@@ -78,6 +78,9 @@
 #: a limit lasts besides the duration of its fault, in seconds.
 LIMITS_S = (1.0, 2.5, 4.0)
 MIN_LIMIT_TIME_S = 9.0
+#: Number of requests that each endpoint of a kind refuses while they answer
+#: twice.
+COPIED_REFUSALS = 4
 STORE_MODES = {
     'store_busy': 'busy',
     'store_reset': 'reset',
@@ -202,7 +205,11 @@
 def configuration(
     version: int, mix: platformmix.Mix = platformmix.UNIFORM
 ) -> dict[str, Any]:
-    """The operator's configuration; each version has a route of its own."""
+    """The operator's configuration.
+
+    Each version has a route, a service without endpoints, and weights of the
+    split route of its own.
+    """
     name = f'new{version}'
     usual = {'timeout_ms': platformfleet.ROUTE_TIMEOUT_MS}
     long = {
@@ -216,6 +223,7 @@
             'long', '/long/', 'streaming', 'model', resumable=True, **long
         ),
         platformrecords.route(name, f'/{name}/', 'safe', 'plain', **usual),
+        _split_route(version, usual),
     ]
     if mix.backed_callers:
         name = platformmix.BACKED_KIND
@@ -226,7 +234,7 @@
     for each in routes:
         each['priority'] = int(each['name'] in mix.less_urgent)
     names = dict.fromkeys(filter(None, mix.workspaces))
-    return platformrecords.configuration(
+    written = platformrecords.configuration(
         version,
         routes,
         {name: [platformmix.api_key(name)] for name in names} or None,
@@ -234,6 +242,29 @@
         header_timeout_ms=2000,
         idle_timeout_ms=20000,
     )
+    empty = {'name': _empty_service(version), 'max_conns': 10}
+    written['services'].append(empty | {'health_path': '/health'})
+    return written
+
+
+def _empty_service(version: int) -> str:
+    return f'empty{version}'
+
+
+def _split_route(version: int, fields: dict[str, Any]) -> dict[str, Any]:
+    """A route that is split between services of both kinds."""
+    name = platformmix.SPLIT_KIND
+    made = platformrecords.route(
+        name, f'/{name}/', 'streaming', None, max_attempts=1, **fields
+    )
+    del made['service']
+    model, plain = platformmix.split_weights(version)
+    made['traffic_split'] = [
+        {'service': 'model', 'weight': model},
+        {'service': 'plain', 'weight': plain},
+        {'service': _empty_service(version), 'weight': 0},
+    ]
+    return made
 
 
 class Day:
@@ -298,6 +329,7 @@
             self.path_cuts,
             {self.fleet.ip(host): host for host in self.fleet.hosts()},
             list(self.fleet.crashing_parts),
+            self.fleet.read_errors(),
         )
 
     # Faults.
@@ -573,6 +605,26 @@
         endpoint = self.fleet.endpoints[self._pick_endpoint(fault)]
         endpoint.fall_silent(fault.for_s)
 
+    def copies(self, fault: Fault) -> None:
+        """Have endpoints of a kind refuse some requests, and answer twice.
+
+        This is no disturbance: the late copies belong to no request, and what
+        was refused has not run.
+        """
+        like = self.fleet.endpoints[self._pick_endpoint(fault)]
+        endpoints = [
+            each
+            for each in self.fleet.endpoints.values()
+            if (each.service, each.stage) == (like.service, like.stage)
+        ]
+        for each in endpoints:
+            each.sends_copies = True
+            each.refusals = COPIED_REFUSALS
+        gevent.sleep(fault.for_s)
+        for each in endpoints:
+            each.sends_copies = False
+            each.refusals = 0
+
     def frame(self, fault: Fault) -> None:
         """Have an endpoint frame its answers in another way.
 
@@ -736,6 +788,7 @@
     'leave_unlisted': Day.leave_unlisted,
     'leave_at_once': Day.leave_at_once,
     'silence': Day.silence,
+    'copies': Day.copies,
     'frame': Day.frame,
     'break': Day.break_off,
     'shed': Day.shed,
--- a/magnoliadyke/lab/platformfleet.py
+++ b/magnoliadyke/lab/platformfleet.py
@@ -63,6 +63,10 @@
 ROUTE_TIMEOUT_MS = 3000
 
 
+#: Part of a log line that reports an error of a node's own.
+ERROR_LINE = ' level=error '
+
+
 class Shape(NamedTuple):
     """Numbers of hosts, plain endpoints, and engines of each stage.
 
@@ -357,6 +361,16 @@
                 self.exit_statuses[host] = status
                 del self.nodes[host]
 
+    def read_errors(self) -> list[tuple[str, str]]:
+        """Return the hosts' log lines of errors, each with its host."""
+        found = []
+        for host in self.hosts():
+            path = self.directory / f'{host}.log'
+            for line in path.read_text(errors='replace').splitlines():
+                if ERROR_LINE in line:
+                    found.append((host, line))
+        return found
+
     def kill(self, host: str) -> None:
         """Kill a node's process, if it runs."""
         node = self.nodes.pop(host, None)
--- a/magnoliadyke/lab/platformmix.py
+++ b/magnoliadyke/lab/platformmix.py
@@ -3,11 +3,24 @@
 import random
 from typing import NamedTuple
 
-__all__ = ['BACKED_KIND', 'UNIFORM', 'Mix', 'api_key', 'draw']
+__all__ = [
+    'BACKED_KIND',
+    'SPLIT_KIND',
+    'UNIFORM',
+    'Mix',
+    'api_key',
+    'draw',
+    'split_weights',
+]
 
 #: Kind of streams, and name of their route, that may not run a second time
 #: and whose engines keep backups.
 BACKED_KIND = 'backed'
+#: Kind of streams, and name of their route, that are split between the engines
+#: and the plain endpoints.
+SPLIT_KIND = 'split'
+#: Weights of the two in the versions of the configuration, in turn.
+SPLIT_WEIGHTS = ((10, 90), (100, 0), (50, 50), (0, 100), (90, 10))
 #: Intervals between the events of a stream, as multiples of the usual one:
 #: one is twice the other, and a long stream still ends before its timeout.
 PACES = (0.7, 1.4) * 4
@@ -60,6 +73,11 @@
     )
 
 
+def split_weights(version: int) -> tuple[int, int]:
+    """Weights of the engines and the plain endpoints in a configuration."""
+    return SPLIT_WEIGHTS[version % len(SPLIT_WEIGHTS)]
+
+
 def api_key(workspace: str) -> str:
     """The key of a workspace."""
     return f'key-of-{workspace}'
--- a/magnoliadyke/lab/soak.py
+++ b/magnoliadyke/lab/soak.py
@@ -20,6 +20,7 @@
 import random
 import sys
 import tempfile
+from typing import AbstractSet
 from typing import Iterable
 
 import docopt
@@ -63,7 +64,11 @@
     'leave_at_once': (4.0, 0.05, 0.35),
     'reload': (8.0, 0.0, 0.0),
     'silence': (2.0, 0.5, 1.5),
+    'copies': (2.0, 0.5, 1.5),
 }
+#: Those of them that are drawn after all others, so that the faults of a seed
+#: stay the same.
+LATER_KINDS = frozenset(('copies',))
 #: Longest time from a change of the configuration to such an event, and from
 #: that to the next change, in seconds.
 MAX_CHANGE_OFFSET_S = 0.5
@@ -146,8 +151,9 @@
         faults.append(platformday.Fault(round(at_s, 3), 'engine_kill'))
         at_s += rng.expovariate(1 / MEAN_ENGINE_KILL_INTERVAL_S)
     quiet_s = seconds + QUIET_DELAY_S
-    faults += _draw_lossless(rng, 0.0, seconds)
-    faults += _draw_lossless(rng, quiet_s, quiet_s + QUIET_S)
+    for kinds in (LOSSLESS_KINDS.keys() - LATER_KINDS, LATER_KINDS):
+        faults += _draw_lossless(rng, kinds, 0.0, seconds)
+        faults += _draw_lossless(rng, kinds, quiet_s, quiet_s + QUIET_S)
     return platformday.Plan(
         seconds,
         tuple(faults),
@@ -159,10 +165,12 @@
 
 
 def _draw_lossless(
-    rng: random.Random, from_s: float, until_s: float
+    rng: random.Random, kinds: AbstractSet[str], from_s: float, until_s: float
 ) -> Iterable[platformday.Fault]:
     """Draw events that lose nothing, each between two configurations."""
     for kind, (interval_s, min_s, max_s) in LOSSLESS_KINDS.items():
+        if kind not in kinds:
+            continue
         at_s = from_s + rng.expovariate(1 / interval_s)
         while at_s < until_s:
             for_s = round(rng.uniform(min_s, max_s), 3)
--- a/tests/test_lab_platformcheck.py
+++ b/tests/test_lab_platformcheck.py
@@ -106,6 +106,21 @@
     assert broken(tried, endpoints=[endpoint('a')]) == ['"not run" is true']
 
 
+def test_untrue_not_run_of_a_stream_is_found():
+    """Only requests with a body were judged."""
+    tried = one('a', 'once', status=503)
+    assert broken(tried) == []
+    assert broken(tried, endpoints=[endpoint('a')]) == ['"not run" is true']
+
+
+def test_error_of_a_node_is_found():
+    """Its callers got 500, or 503, which looked like a full system."""
+    line = 'level=error host=host-1 event=request_error error=AttributeError'
+    assert broken(errors=[('host-1', line)]) == [
+        'nodes log no errors of their own'
+    ]
+
+
 def test_request_that_nobody_sent_is_found():
     assert broken(endpoints=[endpoint('x')]) == [
         'only requests of callers are executed'
