Ask whether the silent engine has answered, not whether it runs

Its premise is that the silent engine has not answered when the second one has; it asked for a run that is still open. The host closes that run when the second answer is complete, before it passes it on, and the test looks every 10 ms, so that the run may be closed by then.

Traced in the failed play of the 16: the run was cancelled by the host, had not ended, and its engine was still silent (ended=False, cancelled=True); in the 15 others it was open. The premise is now that it has not ended, which holds in both, and what the test asks of the answers is unchanged.

--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -295,7 +295,7 @@
     gatewayworld.wait_for(
         lambda: second.runs and not second.open_runs, 'the second answer'
     )
-    assert first.open_runs
+    assert not any(each.ended for each in first.runs)
     gatewayworld.wait_for(lambda: not first.open_runs, 'the first end')
     head, body = client.answer()
     assert head.status == 200
