Let the choice of a service fail where it is made now

test_error_in_the_choice_of_a_service_is_answered failed since the service is drawn by the route, as it replaced a method that is gone (AttributeError in the test itself). It makes Route.draw_service fail instead, and asks the same of the answer; the error is met at the same place, before the exchange.

--- a/tests/test_gateway_errors.py
+++ b/tests/test_gateway_errors.py
@@ -6,7 +6,6 @@
 import pytest
 
 from magnoliadyke.core import routes as core_routes
-from magnoliadyke.gateway import exchange
 from magnoliadyke.gateway import http
 from magnoliadyke.lab import platformrecords
 from tests import gatewayworld
@@ -124,7 +123,7 @@
 def test_error_in_the_choice_of_a_service_is_answered(world, monkeypatch):
     """An error outside of the exchange ended the connection."""
     world.node()
-    monkeypatch.setattr(exchange.Exchange, '_pick_service', fail)
+    monkeypatch.setattr(core_routes.Route, 'draw_service', fail)
     assert_not_run(world)
 
 
