Play late copies against one node, and catch them with the safeguard off

The split route of the soak allows two attempts now, so that a refused request comes to an engine again.

--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -255,7 +255,7 @@
     """A route that is split between services of both kinds."""
     name = platformmix.SPLIT_KIND
     made = platformrecords.route(
-        name, f'/{name}/', 'streaming', None, max_attempts=1, **fields
+        name, f'/{name}/', 'streaming', None, max_attempts=2, **fields
     )
     del made['service']
     model, plain = platformmix.split_weights(version)
--- a/tests/test_lab_platformday.py
+++ b/tests/test_lab_platformday.py
@@ -11,6 +11,7 @@
 from magnoliadyke.core import routes
 from magnoliadyke import errors
 from magnoliadyke.gateway import caller as callers
+from magnoliadyke.gateway import connection
 from magnoliadyke.gateway import exchange
 from magnoliadyke.gateway import outcomes
 from magnoliadyke.lab import framedanswer
@@ -405,6 +406,21 @@
         )
 
 
+def _refuse_and_repeat(made):
+    """One of two engines is down; the other refuses some, answering twice."""
+    repeating, down = made[3:]
+    down.crash()
+    repeating.sends_copies = True
+
+    def refuse():
+        for _ in range(50):
+            repeating.refusals = 1
+            gevent.sleep(0.03)
+        repeating.refusals = 0
+
+    gevent.spawn(refuse)
+
+
 @pytest.fixture
 def world():
     with gatewayworld.world() as made:
@@ -415,6 +431,26 @@
     assert _play(world, _reset_plain) == set()
 
 
+@pytest.fixture
+def only_streams(monkeypatch):
+    """Callers ask only for streams that may run once."""
+    monkeypatch.setattr(platformcaller, 'KINDS', ('once',))
+    monkeypatch.setattr(platformcaller, 'KIND_WEIGHTS', (1,))
+
+
+def test_sound_node_keeps_the_promises_beside_late_copies(world, only_streams):
+    assert _play(world, _refuse_and_repeat) == set()
+
+
+def test_taking_a_late_copy_for_an_answer_is_caught(
+    world, only_streams, monkeypatch
+):
+    monkeypatch.setattr(
+        connection.Connection, 'has_carried', lambda self, request_id: False
+    )
+    assert '"not run" is true' in _play(world, _refuse_and_repeat)
+
+
 def test_sound_node_keeps_the_promises_of_broken_streams(world):
     assert _play(world, _break_streams) == set()
 
