Keep other greenlets out of the test of repeated stops

Traced by a greenlet that opens a connection meanwhile: it fails so before, and passes now that only connections to the test's own engine are taken from its list.

--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -65,7 +65,15 @@
     busy.call.side_effect = [conflict, conflict]
     moved = http.Head(b'', b'', 200, [], None, False, True)
     done.call.side_effect = [connection.Answer(moved, b'{"kv_handle": "h"}')]
-    with mock.patch.object(connection, 'Connection', side_effect=[busy, done]):
+    opened = iter([busy, done])
+
+    def connect(address, timeout_s):
+        if address != ENGINE.address:
+            # Of a node of an earlier test that has not ended yet.
+            raise ConnectionRefusedError
+        return next(opened)
+
+    with mock.patch.object(connection, 'Connection', connect):
         found = engines.PlatformEngines().stop_run(
             ENGINE, b'r1', '192.0.2.2:1'
         )
