--- a/magnoliadyke/lab/httpstandin.py
+++ b/magnoliadyke/lab/httpstandin.py
@@ -20,6 +20,8 @@
     :ivar sockets: open connections
     :ivar peers: IP address at the other end of each
     :ivar silent_until_s: until when it sends nothing, in monotonic seconds
+    :ivar sends_copies: each answer is sent again, late: when the next request
+        has arrived on its connection
     """
 
     def __init__(self, address: str) -> None:
@@ -28,6 +30,7 @@
         self.peers: dict[callers.Caller, str] = {}
         self.server: server.StreamServer | None = None
         self.silent_until_s = 0.0
+        self.sends_copies = False
 
     def start(self) -> str:
         """Start listening.
@@ -91,7 +94,8 @@
 class _Caller(callers.Caller):
     """A connection on which nothing is sent while its stand-in is silent.
 
-    :ivar last_answer: what was sent since the owner last cleared it
+    :ivar last_answer: what was sent since the owner last cleared it, if it
+        sends copies
     """
 
     def __init__(self, sock: socket.socket, stand_in: HttpStandIn) -> None:
@@ -101,7 +105,8 @@
 
     def _send(self, data: bytes) -> None:
         self.stand_in.wait_while_silent()
-        self.last_answer += data
+        if self.stand_in.sends_copies:
+            self.last_answer += data
         super()._send(data)
 
 
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -124,8 +124,6 @@
         milliseconds since the epoch; 0 if they have none
     :ivar refusals: number of requests that are refused with 503 before others
         are served
-    :ivar sends_copies: each answer is sent again, late: when the next request
-        has arrived on its connection
     :ivar names_requests: refusals have the id of their request
     :ivar max_runs: number of executions after which requests are refused
         with 503, None for no limit
@@ -193,7 +191,6 @@
         self.fails_resumed = False
         self.started_ms = 0
         self.refusals = 0
-        self.sends_copies = False
         self.names_requests = True
         self.max_runs: int | None = None
         self.announces_leaving = False
