Have sound requests answered before a part is barred in its tests

Where hardly any request is answered, hosts can't tell which part is at fault and try one request every 2 s, doubled with each trial that crashes its engine (UNCERTAIN_TRIAL_S), so that the second trial came due after 4 s (retry_after_ms=3998) and not after the 3 s of the test. That is what docs/design/crash-causes.md asks; the test is about a part that is known to be at fault.

--- a/tests/test_gateway_promptparts.py
+++ b/tests/test_gateway_promptparts.py
@@ -177,7 +177,14 @@
 
 
 def bar(fleet, *guilty):
-    """Have a part barred at all hosts."""
+    """Have a part barred at all hosts.
+
+    Sound requests are answered before: where all requests crash the engines,
+    hosts can't tell which part is at fault, and also bar what those share.
+    """
+    for node in fleet.world.nodes:
+        for _ in range(crashcauses.MIN_ANSWERS):
+            assert fleet.send(node, ROUTE_PART, 0x2).status == 200
     fleet.play(12, guilty or (ROUTE_PART, GUILTY), (ROUTE_PART, 0x2))
     for node in fleet.world.nodes:
         gatewayworld.wait_for(
