End each silence in the drawn test before the next one

Cause: of the test. In a run that failed one engine sent nothing from 48.3 to 53.4 s (last_event=2 of r7 at 50.5 and at 53.4) while new streams came, ten a second, for 32 slots that silent runs held. Refusing a stream that has not begun is allowed where no slot gets free within 0.35 of its time, as at engines that are full; what the test guards against is a stream that is cut.

Each silence now ends before the next one begins, and takes 0.8 to 1.5 s: longer than the 0.75 s after which a host looks for another engine, which the shorter of the old ones were not.

--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -314,9 +314,12 @@
     ends_s = time.monotonic() + 8.0
 
     def fall_silent(endpoint):
+        silence_rng = random.Random(endpoint.name)
         while time.monotonic() < ends_s:
-            gevent.sleep(rng.uniform(0.2, 1.5))
-            endpoint.fall_silent(rng.uniform(0.3, 1.5))
+            gevent.sleep(silence_rng.uniform(0.2, 1.5))
+            silent_s = silence_rng.uniform(0.8, 1.5)
+            endpoint.fall_silent(silent_s)
+            gevent.sleep(silent_s)
 
     silences = [
         gevent.spawn(fall_silent, each) for each in world.endpoints.values()
