Do not end a request that was sent while those that wait are refused

A host that stops refuses the requests that wait 2.6 s after SIGTERM.

Cause: Ingress.refuse_waiting picks requests that were not sent, and the error is raised in their greenlets in the next turn of the event loop; a greenlet that was ready by then runs before and sends its request.

The condition is asked again right before the error is raised, in the event loop, where no greenlet runs in between. interrupt_all ends all requests and needs no condition.

The test failed before (504).

--- a/magnoliadyke/gateway/caller.py
+++ b/magnoliadyke/gateway/caller.py
@@ -1,6 +1,7 @@
 """Caller connections: sends answers and detects disconnects."""
 
 import contextlib
+from typing import Callable
 from typing import Iterator
 
 import gevent
@@ -98,9 +99,20 @@
             watcher.stop()
             watcher.close()
 
-    def interrupt(self) -> None:
-        """Raise :class:`HostStops` in the greenlet that serves a request."""
-        gevent.get_hub().loop.run_callback(self._throw, HostStops())
+    def interrupt(self, condition: Callable[[], bool] | None = None) -> None:
+        """Raise :class:`HostStops` in the greenlet that serves a request.
+
+        It is raised in the next turn of the loop, before which that greenlet
+        may run.
+
+        :param condition: whether it is to be raised, asked in that turn; it
+            is in any case if None
+        """
+        gevent.get_hub().loop.run_callback(self._interrupt, condition)
+
+    def _interrupt(self, condition: Callable[[], bool] | None) -> None:
+        if condition is None or condition():
+            self._throw(HostStops())
 
     def _throw(self, error: Interrupted) -> None:
         # Runs in the event loop, like the timer of a gevent.Timeout.
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -194,7 +194,7 @@
         """
         for caller, active in self.running.items():
             if active.is_waiting and not self._can_finish(active):
-                caller.interrupt()
+                caller.interrupt(lambda active=active: active.is_waiting)
 
     def refuse_barred(self) -> None:
         """Refuse requests that wait, though they crash endpoints."""
