Take no close for an end that a leaving endpoint left behind

Cause: a process that ends closes its connections in order, as an answer without a length or chunks is ended. Whether it has ended was asked only for endpoints that stay; the answer of one that leaves was taken as whole, whatever ended it. So completeness went by what was known of the endpoint.

It is asked for all endpoints now. The connection that is opened to find out is closed again if the endpoint leaves, and its failure counts for nothing else.

--- a/magnoliadyke/core/answerend.py
+++ b/magnoliadyke/core/answerend.py
@@ -53,9 +53,9 @@
     """Return why an answer is not whole, None if it is.
 
     An answer without a length and without chunks is ended by an orderly close
-    of its connection, after the first byte of its body, unless its endpoint
-    has ended without having announced it.  A stream that ends
-    inside an event was broken off, whatever its framing says.
+    of its connection, after the first byte of its body, unless its endpoint's
+    process has ended as well, announced or not.  A stream that ends inside an
+    event was broken off, whatever its framing says.
     """
     match ended:
         case AnswerEnd(end=End.MARKED):
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -755,17 +755,16 @@
     ) -> answerend.AnswerEnd:
         """Record and return the end of an answer that was read to its end.
 
-        A crash closes connections in order, like the end of an answer without
-        a frame, but then nothing listens at the endpoint's address.  The
-        connection that is opened to find out replaces the one that ended.
+        A process that ends closes its connections in order, like the end of
+        an answer without a frame, but then nothing listens at its address.
+        That it had announced its leave says nothing about this answer.
 
         :param left_over: bytes after the last whole event of a stream
         """
         if not used.ended_by_close:
             return self._record_end(used, answerend.End.MARKED, left_over)
-        is_gone = False
-        if self.parts.catalog.find_staying(endpoint.id) is not None:
-            is_gone = self.parts.upstream.is_refused(endpoint)
+        is_staying = self.parts.catalog.find_staying(endpoint.id) is not None
+        is_gone = self.parts.upstream.is_refused(endpoint, is_staying)
         return self._record_end(used, answerend.End.CLOSED, left_over, is_gone)
 
     def _record_end(
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -194,17 +194,27 @@
         self._keep(endpoint, opened)
         return True
 
-    def is_refused(self, endpoint: catalog.Endpoint) -> bool:
-        """Try to open a connection, and keep it for the next request.
+    def is_refused(self, endpoint: catalog.Endpoint, is_staying: bool) -> bool:
+        """Return whether nothing listens at an endpoint's address.
 
-        :returns: whether nothing listens at the endpoint's address
+        :param is_staying: whether the endpoint accepts new work; only then
+            the connection that is opened is kept, and a failure counts as an
+            endpoint out of reach
         """
         try:
-            opened = self._connect(endpoint)
+            if is_staying:
+                opened = self._connect(endpoint)
+            else:
+                opened = self.connect(endpoint.address, CONNECT_TIMEOUT_S)
         except NoConnection as error:
             return isinstance(error.__cause__, ConnectionRefusedError)
-        opened.last_used_s = self.clock.now_s()
-        self._keep(endpoint, opened)
+        except OSError as error:
+            return isinstance(error, ConnectionRefusedError)
+        if is_staying:
+            opened.last_used_s = self.clock.now_s()
+            self._keep(endpoint, opened)
+        else:
+            opened.close()
         return False
 
     def record_end(self, ended: answerend.AnswerEnd) -> None:
