Take no close for an end while the endpoint is out of reach

Cause: the engine crashed while their host could open no connection to any endpoint (lines of the soak: "timed out" at that host from 16:07:06.04 on, "Connection refused" at two others at 06.38 and 06.92; both streams framing=close end=closed at 06.62). The crash closed the old connections in order. A new connection that is refused was taken for the end of the process, one that times out was not, so that the answers counted as whole.

An answer that its connection ends is whole only if the endpoint accepts a connection after it. The flag says is_unreachable now.

--- a/magnoliadyke/core/answerend.py
+++ b/magnoliadyke/core/answerend.py
@@ -38,32 +38,33 @@
     :param framing: None if the connection ended before the head was complete
     :param left_over: bytes received after the last whole event of a stream
     :param is_empty: whether no byte of the body was received
-    :param is_process_gone: whether the endpoint's process is known to have
-        ended since, which closes its connections in order
+    :param is_unreachable: whether no connection to the endpoint could be
+        opened since: its process may have ended, which closes its connections
+        in order
     """
 
     framing: Framing | None
     end: End
     left_over: int = 0
     is_empty: bool = False
-    is_process_gone: bool = False
+    is_unreachable: bool = False
 
 
 def break_reason(ended: AnswerEnd) -> str | None:
     """Return why an answer is not whole, None if it is.
 
     An answer without a length and without chunks is ended by an orderly close
-    of its connection, after the first byte of its body, unless its endpoint's
-    process has ended as well, announced or not.  A stream that ends inside an
-    event was broken off, whatever its framing says.
+    of its connection, after the first byte of its body, if its endpoint still
+    accepts connections.  A stream that ends inside an event was broken off,
+    whatever its framing says.
     """
     match ended:
         case AnswerEnd(end=End.MARKED):
             pass
         case AnswerEnd(Framing.CLOSE, End.CLOSED, is_empty=True):
             return 'the connection was closed before the body of the answer'
-        case AnswerEnd(Framing.CLOSE, End.CLOSED, is_process_gone=True):
-            return 'the connection was closed as the endpoint ended'
+        case AnswerEnd(Framing.CLOSE, End.CLOSED, is_unreachable=True):
+            return 'the connection was closed, and no other one accepted'
         case AnswerEnd(Framing.CLOSE, End.CLOSED):
             pass
         case _:
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -756,27 +756,29 @@
         """Record and return the end of an answer that was read to its end.
 
         A process that ends closes its connections in order, like the end of
-        an answer without a frame, but then nothing listens at its address.
-        That it had announced its leave says nothing about this answer.
+        an answer without a frame, but accepts no other one.  Whether it has
+        announced its leave says nothing about this answer.
 
         :param left_over: bytes after the last whole event of a stream
         """
         if not used.ended_by_close:
             return self._record_end(used, answerend.End.MARKED, left_over)
         is_staying = self.parts.catalog.find_staying(endpoint.id) is not None
-        is_gone = self.parts.upstream.is_refused(endpoint, is_staying)
-        return self._record_end(used, answerend.End.CLOSED, left_over, is_gone)
+        is_unreachable = not self.parts.upstream.accepts(endpoint, is_staying)
+        return self._record_end(
+            used, answerend.End.CLOSED, left_over, is_unreachable
+        )
 
     def _record_end(
         self,
         used: connection.Connection,
         end: answerend.End,
         left_over: int = 0,
-        is_process_gone: bool = False,
+        is_unreachable: bool = False,
     ) -> answerend.AnswerEnd:
         """Record and return how an endpoint's answer ended."""
         ended = answerend.AnswerEnd(
-            used.framing, end, left_over, is_process_gone=is_process_gone
+            used.framing, end, left_over, is_unreachable=is_unreachable
         )
         self.answer_end = ended
         self.parts.upstream.record_end(ended)
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -194,28 +194,20 @@
         self._keep(endpoint, opened)
         return True
 
-    def is_refused(self, endpoint: catalog.Endpoint, is_staying: bool) -> bool:
-        """Return whether nothing listens at an endpoint's address.
+    def accepts(self, endpoint: catalog.Endpoint, is_staying: bool) -> bool:
+        """Return whether an endpoint accepts connections.
 
-        :param is_staying: whether the endpoint accepts new work; only then
-            the connection that is opened is kept, and a failure counts as an
+        :param is_staying: whether it also accepts new work; only then the
+            connection that is opened is kept, and a failure counts as an
             endpoint out of reach
         """
-        try:
-            if is_staying:
-                opened = self._connect(endpoint)
-            else:
-                opened = self.connect(endpoint.address, CONNECT_TIMEOUT_S)
-        except NoConnection as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        except OSError as error:
-            return isinstance(error, ConnectionRefusedError)
         if is_staying:
-            opened.last_used_s = self.clock.now_s()
-            self._keep(endpoint, opened)
-        else:
-            opened.close()
-        return False
+            return self.probe(endpoint)
+        try:
+            self.connect(endpoint.address, CONNECT_TIMEOUT_S).close()
+        except OSError:
+            return False
+        return True
 
     def record_end(self, ended: answerend.AnswerEnd) -> None:
         """Count an answer by its framing and by what ended it."""
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -476,6 +476,32 @@
     assert (status, whole) == expected
 
 
+@pytest.mark.parametrize(
+    'path, headers, expected',
+    [('/unsafe/x', {}, (502, True)), ('/once/x', PROMPT, (200, False))],
+    ids=['body', 'stream'],
+)
+def test_close_by_an_endpoint_out_of_reach_is_no_end(
+    world, plain, engines, monkeypatch, path, headers, expected
+):
+    """A host that was cut off took a crash for the end of an answer."""
+    for each in (plain, engines):
+        each.framing = answerend.Framing.CLOSE
+        each.broken = framedanswer.Break(AT.BETWEEN, BY.CLOSE)
+        each.work_s = 0.3
+    node = world.node()
+    asked = gevent.spawn(read_answer, world, path, **headers)
+    endpoint = engines if headers else plain
+    gatewayworld.wait_for(lambda: endpoint.runs, 'the run')
+
+    def connect(address, timeout_s):
+        raise TimeoutError
+
+    monkeypatch.setattr(node.ingress.parts.upstream, 'connect', connect)
+    status, _, whole = asked.get(timeout=gatewayworld.WAIT_S)
+    assert (status, whole) == expected
+
+
 @pytest.mark.parametrize('how', LEAVES)
 def test_stream_goes_on_elsewhere_if_its_engine_leaves_and_ends(
     world, engines, how
