--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -148,24 +148,25 @@
     """A request got 504 that was sent as those that wait were refused."""
     plain = world.endpoint('p1')
     stopping = Stopping(world)
-    ingress_ = stopping.node.ingress
-    client = gatewayworld.Client(stopping.node)
+    node = stopping.node
+    client = gatewayworld.Client(node)
     plain.work_s = 0.2
     opened = event.Event()
-    acquire = ingress_.parts.upstream.acquire
+    connections = node.ingress.parts.upstream
+    acquire = connections.acquire
 
     def acquire_late(*request):
         used = acquire(*request)
         opened.wait()
         return used
 
-    monkeypatch.setattr(ingress_.parts.upstream, 'acquire', acquire_late)
-    refuse = ingress_.refuse_waiting
+    monkeypatch.setattr(connections, 'acquire', acquire_late)
+    refuse = node.ingress.refuse_waiting
     monkeypatch.setattr(
-        ingress_, 'refuse_waiting', lambda: opened.set() or refuse()
+        node.ingress, 'refuse_waiting', lambda: opened.set() or refuse()
     )
     client.request('GET', '/safe/x', 'early', X_Deadline_Ms=WAIT_MS)
-    gatewayworld.wait_for(lambda: ingress_.running, 'the request')
+    gatewayworld.wait_for(lambda: node.ingress.running, 'the request')
     stopping.begin()
     stopping.clock.skipped_s += 2.6
     assert client.answer()[0].status == 200
