Send requests without a prompt only to engines that decode

Callers of a route whose requests name no prompt, and that goes to a service with engines, got 503 for 30 to 70 in 100 of their requests in steady state.

Cause: PlainExchange chose among all endpoints of the service. An engine that prefills answers 421, which spends a retry and often meets another such engine.

Only engines that decode are chosen now, so that no try is lost; without one the request is refused before it is sent. Both tests failed before.

--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -78,10 +78,21 @@
                 case outcomes.Failed():
                     return tried
 
+    def _usable(self) -> list[catalog.Endpoint]:
+        """Return the endpoints that run requests: engines that prefill don't.
+
+        A request without a prompt may go to a service with engines.
+        """
+        return [
+            each
+            for each in super()._usable()
+            if each.stage is not catalog.Stage.PREFILL
+        ]
+
     def _unavailable_reason(self) -> str:
         if self.limit_wait_s:
             return exchange.LIMIT_REASON
-        if self.parts.catalog.usable(self.service):
+        if self._usable():
             return exchange.BACKOFF_REASON
         return 'no endpoint is known'
 
--- a/tests/test_gateway_splitroutes.py
+++ b/tests/test_gateway_splitroutes.py
@@ -54,6 +54,30 @@
         assert bool(world.endpoints[name].runs) == bool(weight)
 
 
+def test_request_without_a_prompt_goes_to_no_engine_that_prefills(world):
+    """Each was refused there, and its retries were spent."""
+    prefilling = [world.endpoints['e1']]
+    prefilling += [
+        world.endpoint(name, 'model', 'prefill') for name in ('e2', 'e3', 'e4')
+    ]
+    split(world, 1, 100, 0)
+    world.node()
+    assert ask_all(world, {}) == {200: REQUESTS}
+    assert not any(each.arrivals for each in prefilling)
+
+
+def test_request_without_a_prompt_is_refused_beside_engines_that_prefill(
+    world,
+):
+    """It was sent to them, though none can run it."""
+    world.endpoints['d1'].stage = 'prefill'
+    world.list(world.endpoints['d1'])
+    split(world, 1, 100, 0)
+    world.node()
+    assert ask_all(world, {}) == {503: REQUESTS}
+    assert not world.endpoints['d1'].arrivals
+
+
 def test_relayed_request_keeps_its_service(world):
     """Another host drew again, a service that the first had not drawn."""
     split(world, 1, 50, 50)
