Take no other host's word for what this one could not have seen

A stream that its caller takes up, and that no host has on record, goes on at the only version that can have served. Hosts that are behind know too few versions, and their word was taken:

- by a host that has seen a second version itself, if they had not,
- by a host that started after a version had come and gone, and that adopted their certainty and could pass it on,
- though the store listed no other version at that moment: it doesn't list one that has gone.

Callers got 200 with a first part of one version and the rest of another.

Evidence: the drawn model let no version go before all hosts had read its entry. Without that premise its sequences break at once, and so do two tests with real hosts; all fail before this change.

A host now counts its own view first, reads the changes up to this moment before it decides (one call of the store, as before), and believes a report only if its own history begins before the list that the report goes by, whose age the reports tell. Then the two histories together have no gap.

--- a/magnoliadyke/core/streamversions.py
+++ b/magnoliadyke/core/streamversions.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Set as AbstractSet
 import hashlib
 import math
 from typing import NamedTuple
@@ -29,6 +30,12 @@
 #: Longest time for which a stream is on record, in seconds, whatever its
 #: caller says of its deadline.
 MAX_RECORD_S = 120.0
+#: Age from which on the list of endpoints is too old to tell that one version
+#: alone serves, in seconds: above the longest wait of a watch.
+MAX_LIST_AGE_S = 5.0
+#: Longest time for which a process stands still unnoticed, in seconds.  What
+#: it then knows is older by as much than it reckons.
+MAX_STALL_S = 1.5
 
 
 class Known(NamedTuple):
@@ -54,11 +61,14 @@
     :param version: None if it knows nothing
     :param is_recorded: whether that is on record there
     :param has_several: whether several versions can have served
+    :param list_age_s: age of the list of endpoints by which it tells that, in
+        seconds
     """
 
     version: str | None
     is_recorded: bool
     has_several: bool = False
+    list_age_s: float = MAX_LIST_AGE_S
 
 
 def stream_key(service: str, workspace: str, request_id: bytes) -> bytes:
@@ -140,6 +150,15 @@
             return None
         return found.version
 
+    def is_ambiguous(self, key: bytes, now_s: float) -> bool:
+        """Return whether streams of several versions have this key."""
+        found = self.records.get(key)
+        return (
+            found is not None
+            and found.until_s > now_s
+            and found.version is None
+        )
+
     def of_service(
         self, service: str, now_s: float
     ) -> list[tuple[bytes, str, float]]:
@@ -180,6 +199,28 @@
         self.since_s = now_s
         self.inherited.clear()
 
+    def has_all_since(self, age_s: float, now_s: float) -> bool:
+        """Return whether all entries since another host's list are known.
+
+        :param age_s: age of that list as that host reckons it, in seconds
+        """
+        if self.since_s is None:
+            return False
+        return now_s - self.since_s > age_s + MAX_STALL_S
+
+    def complete(self, reports: list[Report], now_s: float) -> list[Report]:
+        """Return reports without the versions that they can't vouch for.
+
+        A host whose list is behind does not know the versions listed since.
+        It can vouch for one only together with a history that begins before.
+        """
+        return [
+            each
+            if each.is_recorded or self.has_all_since(each.list_age_s, now_s)
+            else each._replace(version=None)
+            for each in reports
+        ]
+
     def inherit(
         self,
         service: str,
@@ -193,11 +234,11 @@
         :returns: whether one of them knows that only the version that is
             listed here has served, and none knows better
         """
-        recent = self._recent(service, window_s, now_s)
-        possible = {e.version for e in reports if e.version is not None}
         if any(each.has_several for each in reports):
             return False
-        if not possible or set(recent) != possible:
+        completed = self.complete(reports, now_s)
+        possible = {e.version for e in completed if e.version is not None}
+        if not possible or self.recent(service, window_s, now_s) != possible:
             return False
         self.inherited.add(service)
         return True
@@ -225,37 +266,39 @@
             return None
         if service not in self.inherited and now_s - self.since_s < window_s:
             return None
-        recent = self._recent(service, window_s, now_s)
-        return recent[0] if len(recent) == 1 else None
+        recent = self.recent(service, window_s, now_s)
+        return min(recent) if len(recent) == 1 else None
 
     def has_several(self, service: str, window_s: float, now_s: float) -> bool:
         """Return whether several versions were listed within a time."""
-        return len(self._recent(service, window_s, now_s)) > 1
+        return len(self.recent(service, window_s, now_s)) > 1
 
-    def _recent(
+    def recent(
         self, service: str, window_s: float, now_s: float
-    ) -> list[str]:
+    ) -> frozenset[str]:
+        """Return the versions listed within a time."""
         times = self.last_listed_s.get(service, {})
-        return [v for v, last in times.items() if last > now_s - window_s]
+        since_s = now_s - window_s
+        return frozenset(v for v, last in times.items() if last > since_s)
 
 
 def resolve(
     own: str | None,
     reports: list[Report],
     only: str | None,
-    listed: Iterable[str],
+    recent: AbstractSet[str],
 ) -> Known | Unknown:
     """Decide at which version a stream that its caller takes up goes on.
 
     The only version that can have served counts where no host has seen
-    several, and the endpoints that the store lists now have no other: the
-    lists of hosts may be behind.
+    several.  This host has to have seen the same up to this moment: the lists
+    of hosts may be behind.
 
     :param own: version on record at this host
     :param reports: reports of other hosts
     :param only: the only version that can have served, as this host knows
-    :param listed: versions of the endpoints that the store lists now, empty
-        if it can't be asked
+    :param recent: versions that this host knows to have been listed, up to
+        this moment; empty if the store can't be asked
     """
     recorded = {each.version for each in reports if each.is_recorded}
     if own is not None:
@@ -264,11 +307,11 @@
         return Unknown('streams of two versions have this id')
     if recorded:
         return Known(recorded.pop(), True)
-    if any(each.has_several for each in reports):
+    if len(recent) > 1 or any(each.has_several for each in reports):
         return Unknown('several versions serve, and no host has it on record')
     possible = {each.version for each in reports if each.version is not None}
     if only is not None:
         possible.add(only)
-    if len(possible) != 1 or set(listed) != possible:
+    if len(possible) != 1 or recent != possible:
         return Unknown('no host knows what began the stream')
     return Known(possible.pop(), False)
--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -39,6 +39,9 @@
 #: MAX_RETRY_S a change still takes effect within the shortest limit.
 RETRY_S = 0.25
 MAX_RETRY_S = 0.7
+#: Time limit of a read of the latest changes for which requests wait, in
+#: seconds.
+READ_LATEST_TIMEOUT_S = 0.3
 #: Share of ``bound_s`` within which the store must report to this host a
 #: change that another host has seen.  Other hosts read a change within
 #: BATCH_INTERVAL_S, and gossip carries their position here within a second.
@@ -324,6 +327,27 @@
                 self._record_failure(reason)
         return False
 
+    def read_latest(self) -> bool:
+        """Apply the changes up to this moment; return whether that was done.
+
+        During an outage the store is not asked.
+        """
+        if self.failing_since_s is not None:
+            return False
+        base = self.lag.own_position
+        found = None
+        with gevent.Timeout(READ_LATEST_TIMEOUT_S, False):
+            found = self.store.watch('', base, 0.0)
+        match found:
+            case store.Changes(changes, upto):
+                if base == self.lag.own_position:
+                    self._record_success()
+                    self.mirror.apply_changes(changes)
+                    self._record_position(upto)
+                    self._relay(base, changes)
+                return self.lag.own_position >= upto
+        return False
+
     def _watch(self) -> bool:
         """Apply and relay the changes that one watch call returns.
 
--- a/magnoliadyke/gateway/stream_codec.py
+++ b/magnoliadyke/gateway/stream_codec.py
@@ -74,6 +74,7 @@
                 report.version,
                 report.is_recorded,
                 report.has_several or None,
+                round(report.list_age_s * 1000),
             )
 
 
@@ -93,10 +94,16 @@
         return StreamQuery(query.nonce, query.pool, query.key)
     if datagram.stream_reply is not None:
         reply = datagram.stream_reply
+        age_ms = reply.list_age_ms
         return StreamReply(
             reply.nonce,
             streamversions.Report(
-                reply.version, bool(reply.recorded), bool(reply.several)
+                reply.version,
+                bool(reply.recorded),
+                bool(reply.several),
+                streamversions.MAX_LIST_AGE_S
+                if age_ms is None
+                else age_ms / 1000,
             ),
         )
     return None
--- a/magnoliadyke/gateway/streamrecords.py
+++ b/magnoliadyke/gateway/streamrecords.py
@@ -44,11 +44,6 @@
 INHERIT_INTERVAL_S = 0.5
 #: Time added to a caller's deadline, in seconds.
 DEADLINE_MARGIN_S = 2.0
-#: Age from which on the list of endpoints is too old to tell that one version
-#: alone serves, in seconds: above the longest wait of a watch.
-MAX_LIST_AGE_S = 5.0
-#: Time limit for reading the list of endpoints, in seconds.
-READ_TIMEOUT_S = 0.3
 #: Interval between two removals of expired records, in seconds.
 EXPIRY_INTERVAL_S = 1.0
 #: Maximum number of streams in a datagram, so that it does not exceed the
@@ -57,13 +52,14 @@
 
 
 class _Read(NamedTuple):
-    """Versions of a service's endpoints, as the store listed them.
+    """A read of the latest changes.
 
-    :param started_s: when the read began, in monotonic seconds
+    :param started_s: when it began, in monotonic seconds
+    :param is_done: whether the store told them
     """
 
     started_s: float
-    versions: frozenset[str]
+    is_done: bool
 
 
 class _Query:
@@ -92,9 +88,9 @@
     :ivar versions: streams on record at this host
     :ivar history: versions that the entries of endpoints named
     :ivar list_age_s: returns the age of the list of endpoints, in seconds
-    :ivar read_versions: reads the versions of a service's endpoints from the
-        store; returns None if it does not answer
-    :ivar last_read: what :attr:`read_versions` returned last, by service
+    :ivar read_latest: applies the changes of the store up to this moment;
+        returns whether it told them
+    :ivar last_read: the last such read
     :ivar queries: queries that wait for replies, by nonce
     :ivar window_s: longest time for which a caller may take a stream up, in
         seconds
@@ -120,9 +116,9 @@
         self.versions = streamversions.StreamVersions()
         self.history = streamversions.VersionHistory()
         self.list_age_s = _list_age_unknown
-        self.read_versions = _read_nothing
+        self.read_latest = _read_nothing
         self.reading = lock.BoundedSemaphore(1)
-        self.last_read: dict[str, _Read] = {}
+        self.last_read = _Read(-math.inf, False)
         self.queries: dict[int, _Query] = {}
         self.counts: collections.Counter[str] = collections.Counter()
         self.window_s = MIN_WINDOW_S
@@ -185,7 +181,10 @@
         if age_s == math.inf:
             return
         now_s = self.clock.now_s()
-        if age_s > MAX_LIST_AGE_S or self.history.since_s is None:
+        if (
+            age_s > streamversions.MAX_LIST_AGE_S
+            or self.history.since_s is None
+        ):
             self.history.restart(now_s)
         if self.catalog.generation == self.generation:
             return
@@ -209,7 +208,7 @@
     def _only_version(self, service: str) -> str | None:
         """Return the only version that can have begun a stream, if certain."""
         self._update()
-        if self.list_age_s() > MAX_LIST_AGE_S:
+        if self.list_age_s() > streamversions.MAX_LIST_AGE_S:
             return None
         now_s = self.clock.now_s()
         return self.history.only_version(service, self._window_s(), now_s)
@@ -296,16 +295,25 @@
     def _resolve(
         self, request: codecs.Request, service: str
     ) -> streamversions.Known | streamversions.Unknown:
-        only = self._only_version(service)
         # Without a key other hosts still know which versions have served.
         key = _key(request, service) or b''
         own = self.versions.find(key, self.clock.now_s())
         reports = [] if own is not None else self._ask(service, key)
-        known = streamversions.resolve(own, reports, only, ())
-        listed: frozenset[str] = frozenset()
-        if isinstance(known, streamversions.Unknown):
-            listed = self._read_listed(service)
-            known = streamversions.resolve(own, reports, only, listed)
+        only = None
+        recent: frozenset[str] = frozenset()
+        known = streamversions.resolve(own, reports, only, recent)
+        if isinstance(known, streamversions.Unknown) and self._may_be_certain(
+            service, reports
+        ):
+            asked_s = self.clock.now_s()
+            if self._read_latest():
+                only = self._only_version(service)
+                recent = self.history.recent(
+                    service, self._window_s(), self.clock.now_s()
+                )
+            known = streamversions.resolve(
+                own, self.history.complete(reports, asked_s), only, recent
+            )
         LOG.event(
             'stream_taken_up',
             id=request.id.decode('latin-1'),
@@ -317,26 +325,31 @@
             recorded=sum(each.is_recorded for each in reports),
             several=sum(each.has_several for each in reports),
             only=only or 'none',
-            listed=','.join(sorted(listed)) or 'none',
+            recent=','.join(sorted(recent)) or 'none',
         )
         return known
 
-    def _read_listed(self, service: str) -> frozenset[str]:
-        """Return the versions that the store lists, empty if unknown.
+    def _may_be_certain(
+        self, service: str, reports: list[streamversions.Report]
+    ) -> bool:
+        """Return whether one version may prove to be the only possible one."""
+        if any(each.has_several for each in reports):
+            return False
+        return self._only_version(service) is not None or any(
+            each.version is not None for each in reports
+        )
+
+    def _read_latest(self) -> bool:
+        """Read the latest changes; return whether the store told them.
 
         Requests that wait for a read share the next one.
         """
         asked_s = self.clock.now_s()
         with self.reading:
-            last = self.last_read.get(service)
-            if last is None or last.started_s < asked_s:
+            if self.last_read.started_s < asked_s:
                 started_s = self.clock.now_s()
-                found = None
-                with gevent.Timeout(READ_TIMEOUT_S, False):
-                    found = self.read_versions(service)
-                last = _Read(started_s, frozenset(found or ()))
-                self.last_read[service] = last
-        return last.versions
+                self.last_read = _Read(started_s, self.read_latest())
+            return self.last_read.is_done
 
     def _ask(self, service: str, key: bytes) -> list[streamversions.Report]:
         """Ask other hosts which version began a stream."""
@@ -372,12 +385,14 @@
         if found is not None:
             report = streamversions.Report(found, True)
         else:
+            only = self._only_version(query.service)
             report = streamversions.Report(
-                self._only_version(query.service),
+                only,
                 False,
                 self.history.has_several(
                     query.service, self._window_s(), now_s
                 ),
+                min(self.list_age_s(), streamversions.MAX_LIST_AGE_S),
             )
         return stream_codec.StreamReply(query.nonce, report)
 
@@ -392,8 +407,8 @@
     return math.inf
 
 
-def _read_nothing(service: str) -> set[str] | None:
-    return None
+def _read_nothing() -> bool:
+    return False
 
 
 def _key(request: codecs.Request, service: str) -> bytes | None:
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -45,7 +45,6 @@
 from magnoliadyke.gateway import relaying
 from magnoliadyke.gateway import smallserver
 from magnoliadyke.gateway import stages
-from magnoliadyke.gateway import store
 from magnoliadyke.gateway import stream_codec
 from magnoliadyke.gateway import streambackups
 from magnoliadyke.gateway import streamrecords
@@ -248,7 +247,7 @@
         self.paces = pacereports.PaceReporter(self.placement_service, clock)
         self.paces.broadcast = self._broadcast
         self.streams.list_age_s = self.follower.list_age_s
-        self.streams.read_versions = self._read_versions
+        self.streams.read_latest = self.follower.read_latest
         if settings.first_start:
             self.streams.history.restart(float('-inf'))
         self.placement_service.broadcast = self._broadcast
@@ -380,22 +379,6 @@
             ),
         )
 
-    def _read_versions(self, service: str) -> set[str] | None:
-        """Read the versions of a service's endpoints from the store."""
-        match self.store.list_prefix(records.ENDPOINT_PREFIX):
-            case store.Items(items):
-                found = [
-                    records.decode_endpoint(each.key, each.value)
-                    for each in items
-                ]
-                return {
-                    each.version
-                    for each in found
-                    if isinstance(each, catalog.Endpoint)
-                    and each.service == service
-                }
-        return None
-
     def _duties(
         self,
     ) -> tuple[usageduty.UsageDuty, autoscaling.AutoscalingDuty]:
--- a/magnoliadyke/platform/store.py
+++ b/magnoliadyke/platform/store.py
@@ -130,21 +130,20 @@
     def watch(
         self, prefix: str, after: position.Position, wait_s: float
     ) -> store.Changes | store.Compacted | store.Restored | store.Unavailable:
-        """Wait for changes under a prefix, on a separate connection."""
+        """Wait for changes under a prefix, on a separate connection.
+
+        A watch that does not wait shares the connection of the other calls.
+        """
         if self.era is not None and self.era > after.era:
             return store.Restored(self.era)
         path = (
             f'/api/kv-watch?path_prefix={_quoted(prefix)}'
             f'&after={after.revision}&wait_ms={round(wait_s * 1000)}'
         )
-        conn, self.watch_connection = self.watch_connection, None
-        if conn is not None and not conn.is_quiet():
-            conn.close()
-            conn = None
-        reply, conn = self._exchange(
-            'watch', conn, b'GET', path, b'', wait_s + WATCH_GRACE_S
-        )
-        self.watch_connection = conn
+        if wait_s:
+            reply = self._wait_for_changes(path, wait_s)
+        else:
+            reply = self._call('watch', b'GET', path)
         if isinstance(reply, store.Unavailable):
             return reply
         if reply.era > after.era:
@@ -165,6 +164,18 @@
             position.Position(reply.era, reply.fields['store_revision']),
         )
 
+    def _wait_for_changes(
+        self, path: str, wait_s: float
+    ) -> _Reply | store.Unavailable:
+        conn, self.watch_connection = self.watch_connection, None
+        if conn is not None and not conn.is_quiet():
+            conn.close()
+            conn = None
+        reply, self.watch_connection = self._exchange(
+            'watch', conn, b'GET', path, b'', wait_s + WATCH_GRACE_S
+        )
+        return reply
+
     def commit(
         self,
         expected: dict[str, position.Position],
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -3978,6 +3978,7 @@
      - version
      - recorded
      - several
+     - list_age_ms
 
     """
 
@@ -3986,14 +3987,16 @@
         'version',
         'recorded',
         'several',
+        'list_age_ms',
     )
 
 
-    def __init__(self, nonce=None, version=None, recorded=None, several=None,):
+    def __init__(self, nonce=None, version=None, recorded=None, several=None, list_age_ms=None,):
         self.nonce = nonce
         self.version = version
         self.recorded = recorded
         self.several = several
+        self.list_age_ms = list_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4024,6 +4027,11 @@
                     self.several = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.list_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4050,6 +4058,10 @@
             oprot.writeFieldBegin('several', TType.BOOL, 4)
             oprot.writeBool(self.several)
             oprot.writeFieldEnd()
+        if self.list_age_ms is not None:
+            oprot.writeFieldBegin('list_age_ms', TType.I32, 5)
+            oprot.writeI32(self.list_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4774,6 +4786,7 @@
     (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'recorded', None, None, ),  # 3
     (4, TType.BOOL, 'several', None, None, ),  # 4
+    (5, TType.I32, 'list_age_ms', None, None, ),  # 5
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -12,7 +12,6 @@
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import stream_codec
-from magnoliadyke.gateway import streamrecords
 from magnoliadyke.lab import framedanswer
 from tests import gatewayworld
 
@@ -192,10 +191,72 @@
     gatewayworld.wait_for(
         lambda: world.nodes[2].members.count() == 3, 'the other hosts'
     )
-    status, body = take_up(world, 's1', 'r9', 1, node=2)
+    gatewayworld.wait_for(
+        lambda: take_up(world, 's1', 'r9', 1, node=2)[0] == 200,
+        'a stream that goes on',
+    )
+    status, body = take_up(world, 's2', 'r9', 1, node=2)
     assert (status, body.count(b'data')) == (200, 2)
 
 
+def fall_behind(*nodes):
+    """Let hosts read no more changes, and take their lists for new ones."""
+    for node in nodes:
+        gevent.killall(node.follower.greenlets)
+        node.streams.list_age_s = lambda: 0.5
+        node.streams.read_latest = lambda: True
+
+
+def come_and_go(world, *seeing):
+    """List an engine of another version, and remove it.
+
+    :param seeing: hosts that read its entry meanwhile
+    """
+    engine = world.endpoint('d2', 'model', 'decode', version='v2')
+    gatewayworld.wait_for(
+        lambda: all('d2' in each.catalog.endpoints for each in seeing),
+        'the entry of the other engine',
+    )
+    world.store.remove('servers/d2')
+    gatewayworld.wait_for(
+        lambda: all('d2' not in each.catalog.endpoints for each in seeing),
+        'the end of that entry',
+    )
+    return engine
+
+
+def test_host_that_starts_among_hosts_that_are_behind_goes_on_with_nothing(
+    world,
+):
+    """It took their word that no other version had served."""
+    engine = world.endpoint('d1', 'model', 'decode')
+    hosts(world, 2)
+    settle(world)
+    fall_behind(*world.nodes)
+    come_and_go(world)
+    world.node()
+    gatewayworld.wait_for(
+        lambda: world.nodes[2].members.count() == 3, 'the other hosts'
+    )
+    status, body = take_up(world, 's1', 'r9', 1, node=2)
+    assert (status, engine.runs) == (503, [])
+    assert b'unknown' in body
+
+
+def test_what_a_host_has_seen_goes_before_the_word_of_hosts_that_are_behind(
+    world,
+):
+    """It had seen a second version, and took their word for the first."""
+    engine = world.endpoint('d1', 'model', 'decode')
+    hosts(world, 3)
+    settle(world)
+    seeing, *others = world.nodes
+    fall_behind(*others)
+    come_and_go(world, seeing)
+    status, _ = take_up(world, 's1', 'r9', 1)
+    assert (status, engine.runs) == (503, [])
+
+
 def test_stream_whose_version_serves_no_more_is_refused_at_once(world):
     """A caller waited for an engine of a version that was gone."""
     world.endpoint('e1', 'model', 'prefill')
@@ -301,7 +362,7 @@
     """Hosts of large fleets, which don't watch the store, refused streams."""
     monkeypatch.setattr(members, 'MAX_ALL_WATCH_HOSTS', 0)
     monkeypatch.setattr(members, 'WATCHERS', 1)
-    monkeypatch.setattr(streamrecords, 'MAX_LIST_AGE_S', 0.6)
+    monkeypatch.setattr(streamversions, 'MAX_LIST_AGE_S', 0.6)
     world.endpoint('d1', 'model', 'decode')
     hosts(world, 3)
     gatewayworld.wait_for(
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -116,17 +116,33 @@
         [Report('v1', False), Report(None, False, True)],
         [Report('v1', False), Report('v2', False)],
     ):
-        assert not history.inherit('model', reports, WINDOW_S, 101.0)
-    assert history.only_version('model', WINDOW_S, 101.0) is None
+        assert not history.inherit('model', reports, WINDOW_S, 110.0)
+    assert history.only_version('model', WINDOW_S, 110.0) is None
     reports = [Report(None, False), Report('v1', False)]
-    assert history.inherit('model', reports, WINDOW_S, 101.0)
-    assert history.only_version('model', WINDOW_S, 101.0) == 'v1'
-    history.update('model', {'v1', 'v2'}, 102.0)
-    assert history.only_version('model', WINDOW_S, 102.0) is None
+    assert history.inherit('model', reports, WINDOW_S, 110.0)
+    assert history.only_version('model', WINDOW_S, 110.0) == 'v1'
+    history.update('model', {'v1', 'v2'}, 111.0)
+    assert history.only_version('model', WINDOW_S, 111.0) is None
     history.restart(200.0)
     assert history.only_version('model', WINDOW_S, 201.0) is None
 
 
+@pytest.mark.parametrize('age_s', [0.2, 3.4, 5.0])
+def test_host_adopts_nothing_known_by_a_list_older_than_its_start(age_s):
+    """The other host had not read yet that another version had served."""
+    history = streamversions.VersionHistory()
+    history.restart(100.0)
+    history.update('model', {'v1'}, 100.0)
+    reports = [Report('v1', False, list_age_s=age_s)]
+    known_s = 99.9 + age_s + streamversions.MAX_STALL_S
+    assert not history.inherit('model', reports, WINDOW_S, known_s)
+    assert history.complete(reports, known_s) == [
+        Report(None, False, list_age_s=age_s)
+    ]
+    assert history.complete(reports, known_s + 0.2) == reports
+    assert history.inherit('model', reports, WINDOW_S, known_s + 0.2)
+
+
 def test_service_without_endpoints_has_no_version():
     history = streamversions.VersionHistory()
     history.since_s = 0.0
@@ -165,13 +181,14 @@
             assert found == expected
 
 
-@pytest.mark.parametrize('listed', [set(), {'v2'}, {'v1', 'v2'}])
-def test_only_version_counts_if_the_store_lists_no_other_now(listed):
+@pytest.mark.parametrize('recent', [set(), {'v2'}, {'v1', 'v2'}])
+def test_only_version_counts_if_this_host_has_seen_no_other(recent):
     """Hosts that were behind took the version they knew for the only one."""
     reports = [Report('v1', False)]
-    assert isinstance(
-        streamversions.resolve(None, reports, 'v1', listed), Unknown
-    )
+    for only in (None, 'v1'):
+        assert isinstance(
+            streamversions.resolve(None, reports, only, recent), Unknown
+        )
     found = streamversions.resolve(None, reports, 'v1', {'v1'})
     assert found == Known('v1', False)
 
@@ -179,9 +196,11 @@
 # The model.
 
 HOSTS_TOLD, HOSTS_ASKED = 3, 7
-#: Longest time for which a host's list may lag behind the store, in seconds,
-#: before it takes its own list for too old.
-MAX_LIST_AGE_S = 5.0
+MAX_LIST_AGE_S = streamversions.MAX_LIST_AGE_S
+#: Longest time from the begin of a stream until its caller takes it up, and
+#: that for which hosts reckon with it, in seconds.
+CALLER_S = 15.0
+CALLER_WINDOW_S = 17.0
 
 
 class Host:
@@ -205,7 +224,10 @@
     def only(self, now_s):
         if now_s - self.confirmed_s > MAX_LIST_AGE_S:
             return None
-        return self.history.only_version('model', WINDOW_S, now_s)
+        return self.history.only_version('model', CALLER_WINDOW_S, now_s)
+
+    def recent(self, now_s):
+        return self.history.recent('model', CALLER_WINDOW_S, now_s)
 
 
 class Fleet:
@@ -251,6 +273,15 @@
             ):
                 self.tell(name, each, version, for_s)
 
+    def reread(self, name):
+        """A host reads the list anew, and not the changes before."""
+        host = self.hosts[name]
+        if host.store_cut:
+            return
+        host.history.restart(self.now_s)
+        host.applied = len(self.changes) - 1
+        self.sync(name)
+
     def heal(self, name):
         """A host reaches all again, and reads what is listed now."""
         host = self.hosts[name]
@@ -266,8 +297,11 @@
         found = host.versions.find(stream, self.now_s)
         if found is not None:
             return Report(found, True)
-        several = host.history.has_several('model', WINDOW_S, self.now_s)
-        return Report(host.only(self.now_s), False, several)
+        if host.versions.is_ambiguous(stream, self.now_s):
+            return Report(None, False, True)
+        several = len(host.recent(self.now_s)) > 1
+        age_s = self.now_s - host.confirmed_s
+        return Report(host.only(self.now_s), False, several, age_s)
 
     def inherit(self, name):
         """A host asks others what was listed before it started."""
@@ -278,7 +312,7 @@
         ]
         host = self.hosts[name]
         if self.now_s - host.confirmed_s <= MAX_LIST_AGE_S:
-            host.history.inherit('model', reports, WINDOW_S, self.now_s)
+            host.history.inherit('model', reports, CALLER_WINDOW_S, self.now_s)
 
     def tell(self, name, stream, version, for_s):
         others = [each for each in self.names if each != name]
@@ -317,16 +351,20 @@
         stream, version, began, begun_s = self.streams[
             number % len(self.streams)
         ]
-        if self.now_s - begun_s > 15.0:
+        if self.now_s - begun_s > CALLER_S:
             return
+        self.sync(name)
         others = [each for each in self.names if each != name]
         asked = streamversions.rank_hosts(stream, others)[:HOSTS_ASKED]
         reached = [each for each in asked if self.can_reach(name, each)]
         reports = [self.report(each, stream) for each in reached]
         own = host.versions.find(stream, self.now_s)
-        listed = set() if host.store_cut else self.listed()
+        recent = host.recent(self.now_s)
+        if host.store_cut:
+            recent = frozenset()
+        reports = host.history.complete(reports, self.now_s)
         found = streamversions.resolve(
-            own, reports, host.only(self.now_s), listed
+            own, reports, host.only(self.now_s), recent
         )
         if isinstance(found, Known):
             assert found.version == version
@@ -359,11 +397,11 @@
             case 'retire' if len(fleet.listed()) > 1:
                 fleet.changes.append({max(fleet.listed())})
             case 'roll_back' if len(fleet.listed()) > 1:
-                # Endpoints are listed for longer than lists lag behind.
-                fleet.sync_all()
                 fleet.changes.append({min(fleet.listed())})
             case 'sync':
                 fleet.sync(name)
+            case 'reread':
+                fleet.reread(name)
             case 'inherit':
                 fleet.inherit(name)
             case 'sync_all':
@@ -380,7 +418,7 @@
             ['begin'] * 3
             + ['take_up'] * 3
             + ['kill', 'cut', 'store_cut', 'heal', 'sync', 'sync_all', 'wait']
-            + ['kill', 'inherit', 'inherit']
+            + ['kill', 'inherit', 'inherit', 'reread', 'late']
             + ['release', 'release', 'retire', 'roll_back']
         ),
         strategies.integers(0, 9),
@@ -412,6 +450,16 @@
         # Every host has just started, and an older version may have served.
         'begin1 release kill0 kill2 kill3 retire kill0 kill2 kill3 kill1 '
         'take_up0',
+        # The host started after the version had gone, the others are behind.
+        'release sync1 cut1 begin1-1 roll_back kill0 take_up0',
+        # It adopted what they knew, and then they were killed.
+        'release sync1 cut1 begin1-1 roll_back kill0 inherit0 sync_all '
+        'kill2 kill3 take_up0',
+        # The host itself has seen a version that the others have not.
+        'release sync0 cut3 begin3-1 roll_back sync0 take_up0',
+        # The version came and went before this host read the list anew.
+        'release sync1 cut1 begin1-1 roll_back reread0 reread2 reread3 '
+        'take_up0',
         # The stream is on record at the host that began it alone.
         'begin1 release retire sync_all take_up0',
     ],
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -337,6 +337,9 @@
   2: optional string version,
   3: bool recorded,
   4: optional bool several,
+  // Age of the list of endpoints by which the host tells that, in
+  // milliseconds.
+  5: optional i32 list_age_ms,
 }
 
 struct Datagram {
