Record software versions that come and go while nobody looks

A version that is listed between two looks at the list, in one batch of changes, before all keys are read anew, or while a process stands still, left no trace in the history of versions. A host that had used it may be gone, and the others took another version for the only one: callers could get a stream of two versions.

Each entry that is applied is noted, also one that the same batch removes.

--- a/magnoliadyke/core/catalog.py
+++ b/magnoliadyke/core/catalog.py
@@ -72,6 +72,10 @@
     :ivar confirmed_s: when the store last confirmed the catalog
     :ivar position: position in the store up to which its keys are applied
     :ivar generation: number of changes of endpoints and of the configuration
+    :ivar gaps: number of times that all entries were read anew, so that some
+        may have come and gone unseen
+    :ivar noted_versions: service and software version of each entry since
+        they were last taken, also of those that are gone
     """
 
     def __init__(self) -> None:
@@ -89,6 +93,8 @@
         self.confirmed_s: float | None = None
         self.position = position.START
         self.generation = 0
+        self.gaps = 0
+        self.noted_versions: set[tuple[str, str]] = set()
 
     def configure(self, configuration: routes.Configuration) -> bool:
         """Apply a configuration if it is newer than the present one.
@@ -133,8 +139,14 @@
         self._remember_start(endpoint)
         of_service = self.by_service.setdefault(endpoint.service, {})
         of_service[endpoint.id] = endpoint
+        self.noted_versions.add((endpoint.service, endpoint.version))
         self.generation += 1
 
+    def take_noted_versions(self) -> set[tuple[str, str]]:
+        """Return the noted versions, and begin to note anew."""
+        noted, self.noted_versions = self.noted_versions, set()
+        return noted
+
     def mark_leaving(self, endpoint_id: str) -> bool:
         """Record that an endpoint announced in a response that it leaves.
 
--- a/magnoliadyke/core/streamversions.py
+++ b/magnoliadyke/core/streamversions.py
@@ -254,6 +254,11 @@
                 times[version] = now_s
         times.update(dict.fromkeys(listed, math.inf))
 
+    def note(self, service: str, version: str, now_s: float) -> None:
+        """Record a version that an entry named, and that may be gone again."""
+        times = self.last_listed_s.setdefault(service, {})
+        times[version] = max(now_s, times.get(version, now_s))
+
     def only_version(
         self, service: str, window_s: float, now_s: float
     ) -> str | None:
--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -413,6 +413,8 @@
         own = self.lag.own_position
         if at < own:
             return
+        if own not in (position.START, at):
+            self.mirror.catalog.gaps += 1
         if own != position.START and at.era > own.era:
             self.mirror.restored(items, at)
         else:
--- a/magnoliadyke/gateway/streamrecords.py
+++ b/magnoliadyke/gateway/streamrecords.py
@@ -95,6 +95,9 @@
     :ivar window_s: longest time for which a caller may take a stream up, in
         seconds
     :ivar generation: generation of the list of endpoints that the history has
+    :ivar gaps: number of gaps in that list that the history knows of
+    :ivar updated_boot_s: when the history was last updated, by the clock that
+        also runs during a suspension
     :ivar certain: version of the streams that no other host was told of, by
         service
     :ivar counts: number of streams that callers took up, by what was known
@@ -124,6 +127,8 @@
         self.window_s = MIN_WINDOW_S
         self.inherit_s = 0.0
         self.generation = -1
+        self.gaps = 0
+        self.updated_boot_s = clock.boot_s()
         self.certain: dict[str, str] = {}
         self.expired_s = 0.0
         self.greenlet: gevent.Greenlet | None = None
@@ -177,18 +182,26 @@
 
     def _update(self) -> None:
         """Record the versions in the list of endpoints, if it has changed."""
+        boot_s = self.clock.boot_s()
+        stalled_s = boot_s - self.updated_boot_s
+        self.updated_boot_s = boot_s
         age_s = self.list_age_s()
         if age_s == math.inf:
             return
         now_s = self.clock.now_s()
         if (
             age_s > streamversions.MAX_LIST_AGE_S
+            or stalled_s > streamversions.MAX_STALL_S
+            or self.catalog.gaps != self.gaps
             or self.history.since_s is None
         ):
+            self.gaps = self.catalog.gaps
             self.history.restart(now_s)
         if self.catalog.generation == self.generation:
             return
         self.generation = self.catalog.generation
+        for service, version in self.catalog.take_noted_versions():
+            self.history.note(service, version, now_s)
         for service, listed in self.catalog.by_service.items():
             self.history.update(
                 service, {each.version for each in listed.values()}, now_s
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from magnoliadyke import clock as clocks
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import promptjobs
 from magnoliadyke.core import streamversions
@@ -257,6 +258,64 @@
     assert (status, engine.runs) == (503, [])
 
 
+def test_host_that_is_behind_reads_what_has_changed_before_it_decides(world):
+    """A version had come and gone that its list did not name yet."""
+    engine = world.endpoint('d1', 'model', 'decode')
+    hosts(world, 1)
+    settle(world)
+    (node,) = world.nodes
+    gevent.killall(node.follower.greenlets)
+    come_and_go(world)
+    status, _ = take_up(world, 's1', 'r9', 1)
+    assert (status, engine.runs) == (503, [])
+
+
+def test_version_that_came_and_went_in_one_batch_may_have_begun_a_stream(
+    world,
+):
+    """Other hosts may have used it; a stream of it went on at another one."""
+    engine = world.endpoint('d1', 'model', 'decode')
+    hosts(world, 1)
+    settle(world)
+    come_and_go(world)
+    world.join('d3', 'model', 'decode')
+    status, _ = take_up(world, 's1', 'r9', 1)
+    assert (status, engine.runs) == (503, [])
+
+
+def test_versions_may_have_come_and_gone_before_all_keys_are_read_anew(world):
+    """The changes between are not read, and nothing tells of them."""
+    world.endpoint('d1', 'model', 'decode')
+    hosts(world, 1)
+    settle(world)
+    (node,) = world.nodes
+    gevent.killall(node.follower.greenlets)
+    come_and_go(world)
+    node.follower._read_all()
+    node.streams._update()
+    assert node.streams.history.since_s > 0
+
+
+class SuspendableClock(clocks.SystemClock):
+    """The clock of a machine that may have been suspended."""
+
+    suspended_s = 0.0
+
+    def boot_s(self):
+        return super().boot_s() + self.suspended_s
+
+
+def test_versions_may_have_come_and_gone_while_a_host_stood_still(world):
+    """Its list counted as new, as the steady clock had stood still too."""
+    world.endpoint('d1', 'model', 'decode')
+    clock = SuspendableClock()
+    node = world.node(clock=clock)
+    settle(world)
+    clock.suspended_s = 10.0
+    node.streams._update()
+    assert node.streams.history.since_s > 0
+
+
 def test_stream_whose_version_serves_no_more_is_refused_at_once(world):
     """A caller waited for an engine of a version that was gone."""
     world.endpoint('e1', 'model', 'prefill')
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -104,6 +104,20 @@
     assert history.only_version('model', WINDOW_S, 261.0) == 'v2'
 
 
+def test_version_that_came_and_went_between_two_looks_is_possible():
+    """A stream of it went on at the version that was listed then."""
+    history = streamversions.VersionHistory()
+    history.since_s = 0.0
+    history.update('model', {'v1'}, 0.0)
+    history.note('model', 'v1', 99.0)
+    assert history.only_version('model', WINDOW_S, 100.0) == 'v1'
+    history.note('model', 'v2', 100.0)
+    history.update('model', {'v1'}, 100.0)
+    assert history.only_version('model', WINDOW_S, 159.0) is None
+    assert history.has_several('model', WINDOW_S, 159.0)
+    assert history.only_version('model', WINDOW_S, 170.0) == 'v1'
+
+
 def test_host_that_starts_adopts_what_another_one_knows():
     """Each restart made hosts uncertain for as long as callers may wait."""
     history = streamversions.VersionHistory()
