Count a former version as long as a host that was behind may have used it

A host whose list is up to five seconds old may begin a stream at a version whose last entry has gone, and being certain of it tells nobody. If it is killed, the others counted that version from its last entry on, and forgot it up to 6.5 s before the caller could come back for the last time.

Evidence: a sequence of the model fails before, as does the bound in the test of the window. Streams of the model begin at what a host knows to be listed, also if that is gone.

Versions count for that much longer; the time that a host needs from its start until it can be certain alone stays the same.

--- a/magnoliadyke/core/streamversions.py
+++ b/magnoliadyke/core/streamversions.py
@@ -281,9 +281,13 @@
     def recent(
         self, service: str, window_s: float, now_s: float
     ) -> frozenset[str]:
-        """Return the versions listed within a time."""
+        """Return the versions listed within a time.
+
+        A host whose list is behind may have begun a stream at a version after
+        its last entry had gone.
+        """
         times = self.last_listed_s.get(service, {})
-        since_s = now_s - window_s
+        since_s = now_s - window_s - MAX_LIST_AGE_S - MAX_STALL_S
         return frozenset(v for v, last in times.items() if last > since_s)
 
 
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -100,8 +100,12 @@
     history.update('model', {'v1', 'v2'}, 100.0)
     assert history.only_version('model', WINDOW_S, 100.0) is None
     history.update('model', {'v2'}, 200.0)
-    assert history.only_version('model', WINDOW_S, 259.0) is None
-    assert history.only_version('model', WINDOW_S, 261.0) == 'v2'
+    # A host that was behind may have begun a stream at the former version.
+    behind_s = streamversions.MAX_LIST_AGE_S + streamversions.MAX_STALL_S
+    for at_s in (259.0, 260.0 + behind_s - 0.1):
+        assert history.only_version('model', WINDOW_S, at_s) is None
+    at_s = 260.0 + behind_s + 0.1
+    assert history.only_version('model', WINDOW_S, at_s) == 'v2'
 
 
 def test_version_that_came_and_went_between_two_looks_is_possible():
@@ -341,11 +345,14 @@
         hosts = self.hosts[one], self.hosts[other]
         return all(each.alive and not each.cut for each in hosts)
 
+    def known(self, name):
+        """Versions in a host's list; it may be behind, and they still serve."""
+        return self.changes[self.hosts[name].applied - 1]
+
     def begin(self, name, version):
         """A stream begins at a version that the host knows to serve."""
         host = self.hosts[name]
-        known = self.changes[host.applied - 1]
-        if not host.alive or version not in known:
+        if not host.alive:
             return
         stream = key(b'%d' % len(self.streams))
         self.streams.append((stream, version, name, self.now_s))
@@ -393,7 +400,7 @@
         name = fleet.names[number % len(fleet.names)]
         match kind:
             case 'begin':
-                versions = sorted(fleet.listed())
+                versions = sorted(fleet.known(name))
                 fleet.begin(name, versions[drawn % len(versions)])
             case 'take_up':
                 fleet.take_up(name, drawn)
@@ -464,6 +471,10 @@
         # Every host has just started, and an older version may have served.
         'begin1 release kill0 kill2 kill3 retire kill0 kill2 kill3 kill1 '
         'take_up0',
+        # The host that began it was behind, and others forgot its version.
+        'store_cut1 release sync0 sync2 sync3 retire sync0 sync2 sync3 '
+        'wait wait wait wait begin1 kill1 late sync_all late sync_all '
+        'wait wait wait wait sync_all take_up0',
         # The host started after the version had gone, the others are behind.
         'release sync1 cut1 begin1-1 roll_back kill0 take_up0',
         # It adopted what they knew, and then they were killed.
