Answer a stream of an ambiguous id alike at each host

A caller that uses an id for streams of two versions names neither. The host that knew both took its record for none, asked the others, and went by one that knew a single stream: the caller's text could be joined from two versions.

A record that is ambiguous counts as several versions now, here and in what hosts tell each other. The test failed before (200 in place of 503).

--- a/magnoliadyke/gateway/streamrecords.py
+++ b/magnoliadyke/gateway/streamrecords.py
@@ -310,8 +310,15 @@
     ) -> streamversions.Known | streamversions.Unknown:
         # Without a key other hosts still know which versions have served.
         key = _key(request, service) or b''
-        own = self.versions.find(key, self.clock.now_s())
-        reports = [] if own is not None else self._ask(service, key)
+        now_s = self.clock.now_s()
+        own = self.versions.find(key, now_s)
+        if self.versions.is_ambiguous(key, now_s):
+            # Another host may have one of the two streams on record.
+            reports = [streamversions.Report(None, False, has_several=True)]
+        elif own is not None:
+            reports = []
+        else:
+            reports = self._ask(service, key)
         only = None
         recent: frozenset[str] = frozenset()
         known = streamversions.resolve(own, reports, only, recent)
@@ -397,6 +404,8 @@
         found = self.versions.find(query.key, now_s)
         if found is not None:
             report = streamversions.Report(found, True)
+        elif self.versions.is_ambiguous(query.key, now_s):
+            report = streamversions.Report(None, False, has_several=True)
         else:
             only = self._only_version(query.service)
             report = streamversions.Report(
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -296,6 +296,23 @@
     assert node.streams.history.since_s > 0
 
 
+def test_id_of_streams_of_two_versions_names_neither_at_any_host(world):
+    """The host that knew both went by a host that knew one of them."""
+    engines = [
+        world.endpoint(f'd{n}', 'model', 'decode', version=f'v{n}')
+        for n in (1, 2)
+    ]
+    hosts(world, 2)
+    asked, other = (each.streams.versions for each in world.nodes)
+    key = streamversions.stream_key('model', '', b'r9')
+    now_s = world.nodes[0].clock.now_s()
+    asked.record(key, 'model', 'v1', now_s + 30.0, now_s)
+    for versions_on_record in (asked, other):
+        versions_on_record.record(key, 'model', 'v2', now_s + 30.0, now_s)
+    status, _ = take_up(world, 's1', 'r9', 1)
+    assert (status, [e for e in engines if e.runs]) == (503, [])
+
+
 class SuspendableClock(clocks.SystemClock):
     """The clock of a machine that may have been suspended."""
 
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -346,7 +346,7 @@
         return all(each.alive and not each.cut for each in hosts)
 
     def known(self, name):
-        """Versions in a host's list; it may be behind, and they still serve."""
+        """Versions in a host's list; one that has gone may still serve."""
         return self.changes[self.hosts[name].applied - 1]
 
     def begin(self, name, version):
