Keep in the store how long callers of streams may wait

A host counts a software version for as long as callers may come back, the longest timeout of routes whose streams may be resumed. If all hosts start anew after a configuration has lowered timeouts or removed such a route, they knew the shorter time only: one version counted as the only one up to 13 s early (10 s in place of 17 s and more), while callers of before still came. They could get a stream of two versions.

The longest wait is kept in the store now, in one key that all hosts follow anyway, and written when it grows, by one host as a rule. A value that can't be read counts as the longest time of all. The key also tells a host that is told of a first start that others ran before.

The tests fail with either part off.

--- a/magnoliadyke/gateway/streamrecords.py
+++ b/magnoliadyke/gateway/streamrecords.py
@@ -16,6 +16,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import catalog
 from magnoliadyke.core import streamversions
+from magnoliadyke.gateway import callerwaits
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import placementservice
@@ -37,7 +38,7 @@
 REPEAT_S = 0.04
 #: Shortest time for which a version counts after its last entry, in seconds.
 #: It counts for the longest timeout that a route whose streams may be resumed
-#: has had, as callers of before a change may wait for as long.
+#: has ever had, as callers of before a change may wait for as long.
 MIN_WINDOW_S = 10.0
 #: Interval at which a host asks others what was listed before it started, in
 #: seconds.
@@ -92,9 +93,9 @@
         returns whether it told them
     :ivar last_read: the last such read
     :ivar queries: queries that wait for replies, by nonce
-    :ivar window_s: longest time for which a caller may take a stream up, in
-        seconds
+    :ivar waits: how long callers may wait, also those of earlier routes
     :ivar generation: generation of the list of endpoints that the history has
+    :ivar has_list: whether the list of endpoints was ever known
     :ivar gaps: number of gaps in that list that the history knows of
     :ivar updated_boot_s: when the history was last updated, by the clock that
         also runs during a suspension
@@ -108,9 +109,11 @@
         endpoint_catalog: catalog.Catalog,
         others: members.Members,
         placement_service: placementservice.PlacementService,
+        waits: callerwaits.CallerWaits,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
+        self.waits = waits
         self.catalog = endpoint_catalog
         self.members = others
         self.placement_service = placement_service
@@ -124,10 +127,10 @@
         self.last_read = _Read(-math.inf, False)
         self.queries: dict[int, _Query] = {}
         self.counts: collections.Counter[str] = collections.Counter()
-        self.window_s = MIN_WINDOW_S
         self.inherit_s = 0.0
         self.generation = -1
         self.gaps = 0
+        self.has_list = False
         self.updated_boot_s = clock.boot_s()
         self.certain: dict[str, str] = {}
         self.expired_s = 0.0
@@ -141,11 +144,14 @@
         """Stop following them."""
         if self.greenlet is not None:
             self.greenlet.kill()
+        self.waits.stop()
 
     def _run(self) -> None:
         while True:
             self.clock.sleep(TICK_S)
             self._update()
+            self._window_s()
+            self.waits.write_if_due()
             now_s = self.clock.now_s()
             if now_s - self.expired_s >= EXPIRY_INTERVAL_S:
                 self.expired_s = now_s
@@ -189,6 +195,9 @@
         if age_s == math.inf:
             return
         now_s = self.clock.now_s()
+        if not self.has_list:
+            self.has_list = True
+            self._check_first_start(now_s)
         if (
             age_s > streamversions.MAX_LIST_AGE_S
             or stalled_s > streamversions.MAX_STALL_S
@@ -207,6 +216,15 @@
                 service, {each.version for each in listed.values()}, now_s
             )
 
+    def _check_first_start(self, now_s: float) -> None:
+        """Forget that no host ran before if one has left a key."""
+        is_first = self.history.since_s == -math.inf
+        if is_first and self.waits.position is not None:
+            LOG.warning_event(
+                'not_the_first_start', position=self.waits.position
+            )
+            self.history.restart(now_s)
+
     def _window_s(self) -> float:
         configuration = self.catalog.configuration
         timeouts_s = [
@@ -214,9 +232,9 @@
             for route in (configuration.routes if configuration else ())
             if route.resumable
         ]
-        longest_s = max(timeouts_s, default=0.0) + DEADLINE_MARGIN_S
-        self.window_s = max(self.window_s, longest_s)
-        return self.window_s
+        if timeouts_s:
+            self.waits.record(max(timeouts_s) + DEADLINE_MARGIN_S)
+        return max(MIN_WINDOW_S, self.waits.longest_s)
 
     def _only_version(self, service: str) -> str | None:
         """Return the only version that can have begun a stream, if certain."""
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -19,6 +19,7 @@
 from magnoliadyke.core import routes
 from magnoliadyke.core import shutdown
 from magnoliadyke.gateway import autoscaling
+from magnoliadyke.gateway import callerwaits
 from magnoliadyke.gateway import confirming
 from magnoliadyke.gateway import crash_codec
 from magnoliadyke.gateway import crashreports
@@ -175,6 +176,9 @@
             rng,
         )
         self.usage, self.fleet = self._duties()
+        self.waits = callerwaits.CallerWaits(
+            self.store, self.catalog, self.members, clock, rng
+        )
         decoder = RecordDecoder()
         mirror = keymirror.KeyMirror(
             decoder,
@@ -184,6 +188,7 @@
                 leadership.LEADER_KEY: self.leadership,
                 usageduty.REPORTS_KEY: self.usage,
                 autoscaling.FLEET_PREFIX: self.fleet,
+                callerwaits.WAITS_KEY: self.waits,
             },
             self.upstream.drop_endpoint,
             clock,
@@ -242,7 +247,12 @@
             rng,
         )
         self.streams = streamrecords.StreamRecords(
-            self.catalog, self.members, self.placement_service, clock, rng
+            self.catalog,
+            self.members,
+            self.placement_service,
+            self.waits,
+            clock,
+            rng,
         )
         self.paces = pacereports.PaceReporter(self.placement_service, clock)
         self.paces.broadcast = self._broadcast
