--- a/magnoliadyke/lab/httpstandin.py
+++ b/magnoliadyke/lab/httpstandin.py
@@ -96,12 +96,14 @@
 
     :ivar last_answer: what was sent since the owner last cleared it, if it
         sends copies
+    :ivar earlier_answers: the answers before, as the owner keeps them
     """
 
     def __init__(self, sock: socket.socket, stand_in: HttpStandIn) -> None:
         super().__init__(sock)
         self.stand_in = stand_in
         self.last_answer = bytearray()
+        self.earlier_answers: list[bytes] = []
 
     def _send(self, data: bytes) -> None:
         self.stand_in.wait_while_silent()
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -125,6 +125,9 @@
     :ivar refusals: number of requests that are refused with 503 before others
         are served
     :ivar names_requests: refusals have the id of their request
+    :ivar copies: how often each answer is sent again, if copies are sent
+    :ivar copied_answers: number of the latest answers that are sent again
+        when a request has arrived
     :ivar max_runs: number of executions after which requests are refused
         with 503, None for no limit
     :ivar change_s: time until an ordered change of stage takes effect, in
@@ -192,6 +195,8 @@
         self.started_ms = 0
         self.refusals = 0
         self.names_requests = True
+        self.copies = 1
+        self.copied_answers = 1
         self.max_runs: int | None = None
         self.announces_leaving = False
         self.backoff_s: float | None = None
@@ -254,9 +259,10 @@
         head, body = httpstandin.read_request(reader)
         headers = {k.lower(): v for k, v in head.headers}
         caller.answer_started = False
-        answered = bytes(caller.last_answer)
-        if self.sends_copies and answered:
-            caller._send(answered)
+        if self.sends_copies and caller.last_answer:
+            caller.earlier_answers.append(bytes(caller.last_answer))
+            for each in caller.earlier_answers[-self.copied_answers :]:
+                caller._send(each * self.copies)
         caller.last_answer.clear()
         reached_s = time.monotonic()
         self.wait_while_silent()
--- a/tests/test_gateway_latecopies.py
+++ b/tests/test_gateway_latecopies.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from magnoliadyke.gateway import promptexchange
 from magnoliadyke.gateway import upstream
 from magnoliadyke.lab import framedanswer
 from tests import gatewayworld
@@ -10,6 +11,9 @@
 PROMPT = gatewayworld.prompt((0xA, 2000), (0xB, 3000), (0xC, 500))
 #: An answer of this many tokens is long: it holds a slot.
 LONG_ANSWER = gatewayworld.prompt((0x1, 40), (0x2, 60), output=60)
+#: Number of requests of a test of many.
+REQUESTS = 12
+PLAIN_ONCE = gatewayworld.route('once', '/once/', 'streaming', 'plain')
 #: Time in which a send that should not have been made begins to run.
 LATE_RUN_S = 0.3
 
@@ -40,10 +44,34 @@
 
 
 def configure(world, max_attempts):
-    route = gatewayworld.route(
-        'once', '/once/', 'streaming', 'model', max_attempts=max_attempts
-    )
-    world.configure(version=2, routes=[route])
+    routes = [
+        gatewayworld.route(
+            'once', '/once/', 'streaming', 'model', max_attempts=max_attempts
+        ),
+        gatewayworld.route('unsafe', '/unsafe/', 'unsafe', 'plain'),
+    ]
+    world.configure(version=2, routes=routes)
+
+
+def ask_all(world, endpoints):
+    """Ask for streams and plain answers in turn, and check each answer."""
+    answers = {}
+    for number in range(REQUESTS):
+        path = ('/once/x', '/unsafe/x')[number % 2]
+        headers = PROMPT if path == '/once/x' else {}
+        client = gatewayworld.Client(world.nodes[0])
+        request_id = f'r{number}'
+        head, body = client.call('POST', path, request_id, b'x', **headers)
+        client.close()
+        answers[request_id] = head.status
+        assert head.value(b'x-request-id') == request_id.encode()
+        assert head.status in (200, 503)
+        if head.status == 200 and not headers:
+            assert body == f'answer to {request_id}'.encode()
+    gevent.sleep(LATE_RUN_S)
+    ran = [run.id.decode() for each in endpoints for run in each.runs]
+    assert sorted(ran) == sorted(r for r, s in answers.items() if s == 200)
+    assert ran
 
 
 @pytest.mark.parametrize('max_attempts', [1, 2])
@@ -134,6 +162,94 @@
     assert 'magnoliadyke_late_copies 2.0' in text
 
 
+@pytest.mark.parametrize('copies, answers', [(1, 3), (3, 1), (3, 3)])
+@pytest.mark.parametrize('max_attempts', [1, 3])
+@pytest.mark.parametrize('decode_engines', [1, 3])
+def test_copies_of_any_answer_answer_nothing(
+    world, reused, decode_engines, max_attempts, copies, answers
+):
+    """More copies, and later ones, than the answer before left behind."""
+    stages = ['prefill'] + ['decode'] * decode_engines
+    made = [
+        world.endpoint(f'e{n}', 'model', stage)
+        for n, stage in enumerate(stages)
+    ]
+    made.append(world.endpoint('p1'))
+    for each in made:
+        each.sends_copies = True
+        each.copies, each.copied_answers = copies, answers
+        each.refusals = 2
+    configure(world, max_attempts)
+    world.node()
+    ask_all(world, made)
+
+
+def test_copies_answer_no_relayed_request(world, reused):
+    """Another host sent it, over connections that others had used."""
+    made = [
+        world.endpoint('e1', 'model', 'prefill'),
+        world.endpoint('d1', 'model', 'decode'),
+        world.endpoint('p1'),
+    ]
+    for each in made:
+        each.sends_copies = True
+        each.copies = each.copied_answers = 2
+        each.refusals = 2
+    configure(world, max_attempts=2)
+    for _ in range(2):
+        world.node()
+    first, second = world.nodes
+    gatewayworld.wait_for(
+        lambda: first.members.relay_token(second.settings.ip), 'the other host'
+    )
+    first.paths.is_cut_off = lambda service: True
+    first.paths.choose_host = lambda service, declined: second.settings.ip
+    ask_all(world, made)
+    assert first.relayer.counts['taken'] == REQUESTS
+
+
+def test_stop_between_two_sends_promises_nothing(world, engines):
+    """The second send may run, whatever became of the first one."""
+    _, decoding = engines
+    decoding.refusals = 1
+    decoding.mode = 'silent'
+    configure(world, max_attempts=2)
+    node = world.node()
+    asked = gevent.spawn(world.ask, '/once/x', **PROMPT)
+    gatewayworld.wait_for(lambda: decoding.runs, 'the second send')
+    node.ingress.interrupt_all()
+    assert asked.get(timeout=gatewayworld.WAIT_S).status == 504
+    assert len(decoding.runs) == 1
+
+
+def test_configuration_between_two_sends_changes_no_answer(
+    world, reused, engines
+):
+    """The route left for another service as its copies were on their way."""
+    _, decoding = engines
+    decoding.refusals = 1
+    decoding.copies = 3
+    node = world.node()
+    alternative = promptexchange.PromptExchange._alternative_engine
+
+    def configure_first(active, failed):
+        world.configure(version=9, routes=[PLAIN_ONCE])
+        gatewayworld.wait_for(
+            lambda: node.catalog.configuration.version == 9, 'the change'
+        )
+        return alternative(active, failed)
+
+    with pytest.MonkeyPatch.context() as patched:
+        patched.setattr(
+            promptexchange.PromptExchange,
+            '_alternative_engine',
+            configure_first,
+        )
+        assert world.ask('/once/x', **PROMPT).status == 200
+    gevent.sleep(LATE_RUN_S)
+    assert len(decoding.runs) == 1
+
+
 def test_connection_of_a_release_serves_no_request(world, engines):
     """A late copy answered the release, whose answer went to the next one."""
     prefilling, decoding = engines
