Give a retry all the time that is left if no further one is allowed

Its first try was refused; the second met a silent endpoint and was given up after 0.5 s to leave time for a third, which the retry budget did not allow.

Cause: the limit of a try asked the budget for one retry before the try had taken its own.

A retry asks for two now. The test failed before.

--- a/magnoliadyke/core/retrybudget.py
+++ b/magnoliadyke/core/retrybudget.py
@@ -50,9 +50,12 @@
             allowed += self.extra / self.hosts
         return allowed * USABLE_SHARE
 
-    def has_left(self, now_s: float) -> bool:
-        """Return whether a retry could be sent now."""
-        return self.taken(now_s) + 1 <= self.allowance(now_s)
+    def has_left(self, now_s: float, count: int = 1) -> bool:
+        """Return whether some retries could be sent now.
+
+        :param count: number of retries
+        """
+        return self.taken(now_s) + count <= self.allowance(now_s)
 
     def try_acquire(self, now_s: float) -> bool:
         """Count one retry, if one is left.
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -216,11 +216,13 @@
         An endpoint that is silent may go on, so it is waited for where no
         other one can answer in its place.
         """
+        # A retry takes one from the budget itself.
+        retries = 2 if self.send_count else 1
         if (
             self.route.kind is routes.Kind.SAFE
             and self.runs + 1 < self.route.max_attempts
             and self._has_other_endpoint()
-            and self._budget().has_left(self.parts.clock.now_s())
+            and self._budget().has_left(self.parts.clock.now_s(), retries)
         ):
             share_s = self.left_s * FIRST_TRY_SHARE
             return max(share_s, min(self.left_s, self.route.objective_s))
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from magnoliadyke.core import retrybudget
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import ingress
 from tests import gatewayworld
@@ -277,6 +278,26 @@
         assert world.ask('/safe/x', 'GET', f'b{number}').status == 200
 
 
+def test_last_retry_waits_for_an_endpoint_that_is_silent_for_a_while(world):
+    """It was given up to leave time for one that the budget did not allow."""
+    route = gatewayworld.route(
+        'safe', '/safe/', 'safe', 'plain', max_attempts=3
+    )
+    world.configure(version=2, routes=[route])
+    first, second, _ = (world.endpoint(f'p{n}') for n in range(3))
+    node = world.node()
+    node.balancer.choose = lambda permitted, tried, now_s: min(
+        (each for each in permitted if each.id not in tried), default=None
+    )
+    budget = node.budgets['plain']
+    budget.ratio, budget.hosts = 0.0, 1
+    budget.extra = 1.5 / retrybudget.USABLE_SHARE
+    first.refusals = 1
+    second.fall_silent(1.3)
+    assert world.ask('/safe/x', 'GET', 'a').status == 200
+    assert len(second.runs) == 1
+
+
 def test_answer_that_is_being_sent_is_not_cut_by_a_silent_engine(world):
     """A host wrote a second answer into the first, whose caller reads late."""
     engines = start_engines(world)
