Give a try up only once its retry has been taken from the budget

Its endpoint was silent and the budget had a retry left when the try began; after 1.35 s the try was given up for it, but other requests had spent the budget meanwhile (retry allowed=False taken=3 allowance=3.1).

Cause: the budget was asked at the begin of a try for a retry at its end.

The retry is taken at the moment at which the try would give way to it. If there is none, the try goes on to the caller's deadline. The test failed before.

--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -1,5 +1,7 @@
 """Exchange for requests without a prompt, or to services without engines."""
 
+import gevent
+
 from magnoliadyke.core import catalog
 from magnoliadyke.core import routes
 from magnoliadyke.gateway import caller as callers
@@ -29,12 +31,14 @@
 
     Failed attempts are retried at other endpoints where the route allows it.
 
+    :ivar has_retry: whether a retry was taken from the budget for the next try
     :ivar limit_wait_s: time until the limits of the endpoints may leave room
         for the request, in seconds; 0 if they did at the last choice
     """
 
     def __init__(self, *args) -> None:
         super().__init__(*args)
+        self.has_retry = False
         self.limit_wait_s = 0.0
 
     def _serve(self) -> outcomes.Outcome:
@@ -210,8 +214,10 @@
                 balancer.record_failure(endpoint.id, now_s)
         return result
 
-    def _attempt_timeout_s(self) -> float:
-        """Return the timeout of an attempt, leaving time for a possible retry.
+    def _attempt_timeout_s(self) -> float | None:
+        """Return after which time an attempt may give way to a retry.
+
+        None if it may not.
 
         An endpoint that is silent may go on, so it is waited for where no
         other one can answer in its place.
@@ -226,7 +232,23 @@
         ):
             share_s = self.left_s * FIRST_TRY_SHARE
             return max(share_s, min(self.left_s, self.route.objective_s))
-        return self.left_s
+        return None
+
+    def _give_up(self, limit: waitlimit.WaitLimit) -> None:
+        """End an attempt if the retry that replaces it can be had.
+
+        Others may have spent the budget since the attempt began.
+        """
+        if self._acquire_retry():
+            self.has_retry = True
+            limit.abort('no answer in time')
+
+    def _may_send(self) -> bool:
+        if self.has_retry:
+            self.has_retry = False
+            self.send_count += 1
+            return True
+        return super()._may_send()
 
     def _has_other_endpoint(self) -> bool:
         """Return whether the request may be retried at another endpoint."""
@@ -240,14 +262,17 @@
         )
 
     def _send_buffered(
-        self, endpoint: catalog.Endpoint, timeout_s: float
+        self, endpoint: catalog.Endpoint, timeout_s: float | None
     ) -> outcomes.Whole | outcomes.NotRun | outcomes.Lost:
         """Make one attempt and buffer the complete answer.
 
         If the answer were relayed in parts, one that breaks off could not be
         replaced by the answer of another endpoint.
+
+        :param timeout_s: time after which it may give way to a retry, None
+            if it may not
         """
-        if timeout_s <= 0:
+        if self.left_s <= 0:
             return outcomes.NotRun('no time is left', was_received=False)
         options = codecs.RunOptions(endpoint.name, self.left_s)
         headers = self.parts.codec.run_headers(self.request, options)
@@ -259,10 +284,15 @@
             self.parts.upstream.release(endpoint, used)
             return outcomes.NotRun('the retry budget is spent', False)
         self.runs += 1
+        limit = waitlimit.WaitLimit(self.left_s, http.OutOfTime)
+        giving_up = None
+        if timeout_s is not None:
+            giving_up = gevent.spawn_later(timeout_s, self._give_up, limit)
         try:
-            limit = waitlimit.WaitLimit(timeout_s, http.OutOfTime)
             result = self._send_request(endpoint, used, headers, limit)
         finally:
+            if giving_up is not None:
+                giving_up.kill(block=False)
             self.parts.upstream.release(endpoint, used)
         match result:
             case outcomes.NotRun():
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -298,6 +298,23 @@
     assert len(second.runs) == 1
 
 
+def test_try_goes_on_if_its_retry_is_spent_meanwhile(world):
+    """It was given up for a retry that another request had taken."""
+    first, second = (world.endpoint(f'p{n}') for n in range(2))
+    node = world.node()
+    node.balancer.choose = lambda permitted, tried, now_s: min(
+        (each for each in permitted if each.id not in tried), default=None
+    )
+    budget = node.budgets['plain']
+    budget.ratio, budget.hosts = 0.0, 1
+    budget.extra = 1.5 / retrybudget.USABLE_SHARE
+    first.fall_silent(1.3)
+    gevent.spawn_later(0.3, lambda: budget.try_acquire(node.clock.now_s()))
+    assert world.ask('/safe/x', 'GET', 'a').status == 200
+    assert not second.runs
+    assert len(first.runs) == 1
+
+
 def test_answer_that_is_being_sent_is_not_cut_by_a_silent_engine(world):
     """A host wrote a second answer into the first, whose caller reads late."""
     engines = start_engines(world)
