Tell no engine to stop a run that it would have finished

Cause: where the engine of a stream with a backup sends nothing for a while, the host calls it to stop the run and move it. An engine that has stopped altogether answers no call; the host gave the call up after 0.3 s and waited for the run, but the call was still in the engine's socket. When the engine went on it read the stop, and ended the stream. The host then continued it from the backup, if the retry budget and the other engine allowed that; else the caller lost it.

Evidence: the stand-in's streams went on after their run was stopped, which hid this.

A silent engine is asked for its state first, on a connection of its own, in the same 0.3 s. One that does not answer is not told anything, so there is nothing that it could carry out later.

--- a/magnoliadyke/gateway/enginecontrol.py
+++ b/magnoliadyke/gateway/enginecontrol.py
@@ -64,7 +64,11 @@
 
     @abc.abstractmethod
     def stop_run(
-        self, endpoint: catalog.Endpoint, request_id: bytes, target: str
+        self,
+        endpoint: catalog.Endpoint,
+        request_id: bytes,
+        target: str,
+        is_silent: bool = False,
     ) -> streambackup.Stopped:
         """Stop a run at an engine, and move its KV cache to another one.
 
@@ -72,4 +76,7 @@
 
         :param request_id: id of the request that it runs
         :param target: address of the other engine
+        :param is_silent: whether the engine has sent nothing for a while; it
+            is told to stop the run only if it answers another call, or it
+            would carry the stop out when it goes on
         """
--- a/magnoliadyke/gateway/streambackups.py
+++ b/magnoliadyke/gateway/streambackups.py
@@ -98,7 +98,10 @@
         if isinstance(decision, streambackup.StopRun):
             began_s = self.clock.now_s()
             stopped = self.control.stop_run(
-                broken.engine, broken.request.id, broken.backup.address
+                broken.engine,
+                broken.request.id,
+                broken.backup.address,
+                broken.is_silent,
             )
             now_s = self.clock.now_s()
             took_s = now_s - began_s
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -21,6 +21,10 @@
 SEAL = b'x-server-seal'
 
 
+class _RunStopped(Exception):
+    """A call has stopped the run; its answer ends without its end."""
+
+
 @dataclasses.dataclass(slots=True)
 class Arrival:
     """One request that reached an endpoint.
@@ -293,6 +297,8 @@
         except callers.CallerLeft:
             arrival.cancelled = True
             return False
+        except _RunStopped:
+            return False
         finally:
             is_stopped = arrival.until_s < math.inf
             if not is_stopped and not (self.runs_on and arrival.aborted):
@@ -593,6 +599,9 @@
 
         def pause() -> None:
             gevent.sleep(pause_s)
+            self.wait_while_silent()
+            if arrival.until_s < math.inf and not arrival.aborted:
+                raise _RunStopped
             number = next(numbers)
             if self.mode == 'stall' and self.cut_after <= number < self.events:
                 gevent.sleep(framedanswer.SILENCE_S)
--- a/magnoliadyke/platform/engines.py
+++ b/magnoliadyke/platform/engines.py
@@ -87,7 +87,11 @@
         return enginecontrol.Ordered(accepted, reason)
 
     def stop_run(
-        self, endpoint: catalog.Endpoint, request_id: bytes, target: str
+        self,
+        endpoint: catalog.Endpoint,
+        request_id: bytes,
+        target: str,
+        is_silent: bool = False,
     ) -> streambackup.Stopped:
         """Stop a run at an engine, and move its KV cache to another one."""
         body = {
@@ -95,18 +99,23 @@
             'target': target,
             'last': True,
         }
+        data = json.dumps(body).encode()
         reached = False
         try:
             with gevent.Timeout(
                 streambackup.STOP_LIMIT_S,
                 http.OutOfTime('engine did not respond in time'),
             ):
+                if is_silent:
+                    conn = self._connect_to_stop(endpoint)
+                    reached = True
+                    self._ask(conn, endpoint, b'GET', b'/api/report', b'')
                 while True:
-                    conn = connection.Connection(
-                        endpoint.address, streambackup.STOP_LIMIT_S
-                    )
+                    conn = self._connect_to_stop(endpoint)
                     reached = True
-                    answer = self._stop(conn, endpoint, body)
+                    answer = self._ask(
+                        conn, endpoint, b'POST', b'/api/kv-move', data
+                    )
                     if answer.head.status != STATUS_CONFLICT:
                         break
                     # The engine is carrying out an earlier stop, of which no
@@ -136,20 +145,24 @@
         ) as error:
             return streambackup.Uncertain(str(error) or type(error).__name__)
 
-    def _stop(
+    def _connect_to_stop(
+        self, endpoint: catalog.Endpoint
+    ) -> connection.Connection:
+        return connection.Connection(
+            endpoint.address, streambackup.STOP_LIMIT_S
+        )
+
+    def _ask(
         self,
         conn: connection.Connection,
         endpoint: catalog.Endpoint,
-        body: dict[str, Any],
+        method: bytes,
+        target: bytes,
+        body: bytes,
     ) -> connection.Answer:
-        """Send a stop, and wait for its answer; close the connection."""
+        """Make a call, and wait for its answer; close the connection."""
         try:
-            return conn.call(
-                b'POST',
-                b'/api/kv-move',
-                _headers(endpoint),
-                json.dumps(body).encode(),
-            )
+            return conn.call(method, target, _headers(endpoint), body)
         finally:
             conn.close()
 
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -214,6 +214,24 @@
     assert [len(each.runs) for each in (first, second)] == [1, 1]
 
 
+@pytest.mark.parametrize('budget', ['left', 'spent meanwhile'])
+def test_silent_engine_is_not_told_to_stop_a_run_that_it_ends(world, budget):
+    """A stream was cut by a stop that its engine read when it went on."""
+    engines = start_engines(world)
+    stream = Stream(world, '/once/x')
+    first, second = stream.begin(engines)
+    for each in engines:
+        each.fall_silent(1.3)
+    if budget == 'spent meanwhile':
+        gevent.sleep(1.1)
+        spent = world.nodes[0].budgets['model']
+        spent.ratio = spent.extra = 0.0
+    stream.finish()
+    assert (stream.whole, stream.body) == (True, all_events(first))
+    assert [len(each.runs) for each in (first, second)] == [1, 0]
+    assert not first.moves
+
+
 def test_caller_that_leaves_ends_the_waiting_run_and_the_new_one(world):
     """An engine works on for a caller that has left."""
     engines = start_engines(world)
