Continue a stream where its stopped run has been kept

LOST beside a silent or full engine: a stream with a backup ended although its whole KV cache was left.

Cause: an engine that is told to stop a run and can't move it answers 503 and names the handle under which it keeps the KV cache; the run is stopped by then. The host took each 503 for a run that may go on, and waited for, or gave up, a stream that the stop had ended.

The stream goes on at that engine, from the handle. A 503 without one still says nothing.

The new test fails before: the stream is cut after its first event if the connection broke off, and runs at the other engine from the backup if the engine was silent.

--- a/magnoliadyke/core/streambackup.py
+++ b/magnoliadyke/core/streambackup.py
@@ -19,9 +19,11 @@
     'STOP_LIMIT_S',
     'Break',
     'Continue',
+    'ContinueKept',
     'ContinueMoved',
     'End',
     'EngineGone',
+    'Kept',
     'Moved',
     'NoSuchRun',
     'StopRun',
@@ -129,6 +131,13 @@
     handle: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kept:
+    """The old run is stopped; its KV cache is still at the old engine."""
+
+    handle: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoSuchRun:
     """The old engine has no such run."""
@@ -151,7 +160,7 @@
     reason: str
 
 
-Stopped = Moved | NoSuchRun | EngineGone | Uncertain
+Stopped = Moved | Kept | NoSuchRun | EngineGone | Uncertain
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,6 +180,13 @@
     handle: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContinueKept:
+    """Continue at the old engine from the KV cache that it keeps."""
+
+    handle: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
     """End the stream, incomplete."""
@@ -195,7 +211,7 @@
 
 def decide(
     stopped: Stopped, took_s: float, left_s: float, is_silent: bool = False
-) -> Continue | ContinueMoved | End:
+) -> Continue | ContinueMoved | ContinueKept | End:
     """Decide how a stream goes on after an attempt to stop its old run.
 
     :param took_s: duration of that attempt, in seconds
@@ -208,6 +224,8 @@
     match stopped:
         case Moved(handle):
             return ContinueMoved(handle)
+        case Kept(handle):
+            return ContinueKept(handle)
         case NoSuchRun() | EngineGone(was_refused=True):
             return Continue()
         case EngineGone() if is_silent:
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -596,9 +596,9 @@
         placed: promptjobs.Placed,
         lost: outcomes.Lost | outcomes.Silent,
     ) -> outcomes.Answered | outcomes.Failed | outcomes.Lost | outcomes.Silent:
-        """Continue a stream at the engine that keeps its backup.
+        """Continue a stream with a backup, usually at the engine that has it.
 
-        :returns: ``lost`` if nothing was sent to that engine
+        :returns: ``lost`` if nothing was sent to an engine
         """
         engine, backup = self.backup
         is_silent = isinstance(lost, outcomes.Silent)
@@ -621,12 +621,15 @@
         self._close_silent_run('stopped')
         self._log_attempt(lost.reason, 'unknown')
         placement_service = self.parts.placement_service
-        placement_service.record_failure(self.service, job.id, engine.id)
-        if placed.report_end:
-            placement_service.record_continuation(self.service, job, backup.id)
+        if went_on.engine is not engine:
+            placement_service.record_failure(self.service, job.id, engine.id)
+            if placed.report_end:
+                placement_service.record_continuation(
+                    self.service, job, backup.id
+                )
         result = None
         try:
-            result = self._run_at_backup(went_on, job, placed)
+            result = self._run_rest(went_on, job, placed)
         finally:
             if went_on.is_moved and (
                 result is None or isinstance(result, outcomes.NotRun)
@@ -649,32 +652,34 @@
                 self._log_attempt(reason, 'unknown')
                 has_failed = True
         if has_failed:
-            placement_service.record_failure(self.service, job.id, backup.id)
+            placement_service.record_failure(
+                self.service, job.id, went_on.engine.id
+            )
         return self._mark_incomplete(outcomes.Failed(502, reason))
 
-    def _run_at_backup(
+    def _run_rest(
         self,
         went_on: streambackups.Continuation,
         job: promptjobs.Job,
         placed: promptjobs.Placed,
     ) -> outcomes.Result:
-        """Run the rest of a stream at the engine that keeps its backup.
+        """Run the rest of a stream at the engine that goes on with it.
 
         A run that this host has stopped is lost if that engine is full, so it
         is offered again.
         """
-        backup = went_on.backup
-        self.endpoint = backup.id
+        engine = went_on.engine
+        self.endpoint = engine.id
         pauses_s = BACKUP_RETRY_PAUSES_S if went_on.is_moved else ()
         for pause_s in (*pauses_s, None):
             options = codecs.RunOptions(
-                endpoint=backup.name,
+                endpoint=engine.name,
                 left_s=self.left_s,
                 urgent=True,
                 kv_source=went_on.kv_source,
                 resume_after=self.position.last_id,
             )
-            result = self._stream(backup, options, job, placed)
+            result = self._stream(engine, options, job, placed)
             if (
                 pause_s is None
                 or self.left_s < pause_s + exchange.RESPONSE_MARGIN_S
--- a/magnoliadyke/gateway/streambackups.py
+++ b/magnoliadyke/gateway/streambackups.py
@@ -43,12 +43,13 @@
 class Continuation(NamedTuple):
     """Where a stream goes on.
 
+    :param engine: the engine that goes on with it
     :param kv_source: where the KV cache is held, as ``ADDRESS/ID``
-    :param is_moved: whether it is what the old engine has moved, and is to be
+    :param is_moved: whether it is what a stopped run has left, and is to be
         released if the stream does not go on
     """
 
-    backup: catalog.Endpoint
+    engine: catalog.Endpoint
     kv_source: str
     is_moved: bool
 
@@ -58,8 +59,8 @@
 
     :ivar counts: number of events by kind: ``requested`` backups, breaks by
         the outcome of stopping the old run (``not_tried``, ``moved``,
-        ``no_run``, ``engine_gone``, ``uncertain``), and continuations by
-        outcome (``completed``, ``not_run``, ``broken_again``)
+        ``kept``, ``no_run``, ``engine_gone``, ``uncertain``), and
+        continuations by outcome (``completed``, ``not_run``, ``broken_again``)
     """
 
     def __init__(
@@ -120,6 +121,9 @@
             case streambackup.ContinueMoved(handle):
                 source = f'{broken.engine.address}/{handle}'
                 return Continuation(backup, source, is_moved=True)
+            case streambackup.ContinueKept(handle):
+                source = f'{broken.engine.address}/{handle}'
+                return Continuation(broken.engine, source, is_moved=True)
         return None
 
     def record_result(
@@ -156,6 +160,7 @@
         took_s: float,
         decision: streambackup.Continue
         | streambackup.ContinueMoved
+        | streambackup.ContinueKept
         | streambackup.End,
     ) -> None:
         reason = 'none'
@@ -192,6 +197,8 @@
             return 'not_tried'
         case streambackup.Moved():
             return 'moved'
+        case streambackup.Kept():
+            return 'kept'
         case streambackup.NoSuchRun():
             return 'no_run'
         case streambackup.EngineGone():
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -147,6 +147,8 @@
     :ivar move_status: status of the answer to calls that stop a run, None for
         the usual one
     :ivar move_s: time until that answer, in seconds
+    :ivar keeps_moved: these calls stop the run and fail to move it: they are
+        answered with 503 and the handle under which the engine keeps it
     :ivar moves: bodies of these calls, in order
     :ivar arrivals: requests that reached the endpoint, in order
     :ivar orders: orders for a stage, in order
@@ -211,6 +213,7 @@
         self.has_backups = True
         self.move_status: int | None = None
         self.move_s = 0.0
+        self.keeps_moved = False
         self.moves: list[dict] = []
         self.arrivals: list[Arrival] = []
         self.orders: list[dict] = []
@@ -405,7 +408,8 @@
                 is_run = arrival.id.decode() == order['id']
                 if is_run and arrival.until_s == math.inf:
                     arrival.until_s = time.monotonic()
-                    status, answer = 200, {'kv_handle': 'moved-1'}
+                    status = 503 if self.keeps_moved else 200
+                    answer = {'kv_handle': 'moved-1'}
         caller.answer(status, [], json.dumps(answer).encode())
 
     def _change_stage(self, order: dict) -> None:
--- a/magnoliadyke/platform/engines.py
+++ b/magnoliadyke/platform/engines.py
@@ -21,6 +21,7 @@
 STATUS_ACCEPTED = 202
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
 #: Pause before a stop is repeated that found an earlier one under way, in
 #: seconds: a small share of the time in which a run has to be stopped.
 STOP_RETRY_S = 0.05
@@ -124,12 +125,16 @@
             status = answer.head.status
             if status == STATUS_NOT_FOUND:
                 return streambackup.NoSuchRun()
-            if status != STATUS_OK:
+            if status not in (STATUS_OK, STATUS_UNAVAILABLE):
                 return streambackup.Uncertain(f'status {status}')
             fields = report.parse_object(answer.body or b'{}')
-            handle = report.read_string(fields, 'kv_handle')
+            handle = report.read_string(fields, 'kv_handle', '')
             if not handle:
-                return streambackup.Uncertain('kv_handle: empty')
+                return streambackup.Uncertain(
+                    f'status {status} without kv_handle'
+                )
+            if status == STATUS_UNAVAILABLE:
+                return streambackup.Kept(handle)
             return streambackup.Moved(handle)
         except ConnectionRefusedError:
             return streambackup.EngineGone(was_refused=True)
--- a/tests/test_gateway_streambackups.py
+++ b/tests/test_gateway_streambackups.py
@@ -144,6 +144,37 @@
     assert counts(world) == {'requested': 1, 'no_run': 1, 'completed': 1}
 
 
+@pytest.mark.parametrize('fault', ['silent', 'broken off'])
+def test_run_that_was_stopped_but_not_moved_goes_on_where_it_is_kept(
+    world, engines, fault
+):
+    """A stream was cut though its engine still had all of its KV cache."""
+    first, second = engines
+    first.keeps_moved = True
+    first.runs_on = True
+    if fault == 'silent':
+        first.broken = None
+        first.mode = 'stall'
+    stop_run = first._move
+
+    def recover_and_stop(*args):
+        first.mode, first.broken = 'ok', None
+        stop_run(*args)
+
+    first._move = recover_and_stop
+    start(world)
+    body, whole = stream(world)
+    assert (body, whole) == (
+        b''.join(first._event(n) for n in (1, 2, 3)),
+        True,
+    )
+    assert not second.arrivals
+    _, resumed = first.runs
+    source = f'{first.address}/moved-1'
+    assert resumed.headers[b'x-kv-source'] == source.encode()
+    assert counts(world) == {'requested': 1, 'kept': 1, 'completed': 1}
+
+
 @pytest.mark.parametrize('fault', ['no copy', 'gone', 'broken again'])
 def test_stream_without_a_usable_backup_ends_incomplete(world, engines, fault):
     """The end of a stream that was cut looked like that of a whole one."""
--- a/tests/test_streambackup.py
+++ b/tests/test_streambackup.py
@@ -104,6 +104,8 @@
     moved, gone = streambackup.Moved('h'), streambackup.EngineGone
     from_backup = streambackup.Continue()
     assert decide(moved, 0.1, 1.0) == streambackup.ContinueMoved('h')
+    kept = streambackup.ContinueKept('h')
+    assert decide(streambackup.Kept('h'), 0.1, 1.0) == kept
     assert decide(streambackup.NoSuchRun(), 0.1, 1.0) == from_backup
     assert decide(gone(was_refused=True), 0.1, 1.0) == from_backup
     assert decide(gone(was_refused=False), 0.3, 1.0) == from_backup
