--- a/magnoliadyke/gateway/connection.py
+++ b/magnoliadyke/gateway/connection.py
@@ -67,6 +67,8 @@
     :ivar framing: framing of the current answer, None before its head
     :ivar ended_by_close: whether the end of the connection is all that marked
         the end of the current answer
+    :ivar last_request_id: id of the last request that was to be sent on it,
+        empty without one
     :ivar idle_limit_s: idle time after which the server closes the connection,
         in seconds; None if the server did not send it
     :raises OSError: the connection failed or timed out
@@ -90,10 +92,12 @@
         self._reusable = False
         self._complete = False
         self._sender: gevent.Greenlet | None = None
+        self.last_request_id = b''
         self._request_ids: set[int] = set()
 
     def record_request(self, request_id: bytes) -> None:
         """Record the id of a request that is to be sent."""
+        self.last_request_id = request_id
         self._request_ids.add(hash(request_id))
 
     def has_carried(self, request_id: bytes) -> bool:
--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -142,6 +142,7 @@
     :ivar send_count: number of attempts, including those that endpoints
         rejected
     :ivar tried: ids of endpoints that the request was sent to
+    :ivar refused_by: ids of endpoints that answered it with an error
     :ivar endpoint: id of the last endpoint tried, empty if none
     :ivar sent_s: when the request was last sent, in monotonic seconds
     :ivar sent_on: connection on which the request was last sent, as
@@ -181,6 +182,7 @@
         self.runs = 0
         self.send_count = 0
         self.tried: set[str] = set()
+        self.refused_by: set[str] = set()
         self.endpoint = ''
         self.sent_s = arrived_s
         self.sent_on = 'none'
@@ -609,7 +611,10 @@
         self.parts.upstream.reachability.record_answer(
             endpoint.id, self.parts.clock.now_s()
         )
-        if self._is_own(used, facts) and not facts.wrong_endpoint:
+        is_own = self._is_own(used, facts)
+        if is_own and facts.status >= 400:
+            self.refused_by.add(endpoint.id)
+        if is_own and not facts.wrong_endpoint:
             self.parts.crashreports.record_answer(
                 endpoint.id, used.opened_s, used.sent_s
             )
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -791,6 +791,8 @@
             'connection': active.sent_on,
             'relayed': active.is_relayed,
         }
+        if active.refused_by:
+            fields['refused_by'] = ','.join(sorted(active.refused_by))
         if active.request.workspace is not None:
             fields['workspace'] = active.request.workspace.name
         if active.request.resume_after is not None:
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -112,6 +112,7 @@
                 str(bool(ended.left_over)).lower(),
             ).set(count)
         gauges.late_copies.set(parts.upstream.late_copies)
+        gauges.late_bytes.set(parts.upstream.late_bytes)
         for outcome, count in parts.upstream.silences.items():
             gauges.silent_runs.labels(outcome).set(count)
         for of, bodies in (
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -149,6 +149,10 @@
             'late_copies',
             'Answers of endpoints dropped as copies of earlier ones.',
         )
+        self.late_bytes = self._gauge(
+            'late_bytes',
+            'Idle connections to endpoints closed with unread bytes.',
+        )
         self.silent_runs = self._gauge(
             'silent_runs',
             'Runs at engines that were silent, by what came of them.',
--- a/magnoliadyke/gateway/upstream.py
+++ b/magnoliadyke/gateway/upstream.py
@@ -57,6 +57,7 @@
     :ivar ends: number of answers by how they ended
     :ivar late_copies: number of answers dropped that had come before, for an
         earlier request on their connection
+    :ivar late_bytes: number of idle connections closed with unread bytes
     :ivar silences: number of runs at silent engines by what came of them:
         ``begins``, ``waits`` for the engine, ``replaced`` by a run elsewhere,
         ``stopped`` and moved to the engine with the backup, ``ended``
@@ -79,6 +80,7 @@
             collections.Counter()
         )
         self.late_copies = 0
+        self.late_bytes = 0
         self.silences: collections.Counter[str] = collections.Counter()
         self.reachability = reachability.Reachability()
         self.on_unreachable: Callable[[catalog.Endpoint], None] = (
@@ -126,7 +128,7 @@
                 max_idle_s = min(max_idle_s, kept.idle_limit_s / 2)
             idle_s = now_s - kept.last_used_s
             if idle_s > MAX_IDLE_S or not kept.is_quiet():
-                kept.close()
+                self._close_idle(endpoint_id, kept)
             elif idle_s > max_idle_s:
                 # Too old for this request, but a repeatable one can use it.
                 unsuitable.append(kept)
@@ -140,6 +142,24 @@
             idle.extend(reversed(unsuitable))
         return found
 
+    def _close_idle(
+        self, endpoint_id: str, kept: connection.Connection
+    ) -> None:
+        """Close an idle connection, and log bytes that belong to no request.
+
+        They may be a second answer to the last request.
+        """
+        if kept.has_unread_bytes():
+            self.late_bytes += 1
+            LOG.event(
+                'late_bytes_dropped',
+                id=kept.last_request_id.decode('latin-1'),
+                endpoint=endpoint_id,
+                connection=f'{kept.number}.{kept.sends}',
+                idle_ms=_milliseconds(self.clock.now_s() - kept.last_used_s),
+            )
+        kept.close()
+
     def _open(
         self, endpoint: catalog.Endpoint, max_connections: int
     ) -> connection.Connection:
@@ -238,19 +258,19 @@
         idle = self.idle.setdefault(endpoint.id, collections.deque())
         idle.append(used)
         if len(idle) > MAX_IDLE_CONNECTIONS:
-            idle.popleft().close()
+            self._close_idle(endpoint.id, idle.popleft())
 
     def drop_endpoint(self, endpoint_id: str) -> None:
         """Close the idle connections to a removed endpoint."""
         for kept in self.idle.pop(endpoint_id, ()):
-            kept.close()
+            self._close_idle(endpoint_id, kept)
 
     def trim(self) -> None:
         """Close connections that have idled for over ``MAX_IDLE_S``."""
         now_s = self.clock.now_s()
         for endpoint_id, idle in list(self.idle.items()):
             while idle and now_s - idle[0].last_used_s > MAX_IDLE_S:
-                idle.popleft().close()
+                self._close_idle(endpoint_id, idle.popleft())
             if not idle:
                 del self.idle[endpoint_id]
 
