Test that a host passes on who has refused a request

Without the names in the header of a relayed request the test fails: the other host has the engine run what it had refused to the first one.

--- a/tests/test_gateway_latecopies.py
+++ b/tests/test_gateway_latecopies.py
@@ -253,6 +253,26 @@
     assert first.relayer.counts['taken'] == REQUESTS
 
 
+def test_host_that_is_passed_a_request_knows_who_has_refused_it(
+    world, engines
+):
+    """Another host had an engine run what it had refused to the first one."""
+    _, decoding = engines
+    configure(world, max_attempts=2)
+    for _ in range(2):
+        world.node()
+    first, second = world.nodes
+    gatewayworld.wait_for(
+        lambda: first.members.relay_token(second.settings.ip), 'the other host'
+    )
+    first.paths.do_others_reach = lambda service: True
+    first.paths.choose_host = lambda service, declined: second.settings.ip
+    decoding.refusals = 1
+    assert world.ask('/once/x', **PROMPT).status == 503
+    assert first.relayer.counts['taken'] == 1
+    assert not decoding.runs
+
+
 def test_stop_between_two_sends_promises_nothing(world, decoding):
     """The second send may run, whatever became of the first one."""
     for each in decoding:
