Read the end of an answer whose silent run is over

LOST beside silent engines: a stream that runs once and has a backup is cut although its engine has sent it whole.

Cause: the host stops the run of an engine that has sent nothing for a while. If the run ends while the stop is under way, the engine answers that it has no such run. The host took that for a run that has ended without its answer, closed the connection on which the rest had come, and sent the request to the engine with the backup, which drops a backup once its run has ended (PROTOCOL: "until the run has ended successfully") and refuses.

Found by reading. The new test of the shell failed before: four of five events came, then the connection ended.

Where the connection of the run is open, its rest is waited for first, as for any silent run: it brings the end of the answer, or its break, after which the stream goes on from the backup as before. A second such answer of the engine after a longer silence is believed, so that a connection that was lost unseen delays the stream, and does not end it.

--- a/magnoliadyke/core/streambackup.py
+++ b/magnoliadyke/core/streambackup.py
@@ -210,7 +210,11 @@
 
 
 def decide(
-    stopped: Stopped, took_s: float, left_s: float, is_silent: bool = False
+    stopped: Stopped,
+    took_s: float,
+    left_s: float,
+    is_silent: bool = False,
+    was_over: bool = False,
 ) -> Continue | ContinueMoved | ContinueKept | End:
     """Decide how a stream goes on after an attempt to stop its old run.
 
@@ -218,6 +222,7 @@
     :param left_s: time until the caller's deadline, in seconds
     :param is_silent: whether the old run's connection is open, so that its
         engine may only be silent
+    :param was_over: whether the engine of a silent run had no such run before
     """
     if left_s < MIN_LEFT_S:
         return End('too little time is left')
@@ -226,6 +231,9 @@
             return ContinueMoved(handle)
         case Kept(handle):
             return ContinueKept(handle)
+        case NoSuchRun() if is_silent and not was_over:
+            # A backup is kept only until its run has ended.
+            return End('the end of the answer may be on its way')
         case NoSuchRun() | EngineGone(was_refused=True):
             return Continue()
         case EngineGone() if is_silent:
--- a/magnoliadyke/gateway/engineruns.py
+++ b/magnoliadyke/gateway/engineruns.py
@@ -36,6 +36,8 @@
     :ivar event_s: when the last event came, in monotonic seconds; None if the
         interval to the next one is not the engine's
     :ivar silences: how often the engine was silent
+    :ivar is_over: whether the engine has said that it has no such run, though
+        the answer has not ended
     """
 
     engine: catalog.Endpoint
@@ -50,6 +52,7 @@
     has_events: bool = False
     event_s: float | None = None
     silences: int = 0
+    is_over: bool = False
 
 
 class ResponseWatch:
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -627,7 +627,7 @@
                 self.position,
                 self._budget(),
                 self.deadline_s,
-                is_silent,
+                self.silent_run if is_silent else None,
             )
         )
         if went_on is None:
--- a/magnoliadyke/gateway/streambackups.py
+++ b/magnoliadyke/gateway/streambackups.py
@@ -14,6 +14,7 @@
 from magnoliadyke.core import streamposition
 from magnoliadyke.gateway import codec as codecs
 from magnoliadyke.gateway import enginecontrol
+from magnoliadyke.gateway import engineruns
 from magnoliadyke.gateway import outcomes
 from magnoliadyke import logs
 
@@ -28,7 +29,7 @@
     :param engine: the engine whose answer broke off
     :param backup: the engine that keeps the backup
     :param deadline_s: when the caller's timeout ends, in monotonic seconds
-    :param is_silent: whether the engine is silent and its connection open
+    :param silent_run: the run if its engine is silent and its connection open
     """
 
     request: codecs.Request
@@ -37,7 +38,12 @@
     position: streamposition.StreamPosition
     budget: retrybudget.RetryBudget
     deadline_s: float
-    is_silent: bool = False
+    silent_run: engineruns.EngineRun | None = None
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether the engine may only be silent."""
+        return self.silent_run is not None
 
 
 class Continuation(NamedTuple):
@@ -107,8 +113,16 @@
             now_s = self.clock.now_s()
             took_s = now_s - began_s
             decision = streambackup.decide(
-                stopped, took_s, broken.deadline_s - now_s, broken.is_silent
+                stopped,
+                took_s,
+                broken.deadline_s - now_s,
+                broken.is_silent,
+                broken.is_silent and broken.silent_run.is_over,
             )
+            if broken.is_silent and isinstance(
+                stopped, streambackup.NoSuchRun
+            ):
+                broken.silent_run.is_over = True
         outcome = _outcome(stopped)
         self.counts[outcome] += 1
         self._log(broken, outcome, took_s, decision)
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -9,6 +9,7 @@
 from magnoliadyke.core import retrybudget
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import ingress
+from magnoliadyke.lab import framedanswer
 from tests import gatewayworld
 
 
@@ -232,6 +233,27 @@
     assert not first.moves
 
 
+def test_answer_that_ended_as_its_run_was_to_be_stopped_is_read(
+    world, monkeypatch
+):
+    """A stream whose end had come was cut, as no engine had a run of it."""
+    engines = start_engines(world)
+    monkeypatch.setattr(framedanswer, 'SILENCE_S', 0.8)
+    for each in engines:
+        each.mode = 'stall'
+        each.cut_after = each.events - 1
+        each.move_s = 0.25
+        # A backup is kept until its run has ended.
+        each.has_backups = False
+        each.pause_s = 0.02
+    stream = Stream(world, '/once/x')
+    first, second = stream.begin(engines)
+    stream.finish()
+    assert (stream.whole, stream.body) == (True, all_events(first))
+    assert [len(each.runs) for each in (first, second)] == [1, 0]
+    assert first.moves
+
+
 def test_caller_that_leaves_ends_the_waiting_run_and_the_new_one(world):
     """An engine works on for a caller that has left."""
     engines = start_engines(world)
--- a/tests/test_streambackup.py
+++ b/tests/test_streambackup.py
@@ -123,3 +123,14 @@
     refused = streambackup.EngineGone(was_refused=True)
     decision = streambackup.decide(refused, 0.3, 1.0, is_silent=True)
     assert decision == streambackup.Continue()
+
+
+def test_end_of_an_answer_is_waited_for_once():
+    """A run that had ended was sent to the engine with its backup."""
+    none = streambackup.NoSuchRun()
+    decision = streambackup.decide(none, 0.1, 1.0, is_silent=True)
+    assert isinstance(decision, streambackup.End)
+    decision = streambackup.decide(
+        none, 0.1, 1.0, is_silent=True, was_over=True
+    )
+    assert decision == streambackup.Continue()
