Stop no run of an engine that has just gone on with it

LOST beside silent engines: a stream that runs once and has a backup is cut although its engine went on with it.

Cause: an engine that has sent nothing for five pauses is asked for its state before it is told to stop the run. State and stop had 0.3 s together, so that an engine that was silent for about 1 s answered the first of them as it went on, and carried the stop out at once. All streams of such an engine are moved in the same moment, though none has to be; each needs a retry, a slot and room at the other engine, and one that does not get them is lost.

Two streams of one host were cut after 8.3 s: engine_run_silent outcome=begins, then stream_broke stop=moved took_ms=230, retry allowed=False taken=16 allowance=16.8, request_ended outcome=failed begun=True.

An engine that does not answer within 0.1 s counts as silent, and one that does has 0.1 s to send the next event. Only then it is told to stop the run, for which it has 0.3 s as before. The new tests failed before: the run was stopped, and went on at the other engine.

--- a/magnoliadyke/core/streambackup.py
+++ b/magnoliadyke/core/streambackup.py
@@ -16,6 +16,8 @@
 
 __all__ = [
     'MAX_TOKENS',
+    'RESPONSE_LIMIT_S',
+    'RESUME_LIMIT_S',
     'STOP_LIMIT_S',
     'Break',
     'Continue',
@@ -40,8 +42,14 @@
 #: Time limit for stopping the old run, in seconds.  A run that may go on
 #: elsewhere must not be worked on 0.4 s later at the old engine.
 STOP_LIMIT_S = 0.3
-#: Time beyond that limit, in seconds, after which a connection that was not
-#: opened tells nothing: this host itself was held up.
+#: Time limit for a call to a silent engine, in seconds: one that takes longer
+#: was silent itself.
+RESPONSE_LIMIT_S = 0.1
+#: Time in which an engine that has just gone on sends the next event of a run,
+#: in seconds.
+RESUME_LIMIT_S = 0.1
+#: Time beyond :data:`STOP_LIMIT_S`, in seconds, after which a connection that
+#: was not opened tells nothing: this host itself was held up.
 MAX_DELAY_S = 0.2
 #: Least time until the caller's deadline for which a stream is continued, in
 #: seconds: the time of two events.
--- a/magnoliadyke/gateway/connection.py
+++ b/magnoliadyke/gateway/connection.py
@@ -266,6 +266,12 @@
         """Whether the server has sent bytes that are not read yet."""
         return http.has_unread_bytes(self.sock)
 
+    def sends_within(self, wait_s: float) -> bool:
+        """Return whether the server sends something within a time."""
+        with gevent.Timeout(wait_s, False):
+            socket.wait_read(self.sock.fileno())
+        return self.has_unread_bytes()
+
     def close(self) -> None:
         """Close the connection and abandon a request in flight."""
         if self._sender is not None:
--- a/magnoliadyke/gateway/enginecontrol.py
+++ b/magnoliadyke/gateway/enginecontrol.py
@@ -68,7 +68,6 @@
         endpoint: catalog.Endpoint,
         request_id: bytes,
         target: str,
-        is_silent: bool = False,
     ) -> streambackup.Stopped:
         """Stop a run at an engine, and move its KV cache to another one.
 
@@ -76,7 +75,15 @@
 
         :param request_id: id of the request that it runs
         :param target: address of the other engine
-        :param is_silent: whether the engine has sent nothing for a while; it
-            is told to stop the run only if it answers another call, or it
-            would carry the stop out when it goes on
+        """
+
+    @abc.abstractmethod
+    def check_responds(
+        self, endpoint: catalog.Endpoint
+    ) -> streambackup.EngineGone | streambackup.Uncertain | None:
+        """Check that an engine answers a call at once.
+
+        Takes at most :data:`streambackup.RESPONSE_LIMIT_S` seconds.
+
+        :returns: None if it does
         """
--- a/magnoliadyke/gateway/streambackups.py
+++ b/magnoliadyke/gateway/streambackups.py
@@ -104,12 +104,7 @@
         took_s = 0.0
         if isinstance(decision, streambackup.StopRun):
             began_s = self.clock.now_s()
-            stopped = self.control.stop_run(
-                broken.engine,
-                broken.request.id,
-                broken.backup.address,
-                broken.is_silent,
-            )
+            stopped = self._stop(broken)
             now_s = self.clock.now_s()
             took_s = now_s - began_s
             decision = streambackup.decide(
@@ -156,6 +151,24 @@
             case _:
                 self.counts['broken_again'] += 1
 
+    def _stop(self, broken: Broken) -> streambackup.Stopped:
+        """Stop the old run, unless its engine may only be silent.
+
+        One that is silent would carry the stop out when it goes on, and one
+        that has just gone on finishes the run.
+        """
+        engine = broken.engine
+        if broken.silent_run is not None:
+            hindrance = self.control.check_responds(engine)
+            if hindrance is not None:
+                return hindrance
+            used = broken.silent_run.used
+            if used.sends_within(streambackup.RESUME_LIMIT_S):
+                return streambackup.Uncertain('it sends events again')
+        return self.control.stop_run(
+            engine, broken.request.id, broken.backup.address
+        )
+
     def _break(self, broken: Broken) -> streambackup.Break:
         now_s = self.clock.now_s()
         listed = self.catalog.find_staying(broken.backup.id)
--- a/magnoliadyke/platform/engines.py
+++ b/magnoliadyke/platform/engines.py
@@ -25,6 +25,14 @@
 #: Pause before a stop is repeated that found an earlier one under way, in
 #: seconds: a small share of the time in which a run has to be stopped.
 STOP_RETRY_S = 0.05
+#: Errors of calls about a run.
+STOP_ERRORS = (
+    OSError,
+    http.BrokenMessage,
+    http.OutOfTime,
+    http.PeerClosed,
+    ValueError,
+)
 
 
 class PlatformEngines(enginecontrol.EngineControl):
@@ -92,7 +100,6 @@
         endpoint: catalog.Endpoint,
         request_id: bytes,
         target: str,
-        is_silent: bool = False,
     ) -> streambackup.Stopped:
         """Stop a run at an engine, and move its KV cache to another one."""
         body = {
@@ -107,10 +114,6 @@
                 streambackup.STOP_LIMIT_S,
                 http.OutOfTime('engine did not respond in time'),
             ):
-                if is_silent:
-                    conn = self._connect_to_stop(endpoint)
-                    reached = True
-                    self._ask(conn, endpoint, b'GET', b'/api/report', b'')
                 while True:
                     conn = self._connect_to_stop(endpoint)
                     reached = True
@@ -136,19 +139,25 @@
             if status == STATUS_UNAVAILABLE:
                 return streambackup.Kept(handle)
             return streambackup.Moved(handle)
-        except ConnectionRefusedError:
-            return streambackup.EngineGone(was_refused=True)
-        except (TimeoutError, http.OutOfTime) as error:
-            if not reached:
-                return streambackup.EngineGone(was_refused=False)
-            return streambackup.Uncertain(str(error))
-        except (
-            OSError,
-            http.BrokenMessage,
-            http.PeerClosed,
-            ValueError,
-        ) as error:
-            return streambackup.Uncertain(str(error) or type(error).__name__)
+        except STOP_ERRORS as error:
+            return _unstopped(error, reached)
+
+    def check_responds(
+        self, endpoint: catalog.Endpoint
+    ) -> streambackup.EngineGone | streambackup.Uncertain | None:
+        """Check that an engine answers a call at once."""
+        reached = False
+        try:
+            with gevent.Timeout(
+                streambackup.RESPONSE_LIMIT_S,
+                http.OutOfTime('engine did not respond at once'),
+            ):
+                conn = self._connect_to_stop(endpoint)
+                reached = True
+                self._ask(conn, endpoint, b'GET', b'/api/report', b'')
+        except STOP_ERRORS as error:
+            return _unstopped(error, reached)
+        return None
 
     def _connect_to_stop(
         self, endpoint: catalog.Endpoint
@@ -204,6 +213,20 @@
         return answer.head.status, fields
 
 
+def _unstopped(
+    error: Exception, reached: bool
+) -> streambackup.EngineGone | streambackup.Uncertain:
+    """Return what one of :data:`STOP_ERRORS` says about a run.
+
+    :param reached: whether a connection was opened
+    """
+    if isinstance(error, ConnectionRefusedError):
+        return streambackup.EngineGone(was_refused=True)
+    if not reached and isinstance(error, TimeoutError | http.OutOfTime):
+        return streambackup.EngineGone(was_refused=False)
+    return streambackup.Uncertain(str(error) or type(error).__name__)
+
+
 def _headers(endpoint: catalog.Endpoint) -> http.Headers:
     return [
         (b'Host', endpoint.address.encode()),
