Stop a run only once its retry has been taken from the budget

LOST beside silent engines: a stream that runs once and has a backup is cut although its engine would have finished it.

Cause: before the host told the silent engine to stop the run, it asked the budget whether a retry is left, and took it only when it sent the request to the engine with the backup. Streams of one engine are silent together, so others spend the budget while the stop is under way; the run is over then, and nothing goes on with it.

The retry is taken right before the stop, and kept for the next attempt of the request if the run is not stopped. Without one the silent run is waited for. Plain requests had the same fault, and its remedy is now shared by all exchanges. The new test failed before: the stream ended after four of five events.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -148,6 +148,8 @@
     :ivar sent_on: connection on which the request was last sent, as
         ``NUMBER.REQUEST`` where ``REQUEST`` counts the requests sent on it;
         'none' before, and if the last attempt was not sent
+    :ivar has_retry: whether a retry was taken from the budget for the next
+        attempt
     :ivar start_recorded: whether the request was recorded as usage
     :ivar permits: ids of endpoints to which it may be sent once, whatever
         their rate limits
@@ -186,6 +188,7 @@
         self.endpoint = ''
         self.sent_s = arrived_s
         self.sent_on = 'none'
+        self.has_retry = False
         self.start_recorded = False
         self.permits: set[str] = set()
         self.answer_end: answerend.AnswerEnd | None = None
@@ -495,7 +498,25 @@
         The first attempt of a request is not a retry and always allowed.
         """
         self.send_count += 1
-        return self.send_count == 1 or self._acquire_retry()
+        if self.send_count == 1:
+            return True
+        allowed = self._reserve_retry()
+        self.has_retry = False
+        return allowed
+
+    def _reserve_retry(self) -> bool:
+        """Take a retry from the budget for the next attempt, if it has one.
+
+        :returns: whether the next attempt has a retry
+        """
+        self.has_retry = self.has_retry or self._acquire_retry()
+        return self.has_retry
+
+    def _is_retry_left(self) -> bool:
+        """Return whether the next attempt may have a retry."""
+        return self.has_retry or self._budget().has_left(
+            self.parts.clock.now_s()
+        )
 
     def _acquire_retry(self) -> bool:
         """Take a retry from the budget, and log whether it allows one."""
--- a/magnoliadyke/gateway/plainexchange.py
+++ b/magnoliadyke/gateway/plainexchange.py
@@ -31,14 +31,12 @@
 
     Failed attempts are retried at other endpoints where the route allows it.
 
-    :ivar has_retry: whether a retry was taken from the budget for the next try
     :ivar limit_wait_s: time until the limits of the endpoints may leave room
         for the request, in seconds; 0 if they did at the last choice
     """
 
     def __init__(self, *args) -> None:
         super().__init__(*args)
-        self.has_retry = False
         self.limit_wait_s = 0.0
 
     def _serve(self) -> outcomes.Outcome:
@@ -239,17 +237,9 @@
 
         Others may have spent the budget since the attempt began.
         """
-        if self._acquire_retry():
-            self.has_retry = True
+        if self._reserve_retry():
             limit.abort('no answer in time')
 
-    def _may_send(self) -> bool:
-        if self.has_retry:
-            self.has_retry = False
-            self.send_count += 1
-            return True
-        return super()._may_send()
-
     def _has_other_endpoint(self) -> bool:
         """Return whether the request may be retried at another endpoint."""
         reachability = self.parts.upstream.reachability
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -625,7 +625,8 @@
                 engine,
                 backup,
                 self.position,
-                self._budget(),
+                self._is_retry_left(),
+                self._reserve_retry,
                 self.deadline_s,
                 self.silent_run if is_silent else None,
             )
@@ -864,7 +865,7 @@
             self.backup is not None
             and self.position.last_id is not None
             and self.position.can_resume
-            and self._budget().has_left(self.parts.clock.now_s())
+            and self._is_retry_left()
         )
 
     def _can_resume(self) -> bool:
--- a/magnoliadyke/gateway/streambackups.py
+++ b/magnoliadyke/gateway/streambackups.py
@@ -4,12 +4,12 @@
 """
 
 import collections
+from typing import Callable
 from typing import NamedTuple
 
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import catalog
 from magnoliadyke.core import promptjobs
-from magnoliadyke.core import retrybudget
 from magnoliadyke.core import streambackup
 from magnoliadyke.core import streamposition
 from magnoliadyke.gateway import codec as codecs
@@ -28,6 +28,9 @@
 
     :param engine: the engine whose answer broke off
     :param backup: the engine that keeps the backup
+    :param has_retry: whether the retry budget allows another attempt
+    :param reserve_retry: takes a retry for it, and returns whether there is
+        one
     :param deadline_s: when the caller's timeout ends, in monotonic seconds
     :param silent_run: the run if its engine is silent and its connection open
     """
@@ -36,7 +39,8 @@
     engine: catalog.Endpoint
     backup: catalog.Endpoint
     position: streamposition.StreamPosition
-    budget: retrybudget.RetryBudget
+    has_retry: bool
+    reserve_retry: Callable[[], bool]
     deadline_s: float
     silent_run: engineruns.EngineRun | None = None
 
@@ -165,6 +169,8 @@
             used = broken.silent_run.used
             if used.sends_within(streambackup.RESUME_LIMIT_S):
                 return streambackup.Uncertain('it sends events again')
+        if not broken.reserve_retry():
+            return streambackup.Uncertain('the retry budget is spent')
         return self.control.stop_run(
             engine, broken.request.id, broken.backup.address
         )
@@ -176,7 +182,7 @@
             last_id=broken.position.last_id,
             can_resume=broken.position.can_resume,
             is_listed=listed is not None and _is_alike(listed, broken.engine),
-            has_retry=broken.budget.has_left(now_s),
+            has_retry=broken.has_retry,
             left_s=broken.deadline_s - now_s,
         )
 
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -233,6 +233,31 @@
     assert not first.moves
 
 
+def test_run_is_not_stopped_if_its_retry_is_spent_meanwhile(
+    world, monkeypatch
+):
+    """A host stopped a run and could not send it on: the budget was spent."""
+    engines = start_engines(world)
+    monkeypatch.setattr(framedanswer, 'SILENCE_S', 1.0)
+    for each in engines:
+        each.mode = 'stall'
+        each.cut_after = each.events - 1
+    stream = Stream(world, '/once/x')
+    first, second = stream.begin(engines)
+    budget = world.nodes[0].budgets['model']
+    serve = first._serve_control
+
+    def spend_budget_and_serve(*args):
+        while budget.try_acquire(time.monotonic()):
+            continue
+        return serve(*args)
+
+    first._serve_control = spend_budget_and_serve
+    stream.finish()
+    assert (stream.whole, stream.body) == (True, all_events(first))
+    assert not first.moves
+
+
 def be_silent(world, engines, further_s):
     """Have engines send nothing until their host has found that.
 
