Wait for the engine with a backup while it is held back

Cause: the rest of a stream was sent like a first attempt. One that finds no permit within a tenth of its time, or an engine in backoff, goes elsewhere; for the rest of a stream there is no other engine. A full engine that names a Retry-After also begins a backoff, so the second of the offers that are made to a full engine after a stop found it in backoff and ended the stream.

The end of a backoff and a permit are waited for while time is left. The three new tests failed before: the stream ended after its first event.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -684,12 +684,12 @@
         """Run the rest of a stream at the engine that goes on with it.
 
         A run that this host has stopped is lost if that engine is full, so it
-        is offered again.
+        is offered again.  The end of a backoff and a permit are waited for.
         """
         engine = went_on.engine
         self.endpoint = engine.id
-        pauses_s = BACKUP_RETRY_PAUSES_S if went_on.is_moved else ()
-        for pause_s in (*pauses_s, None):
+        pauses_s = iter(BACKUP_RETRY_PAUSES_S if went_on.is_moved else ())
+        while True:
             options = codecs.RunOptions(
                 endpoint=engine.name,
                 left_s=self.left_s,
@@ -698,16 +698,29 @@
                 resume_after=self.position.last_id,
             )
             result = self._stream(engine, options, job, placed)
+            if not isinstance(result, outcomes.NotRun):
+                return result
+            pause_s = self._available_in_s(engine, result)
+            if not pause_s and result.was_received:
+                pause_s = next(pauses_s, 0.0)
             if (
-                pause_s is None
+                not pause_s
                 or self.left_s < pause_s + exchange.RESPONSE_MARGIN_S
-                or not isinstance(result, outcomes.NotRun)
-                or not result.was_received
             ):
-                break
+                return result
             self._log_attempt(result.reason, 'not run')
             self.parts.clock.sleep(pause_s)
-        return result
+
+    def _available_in_s(
+        self, engine: catalog.Endpoint, refused: outcomes.NotRun
+    ) -> float:
+        """Return when an engine may be asked again, in seconds.
+
+        :returns: 0 if neither a backoff nor a rate limit holds it back
+        """
+        if refused.reason == exchange.LIMIT_REASON:
+            return refused.held_back_s
+        return self._backoff_s(engine.id)
 
     def _report_rejection(
         self,
--- a/tests/test_gateway_streambackups.py
+++ b/tests/test_gateway_streambackups.py
@@ -227,6 +227,38 @@
     assert not counts(world)
 
 
+@pytest.mark.parametrize('hindrance', ['backoff', 'limit', 'full'])
+def test_stream_waits_for_the_engine_with_its_backup(
+    world, engines, hindrance
+):
+    """A stream was cut though its backup could be used a second later."""
+    first, second = engines
+    first.runs_on = hindrance == 'full'
+    node = start(world)
+    stop_run = first._move
+
+    def hinder_and_stop(*args):
+        now_s = node.clock.now_s()
+        match hindrance:
+            case 'backoff':
+                node.ingress.parts.backoffs.record_backoff('d2', 1.5, now_s)
+            case 'limit':
+                node.limits.record_response('d2', 0.5, now_s, b'r0')
+                node.limits.pacers.granted.take('d2', now_s)
+            case 'full':
+                second.mode, second.backoff_s = 'shed', 1.0
+                gevent.spawn_later(0.5, setattr, second, 'mode', 'ok')
+        stop_run(*args)
+
+    first._move = hinder_and_stop
+    body, whole = stream(world)
+    assert (body, whole) == (
+        b''.join(first._event(n) for n in (1, 2, 3)),
+        True,
+    )
+    assert len(second.runs) == 1
+
+
 def test_continued_stream_holds_a_slot_where_it_goes_on(world, engines):
     """The engine that took a stream over counted as idle."""
     first, second = engines
