Test messages that are broken off at each byte of their head

Another operator saw clients get a 200 with an empty or short body, framed as whole, after a runner had stopped in the middle of its answer's head and closed.

The next request on the caller's connection has to get its own answer.

Stand-ins take a CutOff: a number of bytes after which each answer ends.

--- a/magnoliadyke/lab/framedanswer.py
+++ b/magnoliadyke/lab/framedanswer.py
@@ -12,7 +12,14 @@
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import http
 
-__all__ = ['Break', 'BreakAt', 'BreakBy', 'detectable_breaks', 'send']
+__all__ = [
+    'Break',
+    'BreakAt',
+    'BreakBy',
+    'detectable_breaks',
+    'end_broken',
+    'send',
+]
 
 Framing = answerend.Framing
 
@@ -112,7 +119,7 @@
     head = _head(status, headers, promised, framing)
     if broken is not None and broken.at is BreakAt.HEAD:
         caller._send(head[: len(head) // 2])
-        return _end_broken(caller, broken)
+        return end_broken(caller, broken.by)
     caller._send(head)
     for piece in sent:
         caller._send(_framed(piece, framing))
@@ -125,7 +132,7 @@
             framed = b'%x\r\n%s' % (2 * len(partial), partial)
         caller._send(framed)
     if not is_marked:
-        return _end_broken(caller, broken)
+        return end_broken(caller, broken.by)
     if framing is Framing.CHUNKED:
         caller._send(b'0\r\n\r\n')
     return framing is not Framing.CLOSE
@@ -167,8 +174,12 @@
     return piece
 
 
-def _end_broken(caller: callers.Caller, broken: Break) -> bool:
-    match broken.by:
+def end_broken(caller: callers.Caller, by: BreakBy) -> bool:
+    """Prepare a connection for the close that breaks an answer off.
+
+    :returns: that it can't be used again
+    """
+    match by:
         case BreakBy.RESET:
             caller.sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
--- a/magnoliadyke/lab/httpstandin.py
+++ b/magnoliadyke/lab/httpstandin.py
@@ -2,6 +2,7 @@
 
 import abc
 import time
+from typing import NamedTuple
 
 import gevent
 from gevent import server
@@ -9,8 +10,19 @@
 
 from magnoliadyke.gateway import caller as callers
 from magnoliadyke.gateway import http
+from magnoliadyke.lab import framedanswer
 
-__all__ = ['HttpStandIn', 'read_request']
+__all__ = ['CutOff', 'HttpStandIn', 'read_request']
+
+
+class CutOff(NamedTuple):
+    """Where and how answers are broken off, whatever they consist of.
+
+    :param after: number of bytes of an answer that are sent
+    """
+
+    after: int
+    by: framedanswer.BreakBy
 
 
 class HttpStandIn(abc.ABC):
@@ -22,6 +34,8 @@
     :ivar silent_until_s: until when it sends nothing, in monotonic seconds
     :ivar sends_copies: each answer is sent again, late: when the next request
         has arrived on its connection
+    :ivar cut_off: where and how each answer is broken off, None if they are
+        not
     """
 
     def __init__(self, address: str) -> None:
@@ -31,6 +45,7 @@
         self.server: server.StreamServer | None = None
         self.silent_until_s = 0.0
         self.sends_copies = False
+        self.cut_off: CutOff | None = None
 
     def start(self) -> str:
         """Start listening.
@@ -72,7 +87,7 @@
         reader = http.RequestReader(sock)
         try:
             while self._serve_one(caller, reader):
-                pass
+                caller.answer_bytes = 0
         except (callers.CallerLeft, http.BrokenMessage, http.PeerClosed):
             # Clients may disconnect at any time.
             pass
@@ -92,8 +107,9 @@
 
 
 class _Caller(callers.Caller):
-    """A connection on which nothing is sent while its stand-in is silent.
+    """A connection on which a stand-in sends as its faults have it.
 
+    :ivar answer_bytes: number of bytes sent since the last answer
     :ivar last_answer: what was sent since the owner last cleared it, if it
         sends copies
     :ivar earlier_answers: the answers before, as the owner keeps them
@@ -102,6 +118,7 @@
     def __init__(self, sock: socket.socket, stand_in: HttpStandIn) -> None:
         super().__init__(sock)
         self.stand_in = stand_in
+        self.answer_bytes = 0
         self.last_answer = bytearray()
         self.earlier_answers: list[bytes] = []
 
@@ -109,7 +126,14 @@
         self.stand_in.wait_while_silent()
         if self.stand_in.sends_copies:
             self.last_answer += data
+        cut_off = self.stand_in.cut_off
+        if cut_off is not None:
+            data = data[: max(0, cut_off.after - self.answer_bytes)]
+        self.answer_bytes += len(data)
         super()._send(data)
+        if cut_off is not None and self.answer_bytes >= cut_off.after:
+            framedanswer.end_broken(self, cut_off.by)
+            raise callers.CallerLeft
 
 
 def read_request(reader: http.RequestReader) -> tuple[http.Head, bytes]:
