Test heads that are broken off at any byte, and a refusal that hides an answer

Two forms were not tested: each byte of the head as the place of the break, in one read and in two, and the other direction, the head of a refusal that is broken off before the answer.

--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -97,6 +97,29 @@
     assert answer == (200, b'answer to r1', True)
 
 
+def interrupt_heads(endpoint, begun):
+    """Have an endpoint begin one answer, and then send another one."""
+    usual = endpoint._run
+
+    def run(caller, arrival):
+        caller._send(begun)
+        return usual(caller, arrival)
+
+    endpoint._run = run
+
+
+def test_refusal_that_was_begun_does_not_hide_an_answer(world, engines):
+    """A stream that may run once was taken for refused, and ran again."""
+    others = [engines, world.endpoint('e3', 'model', 'decode')]
+    for each in others:
+        interrupt_heads(
+            each, b'HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nDate: Sat'
+        )
+    world.node()
+    assert read_answer(world, '/once/x', **PROMPT)[0] == 502
+    assert sum(len(each.runs) for each in others) == 1
+
+
 @pytest.mark.parametrize('framing', FRAMINGS)
 def test_whole_stream_looks_whole(world, engines, framing):
     engines.framing = framing
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -68,6 +68,28 @@
     assert not reader.between_messages
 
 
+@pytest.mark.parametrize('first, second', [(200, 500), (503, 200)])
+def test_head_that_another_answer_interrupts_is_no_head(first, second):
+    """The status of one answer was joined to the body of another one."""
+
+    def head(status):
+        lines = [
+            b'HTTP/1.1 %d Some reason' % status,
+            b'X-Request-Id: r1',
+            b'Content-Type: text/plain',
+            b'X-Not-Executed: 1',
+            b'Content-Length: 2',
+        ]
+        return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+    for cut in range(1, len(head(first))):
+        pieces = [head(first)[:cut], head(second) + b'ok']
+        for sent in (pieces, [b''.join(pieces)]):
+            reader = http.AnswerReader(FakeSocket(sent))
+            with pytest.raises(http.BrokenMessage):
+                reader.next_part()
+
+
 def test_interim_and_reuse():
     data = b'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
     head = http.AnswerReader(FakeSocket([data])).next_part()
