Refuse a number too large for a float in a stored record

Seen by operators of like systems: after one odd entry among those of the endpoints, hosts stopped following the list. Here an entry or a configuration with an integer of 310 to 4,300 digits raised OverflowError in math.isfinite() rather than BadField; the follower's greenlet ended, and the host learned of no endpoint and no configuration any more.

Python compares integers and floats exactly, and each comparison with NaN is false, so the comparison with the limits is enough by itself. Addresses with an IPv6 zone, which may hold any characters, and with ports of any number of digits are refused as well; none of them raised.

Deep nesting, 5,000 digits, ports out of range, NaN and wrong types were refused already.

--- a/magnoliadyke/platform/fields.py
+++ b/magnoliadyke/platform/fields.py
@@ -2,7 +2,6 @@
 
 import ipaddress
 import json
-import math
 from typing import Any
 
 __all__ = [
@@ -97,7 +96,8 @@
         raise BadField(
             f'{name}: expected a number, got {type(found).__name__}'
         )
-    if not math.isfinite(found) or not minimum <= found <= MAX_NUMBER:
+    # False for NaN too; an integer is compared as it is, however large.
+    if not minimum <= found <= MAX_NUMBER:
         raise BadField(
             f'{name}: expected {minimum} to {MAX_NUMBER:.0f}, '
             f'got {found!r:.40}'
@@ -139,10 +139,24 @@
     """Return a numeric address with a port, as ``ip:port``."""
     found = read_string(fields, name)
     host, _, port = found.rpartition(':')
-    try:
-        ipaddress.ip_address(host)
-    except ValueError as error:
-        raise BadField(f'{name}: expected ip:port, got {found!r}') from error
-    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
-        raise BadField(f'{name}: expected ip:port, got {found!r}')
+    if not _is_ip(host) or not _is_port(port):
+        raise BadField(f'{name}: expected ip:port, got {found!r:.80}')
     return found
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    # A zone, as in fe80::1%eth0, may hold any characters.
+    return '%' not in text
+
+
+def _is_port(text: str) -> bool:
+    return (
+        text.isascii()
+        and text.isdigit()
+        and len(text) <= len(str(MAX_PORT))
+        and 0 < int(text) <= MAX_PORT
+    )
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -208,11 +208,19 @@
         {'address': '1.2.3.4:0'},
         {'address': 'somewhere:80'},
         {'address': '1.2.3.4:99999'},
+        {'address': '1.2.3.4:65536'},
+        {'address': '1.2.3.4:-1'},
+        {'address': '1.2.3.4:' + '9' * 400},
+        {'address': 'fe80::1%\u00e9:80'},
         {'zone': ['z']},
         {'slots': ...},
         {'slots': -3},
         {'slots': 0},
         {'slots': 10**30},
+        {'slots': 10**400},
+        {'slots': -(10**400)},
+        {'slots': float('inf')},
+        {'born': 10**400},
         {'slots': 2.5},
         {'slots': True},
         {'slots': float('nan')},
@@ -233,6 +241,33 @@
     assert found.reason
 
 
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'[' * 100_000,
+        b'{"slots":' * 100_000,
+        b'{"slots":%s}' % (b'9' * 5000),
+        b'{"version":%s}' % (b'9' * 400),
+        b'{"version":1,"limits":{"max_header_bytes":%s}}' % (b'9' * 400),
+        b'{"version":-1}',
+        b'{"version":1e999}',
+        b'{"version":true}',
+        b'',
+        b'null',
+        b'\xff{}',
+    ],
+    ids=lambda value: repr(value[:24]),
+)
+def test_value_of_another_writer(value):
+    """Numbers of hundreds of digits ended the follower of the store."""
+    for found in (
+        records.decode_endpoint('servers/i-1', value),
+        records.decode_configuration(value),
+    ):
+        assert isinstance(found, catalog.UnusableRecord)
+        assert found.reason
+
+
 @pytest.mark.parametrize('key', ['servers/', 'servers/a b', 'servers/a\r\nb'])
 def test_key_that_names_no_endpoint(key):
     value = json.dumps(ENTRY).encode()
