Follow the store past odd values of the hosts' own keys

Another writer's value under a key that hosts write ended the follower: the host served on with its list of endpoints and its configuration of that moment, and a host that started later never got ready. Without an object (AttributeError), nested (RecursionError), or with a field of another type this held for the host records, the leader key, the sizes of services and the usage reports. A host record with port 70000 was taken, and the next probe raised OverflowError in sendto(), which ended the gossip task. A key such as magnoliadyke/leader2 was read as the leader key.

All these decoders now read typed fields (fields.py moves from platform/ to gateway/ for it), and a bad value is skipped with one throttled line that names key, reason and position. A host record has to be under its own key. A leader key that names no host counts as vacant and is replaced, a usage report that can't be read is replaced by the next one. Listeners get only their key, or the keys under a prefix that ends with a slash.

--- a/magnoliadyke/core/usage.py
+++ b/magnoliadyke/core/usage.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterator
 import json
 import math
+from typing import Any
 from typing import NamedTuple
 
 __all__ = [
@@ -27,6 +28,8 @@
 #: Windows kept beyond those whose reports are not overdue: the present one and
 #: one that has just ended.
 SPARE_WINDOWS = 2
+#: Largest window and count that are read from the store.
+MAX_COUNT = 2**53
 
 
 def window_of(wall_s: float, length_s: float) -> int:
@@ -201,9 +204,30 @@
     def parse(self, value: bytes) -> 'Reports':
         """Return the reports that :meth:`dump` encoded.
 
-        :raises ValueError, TypeError: the value is not in that form
+        :raises ValueError: the value is not in that form
         """
-        return Reports(
-            self.max_windows,
-            (Report(int(w), dict(counts)) for w, counts in json.loads(value)),
-        )
+        try:
+            found = json.loads(value)
+        except RecursionError as error:
+            raise ValueError(f'invalid JSON: {error}') from error
+        if not isinstance(found, list):
+            raise ValueError(
+                f'expected a list of reports, got {type(found).__name__}'
+            )
+        return Reports(self.max_windows, [_report(each) for each in found])
+
+
+def _report(found: Any) -> Report:
+    match found:
+        case [int(window), dict(counts)] if _is_count(window) and all(
+            map(_is_count, counts.values())
+        ):
+            return Report(window, counts)
+    raise ValueError(
+        'expected reports of a window and its counts by workspace, from 0 to '
+        f'{MAX_COUNT} each, got one of another form'
+    )
+
+
+def _is_count(found: Any) -> bool:
+    return type(found) is int and 0 <= found <= MAX_COUNT
--- a/magnoliadyke/gateway/autoscaling.py
+++ b/magnoliadyke/gateway/autoscaling.py
@@ -8,6 +8,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import autoscaler
 from magnoliadyke.core import catalog
+from magnoliadyke.gateway import fields
 from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import leadership
 from magnoliadyke.gateway import operatorcalls
@@ -81,14 +82,18 @@
 
     def changed(self, item: store.Item) -> None:
         """Record a service's target number of endpoints from the store."""
+        service = item.key.removeprefix(FLEET_PREFIX)
         try:
-            wanted = json.loads(item.value)
-        except ValueError:
-            wanted = None
-        if not isinstance(wanted, int) or wanted < 0:
-            LOG.throttled_warning('fleet_size_ignored', item.key, key=item.key)
-            return
-        self.wanted[item.key.removeprefix(FLEET_PREFIX)] = wanted
+            wanted = {service: fields.parse(item.value)}
+            self.wanted[service] = fields.read_integer(wanted, service, 0)
+        except fields.BadField as error:
+            LOG.throttled_warning(
+                'fleet_size_ignored',
+                item.key,
+                key=item.key,
+                error=str(error),
+                position=item.position,
+            )
 
     # Orders.
 
--- a/magnoliadyke/gateway/callerwaits.py
+++ b/magnoliadyke/gateway/callerwaits.py
@@ -135,8 +135,9 @@
             raise ValueError(FIELD)
         return longest_ms / 1000
     except (ValueError, TypeError, KeyError, RecursionError):
-        LOG.warning_event(
+        LOG.throttled_warning(
             'caller_wait_unreadable',
+            item.key,
             key=item.key,
             expected=f'object with {FIELD}, a number of milliseconds',
             got=f'{item.value!r:.80}',
--- a/magnoliadyke/platform/fields.py
+++ b/magnoliadyke/gateway/fields.py
@@ -6,13 +6,16 @@
 
 __all__ = [
     'BadField',
+    'parse',
+    'parse_object',
     'read_address',
     'read_bool',
+    'read_integer',
+    'read_ip',
     'read_number',
-    'parse_object',
     'read_objects',
+    'read_port',
     'read_string',
-    'read_integer',
 ]
 
 MAX_PORT = 65535
@@ -26,15 +29,23 @@
     """A field is missing, or has a wrong type or value."""
 
 
-def parse_object(value: bytes) -> dict[str, Any]:
-    """Parse a JSON object.
+def parse(value: bytes) -> Any:
+    """Parse a JSON document.
 
-    :raises BadField: the value is not a JSON object
+    :raises BadField: the value is not JSON, or too deeply nested
     """
     try:
-        found = json.loads(value)
+        return json.loads(value)
     except (ValueError, RecursionError) as error:
         raise BadField(f'invalid JSON: {error}') from error
+
+
+def parse_object(value: bytes) -> dict[str, Any]:
+    """Parse a JSON object.
+
+    :raises BadField: the value is not a JSON object
+    """
+    found = parse(value)
     if not isinstance(found, dict):
         raise BadField(f'expected a JSON object, got {type(found).__name__}')
     return found
@@ -82,10 +93,12 @@
     name: str,
     minimum: float,
     default: float | None = None,
+    maximum: float = MAX_NUMBER,
 ) -> float:
     """Return a finite number.
 
     :param minimum: smallest accepted value
+    :param maximum: largest accepted value
     :param default: value if the field is missing or null; None if the field
         is required
     """
@@ -97,10 +110,9 @@
             f'{name}: expected a number, got {type(found).__name__}'
         )
     # False for NaN too; an integer is compared as it is, however large.
-    if not minimum <= found <= MAX_NUMBER:
+    if not minimum <= found <= maximum:
         raise BadField(
-            f'{name}: expected {minimum} to {MAX_NUMBER:.0f}, '
-            f'got {found!r:.40}'
+            f'{name}: expected {minimum} to {maximum:.0f}, got {found!r:.40}'
         )
     return found
 
@@ -110,14 +122,16 @@
     name: str,
     minimum: int,
     default: int | None = None,
+    maximum: float = MAX_NUMBER,
 ) -> int:
     """Return an integer; 3.0 is not accepted.
 
     :param minimum: smallest accepted value
+    :param maximum: largest accepted value
     :param default: value if the field is missing or null; None if the field
         is required
     """
-    found = read_number(fields, name, minimum, default)
+    found = read_number(fields, name, minimum, default, maximum)
     if not isinstance(found, int):
         raise BadField(f'{name}: expected an integer, got {found!r}')
     return found
@@ -144,6 +158,19 @@
     return found
 
 
+def read_ip(fields: dict[str, Any], name: str) -> str:
+    """Return a numeric IP address."""
+    found = read_string(fields, name)
+    if not _is_ip(found):
+        raise BadField(f'{name}: expected an IP address, got {found!r:.80}')
+    return found
+
+
+def read_port(fields: dict[str, Any], name: str) -> int:
+    """Return the number of a port."""
+    return read_integer(fields, name, 1, maximum=MAX_PORT)
+
+
 def _is_ip(text: str) -> bool:
     try:
         ipaddress.ip_address(text)
--- a/magnoliadyke/gateway/keymirror.py
+++ b/magnoliadyke/gateway/keymirror.py
@@ -67,7 +67,8 @@
 
     :param endpoint_catalog: catalog that receives the configuration and the
         endpoints
-    :param listeners: receive the gateways' own keys, by key prefix
+    :param listeners: receive the gateways' own keys, by key, or by a prefix
+        of keys that ends with a slash
     :param gone: called with the id of each endpoint that is removed
     :param bound_s: time in which a leaving endpoint must get no more work, in
         seconds
@@ -127,7 +128,7 @@
             elif item.key == self.decoder.configuration_key:
                 self._apply(item)
         for prefix, listener in self.listeners.items():
-            own = {k: i for k, i in items.items() if k.startswith(prefix)}
+            own = {k: i for k, i in items.items() if _is_under(k, prefix)}
             listener.restored(own, at)
         missing = self._unlisted()
         self._record_missing(missing)
@@ -324,12 +325,12 @@
 
     def _notify_changed(self, item: store.Item) -> None:
         for prefix, listener in self.listeners.items():
-            if item.key.startswith(prefix):
+            if _is_under(item.key, prefix):
                 listener.changed(item)
 
     def _notify_removed(self, key: str) -> None:
         for prefix, listener in self.listeners.items():
-            if key.startswith(prefix):
+            if _is_under(key, prefix):
                 listener.removed(key)
 
     # Endpoints whose entries are missing.
@@ -377,3 +378,7 @@
             LOG.event('endpoint_gone', endpoint=endpoint_id)
             self.stale_entries.record_removal(endpoint_id, self.clock.now_s())
             self.gone(endpoint_id)
+
+
+def _is_under(key: str, prefix: str) -> bool:
+    return key == prefix or prefix.endswith('/') and key.startswith(prefix)
--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -14,6 +14,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import membership
 from magnoliadyke.core import position
+from magnoliadyke.gateway import fields
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import members
@@ -101,6 +102,28 @@
     revision: int
 
 
+class _LeaderRecord(NamedTuple):
+    """The value of the leader key."""
+
+    host: str
+    incarnation: int
+    address: str
+
+    @classmethod
+    def parse(cls, value: bytes) -> '_LeaderRecord':
+        """Decode a stored record.
+
+        :raises fields.BadField: not a JSON object, or a field is missing or
+            has a wrong type or value
+        """
+        found = fields.parse_object(value)
+        return cls(
+            fields.read_string(found, 'host'),
+            fields.read_integer(found, 'incarnation', 0),
+            fields.read_ip(found, 'address'),
+        )
+
+
 class Leadership(app.Component, keymirror.Listener):
     """Acquires and renews the leader lease, or follows its holder.
 
@@ -240,13 +263,18 @@
     # Notifications of the store.
 
     def changed(self, item: store.Item) -> None:
-        """Record the host that the leader key names, and follow it."""
-        fields = json.loads(item.value)
-        self._record_holder(
-            fields['host'], fields['incarnation'], item.position
-        )
+        """Record the host that the leader key names, and follow it.
+
+        A key that names none is vacant, and is replaced by the next leader.
+        """
+        record = _parse(item)
+        if record is None:
+            self._record_lease_lost()
+            self._record_vacancy(item.position)
+            return
+        self._record_holder(record.host, record.incarnation, item.position)
         if self.holder != self.own.host or self.lease is None:
-            self.placement_service.follow(fields['address'], item.position)
+            self.placement_service.follow(record.address, item.position)
             LOG.event('leader', leader=self.holder, position=item.position)
 
     def removed(self, key: str) -> None:
@@ -257,6 +285,13 @@
         """
         self._record_vacancy(position.START)
 
+    def _record_lease_lost(self) -> None:
+        """Record that this host no longer holds the lease, if it did."""
+        if self.lease is not None:
+            LOG.warning_event('leadership_lost', fencing=self.fencing)
+            self.lease = None
+            self.yielding = False
+
     def _record_vacancy(self, key: position.Position) -> None:
         """Record that no host holds the lease.
 
@@ -291,10 +326,7 @@
             self.order_until_s = 0.0
             self.renew_s = 0.0
             return
-        if self.lease is not None:
-            LOG.warning_event('leadership_lost', fencing=self.fencing)
-            self.lease = None
-            self.yielding = False
+        self._record_lease_lost()
         if term is not None and (term == present or term not in self.terms):
             self.changed(item)
             return
@@ -542,9 +574,26 @@
                     self.removed(LEADER_KEY)
 
 
-def _term(item: store.Item) -> _Term:
-    fields = json.loads(item.value)
-    return _Term(fields['host'], fields['incarnation'], item.position.revision)
+def _parse(item: store.Item) -> _LeaderRecord | None:
+    """Return the record in the leader key, None if it is malformed."""
+    try:
+        return _LeaderRecord.parse(item.value)
+    except fields.BadField as error:
+        LOG.throttled_warning(
+            'leader_ignored',
+            item.key,
+            key=item.key,
+            error=str(error),
+            position=item.position,
+        )
+        return None
+
+
+def _term(item: store.Item) -> _Term | None:
+    record = _parse(item)
+    if record is None:
+        return None
+    return _Term(record.host, record.incarnation, item.position.revision)
 
 
 def placement_capacity(cores: float, link_mbps: float) -> float:
--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -17,6 +17,7 @@
 from magnoliadyke.core import membership
 from magnoliadyke.core import position
 from magnoliadyke import errors
+from magnoliadyke.gateway import fields
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import placement_codec
@@ -103,18 +104,28 @@
     def parse(cls, value: bytes) -> 'HostRecord':
         """Decode a stored record.
 
-        :raises ValueError, KeyError, TypeError: not JSON, a field is missing,
-            or a capacity is not from 0 to :data:`MAX_CAPACITY_S`
+        :raises fields.BadField: not a JSON object, or a field is missing or
+            has a wrong type or value
         """
-        fields: dict[str, Any] = json.loads(value)
-        for name in ('capacity', 'prompts_s'):
-            capacity = fields.get(name, 0.0)
-            if not 0 <= capacity <= MAX_CAPACITY_S:
-                raise ValueError(
-                    f'host {fields["host"]!r}: {name} is {capacity}, expected '
-                    f'0 to {MAX_CAPACITY_S:.0f}'
-                )
-        return cls(**{n: fields[n] for n in cls._fields if n in fields})
+        found = fields.parse_object(value)
+        host = fields.read_string(found, 'host')
+        if not host:
+            raise fields.BadField("host: expected a name, got ''")
+        return cls(
+            host=host,
+            incarnation=fields.read_integer(found, 'incarnation', 0),
+            address=fields.read_ip(found, 'address'),
+            callers=fields.read_address(found, 'callers'),
+            gossip_port=fields.read_port(found, 'gossip_port'),
+            failure_domain=fields.read_string(found, 'failure_domain'),
+            capacity=fields.read_number(
+                found, 'capacity', 0.0, maximum=MAX_CAPACITY_S
+            ),
+            relay_token=fields.read_string(found, 'relay_token', ''),
+            prompts_s=fields.read_number(
+                found, 'prompts_s', 0.0, 0.0, MAX_CAPACITY_S
+            ),
+        )
 
     @property
     def key(self) -> str:
@@ -423,13 +434,21 @@
 
     # Changes of the hosts' keys in the store.
 
-    def add_listed_host(self, value: bytes) -> None:
+    def add_listed_host(self, item: store.Item) -> None:
         """Add a host whose key was read; a malformed record is ignored."""
         try:
-            record = HostRecord.parse(value)
-        except (ValueError, KeyError, TypeError) as error:
+            record = HostRecord.parse(item.value)
+            if record.key != item.key:
+                raise fields.BadField(
+                    f'host: expected the name in the key, got {record.host!r}'
+                )
+        except fields.BadField as error:
             LOG.throttled_warning(
-                'host_record_ignored', 'record', error=str(error)
+                'host_record_ignored',
+                item.key,
+                key=item.key,
+                error=str(error),
+                position=item.position,
             )
             return
         self.records[record.host] = record
@@ -447,20 +466,20 @@
             # This host runs: have _register write its key again.
             self.lease = None
 
-    def restored(self, values: list[bytes]) -> None:
+    def restored(self, items: list[store.Item]) -> None:
         """Handle a restore of the store from a backup.
 
         Gossip keeps its state.  The own lease is still valid only if the
         backup holds the own key as this process wrote it.
 
-        :param values: encoded records of the hosts that the backup lists
+        :param items: keys of the hosts that the backup lists
         """
         self.listed.clear()
-        for value in values:
-            self.add_listed_host(value)
+        for item in items:
+            self.add_listed_host(item)
         if self.leaving or self.registering is None:
             return
-        if self.own.dump() not in values:
+        if self.own.dump() not in [item.value for item in items]:
             self.lease = None
         self.registering.kill(block=False)
         self.registering = gevent.spawn(
@@ -588,7 +607,7 @@
 
     def changed(self, item: store.Item) -> None:
         """Add the host whose key was written."""
-        self.members.add_listed_host(item.value)
+        self.members.add_listed_host(item)
 
     def removed(self, key: str) -> None:
         """Remove the host whose key was removed."""
@@ -598,7 +617,7 @@
         self, items: dict[str, store.Item], at: position.Position
     ) -> None:
         """Replace the listed hosts by those of a restored store."""
-        self.members.restored([item.value for item in items.values()])
+        self.members.restored(list(items.values()))
 
 
 @functools.cache
--- a/magnoliadyke/gateway/usageduty.py
+++ b/magnoliadyke/gateway/usageduty.py
@@ -241,14 +241,20 @@
         """Merge final reports that were written to the store."""
         try:
             read = self.reports.parse(item.value)
-        except (ValueError, TypeError) as error:
+        except ValueError as error:
             LOG.throttled_warning(
-                'reports_ignored', item.key, error=str(error)
+                'reports_ignored',
+                item.key,
+                key=item.key,
+                error=str(error),
+                position=item.position,
             )
-            return
+            read = None
         if self.key is None or item.position > self.key.position:
+            # The next report also replaces a value that can't be read.
             self.key = item
-        self.reports.merge(read)
+        if read is not None:
+            self.reports.merge(read)
 
     def restored(self, items: dict[str, store.Item], at) -> None:
         """Merge the reports of a store that was restored from an older copy.
--- a/magnoliadyke/platform/engines.py
+++ b/magnoliadyke/platform/engines.py
@@ -9,8 +9,8 @@
 from magnoliadyke.core import streambackup
 from magnoliadyke.gateway import connection
 from magnoliadyke.gateway import enginecontrol
+from magnoliadyke.gateway import fields as report
 from magnoliadyke.gateway import http
-from magnoliadyke.platform import fields as report
 from magnoliadyke.platform import records
 
 __all__ = ['PlatformEngines']
--- a/magnoliadyke/platform/records.py
+++ b/magnoliadyke/platform/records.py
@@ -7,7 +7,7 @@
 from magnoliadyke.core import catalog
 from magnoliadyke.core import routes
 from magnoliadyke.core import workspaces
-from magnoliadyke.platform import fields
+from magnoliadyke.gateway import fields
 
 __all__ = [
     'CONFIGURATION_KEY',
--- a/tests/test_hostselection.py
+++ b/tests/test_hostselection.py
@@ -11,10 +11,12 @@
 from magnoliadyke.core import catalog
 from magnoliadyke.core import hostselection
 from magnoliadyke.core import membership
+from magnoliadyke.core import position
 from magnoliadyke.core import prefillcost
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import placement_codec
 from magnoliadyke.gateway import placementservice
+from magnoliadyke.gateway import store
 from magnoliadyke.platform import directory
 
 Basis = hostselection.Basis
@@ -100,7 +102,7 @@
 
 
 def hear_of(made, heard):
-    made.add_listed_host(heard.dump())
+    made.add_listed_host(store.Item(heard.key, heard.dump(), position.START))
     source = members._member(heard)
     ping = membership.Ping(1, source, made.own.host, (), (), b'')
     made.membership.receive(ping, made.clock.now_s())
