--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -579,8 +579,6 @@
         active = self._exchange(
             request, route, service, caller, arrived_s - relayed.waited_s
         )
-        active.refused_by |= relayed.refused_by
-        active.tried |= relayed.refused_by
         if not self._can_finish(active):
             self._decline(caller, request, relayed, exchange.STOPPING)
         elif self.parts.paths.is_cut_off(active.service):
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -52,8 +52,6 @@
 BACKUP_RETRY_PAUSES_S = (0.1, 0.2, 0.4)
 #: Reason of an attempt that waits for a silent engine.
 SILENT_REASON = 'the engine is silent'
-#: Reason of a refusal if all engines that may run a request have refused it.
-REFUSED_REASON = 'each engine that may run it has refused it'
 #: Maximum number of unavailable engines that a job excludes, besides those
 #: that failed the request.
 MAX_EXCLUDED_ENGINES = 32
@@ -211,8 +209,6 @@
             backoff_s = self._decode_engines_backoff_s()
             if backoff_s:
                 return self._refused(exchange.BACKOFF_REASON, backoff_s)
-            if self.refused_by and not self._usable_decode_engines():
-                return self._refused(REFUSED_REASON, self._retry_after_s())
             resumed = resume_after is not None or self.caller.answer_started
             job = self._job(avoid, resumed)
             self.placing = job.id
@@ -222,16 +218,11 @@
             if isinstance(decision, promptjobs.Refused):
                 self.parts.placement_service.record_refusal(job, decision)
                 return self._refused(decision.reason, decision.retry_after_s)
-            unusable = None
             if self._is_silent(decision.decode_engine):
-                unusable = SILENT_REASON
-            elif self._has_refused(decision.decode_engine):
-                unusable = REFUSED_REASON
-            if unusable is not None:
                 self.parts.placement_service.record_end(
                     self.service, job.id, True
                 )
-                return self._refused(unusable, self._retry_after_s())
+                return self._refused(SILENT_REASON, exchange.RETRY_AFTER_S)
             excluded = self._engine_in_backoff(decision)
             if excluded is None:
                 return self._run_and_report(job, decision, resume_after)
@@ -326,14 +317,6 @@
         run = self.silent_run
         return run is not None and run.engine.id == engine_id
 
-    def _has_refused(self, engine_id: str) -> bool:
-        """Return whether an engine may not run the request it has refused.
-
-        Its refusal and its answer would have the same id.  In a stream that
-        has begun, an engine only goes on with the answer of another one.
-        """
-        return engine_id in self.refused_by and not self.caller.answer_started
-
     def _drop_silent_run(self, outcome: str) -> None:
         """Give the silent run up, if there is one, and report its end.
 
@@ -502,7 +485,7 @@
             failure_domain=self.parts.balancer.failure_domain,
             is_retry=is_retry or self.prefills > 0,
             resumed=resumed,
-            avoid=(*avoid, *self._unavailable_engines(), *self.refused_by),
+            avoid=(*avoid, *self._unavailable_engines()),
             version=self.version or self._sound_version(),
             pause_s=self.route.pause_s,
             backed_up=self._is_backed_up(),
@@ -755,8 +738,7 @@
         """Return a decode engine for a retry.
 
         None if no engine is available or too little time is left. The failed
-        engine is returned only if no other is available and it has not refused
-        the request.
+        engine is returned only if no other is available.
 
         :param failed: id of the engine that did not accept the request
         """
@@ -778,7 +760,6 @@
             for each in self._usable()
             if each.stage is catalog.Stage.DECODE
             and not self._is_silent(each.id)
-            and not self._has_refused(each.id)
             and self._may_answer(each)
         ]
 
@@ -899,7 +880,6 @@
         return any(
             each.id != self.endpoint
             and not each.leaving
-            and not self._has_refused(each.id)
             and each.stage is catalog.Stage.DECODE
             and self._may_answer(each)
             for each in listed.values()
--- a/magnoliadyke/gateway/relaying.py
+++ b/magnoliadyke/gateway/relaying.py
@@ -70,7 +70,6 @@
     :param service: service that was drawn for the request, None if the host
         does not tell
     :param workspace: the workspace that its key belongs to, None without one
-    :param refused_by: ids of endpoints that answered it with an error
     """
 
     host: str
@@ -79,7 +78,6 @@
     token: str
     service: str | None
     workspace: workspaces.Workspace | None
-    refused_by: frozenset[str] = frozenset()
 
     def encode(self) -> tuple[bytes, bytes]:
         """Return the header."""
@@ -93,8 +91,6 @@
             fields['service'] = self.service
         if self.workspace is not None:
             fields['workspace'] = self.workspace.name
-        if self.refused_by:
-            fields['refused_by'] = ','.join(self.refused_by)
         return HEADER, parse.urlencode(fields).encode()
 
 
@@ -116,7 +112,6 @@
             fields['token'],
             fields.get('service'),
             None if workspace is None else workspaces.Workspace(workspace),
-            frozenset(filter(None, fields.get('refused_by', '').split(','))),
         )
     except (KeyError, ValueError) as error:
         raise http.BrokenMessage(
@@ -245,7 +240,6 @@
             token,
             active.service,
             request.workspace,
-            frozenset(active.refused_by),
         )
         codec = active.parts.codec
         headers = [relayed.encode(), *codec.relay_headers(request)]
