Take no stream's success without a seal

Cause: the answer to a stream was checked for its seal only with status 200; all other answers were passed on as failures are, which need none. The answers to plain requests are checked whatever their success.

All of 200 to 299 are checked now as 200 was, before the body is read.

Found by trying the answers of endpoints one kind after the other; no record of the users has such a status.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -893,14 +893,12 @@
             run.engine, used, lambda: self._wait_for_engine(run, used.head)
         )
         run.head = head
-        if facts.status != 200:
-            body = self._read_body(run.engine, used, head, facts)
-            return self._classify(used, head, facts, body)
-        if facts.request_id != self.request.id:
-            return outcomes.Lost('answer to another request', False)
-        if not facts.sealed or facts.has_content_encoding:
-            return outcomes.Lost("not the endpoint's own answer", False)
-        if not self._is_stream(head):
+        if 200 <= facts.status < 300:
+            if facts.request_id != self.request.id:
+                return outcomes.Lost('answer to another request', False)
+            if not facts.sealed or facts.has_content_encoding:
+                return outcomes.Lost("not the endpoint's own answer", False)
+        if facts.status != 200 or not self._is_stream(head):
             body = self._read_body(run.engine, used, head, facts)
             return self._classify(used, head, facts, body)
         if facts.idle_limit_s is not None:
--- a/tests/test_gateway_secondanswers.py
+++ b/tests/test_gateway_secondanswers.py
@@ -147,3 +147,19 @@
     )
     endpoint.pause_s = 0.3
     assert world.ask('/unsafe/x', request_id='r1').status == 200
+
+
+@pytest.mark.parametrize('path', ['/unsafe/x', '/once/x'])
+@pytest.mark.parametrize('status', [200, 201, 206])
+def test_success_without_a_seal_reaches_no_caller(world, status, path):
+    """Callers got a success that no endpoint vouches for."""
+    streams = path == '/once/x'
+    service, stage = ('model', 'decode') if streams else ('plain', '')
+    endpoint = start_interrupted(world, service, stage)
+    endpoint.prefix = (
+        b'HTTP/1.1 %d OK\r\nX-Request-Id: r1\r\nContent-Length: 5\r\n\r\nwhole'
+        % status
+    )
+    endpoint.pause_s = 0.3
+    headers = LONG_ANSWER if streams else {}
+    assert world.ask(path, request_id='r1', **headers).status == 502
