Test half heads that another answer follows at each of their bytes

Another operator saw clients get a 200 with an empty body, framed as whole. This is reproduced here on: an endpoint breaks off inside the value of a header or the reason, and a failure without a body follows on the same connection, as a server sends it whose worker has crashed. Callers of /unsafe/ got 200 with an empty body, and so did streams of /once/; half a late copy of an answer to an earlier request gave its status to the next one (200 with the body of a 500, 503 for a request that ran).

Stand-ins send a follow-up after the place where they break off, and the first bytes of a copy.

--- a/magnoliadyke/lab/httpstandin.py
+++ b/magnoliadyke/lab/httpstandin.py
@@ -19,10 +19,13 @@
     """Where and how answers are broken off, whatever they consist of.
 
     :param after: number of bytes of an answer that are sent
+    :param follow_up: sent in place of the others, such as the failure that a
+        server reports of a worker that has crashed
     """
 
     after: int
     by: framedanswer.BreakBy
+    follow_up: bytes = b''
 
 
 class HttpStandIn(abc.ABC):
@@ -132,6 +135,7 @@
         self.answer_bytes += len(data)
         super()._send(data)
         if cut_off is not None and self.answer_bytes >= cut_off.after:
+            super()._send(cut_off.follow_up)
             framedanswer.end_broken(self, cut_off.by)
             raise callers.CallerLeft
 
--- a/magnoliadyke/lab/platformendpoint.py
+++ b/magnoliadyke/lab/platformendpoint.py
@@ -130,6 +130,8 @@
         are served
     :ivar names_requests: refusals have the id of their request
     :ivar copies: how often each answer is sent again, if copies are sent
+    :ivar copied_bytes: number of bytes of an answer that are sent again, None
+        for all
     :ivar copied_answers: number of the latest answers that are sent again
         when a request has arrived
     :ivar max_runs: number of executions after which requests are refused
@@ -202,6 +204,7 @@
         self.refusals = 0
         self.names_requests = True
         self.copies = 1
+        self.copied_bytes: int | None = None
         self.copied_answers = 1
         self.max_runs: int | None = None
         self.announces_leaving = False
@@ -269,7 +272,7 @@
         if self.sends_copies and caller.last_answer:
             caller.earlier_answers.append(bytes(caller.last_answer))
             for each in caller.earlier_answers[-self.copied_answers :]:
-                caller._send(each * self.copies)
+                caller._send(each[: self.copied_bytes] * self.copies)
         caller.last_answer.clear()
         reached_s = time.monotonic()
         self.wait_while_silent()
