Take malformed answers of the store for no answer

An answer of the store with a missing or odd field ended whoever had asked: the follower (then the host learns of no endpoint and no configuration any more), the leader's renewal, the registration of the host. KeyError, TypeError, IndexError, binascii.Error, RecursionError, AttributeError and OverflowError passed through store.py, which promises to raise nothing. One header Store-Era with a huge number made all later answers count as ones of an earlier era. Pages that don't advance were read for ever.

Fields of answers are now read as typed fields. An answer that can't be decoded is Unavailable, with maybe_applied for writes. In a list or a watch only the odd item is skipped, with a throttled line, and the others are applied; a value that is no base64 counts as an empty value, which all decoders refuse, so that an odd value replaces the former one as any other unreadable value does.

--- a/magnoliadyke/platform/store.py
+++ b/magnoliadyke/platform/store.py
@@ -3,8 +3,11 @@
 import base64
 import collections
 import json
+import re
 from typing import Any
+from typing import Callable
 from typing import NamedTuple
+from typing import TypeVar
 from urllib import parse
 
 import gevent
@@ -13,6 +16,7 @@
 from magnoliadyke.core import heldbodies
 from magnoliadyke.core import position
 from magnoliadyke.gateway import connection
+from magnoliadyke.gateway import fields as typed
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import store
 from magnoliadyke import logs
@@ -21,6 +25,8 @@
 
 LOG = logs.get('store')
 
+_Decoded = TypeVar('_Decoded', bound=store.Item | store.Removed)
+
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
 #: Added to a watch's wait time to give its time limit, in seconds.  A watch
@@ -43,6 +49,11 @@
 JSON_HEADERS = [(b'Content-Type', b'application/json')]
 #: The store's epoch, raised by one at each restore from a backup.
 ERA_HEADER = b'store-era'
+DECIMAL = re.compile(b'[0-9]{1,18}')
+#: Largest era and revision: a packed position fits a 64-bit field.
+MAX_ERA = (1 << 63 - position.REVISION_BITS) - 1
+MAX_REVISION = (1 << position.REVISION_BITS) - 1
+MAX_LEASE = 2**64
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -58,6 +69,12 @@
     era: int
 
 
+class _Page(NamedTuple):
+    items: list[store.Item]
+    has_more: bool
+    position: position.Position
+
+
 class PlatformStore(store.Store):
     """Client of the store; it never retries a call by itself.
 
@@ -95,24 +112,29 @@
                 return reply
             if reply.status != STATUS_OK:
                 return _unavailable(reply)
+            try:
+                page = _decode_page(reply)
+            except typed.BadField as error:
+                return _malformed(error)
             if start is None:
                 # The pages are not one snapshot.  A watch from the first
                 # page's position delivers the changes made in between.
-                start = position.Position(
-                    reply.era, reply.fields['store_revision']
-                )
+                start = page.position
             if reply.era != start.era:
                 return store.Unavailable(
                     f'restored between two pages: expected era {start.era}, '
                     f'got {reply.era}',
                     False,
                 )
-            items += [
-                _decode_item(each, reply.era) for each in reply.fields['items']
-            ]
-            if not reply.fields['more_pages']:
+            items += page.items
+            if not page.has_more:
                 return store.Items(tuple(items), start)
-            after = items[-1].key
+            if not page.items or not _is_later(page.items[-1].key, after):
+                return store.Unavailable(
+                    f'page after key {after!r}: no later key',
+                    False,
+                )
+            after = page.items[-1].key
 
     def read(self, key: str) -> store.Item | store.Absent | store.Unavailable:
         """Read one key, as of some moment during this call."""
@@ -122,7 +144,10 @@
             return reply
         match reply.status:
             case status if status == STATUS_OK:
-                return _decode_item(reply.fields, reply.era)
+                try:
+                    return _decode_item(reply.fields, reply.era)
+                except typed.BadField as error:
+                    return _malformed(error)
             case status if status == STATUS_NOT_FOUND:
                 return store.Absent()
         return _unavailable(reply)
@@ -156,13 +181,13 @@
             return store.Compacted()
         if reply.status != STATUS_OK:
             return _unavailable(reply)
-        changes = tuple(
-            _decode_change(each, reply.era) for each in reply.fields['events']
-        )
-        return store.Changes(
-            changes,
-            position.Position(reply.era, reply.fields['store_revision']),
-        )
+        try:
+            return store.Changes(
+                tuple(_decode_all(reply, 'events', _decode_change)),
+                _position(reply, 'store_revision'),
+            )
+        except typed.BadField as error:
+            return _malformed(error)
 
     def _wait_for_changes(
         self, path: str, wait_s: float
@@ -214,14 +239,17 @@
             )
         match reply.status:
             case status if status == STATUS_OK:
-                return store.Written(
-                    position.Position(reply.era, reply.fields['revision'])
-                )
+                try:
+                    return store.Written(_position(reply, 'revision'))
+                except typed.BadField as error:
+                    return _malformed(error)
             case status if status == STATUS_CONFLICT:
-                items = reply.fields.get('items', ())
-                return store.Conflict(
-                    tuple(_decode_item(each, reply.era) for each in items)
-                )
+                try:
+                    reply.fields.setdefault('items', [])
+                    items = _decode_all(reply, 'items', _decode_item)
+                except typed.BadField as error:
+                    return _malformed(error)
+                return store.Conflict(tuple(items))
             case status if status == STATUS_NOT_FOUND:
                 return store.NoLease()
         return _unavailable(reply)
@@ -234,8 +262,13 @@
             return reply
         if reply.status != STATUS_OK:
             return _unavailable(reply)
-        fields = reply.fields
-        return store.Granted(fields['lease'], fields['ttl_ms'] / 1000)
+        try:
+            lease = typed.read_integer(
+                reply.fields, 'lease', 1, maximum=MAX_LEASE
+            )
+            return store.Granted(lease, _ttl_s(reply))
+        except typed.BadField as error:
+            return _malformed(error)
 
     def renew(
         self, lease: int
@@ -251,7 +284,10 @@
             return store.NoLease()
         if reply.status != STATUS_OK:
             return _unavailable(reply)
-        return store.Granted(lease, reply.fields['ttl_ms'] / 1000)
+        try:
+            return store.Granted(lease, _ttl_s(reply))
+        except typed.BadField as error:
+            return _malformed(error)
 
     def revoke(self, lease: int) -> None:
         """End a lease, which removes its keys."""
@@ -314,7 +350,7 @@
                 conn.send(method, path.encode(), headers, body)
                 head = conn.head()
             answer = _body(conn, self.bodies)
-            fields = json.loads(answer) if answer else {}
+            fields = typed.parse_object(answer) if answer else {}
         except (
             OSError,
             http.BrokenMessage,
@@ -325,11 +361,9 @@
                 conn.close()
             was_cut = isinstance(error, http.PeerClosed)
             return store.Unavailable(str(error), sent, was_cut), None
-        except ValueError as error:
+        except typed.BadField as error:
             conn.close()
-            return store.Unavailable(
-                f'response is not JSON: {error}', sent
-            ), None
+            return _malformed(error), None
         except gevent.GreenletExit:
             # The call was killed.  The next call on this connection would
             # read the response to this one.
@@ -347,12 +381,12 @@
         self, head: http.Head, fields: dict[str, Any]
     ) -> _Reply | store.Unavailable:
         """Record the era of a response; reject one of an earlier era."""
-        try:
-            era = int(head.value(ERA_HEADER) or 0)
-        except ValueError:
+        found = head.value(ERA_HEADER) or b'0'
+        era = int(found) if DECIMAL.fullmatch(found) else None
+        if era is None or era > MAX_ERA:
             return store.Unavailable(
-                f'header {ERA_HEADER.decode()}: expected an integer, '
-                f'got {head.value(ERA_HEADER)!r:.40}',
+                f'header {ERA_HEADER.decode()}: expected 0 to {MAX_ERA}, '
+                f'got {found!r:.40}',
                 True,
             )
         if self.era is not None and era < self.era:
@@ -409,19 +443,101 @@
     return parse.quote(text, safe='')
 
 
-def _decode_item(fields: dict[str, Any], era: int) -> store.Item:
-    value = base64.b64decode(fields.get('value') or '')
-    written = position.Position(era, fields['revision'])
-    return store.Item(fields['key'], value, written)
+def _malformed(error: typed.BadField) -> store.Unavailable:
+    """Return the outcome of a call whose response can't be decoded."""
+    return store.Unavailable(f'malformed response: {error}', True)
+
+
+def _is_later(key: str, after: str) -> bool:
+    return key.encode() > after.encode()
 
 
-def _decode_change(
-    fields: dict[str, Any], era: int
-) -> store.Item | store.Removed:
-    if fields.get('tombstone'):
-        removed = position.Position(era, fields['revision'])
-        return store.Removed(fields['key'], removed)
-    return _decode_item(fields, era)
+def _position(reply: _Reply, name: str) -> position.Position:
+    revision = typed.read_integer(reply.fields, name, 0, maximum=MAX_REVISION)
+    return position.Position(reply.era, revision)
+
+
+def _ttl_s(reply: _Reply) -> float:
+    return typed.read_number(reply.fields, 'ttl_ms', 0) / 1000
+
+
+def _decode_page(reply: _Reply) -> _Page:
+    return _Page(
+        _decode_all(reply, 'items', _decode_item),
+        typed.read_bool(reply.fields, 'more_pages'),
+        _position(reply, 'store_revision'),
+    )
+
+
+def _decode_all(
+    reply: _Reply, name: str, decode: Callable[[Any, int], _Decoded]
+) -> list[_Decoded]:
+    """Decode a list of items or events; malformed ones are left out."""
+    if name not in reply.fields:
+        raise typed.BadField(f'{name}: expected a list, got none')
+    found = reply.fields[name]
+    if found is None:
+        return []
+    if not isinstance(found, list):
+        raise typed.BadField(
+            f'{name}: expected a list, got {type(found).__name__}'
+        )
+    decoded = []
+    for each in found:
+        try:
+            decoded.append(decode(each, reply.era))
+        except typed.BadField as error:
+            key = each.get('key') if isinstance(each, dict) else None
+            LOG.throttled_warning(
+                'store_item_ignored',
+                name,
+                key=repr(key)[:80] if isinstance(key, str) else 'none',
+                error=str(error),
+            )
+    return decoded
+
+
+def _decode_item(found: Any, era: int) -> store.Item:
+    key = _key(found)
+    try:
+        value = base64.b64decode(found.get('value') or '', validate=True)
+    except (TypeError, ValueError) as error:
+        # The entry exists, but names nothing; decoders refuse it as they do
+        # any other unusable value.
+        LOG.throttled_warning(
+            'store_value_unreadable', key, key=key, error=str(error)
+        )
+        value = b''
+    return store.Item(key, value, _written(found, era))
+
+
+def _decode_change(found: Any, era: int) -> store.Item | store.Removed:
+    key = _key(found)
+    if typed.read_bool(found, 'tombstone'):
+        return store.Removed(key, _written(found, era))
+    return _decode_item(found, era)
+
+
+def _key(found: Any) -> str:
+    if not isinstance(found, dict):
+        raise typed.BadField(f'expected an item, got {type(found).__name__}')
+    key = found.get('key')
+    if not isinstance(key, str) or not key:
+        raise typed.BadField(
+            f'key: expected a string that is not empty, got a '
+            f'{type(key).__name__}'
+        )
+    try:
+        key.encode()
+    except UnicodeEncodeError as error:
+        raise typed.BadField(f'key: {error}') from error
+    return key
+
+
+def _written(found: dict[str, Any], era: int) -> position.Position:
+    return position.Position(
+        era, typed.read_integer(found, 'revision', 0, maximum=MAX_REVISION)
+    )
 
 
 def _encode_put(put: store.Put) -> dict[str, Any]:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -286,3 +286,171 @@
     finally:
         client.close()
         breaking.stop()
+
+
+@pytest.fixture
+def told():
+    """A store that answers each call with the next of some bodies."""
+
+    class Told(server.StreamServer):
+        bodies = []
+        status = 200
+        era = b'1'
+
+        def handle(self, sock, address):
+            while sock.recv(65536):
+                body = self.bodies[0]
+                if len(self.bodies) > 1:
+                    self.bodies.pop(0)
+                sock.sendall(
+                    b'HTTP/1.1 %d OK\r\nstore-era: %s\r\n'
+                    b'Content-Length: %d\r\n\r\n'
+                    % (self.status, self.era, len(body))
+                    + body
+                )
+
+    made = Told(('127.0.0.1', 0))
+    made.start()
+    yield made
+    made.stop(timeout=0)
+
+
+def all_calls(client):
+    return (
+        client.list_prefix(''),
+        client.read('a'),
+        client.watch('', at(1), 0.1),
+        client.watch('', at(1), 0.0),
+        client.commit({'a': ABSENT}, (store.Put('a', b'1'),)),
+        client.grant(1.0),
+        client.renew(1),
+    )
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'no JSON',
+        b'\xff',
+        b'[' * 100_000,
+        b'{"a":' * 100_000,
+        b'{"store_revision":%s}' % (b'9' * 5000),
+        b'null',
+        b'[]',
+        b'"text"',
+        b'{}',
+        b'{"store_revision":7,"revision":7}',
+        b'{"items":{},"events":{},"more_pages":false,"store_revision":7}',
+        b'{"items":"a","events":"a","more_pages":false,"store_revision":7}',
+        b'{"items":[],"events":[],"more_pages":false}',
+        b'{"items":[],"events":[],"more_pages":true,"store_revision":7}',
+        b'{"items":[],"events":[],"more_pages":1,"store_revision":null}',
+        *(
+            b'{"items":[],"events":[],"more_pages":false,"key":"a",'
+            b'"store_revision":%s,"revision":%s,"lease":%s,"ttl_ms":%s}'
+            % (number, number, number, number)
+            for number in (
+                b'-1',
+                b'true',
+                b'"7"',
+                b'7.5',
+                b'NaN',
+                b'1e999',
+                b'9' * 400,
+                b'[]',
+            )
+        ),
+    ],
+    ids=lambda body: repr(body[:40]),
+)
+def test_answer_that_no_store_gives_is_none(told, body):
+    """It ended whoever made the call: the follower, the leader's duties."""
+    told.bodies = [body]
+    client = call_of(told)
+    for found in all_calls(client):
+        assert isinstance(
+            found,
+            store.Unavailable | store.Changes | store.Written | store.Granted,
+        )
+    told.status = 412
+    found = client.commit({'a': ABSENT}, (store.Put('a', b'1'),))
+    assert isinstance(found, store.Unavailable | store.Conflict)
+    client.close()
+
+
+@pytest.mark.parametrize('era', [b'-1', b'1' * 30, b'9' * 5000, b'1_0', b'x'])
+def test_era_that_can_not_be_is_not_kept(told, era):
+    """All later answers counted as ones of an earlier era."""
+    told.bodies = [b'{"items":[],"more_pages":false,"store_revision":7}']
+    client = call_of(told)
+    told.era = era
+    assert isinstance(client.list_prefix(''), store.Unavailable)
+    told.era = b'2'
+    assert client.list_prefix('').position == at(7, era=2)
+    client.close()
+
+
+ODD_ITEMS = [
+    None,
+    7,
+    'text',
+    [],
+    {},
+    {'key': 'b', 'value': 'MQ=='},
+    {'value': 'MQ==', 'revision': 5},
+    {'key': None, 'value': 'MQ==', 'revision': 5},
+    {'key': 7, 'value': 'MQ==', 'revision': 5},
+    {'key': [], 'value': 'MQ==', 'revision': 5},
+    {'key': '', 'value': 'MQ==', 'revision': 5},
+    {'key': '\ud800', 'value': 'MQ==', 'revision': 5},
+    *(
+        {'key': 'b', 'value': 'MQ==', 'revision': each}
+        for each in (None, True, -1, '5', 5.5, 10**400, 2**60, [], {})
+    ),
+    {'key': 'b', 'tombstone': 'yes', 'revision': 5},
+    {'key': 'b', 'tombstone': True},
+]
+
+
+@pytest.mark.parametrize('odd', ODD_ITEMS, ids=repr)
+def test_odd_item_hides_no_other(told, odd):
+    """One that could not be decoded ended the follower of the list."""
+    good = {'key': 'a', 'value': 'MQ==', 'revision': 4}
+    last = {'key': 'c', 'value': 'Mg==', 'revision': 6}
+    body = {
+        'items': [good, odd, last],
+        'events': [good, odd, last],
+        'store_revision': 7,
+        'more_pages': False,
+    }
+    told.bodies = [json.dumps(body).encode()]
+    client = call_of(told)
+    listed = client.list_prefix('').items
+    changes = client.watch('', at(1), 0.1)
+    kept = (store.Item('a', b'1', at(4)), store.Item('c', b'2', at(6)))
+    # One without the mark of a removal is a written item in a list.
+    assert [i for i in listed if i.key != 'b'] == list(kept)
+    assert changes == store.Changes(kept, at(7))
+    client.close()
+
+
+@pytest.mark.parametrize('value', ['MQ', 'M', '\u00e9', '***', 7, [1], True])
+def test_value_that_is_no_base64_is_a_change_all_the_same(told, value):
+    """The entry that it replaces holds no longer."""
+    odd = {'key': 'a', 'value': value, 'revision': 5}
+    told.bodies = [json.dumps({'events': [odd], 'store_revision': 7}).encode()]
+    client = call_of(told)
+    changes = client.watch('', at(1), 0.1)
+    assert changes.changes == (store.Item('a', b'', at(5)),)
+    client.close()
+
+
+def test_pages_that_do_not_advance_end(told):
+    """The same page over and over filled the memory."""
+    item = {'key': 'a', 'value': '', 'revision': 4}
+    body = {'items': [item], 'more_pages': True, 'store_revision': 7}
+    told.bodies = [json.dumps(body).encode()]
+    client = call_of(told)
+    with gevent.Timeout(2.0):
+        assert isinstance(client.list_prefix(''), store.Unavailable)
+    client.close()
