Go on after messages of other hosts that can't be used

One odd datagram ended the task that receives all others, and the host was cut off from gossip or from placement until it was started again: a member with a port out of range (OverflowError in sendto()), with an address that is none (TypeError), without a number, or a message of a kind that this task doesn't handle (AttributeError). A state reply without a field ended the task that catches up, a relay header with a number of 400 digits (OverflowError) the connection of the host that relays; a Retry-After that is no number became an internal error of the relayed request.

Numbers of members are checked when they are decoded, so that they can also be encoded again, and addresses to which a host may send have to be IP addresses. A handler of placement messages that lacks a field refuses that message, with a throttled line, and the task goes on. Placement datagrams of any bytes were refused already.

--- a/magnoliadyke/gateway/fields.py
+++ b/magnoliadyke/gateway/fields.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     'BadField',
+    'is_ip',
     'parse',
     'parse_object',
     'read_address',
@@ -153,7 +154,7 @@
     """Return a numeric address with a port, as ``ip:port``."""
     found = read_string(fields, name)
     host, _, port = found.rpartition(':')
-    if not _is_ip(host) or not _is_port(port):
+    if not is_ip(host) or not _is_port(port):
         raise BadField(f'{name}: expected ip:port, got {found!r:.80}')
     return found
 
@@ -161,7 +162,7 @@
 def read_ip(fields: dict[str, Any], name: str) -> str:
     """Return a numeric IP address."""
     found = read_string(fields, name)
-    if not _is_ip(found):
+    if not is_ip(found):
         raise BadField(f'{name}: expected an IP address, got {found!r:.80}')
     return found
 
@@ -171,7 +172,8 @@
     return read_integer(fields, name, 1, maximum=MAX_PORT)
 
 
-def _is_ip(text: str) -> bool:
+def is_ip(text: str) -> bool:
+    """Return whether a text is a numeric IP address without a zone."""
     try:
         ipaddress.ip_address(text)
     except ValueError:
--- a/magnoliadyke/gateway/members.py
+++ b/magnoliadyke/gateway/members.py
@@ -539,6 +539,12 @@
             data, _ = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
             try:
                 message = gossip_codec.decode(DEPLOYMENT, data)
+                if not isinstance(message, membership.Message):
+                    raise errors.ProtocolError(
+                        'expected a message of the membership protocol, got '
+                        f'{type(message).__name__}'
+                    )
+                _check_addresses(message)
             except errors.ProtocolError as error:
                 LOG.throttled_warning(
                     'datagram_ignored', 'gossip', reason=str(error)
@@ -620,6 +626,23 @@
         self.members.restored(list(items.values()))
 
 
+def _check_addresses(message: membership.Message) -> None:
+    """Check the addresses to which this host may send after a message.
+
+    :raises errors.ProtocolError: one is no IP address
+    """
+    addresses = [message.source.address]
+    addresses += [each.address for each in message.updates]
+    if isinstance(message, membership.PingRequest):
+        addresses.append(message.target_address)
+    for each in addresses:
+        if not fields.is_ip(each):
+            raise errors.ProtocolError(
+                f'datagram of host {message.source.host!r}: expected an IP '
+                f'address, got {each!r:.80}'
+            )
+
+
 @functools.cache
 def _digest(host: str) -> bytes:
     return hashlib.blake2b(host.encode(), digest_size=8).digest()
--- a/magnoliadyke/gateway/path_codec.py
+++ b/magnoliadyke/gateway/path_codec.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from magnoliadyke import errors
+from magnoliadyke.gateway import fields
 from magnoliadyke.wire.placement import ttypes
 
 __all__ = ['Message', 'PathQuery', 'PathReply', 'decode', 'encode']
@@ -49,8 +51,18 @@
     """Return the message in a datagram, None if it is of another kind."""
     if datagram.path_query is not None:
         query = datagram.path_query
-        return PathQuery(query.address, tuple(query.endpoints))
+        return PathQuery(_ip(query.address), tuple(query.endpoints))
     if datagram.path_reply is not None:
         reply = datagram.path_reply
-        return PathReply(reply.address, tuple(reply.endpoints), reply.relayed)
+        return PathReply(
+            _ip(reply.address), tuple(reply.endpoints), reply.relayed
+        )
     return None
+
+
+def _ip(address: str) -> str:
+    if not fields.is_ip(address):
+        raise errors.ProtocolError(
+            f'paths: expected an IP address, got {address!r:.80}'
+        )
+    return address
--- a/magnoliadyke/gateway/peerstate.py
+++ b/magnoliadyke/gateway/peerstate.py
@@ -40,6 +40,18 @@
 CONNECTION_TIMEOUT_S = 2.0
 
 
+#: Errors of a connection, and of a message on it that is malformed or lacks
+#: a field.
+UNREADABLE = (
+    *peer.FAILURES,
+    errors.ProtocolError,
+    AttributeError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+
+
 class PeerState(NamedTuple):
     """All keys of the store that a host has read.
 
@@ -98,7 +110,7 @@
             State.Processor(_Handler(self.get_state)).process(
                 protocol, protocol
             )
-        except peer.FAILURES as error:
+        except UNREADABLE as error:
             LOG.throttled_warning(
                 'state_not_told', address[0], error=str(error)
             )
@@ -174,8 +186,12 @@
             client = State.Client(peer.protocol_on(sock))
             reply = client.fetch(constants.VERSION, known.revision, known.era)
             return _decode(reply)
-    except (*peer.FAILURES, errors.ProtocolError) as error:
-        LOG.throttled_warning('state_not_fetched', address, error=str(error))
+    except UNREADABLE as error:
+        LOG.throttled_warning(
+            'state_not_fetched',
+            address,
+            error=f'{type(error).__name__}: {error}',
+        )
         return None
     finally:
         if sock is not None:
@@ -185,11 +201,24 @@
 def _decode(reply: ttypes.StateReply) -> PeerState:
     if reply.era is None:
         raise errors.ProtocolError('state reply has no era')
+    if reply.revision is None or reply.entries is None:
+        raise errors.ProtocolError('state reply has no revision or entries')
+    for entry in reply.entries:
+        if entry.key is None or entry.revision is None:
+            raise errors.ProtocolError(
+                f'state reply, key {entry.key!r:.80}: expected a key and a '
+                f'revision, got revision {entry.revision}'
+            )
     store_contact = None
     if reply.in_reach_ms is not None and reply.word_age_ms is not None:
         store_contact = expiredentries.StoreContact(
             reply.in_reach_ms / 1000, reply.word_age_ms / 1000
         )
+    for each in reply.passed_over or ():
+        if each.name is None or each.revision is None:
+            raise errors.ProtocolError(
+                'state reply: stale entry without a name or a revision'
+            )
     return PeerState(
         tuple(
             store.Item(
--- a/magnoliadyke/gateway/placement_codec.py
+++ b/magnoliadyke/gateway/placement_codec.py
@@ -15,6 +15,7 @@
 from magnoliadyke import errors
 from magnoliadyke.gateway import crash_codec
 from magnoliadyke.gateway import duty_codec
+from magnoliadyke.gateway import fields
 from magnoliadyke.gateway import limit_codec
 from magnoliadyke.gateway import observation_codec
 from magnoliadyke.gateway import pace_codec
@@ -323,7 +324,7 @@
             leader = datagram.leader
             return LeaderAnnouncement(
                 leader.host,
-                leader.address,
+                _ip(leader.address),
                 leader.incarnation,
                 position.Position(_era(leader.era), leader.revision),
                 bool(leader.yields),
@@ -346,6 +347,7 @@
         if found is not None:
             return found
     except (
+        AttributeError,
         EOFError,
         OverflowError,
         TException,
@@ -487,6 +489,14 @@
     )
 
 
+def _ip(address: str) -> str:
+    if not fields.is_ip(address):
+        raise errors.ProtocolError(
+            f'leader: expected an IP address, got {address!r:.80}'
+        )
+    return address
+
+
 def _era(era: int | None) -> int:
     if era is None:
         raise errors.ProtocolError('store position without its field era')
--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -64,6 +64,8 @@
 #: Maximum number of decisions kept to answer duplicate requests.
 MAX_CACHED_DECISIONS = 4096
 MAX_DATAGRAM_BYTES = 65535
+#: Errors of a handler whose message lacks a field or holds one of no use.
+UNFIT = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 #: Initial estimate of the time from the end of a prefill to the first event,
 #: in seconds: a KV transfer of some milliseconds and one or two decode steps.
 INITIAL_TRANSFER_S = 0.015
@@ -757,7 +759,15 @@
                     'datagram_ignored', sender[0], reason=str(error)
                 )
                 continue
-            self._receive(message, sender[0])
+            try:
+                self._receive(message, sender[0])
+            except UNFIT as error:
+                LOG.throttled_warning(
+                    'message_not_handled',
+                    sender[0],
+                    kind=type(message).__name__,
+                    reason=f'{type(error).__name__}: {error}',
+                )
 
     def _receive(self, message: placement_codec.Message, sender: str) -> None:
         match message:
--- a/magnoliadyke/gateway/relaying.py
+++ b/magnoliadyke/gateway/relaying.py
@@ -6,6 +6,7 @@
 off itself declines it, as does one that goes by another configuration.
 """
 
+import math
 import typing
 from typing import NamedTuple
 from urllib import parse
@@ -44,6 +45,8 @@
 DECLINED = b'Relay-Declined'
 #: Bytes that the header may add to those of the caller's request.
 MAX_HEADER_BYTES = 1024
+#: Most digits of a number in the header.
+MAX_DIGITS = 18
 #: Number of hosts that a request is offered to.
 MAX_HOSTS = 3
 #: Pause before a request is offered again after a host declined it, in
@@ -107,8 +110,8 @@
         workspace = fields.get('workspace')
         return Relayed(
             fields['host'],
-            int(fields['version']),
-            int(fields['waited_ms']) / 1000,
+            _number(fields['version']),
+            _number(fields['waited_ms']) / 1000,
             fields['token'],
             fields.get('service'),
             None if workspace is None else workspaces.Workspace(workspace),
@@ -120,6 +123,16 @@
         ) from error
 
 
+def _number(text: str) -> int:
+    """Return a number of at most :data:`MAX_DIGITS` decimal digits.
+
+    :raises ValueError: it is none
+    """
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
+        raise ValueError(f'expected a number, got {text!r:.40}')
+    return int(text)
+
+
 class _Host(NamedTuple):
     """Another host, as :class:`upstream.Upstream` connects to it.
 
@@ -271,8 +284,7 @@
         if head.value(DECLINED.lower()) is not None:
             return outcomes.NotRun(reason, was_received=False)
         if head.status == 503:
-            after_s = float(head.value(b'retry-after') or RETRY_AFTER_S)
-            return outcomes.Refused(reason, after_s)
+            return outcomes.Refused(reason, _retry_after_s(head))
         return outcomes.Failed(head.status, reason)
 
     def _pass_stream(
@@ -312,6 +324,14 @@
         )
 
 
+def _retry_after_s(head: http.Head) -> float:
+    try:
+        after_s = float(head.value(b'retry-after') or RETRY_AFTER_S)
+    except ValueError:
+        return RETRY_AFTER_S
+    return after_s if 0 <= after_s < math.inf else RETRY_AFTER_S
+
+
 def _check_end(head: http.Head, left_over: int) -> None:
     """Check that a stream that another host marked as whole is.
 
--- a/magnoliadyke/gossip_codec.py
+++ b/magnoliadyke/gossip_codec.py
@@ -27,6 +27,20 @@
 MAX_AGE_S = 3600.0
 MAX_STRING_BYTES = 64 * 1024
 MAX_ITEMS = 1024
+MAX_PORT = 65535
+#: Largest incarnation or revision that is accepted: sums and differences of
+#: two still fit a 64-bit field.
+MAX_NUMBER = 2**62
+#: Largest accepted value of each number of a member.
+MEMBER_LIMITS = {
+    'incarnation': MAX_NUMBER,
+    'caller_port': MAX_PORT,
+    'peer_port': MAX_PORT,
+    'refutations': 2**30,
+    'table_revision': MAX_NUMBER,
+    'staged_revision': MAX_NUMBER,
+    'spare_percent': 100,
+}
 
 PROTOCOL_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_STRING_BYTES,
@@ -217,6 +231,11 @@
                 sequence, source, datagram.target, *piggybacked
             )
         case ttypes.MessageKind.PING_REQUEST:
+            check_number(
+                datagram.target, 'target_port', datagram.target_port, MAX_PORT
+            )
+            if datagram.target_address is None:
+                raise malformed('ping request: expected target_address')
             return membership.PingRequest(
                 sequence,
                 source,
@@ -248,7 +267,16 @@
 
 
 def decode_member(member):
-    """Return the member in a thrift structure."""
+    """Return the member in a thrift structure.
+
+    :raises magnoliadyke.errors.ProtocolError: if a field is missing or has a
+        value that no host can have
+    """
+    for name in ('host', 'address', 'failure_domain'):
+        if getattr(member, name) is None:
+            raise malformed(f'host {member.host!r}: expected {name}, got none')
+    for name, most in MEMBER_LIMITS.items():
+        check_number(member.host, name, getattr(member, name), most)
     return membership.Member(
         host=member.host,
         incarnation=member.incarnation,
@@ -266,6 +294,18 @@
     )
 
 
+def check_number(host, name, value, most):
+    """Check a number in a datagram.
+
+    :raises magnoliadyke.errors.ProtocolError: if it is missing or not from 0
+        to ``most``
+    """
+    if value is None or not 0 <= value <= most:
+        raise malformed(
+            f'host {host!r}: expected {name} from 0 to {most}, got {value!r}'
+        )
+
+
 def encode_host_state(host_state, source):
     """Return the thrift structure of a host state.
 
@@ -303,13 +343,23 @@
     store_age_s = math.inf
     if sighting.store_age_ms is not None:
         store_age_s = sighting.store_age_ms / 1000
+    incarnation = source.incarnation + (sighting.incarnation_ahead or 0)
     table_revision = source.table_revision + (sighting.table_ahead or 0)
+    staged_revision = table_revision + (sighting.staged_ahead or 0)
+    if sighting.host is None:
+        raise malformed('host state: expected host, got none')
+    for name, value in (
+        ('incarnation', incarnation),
+        ('table_revision', table_revision),
+        ('staged_revision', staged_revision),
+    ):
+        check_number(sighting.host, name, value, MAX_NUMBER)
     return freshness.HostState(
         host=sighting.host,
-        incarnation=source.incarnation + (sighting.incarnation_ahead or 0),
+        incarnation=incarnation,
         age_s=sighting.age_ms / 1000,
         table_revision=table_revision,
-        staged_revision=table_revision + (sighting.staged_ahead or 0),
+        staged_revision=staged_revision,
         store_age_s=store_age_s,
         rooted=bool(sighting.flags & constants.FLAG_ROOTED),
         takes_work=bool(sighting.flags & constants.FLAG_TAKES_WORK),
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -5,17 +5,34 @@
 """
 
 import json
+import math
+import socket
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
+from thrift import Thrift
+from thrift import TSerialization
 
 from magnoliadyke.core import attempts
 from magnoliadyke.core import digests
 from magnoliadyke.core import membership
 from magnoliadyke.core import table
 from magnoliadyke.core import tickets
+from magnoliadyke.core import usage
 from magnoliadyke import errors
+from magnoliadyke.gateway import fields
+from magnoliadyke.gateway import http
+from magnoliadyke.gateway import members
+from magnoliadyke.gateway import outcomes
+from magnoliadyke.gateway import peerstate
+from magnoliadyke.gateway import placement_codec
+from magnoliadyke.gateway import relaying
 from magnoliadyke import gossip_codec
+from magnoliadyke.wire.placement import ttypes as placement
+from magnoliadyke.wire.state import ttypes as state
+from magnoliadyke.wire import ttypes as wire
 
 DEPLOYMENT = 'dala'
 MEMBER = membership.Member('a', 1, '127.0.0.1', 1, 2, 'domain')
@@ -91,3 +108,217 @@
         except ValueError:
             return
     assert assembly.finished is None
+
+
+# Decoders of the gateway: what other hosts, engines and operators send.
+
+HUGE = 10**400
+ODD_JSON = [
+    b'[' * 100_000,
+    b'{"a":' * 100_000,
+    b'9' * 400,
+    b'9' * 5000,
+    b'',
+    b'null',
+    b'true',
+    b'[]',
+    b'[[]]',
+    b'{}',
+    b'"text"',
+    b'NaN',
+    b'-Infinity',
+    b'\xff\xfe',
+    b'{"a":1,"a":2}',
+]
+ODD = [None, True, -1, 1.5, HUGE, math.nan, math.inf, '\n', 'x' * 2000]
+ODD += [[], {}, [[]], {'a': None}]
+ADDRESSES = ['127.0.0.1', 'x:1', 'a..b:1', '127.0.0.1:', 'fe80::1%\u00e9:1']
+ADDRESSES += [f'127.0.0.1:{port}' for port in (-1, 0, 65536, 65537, 99_999)]
+
+
+def fields_of(whole, **odd):
+    """Documents in which each field is missing or odd in turn."""
+    for name in whole:
+        rest = {k: v for k, v in whole.items() if k != name}
+        yield json.dumps(rest).encode()
+        for value in (*ODD, *odd.get(name, ())):
+            yield json.dumps(rest | {name: value}).encode()
+
+
+HOST = members.HostRecord('a', 1, '127.0.0.1', '127.0.0.1:1', 2, 'domain', 1.0)
+HOST_FIELDS = HOST._asdict()
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        *ODD_JSON,
+        *fields_of(
+            HOST_FIELDS,
+            callers=ADDRESSES,
+            address=['a..b', 'x', '127.0.0.1\0'],
+            gossip_port=[0, 65536],
+        ),
+    ],
+    ids=lambda value: repr(value[-60:]),
+)
+def test_host_records(value):
+    """A port out of range ended the task that probes the hosts."""
+    try:
+        found = members.HostRecord.parse(value)
+    except fields.BadField as error:
+        assert str(error)
+        return
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    member = members._member(found)
+    sock.sendto(b'', (member.address, member.peer_port))
+    sock.close()
+    data = gossip_codec.encode('d', ping_of(member))
+    assert gossip_codec.decode('d', data).source == member
+
+
+def ping_of(member):
+    return membership.Ping(7, member, 'b', (member,), (), b'')
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        *ODD_JSON,
+        b'[[1,null]]',
+        b'[[1,{"x":null}]]',
+        b'[[1e999,{}]]',
+        b'[[1,{"x":-1}]]',
+        b'[[true,{}]]',
+        b'[["1",{}]]',
+    ],
+    ids=lambda value: repr(value[:40]),
+)
+def test_usage_reports(value):
+    try:
+        found = usage.Reports(5).parse(value)
+    except ValueError as error:
+        assert str(error)
+        return
+    assert found.fixed == {}
+
+
+@pytest.mark.parametrize(
+    'value',
+    [b'', b'%ff', b'host=a&version=1&token=x']
+    + [
+        b'host=a&version=%s&waited_ms=%s&token=x' % (version, waited)
+        for version, waited in [
+            (b'1', b'9' * 400),
+            (b'9' * 5000, b'1'),
+            (b'1', b'-1'),
+            (b'1', b'nan'),
+            (b'1_0', b'1'),
+            (b'1', b''),
+        ]
+    ],
+    ids=lambda value: repr(value[:40]),
+)
+def test_relay_headers(value):
+    """A number too large ended the connection of the host that relays."""
+    head = mock.Mock(headers=[(relaying.HEADER, value)])
+    with pytest.raises(http.BrokenMessage):
+        relaying.pop_header(head)
+
+
+@pytest.mark.parametrize(
+    'value', [b'soon', b'nan', b'-1', b'1e999', b'9' * 5000, b'\xff']
+)
+def test_relayed_retry_after(value):
+    """A date was an internal error, not a refusal."""
+    head = http.Head(
+        b'', b'', 503, [(b'Retry-After', value)], None, False, True
+    )
+    found = relaying.Relayer._read_unsealed(None, head, b'busy')
+    assert found == outcomes.Refused('busy', relaying.RETRY_AFTER_S)
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        {name: None}
+        for name in (
+            'host',
+            'address',
+            'failure_domain',
+            'incarnation',
+            'caller_port',
+            'peer_port',
+            'refutations',
+            'table_revision',
+            'staged_revision',
+            'spare_percent',
+        )
+    ]
+    + [{'incarnation': -1}, {'incarnation': 2**63 - 1}]
+    + [{'peer_port': -1}, {'peer_port': 70_000}, {'refutations': 2**31 - 1}],
+    ids=str,
+)
+def test_members_in_datagrams(odd):
+    """A port out of range ended the task that answers probes."""
+    datagram = TSerialization.deserialize(
+        wire.Datagram(), PING, gossip_codec.PROTOCOL_FACTORY
+    )
+    for member in (datagram.source, datagram.updates[0]):
+        before = {name: getattr(member, name) for name in odd}
+        for name, value in odd.items():
+            setattr(member, name, value)
+        data = TSerialization.serialize(
+            datagram, gossip_codec.PROTOCOL_FACTORY
+        )
+        with pytest.raises(errors.ProtocolError):
+            gossip_codec.decode(DEPLOYMENT, data)
+        for name, value in before.items():
+            setattr(member, name, value)
+
+
+@given(st.binary(max_size=200))
+def test_placement_datagrams(data):
+    try:
+        placement_codec.decode(data)
+    except errors.ProtocolError as error:
+        assert str(error)
+
+
+def structs(spec):
+    """Structures with no field, for each field of a datagram."""
+    for each in filter(None, spec):
+        if each[1] == Thrift.TType.STRUCT:
+            yield each[2], each[3][0]
+
+
+@pytest.mark.parametrize(
+    'name, struct', list(structs(placement.Datagram.thrift_spec))
+)
+def test_placement_messages_without_fields(name, struct):
+    datagram = placement.Datagram(version=1)
+    setattr(datagram, name, struct())
+    data = TSerialization.serialize(datagram, gossip_codec.PROTOCOL_FACTORY)
+    try:
+        assert placement_codec.decode(data) is not None
+    except errors.ProtocolError as error:
+        assert str(error)
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        state.StateReply(),
+        state.StateReply(1, 7, None, era=1),
+        state.StateReply(1, None, [], era=1),
+        state.StateReply(1, 7, [state.Entry()], era=1),
+        state.StateReply(1, 7, [state.Entry(None, 3, b'')], era=1),
+        state.StateReply(1, 7, [state.Entry('a', None, b'')], era=1),
+        state.StateReply(1, 7, [], era=1, passed_over=[state.PassedOver()]),
+    ],
+    ids=str,
+)
+def test_states_of_other_hosts(reply):
+    """One without a field ended the task that catches up."""
+    with pytest.raises(errors.ProtocolError):
+        peerstate._decode(reply)
--- a/tests/test_gateway_oddentries.py
+++ b/tests/test_gateway_oddentries.py
@@ -1,10 +1,19 @@
 """Entries of other writers that no node can use."""
 
+import contextlib
 import json
 
 import gevent
+from gevent import socket
 import pytest
+from thrift import Thrift
+from thrift import TSerialization
 
+from magnoliadyke.core import membership
+from magnoliadyke.gateway import members
+from magnoliadyke.gateway import placement_codec
+from magnoliadyke import gossip_codec
+from magnoliadyke.wire.placement import ttypes
 from tests import gatewayworld
 
 HUGE = 10**400
@@ -115,10 +124,9 @@
         yield json.dumps(each).encode()
 
 
-@pytest.mark.parametrize('key', KEYS)
-def test_odd_entry_ends_nothing(world, key):
-    """A node ended, or no longer followed the store, by one odd entry."""
-    first = world.node()
+@contextlib.contextmanager
+def no_task_ends(world):
+    """Fail the test if a task of a node ends, or any by an exception."""
     failed = []
     hub = gevent.get_hub()
     hub.handle_error, handle_error = (
@@ -126,6 +134,26 @@
         hub.handle_error,
     )
     try:
+        yield
+        # Time in which hosts that are new are probed and answered.
+        gevent.sleep(0.5)
+        for node in world.nodes:
+            running = [
+                *node.follower.greenlets,
+                *node.members.greenlets,
+                *node.placement_service.greenlets,
+            ]
+            assert not any(each.ready() for each in running)
+    finally:
+        hub.handle_error = handle_error
+    assert not failed
+
+
+@pytest.mark.parametrize('key', KEYS)
+def test_odd_entry_ends_nothing(world, key):
+    """A node ended, or no longer followed the store, by one odd entry."""
+    first = world.node()
+    with no_task_ends(world):
         for number, value in enumerate(odd_values(key)):
             at = world.store.put(key, value)
             if key == 'servers/odd':
@@ -143,15 +171,57 @@
         for node in (0, 1):
             head = world.ask('/safe/x', request_id=f'r{node}', node=node)
             assert head.status == 200
-        # Time in which hosts that may be listed now are probed.
-        gevent.sleep(0.5)
-        for node in world.nodes:
-            running = [
-                *node.follower.greenlets,
-                *node.members.greenlets,
-                *node.placement_service.greenlets,
-            ]
-            assert not any(each.ready() for each in running)
-    finally:
-        hub.handle_error = handle_error
-    assert not failed
+
+
+def gossip_datagrams():
+    usual = membership.Member('x', 1, '127.0.0.1', 9, 9, 'z1')
+    members_of_others = [usual]
+    for address in ('x', 'a..b', '', '127.0.0.1\0', '\u00e9' * 80):
+        members_of_others.append(usual._replace(address=address))
+    for port in (-1, 0, 65536, 70_000):
+        members_of_others.append(usual._replace(peer_port=port))
+    for target in (HOST['host'], '*'):
+        for each in members_of_others:
+            yield membership.Ping(7, each, target, (each,), (), b'')
+            yield membership.Ack(7, usual, target, (each,), (), b'')
+            yield membership.PingRequest(
+                7, usual, target, each.address, each.peer_port, (), (), b''
+            )
+
+
+def placement_datagrams():
+    """Messages without a field, and ones that name no address."""
+    for spec in filter(None, ttypes.Datagram.thrift_spec):
+        if spec[1] == Thrift.TType.STRUCT:
+            yield ttypes.Datagram(version=1, **{spec[2]: spec[3][0]()})
+    for address in ('x', 'a..b', '', '127.0.0.1\0', '\u00e9' * 80):
+        yield ttypes.Datagram(
+            1, leader=ttypes.Leader('x', address, 1, 9, era=1)
+        )
+        yield ttypes.Datagram(1, path_query=ttypes.PathQuery(address, ['p1']))
+
+
+def test_odd_datagram_ends_nothing(world):
+    """One odd datagram ended the task that receives all others."""
+    node, other = world.node(), world.node()
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    source = membership.Member('x', 1, '127.0.0.1', 9, 9, 'z1')
+    notice = gossip_codec.Prompts(source, ())
+    with no_task_ends(world):
+        datagrams = [gossip_codec.encode_prompts(members.DEPLOYMENT, notice)]
+        for message in gossip_datagrams():
+            if message.target == '*':
+                message = message._replace(target=node.settings.name)
+            datagrams.append(gossip_codec.encode(members.DEPLOYMENT, message))
+        for data in (*datagrams, b'', b'\xff' * 1000):
+            sock.sendto(data, (node.settings.ip, node.own_record.gossip_port))
+            gevent.sleep(0.005)
+        for datagram in placement_datagrams():
+            data = TSerialization.serialize(
+                datagram, placement_codec.PROTOCOL_FACTORY
+            )
+            port = node.placement_service.port
+            sock.sendto(data, (node.settings.ip, port))
+            gevent.sleep(0.005)
+    sock.close()
+    assert node.members.count() >= 2 and other.members.count() >= 2
