Open no connection to a port that is out of range

A connection to port 65537 went to port 1: resolvers take the number modulo 65536. A name that is no address raised UnicodeError, a port that is no number ValueError, and a call to another host OverflowError; none of them is an OSError, which is what the callers of connect() handle, so that a request would end as an internal error and a task would end. No such address gets there from an entry of an endpoint, whose port is checked; that of a host's record did.

--- a/magnoliadyke/gateway/http.py
+++ b/magnoliadyke/gateway/http.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import errno
 import itertools
 import re
 from typing import NamedTuple
@@ -12,6 +13,7 @@
 
 from magnoliadyke.core import answerend
 from magnoliadyke import errors
+from magnoliadyke.gateway import fields
 
 __all__ = [
     'AnswerReader',
@@ -446,10 +448,20 @@
 
     :param address: numeric ``ip:port``
     :param timeout_s: time limit for connecting, in seconds
-    :raises OSError: the connection failed or timed out
+    :raises OSError: the address is no ``ip:port``, or the connection failed
+        or timed out
     """
     host, _, port = address.rpartition(':')
-    sock = socket.create_connection((host, int(port)), timeout_s)
+    try:
+        number = int(port)
+        # Resolvers take a larger port modulo 65536.
+        if not fields.is_ip(host) or not 0 < number <= fields.MAX_PORT:
+            raise ValueError('not numeric, or out of range')
+        sock = socket.create_connection((host, number), timeout_s)
+    except ValueError as error:
+        raise OSError(
+            errno.EINVAL, f'expected ip:port, got {address!r:.80}: {error}'
+        ) from error
     sock.settimeout(None)
     set_socket_options(sock)
     return sock
--- a/magnoliadyke/peer.py
+++ b/magnoliadyke/peer.py
@@ -1,5 +1,7 @@
 """Calls between nodes, in framed compact thrift over TCP."""
 
+import errno
+
 import gevent
 from gevent import pool
 from gevent import server
@@ -57,7 +59,8 @@
 def connect(address):
     """Return a socket connected to ``ip:port``.
 
-    :raises OSError: if the connection fails or exceeds ``CONNECT_TIMEOUT_S``
+    :raises OSError: if the address is no ``ip:port``, or the connection fails
+        or exceeds ``CONNECT_TIMEOUT_S``
     """
     ip, _, port = address.rpartition(':')
     handle = socket.socket()
@@ -67,6 +70,11 @@
     except OSError:
         handle.close()
         raise
+    except (OverflowError, TypeError, ValueError) as error:
+        handle.close()
+        raise OSError(
+            errno.EINVAL, f'expected ip:port, got {address!r:.80}: {error}'
+        ) from error
     handle.settimeout(CALL_TIMEOUT_S)
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return handle
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -30,6 +30,7 @@
 from magnoliadyke.gateway import placement_codec
 from magnoliadyke.gateway import relaying
 from magnoliadyke import gossip_codec
+from magnoliadyke import peer
 from magnoliadyke.wire.placement import ttypes as placement
 from magnoliadyke.wire.state import ttypes as state
 from magnoliadyke.wire import ttypes as wire
@@ -203,6 +204,16 @@
     assert found.fixed == {}
 
 
+@pytest.mark.parametrize('address', [*ADDRESSES, '127.0.0.1\0:1', '', ':'])
+@pytest.mark.parametrize(
+    'connect', [lambda address: http.connect(address, 0.3), peer.connect]
+)
+def test_addresses_that_no_connection_can_be_opened_to(address, connect):
+    """Port 65537 became port 1, and other addresses were no OSError."""
+    with pytest.raises(OSError):
+        connect(address)
+
+
 @pytest.mark.parametrize(
     'value',
     [b'', b'%ff', b'host=a&version=1&token=x']
