Refuse odd answers to a prefill

A nested answer of an engine to a prefill raised RecursionError, which by the code is an internal error of the caller's request rather than a failed prefill. A handle of another type, or with a line break, was taken, and went into a header of the next request.

--- a/magnoliadyke/platform/codec.py
+++ b/magnoliadyke/platform/codec.py
@@ -1,6 +1,5 @@
 """Codec of the platform's headers on requests and responses."""
 
-import json
 import math
 import re
 import zlib
@@ -8,10 +7,14 @@
 from magnoliadyke.core import promptcache
 from magnoliadyke.core import workspaces
 from magnoliadyke.gateway import codec
+from magnoliadyke.gateway import fields
 from magnoliadyke.gateway import http
+from magnoliadyke import logs
 
 __all__ = ['PlatformCodec']
 
+LOG = logs.get('codec')
+
 REQUEST_ID = b'X-Request-Id'
 DEADLINE = b'X-Deadline-Ms'
 TOKEN_COUNTS = b'x-token-counts'
@@ -101,6 +104,8 @@
 #: Maximum length of a prompt or an output, in tokens: hosts exchange both as
 #: signed 32-bit integers.
 MAX_TOKENS = 2**31 - 1
+#: Valid handles of KV caches; a handle is sent in a header and in a path.
+HANDLE = re.compile('[!-.0-~]{1,200}')
 #: A decimal number without a sign.
 DECIMAL = re.compile(rb'[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]+)?')
 
@@ -255,10 +260,19 @@
     def parse_prefilled(self, body: bytes) -> codec.Prefilled | None:
         """Decode the response to a prefill request, None if malformed."""
         try:
-            fields = json.loads(body)
-            return codec.Prefilled(fields['kv_handle'], fields['tokens'])
-        except (ValueError, KeyError, TypeError):
-            # The calling function treats this as a failed prefill and logs it.
+            found = fields.parse_object(body)
+            handle = fields.read_string(found, 'kv_handle')
+            if not HANDLE.fullmatch(handle):
+                raise fields.BadField(
+                    f'kv_handle: expected an id, got {handle!r:.80}'
+                )
+            return codec.Prefilled(
+                handle, fields.read_integer(found, 'tokens', 0)
+            )
+        except fields.BadField as error:
+            LOG.throttled_warning(
+                'prefilled_ignored', 'prefilled', error=str(error)
+            )
             return None
 
     def drop_target(self, handle: str) -> tuple[bytes, bytes]:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -31,6 +31,7 @@
 from magnoliadyke.gateway import relaying
 from magnoliadyke import gossip_codec
 from magnoliadyke import peer
+from magnoliadyke.platform import codec
 from magnoliadyke.wire.placement import ttypes as placement
 from magnoliadyke.wire.state import ttypes as state
 from magnoliadyke.wire import ttypes as wire
@@ -148,6 +149,7 @@
 
 HOST = members.HostRecord('a', 1, '127.0.0.1', '127.0.0.1:1', 2, 'domain', 1.0)
 HOST_FIELDS = HOST._asdict()
+PREFILLED = {'kv_handle': 'h', 'tokens': 3}
 
 
 @pytest.mark.parametrize(
@@ -182,6 +184,20 @@
     return membership.Ping(7, member, 'b', (member,), (), b'')
 
 
+@pytest.mark.parametrize(
+    'value',
+    [
+        *ODD_JSON,
+        *fields_of(PREFILLED, kv_handle=['a b', 'a/b', '\u00e9', '']),
+    ],
+    ids=lambda value: repr(value[-60:]),
+)
+def test_prefill_answers(value):
+    """A nested answer was an internal error, not a failed prefill."""
+    found = codec.PlatformCodec().parse_prefilled(value)
+    assert found is None or found.handle == 'h'
+
+
 @pytest.mark.parametrize(
     'value',
     [
