Refuse settings with values of a wrong type

Nested settings, or ones that are no object, ended a starting host with a traceback, and a reload with an exception rather than the line settings_refused. A value of another type, such as a time as a text, was taken over by a reload and failed only when the host stopped.

Answers of engines and of the platform's API, which the table covers as well, need no change here.

--- a/magnoliadyke/platform/settings.py
+++ b/magnoliadyke/platform/settings.py
@@ -3,9 +3,11 @@
 import json
 import os
 from typing import Any
+from typing import Callable
 from typing import NamedTuple
 
 from magnoliadyke import errors
+from magnoliadyke.gateway import fields as typed
 
 __all__ = ['DutySettings', 'NodeSettings', 'Problem', 'load', 'parse']
 
@@ -13,6 +15,40 @@
 VARIABLE = 'MAGNOLIADYKE_SETTINGS'
 
 
+#: Names of settings, and what reads those of a type.
+READERS: tuple[tuple[tuple[str, ...], Callable[[dict, str], Any]], ...] = (
+    (('name', 'failure_domain', 'path'), typed.read_string),
+    (('ip',), typed.read_ip),
+    (
+        ('callers', 'readiness', 'directory', 'control', 'store', 'address'),
+        typed.read_address,
+    ),
+    (('metrics_port',), typed.read_port),
+    (('first_start',), typed.read_bool),
+    (
+        (
+            'min_lease_s',
+            'cores',
+            'memory_mb',
+            'link_mbps',
+            'drain_s',
+            'configuration_s',
+            'stop_s',
+            'retry_ratio',
+            'retry_window_s',
+            'retry_extra',
+            'order_gap_s',
+            'directory_ttl_s',
+            'revoke_s',
+            'core_speed',
+            'usage_window_s',
+            'usage_due_s',
+        ),
+        lambda found, name: typed.read_number(found, name, 0.0),
+    ),
+)
+
+
 class Problem(NamedTuple):
     """An error in the settings.
 
@@ -129,7 +165,7 @@
     try:
         with open(path, encoding='utf-8') as file:
             fields = json.load(file)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise errors.SettingsError(
             [Problem(path, f'expected a readable JSON file: {error}')]
         ) from error
@@ -141,25 +177,29 @@
 
     :raises errors.SettingsError: lists each missing or invalid setting
     """
+    if not isinstance(fields, dict):
+        raise errors.SettingsError(
+            [
+                Problem(
+                    'settings',
+                    f'expected a JSON object, got {type(fields).__name__}',
+                )
+            ]
+        )
     problems = []
     for name in NodeSettings._fields:
         required = name not in NodeSettings._field_defaults
         if required and fields.get(name) is None:
             problems.append(Problem(name, 'required key is missing; add it'))
+    problems += _type_problems(fields)
     problems += _duty_problems(fields.get('duties'))
-    for name in ('callers', 'readiness', 'directory', 'control', 'store'):
-        text = fields.get(name)
-        if text and not str(text).rpartition(':')[2].isdigit():
-            problems.append(
-                Problem(name, f'expected numeric ip:port, got {text!r}')
-            )
     ports = fields.get('peer_ports')
-    if ports and (len(ports) != 2 or ports[1] - ports[0] < 2):
+    if ports is not None and not _are_peer_ports(ports):
         problems.append(
             Problem(
                 'peer_ports',
                 'expected a list of the first and the last of 3 or more '
-                f'ports, got {ports!r}',
+                f'ports, got {ports!r:.80}',
             )
         )
     if problems:
@@ -179,13 +219,36 @@
     return NodeSettings(**values)
 
 
+def _type_problems(found: dict[str, Any], path: str = '') -> list[Problem]:
+    """Return the problems of the settings that are present."""
+    problems = []
+    for names, read in READERS:
+        for name in names:
+            if found.get(name) is None:
+                continue
+            try:
+                read(found, name)
+            except typed.BadField as error:
+                reason = str(error).removeprefix(f'{name}: ')
+                problems.append(Problem(f'{path}{name}', reason))
+    return problems
+
+
+def _are_peer_ports(ports: Any) -> bool:
+    match ports:
+        case [int(first), int(last)]:
+            return 0 < first and first + 2 <= last <= typed.MAX_PORT
+    return False
+
+
 def _duty_problems(duties: Any) -> list[Problem]:
     if duties is None:
         return []
     if not isinstance(duties, dict):
         return [
             Problem(
-                'duties', f'expected a JSON object or null, got {duties!r}'
+                'duties',
+                f'expected a JSON object or null, got {duties!r:.80}',
             )
         ]
     problems = [
@@ -193,8 +256,14 @@
         for name in DutySettings._fields
         if duties.get(name) is None
     ]
+    problems += _type_problems(duties, 'duties.')
+    names = duties.get('names')
+    if names is not None and not (
+        isinstance(names, list) and all(isinstance(n, str) for n in names)
+    ):
+        problems.append(Problem('duties.names', 'expected a list of strings'))
     window_s = duties.get('usage_window_s')
-    if window_s is not None and not window_s > 0:
+    if not problems and not window_s > 0:
         problems.append(
             Problem(
                 'duties.usage_window_s',
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -16,12 +16,14 @@
 from thrift import TSerialization
 
 from magnoliadyke.core import attempts
+from magnoliadyke.core import catalog
 from magnoliadyke.core import digests
 from magnoliadyke.core import membership
 from magnoliadyke.core import table
 from magnoliadyke.core import tickets
 from magnoliadyke.core import usage
 from magnoliadyke import errors
+from magnoliadyke.gateway import connection
 from magnoliadyke.gateway import fields
 from magnoliadyke.gateway import http
 from magnoliadyke.gateway import members
@@ -30,13 +32,20 @@
 from magnoliadyke.gateway import placement_codec
 from magnoliadyke.gateway import relaying
 from magnoliadyke import gossip_codec
+from magnoliadyke.lab import platformrecords
 from magnoliadyke import peer
+from magnoliadyke.platform import cloud
 from magnoliadyke.platform import codec
+from magnoliadyke.platform import engines
+from magnoliadyke.platform import settings
 from magnoliadyke.wire.placement import ttypes as placement
 from magnoliadyke.wire.state import ttypes as state
 from magnoliadyke.wire import ttypes as wire
 
 DEPLOYMENT = 'dala'
+ENGINE = catalog.Endpoint(
+    'd1', 'm', '127.0.0.1:1', 'z1', 16, False, catalog.Stage.DECODE
+)
 MEMBER = membership.Member('a', 1, '127.0.0.1', 1, 2, 'domain')
 PING = gossip_codec.encode(
     DEPLOYMENT, membership.Ping(7, MEMBER, 'b', (MEMBER,), (), b'digest')
@@ -150,6 +159,7 @@
 HOST = members.HostRecord('a', 1, '127.0.0.1', '127.0.0.1:1', 2, 'domain', 1.0)
 HOST_FIELDS = HOST._asdict()
 PREFILLED = {'kv_handle': 'h', 'tokens': 3}
+STATE = {'stage': 'decode', 'sequence': 3, 'busy': False}
 
 
 @pytest.mark.parametrize(
@@ -198,6 +208,30 @@
     assert found is None or found.handle == 'h'
 
 
+@pytest.mark.parametrize(
+    'value',
+    [*ODD_JSON, *fields_of(STATE)],
+    ids=lambda value: repr(value[-60:]),
+)
+@pytest.mark.parametrize('status', [200, 202, 400, 503])
+def test_engine_answers(value, status):
+    """A number too large ended the leader's orders of stages."""
+    head = http.Head(b'', b'', status, [], None, False, True)
+    opened = mock.Mock()
+    opened.call.return_value = connection.Answer(head, value)
+    calls = engines.PlatformEngines()
+    with mock.patch.object(connection, 'Connection', return_value=opened):
+        calls.state(ENGINE)
+        calls.order_stage(ENGINE, catalog.Stage.DECODE, 'h', 1, 2)
+        calls.stop_run(ENGINE, b'r1', '127.0.0.1:1')
+
+
+@pytest.mark.parametrize('value', ODD_JSON, ids=lambda v: repr(v[:40]))
+def test_platform_answers(value):
+    for status in (200, 409, 429, 500, 404):
+        cloud._outcome(status, value)
+
+
 @pytest.mark.parametrize(
     'value',
     [
@@ -220,6 +254,54 @@
     assert found.fixed == {}
 
 
+@pytest.mark.parametrize('value', ODD_JSON, ids=lambda v: repr(v[:40]))
+def test_settings_files(tmp_path, value):
+    path = tmp_path / 'settings.json'
+    path.write_bytes(value)
+    with pytest.raises(errors.SettingsError):
+        settings.load(str(path))
+
+
+SETTINGS = platformrecords.node_settings('n', '127.0.0.1', '127.0.0.1:1') | {
+    'duties': {
+        'address': '127.0.0.1:1',
+        'names': ['usage_report'],
+        'usage_window_s': 10,
+        'usage_due_s': 5,
+    },
+    'revoke_s': 5.0,
+    'core_speed': 1.0,
+    'first_start': False,
+}
+
+
+@pytest.mark.parametrize('name', SETTINGS)
+def test_settings_with_one_value_odd(name):
+    """They were taken over by a reload, and failed when the host stopped."""
+    optional = name in settings.NodeSettings._field_defaults
+    assert settings.parse(SETTINGS).name == 'n'
+    values = [*ODD, *(ADDRESSES if ':' in str(SETTINGS[name]) else ())]
+    for odd in values:
+        if odd is None and optional:
+            continue
+        try:
+            found = settings.parse(SETTINGS | {name: odd})
+        except errors.SettingsError as error:
+            assert name in str(error)
+            continue
+        usual = getattr(settings.parse(SETTINGS), name)
+        both = (type(getattr(found, name)), type(usual))
+        assert len(set(both)) == 1 or set(both) == {int, float}
+
+
+@pytest.mark.parametrize('name', SETTINGS['duties'])
+def test_duties_with_one_value_odd(name):
+    for odd in (None, True, -1, HUGE, math.nan, '\n', {}, [[]], [1]):
+        duties = SETTINGS['duties'] | {name: odd}
+        with pytest.raises(errors.SettingsError):
+            settings.parse(SETTINGS | {'duties': duties})
+
+
 @pytest.mark.parametrize('address', [*ADDRESSES, '127.0.0.1\0:1', '', ':'])
 @pytest.mark.parametrize(
     'connect', [lambda address: http.connect(address, 0.3), peer.connect]
