Reject nested bodies of callers, and odd errors of other nodes

A deeply nested body raised RecursionError in the parser of requests, which is no ValueError. An error of another node that is no object raised AttributeError, and a wait that is no number ValueError or OverflowError.

--- a/magnoliadyke/caller_codec.py
+++ b/magnoliadyke/caller_codec.py
@@ -30,6 +30,10 @@
 MOST_URGENT = 1
 PRIORITIES = {'urgent': MOST_URGENT, 'normal': None, 'background': 8}
 KEY_PREFIX = 'sha256:'
+#: Retry-After of another node that names none that can be read, and the
+#: longest that is believed, in seconds.
+RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 3600.0
 INDEX_DIGITS = 8
 CHAT_DELTA = rb'"delta":{"content":\1}'
 CHAT_OBJECT = b'"object":"chat.completion.chunk"'
@@ -154,7 +158,7 @@
     """
     try:
         document = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         document = None
     if not isinstance(document, dict):
         reject('bad_json', 'the body is no JSON object; send one')
@@ -296,7 +300,7 @@
     remedy = str(error.get('remedy', ''))
     match error.get('type'):
         case 'not_run':
-            retry_after_s = float(error.get('retry_after_s', 1.0))
+            retry_after_s = _retry_after_s(error.get('retry_after_s'))
             return outcomes.NotRun(reason, remedy, retry_after_s)
         case 'rejected':
             return outcomes.Rejected(reason, remedy, status)
@@ -304,6 +308,12 @@
             return outcomes.Unknown(reason, remedy)
 
 
+def _retry_after_s(found):
+    if isinstance(found, bool) or not isinstance(found, int | float):
+        return RETRY_AFTER_S
+    return float(found) if 0 <= found <= MAX_RETRY_AFTER_S else RETRY_AFTER_S
+
+
 def outcome_from(reply):
     """Return the outcome in another node's reply, or None if it has none.
 
@@ -313,6 +323,8 @@
         return None
     try:
         error = json.loads(reply.body)['error']
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
+        error = None
+    if not isinstance(error, dict):
         error = {'type': reply.outcome}
     return error_outcome(error, reply.status)
--- a/tests/test_caller_codec.py
+++ b/tests/test_caller_codec.py
@@ -79,3 +79,38 @@
 def test_a_services_own_error_is_not_an_outcome():
     body = b'{"error": {"type": "not_run", "code": "x"}}'
     assert caller_codec.outcome_from(endpoint.Reply(400, '', body)) is None
+
+
+ODD_BODIES = [
+    b'[' * 100_000,
+    b'{"error":' * 100_000,
+    b'9' * 5000,
+    b'\xff',
+    b'null',
+    b'{}',
+    b'{"error":null}',
+    b'{"error":[]}',
+    b'{"error":"text"}',
+]
+
+
+@pytest.mark.parametrize('body', ODD_BODIES, ids=lambda body: repr(body[:30]))
+def test_odd_bodies(body):
+    """A nested body was an error of the node, not of its sender."""
+    try:
+        assert isinstance(caller_codec.read_object(body), dict)
+    except caller_codec.OutcomeError as error:
+        assert error.outcome.reason == 'bad_json'
+    reply = endpoint.Reply(503, 'application/json', body, outcome='not_run')
+    assert isinstance(caller_codec.outcome_from(reply), outcomes.NotRun)
+
+
+@pytest.mark.parametrize(
+    'found',
+    ['soon', None, True, -1, 10**400, float('nan'), float('inf'), []],
+    ids=lambda found: repr(found)[:20],
+)
+def test_odd_retry_after_of_another_node(found):
+    error = {'type': 'not_run', 'retry_after_s': found}
+    outcome = caller_codec.error_outcome(error)
+    assert outcome.retry_after_s == caller_codec.RETRY_AFTER_S
