Describe the log lines on odd entries, and limit the one on configurations

An odd configuration that is read again and again logged a line each time; it names its key now, as those on endpoints do. An entry that replaces a good one puts its endpoint out of use until its own entry is back, as before; a test with a real node holds that for nested, too large and empty values.

--- a/magnoliadyke/gateway/keymirror.py
+++ b/magnoliadyke/gateway/keymirror.py
@@ -249,8 +249,10 @@
         configuration = self.decoder.configuration(item.value)
         if isinstance(configuration, catalog.UnusableRecord):
             self.unusable['configuration'] += 1
-            LOG.warning_event(
+            LOG.throttled_warning(
                 'configuration_ignored',
+                item.key,
+                key=item.key,
                 reason=configuration.reason,
                 position=item.position,
             )
--- a/tests/test_gateway_oddentries.py
+++ b/tests/test_gateway_oddentries.py
@@ -173,6 +173,23 @@
             assert head.status == 200
 
 
+def test_odd_entry_that_replaces_a_good_one(world):
+    """It is out of use until its own entry is back."""
+    node = world.node()
+    world.join('p2')
+    with no_task_ends(world):
+        for value in (b'[' * 100_000, b'{"slots":%s}' % (b'9' * 400), b''):
+            world.store.put('servers/p1', value)
+            gatewayworld.wait_for(
+                lambda: 'p1' not in node.catalog.endpoints, 'the odd entry'
+            )
+            assert 'p2' in node.catalog.endpoints
+            world.list(world.endpoints['p1'])
+            gatewayworld.wait_for(
+                lambda: 'p1' in node.catalog.endpoints, 'its own entry'
+            )
+
+
 def gossip_datagrams():
     usual = membership.Member('x', 1, '127.0.0.1', 9, 9, 'z1')
     members_of_others = [usual]
