Stop no silent run while its backup can't be used

Beside silent engines a host stopped a run of a stream that its engine would have finished, though the engine with the backup had asked it to back off or had no permit left. The stream waits for that in the best case, and ends where its host stops meanwhile: neither engine is at work on it then (LOST).

Cause: the host learned of the hindrance only when it sent the request on.

The backoff is looked at, and the permit got, once the silent engine has answered and before it is told to stop the run. Without them the silent run is waited for. Both new tests failed before: the run was stopped.

--- a/magnoliadyke/gateway/exchange.py
+++ b/magnoliadyke/gateway/exchange.py
@@ -478,6 +478,23 @@
                 self._log_held_back([endpoint.id], wait_s)
                 raise HeldBack(wait_s)
 
+    def _reserve_permit(self, endpoint: catalog.Endpoint) -> bool:
+        """Get a permit for an endpoint that the request may go to.
+
+        :returns: whether it may be sent there now
+        """
+        if self._backoff_s(endpoint.id):
+            return False
+        limits = self.parts.limits
+        if endpoint.id in self.permits or not limits.is_limited(endpoint.id):
+            return True
+        if isinstance(
+            limits.acquire([endpoint.id], 0.0), endpointlimits.Denied
+        ):
+            return False
+        self.permits.add(endpoint.id)
+        return True
+
     def _backoff_s(self, endpoint_id: str) -> float:
         """Return the rest of an endpoint's backoff in seconds, 0 if none."""
         now_s = self.parts.clock.now_s()
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -609,6 +609,7 @@
                 backup,
                 self.position,
                 self._is_retry_left(),
+                lambda: self._reserve_permit(backup),
                 self._reserve_retry,
                 self.deadline_s,
                 self.silent_run if is_silent else None,
--- a/magnoliadyke/gateway/streambackups.py
+++ b/magnoliadyke/gateway/streambackups.py
@@ -29,6 +29,8 @@
     :param engine: the engine whose answer broke off
     :param backup: the engine that keeps the backup
     :param has_retry: whether the retry budget allows another attempt
+    :param reserve_backup: gets a permit for the engine with the backup if it
+        has a rate limit, and returns whether it may be asked now
     :param reserve_retry: takes a retry for it, and returns whether there is
         one
     :param deadline_s: when the caller's timeout ends, in monotonic seconds
@@ -40,6 +42,7 @@
     backup: catalog.Endpoint
     position: streamposition.StreamPosition
     has_retry: bool
+    reserve_backup: Callable[[], bool]
     reserve_retry: Callable[[], bool]
     deadline_s: float
     silent_run: engineruns.EngineRun | None = None
@@ -159,13 +162,16 @@
         """Stop the old run, unless its engine may only be silent.
 
         One that is silent would carry the stop out when it goes on, and one
-        that has just gone on finishes the run.
+        that has just gone on finishes the run.  So may one that is silent
+        until the engine with the backup can be asked.
         """
         engine = broken.engine
         if broken.silent_run is not None:
             hindrance = self.control.check_responds(engine)
             if hindrance is not None:
                 return hindrance
+            if not broken.reserve_backup():
+                return streambackup.Uncertain('the backup is held back')
             used = broken.silent_run.used
             if used.sends_within(streambackup.RESUME_LIMIT_S):
                 return streambackup.Uncertain('it sends events again')
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -258,6 +258,31 @@
     assert not first.moves
 
 
+@pytest.mark.parametrize('hindrance', ['backoff', 'limit'])
+def test_run_is_not_stopped_while_its_backup_is_held_back(
+    world, monkeypatch, hindrance
+):
+    """A host stopped a run that it could not send on for a while."""
+    engines = start_engines(world)
+    monkeypatch.setattr(framedanswer, 'SILENCE_S', 1.0)
+    for each in engines:
+        each.mode = 'stall'
+        each.cut_after = each.events - 1
+    stream = Stream(world, '/once/x')
+    first, second = stream.begin(engines)
+    node = world.nodes[0]
+    now_s = node.clock.now_s()
+    if hindrance == 'backoff':
+        node.ingress.parts.backoffs.record_backoff(second.name, 1.5, now_s)
+    else:
+        node.limits.record_response(second.name, 0.5, now_s, b'r0')
+        node.limits.pacers.granted.take(second.name, now_s)
+    stream.finish()
+    assert (stream.whole, stream.body) == (True, all_events(first))
+    assert [len(each.runs) for each in (first, second)] == [1, 0]
+    assert not first.moves
+
+
 def be_silent(world, engines, further_s):
     """Have engines send nothing until their host has found that.
 
