Go on with a stopped run where it was if it is refused elsewhere

LOST beside silent engines: a stream that runs once and has a backup is cut although its engine still has all of its KV cache.

Cause: a run that this host has stopped and moved was offered only to the engine that it was moved to. If that one is full, gone, leaving or changes its stage, or no longer has the KV cache, the stream ended. The engine that stopped the run keeps the KV cache as well (PROTOCOL: "to the runner that holds the copy or to a source that stopped"), and has a slot, as the run is over.

Found by reading. The request is offered to that engine after the other one has refused it, within the retry budget. The four new tests failed before: the stream ended after its first event.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -632,6 +632,16 @@
         result = None
         try:
             result = self._run_rest(went_on, job, placed)
+            if (
+                isinstance(result, outcomes.NotRun)
+                and went_on.is_moved
+                and went_on.engine is not engine
+                and not self.budget_spent
+            ):
+                # The engine that has stopped the run still keeps all of it.
+                self._log_attempt(result.reason, 'not run')
+                went_on = went_on._replace(engine=engine)
+                result = self._run_rest(went_on, job, placed)
         finally:
             if went_on.is_moved and (
                 result is None or isinstance(result, outcomes.NotRun)
--- a/tests/test_gateway_streambackups.py
+++ b/tests/test_gateway_streambackups.py
@@ -227,6 +227,40 @@
     assert not counts(world)
 
 
+@pytest.mark.parametrize('fault', ['silent', 'broken off'])
+@pytest.mark.parametrize('refusal', ['refuses', 'gone'])
+def test_run_that_was_moved_to_an_engine_that_refuses_it_goes_on(
+    world, engines, fault, refusal
+):
+    """A stream was cut though its engine still had all of its KV cache."""
+    first, second = engines
+    first.runs_on = True
+    second.refuses_resumed = True
+    if fault == 'silent':
+        first.broken = None
+        first.mode = 'stall'
+    stop_run = first._move
+
+    def recover_and_stop(*args):
+        first.mode, first.broken = 'ok', None
+        if refusal == 'gone':
+            second.crash()
+        stop_run(*args)
+
+    first._move = recover_and_stop
+    start(world)
+    body, whole = stream(world)
+    assert (body, whole) == (
+        b''.join(first._event(n) for n in (1, 2, 3)),
+        True,
+    )
+    assert not second.runs
+    _, resumed = first.runs
+    assert resumed.headers[b'last-event-id'] == b'1'
+    source = f'{first.address}/moved-1'
+    assert resumed.headers[b'x-kv-source'] == source.encode()
+
+
 @pytest.mark.parametrize('hindrance', ['backoff', 'limit', 'full'])
 def test_stream_waits_for_the_engine_with_its_backup(
     world, engines, hindrance
