Wait for the retry budget with the rest of a stopped run

LOST beside silent engines: a stream that runs once and has a backup is cut with most of its time left.

Cause: the rest of a run that was stopped is offered to a full engine four times. Each offer takes a retry, so a few such streams spend the budget of a host, and the next one ended with its stream.

The budget is asked again every half second while time is left; nothing is sent beyond it. The new test failed before: the stream ended after its first event.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -50,6 +50,9 @@
 #: Pauses before a run that was stopped is offered again to the engine with
 #: its backup, in seconds: slots are freed within that time.
 BACKUP_RETRY_PAUSES_S = (0.1, 0.2, 0.4)
+#: Pause before the retry budget is asked again for the rest of a stream, in
+#: seconds.
+BUDGET_PAUSE_S = 0.5
 #: Reason of an attempt that waits for a silent engine.
 SILENT_REASON = 'the engine is silent'
 #: Maximum number of unavailable engines that a job excludes, besides those
@@ -636,7 +639,7 @@
                 isinstance(result, outcomes.NotRun)
                 and went_on.is_moved
                 and went_on.engine is not engine
-                and not self.budget_spent
+                and result.reason != remoteprefill.BUDGET_SPENT
             ):
                 # The engine that has stopped the run still keeps all of it.
                 self._log_attempt(result.reason, 'not run')
@@ -678,7 +681,8 @@
         """Run the rest of a stream at the engine that goes on with it.
 
         A run that this host has stopped is lost if that engine is full, so it
-        is offered again.  The end of a backoff and a permit are waited for.
+        is offered again.  The end of a backoff, a permit, and a retry from the
+        budget are waited for.
         """
         engine = went_on.engine
         self.endpoint = engine.id
@@ -710,8 +714,10 @@
     ) -> float:
         """Return when an engine may be asked again, in seconds.
 
-        :returns: 0 if neither a backoff nor a rate limit holds it back
+        :returns: 0 if no backoff, rate limit or budget holds the request back
         """
+        if refused.reason == remoteprefill.BUDGET_SPENT:
+            return BUDGET_PAUSE_S
         if refused.reason == exchange.LIMIT_REASON:
             return refused.held_back_s
         return self._backoff_s(engine.id)
--- a/tests/test_gateway_streambackups.py
+++ b/tests/test_gateway_streambackups.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from magnoliadyke.core import retrybudget
 from magnoliadyke.gateway import http
 from magnoliadyke.lab import framedanswer
 from tests import gatewayworld
@@ -293,6 +294,24 @@
     assert len(second.runs) == 1
 
 
+def test_stopped_run_waits_for_the_retry_budget(world, engines):
+    """A stream was cut as refusals of a full engine had spent the budget."""
+    first, second = engines
+    first.runs_on = True
+    second.refusals = 1
+    node = start(world)
+    budget = node.budgets['model']
+    budget.ratio, budget.hosts = 0.0, 1
+    budget.extra = 1.5 / retrybudget.USABLE_SHARE
+    gevent.spawn_later(1.0, setattr, budget, 'extra', budget.extra * 2)
+    body, whole = stream(world)
+    assert (body, whole) == (
+        b''.join(first._event(n) for n in (1, 2, 3)),
+        True,
+    )
+    assert len(second.runs) == 1
+
+
 def test_continued_stream_holds_a_slot_where_it_goes_on(world, engines):
     """The engine that took a stream over counted as idle."""
     first, second = engines
