Offer the rest of a stream a few times only to an engine that is full

Cause: a refusal that names a Retry-After begins a backoff, and after a backoff the request was offered again without a count. Before there were four offers at most, and one where the host had not stopped the run.

Each refusal uses up an offer, and the next one comes after its pause or the backoff, whichever is longer.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -699,8 +699,11 @@
             if not isinstance(result, outcomes.NotRun):
                 return result
             pause_s = self._available_in_s(engine, result)
-            if not pause_s and result.was_received:
-                pause_s = next(pauses_s, 0.0)
+            if result.was_received:
+                offer_in_s = next(pauses_s, None)
+                if offer_in_s is None:
+                    return result
+                pause_s = max(pause_s, offer_in_s)
             if (
                 not pause_s
                 or self.left_s < pause_s + exchange.RESPONSE_MARGIN_S
--- a/tests/test_gateway_streambackups.py
+++ b/tests/test_gateway_streambackups.py
@@ -5,6 +5,7 @@
 
 from magnoliadyke.core import retrybudget
 from magnoliadyke.gateway import http
+from magnoliadyke.gateway import promptexchange
 from magnoliadyke.lab import framedanswer
 from tests import gatewayworld
 
@@ -312,6 +313,25 @@
     assert len(second.runs) == 1
 
 
+@pytest.mark.parametrize('runs_on', [False, True])
+def test_stream_is_offered_a_few_times_to_an_engine_that_stays_full(
+    world, engines, runs_on
+):
+    """A stream spent the retry budget at an engine that asked to back off."""
+    first, second = engines
+    first.runs_on = runs_on
+    second.mode, second.backoff_s = 'shed', 0.05
+    start(world)
+    body, whole = stream(world)
+    # A run that was stopped goes on where it was, and breaks off again.
+    passed = 2 if runs_on else 1
+    assert body == b''.join(first._event(n + 1) for n in range(passed))
+    assert not whole
+    assert len(second.arrivals) == 1 + len(
+        promptexchange.BACKUP_RETRY_PAUSES_S if runs_on else ()
+    )
+
+
 def test_continued_stream_holds_a_slot_where_it_goes_on(world, engines):
     """The engine that took a stream over counted as idle."""
     first, second = engines
