--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -108,6 +108,22 @@
     endpoint._run = run
 
 
+@pytest.mark.parametrize('status', [200, 500])
+@pytest.mark.parametrize('missing', [12, 30, 60])
+def test_body_that_another_answer_interrupts_is_not_whole(
+    world, plain, status, missing
+):
+    """A caller got the begin of a second answer as the end of a body."""
+    world.node()
+    interrupt_heads(
+        plain,
+        b'HTTP/1.1 %d Status\r\nX-Request-Id: r1\r\nX-Server-Seal: s\r\n'
+        b'Content-Length: 200\r\n\r\n%s' % (status, b'.' * (200 - missing)),
+    )
+    assert read_answer(world, '/unsafe/x')[0] == 502
+    assert len(plain.runs) == 1
+
+
 def test_refusal_that_was_begun_does_not_hide_an_answer(world, engines):
     """A stream that may run once was taken for refused, and ran again."""
     others = [engines, world.endpoint('e3', 'model', 'decode')]
