--- a/tests/test_gateway_oddentries.py
+++ b/tests/test_gateway_oddentries.py
@@ -171,6 +171,10 @@
         for node in (0, 1):
             head = world.ask('/safe/x', request_id=f'r{node}', node=node)
             assert head.status == 200
+        gatewayworld.wait_for(
+            lambda: any(each.leadership.lease for each in world.nodes),
+            'a leader',
+        )
 
 
 def test_odd_entry_that_replaces_a_good_one(world):
