Have a host that stops stop no silent run

LOST beside the SIGTERM of a host: a stream that runs once and has a backup is closed at the end of the grace though no engine was at work on it then.

Cause: a draining host stopped the run of a silent engine to go on with it at the other engine. While the request was refused there, or waited for a permit or the budget, the grace ended: the old run was over for seconds, so that the rule's exception for a runner at work in the last sixth of the grace does not hold, and the engine would have gone on with the run in time.

Whether the run is silent for a while or for good, a host that stops waits for it: the run is at work then, and its end or the caller's time ends the request. Both new tests failed before: the run was stopped and went on at the other engine.

--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -294,6 +294,8 @@
         """
         if self.backup is None:
             return result
+        if isinstance(result, outcomes.Silent) and self._is_host_stopping():
+            return result
         if isinstance(result, outcomes.Lost | outcomes.Silent):
             return self._continue_from_backup(job, placed, result)
         return result
@@ -873,10 +875,18 @@
         with gevent.Timeout(stall_s, engineruns.EngineSilent()):
             return wait()
 
+    def _is_host_stopping(self) -> bool:
+        """Return whether this host stops.
+
+        It may end before the rest of a run that it has stopped is taken.
+        """
+        return self.parts.paths.is_stopping()
+
     def _can_continue(self) -> bool:
         """Return whether a backup allows the stream to go on elsewhere."""
         return (
             self.backup is not None
+            and not self._is_host_stopping()
             and self.position.last_id is not None
             and self.position.can_resume
             and self._is_retry_left()
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -283,6 +283,27 @@
     assert not first.moves
 
 
+@pytest.mark.parametrize('after_s', [0.0, 0.5])
+def test_host_that_stops_stops_no_silent_run(world, monkeypatch, after_s):
+    """A host stopped a run and ended before the stream could go on."""
+    engines = start_engines(world)
+    monkeypatch.setattr(framedanswer, 'SILENCE_S', 1.0)
+    for each in engines:
+        each.mode = 'stall'
+        each.cut_after = each.events - 1
+    stream = Stream(world, '/once/x')
+    first, second = stream.begin(engines)
+    gatewayworld.wait_for(
+        lambda: stream.body.count(b'\n\n') == first.events - 2, 'the silence'
+    )
+    ended = gevent.spawn_later(after_s, world.nodes[0]._drain)
+    stream.finish()
+    assert (stream.whole, stream.body) == (True, all_events(first))
+    assert [len(each.runs) for each in (first, second)] == [1, 0]
+    assert not first.moves
+    ended.kill()
+
+
 def be_silent(world, engines, further_s):
     """Have engines send nothing until their host has found that.
 
