--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -74,6 +74,9 @@
 #: in seconds: longer than a stream with a backup takes, so that the streams
 #: that lose their engine have their backups.
 SPARE_ENGINE_S = 2.5
+#: Pause between events that the route of streams with backups allows, in
+#: milliseconds: so short that hosts find its engines silent.
+BACKED_PAUSE_MS = 120
 #: Rate limits that endpoints name, in requests per second, and the time that
 #: a limit lasts besides the duration of its fault, in seconds.
 LIMITS_S = (1.0, 2.5, 4.0)
@@ -228,7 +231,12 @@
     if mix.backed_callers:
         name = platformmix.BACKED_KIND
         backed = platformrecords.route(
-            name, f'/{name}/', 'streaming', 'model', max_attempts=1, **long
+            name,
+            f'/{name}/',
+            'streaming',
+            'model',
+            max_attempts=1,
+            **(long | {'gap_aim_ms': BACKED_PAUSE_MS}),
         )
         routes.append(backed)
     for each in routes:
