End an attempt whose answer a cut copy has taken

Callers got 504 at their deadline for requests that had been answered.

Cause: a late copy of the answer to an earlier request is dropped up to the length that its head gives. One that is cut short lacks bytes, and takes them from the answer behind it on the same connection; where that answer is no longer than what is missing, nothing more comes. Class: a length is believed of a message that was broken off.

While a copy is dropped, the answer to the current request is looked for in its body: a status line, and after it a line that ends with the id of the request. Then the attempt ends as unknown: the caller gets 502 at once, or the answer of another endpoint where the request may be repeated. The answer itself is not taken out of the body, as its framing can't be told from bytes of the copy for certain. An answer without an id is still waited for until the deadline. A copy with a status line and such a line of its own in its body ends the attempt as well, where it was dropped before.

--- a/magnoliadyke/gateway/connection.py
+++ b/magnoliadyke/gateway/connection.py
@@ -20,6 +20,9 @@
 #: Maximum size of the body of the response to a :meth:`Connection.call`, in
 #: bytes: those are reports and results, not what callers are given.
 MAX_CALL_BODY_BYTES = 1 << 20
+#: Maximum number of bytes from the start of an answer to the end of the line
+#: with its id, where the answer is looked for in the body of another.
+MAX_LINES_TO_ID_BYTES = 8192
 #: Number of requests after which a connection is closed, which bounds the ids
 #: that it keeps.
 MAX_REQUESTS = 1000
@@ -141,10 +144,18 @@
     def drop_answer(self) -> None:
         """Discard the answer whose head was read, to wait for the next one.
 
+        :raises http.BrokenMessage: the answer was broken off, and the next
+            one was read as the rest of its body
         :raises http.PeerClosed: the answer was broken off
         """
-        while not isinstance(self.part(), http.MessageEnd):
-            continue
+        mark = b'%s\r\n' % self.last_request_id
+        tail = b''
+        while not isinstance(part := self.part(), http.MessageEnd):
+            tail = tail[-MAX_LINES_TO_ID_BYTES:] + part.data
+            if http.holds_answer(tail, mark):
+                raise http.BrokenMessage(
+                    'late copy: broken off, the next answer follows it'
+                )
         self._begin_answer()
 
     def _send_rest(self, body: bytes) -> bool:
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -134,6 +134,25 @@
     assert b' %d ' % status in COMPLETE[name]
 
 
+@pytest.mark.parametrize('size', [1, 7, 1000])
+def test_dropped_answer_ends_where_the_next_one_begins(listener, size):
+    """An answer that has others in its body was taken for a broken one."""
+    address = '%s:%d' % listener.getsockname()
+    conn = connection.Connection(address, gatewayworld.WAIT_S)
+    server, _ = listener.accept()
+    conn.record_request(b's1')
+    body = WHOLE + b'X-Request-Id: r1\r\n: s1: s1\n' + INTERIM
+    data = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+    data += body + WHOLE
+    with contextlib.closing(conn), contextlib.closing(server):
+        for at in range(0, len(data), size):
+            conn.reader.feed(data[at : at + size])
+        conn.head()
+        conn.drop_answer()
+        assert read_whole(conn) == (200, b'ok')
+        assert conn.reusable
+
+
 #: Whole answers that may follow a broken one on its connection.
 FOLLOWING = {
     'empty': b'HTTP/1.1 500 Internal Server Error\r\n'
--- a/tests/test_gateway_latecopies.py
+++ b/tests/test_gateway_latecopies.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from magnoliadyke.core import answerend
 from magnoliadyke.gateway import promptexchange
 from magnoliadyke.gateway import upstream
 from magnoliadyke.lab import framedanswer
@@ -208,6 +209,31 @@
     assert first.relayer.counts['taken'] == REQUESTS
 
 
+@pytest.mark.parametrize('path', ['/unsafe/x', '/once/x'])
+@pytest.mark.parametrize(
+    'framing', [None, answerend.Framing.LENGTH, answerend.Framing.CHUNKED]
+)
+def test_copy_that_is_cut_short_does_not_hide_the_answer(
+    world, reused, path, framing
+):
+    """The answer was read as its rest, and waited for until the deadline."""
+    endpoint = world.endpoint('p1')
+    decoding = world.endpoint('d1', 'model', 'decode')
+    for each in (endpoint, decoding):
+        each.sends_copies = True
+        # In the body, which a long id and many events make a long one.
+        each.copied_bytes = 800
+        each.events = 40
+        each.framing = framing
+    world.node()
+    headers = LONG_ANSWER if path == '/once/x' else {}
+    first = world.ask(path, request_id='r' * 600, **headers)
+    assert first.status == 200
+    decoding.events = 2
+    second = world.ask(path, request_id='s1', X_Deadline_Ms=2000, **headers)
+    assert second.status == 502
+
+
 def test_stop_between_two_sends_promises_nothing(world, engines):
     """The second send may run, whatever became of the first one."""
     _, decoding = engines
