Claim a free run in the tests of the lab's clusters

Cause: the tests claim run 67, whose addresses the other one held in that moment. With these held by a process of its own both tests fail ("the addresses of run 67 are in use").

They take a run that is free now; what they assert is the same.

--- a/tests/test_lab_cluster.py
+++ b/tests/test_lab_cluster.py
@@ -15,7 +15,10 @@
         self.document = json.loads(EXAMPLE.read_text())
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
-        self.options = cluster.Options(67, directory.name, hosts=3)
+        # Not a fixed one, which another run of the tests may have claimed.
+        claim, run = cluster.claim_run(0)
+        claim.close()
+        self.options = cluster.Options(run, directory.name, hosts=3)
 
     def make(self):
         made = cluster.Cluster(self.document, self.options)
