Give the hosts of a test whole addresses

They have addresses of three parts, as 127.128.251, which inet_aton() takes and the settings refuse since ("ip: expected an IP address"). The platform gives four.

They have four parts now, as those of the other tests; what the test asserts is the same. 3 of 3 pass.

--- a/tests/test_platform_main.py
+++ b/tests/test_platform_main.py
@@ -35,7 +35,8 @@
     """
 
     def __init__(self, directory, words):
-        ip = f'{gatewayworld.NET}.{next(HOSTS)}'
+        subnet = gatewayworld.SUBNET % 250 + 1
+        ip = f'{gatewayworld.NET}.{subnet}.{next(HOSTS)}'
         values = platformrecords.node_settings(
             'host-1', ip, f'{ip}:8180', stop_s=STOP_S, directory_ttl_s=1
         )
