--- a/tests/test_leadership_model.py
+++ b/tests/test_leadership_model.py
@@ -145,8 +145,9 @@
 
     def __init__(self, number, incarnation, standin, clock, tell):
         self.name = f'host-{number}'
+        ip = f'10.0.0.{number + 1}'
         own = members.HostRecord(
-            self.name, incarnation, self.name, f'{self.name}:1', 1, 'd', 1.0
+            self.name, incarnation, ip, f'{ip}:1', 1, 'd', 1.0
         )
         self.client = Client(standin, clock)
         self.placement_service = Placer()
