Count and log refusals of prompts by size, with the times that decided

Callers of large prompts were refused, and nothing a host wrote said so: the counters had no size, and the line of a refusal had neither the expected wait nor the time of the prefill. The placing host now writes prompt_refused with both, joined to placed and not_placed by job; prompts_refused has the size class, and prompt_outcomes counts in time, late, refused, failed and left by route and size class. No decision changes.

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -437,13 +437,15 @@
             return self.refusals.refuse(job, now_s, wait_s, reason)
         work_s = self.on_time.need_s
         work_s += sum(queue.need_s for queue in self.late_queues)
-        return self.refusals.refuse_until_scheduled(
+        refused = self.refusals.refuse_until_scheduled(
             job,
             now_s,
             capacity.wait_s(work_s) * self.placing_hosts,
             job.need_s / capacity.speed * self.placing_hosts,
             reason,
         )
+        times = refused.times._replace(wait_s=wait_s)
+        return refused._replace(times=times)
 
     def is_waiting(self, job_id: int) -> bool:
         """Whether a job is queued or deferred."""
--- a/magnoliadyke/core/promptjobs.py
+++ b/magnoliadyke/core/promptjobs.py
@@ -7,7 +7,15 @@
 
 from magnoliadyke.core import promptcache
 
-__all__ = ['Decision', 'Job', 'JobQueue', 'Placed', 'Refused', 'SlackQueue']
+__all__ = [
+    'Decision',
+    'Job',
+    'JobQueue',
+    'Placed',
+    'RefusalTimes',
+    'Refused',
+    'SlackQueue',
+]
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,12 +93,29 @@
     backup: str | None = None
 
 
+class RefusalTimes(NamedTuple):
+    """The times that decided that a job was refused, in seconds.
+
+    :param wait_s: expected wait until its prefill can start
+    :param need_s: expected time of its prefill
+    :param left_s: time until its deadline
+    """
+
+    wait_s: float
+    need_s: float
+    left_s: float
+
+
 class Refused(NamedTuple):
-    """The decision to refuse a job, with the time until a retry."""
+    """The decision to refuse a job, with the time until a retry.
+
+    :param times: the times that decided it; known to the placing host only
+    """
 
     job: int
     retry_after_s: float
     reason: str
+    times: RefusalTimes | None = None
 
 
 Decision = Placed | Refused
--- a/magnoliadyke/core/refusals.py
+++ b/magnoliadyke/core/refusals.py
@@ -58,8 +58,9 @@
         left_s = max(0.0, job.deadline_s - now_s)
         spread = MIN_SPREAD + SPREAD * self.rng.random()
         after_s = max(MIN_RETRY_S, wait_s) * spread
+        times = promptjobs.RefusalTimes(wait_s, job.need_s, left_s)
         return promptjobs.Refused(
-            job.id, min(after_s, left_s * MAX_RETRY_SHARE), reason
+            job.id, min(after_s, left_s * MAX_RETRY_SHARE), reason, times
         )
 
     def refuse_until_scheduled(
@@ -78,16 +79,20 @@
         :param ahead_s: time until the waiting prompts are prefilled
         :param took_s: time in which the engines prefill the job's prompt
         """
-        longest_s = max(0.0, job.deadline_s - now_s) * MAX_RETRY_SHARE
+        left_s = max(0.0, job.deadline_s - now_s)
+        longest_s = left_s * MAX_RETRY_SHARE
+        times = promptjobs.RefusalTimes(ahead_s, job.need_s, left_s)
         after_s = self.returns.schedule(
             now_s, max(MIN_RETRY_S, ahead_s), took_s, longest_s
         )
         if after_s is None:
             # All who get the longest time would else come back as they came.
             spread = (1 - MIN_SPREAD) * self.rng.random()
-            return promptjobs.Refused(job.id, longest_s * (1 - spread), reason)
-        after_s *= 1 + SCHEDULE_JITTER * self.rng.random()
-        return promptjobs.Refused(job.id, min(after_s, longest_s), reason)
+            after_s = longest_s * (1 - spread)
+        else:
+            after_s *= 1 + SCHEDULE_JITTER * self.rng.random()
+        after_s = min(after_s, longest_s)
+        return promptjobs.Refused(job.id, after_s, reason, times)
 
     def record_availability(self, available: bool, now_s: float) -> None:
         """Record whether there is any decode engine."""
--- a/magnoliadyke/gateway/ingress.py
+++ b/magnoliadyke/gateway/ingress.py
@@ -557,6 +557,8 @@
             del self.running[caller]
         took_s = self.clock.now_s() - active.arrived_s
         self.record(outcome, active.route, took_s)
+        if isinstance(active, promptexchange.PromptExchange):
+            active.record_outcome(outcome)
         self._log(active, outcome, took_s, version)
 
     def _serve_relayed(
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -82,6 +82,8 @@
             gauges.placed.labels(by).set(count)
         for labels, count in parts.placement_service.refusals.items():
             gauges.prompts_refused.labels(*labels).set(count)
+        for labels, count in parts.placement_service.outcomes.items():
+            gauges.prompt_outcomes.labels(*labels).set(count)
         for call, count in parts.store.calls.items():
             gauges.store_calls.labels(call).set(count)
         gauges.restores.set(parts.store.restores)
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -49,9 +49,19 @@
         )
         self.prompts_refused = self._gauge(
             'prompts_refused',
-            'Prompts that were not placed, by reason and rank.',
+            'Prompts that were not placed, by reason, rank and largest size '
+            'of the size class.',
             'reason',
             'rank',
+            'tokens',
+        )
+        self.prompt_outcomes = self._gauge(
+            'prompt_outcomes',
+            'Requests with prompts by route, largest size of the size class, '
+            'and outcome.',
+            'route',
+            'tokens',
+            'outcome',
         )
         self.store_calls = self._gauge(
             'store_calls', 'Calls to the store by kind.', 'call'
--- a/magnoliadyke/gateway/placementservice.py
+++ b/magnoliadyke/gateway/placementservice.py
@@ -30,6 +30,7 @@
 from magnoliadyke.core import prefillcost
 from magnoliadyke.core import promptjobs
 from magnoliadyke.core import refusals
+from magnoliadyke.core import sizeclasses
 from magnoliadyke import errors
 from magnoliadyke.gateway import inflightjobs
 from magnoliadyke.gateway import placement_codec
@@ -64,6 +65,10 @@
 #: Maximum number of decisions kept to answer duplicate requests.
 MAX_CACHED_DECISIONS = 4096
 MAX_DATAGRAM_BYTES = 65535
+#: Maximum number of routes whose prompts are counted by name.
+MAX_COUNTED_ROUTES = 32
+#: Name under which the prompts of further routes are counted.
+OTHER_ROUTES = 'other'
 #: Errors of a handler whose message lacks a field or holds one of no use.
 UNFIT = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 #: Initial estimate of the time from the end of a prefill to the first event,
@@ -145,7 +150,11 @@
     :ivar requesters: address of the host that waits for a decision, by job id
     :ivar decided: the latest decisions sent to other hosts, by job id
     :ivar counts: number of jobs by how they were placed, for the metrics
-    :ivar refusals: number of refused jobs by reason and rank, for the metrics
+    :ivar refusals: number of refused jobs by reason, rank and size class, for
+        the metrics
+    :ivar outcomes: number of requests with a prompt by route, size class and
+        outcome, for the metrics
+    :ivar counted_routes: routes counted by their names
     :ivar listeners: handlers of the messages that do not concern placement,
         by message type; a handler's result is sent back as the reply
     :ivar prefill_waits: wait limits of the prefills in flight, by engine
@@ -199,9 +208,13 @@
             collections.OrderedDict()
         )
         self.counts: collections.Counter[str] = collections.Counter()
-        self.refusals: collections.Counter[tuple[str, str]] = (
+        self.refusals: collections.Counter[tuple[str, str, str]] = (
             collections.Counter()
         )
+        self.outcomes: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+        self.counted_routes: set[str] = set()
         self.in_flight_jobs = inflightjobs.InFlightJobs()
         self.listeners: dict[
             type, Callable[[Any], placement_codec.Message | None]
@@ -640,7 +653,19 @@
         if reason not in placement.REASONS:
             reason = 'other'
         rank = 'urgent' if job.priority == 0 else 'other'
-        self.refusals[reason, rank] += 1
+        self.refusals[reason, rank, _size_label(job.tokens)] += 1
+
+    def record_outcome(self, route: str, tokens: int, outcome: str) -> None:
+        """Count the outcome of a request with a prompt.
+
+        :param route: name of its route
+        :param tokens: size of its prompt
+        """
+        if route not in self.counted_routes:
+            if len(self.counted_routes) >= MAX_COUNTED_ROUTES:
+                route = OTHER_ROUTES
+            self.counted_routes.add(route)
+        self.outcomes[route, _size_label(tokens), outcome] += 1
 
     def record_end(self, service: str, job_id: int, must_report: bool) -> None:
         """Record that a job holds no decode slot any longer.
@@ -894,6 +919,8 @@
         self, pool: _ServicePlacement, decisions: list[promptjobs.Decision]
     ) -> None:
         for decision in decisions:
+            if isinstance(decision, promptjobs.Refused):
+                _log_refusal(decision)
             waiting = self.waiting.get(decision.job)
             if waiting is not None:
                 waiting.decided.set(decision)
@@ -938,6 +965,28 @@
             LOG.throttled_warning('send_failed', address, error=str(error))
 
 
+def _size_label(tokens: int) -> str:
+    """Return the metrics label of a prompt's size class."""
+    size_class = sizeclasses.size_class(tokens)
+    return str(sizeclasses.largest_tokens(size_class))
+
+
+def _log_refusal(refused: promptjobs.Refused) -> None:
+    """Log the times that decided a refusal of this host."""
+    if refused.times is None:
+        return
+    wait_s, need_s, left_s = refused.times
+    LOG.event(
+        'prompt_refused',
+        job=refused.job,
+        reason=refused.reason,
+        wait_ms=round(wait_s * 1000),
+        need_ms=round(need_s * 1000),
+        left_ms=round(left_s * 1000),
+        retry_after_ms=round(refused.retry_after_s * 1000),
+    )
+
+
 def request_timeout_s(link_mbps: float) -> float:
     """Return the timeout of a placement request, in seconds."""
     return REQUEST_TIMEOUT_S + QUEUED_BODY_BYTES * 8 / (link_mbps * 1e6)
--- a/magnoliadyke/gateway/promptexchange.py
+++ b/magnoliadyke/gateway/promptexchange.py
@@ -80,6 +80,8 @@
         has begun to answer; None if there is none
     :ivar confirmation: limits the time until another engine says whether a
         stream without a marked end goes on; None if none is asked, or it does
+    :ivar first_event_s: when the first event was passed to the caller, in
+        monotonic seconds; None before
     :ivar response_watch: watches for bytes of that engine, None if nothing
         else is tried meanwhile
     """
@@ -91,6 +93,7 @@
         self.rejections = 0
         self.backup: tuple[catalog.Endpoint, catalog.Endpoint] | None = None
         self.placing: int | None = None
+        self.first_event_s: float | None = None
         self.silent_run: engineruns.EngineRun | None = None
         self.response_watch: engineruns.ResponseWatch | None = None
         self.confirmation: gevent.Timeout | None = None
@@ -415,6 +418,8 @@
     ) -> None:
         fields = {
             'id': self.request.id.decode('latin-1'),
+            'job': job.id,
+            'route': self.route.name,
             'by': self.parts.placement_service.decided_by(job.id),
             'catalog': self.parts.catalog.generation,
             'tokens': job.tokens,
@@ -520,13 +525,9 @@
         """
         now_s = self.parts.clock.now_s()
         prompt = self.request.prompt
-        wait_s = self.request.wait_s
-        is_retry = self.is_callers_retry
         workspace = self.request.workspace
-        objective_s = self.arrived_s + self.route.objective_s
-        if is_retry:
-            objective_s -= self.route.timeout_s - wait_s
-        objective_s -= self.parts.placement_service.transfer_s.high_s
+        transfer_s = self.parts.placement_service.transfer_s.high_s
+        objective_s = self._due_s() - transfer_s
         return promptjobs.Job(
             id=self.parts.rng.getrandbits(62),
             parts=prompt.parts,
@@ -534,7 +535,7 @@
             objective_s=max(objective_s, now_s),
             deadline_s=self.deadline_s,
             failure_domain=self.parts.balancer.failure_domain,
-            is_retry=is_retry or self.prefills > 0,
+            is_retry=self.is_callers_retry or self.prefills > 0,
             resumed=resumed,
             avoid=(*avoid, *self._unavailable_engines()),
             version=self.version or self._sound_version(),
@@ -544,6 +545,31 @@
             workspace=workspace.name if workspace is not None else '',
         )
 
+    def _due_s(self) -> float:
+        """Return when the first event is due, in monotonic seconds.
+
+        It counts from the caller's first attempt.
+        """
+        due_s = self.arrived_s + self.route.objective_s
+        if self.is_callers_retry:
+            due_s -= self.route.timeout_s - self.request.wait_s
+        return due_s
+
+    def record_outcome(self, outcome: outcomes.Outcome) -> None:
+        """Count the outcome of the request by its route and prompt size."""
+        name = type(outcome).__name__.lower()
+        if isinstance(outcome, outcomes.Answered) and outcome.status == 200:
+            is_late = (
+                self.first_event_s is not None
+                and self.first_event_s > self._due_s()
+            )
+            name = 'late' if is_late else 'in time'
+        self.parts.placement_service.record_outcome(
+            self.route.name,
+            promptcache.total_tokens(self.request.prompt.parts),
+            name,
+        )
+
     def _is_backed_up(self) -> bool:
         service = self._service()
         return (
@@ -1131,6 +1157,7 @@
 
     def _begin(self, head: http.Head) -> None:
         if not self.caller.answer_started:
+            self.first_event_s = self.parts.clock.now_s()
             headers = self.parts.codec.answer_headers(head)
             self.caller.start_stream(head.status, headers)
 
