Refuse no prompt for its own prefill time while the engines are idle

A prompt whose prefill took more than 0.35 of the caller's time left was refused with "no room in time" at each attempt, even if no other prompt waited: the bound on a late prompt's wait counted its own prefill as wait. The prefill is now held against that bound only as far as there is a wait; whether it fits into the time left is asked apart, so one that can't be served is still refused at once. The first test failed before (refused).

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -409,7 +409,10 @@
     ) -> promptjobs.Refused | None:
         wait_s = self._late_wait_s(now_s)
         left_s = job.deadline_s - now_s
-        if wait_s + job.need_s > left_s * self._late_wait_share(job):
+        takes_s = wait_s + job.need_s + self.settings.reserve_s
+        # A prompt that takes long is not refused while the engines are idle.
+        held_s = wait_s + min(wait_s, job.need_s)
+        if held_s > left_s * self._late_wait_share(job) or takes_s > left_s:
             if self.pool.limits_bind:
                 return self.refusals.refuse(job, now_s, wait_s, LIMIT_REASON)
             return self._refuse_until_scheduled(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -54,6 +54,24 @@
     assert isinstance(decision, promptjobs.Placed)
 
 
+def test_prompt_that_takes_a_third_of_its_time_is_read_by_idle_engines():
+    """A prompt was refused at each attempt although no other one waited."""
+    made = core()
+    needs = made.pool.need_s(made.pool.caches.cached_prefixes(()), 300_000)
+    large = job(1, [part(3, 300_000)], objective_s=needs / 2)
+    large.deadline_s = 2.0 * needs
+    (decision,) = made.submit(large, 0.0)
+    assert isinstance(decision, promptjobs.Placed)
+
+
+def test_prompt_that_takes_longer_than_its_time_is_refused_at_once():
+    made = core()
+    needs = made.pool.need_s(made.pool.caches.cached_prefixes(()), 300_000)
+    large = job(1, [part(3, 300_000)], deadline_s=0.9 * needs)
+    (decision,) = made.submit(large, 0.0)
+    assert isinstance(decision, promptjobs.Refused)
+
+
 def test_burst_fills_the_engines_with_prompts_that_come_in_time():
     """Twice as many prompts as the engines can read, for three seconds.
 
