Keep the share of the engines apart from that of a late prompt's time

Late prompts were refused as too late although the engines would have read them in time, above all while rate limits bind. The check for late prompts kept the share of prefill capacity that late prompts get and the share of their time for which they may wait in one variable: from the second prompt on the wait was divided by 0.35, or 0.1 with limits, whatever the engines had free. They are two variables now. The test failed before: of twenty prompts of 0.1 s with 1.5 s left, before two engines that do nothing else, some were refused.

--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -827,15 +827,18 @@
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
             return
-        share = self._late_share(capacity, now_s)
+        late_share = self._late_share(capacity, now_s)
         ahead_s = 0.0
         for queue in self.late_queues:
             for job in list(queue.jobs.values()):
-                wait_s = capacity.wait_s(ahead_s / share) * self.placing_hosts
+                wait_s = capacity.wait_s(ahead_s / late_share)
+                wait_s *= self.placing_hosts
                 ends_s = now_s + wait_s + job.need_s + self.settings.reserve_s
                 reason = TOO_LATE_REASON
-                share = self._late_wait_share(job)
-                if self.pool.limits_bind and _has_waited(job, share, now_s):
+                wait_share = self._late_wait_share(job)
+                if self.pool.limits_bind and _has_waited(
+                    job, wait_share, now_s
+                ):
                     reason = LIMIT_REASON
                 elif ends_s <= job.deadline_s:
                     ahead_s += job.need_s
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -145,6 +145,18 @@
     assert made._next_queue().first().id == 92
 
 
+def test_late_prompts_with_time_left_are_not_refused_as_too_late():
+    """The share of the wait was taken for the share of the engines."""
+    made = core()
+    for number in range(20):
+        late = job(number, LONG, deadline_s=1.5)
+        late.need_s = 0.1
+        made.late.put(late)
+    decisions = []
+    made._shed_late(0.0, decisions)
+    assert not decisions
+
+
 def test_late_prompts_get_a_turn_in_a_long_burst():
     """A burst of fresh prompts that lasts for seconds.
 
