Let no size of prompts be placed much less often than others

Callers of large prompts were refused with "no room in time" at both attempts as long as a rush lasted, while small prompts were served.

Cause: in a rush the late queue is refilled up to the wait at which the smallest prompts are refused. A large one was let in only at a wait shorter by its own prefill, which then never comes; of those that could be on time the longest gave way. Each choice was made for its size, and nothing counted how often a size had lost: a class of fault in which every request with a lower bound than the others is starved while a queue stays full.

The placement now counts, by rank and power of two of the size, prompts that came and prompts that were placed. One that can't be on time makes no other give way, and one that doesn't fit into its time is refused at once as before.

--- a/magnoliadyke/core/fairshare.py
+++ b/magnoliadyke/core/fairshare.py
@@ -122,6 +122,12 @@
     for other in waiting:
         if other.priority > job.priority:
             return Arrival.DISPLACES
+        if (
+            job.underserved
+            and not other.underserved
+            and other.priority == job.priority
+        ):
+            return Arrival.DISPLACES
         if other.priority < job.priority:
             found = Arrival.LESS_URGENT
         elif other.workspace != job.workspace:
@@ -144,7 +150,8 @@
     The Moore-Hodgson algorithm, extended by ranks and shares: where the next
     job would be late, one of the jobs so far gives way.  That is one of the
     least urgent rank; in it one of a workspace that uses more than an equal
-    share; of those the longest.  With one rank and one workspace it is the
+    share; of those the longest, but one whose size is underserved only after
+    all others.  With one rank, one workspace and no such size it is the
     longest job so far.  The share is the mean usage of the workspaces that
     wait, which falls as jobs give way, so that a workspace that asks for less
     than max-min fairness leaves it keeps all that it asks for.
@@ -153,12 +160,21 @@
     :param start_s: returns when a job starts behind so much work
     :param usage: engine-seconds by workspace; not changed
     """
-    if len(usage) <= 1 and len({job.priority for job in jobs}) <= 1:
+    if (
+        len(usage) <= 1
+        and len({job.priority for job in jobs}) <= 1
+        and not any(job.underserved for job in jobs)
+    ):
         return _give_way_by_length(jobs, start_s)
     candidates = _Candidates(jobs, dict(usage))
     chosen: list[GivesWay] = []
     work_s = 0.0
+    idle_s = start_s(0.0)
     for job in jobs:
+        if job.underserved and idle_s > job.latest_start_s:
+            # No other job could make room for it.
+            chosen.append(GivesWay(job, Arrival.EQUAL))
+            continue
         starts_s = start_s(work_s)
         candidates.add(job)
         work_s += job.need_s
@@ -193,6 +209,11 @@
     return chosen
 
 
+def _order(job: promptjobs.Job) -> tuple[bool, float]:
+    """Return a sort key by which the job to give way comes first."""
+    return job.underserved, -job.need_s
+
+
 class _Candidates:
     """Jobs that may give way, by rank.
 
@@ -221,7 +242,7 @@
         why = Arrival.EQUAL
         if len(self.count) > 1:
             why = Arrival.LESS_URGENT
-        elif len(self.ranks[number].longest) > 1:
+        elif len(self.ranks[number].first) > 1:
             why = Arrival.ABOVE_SHARE
         job = self.ranks[number].pop()
         self.usage[job.workspace] -= job.need_s
@@ -242,9 +263,9 @@
 
     :param names: the workspaces with waiting jobs of the rank
     :ivar total_s: usage of these workspaces
-    :ivar longest: heap of jobs, longest first, by workspace
+    :ivar first: heap of jobs by workspace, the one to give way first
     :ivar above: workspaces found above the share
-    :ivar above_heap: longest job of each of these, longest first
+    :ivar above_heap: first job of each of these, the one to give way first
     :ivar below_heap: the other workspaces, highest usage first
     """
 
@@ -252,22 +273,24 @@
         self.names = names
         self.usage = usage
         self.total_s = sum(usage[name] for name in names)
-        self.longest: dict[str, list[tuple[float, int, promptjobs.Job]]] = {}
+        self.first: dict[
+            str, list[tuple[tuple[bool, float], int, promptjobs.Job]]
+        ] = {}
         self.above: set[str] = set()
-        self.above_heap: list[tuple[float, int, str]] = []
+        self.above_heap: list[tuple[tuple[bool, float], int, str]] = []
         self.below_heap: list[tuple[float, str]] = []
 
     def add(self, job: promptjobs.Job) -> None:
         name = job.workspace
-        if name not in self.longest:
-            self.longest[name] = []
+        if name not in self.first:
+            self.first[name] = []
             heapq.heappush(self.below_heap, (-self.usage[name], name))
-        heapq.heappush(self.longest[name], (-job.need_s, job.id, job))
-        if name in self.above and self.longest[name][0][2] is job:
-            heapq.heappush(self.above_heap, (-job.need_s, job.id, name))
+        heapq.heappush(self.first[name], (_order(job), job.id, job))
+        if name in self.above and self.first[name][0][2] is job:
+            heapq.heappush(self.above_heap, (_order(job), job.id, name))
 
     def pop(self) -> promptjobs.Job:
-        """Remove the longest job of the workspaces above the share.
+        """Remove the first job of the workspaces above the share.
 
         If these have no candidate, the workspace that uses most has the job.
         """
@@ -276,13 +299,13 @@
             name = heapq.heappop(self.above_heap)[2]
         else:
             name = self.below_heap[0][1]
-        jobs = self.longest[name]
+        jobs = self.first[name]
         job = heapq.heappop(jobs)[2]
         if jobs and name in self.above:
-            need_s, job_id, _ = jobs[0]
-            heapq.heappush(self.above_heap, (need_s, job_id, name))
+            order, job_id, _ = jobs[0]
+            heapq.heappush(self.above_heap, (order, job_id, name))
         elif not jobs:
-            del self.longest[name]
+            del self.first[name]
             if name in self.above:
                 self.above.remove(name)
             else:
@@ -300,13 +323,13 @@
             elif -used_s > share_s:
                 heapq.heappop(self.below_heap)
                 self.above.add(name)
-                need_s, job_id, _ = self.longest[name][0]
-                heapq.heappush(self.above_heap, (need_s, job_id, name))
+                order, job_id, _ = self.first[name][0]
+                heapq.heappush(self.above_heap, (order, job_id, name))
             else:
                 break
         while self.above_heap:
             _, job_id, name = self.above_heap[0]
-            if name in self.above and self.longest[name][0][1] == job_id:
+            if name in self.above and self.first[name][0][1] == job_id:
                 if self.usage[name] > share_s:
                     break
                 self.above.remove(name)
--- a/magnoliadyke/core/placement.py
+++ b/magnoliadyke/core/placement.py
@@ -20,6 +20,8 @@
 from magnoliadyke.core import promptjobs
 from magnoliadyke.core import refusals
 from magnoliadyke.core import routes
+from magnoliadyke.core import sizeclasses
+from magnoliadyke.core import sizeshares
 from magnoliadyke.core import stageplan
 from magnoliadyke.core import streambackup
 
@@ -150,9 +152,11 @@
         no engine has one
     :ivar on_time: jobs that can still meet their objective
     :ivar late: jobs that will miss their objective, on their first attempt
+    :ivar underserved: those whose size is placed less often than others
     :ivar resubmitted: those that will miss it and were refused before
     :ivar returned: those whose scheduled return time had come
     :ivar served: engine-seconds given to workspaces
+    :ivar sizes: how often prompts of each size are placed
     :ivar prefills: prompts sent to engines and not yet prefilled, by job
     :ivar bias: average ratio of prefill time at placement to the estimate
     """
@@ -174,8 +178,15 @@
         self.late = promptjobs.JobQueue()
         self.resubmitted = promptjobs.JobQueue()
         self.returned = promptjobs.JobQueue()
-        self.late_queues = (self.returned, self.resubmitted, self.late)
+        self.underserved = promptjobs.JobQueue()
+        self.late_queues = (
+            self.returned,
+            self.underserved,
+            self.resubmitted,
+            self.late,
+        )
         self.served = fairshare.ServedTime()
+        self.sizes = sizeshares.SizeShares()
         self.deferral = deferral.Deferral(self.pool)
         self.refusals = refusals.Refusals(traits.stage_change_s, rng)
         self.prefills: dict[int, _Prefill] = {}
@@ -279,6 +290,11 @@
         fields['served'] = ','.join(
             f'{name or "none"}:{served_s:.2f}s' for name, served_s in largest
         )
+        if self.sizes.underserved:
+            fields['underserved'] = ','.join(
+                f'{rank}:{sizeclasses.largest_tokens(size_class)}'
+                for rank, size_class in sorted(self.sizes.underserved)
+            )
         for stage, cost in self.pool.costs.items():
             if stage is not catalog.Stage.NONE:
                 fields[stage.value] = cost.coefficients_text()
@@ -347,6 +363,8 @@
         self.prefill_demand.add(job.need_s, now_s)
         self.transfer_demand.add(self.pool.handoff_s(job.tokens), now_s)
         job.latest_start_s = self._due_s(job) - job.need_s
+        self.sizes.record_arrival(job, now_s)
+        job.underserved = self.sizes.is_underserved(job)
         if job.is_retry and self.refusals.returns.take_due(now_s):
             return self._submit_returned(job, now_s)
         if now_s + self._wait_s(job, now_s) <= job.latest_start_s:
@@ -380,13 +398,13 @@
         refused = self._put_late_or_refuse(job, now_s)
         if refused is not None:
             return [refused]
-        self.resubmitted.pop(job.id)
+        self._late_queue(job).pop(job.id)
         self.returned.put(job)
         return self.place_queued(now_s)
 
     def _arrival(self, job: promptjobs.Job, now_s: float) -> fairshare.Arrival:
         """Decide whether a job that would be late displaces another one."""
-        if self.on_time.has_one_group(job):
+        if self.on_time.has_one_group(job) and not job.underserved:
             return fairshare.Arrival.EQUAL
         capacity = self.pool.capacity(now_s)
         wait_s = capacity.wait_s(0.0) * self.placing_hosts
@@ -407,11 +425,13 @@
         now_s: float,
         found: fairshare.Arrival = fairshare.Arrival.EQUAL,
     ) -> promptjobs.Refused | None:
-        wait_s = self._late_wait_s(now_s)
+        wait_s = self._late_wait_s(now_s, job)
         left_s = job.deadline_s - now_s
         takes_s = wait_s + job.need_s + self.settings.reserve_s
-        # A prompt that takes long is not refused while the engines are idle.
-        held_s = wait_s + min(wait_s, job.need_s)
+        held_s = wait_s
+        if not job.underserved:
+            # A long prompt is not refused while the engines are idle.
+            held_s += min(wait_s, job.need_s)
         if held_s > left_s * self._late_wait_share(job) or takes_s > left_s:
             if self.pool.limits_bind:
                 return self.refusals.refuse(job, now_s, wait_s, LIMIT_REASON)
@@ -570,12 +590,17 @@
         return job.pause_s if self.answers.is_long(job.output_tokens) else 0.0
 
     def _put_late(self, job: promptjobs.Job) -> None:
-        """Queue a late job; one that was refused before has priority.
+        self._late_queue(job).put(job)
+
+    def _late_queue(self, job: promptjobs.Job) -> promptjobs.JobQueue:
+        """Return the queue of a late job.
 
-        The caller of a job that was refused before does not retry again.
+        One that was refused before has priority, as its caller does not retry
+        again, but not before those whose size is underserved.
         """
-        queue = self.resubmitted if job.is_retry else self.late
-        queue.put(job)
+        if job.underserved:
+            return self.underserved
+        return self.resubmitted if job.is_retry else self.late
 
     def withdraw(self, job_id: int, now_s: float) -> list[promptjobs.Decision]:
         """Drop a job that its caller cancelled or its host places itself."""
@@ -773,6 +798,7 @@
         if now_s - self.late_checked_s < LATE_CHECK_INTERVAL_S:
             return
         self.late_checked_s = now_s
+        self.sizes.update(now_s)
         self._demote_late(now_s, decisions)
         self._shed_waiting(now_s, decisions)
         self._shed_late(now_s, decisions)
@@ -795,6 +821,8 @@
             return now_s + wait_s * self.placing_hosts
 
         waiting = self.on_time.in_order()
+        for job in waiting:
+            job.underserved = self.sizes.is_underserved(job)
         usage = fairshare.usage_s(waiting, self.served, now_s)
         for late, why in fairshare.give_way(waiting, start_s, usage):
             self.on_time.pop(late.id)
@@ -876,16 +904,20 @@
         work_s *= self._late_wait_factor()
         return capacity.wait_s(work_s) * self.placing_hosts
 
-    def _late_wait_s(self, now_s: float) -> float:
+    def _late_wait_s(self, now_s: float, job: promptjobs.Job) -> float:
         """Return the expected wait of a late job until it is placed.
 
         Jobs that can be on time go first.  Late jobs get the capacity that
-        remains, and at least one of ``late_placement_interval`` placements.
+        remains, and at least one of ``late_placement_interval`` placements,
+        those whose size is underserved before others.
         """
         capacity = self.pool.capacity(now_s)
         if not capacity.speed:
             return refusals.NO_ENGINE_S
-        late_s = sum(queue.need_s for queue in self.late_queues)
+        ahead = self.late_queues
+        if job.underserved:
+            ahead = (self.returned, self.underserved)
+        late_s = sum(queue.need_s for queue in ahead)
         work_s = self.on_time.need_s
         work_s += late_s / self._late_share(capacity, now_s)
         return capacity.wait_s(work_s) * self.placing_hosts
@@ -910,6 +942,7 @@
         prefill, decode_engine = option.prefill_engine, option.decode_engine
         self._learn_bias(job, option)
         self.served.charge(job.workspace, job.need_s, now_s)
+        self.sizes.record_placement(job, now_s)
         source = option.source
         self.prefills[job.id] = _Prefill(
             prefill.endpoint.id,
--- a/magnoliadyke/core/promptjobs.py
+++ b/magnoliadyke/core/promptjobs.py
@@ -40,6 +40,8 @@
     :ivar latest_start_s: when the prefill has to start to meet the objective
     :ivar need_s: prefill time at the engine that caches most of the prompt,
         in seconds
+    :ivar underserved: whether prompts of its size are placed less often than
+        others of its rank
     :param priority: rank of the request, 0 for the most urgent
     :param workspace: name of the workspace, empty without one
     """
@@ -63,6 +65,7 @@
     backed_up: bool = False
     priority: int = 0
     workspace: str = ''
+    underserved: bool = False
 
     def __post_init__(self) -> None:
         self.tokens = promptcache.total_tokens(self.parts)
