Check in the lab that each size of prompts is served

They now count by kind the prompts served of all, of the largest tenth and of the fifth below it, print the counts, and fail if either is served less than half as often as the kind, where at least twenty of the tenth would be served if sizes were alike. Answers that broke off are left to other promises.

--- a/magnoliadyke/lab/platformcheck.py
+++ b/magnoliadyke/lab/platformcheck.py
@@ -97,6 +97,11 @@
 #: it is served, and the least share served, relative to that of all requests.
 WORKSPACE_REQUESTS = 10
 WORKSPACE_SHARE = 0.25
+#: Least share of the largest tenth of the prompts of a kind that is served,
+#: and of the fifth below it, relative to that of the whole kind; and how many
+#: of them would have to be served, were all sizes alike, to be judged.
+SIZE_SHARE = 0.5
+SIZE_EXPECTED = 20
 UNREPEATABLE_KINDS = ('unsafe', 'slow')
 #: Kinds of streams that may not run at two engines at once.
 SINGLE_RUN_STREAMS = (
@@ -168,6 +173,15 @@
     upload_bytes: int = 0
     invalid: str = ''
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Length of its prompt in tokens, 0 without one."""
+        for line in self.prompt:
+            name, _, value = line.partition(': ')
+            if name == 'X-Token-Counts':
+                return int(value.partition(',')[0])
+        return 0
+
     @property
     def timed_out(self) -> bool:
         """Whether it ended at its deadline or later."""
@@ -344,6 +358,7 @@
         *_check_taken_up(evidence),
         *_check_broken_backed(evidence),
         *_check_workspaces(evidence),
+        *_check_sizes(evidence),
         *_check_calm(evidence),
         *_check_processes(evidence),
     ]
@@ -1090,6 +1105,72 @@
         least = BROKEN_BACKED_STREAMS if each is found else WORKSPACE_REQUESTS
         judged = 'judged' if len(each) >= least else 'not judged, too few'
         yield f'{what}: {sum(each)} of {len(each)} served, {judged}'
+    for kind, sizes in served_by_size(evidence).items():
+        judged = 'judged' if sizes.is_judged() else 'not judged, too few'
+        yield (
+            f'{kind} prompts: {sum(sizes.all)} of {len(sizes.all)} served, '
+            f'{sum(sizes.fifth)} of {len(sizes.fifth)} of the fifth below the '
+            f'largest tenth, {sum(sizes.tenth)} of {len(sizes.tenth)} of '
+            f'that, {judged}'
+        )
+
+
+class ServedBySize(NamedTuple):
+    """Which prompts of a kind were served.
+
+    :param all: all of them, the smallest first
+    :param fifth: the fifth below the largest tenth
+    :param tenth: the largest tenth
+    """
+
+    all: list[bool]
+    fifth: list[bool]
+    tenth: list[bool]
+
+    def is_judged(self) -> bool:
+        """Whether chance alone would hardly break the promise."""
+        expected = len(self.tenth) * sum(self.all) / max(1, len(self.all))
+        return expected >= SIZE_EXPECTED
+
+
+def served_by_size(evidence: Evidence) -> dict[str, ServedBySize]:
+    """Which prompts were served, by kind.
+
+    Answers that broke off are left to other promises.
+    """
+    found = collections.defaultdict(list)
+    for request in evidence.requests:
+        broke_off = not request.status or (
+            request.status == 200 and not request.complete
+        )
+        if request.prompt_tokens and not (request.resumes or broke_off):
+            served = request.status == 200
+            found[request.kind].append((request.prompt_tokens, served))
+    sizes = {}
+    for kind, each in sorted(found.items()):
+        each.sort(key=lambda one: one[0])
+        served = [one for _, one in each]
+        tenth = len(served) - len(served) // 10
+        fifth = tenth - len(served) // 5
+        sizes[kind] = ServedBySize(served, served[fifth:tenth], served[tenth:])
+    return sizes
+
+
+def _check_sizes(evidence: Evidence) -> Iterable[Violation]:
+    for kind, sizes in served_by_size(evidence).items():
+        if not sizes.is_judged():
+            continue
+        least = SIZE_SHARE * sum(sizes.all) / len(sizes.all)
+        for name, part in (
+            ('largest tenth', sizes.tenth),
+            ('fifth below it', sizes.fifth),
+        ):
+            if sum(part) < least * len(part):
+                text = (
+                    f'{kind}: {sum(part)} of {len(part)} of the {name}, '
+                    f'{sum(sizes.all)} of {len(sizes.all)} of all'
+                )
+                yield Violation('each size is served', 0.0, (), text)
 
 
 def calm_shares(evidence: Evidence) -> dict[str, list[bool]]:
--- a/tests/test_lab_platformcheck.py
+++ b/tests/test_lab_platformcheck.py
@@ -696,6 +696,32 @@
     assert broken(*requests, *small) == []
 
 
+def sized(number, tokens, served):
+    request = one(f'c{number}', 'chat', status=200 if served else 503)
+    request.prompt = ('X-Model: m', f'X-Token-Counts: {tokens},5')
+    return request
+
+
+@pytest.mark.parametrize(
+    'largest, fifth, found',
+    [(30, 30, 0), (15, 60, 0), (14, 60, 1), (30, 29, 1), (14, 29, 2)],
+)
+def test_size_that_is_hardly_served_is_found(largest, fifth, found):
+    """All others were served, so that few of all requests failed."""
+    requests = [sized(n, 1000, n < 300 - largest - fifth) for n in range(350)]
+    requests += [sized(500 + n, 4000, n < fifth) for n in range(100)]
+    requests += [sized(700 + n, 9000, n < largest) for n in range(50)]
+    served = [endpoint(*(each.id for each in requests if each.status == 200))]
+    promises = broken(*requests, endpoints=served)
+    assert promises == ['each size is served'] * found
+
+
+def test_sizes_are_not_judged_by_few_prompts():
+    requests = [sized(n, 1000, True) for n in range(180)]
+    requests += [sized(200 + n, 9000, False) for n in range(20)]
+    assert broken(*requests) == []
+
+
 @pytest.mark.parametrize(
     'fields',
     [{'status': 600}, {'status': 204}, {'invalid': 'status: got 099'}],
