--- a/magnoliadyke/core/sizeshares.py
+++ b/magnoliadyke/core/sizeshares.py
@@ -1,7 +1,7 @@
 """Finds the size classes of prompts that are served less often than others.
 
 Handles bursts of seconds in which the engines can't prefill all prompts, and
-prompts of which the largest take twenty times as long as the mean.
+prompts of which some take several times as long as the mean.
 """
 
 from typing import NamedTuple
