--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,34 +1,55 @@
-"""Two requests that crash servers, while few others are answered."""
+"""All processes are killed as the store comes back from an older copy."""
+
+import time
 
 import gevent
 
-import crashing
 import harness2
+import tenants
 
-SERVERS = 4
-#: Seconds between two arrivals of each such request, and between two others.
-CRASHING_S = 2.0
-OTHER_S = 4.0
-DURATION_S = 60.0
+COPY_AGE_S = 3.0
+REWRITE_S = 0.5
+#: Reports before the disruption, and time after it, in seconds.
+REPORTS_BEFORE = 2
+AFTER_S = 14.0
+LIMIT_S = 60.0
 
 
 def play(record):
     """Play the case; return whether the rule held."""
-    with harness2.Fleet(record, 3) as fleet:
-        world = crashing.World(fleet, record)
-        world.start(SERVERS)
-        clients = [
-            gevent.spawn(
-                world.send_often, crashing.CRASHING + b'-1', CRASHING_S
-            ),
-            gevent.spawn(
-                world.send_often, crashing.CRASHING + b'-2', CRASHING_S
-            ),
-            gevent.spawn(world.send_often, b'other', OTHER_S),
-        ]
-        gevent.sleep(DURATION_S)
-        gevent.killall(clients)
-        return world.is_kept()
+    with tenants.DutyFleet(record) as fleet:
+        written = tenants.configuration(3)
+        fleet.store.put('op/config', written)
+        fleet.start()
+        until_s = time.monotonic() + LIMIT_S
+        while sum(any(e) for e in fleet.cloud.reports().values()) < (
+            REPORTS_BEFORE
+        ):
+            if time.monotonic() > until_s:
+                raise harness2.CouldNotRun('no usage was reported')
+            gevent.sleep(0.02)
+        if harness2.trouble():
+            fleet.restore_and_kill(COPY_AGE_S, REWRITE_S, written)
+        gevent.sleep(AFTER_S)
+        fleet.stop_clients()
+        return is_kept(fleet)
+
+
+def is_kept(fleet):
+    """Return whether no window was reported with different counts."""
+    for call in fleet.cloud.calls:
+        fleet.record.line(
+            f'the platform has accepted from {call.holder}, fence '
+            f'{call.fencing}: {call.body}'
+        )
+    kept = True
+    for window, counts in fleet.cloud.reports().items():
+        if len(counts) > 1:
+            kept = False
+            line = f'window {window} has several reports: {counts}'
+            fleet.record.line(line)
+            print(line)
+    return kept
 
 
 if __name__ == '__main__':
--- a/review/crashing.py
+++ b/review/crashing.py
@@ -126,16 +126,12 @@
             f'{node} answers {request_id} ({content.decode()}): {status}'
         )
 
-    def send_often(self, content, every_s, copies=1):
-        """Send requests of one content, again and again.
-
-        :param copies: number sent at each moment, to the nodes in turn
-        """
+    def send_often(self, content, every_s):
+        """Send requests of one content again and again, to nodes in turn."""
         nodes = itertools.cycle(random.sample(self.fleet.names, 3))
         while True:
             gevent.sleep(every_s * random.uniform(0.9, 1.1))
-            for _ in range(copies):
-                gevent.spawn(self.send, next(nodes), content)
+            gevent.spawn(self.send, next(nodes), content)
 
     def is_kept(self):
         """Return whether no request came too often after its third crash."""
