--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # Python, as the software is, and use what the deploy file's build installs.
 cd "$(dirname "$0")/.." || exit 1
 PYTHONPATH="target/deps:.:review" PYTHONDONTWRITEBYTECODE=1 \
-    exec python3 -c 'import harness2, crashing'
+    exec python3 -c 'import crashing, harness2, tenants'
