Remove what the review's scripts leave behind

Cause: the folders of nodes stayed, and a signal to a script left its nodes running. Change: both are cleared; a script that is ended exits with 2.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import subprocess
 import sys
@@ -104,6 +105,7 @@
             process.kill()
             process.wait()
         self.store.stop()
+        shutil.rmtree(self.directory, ignore_errors=True)
 
     def ip(self, name):
         """Return the IP address of a node."""
@@ -201,10 +203,6 @@
         """Return where a node takes clients' requests."""
         return self.ip(name), CALLERS_PORT
 
-    def log(self, name):
-        """Return what a node has written."""
-        return (self.directory / f'{name}.log').read_text()
-
 
 class Server:
     """A server of a service; subclasses answer its requests.
@@ -350,6 +348,7 @@
 
     :param case: returns whether the rule held
     """
+    gevent.signal_handler(signal.SIGTERM, sys.exit, 2)
     try:
         held = case()
     except (CouldNotRun, OSError, subprocess.SubprocessError) as error:
