Report no window again that a restored store has forgotten

Cause: a report is written to the store before it is sent, so that a successor repeats it. Within an era of the store that holds; a restore loses the write, and then only the memory of those who read it tells. The successor took the absence of a report in the store's copy and in its own memory for proof that none had been made.

Each process now keeps since when it knows of all final reports, by era: since its first read of the era, or from before if it led, had read the reports of its predecessors, and held the key so recently that a successor can't have reported yet. A window whose report can have been made before that is left out, unless its report is known. The leader writes this time into the store, in one transaction with the reports that it knows; so hosts that start later in the era leave nothing out, and a restored store has the reports again within a tick and not with the next report.

Lines and a metric tell what was skipped, and since when reports are known; before, requests=0 could mean that none ran or that nobody was alive to count.

--- a/magnoliadyke/gateway/follower.py
+++ b/magnoliadyke/gateway/follower.py
@@ -121,6 +121,8 @@
     :ivar regained_s: when the store last came back after an outage
     :ivar failing_since_s: when the store's present outage began, None if the
         store answers
+    :ivar read_s: when the latest answer of the store that this host applied
+        was asked for, in seconds of the boot clock
     :ivar reread_needed: set when all keys have to be read again
     :ivar catch_up: fetches from other hosts what this one lacks
     :ivar not_relayed: keys that are not sent to other hosts; the hosts that
@@ -147,6 +149,7 @@
         self.catch_up = catchup.CatchUp(self)
         self.failures = 0
         self.failing_since_s: float | None = None
+        self.read_s = float('-inf')
         self.regained_s = float('-inf')
         self.lag = revisionlag.RevisionLag(bound_s * MAX_LAG_SHARE)
         self.reread_needed = event.Event()
@@ -268,6 +271,7 @@
             return False
         self._record_success()
         self.take_all({i.key: i for i in found.items}, found.position)
+        self.read_s = asked_s
         self.reread_needed.clear()
         self.on_full_read(asked_s)
         return True
@@ -356,12 +360,14 @@
         self.lag.record_poll(self.clock.now_s() + BATCH_INTERVAL_S)
         self.clock.sleep(BATCH_INTERVAL_S)
         base = self.lag.own_position
+        asked_s = self.clock.boot_s()
         match self._watch_unless_behind(base, self.watch_s):
             case store.Changes(changes, upto):
                 self._record_success()
                 if base == self.lag.own_position:
                     self.mirror.apply_changes(changes)
                     self._record_position(upto)
+                    self.read_s = asked_s
                     self._relay(base, changes)
                 return True
             case store.Compacted():
--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -141,6 +141,10 @@
     :ivar yielded: position of the key of a leader that requests a successor
     :ivar held_position: position of this host's own key while it holds the
         lease
+    :ivar acquired_position: position of this host's own key when it last
+        acquired leadership; a restore of the store does not change it
+    :ivar held_s: latest time at which this host is known to have held the key,
+        in seconds of the boot clock
     :ivar holder_position: position of the current leader's key, or of the
         key of a former leader in a restored copy of the store; ``START`` if
         there is no key
@@ -177,6 +181,8 @@
         self.rng = rng
         self.lease: int | None = None
         self.held_position = position.START
+        self.acquired_position = position.START
+        self.held_s = float('-inf')
         self.order_from_s = 0.0
         self.order_until_s = 0.0
         self.holder: str | None = None
@@ -233,7 +239,18 @@
 
         :returns: ``Written`` if this host still holds the key
         """
-        return self.store.commit({LEADER_KEY: self.held_position})
+        asked_s = self.clock.boot_s()
+        checked = self.store.commit({LEADER_KEY: self.held_position})
+        if isinstance(checked, store.Written):
+            self.held_s = max(self.held_s, asked_s)
+        return checked
+
+    def is_only_caller(self) -> bool:
+        """Whether no other host can have made calls since this one led.
+
+        A host that replaces this one makes none for a while.
+        """
+        return self.clock.boot_s() - self.held_s < self._first_order_delay_s
 
     def call(
         self, make: Callable[[operatorcalls.Caller], _Outcome]
@@ -258,7 +275,11 @@
 
     def absent(self) -> position.Position:
         """Return the expected position of a key that does not exist."""
-        return position.Position(self._era(), 0)
+        return position.Position(self.era(), 0)
+
+    def era(self) -> int:
+        """Return the era of the store that this host has read."""
+        return 0 if self.contact is None else self.contact.lag.own_position.era
 
     # Notifications of the store.
 
@@ -292,6 +313,16 @@
             self.lease = None
             self.yielding = False
 
+    def _record_held(self) -> None:
+        """Record until when this host has read that it holds the key."""
+        if (
+            self.lease is not None
+            and self.contact is not None
+            and (self.holder, self.holder_incarnation)
+            == (self.own.host, self.own.incarnation)
+        ):
+            self.held_s = max(self.held_s, self.contact.read_s)
+
     def _record_vacancy(self, key: position.Position) -> None:
         """Record that no host holds the lease.
 
@@ -310,6 +341,7 @@
         The copy may name a leader that has been replaced since.  Such a
         leader is not followed, and contending does not wait for it.
         """
+        self._record_held()
         item = items.get(LEADER_KEY)
         present = _Term(
             self.holder or '',
@@ -347,9 +379,6 @@
         if term not in self.terms:
             self.terms.append(term)
 
-    def _era(self) -> int:
-        return 0 if self.contact is None else self.contact.lag.own_position.era
-
     # Messages from other hosts.
 
     def handle_announcement(
@@ -361,7 +390,7 @@
         the host that replaced it, until its lease expires.
         """
         announced = message.position
-        if announced < self.holder_position or announced.era < self._era():
+        if announced < self.holder_position or announced.era < self.era():
             return
         if message.yields:
             self.yielded = announced
@@ -494,6 +523,7 @@
 
     def _acquire(self) -> None:
         asked_s = self.clock.now_s()
+        asked_boot_s = self.clock.boot_s()
         # Another host may have become leader by the time the store answers:
         # the key is replaced only if it still is that of the dead leader.
         replaced = self.holder_position
@@ -518,6 +548,7 @@
                 self.store.revoke(granted.lease)
             case store.Written(written):
                 by_force = replaced != position.START
+                self.held_s = max(self.held_s, asked_boot_s)
                 self._record_acquired(granted, written, asked_s, by_force)
             case store.Conflict():
                 self.vacant_since_s = None
@@ -540,7 +571,7 @@
     ) -> None:
         now_s = self.clock.now_s()
         self.lease = granted.lease
-        self.held_position = written
+        self.held_position = self.acquired_position = written
         self._record_holder(self.own.host, self.own.incarnation, written)
         self.order_from_s = self._first_order_s()
         self.order_until_s = asked_s + granted.ttl_s * ORDER_TTL_SHARE
@@ -558,7 +589,11 @@
 
     def _first_order_s(self) -> float:
         """Return when a leader that starts now may send its first order."""
-        return self.clock.now_s() + self.order_gap_s + GAP_MARGIN_S
+        return self.clock.now_s() + self._first_order_delay_s
+
+    @property
+    def _first_order_delay_s(self) -> float:
+        return self.order_gap_s + GAP_MARGIN_S
 
     def _renew(self) -> None:
         asked_s = self.clock.now_s()
--- a/magnoliadyke/gateway/metricscollector.py
+++ b/magnoliadyke/gateway/metricscollector.py
@@ -94,6 +94,7 @@
         if parts.confirming.is_proof_required():
             age_s = self.clock.boot_s() - parts.confirming.proof.proved_s
             gauges.proof_age.set(age_s)
+        gauges.usage_skipped.set(parts.usage.skipped)
         if parts.usage.reports.last is not None:
             gauges.usage_window.set(parts.usage.reports.last)
         for service, wanted in parts.fleet.wanted.items():
--- a/magnoliadyke/gateway/metricsregistry.py
+++ b/magnoliadyke/gateway/metricsregistry.py
@@ -85,6 +85,10 @@
         self.usage_window = self._gauge(
             'usage_window', 'Latest window of which the usage was fixed.'
         )
+        self.usage_skipped = self._gauge(
+            'usage_skipped_windows',
+            'Windows not reported, as an unknown process may have done so.',
+        )
         self.endpoints_wanted = self._gauge(
             'endpoints_wanted',
             'Endpoints that a service is to have.',
--- a/magnoliadyke/gateway/usageduty.py
+++ b/magnoliadyke/gateway/usageduty.py
@@ -8,6 +8,7 @@
 from magnoliadyke import app
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import position
+from magnoliadyke.core import reporthistory
 from magnoliadyke.core import usage
 from magnoliadyke.core import walltime
 from magnoliadyke.gateway import duty_codec
@@ -19,11 +20,13 @@
 from magnoliadyke.gateway import store
 from magnoliadyke import logs
 
-__all__ = ['REPORTS_KEY', 'UsageDuty', 'UsageSettings']
+__all__ = ['ERA_KEY', 'REPORTS_KEY', 'UsageDuty', 'UsageSettings']
 
 LOG = logs.get('usage')
 
 REPORTS_KEY = 'magnoliadyke/usage'
+#: Key of the record of the era in which the store has all reports.
+ERA_KEY = 'magnoliadyke/usage-era'
 #: Interval between messages that report request counts, in seconds.
 SEND_INTERVAL_S = 1.0
 #: Number of hosts that keep a copy of the leader's own counts.  The leader
@@ -41,6 +44,12 @@
 #: Time from the end of a window until its report is made final, in seconds:
 #: by then the hosts have sent their counts for the window twice.
 SETTLE_S = 2.5
+#: Largest difference between the clocks of two hosts, in seconds, once those
+#: that are off have been corrected.
+CLOCK_MARGIN_S = 0.5
+#: The same for a process that has just started: it may have read a clock that
+#: has not been corrected yet.
+START_CLOCK_MARGIN_S = 2.5
 #: Pause after a failed write or a call that was not accepted, in seconds.
 RETRY_PAUSE_S = 1.0
 
@@ -64,8 +73,16 @@
     :param calls: sends the reports to the platform; None if it requires none
     :ivar reports: final reports that this host has read or written
     :ivar key: store item with the final reports, as last read or written
+    :ivar history: since when all final reports are known to this host
     :ivar read_term: position of this host's leader key when it last read the
-        reports as the leader
+        reports
+    :ivar known_term: position at which this host acquired leadership, once it
+        has read the reports of the leaders before it
+    :ivar must_restore: whether this host has to write the reports again that
+        a restored store may have lost
+    :ivar skipped: number of windows not reported, as an unknown process may
+        have reported them
+    :ivar skipped_until: first window that is not among them
     :ivar retained_windows: number of windows whose counts are kept
     :ivar sent: windows that this host has reported as the leader
     :ivar copies: counts received while another host leads, such as the
@@ -103,7 +120,12 @@
         self.ledger = usage.Ledger(self.retained_windows)
         self.reports = usage.Reports(self.retained_windows)
         self.key: store.Item | None = None
+        self.history = reporthistory.ReportHistory()
         self.read_term = position.START
+        self.known_term = position.START
+        self.must_restore = False
+        self.skipped = 0
+        self.skipped_until = 0
         self.sent: set[int] = set()
         self.copies = usage.Ledger(self.retained_windows)
         self.last_sent_s = float('-inf')
@@ -238,7 +260,10 @@
     # Final reports read from the store.
 
     def changed(self, item: store.Item) -> None:
-        """Merge final reports that were written to the store."""
+        """Merge final reports, or take the record of an era, as written."""
+        if item.key == ERA_KEY:
+            self._record_era(item)
+            return
         try:
             read = self.reports.parse(item.value)
         except ValueError as error:
@@ -256,16 +281,66 @@
         if read is not None:
             self.reports.merge(read)
 
-    def restored(self, items: dict[str, store.Item], at) -> None:
+    def _record_era(self, item: store.Item) -> None:
+        try:
+            self.history.record = reporthistory.EraRecord.parse(item.value)
+        except ValueError as error:
+            LOG.throttled_warning(
+                'usage_era_ignored',
+                item.key,
+                key=item.key,
+                error=str(error),
+                position=item.position,
+            )
+
+    def restored(
+        self, items: dict[str, store.Item], at: position.Position
+    ) -> None:
         """Merge the reports of a store that was restored from an older copy.
 
-        Final reports that the copy lacks stay in memory, and are written
-        again with the next report.
+        Final reports that the copy lacks stay in memory.  The host that knows
+        all of them writes them again.
         """
+        self._enter_era(at.era)
         self.read_term = position.START
         for item in items.values():
             self.changed(item)
 
+    def record_read(self) -> None:
+        """Record that this host has read all keys of the store."""
+        self._enter_era(self.leadership.era())
+
+    def _enter_era(self, era: int) -> None:
+        """Record in which era the store answers.
+
+        The only host that can have reported since it last held the leader key
+        knows what a restored store has lost.
+        """
+        if self.calls is None:
+            return
+        is_complete = (
+            self.known_term != position.START
+            and self.known_term == self.leadership.acquired_position
+            and self.leadership.is_only_caller()
+        )
+        has_started = self.history.era is None
+        margin_s = START_CLOCK_MARGIN_S if has_started else CLOCK_MARGIN_S
+        if not self.history.enter_era(
+            era,
+            self.clock.boot_s() + margin_s,
+            is_complete,
+            self.wall.offset_s,
+        ):
+            return
+        self.must_restore = is_complete
+        LOG.event(
+            'usage_era',
+            era=era,
+            complete=is_complete,
+            first_window=self._first_unreported(),
+            known=sorted(self.reports.fixed),
+        )
+
     # Reports to the store and the platform.
 
     def _run_report_loop(self) -> None:
@@ -273,7 +348,7 @@
             self.clock.sleep(TICK_S)
             if not self.placement_service.leading:
                 self.sent.clear()
-            elif self.leadership.may_order() and not self._step():
+            if not self._step():
                 self.clock.sleep(RETRY_PAUSE_S)
 
     def _step(self) -> bool:
@@ -281,7 +356,14 @@
 
         :returns: False if a read, write or call failed and must be retried
         """
+        leads = self.placement_service.leading and self.leadership.may_order()
+        if not leads and not self._may_read():
+            return True
         done = self.read_term == self.leadership.held_position or self._read()
+        if done and (self.must_restore or not self.history.is_recorded()):
+            done = self._restore()
+        if not leads or not self.leadership.may_order():
+            return done
         while done and (window := self._next_due_window()) is not None:
             done = self._finalize(window)
         for each in sorted(self.reports.fixed):
@@ -289,12 +371,52 @@
                 done &= self._report_window(self.reports.fixed[each])
         return done
 
+    def _may_read(self) -> bool:
+        """Whether to read the reports, and write those that were lost, now.
+
+        Neither is an order, so a new leader does not wait until it may order.
+        """
+        contact = self.leadership.contact
+        if contact is None or contact.unreachable_s():
+            return False
+        if self.must_restore:
+            return True
+        return (
+            self.leadership.lease is not None
+            and not self.leadership.yielding
+            and (
+                self.read_term != self.leadership.held_position
+                or not self.history.is_recorded()
+            )
+        )
+
+    def _restore(self) -> bool:
+        """Write the known reports, and since when they are all there are.
+
+        :returns: whether they were written
+        """
+        era = self.history.era
+        since_s = self.history.known_since_s(self.wall.offset_s)
+        record = reporthistory.EraRecord(era, since_s)
+        written = self._write(self.reports, record)
+        LOG.event(
+            'usage_restored' if written else 'usage_not_restored',
+            era=era,
+            known=sorted(self.reports.fixed),
+            first_window=self._first_unreported(),
+        )
+        if written:
+            self.history.record = record
+            self.must_restore = False
+        return written
+
     def _read(self) -> bool:
         """Read the reports that previous leaders made final.
 
         :returns: False if the store is unavailable
         """
         held = self.leadership.held_position
+        acquired = self.leadership.acquired_position
         match self.store.read(REPORTS_KEY):
             case store.Item() as item:
                 self.changed(item)
@@ -304,6 +426,7 @@
                 LOG.event('usage_not_read', reason=reason)
                 return False
         self.read_term = held
+        self.known_term = acquired
         return True
 
     def _next_due_window(self) -> int | None:
@@ -312,10 +435,35 @@
         last = self.reports.last
         if last is None:
             first = min(self.ledger.windows, default=over)
-            return first if first <= over else None
-        if last >= over:
+        else:
+            first = max(last + 1, over - self.retained_windows + 1)
+        unreported = self._first_unreported()
+        if first > over or unreported is None:
             return None
-        return max(last + 1, over - self.retained_windows + 1)
+        if first < unreported:
+            self._record_skipped(range(first, min(unreported, over + 1)))
+            first = unreported
+        return first if first <= over else None
+
+    def _record_skipped(self, windows: range) -> None:
+        """Log windows that an unknown process may have reported."""
+        windows = range(max(windows.start, self.skipped_until), windows.stop)
+        if not windows:
+            return
+        self.skipped += len(windows)
+        self.skipped_until = windows.stop
+        LOG.event(
+            'usage_skipped',
+            first=windows.start,
+            last=windows.stop - 1,
+            era=self.history.era,
+            counted=sum(bool(self.ledger.counts(w)) for w in windows),
+        )
+
+    def _first_unreported(self) -> int | None:
+        return self.history.first_unreported(
+            self.wall.offset_s, self.settings.window_s, SETTLE_S
+        )
 
     def _window(self, ago_s: float) -> int:
         return usage.window_of(self.wall_s() - ago_s, self.settings.window_s)
@@ -335,26 +483,46 @@
         made = self.reports.fix(
             usage.Report(window, self.ledger.counts(window))
         )
+        if not self._write(made):
+            LOG.event('usage_not_fixed', window=window)
+            return False
+        LOG.event(
+            'usage_fixed',
+            window=window,
+            requests=sum(made.fixed[window].counts.values()),
+            workspaces=len(made.fixed[window].counts),
+            position=self.key.position,
+        )
+        return True
+
+    def _write(
+        self,
+        reports: usage.Reports,
+        record: reporthistory.EraRecord | None = None,
+    ) -> bool:
+        """Write reports, unless another host has written since the last read.
+
+        :param record: written with the reports, if given
+        :returns: whether they were written
+        """
         expected = self.leadership.absent()
         if self.key is not None:
             expected = self.key.position
-        put = store.Put(REPORTS_KEY, made.dump())
-        match self.store.commit({REPORTS_KEY: expected}, (put,)):
+        put = store.Put(REPORTS_KEY, reports.dump())
+        puts = (put,)
+        if record is not None:
+            # The position that the store returns is that of its last write.
+            puts = (store.Put(ERA_KEY, record.dump()), put)
+        match self.store.commit({REPORTS_KEY: expected}, puts):
             case store.Written(written):
                 self.changed(store.Item(REPORTS_KEY, put.value, written))
-                LOG.event(
-                    'usage_fixed',
-                    window=window,
-                    requests=sum(made.fixed[window].counts.values()),
-                    workspaces=len(made.fixed[window].counts),
-                    position=written,
-                )
                 return True
             case store.Conflict(items):
+                self.key = None
                 for item in items:
                     self.changed(item)
             case failure:
-                LOG.event('usage_not_fixed', window=window, cause=failure)
+                LOG.event('usage_not_written', cause=failure)
         return False
 
     def _report_window(self, report: usage.Report) -> bool:
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -187,6 +187,7 @@
                 members.HOST_PREFIX: members.HostListener(self.members),
                 leadership.LEADER_KEY: self.leadership,
                 usageduty.REPORTS_KEY: self.usage,
+                usageduty.ERA_KEY: self.usage,
                 autoscaling.FLEET_PREFIX: self.fleet,
                 callerwaits.WAITS_KEY: self.waits,
             },
@@ -224,7 +225,7 @@
             rng,
         )
         self.members.accepts_requests = self.confirming.can_serve_all_routes
-        self.follower.on_full_read = self.confirming.record_full_read
+        self.follower.on_full_read = self._record_full_read
         self.follower.not_relayed = frozenset((usageduty.REPORTS_KEY,))
         self.paths = paths.PathMonitor(
             settings.ip,
@@ -425,6 +426,10 @@
         for address in self.members.reachable_addresses():
             self.placement_service.send(address, message)
 
+    def _record_full_read(self, asked_s: float) -> None:
+        self.confirming.record_full_read(asked_s)
+        self.usage.record_read()
+
     def _is_ready(self) -> bool:
         return (
             not self.stopping.is_set()
