Have a leader that was replaced give up its lease as it reads of it

A former leader that was replaced by force and missed its successor's announcement kept its lease, as only the announcement ended it. Callers saw nothing: the platform's and the engines' orders also ask whether this host places, which it no longer does.

Found by reading, as kin of the doubled usage report: what a process believes of a restored store.

The host now ends its lease when it reads a later key of another process.

tests/test_gateway_leadership.py:: test_leader_that_was_replaced_holds_no_key_after_a_restore: failed before ("assert 104 is None"), passes now; with test_leadership_model.py, test_store_eras.py and test_gateway_restart.py 39 passed.

--- a/magnoliadyke/gateway/leadership.py
+++ b/magnoliadyke/gateway/leadership.py
@@ -294,6 +294,9 @@
             self._record_vacancy(item.position)
             return
         self._record_holder(record.host, record.incarnation, item.position)
+        own = (self.own.host, self.own.incarnation)
+        if record[:2] != own and item.position > self.held_position:
+            self._record_lease_lost()
         if self.holder != self.own.host or self.lease is None:
             self.placement_service.follow(record.address, item.position)
             LOG.event('leader', leader=self.holder, position=item.position)
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -212,3 +212,33 @@
             if node.leadership.lease is None
         ]
         assert sum(asked) <= 1
+
+
+def test_leader_that_was_replaced_holds_no_key_after_a_restore(world):
+    """It took its successor's key for its own, and both had one token."""
+    first, second, *_ = hosts(world, 3)
+    second.leadership.broadcast = lambda message: None
+    second.leadership._acquire()
+    assert second.leadership.lease is not None
+    gatewayworld.wait_for(
+        lambda: first.leadership.holder == second.own_record.host,
+        'the successor in the store',
+    )
+    copy = world.store.snapshot()
+    for _ in range(3):
+        world.store.put('magnoliadyke/other', b'1')
+    world.store.restore(copy)
+    gatewayworld.wait_for(
+        lambda: all(
+            n.follower.lag.own_position.era == world.store.era
+            for n in world.nodes
+        ),
+        'the era',
+    )
+    gatewayworld.wait_for(
+        lambda: second.leadership.held_position.era == world.store.era,
+        'the key in the era',
+    )
+    assert first.leadership.lease is None
+    assert not first.leadership.may_order()
+    assert first.leadership.fencing != second.leadership.fencing
