Believe a restored store only by a host that has a proof

Cause: a process that starts on a restored store waits for the version of another host, as the copy may be older than what living hosts know. Any reply counted, also that of a process that had itself just read the same copy.

Now only the reply of a host with a proof counts. Else the process waits until the operator has written the configuration again, or for 3 s as before. In an era that was trusted for 3 s the leader writes a record (magnoliadyke/configuration-era), and at the first start of the deployment no process can know more; so the end of all hosts alone delays nothing. A process that lived through the restore goes by its own proof while that holds; before, it trusted the store however old its proof was.

The world of the tests told its hosts that they had waited; it now says that they start for the first time.

--- a/magnoliadyke/core/confirmation.py
+++ b/magnoliadyke/core/confirmation.py
@@ -33,6 +33,10 @@
 DENIAL_SHARE = 0.25
 #: Margin for clock drift, subtracted from ``bound_s``, in seconds.
 MARGIN_S = 0.1
+#: Longest age of the proof of another host that knows the configuration, in
+#: seconds, if there is no bound.  The reply of a host without one has a larger
+#: age.
+MAX_PEER_PROOF_AGE_S = 1e6
 #: Maximum number of queries kept while they wait for a reply.
 MAX_PENDING_QUERIES = 64
 NEVER = float('-inf')
@@ -60,6 +64,7 @@
     :ivar proved_s: when the query of the latest proof was sent
     :ivar queries: when queries to other hosts were sent, by nonce
     :ivar newest_peer_version: newest version reported by another host
+    :ivar is_vouched_for: whether another host with a proof has replied
     """
 
     bound_s: float | None
@@ -67,6 +72,7 @@
     proved_s: float = NEVER
     queries: dict[int, float] = dataclasses.field(default_factory=dict)
     newest_peer_version: int = -1
+    is_vouched_for: bool = False
 
     def holds(self, now_s: float) -> bool:
         """Return whether the proof is recent enough to accept keys."""
@@ -117,6 +123,8 @@
         self.newest_peer_version = max(self.newest_peer_version, version)
         if queried_s is not None and age_s >= 0:
             self.record_proof(queried_s - age_s, own_version)
+            if age_s <= (self.bound_s or MAX_PEER_PROOF_AGE_S):
+                self.is_vouched_for = True
         return version > own_version
 
     def record_proof(self, at_s: float, own_version: int) -> None:
--- a/magnoliadyke/gateway/confirming.py
+++ b/magnoliadyke/gateway/confirming.py
@@ -1,5 +1,6 @@
 """Renews the proof that this host's configuration is current."""
 
+import json
 import math
 import random
 
@@ -9,7 +10,9 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import catalog
 from magnoliadyke.core import confirmation
+from magnoliadyke.core import position
 from magnoliadyke.gateway import duty_codec
+from magnoliadyke.gateway import fields
 from magnoliadyke.gateway import follower
 from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import members
@@ -17,17 +20,20 @@
 from magnoliadyke.gateway import store
 from magnoliadyke import logs
 
-__all__ = ['ConfigurationConfirmer']
+__all__ = ['ERA_KEY', 'ConfigurationConfirmer']
 
 LOG = logs.get('confirming')
 
+#: Key that names the era in which the store has the newest configuration.
+ERA_KEY = 'magnoliadyke/configuration-era'
 #: Number of random peers to query at once when the leader does not reply, in
 #: addition to the hosts that watch the store.
 PEERS_ASKED = 1
-#: How long a host that starts on a restored store waits for the version of a
-#: peer, in seconds.  Hosts register again within a second of the restore, and
-#: a busy machine takes a second or two to answer.
-PEER_REPLY_WAIT_S = 3.0
+#: How long a host that starts on a restored store waits for a peer that knows
+#: the configuration, or for the operator to write it again, in seconds.  Hosts
+#: register again within a second of the restore, and a busy machine takes a
+#: second or two to answer.
+RESTORED_WAIT_S = 3.0
 #: Longest wait for the store's answer before a request is refused rather than
 #: denied, in seconds.
 DENIAL_PROOF_WAIT_S = 0.4
@@ -36,7 +42,7 @@
 RETRY_S = 0.3
 
 
-class ConfigurationConfirmer(app.Component):
+class ConfigurationConfirmer(app.Component, keymirror.Listener):
     """Queries the store or other hosts, depending on the age of the proof.
 
     It does so only if routes require a workspace key and a revoked key must
@@ -48,8 +54,14 @@
     :param apply_s: longest time that a configuration may take to be in force,
         in seconds
     :ivar proof: this host's proof that its configuration is current
-    :ivar restored_s: when this host first read a restored store without the
-        version of a peer, in seconds of the boot clock; infinite before
+    :ivar is_first_start: whether the whole deployment starts for the first
+        time, so that no process knew another configuration
+    :ivar trusted_era: era of the store that is known to have the newest
+        configuration, None before one is
+    :ivar recorded_era: era that the store says has it
+    :ivar restored_at: position of the first read in an era not trusted yet
+    :ivar restored_s: time of that read, in seconds of the boot clock; infinite
+        before
     :ivar denial_read: latest read of the store for the denial of a request
     :ivar was_valid: whether the proof was valid at the last check, to log
         changes only
@@ -79,6 +91,10 @@
         self.rng = rng
         self.denial_read: gevent.Greenlet | None = None
         self.was_valid = True
+        self.is_first_start = False
+        self.trusted_era: int | None = None
+        self.recorded_era: int | None = None
+        self.restored_at = position.START
         self.restored_s = math.inf
         self.greenlet: gevent.Greenlet | None = None
 
@@ -113,7 +129,7 @@
         if self.proof.allows_denial(self.clock.boot_s()):
             return True
         if self.denial_read is None or self.denial_read.ready():
-            if self.proof.newest_peer_version < 0:
+            if not self._is_era_trusted():
                 self._ask_peers(self._sample_peers())
             self.denial_read = gevent.spawn(self._ask_store)
         self.denial_read.join(DENIAL_PROOF_WAIT_S)
@@ -134,6 +150,8 @@
             if self.is_proof_required():
                 self._renew()
                 self._log_change()
+            if self.placement_service.leading:
+                self._record_era()
 
     def _renew(self) -> None:
         now_s = self.clock.boot_s()
@@ -216,24 +234,108 @@
         if newest.version > self.catalog.configuration.version:
             self.follower.mirror.configure(item)
             self.follower.reread_needed.set()
-        if item.position.era and not self._has_peer_reply():
+        if not self._trusts(item):
             return False
         self.proof.record_proof(asked_s, self.catalog.configuration.version)
         return True
 
-    def _has_peer_reply(self) -> bool:
-        """Whether this host may trust a restored store.
+    # Restores of the store.
 
-        Peers may have a newer configuration than the copy that the store was
-        restored from.  So a host that has just started waits for the version
-        of a peer, for at most ``PEER_REPLY_WAIT_S``.  It waits also if it
-        knows of no peer: the copy may not list those that run.
+    def _trusts(self, item: store.Item) -> bool:
+        """Whether the store has a configuration as new as any process knew.
+
+        A restored store may not, until the operator has written again.  A
+        process that has just started knows of no newer one either.
+
+        :param item: configuration as the store has it
         """
-        if self.proof.newest_peer_version >= 0:
+        era = item.position.era
+        if not era or era == self.trusted_era:
             return True
-        now_s = self.clock.boot_s()
-        self.restored_s = min(self.restored_s, now_s)
-        return now_s - self.restored_s >= PEER_REPLY_WAIT_S
+        read = self.follower.lag.own_position
+        if read.era != era:
+            return False
+        if self.restored_at.era != era:
+            self.restored_at = read
+            self.restored_s = self.clock.boot_s()
+            self.proof.is_vouched_for = False
+        reason = self._reason_to_trust(item)
+        if reason is None:
+            return False
+        self.trusted_era = era
+        LOG.event('configuration_era', era=era, by=reason)
+        return True
+
+    def _reason_to_trust(self, item: store.Item) -> str | None:
+        has_just_started = self.trusted_era is None
+        if self.recorded_era == item.position.era:
+            return 'record'
+        if self.proof.is_vouched_for:
+            return 'another host'
+        if not has_just_started and self.is_proof_valid():
+            return 'own proof'
+        if has_just_started and self.is_first_start:
+            return 'first start'
+        if item.position > self.restored_at:
+            return 'written again'
+        if self.clock.boot_s() - self.restored_s >= RESTORED_WAIT_S:
+            return 'waited'
+        return None
+
+    def _is_era_trusted(self) -> bool:
+        era = self.follower.lag.own_position.era
+        return not era or era == self.trusted_era
+
+    def _record_era(self) -> None:
+        """Tell processes that start later in the era to trust the store.
+
+        The operator has written again by then what the store had lost.
+        """
+        era = self.follower.lag.own_position.era
+        item = self.follower.mirror.items.get(self.decoder.configuration_key)
+        if (
+            not era
+            or era != self.trusted_era
+            or era == self.recorded_era
+            or self.follower.unreachable_s()
+            or self.clock.boot_s() - self.restored_s < RESTORED_WAIT_S
+            or item is None
+        ):
+            return
+        stored = self.decoder.configuration(item.value)
+        if (
+            isinstance(stored, catalog.UnusableRecord)
+            or stored.version < self.catalog.configuration.version
+        ):
+            return
+        put = store.Put(ERA_KEY, json.dumps({'era': era}).encode())
+        match self.store.commit({}, (put,)):
+            case store.Written():
+                self.recorded_era = era
+                LOG.event('configuration_era_recorded', era=era)
+            case _:
+                self.clock.sleep(RETRY_S * (1 + self.rng.random()))
+
+    def changed(self, item: store.Item) -> None:
+        """Take the era in which the store has the newest configuration."""
+        try:
+            found = fields.parse_object(item.value)
+            self.recorded_era = fields.read_integer(found, 'era', 0)
+        except fields.BadField as error:
+            LOG.throttled_warning(
+                'configuration_era_ignored',
+                item.key,
+                key=item.key,
+                error=str(error),
+                position=item.position,
+            )
+
+    def restored(
+        self, items: dict[str, store.Item], at: position.Position
+    ) -> None:
+        """Take what the store names after a restore, an earlier era."""
+        for item in items.values():
+            self.changed(item)
 
     # Queries between hosts.
 
--- a/magnoliadyke/platform/node.py
+++ b/magnoliadyke/platform/node.py
@@ -224,6 +224,8 @@
             clock,
             rng,
         )
+        self.confirming.is_first_start = settings.first_start
+        mirror.listeners[confirming.ERA_KEY] = self.confirming
         self.members.accepts_requests = self.confirming.can_serve_all_routes
         self.follower.on_full_read = self._record_full_read
         self.follower.not_relayed = frozenset((usageduty.REPORTS_KEY,))
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -130,7 +130,7 @@
             made.budgets.unlisted_s = float('-inf')
             made.budgets.set_hosts(1, True, clock.now_s())
             if self.store.era == platformstore.FIRST_ERA:
-                made.confirming.restored_s = float('-inf')
+                made.confirming.is_first_start = True
         made.application.start()
         self.nodes.append(made)
         if wait:
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -8,6 +8,7 @@
 
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import usage
+from magnoliadyke.gateway import confirming
 from magnoliadyke.gateway import duty_codec
 from magnoliadyke.gateway import members
 from magnoliadyke.gateway import store
@@ -262,6 +263,57 @@
         gevent.sleep(0.1)
 
 
+def test_hosts_that_all_start_on_a_copy_take_no_key_that_was_revoked(
+    world, plain
+):
+    """None of them knows more than the copy, so none can vouch for it."""
+    for _ in range(3):
+        strict_node(world)
+    copy = world.store.snapshot()
+    world.configure(version=2, workspaces={'large': KEYS['large']})
+    gatewayworld.wait_for(
+        lambda: all(n.catalog.configuration.version == 2 for n in world.nodes),
+        'version 2',
+    )
+    killed = list(world.nodes)
+    for node in killed:
+        world.kill(node)
+    world.store.restore(copy)
+    for node in killed:
+        world.start_again(node, wait=False)
+    until_s = gevent.get_hub().loop.now() + 2.0
+    while gevent.get_hub().loop.now() < until_s:
+        assert run(world, 'key-small', node=1)[0].status in (401, 503)
+        gevent.sleep(0.05)
+    world.configure(version=2, workspaces={'large': KEYS['large']})
+    gatewayworld.wait_for(
+        lambda: run(world, 'key-large-1', node=1)[0].status == 200,
+        'the key that stays',
+        wait_s=1.5,
+    )
+    assert run(world, 'key-small', node=1)[0].status == 401
+
+
+def test_end_of_all_hosts_alone_delays_no_key(world, plain):
+    """The store was not restored, and says that it is trusted."""
+    world.settled = False
+    for _ in range(3):
+        strict_node(world)
+    gatewayworld.wait_for(
+        lambda: confirming.ERA_KEY in world.store.items, 'the record'
+    )
+    killed = list(world.nodes)
+    for node in killed:
+        world.kill(node)
+    for node in killed:
+        world.start_again(node, wait=False)
+    gatewayworld.wait_for(
+        lambda: run(world, 'key-small')[0].status == 200,
+        'a request',
+        wait_s=0.5 * confirming.RESTORED_WAIT_S,
+    )
+
+
 def test_proof_is_renewed_by_one_host(world, plain):
     for _ in range(4):
         strict_node(world)
