Write targets of services again that a restored store has lost

The number of endpoints that a service was set up with is written to the store once. Hosts that live through a restore without that write go on by memory, but the store never had it again: the first leader that started later took the endpoints listed then, which can be more, for the target, and ordered by that. Callers see nothing; the deployment pays for endpoints.

The leader writes the targets that the restored store lacks again.

tests/test_gateway_fleet.py::test_target_that_a_restore_has_lost_is_written_again failed before ("never came: the target"); 11 passed.

--- a/magnoliadyke/gateway/autoscaling.py
+++ b/magnoliadyke/gateway/autoscaling.py
@@ -8,6 +8,7 @@
 from magnoliadyke import clock as clocks
 from magnoliadyke.core import autoscaler
 from magnoliadyke.core import catalog
+from magnoliadyke.core import position
 from magnoliadyke.gateway import fields
 from magnoliadyke.gateway import keymirror
 from magnoliadyke.gateway import leadership
@@ -44,6 +45,7 @@
     :param calls: sends the orders to the platform; None if the platform takes
         no orders from this system
     :ivar wanted: target number of endpoints by service, as stored
+    :ivar lost: services whose target a restored store lacks
     :ivar initial_counts: number of listed endpoints, and since when it is
         unchanged, of services without a target
     """
@@ -65,6 +67,7 @@
         self.clock = clock
         self.plans: dict[str, autoscaler.Autoscaler] = {}
         self.wanted: dict[str, int] = {}
+        self.lost: set[str] = set()
         self.initial_counts: dict[str, tuple[int, float]] = {}
         self.greenlet: gevent.Greenlet | None = None
 
@@ -83,6 +86,7 @@
     def changed(self, item: store.Item) -> None:
         """Record a service's target number of endpoints from the store."""
         service = item.key.removeprefix(FLEET_PREFIX)
+        self.lost.discard(service)
         try:
             wanted = {service: fields.parse(item.value)}
             self.wanted[service] = fields.read_integer(wanted, service, 0)
@@ -95,6 +99,18 @@
                 position=item.position,
             )
 
+    def restored(
+        self, items: dict[str, store.Item], at: position.Position
+    ) -> None:
+        """Keep the targets that a restored store lacks, to write them again.
+
+        Else the next leader that starts would take the number of endpoints
+        that are listed then for the target.
+        """
+        self.lost = set(self.wanted)
+        for item in items.values():
+            self.changed(item)
+
     # Orders.
 
     def _run(self) -> None:
@@ -112,6 +128,8 @@
 
     def _step(self, service: str, limits: autoscaler.ScalingLimits) -> None:
         present = self._available_capacity(service)
+        if service in self.lost:
+            self._store_target(service, self.wanted[service])
         if service not in self.wanted:
             self._record_initial_size(
                 service, sum(each.on_demand for each in present.values())
@@ -137,6 +155,16 @@
             return
         if not count or now_s - since_s < STABLE_COUNT_S:
             return
+        self._store_target(service, count)
+        LOG.event(
+            'fleet_size',
+            service=service,
+            listed=count,
+            wanted=self.wanted.get(service, 'unknown'),
+        )
+
+    def _store_target(self, service: str, count: int) -> None:
+        """Store a service's target, unless the store has one."""
         put = store.Put(FLEET_PREFIX + service, json.dumps(count).encode())
         match self.store.commit({put.key: self.leadership.absent()}, (put,)):
             case store.Written(written):
@@ -144,12 +172,6 @@
             case store.Conflict(items):
                 for item in items:
                     self.changed(item)
-        LOG.event(
-            'fleet_size',
-            service=service,
-            listed=count,
-            wanted=self.wanted.get(service, 'unknown'),
-        )
 
     def _available_capacity(
         self, service: str
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -102,6 +102,25 @@
     assert not cloud.breaches()
 
 
+def test_target_that_a_restore_has_lost_is_written_again(world, cloud):
+    """All hosts that started later took what was listed for the target."""
+    copy = world.store.snapshot()
+    nodes(world, cloud, 2)
+    key = autoscaling.FLEET_PREFIX + 'model'
+    gatewayworld.wait_for(lambda: key in world.store.items, 'the target')
+    value = world.store.items[key].value
+    gatewayworld.wait_for(
+        lambda: all(n.fleet.wanted for n in world.nodes), 'all to know it'
+    )
+    world.store.restore(copy)
+    assert key not in world.store.items
+    world.endpoint('e9', 'model', 'decode', domain='z1')
+    gatewayworld.wait_for(
+        lambda: key in world.store.items, 'the target', wait_s=20.0
+    )
+    assert world.store.items[key].value == value
+
+
 def test_deployment_without_scaling_is_left_as_it_is(world, cloud):
     world.configure(version=2)
     nodes(world, cloud, 1)
