--- a/magnoliadyke/lab/platformcheck.py
+++ b/magnoliadyke/lab/platformcheck.py
@@ -13,7 +13,10 @@
 from typing import NamedTuple
 
 from magnoliadyke.core import answerend
+from magnoliadyke.lab import dutycheck
+from magnoliadyke.lab import platformcloud
 from magnoliadyke.lab import platformendpoint
+from magnoliadyke.lab import platformfleet
 from magnoliadyke.lab import platformmix
 
 __all__ = [
@@ -297,6 +300,7 @@
     :param crashing_parts: parts of prompts that crash engines
     :param errors: log lines of hosts' own errors, each with its host
     :param memory_kib: most memory of a process of each host, in KiB
+    :param calls: calls that the platform accepted, in order
     """
 
     requests: list[CallerRequest]
@@ -315,6 +319,7 @@
     crashing_parts: list[int] = []
     errors: list[tuple[str, str]] = []
     memory_kib: dict[str, int] = {}
+    calls: list[platformcloud.Call] = []
 
 
 class Violation(NamedTuple):
@@ -361,6 +366,7 @@
         *_check_sizes(evidence),
         *_check_calm(evidence),
         *_check_processes(evidence),
+        *_check_calls(evidence),
     ]
     return sorted(found, key=lambda violation: violation.at_s)
 
@@ -968,6 +974,17 @@
         )
 
 
+def _check_calls(evidence: Evidence) -> Iterable[Violation]:
+    disturbed = [
+        dutycheck.Interval(each.what, each.from_s, each.to_s)
+        for each in evidence.disturbed
+    ]
+    for rule, call, text in dutycheck.breaches(
+        evidence.calls, disturbed, platformfleet.ORDER_GAP_S
+    ):
+        yield Violation(rule, call.at_s, (call.holder,), text)
+
+
 def expected_stream(events: int, after: int = 0) -> bytes:
     """Body of a complete stream of the endpoints' stand-in.
 
--- a/magnoliadyke/lab/platformday.py
+++ b/magnoliadyke/lab/platformday.py
@@ -12,20 +12,21 @@
 send long requests), "settle_s" and "calm_s" (seconds after that phase for
 recovery, and then for the final check), and "faults", a list of objects with
 "at_s" and "kind", and optionally "for_s" (duration in seconds) and "pick" (a
-number that selects the host or endpoint). Kinds are kill, stop, pause, reload,
-crash, engine_kill (of the busiest, after another one was added), restart,
-foreign_entry, scale_in, leave_unlisted, leave_at_once (of an endpoint that has
-just started), release, shed, reset, error, cut, silence (an endpoint goes on
-where it was), copies (endpoints of a kind refuse some requests and send each
-answer again), frame, break, store_busy, store_reset, store_silent, store_lost,
-store_slow, store_deaf, store_restore, compact, configure, limit, early (an
-endpoint answers uploads before it has read them), ends (a living endpoint, or
-the proxy before it, ends connections, one or all at a moment), odd_head,
-endless (some answers of an endpoint do not end), link_cut, link_delay,
-link_silence, link_loss, crashing_part (from then on requests with a part that
-crashes engines come to all hosts), path_reset, path_silence,
-path_one_way, path_refuse and path_some (of these five the duration is that
-after the first three seconds, in which hosts have to find out).
+number that selects the host or endpoint). Kinds are kill, kill_all (of all
+nodes that run), stop, pause, reload, crash, engine_kill (of the busiest, after
+another one was added), restart, foreign_entry, scale_in, leave_unlisted,
+leave_at_once (of an endpoint that has just started), release, shed, reset,
+error, cut, silence (an endpoint goes on where it was), copies (endpoints of a
+kind refuse some requests and send each answer again), frame, break,
+store_busy, store_reset, store_silent, store_lost, store_slow, store_deaf,
+store_restore, compact, configure, limit, early (an endpoint answers uploads
+before it has read them), ends (a living endpoint, or the proxy before it, ends
+connections, one or all at a moment), odd_head, endless (some answers of an
+endpoint do not end), link_cut, link_delay, link_silence, link_loss,
+crashing_part (from then on requests with a part that crashes engines come to
+all hosts), path_reset, path_silence, path_one_way, path_refuse and path_some
+(of these five the duration is that after the first three seconds, in which
+hosts have to find out).
 
 Nodes are processes of their own; the store and the endpoints are stand-ins.
 Callers use open connections until the process at the other end has exited;
@@ -52,6 +53,7 @@
 from magnoliadyke import errors
 from magnoliadyke.lab import arguments
 from magnoliadyke.lab import cluster
+from magnoliadyke.lab import dutycheck
 from magnoliadyke.lab import framedanswer
 from magnoliadyke.lab import oddanswer
 from magnoliadyke.lab import platformcaller
@@ -353,6 +355,7 @@
             list(self.fleet.crashing_parts),
             self.fleet.read_errors(),
             self.fleet.memory_kib,
+            self.fleet.cloud.calls,
         )
 
     def _sample_memory(self) -> None:
@@ -416,6 +419,21 @@
             self._wait_for_store()
             self._restart(host)
 
+    def kill_all(self, fault: Fault) -> None:
+        """Kill all nodes that run at one moment, and start them again."""
+        hosts = [h for h in self.fleet.hosts() if h not in self.reserved]
+        with contextlib.ExitStack() as stack:
+            for host in hosts:
+                stack.enter_context(self._reserve(host))
+                stack.enter_context(self._record_disturbance(host))
+            for host in hosts:
+                self.fleet.signal(host, signal.SIGKILL)
+            for host in hosts:
+                self.fleet.kill(host)
+            gevent.sleep(fault.for_s)
+            self._wait_for_store()
+            gevent.joinall([gevent.spawn(self._restart, h) for h in hosts])
+
     def stop(self, fault: Fault) -> None:
         """Stop a node gracefully, during which it may not lose a request."""
         host = self._pick_host(fault)
@@ -860,6 +878,7 @@
 
 KINDS: dict[str, Callable[[Day, Fault], None]] = {
     'kill': Day.kill,
+    'kill_all': Day.kill_all,
     'stop': Day.stop,
     'pause': Day.pause,
     'reload': Day.reload,
@@ -935,6 +954,8 @@
     print(f'most memory of a node: {most_kib / 1024:.0f} MB')
     taken_up, went_on = platformcheck.taken_up(evidence)
     print(f'{taken_up} streams taken up, {went_on} went on')
+    skipped = dutycheck.unreported(evidence.calls)
+    print(f'{len(evidence.calls)} calls of usage, {len(skipped)} windows left')
     for line in platformcheck.describe_served(evidence):
         print(line)
     for part, count in platformcheck.engines_crashed(evidence).items():
--- a/magnoliadyke/lab/platformfleet.py
+++ b/magnoliadyke/lab/platformfleet.py
@@ -19,6 +19,7 @@
 from magnoliadyke.lab import cluster
 from magnoliadyke.lab import framedanswer
 from magnoliadyke.lab import links
+from magnoliadyke.lab import platformcloud
 from magnoliadyke.lab import platformendpoint
 from magnoliadyke.lab import platformmix
 from magnoliadyke.lab import platformrecords
@@ -37,6 +38,13 @@
 
 PROXY_PORT = 8199
 STORE_PORT = 8180
+CLOUD_PORT = 8181
+#: Length of a window of usage, and time in which its report is due, in
+#: seconds.
+USAGE_WINDOW_S = 2.0
+USAGE_DUE_S = 20.0
+#: Time between the orders of two holders, in seconds.
+ORDER_GAP_S = 0.2
 #: Time in which a started node has to become ready, in seconds.
 READY_TIMEOUT_S = 20.0
 #: Grace period of a stop, in seconds, after which a node is killed.  It is so
@@ -96,6 +104,7 @@
     It is a context manager; all processes are ended on exit.
 
     :param directory: for the settings and logs of the nodes
+    :ivar cloud: the platform's interface for usage reports
     :ivar endpoints: running endpoints by name
     :ivar crashed: endpoints that were crashed, or are no longer listed
     :ivar endpoint_names: names that the proxy uses, by address
@@ -115,6 +124,9 @@
         self.store = platformstore.PlatformStoreStandIn(
             f'127.{self.run}.0.2:{STORE_PORT}'
         )
+        self.cloud = platformcloud.PlatformCloudStandIn(
+            f'127.{self.run}.0.4:{CLOUD_PORT}'
+        )
         self.endpoints: dict[str, platformendpoint.EndpointStandIn] = {}
         self.crashed: list[platformendpoint.EndpointStandIn] = []
         self.nodes: dict[str, _Node] = {}
@@ -137,6 +149,7 @@
         if self.proxy is not None:
             self.proxy.stop()
             self.store.stop()
+            self.cloud.stop()
         self.lock.close()
 
     # Starting, addresses and endpoints.
@@ -148,6 +161,7 @@
         :raises cluster.NotReady: a node is not ready in time
         """
         self.store.start()
+        self.cloud.start()
         self.store.put('op/config', configuration)
         for service, stage, count in (
             ('plain', '', self.shape.plain),
@@ -331,7 +345,17 @@
 
     def _settings(self, host: str) -> dict[str, Any]:
         return platformrecords.node_settings(
-            host, self.ip(host), self.store.address, stop_s=STOP_GRACE_S
+            host,
+            self.ip(host),
+            self.store.address,
+            stop_s=STOP_GRACE_S,
+            order_gap_s=ORDER_GAP_S,
+            duties={
+                'address': self.cloud.address,
+                'names': ['usage_report'],
+                'usage_window_s': USAGE_WINDOW_S,
+                'usage_due_s': USAGE_DUE_S,
+            },
         )
 
     def wait_ready(self, host: str) -> None:
--- a/magnoliadyke/lab/soak.py
+++ b/magnoliadyke/lab/soak.py
@@ -72,6 +72,13 @@
 #: Mean time between two events of a kind of odd answers, drawn after all
 #: others, in seconds.
 ANSWER_KINDS = {'early': 4.0, 'ends': 2.0, 'odd_head': 4.0, 'endless': 4.0}
+#: Mean time between two restores of the store beside which all nodes are
+#: killed, the age of the copy, and the time of the kill after the restore.
+MEAN_FORGETTING_INTERVAL_S = 30.0
+MIN_COPY_AGE_S = 1.0
+MAX_COPY_AGE_S = 4.0
+MIN_KILL_OFFSET_S = -0.5
+MAX_KILL_OFFSET_S = 3.0
 #: Longest time from a change of the configuration to such an event, and from
 #: that to the next change, in seconds.
 MAX_CHANGE_OFFSET_S = 0.5
@@ -90,7 +97,7 @@
     """
     rng = random.Random(seed)
     drawn_apart = RESPONSE_ONLY_KINDS | FRAME_KINDS
-    drawn_apart |= {'release', 'crashing_part', 'engine_kill'}
+    drawn_apart |= {'release', 'crashing_part', 'engine_kill', 'kill_all'}
     drawn_apart |= LOSSLESS_KINDS.keys() | ANSWER_KINDS.keys()
     drawn_apart |= platformday.PATH_RULES.keys()
     kinds = sorted(platformday.KINDS.keys() - drawn_apart)
@@ -157,6 +164,7 @@
     for kinds in (LOSSLESS_KINDS.keys() - LATER_KINDS, LATER_KINDS):
         faults += _draw_lossless(rng, kinds, 0.0, seconds)
         faults += _draw_lossless(rng, kinds, quiet_s, quiet_s + QUIET_S)
+    faults += _draw_forgetting(random.Random(f'forgetting {seed}'), seconds)
     for kind, interval_s in ANSWER_KINDS.items():
         at_s = rng.expovariate(1 / interval_s)
         while at_s < seconds:
@@ -174,6 +182,25 @@
     )
 
 
+def _draw_forgetting(
+    rng: random.Random, seconds: float
+) -> Iterable[platformday.Fault]:
+    """Draw restores of the store, each with the end of all nodes near it."""
+    at_s = rng.expovariate(1 / MEAN_FORGETTING_INTERVAL_S)
+    while at_s < seconds:
+        age_s = rng.uniform(MIN_COPY_AGE_S, MAX_COPY_AGE_S)
+        kill_s = at_s + age_s
+        kill_s += rng.uniform(MIN_KILL_OFFSET_S, MAX_KILL_OFFSET_S)
+        for fault_s, kind, for_s in (
+            (at_s, 'store_restore', age_s),
+            (kill_s, 'kill_all', MIN_FAULT_S),
+        ):
+            yield platformday.Fault(
+                round(fault_s, 3), kind, round(for_s, 3), rng.randrange(1000)
+            )
+        at_s += rng.expovariate(1 / MEAN_FORGETTING_INTERVAL_S)
+
+
 def _draw_lossless(
     rng: random.Random, kinds: AbstractSet[str], from_s: float, until_s: float
 ) -> Iterable[platformday.Fault]:
