Go by the host that read a restored store first

A leader that stood still over a restore, or one that started after others, left out windows that its fellows know to be unreported: it went by its own first read of the new era only.

Hosts now tell the leader, with their counts, since when the store of the era has all reports; the leader takes over the earliest. The message has two optional fields, which older hosts skip.

--- a/magnoliadyke/core/reporthistory.py
+++ b/magnoliadyke/core/reporthistory.py
@@ -97,6 +97,14 @@
         self.era = era
         return True
 
+    def merge(self, era: int, since_s: float) -> None:
+        """Take over since when another process knows that the store has all.
+
+        :param since_s: boot time of this process
+        """
+        if era == self.era:
+            self.since_s = min(self.since_s, since_s)
+
     def is_recorded(self) -> bool:
         """Whether the store has a record of this era, if it needs one."""
         return not self.era or (
--- a/magnoliadyke/gateway/duty_codec.py
+++ b/magnoliadyke/gateway/duty_codec.py
@@ -39,12 +39,17 @@
     :param windows: request counts by window and workspace
     :param wall_s: the host's time of day, in seconds since the Unix epoch;
         None if another host forwards the counts
+    :param era: era of the store that has all reports made final since
+        ``reports_known_s`` ago; None if the host knows of none
+    :param reports_known_s: that time, in seconds; negative for one to come
     """
 
     host: str
     incarnation: int
     windows: dict[int, dict[str, int]]
     wall_s: float | None
+    era: int | None = None
+    reports_known_s: float = 0.0
 
 
 class WallTime(NamedTuple):
@@ -65,12 +70,14 @@
             datagram.confirmation_reply = ttypes.ConfirmationReply(
                 nonce, version, round(min(age_s * MILLI, MAX_AGE_MS))
             )
-        case Usage(host, incarnation, windows, wall_s):
+        case Usage(host, incarnation, windows, wall_s, era, known_s):
             datagram.usage = ttypes.Usage(
                 host,
                 incarnation,
                 [ttypes.WindowUsage(*each) for each in windows.items()],
                 None if wall_s is None else round(wall_s * MILLI),
+                era,
+                round(min(known_s * MILLI, MAX_AGE_MS)),
             )
         case WallTime(wall_s):
             datagram.wall_time = ttypes.WallTime(round(wall_s * MILLI))
@@ -92,6 +99,8 @@
             usage.incarnation,
             {each.window: each.begun for each in usage.windows},
             None if usage.wall_ms is None else usage.wall_ms / MILLI,
+            usage.era,
+            (usage.reports_known_ms or 0) / MILLI,
         )
     if datagram.wall_time is not None:
         return WallTime(datagram.wall_time.wall_ms / MILLI)
--- a/magnoliadyke/gateway/usageduty.py
+++ b/magnoliadyke/gateway/usageduty.py
@@ -193,8 +193,14 @@
         windows: dict[int, dict[str, int]],
         wall_s: float | None,
     ) -> list[duty_codec.Usage]:
+        # Reports that this host still has to write again are not in the store.
+        is_known = wall_s is not None and not self.must_restore
+        era, known_s = None, 0.0
+        if is_known and self.history.era:
+            era = self.history.era
+            known_s = self.clock.boot_s() - self.history.since_s
         return [
-            duty_codec.Usage(*process, part, wall_s)
+            duty_codec.Usage(*process, part, wall_s, era, known_s)
             for part in usage.split(windows, SEND_BATCH)
         ]
 
@@ -228,6 +234,8 @@
         if message.host == self.host or message.wall_s is None:
             return None
         now_s = self.clock.boot_s()
+        if message.era is not None:
+            self.history.merge(message.era, now_s - message.reports_known_s)
         before_s = self.wall_s()
         corrected_s = self.median_clock.record_peer_time(
             message.host, message.wall_s, now_s
--- a/magnoliadyke/wire/placement/ttypes.py
+++ b/magnoliadyke/wire/placement/ttypes.py
@@ -2851,6 +2851,8 @@
      - incarnation
      - windows
      - wall_ms
+     - era
+     - reports_known_ms
 
     """
 
@@ -2859,14 +2861,18 @@
         'incarnation',
         'windows',
         'wall_ms',
+        'era',
+        'reports_known_ms',
     )
 
 
-    def __init__(self, host=None, incarnation=None, windows=None, wall_ms=None,):
+    def __init__(self, host=None, incarnation=None, windows=None, wall_ms=None, era=None, reports_known_ms=None,):
         self.host = host
         self.incarnation = incarnation
         self.windows = windows
         self.wall_ms = wall_ms
+        self.era = era
+        self.reports_known_ms = reports_known_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2903,6 +2909,16 @@
                     self.wall_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.reports_known_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2932,6 +2948,14 @@
             oprot.writeFieldBegin('wall_ms', TType.I64, 4)
             oprot.writeI64(self.wall_ms)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.reports_known_ms is not None:
+            oprot.writeFieldBegin('reports_known_ms', TType.I32, 6)
+            oprot.writeI32(self.reports_known_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4705,6 +4729,8 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.LIST, 'windows', (TType.STRUCT, [WindowUsage, None], False), None, ),  # 3
     (4, TType.I64, 'wall_ms', None, None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
+    (6, TType.I32, 'reports_known_ms', None, None, ),  # 6
 )
 all_structs.append(WallTime)
 WallTime.thrift_spec = (
--- a/tests/test_usage_losses_model.py
+++ b/tests/test_usage_losses_model.py
@@ -176,8 +176,20 @@
             # Reports of two processes always differ.
             name = f'{number}-{duty.incarnation}'
             duty.ledger.record_counts(name, 1, duty._window(0.0), {name: 1})
+            self.tell_leader(number)
             duty._step()
 
+    def tell_leader(self, number):
+        """Send the leader since when a host knows of all reports."""
+        duty = self.hosts[number]
+        if self.leader is None or self.leader[0] == number:
+            return
+        leader = self.hosts[self.leader[0]]
+        if self.clock.now_s() >= self.frozen_until_s[self.leader[0]]:
+            process = duty.host, duty.incarnation
+            for message in duty._messages(process, {}, duty.wall_s()):
+                leader.handle_usage(message)
+
 
 HOST = strategies.integers(0, HOSTS - 1)
 
@@ -275,3 +287,20 @@
     assert len(fleet.accepted) > known + 2
     for window, reports in fleet.accepted.items():
         assert all(each == reports[0] for each in reports), window
+
+
+def test_leader_that_stood_still_goes_by_those_who_read_the_store_before():
+    """It left out windows that nobody can have reported."""
+    fleet = play([('steps', 30)])
+    known = len(fleet.accepted)
+    while len(fleet.accepted) == known:
+        fleet.step()
+    fleet.frozen_until_s[0] = fleet.clock.now_s() + 6.0
+    fleet.store.restore(3)
+    for number in (1, 2):
+        fleet.start(number)
+    for _ in range(40):
+        fleet.step()
+    windows = sorted(fleet.accepted)
+    assert windows == list(range(windows[0], windows[-1] + 1))
+    assert all(len(set(map(str, r))) == 1 for r in fleet.accepted.values())
--- a/thrift/placement.thrift
+++ b/thrift/placement.thrift
@@ -240,12 +240,16 @@
 }
 
 // What one process has counted so far; windows are told again until they are
-// long over.  The time of day is there unless another host tells it.
+// long over.  The time of day is there unless another host tells it.  With an
+// era, all reports made final in the last reports_known_ms are in the store of
+// that era.
 struct Usage {
   1: string host,
   2: i64 incarnation,
   3: list<WindowUsage> windows,
   4: optional i64 wall_ms,
+  5: optional i64 era,
+  6: optional i32 reports_known_ms,
 }
 
 // The time of day as most hosts have it, for one that differs.
