Correct no clock by that of one other host

The leader took the median of its own clock and the first one that it heard of for the time: a process that had started with a clock 7 s off moved the leader by 3.5 s, and with three hosts the third one was told to follow. Windows of usage were then counted, and reported, 3.5 s apart from the others.

The leader now waits for two other clocks, where there are as many hosts.

tests/test_usage.py::test_first_word_of_a_clock_that_is_off_moves_nobody. Before, the same three messages moved the leader by 3.5 s.

--- a/magnoliadyke/core/walltime.py
+++ b/magnoliadyke/core/walltime.py
@@ -48,10 +48,13 @@
     samples the one furthest ahead counts, for ``SAMPLE_RETENTION_S``.
 
     :param own_clock: clock of the host that collects the samples
+    :ivar min_clocks: number of clocks, this host's among them, below which
+        none is corrected: of two that differ, either may be right
     """
 
     def __init__(self, own_clock: AdjustedClock) -> None:
         self.own_clock = own_clock
+        self.min_clocks = 2
         self._samples: dict[str, tuple[float, float]] = {}
 
     def record_peer_time(
@@ -69,6 +72,8 @@
         self._samples[host] = sample
         ahead_s = sample[0]
         median_s = self._median_s(now_s)
+        if len(self._samples) + 1 < self.min_clocks:
+            return None
         if abs(median_s) > MAX_OFFSET_S:
             # This host's time deviates too far: correct it, and express the
             # samples relative to the new time.
--- a/magnoliadyke/gateway/usageduty.py
+++ b/magnoliadyke/gateway/usageduty.py
@@ -50,6 +50,9 @@
 #: The same for a process that has just started: it may have read a clock that
 #: has not been corrected yet.
 START_CLOCK_MARGIN_S = 2.5
+#: Number of clocks from which the leader corrects those that are off, unless
+#: there are fewer hosts.
+MIN_CLOCKS = 3
 #: Pause after a failed write or a call that was not accepted, in seconds.
 RETRY_PAUSE_S = 1.0
 
@@ -237,6 +240,7 @@
         if message.era is not None:
             self.history.merge(message.era, now_s - message.reports_known_s)
         before_s = self.wall_s()
+        self.median_clock.min_clocks = min(MIN_CLOCKS, self.members.count())
         corrected_s = self.median_clock.record_peer_time(
             message.host, message.wall_s, now_s
         )
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -134,6 +134,19 @@
     assert fleet.record_peer_time('a', 1010.0, 10.0) is None
 
 
+def test_first_word_of_a_clock_that_is_off_moves_nobody():
+    """It moved the leader by half, and the third host was told to follow."""
+    own = walltime.AdjustedClock(1000.0, 0.0)
+    fleet = walltime.MedianClock(own)
+    fleet.min_clocks = 3
+    assert fleet.record_peer_time('a', 1010.0 - 7.0, 10.0) is None
+    assert own.at(10.0) == 1010.0
+    assert fleet.record_peer_time('b', 1010.0, 10.0) is None
+    told_s = fleet.record_peer_time('a', 1010.0 - 7.0, 10.0)
+    assert told_s == pytest.approx(1010.0)
+    assert own.at(10.0) == pytest.approx(1010.0)
+
+
 def test_words_that_waited_while_a_host_stood_still_move_nobody():
     """They tell the time at which they were sent, some seconds ago."""
     own = walltime.AdjustedClock(1000.0, 0.0)
