Record since when reports are known only by a compared clock

A host that had just started wrote the time since when it knows of all reports into the store as soon as it led. With a clock that was behind by seconds, and corrected a second later, the store told that reports were known since before the restore, and a window was reported again: restore, end of two of three hosts, one of which starts with a clock 7 s behind.

The record is written once the leader may order; its clock has been compared with those of two other hosts by then. A leader that lived through the restore still writes at once.

Drawn losses there now have clocks that differ by up to 0.4 s.

--- a/magnoliadyke/gateway/usageduty.py
+++ b/magnoliadyke/gateway/usageduty.py
@@ -372,7 +372,10 @@
         if not leads and not self._may_read():
             return True
         done = self.read_term == self.leadership.held_position or self._read()
-        if done and (self.must_restore or not self.history.is_recorded()):
+        # The clock of a host that has just started may be corrected until
+        # then, and the record holds a time of day.
+        may_record = leads and not self.history.is_recorded()
+        if done and (self.must_restore or may_record):
             done = self._restore()
         if not leads or not self.leadership.may_order():
             return done
@@ -396,10 +399,7 @@
         return (
             self.leadership.lease is not None
             and not self.leadership.yielding
-            and (
-                self.read_term != self.leadership.held_position
-                or not self.history.is_recorded()
-            )
+            and self.read_term != self.leadership.held_position
         )
 
     def _restore(self) -> bool:
--- a/tests/test_usage_losses_model.py
+++ b/tests/test_usage_losses_model.py
@@ -104,20 +104,26 @@
             self.start(number)
         self.lead(0)
 
-    def start(self, number):
-        """Start a process of a host that knows nothing."""
+    def start(self, number, off_s=0.0):
+        """Start a process of a host that knows nothing.
+
+        :param off_s: by how much its time of day is off
+        """
         lease = Lease(self, number, self.clock)
         duty = usageduty.UsageDuty(
             (f'h{number}', next(self.incarnations)),
             usageduty.UsageSettings(WINDOW_S, DUE_S),
             lease,
-            types.SimpleNamespace(reachable_addresses=list),
+            types.SimpleNamespace(
+                reachable_addresses=list, count=lambda: HOSTS
+            ),
             types.SimpleNamespace(leading=False, leader=None),
             self.store,
             types.SimpleNamespace(report_usage=self.accept),
             self.clock,
         )
-        duty.wall.set(START_S + self.clock.boot_s(), self.clock.boot_s())
+        now_s = self.clock.boot_s()
+        duty.wall.set(START_S + now_s + off_s, now_s)
         self.hosts[number] = duty
         if self.leader is not None and self.leader[0] == number:
             self.leader = None
@@ -188,17 +194,22 @@
         if self.clock.now_s() >= self.frozen_until_s[self.leader[0]]:
             process = duty.host, duty.incarnation
             for message in duty._messages(process, {}, duty.wall_s()):
-                leader.handle_usage(message)
+                duty.last_sent_s = self.clock.boot_s()
+                corrected = leader.handle_usage(message)
+                if corrected is not None:
+                    duty.handle_wall_time(corrected)
 
 
 HOST = strategies.integers(0, HOSTS - 1)
+#: By how much the clocks of processes that start may be off, in seconds.
+OFFSETS = strategies.sampled_from([-0.2, -0.1, 0.0, 0.1, 0.2])
 
 
 @strategies.composite
 def losses(draw):
     """Draw losses that come close together, as events of a fleet."""
     restore = ('restore', draw(strategies.integers(1, 16)))
-    kill = ('kill', draw(strategies.sets(HOST)))
+    kill = ('kill', draw(strategies.dictionaries(HOST, OFFSETS)))
     between = ('steps', draw(strategies.integers(0, 4)))
     events = [restore, between, kill]
     if draw(strategies.booleans()):
@@ -224,8 +235,8 @@
             case 'restore' if fleet.store.copies:
                 fleet.store.restore(what)
             case 'kill':
-                for number in what:
-                    fleet.start(number)
+                for number, off_s in what.items():
+                    fleet.start(number, off_s)
             case 'lead':
                 fleet.lead(what)
             case 'freeze':
@@ -260,7 +271,7 @@
     """A restore, the end of all hosts, a restore as another host leads."""
     single = {
         'restore': [('restore', 6)],
-        'kill': [('kill', set(range(HOSTS)))],
+        'kill': [('kill', dict.fromkeys(range(HOSTS), 0.0))],
         'lead': [('lead', 0), ('steps', 12), ('restore', 6), ('lead', 1)],
     }
     events = [('steps', 30)]
@@ -304,3 +315,19 @@
     windows = sorted(fleet.accepted)
     assert windows == list(range(windows[0], windows[-1] + 1))
     assert all(len(set(map(str, r))) == 1 for r in fleet.accepted.values())
+
+
+def test_time_of_a_clock_that_is_corrected_later_is_not_recorded():
+    """The store told that reports were known since long before the restore."""
+    fleet = play([('steps', 24)])
+    known = len(fleet.accepted)
+    while len(fleet.accepted) == known:
+        fleet.step()
+    fleet.store.restore(3)
+    fleet.start(0)
+    fleet.start(1, off_s=-7.0)
+    fleet.lead(1)
+    for _ in range(40):
+        fleet.step()
+    for window, reports in fleet.accepted.items():
+        assert all(each == reports[0] for each in reports), window
