--- a/magnoliadyke/gateway/confirming.py
+++ b/magnoliadyke/gateway/confirming.py
@@ -129,7 +129,7 @@
         if self.proof.allows_denial(self.clock.boot_s()):
             return True
         if self.denial_read is None or self.denial_read.ready():
-            if not self._is_era_trusted():
+            if self.proof.newest_peer_version < 0 or not self._is_trusted():
                 self._ask_peers(self._sample_peers())
             self.denial_read = gevent.spawn(self._ask_store)
         self.denial_read.join(DENIAL_PROOF_WAIT_S)
@@ -282,7 +282,8 @@
             return 'waited'
         return None
 
-    def _is_era_trusted(self) -> bool:
+    def _is_trusted(self) -> bool:
+        """Whether the store is trusted in the era that this host has read."""
         era = self.follower.lag.own_position.era
         return not era or era == self.trusted_era
 
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -294,6 +294,18 @@
     assert run(world, 'key-small', node=1)[0].status == 401
 
 
+def test_denial_asks_another_host_until_one_has_replied(
+    world, plain, monkeypatch
+):
+    """A store that was never restored may be behind another host as well."""
+    node = world.node()
+    asked = []
+    monkeypatch.setattr(node.confirming, '_ask_peers', asked.append)
+    node.confirming.proof.proved_s = float('-inf')
+    assert run(world, 'key-new')[0].status == 401
+    assert asked
+
+
 def test_end_of_all_hosts_alone_delays_no_key(world, plain):
     """The store was not restored, and says that it is trusted."""
     world.settled = False
