Let two tests of keys not depend on the machine's speed

They waited for less than the time after which a restored store is believed; beside load that time could pass within them. It is now out of reach in both, which asks the same of the product.

--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -264,9 +264,10 @@
 
 
 def test_hosts_that_all_start_on_a_copy_take_no_key_that_was_revoked(
-    world, plain
+    world, plain, monkeypatch
 ):
     """None of them knows more than the copy, so none can vouch for it."""
+    monkeypatch.setattr(confirming, 'RESTORED_WAIT_S', 60.0)
     for _ in range(3):
         strict_node(world)
     copy = world.store.snapshot()
@@ -289,7 +290,6 @@
     gatewayworld.wait_for(
         lambda: run(world, 'key-large-1', node=1)[0].status == 200,
         'the key that stays',
-        wait_s=1.5,
     )
     assert run(world, 'key-small', node=1)[0].status == 401
 
@@ -306,7 +306,7 @@
     assert asked
 
 
-def test_end_of_all_hosts_alone_delays_no_key(world, plain):
+def test_end_of_all_hosts_alone_delays_no_key(world, plain, monkeypatch):
     """The store was not restored, and says that it is trusted."""
     world.settled = False
     for _ in range(3):
@@ -314,15 +314,14 @@
     gatewayworld.wait_for(
         lambda: confirming.ERA_KEY in world.store.items, 'the record'
     )
+    monkeypatch.setattr(confirming, 'RESTORED_WAIT_S', 60.0)
     killed = list(world.nodes)
     for node in killed:
         world.kill(node)
     for node in killed:
         world.start_again(node, wait=False)
     gatewayworld.wait_for(
-        lambda: run(world, 'key-small')[0].status == 200,
-        'a request',
-        wait_s=0.5 * confirming.RESTORED_WAIT_S,
+        lambda: run(world, 'key-small')[0].status == 200, 'a request'
     )
 
 
